--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+export CGO_ENABLED = 1
+PACKAGES = ./... ./cmd/pomelobench/... ./cmd/pomeloctl/... ./cmd/pomelorelayd/...
+
+.PHONY: build test race format lint generate tables demo bench capacity
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/pomelorelayd ./cmd/pomeloctl ./cmd/pomelobench
+
+test: build
+	sh scripts/test.sh $(PACKAGES)
+
+race: build
+	sh scripts/test.sh -race $(PACKAGES)
+
+format:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$unformatted" || { echo "not formatted: $$unformatted"; exit 1; }
+
+lint:
+	go vet $(PACKAGES)
+	go tool staticcheck $(PACKAGES)
+	go tool revive -config revive.toml -set_exit_status -exclude pomelomesh/pomelowire/... $(PACKAGES)
+
+generate:
+	sh scripts/generate.sh
+
+tables:
+	POMELORELAY_UPDATE_DOCS=1 go test -count=1 -run TestTablesMatchDocs .
+
+demo: build
+	sh scripts/demo.sh
--- /dev/null
+++ b/cmd/pomelobench/doc.go
@@ -0,0 +1,2 @@
+// Command pomelobench is part of pomelorelay.
+package main
--- /dev/null
+++ b/cmd/pomeloctl/doc.go
@@ -0,0 +1,2 @@
+// Command pomeloctl is part of pomelorelay.
+package main
--- /dev/null
+++ b/cmd/pomelorelayd/doc.go
@@ -0,0 +1,2 @@
+// Command pomelorelayd is part of pomelorelay.
+package main
--- /dev/null
+++ b/cmd/pomelorelayd/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/codes_general.go
@@ -0,0 +1,32 @@
+package pomelorelay
+
+// General result codes, 1000 to 1099.
+const (
+	CodeInternal      ResultCode = 1000
+	CodeStopping      ResultCode = 1001
+	CodeNotReady      ResultCode = 1002
+	CodeUnauthorised  ResultCode = 1003
+	CodeUnknownPath   ResultCode = 1004
+	CodeBadRequest    ResultCode = 1005
+	CodeTooLarge      ResultCode = 1006
+	CodeDeadline      ResultCode = 1007
+	CodeCallerGone    ResultCode = 1008
+	CodeNoUpstream    ResultCode = 1009
+	CodeHeaderBounds  ResultCode = 1010
+	CodeControlStalls ResultCode = 1011
+)
+
+var generalCodes = []CodeInfo{
+	{CodeInternal, "Internal", 500, RanUnknown, "A defect in the router.", "Report it with the log's event."},
+	{CodeStopping, "Stopping", 503, RanNo, "The router is stopping and takes no new work.", "Send it again; the balancer picks another router."},
+	{CodeNotReady, "NotReady", 503, RanNo, "The router has no configuration yet.", "Send it again after Retry-After."},
+	{CodeUnauthorised, "Unauthorised", 401, RanNo, "The bearer token is missing or unknown.", "Check the token."},
+	{CodeUnknownPath, "UnknownPath", 404, RanNo, "No service is configured under the path.", "Check the service's name."},
+	{CodeBadRequest, "BadRequest", 400, RanNo, "The request cannot be read.", "Correct it as the detail says."},
+	{CodeTooLarge, "TooLarge", 413, RanNo, "The body is over the service's bound.", "Send a smaller one."},
+	{CodeDeadline, "DeadlinePassed", 504, RanNo, "The request's deadline passed while it waited.", "Send it again with a later deadline."},
+	{CodeCallerGone, "CallerGone", 499, RanUnknown, "The caller closed its connection.", "None."},
+	{CodeNoUpstream, "NoUpstream", 503, RanNo, "No upstream of the service can be reached.", "Send it again after Retry-After."},
+	{CodeHeaderBounds, "HeaderBounds", 431, RanNo, "The headers are over the bound.", "Send fewer or smaller headers."},
+	{CodeControlStalls, "ControlStalled", 503, RanNo, "The router's control thread is stalled and no spare slot is free.", "Send it again after Retry-After."},
+}
--- /dev/null
+++ b/codes_mesh.go
@@ -0,0 +1,16 @@
+package pomelorelay
+
+// Result codes of the links between routers, 2200 to 2299.
+const (
+	CodeMeshUnknownPeer ResultCode = 2200
+	CodeMeshQueueFull   ResultCode = 2201
+	CodeMeshMalformed   ResultCode = 2202
+	CodeMeshTLS         ResultCode = 2203
+)
+
+var meshCodes = []CodeInfo{
+	{CodeMeshUnknownPeer, "MeshUnknownPeer", 503, RanNo, "The router is not among the peers.", "Check the host list and the settings."},
+	{CodeMeshQueueFull, "MeshQueueFull", 503, RanNo, "The queue to the peer is full.", "Check the peer and the byte budget."},
+	{CodeMeshMalformed, "MeshMalformed", 400, RanNo, "A control message could not be decoded.", "Check the versions of the routers."},
+	{CodeMeshTLS, "MeshTLS", 500, RanNo, "The keys for mutual TLS cannot be used.", "Check the key, certificate and authority files."},
+}
--- /dev/null
+++ b/codes_quarantine.go
@@ -0,0 +1,3 @@
+package pomelorelay
+
+var quarantineCodes = []CodeInfo{}
