--- /dev/null
+++ b/pomelofair/account.go
@@ -0,0 +1,136 @@
+package pomelofair
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// account is one client account in one pool; all of its service is normalised when it is charged.
+type account struct {
+	id     pomelorelay.AccountID
+	pool   *pool
+	weight pomelorelay.Weight
+	// own is what this router served, others what the rest of the fleet did.
+	own      pomelorelay.Tag
+	others   pomelorelay.Tag
+	reported pomelorelay.Tag
+	lift     pomelorelay.Tag
+	// pending is the part of the admission charges that has not accrued yet.
+	pending pomelorelay.Tag
+	// floor plus own is the least place of an account whose fleet totals are being asked for.
+	floor    pomelorelay.Tag
+	asking   bool
+	dirty    bool
+	place    int
+	key      pomelorelay.Tag
+	mean     pomelorelay.Cost
+	first    *request
+	last     *request
+	waiting  int
+	running  int
+	bytes    pomelorelay.Bytes
+	lastPop  time.Time
+	interval time.Duration
+}
+
+// request is one caller's request, waiting or running.
+type request struct {
+	id         pomelorelay.RequestID
+	account    *account
+	bytes      pomelorelay.Bytes
+	hint       pomelorelay.Cost
+	pushed     time.Time
+	accrued    pomelorelay.Cost
+	pending    pomelorelay.Tag
+	running    bool
+	prev, next *request
+	// older and newer link the waiting requests of all accounts by age.
+	older, newer *request
+}
+
+// served is the account's normalised service as this router knows it.
+func (a *account) served() pomelorelay.Tag { return a.own + a.others + a.lift }
+
+// tag is the account's place.
+func (a *account) tag() pomelorelay.Tag {
+	served := a.served()
+	if a.asking {
+		served = max(served, a.floor+a.own)
+	}
+	return served + a.pending
+}
+
+// release takes the rest of a running request's admission charge back.
+func (a *account) release(r *request) {
+	a.pending -= r.pending
+	r.pending = 0
+	a.running--
+	if a.running == 0 {
+		a.pending = 0 // rounding must not pile up over millions of requests
+	}
+}
+
+func (a *account) idle() bool { return a.waiting == 0 && a.running == 0 }
+
+// wake begins a backlogged period. What the ledger said earlier may be out of date: taking it as it is would let an
+// account use service that it left unclaimed while idle, seen as one account served alone for a while. So the account
+// starts at the virtual time until fleet totals arrive, and only then is its lift set.
+func (a *account) wake() {
+	a.asking = true
+	a.floor = a.pool.virtual - a.own
+}
+
+func (a *account) append(r *request) {
+	r.prev, r.next = a.last, nil
+	if a.last == nil {
+		a.first = r
+	} else {
+		a.last.next = r
+	}
+	a.last = r
+	a.count(r)
+}
+
+func (a *account) prepend(r *request) {
+	r.prev, r.next = nil, a.first
+	if a.first == nil {
+		a.last = r
+	} else {
+		a.first.prev = r
+	}
+	a.first = r
+	a.count(r)
+}
+
+func (a *account) count(r *request) {
+	a.waiting++
+	a.bytes += r.bytes
+	a.pool.waiting++
+}
+
+func (a *account) remove(r *request) {
+	if r.prev == nil {
+		a.first = r.next
+	} else {
+		r.prev.next = r.next
+	}
+	if r.next == nil {
+		a.last = r.prev
+	} else {
+		r.next.prev = r.prev
+	}
+	r.prev, r.next = nil, nil
+	a.waiting--
+	a.bytes -= r.bytes
+}
+
+// intervalShare is the weight of the newest interval between pops in its running mean.
+const intervalShare = 8
+
+func (a *account) notePop(now time.Time) {
+	if !a.lastPop.IsZero() {
+		a.interval += (now.Sub(a.lastPop) - a.interval) / intervalShare
+	}
+	a.lastPop = now
+}
--- /dev/null
+++ b/pomelofair/ledger.go
@@ -0,0 +1,112 @@
+package pomelofair
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// mark notes that the account's entry changed.
+func (q *Queues) mark(a *account) {
+	if a.dirty {
+		return
+	}
+	a.dirty = true
+	q.changed = append(q.changed, a)
+}
+
+// SetVirtual takes the pool's virtual time, the level at which the fleet serves it now.
+func (q *Queues) SetVirtual(id pomelorelay.PoolID, tag pomelorelay.Tag) {
+	p := q.pools[id]
+	if p == nil {
+		return
+	}
+	p.virtual, p.told = tag, true
+}
+
+// SetFleet takes an account's fleet totals, this router's own part included.
+func (q *Queues) SetFleet(_ time.Time, e pomelorelay.LedgerEntry) {
+	p := q.pools[e.Pool]
+	if p == nil {
+		return
+	}
+	a := p.accounts[e.Account]
+	if a == nil {
+		return
+	}
+	before := a.lift
+	// Totals may be older than the last ones, or come from a host that forgot: taken as they are, an account's place would
+	// fall and it would be served alone for a while. Sums only rise, so the larger one is the newer.
+	a.others = max(a.others, pomelorelay.Tag(e.Served)-a.reported)
+	a.lift = max(a.lift, e.Lift)
+	q.raise(a, e.Waiting)
+	if a.lift > before {
+		q.mark(a)
+	}
+	p.lower(a)
+}
+
+// raise lifts a backlogged account that came back from idleness to the virtual time, and one that was behind elsewhere
+// to the catch-up bound. Without it, service left unclaimed (while idle, or on the far side of a partition) would be
+// claimed at once and every other account would be seen to stand still.
+func (q *Queues) raise(a *account, elsewhere bool) {
+	if a.idle() {
+		return
+	}
+	target := a.pool.virtual - q.cfg.Charge.CatchUp
+	if a.asking && !elsewhere {
+		target = a.floor + a.own
+	}
+	if a.asking {
+		a.asking = false
+		q.mark(a)
+	}
+	if behind := target - a.served(); behind > 0 {
+		a.lift += behind
+	}
+}
+
+// entry is this router's own part. Waiting is not reported before totals have come: the answer would then say that the
+// account waits somewhere, here, and it could not be told from one that waits elsewhere.
+func (a *account) entry() pomelorelay.LedgerEntry {
+	return pomelorelay.LedgerEntry{
+		Pool:    a.pool.id,
+		Account: a.id,
+		Served:  pomelorelay.Cost(a.own),
+		Lift:    a.lift,
+		Waiting: !a.idle() && !a.asking,
+	}
+}
+
+// Changed appends this router's own cumulative totals that changed since the last call.
+func (q *Queues) Changed(out []pomelorelay.LedgerEntry) []pomelorelay.LedgerEntry {
+	for i, a := range q.changed {
+		a.dirty = false
+		a.reported = a.own
+		out = append(out, a.entry())
+		q.changed[i] = nil
+	}
+	q.changed = q.changed[:0]
+	return out
+}
+
+// All appends this router's own cumulative totals of every account; a new ledger host asks for them.
+func (q *Queues) All(out []pomelorelay.LedgerEntry) []pomelorelay.LedgerEntry {
+	for _, p := range q.pools {
+		for _, a := range p.accounts {
+			a.reported = a.own
+			out = append(out, a.entry())
+		}
+	}
+	return out
+}
+
+// Interest appends the accounts that wait here, whose fleet totals decide.
+func (q *Queues) Interest(out []pomelorelay.LedgerKey) []pomelorelay.LedgerKey {
+	for _, p := range q.pools {
+		for _, a := range p.heap {
+			out = append(out, pomelorelay.LedgerKey{Pool: p.id, Account: a.id})
+		}
+	}
+	return out
+}
