pomeloslot: owners and askers, with a fleet on virtual time to measure them

Cause: slots have to reach the lowest tag of the fleet and none may idle. Change: Owner, Asker, limiter, spill, prefixes; a small event loop in the tests.

--- /dev/null
+++ b/pomeloslot/asker.go
@@ -0,0 +1,179 @@
+package pomeloslot
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Asker registers one router's demand at slot owners and keeps the grants that it got.
+type Asker struct {
+	cfg    AskerConfig
+	random *rand.Rand
+	pools  map[pomelorelay.PoolID]*askerPool
+	// order is by id, so that the same calls always give the same messages.
+	order  []*askerPool
+	owners map[pomelorelay.UpstreamID]*owned
+	held   map[pomelorelay.GrantID]*held
+	seq    uint64
+	// startAt is when the first registrations may leave; zero until the first call.
+	startAt time.Time
+}
+
+// askerPool is what a router knows of one pool.
+type askerPool struct {
+	id      pomelorelay.PoolID
+	demand  PoolHead
+	owners  []*owned
+	ranking []*owned
+	tags    []pomelorelay.Tag
+}
+
+// owned is what a router knows of one upstream and its owner.
+type owned struct {
+	digest pomelorelay.SlotDigest
+	at     time.Time
+	rank   uint64
+	// distance is how far the upstream is: in the own domain, the own region, or beyond.
+	distance pomelorelay.LinkClass
+	left     bool
+	held     int
+	chosen   bool
+	sent     sentDemand
+}
+
+// sentDemand is what the owner was last told.
+type sentDemand struct {
+	to      pomelorelay.NodeID
+	head    pomelorelay.Tag
+	waiting int
+	at      time.Time
+}
+
+// held is a grant that the router has not settled.
+type held struct {
+	upstream pomelorelay.UpstreamID
+	owner    pomelorelay.NodeID
+	expires  time.Time
+}
+
+// NewAsker returns an asker that knows of no owner.
+func NewAsker(cfg AskerConfig) *Asker {
+	cfg.Registration = cfg.Registration.withDefaults()
+	cfg.Spill = cfg.Spill.withDefaults()
+	return &Asker{
+		cfg:    cfg,
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		pools:  make(map[pomelorelay.PoolID]*askerPool),
+		owners: make(map[pomelorelay.UpstreamID]*owned),
+		held:   make(map[pomelorelay.GrantID]*held),
+	}
+}
+
+// Slots takes owners' digests, from this router's own Owner too; Tick is to be called after it.
+func (a *Asker) Slots(now time.Time, digests []pomelorelay.SlotDigest) {
+	for _, d := range digests {
+		w := a.owners[d.Upstream]
+		if w == nil {
+			w = a.addOwned(d)
+		}
+		w.digest, w.at = d, now
+	}
+}
+
+func (a *Asker) addOwned(d pomelorelay.SlotDigest) *owned {
+	w := &owned{digest: d, rank: a.random.Uint64(), distance: a.distance(d.Domain)}
+	a.owners[d.Upstream] = w
+	p := a.pool(d.Pool)
+	i, _ := slices.BinarySearchFunc(p.owners, d.Upstream, func(w *owned, id pomelorelay.UpstreamID) int {
+		return strings.Compare(string(w.digest.Upstream), string(id))
+	})
+	p.owners = slices.Insert(p.owners, i, w)
+	return w
+}
+
+func (a *Asker) distance(domain pomelorelay.DomainID) pomelorelay.LinkClass {
+	switch {
+	case domain == a.cfg.Domain:
+		return pomelorelay.LinkDomain
+	case a.cfg.Regions[domain] == a.cfg.Regions[a.cfg.Domain]:
+		return pomelorelay.LinkRegion
+	}
+	return pomelorelay.LinkCross
+}
+
+func (a *Asker) pool(id pomelorelay.PoolID) *askerPool {
+	if p := a.pools[id]; p != nil {
+		return p
+	}
+	p := &askerPool{id: id}
+	p.demand.Pool = id
+	a.pools[id] = p
+	i, _ := slices.BinarySearchFunc(a.order, id, func(p *askerPool, id pomelorelay.PoolID) int {
+		return strings.Compare(string(p.id), string(id))
+	})
+	a.order = slices.Insert(a.order, i, p)
+	return p
+}
+
+// Heads takes what waits in the pools that changed and registers where it is worth it.
+func (a *Asker) Heads(now time.Time, heads []PoolHead, out []pomelorelay.Outgoing) []pomelorelay.Outgoing {
+	for _, h := range heads {
+		p := a.pool(h.Pool)
+		p.demand = h
+		out = a.register(now, p, out)
+	}
+	return out
+}
+
+// Tick refreshes the registrations.
+func (a *Asker) Tick(now time.Time, out []pomelorelay.Outgoing) []pomelorelay.Outgoing {
+	for _, p := range a.order {
+		out = a.register(now, p, out)
+	}
+	return out
+}
+
+// Virtual returns the pool's virtual time: the middle one of the last granted tags of the own domain's owners that have
+// no slot idle, or the highest of all when every one has.
+func (a *Asker) Virtual(id pomelorelay.PoolID) pomelorelay.Tag {
+	p := a.pools[id]
+	if p == nil {
+		return 0
+	}
+	p.tags = p.tags[:0]
+	highest := pomelorelay.Tag(0)
+	for _, w := range p.owners {
+		if w.distance != pomelorelay.LinkDomain {
+			continue
+		}
+		highest = max(highest, w.digest.LastTag)
+		if w.digest.Idle == 0 && !w.digest.Leaving {
+			p.tags = append(p.tags, w.digest.LastTag)
+		}
+	}
+	if len(p.tags) == 0 {
+		return highest
+	}
+	slices.Sort(p.tags)
+	return p.tags[len(p.tags)/2]
+}
+
+// Leaving makes the router refuse every further grant of an upstream, also one that is under way.
+func (a *Asker) Leaving(id pomelorelay.UpstreamID) {
+	if w := a.owners[id]; w != nil {
+		w.left = true
+		return
+	}
+	a.addOwned(pomelorelay.SlotDigest{Upstream: id, Leaving: true}).left = true
+}
+
+// Back takes a leaving mark back when the host list says that the upstream stays.
+func (a *Asker) Back(id pomelorelay.UpstreamID) {
+	if w := a.owners[id]; w != nil {
+		w.left = false
+	}
+}
--- a/pomeloslot/config.go
+++ b/pomeloslot/config.go
@@ -27,7 +27,7 @@
 	Careful time.Duration
 	// DemandTTL is how long a registration holds without a refresh; default 3 s.
 	DemandTTL time.Duration
-	// PrefixMargin is how far above the lowest tag a router with a cached prefix may be preferred; default zero: ties only.
+	// PrefixMargin is how far above the lowest tag a router with a cached prefix may be preferred; default 1, negative means never.
 	PrefixMargin pomelorelay.Tag
 	// PrefixTTL is how long a prefix counts as cached after it was last seen; default 60 s.
 	PrefixTTL time.Duration
@@ -43,7 +43,7 @@
 	TokenGap time.Duration
 	// Window is how long latencies are gathered before the limit moves; default 2 s.
 	Window time.Duration
-	// Samples is how many answers a window needs before the limit moves; default 8.
+	// Samples is how many answers a window needs before the limit moves; default 20.
 	Samples int
 	// Shrink is the factor of a lowered limit; default 0.9.
 	Shrink float64
@@ -52,19 +52,20 @@
 }
 
 const (
-	defaultTTL        = 500 * time.Millisecond
-	defaultAnswer     = time.Second
-	defaultCheck      = 10 * time.Second
-	defaultCareful    = 500 * time.Millisecond
-	defaultDemandTTL  = 3 * time.Second
-	defaultPrefixTTL  = time.Minute
-	defaultPrefixes   = 256
-	defaultFirstToken = 1200 * time.Millisecond
-	defaultTokenGap   = 51 * time.Millisecond
-	defaultWindow     = 2 * time.Second
-	defaultSamples    = 8
-	defaultShrink     = 0.9
-	defaultLag        = 2 * time.Second
+	defaultTTL          = 500 * time.Millisecond
+	defaultAnswer       = time.Second
+	defaultCheck        = 10 * time.Second
+	defaultCareful      = 500 * time.Millisecond
+	defaultDemandTTL    = 3 * time.Second
+	defaultPrefixTTL    = time.Minute
+	defaultPrefixes     = 256
+	defaultFirstToken   = 1200 * time.Millisecond
+	defaultTokenGap     = 51 * time.Millisecond
+	defaultWindow       = 2 * time.Second
+	defaultSamples      = 20
+	defaultPrefixMargin = 1
+	defaultShrink       = 0.9
+	defaultLag          = 2 * time.Second
 )
 
 func orDuration(d, standard time.Duration) time.Duration {
@@ -89,6 +90,9 @@
 	o.DemandTTL = orDuration(o.DemandTTL, defaultDemandTTL)
 	o.PrefixTTL = orDuration(o.PrefixTTL, defaultPrefixTTL)
 	o.Prefixes = orInt(o.Prefixes, defaultPrefixes)
+	if o.PrefixMargin == 0 {
+		o.PrefixMargin = defaultPrefixMargin
+	}
 	return o
 }
 
--- /dev/null
+++ b/pomeloslot/fleetmessages_test.go
@@ -0,0 +1,261 @@
+package pomeloslot_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloslot"
+)
+
+// size estimates a message's encoded length with its envelope, field by field.
+func size(m pomelorelay.Message) int {
+	const envelope = 24
+	switch m := m.(type) {
+	case *pomelorelay.Demand:
+		return envelope + len(m.Upstream) + len(m.Pool) + 22 + 9*len(m.Prefixes)
+	case *pomelorelay.Grant:
+		return envelope + len(m.Upstream) + len(m.Pool) + 26
+	case *pomelorelay.GrantReply:
+		return envelope + len(m.Upstream) + 38
+	case *pomelorelay.RunningReport:
+		return envelope + len(m.Upstream) + 4 + 9*len(m.Grants)
+	}
+	return envelope + 8
+}
+
+func (f *fleet) send(from *testRouter, out []pomelorelay.Outgoing) {
+	for _, o := range out {
+		to := f.router(o.To)
+		delay := linkTime
+		if to == from {
+			delay = 0
+		} else {
+			f.messages[strings.TrimPrefix(fmt.Sprintf("%T", o.Message), "*pomelorelay.")]++
+			f.bytes += size(o.Message)
+		}
+		if from.dead || to != from && f.random.Float64() < f.cfg.drop {
+			continue
+		}
+		f.after(delay, func() {
+			if !to.dead {
+				f.receive(to, from.node, o.Message)
+			}
+		})
+	}
+}
+
+func (f *fleet) router(node pomelorelay.NodeID) *testRouter {
+	i := slices.IndexFunc(f.routers, func(r *testRouter) bool { return r.node == node })
+	return f.routers[i]
+}
+
+func (f *fleet) receive(r *testRouter, from pomelorelay.NodeID, m pomelorelay.Message) {
+	switch m := m.(type) {
+	case *pomelorelay.Demand:
+		f.send(r, r.owner.Demand(f.now, from, m, nil))
+	case *pomelorelay.Grant:
+		f.granted(r, from, m)
+	case *pomelorelay.GrantReply:
+		f.send(r, r.owner.Reply(f.now, from, m, nil))
+	case *pomelorelay.RunningQuery:
+		f.send(r, []pomelorelay.Outgoing{{To: from, Message: r.asker.Running(m.Upstream)}})
+	case *pomelorelay.RunningReport:
+		f.send(r, r.owner.Running(f.now, from, m, nil))
+	}
+}
+
+func (f *fleet) granted(r *testRouter, from pomelorelay.NodeID, g *pomelorelay.Grant) {
+	if !r.asker.Granted(f.now, from, g) {
+		f.settle(r, g.ID, pomelorelay.GrantReturned)
+		return
+	}
+	id, _, ok := r.queues.Pop(f.now, testPool)
+	if !ok {
+		f.settle(r, g.ID, pomelorelay.GrantReturned)
+		return
+	}
+	u := slices.IndexFunc(f.upstreams, func(u *testUpstream) bool { return u.id == g.Upstream })
+	f.launch(r, id, u, g.ID)
+	f.settle(r, g.ID, pomelorelay.GrantUsed)
+}
+
+func (f *fleet) settle(r *testRouter, id pomelorelay.GrantID, state pomelorelay.GrantState) {
+	tag, waiting, _ := r.queues.Head(testPool)
+	f.send(r, r.asker.Settled(f.now, id, pomeloslot.Settlement{State: state, Head: tag, Waiting: waiting}, nil))
+}
+
+// launch sends a request that was popped to an upstream and fills its account's queue up again.
+func (f *fleet) launch(r *testRouter, id pomelorelay.RequestID, upstream int, grant pomelorelay.GrantID) {
+	a := r.starts[id]
+	delete(r.starts, id)
+	r.starts[pomelorelay.RequestID(1<<40+a)]--
+	f.refill(r, a)
+	x := &run{id: id, grant: grant, account: a, upstream: upstream, cost: f.cost(a), started: f.now.Add(linkTime)}
+	f.largest = max(f.largest, x.cost)
+	r.runs[id] = x
+	f.after(linkTime, func() { f.startRun(r, x) })
+}
+
+func (f *fleet) startRun(r *testRouter, x *run) {
+	u := f.upstreams[x.upstream]
+	if r.dead {
+		return
+	}
+	f.account()
+	u.runs[x] = true
+	u.most = max(u.most, len(u.runs))
+	f.running++
+	f.after(time.Duration(x.cost*float64(time.Second)), func() { f.endRun(r, x) })
+}
+
+func (f *fleet) endRun(r *testRouter, x *run) {
+	u := f.upstreams[x.upstream]
+	if !u.runs[x] {
+		return // its router or upstream died
+	}
+	f.account()
+	delete(u.runs, x)
+	f.running--
+	f.served[x.account] += x.cost
+	f.after(linkTime, func() {
+		if r.dead {
+			return
+		}
+		delete(r.runs, x.id)
+		r.queues.Finish(f.now, x.id, pomelorelay.Cost(x.cost))
+		if f.cfg.local {
+			r.mine--
+			f.serveLocally(r)
+			return
+		}
+		f.settle(r, x.grant, pomelorelay.GrantFinished)
+	})
+}
+
+// serveLocally is the baseline: a router's own share of slots and nothing known of the others.
+func (f *fleet) serveLocally(r *testRouter) {
+	share := f.cfg.slots * f.cfg.upstreams / f.cfg.routers
+	for r.mine < share {
+		id, _, ok := r.queues.Pop(f.now, testPool)
+		if !ok {
+			return
+		}
+		r.mine++
+		f.launch(r, id, r.index%len(f.upstreams), 0)
+	}
+}
+
+func (f *fleet) progress(r *testRouter) {
+	for id, x := range r.runs {
+		if f.now.After(x.started) {
+			r.queues.Progress(f.now, id, pomelorelay.Cost(f.now.Sub(x.started).Seconds()))
+		}
+	}
+}
+
+// publish sends the digest of a router's upstreams to all.
+func (f *fleet) publish(r *testRouter) {
+	digests := r.owner.Digests(f.now, nil)
+	for _, to := range f.routers {
+		f.after(linkTime, func() {
+			if to.dead {
+				return
+			}
+			to.asker.Slots(f.now, digests)
+			f.send(to, to.asker.Tick(f.now, nil))
+		})
+	}
+}
+
+// exchange reports a router's totals and brings the fleet's back.
+func (f *fleet) exchange(r *testRouter) {
+	if f.cfg.local {
+		return
+	}
+	entries := r.queues.Changed(nil)
+	interest := r.queues.Interest(nil)
+	f.after(linkTime, func() {
+		for _, e := range entries {
+			f.ledger[e.Account][r.index] = e
+		}
+		totals := f.totals(interest)
+		f.after(linkTime, func() {
+			for _, e := range totals {
+				r.queues.SetFleet(f.now, e)
+			}
+		})
+	})
+}
+
+func (f *fleet) totals(keys []pomelorelay.LedgerKey) []pomelorelay.LedgerEntry {
+	var all []pomelorelay.LedgerEntry
+	for _, k := range keys {
+		sum := pomelorelay.LedgerEntry{Pool: k.Pool, Account: k.Account}
+		for i := range f.routers {
+			e := f.ledger[k.Account][i]
+			sum.Served += e.Served
+			sum.Lift = max(sum.Lift, e.Lift)
+			sum.Waiting = sum.Waiting || e.Waiting
+		}
+		all = append(all, sum)
+	}
+	return all
+}
+
+// account brings the integral of busy slots up to now.
+func (f *fleet) account() {
+	f.busy += float64(f.running) * f.now.Sub(f.busyAt).Seconds()
+	f.busyAt = f.now
+}
+
+// delivered is an account's normalised service so far, running requests included.
+func (f *fleet) delivered() []float64 {
+	all := slices.Clone(f.served)
+	for _, u := range f.upstreams {
+		for x := range u.runs {
+			all[x.account] += f.now.Sub(x.started).Seconds()
+		}
+	}
+	for i := range all {
+		all[i] /= f.cfg.accounts[i].weight
+	}
+	return all
+}
+
+func (f *fleet) gap() float64 {
+	all := f.delivered()
+	return slices.Max(all) - slices.Min(all)
+}
+
+// measured is what a run of a fleet shows.
+type measured struct {
+	median, highest, utilisation float64
+	bytesPerNode                 float64
+}
+
+func (f *fleet) measure(warm, span time.Duration, each func()) measured {
+	f.until(warm)
+	f.account()
+	busy, bytes := f.busy, f.bytes
+	var gaps []float64
+	for d := warm; d < warm+span; d += 100 * time.Millisecond {
+		f.until(d)
+		gaps = append(gaps, f.gap())
+		if each != nil {
+			each()
+		}
+	}
+	f.until(warm + span)
+	f.account()
+	slices.Sort(gaps)
+	capacity := float64(f.cfg.slots*f.cfg.upstreams) * span.Seconds()
+	return measured{
+		median:       gaps[len(gaps)/2],
+		highest:      gaps[len(gaps)-1],
+		utilisation:  (f.busy - busy) / capacity,
+		bytesPerNode: float64(f.bytes-bytes) / span.Seconds() / float64(f.cfg.routers),
+	}
+}
--- /dev/null
+++ b/pomeloslot/selection.go
@@ -0,0 +1,135 @@
+package pomeloslot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// register chooses the owners of a pool to wait at and sends what they do not know yet.
+func (a *Asker) register(now time.Time, p *askerPool, out []pomelorelay.Outgoing) []pomelorelay.Outgoing {
+	if !a.started(now) {
+		return out
+	}
+	a.choose(now, p)
+	for _, w := range p.owners {
+		if w.chosen {
+			out = a.tell(now, p, w, out)
+			continue
+		}
+		out = a.withdraw(now, p, w, out)
+	}
+	return out
+}
+
+// started spreads the first registrations of routers that start together: without it, half a fleet that restarts would
+// be seen to send every owner a registration within the same millisecond.
+func (a *Asker) started(now time.Time) bool {
+	if a.startAt.IsZero() {
+		a.startAt = now.Add(time.Duration(a.random.Int64N(int64(a.cfg.Registration.StartSpread))))
+	}
+	return !now.Before(a.startAt)
+}
+
+// choose marks the owners to be registered at. Those of which grants are held stay chosen: their next free slot is
+// known there at once, while it would be seen idle for a digest's period if nobody waited.
+func (a *Asker) choose(now time.Time, p *askerPool) {
+	p.ranking = p.ranking[:0]
+	reach := a.reach(now, p)
+	for _, w := range p.owners {
+		w.chosen = false
+		if !a.usable(now, w) || p.demand.Waiting == 0 {
+			continue
+		}
+		w.chosen = w.held > 0
+		if w.distance <= reach.distance || reach.allows(w) {
+			p.ranking = append(p.ranking, w)
+		}
+	}
+	slices.SortFunc(p.ranking, compareOwned)
+	a.widen(p)
+}
+
+// usable reports whether an owner is known that may grant.
+func (a *Asker) usable(now time.Time, w *owned) bool {
+	return !w.left && !w.digest.Leaving && now.Sub(w.at) <= a.cfg.Registration.DigestTTL
+}
+
+// compareOwned orders owners by idle slots first, nearest and most of them, then by the highest last granted tag: the
+// accounts there have had more, so a waiting one is served sooner.
+func compareOwned(v, w *owned) int {
+	if idle := cmp.Compare(min(w.digest.Idle, 1), min(v.digest.Idle, 1)); idle != 0 {
+		return idle
+	}
+	if v.digest.Idle > 0 {
+		return cmp.Or(cmp.Compare(v.distance, w.distance), cmp.Compare(w.digest.Idle, v.digest.Idle), cmp.Compare(v.rank, w.rank))
+	}
+	return cmp.Or(cmp.Compare(w.digest.LastTag, v.digest.LastTag), cmp.Compare(v.rank, w.rank))
+}
+
+// widen chooses from the ranking: idle owners until their slots cover what waits, and one to spare, else Base owners and
+// one for every PerWaiting requests that wait.
+func (a *Asker) widen(p *askerPool) {
+	waiting := p.demand.Waiting
+	width := a.cfg.Registration.Base + waiting/a.cfg.Registration.PerWaiting
+	spare, idle, busy := 1, 0, 0
+	for _, w := range p.ranking {
+		covered := idle >= waiting
+		if w.digest.Idle == 0 {
+			if covered || busy >= width {
+				return
+			}
+			busy++
+		} else if covered {
+			if spare == 0 {
+				return
+			}
+			spare--
+		}
+		idle += int(w.digest.Idle)
+		w.chosen = true
+	}
+}
+
+// tell refreshes an owner's view of the demand when it is out of date.
+func (a *Asker) tell(now time.Time, p *askerPool, w *owned, out []pomelorelay.Outgoing) []pomelorelay.Outgoing {
+	d := &p.demand
+	age := now.Sub(w.sent.at)
+	fresh := w.sent.to == w.digest.Owner && w.sent.waiting > 0
+	changed := w.sent.head != d.Head || w.sent.waiting != d.Waiting
+	if fresh && (age < a.cfg.Registration.Refresh || !changed && age < a.cfg.Registration.Keep) {
+		return out
+	}
+	return a.send(now, p, w, d.Waiting, out)
+}
+
+// withdraw takes a registration back.
+func (a *Asker) withdraw(now time.Time, p *askerPool, w *owned, out []pomelorelay.Outgoing) []pomelorelay.Outgoing {
+	if w.sent.waiting == 0 {
+		return out
+	}
+	return a.send(now, p, w, 0, out)
+}
+
+func (a *Asker) send(now time.Time, p *askerPool, w *owned, waiting int, out []pomelorelay.Outgoing) []pomelorelay.Outgoing {
+	w.sent = sentDemand{to: w.digest.Owner, head: p.demand.Head, waiting: waiting, at: now}
+	m := &pomelorelay.Demand{
+		Upstream: w.digest.Upstream,
+		Pool:     p.id,
+		Seq:      a.nextSeq(now),
+		Head:     p.demand.Head,
+		Waiting:  uint32(waiting),
+	}
+	if waiting > 0 {
+		m.Prefixes = p.demand.Prefixes
+	}
+	return append(out, pomelorelay.Outgoing{To: w.digest.Owner, Message: m})
+}
+
+// nextSeq rises over restarts too: with numbers that start at one, the demand of a restarted router would be seen as older than its last.
+func (a *Asker) nextSeq(now time.Time) uint64 {
+	a.seq = max(a.seq+1, uint64(now.UnixMilli()))
+	return a.seq
+}
--- /dev/null
+++ b/pomeloslot/spill.go
@@ -0,0 +1,50 @@
+package pomeloslot
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// reach says how far demand is carried: every owner up to the distance, and beyond it those whose last granted tag is
+// above the margins.
+type reach struct {
+	distance pomelorelay.LinkClass
+	domain   pomelorelay.Tag
+	region   pomelorelay.Tag
+	// domainIdle and regionIdle tell whether idle slots further away may be used.
+	domainIdle, regionIdle bool
+}
+
+// reach finds how far a pool's demand goes now: slots idle nearby are used first, then those of the region, then, when
+// enough waits, those beyond; without a usable owner nearby the next distance counts as near.
+func (a *Asker) reach(now time.Time, p *askerPool) reach {
+	var known, idle [pomelorelay.LinkClasses]bool
+	highest := pomelorelay.Tag(0)
+	for _, w := range p.owners {
+		if !a.usable(now, w) {
+			continue
+		}
+		known[w.distance] = true
+		idle[w.distance] = idle[w.distance] || w.digest.Idle > 0
+		if w.distance == pomelorelay.LinkDomain {
+			highest = max(highest, w.digest.LastTag)
+		}
+	}
+	r := reach{domain: highest + a.cfg.Spill.DomainMargin, region: highest + a.cfg.Spill.RegionMargin}
+	r.domainIdle = !idle[pomelorelay.LinkDomain]
+	enough := p.demand.Waiting >= a.cfg.Spill.RegionIdleWaiting
+	r.regionIdle = r.domainIdle && !idle[pomelorelay.LinkRegion] && enough
+	for r.distance < pomelorelay.LinkCross && !known[r.distance] {
+		r.distance++
+	}
+	return r
+}
+
+// allows reports whether an owner beyond the distance is worth its longer way.
+func (r reach) allows(w *owned) bool {
+	if w.distance == pomelorelay.LinkRegion {
+		return r.domainIdle && w.digest.Idle > 0 || w.digest.LastTag > r.domain
+	}
+	return r.regionIdle && w.digest.Idle > 0 || w.digest.LastTag > r.region
+}
