--- a/pomelofair/account.go
+++ b/pomelofair/account.go
@@ -12,8 +12,12 @@
 	pool   *pool
 	weight pomelorelay.Weight
 	// own is what this router served, others what the rest of the fleet did.
-	own      pomelorelay.Tag
-	others   pomelorelay.Tag
+	own    pomelorelay.Tag
+	others pomelorelay.Tag
+	// rate is how fast others rises, a second, and last told at othersAt; the forecast ends after horizon.
+	rate     pomelorelay.Tag
+	othersAt time.Time
+	horizon  time.Duration
 	reported pomelorelay.Tag
 	lift     pomelorelay.Tag
 	// pending is the part of the admission charges that has not accrued yet.
@@ -52,9 +56,19 @@
 // served is the account's normalised service as this router knows it.
 func (a *account) served() pomelorelay.Tag { return a.own + a.others + a.lift }
 
+// forecast is what the rest of the fleet has probably served since it was last told. Without it, an account with many
+// requests running elsewhere is seen to be served ahead of others until the next totals come.
+func (a *account) forecast(now time.Time) pomelorelay.Tag {
+	if a.rate == 0 {
+		return 0
+	}
+	since := min(now.Sub(a.othersAt), a.horizon)
+	return a.rate * pomelorelay.Tag(since.Seconds())
+}
+
 // tag is the account's place.
-func (a *account) tag() pomelorelay.Tag {
-	served := a.served()
+func (a *account) tag(now time.Time) pomelorelay.Tag {
+	served := a.served() + a.forecast(now)
 	if a.asking {
 		served = max(served, a.floor+a.own)
 	}
@@ -79,6 +93,8 @@
 func (a *account) wake() {
 	a.asking = true
 	a.floor = a.pool.virtual - a.own
+	a.rate, a.horizon = 0, 0
+	a.othersAt = time.Time{}
 }
 
 func (a *account) append(r *request) {
--- a/pomelofair/ledger.go
+++ b/pomelofair/ledger.go
@@ -25,7 +25,7 @@
 }
 
 // SetFleet takes an account's fleet totals, this router's own part included.
-func (q *Queues) SetFleet(_ time.Time, e pomelorelay.LedgerEntry) {
+func (q *Queues) SetFleet(now time.Time, e pomelorelay.LedgerEntry) {
 	p := q.pools[e.Pool]
 	if p == nil {
 		return
@@ -37,13 +37,26 @@
 	before := a.lift
 	// Totals may be older than the last ones, or come from a host that forgot: taken as they are, an account's place would
 	// fall and it would be served alone for a while. Sums only rise, so the larger one is the newer.
-	a.others = max(a.others, pomelorelay.Tag(e.Served)-a.reported)
+	a.learnOthers(now, max(a.others, pomelorelay.Tag(e.Served)-a.reported))
 	a.lift = max(a.lift, e.Lift)
 	q.raise(a, e.Waiting)
 	if a.lift > before {
 		q.mark(a)
 	}
-	p.lower(a)
+	p.lower(now, a)
+}
+
+// horizonPeriods is how many periods of the ledger a forecast goes on for when no totals come.
+const horizonPeriods = 2
+
+// learnOthers takes what the rest of the fleet has served and how fast that rose.
+func (a *account) learnOthers(now time.Time, others pomelorelay.Tag) {
+	period := now.Sub(a.othersAt)
+	if !a.othersAt.IsZero() && period > 0 {
+		a.rate = (others - a.others) / pomelorelay.Tag(period.Seconds())
+		a.horizon = horizonPeriods * period
+	}
+	a.others, a.othersAt = others, now
 }
 
 // raise lifts a backlogged account that came back from idleness to the virtual time, and one that was behind elsewhere
