pomelofair: report pending charges, forecast by this router's own charges

Cause: between totals every router sees the same account lowest and makes up for its whole deficit, so it gets as many times that as it has routers. Change: reports hold the highest own+pending; between totals a router takes the rest of the fleet to be charged in proportion to itself.

--- a/pomelofair/account.go
+++ b/pomelofair/account.go
@@ -14,10 +14,11 @@
 	// own is what this router served, others what the rest of the fleet did.
 	own    pomelorelay.Tag
 	others pomelorelay.Tag
-	// rate is how fast others rises, a second, and last told at othersAt; the forecast ends after horizon.
-	rate     pomelorelay.Tag
-	othersAt time.Time
-	horizon  time.Duration
+	// ownStep and othersStep are how far own and others lately rose from one totals to the next.
+	ownStep    pomelorelay.Tag
+	othersStep pomelorelay.Tag
+	told       pomelorelay.Tag
+	// reported is the highest sum of own and pending that was reported.
 	reported pomelorelay.Tag
 	lift     pomelorelay.Tag
 	// pending is the part of the admission charges that has not accrued yet.
@@ -38,6 +39,9 @@
 	interval time.Duration
 }
 
+// maxForecast bounds how many times its own charges a router takes the rest of the fleet's to be.
+const maxForecast = 16
+
 // request is one caller's request, waiting or running.
 type request struct {
 	id         pomelorelay.RequestID
@@ -56,19 +60,24 @@
 // served is the account's normalised service as this router knows it.
 func (a *account) served() pomelorelay.Tag { return a.own + a.others + a.lift }
 
-// forecast is what the rest of the fleet has probably served since it was last told. Without it, an account with many
-// requests running elsewhere is seen to be served ahead of others until the next totals come.
-func (a *account) forecast(now time.Time) pomelorelay.Tag {
-	if a.rate == 0 {
+// forecast is what the rest of the fleet has probably been charged since totals last came: as many times this router's
+// own charges as it was lately. Every router sees the same account lowest until the next totals; if each made up for the
+// whole of its deficit, it would be seen to get as many times that as it has routers.
+func (a *account) forecast() pomelorelay.Tag {
+	since := a.own + a.pending - a.reported
+	if since <= 0 || a.othersStep <= 0 {
 		return 0
 	}
-	since := min(now.Sub(a.othersAt), a.horizon)
-	return a.rate * pomelorelay.Tag(since.Seconds())
+	ratio := pomelorelay.Tag(maxForecast)
+	if a.othersStep < maxForecast*a.ownStep {
+		ratio = a.othersStep / a.ownStep
+	}
+	return ratio * since
 }
 
 // tag is the account's place.
-func (a *account) tag(now time.Time) pomelorelay.Tag {
-	served := a.served() + a.forecast(now)
+func (a *account) tag() pomelorelay.Tag {
+	served := a.served() + a.forecast()
 	if a.asking {
 		served = max(served, a.floor+a.own)
 	}
@@ -93,8 +102,7 @@
 func (a *account) wake() {
 	a.asking = true
 	a.floor = a.pool.virtual - a.own
-	a.rate, a.horizon = 0, 0
-	a.othersAt = time.Time{}
+	a.ownStep, a.othersStep = 0, 0
 }
 
 func (a *account) append(r *request) {
--- a/pomelofair/charge.go
+++ b/pomelofair/charge.go
@@ -30,13 +30,13 @@
 }
 
 // Progress charges what a running request has accrued since its start beyond what it was charged; a lower figure than before is ignored.
-func (q *Queues) Progress(now time.Time, id pomelorelay.RequestID, accrued pomelorelay.Cost) {
+func (q *Queues) Progress(_ time.Time, id pomelorelay.RequestID, accrued pomelorelay.Cost) {
 	r := q.requests[id]
 	if r == nil || !r.running {
 		return
 	}
 	q.accrue(r, accrued)
-	r.account.pool.lower(now, r.account)
+	r.account.pool.lower(r.account)
 }
 
 // accrue moves cost from pending to served; what goes beyond pending raises the tag.
@@ -55,7 +55,7 @@
 }
 
 // Finish settles a running request at its final cost and forgets it; a final cost under what has accrued counts as accrued.
-func (q *Queues) Finish(now time.Time, id pomelorelay.RequestID, final pomelorelay.Cost) {
+func (q *Queues) Finish(_ time.Time, id pomelorelay.RequestID, final pomelorelay.Cost) {
 	r := q.requests[id]
 	if r == nil || !r.running {
 		return
@@ -65,7 +65,7 @@
 	a.release(r)
 	q.learn(a, r.accrued)
 	q.forget(r)
-	a.pool.lower(now, a)
+	a.pool.lower(a)
 	if a.idle() {
 		q.mark(a)
 	}
--- a/pomelofair/ledger.go
+++ b/pomelofair/ledger.go
@@ -25,7 +25,7 @@
 }
 
 // SetFleet takes an account's fleet totals, this router's own part included.
-func (q *Queues) SetFleet(now time.Time, e pomelorelay.LedgerEntry) {
+func (q *Queues) SetFleet(_ time.Time, e pomelorelay.LedgerEntry) {
 	p := q.pools[e.Pool]
 	if p == nil {
 		return
@@ -37,26 +37,23 @@
 	before := a.lift
 	// Totals may be older than the last ones, or come from a host that forgot: taken as they are, an account's place would
 	// fall and it would be served alone for a while. Sums only rise, so the larger one is the newer.
-	a.learnOthers(now, max(a.others, pomelorelay.Tag(e.Served)-a.reported))
+	a.learnOthers(max(a.others, pomelorelay.Tag(e.Served)-a.reported))
 	a.lift = max(a.lift, e.Lift)
 	q.raise(a, e.Waiting)
 	if a.lift > before {
 		q.mark(a)
 	}
-	p.lower(now, a)
+	p.lower(a)
 }
 
-// horizonPeriods is how many periods of the ledger a forecast goes on for when no totals come.
-const horizonPeriods = 2
+// stepShare is the weight of the newest step in the running means of steps.
+const stepShare = 4
 
-// learnOthers takes what the rest of the fleet has served and how fast that rose.
-func (a *account) learnOthers(now time.Time, others pomelorelay.Tag) {
-	period := now.Sub(a.othersAt)
-	if !a.othersAt.IsZero() && period > 0 {
-		a.rate = (others - a.others) / pomelorelay.Tag(period.Seconds())
-		a.horizon = horizonPeriods * period
-	}
-	a.others, a.othersAt = others, now
+// learnOthers takes what the rest of the fleet has been charged and how it compares with this router's charges.
+func (a *account) learnOthers(others pomelorelay.Tag) {
+	a.othersStep += (others - a.others - a.othersStep) / stepShare
+	a.ownStep += (a.reported - a.told - a.ownStep) / stepShare
+	a.others, a.told = others, a.reported
 }
 
 // raise lifts a backlogged account that came back from idleness to the virtual time, and one that was behind elsewhere
@@ -85,7 +82,7 @@
 	return pomelorelay.LedgerEntry{
 		Pool:    a.pool.id,
 		Account: a.id,
-		Served:  pomelorelay.Cost(a.own),
+		Served:  pomelorelay.Cost(a.reported),
 		Lift:    a.lift,
 		Waiting: !a.idle() && !a.asking,
 	}
@@ -95,7 +92,7 @@
 func (q *Queues) Changed(out []pomelorelay.LedgerEntry) []pomelorelay.LedgerEntry {
 	for i, a := range q.changed {
 		a.dirty = false
-		a.reported = a.own
+		a.reported = max(a.reported, a.own+a.pending)
 		out = append(out, a.entry())
 		q.changed[i] = nil
 	}
@@ -107,7 +104,7 @@
 func (q *Queues) All(out []pomelorelay.LedgerEntry) []pomelorelay.LedgerEntry {
 	for _, p := range q.pools {
 		for _, a := range p.accounts {
-			a.reported = a.own
+			a.reported = max(a.reported, a.own+a.pending)
 			out = append(out, a.entry())
 		}
 	}
--- a/pomelofair/pool.go
+++ b/pomelofair/pool.go
@@ -1,10 +1,6 @@
 package pomelofair
 
-import (
-	"time"
-
-	"github.com/pomelorelay/pomelorelay"
-)
+import "github.com/pomelorelay/pomelorelay"
 
 // noPlace is the place of an account that is not in the heap.
 const noPlace = -1
@@ -30,32 +26,32 @@
 }
 
 // enter puts a waiting account into the heap, or right when it is there already.
-func (p *pool) enter(now time.Time, a *account) {
+func (p *pool) enter(a *account) {
 	if a.place != noPlace {
-		p.lower(now, a)
+		p.lower(a)
 		return
 	}
-	a.key = a.tag(now)
+	a.key = a.tag()
 	a.place = len(p.heap)
 	p.heap = append(p.heap, a)
 	p.up(a.place)
 }
 
 // lower moves an account whose tag fell; a risen tag waits for lowest.
-func (p *pool) lower(now time.Time, a *account) {
+func (p *pool) lower(a *account) {
 	if a.place == noPlace {
 		return
 	}
-	if tag := a.tag(now); tag < a.key {
+	if tag := a.tag(); tag < a.key {
 		a.key = tag
 		p.up(a.place)
 	}
 }
 
 // settle takes an account out of the heap when nothing of it waits.
-func (p *pool) settle(now time.Time, a *account) {
+func (p *pool) settle(a *account) {
 	if a.waiting > 0 || a.place == noPlace {
-		p.lower(now, a)
+		p.lower(a)
 		return
 	}
 	i := a.place
@@ -71,10 +67,10 @@
 }
 
 // lowest returns the waiting account of the lowest tag; there must be one.
-func (p *pool) lowest(now time.Time) *account {
+func (p *pool) lowest() *account {
 	for {
 		a := p.heap[0]
-		tag := a.tag(now)
+		tag := a.tag()
 		if tag <= a.key {
 			return a
 		}
--- a/pomelofair/queues.go
+++ b/pomelofair/queues.go
@@ -46,17 +46,17 @@
 	q.requests[r.ID] = req
 	a.append(req)
 	q.appendAge(req)
-	a.pool.enter(now, a)
+	a.pool.enter(a)
 	return nil
 }
 
 // Head returns the lowest tag of the pool's waiting accounts and how many requests wait; false when none does.
-func (q *Queues) Head(now time.Time, id pomelorelay.PoolID) (pomelorelay.Tag, int, bool) {
+func (q *Queues) Head(id pomelorelay.PoolID) (pomelorelay.Tag, int, bool) {
 	p := q.pools[id]
 	if p == nil || p.waiting == 0 {
 		return 0, 0, false
 	}
-	return p.lowest(now).tag(now), p.waiting, true
+	return p.lowest().tag(), p.waiting, true
 }
 
 // Pop takes the first request of the lowest account and charges the admission fraction of its expected cost;
@@ -66,19 +66,20 @@
 	if p == nil || p.waiting == 0 {
 		return 0, 0, false
 	}
-	a := p.lowest(now)
-	tag := a.tag(now)
+	a := p.lowest()
+	tag := a.tag()
 	p.observe(tag)
 	a.notePop(now)
 	r := a.first
 	q.unqueue(r)
 	q.admit(r)
-	p.settle(now, a)
+	q.mark(a)
+	p.settle(a)
 	return r.id, tag, true
 }
 
 // Requeue puts a popped request that was not sent back at the head of its account and takes its charge back.
-func (q *Queues) Requeue(now time.Time, id pomelorelay.RequestID) {
+func (q *Queues) Requeue(_ time.Time, id pomelorelay.RequestID) {
 	r := q.requests[id]
 	if r == nil || !r.running {
 		return
@@ -88,16 +89,16 @@
 	r.accrued, r.running = 0, false
 	a.prepend(r)
 	q.insertAge(r)
-	a.pool.enter(now, a)
+	a.pool.enter(a)
 }
 
 // Cancel forgets a waiting request; one that runs is left to Finish.
-func (q *Queues) Cancel(now time.Time, id pomelorelay.RequestID) {
+func (q *Queues) Cancel(_ time.Time, id pomelorelay.RequestID) {
 	r := q.requests[id]
 	if r == nil || r.running {
 		return
 	}
-	q.drop(now, r)
+	q.drop(r)
 }
 
 // Expire appends the requests that waited past the bound and forgets them; each is to be refused with WaitError.
@@ -105,16 +106,16 @@
 	for q.oldest != nil && now.Sub(q.oldest.pushed) >= q.cfg.Limit.Wait {
 		r := q.oldest
 		out = append(out, r.id)
-		q.drop(now, r)
+		q.drop(r)
 	}
 	return out
 }
 
 // drop forgets a waiting request.
-func (q *Queues) drop(now time.Time, r *request) {
+func (q *Queues) drop(r *request) {
 	a := r.account
 	q.unqueue(r)
-	a.pool.settle(now, a)
+	a.pool.settle(a)
 	q.forget(r)
 	if a.idle() {
 		q.mark(a)
--- a/pomeloslot/fleet_test.go
+++ b/pomeloslot/fleet_test.go
@@ -178,7 +178,7 @@
 	}
 	offset := time.Duration(r.index) * 7 * time.Millisecond
 	f.every(r, offset, f.cfg.progress, func() { f.progress(r) })
-	f.every(r, offset, f.cfg.ledger, func() { f.exchange(r) })
+	f.every(r, f.cfg.ledger*time.Duration(r.index)/time.Duration(f.cfg.routers), f.cfg.ledger, func() { f.exchange(r) })
 	if f.cfg.local {
 		f.serveLocally(r)
 		return
@@ -238,7 +238,7 @@
 }
 
 func (f *fleet) heads(r *testRouter) {
-	tag, waiting, _ := r.queues.Head(f.now, testPool)
+	tag, waiting, _ := r.queues.Head(testPool)
 	f.send(r, r.asker.Heads(f.now, []pomeloslot.PoolHead{{Pool: testPool, Head: tag, Waiting: waiting}}, nil))
 }
 
