--- a/messages.go
+++ b/messages.go
@@ -135,6 +135,8 @@
 	Shard   ShardID
 	Ready   bool
 	Entries []LedgerEntry
+	// Seq is that of the report which this answers.
+	Seq uint64
 }
 
 // LedgerQuery asks a router for a full report; a new host of a shard sends it.
--- /dev/null
+++ b/pomelomesh/pomelowire/doc.go
@@ -0,0 +1,2 @@
+// Package pomelowire holds the generated protobuf messages of the links between routers.
+package pomelowire
