Add the store client and a router's settings

The other packages need the store's and the settings' API to build against. pomelostore speaks the store and host list protocol within a call budget and behind a breaker; pomeloconfig reads, fills and checks a router's settings.

--- /dev/null
+++ b/pomeloconfig/settings_control.go
@@ -0,0 +1,109 @@
+package pomeloconfig
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Defaults of the control section.
+const (
+	DefaultDomainBytes     = pomelorelay.Bytes(64 << 10)
+	DefaultRegionBytes     = pomelorelay.Bytes(16 << 10)
+	DefaultCrossBytes      = pomelorelay.Bytes(8 << 10)
+	DefaultDigestInterval  = 250 * time.Millisecond
+	DefaultLedgerInterval  = 250 * time.Millisecond
+	DefaultExchange        = time.Second
+	DefaultSuspectAfter    = 1500 * time.Millisecond
+	DefaultDeadAfter       = 3 * time.Second
+	DefaultGrantTTL        = time.Second
+	DefaultLoadInterval    = 250 * time.Millisecond
+	DefaultClaimCommit     = 5 * time.Millisecond
+	DefaultConfigPull      = 500 * time.Millisecond
+	DefaultStopWait        = 5 * time.Minute
+	DefaultShards          = 64
+	DefaultConfigWatchers  = 2
+	DefaultAdmissionCharge = 0.5
+)
+
+// ControlSettings set the pace and the byte budgets of the traffic between routers.
+type ControlSettings struct {
+	// DomainBytes, RegionBytes and CrossBytes are the budgets a second by link class.
+	DomainBytes pomelorelay.Bytes `yaml:"DomainBytes"`
+	RegionBytes pomelorelay.Bytes `yaml:"RegionBytes"`
+	CrossBytes  pomelorelay.Bytes `yaml:"CrossBytes"`
+	// DigestInterval and LedgerInterval are how often a router tells its failure domain; ExchangeInterval how often domains tell each other.
+	DigestInterval   time.Duration `yaml:"DigestInterval"`
+	LedgerInterval   time.Duration `yaml:"LedgerInterval"`
+	ExchangeInterval time.Duration `yaml:"ExchangeInterval"`
+	// SuspectAfter without a sign of life a router is suspected; DeadAfter longer it is taken for dead.
+	SuspectAfter time.Duration `yaml:"SuspectAfter"`
+	DeadAfter    time.Duration `yaml:"DeadAfter"`
+	GrantTTL     time.Duration `yaml:"GrantTTL"`
+	// LoadInterval is how often a slot owner reads an upstream's load.
+	LoadInterval time.Duration `yaml:"LoadInterval"`
+	// ClaimCommit is how long a claim shard's keeper gathers claims for one write.
+	ClaimCommit time.Duration `yaml:"ClaimCommit"`
+	// ConfigPull is how long a configuration pull waits before another peer is asked.
+	ConfigPull time.Duration `yaml:"ConfigPull"`
+	// StopWait bounds a graceful stop.
+	StopWait time.Duration `yaml:"StopWait"`
+	// Shards of the ledger and of the claims; the same on every router.
+	Shards int `yaml:"Shards"`
+	// ConfigWatchers a failure domain hold a watch on the store.
+	ConfigWatchers int `yaml:"ConfigWatchers"`
+	// AdmissionCharge is the fraction of the expected cost that is charged at admission.
+	AdmissionCharge float64 `yaml:"AdmissionCharge"`
+}
+
+func (s *ControlSettings) fillDefaults() {
+	setBytes(&s.DomainBytes, DefaultDomainBytes)
+	setBytes(&s.RegionBytes, DefaultRegionBytes)
+	setBytes(&s.CrossBytes, DefaultCrossBytes)
+	setDuration(&s.DigestInterval, DefaultDigestInterval)
+	setDuration(&s.LedgerInterval, DefaultLedgerInterval)
+	setDuration(&s.ExchangeInterval, DefaultExchange)
+	setDuration(&s.SuspectAfter, DefaultSuspectAfter)
+	setDuration(&s.DeadAfter, DefaultDeadAfter)
+	setDuration(&s.GrantTTL, DefaultGrantTTL)
+	setDuration(&s.LoadInterval, DefaultLoadInterval)
+	setDuration(&s.ClaimCommit, DefaultClaimCommit)
+	setDuration(&s.ConfigPull, DefaultConfigPull)
+	setDuration(&s.StopWait, DefaultStopWait)
+	setInt(&s.Shards, DefaultShards)
+	setInt(&s.ConfigWatchers, DefaultConfigWatchers)
+	if s.AdmissionCharge == 0 {
+		s.AdmissionCharge = DefaultAdmissionCharge
+	}
+}
+
+func (s ControlSettings) check(c *checker) {
+	c.bytes("Control.DomainBytes", s.DomainBytes, 1<<10, 1<<30)
+	c.bytes("Control.RegionBytes", s.RegionBytes, 1<<10, 1<<30)
+	c.bytes("Control.CrossBytes", s.CrossBytes, 1<<10, 1<<30)
+	c.duration("Control.DigestInterval", s.DigestInterval, time.Millisecond, time.Minute)
+	c.duration("Control.LedgerInterval", s.LedgerInterval, time.Millisecond, time.Minute)
+	c.duration("Control.ExchangeInterval", s.ExchangeInterval, time.Millisecond, time.Minute)
+	c.duration("Control.SuspectAfter", s.SuspectAfter, 2*s.DigestInterval, time.Minute)
+	c.duration("Control.DeadAfter", s.DeadAfter, time.Millisecond, time.Minute)
+	c.duration("Control.GrantTTL", s.GrantTTL, time.Millisecond, time.Minute)
+	c.duration("Control.LoadInterval", s.LoadInterval, time.Millisecond, time.Minute)
+	c.duration("Control.ClaimCommit", s.ClaimCommit, 100*time.Microsecond, time.Second)
+	c.duration("Control.ConfigPull", s.ConfigPull, 10*time.Millisecond, time.Minute)
+	c.duration("Control.StopWait", s.StopWait, time.Second, 24*time.Hour)
+	c.number("Control.Shards", float64(s.Shards), 1, 1024)
+	c.number("Control.ConfigWatchers", float64(s.ConfigWatchers), 1, 16)
+	c.number("Control.AdmissionCharge", s.AdmissionCharge, 0.01, 4)
+}
+
+func setBytes(b *pomelorelay.Bytes, value pomelorelay.Bytes) {
+	if *b == 0 {
+		*b = value
+	}
+}
+
+func setInt(n *int, value int) {
+	if *n == 0 {
+		*n = value
+	}
+}
--- /dev/null
+++ b/pomelostore/store.go
@@ -0,0 +1,152 @@
+package pomelostore
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+type revisionAnswer struct {
+	Revision pomelorelay.Revision
+}
+
+type leaseAnswer struct {
+	Lease pomelorelay.LeaseID
+}
+
+func keyPath(prefix string, key pomelorelay.StoreKey) string {
+	return prefix + url.PathEscape(string(key))
+}
+
+// Get returns the record, or one of revision zero when there is none; it fails with CodeStoreUnavailable or CodeStoreThrottled.
+func (c *Client) Get(ctx context.Context, key pomelorelay.StoreKey) (pomelorelay.Record, error) {
+	one := call{method: http.MethodGet, path: keyPath("/v1/kv/", key), timeout: c.cfg.Timeout, count: &c.stats.Gets}
+	got, err := c.do(ctx, one)
+	if err != nil {
+		return pomelorelay.Record{}, err
+	}
+	return c.record(one, got, key)
+}
+
+func (c *Client) record(one call, got reply, key pomelorelay.StoreKey) (pomelorelay.Record, error) {
+	if got.status == http.StatusNotFound {
+		return pomelorelay.Record{Key: key}, nil
+	}
+	var record pomelorelay.Record
+	if err := c.decode(one, got, &record); err != nil {
+		return pomelorelay.Record{}, err
+	}
+	// An answer to another caller's question, crossed on its way, would else be taken for this record.
+	if record.Key != key {
+		return pomelorelay.Record{}, pomelorelay.NewError(pomelorelay.CodeStoreUnavailable, "the answer is of key "+string(record.Key), nil)
+	}
+	return record, nil
+}
+
+// CompareAndSwap writes the value once if the record is at revision old; it fails with CodeStoreConflict when it is not, with
+// CodeStoreUnknown when the answer was lost after the write may have left, and else with a code that says that it had no effect.
+func (c *Client) CompareAndSwap(ctx context.Context, key pomelorelay.StoreKey, value []byte, old pomelorelay.Revision, lease pomelorelay.LeaseID) (pomelorelay.Revision, error) {
+	if pomelorelay.Bytes(len(value)) > c.cfg.MaxValue {
+		return 0, pomelorelay.NewError(pomelorelay.CodeStoreTooLarge, string(key)+" has "+strconv.Itoa(len(value))+" bytes", nil)
+	}
+	query := url.Values{"old": {strconv.FormatUint(uint64(old), 10)}}
+	if lease != 0 {
+		query.Set("lease", strconv.FormatUint(uint64(lease), 10))
+	}
+	one := call{
+		method: http.MethodPut, path: keyPath("/v1/kv/", key), query: query, body: value,
+		timeout: c.cfg.Timeout, count: &c.stats.Writes, changes: true,
+	}
+	got, err := c.do(ctx, one)
+	if err != nil {
+		return 0, err
+	}
+	var answer revisionAnswer
+	if err := c.decode(one, got, &answer); err != nil {
+		return 0, err
+	}
+	return answer.Revision, nil
+}
+
+// Watch waits until the record's revision differs from after and returns it; it fails when ctx ends and, as Get does, when
+// the store does not answer, so that its caller decides how long to pause.
+func (c *Client) Watch(ctx context.Context, key pomelorelay.StoreKey, after pomelorelay.Revision) (pomelorelay.Record, error) {
+	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait": {c.cfg.WatchWait.String()}}
+	one := call{
+		method: http.MethodGet, path: keyPath("/v1/watch/", key), query: query,
+		timeout: c.cfg.WatchWait + c.cfg.Timeout, count: &c.stats.Watches,
+	}
+	for {
+		got, err := c.do(ctx, one)
+		if err != nil {
+			return pomelorelay.Record{}, err
+		}
+		if got.status != http.StatusNoContent {
+			return c.record(one, got, key)
+		}
+	}
+}
+
+// OpenLease opens a lease that lapses when it is not renewed within the time to live; it fails as CompareAndSwap does.
+func (c *Client) OpenLease(ctx context.Context, ttl time.Duration) (pomelorelay.LeaseID, error) {
+	one := call{
+		method: http.MethodPost, path: "/v1/lease", query: url.Values{"ttl": {ttl.String()}},
+		timeout: c.cfg.Timeout, count: &c.stats.Leases, changes: true,
+	}
+	got, err := c.do(ctx, one)
+	if err != nil {
+		return 0, err
+	}
+	var answer leaseAnswer
+	if err := c.decode(one, got, &answer); err != nil {
+		return 0, err
+	}
+	return answer.Lease, nil
+}
+
+// RenewLease renews a lease; it fails with CodeStoreLeaseLapsed when it has lapsed.
+func (c *Client) RenewLease(ctx context.Context, lease pomelorelay.LeaseID) error {
+	return c.leaseCall(ctx, http.MethodPost, leasePath(lease)+"/renew")
+}
+
+// CloseLease ends a lease and removes the records written under it.
+func (c *Client) CloseLease(ctx context.Context, lease pomelorelay.LeaseID) error {
+	return c.leaseCall(ctx, http.MethodDelete, leasePath(lease))
+}
+
+func leasePath(lease pomelorelay.LeaseID) string {
+	return "/v1/lease/" + strconv.FormatUint(uint64(lease), 10)
+}
+
+func (c *Client) leaseCall(ctx context.Context, method, path string) error {
+	got, err := c.do(ctx, call{method: method, path: path, timeout: c.cfg.Timeout, count: &c.stats.Leases, changes: true})
+	if err != nil {
+		return err
+	}
+	if got.status == http.StatusNotFound {
+		return pomelorelay.NewError(pomelorelay.CodeStoreLeaseLapsed, path, nil)
+	}
+	return nil
+}
+
+// Hosts returns the list as it is now known; it fails with CodeStoreUnavailable or CodeStoreThrottled.
+func (c *Client) Hosts(ctx context.Context) ([]pomelorelay.Host, error) {
+	one := call{method: http.MethodGet, path: "/v1/hosts", timeout: c.cfg.Timeout, count: &c.stats.HostLists}
+	got, err := c.do(ctx, one)
+	if err != nil {
+		return nil, err
+	}
+	// An empty list read out of a failure would send every upstream away.
+	if got.status != http.StatusOK {
+		return nil, pomelorelay.NewError(pomelorelay.CodeStoreUnavailable, "the host list is not there", nil)
+	}
+	var hosts []pomelorelay.Host
+	if err := c.decode(one, got, &hosts); err != nil {
+		return nil, err
+	}
+	return hosts, nil
+}
