--- /dev/null
+++ b/pomelocheck/requests.go
@@ -0,0 +1,153 @@
+package pomelocheck
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// A caller who takes another's answer, or half of its own, for whole acts on it; only the caller's own proof shows it.
+func (c *Checker) checkAnswers(out []Violation) []Violation {
+	for id, a := range c.attempts {
+		for _, answer := range a.answered {
+			if !answer.Own {
+				out = append(out, Violation{WrongAnswer, string(id), answer.At, "the answer belongs to another request"})
+				continue
+			}
+			if !answer.Whole {
+				out = append(out, Violation{WrongAnswer, string(id), answer.At, "the answer ended as if whole and is not"})
+			}
+		}
+		if ends := a.ends(); ends > 1 {
+			out = append(out, Violation{WrongAnswer, string(id), a.ended(), fmt.Sprintf("the attempt ended %d times", ends)})
+		}
+	}
+	return out
+}
+
+func (a *attempt) ends() int { return len(a.answered) + len(a.refused) + len(a.broken) }
+
+// ended returns when the attempt ended first, zero while it is open.
+func (a *attempt) ended() time.Time {
+	var ends []time.Time
+	for _, e := range a.answered {
+		ends = append(ends, e.At)
+	}
+	for _, e := range a.refused {
+		ends = append(ends, e.At)
+	}
+	for _, e := range a.broken {
+		ends = append(ends, e.At)
+	}
+	if len(ends) == 0 {
+		return time.Time{}
+	}
+	return slices.MinFunc(ends, time.Time.Compare)
+}
+
+func (a *attempt) endedBy(now time.Time) time.Time {
+	end := a.ended()
+	if end.IsZero() {
+		return now
+	}
+	return end
+}
+
+func (c *Checker) checkWaits(now time.Time, out []Violation) []Violation {
+	for id, a := range c.attempts {
+		if a.sent == nil {
+			continue
+		}
+		end := a.endedBy(now)
+		if waited := end.Sub(a.sent.At); waited > c.cfg.MaxWait {
+			out = append(out, Violation{Starved, string(id), end, fmt.Sprintf("waited %s", waited)})
+		}
+	}
+	return out
+}
+
+// A router that has given up a request and keeps its caller waiting hides the failure: the caller could have gone
+// elsewhere. It shows as a refusal that comes late, drips, or lacks the time to come back.
+func (c *Checker) checkRefusals(now time.Time, out []Violation) []Violation {
+	for id, a := range c.attempts {
+		for _, r := range a.refused {
+			if detail := c.heldBack(r); detail != "" {
+				out = append(out, Violation{HeldBack, string(id), r.At, detail})
+			}
+		}
+		if detail := c.pastDeadline(now, a); detail != "" {
+			out = append(out, Violation{HeldBack, string(id), a.endedBy(now), detail})
+		}
+	}
+	return out
+}
+
+func (c *Checker) heldBack(r Refused) string {
+	if late := r.At.Sub(r.GaveUp); !r.GaveUp.IsZero() && late > c.cfg.RefuseWithin+c.cfg.Skew {
+		return fmt.Sprintf("the refusal came %s after the router gave up", late)
+	}
+	if drip := r.At.Sub(r.First); !r.First.IsZero() && drip > c.cfg.RefuseWithin {
+		return fmt.Sprintf("the refusal took %s from its first byte to its last", drip)
+	}
+	if temporary(r.Code) && !r.RetryAfter {
+		return fmt.Sprintf("the refusal %d does not say when to come back", r.Code)
+	}
+	return ""
+}
+
+// temporary tells whether a refusal with the code passes by itself, so that its caller should come back.
+func temporary(code pomelorelay.ResultCode) bool {
+	status := code.Info().HTTPStatus
+	return code != 0 && (status == 503 || status == 429)
+}
+
+func (c *Checker) pastDeadline(now time.Time, a *attempt) string {
+	if a.sent == nil || a.sent.Deadline.IsZero() {
+		return ""
+	}
+	late := a.endedBy(now).Sub(a.sent.Deadline)
+	if late <= c.cfg.RefuseWithin+c.cfg.Skew {
+		return ""
+	}
+	return fmt.Sprintf("no final answer until %s after the deadline", late)
+}
+
+func (c *Checker) checkRuns(out []Violation) []Violation {
+	for id, t := range c.contents {
+		out = c.checkOnce(id, t, out)
+		for _, run := range t.runs {
+			if len(t.attempts) == 0 || c.explained(t, run) {
+				continue
+			}
+			out = append(out, Violation{FalseNotRun, string(id), run.At, "it ran on " + string(run.Upstream) + " though every attempt was refused as not run"})
+		}
+	}
+	return out
+}
+
+func (c *Checker) checkOnce(id ContentID, t *content, out []Violation) []Violation {
+	if len(t.runs) < 2 || !c.once(t) {
+		return out
+	}
+	last := slices.MaxFunc(t.runs, func(a, b Ran) int { return a.At.Compare(b.At) })
+	return append(out, Violation{DoubleRun, string(id), last.At, fmt.Sprintf("ran %d times", len(t.runs))})
+}
+
+func (c *Checker) once(t *content) bool {
+	return slices.ContainsFunc(t.attempts, func(id AttemptID) bool { return c.attempts[id].sent.Once })
+}
+
+// explained tells whether an attempt sent before the run was not refused as not run. A resend of the same content
+// may rightly run after an earlier attempt was refused, so each run is held against the attempts sent before it.
+func (c *Checker) explained(t *content, run Ran) bool {
+	return slices.ContainsFunc(t.attempts, func(id AttemptID) bool {
+		a := c.attempts[id]
+		return !a.sent.At.After(run.At.Add(c.cfg.Skew)) && !a.notRun()
+	})
+}
+
+func (a *attempt) notRun() bool {
+	return slices.ContainsFunc(a.refused, func(r Refused) bool { return r.Ran == pomelorelay.RanNo })
+}
--- /dev/null
+++ b/pomelofake/host.go
@@ -0,0 +1,118 @@
+package pomelofake
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// HostConfig describes a Host.
+type HostConfig struct {
+	// Listen opens the listener; it is called again when the host comes back from a crash.
+	Listen  func() (net.Listener, error)
+	Handler http.Handler
+}
+
+// relistenPause is the time between two tries to listen again after a crash.
+const relistenPause = 10 * time.Millisecond
+
+// Host serves a stand-in on a listener and can crash: it closes every connection and refuses new ones for a while.
+type Host struct {
+	cfg     HostConfig
+	closing chan struct{}
+	wg      sync.WaitGroup
+
+	mu     sync.Mutex
+	server *http.Server
+	down   bool
+}
+
+// NewHost starts to serve; it fails when the listener cannot be opened.
+func NewHost(cfg HostConfig) (*Host, error) {
+	h := &Host{cfg: cfg, closing: make(chan struct{})}
+	l, err := cfg.Listen()
+	if err != nil {
+		return nil, err
+	}
+	h.serve(l)
+	return h, nil
+}
+
+// ListenTCP returns a function that listens on the address, for HostConfig.
+func ListenTCP(addr string) func() (net.Listener, error) {
+	return func() (net.Listener, error) { return net.Listen("tcp", addr) }
+}
+
+func (h *Host) serve(l net.Listener) {
+	server := &http.Server{Handler: h.cfg.Handler}
+	h.mu.Lock()
+	h.server = server
+	h.down = false
+	h.mu.Unlock()
+	h.wg.Go(func() { _ = server.Serve(l) })
+}
+
+// Crash closes every connection and the listener and listens again after downFor; it does nothing while the host is down.
+func (h *Host) Crash(downFor time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down {
+		return
+	}
+	h.down = true
+	_ = h.server.Close()
+	h.wg.Go(func() {
+		if !h.pause(downFor) {
+			return
+		}
+		h.relisten()
+	})
+}
+
+// The port may still be held for a moment after the crash, so listening is tried until it succeeds.
+func (h *Host) relisten() {
+	for {
+		l, err := h.cfg.Listen()
+		if err == nil {
+			h.serve(l)
+			h.closeIfClosing()
+			return
+		}
+		if !h.pause(relistenPause) {
+			return
+		}
+	}
+}
+
+// Close may have passed between listening and serving; without this check the new server would outlive it.
+func (h *Host) closeIfClosing() {
+	select {
+	case <-h.closing:
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		_ = h.server.Close()
+	default:
+	}
+}
+
+func (h *Host) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-h.closing:
+		return false
+	}
+}
+
+// Close ends every connection and waits until the host's goroutines have ended.
+func (h *Host) Close() error {
+	close(h.closing)
+	h.mu.Lock()
+	err := h.server.Close()
+	h.mu.Unlock()
+	h.wg.Wait()
+	return err
+}
--- /dev/null
+++ b/pomelofake/load.go
@@ -0,0 +1,53 @@
+package pomelofake
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Load is what a stand-in reports of itself at GET /load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// lagging keeps past loads, so that the report is as old as the lag.
+type lagging struct {
+	lag     time.Duration
+	history []loadAt
+}
+
+type loadAt struct {
+	at   time.Time
+	load Load
+}
+
+func (g *lagging) set(load Load) {
+	now := time.Now()
+	g.history = append(g.history, loadAt{now, load})
+	g.trim(now)
+}
+
+// get returns the load as it was a lag ago.
+func (g *lagging) get() Load {
+	g.trim(time.Now())
+	if len(g.history) == 0 {
+		return Load{}
+	}
+	return g.history[0].load
+}
+
+// trim drops what is older than the newest load that is at least a lag old.
+func (g *lagging) trim(now time.Time) {
+	for len(g.history) > 1 && now.Sub(g.history[1].at) >= g.lag {
+		g.history = g.history[1:]
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
