--- /dev/null
+++ b/pomelofake/store.go
@@ -0,0 +1,265 @@
+package pomelofake
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// StoreConfig describes a Store; a zero value takes its default.
+type StoreConfig struct {
+	// WriteRate and ReadRate bound the calls a second, 400 and 2,000 by default; a waiting watch counts as one read.
+	WriteRate float64
+	ReadRate  float64
+	// MaxValue bounds a value, one megabyte by default.
+	MaxValue pomelorelay.Bytes
+	// Latency is the time of an undisturbed call, 1 ms by default.
+	Latency time.Duration
+}
+
+const (
+	defaultWriteRate    = 400
+	defaultReadRate     = 2000
+	defaultMaxValue     = 1 << 20
+	defaultStoreLatency = time.Millisecond
+)
+
+// StoreFaults are what goes wrong at a Store; the zero value is none.
+type StoreFaults struct {
+	// Outage answers every call with 503, without effect.
+	Outage bool
+	// Slow delays calls before they take effect, SlowAnswer after.
+	Slow       time.Duration
+	SlowAnswer time.Duration
+	// LoseAnswers closes the connection of so many writes after they took effect.
+	LoseAnswers int
+	// Throttle answers every call with 429, without effect.
+	Throttle bool
+}
+
+// StoreCounts counts the calls that a Store got since its start, refused ones included.
+type StoreCounts struct {
+	Reads     int
+	Writes    int
+	Watches   int
+	Leases    int
+	Throttled int
+	Refused   int
+	Conflicts int
+	Lost      int
+}
+
+// Store is the platform's key-value service with compare-and-swap, leases and watches.
+type Store struct {
+	cfg    StoreConfig
+	router *mux.Router
+
+	mu       sync.Mutex
+	faults   StoreFaults
+	counts   StoreCounts
+	reads    bucket
+	writes   bucket
+	revision pomelorelay.Revision
+	records  map[pomelorelay.StoreKey]*storeRecord
+	leases   map[pomelorelay.LeaseID]*storeLease
+	lease    pomelorelay.LeaseID
+	// changed is closed and replaced at every write.
+	changed chan struct{}
+}
+
+type storeRecord struct {
+	value    []byte
+	revision pomelorelay.Revision
+	lease    pomelorelay.LeaseID
+}
+
+type storeLease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// StoreCopy is a Store's content at a time, to be restored later.
+type StoreCopy struct {
+	records map[pomelorelay.StoreKey]storeRecord
+}
+
+// NewStore returns an empty store; Close stops its leases.
+func NewStore(cfg StoreConfig) *Store {
+	if cfg.WriteRate == 0 {
+		cfg.WriteRate = defaultWriteRate
+	}
+	if cfg.ReadRate == 0 {
+		cfg.ReadRate = defaultReadRate
+	}
+	if cfg.MaxValue == 0 {
+		cfg.MaxValue = defaultMaxValue
+	}
+	defaultDuration(&cfg.Latency, defaultStoreLatency)
+	s := &Store{
+		cfg:     cfg,
+		reads:   bucket{rate: cfg.ReadRate, left: cfg.ReadRate},
+		writes:  bucket{rate: cfg.WriteRate, left: cfg.WriteRate},
+		records: make(map[pomelorelay.StoreKey]*storeRecord),
+		leases:  make(map[pomelorelay.LeaseID]*storeLease),
+		changed: make(chan struct{}),
+	}
+	s.router = s.routes()
+	return s
+}
+
+// SetFaults replaces what goes wrong.
+func (s *Store) SetFaults(faults StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Faults returns what goes wrong.
+func (s *Store) Faults() StoreFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counts returns the calls counted.
+func (s *Store) Counts() StoreCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// ServeHTTP answers the calls of the store's protocol.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// Close stops the leases.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+	return nil
+}
+
+// Copy returns the store's content as it is now.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := make(map[pomelorelay.StoreKey]storeRecord)
+	for key, r := range s.records {
+		records[key] = *r
+	}
+	return StoreCopy{records: records}
+}
+
+// Restore replaces the content by an old copy, as an operator does who brings a backup back.
+func (s *Store) Restore(old StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = make(map[pomelorelay.StoreKey]*storeRecord)
+	for key, r := range old.records {
+		record := r
+		s.records[key] = &record
+	}
+	s.wakeWatches()
+}
+
+func (s *Store) wakeWatches() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// swap writes the value if the record is at revision old; it returns the record's revision and whether it was written.
+func (s *Store) swap(key pomelorelay.StoreKey, value []byte, old pomelorelay.Revision, lease pomelorelay.LeaseID) (pomelorelay.Revision, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, open := s.leases[lease]; lease != 0 && !open {
+		return 0, http.StatusGone
+	}
+	var current pomelorelay.Revision
+	if r, ok := s.records[key]; ok {
+		current = r.revision
+	}
+	if current != old {
+		s.counts.Conflicts++
+		return current, http.StatusConflict
+	}
+	s.revision++
+	s.records[key] = &storeRecord{value: value, revision: s.revision, lease: lease}
+	s.wakeWatches()
+	return s.revision, http.StatusOK
+}
+
+// read returns the record, its revision zero when there is none, and a channel closed at the next write.
+func (s *Store) read(key pomelorelay.StoreKey) (pomelorelay.Record, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := pomelorelay.Record{Key: key}
+	if r, ok := s.records[key]; ok {
+		record.Value = r.value
+		record.Revision = r.revision
+	}
+	return record, s.changed
+}
+
+func (s *Store) openLease(ttl time.Duration) pomelorelay.LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease++
+	id := s.lease
+	s.leases[id] = &storeLease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.endLease(id) })}
+	return id
+}
+
+// renewLease reports false when the lease has lapsed.
+func (s *Store) renewLease(id pomelorelay.LeaseID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return false
+	}
+	l.timer.Reset(l.ttl)
+	return true
+}
+
+// endLease removes the lease with the records written under it and reports false when there was none.
+func (s *Store) endLease(id pomelorelay.LeaseID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return false
+	}
+	l.timer.Stop()
+	delete(s.leases, id)
+	for key, r := range s.records {
+		if r.lease == id {
+			delete(s.records, key)
+		}
+	}
+	s.wakeWatches()
+	return true
+}
+
+// bucket is a rate with a second's burst.
+type bucket struct {
+	rate float64
+	left float64
+	last time.Time
+}
+
+func (b *bucket) take(now time.Time) bool {
+	if !b.last.IsZero() {
+		b.left = min(b.rate, b.left+b.rate*now.Sub(b.last).Seconds())
+	}
+	b.last = now
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
--- /dev/null
+++ b/pomelofake/storehttp.go
@@ -0,0 +1,229 @@
+package pomelofake
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// maxWatch bounds how long a watch waits, whatever it asks for.
+const maxWatch = time.Minute
+
+type revisionAnswer struct {
+	Revision pomelorelay.Revision
+}
+
+type leaseAnswer struct {
+	Lease pomelorelay.LeaseID
+}
+
+func (s *Store) routes() *mux.Router {
+	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	router.HandleFunc("/v1/kv/{key:.+}", s.get).Methods(http.MethodGet)
+	router.HandleFunc("/v1/kv/{key:.+}", s.put).Methods(http.MethodPut)
+	router.HandleFunc("/v1/watch/{key:.+}", s.watch).Methods(http.MethodGet)
+	router.HandleFunc("/v1/lease", s.open).Methods(http.MethodPost)
+	router.HandleFunc("/v1/lease/{id:[0-9]+}/renew", s.renew).Methods(http.MethodPost)
+	router.HandleFunc("/v1/lease/{id:[0-9]+}", s.end).Methods(http.MethodDelete)
+	return router
+}
+
+// callKind tells which rate a call counts against.
+type callKind int
+
+const (
+	readCall callKind = iota
+	writeCall
+	watchCall
+	leaseCall
+)
+
+// admit counts the call, lets the faults act, and reports false when it has refused it.
+func (s *Store) admit(w http.ResponseWriter, r *http.Request, kind callKind) bool {
+	status, wait := s.judge(kind)
+	if status != http.StatusOK {
+		http.Error(w, http.StatusText(status), status)
+		return false
+	}
+	return sleep(r, wait)
+}
+
+func (s *Store) judge(kind callKind) (int, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rate := &s.writes
+	switch kind {
+	case readCall:
+		s.counts.Reads++
+		rate = &s.reads
+	case watchCall:
+		s.counts.Watches++
+		rate = &s.reads
+	case writeCall:
+		s.counts.Writes++
+	case leaseCall:
+		s.counts.Leases++
+	}
+	if s.faults.Outage {
+		s.counts.Refused++
+		return http.StatusServiceUnavailable, 0
+	}
+	if s.faults.Throttle || !rate.take(time.Now()) {
+		s.counts.Throttled++
+		return http.StatusTooManyRequests, 0
+	}
+	return http.StatusOK, s.cfg.Latency + s.faults.Slow
+}
+
+func keyOf(w http.ResponseWriter, r *http.Request) (pomelorelay.StoreKey, bool) {
+	key, err := url.PathUnescape(mux.Vars(r)["key"])
+	if err != nil {
+		http.Error(w, "the key is not escaped rightly", http.StatusBadRequest)
+		return "", false
+	}
+	return pomelorelay.StoreKey(key), true
+}
+
+// number reads a numeric query value; an absent one is zero.
+func number(w http.ResponseWriter, r *http.Request, name string) (uint64, bool) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		http.Error(w, name+" is not a number", http.StatusBadRequest)
+		return 0, false
+	}
+	return n, true
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	key, ok := keyOf(w, r)
+	if !ok || !s.admit(w, r, readCall) {
+		return
+	}
+	record, _ := s.read(key)
+	if record.Revision == 0 {
+		http.NotFound(w, r)
+		return
+	}
+	writeJSON(w, http.StatusOK, record)
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	key, ok := keyOf(w, r)
+	if !ok {
+		return
+	}
+	old, ok := number(w, r, "old")
+	if !ok {
+		return
+	}
+	lease, ok := number(w, r, "lease")
+	if !ok {
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.cfg.MaxValue)))
+	if err != nil {
+		http.Error(w, "the value is too large or broke off", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if !s.admit(w, r, writeCall) {
+		return
+	}
+	revision, status := s.swap(key, value, pomelorelay.Revision(old), pomelorelay.LeaseID(lease))
+	s.answerWrite(w, r, status, revisionAnswer{revision})
+}
+
+// answerWrite answers a write that may have taken effect, late or not at all when the faults say so.
+func (s *Store) answerWrite(w http.ResponseWriter, r *http.Request, status int, answer any) {
+	s.mu.Lock()
+	lost := s.faults.LoseAnswers > 0
+	if lost {
+		s.faults.LoseAnswers--
+		s.counts.Lost++
+	}
+	wait := s.faults.SlowAnswer
+	s.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	if wait > 0 && !sleep(r, wait) {
+		return
+	}
+	writeJSON(w, status, answer)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	key, ok := keyOf(w, r)
+	if !ok {
+		return
+	}
+	after, ok := number(w, r, "after")
+	if !ok {
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		http.Error(w, "wait is not a duration", http.StatusBadRequest)
+		return
+	}
+	if !s.admit(w, r, watchCall) {
+		return
+	}
+	timer := time.NewTimer(min(wait, maxWatch))
+	defer timer.Stop()
+	for {
+		record, changed := s.read(key)
+		if record.Revision != pomelorelay.Revision(after) {
+			writeJSON(w, http.StatusOK, record)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			w.WriteHeader(http.StatusNoContent)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) open(w http.ResponseWriter, r *http.Request) {
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil || ttl <= 0 {
+		http.Error(w, "ttl is not a duration above zero", http.StatusBadRequest)
+		return
+	}
+	if !s.admit(w, r, leaseCall) {
+		return
+	}
+	s.answerWrite(w, r, http.StatusOK, leaseAnswer{s.openLease(ttl)})
+}
+
+func (s *Store) renew(w http.ResponseWriter, r *http.Request) { s.withLease(w, r, s.renewLease) }
+
+func (s *Store) end(w http.ResponseWriter, r *http.Request) { s.withLease(w, r, s.endLease) }
+
+func (s *Store) withLease(w http.ResponseWriter, r *http.Request, do func(pomelorelay.LeaseID) bool) {
+	id, err := strconv.ParseUint(mux.Vars(r)["id"], 10, 64)
+	if err != nil {
+		http.Error(w, "the lease is not a number", http.StatusBadRequest)
+		return
+	}
+	if !s.admit(w, r, leaseCall) {
+		return
+	}
+	status := http.StatusGone
+	if do(pomelorelay.LeaseID(id)) {
+		status = http.StatusOK
+	}
+	s.answerWrite(w, r, status, leaseAnswer{pomelorelay.LeaseID(id)})
+}
