--- a/pomelofake/admin.go
+++ b/pomelofake/admin.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
