--- /dev/null
+++ b/pomelofake/network_test.go
@@ -0,0 +1,110 @@
+package pomelofake_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+)
+
+// network is a listener in memory, so that tests run on virtual time.
+type network struct {
+	mu       sync.Mutex
+	listener *pipeListener
+}
+
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+type pipeAddr struct{}
+
+func (pipeAddr) Network() string { return "pipe" }
+func (pipeAddr) String() string  { return "pipe" }
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return pipeAddr{} }
+
+func (n *network) listen() (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listener = &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	return n.listener, nil
+}
+
+var errRefused = errors.New("connection refused")
+
+func (n *network) dial() (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listener
+	n.mu.Unlock()
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, errRefused
+	}
+}
+
+// serve hosts the handler in memory and returns a client of it; both end with the test.
+func serve(t *testing.T, handler http.Handler) (*http.Client, *pomelofake.Host) {
+	t.Helper()
+	n := &network{}
+	host, err := pomelofake.NewHost(pomelofake.HostConfig{Listen: n.listen, Handler: handler})
+	if err != nil {
+		t.Fatal(err)
+	}
+	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return n.dial() }}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		_ = host.Close()
+		// net/http keeps a connection whose request it did not read to the end for half a second longer.
+		time.Sleep(time.Second)
+	})
+	return &http.Client{Transport: transport}, host
+}
+
+// call sends a request and returns status and body, status 0 when no whole answer came.
+func call(t *testing.T, client *http.Client, method, path, body string, headers ...string) (int, string, http.Header) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://stand.in"+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, string(text), resp.Header
+	}
+	return resp.StatusCode, string(text), resp.Header
+}
--- /dev/null
+++ b/pomelofake/relay_test.go
@@ -0,0 +1,167 @@
+package pomelofake_test
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+)
+
+// relayed starts a relay in memory before a server that answers each byte with its successor.
+func relayed(t *testing.T) (*pomelofake.Relay, func() net.Conn) {
+	t.Helper()
+	near, far := &network{}, &network{}
+	listener, err := far.listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay, err := pomelofake.NewRelay(pomelofake.RelayConfig{Listen: near.listen, Dial: far.dial})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go succeed(listener)
+	t.Cleanup(func() {
+		_ = listener.Close()
+		_ = relay.Close()
+	})
+	return relay, func() net.Conn {
+		conn, err := near.dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+}
+
+func succeed(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			b := make([]byte, 1)
+			for {
+				if _, err := conn.Read(b); err != nil {
+					return
+				}
+				b[0]++
+				if _, err := conn.Write(b); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// ask sends a byte and returns the answer, zero and the error when none came within a second.
+func ask(conn net.Conn, b byte) (byte, error) {
+	if _, err := conn.Write([]byte{b}); err != nil {
+		return 0, err
+	}
+	return listen(conn)
+}
+
+func listen(conn net.Conn) (byte, error) {
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	answer := make([]byte, 1)
+	_, err := io.ReadFull(conn, answer)
+	return answer[0], err
+}
+
+func TestRelayPassesDelaysAndBlocksOneWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relay, dial := relayed(t)
+		conn := dial()
+		if b, err := ask(conn, 1); b != 2 || err != nil {
+			t.Fatalf("got %d, %v", b, err)
+		}
+		delay := pomelofake.RelayEffect{Delay: 100 * time.Millisecond}
+		relay.SetRules([]pomelofake.RelayRule{{Toward: delay, Back: delay}})
+		began := time.Now()
+		if b, err := ask(conn, 3); b != 4 || err != nil || time.Since(began) != 200*time.Millisecond {
+			t.Errorf("got %d, %v after %s", b, err, time.Since(began))
+		}
+		relay.SetRules([]pomelofake.RelayRule{{Back: pomelofake.RelayEffect{Block: true}}})
+		if b, err := ask(conn, 5); err == nil {
+			t.Errorf("got %d through a block", b)
+		}
+		relay.SetRules(nil)
+		if b, err := listen(conn); b != 6 || err != nil {
+			t.Errorf("got %d, %v after the block", b, err)
+		}
+	})
+}
+
+// A network partition loses bytes and heals. A connection that lost some must not go on, as TCP would not.
+func TestRelayDropsAndCuts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relay, dial := relayed(t)
+		conn := dial()
+		relay.SetRules([]pomelofake.RelayRule{{Toward: pomelofake.RelayEffect{Drop: true}}})
+		if b, err := ask(conn, 1); err == nil {
+			t.Errorf("got %d through a drop", b)
+		}
+		relay.SetRules(nil)
+		if _, err := ask(conn, 3); err != io.EOF {
+			t.Errorf("after the drop: %v, want the connection to be closed", err)
+		}
+		conn = dial()
+		if b, err := ask(conn, 1); b != 2 || err != nil {
+			t.Fatalf("got %d, %v", b, err)
+		}
+		relay.SetRules([]pomelofake.RelayRule{{Cut: true}})
+		if _, err := listen(conn); err != io.EOF {
+			t.Errorf("after the cut: %v", err)
+		}
+		if _, err := listen(dial()); err != io.EOF {
+			t.Errorf("connected through a cut: %v", err)
+		}
+	})
+}
+
+// Two routers reach a third through the same relay, and only one of them is cut off.
+func TestRelayTellsSourcesApart(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go succeed(target)
+	defer func() { _ = target.Close() }()
+	var addr net.Addr
+	relay, err := pomelofake.NewRelay(pomelofake.RelayConfig{
+		Listen: func() (net.Listener, error) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err == nil {
+				addr = l.Addr()
+			}
+			return l, err
+		},
+		Dial: func() (net.Conn, error) { return net.Dial("tcp", target.Addr().String()) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = relay.Close() }()
+	relay.SetRules([]pomelofake.RelayRule{{Source: netip.MustParseAddr("127.0.0.2"), Cut: true}})
+	for source, open := range map[string]bool{"127.0.0.2": false, "127.0.0.3": true} {
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+		conn, err := dialer.Dial("tcp", addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ask(conn, 1); (err == nil) != open {
+			t.Errorf("from %s: %v, want open %v", source, err, open)
+		}
+		_ = conn.Close()
+	}
+	if relay.Passed() != 2 {
+		t.Errorf("passed %d bytes, want 2", relay.Passed())
+	}
+}
