--- a/codes_route.go
+++ b/codes_route.go
@@ -1,3 +1,28 @@
 package pomelorelay
 
-var routeCodes = []CodeInfo{}
+// Result codes of the traffic path, 1200 to 1299.
+const (
+	CodeUpstreamUnreached ResultCode = 1200
+	CodeUpstreamRefused   ResultCode = 1201
+	CodeAnswerCutShort    ResultCode = 1202
+	CodeAnswerUnknown     ResultCode = 1203
+	CodeAnswerCrossed     ResultCode = 1204
+	CodeAnswerMalformed   ResultCode = 1205
+	CodeUpstreamTimeout   ResultCode = 1206
+	CodeUpstreamCrashed   ResultCode = 1207
+	CodeStreamBroken      ResultCode = 1208
+	CodeCancelled         ResultCode = 1209
+)
+
+var routeCodes = []CodeInfo{
+	{CodeUpstreamUnreached, "UpstreamUnreached", 502, RanNo, "No byte of the request reached an upstream.", "Send it again after Retry-After."},
+	{CodeUpstreamRefused, "UpstreamRefused", 503, RanNo, "The upstream refused the request without running it.", "Send it again after Retry-After."},
+	{CodeAnswerCutShort, "AnswerCutShort", 502, RanUnknown, "The upstream's answer ended early.", "Send it again only if it may run twice."},
+	{CodeAnswerUnknown, "AnswerUnknown", 502, RanUnknown, "The request reached an upstream and no answer came back.", "Send it again only if it may run twice."},
+	{CodeAnswerCrossed, "AnswerCrossed", 502, RanUnknown, "The upstream answered another request on this connection; the answer was dropped.", "Send it again only if it may run twice."},
+	{CodeAnswerMalformed, "AnswerMalformed", 502, RanUnknown, "The upstream's answer cannot be read.", "Send it again only if it may run twice."},
+	{CodeUpstreamTimeout, "UpstreamTimeout", 504, RanUnknown, "The deadline passed while the request ran.", "Send it again only if it may run twice, with a later deadline."},
+	{CodeUpstreamCrashed, "UpstreamCrashed", 502, RanUnknown, "The upstream crashed while the request ran.", "Send it again only if it may run twice."},
+	{CodeStreamBroken, "StreamBroken", 502, RanYes, "The stream broke off and could not be resumed.", "Send it again only if it may run twice."},
+	{CodeCancelled, "Cancelled", 499, RanNo, "The caller closed its connection before the request was sent.", "None."},
+}
--- /dev/null
+++ b/pomeloroute/config.go
@@ -0,0 +1,172 @@
+package pomeloroute
+
+import (
+	"context"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+)
+
+// Config holds what a Handler needs.
+type Config struct {
+	// Node and Incarnation make request ids unique in the fleet.
+	Node        pomelorelay.NodeID
+	Incarnation pomelorelay.Incarnation
+	Clock       pomelorelay.Clock
+	Logger      pomelorelay.Logger
+	Directory   Directory
+	Admission   Admission
+	Claims      Claims
+	Suspects    Suspects
+	Options     Options
+}
+
+// Options bound what the traffic path uses; zero fields take the defaults.
+type Options struct {
+	// MaxHeaders bounds the number of a request's header fields, 100 by default.
+	MaxHeaders int
+	// MaxHeaderBytes bounds the bytes of a request's header, 32 KiB by default.
+	MaxHeaderBytes pomelorelay.Bytes
+	// MaxBody bounds a body where the service gives no bound, 1 MiB by default.
+	MaxBody pomelorelay.Bytes
+	// BufferAnswer is the size up to which a plain answer is held until it is whole, 64 KiB by default.
+	BufferAnswer pomelorelay.Bytes
+	// KeepOutcome is the size up to which a non-idempotent call's answer is kept for repeats, 4 KiB by default.
+	KeepOutcome pomelorelay.Bytes
+	// DialTimeout bounds a connection attempt, 1 s by default.
+	DialTimeout time.Duration
+	// IdleConns bounds the idle connections kept per upstream, 64 by default.
+	IdleConns int
+	// IdleTimeout closes a connection that was not used, 30 s by default.
+	IdleTimeout time.Duration
+	// Timeout bounds one attempt where the service gives no bound, 10 min by default.
+	Timeout time.Duration
+	// MaxWait bounds the wait for a slot where the service gives no bound, 1 min by default.
+	MaxWait time.Duration
+	// MaxAttempts bounds the attempts at upstreams for one request, 3 by default.
+	MaxAttempts int
+	// RetryAfter is what a refusal tells a caller when nothing better is known, 1 s by default.
+	RetryAfter time.Duration
+}
+
+// Directory gives the configuration in force.
+type Directory interface {
+	// Current returns the snapshot in force, nil while there is none; it never blocks.
+	Current() Snapshot
+}
+
+// Snapshot is an immutable view of the configuration.
+type Snapshot interface {
+	// Account returns the account that holds the token with the SHA-256 digest.
+	Account(token pomelorelay.Hash) (*pomeloconfig.Account, bool)
+	// Service returns the service of the name.
+	Service(name pomelorelay.ServiceID) (*pomeloconfig.Service, bool)
+	// HasPool reports whether any upstream serves the pool.
+	HasPool(pool pomelorelay.PoolID) bool
+}
+
+// AdmitRequest asks for a slot for one attempt of a request.
+type AdmitRequest struct {
+	Request     pomelorelay.RequestID
+	Account     pomelorelay.AccountID
+	Service     pomelorelay.ServiceID
+	Pool        pomelorelay.PoolID
+	Fingerprint pomelorelay.Fingerprint
+	// Prefix is the hash of the beginning of the body, for cache affinity.
+	Prefix uint64
+	// Hint is the caller's expected cost, zero when there is none.
+	Hint  pomelorelay.Cost
+	Bytes pomelorelay.Bytes
+	// Deadline is when the whole request must have ended, WaitUntil when its wait must have.
+	Deadline  time.Time
+	WaitUntil time.Time
+	// Avoid lists upstreams that failed this request before.
+	Avoid []pomelorelay.UpstreamID
+}
+
+// Admission grants slots; its errors are *pomelorelay.Error and say that nothing ran.
+type Admission interface {
+	// Admit blocks until a slot is granted, the wait is over or ctx ends.
+	Admit(ctx context.Context, r AdmitRequest) (Ticket, error)
+}
+
+// Ticket is a granted slot; it is used for one attempt and ended by Done exactly once.
+type Ticket interface {
+	// Upstream returns where the attempt goes.
+	Upstream() *pomeloconfig.Upstream
+	// Progress reports the cost accrued so far; it never blocks.
+	Progress(cost pomelorelay.Cost)
+	// Done ends the slot; it never blocks.
+	Done(r Result)
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome Outcome
+	Code    pomelorelay.ResultCode
+	Cost    pomelorelay.Cost
+	// FirstToken and TokenGap are latencies of a stream, zero when none was measured.
+	FirstToken time.Duration
+	TokenGap   time.Duration
+}
+
+// Outcome tells what is known of an attempt at an upstream.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	OutcomeNotSent       Outcome = iota + 1 // no byte was handed to a connection
+	OutcomeRefusedNotRun                    // the upstream said that it did not run the request
+	OutcomeWhole                            // the answer is whole
+	OutcomeCutShort                         // the answer began and ended early
+	OutcomeUnknown                          // bytes left and no answer began
+)
+
+// Claim is a claim that was asked for.
+type Claim struct {
+	Key     pomelorelay.ClaimKey
+	Nonce   pomelorelay.ClaimNonce
+	State   pomelorelay.ClaimState
+	Outcome pomelorelay.ClaimOutcome
+}
+
+// Settlement is how a claimed request ended.
+type Settlement struct {
+	// Released tells that no byte of the request left.
+	Released bool
+	// State is ClaimDone or ClaimUnknown when it is not released.
+	State   pomelorelay.ClaimState
+	Outcome pomelorelay.ClaimOutcome
+}
+
+// Claims makes claims of non-idempotent requests durable.
+type Claims interface {
+	// Claim blocks until the claim's state is known; a claim that could not be made durable has the state ClaimRefused.
+	Claim(ctx context.Context, key pomelorelay.ClaimKey, content pomelorelay.Fingerprint) (Claim, error)
+	// Settle tells how the request of a fresh claim ended; it never blocks.
+	Settle(c Claim, s Settlement)
+}
+
+// SuspectRun names one attempt to the crash suspects' part.
+type SuspectRun struct {
+	Request       pomelorelay.RequestID
+	Fingerprint   pomelorelay.Fingerprint
+	Upstream      pomelorelay.UpstreamID
+	QuarantineFor time.Duration
+}
+
+// Suspects keeps requests that crash upstreams from running everywhere.
+type Suspects interface {
+	// Refuse fails with CodeQuarantined when the fingerprint is quarantined; it never blocks.
+	Refuse(f pomelorelay.Fingerprint) error
+	// Check returns at once for a request that is no suspect; a suspect waits for its turn, or fails with
+	// CodeSuspectHeld or CodeQuarantined.
+	Check(ctx context.Context, run SuspectRun) error
+	// Began tells that the attempt is about to be sent; it never blocks.
+	Began(run SuspectRun)
+	// Crashed tells that the upstream crashed while the attempt ran; it never blocks.
+	Crashed(run SuspectRun)
+	// Ended tells that the attempt ended otherwise; it never blocks.
+	Ended(run SuspectRun)
+}
