--- /dev/null
+++ b/pomelonode/assembly.go
@@ -0,0 +1,149 @@
+package pomelonode
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloclaim"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelofair"
+	"github.com/pomelorelay/pomelorelay/pomeloledger"
+	"github.com/pomelorelay/pomelorelay/pomelomember"
+	"github.com/pomelorelay/pomelorelay/pomeloquarantine"
+	"github.com/pomelorelay/pomelorelay/pomeloslot"
+)
+
+// claimCommits is the rate of store writes that the whole fleet's claim shards may reach together; the store takes several
+// hundred writes a second, and the operators' own need room.
+const claimCommits = 200
+
+func newControl(n *Node) *control {
+	c := &control{
+		n:              n,
+		members:        &pomelomember.Snapshot{},
+		upstreams:      make(map[pomelorelay.UpstreamID]*pomeloconfig.Upstream),
+		pools:          make(map[pomelorelay.PoolID]bool),
+		left:           make(map[pomelorelay.UpstreamID]bool),
+		leftAt:         make(map[pomelorelay.UpstreamID]time.Time),
+		regions:        map[pomelorelay.DomainID]pomelorelay.RegionID{n.self.Domain: n.self.Region},
+		jobs:           newJobs(),
+		waiting:        make(map[pomelorelay.RequestID]*waiter),
+		running:        make(map[pomelorelay.RequestID]*ticket),
+		claimWaiters:   make(map[pomelorelay.ClaimNonce]*claimWaiter),
+		suspectWaiters: make(map[pomelorelay.RequestID]*suspectWaiter),
+		generations:    make(map[pomelorelay.NodeID]pomelorelay.Generation),
+		loads:          make(map[pomelorelay.UpstreamID]pomeloslot.LoadReport),
+		dirty:          make(map[pomelorelay.PoolID]bool),
+	}
+	c.assembleFairness()
+	c.assembleLedger()
+	c.assembleClaims()
+	c.assembleSuspects()
+	return c
+}
+
+func (c *control) assembleFairness() {
+	n := c.n
+	s := n.cfg.Settings.Control
+	c.view = pomelomember.New(pomelomember.Config{
+		Self:        n.self,
+		Incarnation: n.incarnation,
+		Seeds:       seedPeers(n.cfg.Settings.Seeds),
+		Seed:        uint64(n.incarnation),
+		Options:     pomelomember.Options{DigestEvery: s.DigestInterval},
+	})
+	c.members = c.view.Snapshot()
+	c.queues = pomelofair.New(pomelofair.Config{Charge: pomelofair.ChargeOptions{AdmissionFraction: s.AdmissionCharge}})
+	c.owner = pomeloslot.NewOwner(pomeloslot.OwnerConfig{
+		Node:        n.self.Node,
+		Domain:      n.self.Domain,
+		Incarnation: n.incarnation,
+		Grant:       pomeloslot.GrantOptions{TTL: s.GrantTTL},
+	})
+	c.asker = pomeloslot.NewAsker(pomeloslot.AskerConfig{
+		Node:    n.self.Node,
+		Domain:  n.self.Domain,
+		Regions: c.regions,
+		Seed:    uint64(n.incarnation),
+	})
+	c.spreader = pomeloconfig.NewSpreader(pomeloconfig.SpreaderConfig{
+		PullWait: s.ConfigPull,
+		Seed:     uint64(n.incarnation),
+		Logger:   n.cfg.Logger,
+	})
+	c.n.mesh.SetPeers(c.view.Peers(nil))
+}
+
+func seedPeers(seeds []pomeloconfig.Seed) []pomelorelay.Peer {
+	var peers []pomelorelay.Peer
+	for _, s := range seeds {
+		peers = append(peers, pomelorelay.Peer{Node: s.Name, Addr: s.Address, Domain: s.FailureDomain, Region: s.Region})
+	}
+	return peers
+}
+
+func (c *control) assembleLedger() {
+	n := c.n
+	s := n.cfg.Settings.Control
+	host := func(shard pomelorelay.ShardID, domain pomelorelay.DomainID) (pomelorelay.NodeID, bool) {
+		return c.members.Owner(ledgerKey(shard), domain)
+	}
+	c.ledger = pomeloledger.New(pomeloledger.Config{
+		Self:    n.self,
+		Shards:  n.shards,
+		Options: pomeloledger.Options{ExchangeEvery: s.ExchangeInterval},
+		Fleet: pomeloledger.Fleet{
+			Routers: func() []pomelorelay.NodeID { return c.members.Members(n.self.Domain) },
+			Domains: c.domains,
+			Host:    host,
+		},
+	})
+	c.reporter = pomeloledger.NewReporter(pomeloledger.ReporterConfig{
+		Shards: n.shards,
+		Every:  s.LedgerInterval,
+		Host: func(shard pomelorelay.ShardID) (pomelorelay.NodeID, bool) {
+			return host(shard, n.self.Domain)
+		},
+	})
+}
+
+func (c *control) domains() []pomeloledger.DomainInfo {
+	var infos []pomeloledger.DomainInfo
+	for _, d := range c.members.Domains() {
+		if d.Reachable && len(d.Members) > 0 {
+			infos = append(infos, pomeloledger.DomainInfo{ID: d.ID, Region: d.Region})
+		}
+	}
+	return infos
+}
+
+func (c *control) assembleClaims() {
+	n := c.n
+	c.keeper = pomeloclaim.New(pomeloclaim.Config{
+		Logger:           n.cfg.Logger,
+		Seed:             uint64(n.incarnation),
+		CommitsPerSecond: claimCommits / float64(n.shards),
+	})
+	c.claimAsker = pomeloclaim.NewAsker(pomeloclaim.AskerConfig{
+		Seed:   uint64(n.incarnation) ^ nodeSeed(n.self.Node),
+		Shards: n.shards,
+		Keeper: c.claimKeeper,
+	})
+}
+
+func (c *control) assembleSuspects() {
+	n := c.n
+	cfg := pomeloquarantine.Config{
+		Self:   n.self.Node,
+		Logger: n.cfg.Logger,
+		FingerprintArbiter: func(f pomelorelay.Fingerprint) (pomelorelay.NodeID, bool) {
+			return pomelomember.Owner(fingerprintKey(f), c.jobs.peers)
+		},
+		UpstreamArbiter: func(id pomelorelay.UpstreamID) (pomelorelay.NodeID, bool) {
+			return pomelomember.Owner("suspect/"+string(id), c.jobs.peers)
+		},
+		Members: func() []pomelorelay.NodeID { return c.jobs.peers },
+	}
+	c.table = pomeloquarantine.NewTable(cfg)
+	c.arbiter = pomeloquarantine.New(cfg)
+}
--- /dev/null
+++ b/pomelonode/claims.go
@@ -0,0 +1,103 @@
+package pomelonode
+
+import (
+	"context"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloclaim"
+	"github.com/pomelorelay/pomelorelay/pomeloroute"
+)
+
+// claims implements pomeloroute.Claims by events to the control goroutine.
+type claims struct{ n *Node }
+
+// Claim waits for the claim's verdict; it fails when ctx ends first, and the claim is then given up.
+func (a claims) Claim(ctx context.Context, key pomelorelay.ClaimKey, content pomelorelay.Fingerprint) (pomeloroute.Claim, error) {
+	w := &claimWaiter{key: key, content: content, answer: make(chan pomeloclaim.Verdict, 1)}
+	a.n.mail.post(claimAsked{w})
+	select {
+	case v := <-w.answer:
+		return pomeloroute.Claim{Key: key, Nonce: v.Nonce, State: v.State, Outcome: v.Outcome}, nil
+	case <-ctx.Done():
+		a.n.mail.post(claimCancelled{w})
+		return pomeloroute.Claim{}, ctx.Err()
+	}
+}
+
+// Settle tells how the request of a fresh claim ended.
+func (a claims) Settle(c pomeloroute.Claim, s pomeloroute.Settlement) {
+	a.n.mail.post(claimEnded{c, s})
+}
+
+type claimWaiter struct {
+	key       pomelorelay.ClaimKey
+	content   pomelorelay.Fingerprint
+	nonce     pomelorelay.ClaimNonce
+	cancelled bool
+	answer    chan pomeloclaim.Verdict
+}
+
+type claimAsked struct{ w *claimWaiter }
+
+func (e claimAsked) apply(c *control, now time.Time) {
+	if e.w.cancelled {
+		return
+	}
+	e.w.nonce = c.claimAsker.Claim(now, e.w.key, e.w.content, &c.claimOut)
+	c.claimWaiters[e.w.nonce] = e.w
+}
+
+type claimCancelled struct{ w *claimWaiter }
+
+// apply gives up a claim whose caller has left. A verdict that came at the same moment is released: a claim that stayed fresh
+// for ever would refuse the caller's own repeat as still running.
+func (e claimCancelled) apply(c *control, now time.Time) {
+	e.w.cancelled = true
+	if c.claimWaiters[e.w.nonce] != nil {
+		delete(c.claimWaiters, e.w.nonce)
+		c.claimAsker.Cancel(now, e.w.nonce, &c.claimOut)
+		return
+	}
+	select {
+	case v := <-e.w.answer:
+		if v.State == pomelorelay.ClaimFresh {
+			c.claimAsker.Settle(now, v.Nonce, true, 0, pomelorelay.ClaimOutcome{}, &c.claimOut)
+		}
+	default:
+	}
+}
+
+type claimEnded struct {
+	claim      pomeloroute.Claim
+	settlement pomeloroute.Settlement
+}
+
+func (e claimEnded) apply(c *control, now time.Time) {
+	s := e.settlement
+	c.claimAsker.Settle(now, e.claim.Nonce, s.Released, s.State, s.Outcome, &c.claimOut)
+}
+
+// storeAnswered is posted when a keeper's store operation returned.
+type storeAnswered struct{ result pomeloclaim.StoreResult }
+
+func (e storeAnswered) apply(c *control, now time.Time) {
+	c.keeper.Stored(now, e.result, &c.claimOut)
+}
+
+// flushClaims carries out what the claims' parts asked for.
+func (c *control) flushClaims() {
+	c.out = append(c.out, c.claimOut.Messages...)
+	for _, op := range c.claimOut.Store {
+		c.n.storeOp(op)
+	}
+	for _, v := range c.claimOut.Verdicts {
+		if w := c.claimWaiters[v.Nonce]; w != nil {
+			delete(c.claimWaiters, v.Nonce)
+			w.answer <- v
+		}
+	}
+	c.claimOut.Messages = c.claimOut.Messages[:0]
+	c.claimOut.Store = c.claimOut.Store[:0]
+	c.claimOut.Verdicts = c.claimOut.Verdicts[:0]
+}
--- /dev/null
+++ b/pomelonode/jobs.go
@@ -0,0 +1,195 @@
+package pomelonode
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelomember"
+	"github.com/pomelorelay/pomelorelay/pomeloslot"
+)
+
+// watchersPerDomain routers of a failure domain hold a watch on the store's root.
+const watchersPerDomain = 2
+
+// jobs are the shared jobs that this router does now.
+type jobs struct {
+	upstreams map[pomelorelay.UpstreamID]func()
+	ledger    map[pomelorelay.ShardID]bool
+	claims    map[pomelorelay.ShardID]bool
+	peers     []pomelorelay.NodeID
+}
+
+func newJobs() jobs {
+	return jobs{
+		upstreams: make(map[pomelorelay.UpstreamID]func()),
+		ledger:    make(map[pomelorelay.ShardID]bool),
+		claims:    make(map[pomelorelay.ShardID]bool),
+	}
+}
+
+// takeChanges follows routers that came and went.
+func (c *control) takeChanges(now time.Time) {
+	c.changes = c.view.Changes(c.changes[:0])
+	if len(c.changes) == 0 {
+		return
+	}
+	for _, change := range c.changes {
+		c.takeChange(now, change)
+	}
+	c.placeJobs(now)
+}
+
+func (c *control) takeChange(now time.Time, change pomelomember.Change) {
+	node := change.Peer.Node
+	c.n.log(pomelorelay.EventMemberChanged, field("Member", string(node)), field("Status", int(change.Status)))
+	switch change.Status {
+	case pomelorelay.MemberDead:
+		delete(c.generations, node)
+		c.out = c.owner.MemberGone(now, node, c.out)
+		c.ledger.MemberGone(now, node)
+		c.keeper.MemberGone(now, node, &c.claimOut)
+		c.arbiter.MemberGone(node)
+	case pomelorelay.MemberAlive:
+		c.table.Joined(now, node, &c.suspectOut)
+	}
+}
+
+// placeJobs computes anew which shared jobs this router does.
+func (c *control) placeJobs(now time.Time) {
+	c.members = c.view.Snapshot()
+	c.n.mesh.SetPeers(c.view.Peers(nil))
+	c.jobs.peers = c.allMembers()
+	c.spreader.SetPeers(c.others())
+	c.placeUpstreams(now)
+	c.placeLedger(now)
+	c.placeClaims(now)
+	c.placeWatch()
+}
+
+func (c *control) allMembers() []pomelorelay.NodeID {
+	var nodes []pomelorelay.NodeID
+	for _, d := range c.members.Domains() {
+		nodes = append(nodes, d.Members...)
+	}
+	return nodes
+}
+
+func (c *control) others() []pomelorelay.NodeID {
+	var nodes []pomelorelay.NodeID
+	for _, node := range c.jobs.peers {
+		if node != c.n.self.Node {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// slotOwner returns the router that owns an upstream's slots: one of its failure domain, or when none lives there one of its
+// region. Without the second an upstream would idle after the two routers of its domain were lost, though others reach it.
+func (c *control) slotOwner(id pomelorelay.UpstreamID, domain pomelorelay.DomainID) (pomelorelay.NodeID, bool) {
+	key := "slot/" + string(id)
+	if node, ok := c.members.Owner(key, domain); ok {
+		return node, true
+	}
+	var near []pomelorelay.NodeID
+	for _, d := range c.members.Domains() {
+		if c.regions[d.ID] == c.regions[domain] {
+			near = append(near, d.Members...)
+		}
+	}
+	return pomelomember.Owner(key, near)
+}
+
+func (c *control) placeUpstreams(now time.Time) {
+	for id, u := range c.upstreams {
+		node, ok := c.slotOwner(id, u.FailureDomain)
+		mine := ok && node == c.n.self.Node
+		stop, held := c.jobs.upstreams[id]
+		if mine == held {
+			continue
+		}
+		if held {
+			stop()
+			delete(c.jobs.upstreams, id)
+			c.owner.Disown(id)
+			continue
+		}
+		c.own(now, id)
+	}
+	for id, stop := range c.jobs.upstreams {
+		if c.upstreams[id] == nil {
+			stop()
+			delete(c.jobs.upstreams, id)
+			c.owner.Disown(id)
+		}
+	}
+}
+
+func (c *control) own(now time.Time, id pomelorelay.UpstreamID) {
+	u := c.upstreams[id]
+	slot := pomeloslot.Upstream{ID: id, Pool: u.Pool(), Min: u.MinSlots, Max: u.MaxSlots}
+	c.out = c.owner.Own(now, slot, c.jobs.peers, c.out)
+	if u.FailureDomain != c.n.self.Domain {
+		// The upstream's own domain may only be cut off from this one and its owner there grants still: nothing is granted here
+		// before the upstream itself answers.
+		c.owner.Crashed(now, id)
+	}
+	if c.left[id] {
+		c.owner.Leaving(now, id)
+	}
+	c.jobs.upstreams[id] = c.n.readLoads(*u)
+	c.n.log(pomelorelay.EventJobsMoved, field("Upstream", string(id)))
+}
+
+func (c *control) placeLedger(now time.Time) {
+	for i := range c.n.shards {
+		shard := pomelorelay.ShardID(i)
+		node, ok := c.members.Owner(ledgerKey(shard), c.n.self.Domain)
+		mine := ok && node == c.n.self.Node
+		if mine == c.jobs.ledger[shard] {
+			continue
+		}
+		if !mine {
+			delete(c.jobs.ledger, shard)
+			c.ledger.Drop(shard)
+			continue
+		}
+		c.jobs.ledger[shard] = true
+		c.out = c.ledger.Host(now, shard, c.out)
+	}
+}
+
+func (c *control) placeClaims(now time.Time) {
+	for i := range c.n.shards {
+		shard := pomelorelay.ShardID(i)
+		node, ok := c.claimKeeper(shard)
+		mine := ok && node == c.n.self.Node
+		if mine == c.jobs.claims[shard] {
+			continue
+		}
+		if !mine {
+			delete(c.jobs.claims, shard)
+			c.keeper.Disown(shard)
+			continue
+		}
+		c.jobs.claims[shard] = true
+		c.keeper.Own(now, shard, &c.claimOut)
+	}
+}
+
+func (c *control) claimKeeper(shard pomelorelay.ShardID) (pomelorelay.NodeID, bool) {
+	return pomelomember.Owner("claim/"+strconv.Itoa(int(shard)), c.jobs.peers)
+}
+
+func ledgerKey(shard pomelorelay.ShardID) string { return "ledger/" + strconv.Itoa(int(shard)) }
+
+// placeWatch decides whether this router watches the store's root; the others hear of a new generation from their peers.
+func (c *control) placeWatch() {
+	ranked := pomelomember.Rank("config", c.members.Members(c.n.self.Domain))
+	watch := false
+	for i, node := range ranked {
+		watch = watch || (i < watchersPerDomain && node == c.n.self.Node)
+	}
+	c.n.watching.Store(watch)
+}
--- /dev/null
+++ b/pomelonode/listen.go
@@ -0,0 +1,113 @@
+package pomelonode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloroute"
+)
+
+// stopPoll is how often a graceful stop looks whether the last request has ended.
+const stopPoll = 20 * time.Millisecond
+
+// Listen opens the callers' and the operators' ports; it fails when an address cannot be listened on.
+func (n *Node) Listen() error {
+	limits := n.cfg.Settings.Limits
+	caller := &http.Server{
+		Handler:           n.CallerHandler(),
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    int(limits.HeaderBytes),
+	}
+	operator := &http.Server{Handler: n.OperatorHandler(), ReadHeaderTimeout: limits.HeaderTimeout}
+	if err := n.serve(caller, n.cfg.Settings.Listen.Caller); err != nil {
+		return err
+	}
+	return n.serve(operator, n.cfg.Settings.Listen.Operator)
+}
+
+func (n *Node) serve(s *http.Server, addr netip.AddrPort) error {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return pomelorelay.NewError(pomelorelay.CodeListen, addr.String(), err)
+	}
+	n.servers = append(n.servers, s)
+	n.start(func(context.Context) {
+		if err := s.Serve(l); err != http.ErrServerClosed {
+			n.errs <- err
+		}
+	})
+	return nil
+}
+
+// Errors returns the channel of listeners' failures.
+func (n *Node) Errors() <-chan error { return n.errs }
+
+// CallerHandler returns the handler of the callers' port.
+func (n *Node) CallerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The request is counted before the stop is looked at: the other way round, a stop between the two would end the
+		// process under a request that had been let in.
+		n.inFlight.Add(1)
+		defer n.inFlight.Add(-1)
+		if n.stopping.Load() {
+			n.counters.refusedStopping.Add(1)
+			w.Header().Set("Connection", "close")
+			pomeloroute.Refuse(w, pomelorelay.NewError(pomelorelay.CodeStopping, "", nil))
+			return
+		}
+		n.route.ServeHTTP(w, r)
+	})
+}
+
+// Drain turns readiness off and takes no new work; Stop goes on from there.
+func (n *Node) Drain() {
+	if n.stopping.Swap(true) {
+		return
+	}
+	n.log(pomelorelay.EventStopping)
+	n.mail.post(departing{})
+}
+
+// Stop ends the router gracefully: it drains, waits for every request in progress, and closes. It fails with CodeStopLate
+// when requests were still in progress at the end of ctx.
+func (n *Node) Stop(ctx context.Context) error {
+	n.Drain()
+	err := n.awaitIdle(ctx)
+	if err == nil {
+		n.shutServers(ctx)
+	}
+	n.log(pomelorelay.EventStopped)
+	n.Close()
+	return err
+}
+
+func (n *Node) awaitIdle(ctx context.Context) error {
+	for n.inFlight.Load() > 0 || n.status.Load().openClaims > 0 {
+		if !sleep(ctx, stopPoll) {
+			n.log(pomelorelay.EventStopLate, field("InFlight", n.inFlight.Load()))
+			return pomelorelay.NewError(pomelorelay.CodeStopLate, "", ctx.Err())
+		}
+	}
+	return nil
+}
+
+// shutServers closes the listeners and waits for requests that came in while they closed.
+func (n *Node) shutServers(ctx context.Context) {
+	for _, s := range n.servers {
+		// A failure means that ctx ended; Close follows.
+		_ = s.Shutdown(ctx)
+	}
+}
+
+// departing is posted when a planned stop begins: the shared jobs are handed over, requests go on.
+type departing struct{}
+
+func (departing) apply(c *control, now time.Time) {
+	c.out = c.view.Leave(now, c.out)
+	c.placeJobs(now)
+}
--- /dev/null
+++ b/pomelonode/loads.go
@@ -0,0 +1,86 @@
+package pomelonode
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomeloslot"
+)
+
+const (
+	// loadBytes bounds the answer of an upstream's load.
+	loadBytes = 64 << 10
+	// loadTimeout bounds one read of an upstream's load.
+	loadTimeout = time.Second
+	// loadFailures in a row make an upstream count as crashed.
+	loadFailures = 3
+)
+
+// loadRead is posted when an upstream's load was read.
+type loadRead struct {
+	upstream pomelorelay.UpstreamID
+	load     pomeloslot.LoadReport
+}
+
+func (e loadRead) apply(c *control, now time.Time) {
+	if _, held := c.jobs.upstreams[e.upstream]; held {
+		c.out = c.owner.Load(now, e.upstream, e.load, c.out)
+		c.loads[e.upstream] = e.load
+	}
+}
+
+// loadLost is posted when an upstream's load could not be read several times.
+type loadLost struct{ upstream pomelorelay.UpstreamID }
+
+func (e loadLost) apply(c *control, now time.Time) {
+	if _, held := c.jobs.upstreams[e.upstream]; held {
+		c.owner.Crashed(now, e.upstream)
+		c.n.log(pomelorelay.EventLoadLost, field("Upstream", string(e.upstream)))
+	}
+}
+
+// readLoads reads an upstream's load until the returned function is called.
+func (n *Node) readLoads(u pomeloconfig.Upstream) func() {
+	ctx, cancel := context.WithCancel(n.ctx)
+	n.start(func(context.Context) {
+		failures := 0
+		for {
+			load, err := n.readLoad(ctx, u)
+			if err == nil {
+				failures = 0
+				n.mail.post(loadRead{u.Name, load})
+			} else if failures++; failures == loadFailures {
+				n.mail.post(loadLost{u.Name})
+			}
+			if !sleep(ctx, n.cfg.Settings.Control.LoadInterval) {
+				return
+			}
+		}
+	})
+	return cancel
+}
+
+func (n *Node) readLoad(ctx context.Context, u pomeloconfig.Upstream) (pomeloslot.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	var load pomeloslot.LoadReport
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address.String()+"/load", nil)
+	if err != nil {
+		return load, err
+	}
+	resp, err := n.loadClient.Do(r)
+	if err != nil {
+		return load, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return load, pomelorelay.NewError(pomelorelay.CodeNoUpstream, "the load was not reported", nil)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, loadBytes)).Decode(&load)
+	return load, err
+}
--- /dev/null
+++ b/pomelonode/node.go
@@ -0,0 +1,228 @@
+package pomelonode
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelomesh"
+	"github.com/pomelorelay/pomelorelay/pomeloquarantine"
+	"github.com/pomelorelay/pomelorelay/pomeloroute"
+	"github.com/pomelorelay/pomelorelay/pomelostore"
+)
+
+// Config holds what a router is made of; Store, HostList and Mesh are made from the settings when they are nil.
+type Config struct {
+	Settings pomeloconfig.Settings
+	Store    pomelorelay.Store
+	HostList pomelorelay.HostList
+	Mesh     pomelorelay.Mesh
+	Clock    pomelorelay.Clock
+	Logger   pomelorelay.Logger
+	// Incarnation marks this start; the clock's nanoseconds when zero.
+	Incarnation pomelorelay.Incarnation
+}
+
+// counters are figures that the control goroutine and others count up.
+type counters struct {
+	sendsRefused    atomic.Uint64
+	hostReadsFailed atomic.Uint64
+	refusedStopping atomic.Uint64
+}
+
+// Node is one router.
+type Node struct {
+	cfg         Config
+	self        pomelorelay.Peer
+	incarnation pomelorelay.Incarnation
+	shards      uint32
+	mesh        pomelorelay.Mesh
+	route       *pomeloroute.Handler
+	loadClient  *http.Client
+	mail        *mailbox
+	spare       spareSlots
+	lastAttempt atomic.Uint64
+	counters    counters
+
+	traffic  atomic.Pointer[trafficView]
+	suspects atomic.Pointer[pomeloquarantine.Snapshot]
+	status   atomic.Pointer[status]
+	beat     atomic.Int64
+	watching atomic.Bool
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	closing chan struct{}
+	once    sync.Once
+	wg      sync.WaitGroup
+	servers []*http.Server
+	errs    chan error
+}
+
+// New makes a router and starts its goroutines; Listen opens its ports. It fails with the store client's or mesh's code.
+func New(cfg Config) (*Node, error) {
+	n := &Node{
+		cfg:     cfg,
+		mail:    newMailbox(),
+		spare:   spareSlots{busy: make(map[pomelorelay.UpstreamID]bool)},
+		closing: make(chan struct{}),
+		errs:    make(chan error, 2),
+	}
+	if err := n.complete(); err != nil {
+		return nil, err
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.loadClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
+	n.route = pomeloroute.New(pomeloroute.Config{
+		Node:        n.self.Node,
+		Incarnation: n.incarnation,
+		Clock:       n.cfg.Clock,
+		Logger:      n.cfg.Logger,
+		Directory:   directory{n},
+		Admission:   admission{n},
+		Claims:      claims{n},
+		Suspects:    suspects{n},
+		Options: pomeloroute.Options{
+			MaxHeaderBytes: cfg.Settings.Limits.HeaderBytes,
+			MaxBody:        cfg.Settings.Limits.BodyBytes,
+		},
+	})
+	c := newControl(n)
+	n.suspects.Store(c.table.Snapshot())
+	n.status.Store(&status{Node: n.self.Node})
+	n.beat.Store(n.cfg.Clock.Now().UnixNano())
+	n.start(func(context.Context) { c.run() })
+	n.start(n.readHosts)
+	n.start(n.watchRoot)
+	n.log(pomelorelay.EventStarted, field("Incarnation", uint64(n.incarnation)))
+	return n, nil
+}
+
+// complete fills in what the configuration left out.
+func (n *Node) complete() error {
+	s := n.cfg.Settings
+	if n.cfg.Clock == nil {
+		n.cfg.Clock = pomelorelay.SystemClock{}
+	}
+	if n.cfg.Logger == nil {
+		n.cfg.Logger = pomelorelay.NopLogger{}
+	}
+	n.incarnation = n.cfg.Incarnation
+	if n.incarnation == 0 {
+		n.incarnation = pomelorelay.Incarnation(n.cfg.Clock.Now().UnixNano())
+	}
+	n.self = pomelorelay.Peer{Node: s.Host.Name, Addr: s.Listen.Control, Domain: s.Host.FailureDomain, Region: s.Host.Region}
+	n.shards = uint32(s.Control.Shards)
+	if err := n.openStore(); err != nil {
+		return err
+	}
+	return n.openMesh()
+}
+
+func (n *Node) openStore() error {
+	s := n.cfg.Settings
+	if n.cfg.Store == nil {
+		store, err := pomelostore.New(pomelostore.Config{
+			Addresses:      s.Store.Addresses,
+			Timeout:        s.Store.Timeout,
+			CallsPerSecond: s.Store.CallsPerSecond,
+			Clock:          n.cfg.Clock,
+			Logger:         n.cfg.Logger,
+		})
+		if err != nil {
+			return err
+		}
+		n.cfg.Store = store
+	}
+	if n.cfg.HostList == nil {
+		hosts, err := pomelostore.New(pomelostore.Config{
+			Addresses: s.HostList.Addresses,
+			Timeout:   s.HostList.Timeout,
+			Clock:     n.cfg.Clock,
+			Logger:    n.cfg.Logger,
+		})
+		if err != nil {
+			return err
+		}
+		n.cfg.HostList = hosts
+	}
+	return nil
+}
+
+func (n *Node) openMesh() error {
+	s := n.cfg.Settings
+	if n.cfg.Mesh != nil {
+		n.mesh = n.cfg.Mesh
+		return nil
+	}
+	mesh, err := pomelomesh.New(pomelomesh.Config{
+		Self:     pomelomesh.Self{Node: n.self.Node, Incarnation: n.incarnation, Domain: n.self.Domain, Region: n.self.Region},
+		Listen:   s.Listen.Control,
+		TLS:      pomelomesh.TLSFiles{Certificate: s.TLS.CertFile, Key: s.TLS.KeyFile, Authority: s.TLS.AuthorityFile},
+		Insecure: s.TLS.Insecure,
+		Budget:   [pomelorelay.LinkClasses]pomelorelay.Bytes{s.Control.DomainBytes, s.Control.RegionBytes, s.Control.CrossBytes},
+		Seed:     uint64(n.incarnation),
+		Logger:   n.cfg.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	n.mesh = mesh
+	return nil
+}
+
+// start runs f in a goroutine that Close waits for.
+func (n *Node) start(f func(ctx context.Context)) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f(n.ctx)
+	}()
+}
+
+func (n *Node) log(id pomelorelay.EventID, fields ...pomelorelay.Field) {
+	n.cfg.Logger.Log(id, fields...)
+}
+
+func field(key string, value any) pomelorelay.Field { return pomelorelay.Field{Key: key, Value: value} }
+
+// stalled reports whether the control goroutine has been silent for too long.
+func (n *Node) stalled() bool {
+	return n.cfg.Clock.Now().UnixNano()-n.beat.Load() > int64(stallAfter)
+}
+
+// Ready reports whether the router takes work.
+func (n *Node) Ready() bool { return n.traffic.Load() != nil && !n.stopping.Load() }
+
+// Close ends the router at once; Stop does so gracefully.
+func (n *Node) Close() error {
+	n.once.Do(func() {
+		for _, s := range n.servers {
+			s.Close()
+		}
+		close(n.closing)
+		n.cancel()
+		n.mesh.Close()
+		n.wg.Wait()
+		n.route.Close()
+	})
+	return nil
+}
+
+// directory implements pomeloroute.Directory.
+type directory struct{ n *Node }
+
+// Current returns the configuration in force.
+func (d directory) Current() pomeloroute.Snapshot {
+	view := d.n.traffic.Load()
+	if view == nil || view.snapshot == nil {
+		return nil
+	}
+	return view
+}
--- /dev/null
+++ b/pomelonode/receive.go
@@ -0,0 +1,110 @@
+package pomelonode
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// receive hands a message to the part that it is for.
+func (c *control) receive(now time.Time, e pomelorelay.Envelope) {
+	if e.From != c.n.self.Node {
+		c.view.Heard(now, e.From, e.Incarnation)
+		c.generations[e.From] = max(c.generations[e.From], e.Generation)
+		c.out = c.spreader.Seen(now, e.From, e.Generation, c.out)
+	}
+	switch m := e.Message.(type) {
+	case *pomelorelay.Demand:
+		c.out = c.owner.Demand(now, e.From, m, c.out)
+	case *pomelorelay.Grant:
+		c.granted(now, e.From, m)
+	case *pomelorelay.GrantReply:
+		c.out = c.owner.Reply(now, e.From, m, c.out)
+	case *pomelorelay.RunningQuery:
+		c.send(now, pomelorelay.Outgoing{To: e.From, Message: c.asker.Running(m.Upstream)})
+	case *pomelorelay.RunningReport:
+		c.out = c.owner.Running(now, e.From, m, c.out)
+	case *pomelorelay.LeavingNotice:
+		c.leave(m.Upstream)
+	default:
+		c.receiveState(now, e)
+	}
+}
+
+// receiveState hands on messages of membership, ledger and configuration.
+func (c *control) receiveState(now time.Time, e pomelorelay.Envelope) {
+	switch m := e.Message.(type) {
+	case *pomelorelay.Digest:
+		c.digest(now, e, m)
+	case *pomelorelay.Probe:
+		c.out = c.view.Probe(now, e.From, e.Incarnation, m, c.out)
+	case *pomelorelay.ProbeAck:
+		c.out = c.view.ProbeAck(now, e.From, e.Incarnation, m, c.out)
+	case *pomelorelay.Farewell:
+		c.out = c.view.Farewell(now, e.From, e.Incarnation, m, c.out)
+	case *pomelorelay.LedgerReport:
+		c.out = c.ledger.Report(now, e.From, e.Incarnation, m, c.out)
+	case *pomelorelay.LedgerTotals:
+		c.totals(now, e.From, m)
+	case *pomelorelay.LedgerQuery:
+		c.out = c.reporter.Query(now, e.From, m, c.out)
+	case *pomelorelay.LedgerComponent:
+		c.out = c.ledger.Component(now, e.From, m, c.out)
+	case *pomelorelay.LedgerComponentQuery:
+		c.out = c.ledger.ComponentQuery(now, e.From, m, c.out)
+	case *pomelorelay.ConfigPull:
+		c.out = c.spreader.Pull(now, e.From, m, c.out)
+	case *pomelorelay.ConfigPush:
+		c.out = c.spreader.Push(now, e.From, m, c.out)
+		c.compile()
+	case *pomelorelay.ConfigApplied:
+		c.applied(e.From, m)
+	default:
+		c.receiveGuards(now, e)
+	}
+}
+
+// receiveGuards hands on messages of claims and crash suspects.
+func (c *control) receiveGuards(now time.Time, e pomelorelay.Envelope) {
+	switch m := e.Message.(type) {
+	case *pomelorelay.ClaimAsk:
+		c.keeper.Ask(now, e.From, m, &c.claimOut)
+	case *pomelorelay.ClaimAnswer:
+		c.claimAsker.Answer(now, m, &c.claimOut)
+	case *pomelorelay.ClaimSettle:
+		c.keeper.Settle(now, e.From, m, &c.claimOut)
+	case *pomelorelay.ClaimSettled:
+		c.claimAsker.Settled(m)
+	case *pomelorelay.SuspectNotice:
+		c.table.Notice(now, m, &c.suspectOut)
+	case *pomelorelay.SuspectAsk:
+		c.arbiter.Ask(now, e.From, m, &c.suspectOut)
+	case *pomelorelay.SuspectAnswer:
+		c.table.Answer(now, e.From, m, &c.suspectOut)
+	case *pomelorelay.SuspectCleared:
+		c.table.Cleared(now, m)
+		c.arbiter.Cleared(now, e.From, m)
+	case *pomelorelay.QuarantineNotice:
+		c.table.Quarantine(now, m, &c.suspectOut)
+	}
+}
+
+func (c *control) digest(now time.Time, e pomelorelay.Envelope, m *pomelorelay.Digest) {
+	c.out = c.view.Digest(now, e.From, e.Incarnation, m, c.out)
+	c.asker.Slots(now, m.Slots)
+	c.out = c.asker.Tick(now, c.out)
+}
+
+func (c *control) totals(now time.Time, from pomelorelay.NodeID, m *pomelorelay.LedgerTotals) {
+	if !c.reporter.Totals(now, from, m) {
+		return
+	}
+	for _, e := range m.Entries {
+		c.queues.SetFleet(now, e)
+		c.touch(e.Pool)
+	}
+}
+
+func (c *control) applied(from pomelorelay.NodeID, m *pomelorelay.ConfigApplied) {
+	c.generations[from] = max(c.generations[from], m.Generation)
+}
--- /dev/null
+++ b/pomelonode/status.go
@@ -0,0 +1,111 @@
+package pomelonode
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// status is what operators see; the control goroutine publishes it from time to time.
+type status struct {
+	Node        pomelorelay.NodeID
+	Domain      pomelorelay.DomainID
+	Region      pomelorelay.RegionID
+	Incarnation pomelorelay.Incarnation
+	Generation  pomelorelay.Generation
+	Ready       bool
+	Stopping    bool
+	Members     []memberStatus
+	Upstreams   []upstreamStatus
+	Pools       []poolStatus
+	Jobs        jobStatus
+
+	members    int
+	openClaims int
+}
+
+type memberStatus struct {
+	Node       pomelorelay.NodeID
+	Domain     pomelorelay.DomainID
+	Generation pomelorelay.Generation
+}
+
+type upstreamStatus struct {
+	Upstream pomelorelay.UpstreamID
+	Pool     pomelorelay.PoolID
+	LastTag  pomelorelay.Tag
+	Idle     pomelorelay.Slots
+	Limit    pomelorelay.Slots
+	Leaving  bool
+	Running  int
+}
+
+type poolStatus struct {
+	Pool    pomelorelay.PoolID
+	Waiting int
+	Head    pomelorelay.Tag
+	Virtual pomelorelay.Tag
+	Running int
+}
+
+type jobStatus struct {
+	Upstreams    int
+	LedgerShards int
+	ClaimShards  int
+}
+
+// retryAfter guesses when a caller of the pool may come back.
+func (s *status) retryAfter(pool pomelorelay.PoolID) time.Duration {
+	for _, p := range s.Pools {
+		if p.Pool == pool && p.Waiting > 0 {
+			return time.Duration(1+p.Waiting/10) * time.Second
+		}
+	}
+	return time.Second
+}
+
+func (c *control) publishStatus() {
+	n := c.n
+	s := &status{
+		Node:        n.self.Node,
+		Domain:      n.self.Domain,
+		Region:      n.self.Region,
+		Incarnation: n.incarnation,
+		Generation:  c.spreader.Generation(),
+		Ready:       n.Ready(),
+		Stopping:    n.stopping.Load(),
+		Jobs:        jobStatus{Upstreams: len(c.jobs.upstreams), LedgerShards: len(c.jobs.ledger), ClaimShards: len(c.jobs.claims)},
+		members:     len(c.jobs.peers),
+		openClaims:  c.claimAsker.Open(),
+	}
+	for _, node := range c.jobs.peers {
+		peer, _ := c.members.Peer(node)
+		generation := c.generations[node]
+		if node == n.self.Node {
+			generation = s.Generation
+		}
+		s.Members = append(s.Members, memberStatus{node, peer.Domain, generation})
+	}
+	for _, d := range c.slots {
+		load := c.loads[d.Upstream]
+		s.Upstreams = append(s.Upstreams, upstreamStatus{d.Upstream, d.Pool, d.LastTag, d.Idle, d.Limit, d.Leaving, load.Running})
+	}
+	s.Pools = c.poolStatuses()
+	n.status.Store(s)
+}
+
+func (c *control) poolStatuses() []poolStatus {
+	running := make(map[pomelorelay.PoolID]int)
+	for _, t := range c.running {
+		running[t.waiter.request.Pool]++
+	}
+	var pools []poolStatus
+	for pool := range c.pools {
+		head, waiting, _ := c.queues.Head(c.now(), pool)
+		pools = append(pools, poolStatus{pool, waiting, head, c.asker.Virtual(pool), running[pool]})
+	}
+	slices.SortFunc(pools, func(a, b poolStatus) int { return strings.Compare(string(a.Pool), string(b.Pool)) })
+	return pools
+}
--- /dev/null
+++ b/pomelonode/storeio.go
@@ -0,0 +1,76 @@
+package pomelonode
+
+import (
+	"context"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloclaim"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+)
+
+const (
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 2 * time.Second
+	// watchPause follows a watch that failed, so that an outage is not met with a storm of calls.
+	watchPause = 500 * time.Millisecond
+	// watchIdle is how often a router that does not watch looks whether it should.
+	watchIdle = 250 * time.Millisecond
+)
+
+// storeOp carries out a keeper's store operation and posts what it returned.
+func (n *Node) storeOp(op pomeloclaim.StoreOp) {
+	n.start(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		result := pomeloclaim.StoreResult{ID: op.ID}
+		if op.Value == nil {
+			result.Record, result.Err = n.cfg.Store.Get(ctx, op.Key)
+		} else {
+			result.Revision, result.Err = n.cfg.Store.CompareAndSwap(ctx, op.Key, op.Value, op.Old, 0)
+		}
+		n.mail.post(storeAnswered{result})
+	})
+}
+
+func (n *Node) readRoot() {
+	n.start(func(ctx context.Context) {
+		record, err := n.get(ctx, pomeloconfig.RootKey)
+		if err == nil {
+			n.mail.post(rootRead{record.Value})
+		}
+	})
+}
+
+func (n *Node) readPart(hash pomelorelay.Hash) {
+	n.start(func(ctx context.Context) {
+		record, err := n.get(ctx, pomeloconfig.PartKey(hash))
+		if err == nil && record.Revision != 0 {
+			n.mail.post(partRead{record.Value})
+		}
+	})
+}
+
+func (n *Node) get(ctx context.Context, key pomelorelay.StoreKey) (pomelorelay.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return n.cfg.Store.Get(ctx, key)
+}
+
+// watchRoot watches the configuration's root while this router is one of its failure domain's watchers.
+func (n *Node) watchRoot(ctx context.Context) {
+	var seen pomelorelay.Revision
+	for ctx.Err() == nil {
+		if !n.watching.Load() {
+			sleep(ctx, watchIdle)
+			continue
+		}
+		record, err := n.cfg.Store.Watch(ctx, pomeloconfig.RootKey, seen)
+		if err != nil {
+			sleep(ctx, watchPause)
+			continue
+		}
+		seen = record.Revision
+		n.mail.post(rootRead{record.Value})
+	}
+}
