--- /dev/null
+++ b/pomeloconfig/generate.go
@@ -0,0 +1,145 @@
+package pomeloconfig
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Generate makes one configuration of several teams' answers; the order of the answers does not matter. It fails with
+// CodeAnswersInvalid, for example when two teams name a service or an account alike.
+func Generate(teams []Answers) (Configuration, error) {
+	teams = slices.Clone(teams)
+	slices.SortStableFunc(teams, func(a, b Answers) int { return cmp.Compare(a.Team, b.Team) })
+	var all Configuration
+	for _, answers := range teams {
+		team, _ := answers.configuration()
+		all.Teams = append(all.Teams, team.Teams...)
+		all.Services = append(all.Services, team.Services...)
+		all.Upstreams = append(all.Upstreams, team.Upstreams...)
+		all.Accounts = append(all.Accounts, team.Accounts...)
+		all.Regions = mergeRegions(all.Regions, team.Regions)
+	}
+	all.FillDefaults()
+	all.normalise()
+	if err := problemsError(pomelorelay.CodeAnswersInvalid, Check(all)); err != nil {
+		return Configuration{}, err
+	}
+	return all, nil
+}
+
+// mergeRegions joins regions of the same name, for teams may share them.
+func mergeRegions(all, more []Region) []Region {
+	for _, region := range more {
+		at := slices.IndexFunc(all, func(r Region) bool { return r.Name == region.Name })
+		if at < 0 {
+			all = append(all, Region{Name: region.Name, FailureDomains: slices.Clone(region.FailureDomains)})
+			continue
+		}
+		for _, domain := range region.FailureDomains {
+			if !slices.Contains(all[at].FailureDomains, domain) {
+				all[at].FailureDomains = append(all[at].FailureDomains, domain)
+			}
+		}
+	}
+	return all
+}
+
+// answerPaths gives the place in the answers of each upstream of the configuration made from them.
+type answerPaths struct {
+	upstreams []string
+}
+
+// translate turns a path into the configuration into one into the answers.
+func (p answerPaths) translate(path string) string {
+	for i, place := range p.upstreams {
+		rest, ok := strings.CutPrefix(path, index("Upstreams", i))
+		if !ok {
+			continue
+		}
+		switch rest {
+		case ".Name", ".Address":
+			return place + rest
+		}
+		return place[:strings.LastIndex(place, ".Servers")] + rest
+	}
+	for from, to := range servicePaths {
+		if strings.HasPrefix(path, "Services[") && strings.HasSuffix(path, from) {
+			return strings.TrimSuffix(path, from) + to
+		}
+	}
+	switch {
+	case path == "Teams[0].Name":
+		return "Team"
+	case path == "Teams[0].ShareTotal":
+		return "ShareTotal"
+	}
+	return path
+}
+
+var servicePaths = map[string]string{
+	".InputCost": ".Cost.Input", ".OutputCost": ".Cost.Output", ".MaxCost": ".Cost.Maximum",
+	".SpillDomain": ".Spill.Domain", ".SpillRegion": ".Spill.Region", ".CatchUp": ".Spill.CatchUp",
+	".MaxBody": ".Limits.MaxBody", ".MaxWaiting": ".Limits.MaxWaiting", ".MaxWaitingBytes": ".Limits.MaxWaitingBytes",
+	".MaxWait": ".Limits.MaxWait", ".Timeout": ".Limits.Timeout", ".RetryBudget": ".Limits.RetryBudget",
+	".Retention": ".Limits.Retention", ".QuarantineFor": ".Limits.QuarantineFor",
+}
+
+// configuration makes the team's own configuration, in the order of the answers.
+func (a Answers) configuration() (Configuration, answerPaths) {
+	c := Configuration{Teams: []Team{{Name: a.Team, ShareTotal: a.ShareTotal}}, Regions: slices.Clone(a.Regions)}
+	var paths answerPaths
+	for i, s := range a.Services {
+		c.Services = append(c.Services, s.service(a.Team))
+		counts := make(map[pomelorelay.DomainID]int)
+		for j, group := range s.Upstreams {
+			for k, server := range group.Servers {
+				counts[group.FailureDomain]++
+				c.Upstreams = append(c.Upstreams, a.upstream(s, group, server, counts[group.FailureDomain]))
+				paths.upstreams = append(paths.upstreams, index(index(index("Services", i)+".Upstreams", j)+".Servers", k))
+			}
+		}
+	}
+	for _, account := range a.Accounts {
+		c.Accounts = append(c.Accounts, Account{
+			Name: account.Name, Team: a.Team, Share: account.Share, Shares: account.Shares, TokenHashes: slices.Clone(account.TokenHashes),
+		})
+	}
+	return c, paths
+}
+
+func (s ServiceAnswers) service(team string) Service {
+	return Service{
+		Name: s.Name, Team: team, Kind: s.Kind,
+		NonIdempotent: s.MayRepeat == MayRepeatNo, KeyOptional: s.KeyOptional,
+		InputCost: s.Cost.Input, OutputCost: s.Cost.Output, MaxCost: s.Cost.Maximum,
+		SpillDomain: s.Spill.Domain, SpillRegion: s.Spill.Region, CatchUp: s.Spill.CatchUp,
+		MaxBody: s.Limits.MaxBody, MaxWaiting: s.Limits.MaxWaiting, MaxWaitingBytes: s.Limits.MaxWaitingBytes,
+		MaxWait: s.Limits.MaxWait, Timeout: s.Limits.Timeout, RetryBudget: s.Limits.RetryBudget,
+		Retention: s.Limits.Retention, QuarantineFor: s.Limits.QuarantineFor,
+	}
+}
+
+func (a Answers) upstream(s ServiceAnswers, group UpstreamAnswers, server ServerAnswers, number int) Upstream {
+	name := server.Name
+	if name == "" {
+		name = pomelorelay.UpstreamID(fmt.Sprintf("%s-%s-%d", s.Name, group.FailureDomain, number))
+	}
+	return Upstream{
+		Name: name, Service: s.Name, Model: group.Model, Address: server.Address,
+		FailureDomain: group.FailureDomain, Region: a.regionOf(group.FailureDomain),
+		MinSlots: group.MinSlots, MaxSlots: group.MaxSlots, Resumes: group.Resumes,
+	}
+}
+
+func (a Answers) regionOf(domain pomelorelay.DomainID) pomelorelay.RegionID {
+	for _, region := range a.Regions {
+		if slices.Contains(region.FailureDomains, domain) {
+			return region.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/pomeloconfig/snapshot.go
@@ -0,0 +1,233 @@
+package pomeloconfig
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"encoding/hex"
+	"slices"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Snapshot is a configuration as routers read it: immutable, checked, safe for concurrent use and small in memory.
+type Snapshot struct {
+	root      Root
+	teams     []Team
+	regions   []Region
+	services  []Service
+	byService map[pomelorelay.ServiceID]int32
+	upstreams []Upstream
+	byName    map[pomelorelay.UpstreamID]int32
+	// poolService is the place in services of each pool's service.
+	poolService map[pomelorelay.PoolID]int32
+	accounts    []compiledAccount
+	byAccount   map[pomelorelay.AccountID]int32
+	// tokens are in the order of their hashes.
+	tokens   []tokenEntry
+	smallest pomelorelay.Weight
+}
+
+// compiledAccount keeps the few shares by service outside, so that most accounts need none.
+type compiledAccount struct {
+	name   pomelorelay.AccountID
+	team   int32
+	share  pomelorelay.Weight
+	shares []serviceShare
+}
+
+type serviceShare struct {
+	service int32
+	weight  pomelorelay.Weight
+}
+
+type tokenEntry struct {
+	hash    tokenHash
+	account int32
+}
+
+var _ pomelorelay.Weights = (*Snapshot)(nil)
+
+// NewSnapshot checks and compiles a configuration; it fails with CodeConfigInvalid.
+func NewSnapshot(root Root, c Configuration) (*Snapshot, error) {
+	c.FillDefaults()
+	if err := problemsError(pomelorelay.CodeConfigInvalid, Check(c)); err != nil {
+		return nil, err
+	}
+	s := &Snapshot{root: root, teams: c.Teams, regions: c.Regions, services: c.Services, upstreams: c.Upstreams}
+	s.compileServices()
+	s.compileAccounts(c)
+	return s, nil
+}
+
+func (s *Snapshot) compileServices() {
+	s.byService = make(map[pomelorelay.ServiceID]int32, len(s.services))
+	for i, service := range s.services {
+		s.byService[service.Name] = int32(i)
+	}
+	s.byName = make(map[pomelorelay.UpstreamID]int32, len(s.upstreams))
+	s.poolService = make(map[pomelorelay.PoolID]int32)
+	for i, upstream := range s.upstreams {
+		s.byName[upstream.Name] = int32(i)
+		s.poolService[upstream.Pool()] = s.byService[upstream.Service]
+	}
+}
+
+func (s *Snapshot) compileAccounts(c Configuration) {
+	teamOf := make(map[string]int32, len(c.Teams))
+	for i, team := range c.Teams {
+		teamOf[team.Name] = int32(i)
+	}
+	s.accounts = make([]compiledAccount, len(c.Accounts))
+	s.byAccount = make(map[pomelorelay.AccountID]int32, len(c.Accounts))
+	s.tokens = make([]tokenEntry, 0, len(c.Accounts))
+	s.smallest = c.Accounts[0].Share
+	for i, a := range c.Accounts {
+		s.accounts[i] = compiledAccount{name: a.Name, team: teamOf[a.Team], share: a.Share, shares: s.compileShares(a)}
+		s.byAccount[a.Name] = int32(i)
+		s.smallest = min(s.smallest, a.Share)
+		s.addTokens(int32(i), a.TokenHashes)
+	}
+	slices.SortFunc(s.tokens, func(a, b tokenEntry) int { return slices.Compare(a.hash[:], b.hash[:]) })
+}
+
+func (s *Snapshot) compileShares(a Account) []serviceShare {
+	if len(a.Shares) == 0 {
+		return nil
+	}
+	shares := make([]serviceShare, 0, len(a.Shares))
+	for service, weight := range a.Shares {
+		shares = append(shares, serviceShare{service: s.byService[service], weight: weight})
+		s.smallest = min(s.smallest, weight)
+	}
+	slices.SortFunc(shares, func(a, b serviceShare) int { return int(a.service) - int(b.service) })
+	return shares
+}
+
+// addTokens passes over nothing: Check has parsed every hash before.
+func (s *Snapshot) addTokens(account int32, hashes []string) {
+	for _, text := range hashes {
+		hash, err := parseTokenHash(text)
+		if err == nil {
+			s.tokens = append(s.tokens, tokenEntry{hash: hash, account: account})
+		}
+	}
+}
+
+// Root returns the root of the generation.
+func (s *Snapshot) Root() Root { return s.root }
+
+// Generation returns the generation.
+func (s *Snapshot) Generation() pomelorelay.Generation { return s.root.Generation }
+
+// HashToken returns the hash, in hexadecimal, under which a bearer token is kept.
+func HashToken(token string) string {
+	hash := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(hash[:])
+}
+
+// Authenticate returns the account of a bearer token, or false when no account has it.
+//
+// The token is hashed first, and the search branches only on the first eight bytes of that hash, which a caller cannot choose;
+// the rest is compared in constant time. A comparison that ends at the first difference would let a caller find a stored hash
+// byte by byte from the time of a refusal.
+func (s *Snapshot) Authenticate(token string) (pomelorelay.AccountID, bool) {
+	hash := tokenHash(sha256.Sum256([]byte(token)))
+	want := binary.BigEndian.Uint64(hash[:8])
+	at, _ := slices.BinarySearchFunc(s.tokens, want, compareTokenStart)
+	for ; at < len(s.tokens) && compareTokenStart(s.tokens[at], want) == 0; at++ {
+		if subtle.ConstantTimeCompare(s.tokens[at].hash[:], hash[:]) == 1 {
+			return s.accounts[s.tokens[at].account].name, true
+		}
+	}
+	return "", false
+}
+
+func compareTokenStart(entry tokenEntry, want uint64) int {
+	have := binary.BigEndian.Uint64(entry.hash[:8])
+	switch {
+	case have < want:
+		return -1
+	case have > want:
+		return 1
+	}
+	return 0
+}
+
+// MayCall returns whether the account may call the service: one of its own team, or one that its shares name.
+func (s *Snapshot) MayCall(account pomelorelay.AccountID, service pomelorelay.ServiceID) bool {
+	a, known := s.byAccount[account]
+	at, served := s.byService[service]
+	if !known || !served {
+		return false
+	}
+	if _, ok := s.accounts[a].shareOf(at); ok {
+		return true
+	}
+	return s.services[at].Team == s.teams[s.accounts[a].team].Name
+}
+
+func (a compiledAccount) shareOf(service int32) (pomelorelay.Weight, bool) {
+	for _, share := range a.shares {
+		if share.service == service {
+			return share.weight, true
+		}
+	}
+	return 0, false
+}
+
+// Weight returns the account's weight in the pool; an unknown account gets the smallest configured one.
+func (s *Snapshot) Weight(pool pomelorelay.PoolID, account pomelorelay.AccountID) pomelorelay.Weight {
+	at, known := s.byAccount[account]
+	if !known {
+		return s.smallest
+	}
+	if service, ok := s.poolService[pool]; ok {
+		if weight, ok := s.accounts[at].shareOf(service); ok {
+			return weight
+		}
+	}
+	return s.accounts[at].share
+}
+
+// Service returns a service by name.
+func (s *Snapshot) Service(name pomelorelay.ServiceID) (Service, bool) {
+	at, ok := s.byService[name]
+	if !ok {
+		return Service{}, false
+	}
+	return s.services[at], true
+}
+
+// PoolService returns the service of a pool.
+func (s *Snapshot) PoolService(pool pomelorelay.PoolID) (Service, bool) {
+	at, ok := s.poolService[pool]
+	if !ok {
+		return Service{}, false
+	}
+	return s.services[at], true
+}
+
+// Upstream returns an upstream by name.
+func (s *Snapshot) Upstream(name pomelorelay.UpstreamID) (Upstream, bool) {
+	at, ok := s.byName[name]
+	if !ok {
+		return Upstream{}, false
+	}
+	return s.upstreams[at], true
+}
+
+// Services returns the services; the caller must not change them.
+func (s *Snapshot) Services() []Service { return s.services }
+
+// Upstreams returns the upstreams; the caller must not change them.
+func (s *Snapshot) Upstreams() []Upstream { return s.upstreams }
+
+// Regions returns the regions; the caller must not change them.
+func (s *Snapshot) Regions() []Region { return s.regions }
+
+// Teams returns the teams; the caller must not change them.
+func (s *Snapshot) Teams() []Team { return s.teams }
+
+// AccountCount returns the number of accounts.
+func (s *Snapshot) AccountCount() int { return len(s.accounts) }
