--- a/cmd/pomelorelayd/doc.go
+++ b/cmd/pomelorelayd/doc.go
@@ -1,2 +1,2 @@
-// Command pomelorelayd is part of pomelorelay.
+// Command pomelorelayd runs one router of the fleet on an entry host.
 package main
--- /dev/null
+++ b/cmd/pomelorelayd/run.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelolog"
+	"github.com/pomelorelay/pomelorelay/pomelonode"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func registerRun(app *kingpin.Application) {
+	command := app.Command("run", "Run the router until SIGTERM or SIGINT stops it gracefully; a second one ends it at once.")
+	path := command.Flag("settings", "The settings file.").Required().String()
+	command.Action(func(*kingpin.ParseContext) error { return run(*path) })
+}
+
+func run(path string) error {
+	settings, err := pomeloconfig.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	logger := pomelolog.New(pomelolog.Config{Node: settings.Host.Name, Level: settings.Log.Level, Writer: os.Stderr})
+	defer logger.Close()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	node, err := pomelonode.New(pomelonode.Config{Settings: settings, Logger: logger})
+	if err != nil {
+		return err
+	}
+	if err := node.Listen(); err != nil {
+		node.Close()
+		return err
+	}
+	select {
+	case err := <-node.Errors():
+		node.Close()
+		return err
+	case <-signals:
+	case <-node.Drained():
+	}
+	return stop(node, settings, signals)
+}
+
+// stop ends the router gracefully, at most for the settings' bound or until a second signal.
+func stop(node *pomelonode.Node, settings pomeloconfig.Settings, signals <-chan os.Signal) error {
+	ctx, cancel := context.WithTimeout(context.Background(), settings.Control.StopWait)
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return node.Stop(ctx)
+}
--- a/codes_general.go
+++ b/codes_general.go
@@ -14,6 +14,8 @@
 	CodeNoUpstream    ResultCode = 1009
 	CodeHeaderBounds  ResultCode = 1010
 	CodeControlStalls ResultCode = 1011
+	CodeListen        ResultCode = 1012
+	CodeStopLate      ResultCode = 1013
 )
 
 var generalCodes = []CodeInfo{
@@ -29,4 +31,6 @@
 	{CodeNoUpstream, "NoUpstream", 503, RanNo, "No upstream of the service can be reached.", "Send it again after Retry-After."},
 	{CodeHeaderBounds, "HeaderBounds", 431, RanNo, "The headers are over the bound.", "Send fewer or smaller headers."},
 	{CodeControlStalls, "ControlStalled", 503, RanNo, "The router's control thread is stalled and no spare slot is free.", "Send it again after Retry-After."},
+	{CodeListen, "CannotListen", 500, RanNo, "An address of the settings cannot be listened on.", "Check Listen in the settings and what else runs on the host."},
+	{CodeStopLate, "StopLate", 500, RanUnknown, "A planned stop reached its bound with requests in progress.", "Raise Control.StopWait."},
 }
--- a/pomelonode/listen.go
+++ b/pomelonode/listen.go
@@ -71,8 +71,12 @@
 	}
 	n.log(pomelorelay.EventStopping)
 	n.mail.post(departing{})
+	close(n.drained)
 }
 
+// Drained returns a channel that is closed when a planned stop begins.
+func (n *Node) Drained() <-chan struct{} { return n.drained }
+
 // Stop ends the router gracefully: it drains, waits for every request in progress, and closes. It fails with CodeStopLate
 // when requests were still in progress at the end of ctx.
 func (n *Node) Stop(ctx context.Context) error {
--- a/pomelonode/node.go
+++ b/pomelonode/node.go
@@ -59,6 +59,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	closing chan struct{}
+	drained chan struct{}
 	once    sync.Once
 	wg      sync.WaitGroup
 	servers []*http.Server
@@ -72,6 +73,7 @@
 		mail:    newMailbox(),
 		spare:   spareSlots{busy: make(map[pomelorelay.UpstreamID]bool)},
 		closing: make(chan struct{}),
+		drained: make(chan struct{}),
 		errs:    make(chan error, 2),
 	}
 	if err := n.complete(); err != nil {
