pomelofair: charge 0.35 of the mean at admission, same answers for same calls

Cause: the fraction and the smoothing of the forecast were guesses, and map order made runs differ. Change: ordered lists; fraction 0.35, newest step weighs a sixteenth.

--- a/pomelofair/config.go
+++ b/pomelofair/config.go
@@ -16,7 +16,7 @@
 
 // ChargeOptions says how a request is charged whose cost is known only at its end.
 type ChargeOptions struct {
-	// AdmissionFraction is the part of the expected cost that is charged when a request is popped; default 0.25.
+	// AdmissionFraction is the part of the expected cost that is charged when a request is popped; default 0.35.
 	AdmissionFraction float64
 	// CatchUp is how far behind the virtual time a backlogged account may stay, in normalised cost; default 60.
 	CatchUp pomelorelay.Tag
@@ -39,7 +39,7 @@
 }
 
 const (
-	defaultAdmissionFraction = 0.25
+	defaultAdmissionFraction = 0.35
 	defaultCatchUp           = 60
 	defaultFirstCost         = 1
 	defaultMeanShare         = 0.125
--- a/pomelofair/ledger.go
+++ b/pomelofair/ledger.go
@@ -47,7 +47,7 @@
 }
 
 // stepShare is the weight of the newest step in the running means of steps.
-const stepShare = 4
+const stepShare = 16
 
 // learnOthers takes what the rest of the fleet has been charged and how it compares with this router's charges.
 func (a *account) learnOthers(others pomelorelay.Tag) {
@@ -102,8 +102,8 @@
 
 // All appends this router's own cumulative totals of every account; a new ledger host asks for them.
 func (q *Queues) All(out []pomelorelay.LedgerEntry) []pomelorelay.LedgerEntry {
-	for _, p := range q.pools {
-		for _, a := range p.accounts {
+	for _, p := range q.order {
+		for _, a := range p.order {
 			a.reported = max(a.reported, a.own+a.pending)
 			out = append(out, a.entry())
 		}
@@ -113,7 +113,7 @@
 
 // Interest appends the accounts that wait here, whose fleet totals decide.
 func (q *Queues) Interest(out []pomelorelay.LedgerKey) []pomelorelay.LedgerKey {
-	for _, p := range q.pools {
+	for _, p := range q.order {
 		for _, a := range p.heap {
 			out = append(out, pomelorelay.LedgerKey{Pool: p.id, Account: a.id})
 		}
--- a/pomelofair/pool.go
+++ b/pomelofair/pool.go
@@ -10,6 +10,7 @@
 type pool struct {
 	id       pomelorelay.PoolID
 	accounts map[pomelorelay.AccountID]*account
+	order    []*account
 	heap     []*account
 	waiting  int
 	virtual  pomelorelay.Tag
--- a/pomelofair/queues.go
+++ b/pomelofair/queues.go
@@ -8,8 +8,10 @@
 
 // Queues holds the waiting and running requests of one router.
 type Queues struct {
-	cfg      Config
-	pools    map[pomelorelay.PoolID]*pool
+	cfg   Config
+	pools map[pomelorelay.PoolID]*pool
+	// order is by first use, so that the same calls always give the same answers.
+	order    []*pool
 	requests map[pomelorelay.RequestID]*request
 	changed  []*account
 	oldest   *request
@@ -151,11 +153,13 @@
 	if p == nil {
 		p = &pool{id: id, accounts: make(map[pomelorelay.AccountID]*account), mean: q.cfg.Charge.FirstCost}
 		q.pools[id] = p
+		q.order = append(q.order, p)
 	}
 	a := p.accounts[name]
 	if a == nil {
 		a = &account{id: name, pool: p, place: noPlace, weight: q.weight(id, name)}
 		p.accounts[name] = a
+		p.order = append(p.order, a)
 	}
 	return a
 }
@@ -170,8 +174,8 @@
 // SetWeights takes new shares; what was charged before stays as it was charged.
 func (q *Queues) SetWeights(w pomelorelay.Weights) {
 	q.cfg.Weights = w
-	for _, p := range q.pools {
-		for _, a := range p.accounts {
+	for _, p := range q.order {
+		for _, a := range p.order {
 			a.weight = q.weight(p.id, a.id)
 		}
 	}
--- a/pomeloslot/fleetmessages_test.go
+++ b/pomeloslot/fleetmessages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -149,7 +150,8 @@
 }
 
 func (f *fleet) progress(r *testRouter) {
-	for id, x := range r.runs {
+	for _, id := range slices.Sorted(maps.Keys(r.runs)) {
+		x := r.runs[id]
 		if f.now.After(x.started) {
 			r.queues.Progress(f.now, id, pomelorelay.Cost(f.now.Sub(x.started).Seconds()))
 		}
