--- a/pomelofair/charge.go
+++ b/pomelofair/charge.go
@@ -63,7 +63,9 @@
 	a := r.account
 	q.accrue(r, final)
 	a.release(r)
-	q.learn(a, r.accrued)
+	if r.accrued > 0 { // one that never ran says nothing of what its like cost
+		q.learn(a, r.accrued)
+	}
 	q.forget(r)
 	a.pool.lower(a)
 	if a.idle() {
@@ -71,6 +73,16 @@
 	}
 }
 
+// Charge charges an account for service that it got without being queued here.
+func (q *Queues) Charge(_ time.Time, id pomelorelay.PoolID, name pomelorelay.AccountID, cost pomelorelay.Cost) {
+	if cost <= 0 {
+		return
+	}
+	a := q.account(id, name)
+	a.own += cost.Normalise(a.weight)
+	q.mark(a)
+}
+
 // learn moves the running means by the cost of a finished request.
 func (q *Queues) learn(a *account, cost pomelorelay.Cost) {
 	share := pomelorelay.Cost(q.cfg.Charge.MeanShare)
--- a/pomelofair/queues.go
+++ b/pomelofair/queues.go
@@ -53,7 +53,7 @@
 }
 
 // Head returns the lowest tag of the pool's waiting accounts and how many requests wait; false when none does.
-func (q *Queues) Head(id pomelorelay.PoolID) (pomelorelay.Tag, int, bool) {
+func (q *Queues) Head(_ time.Time, id pomelorelay.PoolID) (pomelorelay.Tag, int, bool) {
 	p := q.pools[id]
 	if p == nil || p.waiting == 0 {
 		return 0, 0, false
--- a/pomeloslot/config.go
+++ b/pomeloslot/config.go
@@ -27,6 +27,8 @@
 	Careful time.Duration
 	// DemandTTL is how long a registration holds without a refresh; default 3 s.
 	DemandTTL time.Duration
+	// Rest is how long a router that returned a grant although requests wait there gets no other; default 100 ms.
+	Rest time.Duration
 	// PrefixMargin is how far above the lowest tag a router with a cached prefix may be preferred; default 1, negative means never.
 	PrefixMargin pomelorelay.Tag
 	// PrefixTTL is how long a prefix counts as cached after it was last seen; default 60 s.
@@ -56,6 +58,7 @@
 	defaultAnswer       = time.Second
 	defaultCheck        = 10 * time.Second
 	defaultCareful      = 500 * time.Millisecond
+	defaultRest         = 100 * time.Millisecond
 	defaultDemandTTL    = 3 * time.Second
 	defaultPrefixTTL    = time.Minute
 	defaultPrefixes     = 256
@@ -87,6 +90,7 @@
 	o.Answer = orDuration(o.Answer, defaultAnswer)
 	o.Check = orDuration(o.Check, defaultCheck)
 	o.Careful = orDuration(o.Careful, defaultCareful)
+	o.Rest = orDuration(o.Rest, defaultRest)
 	o.DemandTTL = orDuration(o.DemandTTL, defaultDemandTTL)
 	o.PrefixTTL = orDuration(o.PrefixTTL, defaultPrefixTTL)
 	o.Prefixes = orInt(o.Prefixes, defaultPrefixes)
--- a/pomeloslot/fleet_test.go
+++ b/pomeloslot/fleet_test.go
@@ -238,7 +238,7 @@
 }
 
 func (f *fleet) heads(r *testRouter) {
-	tag, waiting, _ := r.queues.Head(testPool)
+	tag, waiting, _ := r.queues.Head(f.now, testPool)
 	f.send(r, r.asker.Heads(f.now, []pomeloslot.PoolHead{{Pool: testPool, Head: tag, Waiting: waiting}}, nil))
 }
 
--- a/pomeloslot/fleetmessages_test.go
+++ b/pomeloslot/fleetmessages_test.go
@@ -84,7 +84,7 @@
 }
 
 func (f *fleet) settle(r *testRouter, id pomelorelay.GrantID, state pomelorelay.GrantState) {
-	tag, waiting, _ := r.queues.Head(testPool)
+	tag, waiting, _ := r.queues.Head(f.now, testPool)
 	f.send(r, r.asker.Settled(f.now, id, pomeloslot.Settlement{State: state, Head: tag, Waiting: waiting}, nil))
 }
 
--- a/pomeloslot/owner.go
+++ b/pomeloslot/owner.go
@@ -113,6 +113,11 @@
 		g.use(now)
 		return
 	}
+	if m.State == pomelorelay.GrantReturned && m.Waiting > 0 {
+		// A router whose waiting requests may not run there returns each grant; without a rest, the two would be
+		// seen to exchange grants without end, while others wait.
+		g.router.restUntil = now.Add(o.cfg.Grant.Rest)
+	}
 	if m.State == pomelorelay.GrantFinished {
 		u.limit.sample(g.issued, m.FirstToken, m.TokenGap, o.cfg.Limit)
 	}
--- a/pomeloslot/upstream.go
+++ b/pomeloslot/upstream.go
@@ -38,6 +38,8 @@
 	at       time.Time
 	// unanswered counts grants without a reply; while there are some, head is from before them.
 	unanswered int
+	// restUntil ends the time in which a router gets nothing after it returned a grant.
+	restUntil time.Time
 	// foreign counts requests that the router runs without a grant known here.
 	foreign int
 	// reported is when the router last said what it runs, asked when it was last queried.
@@ -99,7 +101,7 @@
 // wants reports whether a further grant would find a request waiting. Demand that is not refreshed ends: a router that
 // is cut off one way, or that lost its waiting requests, would else be seen to take slots that it never uses.
 func (r *router) wants(now time.Time, ttl time.Duration) bool {
-	return r.waiting > r.unanswered && now.Sub(r.at) <= ttl
+	return r.waiting > r.unanswered && now.Sub(r.at) <= ttl && !now.Before(r.restUntil)
 }
 
 // taken is how many requests hold a slot as far as grants and reports tell.
