--- a/pomeloslot/fleetmessages_test.go
+++ b/pomeloslot/fleetmessages_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelofair"
 	"github.com/pomelorelay/pomelorelay/pomeloslot"
 )
 
@@ -83,7 +86,7 @@
 }
 
 func (f *fleet) settle(r *testRouter, id pomelorelay.GrantID, state pomelorelay.GrantState) {
-	tag, waiting, _ := r.queues.Head(testPool)
+	tag, waiting, _ := r.queues.Head(f.now, testPool)
 	f.send(r, r.asker.Settled(f.now, id, pomeloslot.Settlement{State: state, Head: tag, Waiting: waiting}, nil))
 }
 
@@ -106,6 +109,8 @@
 	}
 	f.account()
 	u.runs[x] = true
+	f.perAccount[x.account]++
+	f.inFlight = max(f.inFlight, f.perAccount[x.account])
 	u.most = max(u.most, len(u.runs))
 	f.running++
 	f.after(time.Duration(x.cost*float64(time.Second)), func() { f.endRun(r, x) })
@@ -119,6 +124,7 @@
 	f.account()
 	delete(u.runs, x)
 	f.running--
+	f.perAccount[x.account]--
 	f.served[x.account] += x.cost
 	f.after(linkTime, func() {
 		if r.dead {
@@ -149,7 +155,8 @@
 }
 
 func (f *fleet) progress(r *testRouter) {
-	for id, x := range r.runs {
+	for _, id := range slices.Sorted(maps.Keys(r.runs)) {
+		x := r.runs[id]
 		if f.now.After(x.started) {
 			r.queues.Progress(f.now, id, pomelorelay.Cost(f.now.Sub(x.started).Seconds()))
 		}
@@ -225,6 +232,20 @@
 	return all
 }
 
+// bound is the fixed bound of the gap, from the settings and from what was measured of costs and requests in flight.
+func (f *fleet) bound() pomelorelay.Tag {
+	in := pomelofair.BoundInput{
+		MaxCost: pomelorelay.Cost(f.largest), InFlight: f.inFlight, SlotRate: 1, MinWeight: math.MaxFloat64,
+		AdmissionFraction: 0.35, Ledger: f.cfg.ledger, Refresh: 250 * time.Millisecond, Digest: f.cfg.digest,
+		Progress: f.cfg.progress, Link: linkTime, PrefixMargin: 1,
+	}
+	for _, a := range f.cfg.accounts {
+		in.MinWeight = min(in.MinWeight, pomelorelay.Weight(a.weight))
+		in.Expected = max(in.Expected, 2*pomelorelay.Cost(a.mean))
+	}
+	return pomelofair.Bound(in)
+}
+
 func (f *fleet) gap() float64 {
 	all := f.delivered()
 	return slices.Max(all) - slices.Min(all)
