Carry control messages between routers over grpc streams

Cause: the parts decide by messages and nothing carries them yet. Change: pomelomesh with proto, bounded decoder, one stream for both directions of a pair, urgency lanes with coalescing under a byte budget by link class, mutual TLS with reload, refusal of lower incarnations and of names that the certificate does not hold, signs of life.

--- a/codes_mesh.go
+++ b/codes_mesh.go
@@ -6,6 +6,8 @@
 	CodeMeshQueueFull   ResultCode = 2201
 	CodeMeshMalformed   ResultCode = 2202
 	CodeMeshTLS         ResultCode = 2203
+	CodeMeshUnknownKind ResultCode = 2204
+	CodeMeshListen      ResultCode = 2205
 )
 
 var meshCodes = []CodeInfo{
@@ -13,4 +15,6 @@
 	{CodeMeshQueueFull, "MeshQueueFull", 503, RanNo, "The queue to the peer is full.", "Check the peer and the byte budget."},
 	{CodeMeshMalformed, "MeshMalformed", 400, RanNo, "A control message could not be decoded.", "Check the versions of the routers."},
 	{CodeMeshTLS, "MeshTLS", 500, RanNo, "The keys for mutual TLS cannot be used.", "Check the key, certificate and authority files."},
+	{CodeMeshUnknownKind, "MeshUnknownKind", 400, RanNo, "A control message is of a kind that this version does not know.", "None while versions are mixed; else update the router."},
+	{CodeMeshListen, "MeshListen", 500, RanNo, "The control address cannot be listened on.", "Check Listen in the settings and who holds the port."},
 }
--- a/events_mesh.go
+++ b/events_mesh.go
@@ -1,3 +1,22 @@
 package pomelorelay
 
-var meshEvents = []EventInfo{}
+// Events of the links between routers, 1000 to 1099.
+const (
+	EventMeshLinkUp      EventID = 1000
+	EventMeshLinkDown    EventID = 1001
+	EventMeshRefused     EventID = 1002
+	EventMeshMalformed   EventID = 1003
+	EventMeshKeysChanged EventID = 1004
+	EventMeshKeysBad     EventID = 1005
+	EventMeshOverBudget  EventID = 1006
+)
+
+var meshEvents = []EventInfo{
+	{EventMeshLinkUp, "MeshLinkUp", LevelDebug, "A link to a router opened.", "None."},
+	{EventMeshLinkDown, "MeshLinkDown", LevelInfo, "A link to a router broke or was closed when idle.", "None unless it repeats; then check the network between the two."},
+	{EventMeshRefused, "MeshRefused", LevelWarn, "A link was refused: the name, the certificate or the incarnation does not fit.", "Check the router's settings and certificate, and that no two routers share a name."},
+	{EventMeshMalformed, "MeshMalformed", LevelWarn, "A message from a router could not be decoded and was dropped.", "Check that router's version and its host."},
+	{EventMeshKeysChanged, "MeshKeysChanged", LevelInfo, "Changed key files are in use for new links.", "None."},
+	{EventMeshKeysBad, "MeshKeysBad", LevelError, "Changed key files cannot be used; the former keys stay in use.", "Correct the files before the former certificate ends."},
+	{EventMeshOverBudget, "MeshOverBudget", LevelWarn, "The byte budget of a link class is spent; less urgent messages wait.", "Check the counters, or raise the budget."},
+}
--- /dev/null
+++ b/pomelomesh/codec_test.go
@@ -0,0 +1,155 @@
+package pomelomesh_test
+
+import (
+	"bytes"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelomesh"
+	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+)
+
+func samples() []pomelorelay.Message {
+	entries := []pomelorelay.LedgerEntry{
+		{Pool: "assistant/small", Account: "oficina-1", Served: 12.5, Lift: 3, Waiting: true},
+		{Pool: "assistant/small", Account: "oficina-2", Served: 4},
+	}
+	outcome := pomelorelay.ClaimOutcome{Status: 201, ContentType: "application/json", Body: []byte("{}")}
+	key, nonce := pomelorelay.ClaimKey{1, 2}, pomelorelay.ClaimNonce{3}
+	return []pomelorelay.Message{
+		&pomelorelay.Demand{Upstream: "u", Pool: "p", Seq: 7, Head: -1.5, Waiting: 3, Prefixes: []uint64{1, math.MaxUint64}},
+		&pomelorelay.Grant{ID: 9, Upstream: "u", Pool: "p", TTL: time.Second, LastTag: 2},
+		&pomelorelay.GrantReply{ID: 9, Upstream: "u", State: pomelorelay.GrantReturned, Seq: 8, Head: 1, Waiting: 1, FirstToken: time.Second, TokenGap: time.Millisecond},
+		&pomelorelay.RunningQuery{Upstream: "u"},
+		&pomelorelay.RunningReport{Upstream: "u", Grants: []pomelorelay.GrantID{1, 2}, Running: 2},
+		&pomelorelay.LedgerReport{Shard: 3, Seq: 4, Full: true, Entries: entries, Interest: []pomelorelay.LedgerKey{{Pool: "p", Account: "a"}}},
+		&pomelorelay.LedgerTotals{Shard: 3, Ready: true, Entries: entries, Seq: 4},
+		&pomelorelay.LedgerQuery{Shard: 3},
+		&pomelorelay.LedgerComponent{Shard: 3, Domain: "a", Full: true, Entries: []pomelorelay.LedgerComponentEntry{{Pool: "p", Account: "a", Sum: 2, Departed: 1, Lift: 5, Waiting: true}}},
+		&pomelorelay.LedgerComponentQuery{Shard: 3},
+		&pomelorelay.Digest{
+			Seq: 1, Members: []pomelorelay.MemberState{{Node: "r1", Incarnation: 5, Status: pomelorelay.MemberSuspect}},
+			Slots: []pomelorelay.SlotDigest{{Upstream: "u", Pool: "p", Owner: "r1", Domain: "a", LastTag: 4, Idle: 1, Limit: 8, Leaving: true}},
+		},
+		&pomelorelay.Probe{Seq: 1, Target: "r2"},
+		&pomelorelay.ProbeAck{Seq: 1, Target: "r2"},
+		&pomelorelay.ConfigPull{Above: 3, Parts: []pomelorelay.Hash{{1}, {2}}},
+		&pomelorelay.ConfigPush{Root: []byte("root"), Parts: [][]byte{[]byte("part")}},
+		&pomelorelay.ConfigApplied{Generation: 3, Refused: 4, Code: pomelorelay.CodeMeshMalformed},
+		&pomelorelay.ClaimAsk{Shard: 1, Key: key, Nonce: nonce, Content: 77},
+		&pomelorelay.ClaimAnswer{Shard: 1, Key: key, Nonce: nonce, State: pomelorelay.ClaimDone, Outcome: outcome},
+		&pomelorelay.ClaimSettle{Shard: 1, Key: key, Nonce: nonce, Released: true, State: pomelorelay.ClaimUnknown, Outcome: outcome},
+		&pomelorelay.ClaimSettled{Shard: 1, Key: key, Nonce: nonce},
+		&pomelorelay.SuspectNotice{Upstream: "u", Crash: 2, Fingerprints: []pomelorelay.Fingerprint{1, 2}},
+		&pomelorelay.SuspectAsk{Request: 1, Fingerprint: 2, Upstream: "u"},
+		&pomelorelay.SuspectAnswer{Request: 1, Fingerprint: 2, Allowed: true, Quarantined: true, Wait: time.Second},
+		&pomelorelay.SuspectCleared{Fingerprint: 2, Upstream: "u"},
+		&pomelorelay.QuarantineNotice{Fingerprint: 2, Seq: 3, For: time.Minute},
+		&pomelorelay.LeavingNotice{Upstream: "u"},
+		&pomelorelay.Farewell{Incarnation: 6},
+	}
+}
+
+func TestEveryKindSurvivesTheJourney(t *testing.T) {
+	kinds := (&pomelowire.Item{}).ProtoReflect().Descriptor().Fields().Len()
+	if len(samples()) != kinds {
+		t.Fatalf("%d samples of %d kinds", len(samples()), kinds)
+	}
+	for _, sent := range samples() {
+		data, err := pomelomesh.EncodeMessage(sent)
+		if err != nil {
+			t.Fatalf("%T: %v", sent, err)
+		}
+		arrived, err := pomelomesh.DecodeMessage(data)
+		if err != nil {
+			t.Fatalf("%T: %v", sent, err)
+		}
+		if !reflect.DeepEqual(sent, arrived) {
+			t.Errorf("sent %+v, arrived %+v", sent, arrived)
+		}
+	}
+}
+
+func TestDecodeRefusesWhatIsOutOfBounds(t *testing.T) {
+	// A faulty or hostile peer sends values that no router makes; taken in, they would poison totals for good or fill memory.
+	entry := func(e *pomelowire.LedgerEntry) *pomelowire.Item {
+		return &pomelowire.Item{Kind: &pomelowire.Item_LedgerReport{LedgerReport: &pomelowire.LedgerReport{Names: []string{"p"}, Entries: []*pomelowire.LedgerEntry{e}}}}
+	}
+	many := make([]*pomelowire.LedgerEntry, 8193)
+	for i := range many {
+		many[i] = &pomelowire.LedgerEntry{}
+	}
+	cases := map[string]*pomelowire.Item{
+		"infinite cost":   entry(&pomelowire.LedgerEntry{Served: math.Inf(1)}),
+		"no number":       entry(&pomelowire.LedgerEntry{Lift: math.NaN()}),
+		"negative cost":   entry(&pomelowire.LedgerEntry{Served: -1}),
+		"name index":      entry(&pomelowire.LedgerEntry{Pool: 1}),
+		"long name":       entry(&pomelowire.LedgerEntry{Account: strings.Repeat("a", 257)}),
+		"short hash":      {Kind: &pomelowire.Item_ClaimAsk{ClaimAsk: &pomelowire.ClaimAsk{Key: []byte{1}, Nonce: make([]byte, 16)}}},
+		"unknown state":   {Kind: &pomelowire.Item_Digest{Digest: &pomelowire.Digest{Members: []*pomelowire.MemberState{{Node: "r", Status: 9}}}}},
+		"negative period": {Kind: &pomelowire.Item_Grant{Grant: &pomelowire.Grant{Ttl: -1}}},
+		"too many":        {Kind: &pomelowire.Item_LedgerReport{LedgerReport: &pomelowire.LedgerReport{Names: []string{"p"}, Entries: many}}},
+		"large value":     {Kind: &pomelowire.Item_ConfigPush{ConfigPush: &pomelowire.ConfigPush{Root: make([]byte, 2<<20+1)}}},
+	}
+	for name, item := range cases {
+		data, err := proto.Marshal(item)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := pomelomesh.DecodeMessage(data); !pomelorelay.IsErrCode(err, pomelorelay.CodeMeshMalformed) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestEmptyEntriesCannotFillMemory(t *testing.T) {
+	// Two million empty entries take four megabytes on the way and several hundred when decoded; the router would be killed.
+	entries := bytes.Repeat([]byte{5<<3 | 2, 0}, 2_000_000)
+	data := protowire.AppendBytes(protowire.AppendTag(nil, 6, protowire.BytesType), entries)
+	allocated := testing.AllocsPerRun(1, func() {
+		if _, err := pomelomesh.DecodeMessage(data); !pomelorelay.IsErrCode(err, pomelorelay.CodeMeshMalformed) {
+			t.Errorf("accepted: %v", err)
+		}
+	})
+	if allocated > 100 {
+		t.Errorf("%v allocations before the refusal", allocated)
+	}
+}
+
+func FuzzDecodeMessage(f *testing.F) {
+	for _, m := range samples() {
+		data, err := pomelomesh.EncodeMessage(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := pomelomesh.DecodeMessage(data)
+		if err != nil {
+			if code := pomelorelay.CodeOf(err); code != pomelorelay.CodeMeshMalformed && code != pomelorelay.CodeMeshUnknownKind {
+				t.Fatalf("code %d", code)
+			}
+			return
+		}
+		again, err := pomelomesh.EncodeMessage(m)
+		if err != nil {
+			t.Fatalf("cannot encode what was decoded: %v", err)
+		}
+		second, err := pomelomesh.DecodeMessage(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		third, err := pomelomesh.EncodeMessage(second)
+		if err != nil || !bytes.Equal(again, third) {
+			t.Fatalf("not stable: %x %x %v", again, third, err)
+		}
+	})
+}
--- /dev/null
+++ b/pomelomesh/decode.go
@@ -0,0 +1,131 @@
+package pomelomesh
+
+import (
+	"math"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// The bounds of one message. They are far above what the fleet needs and keep a faulty peer from filling memory.
+const (
+	maxItemBytes  = 4 << 20
+	maxNameBytes  = 256
+	maxList       = 8192
+	maxPrefixes   = 256
+	maxValueBytes = 2 << 20
+)
+
+// DecodeMessage reads a message as it travelled; it fails with CodeMeshMalformed, or with CodeMeshUnknownKind for a
+// kind that a newer version added.
+func DecodeMessage(data []byte) (pomelorelay.Message, error) {
+	if len(data) > maxItemBytes {
+		return nil, malformed("message too large")
+	}
+	if err := checkCounts(data, itemDepth); err != nil {
+		return nil, err
+	}
+	var item pomelowire.Item
+	if err := proto.Unmarshal(data, &item); err != nil {
+		return nil, pomelorelay.NewError(pomelorelay.CodeMeshMalformed, "decode", err)
+	}
+	return decodeItem(&item)
+}
+
+func decodeItem(item *pomelowire.Item) (pomelorelay.Message, error) {
+	var d decoder
+	m := d.item(item)
+	if d.err != nil {
+		return nil, d.err
+	}
+	if m == nil {
+		return nil, pomelorelay.NewError(pomelorelay.CodeMeshUnknownKind, "", nil)
+	}
+	return m, nil
+}
+
+func malformed(detail string) *pomelorelay.Error {
+	return pomelorelay.NewError(pomelorelay.CodeMeshMalformed, detail, nil)
+}
+
+// decoder checks values while they are read and keeps the first fault.
+type decoder struct {
+	err error
+}
+
+func (d *decoder) fail(detail string) {
+	if d.err == nil {
+		d.err = malformed(detail)
+	}
+}
+
+func (d *decoder) name(text string) string {
+	if len(text) > maxNameBytes {
+		d.fail("name too long")
+	}
+	return text
+}
+
+func (d *decoder) count(n, most int) int {
+	if n > most {
+		d.fail("list too long")
+		return 0
+	}
+	return n
+}
+
+func (d *decoder) finite(value float64) float64 {
+	if math.IsNaN(value) || math.IsInf(value, 0) {
+		d.fail("number not finite")
+	}
+	return value
+}
+
+func (d *decoder) cost(value float64) pomelorelay.Cost {
+	if value < 0 {
+		d.fail("cost below zero")
+	}
+	return pomelorelay.Cost(d.finite(value))
+}
+
+func (d *decoder) tag(value float64) pomelorelay.Tag { return pomelorelay.Tag(d.finite(value)) }
+
+func (d *decoder) duration(value int64) time.Duration {
+	if value < 0 {
+		d.fail("duration below zero")
+	}
+	return time.Duration(value)
+}
+
+func (d *decoder) state(value, least, most int32) int32 {
+	if value < least || value > most {
+		d.fail("state unknown")
+	}
+	return value
+}
+
+func (d *decoder) bytes(value []byte, most int) []byte {
+	if len(value) > most {
+		d.fail("value too large")
+	}
+	return value
+}
+
+func (d *decoder) fixed(to, value []byte) {
+	if len(value) != len(to) {
+		d.fail("hash of wrong length")
+		return
+	}
+	copy(to, value)
+}
+
+func (d *decoder) at(names []string, index uint32) string {
+	if uint64(index) >= uint64(len(names)) {
+		d.fail("name not in the table")
+		return ""
+	}
+	return d.name(names[index])
+}
--- /dev/null
+++ b/pomelomesh/dial.go
@@ -0,0 +1,126 @@
+package pomelomesh
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// connBuffer is the size of a connection's read and write buffers; control messages are small and links are many.
+const connBuffer = 4 << 10
+
+// dial opens a link and waits until both ends said hello.
+func (p *peer) dial() {
+	p.m.counters.dialled.Add(1)
+	p.mu.Lock()
+	info := p.info
+	p.mu.Unlock()
+	l, err := p.m.open(info)
+	if err != nil {
+		p.m.cfg.Logger.Log(pomelorelay.EventMeshLinkDown, pomelorelay.Field{Key: "Node", Value: p.node}, pomelorelay.Field{Key: "Error", Value: err.Error()})
+		p.delay(time.Now())
+		return
+	}
+	p.mu.Lock()
+	if p.sending == nil {
+		p.sending = l
+	}
+	p.mu.Unlock()
+}
+
+// open connects to a peer, exchanges hellos and starts the reader.
+func (m *Mesh) open(info pomelorelay.Peer) (*link, error) {
+	conn, err := grpc.NewClient("passthrough:///"+info.Addr.String(), m.dialOptions(info)...)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	timer := time.AfterFunc(m.cfg.Timing.Connect, cancel)
+	l, err := m.greet(ctx, conn, info)
+	if err == nil && !timer.Stop() {
+		l.cancel()
+	}
+	if err != nil {
+		cancel()
+		conn.Close()
+		return nil, err
+	}
+	m.running.Go(func() {
+		defer conn.Close()
+		defer cancel()
+		_ = m.follow(l)
+	})
+	return l, nil
+}
+
+func (m *Mesh) greet(ctx context.Context, conn *grpc.ClientConn, info pomelorelay.Peer) (*link, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := pomelowire.NewMeshClient(conn).Link(ctx, grpc.ForceCodecV2(frameCodec{}))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	l := m.newLink(ctx, stream)
+	l.cancel = cancel
+	l.ctx = ctx
+	if err := l.greet(info.Node); err != nil {
+		cancel()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *link) greet(node pomelorelay.NodeID) error {
+	if err := l.stream.SendMsg(l.m.hello()); err != nil {
+		return err
+	}
+	frame := new(pomelowire.Frame)
+	if err := l.stream.RecvMsg(frame); err != nil {
+		return err
+	}
+	if hello := frame.GetHello(); hello.GetNode() != string(node) || tooLong(hello) {
+		return l.m.refused(hello.GetNode(), "another router answers at the address")
+	}
+	return l.m.join(l, frame.GetHello())
+}
+
+func (m *Mesh) dialOptions(info pomelorelay.Peer) []grpc.DialOption {
+	class := m.classOf(info)
+	dialer := net.Dialer{LocalAddr: m.localAddr()}
+	options := []grpc.DialOption{
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			return m.countConn(conn, class, func() {}), nil
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes)),
+		grpc.WithReadBufferSize(connBuffer),
+		grpc.WithWriteBufferSize(connBuffer),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithNoProxy(),
+		grpc.WithIdleTimeout(0),
+	}
+	if m.keys == nil {
+		return append(options, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	}
+	return append(options, grpc.WithTransportCredentials(credentials.NewTLS(m.keys.client(info.Node))))
+}
+
+// localAddr binds outgoing connections to the address that the mesh listens on, so that the far end and what is
+// between see which router calls; nil when it listens on all.
+func (m *Mesh) localAddr() net.Addr {
+	if m.cfg.Listen.Addr().IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: m.cfg.Listen.Addr().AsSlice()}
+}
--- /dev/null
+++ b/pomelomesh/hello.go
@@ -0,0 +1,166 @@
+package pomelomesh
+
+import (
+	"context"
+	"crypto/x509"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	grpcpeer "google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+)
+
+// service takes the links that other routers open.
+type service struct {
+	pomelowire.UnimplementedMeshServer
+	m *Mesh
+}
+
+// Link serves one link until it ends.
+func (s *service) Link(stream grpc.BidiStreamingServer[pomelowire.Frame, pomelowire.Frame]) error {
+	l := s.m.newLink(stream.Context(), stream)
+	defer l.cancel()
+	greeted := make(chan struct{})
+	ended := make(chan error, 1)
+	s.m.running.Go(func() { ended <- s.m.serveLink(stream.Context(), l, greeted) })
+	timer := time.NewTimer(s.m.cfg.Timing.Connect)
+	defer timer.Stop()
+	select {
+	case <-greeted:
+	case err := <-ended:
+		return err
+	case <-timer.C:
+		return status.Error(codes.DeadlineExceeded, "no hello")
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-l.ctx.Done():
+		return status.Error(codes.Unavailable, "link ended")
+	case <-s.m.ctx.Done():
+		return status.Error(codes.Unavailable, "closing")
+	}
+}
+
+func (m *Mesh) serveLink(ctx context.Context, l *link, greeted chan<- struct{}) error {
+	frame := new(pomelowire.Frame)
+	if err := l.stream.RecvMsg(frame); err != nil {
+		return err
+	}
+	hello := frame.GetHello()
+	if err := m.checkHello(ctx, hello); err != nil {
+		return err
+	}
+	if err := l.stream.SendMsg(m.hello()); err != nil {
+		return err
+	}
+	if err := m.join(l, hello); err != nil {
+		return err
+	}
+	if remote, ok := grpcpeer.FromContext(ctx); ok {
+		m.listener.setClass(remote.Addr.String(), l.class)
+	}
+	close(greeted)
+	return m.follow(l)
+}
+
+// follow reads a joined link to its end.
+func (m *Mesh) follow(l *link) error {
+	node := pomelorelay.Field{Key: "Node", Value: l.peer.node}
+	m.cfg.Logger.Log(pomelorelay.EventMeshLinkUp, node)
+	err := l.read()
+	l.cancel()
+	l.peer.detach(l)
+	m.counters.broken.Add(1)
+	m.cfg.Logger.Log(pomelorelay.EventMeshLinkDown, node, pomelorelay.Field{Key: "Error", Value: err.Error()})
+	return err
+}
+
+func (m *Mesh) hello() *pomelowire.Frame {
+	self := m.cfg.Self
+	return &pomelowire.Frame{Generation: m.generation.Load(), Hello: &pomelowire.Hello{
+		Node: string(self.Node), Incarnation: uint64(self.Incarnation), Domain: string(self.Domain), Region: string(self.Region),
+	}}
+}
+
+// checkHello verifies a caller's name. Without it a router with a certificate of its own, or with a copied settings
+// file, could report service and take grants in another's name; two routers would then seem one that flaps.
+func (m *Mesh) checkHello(ctx context.Context, hello *pomelowire.Hello) error {
+	if hello.GetNode() == "" || hello.GetNode() == string(m.cfg.Self.Node) || tooLong(hello) {
+		return m.refused(hello.GetNode(), "name")
+	}
+	if m.keys == nil {
+		return nil
+	}
+	certificate := callerCertificate(ctx)
+	if certificate == nil || certificate.VerifyHostname(hello.GetNode()) != nil {
+		return m.refused(hello.GetNode(), "certificate is of another name")
+	}
+	return nil
+}
+
+func tooLong(hello *pomelowire.Hello) bool {
+	return max(len(hello.GetNode()), len(hello.GetDomain()), len(hello.GetRegion())) > maxNameBytes
+}
+
+func callerCertificate(ctx context.Context) *x509.Certificate {
+	remote, ok := grpcpeer.FromContext(ctx)
+	if !ok {
+		return nil
+	}
+	info, ok := remote.AuthInfo.(credentials.TLSInfo)
+	if !ok || len(info.State.PeerCertificates) == 0 {
+		return nil
+	}
+	return info.State.PeerCertificates[0]
+}
+
+func (m *Mesh) refused(node, reason string) error {
+	m.cfg.Logger.Log(pomelorelay.EventMeshRefused, pomelorelay.Field{Key: "Node", Value: node}, pomelorelay.Field{Key: "Reason", Value: reason})
+	return status.Error(codes.PermissionDenied, reason)
+}
+
+// join attaches a link to the peer that said hello on it.
+func (m *Mesh) join(l *link, hello *pomelowire.Hello) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peerLocked(pomelorelay.NodeID(hello.GetNode()))
+	if p == nil {
+		return m.refused(hello.GetNode(), "too many routers or closing")
+	}
+	l.peer = p
+	l.incarnation = pomelorelay.Incarnation(hello.GetIncarnation())
+	l.class = p.meet(hello)
+	if !p.attach(l, l.incarnation) {
+		m.counters.stale.Add(1)
+		return m.refused(hello.GetNode(), "a later incarnation is known")
+	}
+	return nil
+}
+
+// meet notes where an unlisted router says that it is, and returns the link class.
+func (p *peer) meet(hello *pomelowire.Hello) pomelorelay.LinkClass {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.listed {
+		p.info.Domain = pomelorelay.DomainID(hello.GetDomain())
+		p.info.Region = pomelorelay.RegionID(hello.GetRegion())
+	}
+	return p.m.classOf(p.info)
+}
+
+func (m *Mesh) classOf(info pomelorelay.Peer) pomelorelay.LinkClass {
+	switch {
+	case info.Domain == m.cfg.Self.Domain:
+		return pomelorelay.LinkDomain
+	case info.Region == m.cfg.Self.Region:
+		return pomelorelay.LinkRegion
+	default:
+		return pomelorelay.LinkCross
+	}
+}
--- a/pomelomesh/mesh.go
+++ b/pomelomesh/mesh.go
@@ -1,59 +1,159 @@
 package pomelomesh
 
 import (
+	"context"
+	"net"
 	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
 )
 
+// watchEvery is the interval at which links are checked for silence, idleness and owed signs of life.
+const watchEvery = 100 * time.Millisecond
+
+// maxPeers bounds the routers that are known at once, unlisted ones included.
+const maxPeers = 4096
+
 // Mesh implements pomelorelay.Mesh over grpc.
 type Mesh struct {
-	cfg   Config
-	inbox chan pomelorelay.Envelope
-}
+	cfg        Config
+	keys       *keys
+	listener   *countedListener
+	server     *grpc.Server
+	inbox      chan pomelorelay.Envelope
+	budgets    [pomelorelay.LinkClasses]*budget
+	generation atomic.Uint64
+	counters   counters
+	overBudget atomic.Int64 // Unix nanoseconds of the last notice
+	ctx        context.Context
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
 
-// Counters counts what the mesh did since its start.
-type Counters struct {
-	// Coalesced counts messages replaced by a later one while they waited.
-	Coalesced uint64
-	// Delayed counts batches that left less urgent messages behind because the byte budget was spent.
-	Delayed uint64
-	// QueueFull counts messages refused because the peer's queue was full.
-	QueueFull uint64
-	// UnknownKinds counts messages of kinds that this version does not know.
-	UnknownKinds uint64
-	// Malformed counts messages that could not be decoded.
-	Malformed uint64
-	// Stale counts messages of a lower incarnation or a superseded link.
-	Stale uint64
-	// Lost counts messages dropped because their link broke.
-	Lost uint64
-	// Broken counts links that broke.
-	Broken uint64
-	// Dialled counts attempts to connect.
-	Dialled uint64
-	// Links is the number of links now open.
-	Links int
+	mu     sync.Mutex
+	peers  map[pomelorelay.NodeID]*peer
+	closed bool
 }
 
-// New listens and returns a Mesh; it fails with CodeMeshTLS when the keys cannot be used.
+var _ pomelorelay.Mesh = (*Mesh)(nil)
+
+// New listens and returns a Mesh; it fails with CodeMeshTLS when the keys cannot be used and with CodeMeshListen when
+// the address cannot be listened on.
 func New(cfg Config) (*Mesh, error) {
 	cfg = cfg.withDefaults()
-	return &Mesh{cfg: cfg, inbox: make(chan pomelorelay.Envelope, cfg.Inbox)}, nil
+	m := &Mesh{cfg: cfg, inbox: make(chan pomelorelay.Envelope, cfg.Inbox), peers: make(map[pomelorelay.NodeID]*peer)}
+	if err := m.loadKeys(); err != nil {
+		return nil, err
+	}
+	for class := range m.budgets {
+		m.budgets[class] = newBudget(cfg.Budget[class], time.Now())
+	}
+	listener, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return nil, pomelorelay.NewError(pomelorelay.CodeMeshListen, cfg.Listen.String(), err)
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	m.listener = &countedListener{Listener: listener, m: m, conns: make(map[string]*countedConn)}
+	m.server = grpc.NewServer(m.serverOptions()...)
+	pomelowire.RegisterMeshServer(m.server, &service{m: m})
+	m.running.Go(func() { _ = m.server.Serve(m.listener) })
+	m.running.Go(func() { m.watch() })
+	return m, nil
+}
+
+func (m *Mesh) loadKeys() error {
+	if m.cfg.TLS == (TLSFiles{}) {
+		if m.cfg.Insecure {
+			return nil
+		}
+		return pomelorelay.NewError(pomelorelay.CodeMeshTLS, "no key files and not set to Insecure", nil)
+	}
+	keys, err := loadKeys(m.cfg.TLS, m.cfg.Logger)
+	m.keys = keys
+	return err
+}
+
+func (m *Mesh) serverOptions() []grpc.ServerOption {
+	options := []grpc.ServerOption{
+		grpc.ForceServerCodecV2(frameCodec{}),
+		grpc.MaxRecvMsgSize(maxFrameBytes),
+		grpc.MaxConcurrentStreams(1),
+		grpc.ConnectionTimeout(m.cfg.Timing.Connect),
+		grpc.ReadBufferSize(connBuffer),
+		grpc.WriteBufferSize(connBuffer),
+		grpc.WaitForHandlers(true),
+	}
+	if m.keys == nil {
+		return append(options, grpc.Creds(insecure.NewCredentials()))
+	}
+	return append(options, grpc.Creds(credentials.NewTLS(m.keys.server())))
 }
 
 // Addr returns the address that the mesh listens on.
-func (m *Mesh) Addr() netip.AddrPort { return m.cfg.Listen }
+func (m *Mesh) Addr() netip.AddrPort {
+	return m.listener.Addr().(*net.TCPAddr).AddrPort()
+}
 
-// SetPeers replaces the peers that the mesh may connect to.
-func (m *Mesh) SetPeers([]pomelorelay.Peer) {}
+// SetPeers replaces the peers that the mesh may connect to. A router that is no longer among them is not dialled, but
+// a link that it opens itself is taken and may be answered: the host list lags.
+func (m *Mesh) SetPeers(peers []pomelorelay.Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed := make(map[pomelorelay.NodeID]bool, len(peers))
+	for _, info := range peers {
+		if info.Node == m.cfg.Self.Node {
+			continue
+		}
+		listed[info.Node] = true
+		if p := m.peerLocked(info.Node); p != nil {
+			p.list(info)
+		}
+	}
+	for node, p := range m.peers {
+		if !listed[node] {
+			p.unlist()
+		}
+	}
+}
+
+// peerLocked returns the peer's state and makes it when there is none; nil when the mesh is closed or the bound is reached.
+func (m *Mesh) peerLocked(node pomelorelay.NodeID) *peer {
+	if p, ok := m.peers[node]; ok {
+		return p
+	}
+	if m.closed || len(m.peers) >= maxPeers {
+		return nil
+	}
+	p := newPeer(m, node)
+	m.peers[node] = p
+	return p
+}
 
 // SetGeneration sets the configuration generation that rides on every envelope.
-func (m *Mesh) SetGeneration(pomelorelay.Generation) {}
+func (m *Mesh) SetGeneration(generation pomelorelay.Generation) {
+	m.generation.Store(uint64(generation))
+}
 
-// Send queues a message and never blocks; it fails with CodeMeshUnknownPeer or CodeMeshQueueFull.
-func (m *Mesh) Send(pomelorelay.NodeID, pomelorelay.Message) error {
-	return pomelorelay.NewError(pomelorelay.CodeMeshUnknownPeer, "", nil)
+// Send queues a message and never blocks; it fails with CodeMeshUnknownPeer, CodeMeshQueueFull or CodeMeshMalformed.
+func (m *Mesh) Send(to pomelorelay.NodeID, message pomelorelay.Message) error {
+	data, err := EncodeMessage(message)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	p := m.peers[to]
+	m.mu.Unlock()
+	if p == nil {
+		return pomelorelay.NewError(pomelorelay.CodeMeshUnknownPeer, string(to), nil)
+	}
+	return p.send(&queued{data: data, key: message.CoalesceKey(), urgency: message.Urgency()})
 }
 
 // Receive returns the channel of messages that arrived.
@@ -61,11 +161,49 @@
 
 // Traffic returns the bytes counted by link class since the start.
 func (m *Mesh) Traffic() [pomelorelay.LinkClasses]pomelorelay.LinkBytes {
-	return [pomelorelay.LinkClasses]pomelorelay.LinkBytes{}
+	var traffic [pomelorelay.LinkClasses]pomelorelay.LinkBytes
+	for class, b := range m.budgets {
+		traffic[class].Sent = pomelorelay.Bytes(b.written.Load())
+		traffic[class].Received = pomelorelay.Bytes(b.read.Load())
+	}
+	return traffic
 }
 
-// Counters returns what the mesh did since its start.
-func (m *Mesh) Counters() Counters { return Counters{} }
-
 // Close ends every connection.
-func (m *Mesh) Close() error { return nil }
+func (m *Mesh) Close() error {
+	m.mu.Lock()
+	if m.closed {
+		m.mu.Unlock()
+		return nil
+	}
+	m.closed = true
+	m.mu.Unlock()
+	m.cancel()
+	m.server.Stop()
+	m.running.Wait()
+	return nil
+}
+
+// watch checks every link until the mesh closes.
+func (m *Mesh) watch() {
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case now := <-ticker.C:
+			m.check(now)
+		}
+	}
+}
+
+func (m *Mesh) check(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for node, p := range m.peers {
+		if p.check(now) {
+			delete(m.peers, node)
+		}
+	}
+}
