--- a/events_bench.go
+++ b/events_bench.go
@@ -1,3 +1,12 @@
 package pomelorelay
 
-var benchEvents = []EventInfo{}
+// Events of the bench and its stand-ins, 1100 to 1199.
+const (
+	EventStandInStarted EventID = 1100
+	EventStandInStopped EventID = 1101
+)
+
+var benchEvents = []EventInfo{
+	{EventStandInStarted, "StandInStarted", LevelInfo, "A stand-in listens.", "None."},
+	{EventStandInStopped, "StandInStopped", LevelInfo, "The process of stand-ins was told to end.", "None."},
+}
--- a/pomelocheck/checker.go
+++ b/pomelocheck/checker.go
@@ -10,8 +10,8 @@
 
 // Config sets the bounds that a Checker holds the fleet to; a zero duration takes its default.
 type Config struct {
-	// GapBound is the largest allowed difference of normalised service; zero leaves the gap unchecked.
-	GapBound pomelorelay.Tag
+	// GapBounds are the largest allowed differences of normalised service; a pool without one is not checked.
+	GapBounds map[pomelorelay.PoolID]pomelorelay.Tag
 	// GapStep is the time between two samples of the gap, 100 ms by default.
 	GapStep time.Duration
 	// MaxWait is how long an attempt, or a backlogged account's next service, may take, 60 s by default.
--- a/pomelocheck/gap.go
+++ b/pomelocheck/gap.go
@@ -79,6 +79,39 @@
 	return gaps
 }
 
+// WindowGaps returns for each pool the difference of what the accounts that were backlogged from from to to got in that time.
+func (c *Checker) WindowGaps(from, to time.Time) map[pomelorelay.PoolID]pomelorelay.Tag {
+	least, most := make(map[pomelorelay.PoolID]pomelorelay.Tag), make(map[pomelorelay.PoolID]pomelorelay.Tag)
+	for key, s := range c.shares {
+		if !s.backloggedThroughout(from, to) {
+			continue
+		}
+		got := s.normalised(from, to)
+		if known, ok := least[key.pool]; !ok || got < known {
+			least[key.pool] = got
+		}
+		most[key.pool] = max(most[key.pool], got)
+	}
+	for pool := range most {
+		most[pool] -= least[pool]
+	}
+	return most
+}
+
+func (s *share) backloggedThroughout(from, to time.Time) bool {
+	return slices.ContainsFunc(backlogIntervals(s.backlogs, to), func(in interval) bool {
+		return !in.from.After(from) && !in.to.Before(to)
+	})
+}
+
+func (s *share) normalised(from, to time.Time) pomelorelay.Tag {
+	var sum pomelorelay.Tag
+	for _, e := range s.served {
+		sum += e.Cost.Normalise(e.Weight) * pomelorelay.Tag(fraction(e, to)-fraction(e, from))
+	}
+	return sum
+}
+
 func (c *Checker) keys() []shareKey {
 	var keys []shareKey
 	for key := range c.shares {
@@ -207,14 +240,15 @@
 }
 
 func (c *Checker) checkGap(now time.Time, out []Violation) []Violation {
-	if c.cfg.GapBound <= 0 {
+	if len(c.cfg.GapBounds) == 0 {
 		return out
 	}
 	for _, g := range c.Gaps(now) {
-		if g.Value <= c.cfg.GapBound {
+		bound, ok := c.cfg.GapBounds[g.Pool]
+		if !ok || g.Value <= bound {
 			continue
 		}
-		detail := fmt.Sprintf("%s had %.3f more than %s, the bound is %.3f", g.More, float64(g.Value), g.Less, float64(c.cfg.GapBound))
+		detail := fmt.Sprintf("%s had %.3f more than %s, the bound is %.3f", g.More, float64(g.Value), g.Less, float64(bound))
 		out = append(out, Violation{GapOverBound, string(g.Pool), g.At, detail})
 	}
 	return out
--- a/pomelocheck/gap_test.go
+++ b/pomelocheck/gap_test.go
@@ -18,7 +18,7 @@
 	}
 	half := served("olinda", 0, 100*time.Second, 200)
 	half.Weight = 2
-	runCases(t, pomelocheck.Config{GapBound: 10, MaxWait: time.Hour}, []checkCase{
+	runCases(t, pomelocheck.Config{GapBounds: map[pomelorelay.PoolID]pomelorelay.Tag{"p": 10}, MaxWait: time.Hour}, []checkCase{
 		{"even", with(served("recife", 0, 100*time.Second, 100), served("olinda", 0, 100*time.Second, 100)), nil},
 		{"even by weight", with(served("recife", 0, 100*time.Second, 100), half), nil},
 		{"uneven", with(served("recife", 0, 100*time.Second, 100), served("olinda", 0, 100*time.Second, 80)), []pomelocheck.Kind{pomelocheck.GapOverBound}},
@@ -80,3 +80,17 @@
 		}
 	})
 }
+
+func TestWindowGapTakesOnlyAccountsBackloggedThroughout(t *testing.T) {
+	c := pomelocheck.New(pomelocheck.Config{})
+	for _, e := range []pomelocheck.Event{
+		backlogged("recife", 0, true), backlogged("olinda", 0, true), backlogged("natal", 15*time.Second, true),
+		served("recife", 0, 100*time.Second, 100), served("olinda", 0, 100*time.Second, 50),
+	} {
+		c.Observe(e)
+	}
+	got := c.WindowGaps(at(10*time.Second), at(20*time.Second))
+	if len(got) != 1 || math.Abs(float64(got["p"])-5) > 1e-9 {
+		t.Errorf("got %v, want 5", got)
+	}
+}
