--- /dev/null
+++ b/cmd/pomelobench/pomeloload/balancer.go
@@ -0,0 +1,146 @@
+package pomeloload
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// DialFunc connects to an address.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// target is a router, or in direct mode an upstream.
+type target struct {
+	name     pomelorelay.NodeID
+	service  pomelorelay.ServiceID
+	addr     netip.AddrPort
+	operator netip.AddrPort
+	ready    atomic.Bool
+	client   *http.Client
+}
+
+// balancer stands in the place of the platform's: it sends callers to routers that say they are ready.
+type balancer struct {
+	targets []*target
+	probe   *http.Client
+}
+
+const (
+	readyInterval  = 200 * time.Millisecond
+	probeTimeout   = time.Second
+	idlePerRouter  = 256
+	dialTimeout    = time.Second
+	headerIdemKey  = "Idempotency-Key"
+	headerRequest  = "X-Request-Id"
+	headerDeadline = "X-Timeout"
+)
+
+func newBalancer(p Plan, dial DialFunc) *balancer {
+	b := &balancer{probe: &http.Client{Timeout: probeTimeout, Transport: newTransport(dial)}}
+	if p.Direct {
+		for _, u := range p.Upstreams {
+			b.add(&target{name: pomelorelay.NodeID(u.Name), service: u.Service, addr: u.Address}, dial)
+		}
+		return b
+	}
+	for _, r := range p.Routers {
+		b.add(&target{name: r.Name, addr: r.Caller, operator: r.Operator}, dial)
+	}
+	return b
+}
+
+func newTransport(dial DialFunc) *http.Transport {
+	return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idlePerRouter, DisableCompression: true}
+}
+
+func (b *balancer) add(t *target, dial DialFunc) {
+	t.ready.Store(true)
+	t.client = &http.Client{Transport: newTransport(dial)}
+	b.targets = append(b.targets, t)
+}
+
+// pick draws a ready target that serves the service and is among the names; none ready leaves the choice among all of those.
+func (b *balancer) pick(service pomelorelay.ServiceID, names []pomelorelay.NodeID, random *rand.Rand) *target {
+	var ready, fitting []*target
+	for _, t := range b.targets {
+		if t.service != "" && t.service != service {
+			continue
+		}
+		if len(names) > 0 && !slices.Contains(names, t.name) {
+			continue
+		}
+		fitting = append(fitting, t)
+		if t.ready.Load() {
+			ready = append(ready, t)
+		}
+	}
+	if len(ready) == 0 {
+		ready = b.elsewhere(fitting)
+	}
+	return ready[random.IntN(len(ready))]
+}
+
+// elsewhere is where callers go whose own routers are all gone: any that is ready, as a balancer would send them.
+func (b *balancer) elsewhere(fitting []*target) []*target {
+	var ready []*target
+	for _, t := range b.targets {
+		if t.ready.Load() && t.service == "" {
+			ready = append(ready, t)
+		}
+	}
+	if len(ready) == 0 {
+		return fitting
+	}
+	return ready
+}
+
+// poll asks each router whether it is ready until ctx ends.
+func (b *balancer) poll(ctx context.Context) {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for {
+		for _, t := range b.targets {
+			if t.operator.IsValid() {
+				t.ready.Store(b.isReady(ctx, t))
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *balancer) isReady(ctx context.Context, t *target) bool {
+	resp, err := get(ctx, b.probe, "http://"+t.operator.String()+"/ready")
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (b *balancer) close() {
+	b.probe.CloseIdleConnections()
+	for _, t := range b.targets {
+		t.client.CloseIdleConnections()
+	}
+}
+
+func get(ctx context.Context, client *http.Client, url string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return client.Do(r)
+}
