--- a/cmd/pomelobench/pomeloload/plan.go
+++ b/cmd/pomelobench/pomeloload/plan.go
@@ -196,3 +196,21 @@
 	}
 	return Service{}
 }
+
+// ForDirect returns the plan without routers and steps, each load landing on any upstream of its service.
+func (p Plan) ForDirect() Plan {
+	p.Direct = true
+	p.Routers = nil
+	p.Steps = nil
+	accounts := make([]Account, len(p.Accounts))
+	for i, a := range p.Accounts {
+		loads := append([]Load(nil), a.Loads...)
+		for n := range loads {
+			loads[n].Routers = nil
+		}
+		a.Loads = loads
+		accounts[i] = a
+	}
+	p.Accounts = accounts
+	return p
+}
--- /dev/null
+++ b/cmd/pomelobench/pomeloreport/plots.go
@@ -0,0 +1,154 @@
+package pomeloreport
+
+import (
+	"bytes"
+	"cmp"
+	"image/color"
+	"slices"
+
+	"github.com/pomelorelay/pomelorelay/cmd/pomelobench/pomeloload"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 2.6 * vg.Inch
+	// headroom leaves space above the highest value for the faults' names.
+	headroom = 1.25
+)
+
+var faultColour = color.RGBA{R: 180, G: 40, B: 40, A: 255}
+
+// line is a named value of each sample.
+type line struct {
+	name  string
+	value func(pomeloload.Sample) float64
+}
+
+// chart is a plot of some lines over the seconds of a run.
+type chart struct {
+	title string
+	unit  string
+	lines []line
+}
+
+// charts returns what a page shows.
+func charts(j pomeloload.Judgement) []chart {
+	gaps := chart{title: "Fairness gap over the last 5 s, as a part of the bound", unit: "gap / bound"}
+	use := chart{title: "Utilisation while work waited", unit: "busy / slots"}
+	for _, p := range j.Result.Pools {
+		if p.FairnessBound > 0 {
+			gaps.lines = append(gaps.lines, line{string(p.Pool), func(s pomeloload.Sample) float64 { return float64(s.Gaps[p.Pool] / p.FairnessBound) }})
+		}
+		use.lines = append(use.lines, line{string(p.Pool), func(s pomeloload.Sample) float64 { return s.Utilisation[p.Pool] }})
+	}
+	return []chart{gaps, use,
+		{"Control bytes", "bytes / s", []line{
+			{"a node", func(s pomeloload.Sample) float64 { return s.ControlBytesPerNode }},
+			{"between regions", func(s pomeloload.Sample) float64 { return s.ControlBytesCrossRegion }},
+		}},
+		{"Latency, waiting included", "ms", []line{
+			{"first byte p50", func(s pomeloload.Sample) float64 { return s.FirstByteP50Milliseconds }},
+			{"p50", func(s pomeloload.Sample) float64 { return s.LatencyP50Milliseconds }},
+			{"p99", func(s pomeloload.Sample) float64 { return s.LatencyP99Milliseconds }},
+		}},
+		{"What ended", "attempts / s", []line{
+			{"answered", func(s pomeloload.Sample) float64 { return float64(s.Answers) }},
+			{"refused", func(s pomeloload.Sample) float64 { return float64(s.Refusals) }},
+			{"broken", func(s pomeloload.Sample) float64 { return float64(s.Broken) }},
+		}},
+	}
+}
+
+// draw returns the chart as SVG.
+func (c chart) draw(j pomeloload.Judgement) (string, error) {
+	p := plot.New()
+	p.Title.Text = c.title
+	p.X.Label.Text = "s"
+	p.Y.Label.Text = c.unit
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Legend.Left = true
+	highest := 0.0
+	for i, l := range c.lines {
+		points := l.points(j.Samples)
+		for _, point := range points {
+			highest = max(highest, point.Y)
+		}
+		drawn, err := plotter.NewLine(points)
+		if err != nil {
+			return "", err
+		}
+		drawn.Color = plotutil.Color(i)
+		p.Add(drawn)
+		p.Legend.Add(l.name, drawn)
+	}
+	if highest == 0 {
+		highest = 1
+	}
+	if err := markFaults(p, j, highest); err != nil {
+		return "", err
+	}
+	p.Y.Max = highest * headroom
+	return render(p)
+}
+
+func (l line) points(samples []pomeloload.Sample) plotter.XYs {
+	points := make(plotter.XYs, len(samples))
+	for i, s := range samples {
+		points[i].X = float64(s.Second)
+		points[i].Y = l.value(s)
+	}
+	return points
+}
+
+// markFaults draws an upright line with the fault's name at each fault.
+func markFaults(p *plot.Plot, j pomeloload.Judgement, highest float64) error {
+	if len(j.Samples) == 0 {
+		return nil
+	}
+	first := slices.MinFunc(j.Samples, func(a, b pomeloload.Sample) int { return cmp.Compare(a.Second, b.Second) })
+	names := plotter.XYLabels{}
+	for _, f := range j.Faults {
+		x := float64(first.Second) + f.At.Sub(first.At).Seconds()
+		upright, err := plotter.NewLine(plotter.XYs{{X: x, Y: 0}, {X: x, Y: highest * headroom}})
+		if err != nil {
+			return err
+		}
+		upright.Color = faultColour
+		upright.Dashes = []vg.Length{vg.Points(3), vg.Points(3)}
+		p.Add(upright)
+		names.XYs = append(names.XYs, plotter.XY{X: x, Y: highest * 1.1})
+		names.Labels = append(names.Labels, " "+f.Text)
+	}
+	if len(names.Labels) == 0 {
+		return nil
+	}
+	labels, err := plotter.NewLabels(names)
+	if err != nil {
+		return err
+	}
+	p.Add(labels)
+	return nil
+}
+
+func render(p *plot.Plot) (string, error) {
+	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", err
+	}
+	var svg bytes.Buffer
+	if _, err := w.WriteTo(&svg); err != nil {
+		return "", err
+	}
+	// The XML declaration may not stand inside an HTML page.
+	_, body, found := bytes.Cut(svg.Bytes(), []byte("<svg"))
+	if !found {
+		return "", nil
+	}
+	return "<svg" + string(body), nil
+}
--- /dev/null
+++ b/cmd/pomelobench/run.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/cmd/pomelobench/pomeloload"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// maxPrinted bounds the violations and examples that are printed.
+const maxPrinted = 20
+
+// runCommand runs a plan's load.
+type runCommand struct {
+	plan     string
+	duration time.Duration
+	direct   bool
+	marks    string
+	record   string
+}
+
+func newRunCommand(cmd *kingpin.CmdClause) *runCommand {
+	c := &runCommand{}
+	cmd.Flag("plan", "The YAML file that says what load goes where.").Required().StringVar(&c.plan)
+	cmd.Flag("duration", "How long load is put on; the plan's when not given.").DurationVar(&c.duration)
+	cmd.Flag("direct", "Send to the stand-ins themselves, without routers and steps, for a baseline.").BoolVar(&c.direct)
+	cmd.Flag("marks", "A file to which a script appends what it does itself, such as ending a router.").StringVar(&c.marks)
+	cmd.Flag("record", "A file for the run's record, as JSON lines.").StringVar(&c.record)
+	return c
+}
+
+func (c *runCommand) run(ctx context.Context) error {
+	plan, err := pomeloload.LoadPlan(c.plan)
+	if err != nil {
+		return err
+	}
+	if c.duration > 0 {
+		plan.Duration = c.duration
+	}
+	if c.direct {
+		plan = plan.ForDirect()
+	}
+	judgement, err := pomeloload.Run(ctx, plan, pomeloload.Options{Marks: c.marks, Logf: progress})
+	if err != nil {
+		return err
+	}
+	if c.record != "" {
+		if err := pomeloload.WriteRecord(c.record, judgement); err != nil {
+			return err
+		}
+	}
+	printFindings(judgement)
+	line, err := json.Marshal(judgement.Result)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(line))
+	if failures := judgement.Result.Failures(); len(failures) > 0 {
+		return pomelorelay.NewError(pomelorelay.CodeBenchViolated, strings.Join(failures, ", "), nil)
+	}
+	return nil
+}
+
+func progress(format string, args ...any) { fmt.Printf(format+"\n", args...) }
+
+// printFindings prints what a reader needs to look into a run: the first violations and the commonest bad ends.
+func printFindings(j pomeloload.Judgement) {
+	for i, v := range j.Violations {
+		if i == maxPrinted {
+			fmt.Fprintf(os.Stderr, "and %d violations more\n", len(j.Violations)-maxPrinted)
+			break
+		}
+		fmt.Fprintln(os.Stderr, v)
+	}
+	var texts []string
+	for text := range j.Examples {
+		texts = append(texts, text)
+	}
+	slices.SortFunc(texts, func(a, b string) int { return j.Examples[b] - j.Examples[a] })
+	for _, text := range texts[:min(len(texts), maxPrinted)] {
+		fmt.Fprintf(os.Stderr, "%6d times: %s\n", j.Examples[text], text)
+	}
+}
