--- a/cmd/pomelobench/pomeloload/plan.go
+++ b/cmd/pomelobench/pomeloload/plan.go
@@ -197,7 +197,8 @@
 	return Service{}
 }
 
-// ForDirect returns the plan without routers and steps, each load landing on any upstream of its service.
+// ForDirect returns the plan without routers and steps, each load landing on any upstream of its service. Nothing is sent
+// twice on purpose, since without a router nothing keeps a repeat from running.
 func (p Plan) ForDirect() Plan {
 	p.Direct = true
 	p.Routers = nil
@@ -207,6 +208,7 @@
 		loads := append([]Load(nil), a.Loads...)
 		for n := range loads {
 			loads[n].Routers = nil
+			loads[n].Resend = 0
 		}
 		a.Loads = loads
 		accounts[i] = a
--- a/cmd/pomelobench/standin.go
+++ b/cmd/pomelobench/standin.go
@@ -35,7 +35,12 @@
 }
 
 func newStandInCommand(cmd *kingpin.CmdClause) *standInCommand {
-	c := &standInCommand{logger: newLogger()}
+	c := &standInCommand{
+		engines: make(map[string]string),
+		plains:  make(map[string]string),
+		relays:  make(map[string]string),
+		logger:  newLogger(),
+	}
 	cmd.Flag("engine", "A model engine, as NAME=IP:PORT; may be repeated.").StringMapVar(&c.engines)
 	cmd.Flag("plain", "A plain service, as NAME=IP:PORT; may be repeated.").StringMapVar(&c.plains)
 	cmd.Flag("relay", "A TCP relay, as NAME=IP:PORT/IP:PORT for its own address and its target's; may be repeated.").StringMapVar(&c.relays)
