--- a/cmd/pomelobench/pomeloload/balancer.go
+++ b/cmd/pomelobench/pomeloload/balancer.go
@@ -102,6 +102,23 @@
 	return ready
 }
 
+// awaitReady waits until every router is ready; it fails with CodeBenchStandIn naming one that is not.
+func (b *balancer) awaitReady(ctx context.Context, within time.Duration) error {
+	if within == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for _, t := range b.targets {
+		for t.operator.IsValid() && !b.isReady(ctx, t) {
+			if !wait(ctx, readyInterval) {
+				return pomelorelay.NewError(pomelorelay.CodeBenchStandIn, "router "+string(t.name)+" is not ready", ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
 // poll asks each router whether it is ready until ctx ends.
 func (b *balancer) poll(ctx context.Context) {
 	ticker := time.NewTicker(readyInterval)
--- a/cmd/pomelobench/pomeloload/run.go
+++ b/cmd/pomelobench/pomeloload/run.go
@@ -14,6 +14,8 @@
 	Dial DialFunc
 	// Marks is a file to which a script appends Mark lines; none when empty.
 	Marks string
+	// ReadyWithin is how long every router may take to be ready before the load starts; zero starts at once.
+	ReadyWithin time.Duration
 	// Logf prints progress and failures; nil prints nothing.
 	Logf func(format string, args ...any)
 }
@@ -66,6 +68,10 @@
 }
 
 func (l *load) run(ctx context.Context) (Judgement, error) {
+	if err := l.balancer.awaitReady(ctx, l.opts.ReadyWithin); err != nil {
+		return Judgement{}, err
+	}
+	l.recorder.start = time.Now()
 	watching, stopWatching := context.WithCancel(ctx)
 	defer stopWatching()
 	issuing, stopIssuing := context.WithTimeout(ctx, l.plan.Duration)
--- a/cmd/pomelobench/run.go
+++ b/cmd/pomelobench/run.go
@@ -23,6 +23,7 @@
 	plan     string
 	duration time.Duration
 	direct   bool
+	ready    time.Duration
 	marks    string
 	record   string
 }
@@ -32,6 +33,7 @@
 	cmd.Flag("plan", "The YAML file that says what load goes where.").Required().StringVar(&c.plan)
 	cmd.Flag("duration", "How long load is put on; the plan's when not given.").DurationVar(&c.duration)
 	cmd.Flag("direct", "Send to the stand-ins themselves, without routers and steps, for a baseline.").BoolVar(&c.direct)
+	cmd.Flag("wait-ready", "How long to wait until every router is ready.").DurationVar(&c.ready)
 	cmd.Flag("marks", "A file to which a script appends what it does itself, such as ending a router.").StringVar(&c.marks)
 	cmd.Flag("record", "A file for the run's record, as JSON lines.").StringVar(&c.record)
 	return c
@@ -48,7 +50,7 @@
 	if c.direct {
 		plan = plan.ForDirect()
 	}
-	judgement, err := pomeloload.Run(ctx, plan, pomeloload.Options{Marks: c.marks, Logf: progress})
+	judgement, err := pomeloload.Run(ctx, plan, pomeloload.Options{ReadyWithin: c.ready, Marks: c.marks, Logf: progress})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,175 @@
+#!/bin/sh
+# Runs the main job on separate processes on loopback for about 30 s: 8 routers in 2 regions with 2 failure domains each,
+# stand-ins of upstreams and platform, both teams' answers, and disturbances. The last line is one JSON object.
+# With "direct" as its argument the same load goes to the stand-ins without routers, as a baseline.
+set -eu
+cd "$(dirname "$0")/.."
+mode=${1:-routers}
+run=${DEMO_DIR:-$(mktemp -d)}
+mkdir -p "$run/pids" "$run/log"
+marks=$run/marks
+: >"$marks"
+store=127.0.1.1:8300
+
+# A started process is ended by its own id, which stands in a file of its name until it was waited for.
+start() {
+	name=$1
+	shift
+	"$@" >"$run/log/$name.out" 2>"$run/log/$name.log" &
+	echo $! >"$run/pids/$name"
+}
+
+finish() {
+	status=$?
+	trap - EXIT INT TERM
+	for file in "$run"/pids/*; do
+		[ -e "$file" ] || continue
+		kill "$(cat "$file")" 2>/dev/null || true
+	done
+	sleep 1
+	for file in "$run"/pids/*; do
+		[ -e "$file" ] || continue
+		kill -9 "$(cat "$file")" 2>/dev/null || true
+		rm -f "$file"
+	done
+	echo "Logs, record and report: $run" >&2
+	exit $status
+}
+trap finish EXIT INT TERM
+
+# domain prints "region octet" of a failure domain; a router or stand-in of it has the address 127.0.octet.n.
+domain() {
+	case $1 in
+	recife-a) echo recife 11 ;;
+	recife-b) echo recife 12 ;;
+	boston-a) echo boston 21 ;;
+	boston-b) echo boston 22 ;;
+	esac
+}
+domains="recife-a recife-b boston-a boston-b"
+
+host_line() {
+	echo "{\"Name\":\"$1\",\"Kind\":\"$2\",\"Addr\":\"$3\",\"Domain\":\"$4\",\"Region\":\"$5\",\"Leaving\":false}"
+}
+
+write_hosts() {
+	for d in $domains; do
+		set -- $(domain "$d")
+		for n in 1 2; do
+			host_line "$d-router-$n" Router "127.0.$2.$n:8081" "$d" "$1"
+		done
+		host_line "counter-assistant-$d" Upstream "127.0.$2.101:9000" "$d" "$1"
+		host_line "repair-booking-$d" Upstream "127.0.$2.102:9000" "$d" "$1"
+		host_line "grant-drafter-$d" Upstream "127.0.$2.111:9000" "$d" "$1"
+		host_line "case-records-$d" Upstream "127.0.$2.112:9000" "$d" "$1"
+	done | paste -sd, | sed 's/.*/[&]/' >"$run/hosts.json"
+}
+
+write_settings() {
+	cat >"$run/$1.yaml" <<-END
+		Host:
+		  Name: $1
+		  FailureDomain: $2
+		  Region: $3
+		Listen:
+		  Caller: $4:8080
+		  Control: $4:8081
+		  Operator: $4:8082
+		Store:
+		  Addresses: ["$store"]
+		TLS:
+		  Insecure: true
+	END
+}
+
+start_stand_ins() {
+	start platform bin/pomelobench standin --admin 127.0.1.1:9100 --platform $store --hosts "$run/hosts.json"
+	for d in $domains; do
+		set -- $(domain "$d")
+		start "stand-ins-$d" bin/pomelobench standin --admin "127.0.$2.100:9100" --step 10ms --plain-slots 4 \
+			--engine "counter-assistant-$d=127.0.$2.101:9000" --plain "repair-booking-$d=127.0.$2.102:9000" \
+			--engine "grant-drafter-$d=127.0.$2.111:9000" --plain "case-records-$d=127.0.$2.112:9000"
+	done
+}
+
+start_routers() {
+	for d in $domains; do
+		for n in 1 2; do
+			set -- $(domain "$d")
+			write_settings "$d-router-$n" "$d" "$1" "127.0.$2.$n"
+			start "$d-router-$n" bin/pomelorelayd run --settings "$run/$d-router-$n.yaml"
+		done
+	done
+}
+
+# apply publishes a configuration made from the answers in $1 and notes its generation for the bench.
+apply() {
+	bin/pomeloctl generate --answers "$1/jewellers.yaml" --answers "$1/hearthway.yaml" >"$1/configuration.yaml"
+	bin/pomeloctl apply --store $store --author demo --why "$2" --output json "$1/configuration.yaml" >"$run/applied.json"
+	generation=$(tr -d ' \n' <"$run/applied.json" | sed 's/.*"Generation":\([0-9]*\).*/\1/')
+	echo "{\"Accepted\":$generation}" >>"$marks"
+}
+
+stop_gracefully() {
+	pid=$(cat "$run/pids/$1")
+	kill "$pid" 2>/dev/null || true
+	code=0
+	wait "$pid" || code=$?
+	rm -f "$run/pids/$1"
+	if [ $code -ne 0 ]; then
+		echo "$1 was stopped gracefully and ended with $code" >&2
+		return 1
+	fi
+	echo "$1 was stopped gracefully and ended with 0"
+}
+
+kill_router() {
+	echo "{\"Killed\":\"$1\"}" >>"$marks"
+	sleep 0.2
+	kill -9 "$(cat "$run/pids/$1")"
+	rm -f "$run/pids/$1"
+	echo "$1 was killed"
+}
+
+change_configuration() {
+	mkdir -p "$run/changed"
+	cp examples/demo/jewellers.yaml "$run/changed/"
+	sed 's/^      Timeout: 20s/&\n      QuarantineFor: 5m/' examples/demo/hearthway.yaml >"$run/changed/hearthway.yaml"
+	apply "$run/changed" "shorter quarantine"
+	echo "configuration $generation was applied"
+}
+
+echo "Working in $run"
+write_hosts
+start_stand_ins
+sleep 0.5
+if [ "$mode" = direct ]; then
+	bin/pomelobench run --plan examples/demo/plan.yaml --direct --duration 10s --record "$run/record.jsonl"
+	exit
+fi
+
+start_routers
+mkdir -p "$run/first"
+cp examples/demo/jewellers.yaml examples/demo/hearthway.yaml "$run/first/"
+apply "$run/first" "first configuration"
+bin/pomelobench run --plan examples/demo/plan.yaml --wait-ready 20s --marks "$marks" --record "$run/record.jsonl" >"$run/log/bench.out" 2>"$run/log/bench.log" &
+bench=$!
+echo $bench >"$run/pids/bench"
+tail -n +1 -f "$run/log/bench.out" 2>/dev/null &
+echo $! >"$run/pids/tail"
+sleep 10
+stop_gracefully boston-a-router-2
+sleep 3
+kill_router recife-b-router-2
+sleep 7
+change_configuration
+code=0
+wait $bench || code=$?
+rm -f "$run/pids/bench"
+sleep 0.5
+kill "$(cat "$run/pids/tail")" 2>/dev/null || true
+rm -f "$run/pids/tail"
+cat "$run/log/bench.log" >&2
+bin/pomelobench report "$run/record.jsonl" --out "$run/report.html" --title "Demo" >&2 || true
+tail -n 1 "$run/log/bench.out"
+exit $code
