--- a/cmd/pomelobench/pomeloreport/plots.go
+++ b/cmd/pomelobench/pomeloreport/plots.go
@@ -17,8 +17,8 @@
 const (
 	plotWidth  = 8 * vg.Inch
 	plotHeight = 2.6 * vg.Inch
-	// headroom leaves space above the highest value for the faults' names.
-	headroom = 1.25
+	// headroom leaves space above the highest value for the legend and the names of the faults.
+	headroom = 1.6
 )
 
 var faultColour = color.RGBA{R: 180, G: 40, B: 40, A: 255}
