pomeloroute: one attempt at an upstream with proof of what left, claims, retries, refusals

Change: an exchange on a connection of a small own pool, written by http.Request.Write and read by http.ReadResponse; bytes handed to the kernel are counted; a connection is used again only after its upstream repeated the request's id, and never for a request that may not be repeated.

--- /dev/null
+++ b/pomeloroute/answer_test.go
@@ -0,0 +1,336 @@
+package pomeloroute_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloroute"
+)
+
+// An upstream repeats an answer at once, or later while the connection is idle, or answers with another request's id.
+// The next caller on that connection would get the estimate of somebody else.
+func TestAnswerNeverReachesAnotherCaller(t *testing.T) {
+	repeated := make(chan struct{}, 1)
+	plays := map[string]func(w *wire, n int64, conn net.Conn, r *bufio.Reader){
+		"repeated at once": func(w *wire, n int64, conn net.Conn, r *bufio.Reader) {
+			for id, ok := w.read(r); ok; id, ok = w.read(r) {
+				conn.Write(append(plainAnswer(id, id), plainAnswer(id, id)...))
+			}
+		},
+		"repeated while idle": func(w *wire, n int64, conn net.Conn, r *bufio.Reader) {
+			for id, ok := w.read(r); ok; id, ok = w.read(r) {
+				conn.Write(plainAnswer(id, id))
+				time.Sleep(2 * time.Millisecond)
+				conn.Write(plainAnswer(id, id))
+				repeated <- struct{}{}
+			}
+		},
+		"late by one": func(w *wire, n int64, conn net.Conn, r *bufio.Reader) {
+			last := ""
+			for id, ok := w.read(r); ok; id, ok = w.read(r) {
+				if last == "" {
+					conn.Write(plainAnswer(id, id))
+				} else {
+					conn.Write(plainAnswer(last, last))
+				}
+				last = id
+			}
+		},
+	}
+	for name, play := range plays {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, pomeloroute.Options{})
+			b.add(newWire(t, play).addr())
+			b.add(b.upstreams[0].Address.String())
+			for n := range 6 {
+				a := b.call("GET", "/status/ring", "")
+				if want := fmt.Sprintf("router-1-7-%x", n+1); a.body != want {
+					t.Errorf("the caller of %s got %d %q", want, a.status, a.body)
+				}
+				if name == "repeated while idle" {
+					<-repeated
+				}
+			}
+		})
+	}
+}
+
+// A service that does not repeat ids gives no proof of whose answer it is but the connection itself, so that none is reused.
+func TestConnectionWithoutProofIsNotReused(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	upstream := newWire(t, func(w *wire, n int64, conn net.Conn, r *bufio.Reader) {
+		for _, ok := w.read(r); ok; _, ok = w.read(r) {
+			conn.Write(plainAnswer("", "x"))
+		}
+	})
+	b.add(upstream.addr())
+	for range 5 {
+		b.call("GET", "/status/ring", "")
+	}
+	if got := upstream.conns.Load(); got != 5 {
+		t.Errorf("5 requests on %d connections", got)
+	}
+}
+
+func TestRequestAndAnswerPassAsTheyAre(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	var mu sync.Mutex
+	var seen *http.Request
+	var body string
+	b.serve(func(w http.ResponseWriter, r *http.Request) {
+		text, _ := io.ReadAll(r.Body)
+		mu.Lock()
+		seen, body = r, string(text)
+		mu.Unlock()
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("Trailer", "X-Sum")
+		w.Header().Set("X-Own", "kept")
+		w.Header().Set("Keep-Alive", "timeout=9")
+		w.WriteHeader(http.StatusTeapot)
+		io.WriteString(w, "body")
+		w.Header().Set("X-Sum", "42")
+	})
+	for _, method := range []string{"GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "HEAD", "PURGE"} {
+		req, err := http.NewRequest(method, b.url+"/status/a%2Fb/c?q=1&q=2", io.NopCloser(strings.NewReader("pearl")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.ContentLength = -1
+		req.Trailer = http.Header{"X-Check": {"7"}}
+		a := b.do(req, "Connection", "X-Hop", "X-Hop", "dropped", "X-Kept", "kept", "Te", "trailers")
+		mu.Lock()
+		if seen.Method != method || seen.RequestURI != "/a%2Fb/c?q=1&q=2" || body != "pearl" || seen.Trailer.Get("X-Check") != "7" {
+			t.Errorf("%s: the upstream saw %s %s %q %v", method, seen.Method, seen.RequestURI, body, seen.Trailer)
+		}
+		for _, name := range []string{"X-Hop", "Connection", "Te", "Authorization"} {
+			if seen.Header.Get(name) != "" {
+				t.Errorf("%s: %s was passed on", method, name)
+			}
+		}
+		mu.Unlock()
+		if a.status != http.StatusTeapot || a.head.Get("X-Own") != "kept" || a.head.Get("Keep-Alive") != "" {
+			t.Errorf("%s: got %d %v", method, a.status, a.head)
+		}
+		if method != "HEAD" && (a.body != "body" || a.trailer.Get("X-Sum") != "42") {
+			t.Errorf("%s: got %q, trailer %v", method, a.body, a.trailer)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{MaxHeaders: 10})
+	b.services["status"].MaxBody = 8
+	b.serve(func(w http.ResponseWriter, r *http.Request) {})
+	many := []string{}
+	for n := range 12 {
+		many = append(many, fmt.Sprint("X-N", n), "v")
+	}
+	cases := []struct {
+		name   string
+		path   string
+		body   string
+		fields []string
+		code   pomelorelay.ResultCode
+	}{
+		{"no such service", "/nothing/x", "", nil, pomelorelay.CodeUnknownPath},
+		{"no service", "/", "", nil, pomelorelay.CodeUnknownPath},
+		{"body over the bound", "/status/x", "123456789", nil, pomelorelay.CodeTooLarge},
+		{"too many fields", "/status/x", "", many, pomelorelay.CodeHeaderBounds},
+		{"bad timeout", "/status/x", "", []string{"X-Timeout", "soon"}, pomelorelay.CodeBadRequest},
+		{"timeout of nothing", "/status/x", "", []string{"X-Timeout", "0s"}, pomelorelay.CodeBadRequest},
+		{"bad hint", "/status/x", "", []string{"X-Cost-Hint", "NaN"}, pomelorelay.CodeBadRequest},
+		{"no key", "/booking/x", "", nil, pomelorelay.CodeClaimKeyNeeded},
+		{"long key", "/booking/x", "", []string{"Idempotency-Key", strings.Repeat("k", 256)}, pomelorelay.CodeClaimKeyBounds},
+		{"not JSON", "/drafter/v1/completions", "{", nil, pomelorelay.CodeBadRequest},
+		{"no such model", "/drafter/v1/completions", `{"model":"none"}`, nil, pomelorelay.CodeNoUpstream},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := b.call("POST", c.path, c.body, c.fields...)
+			p := a.problem(t)
+			if p.Code != c.code || p.Ran != pomelorelay.RanNo || a.status != c.code.Info().HTTPStatus || a.head.Get("Ran") != "No" || a.head.Get("Content-Type") != "application/problem+json" {
+				t.Errorf("got %d %+v", a.status, p)
+			}
+		})
+	}
+	for _, token := range []string{"", "Bearer wrong", "Basic " + workshopToken, "Bearer "} {
+		req, _ := http.NewRequest("GET", b.url+"/status/x", nil)
+		req.Header.Set("Authorization", token)
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusUnauthorized {
+			t.Errorf("token %q: got %d", token, resp.StatusCode)
+		}
+	}
+	b.refuse = &pomelorelay.Error{Code: pomelorelay.CodeQuarantined, Ran: pomelorelay.RanNo, RetryAfter: 90 * time.Second}
+	if a := b.call("POST", "/status/x", ""); a.problem(t).Code != pomelorelay.CodeQuarantined || a.head.Get("Retry-After") != "90" {
+		t.Errorf("quarantined: got %d %v", a.status, a.head)
+	}
+}
+
+// A caller sends its booking again with the same key, another account uses the same key, and the key comes with another body.
+func TestRepeatGetsTheStoredAnswer(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	runs := 0
+	b.serve(func(w http.ResponseWriter, r *http.Request) {
+		runs++
+		w.Header().Set("Content-Type", "text/x-booking")
+		w.WriteHeader(http.StatusCreated)
+		fmt.Fprint(w, "booked ", runs)
+	})
+	first := b.call("POST", "/booking/jobs", "ring", "Idempotency-Key", "k")
+	again := b.call("POST", "/booking/jobs", "ring", "Idempotency-Key", "k")
+	if runs != 1 || again.body != first.body || again.status != http.StatusCreated || again.head.Get("Content-Type") != "text/x-booking" || again.head.Get("Idempotency-Replayed") != "true" {
+		t.Errorf("%d runs, then %d %q", runs, again.status, again.body)
+	}
+	if p := b.call("POST", "/booking/jobs", "necklace", "Idempotency-Key", "k").problem(t); p.Code != pomelorelay.CodeClaimConflict {
+		t.Errorf("another body under the key: got %+v", p)
+	}
+	req, _ := http.NewRequest("POST", b.url+"/booking/jobs", strings.NewReader("ring"))
+	req.Header.Set("Authorization", "Bearer "+rivalToken)
+	req.Header.Set("Idempotency-Key", "k")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if string(text) != "booked 2" {
+		t.Errorf("the rival with the same key got %q", text)
+	}
+}
+
+// The counter's connection drops while its booking runs. The booking runs on and its outcome is there for the repeat.
+func TestClaimedRequestOutlivesItsCaller(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	arrived, finish := make(chan struct{}), make(chan struct{})
+	b.serve(func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		select {
+		case <-finish:
+		case <-r.Context().Done():
+			t.Error("the booking was cancelled")
+		}
+		fmt.Fprint(w, "booked")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "POST", b.url+"/booking/jobs", strings.NewReader("ring"))
+	go b.do(req, "Idempotency-Key", "k")
+	<-arrived
+	cancel()
+	time.Sleep(5 * time.Millisecond)
+	close(finish)
+	waitFor(t, "the outcome was kept", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.settled) == 1
+	})
+	if a := b.call("POST", "/booking/jobs", "ring", "Idempotency-Key", "k"); a.body != "booked" {
+		t.Errorf("the repeat got %d %q", a.status, a.body)
+	}
+}
+
+// A caller gives up a request that may be repeated. Its upstream must hear of it, or a slot works for nobody.
+func TestCancelReachesTheUpstream(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	arrived, cancelled := make(chan struct{}), make(chan struct{})
+	b.serve(func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "GET", b.url+"/status/ring", nil)
+	go b.do(req)
+	<-arrived
+	cancel()
+	<-cancelled
+	waitFor(t, "the slot was given back", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.results) == 1
+	})
+	if r := b.lastResult(); r.Code != pomelorelay.CodeCallerGone {
+		t.Errorf("got %+v", r)
+	}
+}
+
+// An upstream dies under a request that may be repeated. The request is a suspect before it is tried elsewhere, and a
+// connection that was only cut makes nothing a suspect.
+func TestOnlyACrashMakesASuspect(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	var dying *wire
+	dying = newWire(t, func(w *wire, n int64, conn net.Conn, r *bufio.Reader) {
+		if _, ok := w.read(r); ok {
+			dying.ln.Close()
+		}
+	})
+	crashing := b.add(dying.addr())
+	cutting := newWire(t, func(w *wire, n int64, conn net.Conn, r *bufio.Reader) { w.read(r) })
+	b.add(cutting.addr())
+	b.serve(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "cleaned") })
+	if a := b.call("GET", "/status/ring", ""); a.body != "cleaned" {
+		t.Fatalf("got %d %q", a.status, a.body)
+	}
+	if len(b.crashed) != 1 || b.crashed[0].Upstream != crashing.Name || b.ended != 2 {
+		t.Errorf("crashed %+v, %d ended", b.crashed, b.ended)
+	}
+	known := slices.IndexFunc(b.checked, func(r pomeloroute.SuspectRun) bool { return r.Known })
+	if known != 1 {
+		t.Errorf("the attempt after the crash did not say that it is a suspect: %+v", b.checked)
+	}
+}
+
+// An answer whose length is not told ends the same way when its upstream dies in the middle.
+func TestAnswerWithoutFramingIsRefused(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	b.add(newWire(t, func(w *wire, n int64, conn net.Conn, r *bufio.Reader) {
+		w.read(r)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf of it")
+	}).addr())
+	if p := b.call("GET", "/status/ring", "").problem(t); p.Ran != pomelorelay.RanUnknown {
+		t.Errorf("got %+v", p)
+	}
+	b.upstreams = nil
+	b.add(newWire(t, func(w *wire, n int64, conn net.Conn, r *bufio.Reader) {
+		w.read(r)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Fill: "+strings.Repeat("x", 1<<20)+"\r\n\r\n")
+	}).addr())
+	if p := b.call("POST", "/booking/jobs", "r", "Idempotency-Key", "k").problem(t); p.Code != pomelorelay.CodeAnswerMalformed {
+		t.Errorf("endless header: got %+v", p)
+	}
+}
+
+// A large answer breaks after its caller has the status; the caller must not take what it has for the whole.
+func TestLargeAnswerCutIsSeen(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{BufferAnswer: 1 << 10})
+	large := strings.Repeat("pearl ", 100<<10)
+	for _, whole := range []bool{true, false} {
+		b.upstreams = nil
+		b.add(newWire(t, func(w *wire, n int64, conn net.Conn, r *bufio.Reader) {
+			id, _ := w.read(r)
+			text := plainAnswer(id, large)
+			if !whole {
+				text = text[:len(text)-1]
+			}
+			conn.Write(text)
+		}).addr())
+		a := b.call("GET", "/status/ring", "")
+		if (a.err == nil && a.body == large) != whole || (a.err == nil) != whole {
+			t.Errorf("whole %v: got %d bytes, %v", whole, len(a.body), a.err)
+		}
+	}
+}
--- /dev/null
+++ b/pomeloroute/call.go
@@ -0,0 +1,236 @@
+package pomeloroute
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+
+	"github.com/gorilla/mux"
+)
+
+const (
+	maxKey      = 255
+	prefixBytes = 512
+)
+
+// call is one caller's request on its way through the router.
+type call struct {
+	h       *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	account *pomeloconfig.Account
+	service *pomeloconfig.Service
+	id      pomelorelay.RequestID
+	wire    string
+	path    string
+	model   pomelorelay.ModelID
+	hint    pomelorelay.Cost
+	key     string
+	body    *bytes.Buffer
+	// deadline bounds the whole call, waitUntil the wait for a slot.
+	deadline    time.Time
+	waitUntil   time.Time
+	fingerprint pomelorelay.Fingerprint
+	claim       Claim
+	claimed     bool
+	// answering is set once a byte of an answer went to the caller; from then on nothing is tried again.
+	answering bool
+	// told is set once the caller was told by an error event that its stream broke off.
+	told    bool
+	suspect bool
+	// mayHaveRun is set while and after an attempt whose request may have run.
+	mayHaveRun bool
+	// kept is the outcome of a claimed request that ran.
+	kept  *pomelorelay.ClaimOutcome
+	avoid []pomelorelay.UpstreamID
+}
+
+type modelRequest struct {
+	Model pomelorelay.ModelID `json:"model"`
+}
+
+func (h *Handler) newCall(w http.ResponseWriter, r *http.Request) (*call, error) {
+	c := &call{h: h, w: w, r: r}
+	if err := checkHeaderBounds(r.Header, h.cfg.Options); err != nil {
+		return nil, err
+	}
+	if err := c.identify(); err != nil {
+		return nil, err
+	}
+	if err := c.readFields(); err != nil {
+		return nil, err
+	}
+	if err := c.readBody(); err != nil {
+		c.release()
+		return nil, err
+	}
+	if err := c.readModel(); err != nil {
+		c.release()
+		return nil, err
+	}
+	c.id = h.nextID()
+	c.wire = h.wireID(c.id)
+	c.fingerprint = fingerprint(c.account.Name, c.service.Name, c.bytes())
+	return c, nil
+}
+
+func (c *call) identify() error {
+	snapshot := c.h.cfg.Directory.Current()
+	if snapshot == nil {
+		return pomelorelay.NewError(pomelorelay.CodeNotReady, "", nil)
+	}
+	var err error
+	if c.account, err = authenticate(snapshot, c.r.Header); err != nil {
+		return err
+	}
+	escaped := mux.Vars(c.r)["service"]
+	name, err := url.PathUnescape(escaped)
+	if err != nil {
+		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "the path cannot be read", err)
+	}
+	service, ok := snapshot.Service(pomelorelay.ServiceID(name))
+	if !ok {
+		return pomelorelay.NewError(pomelorelay.CodeUnknownPath, "", nil)
+	}
+	c.service = service
+	c.path = strings.TrimPrefix(c.r.URL.EscapedPath(), "/"+escaped)
+	if c.path == "" {
+		c.path = "/"
+	}
+	return nil
+}
+
+func (c *call) readFields() error {
+	now := c.h.cfg.Clock.Now()
+	wait, timeout := c.bounds()
+	c.waitUntil = now.Add(wait)
+	c.deadline = now.Add(wait + timeout)
+	if text := c.r.Header.Get(headerTimeout); text != "" {
+		given, err := time.ParseDuration(text)
+		if err != nil || given <= 0 {
+			return pomelorelay.NewError(pomelorelay.CodeBadRequest, "X-Timeout is not a duration above zero, such as 30s", nil)
+		}
+		c.deadline = earlier(c.deadline, now.Add(given))
+		c.waitUntil = earlier(c.waitUntil, c.deadline)
+	}
+	if text := c.r.Header.Get(headerCostHint); text != "" {
+		hint, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(hint >= 0) || hint > 1e12 {
+			return pomelorelay.NewError(pomelorelay.CodeBadRequest, "X-Cost-Hint is not a number from 0 to 1e12", nil)
+		}
+		c.hint = pomelorelay.Cost(hint)
+	}
+	c.key = c.r.Header.Get(headerKey)
+	if len(c.key) > maxKey {
+		return pomelorelay.NewError(pomelorelay.CodeClaimKeyBounds, "", nil)
+	}
+	if c.key == "" && c.service.NonIdempotent && !c.service.KeyOptional {
+		return pomelorelay.NewError(pomelorelay.CodeClaimKeyNeeded, "", nil)
+	}
+	return nil
+}
+
+func (c *call) bounds() (wait, timeout time.Duration) {
+	wait, timeout = c.service.MaxWait, c.service.Timeout
+	setDuration(&wait, c.h.cfg.Options.MaxWait)
+	setDuration(&timeout, c.h.cfg.Options.Timeout)
+	return wait, timeout
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (c *call) readBody() error {
+	limit := int64(c.service.MaxBody)
+	if limit <= 0 {
+		limit = int64(c.h.cfg.Options.MaxBody)
+	}
+	if c.r.ContentLength > limit {
+		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
+	}
+	c.body = c.h.buffers.body()
+	_, err := c.body.ReadFrom(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
+	}
+	if err != nil {
+		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "the body ended early", err)
+	}
+	return nil
+}
+
+func (c *call) readModel() error {
+	if c.service.Kind != pomeloconfig.ServiceModel || len(c.bytes()) == 0 {
+		return nil
+	}
+	var m modelRequest
+	if err := json.Unmarshal(c.bytes(), &m); err != nil {
+		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "the body is not JSON with a model", err)
+	}
+	c.model = m.Model
+	if snapshot := c.h.cfg.Directory.Current(); snapshot == nil || !snapshot.HasPool(c.pool()) {
+		return pomelorelay.NewError(pomelorelay.CodeNoUpstream, "no upstream serves the model", nil)
+	}
+	return nil
+}
+
+func (c *call) pool() pomelorelay.PoolID { return pomelorelay.Pool(c.service.Name, c.model) }
+
+func (c *call) bytes() []byte {
+	if c.body == nil {
+		return nil
+	}
+	return c.body.Bytes()
+}
+
+// release gives the body's memory back; a stream that runs for minutes must not hold it.
+func (c *call) release() {
+	if c.body == nil {
+		return
+	}
+	c.h.buffers.putBody(c.body)
+	c.body = nil
+}
+
+// repeatable reports whether a request that may have run may be sent again.
+func (c *call) repeatable() bool { return !c.service.NonIdempotent && c.key == "" }
+
+// fail tells the caller of an error: by a refusal while nothing was answered, otherwise by closing the connection.
+func (c *call) fail(err error) {
+	if c.answering {
+		panic(http.ErrAbortHandler)
+	}
+	c.h.refuse(c.w, err)
+}
+
+// context returns the context of an attempt. A claimed request runs on when its caller leaves, so that its outcome is
+// kept for the caller's repeat; every other is cancelled at its upstream.
+func (c *call) context() (context.Context, context.CancelFunc) {
+	parent := c.r.Context()
+	if c.claimed {
+		parent = context.WithoutCancel(parent)
+	}
+	return context.WithDeadline(parent, c.deadline)
+}
+
+func (c *call) bodyReader() io.ReadCloser {
+	if len(c.bytes()) == 0 {
+		return http.NoBody
+	}
+	return io.NopCloser(bytes.NewReader(c.bytes()))
+}
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -150,6 +150,8 @@
 
 // SuspectRun names one attempt to the crash suspects' part.
 type SuspectRun struct {
+	// Known tells that the request itself ran where an upstream crashed; no snapshot may answer for it.
+	Known         bool
 	Request       pomelorelay.RequestID
 	Fingerprint   pomelorelay.Fingerprint
 	Upstream      pomelorelay.UpstreamID
--- /dev/null
+++ b/pomeloroute/defaults.go
@@ -0,0 +1,68 @@
+package pomeloroute
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Defaults of Options.
+const (
+	defaultMaxHeaders     = 100
+	defaultMaxHeaderBytes = 32 << 10
+	defaultMaxBody        = 1 << 20
+	defaultBufferAnswer   = 64 << 10
+	defaultKeepOutcome    = 4 << 10
+	defaultDialTimeout    = time.Second
+	defaultIdleConns      = 64
+	defaultIdleTimeout    = 30 * time.Second
+	defaultTimeout        = 10 * time.Minute
+	defaultMaxWait        = time.Minute
+	defaultMaxAttempts    = 3
+	defaultRetryAfter     = time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.Clock == nil {
+		c.Clock = pomelorelay.SystemClock{}
+	}
+	if c.Logger == nil {
+		c.Logger = pomelorelay.NopLogger{}
+	}
+	c.Options = c.Options.withDefaults()
+	return c
+}
+
+func (o Options) withDefaults() Options {
+	setCount(&o.MaxHeaders, defaultMaxHeaders)
+	setBytes(&o.MaxHeaderBytes, defaultMaxHeaderBytes)
+	setBytes(&o.MaxBody, defaultMaxBody)
+	setBytes(&o.BufferAnswer, defaultBufferAnswer)
+	setBytes(&o.KeepOutcome, defaultKeepOutcome)
+	setDuration(&o.DialTimeout, defaultDialTimeout)
+	setCount(&o.IdleConns, defaultIdleConns)
+	setDuration(&o.IdleTimeout, defaultIdleTimeout)
+	setDuration(&o.Timeout, defaultTimeout)
+	setDuration(&o.MaxWait, defaultMaxWait)
+	setCount(&o.MaxAttempts, defaultMaxAttempts)
+	setDuration(&o.RetryAfter, defaultRetryAfter)
+	return o
+}
+
+func setCount(field *int, value int) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+func setBytes(field *pomelorelay.Bytes, value pomelorelay.Bytes) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+func setDuration(field *time.Duration, value time.Duration) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- a/pomeloroute/handler.go
+++ b/pomeloroute/handler.go
@@ -1,17 +1,87 @@
 package pomeloroute
 
-import "net/http"
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/gorilla/mux"
+)
 
 // Handler serves callers; it is safe for concurrent use.
 type Handler struct {
-	cfg Config
+	cfg     Config
+	router  *mux.Router
+	conns   *connPool
+	buffers *bufferPool
+	lastID  atomic.Uint64
+
+	mu      sync.Mutex
+	budgets map[pomelorelay.ServiceID]*retryBudget
 }
 
-// New returns a Handler.
-func New(cfg Config) *Handler { return &Handler{cfg: cfg} }
+// New returns a Handler; Close ends its goroutine and its idle connections.
+func New(cfg Config) *Handler {
+	cfg = cfg.withDefaults()
+	h := &Handler{
+		cfg:     cfg,
+		router:  mux.NewRouter().SkipClean(true).UseEncodedPath(),
+		conns:   newConnPool(cfg.Options),
+		buffers: newBufferPool(),
+		budgets: make(map[pomelorelay.ServiceID]*retryBudget),
+	}
+	h.router.HandleFunc("/{service}", h.serve)
+	h.router.PathPrefix("/{service}/").HandlerFunc(h.serve)
+	h.router.NotFoundHandler = http.HandlerFunc(h.unknownPath)
+	return h
+}
 
 // ServeHTTP answers one caller's request.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { http.NotFound(w, r) }
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
 
 // Close closes the idle connections to upstreams.
-func (h *Handler) Close() error { return nil }
+func (h *Handler) Close() error {
+	h.conns.close()
+	return nil
+}
+
+func (h *Handler) unknownPath(w http.ResponseWriter, _ *http.Request) {
+	h.refuse(w, pomelorelay.NewError(pomelorelay.CodeUnknownPath, "", nil))
+}
+
+// serve answers a request under a service's path. Every way out but an aborted connection writes an answer.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
+	c, err := h.newCall(w, r)
+	if err != nil {
+		h.refuse(w, err)
+		return
+	}
+	defer c.release()
+	if err := c.run(); err != nil {
+		c.fail(err)
+	}
+}
+
+func (h *Handler) nextID() pomelorelay.RequestID {
+	return pomelorelay.RequestID(h.lastID.Add(1))
+}
+
+// wireID returns the id that travels with a request to its upstream and back; it is unique in the fleet, so that no
+// answer can be taken for another request's, also across routers and restarts.
+func (h *Handler) wireID(id pomelorelay.RequestID) string {
+	return fmt.Sprintf("%s-%x-%x", h.cfg.Node, uint64(h.cfg.Incarnation), uint64(id))
+}
+
+func (h *Handler) budget(service pomelorelay.ServiceID) *retryBudget {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b, ok := h.budgets[service]
+	if !ok {
+		b = &retryBudget{tokens: budgetFloor}
+		h.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/pomeloroute/headers.go
@@ -0,0 +1,68 @@
+package pomeloroute
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// hopHeaders belong to one connection and are never passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// removeHopHeaders drops the fields of one connection, those that Connection names included.
+func removeHopHeaders(head http.Header) {
+	for _, line := range head["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			head.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(head, name)
+	}
+}
+
+// upstreamHeader returns the header of a request to an upstream: the caller's, without the fields of its connection,
+// its token and what the router speaks itself.
+func upstreamHeader(from http.Header) http.Header {
+	head := from.Clone()
+	removeHopHeaders(head)
+	for _, name := range []string{"Authorization", "Expect", "Content-Length", headerTimeout, headerCostHint, headerRan} {
+		head.Del(name)
+	}
+	if _, ok := head["User-Agent"]; !ok {
+		// An empty entry keeps net/http from adding a name of its own.
+		head["User-Agent"] = []string{""}
+	}
+	return head
+}
+
+// copyAnswerHeader passes an answer's header on; Ran is the router's own word and is not taken from an upstream.
+func copyAnswerHeader(to, from http.Header) {
+	removeHopHeaders(from)
+	for name, values := range from {
+		if name == headerRan {
+			continue
+		}
+		to[name] = append(to[name][:0:0], values...)
+	}
+}
+
+// checkHeaderBounds keeps a caller from filling memory with header fields.
+func checkHeaderBounds(head http.Header, o Options) error {
+	count := 0
+	var size pomelorelay.Bytes
+	for name, values := range head {
+		count += len(values)
+		for _, v := range values {
+			size += pomelorelay.Bytes(len(name) + len(v))
+		}
+	}
+	if count > o.MaxHeaders || size > o.MaxHeaderBytes {
+		return pomelorelay.NewError(pomelorelay.CodeHeaderBounds, "", nil)
+	}
+	return nil
+}
--- /dev/null
+++ b/pomeloroute/helpers_test.go
@@ -0,0 +1,296 @@
+package pomeloroute_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomeloroute"
+)
+
+const (
+	workshopToken = "workshop-token"
+	rivalToken    = "rival-token"
+)
+
+// bench is a router with the interfaces of its Config played by the test.
+type bench struct {
+	t         testing.TB
+	url       string
+	services  map[pomelorelay.ServiceID]*pomeloconfig.Service
+	upstreams []*pomeloconfig.Upstream
+	refuse    error
+
+	mu      sync.Mutex
+	next    int
+	results []pomeloroute.Result
+	claims  map[pomelorelay.ClaimKey]*kept
+	settled []pomeloroute.Settlement
+	crashed []pomeloroute.SuspectRun
+	ended   int
+	checked []pomeloroute.SuspectRun
+}
+
+type kept struct {
+	content pomelorelay.Fingerprint
+	claim   pomeloroute.Claim
+}
+
+func newBench(t testing.TB, options pomeloroute.Options) *bench {
+	b := &bench{t: t, claims: make(map[pomelorelay.ClaimKey]*kept), services: map[pomelorelay.ServiceID]*pomeloconfig.Service{
+		"status":  {Name: "status", Kind: pomeloconfig.ServicePlain, RetryBudget: 1, MaxBody: 256 << 10},
+		"booking": {Name: "booking", Kind: pomeloconfig.ServicePlain, NonIdempotent: true, RetryBudget: 1},
+		"drafter": {Name: "drafter", Kind: pomeloconfig.ServiceModel, InputCost: 1, OutputCost: 2, RetryBudget: 1},
+	}}
+	h := pomeloroute.New(pomeloroute.Config{Node: "router-1", Incarnation: 7, Directory: b, Admission: b, Claims: b, Suspects: b, Options: options})
+	server := httptest.NewServer(h)
+	b.url = server.URL
+	t.Cleanup(func() {
+		server.Close()
+		h.Close()
+	})
+	return b
+}
+
+func (b *bench) Current() pomeloroute.Snapshot { return b }
+
+func (b *bench) Account(token pomelorelay.Hash) (*pomeloconfig.Account, bool) {
+	for name, plain := range map[pomelorelay.AccountID]string{"workshop": workshopToken, "rival": rivalToken} {
+		if digest := sha256.Sum256([]byte(plain)); digest == token {
+			return &pomeloconfig.Account{Name: name, TokenHashes: []string{hex.EncodeToString(digest[:])}}, true
+		}
+	}
+	return nil, false
+}
+
+func (b *bench) Service(name pomelorelay.ServiceID) (*pomeloconfig.Service, bool) {
+	s, ok := b.services[name]
+	return s, ok
+}
+
+func (b *bench) HasPool(pool pomelorelay.PoolID) bool { return pool != "drafter/none" }
+
+func (b *bench) Admit(_ context.Context, r pomeloroute.AdmitRequest) (pomeloroute.Ticket, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for range b.upstreams {
+		u := b.upstreams[b.next%len(b.upstreams)]
+		b.next++
+		if !slices.Contains(r.Avoid, u.Name) {
+			return &ticket{b: b, up: u}, nil
+		}
+	}
+	return nil, pomelorelay.NewError(pomelorelay.CodeNoUpstream, "", nil)
+}
+
+type ticket struct {
+	b  *bench
+	up *pomeloconfig.Upstream
+}
+
+func (t *ticket) Upstream() *pomeloconfig.Upstream { return t.up }
+func (t *ticket) Progress(pomelorelay.Cost)        {}
+func (t *ticket) Done(r pomeloroute.Result) {
+	t.b.mu.Lock()
+	defer t.b.mu.Unlock()
+	t.b.results = append(t.b.results, r)
+}
+
+func (b *bench) Claim(_ context.Context, key pomelorelay.ClaimKey, content pomelorelay.Fingerprint) (pomeloroute.Claim, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if k, ok := b.claims[key]; ok {
+		c := k.claim
+		if k.content != content {
+			c.State = pomelorelay.ClaimConflict
+		}
+		return c, nil
+	}
+	b.claims[key] = &kept{content: content, claim: pomeloroute.Claim{Key: key, State: pomelorelay.ClaimRunning}}
+	return pomeloroute.Claim{Key: key, State: pomelorelay.ClaimFresh}, nil
+}
+
+func (b *bench) Settle(c pomeloroute.Claim, s pomeloroute.Settlement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settled = append(b.settled, s)
+	if s.Released {
+		delete(b.claims, c.Key)
+		return
+	}
+	b.claims[c.Key].claim = pomeloroute.Claim{Key: c.Key, State: s.State, Outcome: s.Outcome}
+}
+
+func (b *bench) Refuse(pomelorelay.Fingerprint) error { return b.refuse }
+
+func (b *bench) Check(_ context.Context, run pomeloroute.SuspectRun) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.checked = append(b.checked, run)
+	return nil
+}
+
+func (b *bench) Began(pomeloroute.SuspectRun) {}
+
+func (b *bench) Crashed(run pomeloroute.SuspectRun) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crashed = append(b.crashed, run)
+}
+
+func (b *bench) Ended(pomeloroute.SuspectRun) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended++
+}
+
+func (b *bench) lastResult() pomeloroute.Result {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.results[len(b.results)-1]
+}
+
+// add makes the address an upstream that every pool may use.
+func (b *bench) add(addr string) *pomeloconfig.Upstream {
+	name := pomelorelay.UpstreamID("upstream-" + string(rune('a'+len(b.upstreams))))
+	u := &pomeloconfig.Upstream{Name: name, Address: netip.MustParseAddrPort(addr)}
+	b.upstreams = append(b.upstreams, u)
+	return u
+}
+
+func (b *bench) serve(h http.HandlerFunc) *httptest.Server {
+	s := httptest.NewServer(h)
+	b.t.Cleanup(s.Close)
+	b.add(s.Listener.Addr().String())
+	return s
+}
+
+// answer is what a caller got; err tells that its connection was cut.
+type answer struct {
+	status  int
+	head    http.Header
+	trailer http.Header
+	body    string
+	err     error
+}
+
+func (a answer) problem(t testing.TB) pomeloroute.Problem {
+	t.Helper()
+	var p pomeloroute.Problem
+	if err := json.Unmarshal([]byte(a.body), &p); err != nil {
+		t.Fatalf("not a problem: %d %q", a.status, a.body)
+	}
+	return p
+}
+
+func (b *bench) call(method, path, body string, fields ...string) answer {
+	req, err := http.NewRequest(method, b.url+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return b.do(req, fields...)
+}
+
+func (b *bench) do(req *http.Request, fields ...string) answer {
+	req.Header.Set("Authorization", "Bearer "+workshopToken)
+	for i := 0; i+1 < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
+	// The test's own caller must not send anything twice either.
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, head: resp.Header, trailer: resp.Trailer, body: string(text), err: err}
+}
+
+// wire is an upstream that a test plays byte by byte; it counts connections and requests that arrived whole.
+type wire struct {
+	ln    net.Listener
+	conns atomic.Int64
+	whole atomic.Int64
+	begun atomic.Int64
+}
+
+// newWire serves each connection with play, which is given the number of the connection, from one.
+func newWire(t testing.TB, play func(w *wire, n int64, conn net.Conn, r *bufio.Reader)) *wire {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &wire{ln: ln}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n := w.conns.Add(1)
+			go func() {
+				defer conn.Close()
+				play(w, n, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return w
+}
+
+func (w *wire) addr() string { return w.ln.Addr().String() }
+
+// read takes a whole request and returns its id.
+func (w *wire) read(r *bufio.Reader) (id string, ok bool) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", false
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return "", false
+	}
+	w.whole.Add(1)
+	return req.Header.Get("X-Request-Id"), true
+}
+
+func plainAnswer(id, body string) []byte {
+	var text bytes.Buffer
+	text.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n")
+	if id != "" {
+		text.WriteString("X-Request-Id: " + id + "\r\n")
+	}
+	text.WriteString("Content-Length: " + itoa(len(body)) + "\r\n\r\n" + body)
+	return text.Bytes()
+}
+
+func itoa(n int) string {
+	text, _ := json.Marshal(n)
+	return string(text)
+}
+
+func waitFor(t testing.TB, what string, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
--- /dev/null
+++ b/pomeloroute/problem.go
@@ -0,0 +1,97 @@
+package pomeloroute
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Header fields of the router's own.
+const (
+	headerRan       = "Ran"
+	headerRequestID = "X-Request-Id"
+	headerTimeout   = "X-Timeout"
+	headerCostHint  = "X-Cost-Hint"
+	headerKey       = "Idempotency-Key"
+	headerReplayed  = "Idempotency-Replayed"
+	headerLastEvent = "Last-Event-Id"
+)
+
+const problemType = "application/problem+json"
+
+// Problem is the body of a refusal.
+type Problem struct {
+	Type   string                 `json:"type"`
+	Title  string                 `json:"title"`
+	Status int                    `json:"status"`
+	Detail string                 `json:"detail"`
+	Code   pomelorelay.ResultCode `json:"Code"`
+	Ran    pomelorelay.Ran        `json:"Ran"`
+}
+
+func asError(err error) *pomelorelay.Error {
+	var coded *pomelorelay.Error
+	if errors.As(err, &coded) {
+		return coded
+	}
+	return pomelorelay.NewError(pomelorelay.CodeInternal, err.Error(), nil)
+}
+
+func newProblem(e *pomelorelay.Error) Problem {
+	info := e.Code.Info()
+	detail := e.Detail
+	if detail == "" {
+		detail = info.Meaning
+	}
+	return Problem{Type: "about:blank", Title: info.Name, Status: info.HTTPStatus, Detail: detail, Code: e.Code, Ran: e.Ran}
+}
+
+// encode returns the problem as JSON; its fields are plain, so it cannot fail.
+func (p Problem) encode() []byte {
+	text, err := json.Marshal(p)
+	if err != nil {
+		return []byte("{}")
+	}
+	return text
+}
+
+// refuse answers with a problem; nothing may have been written to w before.
+func (h *Handler) refuse(w http.ResponseWriter, err error) {
+	e := asError(err)
+	p := newProblem(e)
+	head := w.Header()
+	head.Set("Content-Type", problemType)
+	head.Set(headerRan, string(p.Ran))
+	head.Set("Cache-Control", "no-store")
+	if after := h.retryAfter(e, p.Status); after > 0 {
+		head.Set("Retry-After", strconv.Itoa(after))
+	}
+	if p.Status == http.StatusUnauthorized {
+		head.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(p.Status)
+	// A caller that is gone cannot be told; the server closes the connection.
+	_, _ = w.Write(p.encode())
+}
+
+// retryAfter returns whole seconds, rounded up: a caller that comes back too early is refused again.
+func (h *Handler) retryAfter(e *pomelorelay.Error, status int) int {
+	wait := e.RetryAfter
+	if wait <= 0 && mayComeBack(status) {
+		wait = h.cfg.Options.RetryAfter
+	}
+	return int(math.Ceil(float64(wait) / float64(time.Second)))
+}
+
+func mayComeBack(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusConflict, http.StatusBadGateway, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/pomeloroute/run.go
@@ -0,0 +1,241 @@
+package pomeloroute
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// run takes a call through its claim and its attempts.
+func (c *call) run() error {
+	if err := c.h.cfg.Suspects.Refuse(c.fingerprint); err != nil {
+		return err
+	}
+	c.h.budget(c.service.Name).earn(c.service.RetryBudget)
+	if c.key == "" {
+		return c.attempts()
+	}
+	if err := c.takeClaim(); err != nil {
+		return err
+	}
+	if !c.claimed {
+		c.replay()
+		return nil
+	}
+	defer c.settle()
+	return c.attempts()
+}
+
+// attempts sends the request until it is answered or must not be sent again.
+func (c *call) attempts() error {
+	for n := 1; ; n++ {
+		f := c.attempt()
+		if f == nil {
+			return nil
+		}
+		if n < c.h.cfg.Options.MaxAttempts && c.mayRetry(f) && c.h.budget(c.service.Name).spend() {
+			continue
+		}
+		return c.truthful(f.err)
+	}
+}
+
+func (c *call) mayRetry(f *failure) bool {
+	if c.answering || c.r.Context().Err() != nil || !c.h.cfg.Clock.Now().Before(c.deadline) {
+		return false
+	}
+	switch f.outcome {
+	case OutcomeNotSent, OutcomeRefusedNotRun:
+		return true
+	case OutcomeCutShort, OutcomeUnknown:
+		return c.repeatable()
+	}
+	return false
+}
+
+// truthful keeps the last attempt's "not run" from being said of a request whose earlier attempt may have run.
+func (c *call) truthful(e *pomelorelay.Error) error {
+	if !c.mayHaveRun || e.Ran != pomelorelay.RanNo {
+		return e
+	}
+	changed := *e
+	changed.Ran = pomelorelay.RanUnknown
+	return &changed
+}
+
+// attempt waits for a slot and sends the request once.
+func (c *call) attempt() *failure {
+	ctx, cancel := c.context()
+	defer cancel()
+	ticket, f := c.admit()
+	if f != nil {
+		return f
+	}
+	result := Result{Outcome: OutcomeNotSent}
+	defer func() { ticket.Done(result) }()
+	run := c.suspectRun(ticket)
+	if err := c.h.cfg.Suspects.Check(ctx, run); err != nil {
+		return refusal(ctx, err)
+	}
+	m := newMeter(c, ticket)
+	c.h.cfg.Suspects.Began(run)
+	// Until the outcome is known the request counts as one that may have run, also when a defect ends this function.
+	before := c.mayHaveRun
+	c.mayHaveRun = true
+	ended := false
+	defer func() {
+		if !ended {
+			m.end()
+			c.h.cfg.Suspects.Ended(run)
+		}
+	}()
+	f = c.exchange(ctx, ticket, m)
+	ended = true
+	result = m.end()
+	result.Outcome = OutcomeWhole
+	if f != nil {
+		result.Outcome = f.outcome
+		result.Code = f.err.Code
+		c.avoid = append(c.avoid, ticket.Upstream().Name)
+	}
+	c.mayHaveRun = before || result.Outcome == OutcomeCutShort || result.Outcome == OutcomeUnknown
+	c.endRun(ctx, ticket, run, f)
+	if f != nil {
+		result.Code = f.err.Code
+	}
+	return c.afterAnswer(f)
+}
+
+// afterAnswer ends a call whose answer had begun when it failed: a caller that was not told has its connection closed.
+func (c *call) afterAnswer(f *failure) *failure {
+	if f == nil || !c.answering {
+		return f
+	}
+	if !c.told {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// endRun tells the crash suspects' part how the attempt ended. Only an upstream that cut the connection and takes no
+// other has crashed.
+func (c *call) endRun(ctx context.Context, ticket Ticket, run SuspectRun, f *failure) {
+	crashed := f != nil && f.cut && c.h.conns.refuses(ctx, ticket.Upstream().Address)
+	if !crashed {
+		c.h.cfg.Suspects.Ended(run)
+		return
+	}
+	c.suspect = true
+	f.err = pomelorelay.NewError(pomelorelay.CodeUpstreamCrashed, "", f.err)
+	c.h.cfg.Logger.Log(pomelorelay.EventUpstreamCrashed, pomelorelay.Field{Key: "Upstream", Value: run.Upstream}, pomelorelay.Field{Key: "Request", Value: c.wire})
+	c.h.cfg.Suspects.Crashed(run)
+}
+
+func (c *call) suspectRun(ticket Ticket) SuspectRun {
+	return SuspectRun{
+		Known:         c.suspect,
+		Request:       c.id,
+		Fingerprint:   c.fingerprint,
+		Upstream:      ticket.Upstream().Name,
+		QuarantineFor: c.service.QuarantineFor,
+	}
+}
+
+func (c *call) admit() (Ticket, *failure) {
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	head := c.bytes()
+	if len(head) > prefixBytes {
+		head = head[:prefixBytes]
+	}
+	ticket, err := c.h.cfg.Admission.Admit(ctx, AdmitRequest{
+		Request:     c.id,
+		Account:     c.account.Name,
+		Service:     c.service.Name,
+		Pool:        c.pool(),
+		Fingerprint: c.fingerprint,
+		Prefix:      xxhash.Sum64(head),
+		Hint:        c.hint,
+		Bytes:       pomelorelay.Bytes(len(c.bytes())),
+		Deadline:    c.deadline,
+		WaitUntil:   c.waitUntil,
+		Avoid:       c.avoid,
+	})
+	if err != nil {
+		return nil, refusal(ctx, err)
+	}
+	return ticket, nil
+}
+
+// refusal turns an error from before anything was sent into a failure that is not tried again.
+func refusal(ctx context.Context, err error) *failure {
+	var coded *pomelorelay.Error
+	switch {
+	case errors.As(err, &coded):
+	case errors.Is(ctx.Err(), context.Canceled):
+		coded = pomelorelay.NewError(pomelorelay.CodeCancelled, "", err)
+	case ctx.Err() != nil:
+		coded = pomelorelay.NewError(pomelorelay.CodeDeadline, "", err)
+	default:
+		coded = asError(err)
+	}
+	return &failure{err: coded}
+}
+
+// exchange sends the request to the ticket's upstream and passes a whole answer on.
+func (c *call) exchange(ctx context.Context, ticket Ticket, m *meter) *failure {
+	up := ticket.Upstream()
+	req, err := c.request(up)
+	if err != nil {
+		return newFailure(OutcomeNotSent, pomelorelay.CodeBadRequest, err)
+	}
+	x, f := c.h.open(ctx, up.Address, req, len(c.bytes()), !c.repeatable())
+	if f != nil {
+		return f
+	}
+	defer func() { x.close() }()
+	if !isEventStream(x.resp) {
+		return c.passPlain(x, m)
+	}
+	s := newStream(c, x, m, up)
+	defer s.release()
+	f = s.pass()
+	x = s.x
+	return f
+}
+
+// request builds the request to an upstream. It has no GetBody and never meets a transport that could use one.
+func (c *call) request(up *pomeloconfig.Upstream) (*http.Request, error) {
+	path, err := url.PathUnescape(c.path)
+	if err != nil {
+		return nil, err
+	}
+	host := c.r.Host
+	if host == "" {
+		host = up.Address.String()
+	}
+	head := upstreamHeader(c.r.Header)
+	head.Set(headerRequestID, c.wire)
+	left := c.deadline.Sub(c.h.cfg.Clock.Now())
+	head.Set(headerTimeout, max(left, 0).Round(time.Millisecond).String())
+	req := &http.Request{
+		Method:        c.r.Method,
+		URL:           &url.URL{Scheme: "http", Host: host, Path: path, RawPath: c.path, RawQuery: c.r.URL.RawQuery},
+		Host:          host,
+		Header:        head,
+		Body:          c.bodyReader(),
+		ContentLength: int64(len(c.bytes())),
+	}
+	if len(c.r.Trailer) > 0 {
+		req.Trailer = c.r.Trailer
+		req.ContentLength = -1
+	}
+	return req, nil
+}
