--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -81,7 +81,7 @@
 	// Deadline is when the whole request must have ended, WaitUntil when its wait must have.
 	Deadline  time.Time
 	WaitUntil time.Time
-	// Avoid lists upstreams that failed this request before.
+	// Avoid lists upstreams that failed this request before; they are taken only when there is no other.
 	Avoid []pomelorelay.UpstreamID
 }
 
--- /dev/null
+++ b/pomeloroute/stream_test.go
@@ -0,0 +1,234 @@
+package pomeloroute_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloroute"
+
+	"pgregory.net/rapid"
+)
+
+const streamEvents = 6
+
+// engineEvents returns a stream's events after the given one.
+func engineEvents(after int) []string {
+	var events []string
+	for n := after + 1; n <= streamEvents; n++ {
+		events = append(events, fmt.Sprintf("id: %d\ndata: {\"choices\":[{\"text\":\"t%d\"}]}\n\n", n, n))
+	}
+	if after <= streamEvents {
+		events = append(events, fmt.Sprintf("id: %d\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":10,\"completion_tokens\":%d}}\n\n", streamEvents+1, streamEvents))
+	}
+	return append(events, "data: [DONE]\n\n")
+}
+
+func wholeStream() string { return strings.Join(engineEvents(0), "") }
+
+// chunkedStream returns an answer's bytes with each event as a chunk.
+func chunkedStream(id string, events []string) string {
+	var text strings.Builder
+	text.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, e := range events {
+		fmt.Fprintf(&text, "%x\r\n%s\r\n", len(e), e)
+	}
+	text.WriteString("0\r\n\r\n")
+	return text.String()
+}
+
+// cutEngine plays a model engine whose n-th connection breaks after cuts[n] bytes; past the list answers are whole.
+// Repeats tells how many events before the one asked for a resume sends again.
+func cutEngine(t testing.TB, cuts []int, repeats int, keeps bool) (*wire, *atomic.Int64) {
+	var fresh atomic.Int64
+	w := newWire(t, func(w *wire, _ int64, conn net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		n := int(w.whole.Add(1)) - 1
+		id := req.Header.Get("X-Request-Id")
+		after := 0
+		if strings.HasPrefix(req.URL.Path, "/v1/streams/") {
+			if !keeps || req.URL.Path != "/v1/streams/"+id {
+				io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nX-Request-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			after, _ = strconv.Atoi(req.Header.Get("Last-Event-ID"))
+			after = max(0, after-repeats)
+		} else {
+			fresh.Add(1)
+		}
+		text := chunkedStream(id, engineEvents(after))
+		if n < len(cuts) {
+			text = text[:min(cuts[n], len(text))]
+		}
+		io.WriteString(conn, text)
+	})
+	return w, &fresh
+}
+
+const streamBody = `{"model":"large","stream":true,"prompt":"a long narrative"}`
+
+// A stream breaks off at any byte, and again while it is resumed. The caller gets every event once, in order.
+func TestStreamCutAtEveryByteIsResumed(t *testing.T) {
+	whole := chunkedStream("router-1-7-1", engineEvents(0))
+	size, head := len(whole), strings.Index(whole, "\r\n\r\n")+len("\r\n\r\n")
+	wrong := 0
+	for cut := 1; cut < size; cut++ {
+		b := newBench(t, pomeloroute.Options{})
+		engine, fresh := cutEngine(t, []int{cut, cut}, 2, true)
+		b.add(engine.addr()).Resumes = true
+		a := b.call("POST", "/drafter/v1/completions", streamBody)
+		right := a.err == nil && a.status == http.StatusOK && a.body == wholeStream()
+		if cut < head {
+			// Without its head the answer was no stream yet, and this engine is the only one.
+			right = a.err == nil && a.problem(t).Ran == pomelorelay.RanUnknown
+		}
+		if !right {
+			wrong++
+			t.Logf("cut at %d of %d: %d starts, %v %q", cut, size, fresh.Load(), a.err, a.body)
+		}
+	}
+	if wrong != 0 {
+		t.Errorf("%d of %d cut streams were not passed on as whole", wrong, size-1)
+	}
+}
+
+// A stream breaks off and its engine cannot resume it. The caller must see the difference between that and an end.
+func TestBrokenStreamEndsWithAnErrorEvent(t *testing.T) {
+	size := len(chunkedStream("router-1-7-1", engineEvents(0)))
+	for _, resumes := range []bool{false, true} {
+		for cut := 120; cut < size-len("0\r\n\r\n"); cut += 7 {
+			b := newBench(t, pomeloroute.Options{MaxAttempts: 1})
+			engine, _ := cutEngine(t, []int{cut}, 0, false)
+			b.add(engine.addr()).Resumes = resumes
+			a := b.call("POST", "/drafter/v1/completions", streamBody)
+			if a.status == http.StatusBadGateway && a.problem(t).Ran == pomelorelay.RanUnknown {
+				continue
+			}
+			passed, _, broken := strings.Cut(a.body, "event: error\ndata: ")
+			if a.err != nil || !broken || !strings.HasPrefix(wholeStream(), passed) || strings.Contains(a.body, "[DONE]") || !strings.Contains(a.body, `"Code":1208`) {
+				t.Errorf("cut at %d: got %d %v %q", cut, a.status, a.err, a.body)
+			}
+			if r := b.lastResult(); r.Outcome != pomeloroute.OutcomeCutShort {
+				t.Errorf("cut at %d: result %+v", cut, r)
+			}
+		}
+	}
+}
+
+// An engine ends its stream in good order but leaves out the usage, or [DONE]. What is missing may be more than that.
+func TestStreamWithoutItsEndIsNotWhole(t *testing.T) {
+	events := engineEvents(0)
+	usage := len(events) - 2
+	for name, sent := range map[string][]string{"no [DONE]": events[:usage+1], "no usage": append(append([]string{}, events[:usage]...), events[usage+1]), "nothing": nil} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, pomeloroute.Options{MaxAttempts: 1})
+			b.add(newWire(t, func(w *wire, _ int64, conn net.Conn, r *bufio.Reader) {
+				id, _ := w.read(r)
+				io.WriteString(conn, chunkedStream(id, sent))
+			}).addr())
+			a := b.call("POST", "/drafter/v1/completions", streamBody)
+			if strings.Contains(a.body, "[DONE]") || (a.status == http.StatusOK) != strings.Contains(a.body, "event: error") {
+				t.Errorf("got %d %q", a.status, a.body)
+			}
+		})
+	}
+}
+
+// A stream is flushed event by event: the caller reads each before the engine sends the next.
+func TestStreamIsFlushedAsItComes(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	next := make(chan struct{})
+	b.serve(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, e := range engineEvents(0) {
+			io.WriteString(w, e)
+			w.(http.Flusher).Flush()
+			<-next
+		}
+	})
+	req, _ := http.NewRequest("POST", b.url+"/drafter/v1/completions", strings.NewReader(streamBody))
+	req.Header.Set("Authorization", "Bearer "+workshopToken)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	for _, want := range engineEvents(0) {
+		got := make([]byte, len(want))
+		if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != want {
+			t.Fatalf("got %q %v, want %q", got, err, want)
+		}
+		next <- struct{}{}
+	}
+	waitFor(t, "the slot was given back", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.results) == 1
+	})
+	r := b.lastResult()
+	if r.Outcome != pomeloroute.OutcomeWhole || r.Cost != 10+2*streamEvents || r.FirstToken <= 0 || r.TokenGap <= 0 {
+		t.Errorf("result %+v", r)
+	}
+}
+
+// Many callers share an upstream whose connections break and answer at random; nobody may get another's stream or a part of
+// their own as whole.
+func TestStreamsOfManyCallersStayApart(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cuts := rapid.SliceOfN(rapid.IntRange(0, 700), 0, 12).Draw(rt, "cuts")
+		repeats := rapid.IntRange(0, 4).Draw(rt, "repeats")
+		b := newBench(t, pomeloroute.Options{})
+		engine, _ := cutEngine(t, cuts, repeats, rapid.Bool().Draw(rt, "keeps"))
+		b.add(engine.addr()).Resumes = true
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() {
+				a := b.call("POST", "/drafter/v1/completions", streamBody)
+				done := strings.HasSuffix(a.body, "data: [DONE]\n\n")
+				if a.err == nil && done && a.body != wholeStream() {
+					rt.Errorf("a part was passed on as whole: %q", a.body)
+				}
+				if a.err == nil && !done && a.status == http.StatusOK && !strings.Contains(a.body, "event: error") {
+					rt.Errorf("a stream ended without [DONE] and without an error: %q", a.body)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
+// A caller leaves in the middle of its stream; the engine must stop generating for nobody.
+func TestCancelReachesTheEngine(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	cancelled := make(chan struct{})
+	b.serve(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		io.WriteString(w, engineEvents(0)[0])
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "POST", b.url+"/drafter/v1/completions", strings.NewReader(streamBody))
+	req.Header.Set("Authorization", "Bearer "+workshopToken)
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	cancel()
+	<-cancelled
+}
