--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -81,7 +81,7 @@
 	// Deadline is when the whole request must have ended, WaitUntil when its wait must have.
 	Deadline  time.Time
 	WaitUntil time.Time
-	// Avoid lists upstreams that failed this request before.
+	// Avoid lists upstreams that failed this request before; they are taken only when there is no other.
 	Avoid []pomelorelay.UpstreamID
 }
 
@@ -150,6 +150,8 @@
 
 // SuspectRun names one attempt to the crash suspects' part.
 type SuspectRun struct {
+	// Known tells that the request itself ran where an upstream crashed; no snapshot may answer for it.
+	Known         bool
 	Request       pomelorelay.RequestID
 	Fingerprint   pomelorelay.Fingerprint
 	Upstream      pomelorelay.UpstreamID
