--- a/pomelonode/configuration.go
+++ b/pomelonode/configuration.go
@@ -77,7 +77,7 @@
 		c.out = c.spreader.Refused(e.generation, pomelorelay.CodeOf(e.err), c.out)
 		return
 	}
-	c.out = c.spreader.InForce(e.generation, c.out)
+	c.spreader.InForce(e.generation)
 	if c.spreader.Generation() != e.generation {
 		c.compiling = 0
 		c.compile()
--- a/pomelonode/receive.go
+++ b/pomelonode/receive.go
@@ -58,7 +58,7 @@
 		c.out = c.spreader.Push(now, e.From, m, c.out)
 		c.compile()
 	case *pomelorelay.ConfigApplied:
-		c.applied(e.From, m)
+		c.spreader.Applied(now, e.From, m)
 	default:
 		c.receiveGuards(now, e)
 	}
@@ -104,7 +104,3 @@
 		c.touch(e.Pool)
 	}
 }
-
-func (c *control) applied(from pomelorelay.NodeID, m *pomelorelay.ConfigApplied) {
-	c.generations[from] = max(c.generations[from], m.Generation)
-}
--- a/pomeloroute/call.go
+++ b/pomeloroute/call.go
@@ -28,7 +28,7 @@
 	h       *Handler
 	w       http.ResponseWriter
 	r       *http.Request
-	account *pomeloconfig.Account
+	account pomelorelay.AccountID
 	service *pomeloconfig.Service
 	id      pomelorelay.RequestID
 	wire    string
@@ -80,7 +80,7 @@
 	}
 	c.id = h.nextID()
 	c.wire = h.wireID(c.id)
-	c.fingerprint = fingerprint(c.account.Name, c.service.Name, c.bytes())
+	c.fingerprint = fingerprint(c.account, c.service.Name, c.bytes())
 	return c, nil
 }
 
@@ -102,6 +102,9 @@
 	if !ok {
 		return pomelorelay.NewError(pomelorelay.CodeUnknownPath, "", nil)
 	}
+	if !snapshot.MayCall(c.account, service.Name) {
+		return pomelorelay.NewError(pomelorelay.CodeForbidden, "", nil)
+	}
 	c.service = service
 	c.path = strings.TrimPrefix(c.r.URL.EscapedPath(), "/"+escaped)
 	if c.path == "" {
--- a/pomeloroute/claimed.go
+++ b/pomeloroute/claimed.go
@@ -11,7 +11,7 @@
 func (c *call) takeClaim() error {
 	ctx, cancel := c.context()
 	defer cancel()
-	key := claimKey(c.account.Name, c.service.Name, c.key)
+	key := claimKey(c.account, c.service.Name, c.key)
 	content := claimContent(c.r.Method, c.path, c.r.URL.RawQuery, c.bytes())
 	claim, err := c.h.cfg.Claims.Claim(ctx, key, content)
 	if err != nil {
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -58,8 +58,10 @@
 
 // Snapshot is an immutable view of the configuration.
 type Snapshot interface {
-	// Account returns the account that holds the token with the SHA-256 digest.
-	Account(token pomelorelay.Hash) (*pomeloconfig.Account, bool)
+	// Authenticate returns the account of a bearer token; the time that it takes tells nothing about stored hashes.
+	Authenticate(token string) (pomelorelay.AccountID, bool)
+	// MayCall reports whether the account may call the service.
+	MayCall(account pomelorelay.AccountID, service pomelorelay.ServiceID) bool
 	// Service returns the service of the name.
 	Service(name pomelorelay.ServiceID) (*pomeloconfig.Service, bool)
 	// HasPool reports whether any upstream serves the pool.
--- a/pomeloroute/helpers_test.go
+++ b/pomeloroute/helpers_test.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net"
@@ -70,15 +68,17 @@
 
 func (b *bench) Current() pomeloroute.Snapshot { return b }
 
-func (b *bench) Account(token pomelorelay.Hash) (*pomeloconfig.Account, bool) {
+func (b *bench) Authenticate(token string) (pomelorelay.AccountID, bool) {
 	for name, plain := range map[pomelorelay.AccountID]string{"workshop": workshopToken, "rival": rivalToken} {
-		if digest := sha256.Sum256([]byte(plain)); digest == token {
-			return &pomeloconfig.Account{Name: name, TokenHashes: []string{hex.EncodeToString(digest[:])}}, true
+		if token == plain {
+			return name, true
 		}
 	}
-	return nil, false
+	return "", false
 }
 
+func (b *bench) MayCall(pomelorelay.AccountID, pomelorelay.ServiceID) bool { return true }
+
 func (b *bench) Service(name pomelorelay.ServiceID) (*pomeloconfig.Service, bool) {
 	s, ok := b.services[name]
 	return s, ok
--- a/pomeloroute/problem.go
+++ b/pomeloroute/problem.go
@@ -60,15 +60,22 @@
 	return text
 }
 
-// refuse answers with a problem; nothing may have been written to w before.
+// Refuse answers with an error's problem, telling the caller to come back after a second where it may and the error says nothing.
+func Refuse(w http.ResponseWriter, err error) { refuse(w, err, defaultRetryAfter) }
+
 func (h *Handler) refuse(w http.ResponseWriter, err error) {
+	refuse(w, err, h.cfg.Options.RetryAfter)
+}
+
+// refuse answers with a problem; nothing may have been written to w before.
+func refuse(w http.ResponseWriter, err error, comeBack time.Duration) {
 	e := asError(err)
 	p := newProblem(e)
 	head := w.Header()
 	head.Set("Content-Type", problemType)
 	head.Set(headerRan, string(p.Ran))
 	head.Set("Cache-Control", "no-store")
-	if after := h.retryAfter(e, p.Status); after > 0 {
+	if after := retryAfter(e, p.Status, comeBack); after > 0 {
 		head.Set("Retry-After", strconv.Itoa(after))
 	}
 	if p.Status == http.StatusUnauthorized {
@@ -80,10 +87,10 @@
 }
 
 // retryAfter returns whole seconds, rounded up: a caller that comes back too early is refused again.
-func (h *Handler) retryAfter(e *pomelorelay.Error, status int) int {
+func retryAfter(e *pomelorelay.Error, status int, comeBack time.Duration) int {
 	wait := e.RetryAfter
 	if wait <= 0 && mayComeBack(status) {
-		wait = h.cfg.Options.RetryAfter
+		wait = comeBack
 	}
 	return int(math.Ceil(float64(wait) / float64(time.Second)))
 }
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -157,7 +157,7 @@
 	}
 	ticket, err := c.h.cfg.Admission.Admit(ctx, AdmitRequest{
 		Request:     c.id,
-		Account:     c.account.Name,
+		Account:     c.account,
 		Service:     c.service.Name,
 		Pool:        c.pool(),
 		Fingerprint: c.fingerprint,
