pomeloconfig: read roots and hosts that are in order

Cause: the errors library wraps a nil error into one that is not nil, so every root and every host list was refused (a router stayed not ready for 20 s in the first end-to-end test). Ruled out: the store client. Change: wrap only errors. After: the root is read. Conclusion: no Wrap around an unchecked error.

--- a/cmd/pomelobench/standin.go
+++ b/cmd/pomelobench/standin.go
@@ -180,7 +180,10 @@
 		return nil, errors.Wrap(err, "read the hosts")
 	}
 	var hosts []pomelorelay.Host
-	return hosts, errors.Wrap(json.Unmarshal(data, &hosts), "read the hosts")
+	if err := json.Unmarshal(data, &hosts); err != nil {
+		return nil, errors.Wrap(err, "read the hosts")
+	}
+	return hosts, nil
 }
 
 func (c *standInCommand) host(name, addr string, handler http.Handler) error {
--- a/pomeloconfig/root.go
+++ b/pomeloconfig/root.go
@@ -123,5 +123,8 @@
 
 func parseHash(text string) (pomelorelay.Hash, error) {
 	hash, err := parseTokenHash(text)
-	return pomelorelay.Hash(hash), errors.Wrap(err, "a hash")
+	if err != nil {
+		return pomelorelay.Hash{}, errors.Wrap(err, "a hash")
+	}
+	return pomelorelay.Hash(hash), nil
 }
