--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,17 +6,37 @@
 cd "$(dirname "$0")/.."
 mode=${1:-routers}
 run=${DEMO_DIR:-$(mktemp -d)}
-mkdir -p "$run/pids" "$run/log"
+mkdir -p "$run/pids" "$run/codes" "$run/log"
 marks=$run/marks
 : >"$marks"
 store=127.0.1.1:8300
 
-# A started process is ended by its own id, which stands in a file of its name until it was waited for.
+# A started process is ended by its own id, which stands in a file of its name while it runs; then its exit code does.
 start() {
 	name=$1
 	shift
-	"$@" >"$run/log/$name.out" 2>"$run/log/$name.log" &
-	echo $! >"$run/pids/$name"
+	(
+		"$@" >"$run/log/$name.out" 2>"$run/log/$name.log" &
+		echo $! >"$run/pids/$name"
+		code=0
+		wait $! || code=$?
+		rm -f "$run/pids/$name"
+		echo $code >"$run/codes/$name"
+	) &
+}
+
+# await waits until the process has ended, at most so many seconds, and sets code.
+await() {
+	left=$(($2 * 10))
+	while [ ! -s "$run/codes/$1" ]; do
+		left=$((left - 1))
+		if [ $left -le 0 ]; then
+			echo "$1 has not ended within $2 s" >&2
+			exit 1
+		fi
+		sleep 0.1
+	done
+	code=$(cat "$run/codes/$1")
 }
 
 finish() {
@@ -110,15 +130,12 @@
 	echo "{\"Accepted\":$generation}" >>"$marks"
 }
 
-stop_gracefully() {
-	pid=$(cat "$run/pids/$1")
-	kill "$pid" 2>/dev/null || true
-	code=0
-	wait "$pid" || code=$?
-	rm -f "$run/pids/$1"
-	if [ $code -ne 0 ]; then
+# The bench's step has asked the router to drain; it ends by itself when its last request has ended.
+await_graceful_stop() {
+	await "$1" 25
+	if [ "$code" -ne 0 ]; then
 		echo "$1 was stopped gracefully and ended with $code" >&2
-		return 1
+		exit 1
 	fi
 	echo "$1 was stopped gracefully and ended with 0"
 }
@@ -127,7 +144,6 @@
 	echo "{\"Killed\":\"$1\"}" >>"$marks"
 	sleep 0.2
 	kill -9 "$(cat "$run/pids/$1")"
-	rm -f "$run/pids/$1"
 	echo "$1 was killed"
 }
 
@@ -152,24 +168,19 @@
 mkdir -p "$run/first"
 cp examples/demo/jewellers.yaml examples/demo/hearthway.yaml "$run/first/"
 apply "$run/first" "first configuration"
-bin/pomelobench run --plan examples/demo/plan.yaml --wait-ready 20s --marks "$marks" --record "$run/record.jsonl" >"$run/log/bench.out" 2>"$run/log/bench.log" &
-bench=$!
-echo $bench >"$run/pids/bench"
-tail -n +1 -f "$run/log/bench.out" 2>/dev/null &
-echo $! >"$run/pids/tail"
-sleep 10
-stop_gracefully boston-a-router-2
-sleep 3
+: >"$run/log/bench.out"
+start bench bin/pomelobench run --plan examples/demo/plan.yaml --wait-ready 20s --marks "$marks" --record "$run/record.jsonl"
+tail -n +1 -f "$run/log/bench.out" &
+echo $! >"$run/pids/progress"
+sleep 12
+await_graceful_stop boston-a-router-2
 kill_router recife-b-router-2
-sleep 7
+sleep 8
 change_configuration
-code=0
-wait $bench || code=$?
-rm -f "$run/pids/bench"
-sleep 0.5
-kill "$(cat "$run/pids/tail")" 2>/dev/null || true
-rm -f "$run/pids/tail"
+await bench 60
+kill "$(cat "$run/pids/progress")" 2>/dev/null || true
+rm -f "$run/pids/progress"
 cat "$run/log/bench.log" >&2
 bin/pomelobench report "$run/record.jsonl" --out "$run/report.html" --title "Demo" >&2 || true
 tail -n 1 "$run/log/bench.out"
-exit $code
+exit "$code"
