--- a/pomeloclaim/config.go
+++ b/pomeloclaim/config.go
@@ -9,8 +9,8 @@
 // Config holds what a Keeper needs; zero durations and sizes take the defaults.
 type Config struct {
 	Logger pomelorelay.Logger
-	// Seed makes the nonces of this process's commits unlike those of every other.
-	Seed uint64
+	// Alive tells whether a router counts as alive; claims that a dead one holds are unknown. Nil means that all are.
+	Alive func(pomelorelay.NodeID) bool
 	// CommitsPerSecond bounds the store writes of one busy shard, 4 by default.
 	CommitsPerSecond float64
 	// CommitBurst is how many commits of a shard may follow each other at once, 2 by default.
@@ -25,6 +25,8 @@
 	SealBytes pomelorelay.Bytes
 	// MaxHeadBytes bounds the head record, 512 KiB by default; claims past it are refused.
 	MaxHeadBytes pomelorelay.Bytes
+	// MaxPending bounds the claims of a shard that wait for the store, 4,096 by default; those past it are refused.
+	MaxPending int
 	// Retention is how long a settled claim is kept, 24 h by default.
 	Retention time.Duration
 	// RunningLimit is the age past which a claim without settlement counts as unknown, 1 h by default.
@@ -35,8 +37,9 @@
 
 // AskerConfig holds what an Asker needs; zero durations and sizes take the defaults.
 type AskerConfig struct {
-	// Seed makes the nonces of this process unlike those of every other; it must differ after a restart.
-	Seed uint64
+	// Node and Incarnation, that of the process's start, mark its nonces; no two processes may share both.
+	Node        pomelorelay.NodeID
+	Incarnation pomelorelay.Incarnation
 	// Shards is the number of claim shards, the same on every router, 64 by default.
 	Shards uint32
 	// Keeper returns the router that keeps a shard now.
@@ -45,47 +48,80 @@
 	ResendAfter time.Duration
 	// GiveUpAfter is how long a claim may stay without answer before it is refused, 4 s by default.
 	GiveUpAfter time.Duration
-	// MaxSettling bounds the settlements kept until a keeper acknowledges them, 10,000 by default; past it outcomes are dropped first.
+	// MaxSettling bounds the settlements kept until a keeper acknowledges them, 10,000 by default; past half of it
+	// outcomes are dropped, past all of it the oldest settlement, whose claim then ends as unknown.
 	MaxSettling int
 	// MaxOutcome bounds the outcome sent of one claim, 4 KiB by default.
 	MaxOutcome pomelorelay.Bytes
 }
 
-// OpID numbers a store operation of one Keeper.
-type OpID uint64
-
-// StoreOp is a store operation that a Keeper wants carried out; a nil Value means a Get, otherwise a CompareAndSwap.
-type StoreOp struct {
-	ID    OpID
-	Key   pomelorelay.StoreKey
-	Value []byte
-	Old   pomelorelay.Revision
-}
+// Defaults of Config and AskerConfig.
+const (
+	defaultCommitsPerSecond = 4
+	defaultCommitBurst      = 2
+	defaultSettleDelay      = 500 * time.Millisecond
+	defaultRefuseAfter      = 2 * time.Second
+	defaultRetryDelay       = 200 * time.Millisecond
+	defaultSealBytes        = 128 << 10
+	defaultMaxHeadBytes     = 512 << 10
+	defaultMaxPending       = 4096
+	defaultRetention        = 24 * time.Hour
+	defaultRunningLimit     = time.Hour
+	defaultMaxOutcome       = 4 << 10
+	defaultShards           = 64
+	defaultResendAfter      = 300 * time.Millisecond
+	defaultGiveUpAfter      = 4 * time.Second
+	defaultMaxSettling      = 10000
+)
 
-// StoreResult is what a store operation returned: the record of a Get, the revision of a CompareAndSwap, or an error
-// with CodeStoreConflict, CodeStoreUnavailable or CodeStoreUnknown.
-type StoreResult struct {
-	ID       OpID
-	Record   pomelorelay.Record
-	Revision pomelorelay.Revision
-	Err      error
+func (c Config) withDefaults() Config {
+	if c.Logger == nil {
+		c.Logger = pomelorelay.NopLogger{}
+	}
+	if c.Alive == nil {
+		c.Alive = func(pomelorelay.NodeID) bool { return true }
+	}
+	if c.CommitsPerSecond <= 0 {
+		c.CommitsPerSecond = defaultCommitsPerSecond
+	}
+	if c.CommitBurst < 1 {
+		c.CommitBurst = defaultCommitBurst
+	}
+	if c.MaxPending <= 0 {
+		c.MaxPending = defaultMaxPending
+	}
+	setDuration(&c.SettleDelay, defaultSettleDelay)
+	setDuration(&c.RefuseAfter, defaultRefuseAfter)
+	setDuration(&c.RetryDelay, defaultRetryDelay)
+	setDuration(&c.Retention, defaultRetention)
+	setDuration(&c.RunningLimit, defaultRunningLimit)
+	setBytes(&c.SealBytes, defaultSealBytes)
+	setBytes(&c.MaxHeadBytes, defaultMaxHeadBytes)
+	setBytes(&c.MaxOutcome, defaultMaxOutcome)
+	return c
 }
 
-// Verdict is an Asker's answer to a claim that was asked for.
-type Verdict struct {
-	Key     pomelorelay.ClaimKey
-	Nonce   pomelorelay.ClaimNonce
-	State   pomelorelay.ClaimState
-	Outcome pomelorelay.ClaimOutcome
+func (c AskerConfig) withDefaults() AskerConfig {
+	if c.Shards == 0 {
+		c.Shards = defaultShards
+	}
+	if c.MaxSettling <= 0 {
+		c.MaxSettling = defaultMaxSettling
+	}
+	setDuration(&c.ResendAfter, defaultResendAfter)
+	setDuration(&c.GiveUpAfter, defaultGiveUpAfter)
+	setBytes(&c.MaxOutcome, defaultMaxOutcome)
+	return c
 }
 
-// Output collects what a decision part wants done; the caller empties it.
-type Output struct {
-	Messages []pomelorelay.Outgoing
-	Store    []StoreOp
-	Verdicts []Verdict
+func setDuration(field *time.Duration, value time.Duration) {
+	if *field <= 0 {
+		*field = value
+	}
 }
 
-func (o *Output) send(to pomelorelay.NodeID, m pomelorelay.Message) {
-	o.Messages = append(o.Messages, pomelorelay.Outgoing{To: to, Message: m})
+func setBytes(field *pomelorelay.Bytes, value pomelorelay.Bytes) {
+	if *field <= 0 {
+		*field = value
+	}
 }
