--- /dev/null
+++ b/pomeloclaim/claim_test.go
@@ -0,0 +1,338 @@
+package pomeloclaim_test
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloclaim"
+)
+
+// direct drives one keeper by hand: the test is its store and its askers.
+type direct struct {
+	t      *testing.T
+	now    time.Time
+	keeper *pomeloclaim.Keeper
+	out    pomeloclaim.Output
+	store  *fleet
+}
+
+func newDirect(t *testing.T, cfg pomeloclaim.Config) *direct {
+	d := &direct{t: t, store: newFleet(1, 0, cfg, 1)}
+	d.now = d.store.now
+	d.keeper = pomeloclaim.New(cfg)
+	d.keeper.Own(d.now, 0, &d.out)
+	d.serve()
+	return d
+}
+
+// serve carries out store operations until none is wanted.
+func (d *direct) serve() {
+	for len(d.out.Store) > 0 {
+		op := d.out.Store[0]
+		d.out.Store = d.out.Store[1:]
+		d.keeper.Stored(d.now, d.store.apply(op), &d.out)
+	}
+}
+
+func (d *direct) tick(after time.Duration) {
+	d.now = d.now.Add(after)
+	d.keeper.Tick(d.now, &d.out)
+}
+
+func nonceOf(n int) pomelorelay.ClaimNonce {
+	return pomelorelay.ClaimNonce{15: byte(n), 14: byte(n >> 8)}
+}
+
+func (d *direct) ask(n int, key string, content pomelorelay.Fingerprint) {
+	d.keeper.Ask(d.now, "router-1", &pomelorelay.ClaimAsk{Key: keyOf(key), Nonce: nonceOf(n), Content: content}, &d.out)
+}
+
+func (d *direct) settle(n int, key string, m pomelorelay.ClaimSettle) {
+	m.Key, m.Nonce = keyOf(key), nonceOf(n)
+	d.keeper.Settle(d.now, "router-1", &m, &d.out)
+}
+
+// answers returns and forgets the states that were answered, by nonce; an acknowledgement counts as zero.
+func (d *direct) answers() map[pomelorelay.ClaimNonce]pomelorelay.ClaimAnswer {
+	found := make(map[pomelorelay.ClaimNonce]pomelorelay.ClaimAnswer)
+	for _, m := range d.out.Messages {
+		switch x := m.Message.(type) {
+		case *pomelorelay.ClaimAnswer:
+			found[x.Nonce] = *x
+		case *pomelorelay.ClaimSettled:
+			found[x.Nonce] = pomelorelay.ClaimAnswer{Key: x.Key, Nonce: x.Nonce}
+		}
+	}
+	d.out.Messages = nil
+	return found
+}
+
+func (d *direct) want(n int, state pomelorelay.ClaimState) pomelorelay.ClaimAnswer {
+	d.t.Helper()
+	a, ok := d.answers()[nonceOf(n)]
+	if !ok || a.State != state {
+		d.t.Errorf("nonce %d: got %+v (answered: %v), want state %d", n, a, ok, state)
+	}
+	return a
+}
+
+func done(body string) pomelorelay.ClaimSettle {
+	return pomelorelay.ClaimSettle{State: pomelorelay.ClaimDone, Outcome: pomelorelay.ClaimOutcome{Status: 201, ContentType: "text/x", Body: []byte(body)}}
+}
+
+// A booking is made, sent again while it runs, with another body, and again after it ended.
+func TestRepeatsHearWhatBecameOfTheFirst(t *testing.T) {
+	d := newDirect(t, pomeloclaim.Config{})
+	d.ask(1, "k", 7)
+	if got := d.answers(); len(got) != 0 {
+		t.Errorf("answered before the store held the claim: %+v", got)
+	}
+	d.serve()
+	d.want(1, pomelorelay.ClaimFresh)
+	d.ask(1, "k", 7)
+	d.want(1, pomelorelay.ClaimFresh)
+	d.ask(2, "k", 7)
+	d.want(2, pomelorelay.ClaimRunning)
+	d.ask(3, "k", 8)
+	d.want(3, pomelorelay.ClaimConflict)
+	d.settle(1, "k", done("booked"))
+	d.tick(time.Second)
+	d.serve()
+	d.want(1, 0)
+	d.ask(4, "k", 7)
+	if a := d.want(4, pomelorelay.ClaimDone); string(a.Outcome.Body) != "booked" || a.Outcome.Status != 201 {
+		t.Errorf("the repeat got %+v", a.Outcome)
+	}
+	d.settle(1, "k", pomelorelay.ClaimSettle{Released: true})
+	d.tick(time.Second)
+	d.serve()
+	d.answers()
+	d.ask(5, "k", 7)
+	d.want(5, pomelorelay.ClaimDone)
+}
+
+// The store is down. A booking is refused as not run; when the store comes back, the repeat must not be blocked.
+func TestOutageRefusesAndLeavesNothingBehind(t *testing.T) {
+	f := newFleet(1, 2, pomeloclaim.Config{}, 1)
+	f.run(time.Second)
+	f.outage = true
+	f.send(1, "k")
+	f.run(6 * time.Second)
+	if got := f.told["k"]; len(got) != 1 || got[0].state != pomelorelay.ClaimRefused {
+		t.Fatalf("got %+v", got)
+	}
+	f.outage = false
+	f.run(3 * time.Second)
+	if n := f.routers[1].asker.Open(); n != 0 {
+		t.Errorf("%d claims stay open", n)
+	}
+	f.send(1, "k")
+	f.run(time.Second)
+	if f.runs["k"] > 1 || len(f.told["k"]) != 2 || f.told["k"][1].state == pomelorelay.ClaimRunning {
+		t.Errorf("%d runs, told %+v", f.runs["k"], f.told["k"])
+	}
+}
+
+// A keeper stands still in the middle of a write while another takes its shard over and serves the same key. When it
+// goes on it must not tell its asker that the booking may be sent.
+func TestPausedKeeperIsFenced(t *testing.T) {
+	d := newDirect(t, pomeloclaim.Config{})
+	d.ask(1, "k", 7)
+	paused := d.out.Store
+	d.out.Store = nil
+	other := pomeloclaim.New(pomeloclaim.Config{})
+	var out pomeloclaim.Output
+	other.Own(d.now, 0, &out)
+	other.Stored(d.now, d.store.apply(out.Store[0]), &out)
+	other.Ask(d.now, "router-2", &pomelorelay.ClaimAsk{Key: keyOf("k"), Nonce: nonceOf(2), Content: 7}, &out)
+	other.Stored(d.now, d.store.apply(out.Store[1]), &out)
+	if len(out.Messages) != 1 || out.Messages[0].Message.(*pomelorelay.ClaimAnswer).State != pomelorelay.ClaimFresh {
+		t.Fatalf("the second keeper answered %+v", out.Messages)
+	}
+	d.out.Store = paused
+	d.serve()
+	d.want(1, pomelorelay.ClaimRunning)
+}
+
+// The store's answer to a write is lost, and the write took effect or did not. The keeper reads back.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	for _, effect := range []bool{true, false} {
+		d := newDirect(t, pomeloclaim.Config{})
+		d.ask(1, "k", 7)
+		op := d.out.Store[0]
+		d.out.Store = nil
+		if effect {
+			d.store.apply(op)
+		}
+		d.keeper.Stored(d.now, pomeloclaim.StoreResult{ID: op.ID, Err: pomelorelay.NewError(pomelorelay.CodeStoreUnknown, "", nil)}, &d.out)
+		if len(d.answers()) != 0 {
+			t.Errorf("effect %v: answered without knowing", effect)
+		}
+		d.serve()
+		d.want(1, pomelorelay.ClaimFresh)
+	}
+}
+
+// A router dies, or starts anew, while its booking runs. Nobody knows the outcome, and the booking must not run again.
+func TestClaimOfADeadRouterIsUnknown(t *testing.T) {
+	dead := false
+	d := newDirect(t, pomeloclaim.Config{Alive: func(pomelorelay.NodeID) bool { return !dead }})
+	d.ask(1, "k", 7)
+	d.serve()
+	d.answers()
+	dead = true
+	d.ask(2, "k", 7)
+	d.want(2, pomelorelay.ClaimUnknown)
+	dead = false
+	d.ask(3, "k", 7)
+	d.want(3, pomelorelay.ClaimRunning)
+	newer := pomelorelay.ClaimNonce{5: 1}
+	d.keeper.Ask(d.now, "router-1", &pomelorelay.ClaimAsk{Key: keyOf("other"), Nonce: newer, Content: 1}, &d.out)
+	d.serve()
+	d.answers()
+	d.ask(4, "k", 7)
+	d.want(4, pomelorelay.ClaimUnknown)
+	d.settle(1, "k", done("booked"))
+	d.tick(time.Second)
+	d.serve()
+	d.answers()
+	d.ask(5, "k", 7)
+	d.want(5, pomelorelay.ClaimDone)
+}
+
+// Claims pile up until the head is sealed many times and old segments are dropped. Every claim within its retention
+// is found with its outcome, also by a keeper that takes over; one past it counts as never used; the store's keys stay few.
+func TestSealedClaimsAreFoundAndDroppedAfterRetention(t *testing.T) {
+	d := newDirect(t, pomeloclaim.Config{SealBytes: 3000, Retention: 10 * time.Minute, CommitsPerSecond: 1000})
+	const claims = 600
+	for n := range claims {
+		key := fmt.Sprint("k", n)
+		d.ask(n, key, 7)
+		d.serve()
+		d.settle(n, key, done("booked "+key))
+		d.tick(2 * time.Second)
+		d.serve()
+		d.answers()
+	}
+	if n := len(d.store.records); n < 5 || n > 40 {
+		t.Errorf("%d records in the store", n)
+	}
+	for takeover := range 2 {
+		for _, n := range []int{claims - 1, claims - 100, claims - 290} {
+			d.ask(10000+n, fmt.Sprint("k", n), 7)
+			d.serve()
+			if a := d.want(10000+n, pomelorelay.ClaimDone); string(a.Outcome.Body) != fmt.Sprint("booked k", n) {
+				t.Errorf("takeover %d: k%d has outcome %q", takeover, n, a.Outcome.Body)
+			}
+		}
+		d.keeper = pomeloclaim.New(pomeloclaim.Config{SealBytes: 3000, Retention: 10 * time.Minute})
+		d.keeper.Own(d.now, 0, &d.out)
+		d.serve()
+	}
+	d.ask(20000, "k0", 7)
+	d.serve()
+	d.want(20000, pomelorelay.ClaimFresh)
+}
+
+// A record of the store is damaged. To begin with an empty one would forget every booking that ran.
+func TestBrokenRecordRefuses(t *testing.T) {
+	d := newDirect(t, pomeloclaim.Config{})
+	d.ask(1, "k", 7)
+	d.serve()
+	d.answers()
+	record := d.store.records["claims/0"]
+	for cut := 1; cut < len(record.Value); cut += 5 {
+		d.store.records["claims/0"] = pomelorelay.Record{Key: record.Key, Value: record.Value[:cut], Revision: record.Revision}
+		d.keeper = pomeloclaim.New(pomeloclaim.Config{})
+		d.out = pomeloclaim.Output{}
+		d.keeper.Own(d.now, 0, &d.out)
+		d.serve()
+		d.ask(2, "k", 7)
+		d.tick(3 * time.Second)
+		d.serve()
+		d.want(2, pomelorelay.ClaimRefused)
+	}
+	if !bytes.Equal(d.store.records["claims/0"].Value, record.Value[:len(d.store.records["claims/0"].Value)]) {
+		t.Error("the broken record was overwritten")
+	}
+}
+
+// A keeper that is gone leaves its router with settlements that nobody acknowledges; they must not fill its memory.
+func TestUnacknowledgedSettlementsAreBounded(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	a := pomeloclaim.NewAsker(pomeloclaim.AskerConfig{MaxSettling: 100, Keeper: func(pomelorelay.ShardID) (pomelorelay.NodeID, bool) { return "", false }})
+	for n := range 300 {
+		var out pomeloclaim.Output
+		nonce := a.Claim(now, keyOf(fmt.Sprint(n)), 1, &out)
+		a.Answer(now, &pomelorelay.ClaimAnswer{Key: keyOf(fmt.Sprint(n)), Nonce: nonce, State: pomelorelay.ClaimFresh}, &out)
+		a.Settle(now, nonce, false, pomelorelay.ClaimDone, pomelorelay.ClaimOutcome{Body: []byte("x")}, &out)
+	}
+	if a.Open() != 100 {
+		t.Errorf("%d kept", a.Open())
+	}
+}
+
+// Writes must follow shards and commit rate, not requests: the store takes several hundred a second for everybody.
+func TestWritesDoNotGrowWithClaims(t *testing.T) {
+	const shards, seconds = 16, 20
+	cfg := pomeloclaim.Config{}
+	var lines []string
+	for _, rate := range []int{10, 100, 1000} {
+		f := newFleet(1, 8, cfg, shards)
+		f.run(time.Second)
+		f.writes, f.reads = 0, 0
+		for n := range rate * seconds {
+			f.send(n%8, fmt.Sprint("booking-", n))
+			f.run(time.Second / time.Duration(rate))
+		}
+		writes := float64(f.writes) / seconds
+		slices.Sort(f.latencies)
+		at := func(part int) time.Duration { return f.latencies[len(f.latencies)*part/100].Round(time.Millisecond) }
+		lines = append(lines, fmt.Sprintf("%d claims/s: %.1f writes/s, %.1f reads/s, verdict p50 %v p99 %v", rate, writes, float64(f.reads)/seconds, at(50), at(99)))
+		if limit := float64(shards*4) + 1; writes > limit+float64(shards*2)/seconds {
+			t.Errorf("%d claims/s: %.1f writes/s, over %v", rate, writes, limit)
+		}
+		if found := f.faults(); found != "" {
+			t.Error(found)
+		}
+	}
+	t.Log("16 shards, 4 commits/s each:\n" + strings.Join(lines, "\n"))
+}
+
+// BenchmarkCommit measures a keeper's work for one claim and its settlement in a head of 500 claims.
+func BenchmarkCommit(b *testing.B) {
+	f := newFleet(1, 0, pomeloclaim.Config{}, 1)
+	k := pomeloclaim.New(pomeloclaim.Config{CommitsPerSecond: 1e9, SealBytes: 80 << 10})
+	var out pomeloclaim.Output
+	now := f.now
+	serve := func() {
+		for len(out.Store) > 0 {
+			op := out.Store[0]
+			out.Store = out.Store[1:]
+			k.Stored(now, f.apply(op), &out)
+		}
+		out.Messages = nil
+	}
+	k.Own(now, 0, &out)
+	serve()
+	n := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		n++
+		now = now.Add(time.Second)
+		m := pomelorelay.ClaimAsk{Key: keyOf(fmt.Sprint(n)), Nonce: nonceOf(n), Content: 1}
+		k.Ask(now, "router-1", &m, &out)
+		serve()
+		s := done("booked")
+		s.Key, s.Nonce = m.Key, m.Nonce
+		k.Settle(now, "router-1", &s, &out)
+		now = now.Add(time.Second)
+		k.Tick(now, &out)
+		serve()
+	}
+}
