pomeloslot: tests of failures, spill, hand-over and the gap's bound; forecast from the last report

Cause: the forecast measured charges from the highest report, so it saw none after a request that was charged too much; a withdrawn reply lost the router's own demand; a limit's window counted grants of the moment at which it moved.

--- a/pomelofair/account.go
+++ b/pomelofair/account.go
@@ -20,7 +20,9 @@
 	told       pomelorelay.Tag
 	// reported is the highest sum of own and pending that was reported.
 	reported pomelorelay.Tag
-	lift     pomelorelay.Tag
+	// base is own and pending at the last report.
+	base pomelorelay.Tag
+	lift pomelorelay.Tag
 	// pending is the part of the admission charges that has not accrued yet.
 	pending pomelorelay.Tag
 	// floor plus own is the least place of an account whose fleet totals are being asked for.
@@ -64,7 +66,7 @@
 // own charges as it was lately. Every router sees the same account lowest until the next totals; if each made up for the
 // whole of its deficit, it would be seen to get as many times that as it has routers.
 func (a *account) forecast() pomelorelay.Tag {
-	since := a.own + a.pending - a.reported
+	since := a.own + a.pending - a.base
 	if since <= 0 || a.othersStep <= 0 {
 		return 0
 	}
--- a/pomelofair/ledger.go
+++ b/pomelofair/ledger.go
@@ -76,6 +76,12 @@
 	}
 }
 
+// report takes note of what is reported now.
+func (a *account) report() {
+	a.base = a.own + a.pending
+	a.reported = max(a.reported, a.base)
+}
+
 // entry is this router's own part. Waiting is not reported before totals have come: the answer would then say that the
 // account waits somewhere, here, and it could not be told from one that waits elsewhere.
 func (a *account) entry() pomelorelay.LedgerEntry {
@@ -92,7 +98,7 @@
 func (q *Queues) Changed(out []pomelorelay.LedgerEntry) []pomelorelay.LedgerEntry {
 	for i, a := range q.changed {
 		a.dirty = false
-		a.reported = max(a.reported, a.own+a.pending)
+		a.report()
 		out = append(out, a.entry())
 		q.changed[i] = nil
 	}
@@ -104,7 +110,7 @@
 func (q *Queues) All(out []pomelorelay.LedgerEntry) []pomelorelay.LedgerEntry {
 	for _, p := range q.order {
 		for _, a := range p.order {
-			a.reported = max(a.reported, a.own+a.pending)
+			a.report()
 			out = append(out, a.entry())
 		}
 	}
--- a/pomeloslot/config.go
+++ b/pomeloslot/config.go
@@ -21,7 +21,7 @@
 	TTL time.Duration
 	// Answer is how long an owner waits for the reply to a grant before it asks what became of it; default 1 s.
 	Answer time.Duration
-	// Check is how often an owner asks after requests that run; default 10 s.
+	// Check is how often an owner asks after requests that run; default 2 s.
 	Check time.Duration
 	// Careful is how long a new owner waits for the routers' reports before it grants without them; default 500 ms.
 	Careful time.Duration
@@ -56,7 +56,7 @@
 const (
 	defaultTTL          = 500 * time.Millisecond
 	defaultAnswer       = time.Second
-	defaultCheck        = 10 * time.Second
+	defaultCheck        = 2 * time.Second
 	defaultCareful      = 500 * time.Millisecond
 	defaultRest         = 100 * time.Millisecond
 	defaultDemandTTL    = 3 * time.Second
--- a/pomeloslot/fleetmessages_test.go
+++ b/pomeloslot/fleetmessages_test.go
@@ -94,8 +94,10 @@
 func (f *fleet) launch(r *testRouter, id pomelorelay.RequestID, upstream int, grant pomelorelay.GrantID) {
 	a := r.starts[id]
 	delete(r.starts, id)
-	r.starts[pomelorelay.RequestID(1<<40+a)]--
-	f.refill(r, a)
+	if f.cfg.accounts[a].depth > 0 {
+		r.starts[pomelorelay.RequestID(1<<40+a)]--
+		f.refill(r, a)
+	}
 	x := &run{id: id, grant: grant, account: a, upstream: upstream, cost: f.cost(a), started: f.now.Add(linkTime)}
 	f.largest = max(f.largest, x.cost)
 	r.runs[id] = x
--- a/pomeloslot/held.go
+++ b/pomeloslot/held.go
@@ -44,9 +44,10 @@
 		a.release(id, h)
 	}
 	w := a.owners[h.upstream]
+	waiting := s.Waiting
 	if w == nil || w.left || w.digest.Leaving {
 		// An owner that does not know yet that the upstream leaves would grant again at once, be refused again, and so on.
-		s.Waiting = 0
+		waiting = 0
 	}
 	m := &pomelorelay.GrantReply{
 		ID:         id,
@@ -54,7 +55,7 @@
 		State:      s.State,
 		Seq:        a.nextSeq(now),
 		Head:       s.Head,
-		Waiting:    uint32(s.Waiting),
+		Waiting:    uint32(waiting),
 		FirstToken: s.FirstToken,
 		TokenGap:   s.TokenGap,
 	}
@@ -62,7 +63,7 @@
 	if w == nil {
 		return out
 	}
-	a.noteTold(now, w, h.owner, s)
+	a.noteTold(now, w, h.owner, s, waiting)
 	if w.digest.Owner != "" && w.digest.Owner != h.owner {
 		// The upstream changed hands: the new owner counts the grant since it asked what runs.
 		out = append(out, pomelorelay.Outgoing{To: w.digest.Owner, Message: m})
@@ -70,12 +71,12 @@
 	return out
 }
 
-// noteTold remembers that the reply carried the demand.
-func (a *Asker) noteTold(now time.Time, w *owned, to pomelorelay.NodeID, s Settlement) {
+// noteTold takes the fresh demand and remembers what of it the reply carried.
+func (a *Asker) noteTold(now time.Time, w *owned, to pomelorelay.NodeID, s Settlement, waiting int) {
 	if p := a.pools[w.digest.Pool]; p != nil {
 		p.demand.Head, p.demand.Waiting = s.Head, s.Waiting
 	}
-	w.sent = sentDemand{to: to, head: s.Head, waiting: s.Waiting, at: now}
+	w.sent = sentDemand{to: to, head: s.Head, waiting: waiting, at: now}
 }
 
 func (a *Asker) release(id pomelorelay.GrantID, h *held) {
--- a/pomeloslot/limiter.go
+++ b/pomeloslot/limiter.go
@@ -35,7 +35,7 @@
 
 // sample takes the latencies of one answer; zero latencies say nothing.
 func (l *limiter) sample(issued time.Time, first, gap time.Duration, opt LimitOptions) {
-	if issued.Before(l.changed) || first == 0 && gap == 0 {
+	if !issued.After(l.changed) || first == 0 && gap == 0 {
 		return
 	}
 	l.timed = true
