pomeloslot: spread requests over owners with idle slots

Cause: every router took the owner with most idle slots, so they met there. Change: two idle slots are as good as ten; two owners to spare instead of one.

--- a/pomeloslot/asker_test.go
+++ b/pomeloslot/asker_test.go
@@ -14,7 +14,7 @@
 		Node:         "me",
 		Domain:       "a",
 		Regions:      map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "north", "b": "north", "z": "south"},
-		Registration: pomeloslot.RegistrationOptions{Base: 2, StartSpread: 1},
+		Registration: pomeloslot.RegistrationOptions{Base: 2, Spare: 1, StartSpread: 1},
 		Spill:        pomeloslot.SpillOptions{DomainMargin: 10, RegionMargin: 100, RegionIdleWaiting: 5},
 	})
 	a.Tick(start, nil)
--- a/pomeloslot/config.go
+++ b/pomeloslot/config.go
@@ -144,6 +144,8 @@
 	Base int
 	// PerWaiting is the number of waiting requests for which one more owner is tried; default 64.
 	PerWaiting int
+	// Spare is the number of further owners with idle slots, should other routers be first; default 2.
+	Spare int
 	// Refresh is the time between refreshes of registered tags that changed; default 250 ms.
 	Refresh time.Duration
 	// Keep is the time between refreshes of those that did not; default 1 s.
@@ -167,6 +169,7 @@
 const (
 	defaultBase              = 4
 	defaultPerWaiting        = 64
+	defaultSpare             = 2
 	defaultRefresh           = 250 * time.Millisecond
 	defaultKeep              = time.Second
 	defaultDigestTTL         = 3 * time.Second
@@ -179,6 +182,7 @@
 func (o RegistrationOptions) withDefaults() RegistrationOptions {
 	o.Base = orInt(o.Base, defaultBase)
 	o.PerWaiting = orInt(o.PerWaiting, defaultPerWaiting)
+	o.Spare = orInt(o.Spare, defaultSpare)
 	o.Refresh = orDuration(o.Refresh, defaultRefresh)
 	o.Keep = orDuration(o.Keep, defaultKeep)
 	o.DigestTTL = orDuration(o.DigestTTL, defaultDigestTTL)
--- a/pomeloslot/fleet_test.go
+++ b/pomeloslot/fleet_test.go
@@ -78,6 +78,12 @@
 	cost     float64
 }
 
+// testRequest is a request of one router.
+type testRequest struct {
+	router int
+	id     pomelorelay.RequestID
+}
+
 type testUpstream struct {
 	id    pomelorelay.UpstreamID
 	runs  map[*run]bool
@@ -101,20 +107,23 @@
 
 // fleet is the event loop with the routers, the upstreams and a ledger modelled as a period.
 type fleet struct {
-	cfg        fleetConfig
-	random     *rand.Rand
-	now        time.Time
-	start      time.Time
-	events     eventHeap
-	seq        int
-	routers    []*testRouter
-	upstreams  []*testUpstream
-	served     []float64 // delivered by requests that ended
-	ledger     map[pomelorelay.AccountID]map[int]pomelorelay.LedgerEntry
-	busy       float64
-	busyAt     time.Time
-	running    int
-	messages   map[string]int
+	cfg       fleetConfig
+	random    *rand.Rand
+	now       time.Time
+	start     time.Time
+	events    eventHeap
+	seq       int
+	routers   []*testRouter
+	upstreams []*testUpstream
+	served    []float64 // delivered by requests that ended
+	ledger    map[pomelorelay.AccountID]map[int]pomelorelay.LedgerEntry
+	busy      float64
+	busyAt    time.Time
+	running   int
+	messages  map[string]int
+	// pushed and waits are kept of requests that arrive at random.
+	pushed     map[testRequest]time.Time
+	waits      []time.Duration
 	bytes      int
 	largest    float64
 	perAccount []int
@@ -136,6 +145,7 @@
 		perAccount: make([]int, len(cfg.accounts)),
 		ledger:     make(map[pomelorelay.AccountID]map[int]pomelorelay.LedgerEntry),
 		messages:   make(map[string]int),
+		pushed:     make(map[testRequest]time.Time),
 		weights:    make(map[pomelorelay.AccountID]pomelorelay.Weight),
 	}
 	f.now, f.busyAt = f.start, f.start
--- a/pomeloslot/fleetmessages_test.go
+++ b/pomeloslot/fleetmessages_test.go
@@ -109,6 +109,9 @@
 	if r.dead {
 		return
 	}
+	if at, found := f.pushed[testRequest{r.index, x.id}]; found {
+		f.waits = append(f.waits, f.now.Sub(at))
+	}
 	f.account()
 	u.runs[x] = true
 	f.perAccount[x.account]++
--- a/pomeloslot/selection.go
+++ b/pomeloslot/selection.go
@@ -57,24 +57,28 @@
 	return !w.left && !w.digest.Leaving && now.Sub(w.at) <= a.cfg.Registration.DigestTTL
 }
 
-// compareOwned orders owners by idle slots first, nearest and most of them, then by the highest last granted tag: the
+// plenty is the number of idle slots beyond which more make no owner better. If every router took the owner that had most
+// idle when digests were sent, all would be seen to wait there and at no other.
+const plenty = 2
+
+// compareOwned orders owners by idle slots first, nearest and in an order of the router's own, then by the highest last granted tag: the
 // accounts there have had more, so a waiting one is served sooner.
 func compareOwned(v, w *owned) int {
 	if idle := cmp.Compare(min(w.digest.Idle, 1), min(v.digest.Idle, 1)); idle != 0 {
 		return idle
 	}
 	if v.digest.Idle > 0 {
-		return cmp.Or(cmp.Compare(v.distance, w.distance), cmp.Compare(w.digest.Idle, v.digest.Idle), cmp.Compare(v.rank, w.rank))
+		return cmp.Or(cmp.Compare(v.distance, w.distance), cmp.Compare(min(w.digest.Idle, plenty), min(v.digest.Idle, plenty)), cmp.Compare(v.rank, w.rank))
 	}
 	return cmp.Or(cmp.Compare(w.digest.LastTag, v.digest.LastTag), cmp.Compare(v.rank, w.rank))
 }
 
-// widen chooses from the ranking: idle owners until their slots cover what waits, and one to spare, else Base owners and
+// widen chooses from the ranking: idle owners until their slots cover what waits, and Spare more, else Base owners and
 // one for every PerWaiting requests that wait.
 func (a *Asker) widen(p *askerPool) {
 	waiting := p.demand.Waiting
 	width := a.cfg.Registration.Base + waiting/a.cfg.Registration.PerWaiting
-	spare, idle, busy := 1, 0, 0
+	spare, idle, busy := a.cfg.Registration.Spare, 0, 0
 	for _, w := range p.ranking {
 		covered := idle >= waiting
 		if w.digest.Idle == 0 {
