--- a/pomelonode/assembly.go
+++ b/pomelonode/assembly.go
@@ -33,6 +33,7 @@
 		suspectWaiters: make(map[pomelorelay.RequestID]*suspectWaiter),
 		generations:    make(map[pomelorelay.NodeID]pomelorelay.Generation),
 		loads:          make(map[pomelorelay.UpstreamID]pomeloslot.LoadReport),
+		dead:           make(map[pomelorelay.NodeID]bool),
 		dirty:          make(map[pomelorelay.PoolID]bool),
 	}
 	c.assembleFairness()
@@ -121,16 +122,22 @@
 	n := c.n
 	c.keeper = pomeloclaim.New(pomeloclaim.Config{
 		Logger:           n.cfg.Logger,
-		Seed:             uint64(n.incarnation),
+		Alive:            c.alive,
 		CommitsPerSecond: claimCommits / float64(n.shards),
 	})
 	c.claimAsker = pomeloclaim.NewAsker(pomeloclaim.AskerConfig{
-		Seed:   uint64(n.incarnation) ^ nodeSeed(n.self.Node),
-		Shards: n.shards,
-		Keeper: c.claimKeeper,
+		Node:        n.self.Node,
+		Incarnation: n.incarnation,
+		Shards:      n.shards,
+		Keeper:      c.claimKeeper,
 	})
 }
 
+// alive reports whether a router can still settle its claims: one that stops gracefully can, until it has ended.
+func (c *control) alive(node pomelorelay.NodeID) bool {
+	return !c.dead[node]
+}
+
 func (c *control) assembleSuspects() {
 	n := c.n
 	cfg := pomeloquarantine.Config{
--- a/pomelonode/configuration.go
+++ b/pomelonode/configuration.go
@@ -102,6 +102,7 @@
 		}
 	}
 	c.queues.SetWeights(s)
+	c.keeper.SetRetention(longestRetention(s))
 	c.n.mesh.SetGeneration(s.Generation())
 	c.publishTraffic()
 	c.placeJobs(now)
@@ -122,3 +123,12 @@
 	}
 	c.n.traffic.Store(view)
 }
+
+// longestRetention returns how long claims must be kept: a shard holds claims of every service.
+func longestRetention(s *pomeloconfig.Snapshot) time.Duration {
+	var longest time.Duration
+	for _, service := range s.Services() {
+		longest = max(longest, service.Retention)
+	}
+	return longest
+}
--- a/pomelonode/control.go
+++ b/pomelonode/control.go
@@ -55,6 +55,7 @@
 	claimWaiters   map[pomelorelay.ClaimNonce]*claimWaiter
 	suspectWaiters map[pomelorelay.RequestID]*suspectWaiter
 	generations    map[pomelorelay.NodeID]pomelorelay.Generation
+	dead           map[pomelorelay.NodeID]bool
 	loads          map[pomelorelay.UpstreamID]pomeloslot.LoadReport
 
 	out        []pomelorelay.Outgoing
--- a/pomelonode/jobs.go
+++ b/pomelonode/jobs.go
@@ -45,12 +45,13 @@
 	c.n.log(pomelorelay.EventMemberChanged, field("Member", string(node)), field("Status", int(change.Status)))
 	switch change.Status {
 	case pomelorelay.MemberDead:
+		c.dead[node] = true
 		delete(c.generations, node)
 		c.out = c.owner.MemberGone(now, node, c.out)
 		c.ledger.MemberGone(now, node)
-		c.keeper.MemberGone(now, node, &c.claimOut)
 		c.arbiter.MemberGone(node)
 	case pomelorelay.MemberAlive:
+		delete(c.dead, node)
 		c.table.Joined(now, node, &c.suspectOut)
 	}
 }
