--- a/pomelonode/assembly.go
+++ b/pomelonode/assembly.go
@@ -111,7 +111,7 @@
 func (c *control) domains() []pomeloledger.DomainInfo {
 	var infos []pomeloledger.DomainInfo
 	for _, d := range c.members.Domains() {
-		if d.Reachable && len(d.Members) > 0 {
+		if len(d.Members) > 0 {
 			infos = append(infos, pomeloledger.DomainInfo{ID: d.ID, Region: d.Region})
 		}
 	}
--- a/pomelonode/fleet_test.go
+++ b/pomelonode/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,45 +27,103 @@
 	model     = "estimator"
 )
 
+// domains are the failure domains of a fleet; each has an engine, a booking service and a status service of its own.
+var domains = []pomelorelay.DomainID{"recife-a", "recife-b"}
+
 // fleet is a small fleet in one process, with stand-ins on loopback.
 type fleet struct {
 	t         *testing.T
 	store     *pomelofake.Store
 	hosts     *pomelofake.HostList
-	engine    *pomelofake.Engine
-	plain     *pomelofake.Plain
+	network   *pomelofake.Network
+	engines   map[pomelorelay.DomainID]*pomelofake.Engine
+	bookings  map[pomelorelay.DomainID]*pomelofake.Plain
+	statuses  map[pomelorelay.DomainID]*pomelofake.Plain
 	storeAddr netip.AddrPort
 	hostsAddr netip.AddrPort
 	routers   []*router
 	publisher *pomeloconfig.Publisher
+	content   pomeloconfig.Configuration
 }
 
 type router struct {
 	node     *pomelonode.Node
 	settings pomeloconfig.Settings
+	store    *gatedStore
+	hosts    *gatedHosts
+	mesh     pomelorelay.Mesh
 	url      string
 	operator string
 }
 
+// gatedStore cuts one router from the store.
+type gatedStore struct {
+	pomelorelay.Store
+	cut atomic.Bool
+}
+
+var errCut = pomelorelay.NewError(pomelorelay.CodeStoreUnavailable, "cut off", nil)
+
+func (g *gatedStore) Get(ctx context.Context, key pomelorelay.StoreKey) (pomelorelay.Record, error) {
+	if g.cut.Load() {
+		return pomelorelay.Record{}, errCut
+	}
+	return g.Store.Get(ctx, key)
+}
+
+func (g *gatedStore) CompareAndSwap(ctx context.Context, key pomelorelay.StoreKey, value []byte, old pomelorelay.Revision, lease pomelorelay.LeaseID) (pomelorelay.Revision, error) {
+	if g.cut.Load() {
+		return 0, errCut
+	}
+	return g.Store.CompareAndSwap(ctx, key, value, old, lease)
+}
+
+func (g *gatedStore) Watch(ctx context.Context, key pomelorelay.StoreKey, after pomelorelay.Revision) (pomelorelay.Record, error) {
+	if g.cut.Load() {
+		return pomelorelay.Record{}, errCut
+	}
+	record, err := g.Store.Watch(ctx, key, after)
+	if g.cut.Load() {
+		return pomelorelay.Record{}, errCut
+	}
+	return record, err
+}
+
+// gatedHosts cuts one router from the host list.
+type gatedHosts struct {
+	pomelorelay.HostList
+	cut atomic.Bool
+}
+
+func (g *gatedHosts) Hosts(ctx context.Context) ([]pomelorelay.Host, error) {
+	if g.cut.Load() {
+		return nil, errCut
+	}
+	return g.HostList.Hosts(ctx)
+}
+
+// newFleet starts routers that take turns over the failure domains, on a network in memory.
 func newFleet(t *testing.T, routers int) *fleet {
 	f := &fleet{
-		t:      t,
-		store:  pomelofake.NewStore(pomelofake.StoreConfig{}),
-		hosts:  pomelofake.NewHostList(pomelofake.HostListConfig{}),
-		engine: pomelofake.NewEngine(pomelofake.EngineConfig{Model: model}),
-		plain:  pomelofake.NewPlain(pomelofake.PlainConfig{}),
+		t:        t,
+		store:    pomelofake.NewStore(pomelofake.StoreConfig{}),
+		hosts:    pomelofake.NewHostList(pomelofake.HostListConfig{}),
+		network:  pomelofake.NewNetwork(),
+		engines:  make(map[pomelorelay.DomainID]*pomelofake.Engine),
+		bookings: make(map[pomelorelay.DomainID]*pomelofake.Plain),
+		statuses: make(map[pomelorelay.DomainID]*pomelofake.Plain),
 	}
 	f.storeAddr = f.serve(f.store)
 	f.hostsAddr = f.serve(f.hosts)
-	c := f.configuration()
-	f.publish(c, "first")
+	f.content = f.configuration()
+	f.publish("first")
 	var hosts []pomelorelay.Host
 	for i := range routers {
 		s := f.settings(i)
 		hosts = append(hosts, pomelorelay.Host{Name: string(s.Host.Name), Kind: pomelorelay.HostRouter, Addr: s.Listen.Control, Domain: s.Host.FailureDomain, Region: s.Host.Region})
 		f.routers = append(f.routers, &router{settings: s, url: "http://" + s.Listen.Caller.String(), operator: "http://" + s.Listen.Operator.String()})
 	}
-	for _, u := range c.Upstreams {
+	for _, u := range f.content.Upstreams {
 		hosts = append(hosts, pomelorelay.Host{Name: string(u.Name), Kind: pomelorelay.HostUpstream, Addr: u.Address, Domain: u.FailureDomain, Region: u.Region})
 	}
 	f.hosts.Set(hosts)
@@ -81,24 +141,48 @@
 }
 
 func (f *fleet) configuration() pomeloconfig.Configuration {
-	return pomeloconfig.Configuration{
+	c := pomeloconfig.Configuration{
 		Teams:   []pomeloconfig.Team{{Name: "jewellers"}},
-		Regions: []pomeloconfig.Region{{Name: "recife", FailureDomains: []pomelorelay.DomainID{"recife-a"}}},
+		Regions: []pomeloconfig.Region{{Name: "recife", FailureDomains: domains}},
 		Services: []pomeloconfig.Service{
 			{Name: "assistant", Team: "jewellers", Kind: pomeloconfig.ServiceModel},
 			{Name: "booking", Team: "jewellers", Kind: pomeloconfig.ServicePlain, NonIdempotent: true},
-		},
-		Upstreams: []pomeloconfig.Upstream{
-			{Name: "engine-1", Service: "assistant", Model: model, Address: f.serve(f.engine), FailureDomain: "recife-a", Region: "recife", MinSlots: 1, MaxSlots: 8},
-			{Name: "booking-1", Service: "booking", Address: f.serve(f.plain), FailureDomain: "recife-a", Region: "recife", MinSlots: 1, MaxSlots: 8},
+			{Name: "status", Team: "jewellers", Kind: pomeloconfig.ServicePlain},
 		},
 		Accounts: []pomeloconfig.Account{
 			{Name: "workshop", Team: "jewellers", Share: 1, TokenHashes: []string{pomeloconfig.HashToken(token)}},
 		},
 	}
+	for _, d := range domains {
+		f.engines[d] = pomelofake.NewEngine(pomelofake.EngineConfig{Model: model})
+		f.bookings[d] = pomelofake.NewPlain(pomelofake.PlainConfig{})
+		f.statuses[d] = pomelofake.NewPlain(pomelofake.PlainConfig{})
+		c.Upstreams = append(c.Upstreams,
+			f.upstream("engine", "assistant", d, f.engines[d]),
+			f.upstream("booking", "booking", d, f.bookings[d]),
+			f.upstream("status", "status", d, f.statuses[d]))
+	}
+	return c
+}
+
+func (f *fleet) upstream(kind string, service pomelorelay.ServiceID, domain pomelorelay.DomainID, h http.Handler) pomeloconfig.Upstream {
+	u := pomeloconfig.Upstream{
+		Name:          pomelorelay.UpstreamID(kind + "-" + string(domain)),
+		Service:       service,
+		Address:       f.serve(h),
+		FailureDomain: domain,
+		Region:        "recife",
+		MinSlots:      1,
+		MaxSlots:      8,
+	}
+	if kind == "engine" {
+		u.Model = model
+	}
+	return u
 }
 
-func (f *fleet) publish(c pomeloconfig.Configuration, why string) pomeloconfig.Root {
+// publish makes the fleet's content the accepted configuration.
+func (f *fleet) publish(why string) pomeloconfig.Root {
 	f.t.Helper()
 	if f.publisher == nil {
 		client, err := pomelostore.New(pomelostore.Config{Addresses: []netip.AddrPort{f.storeAddr}, CallsPerSecond: 1000})
@@ -107,7 +191,7 @@
 		}
 		f.publisher = pomeloconfig.NewPublisher(pomeloconfig.PublisherConfig{Store: client})
 	}
-	root, err := f.publisher.Publish(context.Background(), c, pomeloconfig.Change{Author: "test", Why: why})
+	root, err := f.publisher.Publish(context.Background(), f.content, pomeloconfig.Change{Author: "test", Why: why})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -116,12 +200,12 @@
 
 func (f *fleet) settings(i int) pomeloconfig.Settings {
 	yaml := fmt.Sprintf(`
-Host: {Name: router-%d, FailureDomain: recife-a, Region: recife}
+Host: {Name: router-%d, FailureDomain: %s, Region: recife}
 Listen: {Caller: "%s", Control: "%s", Operator: "%s"}
 Store: {Addresses: ["%s"]}
 HostList: {Addresses: ["%s"]}
 TLS: {Insecure: true}
-`, i, f.free(), f.free(), f.free(), f.storeAddr, f.hostsAddr)
+`, i, domains[i%len(domains)], f.free(), f.free(), f.free(), f.storeAddr, f.hostsAddr)
 	s, err := pomeloconfig.ParseSettings([]byte(yaml))
 	if err != nil {
 		f.t.Fatal(err)
@@ -141,7 +225,23 @@
 
 func (f *fleet) start(i int) {
 	r := f.routers[i]
-	node, err := pomelonode.New(pomelonode.Config{Settings: r.settings})
+	s := r.settings
+	client, err := pomelostore.New(pomelostore.Config{Addresses: s.Store.Addresses, CallsPerSecond: 1000})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	hosts, err := pomelostore.New(pomelostore.Config{Addresses: s.HostList.Addresses, CallsPerSecond: 1000})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.store = &gatedStore{Store: client}
+	r.hosts = &gatedHosts{HostList: hosts}
+	incarnation := pomelorelay.Incarnation(time.Now().UnixNano())
+	self := pomelorelay.Peer{Node: s.Host.Name, Addr: s.Listen.Control, Domain: s.Host.FailureDomain, Region: s.Host.Region}
+	if f.network != nil {
+		r.mesh = f.network.Join(self, incarnation)
+	}
+	node, err := pomelonode.New(pomelonode.Config{Settings: s, Store: r.store, HostList: r.hosts, Mesh: r.mesh, Incarnation: incarnation})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -199,3 +299,17 @@
 	text, err := io.ReadAll(resp.Body)
 	return answer{resp.StatusCode, resp.Header, string(text), err}
 }
+
+// generation returns what the router's operator port says is in force.
+func (r *router) generation() pomelorelay.Generation {
+	resp, err := http.Get(r.operator + "/status")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var s struct{ Generation pomelorelay.Generation }
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return 0
+	}
+	return s.Generation
+}
