Test the store client against lost, repeated and crossed answers

A write must leave once, also when its connection is closed or redirected. A crossed answer was taken for the record, now it is refused. Run: go test ./pomelostore

--- /dev/null
+++ b/pomelostore/store_test.go
@@ -0,0 +1,187 @@
+package pomelostore_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelostore"
+)
+
+// smallStore serves the store's protocol out of a map.
+type smallStore struct {
+	mu      sync.Mutex
+	records map[pomelorelay.StoreKey]pomelorelay.Record
+	lapsed  bool
+}
+
+func newSmallStore(t *testing.T) *httptest.Server {
+	s := &smallStore{records: make(map[pomelorelay.StoreKey]pomelorelay.Record)}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return server
+}
+
+func (s *smallStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/v1/kv/"):
+		s.serveRecord(w, r, pomelorelay.StoreKey(strings.TrimPrefix(r.URL.Path, "/v1/kv/")))
+	case strings.HasPrefix(r.URL.Path, "/v1/watch/"):
+		s.serveWatch(w, r, pomelorelay.StoreKey(strings.TrimPrefix(r.URL.Path, "/v1/watch/")))
+	case r.URL.Path == "/v1/hosts":
+		io.WriteString(w, `[{"Name":"u1","Kind":"Upstream","Addr":"10.0.0.1:80","Domain":"a","Region":"r","Leaving":true}]`)
+	case r.URL.Path == "/v1/lease":
+		io.WriteString(w, `{"Lease":7}`)
+	case s.lapsed:
+		w.WriteHeader(http.StatusGone)
+	case r.Method == http.MethodDelete:
+		s.lapsed = true
+	}
+}
+
+func (s *smallStore) serveRecord(w http.ResponseWriter, r *http.Request, key pomelorelay.StoreKey) {
+	record := s.records[key]
+	if r.Method == http.MethodGet {
+		writeRecord(w, record)
+		return
+	}
+	if r.URL.Query().Get("old") != strconv.FormatUint(uint64(record.Revision), 10) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	value, _ := io.ReadAll(r.Body)
+	record = pomelorelay.Record{Key: key, Value: value, Revision: record.Revision + 1}
+	s.records[key] = record
+	json.NewEncoder(w).Encode(map[string]pomelorelay.Revision{"Revision": record.Revision})
+}
+
+// serveWatch answers at once: 204 the first time after a record is seen unchanged would loop, so it advances the record.
+func (s *smallStore) serveWatch(w http.ResponseWriter, r *http.Request, key pomelorelay.StoreKey) {
+	record := s.records[key]
+	if r.URL.Query().Get("after") == strconv.FormatUint(uint64(record.Revision), 10) {
+		record.Revision++
+		s.records[key] = record
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	writeRecord(w, record)
+}
+
+func writeRecord(w http.ResponseWriter, record pomelorelay.Record) {
+	if record.Revision == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	json.NewEncoder(w).Encode(record)
+}
+
+func TestRecordsAreWrittenAndRead(t *testing.T) {
+	ctx := context.Background()
+	client := newClient(t, pomelostore.Config{Addresses: []netip.AddrPort{addressOf(t, newSmallStore(t))}})
+	key := pomelorelay.StoreKey("config/part/a b%")
+	if record, err := client.Get(ctx, key); err != nil || record.Revision != 0 {
+		t.Fatalf("got %v %v, want no record", record, err)
+	}
+	if revision, err := client.CompareAndSwap(ctx, key, []byte("one"), 0, 0); err != nil || revision != 1 {
+		t.Fatalf("got %d %v", revision, err)
+	}
+	_, err := client.CompareAndSwap(ctx, key, []byte("two"), 0, 0)
+	wantCode(t, err, pomelorelay.CodeStoreConflict)
+	if record, err := client.Get(ctx, key); err != nil || string(record.Value) != "one" || record.Key != key {
+		t.Fatalf("got %v %v", record, err)
+	}
+	if record, err := client.Watch(ctx, key, 1); err != nil || record.Revision != 2 {
+		t.Fatalf("got %v %v", record, err)
+	}
+	if got := client.Stats().Writes.Value(); got != 2 {
+		t.Fatalf("%d writes counted, want 2", got)
+	}
+	t.Log(client.Stats().Var())
+}
+
+func TestLeasesLapse(t *testing.T) {
+	ctx := context.Background()
+	client := newClient(t, pomelostore.Config{Addresses: []netip.AddrPort{addressOf(t, newSmallStore(t))}})
+	lease, err := client.OpenLease(ctx, time.Second)
+	if err != nil || lease != 7 {
+		t.Fatalf("got %d %v", lease, err)
+	}
+	if err := client.RenewLease(ctx, lease); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.CloseLease(ctx, lease); err != nil {
+		t.Fatal(err)
+	}
+	wantCode(t, client.RenewLease(ctx, lease), pomelorelay.CodeStoreLeaseLapsed)
+}
+
+func TestHostsAreRead(t *testing.T) {
+	client := newClient(t, pomelostore.Config{Addresses: []netip.AddrPort{addressOf(t, newSmallStore(t))}})
+	hosts, err := client.Hosts(context.Background())
+	if err != nil || len(hosts) != 1 || !hosts[0].Leaving || hosts[0].Addr != netip.MustParseAddrPort("10.0.0.1:80") {
+		t.Fatalf("got %v %v", hosts, err)
+	}
+}
+
+// The store, or something before it, answers with a status that is no success. A writer must learn whether its write may have
+// taken effect; else it reports a change as refused that is in force.
+func TestStatusesTellWhetherAWriteMayHaveTakenEffect(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   string
+		code   pomelorelay.ResultCode
+	}{
+		{http.StatusOK, `{"Revision":`, pomelorelay.CodeStoreUnknown},
+		{http.StatusTemporaryRedirect, "", pomelorelay.CodeStoreUnavailable},
+		{http.StatusConflict, "", pomelorelay.CodeStoreConflict},
+		{http.StatusGone, "", pomelorelay.CodeStoreLeaseLapsed},
+		{http.StatusRequestEntityTooLarge, "", pomelorelay.CodeStoreTooLarge},
+		{http.StatusTooManyRequests, "", pomelorelay.CodeStoreThrottled},
+		{http.StatusInternalServerError, "", pomelorelay.CodeStoreUnknown},
+		{http.StatusBadGateway, "", pomelorelay.CodeStoreUnknown},
+		{http.StatusServiceUnavailable, "", pomelorelay.CodeStoreUnavailable},
+		{http.StatusGatewayTimeout, "", pomelorelay.CodeStoreUnknown},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(c.status)
+			io.WriteString(w, c.body)
+		}))
+		client := newClient(t, pomelostore.Config{Addresses: []netip.AddrPort{addressOf(t, server)}})
+		_, err := client.CompareAndSwap(context.Background(), "k", []byte("v"), 0, 0)
+		if !pomelorelay.IsErrCode(err, c.code) {
+			t.Errorf("status %d: got %v, want code %d", c.status, err, c.code)
+		}
+		server.Close()
+	}
+}
+
+// An answer of another key arrives. Taken for the record asked for, a router would put the wrong content in force.
+func TestCrossedAnswersAreRefused(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(pomelorelay.Record{Key: "other", Value: []byte("x"), Revision: 1})
+	}))
+	defer server.Close()
+	client := newClient(t, pomelostore.Config{Addresses: []netip.AddrPort{addressOf(t, server)}})
+	_, err := client.Get(context.Background(), "mine")
+	wantCode(t, err, pomelorelay.CodeStoreUnavailable)
+}
+
+func TestTooLargeValuesDoNotLeave(t *testing.T) {
+	client := newClient(t, pomelostore.Config{Addresses: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, MaxValue: 4})
+	_, err := client.CompareAndSwap(context.Background(), "k", []byte("12345"), 0, 0)
+	wantCode(t, err, pomelorelay.CodeStoreTooLarge)
+	if got := client.Stats().Writes.Value(); got != 0 {
+		t.Fatalf("%d writes left", got)
+	}
+}
