--- /dev/null
+++ b/cmd/pomeloctl/app.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelostore"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// The forms of output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// app is one run of the program.
+type app struct {
+	in      io.Reader
+	out     io.Writer
+	diag    io.Writer
+	output  string
+	timeout time.Duration
+	store   []string
+}
+
+// action is what a subcommand does.
+type action func(ctx context.Context) error
+
+// run parses the arguments, runs the subcommand and returns the exit code.
+func run(args []string, in io.Reader, out, diag io.Writer) int {
+	a := &app{in: in, out: out, diag: diag}
+	cli, actions := a.commands()
+	command, ended, err := parse(cli, args)
+	if ended {
+		return exitSuccess
+	}
+	if err != nil {
+		return a.fail(pomelorelay.NewError(pomelorelay.CodeBadRequest, err.Error()+"; try pomeloctl --help", nil))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
+	defer cancel()
+	if err := actions[command](ctx); err != nil {
+		return a.fail(err)
+	}
+	return exitSuccess
+}
+
+// helpShown ends the parsing once the help was printed.
+type helpShown struct{}
+
+// parse returns the subcommand, or that the help was asked for.
+func parse(cli *kingpin.Application, args []string) (command string, ended bool, err error) {
+	cli.Terminate(func(int) { panic(helpShown{}) })
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case helpShown:
+			ended = true
+		default:
+			panic(r)
+		}
+	}()
+	command, err = cli.Parse(args)
+	return command, false, err
+}
+
+// commands returns the command line and what each subcommand does.
+func (a *app) commands() (*kingpin.Application, map[string]action) {
+	cli := kingpin.New("pomeloctl", "Makes, checks, applies and follows the configuration of pomelorelay.")
+	cli.UsageWriter(a.diag)
+	cli.ErrorWriter(a.diag)
+	cli.HelpFlag.Short('h')
+	cli.Flag("output", "Form of the output.").Default(outputText).EnumVar(&a.output, outputText, outputJSON)
+	cli.Flag("timeout", "Bound on the whole command.").Default("1m").DurationVar(&a.timeout)
+	actions := make(map[string]action)
+	for _, add := range []func(*kingpin.Application) (*kingpin.CmdClause, action){
+		a.questionnaireCommand, a.generateCommand, a.checkCommand, a.diffCommand, a.applyCommand, a.showCommand,
+		a.auditCommand, a.statusCommand, a.drainCommand, a.tokenCommand,
+	} {
+		clause, do := add(cli)
+		actions[clause.FullCommand()] = do
+	}
+	return cli, actions
+}
+
+// storeFlag adds the flag that names the store's addresses.
+func (a *app) storeFlag(clause *kingpin.CmdClause) *kingpin.CmdClause {
+	clause.Flag("store", "IP:port of the platform's store; may be repeated.").Required().StringsVar(&a.store)
+	return clause
+}
+
+func (a *app) openStore() (*pomelostore.Client, error) {
+	addresses, err := parseAddresses("--store", a.store)
+	if err != nil {
+		return nil, err
+	}
+	return pomelostore.New(pomelostore.Config{Addresses: addresses, CallsPerSecond: storeCallsPerSecond})
+}
+
+// print writes the value as JSON, or the text, as the operator asked.
+func (a *app) print(value any, text string) error {
+	if a.output == outputText {
+		_, err := io.WriteString(a.out, text)
+		return err
+	}
+	encoder := json.NewEncoder(a.out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// failure is an error as programs read it.
+type failure struct {
+	Code   pomelorelay.ResultCode
+	Name   string
+	Detail string
+	Advice string
+}
+
+func (a *app) fail(err error) int {
+	info := pomelorelay.CodeOf(err).Info()
+	if a.output == outputJSON {
+		encoder := json.NewEncoder(a.diag)
+		encoder.SetIndent("", "  ")
+		if encodeErr := encoder.Encode(failure{Code: info.Code, Name: info.Name, Detail: err.Error(), Advice: info.Advice}); encodeErr == nil {
+			return exitCode(info.Code)
+		}
+	}
+	fmt.Fprintf(a.diag, "pomeloctl: %v\nWhat to do: %s\n", err, info.Advice)
+	return exitCode(info.Code)
+}
--- /dev/null
+++ b/cmd/pomeloctl/apply.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os/user"
+	"strings"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+const waitInterval = 100 * time.Millisecond
+
+// applyOptions are what an operator says to apply.
+type applyOptions struct {
+	file     string
+	author   string
+	why      string
+	changeID string
+	base     uint64
+	wait     bool
+	routers  []string
+}
+
+// applyResult tells what was accepted and where it is in force.
+type applyResult struct {
+	Generation pomelorelay.Generation
+	ChangeID   pomeloconfig.ChangeID
+	Difference pomeloconfig.DifferenceSummary
+	// InForce and Pending name the routers asked.
+	InForce []netip.AddrPort `json:",omitempty"`
+	Pending []netip.AddrPort `json:",omitempty"`
+}
+
+func (a *app) applyCommand(cli *kingpin.Application) (*kingpin.CmdClause, action) {
+	var o applyOptions
+	clause := a.storeFlag(cli.Command("apply", "Checks a configuration and brings it into the store."))
+	clause.Arg("file", "The configuration; - reads standard input.").Required().StringVar(&o.file)
+	clause.Flag("why", "Why it is changed, for the audit trail.").Required().StringVar(&o.why)
+	clause.Flag("author", "Who changes it.").Default(currentUser()).StringVar(&o.author)
+	clause.Flag("base", "The generation that you started from; another one in the store is a conflict.").Uint64Var(&o.base)
+	clause.Flag("change-id", "The id of an apply whose outcome is not known.").StringVar(&o.changeID)
+	clause.Flag("wait", "Wait until the routers named have it in force.").BoolVar(&o.wait)
+	routerFlag(clause).StringsVar(&o.routers)
+	return clause, func(ctx context.Context) error { return a.apply(ctx, o) }
+}
+
+// currentUser is only a default; --author overrides it.
+func currentUser() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func (a *app) apply(ctx context.Context, o applyOptions) error {
+	routers, err := parseAddresses("--router", o.routers)
+	if err != nil {
+		return err
+	}
+	if o.wait && len(routers) == 0 {
+		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "apply: --wait needs --router", nil)
+	}
+	c, err := a.readConfiguration(o.file)
+	if err != nil {
+		return err
+	}
+	store, err := a.openStore()
+	if err != nil {
+		return err
+	}
+	// Routers that do not answer do not keep a change from being accepted; the others tell what it has to be above.
+	lines, _ := askAll(ctx, routers)
+	publisher := pomeloconfig.NewPublisher(pomeloconfig.PublisherConfig{Store: store})
+	root, err := publisher.Publish(ctx, c, pomeloconfig.Change{
+		ID: pomeloconfig.ChangeID(o.changeID), Author: o.author, Why: o.why,
+		Base: pomelorelay.Generation(o.base), Floor: highestGeneration(lines),
+	})
+	if err != nil {
+		return err
+	}
+	result := applyResult{Generation: root.Generation, ChangeID: root.ChangeID, Difference: root.Difference}
+	if !o.wait {
+		return a.print(result, result.text())
+	}
+	waitErr := result.await(ctx, routers)
+	if err := a.print(result, result.text()); err != nil {
+		return err
+	}
+	return waitErr
+}
+
+// await asks the routers until all have the generation, or a higher one, or the time is up.
+func (r *applyResult) await(ctx context.Context, routers []netip.AddrPort) error {
+	for {
+		lines, _ := askAll(ctx, routers)
+		r.InForce, r.Pending = nil, nil
+		for _, line := range lines {
+			if line.Error == "" && line.Status.Generation >= r.Generation {
+				r.InForce = append(r.InForce, line.Router)
+				continue
+			}
+			r.Pending = append(r.Pending, line.Router)
+		}
+		if len(r.Pending) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return pomelorelay.NewError(pomelorelay.CodeConfigNotInForce, fmt.Sprintf("generation %d is not in force on %s", r.Generation, addressesText(r.Pending)), nil)
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func (r *applyResult) text() string {
+	text := fmt.Sprintf("Generation %d, change %s: %d added, %d removed, %d altered\n",
+		r.Generation, r.ChangeID, r.Difference.Added, r.Difference.Removed, r.Difference.Altered)
+	if len(r.InForce) > 0 {
+		text += "In force on " + addressesText(r.InForce) + "\n"
+	}
+	if len(r.Pending) > 0 {
+		text += "Not in force on " + addressesText(r.Pending) + "\n"
+	}
+	return text
+}
+
+func addressesText(addresses []netip.AddrPort) string {
+	texts := make([]string, len(addresses))
+	for i, address := range addresses {
+		texts[i] = address.String()
+	}
+	return strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/cmd/pomeloctl/drain.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func (a *app) drainCommand(cli *kingpin.Application) (*kingpin.CmdClause, action) {
+	clause := cli.Command("drain", "Tells routers to take no new work, end what runs, and stop.")
+	routers := routerFlag(clause).Required().Strings()
+	return clause, func(ctx context.Context) error {
+		addresses, err := parseAddresses("--router", *routers)
+		if err != nil {
+			return err
+		}
+		client := newRouterClient()
+		for _, router := range addresses {
+			if err := client.drain(ctx, router); err != nil {
+				return err
+			}
+		}
+		return a.print(addresses, "Told to drain; follow it with pomeloctl status.\n")
+	}
+}
--- /dev/null
+++ b/cmd/pomeloctl/exit.go
@@ -0,0 +1,34 @@
+package main
+
+import "github.com/pomelorelay/pomelorelay"
+
+// The exit codes; docs/operators/exit-codes.md explains them.
+const (
+	exitSuccess     = 0
+	exitFailure     = 1
+	exitInput       = 2
+	exitConflict    = 3
+	exitUnknown     = 4
+	exitNotInForce  = 5
+	exitUnreachable = 6
+)
+
+// storeCallsPerSecond lets an operator load a large configuration in seconds, well under the store's own rate.
+const storeCallsPerSecond = 200
+
+func exitCode(code pomelorelay.ResultCode) int {
+	switch code {
+	case pomelorelay.CodeBadRequest, pomelorelay.CodeConfigSyntax, pomelorelay.CodeConfigUnknownField, pomelorelay.CodeSettingsInvalid,
+		pomelorelay.CodeConfigInvalid, pomelorelay.CodeAnswersInvalid, pomelorelay.CodeConfigTooLarge, pomelorelay.CodeFileUnreadable:
+		return exitInput
+	case pomelorelay.CodeConfigConflict, pomelorelay.CodeStoreConflict:
+		return exitConflict
+	case pomelorelay.CodeConfigUnsettled, pomelorelay.CodeStoreUnknown:
+		return exitUnknown
+	case pomelorelay.CodeConfigNotInForce:
+		return exitNotInForce
+	case pomelorelay.CodeStoreUnavailable, pomelorelay.CodeStoreThrottled, pomelorelay.CodeRouterUnreachable:
+		return exitUnreachable
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/pomeloctl/questionnaire.go
@@ -0,0 +1,16 @@
+package main
+
+import (
+	"context"
+
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func (a *app) questionnaireCommand(cli *kingpin.Application) (*kingpin.CmdClause, action) {
+	clause := cli.Command("questionnaire", "Prints the questionnaire that a new team fills in.")
+	return clause, func(context.Context) error {
+		return a.print(pomeloconfig.Questions(), pomeloconfig.Questionnaire())
+	}
+}
--- /dev/null
+++ b/cmd/pomeloctl/status.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// statusLine is one router's answer, or why there is none.
+type statusLine struct {
+	Router netip.AddrPort
+	Status routerStatus
+	Error  string `json:",omitempty"`
+}
+
+func (a *app) statusCommand(cli *kingpin.Application) (*kingpin.CmdClause, action) {
+	clause := cli.Command("status", "Shows the routers at a glance.")
+	routers := routerFlag(clause).Required().Strings()
+	return clause, func(ctx context.Context) error {
+		addresses, err := parseAddresses("--router", *routers)
+		if err != nil {
+			return err
+		}
+		lines, failed := askAll(ctx, addresses)
+		if err := a.print(lines, statusText(lines)); err != nil {
+			return err
+		}
+		return failed
+	}
+}
+
+func routerFlag(clause *kingpin.CmdClause) *kingpin.FlagClause {
+	return clause.Flag("router", "IP:port of a router's operator port; may be repeated.")
+}
+
+// askAll asks the routers at the same time and returns the answers in their order, and the last failure.
+func askAll(ctx context.Context, routers []netip.AddrPort) ([]statusLine, error) {
+	client := newRouterClient()
+	lines := make([]statusLine, len(routers))
+	errs := make([]error, len(routers))
+	done := make(chan struct{})
+	for i, router := range routers {
+		go func() {
+			lines[i].Router = router
+			lines[i].Status, errs[i] = client.status(ctx, router)
+			done <- struct{}{}
+		}()
+	}
+	for range routers {
+		<-done
+	}
+	var failed error
+	for i, err := range errs {
+		if err != nil {
+			lines[i].Error = err.Error()
+			failed = err
+		}
+	}
+	return lines, failed
+}
+
+// highestGeneration is the highest that any router has in force.
+func highestGeneration(lines []statusLine) pomelorelay.Generation {
+	var highest pomelorelay.Generation
+	for _, line := range lines {
+		highest = max(highest, line.Status.Generation)
+	}
+	return highest
+}
+
+func statusText(lines []statusLine) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "%-22s %-20s %-14s %-10s %10s %-8s %7s %9s\n", "ROUTER", "NODE", "DOMAIN", "REGION", "GENERATION", "STATE", "MEMBERS", "UPSTREAMS")
+	for _, line := range lines {
+		if line.Error != "" {
+			fmt.Fprintf(&text, "%-22s %s\n", line.Router, line.Error)
+			continue
+		}
+		s := line.Status
+		fmt.Fprintf(&text, "%-22s %-20s %-14s %-10s %10d %-8s %7d %9d\n", line.Router, s.Node, s.Domain, s.Region, s.Generation, s.state(), len(s.Members), len(s.Upstreams))
+	}
+	return text.String()
+}
+
+func (s routerStatus) state() string {
+	switch {
+	case s.Stopping:
+		return "stopping"
+	case s.Ready:
+		return "ready"
+	}
+	return "cold"
+}
--- a/pomeloconfig/document.go
+++ b/pomeloconfig/document.go
@@ -6,12 +6,12 @@
 	"strconv"
 	"strings"
 
+	"github.com/pomelorelay/pomelorelay"
+
 	"github.com/go-faster/errors"
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
-
-	"github.com/pomelorelay/pomelorelay"
 )
 
 // MaxDocument bounds a YAML document.
--- a/pomeloconfig/encode.go
+++ b/pomeloconfig/encode.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"slices"
 
-	"github.com/goccy/go-yaml"
-
 	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/goccy/go-yaml"
 )
 
 // Parse reads a configuration from YAML, fills in the defaults and checks it; it fails with CodeConfigSyntax,
--- a/pomeloconfig/parts.go
+++ b/pomeloconfig/parts.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"math/bits"
 
+	"github.com/pomelorelay/pomelorelay"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/klauspost/compress/zstd"
-
-	"github.com/pomelorelay/pomelorelay"
 )
 
 // MaxPart bounds a compressed part and an encoded root, well under what the platform's store takes.
--- a/pomeloconfig/root.go
+++ b/pomeloconfig/root.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/go-faster/errors"
 )
 
 // Format numbers the layout of roots and parts; a program refuses a higher one than it knows.
--- a/pomelostore/call.go
+++ b/pomelostore/call.go
@@ -13,9 +13,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/go-faster/errors"
 )
 
 // base64 makes four bytes of three; the rest of an answer is small.
--- a/pomelostore/client.go
+++ b/pomelostore/client.go
@@ -6,9 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/go-faster/errors"
 )
 
 const (
