--- /dev/null
+++ b/cmd/pomelobench/pomeloload/random_test.go
@@ -0,0 +1,59 @@
+package pomeloload_test
+
+import (
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay/cmd/pomelobench/pomeloload"
+	"pgregory.net/rapid"
+)
+
+// The same seed gives the same faults, each of them is taken back, and none lasts into the quiet end.
+func TestRandomStepsRepeatBySeedAndEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := directPlan()
+		p.Seed = rapid.Uint64().Draw(t, "seed")
+		p.Duration = time.Duration(rapid.IntRange(6, 120).Draw(t, "seconds")) * time.Second
+		steps, err := pomeloload.RandomSteps(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := pomeloload.RandomSteps(p)
+		if err != nil || !reflect.DeepEqual(steps, again) {
+			t.Fatalf("drew %v and %v", steps, again)
+		}
+		if len(steps)%2 != 0 {
+			t.Fatalf("%d steps", len(steps))
+		}
+		for _, s := range steps {
+			if s.After > p.Duration-5*time.Second {
+				t.Fatalf("%+v comes too late", s)
+			}
+		}
+	})
+}
+
+// Faults that no router guards against must show in the result. Of these seeds each draws some that do harm; a short run may
+// draw harmless ones only, such as refusals.
+func TestRandomFaultsWithoutRouterAreSeen(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t)
+			p := directPlan()
+			p.Seed = seed
+			p.Duration = 40 * time.Second
+			p.Accounts = p.Accounts[:1]
+			steps, err := pomeloload.RandomSteps(p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Steps = steps
+			j := runPlan(t, w, p)
+			if len(j.Result.Failures()) == 0 {
+				t.Errorf("seed %d: %d faults and no failure", seed, len(steps)/2)
+			}
+		})
+	}
+}
--- a/cmd/pomelobench/run.go
+++ b/cmd/pomelobench/run.go
@@ -23,6 +23,8 @@
 	plan     string
 	duration time.Duration
 	direct   bool
+	random   bool
+	seed     uint64
 	ready    time.Duration
 	marks    string
 	record   string
@@ -33,6 +35,8 @@
 	cmd.Flag("plan", "The YAML file that says what load goes where.").Required().StringVar(&c.plan)
 	cmd.Flag("duration", "How long load is put on; the plan's when not given.").DurationVar(&c.duration)
 	cmd.Flag("direct", "Send to the stand-ins themselves, without routers and steps, for a baseline.").BoolVar(&c.direct)
+	cmd.Flag("random-faults", "Draw faults of the stand-ins from the seed, in place of the plan's steps.").BoolVar(&c.random)
+	cmd.Flag("seed", "The seed of everything that is drawn; the plan's when not given.").Uint64Var(&c.seed)
 	cmd.Flag("wait-ready", "How long to wait until every router is ready.").DurationVar(&c.ready)
 	cmd.Flag("marks", "A file to which a script appends what it does itself, such as ending a router.").StringVar(&c.marks)
 	cmd.Flag("record", "A file for the run's record, as JSON lines.").StringVar(&c.record)
@@ -44,11 +48,8 @@
 	if err != nil {
 		return err
 	}
-	if c.duration > 0 {
-		plan.Duration = c.duration
-	}
-	if c.direct {
-		plan = plan.ForDirect()
+	if plan, err = c.adapt(plan); err != nil {
+		return err
 	}
 	judgement, err := pomeloload.Run(ctx, plan, pomeloload.Options{ReadyWithin: c.ready, Marks: c.marks, Logf: progress})
 	if err != nil {
@@ -71,6 +72,26 @@
 	return nil
 }
 
+// adapt changes the plan as the flags say.
+func (c *runCommand) adapt(plan pomeloload.Plan) (pomeloload.Plan, error) {
+	if c.duration > 0 {
+		plan.Duration = c.duration
+	}
+	if c.seed > 0 {
+		plan.Seed = c.seed
+	}
+	if c.direct {
+		plan = plan.ForDirect()
+	}
+	if !c.random {
+		return plan, nil
+	}
+	steps, err := pomeloload.RandomSteps(plan)
+	progress("Faults drawn from seed %d: %d", plan.Seed, len(steps)/2)
+	plan.Steps = steps
+	return plan, err
+}
+
 func progress(format string, args ...any) { fmt.Printf(format+"\n", args...) }
 
 // printFindings prints what a reader needs to look into a run: the first violations and the commonest bad ends.
--- a/pomelofake/engine.go
+++ b/pomelofake/engine.go
@@ -93,11 +93,13 @@
 	closing chan struct{}
 	wg      sync.WaitGroup
 
-	mu       sync.Mutex
-	faults   EngineFaults
-	waiting  []*sequence
-	running  []*sequence
-	streams  map[string]*sequence
+	mu      sync.Mutex
+	faults  EngineFaults
+	waiting []*sequence
+	running []*sequence
+	streams map[string]*sequence
+	// over holds the sequences that have ended, in that order, until they are forgotten.
+	over     []*sequence
 	prefixes *prefixCache
 	load     lagging
 }
@@ -180,6 +182,7 @@
 	}
 	e.waiting, e.running = nil, nil
 	e.streams = make(map[string]*sequence)
+	e.over = nil
 	e.prefixes = newPrefixCache(e.cfg.PrefixBlocks)
 	e.report()
 }
