--- a/messages.go
+++ b/messages.go
@@ -306,17 +306,20 @@
 	Wait        time.Duration
 }
 
-// SuspectCleared tells that a suspect's run ended without a crash.
+// SuspectCleared tells that a suspect runs no more; Clean tells that its answer was whole and its upstream lived.
 type SuspectCleared struct {
 	Fingerprint Fingerprint
 	Upstream    UpstreamID
+	Clean       bool
 }
 
-// QuarantineNotice spreads a fingerprint that crashes upstreams; For is zero when it is lifted.
+// QuarantineNotice spreads a fingerprint that crashes upstreams; For is zero when it is lifted. Upstream is the one
+// whose crash named it, so that what else ran there is cleared.
 type QuarantineNotice struct {
 	Fingerprint Fingerprint
 	Seq         uint64
 	For         time.Duration
+	Upstream    UpstreamID
 }
 
 // LeavingNotice tells that an upstream leaves and must get nothing new.
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -169,6 +169,6 @@
 	Began(run SuspectRun)
 	// Crashed tells that the upstream crashed while the attempt ran; it never blocks.
 	Crashed(run SuspectRun)
-	// Ended tells that the attempt ended otherwise; it never blocks.
-	Ended(run SuspectRun)
+	// Ended tells that the attempt ended otherwise; clean tells that its answer was whole. It never blocks.
+	Ended(run SuspectRun, clean bool)
 }
--- a/pomeloroute/helpers_test.go
+++ b/pomeloroute/helpers_test.go
@@ -154,7 +154,7 @@
 	b.crashed = append(b.crashed, run)
 }
 
-func (b *bench) Ended(pomeloroute.SuspectRun) {
+func (b *bench) Ended(pomeloroute.SuspectRun, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ended++
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -93,7 +93,7 @@
 	defer func() {
 		if !ended {
 			m.end()
-			c.h.cfg.Suspects.Ended(run)
+			c.h.cfg.Suspects.Ended(run, false)
 		}
 	}()
 	f = c.exchange(ctx, ticket, m)
@@ -129,7 +129,7 @@
 func (c *call) endRun(ctx context.Context, ticket Ticket, run SuspectRun, f *failure) {
 	crashed := f != nil && f.cut && c.h.conns.refuses(ctx, ticket.Upstream().Address)
 	if !crashed {
-		c.h.cfg.Suspects.Ended(run)
+		c.h.cfg.Suspects.Ended(run, f == nil)
 		return
 	}
 	c.suspect = true
