pomeloquarantine: suspects wait for the notices and runs under way take their places

Cause: the schedules found an innocent quarantined: it ran as the one suspect of an upstream where a second, earlier send of the deadly request still ran. Change: a run whose fingerprint becomes a suspect takes its places at the arbiters, and suspects ask 50 ms after the crash.

--- a/pomeloquarantine/config.go
+++ b/pomeloquarantine/config.go
@@ -21,6 +21,9 @@
 	QuarantineFor time.Duration
 	// CrashWindow is how far apart reports of one crash may arrive, 3 s by default.
 	CrashWindow time.Duration
+	// SettleFor is how long after a crash its suspects wait before they ask, so that every router has heard of them and
+	// told where they still run, 50 ms by default.
+	SettleFor time.Duration
 	// LockFor is how long an arbiter keeps a run's place without renewal, 6 s by default.
 	LockFor time.Duration
 	// AskAgain is the pause before a suspect that must wait asks again, 200 ms by default.
--- a/pomeloquarantine/defaults.go
+++ b/pomeloquarantine/defaults.go
@@ -11,6 +11,7 @@
 	defaultSuspectFor     = 10 * time.Minute
 	defaultQuarantineFor  = 10 * time.Minute
 	defaultCrashWindow    = 3 * time.Second
+	defaultSettleFor      = 50 * time.Millisecond
 	defaultLockFor        = 6 * time.Second
 	defaultAskAgain       = 200 * time.Millisecond
 	defaultMaxWait        = 10 * time.Second
@@ -31,6 +32,7 @@
 	setDuration(&c.SuspectFor, defaultSuspectFor)
 	setDuration(&c.QuarantineFor, defaultQuarantineFor)
 	setDuration(&c.CrashWindow, defaultCrashWindow)
+	setDuration(&c.SettleFor, defaultSettleFor)
 	setDuration(&c.LockFor, defaultLockFor)
 	setDuration(&c.AskAgain, defaultAskAgain)
 	setDuration(&c.MaxWait, defaultMaxWait)
--- /dev/null
+++ b/pomeloquarantine/fleet_test.go
@@ -0,0 +1,287 @@
+package pomeloquarantine_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloquarantine"
+)
+
+const (
+	fleetRouters   = 4
+	fleetUpstreams = 10
+	restartTime    = 5 * time.Second
+	callerPause    = 3 * time.Millisecond
+)
+
+// fleet runs routers and upstreams on virtual time. A deadly request crashes every upstream that runs it.
+type fleet struct {
+	now       time.Time
+	rng       *rand.Rand
+	events    eventQueue
+	seq       int
+	routers   []*router
+	upstreams []*upstream
+	lastID    pomelorelay.RequestID
+	loss      float64
+	// guarded is false to show what happens without the suspects' part.
+	guarded bool
+	// maxAttempts bounds how often a request is sent; one that was running at each crash needs one more than there are crashes.
+	maxAttempts int
+
+	crashes  int
+	answered map[pomelorelay.Fingerprint]int
+	refused  map[pomelorelay.Fingerprint]int
+	held     int
+}
+
+type router struct {
+	name    pomelorelay.NodeID
+	table   *pomeloquarantine.Table
+	arbiter *pomeloquarantine.Arbiter
+	waiting map[pomelorelay.RequestID]*request
+}
+
+type upstream struct {
+	name  pomelorelay.UpstreamID
+	up    bool
+	epoch int
+	runs  []*request
+}
+
+type request struct {
+	router   *router
+	run      pomeloquarantine.Run
+	deadly   bool
+	attempts int
+	// done is called with whether the request was answered, after a crash or a refusal with false.
+	done func(ok bool)
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || (q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func newFleet(seed uint64, guarded bool) *fleet {
+	f := &fleet{
+		now:      time.Unix(1_700_000_000, 0),
+		rng:      rand.New(rand.NewPCG(seed, 2)),
+		guarded:  guarded,
+		answered: make(map[pomelorelay.Fingerprint]int),
+		refused:  make(map[pomelorelay.Fingerprint]int),
+	}
+	for n := range fleetUpstreams {
+		f.upstreams = append(f.upstreams, &upstream{name: pomelorelay.UpstreamID(fmt.Sprint("upstream-", n)), up: true})
+	}
+	var names []pomelorelay.NodeID
+	for n := range fleetRouters {
+		names = append(names, pomelorelay.NodeID(fmt.Sprint("router-", n)))
+	}
+	for _, name := range names {
+		cfg := pomeloquarantine.Config{
+			Self: name,
+			FingerprintArbiter: func(p pomelorelay.Fingerprint) (pomelorelay.NodeID, bool) {
+				return names[uint64(p)%fleetRouters], true
+			},
+			UpstreamArbiter: func(u pomelorelay.UpstreamID) (pomelorelay.NodeID, bool) {
+				return names[int(u[len(u)-1])%fleetRouters], true
+			},
+			Members: func() []pomelorelay.NodeID { return names },
+		}
+		r := &router{name: name, table: pomeloquarantine.NewTable(cfg), arbiter: pomeloquarantine.New(cfg), waiting: make(map[pomelorelay.RequestID]*request)}
+		f.routers = append(f.routers, r)
+		f.tick(r)
+	}
+	return f
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.events, event{f.now.Add(d), f.seq, do})
+}
+
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.events) > 0 && !f.events[0].at.After(end) {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+func (f *fleet) tick(r *router) {
+	f.after(100*time.Millisecond, func() {
+		f.act(r, func(out *pomeloquarantine.Output) { r.table.Tick(f.now, out) })
+		f.tick(r)
+	})
+}
+
+func (f *fleet) act(r *router, do func(out *pomeloquarantine.Output)) {
+	var out pomeloquarantine.Output
+	do(&out)
+	for _, m := range out.Messages {
+		if m.To != r.name && f.rng.Float64() < f.loss {
+			continue
+		}
+		f.after(time.Duration(500+f.rng.IntN(1000))*time.Microsecond, func() { f.deliver(r.name, m) })
+	}
+	for _, v := range out.Verdicts {
+		f.decide(v)
+	}
+}
+
+func (f *fleet) deliver(from pomelorelay.NodeID, m pomelorelay.Outgoing) {
+	for _, r := range f.routers {
+		if r.name != m.To {
+			continue
+		}
+		f.act(r, func(out *pomeloquarantine.Output) {
+			switch x := m.Message.(type) {
+			case *pomelorelay.SuspectNotice:
+				r.table.Notice(f.now, x, out)
+			case *pomelorelay.SuspectAsk:
+				r.arbiter.Ask(f.now, from, x, out)
+			case *pomelorelay.SuspectAnswer:
+				r.table.Answer(f.now, from, x, out)
+			case *pomelorelay.SuspectCleared:
+				r.arbiter.Cleared(from, x)
+				r.table.Cleared(x)
+			case *pomelorelay.QuarantineNotice:
+				r.table.Quarantine(f.now, x, out)
+			}
+		})
+	}
+}
+
+// send brings a request to a router; done hears its end.
+func (f *fleet) send(n int, p pomelorelay.Fingerprint, deadly bool, done func(ok bool)) {
+	f.lastID++
+	q := &request{router: f.routers[n], deadly: deadly, done: done}
+	q.run.Request, q.run.Fingerprint = f.lastID, p
+	f.attempt(q)
+}
+
+func (f *fleet) attempt(q *request) {
+	up := f.pick()
+	if up == nil || q.attempts >= f.maxAttempts {
+		q.done(false)
+		return
+	}
+	q.run.Upstream = up.name
+	if !f.guarded {
+		f.begin(q)
+		return
+	}
+	q.router.waiting[q.run.Request] = q
+	f.act(q.router, func(out *pomeloquarantine.Output) {
+		if v := q.router.table.Check(f.now, q.run, out); v.Decision != pomeloquarantine.DecisionWait {
+			out.Verdicts = append(out.Verdicts, v)
+		}
+	})
+}
+
+// pick returns an upstream that runs, at random.
+func (f *fleet) pick() *upstream {
+	var up []*upstream
+	for _, u := range f.upstreams {
+		if u.up {
+			up = append(up, u)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[f.rng.IntN(len(up))]
+}
+
+func (f *fleet) decide(v pomeloquarantine.Verdict) {
+	for _, r := range f.routers {
+		q, ok := r.waiting[v.Run.Request]
+		if !ok || q.run != v.Run {
+			continue
+		}
+		delete(r.waiting, v.Run.Request)
+		switch v.Decision {
+		case pomeloquarantine.DecisionRun:
+			f.begin(q)
+		case pomeloquarantine.DecisionQuarantined:
+			f.refused[q.run.Fingerprint]++
+			q.done(false)
+		default:
+			f.held++
+			q.done(false)
+		}
+	}
+}
+
+func (f *fleet) begin(q *request) {
+	var up *upstream
+	for _, u := range f.upstreams {
+		if u.name == q.run.Upstream {
+			up = u
+		}
+	}
+	if !up.up {
+		// It died while the request waited for its turn; no byte left.
+		f.act(q.router, func(out *pomeloquarantine.Output) { q.router.table.Cancel(q.run, out) })
+		f.attempt(q)
+		return
+	}
+	q.attempts++
+	q.router.table.Began(q.run)
+	up.runs = append(up.runs, q)
+	epoch := up.epoch
+	f.after(time.Duration(5+f.rng.IntN(60))*time.Millisecond, func() {
+		if up.epoch != epoch {
+			return
+		}
+		if q.deadly {
+			f.crash(up)
+			return
+		}
+		for i, r := range up.runs {
+			if r == q {
+				up.runs = append(up.runs[:i:i], up.runs[i+1:]...)
+				break
+			}
+		}
+		f.answered[q.run.Fingerprint]++
+		f.act(q.router, func(out *pomeloquarantine.Output) { q.router.table.Ended(q.run, true, out) })
+		q.done(true)
+	})
+}
+
+func (f *fleet) crash(up *upstream) {
+	f.crashes++
+	runs := up.runs
+	up.runs, up.up = nil, false
+	up.epoch++
+	f.after(restartTime, func() { up.up = true })
+	for _, q := range runs {
+		f.after(time.Duration(f.rng.IntN(300))*time.Microsecond, func() {
+			f.act(q.router, func(out *pomeloquarantine.Output) { q.router.table.Crashed(f.now, q.run, out) })
+			f.attempt(q)
+		})
+	}
+}
--- a/pomeloquarantine/table.go
+++ b/pomeloquarantine/table.go
@@ -80,9 +80,9 @@
 // Ended tells that a run ended without a crash of its upstream; clean tells that its answer was whole, which clears a
 // suspect. One that was cancelled has shown nothing.
 func (t *Table) Ended(run Run, clean bool, out *Output) {
-	r, ok := t.running[run.Request]
+	_, ok := t.running[run.Request]
 	delete(t.running, run.Request)
-	if !ok || !r.alone {
+	if !ok || t.turns[run.Request] == nil {
 		return
 	}
 	t.leave(run.Request, clean, out)
@@ -105,6 +105,7 @@
 			continue
 		}
 		delete(t.running, id)
+		t.leave(id, false, out)
 		fingerprints = append(fingerprints, r.run.Fingerprint)
 		if r.alone {
 			culprit = r
@@ -119,14 +120,13 @@
 	}
 	t.crashes++
 	fingerprints = unique(fingerprints)
-	t.suspect(now, run.Upstream, fingerprints)
+	t.suspect(now, run.Upstream, fingerprints, out)
 	t.spread(&pomelorelay.SuspectNotice{Upstream: run.Upstream, Crash: t.crashes, Fingerprints: fingerprints}, out)
 	t.cfg.Logger.Log(pomelorelay.EventSuspects, pomelorelay.Field{Key: "Upstream", Value: run.Upstream}, pomelorelay.Field{Key: "Suspects", Value: len(fingerprints)})
 }
 
 // name quarantines the one suspect that ran on an upstream when it crashed, on every router.
 func (t *Table) name(now time.Time, run Run, out *Output) {
-	t.leave(run.Request, false, out)
 	d := run.QuarantineFor
 	setDuration(&d, t.cfg.QuarantineFor)
 	m := &pomelorelay.QuarantineNotice{Fingerprint: run.Fingerprint, Seq: uint64(now.UnixNano()), For: d, Upstream: run.Upstream}
@@ -141,7 +141,7 @@
 }
 
 // suspect marks fingerprints as suspects; past the bound the one that lapses first is given up.
-func (t *Table) suspect(now time.Time, u pomelorelay.UpstreamID, fingerprints []pomelorelay.Fingerprint) {
+func (t *Table) suspect(now time.Time, u pomelorelay.UpstreamID, fingerprints []pomelorelay.Fingerprint, out *Output) {
 	for _, f := range fingerprints {
 		if t.refusedFor(now, f) > 0 {
 			continue
@@ -151,6 +151,7 @@
 		}
 		t.suspects[f] = suspect{upstream: u, since: now, until: now.Add(t.cfg.SuspectFor)}
 		t.snapshot = nil
+		t.adopt(now, f, out)
 	}
 }
 
@@ -160,9 +161,9 @@
 }
 
 // Notice takes another router's suspects.
-func (t *Table) Notice(now time.Time, m *pomelorelay.SuspectNotice) {
+func (t *Table) Notice(now time.Time, m *pomelorelay.SuspectNotice, out *Output) {
 	if !t.isNamed(now, m.Upstream) {
-		t.suspect(now, m.Upstream, m.Fingerprints)
+		t.suspect(now, m.Upstream, m.Fingerprints, out)
 	}
 }
 
--- a/pomeloquarantine/turn.go
+++ b/pomeloquarantine/turn.go
@@ -14,6 +14,7 @@
 	stageFingerprint                      // asks the fingerprint's arbiter
 	stageUpstream                         // asks the upstream's arbiter
 	stageGranted                          // may run
+	stageAdopted                          // ran already when it became a suspect
 )
 
 // renewals is how often a place is renewed within the time that it is kept.
@@ -25,6 +26,7 @@
 	stage turnStage
 	asked pomelorelay.NodeID
 	since time.Time
+	ready time.Time
 	next  time.Time
 	ended bool
 }
@@ -34,7 +36,7 @@
 		// The request's earlier attempt is over.
 		t.leave(old.run.Request, false, out)
 	}
-	w := &turn{run: run, stage: stageLocal, since: now}
+	w := &turn{run: run, stage: stageLocal, since: now, ready: t.suspects[run.Fingerprint].since.Add(t.cfg.SettleFor)}
 	t.turns[run.Request] = w
 	t.order = append(t.order, w)
 	t.advance(now, w, out)
@@ -45,6 +47,10 @@
 	w.next = now.Add(t.cfg.AskAgain)
 	switch w.stage {
 	case stageLocal:
+		if now.Before(w.ready) {
+			w.next = w.ready
+			return
+		}
 		if t.isTaken(w) {
 			return
 		}
@@ -56,13 +62,32 @@
 		// The first place is renewed, or it lapses while the turn waits for the second.
 		t.askFingerprint(w, out)
 		t.askUpstream(w, out)
-	case stageGranted:
+	case stageGranted, stageAdopted:
 		w.next = now.Add(t.cfg.LockFor / renewals)
 		t.askFingerprint(w, out)
 		t.askUpstream(w, out)
 	}
 }
 
+// adopt claims the places of runs that were under way when their fingerprint became a suspect. Without it another
+// suspect could be sent to the same upstream, and the next crash there would be laid to the wrong one.
+func (t *Table) adopt(now time.Time, f pomelorelay.Fingerprint, out *Output) {
+	for _, r := range t.running {
+		if r.run.Fingerprint != f || t.turns[r.run.Request] != nil {
+			continue
+		}
+		w := &turn{run: r.run, stage: stageAdopted, since: now}
+		t.turns[r.run.Request] = w
+		t.order = append(t.order, w)
+		t.advance(now, w, out)
+	}
+}
+
+// waits reports whether a turn still waits for its verdict.
+func (w *turn) waits() bool {
+	return !w.ended && w.stage != stageGranted && w.stage != stageAdopted
+}
+
 // isTaken reports whether another request of the fingerprint has its turn here.
 func (t *Table) isTaken(w *turn) bool {
 	return slices.ContainsFunc(t.order, func(o *turn) bool {
@@ -146,7 +171,7 @@
 // refuseWaiting ends the waits for a fingerprint that was named meanwhile.
 func (t *Table) refuseWaiting(f pomelorelay.Fingerprint, d time.Duration, out *Output) {
 	for _, w := range t.order {
-		if w.ended || w.stage == stageGranted || w.run.Fingerprint != f {
+		if !w.waits() || w.run.Fingerprint != f {
 			continue
 		}
 		t.leave(w.run.Request, false, out)
@@ -161,7 +186,7 @@
 		if w.ended {
 			continue
 		}
-		if w.stage != stageGranted && now.Sub(w.since) >= t.cfg.MaxWait {
+		if w.waits() && now.Sub(w.since) >= t.cfg.MaxWait {
 			t.leave(w.run.Request, false, out)
 			out.Verdicts = append(out.Verdicts, Verdict{Run: w.run, Decision: DecisionHeld, RetryAfter: t.cfg.MaxWait})
 			continue
