--- a/pomelonode/receive.go
+++ b/pomelonode/receive.go
@@ -82,8 +82,8 @@
 	case *pomelorelay.SuspectAnswer:
 		c.table.Answer(now, e.From, m, &c.suspectOut)
 	case *pomelorelay.SuspectCleared:
-		c.table.Cleared(now, m)
-		c.arbiter.Cleared(now, e.From, m)
+		c.table.Cleared(m)
+		c.arbiter.Cleared(e.From, m)
 	case *pomelorelay.QuarantineNotice:
 		c.table.Quarantine(now, m, &c.suspectOut)
 	}
--- a/pomelonode/suspects.go
+++ b/pomelonode/suspects.go
@@ -68,8 +68,10 @@
 	a.n.mail.post(suspectCrashed{suspectRun(run)})
 }
 
-// Ended tells that the attempt ended otherwise.
-func (a suspects) Ended(run pomeloroute.SuspectRun) { a.n.mail.post(suspectEnded{suspectRun(run)}) }
+// Ended tells that the attempt ended otherwise, and whether its answer was whole.
+func (a suspects) Ended(run pomeloroute.SuspectRun, clean bool) {
+	a.n.mail.post(suspectEnded{suspectRun(run), clean})
+}
 
 func suspectRun(r pomeloroute.SuspectRun) pomeloquarantine.Run {
 	return pomeloquarantine.Run{Request: r.Request, Fingerprint: r.Fingerprint, Upstream: r.Upstream, QuarantineFor: r.QuarantineFor}
@@ -93,24 +95,29 @@
 
 type suspectCancelled struct{ w *suspectWaiter }
 
-func (e suspectCancelled) apply(c *control, now time.Time) {
+func (e suspectCancelled) apply(c *control, _ time.Time) {
 	delete(c.suspectWaiters, e.w.run.Request)
-	c.table.Cancel(now, e.w.run, &c.suspectOut)
+	c.table.Cancel(e.w.run, &c.suspectOut)
 }
 
 type suspectBegan struct{ run pomeloquarantine.Run }
 
-func (e suspectBegan) apply(c *control, now time.Time) { c.table.Began(now, e.run) }
+func (e suspectBegan) apply(c *control, _ time.Time) { c.table.Began(e.run) }
 
 type suspectCrashed struct{ run pomeloquarantine.Run }
 
 func (e suspectCrashed) apply(c *control, now time.Time) {
-	c.table.Crashed(now, e.run.Upstream, &c.suspectOut)
+	c.table.Crashed(now, e.run, &c.suspectOut)
 }
 
-type suspectEnded struct{ run pomeloquarantine.Run }
+type suspectEnded struct {
+	run   pomeloquarantine.Run
+	clean bool
+}
 
-func (e suspectEnded) apply(c *control, now time.Time) { c.table.Ended(now, e.run, &c.suspectOut) }
+func (e suspectEnded) apply(c *control, _ time.Time) {
+	c.table.Ended(e.run, e.clean, &c.suspectOut)
+}
 
 // lifted is posted when an operator ends a quarantine.
 type lifted struct{ fingerprint pomelorelay.Fingerprint }
