--- a/pomelonode/fleet_test.go
+++ b/pomelonode/fleet_test.go
@@ -25,6 +25,8 @@
 	waitLimit = 20 * time.Second
 	token     = "workshop-token"
 	model     = "estimator"
+	// crashMarker in a request makes an engine crash.
+	crashMarker = "unsettable stone"
 )
 
 // domains are the failure domains of a fleet; each has an engine, a booking service and a status service of its own.
@@ -44,6 +46,7 @@
 	routers   []*router
 	publisher *pomeloconfig.Publisher
 	content   pomeloconfig.Configuration
+	crashes   atomic.Int64
 }
 
 type router struct {
@@ -154,22 +157,46 @@
 		},
 	}
 	for _, d := range domains {
-		f.engines[d] = pomelofake.NewEngine(pomelofake.EngineConfig{Model: model})
+		engine, engineAddr := f.startEngine()
+		f.engines[d] = engine
 		f.bookings[d] = pomelofake.NewPlain(pomelofake.PlainConfig{})
 		f.statuses[d] = pomelofake.NewPlain(pomelofake.PlainConfig{})
 		c.Upstreams = append(c.Upstreams,
-			f.upstream("engine", "assistant", d, f.engines[d]),
-			f.upstream("booking", "booking", d, f.bookings[d]),
-			f.upstream("status", "status", d, f.statuses[d]))
+			f.upstream("engine", "assistant", d, engineAddr),
+			f.upstream("booking", "booking", d, f.serve(f.bookings[d])),
+			f.upstream("status", "status", d, f.serve(f.statuses[d])))
 	}
 	return c
 }
 
-func (f *fleet) upstream(kind string, service pomelorelay.ServiceID, domain pomelorelay.DomainID, h http.Handler) pomeloconfig.Upstream {
+// startEngine starts an engine that crashes with its host on a marked request.
+func (f *fleet) startEngine() (*pomelofake.Engine, netip.AddrPort) {
+	addr := f.free()
+	var host *pomelofake.Host
+	engine := pomelofake.NewEngine(pomelofake.EngineConfig{
+		Model:       model,
+		CrashMarker: crashMarker,
+		Crash: func(downFor time.Duration) {
+			f.crashes.Add(1)
+			host.Crash(downFor)
+		},
+	})
+	host, err := pomelofake.NewHost(pomelofake.HostConfig{Listen: pomelofake.ListenTCP(addr), Handler: engine})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		host.Close()
+		engine.Close()
+	})
+	return engine, netip.MustParseAddrPort(addr)
+}
+
+func (f *fleet) upstream(kind string, service pomelorelay.ServiceID, domain pomelorelay.DomainID, addr netip.AddrPort) pomeloconfig.Upstream {
 	u := pomeloconfig.Upstream{
 		Name:          pomelorelay.UpstreamID(kind + "-" + string(domain)),
 		Service:       service,
-		Address:       f.serve(h),
+		Address:       addr,
 		FailureDomain: domain,
 		Region:        "recife",
 		MinSlots:      1,
