pomelonode: a request that failed at every upstream no longer holds the queue's head

Cause: a request that had failed once at each upstream was put back at the head for every grant; all requests of the pool waited until their deadlines (two innocent requests answered 504 after 60 s in TestRequestThatCrashes…). Change: pass over at most 16 such requests a grant, and none without an upstream left to try.

--- a/pomelonode/admission.go
+++ b/pomelonode/admission.go
@@ -20,6 +20,9 @@
 	waiterLeft
 )
 
+// maxPassed bounds the requests that one grant passes over.
+const maxPassed = 16
+
 // stallCheck is how often a waiting request looks whether the control goroutine still runs.
 const stallCheck = 100 * time.Millisecond
 
@@ -189,17 +192,24 @@
 	w.answer <- admitted{ticket: t}
 }
 
-// next pops the first request that still waits and has not failed at the upstream before.
+// next pops the first request that still waits and has not failed at the upstream before. Those that have are passed over and
+// put back: a request that stayed at the head would keep every other from the grant.
 func (c *control) next(now time.Time, g *pomelorelay.Grant) *waiter {
+	c.passed = c.passed[:0]
+	defer func() {
+		for _, id := range c.passed {
+			c.queues.Requeue(now, id)
+		}
+	}()
 	for {
 		id, _, ok := c.queues.Pop(now, g.Pool)
 		if !ok {
 			return nil
 		}
 		w := c.waiting[id]
-		if w != nil && avoids(w, g.Upstream) && c.elsewhere(g) {
-			c.queues.Requeue(now, id)
-			return nil
+		if w != nil && len(c.passed) < maxPassed && avoids(w, g.Upstream) && c.elsewhere(w, g.Pool) {
+			c.passed = append(c.passed, id)
+			continue
 		}
 		delete(c.waiting, id)
 		if w != nil && w.state.CompareAndSwap(waiterWaits, waiterGranted) {
@@ -218,10 +228,11 @@
 	return false
 }
 
-// elsewhere reports whether the pool has another upstream that stays; without one, a request must not wait for it for ever.
-func (c *control) elsewhere(g *pomelorelay.Grant) bool {
+// elsewhere reports whether the pool has an upstream that stays and at which the request has not failed. Without this check a
+// request that failed once at each of them would wait until its deadline.
+func (c *control) elsewhere(w *waiter, pool pomelorelay.PoolID) bool {
 	for id, u := range c.upstreams {
-		if id != g.Upstream && u.Pool() == g.Pool && !c.left[id] {
+		if u.Pool() == pool && !c.left[id] && !avoids(w, id) {
 			return true
 		}
 	}
--- a/pomelonode/control.go
+++ b/pomelonode/control.go
@@ -68,6 +68,7 @@
 	entries  []pomelorelay.LedgerEntry
 	keys     []pomelorelay.LedgerKey
 	expired  []pomelorelay.RequestID
+	passed   []pomelorelay.RequestID
 	changes  []pomelomember.Change
 	statusAt time.Time
 	ledgerAt time.Time
