--- a/messages.go
+++ b/messages.go
@@ -190,6 +190,8 @@
 	Seq     uint64
 	Members []MemberState
 	Slots   []SlotDigest
+	// Reached lists the other failure domains that the sender heard lately.
+	Reached []DomainID
 }
 
 // Probe asks a router to answer, or through Target asks it to probe another.
--- a/pomelomember/config.go
+++ b/pomelomember/config.go
@@ -43,8 +43,10 @@
 	JoinEvery time.Duration
 	// ForgetAfter is how long a dead router is remembered once it has left the host list; 10 min.
 	ForgetAfter time.Duration
-	// RelayedSlots bounds the slots of other failure domains that a gateway passes on in a digest; 16.
+	// RelayedSlots bounds the slots of other failure domains that a gateway passes on in every fourth digest; 8.
 	RelayedSlots int
+	// OutwardSlots bounds the slots of this failure domain that a gateway tells another; 16.
+	OutwardSlots int
 }
 
 func (o Options) withDefaults() Options {
@@ -60,7 +62,8 @@
 	setDuration(&o.DomainSilent, 5*time.Second)
 	setDuration(&o.JoinEvery, time.Second)
 	setDuration(&o.ForgetAfter, 10*time.Minute)
-	setCount(&o.RelayedSlots, 16)
+	setCount(&o.RelayedSlots, 8)
+	setCount(&o.OutwardSlots, 16)
 	return o
 }
 
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -36,7 +36,8 @@
 		&pomelorelay.LedgerComponentQuery{Shard: 3},
 		&pomelorelay.Digest{
 			Seq: 1, Members: []pomelorelay.MemberState{{Node: "r1", Incarnation: 5, Status: pomelorelay.MemberSuspect}},
-			Slots: []pomelorelay.SlotDigest{{Upstream: "u", Pool: "p", Owner: "r1", Domain: "a", LastTag: 4, Idle: 1, Limit: 8, Leaving: true}},
+			Slots:   []pomelorelay.SlotDigest{{Upstream: "u", Pool: "p", Owner: "r1", Domain: "a", LastTag: 4, Idle: 1, Limit: 8, Leaving: true}},
+			Reached: []pomelorelay.DomainID{"b"},
 		},
 		&pomelorelay.Probe{Seq: 1, Target: "r2"},
 		&pomelorelay.ProbeAck{Seq: 1, Target: "r2"},
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -128,6 +128,10 @@
 	for i := range digest.Slots {
 		digest.Slots[i] = d.slot(m.GetSlots()[i], m.GetNames())
 	}
+	digest.Reached = make([]pomelorelay.DomainID, d.count(len(m.GetReached()), maxList))
+	for i := range digest.Reached {
+		digest.Reached[i] = pomelorelay.DomainID(d.name(m.GetReached()[i]))
+	}
 	return digest
 }
 
--- a/pomelomesh/encode.go
+++ b/pomelomesh/encode.go
@@ -107,6 +107,9 @@
 			LastTag: float64(slot.LastTag), Idle: int32(slot.Idle), Limit: int32(slot.Limit), Leaving: slot.Leaving,
 		})
 	}
+	for _, domain := range m.Reached {
+		d.Reached = append(d.Reached, string(domain))
+	}
 	d.Names = names.list
 	return d
 }
