pomelofair: cap catch-up after a partition

Cause: the virtual time falls to the level of those behind, so a bound relative to it capped nothing: after a cut of two minutes an account with callers on both sides stood still. Change: accounts catch up with the crest, the highest virtual time so far, that of other domains in reach (Asker.Crest, Queues.SetCrest) or an account's own total when it jumps. Conclusion: capped; the node has to call SetCrest with Asker.Crest.

--- a/pomelofair/ledger.go
+++ b/pomelofair/ledger.go
@@ -22,6 +22,16 @@
 		return
 	}
 	p.virtual, p.told = tag, true
+	p.crest = max(p.crest, tag)
+}
+
+// SetCrest takes the highest virtual time of the failure domains within reach. Backlogged accounts catch up with it to
+// within the catch-up bound. The virtual time itself can't be that mark: after a partition only those that are behind
+// are granted, it falls to their level, and whoever got more would be seen to stand still until they are level.
+func (q *Queues) SetCrest(id pomelorelay.PoolID, tag pomelorelay.Tag) {
+	if p := q.pools[id]; p != nil {
+		p.crest = max(p.crest, tag)
+	}
 }
 
 // SetFleet takes an account's fleet totals, this router's own part included.
@@ -37,8 +47,14 @@
 	before := a.lift
 	// Totals may be older than the last ones, or come from a host that forgot: taken as they are, an account's place would
 	// fall and it would be served alone for a while. Sums only rise, so the larger one is the newer.
-	a.learnOthers(max(a.others, pomelorelay.Tag(e.Served)-a.reported))
+	others := max(a.others, pomelorelay.Tag(e.Served)-a.reported)
+	jump := pomelorelay.Cost(others-a.others) * pomelorelay.Cost(a.weight)
+	a.learnOthers(others)
 	a.lift = max(a.lift, e.Lift)
+	if !a.asking && jump > pomelorelay.Cost(q.cfg.Charge.CatchUp) {
+		// A partition healed: the account was served on the other side too.
+		p.crest = max(p.crest, a.served())
+	}
 	q.raise(a, e.Waiting)
 	if a.lift > before {
 		q.mark(a)
@@ -63,7 +79,7 @@
 	if a.idle() {
 		return
 	}
-	target := a.pool.virtual - q.cfg.Charge.CatchUp
+	target := a.pool.crest - q.cfg.Charge.CatchUp
 	if a.asking && !elsewhere {
 		target = a.floor + a.own
 	}
--- a/pomelofair/pool.go
+++ b/pomelofair/pool.go
@@ -15,6 +15,8 @@
 	waiting  int
 	virtual  pomelorelay.Tag
 	told     bool
+	// crest is the highest virtual time so far, the own one or another domain's.
+	crest    pomelorelay.Tag
 	mean     pomelorelay.Cost
 	meanSeen bool
 }
--- a/pomeloslot/asker.go
+++ b/pomeloslot/asker.go
@@ -144,10 +144,36 @@
 	if p == nil {
 		return 0
 	}
+	return p.level(a.cfg.Domain)
+}
+
+// Crest returns the highest virtual time of the failure domains whose owners are heard, the mark that accounts catch up with.
+func (a *Asker) Crest(now time.Time, id pomelorelay.PoolID) pomelorelay.Tag {
+	p := a.pools[id]
+	if p == nil {
+		return 0
+	}
+	highest := p.level(a.cfg.Domain)
+	for domain := range a.cfg.Regions {
+		if p.heard(now, domain, a.cfg.Registration.DigestTTL) {
+			highest = max(highest, p.level(domain))
+		}
+	}
+	return highest
+}
+
+func (p *askerPool) heard(now time.Time, domain pomelorelay.DomainID, ttl time.Duration) bool {
+	return slices.ContainsFunc(p.owners, func(w *owned) bool {
+		return w.digest.Domain == domain && now.Sub(w.at) <= ttl
+	})
+}
+
+// level is the virtual time of one failure domain.
+func (p *askerPool) level(domain pomelorelay.DomainID) pomelorelay.Tag {
 	p.tags = p.tags[:0]
 	highest := pomelorelay.Tag(0)
 	for _, w := range p.owners {
-		if w.distance != pomelorelay.LinkDomain {
+		if w.digest.Domain != domain {
 			continue
 		}
 		highest = max(highest, w.digest.LastTag)
--- a/pomeloslot/fleet_test.go
+++ b/pomeloslot/fleet_test.go
@@ -87,7 +87,6 @@
 type testUpstream struct {
 	id    pomelorelay.UpstreamID
 	runs  map[*run]bool
-	down  bool
 	owner int
 	most  int
 }
@@ -105,6 +104,9 @@
 	mine   int
 }
 
+// testLedger holds what each router reported last of each account.
+type testLedger map[pomelorelay.AccountID]map[int]pomelorelay.LedgerEntry
+
 // fleet is the event loop with the routers, the upstreams and a ledger modelled as a period.
 type fleet struct {
 	cfg       fleetConfig
@@ -116,7 +118,10 @@
 	routers   []*testRouter
 	upstreams []*testUpstream
 	served    []float64 // delivered by requests that ended
-	ledger    map[pomelorelay.AccountID]map[int]pomelorelay.LedgerEntry
+	ledger    testLedger
+	// cut parts the routers below it from the rest, which then have a ledger of their own.
+	cut       int
+	cutLedger testLedger
 	busy      float64
 	busyAt    time.Time
 	running   int
@@ -143,7 +148,7 @@
 		start:      time.Unix(1_000_000, 0),
 		served:     make([]float64, len(cfg.accounts)),
 		perAccount: make([]int, len(cfg.accounts)),
-		ledger:     make(map[pomelorelay.AccountID]map[int]pomelorelay.LedgerEntry),
+		ledger:     make(testLedger),
 		messages:   make(map[string]int),
 		pushed:     make(map[testRequest]time.Time),
 		weights:    make(map[pomelorelay.AccountID]pomelorelay.Weight),
--- a/pomeloslot/fleetmessages_test.go
+++ b/pomeloslot/fleetmessages_test.go
@@ -39,7 +39,7 @@
 			f.messages[strings.TrimPrefix(fmt.Sprintf("%T", o.Message), "*pomelorelay.")]++
 			f.bytes += size(o.Message)
 		}
-		if from.dead || to != from && f.random.Float64() < f.cfg.drop {
+		if from.dead || f.parted(from, to) || to != from && f.random.Float64() < f.cfg.drop {
 			continue
 		}
 		f.after(delay, func() {
@@ -173,7 +173,7 @@
 	digests := r.owner.Digests(f.now, nil)
 	for _, to := range f.routers {
 		f.after(linkTime, func() {
-			if to.dead {
+			if to.dead || f.parted(r, to) {
 				return
 			}
 			to.asker.Slots(f.now, digests)
@@ -191,9 +191,9 @@
 	interest := r.queues.Interest(nil)
 	f.after(linkTime, func() {
 		for _, e := range entries {
-			f.ledger[e.Account][r.index] = e
+			f.ledgerOf(r)[e.Account][r.index] = e
 		}
-		totals := f.totals(interest)
+		totals := f.totals(f.ledgerOf(r), interest)
 		f.after(linkTime, func() {
 			for _, e := range totals {
 				r.queues.SetFleet(f.now, e)
@@ -202,12 +202,12 @@
 	})
 }
 
-func (f *fleet) totals(keys []pomelorelay.LedgerKey) []pomelorelay.LedgerEntry {
+func (f *fleet) totals(ledger testLedger, keys []pomelorelay.LedgerKey) []pomelorelay.LedgerEntry {
 	var all []pomelorelay.LedgerEntry
 	for _, k := range keys {
 		sum := pomelorelay.LedgerEntry{Pool: k.Pool, Account: k.Account}
 		for i := range f.routers {
-			e := f.ledger[k.Account][i]
+			e := ledger[k.Account][i]
 			sum.Served += e.Served
 			sum.Lift = max(sum.Lift, e.Lift)
 			sum.Waiting = sum.Waiting || e.Waiting
