--- a/pomeloslot/grants.go
+++ b/pomeloslot/grants.go
@@ -163,6 +163,7 @@
 		}
 	}
 	u.notePeak(now, u.taken(), o.cfg.Limit.Lag)
+	u.explain(now, o.cfg.Limit.Lag)
 	return o.fill(now, u, out)
 }
 
--- a/pomeloslot/load.go
+++ b/pomeloslot/load.go
@@ -52,7 +52,7 @@
 func (u *upstream) noteLoad(now time.Time, load LoadReport, lag time.Duration) {
 	u.last, u.loaded = load, true
 	u.notePeak(now, u.taken(), lag)
-	u.excess = max(0, load.Running+load.Waiting-u.highest(now, lag))
+	u.explain(now, lag)
 	if load.Slots > 0 {
 		u.limit.bound(min(u.min, load.Slots), min(u.max, load.Slots))
 	}
@@ -60,3 +60,11 @@
 		u.limit.crowded = true
 	}
 }
+
+// explain finds how much of the last report no grant accounts for.
+func (u *upstream) explain(now time.Time, lag time.Duration) {
+	if !u.loaded {
+		return
+	}
+	u.excess = max(0, u.last.Running+u.last.Waiting-u.highest(now, lag))
+}
--- a/pomeloslot/owner_test.go
+++ b/pomeloslot/owner_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+func TestReportsExplainWhatAnUpstreamRuns(t *testing.T) {
+	// The upstream's load report reaches a new owner before the routers' reports do. What they then explain must not
+	// count twice, or the slots would idle until the next load report.
+	o := newOwner("r2")
+	o.Own(start, upstream(8), []pomelorelay.NodeID{"a"}, nil)
+	o.Demand(start, "b", demand(1, 1, 9), nil)
+	if ids, _ := granted(o.Load(start, "u", pomeloslot.LoadReport{Running: 5}, nil)); len(ids) != 3 {
+		t.Errorf("granted %d beside 5 that run, want 3", len(ids))
+	}
+	m := &pomelorelay.RunningReport{Upstream: "u", Grants: []pomelorelay.GrantID{901, 902, 903, 904, 905}, Running: 5}
+	o.Running(start, "a", m, nil)
+	ids, _ := granted(o.Reply(start, "a", reply(901, pomelorelay.GrantFinished, 2, 0), nil))
+	if len(ids) != 1 {
+		t.Errorf("granted %d when one of them ended, want 1", len(ids))
+	}
+}
+
 func TestRouterThatNeverReportsDelaysANewOwnerOnlyForAWhile(t *testing.T) {
 	// One router is frozen when an upstream changes hands. Its slots would idle for as long as the freeze lasts.
 	o := newOwner("r2")
