pomelofair: ask again after totals went stale; pomeloslot: crest within the margins

Cause: an account that ran here without waiting kept totals of a minute ago for its next request; a domain ahead by less than the spill margin would have lifted every account of another to one place. Change: such an account starts at the catch-up bound until totals come; Crest takes busy domains only, less the margin.

--- a/pomelofair/account.go
+++ b/pomelofair/account.go
@@ -18,6 +18,8 @@
 	ownStep    pomelorelay.Tag
 	othersStep pomelorelay.Tag
 	told       pomelorelay.Tag
+	// toldAt is when totals last came.
+	toldAt time.Time
 	// reported is the highest sum of own and pending that was reported.
 	reported pomelorelay.Tag
 	// base is own and pending at the last report.
@@ -98,15 +100,6 @@
 
 func (a *account) idle() bool { return a.waiting == 0 && a.running == 0 }
 
-// wake begins a backlogged period. What the ledger said earlier may be out of date: taking it as it is would let an
-// account use service that it left unclaimed while idle, seen as one account served alone for a while. So the account
-// starts at the virtual time until fleet totals arrive, and only then is its lift set.
-func (a *account) wake() {
-	a.asking = true
-	a.floor = a.pool.virtual - a.own
-	a.ownStep, a.othersStep = 0, 0
-}
-
 func (a *account) append(r *request) {
 	r.prev, r.next = a.last, nil
 	if a.last == nil {
--- a/pomelofair/ledger.go
+++ b/pomelofair/ledger.go
@@ -35,7 +35,7 @@
 }
 
 // SetFleet takes an account's fleet totals, this router's own part included.
-func (q *Queues) SetFleet(_ time.Time, e pomelorelay.LedgerEntry) {
+func (q *Queues) SetFleet(now time.Time, e pomelorelay.LedgerEntry) {
 	p := q.pools[e.Pool]
 	if p == nil {
 		return
@@ -50,6 +50,7 @@
 	others := max(a.others, pomelorelay.Tag(e.Served)-a.reported)
 	jump := pomelorelay.Cost(others-a.others) * pomelorelay.Cost(a.weight)
 	a.learnOthers(others)
+	a.toldAt = now
 	a.lift = max(a.lift, e.Lift)
 	if !a.asking && jump > pomelorelay.Cost(q.cfg.Charge.CatchUp) {
 		// A partition healed: the account was served on the other side too.
@@ -72,6 +73,28 @@
 	a.others, a.told = others, a.reported
 }
 
+// staleAfter is the age from which an account's totals are not taken for its place when it begins to wait.
+const staleAfter = 2 * time.Second
+
+// wake begins a backlogged period. What the ledger said earlier may be out of date: taking it as it is would let an
+// account use service that it left unclaimed while idle, or had elsewhere, seen as one account served alone for a while.
+// So the account starts at the virtual time, or at the catch-up bound when requests of it run here, until totals arrive.
+func (q *Queues) wake(now time.Time, a *account) {
+	switch {
+	case a.waiting > 0 || a.asking:
+		return
+	case a.running == 0:
+		a.ownStep, a.othersStep = 0, 0
+		a.floor = a.pool.virtual - a.own
+	case now.Sub(a.toldAt) > staleAfter:
+		a.floor = a.pool.virtual - q.cfg.Charge.CatchUp - a.own
+	default:
+		return
+	}
+	a.asking = true
+	q.mark(a)
+}
+
 // raise lifts a backlogged account that came back from idleness to the virtual time, and one that was behind elsewhere
 // to the catch-up bound. Without it, service left unclaimed (while idle, or on the far side of a partition) would be
 // claimed at once and every other account would be seen to stand still.
--- a/pomelofair/queues.go
+++ b/pomelofair/queues.go
@@ -39,10 +39,7 @@
 	if err := q.checkLimits(a, r); err != nil {
 		return err
 	}
-	if a.idle() {
-		a.wake()
-		q.mark(a)
-	}
+	q.wake(now, a)
 	req := q.newRequest()
 	req.id, req.account, req.bytes, req.hint, req.pushed = r.ID, a, r.Bytes, r.Hint, now
 	q.requests[r.ID] = req
--- a/pomelofair/rejoin_test.go
+++ b/pomelofair/rejoin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelofair"
@@ -36,3 +37,20 @@
 		t.Errorf("lift %v, want 740", got)
 	}
 }
+
+func TestAccountThatRunsWithoutWaitingIsAskedForAgain(t *testing.T) {
+	// An account has one long request running here and nothing waiting, so no totals of it come, while other routers
+	// serve it a lot. Its next request must not be placed by totals from a minute ago.
+	q := pomelofair.New(pomelofair.Config{Charge: pomelofair.ChargeOptions{CatchUp: 60}})
+	push(t, q, 1, "a")
+	fleet(q, "a", 10, true)
+	pop(t, q, 1)
+	q.SetVirtual(pool, 500)
+	later := start.Add(time.Minute)
+	if err := q.Push(later, pomelofair.Request{ID: 2, Pool: pool, Account: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	if tag, _, _ := q.Head(later, pool); tag < 440 {
+		t.Errorf("head %v, want 440 or more", tag)
+	}
+}
--- a/pomeloslot/asker.go
+++ b/pomeloslot/asker.go
@@ -147,7 +147,10 @@
 	return p.level(a.cfg.Domain)
 }
 
-// Crest returns the highest virtual time of the failure domains whose owners are heard, the mark that accounts catch up with.
+// Crest returns the mark that accounts catch up with: the highest of the own domain's virtual time and those of the
+// other domains whose owners are heard and busy, less the margin up to which demand stays at home. Without the margin,
+// every account of a domain that is a little behind would be lifted to the same place again and again, and be served in
+// no fair order.
 func (a *Asker) Crest(now time.Time, id pomelorelay.PoolID) pomelorelay.Tag {
 	p := a.pools[id]
 	if p == nil {
@@ -155,17 +158,34 @@
 	}
 	highest := p.level(a.cfg.Domain)
 	for domain := range a.cfg.Regions {
-		if p.heard(now, domain, a.cfg.Registration.DigestTTL) {
-			highest = max(highest, p.level(domain))
+		if domain == a.cfg.Domain || !p.busy(now, domain, a.cfg.Registration.DigestTTL) {
+			continue
 		}
+		highest = max(highest, p.level(domain)-a.margin(domain))
 	}
 	return highest
 }
 
-func (p *askerPool) heard(now time.Time, domain pomelorelay.DomainID, ttl time.Duration) bool {
-	return slices.ContainsFunc(p.owners, func(w *owned) bool {
-		return w.digest.Domain == domain && now.Sub(w.at) <= ttl
-	})
+func (a *Asker) margin(domain pomelorelay.DomainID) pomelorelay.Tag {
+	if a.distance(domain) == pomelorelay.LinkRegion {
+		return a.cfg.Spill.DomainMargin
+	}
+	return a.cfg.Spill.RegionMargin
+}
+
+// busy reports whether an owner of the domain is heard and none that is has a slot idle.
+func (p *askerPool) busy(now time.Time, domain pomelorelay.DomainID, ttl time.Duration) bool {
+	heard := false
+	for _, w := range p.owners {
+		if w.digest.Domain != domain || now.Sub(w.at) > ttl {
+			continue
+		}
+		if w.digest.Idle > 0 {
+			return false
+		}
+		heard = true
+	}
+	return heard
 }
 
 // level is the virtual time of one failure domain.
--- a/pomeloslot/asker_test.go
+++ b/pomeloslot/asker_test.go
@@ -154,3 +154,27 @@
 		t.Errorf("virtual time %v, want 30", got)
 	}
 }
+
+func TestCrestStaysWithinTheMargins(t *testing.T) {
+	// Another domain's accounts have had more, as they may up to the margin. Were its level the mark, all accounts here
+	// would be lifted to one place and served in no fair order.
+	for _, c := range []struct {
+		name    string
+		digests []pomelorelay.SlotDigest
+		age     time.Duration
+		want    pomelorelay.Tag
+	}{
+		{"own domain alone", []pomelorelay.SlotDigest{digest("u", "a", 500, 0)}, 0, 500},
+		{"a domain within its margin", []pomelorelay.SlotDigest{digest("u", "a", 500, 0), digest("v", "b", 509, 0)}, 0, 500},
+		{"a domain far ahead", []pomelorelay.SlotDigest{digest("u", "a", 500, 0), digest("v", "b", 900, 0)}, 0, 890},
+		{"a domain with idle slots", []pomelorelay.SlotDigest{digest("u", "a", 500, 0), digest("v", "b", 900, 0), digest("v2", "b", 900, 1)}, 0, 500},
+		{"a region far ahead", []pomelorelay.SlotDigest{digest("u", "a", 500, 0), digest("w", "z", 900, 0)}, 0, 800},
+		{"a domain not heard of", []pomelorelay.SlotDigest{digest("u", "a", 500, 0), digest("v", "b", 900, 0)}, time.Minute, 500},
+	} {
+		a := newAsker()
+		a.Slots(start, c.digests)
+		if got := a.Crest(start.Add(c.age), testPool); got != c.want {
+			t.Errorf("%s: crest %v, want %v", c.name, got, c.want)
+		}
+	}
+}
