--- a/pomelofair/ledger.go
+++ b/pomelofair/ledger.go
@@ -22,10 +22,20 @@
 		return
 	}
 	p.virtual, p.told = tag, true
+	p.crest = max(p.crest, tag)
+}
+
+// SetCrest takes the highest virtual time of the failure domains within reach. Backlogged accounts catch up with it to
+// within the catch-up bound. The virtual time itself can't be that mark: after a partition only those that are behind
+// are granted, it falls to their level, and whoever got more would be seen to stand still until they are level.
+func (q *Queues) SetCrest(id pomelorelay.PoolID, tag pomelorelay.Tag) {
+	if p := q.pools[id]; p != nil {
+		p.crest = max(p.crest, tag)
+	}
 }
 
 // SetFleet takes an account's fleet totals, this router's own part included.
-func (q *Queues) SetFleet(_ time.Time, e pomelorelay.LedgerEntry) {
+func (q *Queues) SetFleet(now time.Time, e pomelorelay.LedgerEntry) {
 	p := q.pools[e.Pool]
 	if p == nil {
 		return
@@ -37,8 +47,15 @@
 	before := a.lift
 	// Totals may be older than the last ones, or come from a host that forgot: taken as they are, an account's place would
 	// fall and it would be served alone for a while. Sums only rise, so the larger one is the newer.
-	a.learnOthers(max(a.others, pomelorelay.Tag(e.Served)-a.reported))
+	others := max(a.others, pomelorelay.Tag(e.Served)-a.reported)
+	jump := pomelorelay.Cost(others-a.others) * pomelorelay.Cost(a.weight)
+	a.learnOthers(others)
+	a.toldAt = now
 	a.lift = max(a.lift, e.Lift)
+	if !a.asking && jump > pomelorelay.Cost(q.cfg.Charge.CatchUp) {
+		// A partition healed: the account was served on the other side too.
+		p.crest = max(p.crest, a.served())
+	}
 	q.raise(a, e.Waiting)
 	if a.lift > before {
 		q.mark(a)
@@ -56,6 +73,28 @@
 	a.others, a.told = others, a.reported
 }
 
+// staleAfter is the age from which an account's totals are not taken for its place when it begins to wait.
+const staleAfter = 2 * time.Second
+
+// wake begins a backlogged period. What the ledger said earlier may be out of date: taking it as it is would let an
+// account use service that it left unclaimed while idle, or had elsewhere, seen as one account served alone for a while.
+// So the account starts at the virtual time, or at the catch-up bound when requests of it run here, until totals arrive.
+func (q *Queues) wake(now time.Time, a *account) {
+	switch {
+	case a.waiting > 0 || a.asking:
+		return
+	case a.running == 0:
+		a.ownStep, a.othersStep = 0, 0
+		a.floor = a.pool.virtual - a.own
+	case now.Sub(a.toldAt) > staleAfter:
+		a.floor = a.pool.virtual - q.cfg.Charge.CatchUp - a.own
+	default:
+		return
+	}
+	a.asking = true
+	q.mark(a)
+}
+
 // raise lifts a backlogged account that came back from idleness to the virtual time, and one that was behind elsewhere
 // to the catch-up bound. Without it, service left unclaimed (while idle, or on the far side of a partition) would be
 // claimed at once and every other account would be seen to stand still.
@@ -63,7 +102,7 @@
 	if a.idle() {
 		return
 	}
-	target := a.pool.virtual - q.cfg.Charge.CatchUp
+	target := a.pool.crest - q.cfg.Charge.CatchUp
 	if a.asking && !elsewhere {
 		target = a.floor + a.own
 	}
--- a/pomeloslot/asker.go
+++ b/pomeloslot/asker.go
@@ -144,10 +144,56 @@
 	if p == nil {
 		return 0
 	}
+	return p.level(a.cfg.Domain)
+}
+
+// Crest returns the mark that accounts catch up with: the highest of the own domain's virtual time and those of the
+// other domains whose owners are heard and busy, less the margin up to which demand stays at home. Without the margin,
+// every account of a domain that is a little behind would be lifted to the same place again and again, and be served in
+// no fair order.
+func (a *Asker) Crest(now time.Time, id pomelorelay.PoolID) pomelorelay.Tag {
+	p := a.pools[id]
+	if p == nil {
+		return 0
+	}
+	highest := p.level(a.cfg.Domain)
+	for domain := range a.cfg.Regions {
+		if domain == a.cfg.Domain || !p.busy(now, domain, a.cfg.Registration.DigestTTL) {
+			continue
+		}
+		highest = max(highest, p.level(domain)-a.margin(domain))
+	}
+	return highest
+}
+
+func (a *Asker) margin(domain pomelorelay.DomainID) pomelorelay.Tag {
+	if a.distance(domain) == pomelorelay.LinkRegion {
+		return a.cfg.Spill.DomainMargin
+	}
+	return a.cfg.Spill.RegionMargin
+}
+
+// busy reports whether an owner of the domain is heard and none that is has a slot idle.
+func (p *askerPool) busy(now time.Time, domain pomelorelay.DomainID, ttl time.Duration) bool {
+	heard := false
+	for _, w := range p.owners {
+		if w.digest.Domain != domain || now.Sub(w.at) > ttl {
+			continue
+		}
+		if w.digest.Idle > 0 {
+			return false
+		}
+		heard = true
+	}
+	return heard
+}
+
+// level is the virtual time of one failure domain.
+func (p *askerPool) level(domain pomelorelay.DomainID) pomelorelay.Tag {
 	p.tags = p.tags[:0]
 	highest := pomelorelay.Tag(0)
 	for _, w := range p.owners {
-		if w.distance != pomelorelay.LinkDomain {
+		if w.digest.Domain != domain {
 			continue
 		}
 		highest = max(highest, w.digest.LastTag)
--- a/pomeloslot/fleet_test.go
+++ b/pomeloslot/fleet_test.go
@@ -87,7 +87,6 @@
 type testUpstream struct {
 	id    pomelorelay.UpstreamID
 	runs  map[*run]bool
-	down  bool
 	owner int
 	most  int
 }
@@ -105,6 +104,9 @@
 	mine   int
 }
 
+// testLedger holds what each router reported last of each account.
+type testLedger map[pomelorelay.AccountID]map[int]pomelorelay.LedgerEntry
+
 // fleet is the event loop with the routers, the upstreams and a ledger modelled as a period.
 type fleet struct {
 	cfg       fleetConfig
@@ -114,9 +116,13 @@
 	events    eventHeap
 	seq       int
 	routers   []*testRouter
+	byNode    map[pomelorelay.NodeID]*testRouter
 	upstreams []*testUpstream
 	served    []float64 // delivered by requests that ended
-	ledger    map[pomelorelay.AccountID]map[int]pomelorelay.LedgerEntry
+	ledger    testLedger
+	// cut parts the routers below it from the rest, which then have a ledger of their own.
+	cut       int
+	cutLedger testLedger
 	busy      float64
 	busyAt    time.Time
 	running   int
@@ -143,8 +149,9 @@
 		start:      time.Unix(1_000_000, 0),
 		served:     make([]float64, len(cfg.accounts)),
 		perAccount: make([]int, len(cfg.accounts)),
-		ledger:     make(map[pomelorelay.AccountID]map[int]pomelorelay.LedgerEntry),
+		ledger:     make(testLedger),
 		messages:   make(map[string]int),
+		byNode:     make(map[pomelorelay.NodeID]*testRouter),
 		pushed:     make(map[testRequest]time.Time),
 		weights:    make(map[pomelorelay.AccountID]pomelorelay.Weight),
 	}
@@ -154,7 +161,9 @@
 		f.ledger[a.id] = make(map[int]pomelorelay.LedgerEntry)
 	}
 	for i := range cfg.routers {
-		f.routers = append(f.routers, f.newRouter(i))
+		r := f.newRouter(i)
+		f.routers = append(f.routers, r)
+		f.byNode[r.node] = r
 	}
 	for i := range cfg.upstreams {
 		u := &testUpstream{id: pomelorelay.UpstreamID(fmt.Sprintf("u%03d", i)), runs: make(map[*run]bool), owner: i % cfg.routers}
--- a/pomeloslot/fleetmessages_test.go
+++ b/pomeloslot/fleetmessages_test.go
@@ -1,11 +1,9 @@
 package pomeloslot_test
 
 import (
-	"fmt"
 	"maps"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -13,20 +11,22 @@
 	"github.com/pomelorelay/pomelorelay/pomeloslot"
 )
 
-// size estimates a message's encoded length with its envelope, field by field.
-func size(m pomelorelay.Message) int {
+// count notes a message and an estimate of its encoded length with its envelope, field by field.
+func (f *fleet) count(m pomelorelay.Message) {
 	const envelope = 24
+	kind, size := "RunningQuery", envelope+8
 	switch m := m.(type) {
 	case *pomelorelay.Demand:
-		return envelope + len(m.Upstream) + len(m.Pool) + 22 + 9*len(m.Prefixes)
+		kind, size = "Demand", envelope+len(m.Upstream)+len(m.Pool)+22+9*len(m.Prefixes)
 	case *pomelorelay.Grant:
-		return envelope + len(m.Upstream) + len(m.Pool) + 26
+		kind, size = "Grant", envelope+len(m.Upstream)+len(m.Pool)+26
 	case *pomelorelay.GrantReply:
-		return envelope + len(m.Upstream) + 38
+		kind, size = "GrantReply", envelope+len(m.Upstream)+38
 	case *pomelorelay.RunningReport:
-		return envelope + len(m.Upstream) + 4 + 9*len(m.Grants)
+		kind, size = "RunningReport", envelope+len(m.Upstream)+4+9*len(m.Grants)
 	}
-	return envelope + 8
+	f.messages[kind]++
+	f.bytes += size
 }
 
 func (f *fleet) send(from *testRouter, out []pomelorelay.Outgoing) {
@@ -36,10 +36,9 @@
 		if to == from {
 			delay = 0
 		} else {
-			f.messages[strings.TrimPrefix(fmt.Sprintf("%T", o.Message), "*pomelorelay.")]++
-			f.bytes += size(o.Message)
+			f.count(o.Message)
 		}
-		if from.dead || to != from && f.random.Float64() < f.cfg.drop {
+		if from.dead || f.parted(from, to) || to != from && f.random.Float64() < f.cfg.drop {
 			continue
 		}
 		f.after(delay, func() {
@@ -50,10 +49,7 @@
 	}
 }
 
-func (f *fleet) router(node pomelorelay.NodeID) *testRouter {
-	i := slices.IndexFunc(f.routers, func(r *testRouter) bool { return r.node == node })
-	return f.routers[i]
-}
+func (f *fleet) router(node pomelorelay.NodeID) *testRouter { return f.byNode[node] }
 
 func (f *fleet) receive(r *testRouter, from pomelorelay.NodeID, m pomelorelay.Message) {
 	switch m := m.(type) {
@@ -173,7 +169,7 @@
 	digests := r.owner.Digests(f.now, nil)
 	for _, to := range f.routers {
 		f.after(linkTime, func() {
-			if to.dead {
+			if to.dead || f.parted(r, to) {
 				return
 			}
 			to.asker.Slots(f.now, digests)
@@ -191,9 +187,9 @@
 	interest := r.queues.Interest(nil)
 	f.after(linkTime, func() {
 		for _, e := range entries {
-			f.ledger[e.Account][r.index] = e
+			f.ledgerOf(r)[e.Account][r.index] = e
 		}
-		totals := f.totals(interest)
+		totals := f.totals(f.ledgerOf(r), interest)
 		f.after(linkTime, func() {
 			for _, e := range totals {
 				r.queues.SetFleet(f.now, e)
@@ -202,12 +198,12 @@
 	})
 }
 
-func (f *fleet) totals(keys []pomelorelay.LedgerKey) []pomelorelay.LedgerEntry {
+func (f *fleet) totals(ledger testLedger, keys []pomelorelay.LedgerKey) []pomelorelay.LedgerEntry {
 	var all []pomelorelay.LedgerEntry
 	for _, k := range keys {
 		sum := pomelorelay.LedgerEntry{Pool: k.Pool, Account: k.Account}
 		for i := range f.routers {
-			e := f.ledger[k.Account][i]
+			e := ledger[k.Account][i]
 			sum.Served += e.Served
 			sum.Lift = max(sum.Lift, e.Lift)
 			sum.Waiting = sum.Waiting || e.Waiting
