--- a/pomeloconfig/audit.go
+++ b/pomeloconfig/audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/pomelorelay/pomelorelay"
 )
@@ -18,6 +19,17 @@
 	Root Root
 }
 
+// auditDocument is an AuditEntry with its hash in hexadecimal.
+type auditDocument struct {
+	Hash string
+	Root Root
+}
+
+// MarshalJSON returns the entry with its hash in hexadecimal.
+func (e AuditEntry) MarshalJSON() ([]byte, error) {
+	return json.Marshal(auditDocument{Hash: hashText(e.Hash), Root: e.Root})
+}
+
 // Audit returns the accepted changes, newest first, each proved by the hash that its successor holds. When the chain is broken
 // it returns what it could prove and CodeConfigHistoryBroken; an empty store gives none.
 func Audit(ctx context.Context, store pomelorelay.Store, options AuditOptions) ([]AuditEntry, error) {
--- a/pomeloconfig/root.go
+++ b/pomeloconfig/root.go
@@ -51,8 +51,8 @@
 	Difference         DifferenceSummary
 }
 
-// EncodeRoot returns the root's bytes; it fails with CodeConfigTooLarge when they are over MaxPart.
-func EncodeRoot(r Root) ([]byte, error) {
+// MarshalJSON returns the root as it is stored, with its hashes in hexadecimal.
+func (r Root) MarshalJSON() ([]byte, error) {
 	doc := rootDocument{
 		Format: r.Format, Generation: r.Generation, ChangeID: r.ChangeID, Author: r.Author, Time: r.Time.UTC(), Why: r.Why,
 		PreviousGeneration: r.PreviousGeneration, Difference: r.Difference,
@@ -63,7 +63,12 @@
 	if r.Previous != (pomelorelay.Hash{}) {
 		doc.Previous = hashText(r.Previous)
 	}
-	data, err := json.Marshal(doc)
+	return json.Marshal(doc)
+}
+
+// EncodeRoot returns the root's bytes; it fails with CodeConfigTooLarge when they are over MaxPart.
+func EncodeRoot(r Root) ([]byte, error) {
+	data, err := json.Marshal(r)
 	if err != nil {
 		return nil, pomelorelay.NewError(pomelorelay.CodeConfigMalformed, "encode the root", err)
 	}
@@ -123,5 +128,8 @@
 
 func parseHash(text string) (pomelorelay.Hash, error) {
 	hash, err := parseTokenHash(text)
-	return pomelorelay.Hash(hash), errors.Wrap(err, "a hash")
+	if err != nil {
+		return pomelorelay.Hash{}, errors.Wrap(err, "a hash")
+	}
+	return pomelorelay.Hash(hash), nil
 }
