--- a/pomeloconfig/document.go
+++ b/pomeloconfig/document.go
@@ -43,10 +43,15 @@
 			err = errors.Errorf("the YAML cannot be decoded: %v", r)
 		}
 	}()
-	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	values := valueReader{data: data}
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(),
+		yaml.CustomUnmarshaler(values.readAddress), yaml.CustomUnmarshaler(values.readDuration))
 	if err := decoder.Decode(into); err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
+	if values.failure != nil {
+		return values.failure
+	}
 	var rest any
 	if err := decoder.Decode(&rest); !errors.Is(err, io.EOF) {
 		return errors.New("it holds more than one document; keep one")
@@ -61,6 +66,10 @@
 		code = pomelorelay.CodeConfigUnknownField
 	}
 	place, text := file, err.Error()
+	var value *valueError
+	if errors.As(err, &value) {
+		place += ":" + strconv.Itoa(value.line)
+	}
 	var located yaml.Error
 	if errors.As(err, &located) {
 		text = located.GetMessage()
--- a/pomeloconfig/questionnaire_test.go
+++ b/pomeloconfig/questionnaire_test.go
@@ -89,7 +89,7 @@
 		{"MayRepeat: Never", "MayRepeat: Perhaps", pomelorelay.CodeAnswersInvalid, "answer Always or Never"},
 		{"ShareTotal: 100", "ShareTotal: 90", pomelorelay.CodeAnswersInvalid, "bad:10: ShareTotal: the shares of the team's accounts add up to 100, not 90"},
 		{"FailureDomain: my", "FailureDomain: your", pomelorelay.CodeAnswersInvalid, "Services[0].Upstreams[0].FailureDomain"},
-		{"Address: 10.0.0.1:8000", "Address: example.com:8000", pomelorelay.CodeConfigSyntax, "bad:"},
+		{"Address: 10.0.0.1:8000", "Address: example.com:8000", pomelorelay.CodeConfigSyntax, `"example.com:8000" cannot be read; give an IP number`},
 		{"Kind: Plain", "Kind: Plane", pomelorelay.CodeAnswersInvalid, "use ModelEngine or Plain"},
 		{"Team:", "Teem:", pomelorelay.CodeConfigUnknownField, "bad:"},
 		{"# Cost:", "Cost: {Maximum: -1}", pomelorelay.CodeAnswersInvalid, "Services[0].Cost.Maximum: -1 is out of bounds"},
--- /dev/null
+++ b/pomeloconfig/value.go
@@ -0,0 +1,68 @@
+package pomeloconfig
+
+import (
+	"bytes"
+	"net/netip"
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
+
+// valueError is a value that cannot be read.
+type valueError struct {
+	line int
+	text string
+	fix  string
+}
+
+func (e *valueError) Error() string { return quote(e.text) + " cannot be read; " + e.fix }
+
+// valueReader reads addresses and durations and remembers the first that cannot be read; the YAML library would report it
+// without its line.
+type valueReader struct {
+	data    []byte
+	failure *valueError
+}
+
+func (r *valueReader) readAddress(address *netip.AddrPort, source []byte) error {
+	text, err := plainText(source)
+	if err != nil || text == "" {
+		return err
+	}
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		r.fail(text, "give an IP number and a port, as in 10.0.0.1:8080")
+		return nil
+	}
+	*address = parsed
+	return nil
+}
+
+func (r *valueReader) readDuration(d *time.Duration, source []byte) error {
+	text, err := plainText(source)
+	if err != nil || text == "" {
+		return err
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		r.fail(text, "give a duration with its unit, as in 500ms or 1m30s")
+		return nil
+	}
+	*d = parsed
+	return nil
+}
+
+func plainText(source []byte) (string, error) {
+	var text string
+	err := yaml.Unmarshal(source, &text)
+	return text, err
+}
+
+// fail takes the first line that holds the text for the value's.
+func (r *valueReader) fail(text, fix string) {
+	if r.failure != nil {
+		return
+	}
+	before, _, _ := bytes.Cut(r.data, []byte(text))
+	r.failure = &valueError{line: 1 + bytes.Count(before, []byte("\n")), text: text, fix: fix}
+}
