--- /dev/null
+++ b/pomeloconfig/spread_time_test.go
@@ -0,0 +1,60 @@
+package pomeloconfig_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// spreadTimes changes the configuration again and again and returns how long each router took to have it in force, and the bytes
+// of roots and parts that the routers sent per change and router.
+func spreadTimes(t *testing.T, f *fleet, changes int) ([]time.Duration, pomelorelay.Bytes) {
+	t.Helper()
+	f.change(t)
+	f.run(t, 450)
+	f.sent = 0
+	var times []time.Duration
+	for range changes {
+		f.change(t)
+		start := f.now
+		f.run(t, 450)
+		for i, r := range f.routers {
+			if r.last != f.newest() {
+				t.Fatalf("router %d has generation %d after 4.5 s, the newest is %d", i, r.last, f.newest())
+			}
+			times = append(times, r.reached.Sub(start))
+		}
+	}
+	slices.Sort(times)
+	return times, f.sent / pomelorelay.Bytes(changes*len(f.routers))
+}
+
+// A change is accepted in a failure domain of 60 routers of which two watch the store. Then the store is lost to all routers but one.
+// Both times the change must be in force everywhere within seconds; a router left behind would serve by shares that were replaced.
+func TestTimeUntilAChangeIsInForce(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		watchers  int
+		storeless bool
+		loss      int
+		bound     time.Duration
+	}{
+		{"store up", 2, false, 0, 2 * time.Second},
+		{"store down for all but one", 1, true, 0, 5 * time.Second},
+		{"store down for all but one, 5% lost", 1, true, 5, 5 * time.Second},
+	} {
+		f := newFleet(t, 60, 7)
+		f.tick, f.watchers, f.loss = 10*time.Millisecond, c.watchers, c.loss
+		for i, r := range f.routers {
+			r.storeless = c.storeless && i > 0
+		}
+		times, bytes := spreadTimes(t, f, 4)
+		p50, p99, highest := times[len(times)/2], times[len(times)*99/100], times[len(times)-1]
+		t.Logf("%s, 60 routers, 4 changes: p50 %v, p99 %v, highest %v; %d bytes of configuration sent per router and change", c.name, p50, p99, highest, bytes)
+		if p99 > c.bound {
+			t.Errorf("%s: p99 %v, the bound is %v", c.name, p99, c.bound)
+		}
+	}
+}
--- a/pomeloconfig/spreader.go
+++ b/pomeloconfig/spreader.go
@@ -16,7 +16,7 @@
 	DefaultMaxServes = 4
 	maxPullHashes    = 256
 	pullsBeforeStore = 2
-	pullsBeforeDrop  = 12
+	waitsBeforeDrop  = 12
 )
 
 // SpreaderConfig is what a Spreader is made of; a zero field takes its default.
@@ -62,6 +62,9 @@
 	// target is the newest root known above the one in force; its parts are gathered in fresh.
 	target heldRoot
 	fresh  map[pomelorelay.Hash][]byte
+	// progressed tells that a root or part came since the last tick, progressAt when one last did.
+	progressed bool
+	progressAt time.Time
 
 	pull      pullState
 	store     storeState
@@ -205,8 +208,8 @@
 		}
 		s.pull.from = ""
 		s.pull.failures++
-		s.giveUp()
 	}
+	s.giveUp(now)
 	if !s.behind() {
 		return out
 	}
@@ -217,14 +220,19 @@
 	return s.ask(now, peer, out)
 }
 
-// giveUp turns to the store after a few pulls without progress, and after many drops a target whose parts nobody has. A root
-// that was damaged into a high generation would else keep the router from every true one below it, for good.
-func (s *Spreader) giveUp() {
+// giveUp turns to the store after a few pulls without progress, and drops a target whose missing parts nobody has brought for a
+// long time. A root that was damaged into a high generation would else keep the router from every true one below it, for good.
+func (s *Spreader) giveUp(now time.Time) {
 	if s.pull.failures >= pullsBeforeStore {
 		s.store.wantRoot = true
 	}
-	if s.pull.failures >= pullsBeforeDrop {
+	if s.progressed {
+		s.progressed = false
+		s.progressAt = now
+	}
+	if len(s.missing(1)) > 0 && now.Sub(s.progressAt) >= waitsBeforeDrop*s.cfg.PullWait {
 		s.clearTarget()
+		s.store.wantRoot = true
 	}
 }
 
--- a/pomeloconfig/spreader_receive.go
+++ b/pomeloconfig/spreader_receive.go
@@ -139,6 +139,7 @@
 	}
 	s.target = heldRoot{root: root, hash: HashOf(data), data: data}
 	s.pull.parts = nil
+	s.progressed = true
 	s.store.partsAsked = time.Time{}
 	s.keepWanted()
 	return true
@@ -169,6 +170,7 @@
 			return false
 		}
 		s.fresh[hash] = data
+		s.progressed = true
 		return true
 	}
 	// A part that another peer or the store was also asked for arrives late; that is no fault.
