Test pomeloctl's subcommands against a store and an operator port

The subcommands move into a package of their own, pomelocommand, so that they are tested without starting a process. From answers to in force, JSON output of every subcommand, and an exit code for each kind of failure. Run: go test ./cmd/pomeloctl/...

--- a/cmd/pomeloctl/main.go
+++ b/cmd/pomeloctl/main.go
@@ -1,5 +1,9 @@
 package main
 
-import "os"
+import (
+	"os"
 
-func main() { os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
+	"github.com/pomelorelay/pomelorelay/cmd/pomeloctl/pomelocommand"
+)
+
+func main() { os.Exit(pomelocommand.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
--- a/cmd/pomeloctl/pomelocommand/app.go
+++ b/cmd/pomeloctl/pomelocommand/app.go
@@ -1,4 +1,4 @@
-package main
+package pomelocommand
 
 import (
 	"context"
@@ -34,8 +34,8 @@
 // action is what a subcommand does.
 type action func(ctx context.Context) error
 
-// run parses the arguments, runs the subcommand and returns the exit code.
-func run(args []string, in io.Reader, out, diag io.Writer) int {
+// Run parses the arguments, runs the subcommand and returns the exit code.
+func Run(args []string, in io.Reader, out, diag io.Writer) int {
 	a := &app{in: in, out: out, diag: diag}
 	cli, actions := a.commands()
 	command, ended, err := parse(cli, args)
--- /dev/null
+++ b/cmd/pomeloctl/pomelocommand/command_test.go
@@ -0,0 +1,186 @@
+package pomelocommand_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/cmd/pomeloctl/pomelocommand"
+)
+
+const (
+	jewellers = "../../../examples/answers/jewellers.yaml"
+	hearthway = "../../../examples/answers/hearthway.yaml"
+)
+
+// platform serves the store's protocol, and a router's operator port that has in force what the store holds.
+type platform struct {
+	mu      sync.Mutex
+	records map[string]pomelorelay.Record
+	// lag keeps the router on the generation before.
+	lag     bool
+	drained bool
+}
+
+func newPlatform(t *testing.T) (*platform, string) {
+	p := &platform{records: make(map[string]pomelorelay.Record)}
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return p, strings.TrimPrefix(server.URL, "http://")
+}
+
+func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key, isRecord := strings.CutPrefix(r.URL.Path, "/v1/kv/")
+	switch {
+	case r.URL.Path == "/drain" && r.Method == http.MethodPost:
+		p.drained = true
+	case r.URL.Path == "/status":
+		fmt.Fprintf(w, `{"Node":"router-1","Domain":"recife-a","Region":"recife","Generation":%d,"Ready":true,"Members":[1,2]}`, p.generation())
+	case isRecord && r.Method == http.MethodGet && p.records[key].Revision == 0:
+		w.WriteHeader(http.StatusNotFound)
+	case isRecord && r.Method == http.MethodGet:
+		json.NewEncoder(w).Encode(p.records[key])
+	case isRecord:
+		p.write(w, r, key)
+	}
+}
+
+func (p *platform) write(w http.ResponseWriter, r *http.Request, key string) {
+	record := p.records[key]
+	if r.URL.Query().Get("old") != strconv.FormatUint(uint64(record.Revision), 10) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	value, _ := io.ReadAll(r.Body)
+	p.records[key] = pomelorelay.Record{Key: pomelorelay.StoreKey(key), Value: value, Revision: record.Revision + 1}
+	fmt.Fprintf(w, `{"Revision":%d}`, record.Revision+1)
+}
+
+func (p *platform) generation() int {
+	var root struct{ Generation int }
+	json.Unmarshal(p.records["config/root"].Value, &root)
+	if p.lag {
+		return root.Generation - 1
+	}
+	return root.Generation
+}
+
+// ctl runs the program and returns its exit code, output and diagnostics.
+func ctl(args ...string) (int, string, string) {
+	var out, diag bytes.Buffer
+	code := pomelocommand.Run(args, strings.NewReader(""), &out, &diag)
+	return code, out.String(), diag.String()
+}
+
+func mustCtl(t *testing.T, args ...string) string {
+	t.Helper()
+	code, out, diag := ctl(args...)
+	if code != 0 {
+		t.Fatalf("%v: exit code %d: %s", args, code, diag)
+	}
+	return out
+}
+
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "configuration.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestFromAnswersToInForce(t *testing.T) {
+	p, address := newPlatform(t)
+	text := mustCtl(t, "generate", "--answers", jewellers, "--answers", hearthway)
+	first := writeFile(t, text)
+	mustCtl(t, "check", first)
+	out := mustCtl(t, "apply", first, "--store", address, "--why", "first", "--author", "ana", "--wait", "--router", address)
+	if !strings.Contains(out, "Generation 1,") || !strings.Contains(out, "In force on "+address) {
+		t.Fatal(out)
+	}
+	second := writeFile(t, strings.Replace(text, "MaxSlots: 8", "MaxSlots: 9", 1))
+	if diff := mustCtl(t, "diff", second, "--store", address); !strings.Contains(diff, "MaxSlots: 8 -> 9") {
+		t.Fatal(diff)
+	}
+	mustCtl(t, "apply", second, "--store", address, "--why", "one more", "--author", "bea", "--base", "1")
+	if diff := mustCtl(t, "diff", second, "--store", address); diff != "Nothing differs.\n" {
+		t.Fatal(diff)
+	}
+	if shown := mustCtl(t, "show", "--store", address); !strings.HasPrefix(shown, "# Generation 2,") || !strings.Contains(shown, "MaxSlots: 9") {
+		t.Fatal(shown[:80])
+	}
+	if trail := mustCtl(t, "audit", "--store", address); !strings.Contains(trail, "bea") || !strings.Contains(trail, "why: one more") || !strings.Contains(trail, "why: first") {
+		t.Fatal(trail)
+	}
+	if status := mustCtl(t, "status", "--router", address); !strings.Contains(status, "router-1") || !strings.Contains(status, "ready") {
+		t.Fatal(status)
+	}
+	mustCtl(t, "drain", "--router", address)
+	if !p.drained {
+		t.Fatal("the router was not told to drain")
+	}
+}
+
+func TestJSONOutputIsForPrograms(t *testing.T) {
+	_, address := newPlatform(t)
+	file := writeFile(t, mustCtl(t, "generate", "--answers", jewellers))
+	for _, args := range [][]string{
+		{"questionnaire"}, {"generate", "--answers", jewellers}, {"check", file}, {"apply", file, "--store", address, "--why", "w"},
+		{"diff", file, "--store", address}, {"show", "--store", address}, {"audit", "--store", address}, {"status", "--router", address}, {"token"},
+	} {
+		if out := mustCtl(t, append([]string{"--output", "json"}, args...)...); !json.Valid([]byte(out)) {
+			t.Errorf("%v: %s", args, out)
+		}
+	}
+	_, _, diag := ctl("--output", "json", "check", "no-such-file")
+	var failure struct{ Code int }
+	if err := json.Unmarshal([]byte(diag), &failure); err != nil || failure.Code != int(pomelorelay.CodeFileUnreadable) {
+		t.Errorf("%v %s", err, diag)
+	}
+}
+
+// A script goes by the exit code alone. Each kind of failure must have its own, and say its number and what to do.
+func TestExitCodesTellFailuresApart(t *testing.T) {
+	p, address := newPlatform(t)
+	text := mustCtl(t, "generate", "--answers", hearthway)
+	good := writeFile(t, text)
+	bad := writeFile(t, strings.Replace(text, "Region: boston", "Region: nowhere", 1))
+	mustCtl(t, "apply", good, "--store", address, "--why", "w")
+	p.lag = true
+	for _, c := range []struct {
+		code int
+		want string
+		args []string
+	}{
+		{2, "1005", []string{"nonsense"}},
+		{2, "1005", []string{"status", "--router", "localhost:80"}},
+		{2, "2013", []string{"check", "no-such-file"}},
+		{2, bad + ":", []string{"check", bad}},
+		{2, "2003", []string{"apply", bad, "--store", address, "--why", "w"}},
+		{3, "2005 ConfigConflict: generation 1 by", []string{"apply", good, "--store", address, "--why", "w", "--base", "7"}},
+		{5, "2012", []string{"--timeout", "300ms", "apply", good, "--store", address, "--why", "w", "--wait", "--router", address}},
+		{6, "2014", []string{"status", "--router", "127.0.0.1:1"}},
+		{6, "2100", []string{"show", "--store", "127.0.0.1:1"}},
+	} {
+		code, _, diag := ctl(c.args...)
+		if code != c.code || !strings.Contains(diag, c.want) || !strings.Contains(diag, "What to do:") {
+			t.Errorf("%v: exit code %d, want %d with %q: %s", c.args, code, c.code, c.want, diag)
+		}
+	}
+	if code, _, _ := ctl("--help"); code != 0 {
+		t.Errorf("--help has exit code %d", code)
+	}
+}
--- a/cmd/pomeloctl/pomelocommand/exit.go
+++ b/cmd/pomeloctl/pomelocommand/exit.go
@@ -1,4 +1,4 @@
-package main
+package pomelocommand
 
 import "github.com/pomelorelay/pomelorelay"
 
--- a/cmd/pomeloctl/pomelocommand/show.go
+++ b/cmd/pomeloctl/pomelocommand/show.go
@@ -1,4 +1,4 @@
-package main
+package pomelocommand
 
 import (
 	"context"
--- a/pomeloconfig/fleet_test.go
+++ b/pomeloconfig/fleet_test.go
@@ -66,6 +66,9 @@
 
 func (f *fleet) newest() pomelorelay.Generation { return pomelorelay.Generation(len(f.accepted)) }
 
+// made keeps the generations, which are the same for every fleet; the tests that use it do not run at the same time.
+var made = make(map[pomelorelay.Generation]generation)
+
 // failer is what a test and a rapid check have in common.
 type failer interface {
 	Fatalf(format string, args ...any)
@@ -73,7 +76,11 @@
 
 // change accepts a configuration above every one before, as a publisher does that was told of the routers.
 func (f *fleet) change(failer) {
-	f.accepted = append(f.accepted, makeGeneration(f.tb, f.newest()+1, withShare(1+len(f.accepted))))
+	number := f.newest() + 1
+	if _, ok := made[number]; !ok {
+		made[number] = makeGeneration(f.tb, number, withShare(int(number)))
+	}
+	f.accepted = append(f.accepted, made[number])
 	f.stored = len(f.accepted)
 }
 
