--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -46,7 +46,11 @@
 		[ -e "$file" ] || continue
 		kill "$(cat "$file")" 2>/dev/null || true
 	done
-	sleep 1
+	left=100
+	while [ $left -gt 0 ] && [ -n "$(ls "$run/pids")" ]; do
+		left=$((left - 1))
+		sleep 0.1
+	done
 	for file in "$run"/pids/*; do
 		[ -e "$file" ] || continue
 		kill -9 "$(cat "$file")" 2>/dev/null || true
@@ -160,7 +164,7 @@
 start_stand_ins
 sleep 0.5
 if [ "$mode" = direct ]; then
-	bin/pomelobench run --plan examples/demo/plan.yaml --direct --duration 10s --record "$run/record.jsonl"
+	bin/pomelobench run --plan examples/demo/plan.yaml --direct --record "$run/record.jsonl"
 	exit
 fi
 
@@ -170,8 +174,12 @@
 apply "$run/first" "first configuration"
 : >"$run/log/bench.out"
 start bench bin/pomelobench run --plan examples/demo/plan.yaml --wait-ready 20s --marks "$marks" --record "$run/record.jsonl"
-tail -n +1 -f "$run/log/bench.out" &
-echo $! >"$run/pids/progress"
+(
+	tail -n +1 -f "$run/log/bench.out" &
+	echo $! >"$run/pids/progress"
+	wait $! || true
+	rm -f "$run/pids/progress"
+) &
 sleep 12
 await_graceful_stop boston-a-router-2
 kill_router recife-b-router-2
@@ -179,7 +187,6 @@
 change_configuration
 await bench 60
 kill "$(cat "$run/pids/progress")" 2>/dev/null || true
-rm -f "$run/pids/progress"
 cat "$run/log/bench.log" >&2
 bin/pomelobench report "$run/record.jsonl" --out "$run/report.html" --title "Demo" >&2 || true
 tail -n 1 "$run/log/bench.out"
