demo: addresses to choose, an end at once when they are held

An earlier trial was disturbed by another run on the same addresses, which published a third configuration: hence this change.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,7 +9,9 @@
 mkdir -p "$run/pids" "$run/codes" "$run/log"
 marks=$run/marks
 : >"$marks"
-store=127.0.1.1:8300
+# All addresses begin with these two numbers; another pair lets two demos run at a time.
+net=${DEMO_NET:-127.0}
+store=$net.1.1:8300
 
 # A started process is ended by its own id, which stands in a file of its name while it runs; then its exit code does.
 start() {
@@ -61,7 +63,18 @@
 }
 trap finish EXIT INT TERM
 
-# domain prints "region octet" of a failure domain; a router or stand-in of it has the address 127.0.octet.n.
+# check_running fails when a process has ended already, as one does whose address another demo holds.
+check_running() {
+	for file in "$run"/codes/*; do
+		[ -e "$file" ] || continue
+		name=$(basename "$file")
+		echo "$name ended with $(cat "$file"):" >&2
+		tail -n 1 "$run/log/$name.log" >&2
+		exit 1
+	done
+}
+
+# domain prints "region octet" of a failure domain; a router or stand-in of it has the address net.octet.n.
 domain() {
 	case $1 in
 	recife-a) echo recife 11 ;;
@@ -80,12 +93,12 @@
 	for d in $domains; do
 		set -- $(domain "$d")
 		for n in 1 2; do
-			host_line "$d-router-$n" Router "127.0.$2.$n:8081" "$d" "$1"
+			host_line "$d-router-$n" Router "$net.$2.$n:8081" "$d" "$1"
 		done
-		host_line "counter-assistant-$d" Upstream "127.0.$2.101:9000" "$d" "$1"
-		host_line "repair-booking-$d" Upstream "127.0.$2.102:9000" "$d" "$1"
-		host_line "grant-drafter-$d" Upstream "127.0.$2.111:9000" "$d" "$1"
-		host_line "case-records-$d" Upstream "127.0.$2.112:9000" "$d" "$1"
+		host_line "counter-assistant-$d" Upstream "$net.$2.101:9000" "$d" "$1"
+		host_line "repair-booking-$d" Upstream "$net.$2.102:9000" "$d" "$1"
+		host_line "grant-drafter-$d" Upstream "$net.$2.111:9000" "$d" "$1"
+		host_line "case-records-$d" Upstream "$net.$2.112:9000" "$d" "$1"
 	done | paste -sd, | sed 's/.*/[&]/' >"$run/hosts.json"
 }
 
@@ -107,12 +120,12 @@
 }
 
 start_stand_ins() {
-	start platform bin/pomelobench standin --admin 127.0.1.1:9100 --platform $store --hosts "$run/hosts.json"
+	start platform bin/pomelobench standin --admin $net.1.1:9100 --platform $store --hosts "$run/hosts.json"
 	for d in $domains; do
 		set -- $(domain "$d")
-		start "stand-ins-$d" bin/pomelobench standin --admin "127.0.$2.100:9100" --step 10ms --plain-slots 4 \
-			--engine "counter-assistant-$d=127.0.$2.101:9000" --plain "repair-booking-$d=127.0.$2.102:9000" \
-			--engine "grant-drafter-$d=127.0.$2.111:9000" --plain "case-records-$d=127.0.$2.112:9000"
+		start "stand-ins-$d" bin/pomelobench standin --admin "$net.$2.100:9100" --step 10ms --plain-slots 4 \
+			--engine "counter-assistant-$d=$net.$2.101:9000" --plain "repair-booking-$d=$net.$2.102:9000" \
+			--engine "grant-drafter-$d=$net.$2.111:9000" --plain "case-records-$d=$net.$2.112:9000"
 	done
 }
 
@@ -120,7 +133,7 @@
 	for d in $domains; do
 		for n in 1 2; do
 			set -- $(domain "$d")
-			write_settings "$d-router-$n" "$d" "$1" "127.0.$2.$n"
+			write_settings "$d-router-$n" "$d" "$1" "$net.$2.$n"
 			start "$d-router-$n" bin/pomelorelayd run --settings "$run/$d-router-$n.yaml"
 		done
 	done
@@ -153,27 +166,32 @@
 
 change_configuration() {
 	mkdir -p "$run/changed"
-	cp examples/demo/jewellers.yaml "$run/changed/"
-	sed 's/^      Timeout: 20s/&\n      QuarantineFor: 5m/' examples/demo/hearthway.yaml >"$run/changed/hearthway.yaml"
+	cp "$run/first/jewellers.yaml" "$run/changed/"
+	sed 's/^      Timeout: 20s/&\n      QuarantineFor: 5m/' "$run/first/hearthway.yaml" >"$run/changed/hearthway.yaml"
 	apply "$run/changed" "shorter quarantine"
 	echo "configuration $generation was applied"
 }
 
 echo "Working in $run"
+mkdir -p "$run/first"
+for name in jewellers hearthway plan; do
+	sed "s/127\.0\./$net./g" "examples/demo/$name.yaml" >"$run/first/$name.yaml"
+done
 write_hosts
 start_stand_ins
 sleep 0.5
+check_running
 if [ "$mode" = direct ]; then
-	bin/pomelobench run --plan examples/demo/plan.yaml --direct --record "$run/record.jsonl"
+	bin/pomelobench run --plan "$run/first/plan.yaml" --direct --record "$run/record.jsonl"
 	exit
 fi
 
 start_routers
-mkdir -p "$run/first"
-cp examples/demo/jewellers.yaml examples/demo/hearthway.yaml "$run/first/"
+sleep 0.5
+check_running
 apply "$run/first" "first configuration"
 : >"$run/log/bench.out"
-start bench bin/pomelobench run --plan examples/demo/plan.yaml --wait-ready 20s --marks "$marks" --record "$run/record.jsonl"
+start bench bin/pomelobench run --plan "$run/first/plan.yaml" --wait-ready 20s --marks "$marks" --record "$run/record.jsonl"
 (
 	tail -n +1 -f "$run/log/bench.out" &
 	echo $! >"$run/pids/progress"
@@ -186,8 +204,9 @@
 sleep 8
 change_configuration
 await bench 60
-kill "$(cat "$run/pids/progress")" 2>/dev/null || true
 cat "$run/log/bench.log" >&2
 bin/pomelobench report "$run/record.jsonl" --out "$run/report.html" --title "Demo" >&2 || true
-tail -n 1 "$run/log/bench.out"
+# The bench's last line has to have passed through before the printing of its progress ends.
+sleep 1.5
+kill "$(cat "$run/pids/progress")" 2>/dev/null || true
 exit "$code"
