--- a/cmd/pomelobench/pomeloload/load_test.go
+++ b/cmd/pomelobench/pomeloload/load_test.go
@@ -172,6 +172,20 @@
 	})
 }
 
+// An upstream stops decoding and its router never says so. An account's callers wait, and wait again, without any service.
+func TestStarvationIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.engine.SetFaults(pomelofake.EngineFaults{Stalled: true})
+		p := directPlan()
+		p.Duration = 12 * time.Second
+		j := runPlan(t, w, p)
+		if j.Result.Starved == 0 {
+			t.Errorf("got %+v", j.Result)
+		}
+	})
+}
+
 // A router goes back to an old configuration, and its control bytes are counted across a restart.
 func TestRoutersFiguresAreRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
