--- a/pomelocheck/checker.go
+++ b/pomelocheck/checker.go
@@ -14,7 +14,7 @@
 	GapBounds map[pomelorelay.PoolID]pomelorelay.Tag
 	// GapStep is the time between two samples of the gap, 100 ms by default.
 	GapStep time.Duration
-	// MaxWait is how long an attempt, or a backlogged account's next service, may take, 60 s by default.
+	// MaxWait is how long a request with all its attempts, or a backlogged account's next service, may take, 60 s by default.
 	MaxWait time.Duration
 	// LeaveWithin is how long a leaving upstream may still get new work, 3 s by default.
 	LeaveWithin time.Duration
--- a/pomelocheck/checker_test.go
+++ b/pomelocheck/checker_test.go
@@ -112,6 +112,12 @@
 	runCases(t, pomelocheck.Config{MaxWait: 30 * time.Second}, []checkCase{
 		{"no end", []pomelocheck.Event{sent("a", "x", 0)}, []pomelocheck.Kind{pomelocheck.Starved}},
 		{"late end", []pomelocheck.Event{sent("a", "x", 0), answered("a", 31*time.Second)}, []pomelocheck.Kind{pomelocheck.Starved}},
+		{"turned away again and again", []pomelocheck.Event{
+			sent("a", "x", 0), refused("a", 20*time.Second, pomelorelay.RanNo), sent("b", "x", 21*time.Second), refused("b", 40*time.Second, pomelorelay.RanNo),
+		}, []pomelocheck.Kind{pomelocheck.Starved}},
+		{"answered, then repeated", []pomelocheck.Event{
+			sent("a", "x", 0), answered("a", time.Second), sent("b", "x", 40*time.Second), answered("b", 41*time.Second),
+		}, nil},
 		{"account without service", []pomelocheck.Event{
 			backlogged("recife", 0, true), served("recife", 0, time.Second, 1), served("recife", 40*time.Second, 95*time.Second, 1),
 		}, []pomelocheck.Kind{pomelocheck.Starved}},
--- a/pomelocheck/requests.go
+++ b/pomelocheck/requests.go
@@ -55,19 +55,39 @@
 	return end
 }
 
+// A caller who is turned away again and again waits as one does who hears nothing; so a request's wait is taken over all its
+// attempts, until the first answer.
 func (c *Checker) checkWaits(now time.Time, out []Violation) []Violation {
-	for id, a := range c.attempts {
-		if a.sent == nil {
-			continue
-		}
-		end := a.endedBy(now)
-		if waited := end.Sub(a.sent.At); waited > c.cfg.MaxWait {
-			out = append(out, Violation{Starved, string(id), end, fmt.Sprintf("waited %s", waited)})
+	for id, t := range c.contents {
+		first, end := c.waited(t, now)
+		if wait := end.Sub(first); wait > c.cfg.MaxWait {
+			out = append(out, Violation{Starved, string(id), end, fmt.Sprintf("waited %s in %d attempts", wait, len(t.attempts))})
 		}
 	}
 	return out
 }
 
+// waited returns when the content was first sent, and when it was first answered or else its last attempt ended.
+func (c *Checker) waited(t *content, now time.Time) (first, end time.Time) {
+	var answered time.Time
+	for _, id := range t.attempts {
+		a := c.attempts[id]
+		if first.IsZero() || a.sent.At.Before(first) {
+			first = a.sent.At
+		}
+		if last := a.endedBy(now); last.After(end) {
+			end = last
+		}
+		if len(a.answered) > 0 && (answered.IsZero() || a.answered[0].At.Before(answered)) {
+			answered = a.answered[0].At
+		}
+	}
+	if !answered.IsZero() {
+		end = answered
+	}
+	return first, end
+}
+
 // A router that has given up a request and keeps its caller waiting hides the failure: the caller could have gone
 // elsewhere. It shows as a refusal that comes late, drips, or lacks the time to come back.
 func (c *Checker) checkRefusals(now time.Time, out []Violation) []Violation {
