pomeloroute: tests that fail without each guard

The test of cut bookings now has a second upstream to be sent to; before, it could not have seen a second send.

--- a/pomeloroute/once_test.go
+++ b/pomeloroute/once_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloroute"
@@ -19,24 +20,30 @@
 func TestBookingCutAtEveryByteIsSentOnce(t *testing.T) {
 	b := newBench(t, pomeloroute.Options{})
 	var cut atomic.Int64
+	var pastEnd atomic.Bool
 	upstream := newWire(t, func(w *wire, _ int64, conn net.Conn, r *bufio.Reader) {
 		if _, err := r.Peek(1); err != nil {
 			// The router only looked whether the upstream takes connections.
 			return
 		}
 		w.begun.Add(1)
-		io.CopyN(io.Discard, r, cut.Load())
+		// Only a request that has fewer bytes than the cut lets the upstream wait so long.
+		conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		if n, _ := io.CopyN(io.Discard, r, cut.Load()); n < cut.Load() {
+			pastEnd.Store(true)
+		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			// What was not read makes the close a reset, as when a process dies.
 			tcp.SetLinger(0)
 		}
 	})
 	b.add(upstream.addr())
+	b.add(upstream.addr())
 	const leastBytes = 150
 	falseNotRun, twice := 0, 0
 	for {
 		before := upstream.begun.Load()
-		a := b.call("POST", "/booking/jobs", "ring", "Idempotency-Key", fmt.Sprint("request", cut.Load()), "X-Timeout", "300ms")
+		a := b.call("POST", "/booking/jobs", "ring", "Idempotency-Key", fmt.Sprint("request", cut.Load()))
 		if upstream.begun.Load()-before > 1 {
 			twice++
 		}
@@ -44,8 +51,7 @@
 		if p.Ran == pomelorelay.RanNo {
 			falseNotRun++
 		}
-		if p.Code == pomelorelay.CodeUpstreamTimeout {
-			// The upstream waits for more bytes than the request has.
+		if pastEnd.Load() {
 			break
 		}
 		cut.Add(1)
@@ -75,6 +81,7 @@
 				conn.Write(text[:min(cut.Load(), size.Load())])
 			})
 			b.add(upstream.addr())
+			b.add(upstream.addr())
 			wrong, falseNotRun := 0, 0
 			for ; cut.Load() < 180; cut.Add(1) {
 				before := upstream.whole.Load()
@@ -86,6 +93,9 @@
 				if whole != (cut.Load() >= size.Load()) {
 					wrong++
 				}
+				if a.err != nil && framing == "length" {
+					t.Fatalf("cut at %d: a short answer was not held until it was whole: %v", cut.Load(), a.err)
+				}
 				if !whole && a.err == nil && a.problem(t).Ran != pomelorelay.RanUnknown {
 					falseNotRun++
 				}
@@ -129,6 +139,7 @@
 	upstream = newWire(t, play)
 	b := newBench(t, pomeloroute.Options{})
 	b.add(upstream.addr())
+	b.add(upstream.addr())
 	for n := range 2 {
 		b.call("POST", "/booking/jobs", "ring", "Idempotency-Key", fmt.Sprint(n))
 	}
@@ -199,3 +210,48 @@
 		t.Errorf("got %d %q", a.status, a.body)
 	}
 }
+
+// A body that does not fit a socket's buffers is written while the answer may already come. The upstream refuses it
+// unread, or takes it whole.
+func TestLargeBodyIsWrittenWhileTheAnswerComes(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{MaxAttempts: 1})
+	large := strings.Repeat("pearl ", 40<<10)
+	b.serve(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refuse" {
+			w.Header().Set("Ran", "No")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		text, _ := io.ReadAll(r.Body)
+		w.Write(text)
+	})
+	for range 3 {
+		if a := b.call("POST", "/status/x", large); a.body != large {
+			t.Errorf("got %d, %d bytes of %d", a.status, len(a.body), len(large))
+		}
+		if a := b.call("POST", "/status/refuse", large); a.status/100 != 5 {
+			t.Errorf("refused: got %d", a.status)
+		}
+	}
+}
+
+// An upstream closes idle connections. A request that meets one would break though nothing is wrong with it, and one
+// without a retry left would fail.
+func TestClosedIdleConnectionIsSeenBeforeUse(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{MaxAttempts: 1})
+	closed := make(chan struct{})
+	b.add(newWire(t, func(w *wire, _ int64, conn net.Conn, r *bufio.Reader) {
+		if id, ok := w.read(r); ok {
+			conn.Write(plainAnswer(id, "cleaned"))
+			conn.Close()
+			closed <- struct{}{}
+		}
+	}).addr())
+	for range 5 {
+		if a := b.call("GET", "/status/ring", ""); a.body != "cleaned" {
+			t.Fatalf("got %d %q", a.status, a.body)
+		}
+		<-closed
+	}
+}
