Tell a defect in the traffic path, bound a head of unsettled claims, drop codes that nobody gives

Cause: a panic in the handling of a request closed the caller's connection without a word, and left the meter's timer running when it came before its guard was set (TestDefectIsTold failed: result NotSent, claim released). Change: it is logged (503), refused with Ran: Unknown, and its claim is unknown. Codes 1307 and 1308 were given by nothing and are gone; event 604 is now logged. TestFullHeadRefuses: past MaxHeadBytes new claims are refused. make format lint, go test -race . ./pomeloroute ./pomeloclaim ./pomeloquarantine: green.

--- a/codes_claim.go
+++ b/codes_claim.go
@@ -2,15 +2,13 @@
 
 // Result codes of claims, 1300 to 1399.
 const (
-	CodeClaimKeyNeeded    ResultCode = 1300
-	CodeClaimKeyBounds    ResultCode = 1301
-	CodeClaimRefused      ResultCode = 1302
-	CodeClaimRunning      ResultCode = 1303
-	CodeClaimUnknown      ResultCode = 1304
-	CodeClaimConflict     ResultCode = 1305
-	CodeClaimOutcomeGone  ResultCode = 1306
-	CodeClaimShardFull    ResultCode = 1307
-	CodeClaimRecordBroken ResultCode = 1308
+	CodeClaimKeyNeeded   ResultCode = 1300
+	CodeClaimKeyBounds   ResultCode = 1301
+	CodeClaimRefused     ResultCode = 1302
+	CodeClaimRunning     ResultCode = 1303
+	CodeClaimUnknown     ResultCode = 1304
+	CodeClaimConflict    ResultCode = 1305
+	CodeClaimOutcomeGone ResultCode = 1306
 )
 
 var claimCodes = []CodeInfo{
@@ -21,6 +19,4 @@
 	{CodeClaimUnknown, "ClaimUnknown", 409, RanUnknown, "A request with the same key may have run and its outcome is not known; it is never run again.", "Look into the service itself before using a new key."},
 	{CodeClaimConflict, "ClaimConflict", 422, RanNo, "The key was used before with another request body.", "Use a new key for a new request."},
 	{CodeClaimOutcomeGone, "ClaimOutcomeGone", 409, RanYes, "A request with the same key ran; its answer was too large to keep.", "Look the result up in the service itself."},
-	{CodeClaimShardFull, "ClaimShardFull", 503, RanNo, "The claim shard holds as many unsettled claims as it may.", "Send it again with the same key after Retry-After."},
-	{CodeClaimRecordBroken, "ClaimRecordBroken", 503, RanNo, "The claim shard's record cannot be read.", "Restore the record named in the log."},
 }
--- a/pomeloclaim/claim_test.go
+++ b/pomeloclaim/claim_test.go
@@ -262,6 +262,23 @@
 	}
 }
 
+// Callers claim and never settle. The head must not outgrow what the store holds; those past the bound are refused.
+func TestFullHeadRefuses(t *testing.T) {
+	d := newDirect(t, pomeloclaim.Config{MaxHeadBytes: 4 << 10, CommitsPerSecond: 1000})
+	refused := 0
+	for n := range 200 {
+		d.ask(n, fmt.Sprint("k", n), 7)
+		d.serve()
+		if d.answers()[nonceOf(n)].State == pomelorelay.ClaimRefused {
+			refused++
+		}
+		d.now = d.now.Add(time.Second)
+	}
+	if size := len(d.store.records["claims/0"].Value); refused == 0 || size > 5<<10 {
+		t.Errorf("%d refused, the head has %d bytes", refused, size)
+	}
+}
+
 // A keeper that is gone leaves its router with settlements that nobody acknowledges; they must not fill its memory.
 func TestUnacknowledgedSettlementsAreBounded(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
--- a/pomeloclaim/commit.go
+++ b/pomeloclaim/commit.go
@@ -305,18 +305,28 @@
 	}
 	s.nextSlot, s.free, s.segments = c.head.NextSlot, c.head.Free, c.head.Segments
 	s.applySeal(c)
-	waiting := make(map[pomelorelay.ClaimNonce]bool, len(s.asks))
-	for _, a := range s.asks {
-		waiting[a.ask.Nonce] = true
+	if c.sealed != nil {
+		k.cfg.Logger.Log(pomelorelay.EventClaimSealed, pomelorelay.Field{Key: "Shard", Value: s.id}, pomelorelay.Field{Key: "Claims", Value: len(c.sealed.prefixes)})
 	}
+	s.answerCommitted(c, out)
+}
+
+// answerCommitted answers those who waited for a commit; an ask that was given up meanwhile is not among the shard's any more.
+func (s *shard) answerCommitted(c *commit, out *Output) {
+	asks := make(map[*pendingAsk]bool, len(c.asks))
 	for _, a := range c.asks {
-		if waiting[a.ask.Nonce] {
+		asks[a] = true
+	}
+	s.asks = slices.DeleteFunc(s.asks, func(a *pendingAsk) bool {
+		if asks[a] {
 			answer(a.from, &a.ask, pomelorelay.ClaimFresh, pomelorelay.ClaimOutcome{}, out)
-			s.dropAsk(a.ask.Nonce)
 		}
-	}
+		return asks[a]
+	})
+	settles := make(map[*pendingSettle]bool, len(c.settles))
 	for _, p := range c.settles {
+		settles[p] = true
 		acknowledge(p, out)
 	}
-	s.settles = slices.DeleteFunc(s.settles, func(p *pendingSettle) bool { return slices.Contains(c.settles, p) })
+	s.settles = slices.DeleteFunc(s.settles, func(p *pendingSettle) bool { return settles[p] })
 }
--- a/pomeloroute/answer_test.go
+++ b/pomeloroute/answer_test.go
@@ -334,3 +334,18 @@
 		}
 	}
 }
+
+// A part of the router fails by a defect while a booking is about to run. The caller hears that nobody knows what ran, the
+// slot is given back and the claim ends as unknown.
+func TestDefectIsTold(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{})
+	b.serve(func(w http.ResponseWriter, r *http.Request) {})
+	b.panics = true
+	a := b.call("POST", "/booking/jobs", "ring", "Idempotency-Key", "k")
+	if p := a.problem(t); p.Code != pomelorelay.CodeInternal || p.Ran != pomelorelay.RanUnknown {
+		t.Errorf("got %+v", p)
+	}
+	if len(b.results) != 1 || len(b.settled) != 1 || b.settled[0].State != pomelorelay.ClaimUnknown {
+		t.Errorf("results %+v, settled %+v", b.results, b.settled)
+	}
+}
--- a/pomeloroute/handler.go
+++ b/pomeloroute/handler.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
@@ -60,11 +61,26 @@
 		return
 	}
 	defer c.release()
+	defer c.survive()
 	if err := c.run(); err != nil {
 		c.fail(err)
 	}
 }
 
+// survive turns a defect in the handling of one request into a refusal that says nothing of what ran. Without it the
+// caller's connection is closed without a word and the log has no numbered event.
+func (c *call) survive() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	c.h.cfg.Logger.Log(pomelorelay.EventHandlerPanicked, pomelorelay.Field{Key: "Request", Value: c.wire}, pomelorelay.Field{Key: "Cause", Value: fmt.Sprint(cause)}, pomelorelay.Field{Key: "Stack", Value: string(debug.Stack())})
+	c.fail(pomelorelay.NewError(pomelorelay.CodeInternal, "", nil))
+}
+
 func (h *Handler) nextID() pomelorelay.RequestID {
 	return pomelorelay.RequestID(h.lastID.Add(1))
 }
--- a/pomeloroute/helpers_test.go
+++ b/pomeloroute/helpers_test.go
@@ -36,6 +36,7 @@
 	services  map[pomelorelay.ServiceID]*pomeloconfig.Service
 	upstreams []*pomeloconfig.Upstream
 	refuse    error
+	panics    bool
 
 	mu      sync.Mutex
 	next    int
@@ -146,7 +147,11 @@
 	return nil
 }
 
-func (b *bench) Began(pomeloroute.SuspectRun) {}
+func (b *bench) Began(pomeloroute.SuspectRun) {
+	if b.panics {
+		panic("a defect")
+	}
+}
 
 func (b *bench) Crashed(run pomeloroute.SuspectRun) {
 	b.mu.Lock()
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -84,11 +84,21 @@
 	if err := c.h.cfg.Suspects.Check(ctx, run); err != nil {
 		return refusal(ctx, err)
 	}
-	m := newMeter(c, ticket)
-	c.h.cfg.Suspects.Began(run)
 	// Until the outcome is known the request counts as one that may have run, also when a defect ends this function.
 	before := c.mayHaveRun
 	c.mayHaveRun = true
+	result.Outcome = OutcomeUnknown
+	f, result = c.send(ctx, ticket, run)
+	c.mayHaveRun = before || result.Outcome == OutcomeCutShort || result.Outcome == OutcomeUnknown
+	if f != nil {
+		c.avoid = append(c.avoid, run.Upstream)
+	}
+	return c.afterAnswer(f)
+}
+
+// send carries out an attempt that has its slot and its turn, and measures it.
+func (c *call) send(ctx context.Context, ticket Ticket, run SuspectRun) (f *failure, result Result) {
+	m := newMeter(c, ticket)
 	ended := false
 	defer func() {
 		if !ended {
@@ -96,21 +106,17 @@
 			c.h.cfg.Suspects.Ended(run, false)
 		}
 	}()
+	c.h.cfg.Suspects.Began(run)
 	f = c.exchange(ctx, ticket, m)
 	ended = true
 	result = m.end()
+	c.endRun(ctx, ticket, run, f)
 	result.Outcome = OutcomeWhole
 	if f != nil {
 		result.Outcome = f.outcome
 		result.Code = f.err.Code
-		c.avoid = append(c.avoid, ticket.Upstream().Name)
-	}
-	c.mayHaveRun = before || result.Outcome == OutcomeCutShort || result.Outcome == OutcomeUnknown
-	c.endRun(ctx, ticket, run, f)
-	if f != nil {
-		result.Code = f.err.Code
 	}
-	return c.afterAnswer(f)
+	return f, result
 }
 
 // afterAnswer ends a call whose answer had begun when it failed: a caller that was not told has its connection closed.
