--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -73,10 +73,14 @@
 		}
 	case *pomelowire.Item_SuspectCleared:
 		s := kind.SuspectCleared
-		return &pomelorelay.SuspectCleared{Fingerprint: pomelorelay.Fingerprint(s.GetFingerprint()), Upstream: pomelorelay.UpstreamID(d.name(s.GetUpstream()))}
+		return &pomelorelay.SuspectCleared{
+			Fingerprint: pomelorelay.Fingerprint(s.GetFingerprint()), Upstream: pomelorelay.UpstreamID(d.name(s.GetUpstream())), Clean: s.GetClean(),
+		}
 	case *pomelowire.Item_QuarantineNotice:
 		q := kind.QuarantineNotice
-		return &pomelorelay.QuarantineNotice{Fingerprint: pomelorelay.Fingerprint(q.GetFingerprint()), Seq: q.GetSeq(), For: d.duration(q.GetFor())}
+		return &pomelorelay.QuarantineNotice{
+			Fingerprint: pomelorelay.Fingerprint(q.GetFingerprint()), Seq: q.GetSeq(), For: d.duration(q.GetFor()), Upstream: pomelorelay.UpstreamID(d.name(q.GetUpstream())),
+		}
 	case *pomelowire.Item_LeavingNotice:
 		return &pomelorelay.LeavingNotice{Upstream: pomelorelay.UpstreamID(d.name(kind.LeavingNotice.GetUpstream()))}
 	}
--- a/pomelomesh/encode.go
+++ b/pomelomesh/encode.go
@@ -181,11 +181,11 @@
 		}}}
 	case *pomelorelay.SuspectCleared:
 		return &pomelowire.Item{Kind: &pomelowire.Item_SuspectCleared{SuspectCleared: &pomelowire.SuspectCleared{
-			Fingerprint: uint64(m.Fingerprint), Upstream: string(m.Upstream),
+			Fingerprint: uint64(m.Fingerprint), Upstream: string(m.Upstream), Clean: m.Clean,
 		}}}
 	case *pomelorelay.QuarantineNotice:
 		return &pomelowire.Item{Kind: &pomelowire.Item_QuarantineNotice{QuarantineNotice: &pomelowire.QuarantineNotice{
-			Fingerprint: uint64(m.Fingerprint), Seq: m.Seq, For: int64(m.For),
+			Fingerprint: uint64(m.Fingerprint), Seq: m.Seq, For: int64(m.For), Upstream: string(m.Upstream),
 		}}}
 	}
 	return nil
