--- a/pomeloslot/table_test.go
+++ b/pomeloslot/table_test.go
@@ -46,7 +46,7 @@
 	span            time.Duration
 }
 
-const tableSeeds = 2
+const tableSeeds = 3
 
 // warm is how long a fleet that started with empty state runs before it is measured.
 const warm = time.Minute
