--- a/cmd/pomeloctl/pomelocommand/diff.go
+++ b/cmd/pomeloctl/pomelocommand/diff.go
@@ -42,7 +42,7 @@
 		return pomeloconfig.Configuration{}, err
 	}
 	_, c, err := pomeloconfig.Load(ctx, store)
-	if pomelorelay.IsErrCode(err, pomelorelay.CodeConfigNone) {
+	if pomeloconfig.IsErrNone(err) {
 		return pomeloconfig.Configuration{}, nil
 	}
 	return c, err
--- a/pomeloconfig/check_test.go
+++ b/pomeloconfig/check_test.go
@@ -130,6 +130,9 @@
 			t.Errorf("%s: got %v, want %q", c.to, err, c.want)
 		}
 	}
+	if _, err := pomeloconfig.LoadSettings("../examples/settings/router.yaml"); err != nil {
+		t.Error(err)
+	}
 	_, err = pomeloconfig.LoadSettings("no-such-file")
 	wantCode(t, err, pomelorelay.CodeFileUnreadable)
 }
--- a/pomeloconfig/library.go
+++ b/pomeloconfig/library.go
@@ -84,14 +84,14 @@
 			return writeDone, pomelorelay.Record{Key: key, Value: value, Revision: revision}, nil
 		}
 		last = err
-		switch pomelorelay.CodeOf(err) {
-		case pomelorelay.CodeStoreConflict, pomelorelay.CodeStoreUnknown:
-			mayHaveLeft = mayHaveLeft || pomelorelay.IsErrCode(err, pomelorelay.CodeStoreUnknown)
+		switch {
+		case pomelostore.IsErrConflict(err), pomelostore.IsErrUnknown(err):
+			mayHaveLeft = mayHaveLeft || pomelostore.IsErrUnknown(err)
 			outcome, record := l.settle(ctx, key, value, old)
 			if outcome == writeDone || outcome == writeLost {
 				return outcome, record, nil
 			}
-		case pomelorelay.CodeStoreUnavailable, pomelorelay.CodeStoreThrottled:
+		case pomelostore.IsErrUnavailable(err):
 		default:
 			return openOr(mayHaveLeft), pomelorelay.Record{}, err
 		}
--- a/pomeloconfig/publisher_test.go
+++ b/pomeloconfig/publisher_test.go
@@ -256,7 +256,7 @@
 		switch {
 		case o.err == nil && times[o.id] != 1:
 			t.Fatalf("%s was told of success and stands %d times", o.id, times[o.id])
-		case o.err != nil && times[o.id] > 0 && !pomelorelay.IsErrCode(o.err, pomelorelay.CodeConfigUnsettled):
+		case o.err != nil && times[o.id] > 0 && !pomeloconfig.IsErrUnsettled(o.err):
 			t.Fatalf("%s was told %v and is in force", o.id, o.err)
 		case times[o.id] > 1:
 			t.Fatalf("%s stands %d times", o.id, times[o.id])
--- a/pomeloconfig/spreader_receive.go
+++ b/pomeloconfig/spreader_receive.go
@@ -120,10 +120,11 @@
 	return true
 }
 
-// StoredPart takes a part as the node read it from the store.
-func (s *Spreader) StoredPart(_ time.Time, data []byte) {
-	if len(data) > 0 {
-		s.takePart(data)
+// StoredPart takes a part as the node read it from the store. While parts come, the node is not asked for the same ones again:
+// reading all of them within its call budget takes longer than StoreWait.
+func (s *Spreader) StoredPart(now time.Time, data []byte) {
+	if len(data) > 0 && s.takePart(data) {
+		s.store.partsAsked = now
 	}
 }
 
