--- a/pomeloconfig/spread_time_test.go
+++ b/pomeloconfig/spread_time_test.go
@@ -58,3 +58,20 @@
 		}
 	}
 }
+
+// A router starts cold while the store is down, at 37,000 accounts. It must get all parts from a peer in bounded messages; asked for
+// in one go, they would not fit a message, and it would stay out of service until the store is back.
+func TestColdRouterPullsEverythingFromAPeer(t *testing.T) {
+	f := newFleet(t, 2, 1)
+	f.storeUp = false
+	f.accepted = []generation{makeGeneration(t, 1, sample(targetAccounts))}
+	install(t, f.routers[0].spreader, f.accepted[0])
+	f.run(t, 100)
+	if got := f.routers[1].spreader.Generation(); got != 1 {
+		t.Fatalf("the cold router has generation %d", got)
+	}
+	t.Logf("37,000 accounts from a peer, 20 ms a message: %v, %d bytes of configuration", f.routers[1].reached.Sub(epoch), f.sent)
+	if whole := pomelorelay.Bytes(2 << 20); f.sent > whole {
+		t.Errorf("%d bytes were sent, more than one copy", f.sent)
+	}
+}
