Keep what each account has been served over the fleet

Cause: fairness needs fleet totals that no loss, repetition or replacement of a host makes wrong. LedgerReport and LedgerQuery gain Round.

--- a/messages.go
+++ b/messages.go
@@ -122,6 +122,8 @@
 	Entries []LedgerEntry
 	// Interest lists the accounts whose fleet totals the router wants back.
 	Interest []LedgerKey
+	// Round is that of the query which a full report answers.
+	Round uint64
 }
 
 // LedgerKey names an account in a pool.
@@ -142,6 +144,8 @@
 // LedgerQuery asks a router for a full report; a new host of a shard sends it.
 type LedgerQuery struct {
 	Shard ShardID
+	// Round tells answers to this query from those to an earlier one.
+	Round uint64
 }
 
 // LedgerComponent carries one failure domain's part of a shard to another domain's host of it.
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -29,9 +29,9 @@
 		&pomelorelay.GrantReply{ID: 9, Upstream: "u", State: pomelorelay.GrantReturned, Seq: 8, Head: 1, Waiting: 1, FirstToken: time.Second, TokenGap: time.Millisecond},
 		&pomelorelay.RunningQuery{Upstream: "u"},
 		&pomelorelay.RunningReport{Upstream: "u", Grants: []pomelorelay.GrantID{1, 2}, Running: 2},
-		&pomelorelay.LedgerReport{Shard: 3, Seq: 4, Full: true, Entries: entries, Interest: []pomelorelay.LedgerKey{{Pool: "p", Account: "a"}}},
+		&pomelorelay.LedgerReport{Shard: 3, Seq: 4, Full: true, Entries: entries, Interest: []pomelorelay.LedgerKey{{Pool: "p", Account: "a"}}, Round: 2},
 		&pomelorelay.LedgerTotals{Shard: 3, Ready: true, Entries: entries, Seq: 4},
-		&pomelorelay.LedgerQuery{Shard: 3},
+		&pomelorelay.LedgerQuery{Shard: 3, Round: 2},
 		&pomelorelay.LedgerComponent{Shard: 3, Domain: "a", Full: true, Entries: []pomelorelay.LedgerComponentEntry{{Pool: "p", Account: "a", Sum: 2, Departed: 1, Lift: 5, Waiting: true}}},
 		&pomelorelay.LedgerComponentQuery{Shard: 3},
 		&pomelorelay.Digest{
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -22,7 +22,7 @@
 	case *pomelowire.Item_LedgerTotals:
 		return d.ledgerTotals(kind.LedgerTotals)
 	case *pomelowire.Item_LedgerQuery:
-		return &pomelorelay.LedgerQuery{Shard: pomelorelay.ShardID(kind.LedgerQuery.GetShard())}
+		return &pomelorelay.LedgerQuery{Shard: pomelorelay.ShardID(kind.LedgerQuery.GetShard()), Round: kind.LedgerQuery.GetRound()}
 	case *pomelowire.Item_LedgerComponent:
 		return d.ledgerComponent(kind.LedgerComponent)
 	case *pomelowire.Item_LedgerComponentQuery:
--- a/pomelomesh/decode_ledger.go
+++ b/pomelomesh/decode_ledger.go
@@ -6,7 +6,7 @@
 )
 
 func (d *decoder) ledgerReport(m *pomelowire.LedgerReport) pomelorelay.Message {
-	r := &pomelorelay.LedgerReport{Shard: pomelorelay.ShardID(m.GetShard()), Seq: m.GetSeq(), Full: m.GetFull(), Entries: d.entries(m.GetEntries(), m.GetNames())}
+	r := &pomelorelay.LedgerReport{Shard: pomelorelay.ShardID(m.GetShard()), Seq: m.GetSeq(), Full: m.GetFull(), Entries: d.entries(m.GetEntries(), m.GetNames()), Round: m.GetRound()}
 	r.Interest = make([]pomelorelay.LedgerKey, d.count(len(m.GetInterest()), maxList))
 	for i := range r.Interest {
 		key := m.GetInterest()[i]
--- a/pomelomesh/encode_ledger.go
+++ b/pomelomesh/encode_ledger.go
@@ -34,7 +34,7 @@
 		t.Names = names.list
 		return &pomelowire.Item{Kind: &pomelowire.Item_LedgerTotals{LedgerTotals: t}}
 	case *pomelorelay.LedgerQuery:
-		return &pomelowire.Item{Kind: &pomelowire.Item_LedgerQuery{LedgerQuery: &pomelowire.LedgerQuery{Shard: uint32(m.Shard)}}}
+		return &pomelowire.Item{Kind: &pomelowire.Item_LedgerQuery{LedgerQuery: &pomelowire.LedgerQuery{Shard: uint32(m.Shard), Round: m.Round}}}
 	case *pomelorelay.LedgerComponent:
 		return &pomelowire.Item{Kind: &pomelowire.Item_LedgerComponent{LedgerComponent: encodeComponent(m)}}
 	case *pomelorelay.LedgerComponentQuery:
@@ -45,7 +45,7 @@
 
 func encodeReport(m *pomelorelay.LedgerReport) *pomelowire.LedgerReport {
 	var names nameTable
-	r := &pomelowire.LedgerReport{Shard: uint32(m.Shard), Seq: m.Seq, Full: m.Full, Entries: encodeEntries(m.Entries, &names)}
+	r := &pomelowire.LedgerReport{Shard: uint32(m.Shard), Seq: m.Seq, Full: m.Full, Entries: encodeEntries(m.Entries, &names), Round: m.Round}
 	for _, key := range m.Interest {
 		r.Interest = append(r.Interest, &pomelowire.LedgerKey{Pool: names.index(string(key.Pool)), Account: string(key.Account)})
 	}
