--- a/pomeloledger/ledger_test.go
+++ b/pomeloledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"testing"
 	"time"
 
@@ -396,3 +397,32 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/512, "ns/entry")
 	b.ReportMetric(float64(len(data))/512, "B/entry")
 }
+
+// BenchmarkState reports the memory of an account with two origins and five other domains.
+func BenchmarkState(b *testing.B) {
+	const n = 10_000
+	for b.Loop() {
+		before := heap()
+		w := newWorld("north")
+		w.calm(5 * time.Second)
+		l := w.ledgers[w.hosts["d0"]]
+		for i := range n {
+			key := pomelorelay.AccountID(fmt.Sprintf("workshop-%05d", i))
+			report := &pomelorelay.LedgerReport{Entries: []pomelorelay.LedgerEntry{{Pool: "assistant/small", Account: key, Served: 1}}}
+			l.Report(w.now, "r0", w.routers[0].inc, report, nil)
+			l.Report(w.now, "r1", w.routers[1].inc, report, nil)
+			for d := range 5 {
+				l.Component(w.now, "x", &pomelorelay.LedgerComponent{Domain: pomelorelay.DomainID(fmt.Sprintf("x%d", d)), Entries: []pomelorelay.LedgerComponentEntry{{Pool: "assistant/small", Account: key, Sum: 1}}}, nil)
+			}
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/account")
+		runtime.KeepAlive(l)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
