--- a/pomelonode/admission.go
+++ b/pomelonode/admission.go
@@ -23,6 +23,9 @@
 // maxPassed bounds the requests that one grant passes over.
 const maxPassed = 16
 
+// maxPasses is how often a request is passed over for upstreams at which it failed.
+const maxPasses = 3
+
 // stallCheck is how often a waiting request looks whether the control goroutine still runs.
 const stallCheck = 100 * time.Millisecond
 
@@ -31,7 +34,9 @@
 	request pomeloroute.AdmitRequest
 	id      pomelorelay.RequestID
 	state   atomic.Int32
-	answer  chan admitted
+	// passes counts how often the request was passed over; only the control goroutine uses it.
+	passes int
+	answer chan admitted
 }
 
 type admitted struct {
@@ -207,7 +212,7 @@
 			return nil
 		}
 		w := c.waiting[id]
-		if w != nil && len(c.passed) < maxPassed && avoids(w, g.Upstream) && c.elsewhere(w, g.Pool) {
+		if w != nil && len(c.passed) < maxPassed && c.passOver(w, g) {
 			c.passed = append(c.passed, id)
 			continue
 		}
@@ -228,6 +233,17 @@
 	return false
 }
 
+// passOver reports whether a request is to wait for another upstream than the grant's. It is passed over a few times only: the
+// other upstreams may be in failure domains where this router's demand does not go while its own has idle slots, and the request
+// would wait until its deadline beside an idle upstream.
+func (c *control) passOver(w *waiter, g *pomelorelay.Grant) bool {
+	if w.passes >= maxPasses || !avoids(w, g.Upstream) || !c.elsewhere(w, g.Pool) {
+		return false
+	}
+	w.passes++
+	return true
+}
+
 // elsewhere reports whether the pool has an upstream that stays and at which the request has not failed. Without this check a
 // request that failed once at each of them would wait until its deadline.
 func (c *control) elsewhere(w *waiter, pool pomelorelay.PoolID) bool {
--- a/pomelonode/control.go
+++ b/pomelonode/control.go
@@ -138,6 +138,7 @@
 	c.fetchConfig(now)
 	for pool := range c.pools {
 		c.queues.SetVirtual(pool, c.asker.Virtual(pool))
+		c.queues.SetCrest(pool, c.asker.Crest(now, pool))
 	}
 	if now.Sub(c.statusAt) >= statusEvery {
 		c.statusAt = now
