--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -41,23 +41,31 @@
 	code=$(cat "$run/codes/$1")
 }
 
-finish() {
-	status=$?
-	trap - EXIT INT TERM
-	for file in "$run"/pids/*; do
+# end asks the processes whose names have the given end to end, and after 10 s does it for them.
+end() {
+	for file in "$run"/pids/*$1; do
 		[ -e "$file" ] || continue
 		kill "$(cat "$file")" 2>/dev/null || true
 	done
 	left=100
-	while [ $left -gt 0 ] && [ -n "$(ls "$run/pids")" ]; do
+	while [ $left -gt 0 ] && ls "$run"/pids/*$1 >/dev/null 2>&1; do
 		left=$((left - 1))
 		sleep 0.1
 	done
-	for file in "$run"/pids/*; do
+	for file in "$run"/pids/*$1; do
 		[ -e "$file" ] || continue
+		echo "$(basename "$file") had to be killed" >&2
 		kill -9 "$(cat "$file")" 2>/dev/null || true
 		rm -f "$file"
 	done
+}
+
+# Routers end first, since they settle their claims in the store.
+finish() {
+	status=$?
+	trap - EXIT INT TERM
+	end -router-[12]
+	end ""
 	echo "Logs, record and report: $run" >&2
 	exit $status
 }
