pomeloquarantine: every upstream with a send under way is taken, whoever has the fingerprint's place

Change: SuspectAsk gains Running (appended); an arbiter notes such a run's upstream whatever it holds for the fingerprint.

--- a/messages.go
+++ b/messages.go
@@ -290,11 +290,12 @@
 	Fingerprints []Fingerprint
 }
 
-// SuspectAsk asks the suspects' arbiter whether a suspect may run on an upstream now.
+// SuspectAsk asks the suspects' arbiter whether a suspect may run on an upstream now, or with Running tells that it runs there already.
 type SuspectAsk struct {
 	Request     RequestID
 	Fingerprint Fingerprint
 	Upstream    UpstreamID
+	Running     bool
 }
 
 // SuspectAnswer answers a SuspectAsk.
--- a/pomeloquarantine/arbiter.go
+++ b/pomeloquarantine/arbiter.go
@@ -42,6 +42,10 @@
 
 func (a *Arbiter) grant(now time.Time, from pomelorelay.NodeID, m *pomelorelay.SuspectAsk) bool {
 	a.expire(now)
+	if m.Running {
+		a.note(now, from, m)
+		return false
+	}
 	mine, theirs := a.byFingerprint[m.Fingerprint], a.byUpstream[m.Upstream]
 	if mine != nil && mine.node != from {
 		return false
@@ -56,39 +60,57 @@
 		// A router runs a fingerprint once at a time, so that its earlier place is free.
 		a.free(mine)
 	}
-	p := &place{node: from, fingerprint: m.Fingerprint, upstream: m.Upstream, until: now.Add(a.cfg.LockFor)}
+	p := a.newPlace(now, from, m)
 	a.byFingerprint[p.fingerprint] = p
 	a.byUpstream[p.upstream] = p
 	return true
 }
 
-func (a *Arbiter) expire(now time.Time) {
-	for _, p := range a.byFingerprint {
-		if !now.Before(p.until) {
-			a.free(p)
-		}
+func (a *Arbiter) newPlace(now time.Time, from pomelorelay.NodeID, m *pomelorelay.SuspectAsk) *place {
+	return &place{node: from, fingerprint: m.Fingerprint, upstream: m.Upstream, until: now.Add(a.cfg.LockFor)}
+}
+
+// note takes the places of a run that is under way. Sends that overlapped run on several upstreams at once: each of
+// them is taken, whoever has the fingerprint's place, so that no other suspect is sent there and blamed for the crash.
+func (a *Arbiter) note(now time.Time, from pomelorelay.NodeID, m *pomelorelay.SuspectAsk) {
+	p := a.newPlace(now, from, m)
+	if old := a.byFingerprint[m.Fingerprint]; (old == nil && len(a.byFingerprint) < a.cfg.MaxSuspects) || (old != nil && old.same(p)) {
+		a.byFingerprint[m.Fingerprint] = p
+	}
+	if old := a.byUpstream[m.Upstream]; (old == nil && len(a.byUpstream) < a.cfg.MaxSuspects) || (old != nil && old.same(p)) {
+		a.byUpstream[m.Upstream] = p
 	}
 }
 
-func (a *Arbiter) free(p *place) {
-	delete(a.byFingerprint, p.fingerprint)
-	if a.byUpstream[p.upstream] == p {
-		delete(a.byUpstream, p.upstream)
+func (p *place) same(o *place) bool {
+	return p.node == o.node && p.fingerprint == o.fingerprint && p.upstream == o.upstream
+}
+
+func (a *Arbiter) expire(now time.Time) {
+	a.freeAll(func(p *place) bool { return !now.Before(p.until) })
+}
+
+func (a *Arbiter) freeAll(over func(p *place) bool) {
+	for f, p := range a.byFingerprint {
+		if over(p) {
+			delete(a.byFingerprint, f)
+		}
+	}
+	for u, p := range a.byUpstream {
+		if over(p) {
+			delete(a.byUpstream, u)
+		}
 	}
 }
 
+func (a *Arbiter) free(gone *place) { a.freeAll(gone.same) }
+
 // Cleared takes the end of a suspect's run.
 func (a *Arbiter) Cleared(from pomelorelay.NodeID, m *pomelorelay.SuspectCleared) {
-	if p := a.byFingerprint[m.Fingerprint]; p != nil && p.node == from {
-		a.free(p)
-	}
+	a.free(&place{node: from, fingerprint: m.Fingerprint, upstream: m.Upstream})
 }
 
 // MemberGone frees the places that a dead router held.
 func (a *Arbiter) MemberGone(node pomelorelay.NodeID) {
-	for _, p := range a.byFingerprint {
-		if p.node == node {
-			a.free(p)
-		}
-	}
+	a.freeAll(func(p *place) bool { return p.node == node })
 }
--- a/pomeloquarantine/turn.go
+++ b/pomeloquarantine/turn.go
@@ -112,7 +112,7 @@
 	if waits {
 		w.asked = node
 	}
-	out.send(node, &pomelorelay.SuspectAsk{Request: w.run.Request, Fingerprint: w.run.Fingerprint, Upstream: w.run.Upstream})
+	out.send(node, &pomelorelay.SuspectAsk{Request: w.run.Request, Fingerprint: w.run.Fingerprint, Upstream: w.run.Upstream, Running: w.stage == stageAdopted})
 }
 
 // Answer takes an arbiter's answer.
