--- a/pomelomember/rank.go
+++ b/pomelomember/rank.go
@@ -12,32 +12,42 @@
 // Rank returns the nodes in the order in which they take the job named by key; every router computes the same order,
 // and a node that comes or goes moves only the jobs that it takes or had.
 func Rank(key string, nodes []pomelorelay.NodeID) []pomelorelay.NodeID {
-	ranked := slices.Clone(nodes)
 	hash := xxhash.Sum64String(key)
-	slices.SortFunc(ranked, func(a, b pomelorelay.NodeID) int { return compare(hash, a, b) })
+	scored := make([]scoredNode, len(nodes))
+	for i, node := range nodes {
+		scored[i] = scoredNode{node: node, score: score(hash, node)}
+	}
+	slices.SortFunc(scored, compare)
+	ranked := make([]pomelorelay.NodeID, len(nodes))
+	for i := range scored {
+		ranked[i] = scored[i].node
+	}
 	return ranked
 }
 
+// scoredNode is a node with its score for one key.
+type scoredNode struct {
+	node  pomelorelay.NodeID
+	score uint64
+}
+
 // Owner returns the first node of the rank without sorting, or false when there are no nodes.
 func Owner(key string, nodes []pomelorelay.NodeID) (pomelorelay.NodeID, bool) {
 	if len(nodes) == 0 {
 		return "", false
 	}
 	hash := xxhash.Sum64String(key)
-	best := nodes[0]
+	best := scoredNode{node: nodes[0], score: score(hash, nodes[0])}
 	for _, node := range nodes[1:] {
-		if compare(hash, node, best) < 0 {
-			best = node
+		if next := (scoredNode{node: node, score: score(hash, node)}); compare(next, best) < 0 {
+			best = next
 		}
 	}
-	return best, true
+	return best.node, true
 }
 
-func compare(key uint64, a, b pomelorelay.NodeID) int {
-	if c := cmp.Compare(score(key, b), score(key, a)); c != 0 {
-		return c
-	}
-	return cmp.Compare(a, b)
+func compare(a, b scoredNode) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.node, b.node))
 }
 
 // score mixes the hashes of key and node with the finaliser of SplitMix64.
