pomelomesh: count what is sent by kind; wider default byte budgets

Cause: in the demo (65 requests/s a router, seven times the target's 9) the budgets of 16 and 8 KB/s for region and cross links held back demand, digests and totals; utilisation fell from 0.9 to 0.49 within 12 s. Change: budgets are a safety bound above what a loaded fleet needs; /debug/vars tells by kind what is sent. Before: ClaimSettle 88 KB, Digest 71 KB, Grant 50 KB, GrantReply 42 KB in 12 s at one router.

--- a/pomeloconfig/settings_control.go
+++ b/pomeloconfig/settings_control.go
@@ -8,9 +8,9 @@
 
 // Defaults of the control section.
 const (
-	DefaultDomainBytes     = pomelorelay.Bytes(64 << 10)
-	DefaultRegionBytes     = pomelorelay.Bytes(16 << 10)
-	DefaultCrossBytes      = pomelorelay.Bytes(8 << 10)
+	DefaultDomainBytes     = pomelorelay.Bytes(128 << 10)
+	DefaultRegionBytes     = pomelorelay.Bytes(128 << 10)
+	DefaultCrossBytes      = pomelorelay.Bytes(64 << 10)
 	DefaultDigestInterval  = 250 * time.Millisecond
 	DefaultLedgerInterval  = 250 * time.Millisecond
 	DefaultExchange        = time.Second
--- a/pomelomesh/mesh.go
+++ b/pomelomesh/mesh.go
@@ -32,6 +32,7 @@
 	budgets    [pomelorelay.LinkClasses]*budget
 	generation atomic.Uint64
 	counters   counters
+	kinds      kindCounters
 	overBudget atomic.Int64 // Unix nanoseconds of the last notice
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -153,6 +154,7 @@
 	if p == nil {
 		return pomelorelay.NewError(pomelorelay.CodeMeshUnknownPeer, string(to), nil)
 	}
+	m.kinds.note(data)
 	return p.send(&queued{data: data, key: message.CoalesceKey(), urgency: message.Urgency()})
 }
 
--- a/pomelonode/operator.go
+++ b/pomelonode/operator.go
@@ -7,7 +7,9 @@
 	"strconv"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelomesh"
 	"github.com/pomelorelay/pomelorelay/pomeloroute"
+	"github.com/pomelorelay/pomelorelay/pomelostore"
 
 	"github.com/gorilla/mux"
 )
@@ -31,7 +33,9 @@
 	SendsRefused    uint64
 	HostReadsFailed uint64
 	RefusedStopping uint64
-	Store           json.RawMessage `json:",omitempty"`
+	Mesh            *pomelomesh.Counters            `json:",omitempty"`
+	Sent            map[string]pomelomesh.KindCount `json:",omitempty"`
+	Store           json.RawMessage                 `json:",omitempty"`
 }
 
 // OperatorHandler returns the handler of the operators' port.
@@ -111,8 +115,13 @@
 			CrossReceived:  t[pomelorelay.LinkCross].Received,
 		},
 	}
-	if s, ok := n.cfg.Store.(interface{ Figures() expvar.Var }); ok {
-		f.Store = json.RawMessage(s.Figures().String())
+	if m, ok := n.mesh.(*pomelomesh.Mesh); ok {
+		counters := m.Counters()
+		f.Mesh = &counters
+		f.Sent = m.Kinds()
+	}
+	if s, ok := n.cfg.Store.(*pomelostore.Client); ok {
+		f.Store = json.RawMessage(s.Stats().Var().String())
 	}
 	return f
 }
