pomelomesh: fixed flow windows

Cause: grpc measured each link's delay by pinging after every data frame, so a message alone on a link cost two further frames and their wake-ups. Change: fixed windows of 1 MiB on both sides, which switches the pinging off.

--- a/pomelomesh/dial.go
+++ b/pomelomesh/dial.go
@@ -105,6 +105,8 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes)),
 		grpc.WithReadBufferSize(connBuffer),
 		grpc.WithWriteBufferSize(connBuffer),
+		grpc.WithInitialWindowSize(flowWindow),
+		grpc.WithInitialConnWindowSize(flowWindow),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithNoProxy(),
--- a/pomelomesh/mesh.go
+++ b/pomelomesh/mesh.go
@@ -89,6 +89,8 @@
 		grpc.ConnectionTimeout(m.cfg.Timing.Connect),
 		grpc.ReadBufferSize(connBuffer),
 		grpc.WriteBufferSize(connBuffer),
+		grpc.InitialWindowSize(flowWindow),
+		grpc.InitialConnWindowSize(flowWindow),
 		grpc.WaitForHandlers(true),
 	}
 	if m.keys == nil {
