Keep what a router sends within its failure domain from growing with it

Cause: digests went each 250 ms to every router of the failure domain, reports as often to every ledger shard, and in a fleet of 360 each router read the whole host list (121 KB) each 3 s. Change: pomeloconfig.Pace bounds each periodic kind to 60 messages a second and router: up to 15 routers nothing changes, at 60 the interval is 1 s. The fleet reads the host list 24 times a second instead of 120; a router that is heard but not located makes the list be read at once, so a newcomer does not wait for the longer interval.

--- /dev/null
+++ b/pomeloconfig/pace_test.go
@@ -0,0 +1,31 @@
+package pomeloconfig_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+)
+
+func TestPaceGrowsWithTheFailureDomain(t *testing.T) {
+	for _, c := range []struct {
+		routers int
+		want    time.Duration
+	}{{1, 250 * time.Millisecond}, {15, 250 * time.Millisecond}, {30, 500 * time.Millisecond}, {60, time.Second}} {
+		if got := pomeloconfig.Pace(pomeloconfig.DefaultDigestInterval, c.routers); got != c.want {
+			t.Errorf("%d routers: %v, want %v", c.routers, got, c.want)
+		}
+	}
+}
+
+func TestHostListIsReadLessOftenInALargeFleet(t *testing.T) {
+	list := pomeloconfig.HostListSettings{Interval: pomeloconfig.DefaultHostListInterval}
+	for _, c := range []struct {
+		routers int
+		want    time.Duration
+	}{{0, time.Second}, {24, time.Second}, {360, 15 * time.Second}} {
+		if got := list.Pace(c.routers); got != c.want {
+			t.Errorf("%d routers: %v, want %v", c.routers, got, c.want)
+		}
+	}
+}
--- a/pomeloledger/reporter.go
+++ b/pomeloledger/reporter.go
@@ -52,6 +52,12 @@
 	return &Reporter{cfg: cfg, shards: make(map[pomelorelay.ShardID]*reported), entries: make(map[pomelorelay.LedgerKey]*sentEntry)}
 }
 
+// SetEvery sets the interval of reports from the next one on.
+func (r *Reporter) SetEvery(every time.Duration) {
+	setDuration(&every, time.Second)
+	r.cfg.Every = every
+}
+
 func (r *Reporter) shard(account pomelorelay.AccountID) *reported {
 	id := ShardOf(account, r.cfg.Shards)
 	s, ok := r.shards[id]
--- a/pomelomember/config.go
+++ b/pomelomember/config.go
@@ -21,6 +21,8 @@
 type Options struct {
 	// DigestEvery is the interval of digests to every router of the failure domain; 1 s.
 	DigestEvery time.Duration
+	// DigestsPerSecond bounds the digests to the failure domain: past it the interval grows with the domain's routers; 60.
+	DigestsPerSecond int
 	// EarlyDigest is the shortest wait before a digest that carries a new belief; 200 ms.
 	EarlyDigest time.Duration
 	// ProbeEvery is the interval of probes, each of one router of the failure domain; 300 ms.
@@ -51,6 +53,7 @@
 
 func (o Options) withDefaults() Options {
 	setDuration(&o.DigestEvery, time.Second)
+	setCount(&o.DigestsPerSecond, 60)
 	setDuration(&o.EarlyDigest, 200*time.Millisecond)
 	setDuration(&o.ProbeEvery, 300*time.Millisecond)
 	setDuration(&o.ProbeWait, 300*time.Millisecond)
--- a/pomelomember/digest.go
+++ b/pomelomember/digest.go
@@ -44,7 +44,7 @@
 // acknowledge shows a router without a known address that it is heard. Only routers named by the settings are known
 // while there is no host list; without this they would hear the others and seem dead to them.
 func (v *View) acknowledge(now time.Time, m *member, out []pomelorelay.Outgoing) []pomelorelay.Outgoing {
-	if m == nil || now.Sub(m.told) < v.cfg.Options.DigestEvery/2 {
+	if m == nil || now.Sub(m.told) < v.digestEvery()/2 {
 		return out
 	}
 	m.told = now
@@ -130,7 +130,8 @@
 	v.lastDigest = now
 	v.early = false
 	if due {
-		v.nextDigest = now.Add(v.cfg.Options.DigestEvery - v.jitter(v.cfg.Options.DigestEvery/8))
+		every := v.digestEvery()
+		v.nextDigest = now.Add(every - v.jitter(every/8))
 	}
 	news := v.news()
 	out = v.domainDigests(now, news, out)
@@ -138,6 +139,13 @@
 	return out
 }
 
+// digestEvery is the interval of digests. It grows with the failure domain: at a fixed one, 60 routers that each tell 59 others
+// four times a second would be seen to spend twice a node's control budget on digests.
+func (v *View) digestEvery() time.Duration {
+	routers := len(v.domainMembers(v.cfg.Self.Domain))
+	return max(v.cfg.Options.DigestEvery, time.Duration(routers)*time.Second/time.Duration(v.cfg.Options.DigestsPerSecond))
+}
+
 // news returns this router's own state and the beliefs that changed lately.
 func (v *View) news() []pomelorelay.MemberState {
 	states := []pomelorelay.MemberState{v.selfState()}
@@ -169,8 +177,9 @@
 // heardDomains returns the other failure domains from which a message came here lately.
 func (v *View) heardDomains(now time.Time) []pomelorelay.DomainID {
 	var domains []pomelorelay.DomainID
+	lately := 2 * v.digestEvery()
 	for _, m := range v.members {
-		if !m.located || m.peer.Domain == v.cfg.Self.Domain || now.Sub(m.heard) >= 2*v.cfg.Options.DigestEvery || m.heard.IsZero() {
+		if !m.located || m.peer.Domain == v.cfg.Self.Domain || now.Sub(m.heard) >= lately || m.heard.IsZero() {
 			continue
 		}
 		if !containsDomain(domains, m.peer.Domain) {
--- a/pomelomember/fleet_test.go
+++ b/pomelomember/fleet_test.go
@@ -244,3 +244,31 @@
 	}
 	return f.now.Sub(begin)
 }
+
+func TestDigestsKeepToTheirRateInALargeDomain(t *testing.T) {
+	// A failure domain of 60 routers is set to a digest each 250 ms. Were that kept, each router would send 236 digests a second, more
+	// than a node's whole control budget in bytes.
+	for _, c := range []struct{ routers, least, most int }{{8, 28, 36}, {60, 59, 72}} {
+		f := newFleet(t, 1, c.routers, 1)
+		f.options.DigestEvery = 250 * time.Millisecond
+		f.startAll()
+		f.run(5 * time.Second)
+		r := f.routers[0]
+		digests := 0
+		const span = 10
+		for range span * 20 {
+			f.now = f.now.Add(tick)
+			for _, o := range r.view.Tick(f.now, nil) {
+				if _, ok := o.Message.(*pomelorelay.Digest); ok {
+					digests++
+				}
+			}
+			for _, other := range f.routers[1:] {
+				r.view.Heard(f.now, other.peer.Node, other.inc)
+			}
+		}
+		if rate := digests / span; rate < c.least || rate > c.most {
+			t.Errorf("%d routers: %d digests a second, want %d to %d", c.routers, rate, c.least, c.most)
+		}
+	}
+}
--- a/pomelomember/view.go
+++ b/pomelomember/view.go
@@ -81,6 +81,12 @@
 	return out
 }
 
+// Located reports whether a router's address is known from the host list or the seeds.
+func (v *View) Located(node pomelorelay.NodeID) bool {
+	m := v.lookup(node)
+	return node == v.cfg.Self.Node || m != nil && m.located
+}
+
 func (v *View) locate(node pomelorelay.NodeID, host *pomelorelay.Host) {
 	m := v.member(node)
 	peer := pomelorelay.Peer{Node: node, Addr: host.Addr, Domain: host.Domain, Region: host.Region}
--- a/pomelonode/assembly.go
+++ b/pomelonode/assembly.go
@@ -51,7 +51,7 @@
 		Incarnation: n.incarnation,
 		Seeds:       seedPeers(n.cfg.Settings.Seeds),
 		Seed:        uint64(n.incarnation),
-		Options:     pomelomember.Options{DigestEvery: s.DigestInterval},
+		Options:     pomelomember.Options{DigestEvery: s.DigestInterval, DigestsPerSecond: pomeloconfig.MessagesPerSecond},
 	})
 	c.members = c.view.Snapshot()
 	c.queues = pomelofair.New(pomelofair.Config{Charge: pomelofair.ChargeOptions{AdmissionFraction: s.AdmissionCharge}})
--- a/pomelonode/control.go
+++ b/pomelonode/control.go
@@ -174,8 +174,10 @@
 }
 
 func (c *control) tickLedger(now time.Time) {
-	if now.Sub(c.ledgerAt) >= c.n.cfg.Settings.Control.LedgerInterval {
+	every := pomeloconfig.Pace(c.n.cfg.Settings.Control.LedgerInterval, len(c.members.Members(c.n.self.Domain)))
+	if now.Sub(c.ledgerAt) >= every {
 		c.ledgerAt = now
+		c.reporter.SetEvery(every)
 		c.entries = c.queues.Changed(c.entries[:0])
 		c.reporter.Changed(c.entries)
 		c.keys = c.queues.Interest(c.keys[:0])
--- a/pomelonode/hosts.go
+++ b/pomelonode/hosts.go
@@ -7,9 +7,6 @@
 	"github.com/pomelorelay/pomelorelay"
 )
 
-// hostReadersAtOnce is the fleet size past which host list reads are spread thinner, so that their rate does not grow with it.
-const hostReadersAtOnce = 120
-
 // hostsRead is posted when the host list was read.
 type hostsRead struct{ hosts []pomelorelay.Host }
 
@@ -77,9 +74,39 @@
 func (n *Node) readHosts(ctx context.Context) {
 	for {
 		n.readHostsOnce(ctx)
-		if !sleep(ctx, n.hostInterval()) {
+		if !sleep(ctx, n.cfg.Settings.HostList.Interval) {
 			return
 		}
+		select {
+		case <-n.hostsWanted:
+		default:
+			if !n.awaitHostRead(ctx) {
+				return
+			}
+		}
+	}
+}
+
+// awaitHostRead waits for what is left of a large fleet's longer interval, or until a router is heard that the list did not
+// name: a newcomer gets no digests before its address is known, and would serve nobody until then.
+func (n *Node) awaitHostRead(ctx context.Context) bool {
+	list := n.cfg.Settings.HostList
+	timer := time.NewTimer(list.Pace(n.status.Load().members) - list.Interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.hostsWanted:
+	case <-timer.C:
+	}
+	return true
+}
+
+// wantHosts makes the host list be read as soon as its shortest interval allows.
+func (n *Node) wantHosts() {
+	select {
+	case n.hostsWanted <- struct{}{}:
+	default:
 	}
 }
 
@@ -94,15 +121,6 @@
 	n.mail.post(hostsRead{hosts})
 }
 
-func (n *Node) hostInterval() time.Duration {
-	interval := n.cfg.Settings.HostList.Interval
-	members := n.status.Load().members
-	if members > hostReadersAtOnce {
-		interval = interval * time.Duration(members) / hostReadersAtOnce
-	}
-	return interval
-}
-
 // sleep waits and reports whether the time passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/pomelonode/node.go
+++ b/pomelonode/node.go
@@ -44,6 +44,7 @@
 	route       *pomeloroute.Handler
 	loadClient  *http.Client
 	mail        *mailbox
+	hostsWanted chan struct{}
 	spare       spareSlots
 	lastAttempt atomic.Uint64
 	counters    counters
@@ -69,12 +70,13 @@
 // New makes a router and starts its goroutines; Listen opens its ports. It fails with the store client's or mesh's code.
 func New(cfg Config) (*Node, error) {
 	n := &Node{
-		cfg:     cfg,
-		mail:    newMailbox(),
-		spare:   spareSlots{busy: make(map[pomelorelay.UpstreamID]bool)},
-		closing: make(chan struct{}),
-		drained: make(chan struct{}),
-		errs:    make(chan error, 2),
+		cfg:         cfg,
+		mail:        newMailbox(),
+		hostsWanted: make(chan struct{}, 1),
+		spare:       spareSlots{busy: make(map[pomelorelay.UpstreamID]bool)},
+		closing:     make(chan struct{}),
+		drained:     make(chan struct{}),
+		errs:        make(chan error, 2),
 	}
 	if err := n.complete(); err != nil {
 		return nil, err
--- a/pomelonode/receive.go
+++ b/pomelonode/receive.go
@@ -91,6 +91,9 @@
 
 func (c *control) digest(now time.Time, e pomelorelay.Envelope, m *pomelorelay.Digest) {
 	c.out = c.view.Digest(now, e.From, e.Incarnation, m, c.out)
+	if !c.view.Located(e.From) {
+		c.n.wantHosts()
+	}
 	c.asker.Slots(now, m.Slots)
 	c.out = c.asker.Tick(now, c.out)
 }
