pomeloslot: the limit shrinks only when most load reports show a queue

Cause: one load report with a waiting request shrank the limit by a tenth; an engine frees a slot a moment after the answer's end, so under full load such reports are common and the limit fell from 8 to 4. Ruled out: latency targets, spill.

--- a/pomeloslot/limiter.go
+++ b/pomeloslot/limiter.go
@@ -19,9 +19,11 @@
 	samples int
 	late    int
 	// timed tells that answers of the upstream carry latencies; a plain service's do not.
-	timed   bool
-	full    bool
-	crowded bool
+	timed bool
+	full  bool
+	// reports counts load reports of the window, crowded those in which requests waited at the upstream.
+	reports int
+	crowded int
 }
 
 // bound sets the bounds of the limit.
@@ -45,6 +47,16 @@
 	}
 }
 
+// report takes one load report. A single one in which a request waits says little: an upstream frees a slot a moment after the
+// router saw the answer's end, and the next request is there before. Only when most of a window's reports say so is the limit too
+// high; on each single one the limit would shrink to where the upstream is seen half idle.
+func (l *limiter) report(waiting int) {
+	l.reports++
+	if waiting > 0 {
+		l.crowded++
+	}
+}
+
 // move ends a window and moves the limit.
 func (l *limiter) move(now time.Time, opt LimitOptions) {
 	if now.Sub(l.changed) < opt.Window {
@@ -53,7 +65,7 @@
 	measured := l.samples >= opt.Samples
 	slow := measured && float64(l.late) > lateShare*float64(l.samples)
 	switch {
-	case slow || l.crowded:
+	case slow || 2*l.crowded > l.reports:
 		l.value = max(l.low, l.value*opt.Shrink)
 	case l.timed && !measured:
 		return // the window goes on until there are enough answers
@@ -61,5 +73,5 @@
 		l.value = min(l.high, l.value+1)
 	}
 	l.changed, l.samples, l.late = now, 0, 0
-	l.full, l.crowded = false, false
+	l.full, l.reports, l.crowded = false, 0, 0
 }
--- a/pomeloslot/load.go
+++ b/pomeloslot/load.go
@@ -56,9 +56,7 @@
 	if load.Slots > 0 {
 		u.limit.bound(min(u.min, load.Slots), min(u.max, load.Slots))
 	}
-	if load.Waiting > 0 {
-		u.limit.crowded = true
-	}
+	u.limit.report(load.Waiting)
 }
 
 // explain finds how much of the last report no grant accounts for.
