Margins and catch-up by pool, in the pool's own unit

Cause: the router gave every pool the defaults of pomelofair and pomeloslot, in slot seconds, while a model's unit is tokens: an account more than 60 tokens behind was lifted and lost its claim, and demand left a region over 100 tokens.

--- a/pomeloconfig/settings_control.go
+++ b/pomeloconfig/settings_control.go
@@ -23,7 +23,7 @@
 	DefaultStopWait        = 5 * time.Minute
 	DefaultShards          = 64
 	DefaultConfigWatchers  = 2
-	DefaultAdmissionCharge = 0.5
+	DefaultAdmissionCharge = 0.35
 )
 
 // ControlSettings set the pace and the byte budgets of the traffic between routers.
--- a/pomelofair/config.go
+++ b/pomelofair/config.go
@@ -38,6 +38,15 @@
 	Wait time.Duration
 }
 
+// PoolOptions are what differs from pool to pool: the unit of cost is a token in one and a slot second in another.
+type PoolOptions struct {
+	// CatchUp stands for ChargeOptions.CatchUp.
+	CatchUp pomelorelay.Tag
+	// Count and Bytes stand for those of LimitOptions.
+	Count int
+	Bytes pomelorelay.Bytes
+}
+
 const (
 	defaultAdmissionFraction = 0.35
 	defaultCatchUp           = 60
--- a/pomelofair/ledger.go
+++ b/pomelofair/ledger.go
@@ -52,7 +52,7 @@
 	a.learnOthers(others)
 	a.toldAt = now
 	a.lift = max(a.lift, e.Lift)
-	if !a.asking && jump > pomelorelay.Cost(q.cfg.Charge.CatchUp) {
+	if !a.asking && jump > pomelorelay.Cost(a.pool.options.CatchUp) {
 		// A partition healed: the account was served on the other side too.
 		p.crest = max(p.crest, a.served())
 	}
@@ -87,7 +87,7 @@
 		a.ownStep, a.othersStep = 0, 0
 		a.floor = a.pool.virtual - a.own
 	case now.Sub(a.toldAt) > staleAfter:
-		a.floor = a.pool.virtual - q.cfg.Charge.CatchUp - a.own
+		a.floor = a.pool.virtual - a.pool.options.CatchUp - a.own
 	default:
 		return
 	}
@@ -102,7 +102,7 @@
 	if a.idle() {
 		return
 	}
-	target := a.pool.crest - q.cfg.Charge.CatchUp
+	target := a.pool.crest - a.pool.options.CatchUp
 	if a.asking && !elsewhere {
 		target = a.floor + a.own
 	}
--- a/pomelofair/limits.go
+++ b/pomelofair/limits.go
@@ -16,9 +16,9 @@
 func (q *Queues) checkLimits(a *account, r Request) error {
 	code := pomelorelay.ResultCode(0)
 	switch {
-	case a.waiting >= q.cfg.Limit.Count:
+	case a.waiting >= a.pool.options.Count:
 		code = pomelorelay.CodeQueueCount
-	case a.bytes+r.Bytes > q.cfg.Limit.Bytes:
+	case a.bytes+r.Bytes > a.pool.options.Bytes:
 		code = pomelorelay.CodeQueueBytes
 	default:
 		return nil
--- a/pomelofair/pool.go
+++ b/pomelofair/pool.go
@@ -9,6 +9,7 @@
 // mostly rise, so a risen one is put right only when it reaches the top.
 type pool struct {
 	id       pomelorelay.PoolID
+	options  PoolOptions
 	accounts map[pomelorelay.AccountID]*account
 	order    []*account
 	heap     []*account
--- a/pomelofair/queues.go
+++ b/pomelofair/queues.go
@@ -145,13 +145,18 @@
 	return r
 }
 
-func (q *Queues) account(id pomelorelay.PoolID, name pomelorelay.AccountID) *account {
+func (q *Queues) pool(id pomelorelay.PoolID) *pool {
 	p := q.pools[id]
 	if p == nil {
-		p = &pool{id: id, accounts: make(map[pomelorelay.AccountID]*account), mean: q.cfg.Charge.FirstCost}
+		p = &pool{id: id, accounts: make(map[pomelorelay.AccountID]*account), mean: q.cfg.Charge.FirstCost, options: q.poolOptions(PoolOptions{})}
 		q.pools[id] = p
 		q.order = append(q.order, p)
 	}
+	return p
+}
+
+func (q *Queues) account(id pomelorelay.PoolID, name pomelorelay.AccountID) *account {
+	p := q.pool(id)
 	a := p.accounts[name]
 	if a == nil {
 		a = &account{id: name, pool: p, place: noPlace, weight: q.weight(id, name)}
@@ -177,3 +182,21 @@
 		}
 	}
 }
+
+// SetPool sets what differs from pool to pool; zero fields take what New was given.
+func (q *Queues) SetPool(id pomelorelay.PoolID, o PoolOptions) {
+	q.pool(id).options = q.poolOptions(o)
+}
+
+func (q *Queues) poolOptions(o PoolOptions) PoolOptions {
+	if o.CatchUp == 0 {
+		o.CatchUp = q.cfg.Charge.CatchUp
+	}
+	if o.Count == 0 {
+		o.Count = q.cfg.Limit.Count
+	}
+	if o.Bytes == 0 {
+		o.Bytes = q.cfg.Limit.Bytes
+	}
+	return o
+}
--- a/pomelonode/admission.go
+++ b/pomelonode/admission.go
@@ -62,7 +62,7 @@
 		case <-ctx.Done():
 			return a.leave(w, pomelorelay.CodeCallerGone)
 		case <-over.C:
-			return a.leave(w, pomelorelay.CodeDeadline)
+			return a.leave(w, waitCode(r))
 		case <-check.C:
 			if t := a.n.spare.ticket(a.n, w); t != nil {
 				return t, nil
@@ -71,6 +71,14 @@
 	}
 }
 
+// waitCode tells a wait that reached its service's bound from one that reached the caller's deadline.
+func waitCode(r pomeloroute.AdmitRequest) pomelorelay.ResultCode {
+	if r.WaitUntil.Before(r.Deadline) {
+		return pomelorelay.CodeQueueWait
+	}
+	return pomelorelay.CodeDeadline
+}
+
 // leave gives the wait up; a grant that came at the same moment is used or given back by whoever moved the state.
 func (a admission) leave(w *waiter, code pomelorelay.ResultCode) (pomeloroute.Ticket, error) {
 	if !w.state.CompareAndSwap(waiterWaits, waiterLeft) {
--- a/pomelonode/assembly.go
+++ b/pomelonode/assembly.go
@@ -13,6 +13,9 @@
 	"github.com/pomelorelay/pomelorelay/pomeloslot"
 )
 
+// longestWait is above every service's bound of a wait.
+const longestWait = 24 * time.Hour
+
 // claimCommits is the rate of store writes that the whole fleet's claim shards may reach together; the store takes several
 // hundred writes a second, and the operators' own need room.
 const claimCommits = 200
@@ -54,7 +57,11 @@
 		Options:     pomelomember.Options{DigestEvery: s.DigestInterval},
 	})
 	c.members = c.view.Snapshot()
-	c.queues = pomelofair.New(pomelofair.Config{Charge: pomelofair.ChargeOptions{AdmissionFraction: s.AdmissionCharge}})
+	c.queues = pomelofair.New(pomelofair.Config{
+		Charge: pomelofair.ChargeOptions{AdmissionFraction: s.AdmissionCharge},
+		// The traffic path's own timer ends each wait at its service's bound.
+		Limit: pomelofair.LimitOptions{Wait: longestWait},
+	})
 	c.owner = pomeloslot.NewOwner(pomeloslot.OwnerConfig{
 		Node:        n.self.Node,
 		Domain:      n.self.Domain,
--- a/pomelonode/configuration.go
+++ b/pomelonode/configuration.go
@@ -7,6 +7,8 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelofair"
+	"github.com/pomelorelay/pomelorelay/pomeloslot"
 )
 
 // view is what the traffic path reads; it is immutable.
@@ -95,6 +97,7 @@
 	for _, u := range s.Upstreams() {
 		c.upstreams[u.Name] = &u
 		c.pools[u.Pool()] = true
+		c.setPool(u.Pool())
 	}
 	for _, r := range s.Regions() {
 		for _, d := range r.FailureDomains {
@@ -111,6 +114,16 @@
 	}
 }
 
+// setPool sets what the operators chose for a pool's service; the units are the service's own.
+func (c *control) setPool(pool pomelorelay.PoolID) {
+	service, ok := c.snapshot.PoolService(pool)
+	if !ok {
+		return
+	}
+	c.queues.SetPool(pool, pomelofair.PoolOptions{CatchUp: service.CatchUp, Count: service.MaxWaiting, Bytes: service.MaxWaitingBytes})
+	c.asker.SetSpill(pool, pomeloslot.SpillOptions{DomainMargin: service.SpillDomain, RegionMargin: service.SpillRegion})
+}
+
 // publishTraffic gives the traffic path its view.
 func (c *control) publishTraffic() {
 	view := &trafficView{
--- a/pomeloslot/asker.go
+++ b/pomeloslot/asker.go
@@ -26,6 +26,7 @@
 // askerPool is what a router knows of one pool.
 type askerPool struct {
 	id      pomelorelay.PoolID
+	spill   SpillOptions
 	demand  PoolHead
 	owners  []*owned
 	ranking []*owned
@@ -109,7 +110,7 @@
 	if p := a.pools[id]; p != nil {
 		return p
 	}
-	p := &askerPool{id: id}
+	p := &askerPool{id: id, spill: a.cfg.Spill}
 	p.demand.Pool = id
 	a.pools[id] = p
 	i, _ := slices.BinarySearchFunc(a.order, id, func(p *askerPool, id pomelorelay.PoolID) int {
@@ -161,16 +162,30 @@
 		if domain == a.cfg.Domain || !p.busy(now, domain, a.cfg.Registration.DigestTTL) {
 			continue
 		}
-		highest = max(highest, p.level(domain)-a.margin(domain))
+		highest = max(highest, p.level(domain)-a.margin(p, domain))
 	}
 	return highest
 }
 
-func (a *Asker) margin(domain pomelorelay.DomainID) pomelorelay.Tag {
+func (a *Asker) margin(p *askerPool, domain pomelorelay.DomainID) pomelorelay.Tag {
 	if a.distance(domain) == pomelorelay.LinkRegion {
-		return a.cfg.Spill.DomainMargin
+		return p.spill.DomainMargin
 	}
-	return a.cfg.Spill.RegionMargin
+	return p.spill.RegionMargin
+}
+
+// SetSpill sets a pool's margins, whose unit is the pool's cost divided by weight; zero fields take the Asker's.
+func (a *Asker) SetSpill(id pomelorelay.PoolID, o SpillOptions) {
+	if o.DomainMargin == 0 {
+		o.DomainMargin = a.cfg.Spill.DomainMargin
+	}
+	if o.RegionMargin == 0 {
+		o.RegionMargin = a.cfg.Spill.RegionMargin
+	}
+	if o.RegionIdleWaiting == 0 {
+		o.RegionIdleWaiting = a.cfg.Spill.RegionIdleWaiting
+	}
+	a.pool(id).spill = o
 }
 
 // busy reports whether an owner of the domain is heard and none that is has a slot idle.
--- a/pomeloslot/spill.go
+++ b/pomeloslot/spill.go
@@ -31,9 +31,9 @@
 			highest = max(highest, w.digest.LastTag)
 		}
 	}
-	r := reach{domain: highest + a.cfg.Spill.DomainMargin, region: highest + a.cfg.Spill.RegionMargin}
+	r := reach{domain: highest + p.spill.DomainMargin, region: highest + p.spill.RegionMargin}
 	r.domainIdle = !idle[pomelorelay.LinkDomain]
-	enough := p.demand.Waiting >= a.cfg.Spill.RegionIdleWaiting
+	enough := p.demand.Waiting >= p.spill.RegionIdleWaiting
 	r.regionIdle = r.domainIdle && !idle[pomelorelay.LinkRegion] && enough
 	for r.distance < pomelorelay.LinkCross && !known[r.distance] {
 		r.distance++
