pomeloquarantine: an answer on an earlier attempt's upstream is not taken for the next one's

Cause: a suspect whose upstream was down asked for another; the arbiter's late answer on the first let it run where another suspect ran, and it was named for that one's crash (10,000 schedules: 4 sends took down 6 upstreams, one innocent quarantined; the seed failed again). Change: SuspectAnswer gains Upstream (appended) and is compared.

--- a/messages.go
+++ b/messages.go
@@ -305,6 +305,7 @@
 	Allowed     bool
 	Quarantined bool
 	Wait        time.Duration
+	Upstream    UpstreamID
 }
 
 // SuspectCleared tells that a suspect runs no more; Clean tells that its answer was whole and its upstream lived.
--- a/pomeloquarantine/arbiter.go
+++ b/pomeloquarantine/arbiter.go
@@ -33,7 +33,7 @@
 
 // Ask takes a router's question whether a suspect may run now, or its renewal.
 func (a *Arbiter) Ask(now time.Time, from pomelorelay.NodeID, m *pomelorelay.SuspectAsk, out *Output) {
-	answer := &pomelorelay.SuspectAnswer{Request: m.Request, Fingerprint: m.Fingerprint, Allowed: a.grant(now, from, m)}
+	answer := &pomelorelay.SuspectAnswer{Request: m.Request, Fingerprint: m.Fingerprint, Upstream: m.Upstream, Allowed: a.grant(now, from, m)}
 	if !answer.Allowed {
 		answer.Wait = a.cfg.AskAgain
 	}
--- a/pomeloquarantine/table.go
+++ b/pomeloquarantine/table.go
@@ -1,6 +1,7 @@
 package pomeloquarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -100,7 +101,8 @@
 	}
 	var fingerprints []pomelorelay.Fingerprint
 	var culprit *started
-	for id, r := range t.running {
+	for _, id := range t.runningIDs() {
+		r := t.running[id]
 		if r.run.Upstream != run.Upstream {
 			continue
 		}
@@ -125,6 +127,16 @@
 	t.cfg.Logger.Log(pomelorelay.EventSuspects, pomelorelay.Field{Key: "Upstream", Value: run.Upstream}, pomelorelay.Field{Key: "Suspects", Value: len(fingerprints)})
 }
 
+// runningIDs returns the running requests in order, so that a schedule runs the same way every time.
+func (t *Table) runningIDs() []pomelorelay.RequestID {
+	ids := make([]pomelorelay.RequestID, 0, len(t.running))
+	for id := range t.running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // name quarantines the one suspect that ran on an upstream when it crashed, on every router.
 func (t *Table) name(now time.Time, run Run, out *Output) {
 	d := run.QuarantineFor
--- a/pomeloquarantine/turn.go
+++ b/pomeloquarantine/turn.go
@@ -72,7 +72,8 @@
 // adopt claims the places of runs that were under way when their fingerprint became a suspect. Without it another
 // suspect could be sent to the same upstream, and the next crash there would be laid to the wrong one.
 func (t *Table) adopt(now time.Time, f pomelorelay.Fingerprint, out *Output) {
-	for _, r := range t.running {
+	for _, id := range t.runningIDs() {
+		r := t.running[id]
 		if r.run.Fingerprint != f || t.turns[r.run.Request] != nil {
 			continue
 		}
@@ -115,10 +116,11 @@
 	out.send(node, &pomelorelay.SuspectAsk{Request: w.run.Request, Fingerprint: w.run.Fingerprint, Upstream: w.run.Upstream, Running: w.stage == stageAdopted})
 }
 
-// Answer takes an arbiter's answer.
+// Answer takes an arbiter's answer. One on an earlier attempt's upstream is passed over: taken for the new one's, it
+// would let a suspect run where another does.
 func (t *Table) Answer(now time.Time, from pomelorelay.NodeID, m *pomelorelay.SuspectAnswer, out *Output) {
 	w, ok := t.turns[m.Request]
-	if !ok || w.run.Fingerprint != m.Fingerprint || w.asked != from || !m.Allowed {
+	if !ok || w.run.Fingerprint != m.Fingerprint || w.run.Upstream != m.Upstream || w.asked != from || !m.Allowed {
 		return
 	}
 	switch w.stage {
