Forget that accounts wait at routers that died or restarted

Cause: an origin kept its last word, so an account whose only queue was at a dead router counted as backlogged for ever. Change: MemberGone and a later incarnation clear it; the word of other domains holds 2 min, longer than a round of refreshes.

--- a/pomeloledger/account.go
+++ b/pomeloledger/account.go
@@ -96,6 +96,18 @@
 	a.origins = kept
 }
 
+func (a *account) unwait(node pomelorelay.NodeID, upTo pomelorelay.Incarnation) bool {
+	changed := false
+	for i := range a.origins {
+		o := &a.origins[i]
+		if o.node == node && o.incarnation <= upTo && o.waiting {
+			o.waiting = false
+			changed = true
+		}
+	}
+	return changed
+}
+
 func (a *account) touch(repeats int) {
 	a.near = repeats
 	a.cross = repeats
--- a/pomeloledger/config.go
+++ b/pomeloledger/config.go
@@ -47,7 +47,7 @@
 	RebuildLimit time.Duration
 	// QueryEvery is the interval at which a new host asks again; 500 ms.
 	QueryEvery time.Duration
-	// WaitingFor is how long another domain's word that an account waits holds; 30 s.
+	// WaitingFor is how long another domain's word that an account waits holds; 2 min.
 	WaitingFor time.Duration
 	// FoldAfter is how long the entries of a superseded incarnation are kept apart for late reports; 1 min.
 	FoldAfter time.Duration
@@ -61,7 +61,7 @@
 	setCount(&o.MaxEntries, 512)
 	setDuration(&o.RebuildLimit, 3*time.Second)
 	setDuration(&o.QueryEvery, 500*time.Millisecond)
-	setDuration(&o.WaitingFor, 30*time.Second)
+	setDuration(&o.WaitingFor, 2*time.Minute)
 	setDuration(&o.FoldAfter, time.Minute)
 	return o
 }
--- a/pomeloledger/ledger.go
+++ b/pomeloledger/ledger.go
@@ -82,6 +82,9 @@
 	if !ok {
 		return out
 	}
+	if former := s.latest[from]; former != 0 && former < incarnation {
+		l.unwait(s, from, former)
+	}
 	if s.meet(now, from, incarnation, l.cfg.Options.FoldAfter) {
 		l.merge(s, from, incarnation, m.Entries)
 	}
@@ -111,15 +114,27 @@
 	}
 }
 
-// MemberGone notes that a router died, so that a rebuild no longer waits for it. Its entries stay: it may only be cut off.
+// MemberGone notes that a router died, so that a rebuild no longer waits for it. Its entries stay, as it may only be cut
+// off, but nothing waits there any more.
 func (l *Ledger) MemberGone(now time.Time, node pomelorelay.NodeID) {
 	for _, s := range l.order {
 		delete(s.routers, node)
 		delete(s.domains, node)
+		l.unwait(s, node, s.latest[node])
 		l.progress(now, s)
 	}
 }
 
+// unwait clears the word that accounts wait at a router's ended incarnations. Without it an account whose only queue was
+// there counts as backlogged for ever.
+func (l *Ledger) unwait(s *shard, node pomelorelay.NodeID, upTo pomelorelay.Incarnation) {
+	for _, a := range s.order {
+		if a.unwait(node, upTo) {
+			a.touch(l.cfg.Options.Repeats)
+		}
+	}
+}
+
 // Tick exchanges components with the hosts in other domains and asks again while rebuilding; call it every 100 ms or so.
 func (l *Ledger) Tick(now time.Time, out []pomelorelay.Outgoing) []pomelorelay.Outgoing {
 	for _, s := range l.order {
--- a/pomeloledger/merge_test.go
+++ b/pomeloledger/merge_test.go
@@ -86,6 +86,31 @@
 	}
 }
 
+func TestNothingWaitsAtADeadRouter(t *testing.T) {
+	// A router dies or restarts with an account's only requests in its queues. The account must not count as backlogged for ever, here or in the other domain.
+	for _, restarts := range []bool{false, true} {
+		w := newWorld("north", "north")
+		w.calm(5 * time.Second)
+		w.serve(w.routers[0], accounts[0], 10)
+		w.calm(5 * time.Second)
+		if e, _ := w.ledgers[w.hosts["d1"]].Total(w.now, accounts[0]); !e.Waiting {
+			t.Fatal("not known to wait")
+		}
+		if restarts {
+			w.restart(w.routers[0])
+		} else {
+			w.routers[0].up = false
+			w.ledgers[w.hosts["d0"]].MemberGone(w.now, "r0")
+		}
+		w.calm(5 * time.Second)
+		for _, domain := range w.domains {
+			if e, _ := w.ledgers[w.hosts[domain.ID]].Total(w.now, accounts[0]); e.Waiting || e.Served != 10 {
+				t.Errorf("restarts %v: %s has %+v", restarts, domain.ID, e)
+			}
+		}
+	}
+}
+
 func TestLostReportIsSentAgain(t *testing.T) {
 	// The one report that carries an account's last request is lost, and the account is quiet from then on.
 	w := newWorld("north")
