Wait for the answer to a large frame as long as its bytes take

Cause: a far end answers when it has the whole frame; a configuration part that takes longer than Silent broke the link at each attempt.

--- a/pomelomesh/fault_test.go
+++ b/pomelomesh/fault_test.go
@@ -26,6 +26,7 @@
 	net.Listener
 	target  netip.AddrPort
 	swallow atomic.Bool
+	slow    atomic.Bool
 	mu      sync.Mutex
 	conns   []net.Conn
 }
@@ -76,6 +77,9 @@
 		if err != nil {
 			return
 		}
+		if r.slow.Load() {
+			time.Sleep(16 * time.Millisecond)
+		}
 		if !r.swallow.Load() {
 			_, _ = to.Write(buffer[:n])
 		}
@@ -114,6 +118,24 @@
 	}
 }
 
+func TestLargePartOnASlowLinkArrives(t *testing.T) {
+	// A part of the configuration takes longer on a slow link than silence is allowed to last. If the link were broken for it, the router behind would never get the part.
+	b := start(t, config("r2", 1))
+	r := startRelay(t, b.Addr())
+	r.slow.Store(true)
+	cfg := config("r1", 1)
+	cfg.Timing.Silent = 300 * time.Millisecond
+	a := start(t, cfg)
+	a.SetPeers([]pomelorelay.Peer{peerOf("r2", r.addr())})
+	send(t, a, "r2", &pomelorelay.ConfigPush{Parts: [][]byte{make([]byte, 256<<10)}})
+	if part := receive(t, b).Message.(*pomelorelay.ConfigPush).Parts[0]; len(part) != 256<<10 {
+		t.Errorf("%d bytes arrived", len(part))
+	}
+	if broken := a.Counters().Broken; broken != 0 {
+		t.Errorf("%d links broke", broken)
+	}
+}
+
 func TestQuietLinkStaysOpen(t *testing.T) {
 	a, b := config("r1", 1), config("r2", 1)
 	a.Timing = pomelomesh.Timing{Silent: 200 * time.Millisecond, Ping: 20 * time.Millisecond, Acknowledge: time.Millisecond}
--- a/pomelomesh/link.go
+++ b/pomelomesh/link.go
@@ -14,6 +14,9 @@
 // frameOverhead is what grpc, HTTP/2 and TLS add to a frame, as BenchmarkJourney counts it.
 const frameOverhead = 56
 
+// slowestRate is the bytes a second that a link carries at least.
+const slowestRate = 128 << 10
+
 // frameStream is what both ends of a grpc stream have in common.
 type frameStream interface {
 	SendMsg(m any) error
@@ -62,7 +65,7 @@
 	now := time.Now().UnixNano()
 	l.owed.Store(0)
 	if expectsAnswer {
-		l.unanswered.CompareAndSwap(0, now)
+		l.await(now, len(frame))
 		l.busy.Store(now)
 	}
 	if err := l.stream.SendMsg(rawFrame(frame)); err != nil {
@@ -72,6 +75,22 @@
 	return true
 }
 
+// await starts or prolongs the wait for an answer. A far end answers only once it has the whole frame; without the time
+// for its bytes a configuration part on a slow link would break the link, again and again.
+func (l *link) await(now int64, size int) {
+	transfer := int64(size) * int64(time.Second) / slowestRate
+	for {
+		since := l.unanswered.Load()
+		start := since + transfer
+		if since == 0 {
+			start = now + transfer
+		}
+		if l.unanswered.CompareAndSwap(since, start) {
+			return
+		}
+	}
+}
+
 // owes reports whether the far end waits for a sign of life, or must be asked for one.
 func (l *link) owes(now time.Time) bool { return l.owesSign(now) || l.owesPing(now) }
 
