--- a/pomelomember/member.go
+++ b/pomelomember/member.go
@@ -38,27 +38,20 @@
 
 // member returns the record of a router and makes one when there is none.
 func (v *View) member(node pomelorelay.NodeID) *member {
-	at, found := v.search(node)
-	if found {
-		return v.members[at]
+	if m := v.lookup(node); m != nil {
+		return m
 	}
 	m := &member{peer: pomelorelay.Peer{Node: node}}
+	at, _ := slices.BinarySearchFunc(v.members, node, func(m *member, node pomelorelay.NodeID) int {
+		return strings.Compare(string(m.peer.Node), string(node))
+	})
 	v.members = slices.Insert(v.members, at, m)
+	v.byNode[node] = m
 	return m
 }
 
-func (v *View) lookup(node pomelorelay.NodeID) *member {
-	if at, found := v.search(node); found {
-		return v.members[at]
-	}
-	return nil
-}
-
-func (v *View) search(node pomelorelay.NodeID) (int, bool) {
-	return slices.BinarySearchFunc(v.members, node, func(m *member, node pomelorelay.NodeID) int {
-		return strings.Compare(string(m.peer.Node), string(node))
-	})
-}
+// lookup returns the record of a router, or nil when there is none.
+func (v *View) lookup(node pomelorelay.NodeID) *member { return v.byNode[node] }
 
 // believe sets a member's status and notes the change for digests, for Changes and for the next Snapshot.
 func (v *View) believe(now time.Time, m *member, incarnation pomelorelay.Incarnation, status pomelorelay.MemberStatus) {
--- a/pomelomember/view.go
+++ b/pomelomember/view.go
@@ -13,6 +13,7 @@
 	incarnation pomelorelay.Incarnation
 	leaving     bool
 	members     []*member // in the order of their names, without this router
+	byNode      map[pomelorelay.NodeID]*member
 	changes     []Change
 	snapshot    *Snapshot
 	random      *rand.Rand
@@ -45,7 +46,7 @@
 // New returns a View that knows itself and its seeds.
 func New(cfg Config) *View {
 	cfg.Options = cfg.Options.withDefaults()
-	v := &View{cfg: cfg, incarnation: cfg.Incarnation, reached: make(map[pomelorelay.DomainID]time.Time)}
+	v := &View{cfg: cfg, incarnation: cfg.Incarnation, byNode: make(map[pomelorelay.NodeID]*member), reached: make(map[pomelorelay.DomainID]time.Time)}
 	v.random = rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation)))
 	v.slots.init()
 	for _, seed := range cfg.Seeds {
@@ -214,7 +215,9 @@
 	for _, m := range v.members {
 		if m.listed || m.live() || m.status == 0 || now.Sub(m.died) < v.cfg.Options.ForgetAfter {
 			kept = append(kept, m)
+			continue
 		}
+		delete(v.byNode, m.peer.Node)
 	}
 	clear(v.members[len(kept):])
 	v.members = kept
