pomelomesh: a caller without a hello is refused with a numbered event

Cause: grpc ends a failed handshake without telling the program, so a router with another authority's certificate, or a caller that is no router, was kept out with no event at all (TestRouterOfAnotherAuthorityIsKeptOut and TestRoutersSpeakByMutualTLS waited 20 s for one and got none). Change: the server's credentials keep why a handshake failed; a connection that ends before its hello is logged as 1002 MeshRefused with its address and reason, at most once in 10 s an address, and counted (Strangers).

--- a/events_mesh.go
+++ b/events_mesh.go
@@ -14,7 +14,7 @@
 var meshEvents = []EventInfo{
 	{EventMeshLinkUp, "MeshLinkUp", LevelDebug, "A link to a router opened.", "None."},
 	{EventMeshLinkDown, "MeshLinkDown", LevelInfo, "A link to a router broke or was closed when idle.", "None unless it repeats; then check the network between the two."},
-	{EventMeshRefused, "MeshRefused", LevelWarn, "A link was refused: the name, the certificate or the incarnation does not fit.", "Check the router's settings and certificate, and that no two routers share a name."},
+	{EventMeshRefused, "MeshRefused", LevelWarn, "A link was refused: the keys, the name or the incarnation does not fit, or the caller is no router.", "Check the router's settings and certificate, and that no two routers share a name."},
 	{EventMeshMalformed, "MeshMalformed", LevelWarn, "A message from a router could not be decoded and was dropped.", "Check that router's version and its host."},
 	{EventMeshKeysChanged, "MeshKeysChanged", LevelInfo, "Changed key files are in use for new links.", "None."},
 	{EventMeshKeysBad, "MeshKeysBad", LevelError, "Changed key files cannot be used; the former keys stay in use.", "Correct the files before the former certificate ends."},
--- a/pomelomesh/conn.go
+++ b/pomelomesh/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay"
 )
@@ -18,6 +19,9 @@
 	class   atomic.Int32
 	onClose func()
 	closing sync.Once
+	// greeted is set once a hello arrived; failure is why the handshake failed.
+	greeted atomic.Bool
+	failure atomic.Pointer[string]
 }
 
 func (m *Mesh) countConn(conn net.Conn, class pomelorelay.LinkClass, onClose func()) *countedConn {
@@ -78,11 +82,24 @@
 	if len(l.conns) >= maxConns {
 		return nil
 	}
-	counted := l.m.countConn(conn, pomelorelay.LinkDomain, func() { l.remove(remote) })
+	counted := l.m.countConn(conn, pomelorelay.LinkDomain, nil)
+	counted.onClose = func() {
+		l.remove(remote)
+		l.m.noteStranger(counted, time.Now())
+	}
 	l.conns[remote] = counted
 	return counted
 }
 
+// greeted marks the connection of a caller that said hello.
+func (l *countedListener) greeted(remote string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if conn, ok := l.conns[remote]; ok {
+		conn.greeted.Store(true)
+	}
+}
+
 func (l *countedListener) remove(remote string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pomelomesh/counters.go
+++ b/pomelomesh/counters.go
@@ -30,13 +30,15 @@
 	Broken uint64
 	// Dialled counts attempts to connect.
 	Dialled uint64
+	// Strangers counts connections that ended without a hello.
+	Strangers uint64
 	// Links is the number of links now open.
 	Links int
 }
 
 type counters struct {
-	coalesced, delayed, queueFull, unknownKinds, malformed, stale, lost, broken, dialled atomic.Uint64
-	links                                                                                atomic.Int64
+	coalesced, delayed, queueFull, unknownKinds, malformed, stale, lost, broken, dialled, strangers atomic.Uint64
+	links                                                                                           atomic.Int64
 }
 
 // Counters returns what the mesh did since its start.
@@ -44,7 +46,7 @@
 	c := &m.counters
 	return Counters{
 		Coalesced: c.coalesced.Load(), Delayed: c.delayed.Load(), QueueFull: c.queueFull.Load(), UnknownKinds: c.unknownKinds.Load(),
-		Malformed: c.malformed.Load(), Stale: c.stale.Load(), Lost: c.lost.Load(), Broken: c.broken.Load(), Dialled: c.dialled.Load(),
+		Malformed: c.malformed.Load(), Stale: c.stale.Load(), Lost: c.lost.Load(), Broken: c.broken.Load(), Dialled: c.dialled.Load(), Strangers: c.strangers.Load(),
 		Links: int(c.links.Load()),
 	}
 }
--- a/pomelomesh/hello.go
+++ b/pomelomesh/hello.go
@@ -52,6 +52,10 @@
 	if err := l.stream.RecvMsg(frame); err != nil {
 		return err
 	}
+	remote, known := grpcpeer.FromContext(ctx)
+	if known {
+		m.listener.greeted(remote.Addr.String())
+	}
 	hello := frame.GetHello()
 	if err := m.checkHello(ctx, hello); err != nil {
 		return err
@@ -62,7 +66,7 @@
 	if err := m.join(l, hello); err != nil {
 		return err
 	}
-	if remote, ok := grpcpeer.FromContext(ctx); ok {
+	if known {
 		m.listener.setClass(remote.Addr.String(), l.class)
 	}
 	close(greeted)
--- a/pomelomesh/mesh.go
+++ b/pomelomesh/mesh.go
@@ -34,9 +34,13 @@
 	counters   counters
 	kinds      kindCounters
 	overBudget atomic.Int64 // Unix nanoseconds of the last notice
-	ctx        context.Context
-	cancel     context.CancelFunc
-	running    sync.WaitGroup
+
+	strangersMu sync.Mutex
+	strangers   map[netip.Addr]time.Time
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
 
 	mu     sync.Mutex
 	peers  map[pomelorelay.NodeID]*peer
@@ -49,7 +53,7 @@
 // the address cannot be listened on.
 func New(cfg Config) (*Mesh, error) {
 	cfg = cfg.withDefaults()
-	m := &Mesh{cfg: cfg, inbox: make(chan pomelorelay.Envelope, cfg.Inbox), peers: make(map[pomelorelay.NodeID]*peer)}
+	m := &Mesh{cfg: cfg, inbox: make(chan pomelorelay.Envelope, cfg.Inbox), peers: make(map[pomelorelay.NodeID]*peer), strangers: make(map[netip.Addr]time.Time)}
 	if err := m.loadKeys(); err != nil {
 		return nil, err
 	}
@@ -94,7 +98,7 @@
 	if m.keys == nil {
 		return append(options, grpc.Creds(insecure.NewCredentials()))
 	}
-	return append(options, grpc.Creds(credentials.NewTLS(m.keys.server())))
+	return append(options, grpc.Creds(serverCredentials{credentials.NewTLS(m.keys.server())}))
 }
 
 // Addr returns the address that the mesh listens on.
--- a/pomelonode/fleet_test.go
+++ b/pomelonode/fleet_test.go
@@ -55,6 +55,7 @@
 	store    *gatedStore
 	hosts    *gatedHosts
 	mesh     pomelorelay.Mesh
+	log      *eventLog
 	url      string
 	operator string
 }
@@ -120,20 +121,28 @@
 	f.hostsAddr = f.serve(f.hosts)
 	f.content = f.configuration()
 	f.publish("first")
-	var hosts []pomelorelay.Host
 	for i := range routers {
 		s := f.settings(i)
+		f.routers = append(f.routers, &router{settings: s, log: &eventLog{}, url: "http://" + s.Listen.Caller.String(), operator: "http://" + s.Listen.Operator.String()})
+	}
+	f.listHosts()
+	for i := range f.routers {
+		f.start(i)
+	}
+	return f
+}
+
+// listHosts puts the routers and the configured upstreams on the host list.
+func (f *fleet) listHosts() {
+	var hosts []pomelorelay.Host
+	for _, r := range f.routers {
+		s := r.settings
 		hosts = append(hosts, pomelorelay.Host{Name: string(s.Host.Name), Kind: pomelorelay.HostRouter, Addr: s.Listen.Control, Domain: s.Host.FailureDomain, Region: s.Host.Region})
-		f.routers = append(f.routers, &router{settings: s, url: "http://" + s.Listen.Caller.String(), operator: "http://" + s.Listen.Operator.String()})
 	}
 	for _, u := range f.content.Upstreams {
 		hosts = append(hosts, pomelorelay.Host{Name: string(u.Name), Kind: pomelorelay.HostUpstream, Addr: u.Address, Domain: u.FailureDomain, Region: u.Region})
 	}
 	f.hosts.Set(hosts)
-	for i := range f.routers {
-		f.start(i)
-	}
-	return f
 }
 
 func (f *fleet) serve(h http.Handler) netip.AddrPort {
@@ -268,7 +277,7 @@
 	if f.network != nil {
 		r.mesh = f.network.Join(self, incarnation)
 	}
-	node, err := pomelonode.New(pomelonode.Config{Settings: s, Store: r.store, HostList: r.hosts, Mesh: r.mesh, Incarnation: incarnation})
+	node, err := pomelonode.New(pomelonode.Config{Settings: s, Store: r.store, HostList: r.hosts, Mesh: r.mesh, Incarnation: incarnation, Logger: r.log})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -327,16 +336,25 @@
 	return answer{resp.StatusCode, resp.Header, string(text), err}
 }
 
-// generation returns what the router's operator port says is in force.
-func (r *router) generation() pomelorelay.Generation {
+// seenStatus is what the tests read of a router's status.
+type seenStatus struct {
+	Generation pomelorelay.Generation
+	Members    []struct{ Node pomelorelay.NodeID }
+}
+
+// readStatus returns what the router's operator port tells; nothing when it does not answer.
+func (r *router) readStatus() seenStatus {
+	var s seenStatus
 	resp, err := http.Get(r.operator + "/status")
 	if err != nil {
-		return 0
+		return s
 	}
 	defer resp.Body.Close()
-	var s struct{ Generation pomelorelay.Generation }
 	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
-		return 0
+		return seenStatus{}
 	}
-	return s.Generation
+	return s
 }
+
+// generation returns what the router's operator port says is in force.
+func (r *router) generation() pomelorelay.Generation { return r.readStatus().Generation }
