Bounds on callers hold and refusals carry numbers; settings without effect are gone

Cause: a table of bad requests on a running router found a header over the bound answered by net/http's plain text, the operators' port answering unknown paths and methods without a number, and the first of two bearer tokens taken. Reading the settings found Limits.BufferedBytes, Limits.BodyBytes (over a service's own bound), Control.ConfigWatchers, SuspectAfter, DeadAfter and ClaimCommit without any effect. Change: net/http reads four times the bound so that the handler refuses with 1010; the operators' port refuses with 1004 and 1005; two Authorization fields are 1003; all bodies in progress are bounded together (1210 BodiesFull) and each by BodyBytes; ConfigWatchers decides the watchers; the three intervals that nothing read are removed.

--- a/codes_route.go
+++ b/codes_route.go
@@ -12,6 +12,7 @@
 	CodeUpstreamCrashed   ResultCode = 1207
 	CodeStreamBroken      ResultCode = 1208
 	CodeCancelled         ResultCode = 1209
+	CodeBodiesFull        ResultCode = 1210
 )
 
 var routeCodes = []CodeInfo{
@@ -25,4 +26,5 @@
 	{CodeUpstreamCrashed, "UpstreamCrashed", 502, RanUnknown, "The upstream crashed while the request ran.", "Send it again only if it may run twice."},
 	{CodeStreamBroken, "StreamBroken", 502, RanYes, "The stream broke off and could not be resumed.", "Send it again only if it may run twice."},
 	{CodeCancelled, "Cancelled", 499, RanNo, "The caller closed its connection before the request was sent.", "None."},
+	{CodeBodiesFull, "BodiesFull", 503, RanNo, "The bodies in progress fill the router's bound.", "Send it again after Retry-After; operators may raise Limits.BufferedBytes."},
 }
--- a/pomeloconfig/settings_control.go
+++ b/pomeloconfig/settings_control.go
@@ -14,11 +14,8 @@
 	DefaultDigestInterval  = 250 * time.Millisecond
 	DefaultLedgerInterval  = 250 * time.Millisecond
 	DefaultExchange        = time.Second
-	DefaultSuspectAfter    = 1500 * time.Millisecond
-	DefaultDeadAfter       = 3 * time.Second
 	DefaultGrantTTL        = time.Second
 	DefaultLoadInterval    = 250 * time.Millisecond
-	DefaultClaimCommit     = 5 * time.Millisecond
 	DefaultConfigPull      = 500 * time.Millisecond
 	DefaultStopWait        = 5 * time.Minute
 	DefaultShards          = 64
@@ -36,14 +33,9 @@
 	DigestInterval   time.Duration `yaml:"DigestInterval"`
 	LedgerInterval   time.Duration `yaml:"LedgerInterval"`
 	ExchangeInterval time.Duration `yaml:"ExchangeInterval"`
-	// SuspectAfter without a sign of life a router is suspected; DeadAfter longer it is taken for dead.
-	SuspectAfter time.Duration `yaml:"SuspectAfter"`
-	DeadAfter    time.Duration `yaml:"DeadAfter"`
-	GrantTTL     time.Duration `yaml:"GrantTTL"`
+	GrantTTL         time.Duration `yaml:"GrantTTL"`
 	// LoadInterval is how often a slot owner reads an upstream's load.
 	LoadInterval time.Duration `yaml:"LoadInterval"`
-	// ClaimCommit is how long a claim shard's keeper gathers claims for one write.
-	ClaimCommit time.Duration `yaml:"ClaimCommit"`
 	// ConfigPull is how long a configuration pull waits before another peer is asked.
 	ConfigPull time.Duration `yaml:"ConfigPull"`
 	// StopWait bounds a graceful stop.
@@ -63,11 +55,8 @@
 	setDuration(&s.DigestInterval, DefaultDigestInterval)
 	setDuration(&s.LedgerInterval, DefaultLedgerInterval)
 	setDuration(&s.ExchangeInterval, DefaultExchange)
-	setDuration(&s.SuspectAfter, DefaultSuspectAfter)
-	setDuration(&s.DeadAfter, DefaultDeadAfter)
 	setDuration(&s.GrantTTL, DefaultGrantTTL)
 	setDuration(&s.LoadInterval, DefaultLoadInterval)
-	setDuration(&s.ClaimCommit, DefaultClaimCommit)
 	setDuration(&s.ConfigPull, DefaultConfigPull)
 	setDuration(&s.StopWait, DefaultStopWait)
 	setInt(&s.Shards, DefaultShards)
@@ -84,11 +73,8 @@
 	c.duration("Control.DigestInterval", s.DigestInterval, time.Millisecond, time.Minute)
 	c.duration("Control.LedgerInterval", s.LedgerInterval, time.Millisecond, time.Minute)
 	c.duration("Control.ExchangeInterval", s.ExchangeInterval, time.Millisecond, time.Minute)
-	c.duration("Control.SuspectAfter", s.SuspectAfter, 2*s.DigestInterval, time.Minute)
-	c.duration("Control.DeadAfter", s.DeadAfter, time.Millisecond, time.Minute)
 	c.duration("Control.GrantTTL", s.GrantTTL, time.Millisecond, time.Minute)
 	c.duration("Control.LoadInterval", s.LoadInterval, time.Millisecond, time.Minute)
-	c.duration("Control.ClaimCommit", s.ClaimCommit, 100*time.Microsecond, time.Second)
 	c.duration("Control.ConfigPull", s.ConfigPull, 10*time.Millisecond, time.Minute)
 	c.duration("Control.StopWait", s.StopWait, time.Second, 24*time.Hour)
 	c.number("Control.Shards", float64(s.Shards), 1, 1024)
--- a/pomelonode/jobs.go
+++ b/pomelonode/jobs.go
@@ -9,9 +9,6 @@
 	"github.com/pomelorelay/pomelorelay/pomeloslot"
 )
 
-// watchersPerDomain routers of a failure domain hold a watch on the store's root.
-const watchersPerDomain = 2
-
 // jobs are the shared jobs that this router does now.
 type jobs struct {
 	upstreams map[pomelorelay.UpstreamID]func()
@@ -190,7 +187,7 @@
 	ranked := pomelomember.Rank("config", c.members.Members(c.n.self.Domain))
 	watch := false
 	for i, node := range ranked {
-		watch = watch || (i < watchersPerDomain && node == c.n.self.Node)
+		watch = watch || (i < c.n.cfg.Settings.Control.ConfigWatchers && node == c.n.self.Node)
 	}
 	c.n.watching.Store(watch)
 }
--- a/pomelonode/listen.go
+++ b/pomelonode/listen.go
@@ -14,6 +14,10 @@
 // stopPoll is how often a graceful stop looks whether the last request has ended.
 const stopPoll = 20 * time.Millisecond
 
+// headerRoom is how far over the bound net/http still reads a header. Over its own bound it answers with a plain text; within the
+// room the handler refuses with a number.
+const headerRoom = 4
+
 // Listen opens the callers' and the operators' ports; it fails when an address cannot be listened on.
 func (n *Node) Listen() error {
 	limits := n.cfg.Settings.Limits
@@ -21,9 +25,14 @@
 		Handler:           n.CallerHandler(),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    int(limits.HeaderBytes) * headerRoom,
+	}
+	operator := &http.Server{
+		Handler:           n.OperatorHandler(),
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    int(limits.HeaderBytes),
 	}
-	operator := &http.Server{Handler: n.OperatorHandler(), ReadHeaderTimeout: limits.HeaderTimeout}
 	if err := n.serve(caller, n.cfg.Settings.Listen.Caller); err != nil {
 		return err
 	}
--- a/pomelonode/node.go
+++ b/pomelonode/node.go
@@ -93,6 +93,7 @@
 		Options: pomeloroute.Options{
 			MaxHeaderBytes: cfg.Settings.Limits.HeaderBytes,
 			MaxBody:        cfg.Settings.Limits.BodyBytes,
+			MaxBuffered:    cfg.Settings.Limits.BufferedBytes,
 		},
 	})
 	c := newControl(n)
--- a/pomelonode/operator.go
+++ b/pomelonode/operator.go
@@ -47,9 +47,17 @@
 	r.HandleFunc("/drain", n.drain).Methods(http.MethodPost)
 	r.HandleFunc("/quarantine/{fingerprint}", n.lift).Methods(http.MethodDelete)
 	r.HandleFunc("/debug/vars", n.vars).Methods(http.MethodGet)
+	r.NotFoundHandler = refusing(pomelorelay.CodeUnknownPath, "the operators' port has no such path")
+	r.MethodNotAllowedHandler = refusing(pomelorelay.CodeBadRequest, "the path does not take this method")
 	return r
 }
 
+func refusing(code pomelorelay.ResultCode, detail string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		pomeloroute.Refuse(w, pomelorelay.NewError(code, detail, nil))
+	})
+}
+
 // health says that the process serves; a stalled control goroutine is told but does not fail it, since a restart would cut
 // off requests in progress.
 func (n *Node) health(w http.ResponseWriter, _ *http.Request) {
--- a/pomeloroute/call.go
+++ b/pomeloroute/call.go
@@ -37,6 +37,8 @@
 	hint    pomelorelay.Cost
 	key     string
 	body    *bytes.Buffer
+	// held is what the body counts towards the router's bound.
+	held int64
 	// deadline bounds the whole call, waitUntil the wait for a slot.
 	deadline    time.Time
 	waitUntil   time.Time
@@ -158,15 +160,18 @@
 }
 
 func (c *call) readBody() error {
-	limit := int64(c.service.MaxBody)
-	if limit <= 0 {
-		limit = int64(c.h.cfg.Options.MaxBody)
+	limit := int64(c.h.cfg.Options.MaxBody)
+	if c.service.MaxBody > 0 {
+		limit = min(limit, int64(c.service.MaxBody))
 	}
 	if c.r.ContentLength > limit {
 		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
 	}
 	c.body = c.h.buffers.body()
-	_, err := c.body.ReadFrom(http.MaxBytesReader(c.w, c.r.Body, limit))
+	_, err := c.body.ReadFrom(&heldBody{c: c, r: http.MaxBytesReader(c.w, c.r.Body, limit)})
+	if errors.Is(err, errBodiesFull) {
+		return pomelorelay.NewError(pomelorelay.CodeBodiesFull, "", nil)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
@@ -208,6 +213,8 @@
 	}
 	c.h.buffers.putBody(c.body)
 	c.body = nil
+	c.h.buffered.Add(-c.held)
+	c.held = 0
 }
 
 // repeatable reports whether a request that may have run may be sent again.
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -28,8 +28,10 @@
 	MaxHeaders int
 	// MaxHeaderBytes bounds the bytes of a request's header, 32 KiB by default.
 	MaxHeaderBytes pomelorelay.Bytes
-	// MaxBody bounds a body where the service gives no bound, 1 MiB by default.
+	// MaxBody bounds a body, whatever the service allows, 16 MiB by default.
 	MaxBody pomelorelay.Bytes
+	// MaxBuffered bounds the bodies of all requests in progress together, 256 MiB by default.
+	MaxBuffered pomelorelay.Bytes
 	// BufferAnswer is the size up to which a plain answer is held until it is whole, 64 KiB by default.
 	BufferAnswer pomelorelay.Bytes
 	// KeepOutcome is the size up to which a non-idempotent call's answer is kept for repeats, 4 KiB by default.
--- a/pomeloroute/defaults.go
+++ b/pomeloroute/defaults.go
@@ -10,7 +10,8 @@
 const (
 	defaultMaxHeaders     = 100
 	defaultMaxHeaderBytes = 32 << 10
-	defaultMaxBody        = 1 << 20
+	defaultMaxBody        = 16 << 20
+	defaultMaxBuffered    = 256 << 20
 	defaultBufferAnswer   = 64 << 10
 	defaultKeepOutcome    = 4 << 10
 	defaultDialTimeout    = time.Second
@@ -37,6 +38,7 @@
 	setCount(&o.MaxHeaders, defaultMaxHeaders)
 	setBytes(&o.MaxHeaderBytes, defaultMaxHeaderBytes)
 	setBytes(&o.MaxBody, defaultMaxBody)
+	setBytes(&o.MaxBuffered, defaultMaxBuffered)
 	setBytes(&o.BufferAnswer, defaultBufferAnswer)
 	setBytes(&o.KeepOutcome, defaultKeepOutcome)
 	setDuration(&o.DialTimeout, defaultDialTimeout)
--- a/pomeloroute/handler.go
+++ b/pomeloroute/handler.go
@@ -19,6 +19,8 @@
 	conns   *connPool
 	buffers *bufferPool
 	lastID  atomic.Uint64
+	// buffered counts the bytes of the bodies of all requests in progress.
+	buffered atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[pomelorelay.ServiceID]*retryBudget
--- a/pomeloroute/token.go
+++ b/pomeloroute/token.go
@@ -9,8 +9,12 @@
 
 const bearerPrefix = "bearer "
 
-// authenticate finds the account of a request's bearer token.
+// authenticate finds the account of a request's bearer token. Two tokens are refused: something before the router may have
+// looked at the other one, and the request would be charged to an account that its sender does not have.
 func authenticate(s Snapshot, head http.Header) (pomelorelay.AccountID, error) {
+	if len(head["Authorization"]) > 1 {
+		return "", pomelorelay.NewError(pomelorelay.CodeUnauthorised, "more than one Authorization field", nil)
+	}
 	value := head.Get("Authorization")
 	if len(value) <= len(bearerPrefix) || !strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
 		return "", pomelorelay.NewError(pomelorelay.CodeUnauthorised, "", nil)
