Jobs beyond a cut, unreached upstreams, settled claims, settings that act

Cause: (1) jobs placed on routers of an unreachable failure domain were done by nobody on this side: claims were refused for good (TestParted…: not within 20 s) and a dead domain's upstreams had no owner; (2) an upstream that refuses connections was granted on, so an innocent request used up its attempts (502); (3) the repeat of a booking that ran heard 'still running' for up to 500 ms; (4) SuspectAfter, DeadAfter, ClaimCommit and ConfigWatchers had no effect. Change: placement over reachable domains; GrantUnreached stops grants until the upstream reports load; a settlement that waits for its write answers repeats; ProbeWait, SuspectFor, ClaimCommits and ConfigWatchers are wired. TestDomainWhose… sent one request at a time, which rightly stays near: it now sends three times the slots at once.

--- a/messages.go
+++ b/messages.go
@@ -63,6 +63,7 @@
 	GrantReturned
 	GrantFinished
 	GrantFailed
+	GrantUnreached
 )
 
 // GrantReply tells a slot owner what became of a grant and the router's fresh demand.
--- a/pomeloclaim/commit.go
+++ b/pomeloclaim/commit.go
@@ -76,7 +76,7 @@
 		if c == nil || (!isFinal(c, a) && !k.verified(now, s, out)) {
 			return false
 		}
-		k.answerFrom(now, a, c, out)
+		k.answerFrom(now, s, a, c, out)
 		return true
 	})
 	s.settles = slices.DeleteFunc(s.settles, func(p *pendingSettle) bool {
@@ -128,7 +128,7 @@
 
 // answerFrom answers an ask by a durable claim. The attempt that holds it hears "fresh" again as long as it has not
 // settled: it asks again only while it has not sent its request.
-func (k *Keeper) answerFrom(now time.Time, a *pendingAsk, c *claimRecord, out *Output) {
+func (k *Keeper) answerFrom(now time.Time, s *shard, a *pendingAsk, c *claimRecord, out *Output) {
 	state, outcome := k.state(now, c), pomelorelay.ClaimOutcome{}
 	switch {
 	case c.Content != uint64(a.ask.Content):
@@ -138,11 +138,27 @@
 	case state == pomelorelay.ClaimDone:
 		outcome = c.outcome()
 	case state == pomelorelay.ClaimRunning:
+		if done := s.settledAsDone(c); done != nil {
+			state, outcome = pomelorelay.ClaimDone, done.Outcome
+			break
+		}
 		remind(a, c, out)
 	}
 	answer(a.from, &a.ask, state, outcome, out)
 }
 
+// settledAsDone returns the settlement that waits to be written and says that the claim's request ran, nil when there is none.
+// Its outcome is true before it is durable; without it a caller that repeats at once hears "still running" of a request whose
+// answer is known.
+func (s *shard) settledAsDone(c *claimRecord) *pomelorelay.ClaimSettle {
+	for _, p := range s.settles {
+		if c.holds(p.settle.Nonce) && !p.settle.Released && p.settle.State == pomelorelay.ClaimDone {
+			return &p.settle
+		}
+	}
+	return nil
+}
+
 // remind tells the holder of a claim that keeps another from running that it holds it. A resent ask may make a claim
 // durable after its asker gave it up, and the answer may be lost; nobody would ever release it. The holder ignores
 // the reminder of a claim that it knows and releases one that it does not.
--- a/pomeloclaim/keeper.go
+++ b/pomeloclaim/keeper.go
@@ -139,7 +139,7 @@
 		refused = true
 		if c := s.live[a.ask.Key]; c != nil {
 			// What is remembered of the key is nearer the truth than a refusal that says nothing of it.
-			k.answerFrom(now, a, c, out)
+			k.answerFrom(now, s, a, c, out)
 			return true
 		}
 		answer(a.from, &a.ask, pomelorelay.ClaimRefused, pomelorelay.ClaimOutcome{}, out)
--- a/pomeloconfig/settings_control.go
+++ b/pomeloconfig/settings_control.go
@@ -11,14 +11,14 @@
 	DefaultDomainBytes     = pomelorelay.Bytes(128 << 10)
 	DefaultRegionBytes     = pomelorelay.Bytes(128 << 10)
 	DefaultCrossBytes      = pomelorelay.Bytes(64 << 10)
-	DefaultDigestInterval  = 250 * time.Millisecond
+	DefaultDigestInterval  = time.Second
 	DefaultLedgerInterval  = 250 * time.Millisecond
 	DefaultExchange        = time.Second
-	DefaultSuspectAfter    = 1500 * time.Millisecond
-	DefaultDeadAfter       = 3 * time.Second
+	DefaultProbeWait       = 300 * time.Millisecond
+	DefaultSuspectFor      = time.Second
 	DefaultGrantTTL        = time.Second
 	DefaultLoadInterval    = 250 * time.Millisecond
-	DefaultClaimCommit     = 5 * time.Millisecond
+	DefaultClaimCommits    = 200.0
 	DefaultConfigPull      = 500 * time.Millisecond
 	DefaultStopWait        = 5 * time.Minute
 	DefaultShards          = 64
@@ -36,14 +36,15 @@
 	DigestInterval   time.Duration `yaml:"DigestInterval"`
 	LedgerInterval   time.Duration `yaml:"LedgerInterval"`
 	ExchangeInterval time.Duration `yaml:"ExchangeInterval"`
-	// SuspectAfter without a sign of life a router is suspected; DeadAfter longer it is taken for dead.
-	SuspectAfter time.Duration `yaml:"SuspectAfter"`
-	DeadAfter    time.Duration `yaml:"DeadAfter"`
-	GrantTTL     time.Duration `yaml:"GrantTTL"`
+	// ProbeWait is the wait for a probe's answer before others are asked to probe, and again before the router is suspected;
+	// SuspectFor is how long a suspected router may refute before it counts as dead.
+	ProbeWait  time.Duration `yaml:"ProbeWait"`
+	SuspectFor time.Duration `yaml:"SuspectFor"`
+	GrantTTL   time.Duration `yaml:"GrantTTL"`
 	// LoadInterval is how often a slot owner reads an upstream's load.
 	LoadInterval time.Duration `yaml:"LoadInterval"`
-	// ClaimCommit is how long a claim shard's keeper gathers claims for one write.
-	ClaimCommit time.Duration `yaml:"ClaimCommit"`
+	// ClaimCommits bounds the writes a second of all claim shards of the fleet together.
+	ClaimCommits float64 `yaml:"ClaimCommits"`
 	// ConfigPull is how long a configuration pull waits before another peer is asked.
 	ConfigPull time.Duration `yaml:"ConfigPull"`
 	// StopWait bounds a graceful stop.
@@ -63,18 +64,16 @@
 	setDuration(&s.DigestInterval, DefaultDigestInterval)
 	setDuration(&s.LedgerInterval, DefaultLedgerInterval)
 	setDuration(&s.ExchangeInterval, DefaultExchange)
-	setDuration(&s.SuspectAfter, DefaultSuspectAfter)
-	setDuration(&s.DeadAfter, DefaultDeadAfter)
+	setDuration(&s.ProbeWait, DefaultProbeWait)
+	setDuration(&s.SuspectFor, DefaultSuspectFor)
 	setDuration(&s.GrantTTL, DefaultGrantTTL)
 	setDuration(&s.LoadInterval, DefaultLoadInterval)
-	setDuration(&s.ClaimCommit, DefaultClaimCommit)
+	setNumber(&s.ClaimCommits, DefaultClaimCommits)
 	setDuration(&s.ConfigPull, DefaultConfigPull)
 	setDuration(&s.StopWait, DefaultStopWait)
 	setInt(&s.Shards, DefaultShards)
 	setInt(&s.ConfigWatchers, DefaultConfigWatchers)
-	if s.AdmissionCharge == 0 {
-		s.AdmissionCharge = DefaultAdmissionCharge
-	}
+	setNumber(&s.AdmissionCharge, DefaultAdmissionCharge)
 }
 
 func (s ControlSettings) check(c *checker) {
@@ -84,11 +83,11 @@
 	c.duration("Control.DigestInterval", s.DigestInterval, time.Millisecond, time.Minute)
 	c.duration("Control.LedgerInterval", s.LedgerInterval, time.Millisecond, time.Minute)
 	c.duration("Control.ExchangeInterval", s.ExchangeInterval, time.Millisecond, time.Minute)
-	c.duration("Control.SuspectAfter", s.SuspectAfter, 2*s.DigestInterval, time.Minute)
-	c.duration("Control.DeadAfter", s.DeadAfter, time.Millisecond, time.Minute)
+	c.duration("Control.ProbeWait", s.ProbeWait, time.Millisecond, time.Minute)
+	c.duration("Control.SuspectFor", s.SuspectFor, time.Millisecond, time.Minute)
 	c.duration("Control.GrantTTL", s.GrantTTL, time.Millisecond, time.Minute)
 	c.duration("Control.LoadInterval", s.LoadInterval, time.Millisecond, time.Minute)
-	c.duration("Control.ClaimCommit", s.ClaimCommit, 100*time.Microsecond, time.Second)
+	c.number("Control.ClaimCommits", s.ClaimCommits, 1, 10000)
 	c.duration("Control.ConfigPull", s.ConfigPull, 10*time.Millisecond, time.Minute)
 	c.duration("Control.StopWait", s.StopWait, time.Second, 24*time.Hour)
 	c.number("Control.Shards", float64(s.Shards), 1, 1024)
@@ -107,3 +106,9 @@
 		*n = value
 	}
 }
+
+func setNumber(n *float64, value float64) {
+	if *n == 0 {
+		*n = value
+	}
+}
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -105,7 +105,7 @@
 func (d *decoder) grantReply(m *pomelowire.GrantReply) pomelorelay.Message {
 	return &pomelorelay.GrantReply{
 		ID: pomelorelay.GrantID(m.GetId()), Upstream: pomelorelay.UpstreamID(d.name(m.GetUpstream())),
-		State: pomelorelay.GrantState(d.state(m.GetState(), 0, int32(pomelorelay.GrantFailed))), Seq: m.GetSeq(), Head: d.tag(m.GetHead()), Waiting: m.GetWaiting(),
+		State: pomelorelay.GrantState(d.state(m.GetState(), 0, int32(pomelorelay.GrantUnreached))), Seq: m.GetSeq(), Head: d.tag(m.GetHead()), Waiting: m.GetWaiting(),
 		FirstToken: d.duration(m.GetFirstToken()), TokenGap: d.duration(m.GetTokenGap()),
 	}
 }
--- a/pomelonode/admission.go
+++ b/pomelonode/admission.go
@@ -174,6 +174,9 @@
 	switch e.r.Outcome {
 	case pomeloroute.OutcomeNotSent:
 		state = pomelorelay.GrantReturned
+		if e.r.Code == pomelorelay.CodeUpstreamUnreached {
+			state = pomelorelay.GrantUnreached
+		}
 	case pomeloroute.OutcomeCutShort, pomeloroute.OutcomeUnknown:
 		state = pomelorelay.GrantFailed
 	}
--- a/pomelonode/assembly.go
+++ b/pomelonode/assembly.go
@@ -16,10 +16,6 @@
 // longestWait is above every service's bound of a wait.
 const longestWait = 24 * time.Hour
 
-// claimCommits is the rate of store writes that the whole fleet's claim shards may reach together; the store takes several
-// hundred writes a second, and the operators' own need room.
-const claimCommits = 200
-
 func newControl(n *Node) *control {
 	c := &control{
 		n:              n,
@@ -54,7 +50,11 @@
 		Incarnation: n.incarnation,
 		Seeds:       seedPeers(n.cfg.Settings.Seeds),
 		Seed:        uint64(n.incarnation),
-		Options:     pomelomember.Options{DigestEvery: s.DigestInterval},
+		Options: pomelomember.Options{
+			DigestEvery: s.DigestInterval,
+			ProbeWait:   s.ProbeWait,
+			SuspectFor:  s.SuspectFor,
+		},
 	})
 	c.members = c.view.Snapshot()
 	c.queues = pomelofair.New(pomelofair.Config{
@@ -118,7 +118,7 @@
 func (c *control) domains() []pomeloledger.DomainInfo {
 	var infos []pomeloledger.DomainInfo
 	for _, d := range c.members.Domains() {
-		if len(d.Members) > 0 {
+		if len(d.Members) > 0 && c.reaches(d.ID) {
 			infos = append(infos, pomeloledger.DomainInfo{ID: d.ID, Region: d.Region})
 		}
 	}
@@ -130,7 +130,7 @@
 	c.keeper = pomeloclaim.New(pomeloclaim.Config{
 		Logger:           n.cfg.Logger,
 		Alive:            c.alive,
-		CommitsPerSecond: claimCommits / float64(n.shards),
+		CommitsPerSecond: n.cfg.Settings.Control.ClaimCommits / float64(n.shards),
 	})
 	c.claimAsker = pomeloclaim.NewAsker(pomeloclaim.AskerConfig{
 		Node:        n.self.Node,
--- a/pomelonode/control.go
+++ b/pomelonode/control.go
@@ -30,6 +30,8 @@
 
 	view       *pomelomember.View
 	members    *pomelomember.Snapshot
+	reachable  []pomelorelay.DomainID
+	reachNow   []pomelorelay.DomainID
 	queues     *pomelofair.Queues
 	owner      *pomeloslot.Owner
 	asker      *pomeloslot.Asker
@@ -124,6 +126,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.takeChanges(now)
+	c.takeReach(now)
 	c.progress(now)
 	c.expire(now)
 	c.out = c.owner.Tick(now, c.out)
--- a/pomelonode/fleet_test.go
+++ b/pomelonode/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,6 +26,8 @@
 	waitLimit = 20 * time.Second
 	token     = "workshop-token"
 	model     = "estimator"
+	// slotsPerUpstream requests run at once at each upstream.
+	slotsPerUpstream = 8
 	// crashMarker in a request makes an engine crash.
 	crashMarker = "unsettable stone"
 )
@@ -209,7 +212,7 @@
 		FailureDomain: domain,
 		Region:        "recife",
 		MinSlots:      1,
-		MaxSlots:      8,
+		MaxSlots:      slotsPerUpstream,
 	}
 	if kind == "engine" {
 		u.Model = model
@@ -356,5 +359,14 @@
 	return s
 }
 
+// atOnce runs a call so many times at the same time and waits for all.
+func (f *fleet) atOnce(n int, call func(i int)) {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { call(i) })
+	}
+	wg.Wait()
+}
+
 // generation returns what the router's operator port says is in force.
 func (r *router) generation() pomelorelay.Generation { return r.readStatus().Generation }
--- a/pomelonode/jobs.go
+++ b/pomelonode/jobs.go
@@ -1,6 +1,7 @@
 package pomelonode
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -9,9 +10,6 @@
 	"github.com/pomelorelay/pomelorelay/pomeloslot"
 )
 
-// watchersPerDomain routers of a failure domain hold a watch on the store's root.
-const watchersPerDomain = 2
-
 // jobs are the shared jobs that this router does now.
 type jobs struct {
 	upstreams map[pomelorelay.UpstreamID]func()
@@ -59,6 +57,7 @@
 // placeJobs computes anew which shared jobs this router does.
 func (c *control) placeJobs(now time.Time) {
 	c.members = c.view.Snapshot()
+	c.reachable = c.view.Reachable(now, c.reachable[:0])
 	c.n.mesh.SetPeers(c.view.Peers(nil))
 	c.jobs.peers = c.allMembers()
 	c.spreader.SetPeers(c.others())
@@ -68,14 +67,30 @@
 	c.placeWatch()
 }
 
+// allMembers returns the live routers of the failure domains that can be reached: a job that were left to a router beyond a cut
+// would be done by nobody on this side.
 func (c *control) allMembers() []pomelorelay.NodeID {
 	var nodes []pomelorelay.NodeID
 	for _, d := range c.members.Domains() {
-		nodes = append(nodes, d.Members...)
+		if c.reaches(d.ID) {
+			nodes = append(nodes, d.Members...)
+		}
 	}
 	return nodes
 }
 
+func (c *control) reaches(domain pomelorelay.DomainID) bool {
+	return slices.Contains(c.reachable, domain)
+}
+
+// takeReach follows failure domains that were lost or found again.
+func (c *control) takeReach(now time.Time) {
+	c.reachNow = c.view.Reachable(now, c.reachNow[:0])
+	if !slices.Equal(c.reachNow, c.reachable) {
+		c.placeJobs(now)
+	}
+}
+
 func (c *control) others() []pomelorelay.NodeID {
 	var nodes []pomelorelay.NodeID
 	for _, node := range c.jobs.peers {
@@ -90,12 +105,12 @@
 // region. Without the second an upstream would idle after the two routers of its domain were lost, though others reach it.
 func (c *control) slotOwner(id pomelorelay.UpstreamID, domain pomelorelay.DomainID) (pomelorelay.NodeID, bool) {
 	key := "slot/" + string(id)
-	if node, ok := c.members.Owner(key, domain); ok {
+	if node, ok := c.members.Owner(key, domain); ok && c.reaches(domain) {
 		return node, true
 	}
 	var near []pomelorelay.NodeID
 	for _, d := range c.members.Domains() {
-		if c.regions[d.ID] == c.regions[domain] {
+		if c.regions[d.ID] == c.regions[domain] && c.reaches(d.ID) {
 			near = append(near, d.Members...)
 		}
 	}
@@ -190,7 +205,7 @@
 	ranked := pomelomember.Rank("config", c.members.Members(c.n.self.Domain))
 	watch := false
 	for i, node := range ranked {
-		watch = watch || (i < watchersPerDomain && node == c.n.self.Node)
+		watch = watch || (i < c.n.cfg.Settings.Control.ConfigWatchers && node == c.n.self.Node)
 	}
 	c.n.watching.Store(watch)
 }
--- a/pomelonode/node_test.go
+++ b/pomelonode/node_test.go
@@ -166,15 +166,7 @@
 	f.awaitReady()
 	for round := range 5 {
 		key := fmt.Sprintf("paid-%d", round)
-		var wg sync.WaitGroup
-		for i := range 12 {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				f.routers[i%4].call(http.MethodPost, "/booking/jobs", key, `{"piece":"ring"}`)
-			}()
-		}
-		wg.Wait()
+		f.atOnce(12, func(i int) { f.routers[i%4].call(http.MethodPost, "/booking/jobs", key, `{"piece":"ring"}`) })
 		if n := f.bookedRuns(key); n != 1 {
 			t.Errorf("the booking %s ran %d times", key, n)
 		}
--- a/pomelonode/partition_test.go
+++ b/pomelonode/partition_test.go
@@ -89,9 +89,7 @@
 	f.routers[3].node.Close()
 	before := len(f.statuses[domains[1]].Runs(0))
 	await(t, "the upstream of the lost routers' domain works again", func() bool {
-		for range 10 {
-			f.routers[0].call(http.MethodPost, "/status/jobs", "", "{}")
-		}
+		f.atOnce(3*slotsPerUpstream, func(int) { f.routers[0].call(http.MethodPost, "/status/jobs", "", "{}") })
 		return len(f.statuses[domains[1]].Runs(0)) > before
 	})
 }
--- a/pomeloslot/owner.go
+++ b/pomeloslot/owner.go
@@ -118,6 +118,11 @@
 		// seen to exchange grants without end, while others wait.
 		g.router.restUntil = now.Add(o.cfg.Grant.Rest)
 	}
+	if m.State == pomelorelay.GrantUnreached {
+		// The upstream refuses connections. Granted on, its slots would be handed out and come back unused within
+		// milliseconds, and each request would spend all its attempts there while the upstream restarts.
+		u.crashed = true
+	}
 	if m.State == pomelorelay.GrantFinished {
 		u.limit.sample(g.issued, m.FirstToken, m.TokenGap, o.cfg.Limit)
 	}
--- a/pomeloslot/owner_test.go
+++ b/pomeloslot/owner_test.go
@@ -272,3 +272,21 @@
 		}
 	}
 }
+
+func TestUnreachedUpstreamGetsNothingUntilItReportsLoad(t *testing.T) {
+	// An upstream has crashed and refuses connections for a moment. Granted on, a request would spend all its attempts there
+	// within milliseconds and its caller would get an error although other upstreams, and soon this one, could serve it.
+	now := start
+	o := owning(1)
+	out := o.Demand(now, "a", demand(1, 5, 2), nil)
+	if len(out) != 1 {
+		t.Fatalf("the demand was answered by %d messages", len(out))
+	}
+	grant := out[0].Message.(*pomelorelay.Grant)
+	if out := o.Reply(now, "a", reply(grant.ID, pomelorelay.GrantUnreached, 2, 2), nil); len(out) != 0 {
+		t.Errorf("the unreached upstream was granted again at once")
+	}
+	if out := o.Load(now.Add(time.Second), "u", pomeloslot.LoadReport{Slots: 1}, nil); len(out) != 1 {
+		t.Errorf("after its load report the upstream was granted %d times", len(out))
+	}
+}
