--- a/pomelonode/jobs.go
+++ b/pomelonode/jobs.go
@@ -1,6 +1,7 @@
 package pomelonode
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -56,6 +57,7 @@
 // placeJobs computes anew which shared jobs this router does.
 func (c *control) placeJobs(now time.Time) {
 	c.members = c.view.Snapshot()
+	c.reachable = c.view.Reachable(now, c.reachable[:0])
 	c.n.mesh.SetPeers(c.view.Peers(nil))
 	c.jobs.peers = c.allMembers()
 	c.spreader.SetPeers(c.others())
@@ -65,14 +67,30 @@
 	c.placeWatch()
 }
 
+// allMembers returns the live routers of the failure domains that can be reached: a job that were left to a router beyond a cut
+// would be done by nobody on this side.
 func (c *control) allMembers() []pomelorelay.NodeID {
 	var nodes []pomelorelay.NodeID
 	for _, d := range c.members.Domains() {
-		nodes = append(nodes, d.Members...)
+		if c.reaches(d.ID) {
+			nodes = append(nodes, d.Members...)
+		}
 	}
 	return nodes
 }
 
+func (c *control) reaches(domain pomelorelay.DomainID) bool {
+	return slices.Contains(c.reachable, domain)
+}
+
+// takeReach follows failure domains that were lost or found again.
+func (c *control) takeReach(now time.Time) {
+	c.reachNow = c.view.Reachable(now, c.reachNow[:0])
+	if !slices.Equal(c.reachNow, c.reachable) {
+		c.placeJobs(now)
+	}
+}
+
 func (c *control) others() []pomelorelay.NodeID {
 	var nodes []pomelorelay.NodeID
 	for _, node := range c.jobs.peers {
@@ -87,12 +105,12 @@
 // region. Without the second an upstream would idle after the two routers of its domain were lost, though others reach it.
 func (c *control) slotOwner(id pomelorelay.UpstreamID, domain pomelorelay.DomainID) (pomelorelay.NodeID, bool) {
 	key := "slot/" + string(id)
-	if node, ok := c.members.Owner(key, domain); ok {
+	if node, ok := c.members.Owner(key, domain); ok && c.reaches(domain) {
 		return node, true
 	}
 	var near []pomelorelay.NodeID
 	for _, d := range c.members.Domains() {
-		if c.regions[d.ID] == c.regions[domain] {
+		if c.regions[d.ID] == c.regions[domain] && c.reaches(d.ID) {
 			near = append(near, d.Members...)
 		}
 	}
