--- a/pomeloconfig/pace_test.go
+++ b/pomeloconfig/pace_test.go
@@ -12,7 +12,7 @@
 		routers int
 		want    time.Duration
 	}{{1, 250 * time.Millisecond}, {15, 250 * time.Millisecond}, {30, 500 * time.Millisecond}, {60, time.Second}} {
-		if got := pomeloconfig.Pace(pomeloconfig.DefaultDigestInterval, c.routers); got != c.want {
+		if got := pomeloconfig.Pace(250*time.Millisecond, c.routers); got != c.want {
 			t.Errorf("%d routers: %v, want %v", c.routers, got, c.want)
 		}
 	}
