pomelomesh: a digest names its sender once

Cause: the owner of nearly every slot in a digest is its sender, whose name stands in it already as the first member's. Change: the table of names begins with that name without sending it again.

--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -154,3 +154,27 @@
 		}
 	})
 }
+
+func TestDigestTakesTheOwnersNameFromItsSender(t *testing.T) {
+	digest := func(owner pomelorelay.NodeID) *pomelorelay.Digest {
+		return &pomelorelay.Digest{
+			Members: []pomelorelay.MemberState{{Node: "a-router-with-a-name", Incarnation: 5, Status: pomelorelay.MemberAlive}},
+			Slots:   []pomelorelay.SlotDigest{{Upstream: "u", Pool: "p", Owner: owner, Domain: "a", Limit: 8}, {Upstream: "v", Pool: "p", Domain: "a"}},
+			Reached: []pomelorelay.DomainID{},
+		}
+	}
+	lengths := make(map[pomelorelay.NodeID]int)
+	for _, owner := range []pomelorelay.NodeID{"a-router-with-a-name", "b-router-with-a-name", ""} {
+		data, err := pomelomesh.EncodeMessage(digest(owner))
+		if err != nil {
+			t.Fatal(err)
+		}
+		lengths[owner] = len(data)
+		if got, err := pomelomesh.DecodeMessage(data); err != nil || !reflect.DeepEqual(got, digest(owner)) {
+			t.Errorf("%q: arrived as %+v, %v", owner, got, err)
+		}
+	}
+	if lengths["a-router-with-a-name"] >= lengths["b-router-with-a-name"] {
+		t.Errorf("lengths %v: the sender's name was sent twice", lengths)
+	}
+}
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -128,9 +128,13 @@
 			Status: pomelorelay.MemberStatus(d.state(state.GetStatus(), int32(pomelorelay.MemberAlive), int32(pomelorelay.MemberDead))),
 		}
 	}
+	names := m.GetNames()
+	if len(digest.Members) > 0 {
+		names = append([]string{string(digest.Members[0].Node)}, names...)
+	}
 	digest.Slots = make([]pomelorelay.SlotDigest, d.count(len(m.GetSlots()), maxList))
 	for i := range digest.Slots {
-		digest.Slots[i] = d.slot(m.GetSlots()[i], m.GetNames())
+		digest.Slots[i] = d.slot(m.GetSlots()[i], names)
 	}
 	digest.Reached = make([]pomelorelay.DomainID, d.count(len(m.GetReached()), maxList))
 	for i := range digest.Reached {
--- a/pomelomesh/encode.go
+++ b/pomelomesh/encode.go
@@ -96,7 +96,12 @@
 }
 
 func encodeDigest(m *pomelorelay.Digest) *pomelowire.Digest {
+	// The first member is the sender, who owns most of the slots: its name is taken from there and not sent again.
 	var names nameTable
+	if len(m.Members) > 0 {
+		names.index(string(m.Members[0].Node))
+	}
+	known := len(names.list)
 	d := &pomelowire.Digest{Seq: m.Seq}
 	for _, state := range m.Members {
 		d.Members = append(d.Members, &pomelowire.MemberState{Node: string(state.Node), Incarnation: uint64(state.Incarnation), Status: int32(state.Status)})
@@ -110,7 +115,7 @@
 	for _, domain := range m.Reached {
 		d.Reached = append(d.Reached, string(domain))
 	}
-	d.Names = names.list
+	d.Names = names.list[known:]
 	return d
 }
 
