--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,16 @@
 
 demo: build
 	sh scripts/demo.sh
+
+# Benchmarks whose figures are bounded, or compared between commits; one command of go test a line.
+bench: build
+	sh scripts/bench.sh bin/bench.txt
+	bin/pomelobench bounds bin/bench.txt
+
+# Compares with an earlier commit: make bench-compare REV=main
+bench-compare:
+	sh scripts/bench-compare.sh $(REV)
+
+capacity: build
+	go test -run '^$$' -bench BenchmarkIdleStream -benchtime 1x ./pomeloroute >bin/streams.txt
+	GOMAXPROCS=3 bin/pomelobench capacity --streams bin/streams.txt
--- /dev/null
+++ b/cmd/pomelobench/pomelobounds/bounds.go
@@ -0,0 +1,94 @@
+package pomelobounds
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+
+	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Bound is what a benchmark's metric may be.
+type Bound struct {
+	Package   string   `yaml:"Package"`
+	Benchmark string   `yaml:"Benchmark"`
+	Metric    string   `yaml:"Metric"`
+	Least     *float64 `yaml:"Least,omitempty"`
+	Most      *float64 `yaml:"Most,omitempty"`
+}
+
+// File is what a file of bounds holds.
+type File struct {
+	Bounds []Bound `yaml:"Bounds"`
+}
+
+// Read reads a file of bounds; it fails with CodeBenchPlan when a bound has neither end.
+func Read(name string) (File, error) {
+	var f File
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return f, pomelorelay.NewError(pomelorelay.CodeBenchPlan, "read the bounds", err)
+	}
+	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&f); err != nil {
+		return f, pomelorelay.NewError(pomelorelay.CodeBenchPlan, "decode the bounds", err)
+	}
+	for _, b := range f.Bounds {
+		if b.Least == nil && b.Most == nil {
+			return f, pomelorelay.NewError(pomelorelay.CodeBenchPlan, b.name()+" has neither Least nor Most", nil)
+		}
+	}
+	return f, nil
+}
+
+func (b Bound) name() string { return b.Package + " " + b.Benchmark + " " + b.Metric }
+
+// Verdict is a bound with what was measured.
+type Verdict struct {
+	Bound Bound
+	// Values are those of every run; none means that the benchmark did not run.
+	Values []float64
+	Kept   bool
+}
+
+// String tells the verdict in one line.
+func (v Verdict) String() string {
+	state := "kept    "
+	if !v.Kept {
+		state = "BROKEN  "
+	}
+	text := state + v.Bound.name() + ":"
+	if len(v.Values) == 0 {
+		return text + " not measured"
+	}
+	for _, value := range v.Values {
+		text += fmt.Sprintf(" %g", value)
+	}
+	if v.Bound.Least != nil {
+		text += fmt.Sprintf(", at least %g", *v.Bound.Least)
+	}
+	if v.Bound.Most != nil {
+		text += fmt.Sprintf(", at most %g", *v.Bound.Most)
+	}
+	return text
+}
+
+// Compare judges every bound; one whose benchmark did not run, or reports no such metric, is not kept.
+func (f File) Compare(runs Runs) []Verdict {
+	var verdicts []Verdict
+	for _, b := range f.Bounds {
+		v := Verdict{Bound: b}
+		for _, run := range runs {
+			if value, found := run.Metrics[b.Metric]; found && run.Package == b.Package && run.Benchmark == b.Benchmark {
+				v.Values = append(v.Values, value)
+			}
+		}
+		v.Kept = len(v.Values) > 0
+		for _, value := range v.Values {
+			v.Kept = v.Kept && (b.Least == nil || value >= *b.Least) && (b.Most == nil || value <= *b.Most)
+		}
+		verdicts = append(verdicts, v)
+	}
+	return verdicts
+}
--- /dev/null
+++ b/cmd/pomelobench/pomelobounds/runs.go
@@ -0,0 +1,97 @@
+package pomelobounds
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"path"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/go-faster/errors"
+)
+
+// Run is one line of a benchmark's output.
+type Run struct {
+	// Package is the last element of the package's path.
+	Package   string
+	Benchmark string
+	Metrics   map[string]float64
+}
+
+// Runs are the lines of one or more go test -bench.
+type Runs []Run
+
+// cores is the number of processors that go test appends to a benchmark's name.
+var cores = regexp.MustCompile(`-\d+$`)
+
+// ReadRuns reads the output of go test -bench from a file; it fails with CodeBenchRecord.
+func ReadRuns(name string) (Runs, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, pomelorelay.NewError(pomelorelay.CodeBenchRecord, "open the benchmarks' output", err)
+	}
+	defer file.Close()
+	return ParseRuns(file)
+}
+
+// ParseRuns reads the output of go test -bench; it fails with CodeBenchRecord.
+func ParseRuns(r io.Reader) (Runs, error) {
+	var runs Runs
+	pkg := ""
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		if name, found := strings.CutPrefix(lines.Text(), "pkg: "); found {
+			pkg = path.Base(name)
+			continue
+		}
+		run, found, err := parseLine(lines.Text())
+		if err != nil {
+			return nil, err
+		}
+		if found {
+			run.Package = pkg
+			runs = append(runs, run)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, pomelorelay.NewError(pomelorelay.CodeBenchRecord, "read the benchmarks' output", err)
+	}
+	return runs, nil
+}
+
+// parseLine reads "BenchmarkName-8  100  12.5 ns/op  0 allocs/op".
+func parseLine(line string) (Run, bool, error) {
+	words := strings.Fields(line)
+	if len(words) < 4 || !strings.HasPrefix(words[0], "Benchmark") {
+		return Run{}, false, nil
+	}
+	run := Run{Benchmark: cores.ReplaceAllString(words[0], ""), Metrics: make(map[string]float64)}
+	for i := 2; i+1 < len(words); i += 2 {
+		value, err := strconv.ParseFloat(words[i], 64)
+		if err != nil {
+			return Run{}, false, pomelorelay.NewError(pomelorelay.CodeBenchRecord, fmt.Sprintf("read %q", line), err)
+		}
+		run.Metrics[words[i+1]] = value
+	}
+	return run, true, nil
+}
+
+// Value returns a metric's mean over the runs of a benchmark; it fails when there is none.
+func (runs Runs) Value(benchmark, metric string) (float64, error) {
+	sum, n := 0.0, 0.0
+	for _, run := range runs {
+		if value, found := run.Metrics[metric]; found && run.Benchmark == benchmark {
+			sum += value
+			n++
+		}
+	}
+	if n == 0 {
+		return 0, errors.Errorf("no run of %s reports %s", benchmark, metric)
+	}
+	return sum / n, nil
+}
--- a/pomeloconfig/pace.go
+++ b/pomeloconfig/pace.go
@@ -3,7 +3,7 @@
 import "time"
 
 // MessagesPerSecond is how many messages of one periodic kind a router sends its failure domain at most.
-const MessagesPerSecond = 60
+const MessagesPerSecond = 55
 
 // Pace returns the interval at which a router tells the others of its failure domain something: the setting's, or what keeps
 // to MessagesPerSecond where that is longer. With a fixed interval what a router sends would grow with its domain, and be seen
--- a/pomeloslot/bench_test.go
+++ b/pomeloslot/bench_test.go
@@ -64,3 +64,23 @@
 		out = a.Heads(now, h, out[:0])
 	}
 }
+
+// BenchmarkTable runs the design's table on virtual time and reports the gap, the utilisation and the control bytes of each seed.
+func BenchmarkTable(b *testing.B) {
+	for seed := range uint64(tableSeeds) {
+		b.Run(fmt.Sprintf("Seed%d", seed+1), func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(tableConfig(seed + 1))
+				reportFleet(b, f, f.measure(warm, tableSpan, nil))
+			}
+		})
+	}
+	b.Run("FixedShares", func(b *testing.B) {
+		for b.Loop() {
+			cfg := tableConfig(1)
+			cfg.local = true
+			f := newFleet(cfg)
+			reportFleet(b, f, f.measure(warm, tableSpan, nil))
+		}
+	})
+}
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,24 @@
+#!/bin/sh
+# Runs the benchmarks of the parts into the file named, with COUNT runs of each (1 when it is not set).
+set -eu
+out=$1
+count=${COUNT:-1}
+mkdir -p "$(dirname "$out")"
+: >"$out"
+# run PACKAGE PATTERN TIME
+run() {
+	go test -run '^$' -bench "$2" -benchmem -benchtime "$3" -count "$count" -cpu 2 "./$1" >>"$out" || { tail -n 20 "$out" >&2; exit 1; }
+}
+run pomelofair 'Push|Progress|SetFleet|Changed|Bytes' 100ms
+run pomeloslot 'Grant|Demand|Register' 100ms
+run pomeloslot 'Table' 1x
+run pomeloledger 'Merge' 100ms
+run pomeloledger 'State' 1x
+run pomelomember 'Second' 100ms
+run pomelomesh 'Digest|Journey' 100ms
+run pomelomesh 'LinkMemory' 1x
+run pomeloclaim 'Commit' 100ms
+run pomeloconfig 'Authenticate|Weight' 100ms
+run pomeloroute 'AddedLatency|Handler' 200ms
+run pomeloroute 'IdleStream' 1x
+grep '^Benchmark' "$out"
