pomeloroute: attempts that reach no upstream do not count; codec carries suspects' new fields

Also SuspectAsk.Running and SuspectAnswer.Upstream were not in the codec (found by TestEveryFieldSurvivesTheJourney). Change: at most ten such attempts, outside the count and the retry budget.

--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -64,12 +64,14 @@
 		s := kind.SuspectAsk
 		return &pomelorelay.SuspectAsk{
 			Request: pomelorelay.RequestID(s.GetRequest()), Fingerprint: pomelorelay.Fingerprint(s.GetFingerprint()), Upstream: pomelorelay.UpstreamID(d.name(s.GetUpstream())),
+			Running: s.GetRunning(),
 		}
 	case *pomelowire.Item_SuspectAnswer:
 		s := kind.SuspectAnswer
 		return &pomelorelay.SuspectAnswer{
 			Request: pomelorelay.RequestID(s.GetRequest()), Fingerprint: pomelorelay.Fingerprint(s.GetFingerprint()),
 			Allowed: s.GetAllowed(), Quarantined: s.GetQuarantined(), Wait: d.duration(s.GetWait()),
+			Upstream: pomelorelay.UpstreamID(d.name(s.GetUpstream())),
 		}
 	case *pomelowire.Item_SuspectCleared:
 		s := kind.SuspectCleared
--- a/pomelomesh/encode.go
+++ b/pomelomesh/encode.go
@@ -173,11 +173,12 @@
 		}}}
 	case *pomelorelay.SuspectAsk:
 		return &pomelowire.Item{Kind: &pomelowire.Item_SuspectAsk{SuspectAsk: &pomelowire.SuspectAsk{
-			Request: uint64(m.Request), Fingerprint: uint64(m.Fingerprint), Upstream: string(m.Upstream),
+			Request: uint64(m.Request), Fingerprint: uint64(m.Fingerprint), Upstream: string(m.Upstream), Running: m.Running,
 		}}}
 	case *pomelorelay.SuspectAnswer:
 		return &pomelowire.Item{Kind: &pomelowire.Item_SuspectAnswer{SuspectAnswer: &pomelowire.SuspectAnswer{
 			Request: uint64(m.Request), Fingerprint: uint64(m.Fingerprint), Allowed: m.Allowed, Quarantined: m.Quarantined, Wait: int64(m.Wait),
+			Upstream: string(m.Upstream),
 		}}}
 	case *pomelorelay.SuspectCleared:
 		return &pomelowire.Item{Kind: &pomelowire.Item_SuspectCleared{SuspectCleared: &pomelowire.SuspectCleared{
--- a/pomeloroute/once_test.go
+++ b/pomeloroute/once_test.go
@@ -160,6 +160,21 @@
 	}
 }
 
+// Several upstreams restart and refuse connections while one is well. Counted as attempts, the refused connections would use up the
+// request's attempts, and its caller would get an error.
+func TestUnreachedUpstreamsDoNotUseUpTheAttempts(t *testing.T) {
+	b := newBench(t, pomeloroute.Options{MaxAttempts: 2})
+	for range 5 {
+		closed := newWire(t, func(*wire, int64, net.Conn, *bufio.Reader) {})
+		closed.ln.Close()
+		b.add(closed.addr())
+	}
+	b.serve(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "cleaned") })
+	if a := b.call("GET", "/status/ring", ""); a.body != "cleaned" {
+		t.Errorf("got %d %q %v", a.status, a.body, a.err)
+	}
+}
+
 // The first attempt may have run and the second finds no upstream. The refusal of the second says "not run", which
 // is false of the request as a whole.
 func TestLaterRefusalDoesNotHideAnEarlierRun(t *testing.T) {
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -33,20 +33,35 @@
 	return c.attempts()
 }
 
+// maxUnsent bounds the attempts of one request at upstreams that could not be reached.
+const maxUnsent = 10
+
 // attempts sends the request until it is answered or must not be sent again.
 func (c *call) attempts() error {
-	for n := 1; ; n++ {
+	sent, unsent := 0, 0
+	for {
 		f := c.attempt()
 		if f == nil {
 			return nil
 		}
-		if n < c.h.cfg.Options.MaxAttempts && c.mayRetry(f) && c.h.budget(c.service.Name).spend() {
-			continue
+		if f.outcome == OutcomeNotSent {
+			unsent++
+		} else {
+			sent++
+		}
+		if sent >= c.h.cfg.Options.MaxAttempts || unsent >= maxUnsent || !c.mayRetry(f) || !c.affords(f) {
+			return c.truthful(f.err)
 		}
-		return c.truthful(f.err)
 	}
 }
 
+// affords spends the retry budget for an attempt that reached an upstream. One that did not costs nobody anything, and while an
+// upstream restarts there are several within milliseconds: counted like the others, they would use up the request's attempts and
+// its caller would get an error although other upstreams are well.
+func (c *call) affords(f *failure) bool {
+	return f.outcome == OutcomeNotSent || c.h.budget(c.service.Name).spend()
+}
+
 func (c *call) mayRetry(f *failure) bool {
 	if c.answering || c.r.Context().Err() != nil || !c.h.cfg.Clock.Now().Before(c.deadline) {
 		return false
