--- /dev/null
+++ b/cmd/pomelobench/pomelomeasure/latency.go
@@ -0,0 +1,146 @@
+package pomelomeasure
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Target is where a load goes; its addresses take turns.
+type Target struct {
+	Name string
+	URLs []string
+}
+
+// LatencyConfig says what load Latency puts on each target.
+type LatencyConfig struct {
+	Targets []Target
+	Token   string
+	Body    string
+	// Rate is in requests a second and Duration how long each target gets them, in slices of Slice that take turns.
+	Rate     int
+	Duration time.Duration
+	Slice    time.Duration
+}
+
+// TargetLatency is what was measured at a target, in milliseconds; Added is the difference from the first target.
+type TargetLatency struct {
+	Name                 string
+	Requests             int64
+	Failures             int64
+	P50Milliseconds      float64
+	P99Milliseconds      float64
+	AddedP50Milliseconds float64
+	AddedP99Milliseconds float64
+}
+
+// maxOpen bounds the requests that are open at once; past it the load is held back.
+const maxOpen = 256
+
+// meter is one target's histogram.
+type meter struct {
+	target Target
+	mu     sync.Mutex
+	times  *hdrhistogram.Histogram
+	failed int64
+	next   int
+}
+
+// Latency puts the load on the targets in turn and returns what each took; it fails with CodeBenchPlan without targets.
+func Latency(ctx context.Context, cfg LatencyConfig) ([]TargetLatency, error) {
+	if len(cfg.Targets) == 0 || cfg.Rate <= 0 || cfg.Slice <= 0 {
+		return nil, pomelorelay.NewError(pomelorelay.CodeBenchPlan, "no targets, rate or slice", nil)
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxOpen}, Timeout: time.Minute}
+	defer client.CloseIdleConnections()
+	var meters []*meter
+	for _, t := range cfg.Targets {
+		meters = append(meters, &meter{target: t, times: newHistogram()})
+	}
+	for _, m := range meters {
+		// The first slice opens connections and is not counted.
+		m.slice(ctx, client, cfg)
+		m.times.Reset()
+		m.failed = 0
+	}
+	for range int(cfg.Duration / cfg.Slice) {
+		for _, m := range meters {
+			m.slice(ctx, client, cfg)
+		}
+	}
+	return results(meters), ctx.Err()
+}
+
+// slice sends to one target at the rate.
+func (m *meter) slice(ctx context.Context, client *http.Client, cfg LatencyConfig) {
+	open := make(chan struct{}, maxOpen)
+	var wg sync.WaitGroup
+	began := time.Now()
+	n := int(cfg.Slice.Seconds() * float64(cfg.Rate))
+	for i := range n {
+		due := began.Add(time.Duration(i) * time.Second / time.Duration(cfg.Rate))
+		time.Sleep(time.Until(due))
+		if ctx.Err() != nil {
+			break
+		}
+		open <- struct{}{}
+		url := m.target.URLs[m.next%len(m.target.URLs)]
+		m.next++
+		wg.Go(func() {
+			defer func() { <-open }()
+			m.one(ctx, client, cfg, url)
+		})
+	}
+	wg.Wait()
+}
+
+func (m *meter) one(ctx context.Context, client *http.Client, cfg LatencyConfig, url string) {
+	began := time.Now()
+	ok := send(ctx, client, cfg, url)
+	took := time.Since(began)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !ok {
+		m.failed++
+		return
+	}
+	// A value beyond the histogram's range would be past every timeout.
+	_ = m.times.RecordValue(int64(took))
+}
+
+func send(ctx context.Context, client *http.Client, cfg LatencyConfig, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(cfg.Body))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+cfg.Token)
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+func results(meters []*meter) []TargetLatency {
+	var all []TargetLatency
+	for _, m := range meters {
+		all = append(all, TargetLatency{
+			Name: m.target.Name, Requests: m.times.TotalCount(), Failures: m.failed,
+			P50Milliseconds: milliseconds(m.times, 50), P99Milliseconds: milliseconds(m.times, 99),
+		})
+	}
+	for i := range all {
+		all[i].AddedP50Milliseconds = all[i].P50Milliseconds - all[0].P50Milliseconds
+		all[i].AddedP99Milliseconds = all[i].P99Milliseconds - all[0].P99Milliseconds
+	}
+	return all
+}
