--- a/messages.go
+++ b/messages.go
@@ -63,6 +63,7 @@
 	GrantReturned
 	GrantFinished
 	GrantFailed
+	GrantUnreached
 )
 
 // GrantReply tells a slot owner what became of a grant and the router's fresh demand.
@@ -313,6 +314,7 @@
 	Allowed     bool
 	Quarantined bool
 	Wait        time.Duration
+	Upstream    UpstreamID
 }
 
 // SuspectCleared tells that a suspect runs no more; Clean tells that its answer was whole and its upstream lived.
