--- a/pomelonode/assembly.go
+++ b/pomelonode/assembly.go
@@ -51,9 +51,10 @@
 		Seeds:       seedPeers(n.cfg.Settings.Seeds),
 		Seed:        uint64(n.incarnation),
 		Options: pomelomember.Options{
-			DigestEvery: s.DigestInterval,
-			ProbeWait:   s.ProbeWait,
-			SuspectFor:  s.SuspectFor,
+			DigestEvery:      s.DigestInterval,
+			DigestsPerSecond: pomeloconfig.MessagesPerSecond,
+			ProbeWait:        s.ProbeWait,
+			SuspectFor:       s.SuspectFor,
 		},
 	})
 	c.members = c.view.Snapshot()
