--- a/cmd/pomelobench/main.go
+++ b/cmd/pomelobench/main.go
@@ -21,6 +21,7 @@
 		"standin": newStandInCommand(app.Command("standin", "Run stand-ins of upstreams, store, host list and links until told to end.")),
 		"run":     newRunCommand(app.Command("run", "Put a load on routers or stand-ins; the last line is one JSON object.")),
 		"latency": newLatencyCommand(app.Command("latency", "Measure the latency that one and two routers add, on loopback.")),
+		"spread":  newSpreadCommand(app.Command("spread", "Measure how soon changes of the configuration are in force on all routers.")),
 		"report":  newReportCommand(app.Command("report", "Turn the record of a run into one HTML page with plots.")),
 	}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
--- /dev/null
+++ b/cmd/pomelobench/spread.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay/cmd/pomelobench/pomelomeasure"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
+)
+
+// spreadCommand measures how soon a configuration is in force.
+type spreadCommand struct {
+	store     string
+	routers   []string
+	file      string
+	accounts  int
+	changes   int
+	changeMax time.Duration
+}
+
+func newSpreadCommand(cmd *kingpin.CmdClause) *spreadCommand {
+	c := &spreadCommand{}
+	cmd.Flag("store", "IP:port of the store.").Required().StringVar(&c.store)
+	cmd.Flag("router", "IP:port of a router's operator port; may be repeated.").Required().StringsVar(&c.routers)
+	cmd.Flag("accounts", "Accounts are added up to this number.").IntVar(&c.accounts)
+	cmd.Flag("changes", "How many changes are measured after the first.").Default("30").IntVar(&c.changes)
+	cmd.Flag("within", "How long to wait for a change.").Default("30s").DurationVar(&c.changeMax)
+	cmd.Arg("file", "The configuration to begin with.").Required().StringVar(&c.file)
+	return c
+}
+
+func (c *spreadCommand) run(ctx context.Context) error {
+	data, err := os.ReadFile(c.file)
+	if err != nil {
+		return errors.Wrap(err, "read the configuration")
+	}
+	cfg := pomelomeasure.SpreadConfig{Changes: c.changes, Within: c.changeMax}
+	if cfg.Configuration, err = pomeloconfig.Parse(c.file, data); err != nil {
+		return err
+	}
+	pomelomeasure.Grow(&cfg.Configuration, c.accounts)
+	if cfg.Store, err = netip.ParseAddrPort(c.store); err != nil {
+		return err
+	}
+	for _, text := range c.routers {
+		addr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return err
+		}
+		cfg.Operators = append(cfg.Operators, addr)
+	}
+	result, err := pomelomeasure.Spread(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	line, err := json.Marshal(result)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(line))
+	return nil
+}
--- a/pomelonode/operator.go
+++ b/pomelonode/operator.go
@@ -74,11 +74,21 @@
 
 func (n *Node) showStatus(w http.ResponseWriter, _ *http.Request) {
 	s := *n.status.Load()
+	s.Generation = n.inForce()
 	s.Ready = n.Ready()
 	s.Stopping = n.stopping.Load()
 	writeJSON(w, http.StatusOK, s)
 }
 
+// inForce returns the generation that requests are served by now; the control goroutine's own figures are up to statusEvery old.
+func (n *Node) inForce() pomelorelay.Generation {
+	view := n.traffic.Load()
+	if view == nil || view.snapshot == nil {
+		return 0
+	}
+	return view.snapshot.Generation()
+}
+
 func (n *Node) drain(w http.ResponseWriter, _ *http.Request) {
 	n.Drain()
 	writeJSON(w, http.StatusOK, struct{ Stopping bool }{true})
@@ -109,7 +119,7 @@
 	t := n.mesh.Traffic()
 	f := figures{
 		Node:            n.self.Node,
-		Generation:      n.status.Load().Generation,
+		Generation:      n.inForce(),
 		InFlight:        n.inFlight.Load(),
 		SendsRefused:    n.counters.sendsRefused.Load(),
 		HostReadsFailed: n.counters.hostReadsFailed.Load(),
--- /dev/null
+++ b/scripts/operate.sh
@@ -0,0 +1,234 @@
+#!/bin/sh
+# Drives pomeloctl against 8 routers with mutual TLS and the stand-in store, all separate processes on loopback, and
+# measures how soon configurations are in force. Needs openssl and curl. ACCOUNTS sets the size of the second measurement.
+# The first line that does not hold ends it with 1.
+set -eu
+cd "$(dirname "$0")/.."
+run=${OPERATE_DIR:-$(mktemp -d)}
+net=${OPERATE_NET:-127.8}
+accounts=${ACCOUNTS:-37000}
+changes=${CHANGES:-30}
+mkdir -p "$run/pids" "$run/log" "$run/keys"
+store=$net.1.1:8300
+link=$net.1.1:8301
+admin=$net.1.1:9100
+routers=""
+
+start() {
+	name=$1
+	shift
+	"$@" >"$run/log/$name.out" 2>>"$run/log/$name.log" &
+	echo $! >"$run/pids/$name"
+}
+
+finish() {
+	status=$?
+	trap - EXIT INT TERM
+	for file in "$run"/pids/router-* "$run"/pids/platform; do
+		[ -e "$file" ] || continue
+		pid=$(cat "$file")
+		kill "$pid" 2>/dev/null || true
+		wait "$pid" 2>/dev/null || true
+	done
+	echo "Logs: $run" >&2
+	exit $status
+}
+trap finish EXIT INT TERM
+
+fail() {
+	echo "FAILED: $*" >&2
+	exit 1
+}
+
+# expect runs a command and fails unless it ends with the exit code given; its output stands in $run/out.
+expect() {
+	want=$1
+	shift
+	got=0
+	"$@" >"$run/out" 2>"$run/err" || got=$?
+	[ "$got" -eq "$want" ] || fail "exit code $got, not $want: $* $(cat "$run/err")"
+}
+
+holds() {
+	grep -q "$1" "$2" || fail "no '$1' in $(cat "$2")"
+}
+
+fault() { curl -sf -o /dev/null -d "$1" "http://$admin/fault" || fail "fault $1"; }
+
+make_keys() {
+	openssl req -x509 -newkey ec -pkeyopt ec_paramgen_curve:P-256 -nodes -days 2 -subj /CN=fleet \
+		-keyout "$run/keys/authority.key" -out "$run/keys/authority.crt" 2>/dev/null
+	for n in 1 2 3 4 5 6 7 8; do
+		openssl req -newkey ec -pkeyopt ec_paramgen_curve:P-256 -nodes -subj /CN=router-$n \
+			-keyout "$run/keys/router-$n.key" -out "$run/keys/router-$n.csr" 2>/dev/null
+		printf 'subjectAltName=DNS:router-%s\nextendedKeyUsage=serverAuth,clientAuth\n' $n >"$run/keys/ext"
+		openssl x509 -req -days 2 -in "$run/keys/router-$n.csr" -CA "$run/keys/authority.crt" -CAkey "$run/keys/authority.key" \
+			-CAcreateserial -extfile "$run/keys/ext" -out "$run/keys/router-$n.crt" 2>/dev/null
+	done
+}
+
+# place prints "region domain octet" of a router.
+place() {
+	case $1 in
+	1 | 2) echo recife recife-a 11 ;;
+	3 | 4) echo recife recife-b 12 ;;
+	5 | 6) echo boston boston-a 21 ;;
+	7 | 8) echo boston boston-b 22 ;;
+	esac
+}
+
+# Only router 1 reaches the store by itself; the others do through a relay that a fault can block.
+write_settings() {
+	set -- "$1" $(place "$1")
+	via=$link
+	[ "$1" -ne 1 ] || via=$store
+	cat >"$run/router-$1.yaml" <<-END
+		Host: {Name: router-$1, FailureDomain: $3, Region: $2}
+		Listen: {Caller: "$net.$4.$1:8080", Control: "$net.$4.$1:8081", Operator: "$net.$4.$1:8082"}
+		Store: {Addresses: ["$via"]}
+		HostList: {Addresses: ["$store"]}
+		TLS:
+		  CertFile: $run/keys/router-$1.crt
+		  KeyFile: $run/keys/router-$1.key
+		  AuthorityFile: $run/keys/authority.crt
+	END
+	echo "{\"Name\":\"router-$1\",\"Kind\":\"Router\",\"Addr\":\"$net.$4.$1:8081\",\"Domain\":\"$3\",\"Region\":\"$2\",\"Leaving\":false}" >>"$run/hosts.lines"
+	routers="$routers --router $net.$4.$1:8082"
+}
+
+start_routers() {
+	for n in 1 2 3 4 5 6 7 8; do
+		start router-$n bin/pomelorelayd run --settings "$run/router-$n.yaml"
+	done
+}
+
+end_routers() {
+	for n in 1 2 3 4 5 6 7 8; do
+		pid=$(cat "$run/pids/router-$n")
+		kill "$pid" 2>/dev/null || true
+		wait "$pid" || fail "router-$n ended with $?"
+		rm -f "$run/pids/router-$n"
+	done
+}
+
+await_ready() {
+	left=600
+	for n in 1 2 3 4 5 6 7 8; do
+		while ! grep -q '"Event":101' "$run/log/router-$n.log"; do
+			left=$((left - 1))
+			[ $left -gt 0 ] || fail "router-$n is not ready"
+			sleep 0.1
+		done
+	done
+}
+
+# figures prints, for each router, its time from start to ready and its memory.
+figures() {
+	for n in 1 2 3 4 5 6 7 8; do
+		from=$(sed -n 's/.*"Time":"\([^"]*\)".*"Event":100,.*/\1/p' "$run/log/router-$n.log" | tail -n 1)
+		to=$(sed -n 's/.*"Time":"\([^"]*\)".*"Event":101,.*/\1/p' "$run/log/router-$n.log" | tail -n 1)
+		ready=$(($(date -d "$to" +%s%3N) - $(date -d "$from" +%s%3N)))
+		echo "router-$n: ready $ready ms after its start, $(awk '/VmRSS|VmHWM/ {printf "%s %s kB ", $1, $2}' /proc/$(cat "$run/pids/router-$n")/status)"
+	done
+}
+
+ctl() { bin/pomeloctl "$@"; }
+
+make_keys
+for n in 1 2 3 4 5 6 7 8; do write_settings $n; done
+paste -sd, "$run/hosts.lines" | sed 's/.*/[&]/' >"$run/hosts.json"
+start platform bin/pomelobench standin --admin $admin --platform $store --relay "link=$link/$store" --hosts "$run/hosts.json" --write-rate 400
+sleep 0.5
+start_routers
+
+echo "== questionnaire, generate, check, diff"
+expect 0 ctl questionnaire
+[ -s "$run/out" ] || fail "no questionnaire"
+expect 0 ctl generate --answers examples/demo/jewellers.yaml --answers examples/demo/hearthway.yaml
+cp "$run/out" "$run/first.yaml"
+expect 0 ctl generate --answers examples/demo/jewellers.yaml --answers examples/demo/hearthway.yaml
+cmp "$run/out" "$run/first.yaml" || fail "the same answers gave other bytes"
+expect 0 ctl check "$run/first.yaml"
+expect 0 ctl diff "$run/first.yaml" --store $store
+echo "== apply --wait, show, audit, status"
+expect 0 ctl apply "$run/first.yaml" --store $store --author ana --why first --wait $routers
+holds 'Generation 1,' "$run/out"
+await_ready
+expect 0 ctl show --store $store
+cp "$run/out" "$run/shown.yaml"
+sed 's/MaxSlots: 8/MaxSlots: 9/' "$run/shown.yaml" >"$run/second.yaml"
+expect 0 ctl diff "$run/second.yaml" --store $store
+holds 'MaxSlots: 8 -> 9' "$run/out"
+expect 0 ctl status $routers
+[ "$(grep -c ' ready ' "$run/out")" -eq 8 ] || fail "not 8 ready: $(cat "$run/out")"
+cat "$run/out"
+
+echo "== two racing applies from the same generation"
+sed 's/MaxSlots: 8/MaxSlots: 7/' "$run/shown.yaml" >"$run/third.yaml"
+(ctl apply "$run/second.yaml" --store $store --author ana --why "ana's" --base 1 >"$run/ana.out" 2>"$run/ana.err" && echo 0 >"$run/ana.code" || echo $? >"$run/ana.code") &
+ana=$!
+(ctl apply "$run/third.yaml" --store $store --author bea --why "bea's" --base 1 >"$run/bea.out" 2>"$run/bea.err" && echo 0 >"$run/bea.code" || echo $? >"$run/bea.code") &
+wait $ana $!
+codes="$(cat "$run/ana.code") $(cat "$run/bea.code")"
+case $codes in
+"0 3") winner=ana loser=bea ;;
+"3 0") winner=bea loser=ana ;;
+*) fail "the exit codes of the race are $codes" ;;
+esac
+holds "$winner" "$run/$loser.err"
+echo "$winner won; $loser was told: $(head -n 1 "$run/$loser.err")"
+
+echo "== an answer lost after the write took effect"
+sed 's/MaxSlots: 8/MaxSlots: 6/' "$run/shown.yaml" >"$run/fourth.yaml"
+fault '{"Store":{"LoseAnswers":4}}'
+expect 0 ctl apply "$run/fourth.yaml" --store $store --author ana --why "lost answer" --base 2 --wait $routers
+cat "$run/out"
+fault '{"Store":{}}'
+expect 0 ctl audit --store $store
+[ "$(grep -c 'why: lost answer' "$run/out")" -eq 1 ] || fail "the change with the lost answer is not there once: $(cat "$run/out")"
+cat "$run/out"
+
+echo "== the store is down"
+fault '{"Store":{"Outage":true}}'
+expect 6 ctl apply "$run/second.yaml" --store $store --author ana --why "during the outage" --base 3
+cat "$run/err"
+fault '{"Store":{}}'
+echo "== a router that does not answer is named by --wait"
+expect 5 ctl --timeout 3s apply "$run/second.yaml" --store $store --author ana --why "one is absent" --base 3 --wait $routers --router $net.99.1:8082
+holds "$net.99.1:8082" "$run/err"
+cat "$run/err"
+
+echo "== time until in force on 8 routers, store up"
+bin/pomelobench spread --store $store $routers --changes $changes "$run/second.yaml"
+echo "== the same, store out of reach for all but router-1"
+fault '{"Target":"link","Relay":[{"Cut":true}]}'
+sleep 1
+bin/pomelobench spread --store $store $routers --changes $changes "$run/second.yaml"
+fault '{"Target":"link","Relay":[]}'
+figures
+
+echo "== $accounts accounts, store up"
+sleep 6
+bin/pomelobench spread --store $store $routers --accounts $accounts --changes $changes "$run/second.yaml"
+figures
+echo "== the same, store out of reach for all but router-1"
+fault '{"Target":"link","Relay":[{"Cut":true}]}'
+sleep 1
+bin/pomelobench spread --store $store $routers --accounts $accounts --changes $changes "$run/second.yaml"
+fault '{"Target":"link","Relay":[]}'
+
+echo "== all routers started anew with $accounts accounts"
+end_routers
+rm -f "$run"/log/router-*.log
+start_routers
+await_ready
+sleep 1
+figures
+
+echo "== drain"
+expect 0 ctl drain --router $net.11.2:8082
+pid=$(cat "$run/pids/router-2")
+wait "$pid" || fail "router-2 drained and ended with $?"
+rm -f "$run/pids/router-2"
+expect 6 ctl status --router $net.11.2:8082
+echo "router-2 drained and ended with 0; done"
