--- a/pomelonode/fleet_test.go
+++ b/pomelonode/fleet_test.go
@@ -59,6 +59,8 @@
 	hosts    *gatedHosts
 	mesh     pomelorelay.Mesh
 	log      *eventLog
+	// logger takes the log's place when it is set.
+	logger   pomelorelay.Logger
 	url      string
 	operator string
 }
@@ -280,7 +282,7 @@
 	if f.network != nil {
 		r.mesh = f.network.Join(self, incarnation)
 	}
-	node, err := pomelonode.New(pomelonode.Config{Settings: s, Store: r.store, HostList: r.hosts, Mesh: r.mesh, Incarnation: incarnation, Logger: r.log})
+	node, err := pomelonode.New(pomelonode.Config{Settings: s, Store: r.store, HostList: r.hosts, Mesh: r.mesh, Incarnation: incarnation, Logger: r.eventLogger()})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -291,6 +293,13 @@
 	r.node = node
 }
 
+func (r *router) eventLogger() pomelorelay.Logger {
+	if r.logger != nil {
+		return r.logger
+	}
+	return r.log
+}
+
 func (f *fleet) awaitReady() {
 	f.t.Helper()
 	await(f.t, "every router is ready", func() bool {
@@ -343,6 +352,7 @@
 type seenStatus struct {
 	Generation pomelorelay.Generation
 	Members    []struct{ Node pomelorelay.NodeID }
+	Upstreams  []struct{ Upstream pomelorelay.UpstreamID }
 }
 
 // readStatus returns what the router's operator port tells; nothing when it does not answer.
