--- /dev/null
+++ b/cmd/pomelobench/pomelomeasure/measure_test.go
@@ -0,0 +1,62 @@
+package pomelomeasure_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/cmd/pomelobench/pomelomeasure"
+	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+)
+
+func TestLatencyCountsEachTargetByItself(t *testing.T) {
+	fleet, err := pomelomeasure.NewFleet(pomelomeasure.FleetConfig{
+		Address: netip.MustParseAddr("127.8.9.1"), Port: 8400, Routers: 2,
+		Plain: pomelofake.PlainConfig{Slots: 8, MinTime: time.Nanosecond, Spread: time.Nanosecond},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer fleet.Close()
+	absent := pomelomeasure.Target{Name: "absent", URLs: []string{"http://127.8.9.1:1/"}}
+	results, err := pomelomeasure.Latency(context.Background(), pomelomeasure.LatencyConfig{
+		Targets: []pomelomeasure.Target{fleet.Direct("direct"), fleet.Routed("routed"), absent},
+		Token:   fleet.Token(), Body: "{}", Rate: 100, Duration: 400 * time.Millisecond, Slice: 200 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []struct{ requests, failures int64 }{{40, 0}, {40, 0}, {0, 40}} {
+		got := results[i]
+		if got.Requests != want.requests || got.Failures != want.failures {
+			t.Errorf("%+v, want %+v", got, want)
+		}
+	}
+	if results[0].P50Milliseconds <= 0 || results[1].AddedP50Milliseconds != results[1].P50Milliseconds-results[0].P50Milliseconds {
+		t.Errorf("%+v", results)
+	}
+}
+
+func TestMeasuringNeedsTargets(t *testing.T) {
+	if _, err := pomelomeasure.Latency(context.Background(), pomelomeasure.LatencyConfig{}); !pomelorelay.IsErrCode(err, pomelorelay.CodeBenchPlan) {
+		t.Error(err)
+	}
+}
+
+func TestGrownConfigurationIsInOrder(t *testing.T) {
+	c := pomeloconfig.Configuration{
+		Teams:    []pomeloconfig.Team{{Name: "jewellers", ShareTotal: 1}},
+		Accounts: []pomeloconfig.Account{{Name: "workshop", Team: "jewellers", Share: 1, TokenHashes: []string{pomeloconfig.HashToken("t")}}},
+	}
+	pomelomeasure.Grow(&c, 50)
+	seen := make(map[pomelorelay.AccountID]bool)
+	for _, a := range c.Accounts {
+		seen[a.Name] = true
+	}
+	if len(seen) != 50 || c.Teams[0].ShareTotal != 0 {
+		t.Errorf("%d accounts, total %v", len(seen), c.Teams[0].ShareTotal)
+	}
+}
--- a/cmd/pomelobench/pomelomeasure/spread.go
+++ b/cmd/pomelobench/pomelomeasure/spread.go
@@ -75,7 +75,7 @@
 	r.FirstPublishMilliseconds, r.FirstInForceMilliseconds = inMilliseconds(published), inMilliseconds(first.last)
 	spread, earliest, publishing := newHistogram(), newHistogram(), newHistogram()
 	for i := range cfg.Changes {
-		cfg.Configuration.Accounts[i%len(cfg.Configuration.Accounts)].Share += 1
+		cfg.Configuration.Accounts[i%len(cfg.Configuration.Accounts)].Share++
 		got, published, err := change(ctx, publisher, cfg)
 		if err != nil {
 			return r, err
