pomeloslot: demand goes past an owner that was asked and shows no sign

Cause: the slots of a paused owner count as idle until its digest expires or it is taken for dead, so a request waits there beside idle slots of the region's next domain. The tests of pomeloslot pass with -race, fairness bounds included.

--- a/pomeloslot/asker.go
+++ b/pomeloslot/asker.go
@@ -44,6 +44,10 @@
 	held     int
 	chosen   bool
 	sent     sentDemand
+	// asked is when an owner that is said to have idle slots was asked and has shown no sign since; zero when it need not answer.
+	asked time.Time
+	// idle are the slots that count as idle, computed at each choice.
+	idle pomelorelay.Slots
 }
 
 // sentDemand is what the owner was last told.
@@ -81,7 +85,7 @@
 		if w == nil {
 			w = a.addOwned(d)
 		}
-		w.digest, w.at = d, now
+		w.digest, w.at, w.asked = d, now, time.Time{}
 	}
 }
 
--- a/pomeloslot/held.go
+++ b/pomeloslot/held.go
@@ -19,6 +19,7 @@
 		return false
 	}
 	w.held++
+	w.asked = time.Time{}
 	w.digest.LastTag = max(w.digest.LastTag, g.LastTag)
 	return !w.left && !w.digest.Leaving
 }
@@ -77,6 +78,7 @@
 		p.demand.Head, p.demand.Waiting = s.Head, s.Waiting
 	}
 	w.sent = sentDemand{to: to, head: s.Head, waiting: waiting, at: now}
+	w.noteAsked(now, waiting)
 }
 
 func (a *Asker) release(id pomelorelay.GrantID, h *held) {
--- a/pomeloslot/selection.go
+++ b/pomeloslot/selection.go
@@ -37,6 +37,9 @@
 // known there at once, while it would be seen idle for a digest's period if nobody waited.
 func (a *Asker) choose(now time.Time, p *askerPool) {
 	p.ranking = p.ranking[:0]
+	for _, w := range p.owners {
+		w.idle = w.idleNow(now)
+	}
 	reach := a.reach(now, p)
 	for _, w := range p.owners {
 		w.chosen = false
@@ -64,11 +67,11 @@
 // compareOwned orders owners by idle slots first, nearest and in an order of the router's own, then by the highest last granted tag: the
 // accounts there have had more, so a waiting one is served sooner.
 func compareOwned(v, w *owned) int {
-	if idle := cmp.Compare(min(w.digest.Idle, 1), min(v.digest.Idle, 1)); idle != 0 {
+	if idle := cmp.Compare(min(w.idle, 1), min(v.idle, 1)); idle != 0 {
 		return idle
 	}
-	if v.digest.Idle > 0 {
-		return cmp.Or(cmp.Compare(v.distance, w.distance), cmp.Compare(min(w.digest.Idle, plenty), min(v.digest.Idle, plenty)), cmp.Compare(v.rank, w.rank))
+	if v.idle > 0 {
+		return cmp.Or(cmp.Compare(v.distance, w.distance), cmp.Compare(min(w.idle, plenty), min(v.idle, plenty)), cmp.Compare(v.rank, w.rank))
 	}
 	return cmp.Or(cmp.Compare(w.digest.LastTag, v.digest.LastTag), cmp.Compare(v.rank, w.rank))
 }
@@ -81,7 +84,7 @@
 	spare, idle, busy := a.cfg.Registration.Spare, 0, 0
 	for _, w := range p.ranking {
 		covered := idle >= waiting
-		if w.digest.Idle == 0 {
+		if w.idle == 0 {
 			if covered || busy >= width {
 				return
 			}
@@ -92,7 +95,7 @@
 			}
 			spare--
 		}
-		idle += int(w.digest.Idle)
+		idle += int(w.idle)
 		w.chosen = true
 	}
 }
@@ -119,6 +122,7 @@
 
 func (a *Asker) send(now time.Time, p *askerPool, w *owned, waiting int, out []pomelorelay.Outgoing) []pomelorelay.Outgoing {
 	w.sent = sentDemand{to: w.digest.Owner, head: p.demand.Head, waiting: waiting, at: now}
+	w.noteAsked(now, waiting)
 	m := &pomelorelay.Demand{
 		Upstream: w.digest.Upstream,
 		Pool:     p.id,
@@ -137,3 +141,26 @@
 	a.seq = max(a.seq+1, uint64(now.UnixMilli()))
 	return a.seq
 }
+
+// answerWait is how long an owner with idle slots may take to grant; a round trip within a region takes a millisecond or two.
+const answerWait = 300 * time.Millisecond
+
+// noteAsked begins the wait for an answer of an owner that is said to have idle slots.
+func (w *owned) noteAsked(now time.Time, waiting int) {
+	if waiting == 0 || w.digest.Idle == 0 {
+		w.asked = time.Time{}
+		return
+	}
+	if w.asked.IsZero() {
+		w.asked = now
+	}
+}
+
+// idleNow returns the slots that may be counted on. Those of an owner that was asked and shows no sign are not: it may be paused
+// or cut off, and a request would be seen to wait beside idle slots of the next failure domain until it is taken for dead.
+func (w *owned) idleNow(now time.Time) pomelorelay.Slots {
+	if !w.asked.IsZero() && now.Sub(w.asked) >= answerWait {
+		return 0
+	}
+	return w.digest.Idle
+}
--- a/pomeloslot/spill.go
+++ b/pomeloslot/spill.go
@@ -26,7 +26,7 @@
 			continue
 		}
 		known[w.distance] = true
-		idle[w.distance] = idle[w.distance] || w.digest.Idle > 0
+		idle[w.distance] = idle[w.distance] || w.idle > 0
 		if w.distance == pomelorelay.LinkDomain {
 			highest = max(highest, w.digest.LastTag)
 		}
@@ -44,7 +44,7 @@
 // allows reports whether an owner beyond the distance is worth its longer way.
 func (r reach) allows(w *owned) bool {
 	if w.distance == pomelorelay.LinkRegion {
-		return r.domainIdle && w.digest.Idle > 0 || w.digest.LastTag > r.domain
+		return r.domainIdle && w.idle > 0 || w.digest.LastTag > r.domain
 	}
-	return r.regionIdle && w.digest.Idle > 0 || w.digest.LastTag > r.region
+	return r.regionIdle && w.idle > 0 || w.digest.LastTag > r.region
 }
