A stopping router goes on hearing who comes and goes; a whole fleet can stop

When all routers stop at once nobody was keeper at all. Change: stopping routers go on probing and telling their state, and get digests until they fall silent; the last of a domain tells the others itself; with no keeper left each router keeps its claims itself (fenced at the store).

--- a/pomelomember/digest.go
+++ b/pomelomember/digest.go
@@ -159,7 +159,7 @@
 		digest.Slots = v.slots.useful(v.cfg.Self.Domain, false, v.cfg.Options.RelayedSlots, digest.Slots)
 	}
 	for _, m := range v.members {
-		if m.located && m.live() && m.peer.Domain == v.cfg.Self.Domain {
+		if m.peer.Domain == v.cfg.Self.Domain && m.listens(now, v.cfg.Options.DomainSilent) {
 			out = append(out, pomelorelay.Outgoing{To: m.peer.Node, Message: digest})
 		}
 	}
--- a/pomelomember/gateway.go
+++ b/pomelomember/gateway.go
@@ -60,7 +60,12 @@
 
 // gatewayPlace returns this router's place among the gateways to a failure domain, or -1 when it is none.
 func (v *View) gatewayPlace(domain pomelorelay.DomainID) int {
-	ranked := Rank(linkKey(v.cfg.Self.Domain, domain), v.domainMembers(v.cfg.Self.Domain))
+	members := v.domainMembers(v.cfg.Self.Domain)
+	if v.leaving && len(members) == 0 {
+		// All routers of the domain stop; somebody has to tell the others.
+		return 0
+	}
+	ranked := Rank(linkKey(v.cfg.Self.Domain, domain), members)
 	for place, node := range ranked[:min(len(ranked), v.cfg.Options.Gateways)] {
 		if node == v.cfg.Self.Node {
 			return place
--- a/pomelomember/member.go
+++ b/pomelomember/member.go
@@ -29,6 +29,13 @@
 	return m.status == pomelorelay.MemberAlive || m.status == pomelorelay.MemberSuspect
 }
 
+// listens reports whether the router takes digests: one that stops does until it has ended, which shows as silence. It still has
+// claims to settle and must know with whom; without digests it would turn to routers that have gone, and its stop would not end.
+func (m *member) listens(now time.Time, silence time.Duration) bool {
+	stops := m.status == pomelorelay.MemberLeaving && now.Sub(m.heard) < silence
+	return m.located && (m.live() || stops)
+}
+
 // placed reports whether shared jobs may be given to the router.
 func (m *member) placed() bool { return m.located && m.live() && !m.draining }
 
--- a/pomelomember/view.go
+++ b/pomelomember/view.go
@@ -148,11 +148,10 @@
 	out = v.checkProbes(now, out)
 	v.confirmSuspects(now)
 	v.forget(now)
-	if v.leaving {
-		return out
-	}
 	out = v.probeNext(now, out)
-	out = v.join(now, out)
+	if !v.leaving {
+		out = v.join(now, out)
+	}
 	out = v.digests(now, out)
 	return v.sync(now, out)
 }
--- a/pomelomember/view_test.go
+++ b/pomelomember/view_test.go
@@ -188,6 +188,35 @@
 	f.settle(20 * time.Second)
 }
 
+// Hosts are replaced one after another, each router stopping while the one before still ends its requests. A router that hears nothing
+// more once it stops would send what it has to settle to routers that have gone; one would notice stops that run into their time limit.
+func TestStoppingRouterHearsOfOthersThatStop(t *testing.T) {
+	f := newFleet(t, 3, 2, 11)
+	f.startAll()
+	f.settle(20 * time.Second)
+	slow := f.routers[0]
+	f.send(slow, slow.view.Leave(f.now, nil))
+	f.run(time.Second)
+	for _, i := range []int{1, 2} {
+		r := f.routers[i]
+		f.send(r, r.view.Leave(f.now, nil))
+		f.run(time.Second)
+		r.up = false
+	}
+	f.run(10 * time.Second)
+	for _, i := range []int{1, 2} {
+		if _, known := slow.view.Snapshot().Peer(f.routers[i].peer.Node); known {
+			t.Errorf("%s has gone and is still a member for the stopping router", f.routers[i].peer.Node)
+		}
+	}
+	if got := slow.view.Reachable(f.now, nil); len(got) != 2 {
+		t.Errorf("the stopping router reaches %v", got)
+	}
+	if len(f.deaths) != 0 {
+		t.Errorf("declared dead: %v", f.deaths)
+	}
+}
+
 func TestHalfTheFleetRestartsAtOnce(t *testing.T) {
 	// A faulty image is rolled back: every second router comes up empty within the same moment, some before the others saw them die.
 	f := newFleet(t, 3, 20, 9)
--- a/pomelonode/jobs.go
+++ b/pomelonode/jobs.go
@@ -194,7 +194,13 @@
 	}
 }
 
+// claimKeeper returns the router that keeps a claim shard. When all that can be reached stop, each keeps them for itself: without
+// that nobody would take the last settlements, and the stop of a whole fleet would run into its time limit. Several keepers of
+// a shard fence each other at the store.
 func (c *control) claimKeeper(shard pomelorelay.ShardID) (pomelorelay.NodeID, bool) {
+	if len(c.jobs.peers) == 0 {
+		return c.n.self.Node, true
+	}
 	return pomelomember.Owner("claim/"+strconv.Itoa(int(shard)), c.jobs.peers)
 }
 
