--- a/cmd/pomelobench/main.go
+++ b/cmd/pomelobench/main.go
@@ -23,6 +23,8 @@
 		"bounds":   newBoundsCommand(app.Command("bounds", "Compare the output of go test -bench with committed bounds.")),
 		"capacity": newCapacityCommand(app.Command("capacity", "Measure every role's slopes and write docs/CAPACITY.md.")),
 		"report":   newReportCommand(app.Command("report", "Turn the record of a run into one HTML page with plots.")),
+		"latency":  newLatencyCommand(app.Command("latency", "Measure the latency that one and two routers add, on loopback.")),
+		"spread":   newSpreadCommand(app.Command("spread", "Measure how soon changes of the configuration are in force on all routers.")),
 	}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/pomelonode/fleet_test.go
+++ b/pomelonode/fleet_test.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,6 +59,8 @@
 	hosts    *gatedHosts
 	mesh     pomelorelay.Mesh
 	log      *eventLog
+	// logger takes the log's place when it is set.
+	logger   pomelorelay.Logger
 	url      string
 	operator string
 }
@@ -252,14 +254,15 @@
 	return s
 }
 
-// free returns an address that nothing listens on.
+// addresses counts the addresses that this process has given out.
+var addresses atomic.Int64
+
+// free returns an address that nothing listens on. Its IP number is this process's own and its port below those that the system
+// gives to outgoing connections: one that was free when it was looked for would be taken by a connection at times.
 func (f *fleet) free() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+	const firstPort = 20000
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1:%d", 64+pid>>8&63, pid&255, firstPort+addresses.Add(1))
 }
 
 func (f *fleet) start(i int) {
@@ -280,7 +283,7 @@
 	if f.network != nil {
 		r.mesh = f.network.Join(self, incarnation)
 	}
-	node, err := pomelonode.New(pomelonode.Config{Settings: s, Store: r.store, HostList: r.hosts, Mesh: r.mesh, Incarnation: incarnation, Logger: r.log})
+	node, err := pomelonode.New(pomelonode.Config{Settings: s, Store: r.store, HostList: r.hosts, Mesh: r.mesh, Incarnation: incarnation, Logger: r.eventLogger()})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -291,6 +294,13 @@
 	r.node = node
 }
 
+func (r *router) eventLogger() pomelorelay.Logger {
+	if r.logger != nil {
+		return r.logger
+	}
+	return r.log
+}
+
 func (f *fleet) awaitReady() {
 	f.t.Helper()
 	await(f.t, "every router is ready", func() bool {
@@ -343,6 +353,7 @@
 type seenStatus struct {
 	Generation pomelorelay.Generation
 	Members    []struct{ Node pomelorelay.NodeID }
+	Upstreams  []struct{ Upstream pomelorelay.UpstreamID }
 }
 
 // readStatus returns what the router's operator port tells; nothing when it does not answer.
