pomelonode: a stop waits for the settlement of its last booking

Cause: the stop looked for open claims in a status up to 250 ms old, which may not show the last request's claim or settlement yet; and in a store outage it waited for the bound of the whole stop and failed. Change: the control goroutine is asked, after every event before; the wait for the store is bounded by 20 s and ends with event ClaimsUnsettled. Before (trial with the status read): TestStopKeepsTheOutcomeOfTheLastBooking fails, the repeat hears no answer within 20 s. After: it passes (4.6 s).

--- a/events_node.go
+++ b/events_node.go
@@ -2,18 +2,19 @@
 
 // Events of the router as a whole, 100 to 199.
 const (
-	EventStarted       EventID = 100
-	EventReady         EventID = 101
-	EventStopping      EventID = 102
-	EventStopped       EventID = 103
-	EventPanic         EventID = 104
-	EventJobsMoved     EventID = 105
-	EventLeaving       EventID = 106
-	EventLoadLost      EventID = 107
-	EventControlStall  EventID = 108
-	EventMemberChanged EventID = 109
-	EventStopLate      EventID = 110
-	EventUpstreamBack  EventID = 111
+	EventStarted         EventID = 100
+	EventReady           EventID = 101
+	EventStopping        EventID = 102
+	EventStopped         EventID = 103
+	EventPanic           EventID = 104
+	EventJobsMoved       EventID = 105
+	EventLeaving         EventID = 106
+	EventLoadLost        EventID = 107
+	EventControlStall    EventID = 108
+	EventMemberChanged   EventID = 109
+	EventStopLate        EventID = 110
+	EventUpstreamBack    EventID = 111
+	EventClaimsUnsettled EventID = 112
 )
 
 var nodeEvents = []EventInfo{
@@ -29,4 +30,5 @@
 	{EventMemberChanged, "MemberChanged", LevelInfo, "A router came, left or died.", "None, unless it should be there."},
 	{EventStopLate, "StopLate", LevelWarn, "A planned stop reached its bound with requests in progress.", "Raise Control.StopWait."},
 	{EventUpstreamBack, "UpstreamBack", LevelInfo, "An upstream is no longer leaving.", "None."},
+	{EventClaimsUnsettled, "ClaimsUnsettled", LevelWarn, "A planned stop ended while the store did not yet hold how some claimed requests ended; their repeats hear that the outcome is unknown.", "Look at the store."},
 }
--- a/pomelonode/listen.go
+++ b/pomelonode/listen.go
@@ -11,8 +11,12 @@
 	"github.com/pomelorelay/pomelorelay/pomeloroute"
 )
 
-// stopPoll is how often a graceful stop looks whether the last request has ended.
-const stopPoll = 20 * time.Millisecond
+const (
+	// stopPoll is how often a graceful stop looks whether the last request has ended.
+	stopPoll = 20 * time.Millisecond
+	// claimsWait is how long a graceful stop waits for the store to hold how claimed requests ended.
+	claimsWait = 20 * time.Second
+)
 
 // headerRoom is how far over the bound net/http still reads a header. Over its own bound it answers with a plain text; within the
 // room the handler refuses with a number.
@@ -100,15 +104,50 @@
 }
 
 func (n *Node) awaitIdle(ctx context.Context) error {
-	for n.inFlight.Load() > 0 || n.status.Load().Claims.Open() > 0 {
+	for n.inFlight.Load() > 0 {
 		if !sleep(ctx, stopPoll) {
-			n.log(pomelorelay.EventStopLate, field("InFlight", n.inFlight.Load()), field("Claims", n.status.Load().Claims))
+			n.log(pomelorelay.EventStopLate, field("InFlight", n.inFlight.Load()))
 			return pomelorelay.NewError(pomelorelay.CodeStopLate, "", ctx.Err())
 		}
 	}
+	n.awaitClaims(ctx)
 	return nil
 }
 
+// awaitClaims waits until the store holds how every claimed request ended. It asks the control goroutine, since the last request's
+// settlement may still be on its way to it: looked for in a status of a moment ago it would be missed, and the repeat of a booking
+// that ran would hear "outcome unknown". In a store outage the wait ends without it, for that answer is still true.
+func (n *Node) awaitClaims(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, claimsWait)
+	defer cancel()
+	for {
+		open := n.openClaims(ctx)
+		if open == 0 {
+			return
+		}
+		if !sleep(ctx, stopPoll) {
+			n.log(pomelorelay.EventClaimsUnsettled, field("Claims", open))
+			return
+		}
+	}
+}
+
+func (n *Node) openClaims(ctx context.Context) int {
+	answer := make(chan int, 1)
+	n.mail.post(openAsked{answer})
+	select {
+	case open := <-answer:
+		return open
+	case <-ctx.Done():
+		return n.status.Load().Claims.Open()
+	}
+}
+
+// openAsked is posted when a stop wants to know how many claims are open after every event before it.
+type openAsked struct{ answer chan int }
+
+func (e openAsked) apply(c *control, _ time.Time) { e.answer <- c.claimAsker.Open() }
+
 // shutServers closes the listeners and waits for requests that came in while they closed.
 func (n *Node) shutServers(ctx context.Context) {
 	for _, s := range n.servers {
--- a/pomelonode/node_test.go
+++ b/pomelonode/node_test.go
@@ -175,3 +175,23 @@
 		}
 	}
 }
+
+func TestStopKeepsTheOutcomeOfTheLastBooking(t *testing.T) {
+	// An operator stops a router in the moment in which it answers a booking. If the process ended before the store held the
+	// answer, the customer's next try elsewhere would hear that nobody knows whether the booking ran.
+	f := newFleet(t, 2)
+	f.awaitReady()
+	for i := range 3 {
+		key := fmt.Sprintf("last-%d", i)
+		got := f.routers[0].call(http.MethodPost, "/booking/jobs", key, `{"piece":"ring"}`)
+		if err := f.routers[0].node.Stop(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		await(t, "the other router repeats the answer", func() bool {
+			again := f.routers[1].call(http.MethodPost, "/booking/jobs", key, `{"piece":"ring"}`)
+			return again.status == http.StatusOK && again.body == got.body
+		})
+		f.start(0)
+		f.awaitReady()
+	}
+}
