A router that was halted mistrusts its upstreams until it has read the host list anew

Cause: scripts/proof.sh leaving: a router frozen over an upstream's leaving sent to it in its first 20 ms awake, through grants of its own and through the spare slots, since its silent control goroutine looked stalled; and a request that waited for its turn as a suspect was sent whatever had happened to its upstream. Change: grants after a halt of more than 1 s are given back until the host list was read, for 2 s at most; waiting requests don't take their own halt for a stall; the list's leaving is looked at right before sending.

--- a/cmd/pomelobench/pomeloload/marks.go
+++ b/cmd/pomelobench/pomeloload/marks.go
@@ -19,6 +19,9 @@
 	// Killed and Stopping name a router that is ended without warning or by a planned stop.
 	Killed   pomelorelay.NodeID
 	Stopping pomelorelay.NodeID
+	// Frozen and Continued name a router that is halted and goes on.
+	Frozen    pomelorelay.NodeID
+	Continued pomelorelay.NodeID
 	// Accepted is the generation of a configuration that the store took.
 	Accepted pomelorelay.Generation
 	// Text is for the plots.
@@ -80,6 +83,14 @@
 		r.observe(pomelocheck.Stopping{Node: m.Stopping, At: at})
 		r.mark(at, "stop "+string(m.Stopping))
 	}
+	if m.Frozen != "" {
+		r.observe(pomelocheck.Frozen{Node: m.Frozen, At: at})
+		r.mark(at, "freeze "+string(m.Frozen))
+	}
+	if m.Continued != "" {
+		r.observe(pomelocheck.Continued{Node: m.Continued, At: now})
+		r.mark(now, "continue "+string(m.Continued))
+	}
 	if m.Accepted > 0 {
 		r.observe(pomelocheck.Accepted{Generation: m.Accepted, At: now})
 		r.mark(now, "configuration accepted")
--- a/cmd/pomelobench/pomeloload/plan.go
+++ b/cmd/pomelobench/pomeloload/plan.go
@@ -27,6 +27,8 @@
 	Upstreams []Upstream `yaml:"Upstreams"`
 	Accounts  []Account  `yaml:"Accounts"`
 	Steps     []Step     `yaml:"Steps"`
+	// MaxWait is how long a request may take with all its attempts before its account counts as starved; Timeout and 3 s by default.
+	MaxWait time.Duration `yaml:"MaxWait"`
 	// GapFrom is the time after the start from which the fairness gap is judged, to judge what is left of it after a fault.
 	GapFrom time.Duration `yaml:"GapFrom"`
 	// HostAdmin is the admin address of the stand-in that holds the host list.
@@ -187,6 +189,9 @@
 	if p.Timeout == 0 {
 		p.Timeout = defaultTimeout
 	}
+	if p.MaxWait == 0 {
+		p.MaxWait = p.Timeout + answerGrace
+	}
 	if p.MaxAttempts == 0 {
 		p.MaxAttempts = defaultAttempts
 	}
--- a/pomelocheck/checker.go
+++ b/pomelocheck/checker.go
@@ -58,6 +58,8 @@
 	leaving  map[pomelorelay.UpstreamID]time.Time
 	stops    map[pomelorelay.NodeID]time.Time
 	kills    map[pomelorelay.NodeID]time.Time
+	frozen   map[pomelorelay.NodeID][]Frozen
+	goneOn   map[pomelorelay.NodeID][]Continued
 	accepted []Accepted
 	inForce  map[pomelorelay.NodeID][]InForce
 }
@@ -84,6 +86,8 @@
 		leaving:  make(map[pomelorelay.UpstreamID]time.Time),
 		stops:    make(map[pomelorelay.NodeID]time.Time),
 		kills:    make(map[pomelorelay.NodeID]time.Time),
+		frozen:   make(map[pomelorelay.NodeID][]Frozen),
+		goneOn:   make(map[pomelorelay.NodeID][]Continued),
 		inForce:  make(map[pomelorelay.NodeID][]InForce),
 	}
 }
@@ -176,6 +180,10 @@
 	}
 }
 
+func (e Frozen) apply(c *Checker) { c.frozen[e.Node] = append(c.frozen[e.Node], e) }
+
+func (e Continued) apply(c *Checker) { c.goneOn[e.Node] = append(c.goneOn[e.Node], e) }
+
 func (e Accepted) apply(c *Checker) { c.accepted = append(c.accepted, e) }
 
 func (e InForce) apply(c *Checker) { c.inForce[e.Node] = append(c.inForce[e.Node], e) }
--- a/pomelocheck/checker_test.go
+++ b/pomelocheck/checker_test.go
@@ -136,12 +136,17 @@
 	mute.RetryAfter = false
 	bounded := sent("a", "x", 0)
 	bounded.Deadline = at(5 * time.Second)
+	halted, on := pomelocheck.Frozen{Node: bounded.Node, At: at(time.Second)}, pomelocheck.Continued{Node: bounded.Node, At: at(6 * time.Second)}
+	other := pomelocheck.Frozen{Node: "elsewhere", At: at(time.Second)}
 	runCases(t, pomelocheck.Config{}, []checkCase{
 		{"at once", []pomelocheck.Event{sent("a", "x", 0), refused("a", 10*time.Second, pomelorelay.RanNo)}, nil},
 		{"late", []pomelocheck.Event{sent("a", "x", 0), late}, []pomelocheck.Kind{pomelocheck.HeldBack}},
 		{"dripping", []pomelocheck.Event{sent("a", "x", 0), drip}, []pomelocheck.Kind{pomelocheck.HeldBack}},
 		{"no time to come back", []pomelocheck.Event{sent("a", "x", 0), mute}, []pomelocheck.Kind{pomelocheck.HeldBack}},
 		{"past the deadline", []pomelocheck.Event{bounded, refused("a", 10*time.Second, pomelorelay.RanNo)}, []pomelocheck.Kind{pomelocheck.HeldBack}},
+		{"as late as the router stood still", []pomelocheck.Event{bounded, halted, on, refused("a", 10*time.Second, pomelorelay.RanNo)}, nil},
+		{"later than that", []pomelocheck.Event{bounded, halted, on, refused("a", 12*time.Second, pomelorelay.RanNo)}, []pomelocheck.Kind{pomelocheck.HeldBack}},
+		{"while another stood still", []pomelocheck.Event{bounded, other, on, refused("a", 10*time.Second, pomelorelay.RanNo)}, []pomelocheck.Kind{pomelocheck.HeldBack}},
 	})
 }
 
--- a/pomelocheck/events.go
+++ b/pomelocheck/events.go
@@ -103,6 +103,18 @@
 	At   time.Time
 }
 
+// Frozen tells that a router was halted from outside, Continued that it goes on.
+type Frozen struct {
+	Node pomelorelay.NodeID
+	At   time.Time
+}
+
+// Continued ends what Frozen began.
+type Continued struct {
+	Node pomelorelay.NodeID
+	At   time.Time
+}
+
 // Accepted tells that the store took a configuration.
 type Accepted struct {
 	Generation pomelorelay.Generation
--- a/pomelocheck/fleet.go
+++ b/pomelocheck/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay"
 )
@@ -78,3 +79,28 @@
 	}
 	return newest
 }
+
+// frozenWithin returns how long a router stood still between two times. It can neither answer then nor count the time for which a request
+// waited to be read, so that much is no fault of what it does once it goes on.
+func (c *Checker) frozenWithin(node pomelorelay.NodeID, from, to time.Time) time.Duration {
+	var total time.Duration
+	for _, f := range c.frozen[node] {
+		end := to
+		for _, on := range c.goneOn[node] {
+			if on.At.After(f.At) && on.At.Before(end) {
+				end = on.At
+			}
+		}
+		if begin := maxTime(f.At, from); end.After(begin) {
+			total += end.Sub(begin)
+		}
+	}
+	return total
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/pomelocheck/requests.go
+++ b/pomelocheck/requests.go
@@ -127,7 +127,8 @@
 	if a.sent == nil || a.sent.Deadline.IsZero() {
 		return ""
 	}
-	late := a.endedBy(now).Sub(a.sent.Deadline)
+	end := a.endedBy(now)
+	late := end.Sub(a.sent.Deadline) - c.frozenWithin(a.sent.Node, a.sent.At, end)
 	if late <= c.cfg.RefuseWithin+c.cfg.Skew {
 		return ""
 	}
--- a/pomelonode/admission.go
+++ b/pomelonode/admission.go
@@ -55,6 +55,7 @@
 	defer over.Stop()
 	check := time.NewTicker(stallCheck)
 	defer check.Stop()
+	checked := time.Now()
 	for {
 		select {
 		case got := <-w.answer:
@@ -64,6 +65,13 @@
 		case <-over.C:
 			return a.leave(w, waitCode(r))
 		case <-check.C:
+			// A process that was halted finds its control goroutine silent for as long; that is no stall, and what it knows of
+			// its upstreams is old. Without this look at the own clock it would send to some that left meanwhile.
+			halted := time.Since(checked) > stallAfter
+			checked = time.Now()
+			if halted {
+				continue
+			}
 			if t := a.n.spare.ticket(a.n, w); t != nil {
 				return t, nil
 			}
@@ -116,6 +124,9 @@
 // Upstream returns where the attempt goes.
 func (t *ticket) Upstream() *pomeloconfig.Upstream { return t.upstream }
 
+// Usable reports whether the upstream stays.
+func (t *ticket) Usable() bool { return t.n.stays(t.upstream.Name) }
+
 // Progress notes the cost accrued so far.
 func (t *ticket) Progress(cost pomelorelay.Cost) { t.accrued.Store(math.Float64bits(float64(cost))) }
 
@@ -193,7 +204,7 @@
 func (c *control) granted(now time.Time, from pomelorelay.NodeID, g *pomelorelay.Grant) {
 	usable := c.asker.Granted(now, from, g)
 	upstream, known := c.upstreams[g.Upstream]
-	if !usable || !known || c.left[g.Upstream] {
+	if !usable || !known || c.left[g.Upstream] || c.unsure(now) {
 		c.settle(now, g.ID, g.Pool, pomeloslot.Settlement{State: pomelorelay.GrantReturned})
 		return
 	}
--- a/pomelonode/control.go
+++ b/pomelonode/control.go
@@ -65,15 +65,18 @@
 	suspectOut pomeloquarantine.Output
 	dirty      map[pomelorelay.PoolID]bool
 
-	heads    []pomeloslot.PoolHead
-	slots    []pomelorelay.SlotDigest
-	entries  []pomelorelay.LedgerEntry
-	keys     []pomelorelay.LedgerKey
-	expired  []pomelorelay.RequestID
-	passed   []pomelorelay.RequestID
-	changes  []pomelomember.Change
-	statusAt time.Time
-	ledgerAt time.Time
+	heads   []pomeloslot.PoolHead
+	slots   []pomelorelay.SlotDigest
+	entries []pomelorelay.LedgerEntry
+	keys    []pomelorelay.LedgerKey
+	expired []pomelorelay.RequestID
+	passed  []pomelorelay.RequestID
+	changes []pomelomember.Change
+	// ranAt is when the control goroutine last ended a round, unsureSince when it noticed that it had stood still.
+	ranAt       time.Time
+	unsureSince time.Time
+	statusAt    time.Time
+	ledgerAt    time.Time
 }
 
 // run takes in events, messages and ticks until the node is closed.
@@ -86,14 +89,18 @@
 		case <-c.n.closing:
 			return
 		case <-c.n.mail.wake:
+			c.noteHalt(c.now())
 			events = c.n.mail.take(events)
 			c.takeEvents(events)
 		case e := <-c.n.mesh.Receive():
+			c.noteHalt(c.now())
 			c.takeMessages(e)
 		case <-ticker.C:
+			c.noteHalt(c.now())
 			c.tick(c.now())
 		}
 		c.flush(c.now())
+		c.ranAt = c.now()
 		c.n.beat.Store(c.n.cfg.Clock.Now().UnixNano())
 	}
 }
--- a/pomelonode/hosts.go
+++ b/pomelonode/hosts.go
@@ -11,18 +11,20 @@
 const hostReadersAtOnce = 120
 
 // hostsRead is posted when the host list was read.
-type hostsRead struct{ hosts []pomelorelay.Host }
+type hostsRead struct {
+	hosts []pomelorelay.Host
+	// asked is when the reading began.
+	asked time.Time
+}
 
 func (e hostsRead) apply(c *control, now time.Time) {
+	if !e.asked.Before(c.unsureSince) {
+		c.unsureSince = time.Time{}
+	}
 	c.out = c.view.Hosts(now, e.hosts, c.out)
 	c.n.mesh.SetPeers(c.view.Peers(nil))
-	leaving := make(map[pomelorelay.UpstreamID]bool)
-	for _, h := range e.hosts {
-		if h.Kind != pomelorelay.HostUpstream || !h.Leaving {
-			continue
-		}
-		id := pomelorelay.UpstreamID(h.Name)
-		leaving[id] = true
+	leaving := leavingOf(e.hosts)
+	for id := range leaving {
 		if !c.left[id] {
 			c.leave(id)
 			c.announce(id)
@@ -86,12 +88,55 @@
 func (n *Node) readHostsOnce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Settings.HostList.Timeout)
 	defer cancel()
+	asked := n.cfg.Clock.Now()
 	hosts, err := n.cfg.HostList.Hosts(ctx)
 	if err != nil {
 		n.counters.hostReadsFailed.Add(1)
 		return
 	}
-	n.mail.post(hostsRead{hosts})
+	leaving := leavingOf(hosts)
+	n.leaving.Store(&leaving)
+	n.mail.post(hostsRead{hosts, asked})
+}
+
+// leavingOf returns the upstreams that a host list shows as leaving.
+func leavingOf(hosts []pomelorelay.Host) map[pomelorelay.UpstreamID]bool {
+	leaving := make(map[pomelorelay.UpstreamID]bool)
+	for _, h := range hosts {
+		if h.Kind == pomelorelay.HostUpstream && h.Leaving {
+			leaving[pomelorelay.UpstreamID(h.Name)] = true
+		}
+	}
+	return leaving
+}
+
+// stays reports whether neither the control goroutine nor the last host list says that an upstream leaves. The list is looked at
+// itself because requests pass a stalled control goroutine, which would not have taken it in.
+func (n *Node) stays(id pomelorelay.UpstreamID) bool {
+	if listed := n.leaving.Load(); listed != nil && (*listed)[id] {
+		return false
+	}
+	view := n.traffic.Load()
+	return view == nil || !view.left[id]
+}
+
+const (
+	// haltedAfter is the silence of the control goroutine after which it mistrusts what it knows of upstreams.
+	haltedAfter = time.Second
+	// unsureFor bounds the mistrust, so that a router that cannot read the host list works on.
+	unsureFor = 2 * time.Second
+)
+
+// noteHalt notices that the control goroutine stood still, as in a paused process. A grant used right after it would go to an
+// upstream that left meanwhile; grants are given back until the host list was read anew.
+func (c *control) noteHalt(now time.Time) {
+	if !c.ranAt.IsZero() && now.Sub(c.ranAt) > haltedAfter {
+		c.unsureSince = now
+	}
+}
+
+func (c *control) unsure(now time.Time) bool {
+	return !c.unsureSince.IsZero() && now.Sub(c.unsureSince) < unsureFor
 }
 
 func (n *Node) hostInterval() time.Duration {
--- a/pomelonode/node.go
+++ b/pomelonode/node.go
@@ -54,6 +54,8 @@
 	beat     atomic.Int64
 	watching atomic.Bool
 	stopping atomic.Bool
+	// leaving holds the upstreams that the last host list shows as leaving.
+	leaving  atomic.Pointer[map[pomelorelay.UpstreamID]bool]
 	inFlight atomic.Int64
 
 	ctx     context.Context
--- a/pomelonode/spare.go
+++ b/pomelonode/spare.go
@@ -45,7 +45,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, u := range view.pools[w.request.Pool] {
-		if s.busy[u.Name] || view.left[u.Name] || avoids(w, u.Name) || u.FailureDomain != n.self.Domain {
+		if s.busy[u.Name] || !n.stays(u.Name) || avoids(w, u.Name) || u.FailureDomain != n.self.Domain {
 			continue
 		}
 		s.busy[u.Name] = true
@@ -71,6 +71,9 @@
 // Upstream returns where the attempt goes.
 func (t *spareTicket) Upstream() *pomeloconfig.Upstream { return t.upstream }
 
+// Usable reports whether the upstream stays.
+func (t *spareTicket) Usable() bool { return t.n.stays(t.upstream.Name) }
+
 // Progress is not followed: nobody could charge it now.
 func (t *spareTicket) Progress(pomelorelay.Cost) {}
 
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -99,6 +99,8 @@
 type Ticket interface {
 	// Upstream returns where the attempt goes.
 	Upstream() *pomeloconfig.Upstream
+	// Usable reports whether the attempt may still be sent: the upstream may have begun to leave while it waited; it never blocks.
+	Usable() bool
 	// Progress reports the cost accrued so far; it never blocks.
 	Progress(cost pomelorelay.Cost)
 	// Done ends the slot; it never blocks.
--- a/pomeloroute/helpers_test.go
+++ b/pomeloroute/helpers_test.go
@@ -106,6 +106,7 @@
 }
 
 func (t *ticket) Upstream() *pomeloconfig.Upstream { return t.up }
+func (t *ticket) Usable() bool                     { return true }
 func (t *ticket) Progress(pomelorelay.Cost)        {}
 func (t *ticket) Done(r pomeloroute.Result) {
 	t.b.mu.Lock()
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -84,6 +84,10 @@
 	if err := c.h.cfg.Suspects.Check(ctx, run); err != nil {
 		return refusal(ctx, err)
 	}
+	if !ticket.Usable() {
+		// A suspect may wait seconds for its turn; sent to an upstream that leaves meanwhile it would end with the host.
+		return newFailure(OutcomeNotSent, pomelorelay.CodeUpstreamUnreached, nil)
+	}
 	// Until the outcome is known the request counts as one that may have run, also when a defect ends this function.
 	before := c.mayHaveRun
 	c.mayHaveRun = true
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -218,11 +218,11 @@
 
 # freeze_router halts a router for so many seconds and lets it go on.
 freeze_router() {
-	echo "{\"Text\":\"freeze $1\"}" >>"$marks"
+	echo "{\"Frozen\":\"$1\"}" >>"$marks"
 	kill -STOP "$(cat "$run/pids/$1")"
 	sleep "$2"
 	kill -CONT "$(cat "$run/pids/$1")"
-	echo "{\"Text\":\"continue $1\"}" >>"$marks"
+	echo "{\"Continued\":\"$1\"}" >>"$marks"
 	echo "$1 was frozen for $2 s"
 }
 
--- a/scripts/proofs/final.sh
+++ b/scripts/proofs/final.sh
@@ -2,6 +2,8 @@
 # a router has given up is refused at once, on arrival when the queue is full and at its deadline otherwise, in one piece and with Retry-After.
 duration=18s
 timeout=4s
+# Engines and bookings stand still for 8 s and the store for 3 s more.
+more_plan="MaxWait: 20s"
 attempts=3
 
 load() {
--- a/scripts/proofs/notrun.sh
+++ b/scripts/proofs/notrun.sh
@@ -2,6 +2,8 @@
 # again. The stand-ins count what ran: a request whose every attempt was refused as not run has not run.
 duration=22s
 timeout=6s
+# The store is down for 6 s, in which no booking can run.
+more_plan="MaxWait: 20s"
 
 load() {
 	echo "Accounts:"
