--- a/pomelostore/breaker.go
+++ b/pomelostore/breaker.go
@@ -56,6 +56,12 @@
 	return opened, false
 }
 
+func (b *breaker) isOpen() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open
+}
+
 // abandon reports a call that its own caller ended, which says nothing about the store.
 func (b *breaker) abandon() {
 	b.mu.Lock()
--- a/pomelostore/breaker_test.go
+++ b/pomelostore/breaker_test.go
@@ -116,6 +116,56 @@
 	}
 }
 
+// A watch is the first call after an outage and waits for a change, as watches do. Taken for the probe, it would keep every other call
+// from the store for as long as nothing changes; a user sees bookings refused long after the store is back.
+func TestWatchAfterAnOutageLetsOthersThrough(t *testing.T) {
+	var down atomic.Bool
+	down.Store(true)
+	changed := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if wait, _ := time.ParseDuration(r.URL.Query().Get("wait")); wait > 0 {
+			<-changed
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer server.Close()
+	clock, events := newClock(), make(chan pomelorelay.EventID, 8)
+	client := newClient(t, pomelostore.Config{
+		Addresses: []netip.AddrPort{addressOf(t, server)}, BreakerFailures: 1, BreakerOpen: time.Second, Clock: clock, Logger: eventChannel(events),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	_, err := client.Watch(ctx, "k", 0)
+	wantCode(t, err, pomelorelay.CodeStoreUnavailable)
+	<-events
+	clock.advance(time.Second)
+	down.Store(false)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		_, _ = client.Watch(ctx, "k", 0)
+	}()
+	select {
+	case id := <-events:
+		if id != pomelorelay.EventStoreBreakerClosed {
+			t.Errorf("event %d, want the breaker closed", id)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the waiting watch keeps the breaker open")
+	}
+	cancel()
+	close(changed)
+	<-watched
+}
+
+// eventChannel passes on the events that are logged.
+type eventChannel chan pomelorelay.EventID
+
+func (l eventChannel) Log(id pomelorelay.EventID, _ ...pomelorelay.Field) { l <- id }
+
 // A part of the router asks the store in a loop. It may spend only this router's own share of the store's rate.
 func TestBudgetBoundsCalls(t *testing.T) {
 	var calls atomic.Int64
--- a/pomelostore/store.go
+++ b/pomelostore/store.go
@@ -75,12 +75,8 @@
 // Watch waits until the record's revision differs from after and returns it; it fails when ctx ends and, as Get does, when
 // the store does not answer, so that its caller decides how long to pause.
 func (c *Client) Watch(ctx context.Context, key pomelorelay.StoreKey, after pomelorelay.Revision) (pomelorelay.Record, error) {
-	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait": {c.cfg.WatchWait.String()}}
-	one := call{
-		method: http.MethodGet, path: keyPath("/v1/watch/", key), query: query,
-		timeout: c.cfg.WatchWait + c.cfg.Timeout, count: &c.stats.Watches,
-	}
 	for {
+		one := c.watchCall(key, after)
 		got, err := c.do(ctx, one)
 		if err != nil {
 			return pomelorelay.Record{}, err
@@ -91,6 +87,20 @@
 	}
 }
 
+// watchCall makes a watch that does not wait while the breaker is open. As the breaker's one probe, a watch that waited for a change
+// would keep it open for half a minute after the store is back; one would notice claims refused long after an outage.
+func (c *Client) watchCall(key pomelorelay.StoreKey, after pomelorelay.Revision) call {
+	wait := c.cfg.WatchWait
+	if c.breaker.isOpen() {
+		wait = 0
+	}
+	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait": {wait.String()}}
+	return call{
+		method: http.MethodGet, path: keyPath("/v1/watch/", key), query: query,
+		timeout: wait + c.cfg.Timeout, count: &c.stats.Watches,
+	}
+}
+
 // OpenLease opens a lease that lapses when it is not renewed within the time to live; it fails as CompareAndSwap does.
 func (c *Client) OpenLease(ctx context.Context, ttl time.Duration) (pomelorelay.LeaseID, error) {
 	one := call{
