--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -64,12 +64,14 @@
 		s := kind.SuspectAsk
 		return &pomelorelay.SuspectAsk{
 			Request: pomelorelay.RequestID(s.GetRequest()), Fingerprint: pomelorelay.Fingerprint(s.GetFingerprint()), Upstream: pomelorelay.UpstreamID(d.name(s.GetUpstream())),
+			Running: s.GetRunning(),
 		}
 	case *pomelowire.Item_SuspectAnswer:
 		s := kind.SuspectAnswer
 		return &pomelorelay.SuspectAnswer{
 			Request: pomelorelay.RequestID(s.GetRequest()), Fingerprint: pomelorelay.Fingerprint(s.GetFingerprint()),
 			Allowed: s.GetAllowed(), Quarantined: s.GetQuarantined(), Wait: d.duration(s.GetWait()),
+			Upstream: pomelorelay.UpstreamID(d.name(s.GetUpstream())),
 		}
 	case *pomelowire.Item_SuspectCleared:
 		s := kind.SuspectCleared
@@ -128,9 +130,13 @@
 			Status: pomelorelay.MemberStatus(d.state(state.GetStatus(), int32(pomelorelay.MemberAlive), int32(pomelorelay.MemberDead))),
 		}
 	}
+	names := m.GetNames()
+	if len(digest.Members) > 0 {
+		names = append([]string{string(digest.Members[0].Node)}, names...)
+	}
 	digest.Slots = make([]pomelorelay.SlotDigest, d.count(len(m.GetSlots()), maxList))
 	for i := range digest.Slots {
-		digest.Slots[i] = d.slot(m.GetSlots()[i], m.GetNames())
+		digest.Slots[i] = d.slot(m.GetSlots()[i], names)
 	}
 	digest.Reached = make([]pomelorelay.DomainID, d.count(len(m.GetReached()), maxList))
 	for i := range digest.Reached {
--- a/pomelomesh/encode.go
+++ b/pomelomesh/encode.go
@@ -96,7 +96,12 @@
 }
 
 func encodeDigest(m *pomelorelay.Digest) *pomelowire.Digest {
+	// The first member is the sender, who owns most of the slots: its name is taken from there and not sent again.
 	var names nameTable
+	if len(m.Members) > 0 {
+		names.index(string(m.Members[0].Node))
+	}
+	known := len(names.list)
 	d := &pomelowire.Digest{Seq: m.Seq}
 	for _, state := range m.Members {
 		d.Members = append(d.Members, &pomelowire.MemberState{Node: string(state.Node), Incarnation: uint64(state.Incarnation), Status: int32(state.Status)})
@@ -110,7 +115,7 @@
 	for _, domain := range m.Reached {
 		d.Reached = append(d.Reached, string(domain))
 	}
-	d.Names = names.list
+	d.Names = names.list[known:]
 	return d
 }
 
@@ -173,11 +178,12 @@
 		}}}
 	case *pomelorelay.SuspectAsk:
 		return &pomelowire.Item{Kind: &pomelowire.Item_SuspectAsk{SuspectAsk: &pomelowire.SuspectAsk{
-			Request: uint64(m.Request), Fingerprint: uint64(m.Fingerprint), Upstream: string(m.Upstream),
+			Request: uint64(m.Request), Fingerprint: uint64(m.Fingerprint), Upstream: string(m.Upstream), Running: m.Running,
 		}}}
 	case *pomelorelay.SuspectAnswer:
 		return &pomelowire.Item{Kind: &pomelowire.Item_SuspectAnswer{SuspectAnswer: &pomelowire.SuspectAnswer{
 			Request: uint64(m.Request), Fingerprint: uint64(m.Fingerprint), Allowed: m.Allowed, Quarantined: m.Quarantined, Wait: int64(m.Wait),
+			Upstream: string(m.Upstream),
 		}}}
 	case *pomelorelay.SuspectCleared:
 		return &pomelowire.Item{Kind: &pomelowire.Item_SuspectCleared{SuspectCleared: &pomelowire.SuspectCleared{
--- a/pomelonode/assembly.go
+++ b/pomelonode/assembly.go
@@ -51,9 +51,10 @@
 		Seeds:       seedPeers(n.cfg.Settings.Seeds),
 		Seed:        uint64(n.incarnation),
 		Options: pomelomember.Options{
-			DigestEvery: s.DigestInterval,
-			ProbeWait:   s.ProbeWait,
-			SuspectFor:  s.SuspectFor,
+			DigestEvery:      s.DigestInterval,
+			DigestsPerSecond: pomeloconfig.MessagesPerSecond,
+			ProbeWait:        s.ProbeWait,
+			SuspectFor:       s.SuspectFor,
 		},
 	})
 	c.members = c.view.Snapshot()
@@ -130,12 +131,12 @@
 	c.keeper = pomeloclaim.New(pomeloclaim.Config{
 		Logger:           n.cfg.Logger,
 		Alive:            c.alive,
-		CommitsPerSecond: n.cfg.Settings.Control.ClaimCommits / float64(n.shards),
+		CommitsPerSecond: n.cfg.Settings.Control.ClaimCommits / float64(n.cfg.Settings.Control.ClaimShards),
 	})
 	c.claimAsker = pomeloclaim.NewAsker(pomeloclaim.AskerConfig{
 		Node:        n.self.Node,
 		Incarnation: n.incarnation,
-		Shards:      n.shards,
+		Shards:      uint32(n.cfg.Settings.Control.ClaimShards),
 		Keeper:      c.claimKeeper,
 	})
 }
