A router says that it listens once it does; settings that a router refuses, by the real program

Cause: event 100 was logged before the ports were opened, also by a router that then ended with 1012. Change: it is logged by Listen. scripts/operate.sh starts pomelorelayd with eleven broken settings and holds its exit code and number: 2013, 2000, 2001, 2002 (3), 2203 (3), 2205, 1012.

--- a/pomelonode/listen.go
+++ b/pomelonode/listen.go
@@ -36,7 +36,11 @@
 	if err := n.serve(caller, n.cfg.Settings.Listen.Caller); err != nil {
 		return err
 	}
-	return n.serve(operator, n.cfg.Settings.Listen.Operator)
+	if err := n.serve(operator, n.cfg.Settings.Listen.Operator); err != nil {
+		return err
+	}
+	n.log(pomelorelay.EventStarted, field("Incarnation", uint64(n.incarnation)))
+	return nil
 }
 
 func (n *Node) serve(s *http.Server, addr netip.AddrPort) error {
--- a/pomelonode/node.go
+++ b/pomelonode/node.go
@@ -105,7 +105,6 @@
 	n.start(func(context.Context) { c.run() })
 	n.start(n.readHosts)
 	n.start(n.watchRoot)
-	n.log(pomelorelay.EventStarted, field("Incarnation", uint64(n.incarnation)))
 	return n, nil
 }
 
--- a/scripts/operate.sh
+++ b/scripts/operate.sh
@@ -132,6 +132,19 @@
 	done
 }
 
+# refuses fails unless a router with these settings ends with the exit code and the numbered error given.
+refuses() {
+	expect "$1" bin/pomelorelayd run --settings "$3"
+	holds "$2" "$run/err"
+	tail -n 1 "$run/err" | cut -c1-150
+}
+
+# altered writes router-2's settings, changed by a sed script, and prints the file's name.
+altered() {
+	sed "$1" "$run/router-2.yaml" >"$run/altered.yaml"
+	echo "$run/altered.yaml"
+}
+
 ctl() { bin/pomeloctl "$@"; }
 
 make_keys
@@ -225,6 +238,19 @@
 sleep 1
 figures
 
+echo "== settings that a router refuses"
+printf 'x' >"$run/keys/broken.crt"
+refuses 2 2013 "$run/absent.yaml"
+refuses 2 2000 "$(altered 's/^Host: {/Host: {{/')"
+refuses 2 2001 "$(altered 's/^Listen:/Listens:/')"
+refuses 2 2002 "$(altered 's/Region: [a-z]*/Region: ""/')"
+refuses 2 2002 "$(altered '/KeyFile/d')"
+refuses 2 2002 "$(altered '/^TLS/,$d')"
+refuses 3 2203 "$(altered 's/router-2.crt/absent.crt/')"
+refuses 3 2203 "$(altered 's/router-2.crt/broken.crt/')"
+refuses 3 2203 "$(altered 's/router-2.crt/router-3.crt/')"
+refuses 3 2205 "$run/router-2.yaml"
+refuses 3 1012 "$(altered "s/Control: \"$net.11.2:8081/Control: \"$net.11.2:8089/")"
 echo "== drain"
 expect 0 ctl drain --router $net.11.2:8082
 pid=$(cat "$run/pids/router-2")
