--- /dev/null
+++ b/pomelonode/random_test.go
@@ -0,0 +1,192 @@
+package pomelonode_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+)
+
+const (
+	randomRouters = 4
+	randomCallers = 8
+	// randomFaults is how many faults a run draws; at most two are there at once.
+	randomFaults = 10
+	faultPause   = 400 * time.Millisecond
+)
+
+// fault is something that goes wrong until its end is called.
+type fault struct {
+	name  string
+	begin func(i int) (end func())
+}
+
+// faults are those of the brief that act on a fleet in one process.
+func (f *fleet) faults() []fault {
+	return []fault{
+		{"domains cut", func(int) func() {
+			f.network.Cut(apart)
+			return func() { f.network.Cut(nil) }
+		}},
+		{"one way cut", func(i int) func() {
+			node := f.routers[i].settings.Host.Name
+			f.network.Cut(func(from, _ pomelorelay.Peer) bool { return from.Node == node })
+			return func() { f.network.Cut(nil) }
+		}},
+		{"store down", func(int) func() { return f.storeFault(pomelofake.StoreFaults{Outage: true}) }},
+		{"store slow", func(int) func() { return f.storeFault(pomelofake.StoreFaults{SlowAnswer: 300 * time.Millisecond}) }},
+		{"store loses answers", func(int) func() { return f.storeFault(pomelofake.StoreFaults{LoseAnswers: 8}) }},
+		{"router cut from the store", func(i int) func() {
+			store := f.routers[i].store
+			store.cut.Store(true)
+			return func() { store.cut.Store(false) }
+		}},
+		{"router killed", func(i int) func() {
+			f.routers[i].node.Close()
+			return func() { f.start(i) }
+		}},
+		{"bookings answered late", func(int) func() { return f.plainFault(pomelofake.PlainFaults{Every: 3, Late: 200 * time.Millisecond}) }},
+		{"bookings cut", func(int) func() { return f.plainFault(pomelofake.PlainFaults{Every: 4, Cut: true, CutAt: 40}) }},
+		{"bookings crossed", func(int) func() { return f.plainFault(pomelofake.PlainFaults{Every: 2, Crossed: true}) }},
+	}
+}
+
+func (f *fleet) storeFault(faults pomelofake.StoreFaults) func() {
+	f.store.SetFaults(faults)
+	return func() { f.store.SetFaults(pomelofake.StoreFaults{}) }
+}
+
+func (f *fleet) plainFault(faults pomelofake.PlainFaults) func() {
+	for _, d := range domains {
+		f.bookings[d].SetFaults(faults)
+	}
+	return func() {
+		for _, d := range domains {
+			f.bookings[d].SetFaults(pomelofake.PlainFaults{})
+		}
+	}
+}
+
+// disturb draws faults, two at once, each until the second one after it begins.
+func (f *fleet) disturb(t *testing.T, random *rand.Rand) {
+	kinds := f.faults()
+	var ends []func()
+	last := -1
+	for range randomFaults {
+		k := random.IntN(len(kinds))
+		if k == last {
+			continue
+		}
+		last = k
+		i := random.IntN(randomRouters)
+		t.Logf("%s, router %d", kinds[k].name, i)
+		if len(ends) == 2 {
+			ends[0]()
+			ends = ends[1:]
+		}
+		ends = append(ends, kinds[k].begin(i))
+		time.Sleep(faultPause)
+	}
+	for _, end := range ends {
+		end()
+	}
+}
+
+// booking is what its caller saw of a booking.
+type booking struct {
+	key, body string
+	answers   []answer
+}
+
+// book sends bookings, each up to three times through routers at random, until done is closed.
+func (f *fleet) book(caller int, random *rand.Rand, done <-chan struct{}) []booking {
+	var all []booking
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			return all
+		default:
+		}
+		b := booking{key: fmt.Sprintf("c%d-%d", caller, n), body: fmt.Sprintf(`{"caller":%d,"job":%d}`, caller, n)}
+		for range 3 {
+			a := f.routers[random.IntN(randomRouters)].call(http.MethodPost, "/booking/jobs", b.key, b.body)
+			b.answers = append(b.answers, a)
+			if a.err == nil && a.status == http.StatusOK {
+				break
+			}
+		}
+		all = append(all, b)
+	}
+}
+
+// check holds what the callers saw against what the services ran.
+func (f *fleet) check(t *testing.T, b booking) (answered bool) {
+	t.Helper()
+	runs := f.bookedRuns(b.key)
+	notRun := true
+	for _, a := range b.answers {
+		notRun = notRun && a.err == nil && a.header.Get("Ran") == "No"
+		if a.err != nil || a.status != http.StatusOK {
+			continue
+		}
+		answered = true
+		var got pomelofake.PlainAnswer
+		if err := json.Unmarshal([]byte(a.body), &got); err != nil || got.Proof != pomelofake.ProofOf([]byte(b.body)) {
+			t.Errorf("%s got another's answer or a part of one: %s", b.key, a.body)
+		}
+	}
+	switch {
+	case runs > 1:
+		t.Errorf("%s ran %d times", b.key, runs)
+	case notRun && runs != 0:
+		t.Errorf("%s ran although every answer said that it did not", b.key)
+	case answered && runs != 1:
+		t.Errorf("%s was answered and ran %d times", b.key, runs)
+	}
+	return answered
+}
+
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	// Failures come together: the store loses an answer while a router dies, domains are cut while a service answers late. Callers
+	// send their bookings again through other routers. None may run twice, no answer may be another's, and no "not run" may be
+	// false, whatever comes together; afterwards the fleet must serve again.
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			f := newFleet(t, randomRouters)
+			f.awaitReady()
+			done := make(chan struct{})
+			seen := make([][]booking, randomCallers)
+			var callers sync.WaitGroup
+			for i := range randomCallers {
+				callers.Go(func() { seen[i] = f.book(i, rand.New(rand.NewPCG(seed, uint64(i))), done) })
+			}
+			f.disturb(t, rand.New(rand.NewPCG(seed, 99)))
+			close(done)
+			callers.Wait()
+			answered := 0
+			for _, bookings := range seen {
+				for _, b := range bookings {
+					if f.check(t, b) {
+						answered++
+					}
+				}
+			}
+			t.Logf("%d bookings answered", answered)
+			if answered == 0 {
+				t.Error("no booking was answered")
+			}
+			f.awaitReady()
+			await(t, "the fleet serves again", func() bool {
+				a := f.routers[0].call(http.MethodPost, "/booking/jobs", fmt.Sprintf("after-%d", time.Now().UnixNano()), "{}")
+				return a.status == http.StatusOK && strings.Contains(a.body, "Proof")
+			})
+		})
+	}
+}
