pomeloclaim: refuse soon while the store is known to be down

Cause: in an outage every claim waited 2 s for its refusal, also when the keeper knew of the outage; a caller that is told at once can come back. Change: a quarter of a second once a claim was refused and until an operation succeeds. Before: TestStoreOutageRefusesOnlyWhatNeedsAClaim 6.0 s; after: 4.6 s; random schedules pass.

--- a/pomeloclaim/keeper.go
+++ b/pomeloclaim/keeper.go
@@ -21,6 +21,9 @@
 	outage bool
 }
 
+// outagePatience divides the wait for a store that is known to be down.
+const outagePatience = 8
+
 type opKind int
 
 const (
@@ -127,13 +130,22 @@
 	}
 }
 
+// patience is how long a claim may wait for the store. While the store is known to be down there is little to wait for, and a
+// caller that is told at once can come back when it is up.
+func (k *Keeper) patience() time.Duration {
+	if k.outage {
+		return k.cfg.RefuseAfter / outagePatience
+	}
+	return k.cfg.RefuseAfter
+}
+
 // refuseOverdue ends the wait for a store that does not answer. The claim may become durable all the same: the asker,
 // which holds it, then has it released, and nobody else may, because the asker may meanwhile have been told "fresh"
 // by another keeper.
 func (k *Keeper) refuseOverdue(now time.Time, s *shard, out *Output) {
 	refused := false
 	s.asks = slices.DeleteFunc(s.asks, func(a *pendingAsk) bool {
-		if now.Sub(a.since) < k.cfg.RefuseAfter {
+		if now.Sub(a.since) < k.patience() {
 			return false
 		}
 		refused = true
