pomelomesh: key files are looked at each minute, and a certificate near its end is told

Cause: keys were read at handshakes only, so a mistake in new files, or a certificate that nobody replaced, showed only when links broke and none could be opened.

--- a/events_mesh.go
+++ b/events_mesh.go
@@ -9,6 +9,7 @@
 	EventMeshKeysChanged EventID = 1004
 	EventMeshKeysBad     EventID = 1005
 	EventMeshOverBudget  EventID = 1006
+	EventMeshKeysEnding  EventID = 1007
 )
 
 var meshEvents = []EventInfo{
@@ -19,4 +20,5 @@
 	{EventMeshKeysChanged, "MeshKeysChanged", LevelInfo, "Changed key files are in use for new links.", "None."},
 	{EventMeshKeysBad, "MeshKeysBad", LevelError, "Changed key files cannot be used; the former keys stay in use.", "Correct the files before the former certificate ends."},
 	{EventMeshOverBudget, "MeshOverBudget", LevelWarn, "The byte budget of a link class is spent; less urgent messages wait.", "Check the counters, or raise the budget."},
+	{EventMeshKeysEnding, "MeshKeysEnding", LevelWarn, "The router's certificate is in the last fifth of its life, or past its end.", "Replace the key files before its end; no restart is needed."},
 }
--- a/pomelomesh/keys.go
+++ b/pomelomesh/keys.go
@@ -19,6 +19,37 @@
 	stamps      [3]time.Time
 	certificate tls.Certificate
 	authority   *x509.CertPool
+	// looked is when the files were last looked at without a handshake, and warned when the log last told of their end.
+	looked time.Time
+	warned time.Time
+}
+
+const (
+	// lookEvery is how often the files are looked at without a handshake.
+	lookEvery = time.Minute
+	// warnEvery is how often the log tells that the certificate ends.
+	warnEvery = time.Hour
+	// lastPart of a certificate's life is when its end is told.
+	lastPart = 5
+)
+
+// look reads changed files, and tells of a certificate near its end. Routers keep their links for weeks: without it a mistake in
+// new files, or a certificate that nobody replaced, would be seen only when links break and none can be opened.
+func (k *keys) look(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now.Sub(k.looked) < lookEvery {
+		return
+	}
+	k.looked = now
+	k.refresh()
+	leaf := k.certificate.Leaf
+	life := leaf.NotAfter.Sub(leaf.NotBefore)
+	if leaf.NotAfter.Sub(now) > life/lastPart || now.Sub(k.warned) < warnEvery {
+		return
+	}
+	k.warned = now
+	k.logger.Log(pomelorelay.EventMeshKeysEnding, pomelorelay.Field{Key: "End", Value: leaf.NotAfter.UTC().Format(time.RFC3339)})
 }
 
 func loadKeys(files TLSFiles, logger pomelorelay.Logger) (*keys, error) {
--- a/pomelomesh/mesh.go
+++ b/pomelomesh/mesh.go
@@ -202,6 +202,9 @@
 			return
 		case now := <-ticker.C:
 			m.check(now)
+			if m.keys != nil {
+				m.keys.look(now)
+			}
 		}
 	}
 }
--- a/pomelonode/keys_test.go
+++ b/pomelonode/keys_test.go
@@ -24,6 +24,8 @@
 	certificate *x509.Certificate
 	key         *ecdsa.PrivateKey
 	serial      int64
+	// left is how long the certificates that it issues have still to run; they have run for an hour.
+	left time.Duration
 }
 
 func newAuthority(t *testing.T) *authority {
@@ -41,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &authority{t: t, certificate: certificate, key: key, serial: 1}
+	return &authority{t: t, certificate: certificate, key: key, serial: 1, left: time.Hour}
 }
 
 func newKey(t *testing.T) *ecdsa.PrivateKey {
@@ -67,7 +69,7 @@
 	a.t.Helper()
 	a.serial++
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(a.serial), DNSNames: []string{string(node)}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		SerialNumber: big.NewInt(a.serial), DNSNames: []string{string(node)}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(a.left),
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 	}
 	key := newKey(a.t)
--- a/pomelonode/tls_test.go
+++ b/pomelonode/tls_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
@@ -161,3 +162,17 @@
 		}
 	}
 }
+
+func TestEndingCertificateIsTold(t *testing.T) {
+	// Nobody replaced a router's certificate. Its links stay open past the end, and only when one breaks is the router alone.
+	f, signer, dirs := newKeyedFleet(t, 2)
+	signer.left = 10 * time.Minute
+	signer.issue(dirs[1], f.routers[1].settings.Host.Name)
+	for i := range f.routers {
+		f.start(i)
+	}
+	await(t, "the end is told", func() bool { return f.routers[1].log.count(pomelorelay.EventMeshKeysEnding) > 0 })
+	if n := f.routers[0].log.count(pomelorelay.EventMeshKeysEnding); n != 0 {
+		t.Errorf("the end of a certificate with half its life left was told %d times", n)
+	}
+}
