--- a/pomelomesh/mesh_test.go
+++ b/pomelomesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -233,3 +234,26 @@
 		t.Errorf("dialled from %s", host)
 	}
 }
+
+func TestUrgentMessagesOverBudgetDoNotSilenceTheRest(t *testing.T) {
+	// A loaded router's grants alone use more than its byte budget. If no digest left then, the others would take it for dead and
+	// take over its jobs, again and again, while it works.
+	cfg := config("r1", 1)
+	cfg.Budget[pomelorelay.LinkDomain] = 8000
+	a, b := start(t, cfg), start(t, config("r2", 1))
+	a.SetPeers([]pomelorelay.Peer{peerOf("r2", b.Addr())})
+	const grants = 4000
+	upstream := pomelorelay.UpstreamID(strings.Repeat("u", 100))
+	for i := range grants {
+		send(t, a, "r2", &pomelorelay.Grant{ID: pomelorelay.GrantID(i), Upstream: upstream, TTL: time.Second})
+	}
+	for range grants {
+		receive(t, b)
+	}
+	for seq := range uint64(3) {
+		send(t, a, "r2", &pomelorelay.Digest{Seq: seq})
+		if m, ok := receive(t, b).Message.(*pomelorelay.Digest); !ok || m.Seq != seq {
+			t.Fatalf("%+v arrived in place of digest %d", m, seq)
+		}
+	}
+}
