pomeloclaim: the list of sealed segments no longer seals the head

Cause: a head was sealed by its whole size, list of segments included. With many claims within the retention the list alone passed SealBytes; then every commit sealed its few claims by themselves, the list grew faster still and the head ran into MaxHeadBytes. Change: the list does not count towards sealing. The head still grows with the list, 32 bytes a segment.

--- a/pomeloclaim/seal.go
+++ b/pomeloclaim/seal.go
@@ -41,9 +41,19 @@
 	return x != nil && x.step == sealList && x.keys[key]
 }
 
-// advanceSeal begins a seal when the head is large, and takes the steps that need no commit.
+// segmentRefBytes is what a listed segment takes in the head at most.
+const segmentRefBytes = 32
+
+// sealDue reports whether the head's claims are enough for a segment. The list of segments does not count: it only grows until the
+// retention ends, and once it alone was as large as SealBytes, each commit would be seen to seal its few claims by themselves and
+// lengthen the list until the head is full and the shard refuses every claim.
+func (k *Keeper) sealDue(s *shard) bool {
+	return s.size-segmentRefBytes*len(s.segments) > int(k.cfg.SealBytes)
+}
+
+// advanceSeal begins a seal when the head has many claims, and takes the steps that need no commit.
 func (k *Keeper) advanceSeal(now time.Time, s *shard, out *Output) {
-	if s.seal == nil && s.commit == nil && s.size > int(k.cfg.SealBytes) {
+	if s.seal == nil && s.commit == nil && k.sealDue(s) {
 		s.seal = k.newSeal(now, s)
 	}
 	if s.seal == nil || now.Before(s.retryAt) {
--- /dev/null
+++ b/pomeloclaim/seal_list_test.go
@@ -0,0 +1,54 @@
+package pomeloclaim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloclaim"
+)
+
+func TestManyKeptClaimsDoNotFillTheHead(t *testing.T) {
+	// A shard takes many claims within the retention. The list of its sealed segments grows until it alone is as large as the size at
+	// which the head is sealed; then segments of a few claims each fill the head, and callers see every booking refused until the next day.
+	f := newFleet(1, 0, pomeloclaim.Config{}, 1)
+	k := pomeloclaim.New(pomeloclaim.Config{CommitsPerSecond: 1e9, SealBytes: 4 << 10, MaxHeadBytes: 16 << 10})
+	var out pomeloclaim.Output
+	now := f.now
+	refused := 0
+	serve := func() {
+		for len(out.Store) > 0 {
+			op := out.Store[0]
+			out.Store = out.Store[1:]
+			k.Stored(now, f.apply(op), &out)
+		}
+		for _, o := range out.Messages {
+			if m, ok := o.Message.(*pomelorelay.ClaimAnswer); ok && m.State == pomelorelay.ClaimRefused {
+				refused++
+			}
+		}
+		out.Messages = nil
+	}
+	k.Own(now, 0, &out)
+	serve()
+	const claims = 4000
+	for n := range claims {
+		now = now.Add(time.Second)
+		m := pomelorelay.ClaimAsk{Key: keyOf(fmt.Sprint(n)), Nonce: nonceOf(n + 1), Content: 1}
+		k.Ask(now, "router-1", &m, &out)
+		serve()
+		s := done("booked")
+		s.Key, s.Nonce = m.Key, m.Nonce
+		k.Settle(now, "router-1", &s, &out)
+		now = now.Add(time.Second)
+		k.Tick(now, &out)
+		serve()
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d claims were refused", refused, claims)
+	}
+	if records := len(f.records); records > claims/8 {
+		t.Errorf("%d records for %d claims: segments hold a few claims each", records, claims)
+	}
+}
