pomelonode: the events of members, domains and ledger shards are logged; a restarted router's grants are free at once

Cause: ten events of the catalogue were never written, three more and one code had no use; a router that restarted before it was missed kept its old grants until the owner's next question (10 s). Change: pomelonode/members.go logs 300 to 305 and the node 400 to 403; a later incarnation reclaims what the earlier one held; routers of a domain that is reached again hear of suspects. Events 104 and 109 and code 1011 are gone. Tests of pomelonode pass (93 s on a busy machine).

--- a/codes_general.go
+++ b/codes_general.go
@@ -2,21 +2,20 @@
 
 // General result codes, 1000 to 1099.
 const (
-	CodeInternal      ResultCode = 1000
-	CodeStopping      ResultCode = 1001
-	CodeNotReady      ResultCode = 1002
-	CodeUnauthorised  ResultCode = 1003
-	CodeUnknownPath   ResultCode = 1004
-	CodeBadRequest    ResultCode = 1005
-	CodeTooLarge      ResultCode = 1006
-	CodeDeadline      ResultCode = 1007
-	CodeCallerGone    ResultCode = 1008
-	CodeNoUpstream    ResultCode = 1009
-	CodeHeaderBounds  ResultCode = 1010
-	CodeControlStalls ResultCode = 1011
-	CodeListen        ResultCode = 1012
-	CodeStopLate      ResultCode = 1013
-	CodeForbidden     ResultCode = 1014
+	CodeInternal     ResultCode = 1000
+	CodeStopping     ResultCode = 1001
+	CodeNotReady     ResultCode = 1002
+	CodeUnauthorised ResultCode = 1003
+	CodeUnknownPath  ResultCode = 1004
+	CodeBadRequest   ResultCode = 1005
+	CodeTooLarge     ResultCode = 1006
+	CodeDeadline     ResultCode = 1007
+	CodeCallerGone   ResultCode = 1008
+	CodeNoUpstream   ResultCode = 1009
+	CodeHeaderBounds ResultCode = 1010
+	CodeListen       ResultCode = 1012
+	CodeStopLate     ResultCode = 1013
+	CodeForbidden    ResultCode = 1014
 )
 
 var generalCodes = []CodeInfo{
@@ -31,7 +30,6 @@
 	{CodeCallerGone, "CallerGone", 499, RanUnknown, "The caller closed its connection.", "None."},
 	{CodeNoUpstream, "NoUpstream", 503, RanNo, "No upstream of the service can be reached.", "Send it again after Retry-After."},
 	{CodeHeaderBounds, "HeaderBounds", 431, RanNo, "The headers are over the bound.", "Send fewer or smaller headers."},
-	{CodeControlStalls, "ControlStalled", 503, RanNo, "The router's control thread is stalled and no spare slot is free.", "Send it again after Retry-After."},
 	{CodeListen, "CannotListen", 500, RanNo, "An address of the settings cannot be listened on.", "Check Listen in the settings and what else runs on the host."},
 	{CodeStopLate, "StopLate", 500, RanUnknown, "A planned stop reached its bound with requests in progress.", "Raise Control.StopWait."},
 	{CodeForbidden, "Forbidden", 403, RanNo, "The account may not call the service.", "Ask the operators for a share of it."},
--- a/events_node.go
+++ b/events_node.go
@@ -6,12 +6,10 @@
 	EventReady           EventID = 101
 	EventStopping        EventID = 102
 	EventStopped         EventID = 103
-	EventPanic           EventID = 104
 	EventJobsMoved       EventID = 105
 	EventLeaving         EventID = 106
 	EventLoadLost        EventID = 107
 	EventControlStall    EventID = 108
-	EventMemberChanged   EventID = 109
 	EventStopLate        EventID = 110
 	EventUpstreamBack    EventID = 111
 	EventClaimsUnsettled EventID = 112
@@ -22,12 +20,10 @@
 	{EventReady, "Ready", LevelInfo, "The router has a configuration and takes work.", "None."},
 	{EventStopping, "Stopping", LevelInfo, "A planned stop began; readiness is off.", "None."},
 	{EventStopped, "Stopped", LevelInfo, "The router ended its last request and stops.", "None."},
-	{EventPanic, "Panic", LevelError, "A request's goroutine failed by a defect.", "Report it with the line."},
 	{EventJobsMoved, "JobsMoved", LevelDebug, "Shared jobs of this router changed with the members.", "None."},
 	{EventLeaving, "UpstreamLeaving", LevelInfo, "An upstream leaves and gets nothing new.", "None."},
 	{EventLoadLost, "LoadLost", LevelWarn, "An upstream's load cannot be read; it gets no grants until it can.", "Look at the upstream."},
 	{EventControlStall, "ControlStalled", LevelWarn, "The control thread did not answer; idempotent requests use the spare slots.", "Look at the host's processor."},
-	{EventMemberChanged, "MemberChanged", LevelInfo, "A router came, left or died.", "None, unless it should be there."},
 	{EventStopLate, "StopLate", LevelWarn, "A planned stop reached its bound with requests in progress.", "Raise Control.StopWait."},
 	{EventUpstreamBack, "UpstreamBack", LevelInfo, "An upstream is no longer leaving.", "None."},
 	{EventClaimsUnsettled, "ClaimsUnsettled", LevelWarn, "A planned stop ended while the store did not yet hold how some claimed requests ended; their repeats hear that the outcome is unknown.", "Look at the store."},
--- a/pomelonode/assembly.go
+++ b/pomelonode/assembly.go
@@ -33,6 +33,7 @@
 		generations:    make(map[pomelorelay.NodeID]pomelorelay.Generation),
 		loads:          make(map[pomelorelay.UpstreamID]pomeloslot.LoadReport),
 		dead:           make(map[pomelorelay.NodeID]bool),
+		incarnations:   make(map[pomelorelay.NodeID]pomelorelay.Incarnation),
 		dirty:          make(map[pomelorelay.PoolID]bool),
 	}
 	c.assembleFairness()
--- a/pomelonode/badinput_test.go
+++ b/pomelonode/badinput_test.go
@@ -153,7 +153,7 @@
 		if got := r.call(http.MethodPost, "/status/jobs", "", "{}"); got.status != http.StatusOK {
 			t.Errorf("a good request was answered %d %v: %s", got.status, got.err, got.body)
 		}
-		if n := r.log.count(pomelorelay.EventHandlerPanicked) + r.log.count(pomelorelay.EventPanic); n != 0 {
+		if n := r.log.count(pomelorelay.EventHandlerPanicked); n != 0 {
 			t.Errorf("%d goroutines failed", n)
 		}
 	}
--- a/pomelonode/control.go
+++ b/pomelonode/control.go
@@ -58,6 +58,7 @@
 	suspectWaiters map[pomelorelay.RequestID]*suspectWaiter
 	generations    map[pomelorelay.NodeID]pomelorelay.Generation
 	dead           map[pomelorelay.NodeID]bool
+	incarnations   map[pomelorelay.NodeID]pomelorelay.Incarnation
 	loads          map[pomelorelay.UpstreamID]pomeloslot.LoadReport
 
 	out        []pomelorelay.Outgoing
@@ -195,6 +196,7 @@
 	}
 	c.out = c.reporter.Tick(now, c.out)
 	c.out = c.ledger.Tick(now, c.out)
+	c.noteRebuilt()
 }
 
 // flush sends what the parts decided, until nothing more comes of what this router sends itself.
--- a/pomelonode/jobs.go
+++ b/pomelonode/jobs.go
@@ -15,42 +15,17 @@
 	upstreams map[pomelorelay.UpstreamID]func()
 	ledger    map[pomelorelay.ShardID]bool
 	claims    map[pomelorelay.ShardID]bool
-	peers     []pomelorelay.NodeID
+	// rebuilding are the hosted shards of the ledger that are not ready yet.
+	rebuilding map[pomelorelay.ShardID]bool
+	peers      []pomelorelay.NodeID
 }
 
 func newJobs() jobs {
 	return jobs{
-		upstreams: make(map[pomelorelay.UpstreamID]func()),
-		ledger:    make(map[pomelorelay.ShardID]bool),
-		claims:    make(map[pomelorelay.ShardID]bool),
-	}
-}
-
-// takeChanges follows routers that came and went.
-func (c *control) takeChanges(now time.Time) {
-	c.changes = c.view.Changes(c.changes[:0])
-	if len(c.changes) == 0 {
-		return
-	}
-	for _, change := range c.changes {
-		c.takeChange(now, change)
-	}
-	c.placeJobs(now)
-}
-
-func (c *control) takeChange(now time.Time, change pomelomember.Change) {
-	node := change.Peer.Node
-	c.n.log(pomelorelay.EventMemberChanged, field("Member", string(node)), field("Status", int(change.Status)))
-	switch change.Status {
-	case pomelorelay.MemberDead:
-		c.dead[node] = true
-		delete(c.generations, node)
-		c.out = c.owner.MemberGone(now, node, c.out)
-		c.ledger.MemberGone(now, node)
-		c.arbiter.MemberGone(node)
-	case pomelorelay.MemberAlive:
-		delete(c.dead, node)
-		c.table.Joined(now, node, &c.suspectOut)
+		upstreams:  make(map[pomelorelay.UpstreamID]func()),
+		ledger:     make(map[pomelorelay.ShardID]bool),
+		claims:     make(map[pomelorelay.ShardID]bool),
+		rebuilding: make(map[pomelorelay.ShardID]bool),
 	}
 }
 
@@ -83,14 +58,6 @@
 	return slices.Contains(c.reachable, domain)
 }
 
-// takeReach follows failure domains that were lost or found again.
-func (c *control) takeReach(now time.Time) {
-	c.reachNow = c.view.Reachable(now, c.reachNow[:0])
-	if !slices.Equal(c.reachNow, c.reachable) {
-		c.placeJobs(now)
-	}
-}
-
 func (c *control) others() []pomelorelay.NodeID {
 	var nodes []pomelorelay.NodeID
 	for _, node := range c.jobs.peers {
@@ -167,12 +134,35 @@
 			continue
 		}
 		if !mine {
-			delete(c.jobs.ledger, shard)
-			c.ledger.Drop(shard)
+			c.dropLedger(shard)
 			continue
 		}
 		c.jobs.ledger[shard] = true
+		c.jobs.rebuilding[shard] = true
 		c.out = c.ledger.Host(now, shard, c.out)
+		c.n.log(pomelorelay.EventLedgerHosted, field("Shard", uint32(shard)))
+	}
+}
+
+func (c *control) dropLedger(shard pomelorelay.ShardID) {
+	delete(c.jobs.ledger, shard)
+	delete(c.jobs.rebuilding, shard)
+	c.ledger.Drop(shard)
+	c.n.log(pomelorelay.EventLedgerDropped, field("Shard", uint32(shard)))
+}
+
+// noteRebuilt tells of shards of the ledger that became ready.
+func (c *control) noteRebuilt() {
+	for shard := range c.jobs.rebuilding {
+		if _, ready := c.ledger.Hosts(shard); !ready {
+			continue
+		}
+		delete(c.jobs.rebuilding, shard)
+		event := pomelorelay.EventLedgerReady
+		if c.ledger.Short(shard) {
+			event = pomelorelay.EventLedgerRebuildShort
+		}
+		c.n.log(event, field("Shard", uint32(shard)))
 	}
 }
 
