pomelocheck: a quarantined request is settled by its first such refusal

Change: a request's wait ends with its first answer or its first word of quarantine, which must still come within MaxWait (new cases: repeated after it, and late).

--- a/pomelocheck/checker_test.go
+++ b/pomelocheck/checker_test.go
@@ -109,12 +109,21 @@
 
 // A router keeps a request, or an account's queue, and nobody ever takes it up. The caller sees a connection that hangs.
 func TestEndlessWaitsAreFound(t *testing.T) {
+	quarantined := func(attempt string, when time.Duration) pomelocheck.Refused {
+		r := refused(attempt, when, pomelorelay.RanNo)
+		r.Code = pomelorelay.CodeQuarantined
+		return r
+	}
 	runCases(t, pomelocheck.Config{MaxWait: 30 * time.Second}, []checkCase{
 		{"no end", []pomelocheck.Event{sent("a", "x", 0)}, []pomelocheck.Kind{pomelocheck.Starved}},
 		{"late end", []pomelocheck.Event{sent("a", "x", 0), answered("a", 31*time.Second)}, []pomelocheck.Kind{pomelocheck.Starved}},
 		{"turned away again and again", []pomelocheck.Event{
 			sent("a", "x", 0), refused("a", 20*time.Second, pomelorelay.RanNo), sent("b", "x", 21*time.Second), refused("b", 40*time.Second, pomelorelay.RanNo),
 		}, []pomelocheck.Kind{pomelocheck.Starved}},
+		{"quarantined, then repeated", []pomelocheck.Event{
+			sent("a", "x", 0), quarantined("a", 20*time.Second), sent("b", "x", 21*time.Second), quarantined("b", 40*time.Second),
+		}, nil},
+		{"quarantined late", []pomelocheck.Event{sent("a", "x", 0), quarantined("a", 31*time.Second)}, []pomelocheck.Kind{pomelocheck.Starved}},
 		{"answered, then repeated", []pomelocheck.Event{
 			sent("a", "x", 0), answered("a", time.Second), sent("b", "x", 40*time.Second), answered("b", 41*time.Second),
 		}, nil},
