--- a/pomelocheck/requests.go
+++ b/pomelocheck/requests.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -61,7 +62,8 @@
 	for id, t := range c.contents {
 		first, end := c.waited(t, now)
 		if wait := end.Sub(first); wait > c.cfg.MaxWait {
-			out = append(out, Violation{Starved, string(id), end, fmt.Sprintf("waited %s in %d attempts", wait, len(t.attempts))})
+			detail := fmt.Sprintf("waited %s in %d attempts:%s", wait, len(t.attempts), c.describe(t, first, now))
+			out = append(out, Violation{Starved, string(id), end, detail})
 		}
 	}
 	return out
@@ -88,6 +90,19 @@
 	return first, end
 }
 
+// describe tells where each attempt went and when it began and ended, so that a violation can be traced to a fault.
+func (c *Checker) describe(t *content, first, now time.Time) string {
+	var text strings.Builder
+	for _, id := range t.attempts {
+		a := c.attempts[id]
+		fmt.Fprintf(&text, " %s from %s to %s", a.sent.Node, a.sent.At.Sub(first), a.endedBy(now).Sub(first))
+		for _, r := range a.refused {
+			fmt.Fprintf(&text, " (%d)", r.Code)
+		}
+	}
+	return text.String()
+}
+
 // settled returns when the attempt was first answered or refused as quarantined, zero when it was neither.
 func (a *attempt) settled() time.Time {
 	var when time.Time
