--- a/pomelofake/host.go
+++ b/pomelofake/host.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// Close may have passed between listening and serving; without this check the new server would outlive it.
+// closeIfClosing ends a server that came too late: Close may have passed between listening and serving; without this check the new server would outlive it.
 func (h *Host) closeIfClosing() {
 	select {
 	case <-h.closing:
--- a/pomelonode/configuration.go
+++ b/pomelonode/configuration.go
@@ -11,7 +11,7 @@
 	"github.com/pomelorelay/pomelorelay/pomeloslot"
 )
 
-// view is what the traffic path reads; it is immutable.
+// trafficView is what the traffic path reads; it is immutable.
 type trafficView struct {
 	snapshot *pomeloconfig.Snapshot
 	pools    map[pomelorelay.PoolID][]*pomeloconfig.Upstream
