--- /dev/null
+++ b/cmd/pomelorelayd/entry.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	pomeloplatform "github.com/pomelorelay/pomelorelay/platform"
+	"github.com/pomelorelay/pomelorelay/pomeloentry"
+	"github.com/pomelorelay/pomelorelay/pomelolog"
+	"github.com/pomelorelay/pomelorelay/pomelostore"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+const (
+	// memoryShare is the part of the memory that the platform allows up to which the collector lets the heap grow.
+	memoryShare = 0.7
+	// storeTimeout bounds a call to the platform's store, which answers in 4 ms, or in a few hundred when it is slow.
+	storeTimeout = 1500 * time.Millisecond
+	// storeCalls is the most calls a second that one router makes.
+	storeCalls = 20
+)
+
+func registerEntry(app *kingpin.Application) {
+	command := app.Command("entry", "Run an entry router on the users' platform until SIGTERM stops it gracefully.")
+	path := command.Flag("settings", "The platform's settings file.").Envar(pomeloplatform.SettingsVariable).Required().String()
+	command.Action(func(*kingpin.ParseContext) error { return runEntry(*path) })
+}
+
+func runEntry(path string) error {
+	settings, err := pomeloplatform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
+	}
+	logger := pomelolog.New(pomelolog.Config{Node: settings.Self.Node, Level: pomelorelay.LevelInfo, Writer: os.Stdout})
+	defer logger.Close()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	entry, err := openEntry(settings, logger)
+	if err != nil {
+		return err
+	}
+	return serveEntry(entry, path, signals, logger)
+}
+
+func openEntry(settings pomelorelay.FleetSettings, logger pomelorelay.Logger) (*pomeloentry.Entry, error) {
+	client, err := pomelostore.New(pomelostore.Config{
+		Addresses:      []netip.AddrPort{settings.Store},
+		Timeout:        storeTimeout,
+		CallsPerSecond: storeCalls,
+		Logger:         logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	entry, err := pomeloentry.New(pomeloentry.Config{
+		Settings: settings,
+		Platform: pomeloplatform.NewStore(client, storeTimeout),
+		Wire:     pomeloplatform.Wire{},
+		Logger:   logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := entry.Listen(); err != nil {
+		entry.Close()
+		return nil, err
+	}
+	return entry, nil
+}
+
+// serveEntry runs until a signal or a failure ends the router. Settings that changed are checked and told; their addresses hold
+// until the next start.
+func serveEntry(entry *pomeloentry.Entry, path string, signals <-chan os.Signal, logger pomelorelay.Logger) error {
+	for {
+		select {
+		case err := <-entry.Errors():
+			entry.Close()
+			return err
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				entry.Stop()
+				return nil
+			}
+			if _, err := pomeloplatform.LoadSettings(path); err != nil {
+				logger.Log(pomelorelay.EventSettingsRefused, pomelorelay.Field{Key: "Fault", Value: err.Error()})
+				continue
+			}
+			logger.Log(pomelorelay.EventSettingsReloaded)
+		}
+	}
+}
--- a/cmd/pomelorelayd/main.go
+++ b/cmd/pomelorelayd/main.go
@@ -19,6 +19,7 @@
 func main() {
 	app := kingpin.New("pomelorelayd", "A router of the pomelorelay fleet.")
 	registerRun(app)
+	registerEntry(app)
 	registerCheck(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "pomelorelayd:", err)
--- a/codes_route.go
+++ b/codes_route.go
@@ -13,6 +13,9 @@
 	CodeStreamBroken      ResultCode = 1208
 	CodeCancelled         ResultCode = 1209
 	CodeBodiesFull        ResultCode = 1210
+	CodeUpstreamFailed    ResultCode = 1211
+	CodeUpstreamsBusy     ResultCode = 1212
+	CodeShareSpent        ResultCode = 1213
 )
 
 var routeCodes = []CodeInfo{
@@ -27,4 +30,7 @@
 	{CodeStreamBroken, "StreamBroken", 502, RanYes, "The stream broke off and could not be resumed.", "Send it again only if it may run twice."},
 	{CodeCancelled, "Cancelled", 499, RanNo, "The caller closed its connection before the request was sent.", "None."},
 	{CodeBodiesFull, "BodiesFull", 503, RanNo, "The bodies in progress fill the router's bound.", "Send it again after Retry-After; operators may raise Limits.BufferedBytes."},
+	{CodeUpstreamFailed, "UpstreamFailed", 502, RanUnknown, "The upstream answered with a failure of its own.", "Send it again only if it may run twice."},
+	{CodeUpstreamsBusy, "UpstreamsBusy", 503, RanNo, "No upstream could begin the answer in time.", "Send it again after Retry-After."},
+	{CodeShareSpent, "ShareSpent", 503, RanNo, "The account has had its share of busy upstreams.", "Send it again after Retry-After, or ask the operators for a larger share."},
 }
--- a/codes_store.go
+++ b/codes_store.go
@@ -8,6 +8,10 @@
 	CodeStoreLeaseLapsed ResultCode = 2103
 	CodeStoreTooLarge    ResultCode = 2104
 	CodeStoreThrottled   ResultCode = 2105
+	CodeStoreCompacted   ResultCode = 2106
+	CodePlatformConfig   ResultCode = 2107
+	CodePlatformEntry    ResultCode = 2108
+	CodePlatformSettings ResultCode = 2109
 )
 
 var storeCodes = []CodeInfo{
@@ -17,4 +21,8 @@
 	{CodeStoreLeaseLapsed, "StoreLeaseLapsed", 409, RanNo, "The lease lapsed before it was renewed.", "Open a new lease."},
 	{CodeStoreTooLarge, "StoreValueTooLarge", 413, RanNo, "The value is over the store's limit of one megabyte.", "Split the value."},
 	{CodeStoreThrottled, "StoreThrottled", 429, RanNo, "The router's own call budget, or the store's, is spent.", "Wait a second."},
+	{CodeStoreCompacted, "StoreCompacted", 410, RanNo, "The store dropped the history that a watch asked for.", "None; the router reads everything anew."},
+	{CodePlatformConfig, "PlatformConfigUnreadable", 400, RanNo, "The operators' configuration in the platform's store cannot be read; the last one stays in force.", "Publish a corrected version."},
+	{CodePlatformEntry, "PlatformEntryUnreadable", 400, RanNo, "An upstream's entry in the platform's store cannot be read; it names no upstream.", "Look at who wrote the entry."},
+	{CodePlatformSettings, "PlatformSettingsUnreadable", 400, RanNo, "The platform's settings file cannot be read or lacks a field.", "Correct the file."},
 }
--- a/events_node.go
+++ b/events_node.go
@@ -2,17 +2,19 @@
 
 // Events of the router as a whole, 100 to 199.
 const (
-	EventStarted         EventID = 100
-	EventReady           EventID = 101
-	EventStopping        EventID = 102
-	EventStopped         EventID = 103
-	EventJobsMoved       EventID = 105
-	EventLeaving         EventID = 106
-	EventLoadLost        EventID = 107
-	EventControlStall    EventID = 108
-	EventStopLate        EventID = 110
-	EventUpstreamBack    EventID = 111
-	EventClaimsUnsettled EventID = 112
+	EventStarted          EventID = 100
+	EventReady            EventID = 101
+	EventStopping         EventID = 102
+	EventStopped          EventID = 103
+	EventJobsMoved        EventID = 105
+	EventLeaving          EventID = 106
+	EventLoadLost         EventID = 107
+	EventControlStall     EventID = 108
+	EventStopLate         EventID = 110
+	EventUpstreamBack     EventID = 111
+	EventClaimsUnsettled  EventID = 112
+	EventSettingsReloaded EventID = 113
+	EventSettingsRefused  EventID = 114
 )
 
 var nodeEvents = []EventInfo{
@@ -27,4 +29,6 @@
 	{EventStopLate, "StopLate", LevelWarn, "A planned stop reached its bound with requests in progress.", "Raise Control.StopWait."},
 	{EventUpstreamBack, "UpstreamBack", LevelInfo, "An upstream is no longer leaving.", "None."},
 	{EventClaimsUnsettled, "ClaimsUnsettled", LevelWarn, "A planned stop ended while the store did not yet hold how some claimed requests ended; their repeats hear that the outcome is unknown.", "Look at the store."},
+	{EventSettingsReloaded, "SettingsReloaded", LevelInfo, "The settings file was read again and is in order; addresses hold until the next start.", "None."},
+	{EventSettingsRefused, "SettingsRefused", LevelError, "The changed settings file cannot be used; the former settings hold.", "Correct the file."},
 }
--- a/events_store.go
+++ b/events_store.go
@@ -4,9 +4,25 @@
 const (
 	EventStoreBreakerOpen   EventID = 900
 	EventStoreBreakerClosed EventID = 901
+	EventPlatformLost       EventID = 902
+	EventPlatformBack       EventID = 903
+	EventUpstreamBadEntry   EventID = 904
+	EventUpstreamListed     EventID = 905
+	EventUpstreamLapsed     EventID = 906
+	EventUpstreamGone       EventID = 907
+	EventPeersChanged       EventID = 908
+	EventPeerMissed         EventID = 909
 )
 
 var storeEvents = []EventInfo{
 	{EventStoreBreakerOpen, "StoreBreakerOpen", LevelWarn, "The platform's store failed several calls in a row; calls to it now fail at once.", "Check the store. Work that may be repeated goes on."},
 	{EventStoreBreakerClosed, "StoreBreakerClosed", LevelInfo, "The platform's store answers again.", "None."},
+	{EventPlatformLost, "PlatformLost", LevelWarn, "A watch or the registration at the platform's store failed; what was known goes on holding.", "Check the store and the way to it."},
+	{EventPlatformBack, "PlatformBack", LevelInfo, "A watch or the registration at the platform's store works again.", "None."},
+	{EventUpstreamBadEntry, "UpstreamBadEntry", LevelWarn, "An upstream's entry cannot be read; it names no upstream, the others hold.", "Look at who wrote the entry."},
+	{EventUpstreamListed, "UpstreamListed", LevelInfo, "An upstream registered itself, or changed its entry.", "None."},
+	{EventUpstreamLapsed, "UpstreamLapsed", LevelInfo, "An upstream's entry vanished without a word; it is taken as gone after the time in the line.", "None."},
+	{EventUpstreamGone, "UpstreamGone", LevelInfo, "An upstream is taken as gone and gets nothing new.", "None."},
+	{EventPeersChanged, "PeersChanged", LevelInfo, "The registered routers changed.", "None."},
+	{EventPeerMissed, "PeerMissed", LevelWarn, "A message to a router could not be queued.", "Check the link to it."},
 }
--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,158 @@
+package pomelorelay
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// RouteKind tells what may be repeated on a route.
+type RouteKind string
+
+// The kinds of route.
+const (
+	// RouteIdempotent requests may run more than once.
+	RouteIdempotent RouteKind = "Idempotent"
+	// RouteOnce requests run at most once.
+	RouteOnce RouteKind = "Once"
+	// RouteStream requests are answered by events; they run at most once unless the route is resumable.
+	RouteStream RouteKind = "Stream"
+)
+
+// RouteShare gives a part of a route's requests to a service.
+type RouteShare struct {
+	Service ServiceID
+	Weight  float64
+}
+
+// Route leads requests of a host name and path prefix to services.
+type Route struct {
+	Name   RouteID
+	Host   string
+	Prefix string
+	Kind   RouteKind
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time to the answer, or to a stream's first event, that callers expect.
+	Target time.Duration
+	// Pause is the longest pause between events that callers expect; zero where nothing is said.
+	Pause time.Duration
+	// Priority is the rank, 0 the highest.
+	Priority int
+	Shares   []RouteShare
+	// Attempts bounds the upstreams that one request is sent to.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may be taken up at another upstream after their last event.
+	Resumable bool
+	// Prompts tells that requests name the parts of their prompts.
+	Prompts bool
+}
+
+// EngineSpec is what the configuration says of a service's model engines.
+type EngineSpec struct {
+	// Slots is the number of requests that an engine runs at once.
+	Slots Slots
+	// Memory is the number of tokens that running requests and kept prompts share.
+	Memory Tokens
+	// EventTokens is the number of generated tokens in one event.
+	EventTokens Tokens
+}
+
+// ServiceSpec is a service as the platform's configuration has it.
+type ServiceSpec struct {
+	Name ServiceID
+	// MaxConns bounds the connections of all callers to one upstream; zero means no bound.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *EngineSpec
+}
+
+// AccountSpec is a client account and the keys that its callers use.
+type AccountSpec struct {
+	Name AccountID
+	Keys []string
+	// Priority goes before the routes' where it is set.
+	Priority *int
+}
+
+// CallerLimits bound what callers may send.
+type CallerLimits struct {
+	HeaderBytes   Bytes
+	BodyBytes     Bytes
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	// TokensPerSecond is about what all engines together produce, each read token once and each generated one twice; zero when unknown.
+	TokensPerSecond Cost
+}
+
+// FleetConfig is one version of the operators' configuration, immutable once made.
+type FleetConfig struct {
+	Version  Generation
+	Routes   []Route
+	Services []ServiceSpec
+	Accounts []AccountSpec
+	Limits   CallerLimits
+	// Document is the configuration as it was published, for routers that cannot reach the store.
+	Document []byte
+}
+
+// FleetUpstream is an upstream as it registered itself.
+type FleetUpstream struct {
+	ID      UpstreamID
+	Service ServiceID
+	Addr    netip.AddrPort
+	Domain  DomainID
+	Slots   Slots
+	// Draining upstreams get nothing new.
+	Draining bool
+	// Born is when this incarnation started, Unix milliseconds; zero when it does not say.
+	Born int64
+}
+
+// ConfigChange is the configuration after a change.
+type ConfigChange struct {
+	Config *FleetConfig
+	At     Revision
+	// Fault tells why the newest document cannot be used; Config is nil then.
+	Fault error
+}
+
+// UpstreamChange is what changed among the registered upstreams.
+type UpstreamChange struct {
+	At Revision
+	// Whole tells that Present is every upstream, so that others are gone.
+	Whole   bool
+	Present []FleetUpstream
+	Gone    []UpstreamID
+	// Faults tell of entries that cannot be read; their ids are among Gone.
+	Faults []error
+}
+
+// PeerChange is what changed among the registered routers.
+type PeerChange struct {
+	At      Revision
+	Whole   bool
+	Present []Peer
+	Gone    []NodeID
+}
+
+// Platform is what a router learns from the platform around it. A watch from revision zero returns what is there at once;
+// another waits for a change and returns an empty one when none came in time. All fail with the store's codes.
+type Platform interface {
+	// WatchConfig returns the operators' configuration.
+	WatchConfig(ctx context.Context, after Revision) (ConfigChange, error)
+	// ReadConfig reads a configuration's document that a peer gave.
+	ReadConfig(document []byte) (*FleetConfig, error)
+	// WatchUpstreams returns the registered upstreams.
+	WatchUpstreams(ctx context.Context, after Revision) (UpstreamChange, error)
+	// WatchPeers returns the registered routers.
+	WatchPeers(ctx context.Context, after Revision) (PeerChange, error)
+	// Announce registers this router under a lease of the time to live.
+	Announce(ctx context.Context, self Peer, ttl time.Duration) (LeaseID, error)
+	// RenewLease renews the lease; it fails with CodeStoreLeaseLapsed when it has ended.
+	RenewLease(ctx context.Context, lease LeaseID) error
+	// CloseLease ends the lease and with it the registration.
+	CloseLease(ctx context.Context, lease LeaseID) error
+}
--- a/ids.go
+++ b/ids.go
@@ -12,6 +12,9 @@
 // PoolID names the upstreams that can do the same work: a service, or a service and a model.
 type PoolID string
 
+// RouteID names a route of the configuration.
+type RouteID string
+
 // UpstreamID names one upstream server.
 type UpstreamID string
 
--- /dev/null
+++ b/pomelobudget/doc.go
@@ -0,0 +1,2 @@
+// Package pomelobudget keeps retries to a fraction of the requests.
+package pomelobudget
--- /dev/null
+++ b/pomeloentry/control.go
@@ -0,0 +1,164 @@
+package pomeloentry
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+	"github.com/pomelorelay/pomelorelay/pomeloshare"
+	"github.com/pomelorelay/pomelorelay/pomelotable"
+)
+
+const (
+	// tickEvery is the interval of reports to the other routers: until the next one they place by what they know, and within it
+	// an engine gets two or three requests from all of them together.
+	tickEvery = 100 * time.Millisecond
+	// wholeEvery is the interval of reports that hold everything; a lost one is made up for within it.
+	wholeEvery = time.Second
+	// urgentGap is the least time between reports: the way between regions takes 12 ms, so that a faster pace tells nobody more.
+	urgentGap = 20 * time.Millisecond
+	// gaugesEvery is the interval at which the metrics of what the router knows are renewed.
+	gaugesEvery = time.Second
+)
+
+// control is the state of the control goroutine; nothing else touches it.
+type control struct {
+	e         *Entry
+	placer    *pomeloplace.Placer
+	shares    *pomeloshare.Shares
+	config    *pomelorelay.FleetConfig
+	upstreams upstreams
+	peers     peers
+	pulls     pulls
+
+	reportedAt time.Time
+	wholeAt    time.Time
+	gaugesAt   time.Time
+}
+
+func newControl(e *Entry) *control {
+	s := e.cfg.Settings
+	return &control{
+		e:         e,
+		placer:    pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions}),
+		shares:    pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
+		upstreams: newUpstreams(),
+		peers:     newPeers(),
+	}
+}
+
+// run takes in events, messages and ticks until the router ends.
+func (c *control) run() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.e.ctx.Done():
+			return
+		case ev := <-c.e.events:
+			now := c.now()
+			ev.apply(c, now)
+			if c.placer.Urgent() && now.Sub(c.reportedAt) >= urgentGap {
+				c.report(now)
+			}
+		case m := <-c.e.mesh.Receive():
+			c.receive(c.now(), m)
+		case <-ticker.C:
+			c.tick(c.now())
+		}
+	}
+}
+
+func (c *control) now() time.Time { return c.e.cfg.Clock.Now() }
+
+func (c *control) tick(now time.Time) {
+	c.shares.Tick(now)
+	c.placer.Tick(now)
+	c.dropLapsed(now)
+	c.report(now)
+	c.pullBehind(now)
+	if now.Sub(c.gaugesAt) >= gaugesEvery {
+		c.gaugesAt = now
+		c.setGauges()
+	}
+}
+
+func (c *control) setGauges() {
+	m := c.e.metrics
+	m.Set("upstreams", float64(len(c.upstreams.present)))
+	m.Set("peers", float64(len(c.peers.present)))
+	m.Set("requests_in_flight", float64(c.e.inFlight.Load()))
+	m.Set("caller_connections", float64(c.e.conns.Load()))
+	m.Set("upstream_connections_opened", float64(c.e.forward.Opened()))
+	if c.config != nil {
+		m.Set("generation", float64(c.config.Version))
+	}
+}
+
+// place decides on a request and charges its account.
+func (c *control) place(now time.Time, w pomeloforward.Work) pomeloplace.Decision {
+	counts := w.Cost > 0 && w.Account != ""
+	r := w.Place
+	r.Owed = true
+	if counts {
+		if !w.Again {
+			c.shares.Asked(w.Account, w.Cost)
+		}
+		r.Owed = w.Again || c.shares.Owed(w.Account, w.Cost)
+	}
+	d := c.placer.Place(now, r)
+	c.e.metrics.Placed(string(d.Reason))
+	switch {
+	case d.Reason == pomeloplace.ReasonNone && counts && !w.Again:
+		c.shares.Served(w.Account, w.Cost)
+	case d.Reason == pomeloplace.ReasonShare:
+		d.RetryAfter = max(d.RetryAfter, c.shares.Wait(w.Account, w.Cost))
+	}
+	return d
+}
+
+// report tells the other routers what changed here.
+func (c *control) report(now time.Time) {
+	m := &pomelorelay.LoadReport{Whole: now.Sub(c.wholeAt) >= wholeEvery}
+	if m.Whole {
+		c.wholeAt = now
+	}
+	c.reportedAt = now
+	c.placer.Report(m)
+	m.Accounts = c.shares.Report(m.Whole, m.Accounts)
+	m.Leaving = c.upstreams.tell(now)
+	for node := range c.peers.present {
+		// A message that the mesh refuses is lost like one on a broken link; the next whole report makes up for it.
+		if err := c.e.mesh.Send(node, m); err != nil {
+			c.e.metrics.Placed("report not sent")
+		}
+	}
+}
+
+func (c *control) receive(now time.Time, m pomelorelay.Envelope) {
+	c.noteGeneration(now, m.From, m.Generation)
+	switch msg := m.Message.(type) {
+	case *pomelorelay.LoadReport:
+		c.placer.Heard(now, m.From, m.Incarnation, msg)
+		c.shares.Heard(m.From, m.Incarnation, msg.Accounts)
+		c.takeLeaving(now, m.From, msg.Leaving)
+	case *pomelorelay.ConfigPull:
+		c.push(m.From, msg)
+	case *pomelorelay.ConfigPush:
+		c.takePush(now, m.From, msg)
+	}
+}
+
+// setConfig puts a configuration in force, unless one as new is.
+func (c *control) setConfig(now time.Time, config *pomelorelay.FleetConfig, source string) {
+	if c.config != nil && config.Version <= c.config.Version {
+		return
+	}
+	c.config = config
+	c.shares.SetCapacity(config.Limits.TokensPerSecond)
+	c.placer.SetServices(config.Services)
+	c.e.table.Store(pomelotable.New(config))
+	c.e.mesh.SetGeneration(config.Version)
+	c.e.log(pomelorelay.EventConfigInForce, field("Generation", uint64(config.Version)), field("Source", source), field("Routes", len(config.Routes)), field("Accounts", len(config.Accounts)))
+}
--- /dev/null
+++ b/pomeloentry/entry.go
@@ -0,0 +1,182 @@
+package pomeloentry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelomesh"
+	"github.com/pomelorelay/pomelorelay/pomelometric"
+	"github.com/pomelorelay/pomelorelay/pomelotable"
+)
+
+// Config holds what an entry router is made of; Mesh is made from the settings when it is nil.
+type Config struct {
+	Settings pomelorelay.FleetSettings
+	Platform pomelorelay.Platform
+	Wire     pomelorelay.WireFormat
+	Mesh     pomelorelay.Mesh
+	Clock    pomelorelay.Clock
+	Logger   pomelorelay.Logger
+	// Incarnation marks this start; the clock's nanoseconds when zero.
+	Incarnation pomelorelay.Incarnation
+}
+
+// Entry is one router.
+type Entry struct {
+	cfg         Config
+	incarnation pomelorelay.Incarnation
+	mesh        pomelorelay.Mesh
+	forward     *pomeloforward.Handler
+	metrics     *pomelometric.Metrics
+	events      chan event
+
+	table atomic.Pointer[pomelotable.Table]
+	// upstreams is the number of known upstreams.
+	upstreams atomic.Int64
+	// stopAt is the Unix nanosecond at which a planned stop ends the process, zero while none is planned.
+	stopAt   atomic.Int64
+	inFlight atomic.Int64
+	conns    atomic.Int64
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	once    sync.Once
+	wg      sync.WaitGroup
+	servers []*http.Server
+	errs    chan error
+}
+
+// eventQueue is the length of the control goroutine's queue: several times the requests that a router has at once.
+const eventQueue = 1024
+
+// New makes a router and starts its goroutines; Listen opens its ports. It fails with the mesh's code.
+func New(cfg Config) (*Entry, error) {
+	if cfg.Clock == nil {
+		cfg.Clock = pomelorelay.SystemClock{}
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = pomelorelay.NopLogger{}
+	}
+	e := &Entry{
+		cfg:         cfg,
+		incarnation: cfg.Incarnation,
+		metrics:     pomelometric.New(),
+		events:      make(chan event, eventQueue),
+		errs:        make(chan error, listeners),
+	}
+	if e.incarnation == 0 {
+		e.incarnation = pomelorelay.Incarnation(cfg.Clock.Now().UnixNano())
+	}
+	if err := e.openMesh(); err != nil {
+		return nil, err
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.forward = pomeloforward.New(pomeloforward.Config{
+		Clock:       cfg.Clock,
+		Logger:      cfg.Logger,
+		Wire:        cfg.Wire,
+		Tables:      tables{e},
+		Placement:   placement{e},
+		Stopping:    stopping{e},
+		Meter:       e.metrics,
+		RetryRatio:  cfg.Settings.RetryRatio,
+		RetrySlack:  cfg.Settings.RetrySlack,
+		RetryWindow: cfg.Settings.RetryWindow,
+	})
+	c := newControl(e)
+	e.start(func(context.Context) { c.run() })
+	e.start(e.watchConfig)
+	e.start(e.watchUpstreams)
+	e.start(e.watchPeers)
+	e.start(e.keepRegistered)
+	return e, nil
+}
+
+func (e *Entry) openMesh() error {
+	if e.cfg.Mesh != nil {
+		e.mesh = e.cfg.Mesh
+		return nil
+	}
+	self := e.cfg.Settings.Self
+	mesh, err := pomelomesh.New(pomelomesh.Config{
+		Self:   pomelomesh.Self{Node: self.Node, Incarnation: e.incarnation, Domain: self.Domain, Region: self.Region},
+		Listen: self.Addr,
+		// The platform gives no certificates; its internal ports are closed to everyone but the fleet's own hosts.
+		Insecure: true,
+		Seed:     uint64(e.incarnation),
+		Logger:   e.cfg.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	e.mesh = mesh
+	return nil
+}
+
+// start runs f in a goroutine that Close waits for.
+func (e *Entry) start(f func(ctx context.Context)) {
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		f(e.ctx)
+	}()
+}
+
+// post hands an event to the control goroutine; it reports false when the router has ended.
+func (e *Entry) post(ev event) bool {
+	select {
+	case e.events <- ev:
+		return true
+	case <-e.ctx.Done():
+		return false
+	}
+}
+
+func (e *Entry) log(id pomelorelay.EventID, fields ...pomelorelay.Field) {
+	e.cfg.Logger.Log(id, fields...)
+}
+
+func field(key string, value any) pomelorelay.Field {
+	return pomelorelay.Field{Key: key, Value: value}
+}
+
+// Ready reports whether the router takes requests.
+func (e *Entry) Ready() bool {
+	return e.table.Load() != nil && e.upstreams.Load() > 0 && e.stopAt.Load() == 0
+}
+
+// Close ends the router at once; Stop does so gracefully.
+func (e *Entry) Close() {
+	e.once.Do(func() {
+		for _, s := range e.servers {
+			s.Close()
+		}
+		e.cancel()
+		e.mesh.Close()
+		e.wg.Wait()
+		e.forward.Close()
+	})
+}
+
+// tables implements pomeloforward.Tables.
+type tables struct{ e *Entry }
+
+// Current returns the table in force.
+func (t tables) Current() *pomelotable.Table { return t.e.table.Load() }
+
+// stopping implements pomeloforward.Stopping.
+type stopping struct{ e *Entry }
+
+// StopsIn returns the time until the process ends, false when no stop is planned.
+func (s stopping) StopsIn() (time.Duration, bool) {
+	at := s.e.stopAt.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return time.Duration(at - s.e.cfg.Clock.Now().UnixNano()), true
+}
--- /dev/null
+++ b/pomeloentry/upstreams.go
@@ -0,0 +1,194 @@
+package pomeloentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+const (
+	// upstreamsPace is the least time between two calls for the upstreams' entries, which change with every heartbeat. An upstream
+	// that leaves must get nothing 2.5 s later; whichever router hears first tells the others.
+	upstreamsPace = 900 * time.Millisecond
+	// returnWait is how long after the store came back a vanished entry may be missing: upstreams that live are back within 2 s.
+	returnWait = 2300 * time.Millisecond
+	// massWait is how long many entries that vanish at once are kept: they lapsed in an outage that this router did not notice.
+	// With the pace it stays under the 2.5 s after which an upstream that really left must get nothing.
+	massWait = 1500 * time.Millisecond
+	// massShare is the part of the upstreams whose entries must vanish within massWait of each other for that.
+	massShare = 0.34
+	// tellFor is how long the others are told of an upstream that leaves.
+	tellFor = 3 * time.Second
+)
+
+// upstreams are the registered upstreams as this router knows them.
+type upstreams struct {
+	present map[pomelorelay.UpstreamID]pomelorelay.FleetUpstream
+	// lapsed holds when an upstream whose entry vanished is to be taken as gone.
+	lapsed map[pomelorelay.UpstreamID]time.Time
+	// leaving holds when this router learnt that an upstream drains or has gone.
+	leaving  map[pomelorelay.UpstreamID]time.Time
+	vanished []time.Time
+	backAt   time.Time
+}
+
+func newUpstreams() upstreams {
+	return upstreams{
+		present: make(map[pomelorelay.UpstreamID]pomelorelay.FleetUpstream),
+		lapsed:  make(map[pomelorelay.UpstreamID]time.Time),
+		leaving: make(map[pomelorelay.UpstreamID]time.Time),
+	}
+}
+
+// tell returns the upstreams whose leaving is news.
+func (u *upstreams) tell(now time.Time) []pomelorelay.UpstreamID {
+	var ids []pomelorelay.UpstreamID
+	for id, since := range u.leaving {
+		if now.Sub(since) > tellFor {
+			delete(u.leaving, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (e *Entry) watchUpstreams(ctx context.Context) {
+	var after pomelorelay.Revision
+	e.follow(ctx, followed{
+		name: "upstreams",
+		pace: upstreamsPace,
+		back: func() { e.post(&storeBack{}) },
+		call: func() error {
+			change, err := e.cfg.Platform.WatchUpstreams(ctx, after)
+			if err != nil {
+				return err
+			}
+			after = change.At
+			e.post(&upstreamsArrived{change})
+			return nil
+		},
+	})
+}
+
+// storeBack is posted when the store answers again.
+type storeBack struct{}
+
+func (*storeBack) apply(c *control, now time.Time) { c.upstreams.backAt = now }
+
+// upstreamsArrived is posted when the store told of upstreams.
+type upstreamsArrived struct{ change pomelorelay.UpstreamChange }
+
+func (a *upstreamsArrived) apply(c *control, now time.Time) {
+	for _, fault := range a.change.Faults {
+		c.e.log(pomelorelay.EventUpstreamBadEntry, field("Code", int(pomelorelay.CodeOf(fault))), field("Fault", fault.Error()))
+	}
+	seen := make(map[pomelorelay.UpstreamID]bool, len(a.change.Present))
+	for _, u := range a.change.Present {
+		seen[u.ID] = true
+		c.putUpstream(now, u)
+	}
+	for _, id := range a.change.Gone {
+		c.vanish(now, id)
+	}
+	if a.change.Whole {
+		for id := range c.upstreams.present {
+			if !seen[id] {
+				c.vanish(now, id)
+			}
+		}
+	}
+	c.e.upstreams.Store(int64(len(c.upstreams.present)))
+}
+
+func (c *control) putUpstream(now time.Time, u pomelorelay.FleetUpstream) {
+	before, known := c.upstreams.present[u.ID]
+	c.upstreams.present[u.ID] = u
+	delete(c.upstreams.lapsed, u.ID)
+	c.placer.Put(u)
+	if known && before == u {
+		return
+	}
+	if u.Draining {
+		c.upstreams.leaving[u.ID] = now
+		c.e.log(pomelorelay.EventLeaving, field("Upstream", u.ID), field("Source", "store"))
+		return
+	}
+	delete(c.upstreams.leaving, u.ID)
+	c.e.log(pomelorelay.EventUpstreamListed, field("Upstream", u.ID), field("Service", u.Service), field("Address", u.Addr.String()), field("Domain", u.Domain), field("Born", u.Born))
+}
+
+// vanish takes an entry that is no longer there. After an outage of the store, in which leases lapse, the entries of upstreams that
+// live come back; taken as gone at once, a whole service would be seen to have no upstream for two seconds.
+func (c *control) vanish(now time.Time, id pomelorelay.UpstreamID) {
+	u, known := c.upstreams.present[id]
+	if !known {
+		return
+	}
+	if _, waits := c.upstreams.lapsed[id]; waits {
+		return
+	}
+	if u.Draining {
+		c.removeUpstream(now, id)
+		return
+	}
+	c.upstreams.vanished = append(c.upstreams.vanished, now)
+	c.upstreams.lapsed[id] = c.goneAt(now)
+	c.e.log(pomelorelay.EventUpstreamLapsed, field("Upstream", id), field("GoneInMS", c.upstreams.lapsed[id].Sub(now).Milliseconds()))
+	c.dropLapsed(now)
+}
+
+func (c *control) goneAt(now time.Time) time.Time {
+	u := &c.upstreams
+	if back := u.backAt.Add(returnWait); now.Before(back) {
+		return back
+	}
+	recent := u.vanished[:0]
+	for _, at := range u.vanished {
+		if now.Sub(at) < massWait {
+			recent = append(recent, at)
+		}
+	}
+	u.vanished = recent
+	if float64(len(recent)) < massShare*float64(len(u.present)) {
+		return now
+	}
+	// Those that vanished just before were part of the same lapse.
+	for id := range u.lapsed {
+		u.lapsed[id] = now.Add(massWait)
+	}
+	return now.Add(massWait)
+}
+
+// dropLapsed removes the upstreams whose entries did not come back.
+func (c *control) dropLapsed(now time.Time) {
+	for id, at := range c.upstreams.lapsed {
+		if !now.Before(at) {
+			c.removeUpstream(now, id)
+		}
+	}
+}
+
+func (c *control) removeUpstream(now time.Time, id pomelorelay.UpstreamID) {
+	delete(c.upstreams.lapsed, id)
+	delete(c.upstreams.present, id)
+	c.upstreams.leaving[id] = now
+	c.placer.Remove(id)
+	c.e.upstreams.Store(int64(len(c.upstreams.present)))
+	c.e.log(pomelorelay.EventUpstreamGone, field("Upstream", id))
+}
+
+// takeLeaving takes what a peer knows to leave. A router that cannot reach the store would send new work to an upstream that leaves.
+func (c *control) takeLeaving(now time.Time, from pomelorelay.NodeID, ids []pomelorelay.UpstreamID) {
+	for _, id := range ids {
+		u, known := c.upstreams.present[id]
+		if !known || u.Draining {
+			continue
+		}
+		u.Draining = true
+		c.upstreams.present[id] = u
+		c.placer.Put(u)
+		c.e.log(pomelorelay.EventLeaving, field("Upstream", id), field("Source", from))
+	}
+}
--- /dev/null
+++ b/pomeloforward/call.go
@@ -0,0 +1,344 @@
+package pomeloforward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+	"github.com/pomelorelay/pomelorelay/pomelotable"
+)
+
+// call is one caller's request on its way through the router.
+type call struct {
+	h       *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	fields  pomelorelay.CallerFields
+	table   *pomelotable.Table
+	route   *pomelorelay.Route
+	account pomelorelay.AccountID
+	service pomelorelay.ServiceID
+	body    *bytes.Buffer
+	// deadline is the end of the caller's wait or of the route's timeout.
+	deadline time.Time
+	// answering is set once a byte of an answer went to the caller.
+	answering bool
+	// ran is set while and after an attempt whose request may have run.
+	ran bool
+	// runs, refused and unreached count the attempts by what became of them.
+	runs, refused, unreached int
+	avoid                    []pomelorelay.UpstreamID
+	// lastEvent is the number of the last event that the caller has.
+	lastEvent    uint64
+	hasLastEvent bool
+	// first is when the answer began; decision is the last placement.
+	first    time.Time
+	decision pomeloplace.Decision
+	status   int
+}
+
+func newCall(h *Handler, w http.ResponseWriter, r *http.Request) *call {
+	return &call{h: h, w: w, r: r, arrived: h.cfg.Clock.Now(), fields: h.cfg.Wire.ReadCaller(r.Header)}
+}
+
+// prepare finds out what the request is; it fails with a refusal, and nothing has run then.
+func (c *call) prepare() error {
+	c.table = c.h.cfg.Tables.Current()
+	if c.table == nil {
+		return pomelorelay.NewError(pomelorelay.CodeNotReady, "", nil)
+	}
+	route, ok := c.table.Route(c.r.Host, c.r.URL.EscapedPath())
+	if !ok {
+		return pomelorelay.NewError(pomelorelay.CodeUnknownPath, "", nil)
+	}
+	c.route = route
+	if err := c.authenticate(); err != nil {
+		return err
+	}
+	if c.service, ok = c.table.Pick(route, c.fields.ID); !ok {
+		return pomelorelay.NewError(pomelorelay.CodeNoUpstream, "the route has no service", nil)
+	}
+	c.bound()
+	c.lastEvent, c.hasLastEvent = c.fields.LastEvent, c.fields.HasLastEvent
+	return c.readBody()
+}
+
+func (c *call) authenticate() error {
+	account, ok := c.table.Account(c.fields.Key)
+	if ok {
+		c.account = account.Name
+		return nil
+	}
+	if c.route.Public || len(c.table.Config().Accounts) == 0 {
+		return nil
+	}
+	return pomelorelay.NewError(pomelorelay.CodeUnauthorised, "", nil)
+}
+
+// defaultWait bounds a request whose caller and route both say nothing.
+const defaultWait = time.Minute
+
+func (c *call) bound() {
+	wait := defaultWait
+	if c.fields.Wait > 0 {
+		wait = min(wait, c.fields.Wait)
+	}
+	if c.route.Timeout > 0 {
+		wait = min(wait, c.route.Timeout)
+	}
+	c.deadline = c.arrived.Add(wait)
+	// A caller that does not read would hold the handler and its buffers for ever.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(writeSlack))
+}
+
+func (c *call) readBody() error {
+	limit := int64(c.table.Limits().BodyBytes)
+	if limit > 0 && c.r.ContentLength > limit {
+		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
+	}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	c.body = c.h.buffers.Body()
+	var body io.Reader = c.r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(c.w, c.r.Body, limit)
+	}
+	_, err := c.body.ReadFrom(body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
+	}
+	if err != nil {
+		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "the body ended early", err)
+	}
+	return nil
+}
+
+func (c *call) bytes() []byte {
+	if c.body == nil {
+		return nil
+	}
+	return c.body.Bytes()
+}
+
+// release gives the body's memory back.
+func (c *call) release() {
+	if c.body != nil {
+		c.h.buffers.PutBody(c.body)
+		c.body = nil
+	}
+}
+
+// repeatable reports whether a request that may have run may be sent again.
+func (c *call) repeatable() bool {
+	return c.route.Kind == pomelorelay.RouteIdempotent || (c.route.Kind == pomelorelay.RouteStream && c.route.Resumable)
+}
+
+func (c *call) left() time.Duration { return c.deadline.Sub(c.h.cfg.Clock.Now()) }
+
+// run sends the request until it is answered or must not be sent again.
+func (c *call) run() {
+	if err := c.fitsStop(); err != nil {
+		c.refuse(err)
+		return
+	}
+	budget := c.h.budget(c.service)
+	budget.Earn(budgetPart * c.h.cfg.RetryRatio)
+	for {
+		f := c.attempt()
+		if f == nil {
+			c.served()
+			return
+		}
+		if !c.mayRetry(f) || (f.Outcome != pomelolink.OutcomeNotSent && !budget.Spend()) {
+			c.fail(f)
+			return
+		}
+		c.h.cfg.Meter.Retried(f.Err.Code)
+		c.log(pomelorelay.EventRequestRetried, codeFields(f)...)
+	}
+}
+
+// streamTime is about how long a stream takes. One that begins later before a planned stop would be cut by it.
+const streamTime = 2500 * time.Millisecond
+
+// fitsStop refuses a request that the process could not end before it stops.
+func (c *call) fitsStop() error {
+	stopsIn, stopping := c.h.cfg.Stopping.StopsIn()
+	if !stopping || c.route.Kind != pomelorelay.RouteStream || stopsIn > streamTime {
+		return nil
+	}
+	e := pomelorelay.NewError(pomelorelay.CodeStopping, "", nil)
+	// Another router takes it at once.
+	e.RetryAfter = time.Millisecond
+	return e
+}
+
+// mayRetry reports whether the request may be sent again after the failure.
+func (c *call) mayRetry(f *pomelolink.Failure) bool {
+	if c.decision.Reason != pomeloplace.ReasonNone || c.r.Context().Err() != nil || c.left() <= 0 {
+		return false
+	}
+	switch f.Outcome {
+	case pomelolink.OutcomeNotSent:
+		return c.unreached < maxUnreached
+	case pomelolink.OutcomeRefusedNotRun:
+		return c.refused < maxRefused && c.runs < max(c.route.Attempts, 1)
+	case pomelolink.OutcomeCutShort, pomelolink.OutcomeUnknown:
+		return c.repeatable() && c.runs < c.route.Attempts
+	}
+	return false
+}
+
+// attempt finds a place for the request and sends it there once.
+func (c *call) attempt() *pomelolink.Failure {
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline.Add(endSlack))
+	defer cancel()
+	ticket, f := c.place(ctx)
+	if f != nil {
+		return f
+	}
+	up := c.decision.Upstream
+	before := c.ran
+	// Until the outcome is known the request counts as one that may have run, also when a defect ends this function.
+	c.ran = true
+	result := pomeloplace.ResultGone
+	defer func() { ticket.Ended(result) }()
+	f = c.exchange(ctx, up, ticket)
+	result = resultOf(ctx, f)
+	if f == nil {
+		return nil
+	}
+	c.avoid = append(c.avoid, up.ID)
+	switch f.Outcome {
+	case pomelolink.OutcomeNotSent:
+		c.unreached++
+		c.ran = before
+	case pomelolink.OutcomeRefusedNotRun:
+		c.refused++
+		c.ran = before
+	default:
+		c.runs++
+	}
+	return f
+}
+
+// resultOf tells what an attempt says of its upstream. A caller that left says nothing of it.
+func resultOf(ctx context.Context, f *pomelolink.Failure) pomeloplace.Result {
+	switch {
+	case f == nil:
+		return pomeloplace.ResultGood
+	case errors.Is(ctx.Err(), context.Canceled):
+		return pomeloplace.ResultGone
+	case f.Outcome == pomelolink.OutcomeNotSent:
+		return pomeloplace.ResultUnreached
+	}
+	return pomeloplace.ResultFailed
+}
+
+func (c *call) place(ctx context.Context) (Ticket, *pomelolink.Failure) {
+	ticket, d, err := c.h.cfg.Placement.Place(ctx, c.work())
+	c.decision = d
+	if err != nil {
+		c.decision.Reason = pomeloplace.ReasonLate
+		return nil, pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeDeadline, err)
+	}
+	if d.Reason == pomeloplace.ReasonNone {
+		return ticket, nil
+	}
+	f := pomelolink.NewFailure(pomelolink.OutcomeNotSent, codeOf(d.Reason), nil)
+	f.Err.RetryAfter = d.RetryAfter
+	return nil, f
+}
+
+func codeOf(r pomeloplace.Reason) pomelorelay.ResultCode {
+	switch r {
+	case pomeloplace.ReasonShare:
+		return pomelorelay.CodeShareSpent
+	case pomeloplace.ReasonLate:
+		return pomelorelay.CodeUpstreamsBusy
+	}
+	return pomelorelay.CodeNoUpstream
+}
+
+// generatedWeight is how much a generated token counts against one that is read, by the platform's word.
+const generatedWeight = 2
+
+func (c *call) work() Work {
+	output := c.fields.Output
+	if c.fields.Guess > 0 {
+		output = min(max(c.fields.Guess, 1), max(output, 1))
+	}
+	return Work{
+		ID:      c.fields.ID,
+		Account: c.account,
+		Cost:    pomelorelay.Cost(c.fields.Prompt + generatedWeight*output),
+		Again:   c.runs+c.refused > 0,
+		Place: pomeloplace.Request{
+			Service: c.service,
+			Prompt:  c.fields.Prompt,
+			Output:  output,
+			Parts:   c.fields.Parts,
+			Target:  c.route.Target,
+			Left:    c.left(),
+			Avoid:   c.avoid,
+		},
+	}
+}
+
+// exchange sends the request to an upstream and passes its answer on.
+func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, ticket Ticket) *pomelolink.Failure {
+	x, f := c.h.links.Open(ctx, up.Addr, c.request(up), len(c.bytes()), false)
+	if f != nil {
+		return f
+	}
+	defer func() { x.Close() }()
+	if f := c.checkHead(x); f != nil {
+		return f
+	}
+	if c.route.Kind == pomelorelay.RouteStream && x.Response.StatusCode == http.StatusOK {
+		return c.passStream(x, ticket)
+	}
+	ticket.Begun()
+	if c.answering {
+		// A stream that was to be taken up again got another answer than events; nothing of it can be passed on.
+		return pomelolink.NewFailure(pomelolink.OutcomeCutShort, pomelorelay.CodeStreamBroken, nil)
+	}
+	return c.passPlain(x)
+}
+
+// request builds the request to an upstream: method, path, query and body as they came.
+func (c *call) request(up pomelorelay.FleetUpstream) *http.Request {
+	head := c.r.Header.Clone()
+	pomelolink.RemoveHopHeaders(head)
+	head.Del("Content-Length")
+	head.Del("Expect")
+	if _, ok := head["User-Agent"]; !ok {
+		// An empty entry keeps net/http from adding a name of its own.
+		head["User-Agent"] = []string{""}
+	}
+	c.h.cfg.Wire.WriteUpstream(head, pomelorelay.UpstreamFields{
+		Wait: c.left(), Upstream: up.ID, Account: c.account, LastEvent: c.lastEvent, HasLastEvent: c.hasLastEvent,
+	})
+	req := &http.Request{
+		Method:        c.r.Method,
+		URL:           &url.URL{Scheme: "http", Host: c.r.Host, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery, ForceQuery: c.r.URL.ForceQuery},
+		Host:          c.r.Host,
+		Header:        head,
+		Body:          http.NoBody,
+		ContentLength: int64(len(c.bytes())),
+	}
+	if len(c.bytes()) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(c.bytes()))
+	}
+	return req
+}
--- /dev/null
+++ b/pomeloforward/stream.go
@@ -0,0 +1,76 @@
+package pomeloforward
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
+)
+
+var errPartial = errors.New("the stream ended within an event")
+
+// passStream passes events on as they come, each once, in order and only whole ones.
+func (c *call) passStream(x *pomelolink.Exchange, ticket Ticket) *pomelolink.Failure {
+	var events pomelolink.EventReader
+	events.Reset(c.h.buffers.Chunk(), x)
+	defer func() { c.h.buffers.PutChunk(events.Buffer()) }()
+	begun := false
+	for {
+		event, err := events.Next()
+		if err != nil {
+			return c.endStream(x, &events, err)
+		}
+		if !begun {
+			begun = true
+			ticket.Begun()
+		}
+		pass, f := c.inOrder(event)
+		if f != nil {
+			return f
+		}
+		if !pass {
+			continue
+		}
+		if !c.answering {
+			c.writeHead(x.Response, -1)
+		}
+		c.write(event.Raw)
+		if events.Empty() {
+			c.flush()
+		}
+	}
+}
+
+// inOrder reports whether an event is the next one; one that the caller has already is left out. A gap means that a piece of the
+// answer is lost: passed on, the caller would take the rest for the whole.
+func (c *call) inOrder(e pomelolink.Event) (bool, *pomelolink.Failure) {
+	id, ok := e.ID()
+	if !ok {
+		return true, nil
+	}
+	if c.hasLastEvent && id <= c.lastEvent {
+		return false, nil
+	}
+	if c.hasLastEvent && id != c.lastEvent+1 {
+		return false, malformed(fmt.Errorf("event %d came after %d", id, c.lastEvent))
+	}
+	c.lastEvent, c.hasLastEvent = id, true
+	return true, nil
+}
+
+// endStream tells a stream that is whole from one that broke off.
+func (c *call) endStream(x *pomelolink.Exchange, events *pomelolink.EventReader, err error) *pomelolink.Failure {
+	if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return x.Broken(err)
+	}
+	if events.Partial() {
+		return pomelolink.NewFailure(pomelolink.OutcomeCutShort, pomelorelay.CodeAnswerCutShort, errPartial)
+	}
+	x.Whole = true
+	if !c.answering {
+		c.writeHead(x.Response, -1)
+	}
+	return nil
+}
--- a/pomeloroute/buffer.go
+++ b/pomelolink/buffer.go
@@ -1,4 +1,4 @@
-package pomeloroute
+package pomelolink
 
 import (
 	"bufio"
@@ -13,24 +13,27 @@
 	keepBuffer = 256 << 10
 )
 
-// bufferPool lends the buffers of exchanges, so that an idle stream holds little memory.
-type bufferPool struct {
+// Buffers lends the buffers of exchanges, so that an idle stream holds little memory.
+type Buffers struct {
 	bodies  sync.Pool
 	writers sync.Pool
 	chunks  sync.Pool
 }
 
-func newBufferPool() *bufferPool {
-	return &bufferPool{
+// NewBuffers returns empty pools.
+func NewBuffers() *Buffers {
+	return &Buffers{
 		bodies:  sync.Pool{New: func() any { return new(bytes.Buffer) }},
 		writers: sync.Pool{New: func() any { return bufio.NewWriterSize(io.Discard, wireBuffer) }},
 		chunks:  sync.Pool{New: func() any { return new([wireBuffer]byte) }},
 	}
 }
 
-func (p *bufferPool) body() *bytes.Buffer { return p.bodies.Get().(*bytes.Buffer) }
+// Body lends an empty buffer.
+func (p *Buffers) Body() *bytes.Buffer { return p.bodies.Get().(*bytes.Buffer) }
 
-func (p *bufferPool) putBody(b *bytes.Buffer) {
+// PutBody takes a buffer back.
+func (p *Buffers) PutBody(b *bytes.Buffer) {
 	if b.Cap() > keepBuffer {
 		return
 	}
@@ -38,20 +41,22 @@
 	p.bodies.Put(b)
 }
 
-func (p *bufferPool) writer(w io.Writer) *bufio.Writer {
+func (p *Buffers) writer(w io.Writer) *bufio.Writer {
 	b := p.writers.Get().(*bufio.Writer)
 	b.Reset(w)
 	return b
 }
 
-func (p *bufferPool) putWriter(b *bufio.Writer) {
+func (p *Buffers) putWriter(b *bufio.Writer) {
 	b.Reset(io.Discard)
 	p.writers.Put(b)
 }
 
-func (p *bufferPool) chunk() []byte { return p.chunks.Get().(*[wireBuffer]byte)[:] }
+// Chunk lends a chunk of the size of a connection's buffer.
+func (p *Buffers) Chunk() []byte { return p.chunks.Get().(*[wireBuffer]byte)[:] }
 
-func (p *bufferPool) putChunk(b []byte) {
+// PutChunk takes a chunk back.
+func (p *Buffers) PutChunk(b []byte) {
 	if cap(b) == wireBuffer {
 		p.chunks.Put((*[wireBuffer]byte)(b[:wireBuffer]))
 	}
--- a/pomeloroute/conn.go
+++ b/pomelolink/conn.go
@@ -1,4 +1,4 @@
-package pomeloroute
+package pomelolink
 
 import (
 	"bufio"
@@ -24,6 +24,8 @@
 	headLeft int64
 	reused   bool
 	idleFrom time.Time
+	// idleFor is how long the connection may be idle, by the upstream's own word where it gave one.
+	idleFor time.Duration
 }
 
 func newUpstreamConn(raw net.Conn) *upstreamConn {
--- a/pomeloroute/pool.go
+++ b/pomelolink/pool.go
@@ -1,4 +1,4 @@
-package pomeloroute
+package pomelolink
 
 import (
 	"context"
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -15,35 +16,37 @@
 	crashProbePause = 30 * time.Millisecond
 )
 
-// connPool keeps idle connections to upstreams. It never sends anything: net/http's own transport sends a request
+// pool keeps idle connections to upstreams. It never sends anything: net/http's own transport sends a request
 // again by itself when a reused connection breaks and the request looks replayable, so it is not used here.
-type connPool struct {
-	options Options
-	dialer  net.Dialer
-	stop    chan struct{}
-	once    sync.Once
+type pool struct {
+	cfg    Config
+	dialer net.Dialer
+	// opened counts the connections that were opened.
+	opened atomic.Uint64
+	stop   chan struct{}
+	once   sync.Once
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*upstreamConn
 	closed bool
 }
 
-func newConnPool(o Options) *connPool {
-	p := &connPool{
-		options: o,
-		dialer:  net.Dialer{Timeout: o.DialTimeout},
-		stop:    make(chan struct{}),
-		idle:    make(map[netip.AddrPort][]*upstreamConn),
+func newPool(cfg Config) *pool {
+	p := &pool{
+		cfg:    cfg,
+		dialer: newDialer(cfg),
+		stop:   make(chan struct{}),
+		idle:   make(map[netip.AddrPort][]*upstreamConn),
 	}
 	go func() {
-		ticker := time.NewTicker(o.IdleTimeout)
+		ticker := time.NewTicker(cfg.IdleTimeout)
 		defer ticker.Stop()
 		for {
 			select {
 			case <-p.stop:
 				return
 			case now := <-ticker.C:
-				p.sweep(now.Add(-o.IdleTimeout))
+				p.sweep(now.Add(-cfg.IdleTimeout))
 			}
 		}
 	}()
@@ -51,13 +54,13 @@
 }
 
 // get returns an idle connection that is silent, or a new one.
-func (p *connPool) get(ctx context.Context, addr netip.AddrPort, fresh bool) (*upstreamConn, error) {
+func (p *pool) get(ctx context.Context, addr netip.AddrPort, fresh bool) (*upstreamConn, error) {
 	for !fresh {
 		c := p.take(addr)
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleFrom) < p.options.IdleTimeout && c.silent() {
+		if time.Since(c.idleFrom) < c.idleFor && c.silent() {
 			c.reused = true
 			return c, nil
 		}
@@ -67,10 +70,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return newUpstreamConn(raw), nil
+	p.opened.Add(1)
+	c := newUpstreamConn(raw)
+	c.idleFor = p.cfg.IdleTimeout
+	return c, nil
 }
 
-func (p *connPool) take(addr netip.AddrPort) *upstreamConn {
+func (p *pool) take(addr netip.AddrPort) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
@@ -83,7 +89,7 @@
 	return c
 }
 
-func (p *connPool) put(addr netip.AddrPort, c *upstreamConn) {
+func (p *pool) put(addr netip.AddrPort, c *upstreamConn) {
 	if err := c.SetDeadline(time.Time{}); err != nil {
 		c.Close()
 		return
@@ -91,7 +97,7 @@
 	c.idleFrom = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[addr]) >= p.options.IdleConns {
+	if p.closed || len(p.idle[addr]) >= p.cfg.IdleConns {
 		c.Close()
 		return
 	}
@@ -99,7 +105,7 @@
 }
 
 // sweep closes connections idle since before the time; the oldest stand first.
-func (p *connPool) sweep(before time.Time) {
+func (p *pool) sweep(before time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, list := range p.idle {
@@ -116,7 +122,7 @@
 	}
 }
 
-func (p *connPool) close() {
+func (p *pool) close() {
 	p.once.Do(func() { close(p.stop) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -129,14 +135,14 @@
 	clear(p.idle)
 }
 
-// refuses reports whether the upstream takes no connection, which tells a crash from one cut connection. A process that
+// Refuses reports whether the upstream takes no connection, which tells a crash from one cut connection. A process that
 // dies may close its connections a moment before its listener, hence the second look.
-func (p *connPool) refuses(ctx context.Context, addr netip.AddrPort) bool {
+func (l *Links) Refuses(ctx context.Context, addr netip.AddrPort) bool {
 	for n := range crashProbes {
 		if n > 0 {
 			time.Sleep(crashProbePause)
 		}
-		raw, err := p.dialer.DialContext(ctx, "tcp", addr.String())
+		raw, err := l.conns.dialer.DialContext(ctx, "tcp", addr.String())
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return true
 		}
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -85,6 +85,8 @@
 		}
 	case *pomelowire.Item_LeavingNotice:
 		return &pomelorelay.LeavingNotice{Upstream: pomelorelay.UpstreamID(d.name(kind.LeavingNotice.GetUpstream()))}
+	case *pomelowire.Item_LoadReport:
+		return d.loadReport(kind.LoadReport)
 	}
 	return nil
 }
--- /dev/null
+++ b/pomelomesh/decode_load.go
@@ -0,0 +1,43 @@
+package pomelomesh
+
+import (
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
+)
+
+func (d *decoder) loadReport(m *pomelowire.LoadReport) pomelorelay.Message {
+	r := &pomelorelay.LoadReport{Seq: m.GetSeq(), Whole: m.GetWhole()}
+	r.Upstreams = make([]pomelorelay.UpstreamLoad, d.count(len(m.GetUpstreams()), maxList))
+	for i := range r.Upstreams {
+		u := m.GetUpstreams()[i]
+		r.Upstreams[i] = pomelorelay.UpstreamLoad{
+			Upstream: pomelorelay.UpstreamID(d.name(u.GetUpstream())), Running: u.GetRunning(),
+			Unread: d.tokens(u.GetUnread()), Held: d.tokens(u.GetHeld()), Sent: d.tokens(u.GetSent()),
+		}
+	}
+	r.Accounts = make([]pomelorelay.AccountUse, d.count(len(m.GetAccounts()), maxList))
+	for i := range r.Accounts {
+		a := m.GetAccounts()[i]
+		r.Accounts[i] = pomelorelay.AccountUse{
+			Account: pomelorelay.AccountID(d.name(a.GetAccount())), Asked: pomelorelay.Cost(a.GetAsked()), Served: pomelorelay.Cost(a.GetServed()),
+		}
+	}
+	r.Parts = make([]pomelorelay.PartPlaced, d.count(len(m.GetParts()), maxList))
+	for i := range r.Parts {
+		p := m.GetParts()[i]
+		r.Parts[i] = pomelorelay.PartPlaced{Upstream: pomelorelay.UpstreamID(d.name(p.GetUpstream())), Hash: p.GetHash(), Tokens: d.tokens(p.GetTokens())}
+	}
+	r.Leaving = make([]pomelorelay.UpstreamID, d.count(len(m.GetLeaving()), maxList))
+	for i := range r.Leaving {
+		r.Leaving[i] = pomelorelay.UpstreamID(d.name(m.GetLeaving()[i]))
+	}
+	return r
+}
+
+func (d *decoder) tokens(value int64) pomelorelay.Tokens {
+	if value < 0 {
+		d.fail("tokens below zero")
+		return 0
+	}
+	return pomelorelay.Tokens(value)
+}
--- a/pomelonode/admission.go
+++ b/pomelonode/admission.go
@@ -9,6 +9,7 @@
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
 	"github.com/pomelorelay/pomelorelay/pomelofair"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
 	"github.com/pomelorelay/pomelorelay/pomeloroute"
 	"github.com/pomelorelay/pomelorelay/pomeloslot"
 )
@@ -183,12 +184,12 @@
 	c.queues.Finish(now, e.t.waiter.id, max(e.r.Cost, e.t.cost(now)))
 	state := pomelorelay.GrantFinished
 	switch e.r.Outcome {
-	case pomeloroute.OutcomeNotSent:
+	case pomelolink.OutcomeNotSent:
 		state = pomelorelay.GrantReturned
 		if e.r.Code == pomelorelay.CodeUpstreamUnreached {
 			state = pomelorelay.GrantUnreached
 		}
-	case pomeloroute.OutcomeCutShort, pomeloroute.OutcomeUnknown:
+	case pomelolink.OutcomeCutShort, pomelolink.OutcomeUnknown:
 		state = pomelorelay.GrantFailed
 	}
 	c.settle(now, e.t.grant, e.t.waiter.request.Pool, pomeloslot.Settlement{State: state, FirstToken: e.r.FirstToken, TokenGap: e.r.TokenGap})
--- /dev/null
+++ b/pomeloplace/config.go
@@ -0,0 +1,139 @@
+package pomeloplace
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Config holds what a Placer needs.
+type Config struct {
+	Self pomelorelay.Peer
+	// Regions gives the region of each failure domain.
+	Regions map[pomelorelay.DomainID]pomelorelay.RegionID
+}
+
+// Request is a request that wants a place.
+type Request struct {
+	Service pomelorelay.ServiceID
+	// Prompt is the number of the prompt's tokens, Output the expected number of generated ones.
+	Prompt pomelorelay.Tokens
+	Output pomelorelay.Tokens
+	Parts  []pomelorelay.PromptPart
+	// Target is the time to the first of the answer that the caller expects; Left is how long it waits at most.
+	Target time.Duration
+	Left   time.Duration
+	// Owed tells that the request is within its account's share.
+	Owed bool
+	// Avoid lists upstreams that failed this request.
+	Avoid []pomelorelay.UpstreamID
+}
+
+// Reason tells why a request gets no place.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonNone stands for a request that has its place.
+	ReasonNone Reason = ""
+	// ReasonNoUpstream stands for a service without an upstream that takes requests.
+	ReasonNoUpstream Reason = "NoUpstream"
+	// ReasonLate stands for upstreams at which the request could not begin in time.
+	ReasonLate Reason = "Late"
+	// ReasonShare stands for a request beyond its account's share while upstreams are busy.
+	ReasonShare Reason = "Share"
+)
+
+// Decision is where a request goes, or why it goes nowhere and when it may come back.
+type Decision struct {
+	Reason Reason
+	// RetryAfter is when there is likely to be a place.
+	RetryAfter time.Duration
+	Upstream   pomelorelay.FleetUpstream
+	Run        *Run
+	// Expected is the time until the answer should begin, Backlog the part of it that others cause.
+	Expected time.Duration
+	Backlog  time.Duration
+	// Missing are the tokens that the upstream must read.
+	Missing pomelorelay.Tokens
+	// Running is what the fleet runs at the upstream.
+	Running int
+}
+
+// Run is a request at an upstream, until Ended.
+type Run struct {
+	up      *upstream
+	sent    time.Time
+	missing pomelorelay.Tokens
+	ahead   pomelorelay.Tokens
+	held    pomelorelay.Tokens
+	begun   bool
+	ended   bool
+}
+
+// Result is how a run ended.
+type Result int
+
+// The results.
+const (
+	// ResultGood is a whole answer.
+	ResultGood Result = iota
+	// ResultGone is an end that says nothing of the upstream, as when the caller left.
+	ResultGone
+	// ResultFailed is an upstream that failed the request.
+	ResultFailed
+	// ResultUnreached is an upstream that took no connection.
+	ResultUnreached
+)
+
+const (
+	// startRate is the first guess of the prompt tokens that an engine reads in a millisecond beside its decoding; it is learnt
+	// from then on. Engines of the present deployments read 101 when they do nothing else.
+	startRate = 85
+	// minRate and maxRate bound what is learnt, a tenth and four times of the guess.
+	minRate = 8
+	maxRate = 340
+	// rateShare is the weight of a new sample in the running mean of the rate: about the last 20 samples count.
+	rateShare = 0.05
+	// rateSample is the least backlog in tokens from which a first token's time tells the rate; below, decoding steps and the way decide.
+	rateSample = 6000
+	// startService is the first guess of a plain service's time for a request; it is learnt from then on.
+	startService = 40 * time.Millisecond
+	// serviceShare is the weight of a new sample in its running mean.
+	serviceShare = 0.05
+	// firstStep is what an engine needs besides reading until the first token: a decoding step and a free turn, measured at 30 ms.
+	firstStep = 30 * time.Millisecond
+	// regionWay is the way to another region and back, twice the 12 ms that both deployments give.
+	regionWay = 24 * time.Millisecond
+	// missWeight is how much reading a part again counts beyond the time that it takes this request: it also delays those that
+	// come after, and shared parts that are read again are what the users pay most for.
+	missWeight = 1.5
+	// crowdWeight spreads requests by the number that run: a full batch generates each token about twice as slowly.
+	crowdWeight = 80 * time.Millisecond
+	// failWeight is what an upstream that fails every request is behind one that fails none.
+	failWeight = 3 * time.Second
+	// failShare is the weight of a new result in the rate of failures.
+	failShare = 0.25
+	// failMemory is how long it takes until half of a rate of failures is forgiven, so that an upstream gets another chance.
+	failMemory = 2 * time.Second
+	// unreachedFor is how long an upstream that took no connection gets nothing: a restart takes seconds.
+	unreachedFor = 700 * time.Millisecond
+	// leastUnread is the part of the unread tokens that still counts when reading should long be over by the rate.
+	leastUnread = 0.3
+	// owedShare and freeShare are the parts of the target within which the answer must be expected to begin, for requests within and
+	// beyond their account's share. The rest is for what the other routers sent meanwhile; what is beyond a share is served only
+	// where it delays nobody.
+	owedShare = 0.85
+	freeShare = 0.4
+	// freeSlots is the part of an engine's slots up to which requests beyond a share are taken.
+	freeSlots = 0.7
+	// fullMemory is the part of an engine's memory up to which running requests may fill it; above, it evicts what runs.
+	fullMemory = 0.9
+	// slotTurn is about how long it takes until one of an engine's slots is free, five seconds of a run by 64 slots.
+	slotTurn = 80 * time.Millisecond
+	// silentAfter is the age from which another router's report does not count: it is gone, and its requests with it.
+	silentAfter = 3 * time.Second
+	// leastRetry and mostRetry bound what a refusal tells its caller.
+	leastRetry = 200 * time.Millisecond
+	mostRetry  = 3 * time.Second
+)
--- /dev/null
+++ b/pomeloplace/report.go
@@ -0,0 +1,117 @@
+package pomeloplace
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// peer is what another router last told.
+type peer struct {
+	incarnation pomelorelay.Incarnation
+	heard       time.Time
+	loads       map[pomelorelay.UpstreamID]load
+}
+
+// Report fills in what this router has on the upstreams: what changed since the last report, or all.
+func (p *Placer) Report(m *pomelorelay.LoadReport) {
+	p.seq++
+	p.untold = 0
+	m.Seq = p.seq
+	for _, list := range p.services {
+		for _, u := range list {
+			if !u.changed && (!m.Whole || u.own == (load{})) {
+				continue
+			}
+			u.changed = false
+			m.Upstreams = append(m.Upstreams, pomelorelay.UpstreamLoad{
+				Upstream: u.info.ID, Running: uint32(max(0, u.own.running)), Unread: max(0, u.own.unread), Held: max(0, u.own.held), Sent: u.own.sent,
+			})
+		}
+	}
+	m.Parts = append(m.Parts, p.parts...)
+	p.parts = p.parts[:0]
+}
+
+// urgentTokens is the number of prompt tokens sent since the last report from which the other routers should know at once: an
+// engine reads that many in about 40 ms, a tenth of the time in which an answer is to begin.
+const urgentTokens = 4000
+
+// Urgent reports whether the other routers should have a report before the next one is due.
+func (p *Placer) Urgent() bool { return p.untold >= urgentTokens }
+
+// Heard takes another router's report.
+func (p *Placer) Heard(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
+	o := p.peers[from]
+	if o != nil && incarnation < o.incarnation {
+		return
+	}
+	if o == nil || incarnation > o.incarnation {
+		p.forget(from)
+		o = &peer{incarnation: incarnation, loads: make(map[pomelorelay.UpstreamID]load)}
+		p.peers[from] = o
+	}
+	o.heard = now
+	for _, l := range m.Upstreams {
+		p.take(now, o, l)
+	}
+	for _, part := range m.Parts {
+		if u := p.upstreams[part.Upstream]; u != nil {
+			u.kept.note(part.Hash, part.Tokens)
+		}
+	}
+}
+
+func (p *Placer) take(now time.Time, o *peer, l pomelorelay.UpstreamLoad) {
+	next := load{running: int(l.Running), unread: l.Unread, held: l.Held, sent: l.Sent}
+	before, known := o.loads[l.Upstream]
+	o.loads[l.Upstream] = next
+	u := p.upstreams[l.Upstream]
+	if u == nil {
+		return
+	}
+	u.others.running += next.running - before.running
+	u.others.unread += next.unread - before.unread
+	u.others.held += next.held - before.held
+	switch {
+	case known && next.sent > before.sent:
+		u.enqueue(now, next.sent-before.sent)
+	case !known:
+		u.enqueue(now, next.unread)
+	}
+}
+
+// Tick forgets routers that have been silent.
+func (p *Placer) Tick(now time.Time) {
+	for node, o := range p.peers {
+		if now.Sub(o.heard) > silentAfter {
+			p.forget(node)
+		}
+	}
+}
+
+// forget takes back what a router had on the upstreams.
+func (p *Placer) forget(node pomelorelay.NodeID) {
+	o := p.peers[node]
+	if o == nil {
+		return
+	}
+	delete(p.peers, node)
+	for id, l := range o.loads {
+		if u := p.upstreams[id]; u != nil {
+			u.others.running -= l.running
+			u.others.unread -= l.unread
+			u.others.held -= l.held
+		}
+	}
+}
+
+// recount sums up the other routers' load of a new upstream.
+func (p *Placer) recount(u *upstream) {
+	for _, o := range p.peers {
+		l := o.loads[u.info.ID]
+		u.others.running += l.running
+		u.others.unread += l.unread
+		u.others.held += l.held
+	}
+}
--- /dev/null
+++ b/pomeloplace/upstream.go
@@ -0,0 +1,219 @@
+package pomeloplace
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// load is what runs at an upstream.
+type load struct {
+	running int
+	unread  pomelorelay.Tokens
+	held    pomelorelay.Tokens
+	sent    pomelorelay.Tokens
+}
+
+// upstream is one upstream as the whole fleet uses it.
+type upstream struct {
+	info    pomelorelay.FleetUpstream
+	engine  *pomelorelay.EngineSpec
+	own     load
+	others  load
+	changed bool
+	gone    bool
+	// queue is the number of tokens that are still to be read at the time queueAt, as it falls by the rate.
+	queue   float64
+	queueAt time.Time
+	// rate is in tokens a millisecond, service is the time of a plain request.
+	rate    float64
+	service time.Duration
+	kept    kept
+	// failures is the rate of failures at failedAt; it fades.
+	failures  float64
+	failedAt  time.Time
+	downUntil time.Time
+}
+
+func newUpstream(info pomelorelay.FleetUpstream, engine *pomelorelay.EngineSpec) *upstream {
+	u := &upstream{info: info, rate: startRate, service: startService}
+	u.setEngine(engine)
+	return u
+}
+
+func (u *upstream) setEngine(engine *pomelorelay.EngineSpec) {
+	u.engine = engine
+	if engine != nil {
+		u.kept.room = engine.Memory
+	}
+}
+
+func (u *upstream) slots() int {
+	if u.engine != nil && u.engine.Slots > 0 {
+		return int(u.engine.Slots)
+	}
+	return max(1, int(u.info.Slots))
+}
+
+func (u *upstream) running() int { return u.own.running + u.others.running }
+
+func (u *upstream) unread() float64 { return float64(u.own.unread + u.others.unread) }
+
+// drain lets the queue fall by what was read since.
+func (u *upstream) drain(now time.Time) {
+	if passed := now.Sub(u.queueAt); passed > 0 {
+		u.queue = max(0, u.queue-u.rate*milliseconds(passed))
+		u.queueAt = now
+	}
+}
+
+func (u *upstream) enqueue(now time.Time, tokens pomelorelay.Tokens) {
+	u.drain(now)
+	u.queue += float64(tokens)
+}
+
+// backlog returns the tokens that are to be read before a new request's. Answers that have not begun bound it from above; reading
+// that is slower than the rate says shows by answers that still have not begun.
+func (u *upstream) backlog(now time.Time) float64 {
+	u.drain(now)
+	u.queue = min(u.queue, u.unread())
+	return max(u.queue, leastUnread*u.unread())
+}
+
+// await returns the time until a request's turn comes.
+func (u *upstream) await(now time.Time) time.Duration {
+	if u.engine == nil {
+		over := u.running() - u.slots() + 1
+		return time.Duration(max(0, over)) * u.service / time.Duration(u.slots())
+	}
+	wait := u.reading(u.backlog(now))
+	if over := u.running() - u.slots() + 1; over > 0 {
+		wait += time.Duration(over) * slotTurn
+	}
+	return wait
+}
+
+func (u *upstream) reading(tokens float64) time.Duration {
+	return time.Duration(tokens / u.rate * float64(time.Millisecond))
+}
+
+// failing returns the rate of failures, faded since the last result.
+func (u *upstream) failing(now time.Time) float64 {
+	return u.failures * math.Exp2(-float64(now.Sub(u.failedAt))/float64(failMemory))
+}
+
+func (u *upstream) result(now time.Time, r Result) {
+	switch r {
+	case ResultGood:
+		u.failures = u.failing(now) * (1 - failShare)
+		u.downUntil = time.Time{}
+	case ResultFailed:
+		u.failures = u.failing(now)*(1-failShare) + failShare
+	case ResultUnreached:
+		u.failures = max(u.failing(now), failShare)
+		u.downUntil = now.Add(unreachedFor)
+	default:
+		return
+	}
+	u.failedAt = now
+}
+
+// learn takes the time to a first token as a sample of the rate.
+func (u *upstream) learn(r *Run, took time.Duration) {
+	if u.engine == nil {
+		u.service += time.Duration(serviceShare * float64(took-u.service))
+		return
+	}
+	tokens := r.ahead + r.missing
+	ms := milliseconds(took - firstStep)
+	if tokens < rateSample || ms <= 0 {
+		return
+	}
+	sample := min(max(float64(tokens)/ms, minRate), maxRate)
+	u.rate += rateShare * (sample - u.rate)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// full reports whether running requests and the new one would overfill the engine's memory.
+func (u *upstream) full(need pomelorelay.Tokens) bool {
+	if u.engine == nil || u.engine.Memory <= 0 {
+		return false
+	}
+	taken := u.own.held + u.others.held
+	return taken > 0 && float64(taken+need) > fullMemory*float64(u.engine.Memory)
+}
+
+// kept is what an engine probably keeps of prompts it has read: the parts sent there last, up to its memory.
+type kept struct {
+	room  pomelorelay.Tokens
+	taken pomelorelay.Tokens
+	parts map[uint64]*keptPart
+	seq   uint64
+}
+
+type keptPart struct {
+	tokens pomelorelay.Tokens
+	used   uint64
+}
+
+// keptShare is the part of an engine's memory that prompts fill beside what runs there.
+const keptShare = 0.6
+
+func (k *kept) note(hash uint64, tokens pomelorelay.Tokens) {
+	if k.parts == nil {
+		k.parts = make(map[uint64]*keptPart)
+	}
+	k.seq++
+	if p := k.parts[hash]; p != nil {
+		p.used = k.seq
+		return
+	}
+	k.parts[hash] = &keptPart{tokens: tokens, used: k.seq}
+	k.taken += tokens
+	if float64(k.taken) > keptShare*float64(k.room) {
+		k.yield()
+	}
+}
+
+// yieldShare is how much of what is kept goes at once, so that the oldest need not be sought each time.
+const yieldShare = 0.1
+
+func (k *kept) yield() {
+	type aged struct {
+		hash uint64
+		used uint64
+	}
+	oldest := make([]aged, 0, len(k.parts))
+	for hash, p := range k.parts {
+		oldest = append(oldest, aged{hash, p.used})
+	}
+	slices.SortFunc(oldest, func(a, b aged) int { return int(int64(a.used) - int64(b.used)) })
+	goal := pomelorelay.Tokens((1 - yieldShare) * keptShare * float64(k.room))
+	for _, a := range oldest {
+		if k.taken <= goal {
+			return
+		}
+		k.taken -= k.parts[a.hash].tokens
+		delete(k.parts, a.hash)
+	}
+}
+
+func (k *kept) clear() {
+	clear(k.parts)
+	k.taken = 0
+}
+
+// missing returns the tokens of a prompt that must be read: all from the first part that is not kept.
+func (k *kept) missing(r *Request) pomelorelay.Tokens {
+	left := r.Prompt
+	for _, p := range r.Parts {
+		if k.parts[p.Hash] == nil {
+			return left
+		}
+		left = max(0, left-p.Tokens)
+	}
+	return max(left, 1)
+}
--- a/pomeloroute/answer.go
+++ b/pomeloroute/answer.go
@@ -6,31 +6,28 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
+	"github.com/pomelorelay/pomelorelay/pomeloproblem"
 )
 
-func isEventStream(resp *http.Response) bool {
-	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
-}
-
 // passPlain passes an answer on. What is small, or already here in full, is held until it is whole, so that a cut is
 // seen before the caller gets a status; the rest is passed as it comes and a cut closes the caller's connection.
-func (c *call) passPlain(x *exchange, m *meter) *failure {
-	held := c.h.buffers.body()
-	defer c.h.buffers.putBody(held)
-	chunk := c.h.buffers.chunk()
-	defer c.h.buffers.putChunk(chunk)
+func (c *call) passPlain(x *pomelolink.Exchange, m *meter) *pomelolink.Failure {
+	held := c.h.buffers.Body()
+	defer c.h.buffers.PutBody(held)
+	chunk := c.h.buffers.Chunk()
+	defer c.h.buffers.PutChunk(chunk)
 	for c.holds(x, held) {
-		n, err := x.resp.Body.Read(chunk)
+		n, err := x.Response.Body.Read(chunk)
 		held.Write(chunk[:n])
 		if errors.Is(err, io.EOF) {
 			return c.passWhole(x, held, m)
 		}
 		if err != nil {
-			return x.broken(err)
+			return x.Broken(err)
 		}
 	}
 	return c.passOn(x, held, chunk)
@@ -38,46 +35,46 @@
 
 // holds reports whether more of the answer is to be held back: a short one of known length always, one in chunks only
 // while its next bytes are here already, so that a slow stream is never kept from its caller.
-func (c *call) holds(x *exchange, held *bytes.Buffer) bool {
+func (c *call) holds(x *pomelolink.Exchange, held *bytes.Buffer) bool {
 	limit := int64(c.h.cfg.Options.BufferAnswer)
-	if x.resp.ContentLength >= 0 {
-		return x.resp.ContentLength <= limit
+	if x.Response.ContentLength >= 0 {
+		return x.Response.ContentLength <= limit
 	}
-	return int64(held.Len()) <= limit && (held.Len() == 0 || x.conn.reader.Buffered() > 0)
+	return int64(held.Len()) <= limit && (held.Len() == 0 || x.Buffered() > 0)
 }
 
-func (c *call) passWhole(x *exchange, held *bytes.Buffer, m *meter) *failure {
-	x.whole = true
+func (c *call) passWhole(x *pomelolink.Exchange, held *bytes.Buffer, m *meter) *pomelolink.Failure {
+	x.Whole = true
 	if c.service.Kind == pomeloconfig.ServiceModel {
 		m.report(held.Bytes())
 	}
-	c.keep(x.resp, held.Bytes(), true)
-	c.writeHead(x.resp)
+	c.keep(x.Response, held.Bytes(), true)
+	c.writeHead(x.Response)
 	c.write(held.Bytes())
-	c.writeTrailer(x.resp)
+	c.writeTrailer(x.Response)
 	return nil
 }
 
-func (c *call) passOn(x *exchange, held *bytes.Buffer, chunk []byte) *failure {
-	c.writeHead(x.resp)
+func (c *call) passOn(x *pomelolink.Exchange, held *bytes.Buffer, chunk []byte) *pomelolink.Failure {
+	c.writeHead(x.Response)
 	c.write(held.Bytes())
 	c.flush()
 	for {
-		n, err := x.resp.Body.Read(chunk)
+		n, err := x.Response.Body.Read(chunk)
 		c.write(chunk[:n])
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
-			return x.broken(err)
+			return x.Broken(err)
 		}
-		if x.conn.reader.Buffered() == 0 {
+		if x.Buffered() == 0 {
 			c.flush()
 		}
 	}
-	x.whole = true
-	c.keep(x.resp, nil, false)
-	c.writeTrailer(x.resp)
+	x.Whole = true
+	c.keep(x.Response, nil, false)
+	c.writeTrailer(x.Response)
 	return nil
 }
 
@@ -119,6 +116,6 @@
 
 // errorEvent ends a stream that cannot be finished, so that its caller can tell it from one that ended.
 func errorEvent(e *pomelorelay.Error) []byte {
-	event := append([]byte("event: error\ndata: "), newProblem(e).encode()...)
+	event := append([]byte("event: error\ndata: "), pomeloproblem.New(e).Encode()...)
 	return append(event, "\n\n"...)
 }
--- a/pomeloroute/call.go
+++ b/pomeloroute/call.go
@@ -167,7 +167,7 @@
 	if c.r.ContentLength > limit {
 		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
 	}
-	c.body = c.h.buffers.body()
+	c.body = c.h.buffers.Body()
 	_, err := c.body.ReadFrom(&heldBody{c: c, r: http.MaxBytesReader(c.w, c.r.Body, limit)})
 	if errors.Is(err, errBodiesFull) {
 		return pomelorelay.NewError(pomelorelay.CodeBodiesFull, "", nil)
@@ -211,7 +211,7 @@
 	if c.body == nil {
 		return
 	}
-	c.h.buffers.putBody(c.body)
+	c.h.buffers.PutBody(c.body)
 	c.body = nil
 	c.h.buffered.Add(-c.held)
 	c.held = 0
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
 )
 
 // Config holds what a Handler needs.
@@ -109,7 +110,7 @@
 
 // Result is how an attempt ended.
 type Result struct {
-	Outcome Outcome
+	Outcome pomelolink.Outcome
 	Code    pomelorelay.ResultCode
 	Cost    pomelorelay.Cost
 	// FirstToken and TokenGap are latencies of a stream, zero when none was measured.
@@ -117,18 +118,6 @@
 	TokenGap   time.Duration
 }
 
-// Outcome tells what is known of an attempt at an upstream.
-type Outcome int
-
-// The outcomes of an attempt.
-const (
-	OutcomeNotSent       Outcome = iota + 1 // no byte was handed to a connection
-	OutcomeRefusedNotRun                    // the upstream said that it did not run the request
-	OutcomeWhole                            // the answer is whole
-	OutcomeCutShort                         // the answer began and ended early
-	OutcomeUnknown                          // bytes left and no answer began
-)
-
 // Claim is a claim that was asked for.
 type Claim struct {
 	Key     pomelorelay.ClaimKey
--- a/pomeloroute/handler.go
+++ b/pomeloroute/handler.go
@@ -8,22 +8,31 @@
 	"sync/atomic"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelobudget"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
 
 	"github.com/gorilla/mux"
 )
 
+const (
+	// budgetFloor lets a service with little traffic retry a few times.
+	budgetFloor = 3
+	// budgetCap bounds the retries that a quiet time saves up.
+	budgetCap = 100
+)
+
 // Handler serves callers; it is safe for concurrent use.
 type Handler struct {
 	cfg     Config
 	router  *mux.Router
-	conns   *connPool
-	buffers *bufferPool
+	links   *pomelolink.Links
+	buffers *pomelolink.Buffers
 	lastID  atomic.Uint64
 	// buffered counts the bytes of the bodies of all requests in progress.
 	buffered atomic.Int64
 
 	mu      sync.Mutex
-	budgets map[pomelorelay.ServiceID]*retryBudget
+	budgets map[pomelorelay.ServiceID]*pomelobudget.Budget
 }
 
 // New returns a Handler; Close ends its goroutine and its idle connections.
@@ -32,22 +41,38 @@
 	h := &Handler{
 		cfg:     cfg,
 		router:  mux.NewRouter().SkipClean(true).UseEncodedPath(),
-		conns:   newConnPool(cfg.Options),
-		buffers: newBufferPool(),
-		budgets: make(map[pomelorelay.ServiceID]*retryBudget),
+		links:   newLinks(cfg),
+		budgets: make(map[pomelorelay.ServiceID]*pomelobudget.Budget),
 	}
+	h.buffers = h.links.Buffers()
 	h.router.HandleFunc("/{service}", h.serve)
 	h.router.PathPrefix("/{service}/").HandlerFunc(h.serve)
 	h.router.NotFoundHandler = http.HandlerFunc(h.unknownPath)
 	return h
 }
 
+func newLinks(cfg Config) *pomelolink.Links {
+	return pomelolink.New(pomelolink.Config{
+		Protocol:       pomelolink.Protocol{IDHeader: headerRequestID, NotRun: saysNotRun},
+		MaxHeaderBytes: cfg.Options.MaxHeaderBytes,
+		DialTimeout:    cfg.Options.DialTimeout,
+		IdleConns:      cfg.Options.IdleConns,
+		IdleTimeout:    cfg.Options.IdleTimeout,
+		Logger:         cfg.Logger,
+	})
+}
+
+// saysNotRun reports whether an upstream refused the request without running it.
+func saysNotRun(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerRan) == string(pomelorelay.RanNo)
+}
+
 // ServeHTTP answers one caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
 
 // Close closes the idle connections to upstreams.
 func (h *Handler) Close() error {
-	h.conns.close()
+	h.links.Close()
 	return nil
 }
 
@@ -93,12 +118,12 @@
 	return fmt.Sprintf("%s-%x-%x", h.cfg.Node, uint64(h.cfg.Incarnation), uint64(id))
 }
 
-func (h *Handler) budget(service pomelorelay.ServiceID) *retryBudget {
+func (h *Handler) budget(service pomelorelay.ServiceID) *pomelobudget.Budget {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b, ok := h.budgets[service]
 	if !ok {
-		b = &retryBudget{tokens: budgetFloor}
+		b = pomelobudget.New(pomelobudget.Config{Start: budgetFloor, Most: budgetCap})
 		h.budgets[service] = b
 	}
 	return b
--- a/pomeloroute/headers.go
+++ b/pomeloroute/headers.go
@@ -2,34 +2,16 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
 )
 
-// hopHeaders belong to one connection and are never passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// removeHopHeaders drops the fields of one connection, those that Connection names included.
-func removeHopHeaders(head http.Header) {
-	for _, line := range head["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			head.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(head, name)
-	}
-}
-
 // upstreamHeader returns the header of a request to an upstream: the caller's, without the fields of its connection,
 // its token and what the router speaks itself.
 func upstreamHeader(from http.Header) http.Header {
 	head := from.Clone()
-	removeHopHeaders(head)
+	pomelolink.RemoveHopHeaders(head)
 	for _, name := range []string{"Authorization", "Expect", "Content-Length", headerTimeout, headerCostHint, headerRan} {
 		head.Del(name)
 	}
@@ -42,7 +24,7 @@
 
 // copyAnswerHeader passes an answer's header on; Ran is the router's own word and is not taken from an upstream.
 func copyAnswerHeader(to, from http.Header) {
-	removeHopHeaders(from)
+	pomelolink.RemoveHopHeaders(from)
 	for name, values := range from {
 		if name == headerRan {
 			continue
--- a/pomeloroute/helpers_test.go
+++ b/pomeloroute/helpers_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomeloproblem"
 	"github.com/pomelorelay/pomelorelay/pomeloroute"
 )
 
@@ -196,9 +197,9 @@
 	err     error
 }
 
-func (a answer) problem(t testing.TB) pomeloroute.Problem {
+func (a answer) problem(t testing.TB) pomeloproblem.Problem {
 	t.Helper()
-	var p pomeloroute.Problem
+	var p pomeloproblem.Problem
 	if err := json.Unmarshal([]byte(a.body), &p); err != nil {
 		t.Fatalf("not a problem: %d %q", a.status, a.body)
 	}
--- a/pomeloroute/meter.go
+++ b/pomeloroute/meter.go
@@ -49,7 +49,7 @@
 	return m
 }
 
-// token counts one event of generated text.
+// token counts one pomelolink.Event of generated text.
 func (m *meter) token() {
 	now := m.clock.Now()
 	m.tokens++
--- a/pomeloroute/problem.go
+++ b/pomeloroute/refusal.go
@@ -1,7 +1,6 @@
 package pomeloroute
 
 import (
-	"encoding/json"
 	"errors"
 	"math"
 	"net/http"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloproblem"
 )
 
 // Header fields of the router's own.
@@ -22,18 +22,6 @@
 	headerLastEvent = "Last-Event-Id"
 )
 
-const problemType = "application/problem+json"
-
-// Problem is the body of a refusal.
-type Problem struct {
-	Type   string                 `json:"type"`
-	Title  string                 `json:"title"`
-	Status int                    `json:"status"`
-	Detail string                 `json:"detail"`
-	Code   pomelorelay.ResultCode `json:"Code"`
-	Ran    pomelorelay.Ran        `json:"Ran"`
-}
-
 func asError(err error) *pomelorelay.Error {
 	var coded *pomelorelay.Error
 	if errors.As(err, &coded) {
@@ -42,24 +30,6 @@
 	return pomelorelay.NewError(pomelorelay.CodeInternal, err.Error(), nil)
 }
 
-func newProblem(e *pomelorelay.Error) Problem {
-	info := e.Code.Info()
-	detail := e.Detail
-	if detail == "" {
-		detail = info.Meaning
-	}
-	return Problem{Type: "about:blank", Title: info.Name, Status: info.HTTPStatus, Detail: detail, Code: e.Code, Ran: e.Ran}
-}
-
-// encode returns the problem as JSON; its fields are plain, so it cannot fail.
-func (p Problem) encode() []byte {
-	text, err := json.Marshal(p)
-	if err != nil {
-		return []byte("{}")
-	}
-	return text
-}
-
 // Refuse answers with an error's problem, telling the caller to come back after a second where it may and the error says nothing.
 func Refuse(w http.ResponseWriter, err error) { refuse(w, err, defaultRetryAfter) }
 
@@ -70,9 +40,9 @@
 // refuse answers with a problem; nothing may have been written to w before.
 func refuse(w http.ResponseWriter, err error, comeBack time.Duration) {
 	e := asError(err)
-	p := newProblem(e)
+	p := pomeloproblem.New(e)
 	head := w.Header()
-	head.Set("Content-Type", problemType)
+	head.Set("Content-Type", pomeloproblem.ContentType)
 	head.Set(headerRan, string(p.Ran))
 	head.Set("Cache-Control", "no-store")
 	if after := retryAfter(e, p.Status, comeBack); after > 0 {
@@ -83,7 +53,7 @@
 	}
 	w.WriteHeader(p.Status)
 	// A caller that is gone cannot be told; the server closes the connection.
-	_, _ = w.Write(p.encode())
+	_, _ = w.Write(p.Encode())
 }
 
 // retryAfter returns whole seconds, rounded up: a caller that comes back too early is refused again.
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,7 +19,7 @@
 	if err := c.h.cfg.Suspects.Refuse(c.fingerprint); err != nil {
 		return err
 	}
-	c.h.budget(c.service.Name).earn(c.service.RetryBudget)
+	c.h.budget(c.service.Name).Earn(c.service.RetryBudget)
 	if c.key == "" {
 		return c.attempts()
 	}
@@ -44,13 +45,13 @@
 		if f == nil {
 			return nil
 		}
-		if f.outcome == OutcomeNotSent {
+		if f.Outcome == pomelolink.OutcomeNotSent {
 			unsent++
 		} else {
 			sent++
 		}
 		if sent >= c.h.cfg.Options.MaxAttempts || unsent >= maxUnsent || !c.mayRetry(f) || !c.affords(f) {
-			return c.truthful(f.err)
+			return c.truthful(f.Err)
 		}
 	}
 }
@@ -59,19 +60,19 @@
 // and while an upstream restarts there are several within milliseconds. A crash makes all that ran there try again at once, and the
 // request that caused it too: paid from the budget, the ones that ran beside it would get an error because of its retries. Its slot
 // owner stops granting a crashed upstream, and the suspects' part bounds how often one request crashes others.
-func (c *call) affords(f *failure) bool {
-	free := f.outcome == OutcomeNotSent || f.err.Code == pomelorelay.CodeUpstreamCrashed
-	return free || c.h.budget(c.service.Name).spend()
+func (c *call) affords(f *pomelolink.Failure) bool {
+	free := f.Outcome == pomelolink.OutcomeNotSent || f.Err.Code == pomelorelay.CodeUpstreamCrashed
+	return free || c.h.budget(c.service.Name).Spend()
 }
 
-func (c *call) mayRetry(f *failure) bool {
+func (c *call) mayRetry(f *pomelolink.Failure) bool {
 	if c.answering || c.r.Context().Err() != nil || !c.h.cfg.Clock.Now().Before(c.deadline) {
 		return false
 	}
-	switch f.outcome {
-	case OutcomeNotSent, OutcomeRefusedNotRun:
+	switch f.Outcome {
+	case pomelolink.OutcomeNotSent, pomelolink.OutcomeRefusedNotRun:
 		return true
-	case OutcomeCutShort, OutcomeUnknown:
+	case pomelolink.OutcomeCutShort, pomelolink.OutcomeUnknown:
 		return c.repeatable()
 	}
 	return false
@@ -88,14 +89,14 @@
 }
 
 // attempt waits for a slot and sends the request once.
-func (c *call) attempt() *failure {
+func (c *call) attempt() *pomelolink.Failure {
 	ctx, cancel := c.context()
 	defer cancel()
 	ticket, f := c.admit()
 	if f != nil {
 		return f
 	}
-	result := Result{Outcome: OutcomeNotSent}
+	result := Result{Outcome: pomelolink.OutcomeNotSent}
 	defer func() { ticket.Done(result) }()
 	run := c.suspectRun(ticket)
 	if err := c.h.cfg.Suspects.Check(ctx, run); err != nil {
@@ -103,14 +104,14 @@
 	}
 	if !ticket.Usable() {
 		// A suspect may wait seconds for its turn; sent to an upstream that leaves meanwhile it would end with the host.
-		return newFailure(OutcomeNotSent, pomelorelay.CodeUpstreamUnreached, nil)
+		return pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeUpstreamUnreached, nil)
 	}
 	// Until the outcome is known the request counts as one that may have run, also when a defect ends this function.
 	before := c.mayHaveRun
 	c.mayHaveRun = true
-	result.Outcome = OutcomeUnknown
+	result.Outcome = pomelolink.OutcomeUnknown
 	f, result = c.send(ctx, ticket, run)
-	c.mayHaveRun = before || result.Outcome == OutcomeCutShort || result.Outcome == OutcomeUnknown
+	c.mayHaveRun = before || result.Outcome == pomelolink.OutcomeCutShort || result.Outcome == pomelolink.OutcomeUnknown
 	if f != nil {
 		c.avoid = append(c.avoid, run.Upstream)
 	}
@@ -118,7 +119,7 @@
 }
 
 // send carries out an attempt that has its slot and its turn, and measures it.
-func (c *call) send(ctx context.Context, ticket Ticket, run SuspectRun) (f *failure, result Result) {
+func (c *call) send(ctx context.Context, ticket Ticket, run SuspectRun) (f *pomelolink.Failure, result Result) {
 	m := newMeter(c, ticket)
 	ended := false
 	defer func() {
@@ -132,16 +133,16 @@
 	ended = true
 	result = m.end()
 	c.endRun(ctx, ticket, run, f)
-	result.Outcome = OutcomeWhole
+	result.Outcome = pomelolink.OutcomeWhole
 	if f != nil {
-		result.Outcome = f.outcome
-		result.Code = f.err.Code
+		result.Outcome = f.Outcome
+		result.Code = f.Err.Code
 	}
 	return f, result
 }
 
 // afterAnswer ends a call whose answer had begun when it failed: a caller that was not told has its connection closed.
-func (c *call) afterAnswer(f *failure) *failure {
+func (c *call) afterAnswer(f *pomelolink.Failure) *pomelolink.Failure {
 	if f == nil || !c.answering {
 		return f
 	}
@@ -153,14 +154,14 @@
 
 // endRun tells the crash suspects' part how the attempt ended. Only an upstream that cut the connection and takes no
 // other has crashed.
-func (c *call) endRun(ctx context.Context, ticket Ticket, run SuspectRun, f *failure) {
-	crashed := f != nil && f.cut && c.h.conns.refuses(ctx, ticket.Upstream().Address)
+func (c *call) endRun(ctx context.Context, ticket Ticket, run SuspectRun, f *pomelolink.Failure) {
+	crashed := f != nil && f.Cut && c.h.links.Refuses(ctx, ticket.Upstream().Address)
 	if !crashed {
 		c.h.cfg.Suspects.Ended(run, f == nil)
 		return
 	}
 	c.suspect = true
-	f.err = pomelorelay.NewError(pomelorelay.CodeUpstreamCrashed, "", f.err)
+	f.Err = pomelorelay.NewError(pomelorelay.CodeUpstreamCrashed, "", f.Err)
 	c.h.cfg.Logger.Log(pomelorelay.EventUpstreamCrashed, pomelorelay.Field{Key: "Upstream", Value: run.Upstream}, pomelorelay.Field{Key: "Request", Value: c.wire})
 	c.h.cfg.Suspects.Crashed(run)
 }
@@ -175,7 +176,7 @@
 	}
 }
 
-func (c *call) admit() (Ticket, *failure) {
+func (c *call) admit() (Ticket, *pomelolink.Failure) {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	head := c.bytes()
@@ -202,7 +203,7 @@
 }
 
 // refusal turns an error from before anything was sent into a failure that is not tried again.
-func refusal(ctx context.Context, err error) *failure {
+func refusal(ctx context.Context, err error) *pomelolink.Failure {
 	var coded *pomelorelay.Error
 	switch {
 	case errors.As(err, &coded):
@@ -213,25 +214,25 @@
 	default:
 		coded = asError(err)
 	}
-	return &failure{err: coded}
+	return &pomelolink.Failure{Err: coded}
 }
 
 // exchange sends the request to the ticket's upstream and passes a whole answer on.
-func (c *call) exchange(ctx context.Context, ticket Ticket, m *meter) *failure {
+func (c *call) exchange(ctx context.Context, ticket Ticket, m *meter) *pomelolink.Failure {
 	up := ticket.Upstream()
 	req, err := c.request(up)
 	if err != nil {
-		return newFailure(OutcomeNotSent, pomelorelay.CodeBadRequest, err)
+		return pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeBadRequest, err)
 	}
-	x, f := c.h.open(ctx, up.Address, req, len(c.bytes()), !c.repeatable())
+	x, f := c.h.links.Open(ctx, up.Address, req, len(c.bytes()), !c.repeatable())
 	if f != nil {
 		return f
 	}
-	defer func() { x.close() }()
-	if !isEventStream(x.resp) {
+	defer func() { x.Close() }()
+	if !pomelolink.IsEventStream(x.Response) {
 		return c.passPlain(x, m)
 	}
-	s := newStream(c, x, m, up)
+	s := newStream(ctx, c, x, m, up)
 	defer s.release()
 	f = s.pass()
 	x = s.x
--- a/pomeloroute/stream.go
+++ b/pomeloroute/stream.go
@@ -1,6 +1,7 @@
 package pomeloroute
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -10,11 +11,10 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
 )
 
 const (
-	// maxEvent bounds one event of a stream.
-	maxEvent = 1 << 20
 	// maxResumes bounds the resumes in a row that bring no new event.
 	maxResumes = 3
 	resumePath = "/v1/streams/"
@@ -23,18 +23,18 @@
 )
 
 var (
-	errEventTooLarge = errors.New("an event of the stream is over the bound")
-	errNoUsage       = errors.New("the stream ended without its usage")
-	errNoDone        = errors.New("the stream ended without [DONE]")
+	errNoUsage = errors.New("the stream ended without its usage")
+	errNoDone  = errors.New("the stream ended without [DONE]")
 )
 
 // stream passes server-sent events on, each once and only whole ones.
 type stream struct {
 	c       *call
-	x       *exchange
+	x       *pomelolink.Exchange
+	ctx     context.Context
 	m       *meter
 	up      *pomeloconfig.Upstream
-	events  eventReader
+	events  pomelolink.EventReader
 	engine  bool
 	started bool
 	lastID  uint64
@@ -42,16 +42,16 @@
 	resumes int
 }
 
-func newStream(c *call, x *exchange, m *meter, up *pomeloconfig.Upstream) *stream {
-	s := &stream{c: c, x: x, m: m, up: up, engine: c.service.Kind == pomeloconfig.ServiceModel}
-	s.events.reset(c.h.buffers.chunk(), x)
+func newStream(ctx context.Context, c *call, x *pomelolink.Exchange, m *meter, up *pomeloconfig.Upstream) *stream {
+	s := &stream{ctx: ctx, c: c, x: x, m: m, up: up, engine: c.service.Kind == pomeloconfig.ServiceModel}
+	s.events.Reset(c.h.buffers.Chunk(), x)
 	return s
 }
 
-func (s *stream) release() { s.c.h.buffers.putChunk(s.events.buf) }
+func (s *stream) release() { s.c.h.buffers.PutChunk(s.events.Buffer()) }
 
 // pass passes events until the stream is whole or cannot be finished.
-func (s *stream) pass() *failure {
+func (s *stream) pass() *pomelolink.Failure {
 	for {
 		err := s.passEvents()
 		if err == nil {
@@ -69,7 +69,7 @@
 // usage; another's when its body ended as its framing says.
 func (s *stream) passEvents() error {
 	for {
-		event, err := s.events.next()
+		event, err := s.events.Next()
 		if errors.Is(err, io.EOF) && s.plainEnd() {
 			return nil
 		}
@@ -82,7 +82,7 @@
 		if s.repeated(event) {
 			continue
 		}
-		if s.engine && event.isDone() {
+		if s.engine && event.IsDone() {
 			return s.takeDone(event)
 		}
 		s.take(event)
@@ -93,13 +93,13 @@
 	if s.engine {
 		return false
 	}
-	s.x.whole = s.x.resp.ContentLength >= 0 || len(s.x.resp.TransferEncoding) > 0
-	return s.x.whole
+	s.x.Whole = s.x.Response.ContentLength >= 0 || len(s.x.Response.TransferEncoding) > 0
+	return s.x.Whole
 }
 
-// repeated reports whether the event was passed before; an engine may send some again after a resume.
-func (s *stream) repeated(e event) bool {
-	id, ok := e.id()
+// repeated reports whether the pomelolink.Event was passed before; an engine may send some again after a resume.
+func (s *stream) repeated(e pomelolink.Event) bool {
+	id, ok := e.ID()
 	if !ok {
 		return false
 	}
@@ -111,34 +111,34 @@
 	return false
 }
 
-func (s *stream) take(e event) {
+func (s *stream) take(e pomelolink.Event) {
 	s.begin()
-	s.c.write(e.raw)
-	if s.events.empty() {
+	s.c.write(e.Raw)
+	if s.events.Empty() {
 		s.c.flush()
 	}
-	if !s.engine || len(e.data()) == 0 {
+	if !s.engine || len(e.Data()) == 0 {
 		return
 	}
-	if e.mayHoldUsage() && s.m.report(e.data()) {
+	if e.MayHoldUsage() && s.m.report(e.Data()) {
 		return
 	}
 	s.m.token()
 }
 
-func (s *stream) takeDone(e event) error {
+func (s *stream) takeDone(e pomelolink.Event) error {
 	if s.m.used == nil {
 		return errNoUsage
 	}
 	s.begin()
-	s.c.write(e.raw)
+	s.c.write(e.Raw)
 	s.c.flush()
 	// The rest is the end of the framing; an upstream that does not send it at once loses the connection.
-	if s.x.conn.SetReadDeadline(time.Now().Add(endWait)) != nil {
+	if s.x.BoundRead(endWait) != nil {
 		return nil
 	}
-	if _, err := s.events.next(); errors.Is(err, io.EOF) {
-		s.x.whole = true
+	if _, err := s.events.Next(); errors.Is(err, io.EOF) {
+		s.x.Whole = true
 	}
 	return nil
 }
@@ -149,37 +149,37 @@
 		return
 	}
 	s.started = true
-	resp := s.x.resp
+	resp := s.x.Response
 	resp.ContentLength = -1
 	s.c.writeHead(resp)
-	if s.x.wrote == nil {
+	if s.x.RequestWritten() {
 		s.c.release()
 	}
 }
 
-func (s *stream) finish() *failure {
+func (s *stream) finish() *pomelolink.Failure {
 	s.begin()
-	s.c.writeTrailer(s.x.resp)
-	s.c.keep(s.x.resp, nil, false)
+	s.c.writeTrailer(s.x.Response)
+	s.c.keep(s.x.Response, nil, false)
 	return nil
 }
 
-func (s *stream) broken(err error) *failure {
-	if errors.Is(err, errNoUsage) || errors.Is(err, errEventTooLarge) {
-		s.x.conn.Close()
-		return newFailure(OutcomeCutShort, pomelorelay.CodeAnswerMalformed, err)
+func (s *stream) broken(err error) *pomelolink.Failure {
+	if errors.Is(err, errNoUsage) || errors.Is(err, pomelolink.ErrEventTooLarge) {
+		s.x.Interrupt()
+		return pomelolink.NewFailure(pomelolink.OutcomeCutShort, pomelorelay.CodeAnswerMalformed, err)
 	}
 	if errors.Is(err, errNoDone) {
-		s.x.conn.Close()
-		f := newFailure(OutcomeCutShort, pomelorelay.CodeAnswerCutShort, err)
-		f.cut = true
+		s.x.Interrupt()
+		f := pomelolink.NewFailure(pomelolink.OutcomeCutShort, pomelorelay.CodeAnswerCutShort, err)
+		f.Cut = true
 		return f
 	}
-	return s.x.broken(err)
+	return s.x.Broken(err)
 }
 
-func (s *stream) mayResume(f *failure) bool {
-	return f.cut && s.engine && s.up.Resumes && s.resumes < maxResumes && s.x.ctx.Err() == nil && (s.hasID || !s.started)
+func (s *stream) mayResume(f *pomelolink.Failure) bool {
+	return f.Cut && s.engine && s.up.Resumes && s.resumes < maxResumes && s.ctx.Err() == nil && (s.hasID || !s.started)
 }
 
 // resume takes the stream up again at the same engine, after the last event that was passed. What the engine says is
@@ -198,28 +198,28 @@
 		Header: head,
 		Body:   http.NoBody,
 	}
-	x, f := s.c.h.open(s.x.ctx, s.up.Address, req, 0, true)
+	x, f := s.c.h.links.Open(s.ctx, s.up.Address, req, 0, true)
 	if f != nil {
 		return false
 	}
-	if x.resp.StatusCode != http.StatusOK || !isEventStream(x.resp) || !x.echoed {
-		x.close()
+	if x.Response.StatusCode != http.StatusOK || !pomelolink.IsEventStream(x.Response) || !x.Echoed {
+		x.Close()
 		return false
 	}
-	s.x.close()
+	s.x.Close()
 	s.x = x
-	s.events.reset(s.events.buf, x)
+	s.events.Reset(s.events.Buffer(), x)
 	s.c.h.cfg.Logger.Log(pomelorelay.EventStreamResumed, pomelorelay.Field{Key: "Request", Value: s.c.wire}, pomelorelay.Field{Key: "Upstream", Value: s.up.Name})
 	return true
 }
 
 // giveUp ends a stream whose beginning the caller has with an error event; one that has not begun fails as a whole.
-func (s *stream) giveUp(f *failure) *failure {
+func (s *stream) giveUp(f *pomelolink.Failure) *pomelolink.Failure {
 	if !s.started {
 		return f
 	}
-	if s.x.ctx.Err() == nil || f.err.Code == pomelorelay.CodeUpstreamTimeout {
-		s.c.write(errorEvent(streamError(f.err)))
+	if s.ctx.Err() == nil || f.Err.Code == pomelorelay.CodeUpstreamTimeout {
+		s.c.write(errorEvent(streamError(f.Err)))
 		s.c.flush()
 		s.c.told = true
 	}
--- /dev/null
+++ b/pomeloshare/share.go
@@ -0,0 +1,196 @@
+package pomeloshare
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// buckets is the number of steps in which the window slides; a tenth of it is forgotten at a time.
+const buckets = 10
+
+// Config holds what Shares need.
+type Config struct {
+	// Window is the time over which shares are reckoned.
+	Window time.Duration
+}
+
+// use is what was asked for and what was served, in tokens.
+type use struct {
+	asked, served pomelorelay.Cost
+}
+
+// account is one client account: this router's own sums since its start, and the fleet's within the window.
+type account struct {
+	own     use
+	changed bool
+	window  use
+	steps   [buckets]use
+}
+
+// peer is the last that a router told, so that its next report counts only by what it added.
+type peer struct {
+	incarnation pomelorelay.Incarnation
+	told        map[pomelorelay.AccountID]use
+}
+
+// Shares keeps the fleet's use by account.
+type Shares struct {
+	cfg      Config
+	capacity pomelorelay.Cost // a second
+	accounts map[pomelorelay.AccountID]*account
+	peers    map[pomelorelay.NodeID]*peer
+	step     int
+	stepped  time.Time
+	began    time.Time
+	level    pomelorelay.Cost
+	asked    []pomelorelay.Cost
+}
+
+// New returns Shares of an unknown capacity, of which no account is owed less than it asks.
+func New(cfg Config) *Shares {
+	return &Shares{cfg: cfg, accounts: make(map[pomelorelay.AccountID]*account), peers: make(map[pomelorelay.NodeID]*peer)}
+}
+
+// SetCapacity sets what all engines together produce in a second; zero when unknown.
+func (s *Shares) SetCapacity(perSecond pomelorelay.Cost) { s.capacity = perSecond }
+
+func (s *Shares) account(id pomelorelay.AccountID) *account {
+	a := s.accounts[id]
+	if a == nil {
+		a = &account{}
+		s.accounts[id] = a
+	}
+	return a
+}
+
+func (a *account) add(step int, u use) {
+	a.window.asked += u.asked
+	a.window.served += u.served
+	a.steps[step].asked += u.asked
+	a.steps[step].served += u.served
+}
+
+// Asked notes a request of this router's.
+func (s *Shares) Asked(id pomelorelay.AccountID, cost pomelorelay.Cost) { s.note(id, use{asked: cost}) }
+
+// Served notes a request that this router sent to an engine.
+func (s *Shares) Served(id pomelorelay.AccountID, cost pomelorelay.Cost) { s.note(id, use{served: cost}) }
+
+func (s *Shares) note(id pomelorelay.AccountID, u use) {
+	a := s.account(id)
+	a.own.asked += u.asked
+	a.own.served += u.served
+	a.changed = true
+	a.add(s.step, u)
+}
+
+// Heard takes another router's sums since its start. Reports may be lost or repeated: only growth counts.
+func (s *Shares) Heard(from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, entries []pomelorelay.AccountUse) {
+	p := s.peers[from]
+	first := p == nil
+	if first || p.incarnation < incarnation {
+		p = &peer{incarnation: incarnation, told: make(map[pomelorelay.AccountID]use)}
+		s.peers[from] = p
+	}
+	if p.incarnation > incarnation {
+		return
+	}
+	for _, e := range entries {
+		now := use{asked: e.Asked, served: e.Served}
+		before := p.told[e.Account]
+		p.told[e.Account] = now
+		// A router that has just started does not know when its peers' sums grew: it takes them as a mark to count from.
+		if first && s.young() {
+			continue
+		}
+		grown := use{asked: max(0, now.asked-before.asked), served: max(0, now.served-before.served)}
+		s.account(e.Account).add(s.step, grown)
+	}
+}
+
+func (s *Shares) young() bool { return s.stepped.Sub(s.began) < s.cfg.Window }
+
+// Report appends this router's own sums: those that changed since the last call, or all.
+func (s *Shares) Report(all bool, out []pomelorelay.AccountUse) []pomelorelay.AccountUse {
+	for _, id := range slices.Sorted(maps.Keys(s.accounts)) {
+		a := s.accounts[id]
+		if a.own == (use{}) || (!all && !a.changed) {
+			continue
+		}
+		a.changed = false
+		out = append(out, pomelorelay.AccountUse{Account: id, Asked: a.own.asked, Served: a.own.served})
+	}
+	return out
+}
+
+// Tick slides the window and reckons the level anew.
+func (s *Shares) Tick(now time.Time) {
+	if s.began.IsZero() {
+		s.began, s.stepped = now, now
+	}
+	every := s.cfg.Window / buckets
+	for n := 0; n < buckets && now.Sub(s.stepped) >= every; n++ {
+		s.stepped = s.stepped.Add(every)
+		s.slide()
+	}
+	if now.Sub(s.stepped) >= every {
+		s.stepped = now
+	}
+	s.level = s.fill()
+}
+
+func (s *Shares) slide() {
+	s.step = (s.step + 1) % buckets
+	for _, a := range s.accounts {
+		old := a.steps[s.step]
+		a.steps[s.step] = use{}
+		a.window.asked = max(0, a.window.asked-old.asked)
+		a.window.served = max(0, a.window.served-old.served)
+	}
+}
+
+// fill returns the level up to which every account is owed what it asks for, so that all of the capacity is given out; zero
+// means that everybody is owed everything.
+func (s *Shares) fill() pomelorelay.Cost {
+	left := s.capacity * pomelorelay.Cost(s.cfg.Window.Seconds())
+	if left <= 0 {
+		return 0
+	}
+	s.asked = s.asked[:0]
+	for _, a := range s.accounts {
+		if a.window.asked > 0 {
+			s.asked = append(s.asked, a.window.asked)
+		}
+	}
+	slices.Sort(s.asked)
+	for i, asked := range s.asked {
+		even := left / pomelorelay.Cost(len(s.asked)-i)
+		if asked > even {
+			return even
+		}
+		left -= asked
+	}
+	return 0
+}
+
+// Owed reports whether a request of the cost is within the account's share.
+func (s *Shares) Owed(id pomelorelay.AccountID, cost pomelorelay.Cost) bool {
+	if s.level == 0 {
+		return true
+	}
+	// Half of the request's cost lies beyond: of requests that straddle the level every second one is served.
+	return s.account(id).window.served+cost/2 <= s.level
+}
+
+// Wait returns about how long the account must wait until it is owed a request of the cost again.
+func (s *Shares) Wait(id pomelorelay.AccountID, cost pomelorelay.Cost) time.Duration {
+	if s.level == 0 {
+		return 0
+	}
+	over := s.account(id).window.served + cost/2 - s.level
+	perSecond := s.level / pomelorelay.Cost(s.cfg.Window.Seconds())
+	return min(s.cfg.Window, max(0, time.Duration(float64(over/perSecond)*float64(time.Second))))
+}
--- a/pomelostore/client.go
+++ b/pomelostore/client.go
@@ -61,7 +61,7 @@
 }
 
 // refuseRedirect hands a redirect back as it is. Followed, a 307 would make net/http send the write a second time by itself,
-// which a counter at the store would show as two writes for one call.
+// which a counter at the store would show as two writes for one Call.
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Stats returns the counts of the client's calls.
--- a/pomelostore/store.go
+++ b/pomelostore/store.go
@@ -24,20 +24,20 @@
 
 // Get returns the record, or one of revision zero when there is none; it fails with CodeStoreUnavailable or CodeStoreThrottled.
 func (c *Client) Get(ctx context.Context, key pomelorelay.StoreKey) (pomelorelay.Record, error) {
-	one := call{method: http.MethodGet, path: keyPath("/v1/kv/", key), timeout: c.cfg.Timeout, count: &c.stats.Gets}
-	got, err := c.do(ctx, one)
+	one := Call{Method: http.MethodGet, Path: keyPath("/v1/kv/", key), Timeout: c.cfg.Timeout, Count: &c.stats.Gets}
+	got, err := c.Do(ctx, one)
 	if err != nil {
 		return pomelorelay.Record{}, err
 	}
 	return c.record(one, got, key)
 }
 
-func (c *Client) record(one call, got reply, key pomelorelay.StoreKey) (pomelorelay.Record, error) {
-	if got.status == http.StatusNotFound {
+func (c *Client) record(one Call, got Reply, key pomelorelay.StoreKey) (pomelorelay.Record, error) {
+	if got.Status == http.StatusNotFound {
 		return pomelorelay.Record{Key: key}, nil
 	}
 	var record pomelorelay.Record
-	if err := c.decode(one, got, &record); err != nil {
+	if err := c.Decode(one, got, &record); err != nil {
 		return pomelorelay.Record{}, err
 	}
 	// An answer to another caller's question, crossed on its way, would else be taken for this record.
@@ -57,16 +57,16 @@
 	if lease != 0 {
 		query.Set("lease", strconv.FormatUint(uint64(lease), 10))
 	}
-	one := call{
-		method: http.MethodPut, path: keyPath("/v1/kv/", key), query: query, body: value,
-		timeout: c.cfg.Timeout, count: &c.stats.Writes, changes: true,
+	one := Call{
+		Method: http.MethodPut, Path: keyPath("/v1/kv/", key), Query: query, Body: value,
+		Timeout: c.cfg.Timeout, Count: &c.stats.Writes, Changes: true,
 	}
-	got, err := c.do(ctx, one)
+	got, err := c.Do(ctx, one)
 	if err != nil {
 		return 0, err
 	}
 	var answer revisionAnswer
-	if err := c.decode(one, got, &answer); err != nil {
+	if err := c.Decode(one, got, &answer); err != nil {
 		return 0, err
 	}
 	return answer.Revision, nil
@@ -77,11 +77,11 @@
 func (c *Client) Watch(ctx context.Context, key pomelorelay.StoreKey, after pomelorelay.Revision) (pomelorelay.Record, error) {
 	for {
 		one := c.watchCall(key, after)
-		got, err := c.do(ctx, one)
+		got, err := c.Do(ctx, one)
 		if err != nil {
 			return pomelorelay.Record{}, err
 		}
-		if got.status != http.StatusNoContent {
+		if got.Status != http.StatusNoContent {
 			return c.record(one, got, key)
 		}
 	}
@@ -89,30 +89,30 @@
 
 // watchCall makes a watch that does not wait while the breaker is open. As the breaker's one probe, a watch that waited for a change
 // would keep it open for half a minute after the store is back; one would notice claims refused long after an outage.
-func (c *Client) watchCall(key pomelorelay.StoreKey, after pomelorelay.Revision) call {
+func (c *Client) watchCall(key pomelorelay.StoreKey, after pomelorelay.Revision) Call {
 	wait := c.cfg.WatchWait
 	if c.breaker.isOpen() {
 		wait = 0
 	}
 	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait": {wait.String()}}
-	return call{
-		method: http.MethodGet, path: keyPath("/v1/watch/", key), query: query,
-		timeout: wait + c.cfg.Timeout, count: &c.stats.Watches,
+	return Call{
+		Method: http.MethodGet, Path: keyPath("/v1/watch/", key), Query: query,
+		Timeout: wait + c.cfg.Timeout, Count: &c.stats.Watches,
 	}
 }
 
 // OpenLease opens a lease that lapses when it is not renewed within the time to live; it fails as CompareAndSwap does.
 func (c *Client) OpenLease(ctx context.Context, ttl time.Duration) (pomelorelay.LeaseID, error) {
-	one := call{
-		method: http.MethodPost, path: "/v1/lease", query: url.Values{"ttl": {ttl.String()}},
-		timeout: c.cfg.Timeout, count: &c.stats.Leases, changes: true,
+	one := Call{
+		Method: http.MethodPost, Path: "/v1/lease", Query: url.Values{"ttl": {ttl.String()}},
+		Timeout: c.cfg.Timeout, Count: &c.stats.Leases, Changes: true,
 	}
-	got, err := c.do(ctx, one)
+	got, err := c.Do(ctx, one)
 	if err != nil {
 		return 0, err
 	}
 	var answer leaseAnswer
-	if err := c.decode(one, got, &answer); err != nil {
+	if err := c.Decode(one, got, &answer); err != nil {
 		return 0, err
 	}
 	return answer.Lease, nil
@@ -133,11 +133,11 @@
 }
 
 func (c *Client) leaseCall(ctx context.Context, method, path string) error {
-	got, err := c.do(ctx, call{method: method, path: path, timeout: c.cfg.Timeout, count: &c.stats.Leases, changes: true})
+	got, err := c.Do(ctx, Call{Method: method, Path: path, Timeout: c.cfg.Timeout, Count: &c.stats.Leases, Changes: true})
 	if err != nil {
 		return err
 	}
-	if got.status == http.StatusNotFound {
+	if got.Status == http.StatusNotFound {
 		return pomelorelay.NewError(pomelorelay.CodeStoreLeaseLapsed, path, nil)
 	}
 	return nil
@@ -145,17 +145,17 @@
 
 // Hosts returns the list as it is now known; it fails with CodeStoreUnavailable or CodeStoreThrottled.
 func (c *Client) Hosts(ctx context.Context) ([]pomelorelay.Host, error) {
-	one := call{method: http.MethodGet, path: "/v1/hosts", timeout: c.cfg.Timeout, count: &c.stats.HostLists}
-	got, err := c.do(ctx, one)
+	one := Call{Method: http.MethodGet, Path: "/v1/hosts", Timeout: c.cfg.Timeout, Count: &c.stats.HostLists}
+	got, err := c.Do(ctx, one)
 	if err != nil {
 		return nil, err
 	}
 	// An empty list read out of a failure would send every upstream away.
-	if got.status != http.StatusOK {
+	if got.Status != http.StatusOK {
 		return nil, pomelorelay.NewError(pomelorelay.CodeStoreUnavailable, "the host list is not there", nil)
 	}
 	var hosts []pomelorelay.Host
-	if err := c.decode(one, got, &hosts); err != nil {
+	if err := c.Decode(one, got, &hosts); err != nil {
 		return nil, err
 	}
 	return hosts, nil
--- /dev/null
+++ b/settings_fleet.go
@@ -0,0 +1,31 @@
+package pomelorelay
+
+import (
+	"net/netip"
+	"time"
+)
+
+// FleetSettings is what a process of the fleet learns at its start from the platform it runs on.
+type FleetSettings struct {
+	// Self is this router; its address is where other routers reach it.
+	Self    Peer
+	Regions map[DomainID]RegionID
+	// Callers, Readiness and Metrics are the addresses to listen on.
+	Callers   netip.AddrPort
+	Readiness netip.AddrPort
+	Metrics   netip.AddrPort
+	// Store is the address of the platform's store.
+	Store netip.AddrPort
+	// Memory is the most that the process may use.
+	Memory Bytes
+	// StopWait is the time from the signal to stop until the process is killed.
+	StopWait time.Duration
+	// RetryRatio and RetrySlack bound what the whole fleet sends again within RetryWindow, of one service's requests.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ShareWindow is the time over which accounts' shares of the engines are reckoned.
+	ShareWindow time.Duration
+	// ReuseWindow is the time within which a prompt part that is read again counts as read in vain.
+	ReuseWindow time.Duration
+}
--- a/units.go
+++ b/units.go
@@ -12,6 +12,9 @@
 // Bytes counts bytes.
 type Bytes int64
 
+// Tokens counts tokens that an engine reads, keeps or generates.
+type Tokens int64
+
 // Slots counts requests that an upstream runs at once.
 type Slots int32
 
