Watches that miss a change are begun anew; pauses and shares in the log

Change: a watch that finds the history dropped restarts the others, watches wait 4 s at most, out of step; a stopping router refuses streams that would be cut. The line of each request names its longest pause and its account's share.

--- a/fleet.go
+++ b/fleet.go
@@ -115,6 +115,8 @@
 type ConfigChange struct {
 	Config *FleetConfig
 	At     Revision
+	// Whole tells that the configuration was read, not watched.
+	Whole bool
 	// Fault tells why the newest document cannot be used; Config is nil then.
 	Fault error
 }
@@ -139,16 +141,17 @@
 }
 
 // Platform is what a router learns from the platform around it. A watch from revision zero returns what is there at once;
-// another waits for a change and returns an empty one when none came in time. All fail with the store's codes.
+// another waits for a change, at most for the wait, and returns an empty one when none came. When the store has dropped the history
+// since the revision, everything is returned anew. All fail with the store's codes.
 type Platform interface {
 	// WatchConfig returns the operators' configuration.
-	WatchConfig(ctx context.Context, after Revision) (ConfigChange, error)
+	WatchConfig(ctx context.Context, after Revision, wait time.Duration) (ConfigChange, error)
 	// ReadConfig reads a configuration's document that a peer gave.
 	ReadConfig(document []byte) (*FleetConfig, error)
 	// WatchUpstreams returns the registered upstreams.
-	WatchUpstreams(ctx context.Context, after Revision) (UpstreamChange, error)
+	WatchUpstreams(ctx context.Context, after Revision, wait time.Duration) (UpstreamChange, error)
 	// WatchPeers returns the registered routers.
-	WatchPeers(ctx context.Context, after Revision) (PeerChange, error)
+	WatchPeers(ctx context.Context, after Revision, wait time.Duration) (PeerChange, error)
 	// Announce registers this router under a lease of the time to live.
 	Announce(ctx context.Context, self Peer, ttl time.Duration) (LeaseID, error)
 	// RenewLease renews the lease; it fails with CodeStoreLeaseLapsed when it has ended.
--- a/pomeloentry/config.go
+++ b/pomeloentry/config.go
@@ -37,13 +37,16 @@
 }
 
 func (e *Entry) watchConfig(ctx context.Context) {
-	var after pomelorelay.Revision
+	w := &e.configWatch
 	e.follow(ctx, followed{name: "configuration", call: func() error {
-		change, err := e.cfg.Platform.WatchConfig(ctx, after)
+		ctx, after := w.begin(ctx)
+		change, err := e.cfg.Platform.WatchConfig(ctx, after, watchWait)
 		if err != nil {
 			return err
 		}
-		after = change.At
+		if w.reached(change.At) && change.Whole {
+			e.dropped(w)
+		}
 		e.post(&configArrived{change})
 		return nil
 	}})
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -101,13 +101,17 @@
 	counts := w.Cost > 0 && w.Account != ""
 	r := w.Place
 	r.Owed = true
+	var share pomeloplace.ShareState
 	if counts {
 		if !w.Again {
 			c.shares.Asked(w.Account, w.Cost)
 		}
 		r.Owed = w.Again || c.shares.Owed(w.Account, w.Cost)
+		share.Cost, share.Owed = w.Cost, r.Owed
+		share.Asked, share.Served, share.Level = c.shares.State(w.Account)
 	}
 	d := c.placer.Place(now, r)
+	d.Share = share
 	c.e.metrics.Placed(string(d.Reason))
 	switch {
 	case d.Reason == pomeloplace.ReasonNone && counts && !w.Again:
--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -35,6 +35,10 @@
 	metrics     *pomelometric.Metrics
 	events      chan event
 
+	configWatch    watch
+	upstreamsWatch watch
+	peersWatch     watch
+
 	table atomic.Pointer[pomelotable.Table]
 	// upstreams is the number of known upstreams.
 	upstreams atomic.Int64
--- a/pomeloentry/follow.go
+++ b/pomeloentry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -14,6 +15,55 @@
 	followMost  = 800 * time.Millisecond
 )
 
+// watch is one watch of the store: where it stands, and how to make it begin anew.
+type watch struct {
+	mu     sync.Mutex
+	after  pomelorelay.Revision
+	cancel context.CancelFunc
+}
+
+// begin returns the revision to watch from, and a context that restart ends.
+func (w *watch) begin(ctx context.Context) (context.Context, pomelorelay.Revision) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx, w.cancel = context.WithCancel(ctx)
+	return ctx, w.after
+}
+
+// reached notes the revision from which to watch on; it reports whether the watch had been going on.
+func (w *watch) reached(at pomelorelay.Revision) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cancel()
+	went := w.after > 0
+	w.after = at
+	return went
+}
+
+// restart makes the watch read everything anew. A store that dropped its history may also have lost changes for watches that go on
+// waiting; a router would be seen to use an old configuration until the next change.
+func (w *watch) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.after = 0
+	if w.cancel != nil {
+		w.cancel()
+	}
+}
+
+// watchWait is how long a watch of what seldom changes waits: a store that lost a change for it tells at the next call. The routers'
+// calls are out of step, and the first that learns of a configuration tells the others.
+const watchWait = 4 * time.Second
+
+// dropped restarts the watches beside the one that found the history dropped.
+func (e *Entry) dropped(by *watch) {
+	for _, w := range []*watch{&e.configWatch, &e.peersWatch} {
+		if w != by {
+			w.restart()
+		}
+	}
+}
+
 // followed is something in the store that is watched.
 type followed struct {
 	name string
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -24,13 +24,16 @@
 func newPeers() peers { return peers{present: make(map[pomelorelay.NodeID]pomelorelay.Peer)} }
 
 func (e *Entry) watchPeers(ctx context.Context) {
-	var after pomelorelay.Revision
+	w := &e.peersWatch
 	e.follow(ctx, followed{name: "routers", call: func() error {
-		change, err := e.cfg.Platform.WatchPeers(ctx, after)
+		ctx, after := w.begin(ctx)
+		change, err := e.cfg.Platform.WatchPeers(ctx, after, watchWait)
 		if err != nil {
 			return err
 		}
-		after = change.At
+		if w.reached(change.At) && change.Whole {
+			e.dropped(w)
+		}
 		e.post(&peersArrived{change})
 		return nil
 	}})
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -55,17 +55,20 @@
 }
 
 func (e *Entry) watchUpstreams(ctx context.Context) {
-	var after pomelorelay.Revision
+	w := &e.upstreamsWatch
 	e.follow(ctx, followed{
 		name: "upstreams",
 		pace: upstreamsPace,
 		back: func() { e.post(&storeBack{}) },
 		call: func() error {
-			change, err := e.cfg.Platform.WatchUpstreams(ctx, after)
+			ctx, after := w.begin(ctx)
+			change, err := e.cfg.Platform.WatchUpstreams(ctx, after, watchWait)
 			if err != nil {
 				return err
 			}
-			after = change.At
+			if w.reached(change.At) && change.Whole {
+				e.dropped(w)
+			}
 			e.post(&upstreamsArrived{change})
 			return nil
 		},
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -40,9 +40,11 @@
 	lastEvent    uint64
 	hasLastEvent bool
 	// first is when the answer began; decision is the last placement.
-	first    time.Time
-	decision pomeloplace.Decision
-	status   int
+	first        time.Time
+	lastAt       time.Time
+	longestPause time.Duration
+	decision     pomeloplace.Decision
+	status       int
 }
 
 func newCall(h *Handler, w http.ResponseWriter, r *http.Request) *call {
@@ -168,8 +170,8 @@
 	}
 }
 
-// streamTime is about how long a stream takes. One that begins later before a planned stop would be cut by it.
-const streamTime = 2500 * time.Millisecond
+// streamTime is how long most streams take, nine of ten on a busy day. One that begins later before a planned stop would be cut by it.
+const streamTime = 5 * time.Second
 
 // fitsStop refuses a request that the process could not end before it stops.
 func (c *call) fitsStop() error {
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -123,11 +123,17 @@
 	all := append(fields,
 		pomelorelay.Field{Key: "FirstMS", Value: first.Milliseconds()},
 		pomelorelay.Field{Key: "TotalMS", Value: now.Sub(c.arrived).Milliseconds()},
+		pomelorelay.Field{Key: "PauseMS", Value: c.longestPause.Milliseconds()},
 		pomelorelay.Field{Key: "ExpectedMS", Value: d.Expected.Milliseconds()},
 		pomelorelay.Field{Key: "BacklogMS", Value: d.Backlog.Milliseconds()},
 		pomelorelay.Field{Key: "Missing", Value: int64(d.Missing)},
 		pomelorelay.Field{Key: "Running", Value: d.Running},
 		pomelorelay.Field{Key: "Runs", Value: c.runs},
+		pomelorelay.Field{Key: "Cost", Value: int64(d.Share.Cost)},
+		pomelorelay.Field{Key: "Owed", Value: d.Share.Owed},
+		pomelorelay.Field{Key: "Asked", Value: int64(d.Share.Asked)},
+		pomelorelay.Field{Key: "Served", Value: int64(d.Share.Served)},
+		pomelorelay.Field{Key: "Level", Value: int64(d.Share.Level)},
 	)
 	c.log(event, all...)
 }
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -36,6 +36,7 @@
 		if !c.answering {
 			c.writeHead(x.Response, -1)
 		}
+		c.notePause()
 		c.write(event.Raw)
 		if events.Empty() {
 			c.flush()
@@ -43,6 +44,15 @@
 	}
 }
 
+// notePause keeps the longest time between two events, which decides whether the caller finds the stream late.
+func (c *call) notePause() {
+	now := c.h.cfg.Clock.Now()
+	if !c.lastAt.IsZero() {
+		c.longestPause = max(c.longestPause, now.Sub(c.lastAt))
+	}
+	c.lastAt = now
+}
+
 // inOrder reports whether an event is the next one; one that the caller has already is left out. A gap means that a piece of the
 // answer is lost: passed on, the caller would take the rest for the whole.
 func (c *call) inOrder(e pomelolink.Event) (bool, *pomelolink.Failure) {
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -55,6 +55,13 @@
 		&pomelorelay.QuarantineNotice{Fingerprint: 2, Seq: 3, For: time.Minute},
 		&pomelorelay.LeavingNotice{Upstream: "u"},
 		&pomelorelay.Farewell{Incarnation: 6},
+		&pomelorelay.LoadReport{
+			Seq: 9, Whole: true,
+			Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 3, Unread: 4000, Held: 9000, Sent: 70000}},
+			Accounts:  []pomelorelay.AccountUse{{Account: "a", Asked: 12, Served: 7}},
+			Parts:     []pomelorelay.PartPlaced{{Upstream: "u", Hash: 0x5c1e07a2, Tokens: 800}},
+			Leaving:   []pomelorelay.UpstreamID{"v"},
+		},
 	}
 }
 
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -58,6 +58,16 @@
 	Missing pomelorelay.Tokens
 	// Running is what the fleet runs at the upstream.
 	Running int
+	// Share is what decided about the account's share.
+	Share ShareState
+}
+
+// ShareState is what an account has had of the capacity that all share, when a request of it was decided on.
+type ShareState struct {
+	Cost pomelorelay.Cost
+	// Asked and Served are the account's in the window, Level is up to where accounts are owed; zero when there is enough for all.
+	Asked, Served, Level pomelorelay.Cost
+	Owed                 bool
 }
 
 // Run is a request at an upstream, until Ended.
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -20,7 +20,7 @@
 	parts    []pomelorelay.PartPlaced
 	// untold are the prompt tokens that were sent since the last report.
 	untold pomelorelay.Tokens
-	seq      uint64
+	seq    uint64
 }
 
 // New returns a Placer that knows no upstream.
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -77,7 +77,9 @@
 func (s *Shares) Asked(id pomelorelay.AccountID, cost pomelorelay.Cost) { s.note(id, use{asked: cost}) }
 
 // Served notes a request that this router sent to an engine.
-func (s *Shares) Served(id pomelorelay.AccountID, cost pomelorelay.Cost) { s.note(id, use{served: cost}) }
+func (s *Shares) Served(id pomelorelay.AccountID, cost pomelorelay.Cost) {
+	s.note(id, use{served: cost})
+}
 
 func (s *Shares) note(id pomelorelay.AccountID, u use) {
 	a := s.account(id)
@@ -185,6 +187,12 @@
 	return s.account(id).window.served+cost/2 <= s.level
 }
 
+// State returns what the account asked for and was served in the window, and the level up to which accounts are owed.
+func (s *Shares) State(id pomelorelay.AccountID) (asked, served, level pomelorelay.Cost) {
+	a := s.account(id)
+	return a.window.asked, a.window.served, s.level
+}
+
 // Wait returns about how long the account must wait until it is owed a request of the cost again.
 func (s *Shares) Wait(id pomelorelay.AccountID, cost pomelorelay.Cost) time.Duration {
 	if s.level == 0 {
