Placement by what a request and those beside it lose; long prompts to a few engines

Change: candidates are weighed in an engine's time; long prompts have a few engines; an account ahead of one that is short gets only what would be idle.

--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -25,6 +25,8 @@
 	Left   time.Duration
 	// Owed tells that the request is within its account's share.
 	Owed bool
+	// Ahead tells that the account has had more than its share while another is short.
+	Ahead bool
 	// Avoid lists upstreams that failed this request.
 	Avoid []pomelorelay.UpstreamID
 }
@@ -115,11 +117,26 @@
 	firstStep = 30 * time.Millisecond
 	// regionWay is the way to another region and back, twice the 12 ms that both deployments give.
 	regionWay = 24 * time.Millisecond
-	// missWeight is how much reading a part again counts beyond the time that it takes this request: it also delays those that
-	// come after, and shared parts that are read again are what the users pay most for.
-	missWeight = 1.5
-	// crowdWeight spreads requests by the number that run: a full batch generates each token about twice as slowly.
-	crowdWeight = 80 * time.Millisecond
+	// missWeight is how much reading a shared part again counts beyond the time that it takes the engine: the users charge it at
+	// about twice what that time of an engine is worth to them.
+	missWeight = 1.9
+	// waitWeight is how much a wait counts that ends well within the target; waiting at one engine or the other is nearly the same.
+	waitWeight = 0.1
+	// calmShare is the part of the target up to which a wait is calm; beyond, each millisecond counts lateWeight times, since other
+	// routers' requests that are not yet known may push the answer past its target.
+	calmShare  = 0.55
+	lateWeight = 4.0
+	// crowdWeight is the cost of the last free slot, growing with the square of the part that is taken: a full batch generates each
+	// token about twice as slowly.
+	crowdWeight = 60 * time.Millisecond
+	// regionCost is what the bytes of a request to another region and of its answer cost, in an engine's time.
+	regionCost = 3 * time.Millisecond
+	// pauseFrom and pauseTo are the lengths of uninterrupted reading between which the streams that run beside it pause for longer
+	// than callers expect: an event holds 6 to 11 tokens, and between two of them an engine reads a chunk of 4,096.
+	pauseFrom = 220 * time.Millisecond
+	pauseTo   = 420 * time.Millisecond
+	// pauseWeight is what one late stream loses, in an engine's time.
+	pauseWeight = 30 * time.Millisecond
 	// failWeight is what an upstream that fails every request is behind one that fails none.
 	failWeight = 3 * time.Second
 	// failShare is the weight of a new result in the rate of failures.
@@ -134,9 +151,12 @@
 	// beyond their account's share. The rest is for what the other routers sent meanwhile; what is beyond a share is served only
 	// where it delays nobody.
 	owedShare = 0.85
-	freeShare = 0.4
+	freeShare = 0.85
 	// freeSlots is the part of an engine's slots up to which requests beyond a share are taken.
-	freeSlots = 0.7
+	freeSlots = 0.95
+	// aheadSlots and aheadShare are the same for accounts that are ahead of one that is short: only what would else be idle.
+	aheadSlots = 0.3
+	aheadShare = 0.25
 	// fullMemory is the part of an engine's memory up to which running requests may fill it; above, it evicts what runs.
 	fullMemory = 0.9
 	// slotTurn is about how long it takes until one of an engine's slots is free, five seconds of a run by 64 slots.
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -13,11 +13,10 @@
 type Placer struct {
 	cfg       Config
 	upstreams map[pomelorelay.UpstreamID]*upstream
-	// services holds the upstreams of each service by id, so that the same calls always give the same answers.
-	services map[pomelorelay.ServiceID][]*upstream
-	engines  map[pomelorelay.ServiceID]*pomelorelay.EngineSpec
-	peers    map[pomelorelay.NodeID]*peer
-	parts    []pomelorelay.PartPlaced
+	services  map[pomelorelay.ServiceID]*pool
+	engines   map[pomelorelay.ServiceID]*pomelorelay.EngineSpec
+	peers     map[pomelorelay.NodeID]*peer
+	parts     []pomelorelay.PartPlaced
 	// untold are the prompt tokens that were sent since the last report.
 	untold pomelorelay.Tokens
 	seq    uint64
@@ -28,7 +27,7 @@
 	return &Placer{
 		cfg:       cfg,
 		upstreams: make(map[pomelorelay.UpstreamID]*upstream),
-		services:  make(map[pomelorelay.ServiceID][]*upstream),
+		services:  make(map[pomelorelay.ServiceID]*pool),
 		engines:   make(map[pomelorelay.ServiceID]*pomelorelay.EngineSpec),
 		peers:     make(map[pomelorelay.NodeID]*peer),
 	}
@@ -57,14 +56,13 @@
 	}
 	u = newUpstream(info, p.engines[info.Service])
 	p.upstreams[info.ID] = u
-	list := append(p.services[info.Service], u)
-	slices.SortFunc(list, func(a, b *upstream) int {
-		if a.info.ID < b.info.ID {
-			return -1
-		}
-		return 1
-	})
-	p.services[info.Service] = list
+	s := p.services[info.Service]
+	if s == nil {
+		s = &pool{}
+		p.services[info.Service] = s
+	}
+	s.add(u)
+	u.pool = s
 	p.recount(u)
 }
 
@@ -76,7 +74,7 @@
 	}
 	u.gone = true
 	delete(p.upstreams, id)
-	p.services[u.info.Service] = slices.DeleteFunc(p.services[u.info.Service], func(o *upstream) bool { return o == u })
+	u.pool.remove(u)
 }
 
 // Upstreams returns the ids of all known upstreams.
@@ -119,9 +117,13 @@
 // best returns the candidate of the lowest cost. Upstreams that failed this request or take no connections are taken only when there is no other.
 func (p *Placer) best(now time.Time, r *Request) (candidate, bool) {
 	var best candidate
+	s := p.services[r.Service]
+	if s == nil {
+		return best, false
+	}
 	found := false
 	for round := 0; round < 2 && !found; round++ {
-		for _, u := range p.services[r.Service] {
+		for _, u := range s.list {
 			if u.info.Draining || (round == 0 && (now.Before(u.downUntil) || slices.Contains(r.Avoid, u.info.ID))) {
 				continue
 			}
@@ -134,33 +136,53 @@
 	return best, found
 }
 
+// weigh returns a candidate with its cost in an engine's time: what the request and those beside it lose by going there.
 func (p *Placer) weigh(now time.Time, u *upstream, r *Request) candidate {
 	c := candidate{up: u, backlog: u.await(now)}
 	c.expected = c.backlog
 	if p.cfg.Regions[u.info.Domain] != p.cfg.Self.Region {
 		c.expected += regionWay
+		c.cost += regionCost
 	}
-	crowd := time.Duration(float64(crowdWeight) * float64(u.running()) / float64(u.slots()))
+	taken := float64(u.running()) / float64(u.slots())
+	c.cost += time.Duration(float64(crowdWeight) * taken * taken)
 	if u.engine == nil {
 		c.expected += u.service
-		c.cost = c.expected + crowd
+		c.cost += c.expected
 	} else {
-		c.missing = u.kept.missing(r)
-		read := u.reading(float64(c.missing))
-		c.expected += read + firstStep
-		c.cost = c.expected + time.Duration(missWeight*float64(read)) + crowd + homeCost(u, r)
-		if u.full(r.Prompt + r.Output) {
-			c.expected += slotTurn
-			c.cost += failWeight
-		}
+		p.weighEngine(&c, r)
 	}
 	c.cost += time.Duration(u.failing(now) * float64(failWeight))
 	return c
 }
 
+func (p *Placer) weighEngine(c *candidate, r *Request) {
+	u := c.up
+	c.missing = work(u.kept.missing(r), r.Prompt)
+	read := u.reading(float64(c.missing))
+	c.expected += read + firstStep
+	c.cost += read + time.Duration(missWeight*float64(read)) + homeCost(u, r)
+	c.cost += time.Duration(waitWeight * float64(c.expected))
+	if late := c.expected - time.Duration(calmShare*float64(r.Target)); late > 0 {
+		c.cost += time.Duration(lateWeight * float64(late))
+	}
+	c.cost += pauseCost(u.running(), c.backlog+read) + shyCost(u, r, c.missing)
+	if u.full(r.Prompt + r.Output) {
+		c.expected += slotTurn
+		c.cost += failWeight
+	}
+}
+
+// pauseCost is what the streams that run at an engine lose when it reads for a time without a break.
+func pauseCost(running int, reading time.Duration) time.Duration {
+	over := float64(reading-pauseFrom) / float64(pauseTo-pauseFrom)
+	over = min(max(over, 0), 1)
+	return time.Duration(over * float64(running) * float64(pauseWeight))
+}
+
 // homeMost is how far the hash of a prompt's shared parts may push an upstream back. Requests for a part that no engine keeps then
 // begin at the same engine from every router, unless its backlog is longer by this.
-const homeMost = 40 * time.Millisecond
+const homeMost = 20 * time.Millisecond
 
 func homeCost(u *upstream, r *Request) time.Duration {
 	if len(r.Parts) < 2 {
@@ -180,12 +202,15 @@
 
 // refuses reports why the best candidate is not good enough: the answer would begin too late to be worth what it delays.
 func (p *Placer) refuses(c candidate, r *Request) Reason {
-	share, reason := owedShare, ReasonLate
-	if !r.Owed {
-		share, reason = freeShare, ReasonShare
+	share, slots, reason := owedShare, 1.0, ReasonLate
+	switch {
+	case !r.Owed && r.Ahead:
+		share, slots, reason = aheadShare, aheadSlots, ReasonShare
+	case !r.Owed:
+		share, slots, reason = freeShare, freeSlots, ReasonShare
 	}
 	limit := time.Duration(share * float64(r.Target))
-	if c.up.engine != nil && !r.Owed && float64(c.up.running()) > freeSlots*float64(c.up.slots()) {
+	if c.up.engine != nil && float64(c.up.running()) >= slots*float64(c.up.slots()) {
 		return reason
 	}
 	if c.expected <= limit {
@@ -213,6 +238,7 @@
 	u.own.sent += run.missing
 	p.untold += run.missing
 	u.enqueue(now, run.missing)
+	u.pool.flow.addOwn(now, run.missing)
 	p.notePlaced(u, r)
 	return run
 }
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -18,8 +18,8 @@
 	p.seq++
 	p.untold = 0
 	m.Seq = p.seq
-	for _, list := range p.services {
-		for _, u := range list {
+	for _, s := range p.services {
+		for _, u := range s.list {
 			if !u.changed && (!m.Whole || u.own == (load{})) {
 				continue
 			}
@@ -76,13 +76,17 @@
 	switch {
 	case known && next.sent > before.sent:
 		u.enqueue(now, next.sent-before.sent)
+		u.pool.flow.add(now, next.sent-before.sent)
 	case !known:
 		u.enqueue(now, next.unread)
 	}
 }
 
-// Tick forgets routers that have been silent.
+// Tick forgets routers that have been silent and spreads the long prompts anew.
 func (p *Placer) Tick(now time.Time) {
+	for _, s := range p.services {
+		s.spread(now)
+	}
 	for node, o := range p.peers {
 		if now.Sub(o.heard) > silentAfter {
 			p.forget(node)
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -24,6 +24,9 @@
 	others  load
 	changed bool
 	gone    bool
+	pool    *pool
+	// forLong tells that long prompts go here.
+	forLong bool
 	// queue is the number of tokens that are still to be read at the time queueAt, as it falls by the rate.
 	queue   float64
 	queueAt time.Time
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -46,7 +46,9 @@
 	stepped  time.Time
 	began    time.Time
 	level    pomelorelay.Cost
-	asked    []pomelorelay.Cost
+	// least is the least that an account was served which asked for more; zero when nobody did.
+	least pomelorelay.Cost
+	asked []pomelorelay.Cost
 }
 
 // New returns Shares of an unknown capacity, of which no account is owed less than it asks.
@@ -142,6 +144,40 @@
 		s.stepped = now
 	}
 	s.level = s.fill()
+	s.least = s.leastServed()
+}
+
+const (
+	// unmetShare is the part of what an account asked for that must be missing before it counts as short.
+	unmetShare = 0.1
+	// unmetLeast is the least that must be missing, two large requests.
+	unmetLeast = 25000
+	// evenShare is how far ahead of the shortest account one may be that gets more than its share. Twice would be unfair by the
+	// users' word; the reports of the other routers are a moment old.
+	evenShare = 1.25
+)
+
+// leastServed returns the least that an account was served which is short; zero when none is.
+func (s *Shares) leastServed() pomelorelay.Cost {
+	least := pomelorelay.Cost(0)
+	for _, a := range s.accounts {
+		missing := a.window.asked - a.window.served
+		if missing < unmetLeast || missing < unmetShare*a.window.asked {
+			continue
+		}
+		if served := max(a.window.served, 1); least == 0 || served < least {
+			least = served
+		}
+	}
+	return least
+}
+
+// Ahead reports whether an account beyond its share has had so much more than another that is short that the other goes first.
+func (s *Shares) Ahead(id pomelorelay.AccountID) bool {
+	if s.level == 0 || s.least == 0 {
+		return false
+	}
+	return s.account(id).window.served > evenShare*max(s.least, s.level)
 }
 
 func (s *Shares) slide() {
