A router that lost the store finds back at once and stays in the mesh

Change: a watch does not wait while the breaker is open, which rests 500 ms; unregistered routers that are heard stay peers; a stopping router refuses what it cannot end.

--- a/cmd/pomelorelayd/entry.go
+++ b/cmd/pomelorelayd/entry.go
@@ -22,6 +22,9 @@
 	memoryShare = 0.7
 	// storeTimeout bounds a call to the platform's store, which answers in 4 ms, or in a few hundred when it is slow.
 	storeTimeout = 1500 * time.Millisecond
+	// storeRest is how long the store is left alone after several failures in a row: short against the 4 s after whose end a router is
+	// taken to know what the store holds.
+	storeRest = 500 * time.Millisecond
 	// storeCalls is the most calls a second that one router makes.
 	storeCalls = 20
 )
@@ -56,6 +59,7 @@
 		Addresses:      []netip.AddrPort{settings.Store},
 		Timeout:        storeTimeout,
 		CallsPerSecond: storeCalls,
+		BreakerOpen:    storeRest,
 		Logger:         logger,
 	})
 	if err != nil {
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -78,6 +78,9 @@
 	c.dropLapsed(now)
 	c.report(now)
 	c.pullBehind(now)
+	if c.peers.drop(now) {
+		c.setPeers()
+	}
 	if now.Sub(c.gaugesAt) >= gaugesEvery {
 		c.gaugesAt = now
 		c.setGauges()
@@ -142,6 +145,7 @@
 }
 
 func (c *control) receive(now time.Time, m pomelorelay.Envelope) {
+	c.peers.hear(now, m.From)
 	c.noteGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
 	case *pomelorelay.LoadReport:
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -16,12 +16,64 @@
 	leaveWait = 500 * time.Millisecond
 )
 
-// peers are the registered routers.
+// silentAfter is how long an unregistered router may be silent until it is taken as gone: a few whole reports.
+const silentAfter = 5 * time.Second
+
+// knownPeer is a router that is registered, or was and is still heard.
+type knownPeer struct {
+	pomelorelay.Peer
+	registered bool
+	heard      time.Time
+}
+
+// peers are the other routers. One that cannot reach the store loses its registration; it is still told everything as long as its
+// own messages come, or it would go on with an old configuration beside neighbours that could give it the new one.
 type peers struct {
-	present map[pomelorelay.NodeID]pomelorelay.Peer
+	present map[pomelorelay.NodeID]*knownPeer
+}
+
+func newPeers() peers { return peers{present: make(map[pomelorelay.NodeID]*knownPeer)} }
+
+func (p *peers) put(peer pomelorelay.Peer) {
+	known := p.present[peer.Node]
+	if known == nil {
+		known = &knownPeer{}
+		p.present[peer.Node] = known
+	}
+	known.Peer, known.registered = peer, true
+}
+
+func (p *peers) unregister(node pomelorelay.NodeID) {
+	if known := p.present[node]; known != nil {
+		known.registered = false
+	}
 }
 
-func newPeers() peers { return peers{present: make(map[pomelorelay.NodeID]pomelorelay.Peer)} }
+func (p *peers) hear(now time.Time, node pomelorelay.NodeID) {
+	if known := p.present[node]; known != nil {
+		known.heard = now
+	}
+}
+
+// drop forgets unregistered routers that are silent; it reports whether there were any.
+func (p *peers) drop(now time.Time) bool {
+	dropped := false
+	for node, known := range p.present {
+		if !known.registered && now.Sub(known.heard) > silentAfter {
+			delete(p.present, node)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+func (p *peers) list() []pomelorelay.Peer {
+	list := make([]pomelorelay.Peer, 0, len(p.present))
+	for _, known := range p.present {
+		list = append(list, known.Peer)
+	}
+	return list
+}
 
 func (e *Entry) watchPeers(ctx context.Context) {
 	w := &e.peersWatch
@@ -42,22 +94,26 @@
 // peersArrived is posted when the store told of routers.
 type peersArrived struct{ change pomelorelay.PeerChange }
 
-func (a *peersArrived) apply(c *control, _ time.Time) {
+func (a *peersArrived) apply(c *control, now time.Time) {
 	if a.change.Whole {
-		clear(c.peers.present)
+		for node := range c.peers.present {
+			c.peers.unregister(node)
+		}
 	}
 	for _, p := range a.change.Present {
 		if p.Node != c.e.cfg.Settings.Self.Node {
-			c.peers.present[p.Node] = p
+			c.peers.put(p)
 		}
 	}
 	for _, node := range a.change.Gone {
-		delete(c.peers.present, node)
-	}
-	list := make([]pomelorelay.Peer, 0, len(c.peers.present))
-	for _, p := range c.peers.present {
-		list = append(list, p)
+		c.peers.unregister(node)
 	}
+	c.peers.drop(now)
+	c.setPeers()
+}
+
+func (c *control) setPeers() {
+	list := c.peers.list()
 	c.e.mesh.SetPeers(list)
 	c.e.log(pomelorelay.EventPeersChanged, field("Peers", len(list)))
 }
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -170,13 +170,21 @@
 	}
 }
 
-// streamTime is how long most streams take, nine of ten on a busy day. One that begins later before a planned stop would be cut by it.
-const streamTime = 5 * time.Second
+const (
+	// streamTime is how long most streams take, nine of ten on a busy day, and plainTime is the same for other requests. One that
+	// begins later before a planned stop would be cut by it.
+	streamTime = 5 * time.Second
+	plainTime  = 700 * time.Millisecond
+)
 
 // fitsStop refuses a request that the process could not end before it stops.
 func (c *call) fitsStop() error {
 	stopsIn, stopping := c.h.cfg.Stopping.StopsIn()
-	if !stopping || c.route.Kind != pomelorelay.RouteStream || stopsIn > streamTime {
+	need := plainTime
+	if c.route.Kind == pomelorelay.RouteStream {
+		need = streamTime
+	}
+	if !stopping || stopsIn > need {
 		return nil
 	}
 	e := pomelorelay.NewError(pomelorelay.CodeStopping, "", nil)
--- a/pomelostore/store.go
+++ b/pomelostore/store.go
@@ -87,13 +87,17 @@
 	}
 }
 
-// watchCall makes a watch that does not wait while the breaker is open. As the breaker's one probe, a watch that waited for a change
-// would keep it open for half a minute after the store is back; one would notice claims refused long after an outage.
-func (c *Client) watchCall(key pomelorelay.StoreKey, after pomelorelay.Revision) Call {
-	wait := c.cfg.WatchWait
+// WatchWait returns how long a watch may wait now: not at all while the breaker is open. As the breaker's one probe, a watch that waited
+// for a change would keep it open for half a minute after the store is back; one would notice claims refused long after an outage.
+func (c *Client) WatchWait(wait time.Duration) time.Duration {
 	if c.breaker.isOpen() {
-		wait = 0
+		return 0
 	}
+	return wait
+}
+
+func (c *Client) watchCall(key pomelorelay.StoreKey, after pomelorelay.Revision) Call {
+	wait := c.WatchWait(c.cfg.WatchWait)
 	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait": {wait.String()}}
 	return Call{
 		Method: http.MethodGet, Path: keyPath("/v1/watch/", key), Query: query,
