--- a/cmd/pomelorelayd/entry.go
+++ b/cmd/pomelorelayd/entry.go
@@ -24,7 +24,7 @@
 	storeTimeout = 1500 * time.Millisecond
 	// storeRest is how long the store is left alone after several failures in a row: short against the 4 s after whose end a router is
 	// taken to know what the store holds.
-	storeRest = 500 * time.Millisecond
+	storeRest = 400 * time.Millisecond
 	// storeCalls is the most calls a second that one router makes.
 	storeCalls = 20
 )
--- a/pomeloentry/config.go
+++ b/pomeloentry/config.go
@@ -38,7 +38,7 @@
 
 func (e *Entry) watchConfig(ctx context.Context) {
 	w := &e.configWatch
-	e.follow(ctx, followed{name: "configuration", call: func() error {
+	e.follow(ctx, followed{name: "configuration", call: func(bool) error {
 		ctx, after := w.begin(ctx)
 		change, err := e.cfg.Platform.WatchConfig(ctx, after, watchWait)
 		if err != nil {
--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -38,6 +38,7 @@
 	configWatch    watch
 	upstreamsWatch watch
 	peersWatch     watch
+	storeBack      bell
 
 	table atomic.Pointer[pomelotable.Table]
 	// upstreams is the number of known upstreams.
--- a/pomeloentry/follow.go
+++ b/pomeloentry/follow.go
@@ -12,7 +12,7 @@
 	// followPause and followMost bound the pause after a failed call to the store: it answers in 4 ms when it is well, and after an
 	// outage a router should hear from it long before its peers call it out of touch, 4 s.
 	followPause = 100 * time.Millisecond
-	followMost  = 800 * time.Millisecond
+	followMost  = 400 * time.Millisecond
 )
 
 // watch is one watch of the store: where it stands, and how to make it begin anew.
@@ -67,11 +67,10 @@
 // followed is something in the store that is watched.
 type followed struct {
 	name string
-	call func() error
+	// call makes one call; failed tells that the one before failed.
+	call func(failed bool) error
 	// pace is the least time between two calls.
 	pace time.Duration
-	// lost and back are called when the store stops answering and when it answers again; nil for neither.
-	back func()
 }
 
 // follow calls again and again until ctx ends, and pauses longer after each failure in a row.
@@ -80,7 +79,7 @@
 	failed := false
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := f.call()
+		err := f.call(failed)
 		if ctx.Err() != nil {
 			return
 		}
@@ -88,9 +87,7 @@
 			if failed {
 				failed = false
 				e.log(pomelorelay.EventPlatformBack, field("What", f.name))
-				if f.back != nil {
-					f.back()
-				}
+				e.storeBack.signal()
 			}
 			pause = followPause
 			sleep(ctx, f.pace-time.Since(began))
@@ -100,11 +97,48 @@
 			failed = true
 			e.log(pomelorelay.EventPlatformLost, field("What", f.name), field("Code", int(pomelorelay.CodeOf(err))), field("Fault", err.Error()))
 		}
-		sleep(ctx, pause)
+		e.storeBack.await(ctx, pause)
 		pause = min(2*pause, followMost)
 	}
 }
 
+// bell wakes all who wait for it; its zero value is ready for use.
+type bell struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+func (b *bell) channel() chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.next == nil {
+		b.next = make(chan struct{})
+	}
+	return b.next
+}
+
+// signal wakes everybody who waits now.
+func (b *bell) signal() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.next != nil {
+		close(b.next)
+		b.next = nil
+	}
+}
+
+// await waits for the signal, at most for the time. The first call that the store answers again wakes the others: each waiting for its
+// own time, a router that starts in an outage would refuse requests for most of a second longer.
+func (b *bell) await(ctx context.Context, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-b.channel():
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -77,7 +77,7 @@
 
 func (e *Entry) watchPeers(ctx context.Context) {
 	w := &e.peersWatch
-	e.follow(ctx, followed{name: "routers", call: func() error {
+	e.follow(ctx, followed{name: "routers", call: func(bool) error {
 		ctx, after := w.begin(ctx)
 		change, err := e.cfg.Platform.WatchPeers(ctx, after, watchWait)
 		if err != nil {
@@ -121,7 +121,7 @@
 // keepRegistered keeps this router's entry in the store, so that the others find it.
 func (e *Entry) keepRegistered(ctx context.Context) {
 	var lease pomelorelay.LeaseID
-	e.follow(ctx, followed{name: "registration", pace: renewEvery, call: func() error {
+	e.follow(ctx, followed{name: "registration", pace: renewEvery, call: func(bool) error {
 		if lease == 0 {
 			opened, err := e.cfg.Platform.Announce(ctx, e.cfg.Settings.Self, registrationTTL)
 			if err == nil {
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -18,6 +18,9 @@
 	massWait = 1500 * time.Millisecond
 	// massShare is the part of the upstreams whose entries must vanish within massWait of each other for that.
 	massShare = 0.34
+	// outOfTouch is the time without a word of the store from which a router relies on its peers and expects lapsed entries: upstreams
+	// write every 1.2 s, so that some do in each pace.
+	outOfTouch = 2 * time.Second
 	// tellFor is how long the others are told of an upstream that leaves.
 	tellFor = 3 * time.Second
 )
@@ -30,7 +33,9 @@
 	// leaving holds when this router learnt that an upstream drains or has gone.
 	leaving  map[pomelorelay.UpstreamID]time.Time
 	vanished []time.Time
-	backAt   time.Time
+	// backAt is when the store answered again after it had not, heardAt when it last told of upstreams.
+	backAt  time.Time
+	heardAt time.Time
 }
 
 func newUpstreams() upstreams {
@@ -59,8 +64,7 @@
 	e.follow(ctx, followed{
 		name: "upstreams",
 		pace: upstreamsPace,
-		back: func() { e.post(&storeBack{}) },
-		call: func() error {
+		call: func(failed bool) error {
 			ctx, after := w.begin(ctx)
 			change, err := e.cfg.Platform.WatchUpstreams(ctx, after, watchWait)
 			if err != nil {
@@ -69,21 +73,23 @@
 			if w.reached(change.At) && change.Whole {
 				e.dropped(w)
 			}
-			e.post(&upstreamsArrived{change})
+			e.post(&upstreamsArrived{change: change, back: failed})
 			return nil
 		},
 	})
 }
 
-// storeBack is posted when the store answers again.
-type storeBack struct{}
-
-func (*storeBack) apply(c *control, now time.Time) { c.upstreams.backAt = now }
-
-// upstreamsArrived is posted when the store told of upstreams.
-type upstreamsArrived struct{ change pomelorelay.UpstreamChange }
+// upstreamsArrived is posted when the store told of upstreams; back tells that it had not answered before.
+type upstreamsArrived struct {
+	change pomelorelay.UpstreamChange
+	back   bool
+}
 
 func (a *upstreamsArrived) apply(c *control, now time.Time) {
+	if a.back || now.Sub(c.upstreams.heardAt) > outOfTouch {
+		c.upstreams.backAt = now
+	}
+	c.upstreams.heardAt = now
 	for _, fault := range a.change.Faults {
 		c.e.log(pomelorelay.EventUpstreamBadEntry, field("Code", int(pomelorelay.CodeOf(fault))), field("Fault", fault.Error()))
 	}
@@ -182,8 +188,12 @@
 	c.e.log(pomelorelay.EventUpstreamGone, field("Upstream", id))
 }
 
-// takeLeaving takes what a peer knows to leave. A router that cannot reach the store would send new work to an upstream that leaves.
+// takeLeaving takes what a peer knows to leave. A router that cannot reach the store would send new work to an upstream that leaves;
+// one that can knows better than its peers, whose news may be older.
 func (c *control) takeLeaving(now time.Time, from pomelorelay.NodeID, ids []pomelorelay.UpstreamID) {
+	if now.Sub(c.upstreams.heardAt) <= outOfTouch {
+		return
+	}
 	for _, id := range ids {
 		u, known := c.upstreams.present[id]
 		if !known || u.Draining {
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -13,10 +13,12 @@
 type Placer struct {
 	cfg       Config
 	upstreams map[pomelorelay.UpstreamID]*upstream
-	services  map[pomelorelay.ServiceID]*pool
-	engines   map[pomelorelay.ServiceID]*pomelorelay.EngineSpec
-	peers     map[pomelorelay.NodeID]*peer
-	parts     []pomelorelay.PartPlaced
+	// retired are upstreams that were removed.
+	retired  map[pomelorelay.UpstreamID]*upstream
+	services map[pomelorelay.ServiceID]*pool
+	engines  map[pomelorelay.ServiceID]*pomelorelay.EngineSpec
+	peers    map[pomelorelay.NodeID]*peer
+	parts    []pomelorelay.PartPlaced
 	// untold are the prompt tokens that were sent since the last report.
 	untold pomelorelay.Tokens
 	seq    uint64
@@ -27,6 +29,7 @@
 	return &Placer{
 		cfg:       cfg,
 		upstreams: make(map[pomelorelay.UpstreamID]*upstream),
+		retired:   make(map[pomelorelay.UpstreamID]*upstream),
 		services:  make(map[pomelorelay.ServiceID]*pool),
 		engines:   make(map[pomelorelay.ServiceID]*pomelorelay.EngineSpec),
 		peers:     make(map[pomelorelay.NodeID]*peer),
@@ -44,17 +47,23 @@
 	}
 }
 
-// Put takes an upstream's entry. One that was born anew, or has another address, keeps nothing of before.
+// Put takes an upstream's entry. One that was born anew, or has another address, keeps nothing of before; one whose entry only was
+// away for a while keeps all.
 func (p *Placer) Put(info pomelorelay.FleetUpstream) {
 	u := p.upstreams[info.ID]
-	if u != nil && u.info.Service == info.Service && u.info.Addr == info.Addr && (u.info.Born == info.Born || info.Born == 0) {
-		u.info = info
-		return
+	if u == nil {
+		u = p.retired[info.ID]
 	}
-	if u != nil {
+	if u == nil || !u.same(info) {
 		p.Remove(info.ID)
+		u = newUpstream(info, p.engines[info.Service])
+		p.recount(u, info.ID)
+	}
+	u.info = info
+	if p.upstreams[info.ID] == u {
+		return
 	}
-	u = newUpstream(info, p.engines[info.Service])
+	delete(p.retired, info.ID)
 	p.upstreams[info.ID] = u
 	s := p.services[info.Service]
 	if s == nil {
@@ -63,29 +72,30 @@
 	}
 	s.add(u)
 	u.pool = s
-	p.recount(u)
 }
 
-// Remove forgets an upstream; what runs there goes on.
+// same reports whether an entry is of the same start of the same upstream.
+func (u *upstream) same(info pomelorelay.FleetUpstream) bool {
+	return u.info.Service == info.Service && u.info.Addr == info.Addr && (u.info.Born == info.Born || info.Born == 0)
+}
+
+// mostRetired bounds the upstreams that are remembered after they were removed.
+const mostRetired = 256
+
+// Remove takes an upstream out; what runs there goes on, and it is remembered in case that its entry comes back.
 func (p *Placer) Remove(id pomelorelay.UpstreamID) {
 	u := p.upstreams[id]
 	if u == nil {
 		return
 	}
-	u.gone = true
+	if len(p.retired) >= mostRetired {
+		clear(p.retired)
+	}
+	p.retired[id] = u
 	delete(p.upstreams, id)
 	u.pool.remove(u)
 }
 
-// Upstreams returns the ids of all known upstreams.
-func (p *Placer) Upstreams() []pomelorelay.UpstreamID {
-	ids := make([]pomelorelay.UpstreamID, 0, len(p.upstreams))
-	for id := range p.upstreams {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
 // candidate is an upstream weighed for a request.
 type candidate struct {
 	up      *upstream
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -55,6 +55,9 @@
 	for _, l := range m.Upstreams {
 		p.take(now, o, l)
 	}
+	if m.Whole {
+		p.clearOthers(now, o, m)
+	}
 	for _, part := range m.Parts {
 		if u := p.upstreams[part.Upstream]; u != nil {
 			u.kept.note(part.Hash, part.Tokens)
@@ -62,11 +65,24 @@
 	}
 }
 
+// clearOthers takes back what a whole report does not hold: the report in which it fell to nothing was lost.
+func (p *Placer) clearOthers(now time.Time, o *peer, m *pomelorelay.LoadReport) {
+	told := make(map[pomelorelay.UpstreamID]bool, len(m.Upstreams))
+	for _, l := range m.Upstreams {
+		told[l.Upstream] = true
+	}
+	for id, l := range o.loads {
+		if !told[id] && l.running != 0 {
+			p.take(now, o, pomelorelay.UpstreamLoad{Upstream: id, Sent: l.sent})
+		}
+	}
+}
+
 func (p *Placer) take(now time.Time, o *peer, l pomelorelay.UpstreamLoad) {
 	next := load{running: int(l.Running), unread: l.Unread, held: l.Held, sent: l.Sent}
 	before, known := o.loads[l.Upstream]
 	o.loads[l.Upstream] = next
-	u := p.upstreams[l.Upstream]
+	u := p.known(l.Upstream)
 	if u == nil {
 		return
 	}
@@ -102,7 +118,7 @@
 	}
 	delete(p.peers, node)
 	for id, l := range o.loads {
-		if u := p.upstreams[id]; u != nil {
+		if u := p.known(id); u != nil {
 			u.others.running -= l.running
 			u.others.unread -= l.unread
 			u.others.held -= l.held
@@ -111,11 +127,19 @@
 }
 
 // recount sums up the other routers' load of a new upstream.
-func (p *Placer) recount(u *upstream) {
+func (p *Placer) recount(u *upstream, id pomelorelay.UpstreamID) {
 	for _, o := range p.peers {
-		l := o.loads[u.info.ID]
+		l := o.loads[id]
 		u.others.running += l.running
 		u.others.unread += l.unread
 		u.others.held += l.held
 	}
 }
+
+// known returns an upstream that is there or may come back.
+func (p *Placer) known(id pomelorelay.UpstreamID) *upstream {
+	if u := p.upstreams[id]; u != nil {
+		return u
+	}
+	return p.retired[id]
+}
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -23,7 +23,6 @@
 	own     load
 	others  load
 	changed bool
-	gone    bool
 	pool    *pool
 	// forLong tells that long prompts go here.
 	forLong bool
