--- /dev/null
+++ b/pomelofake/fleetstore.go
@@ -0,0 +1,240 @@
+package pomelofake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// FleetStore stands in for the platform's store as the entry routers use it: the operators' configuration, the upstreams' entries and
+// the routers' registrations, each with a revision. It is safe for concurrent use.
+type FleetStore struct {
+	mu        sync.Mutex
+	revision  pomelorelay.Revision
+	changed   chan struct{}
+	down      bool
+	config    *pomelorelay.FleetConfig
+	configAt  pomelorelay.Revision
+	upstreams map[pomelorelay.UpstreamID]fleetEntry
+	peers     map[pomelorelay.NodeID]fleetEntry
+	leases    map[pomelorelay.LeaseID]pomelorelay.NodeID
+	nextLease pomelorelay.LeaseID
+	// Decode reads the documents that peers give; it is required where routers give each other configurations.
+	Decode func(document []byte) (*pomelorelay.FleetConfig, error)
+}
+
+// fleetEntry is an upstream or a router at a revision, or the mark that one was removed.
+type fleetEntry struct {
+	at       pomelorelay.Revision
+	gone     bool
+	upstream pomelorelay.FleetUpstream
+	peer     pomelorelay.Peer
+}
+
+// NewFleetStore returns an empty store.
+func NewFleetStore() *FleetStore {
+	return &FleetStore{
+		changed:   make(chan struct{}),
+		upstreams: make(map[pomelorelay.UpstreamID]fleetEntry),
+		peers:     make(map[pomelorelay.NodeID]fleetEntry),
+		leases:    make(map[pomelorelay.LeaseID]pomelorelay.NodeID),
+	}
+}
+
+// change runs f as one change and wakes the watches.
+func (s *FleetStore) change(f func(at pomelorelay.Revision)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	f(s.revision)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Publish puts a configuration into the store.
+func (s *FleetStore) Publish(config *pomelorelay.FleetConfig) {
+	s.change(func(at pomelorelay.Revision) { s.config, s.configAt = config, at })
+}
+
+// Put writes an upstream's entry.
+func (s *FleetStore) Put(u pomelorelay.FleetUpstream) {
+	s.change(func(at pomelorelay.Revision) { s.upstreams[u.ID] = fleetEntry{at: at, upstream: u} })
+}
+
+// Drop removes an upstream's entry.
+func (s *FleetStore) Drop(id pomelorelay.UpstreamID) {
+	s.change(func(at pomelorelay.Revision) { s.upstreams[id] = fleetEntry{at: at, gone: true} })
+}
+
+// SetDown makes every call fail, or ends that.
+func (s *FleetStore) SetDown(down bool) {
+	s.change(func(pomelorelay.Revision) { s.down = down })
+}
+
+// Lapse ends every lease of a router, as an outage does.
+func (s *FleetStore) Lapse() {
+	s.change(func(at pomelorelay.Revision) {
+		for lease, node := range s.leases {
+			delete(s.leases, lease)
+			s.peers[node] = fleetEntry{at: at, gone: true}
+		}
+	})
+}
+
+// View is the store as one router reaches it.
+type View struct {
+	s   *FleetStore
+	mu  sync.Mutex
+	cut bool
+}
+
+var _ pomelorelay.Platform = (*View)(nil)
+
+// View returns the store as one router reaches it.
+func (s *FleetStore) View() *View { return &View{s: s} }
+
+// SetCut parts the router from the store, or ends that.
+func (v *View) SetCut(cut bool) {
+	v.mu.Lock()
+	v.cut = cut
+	v.mu.Unlock()
+	v.s.change(func(pomelorelay.Revision) {})
+}
+
+func (v *View) reaches() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.cut || v.s.down {
+		return pomelorelay.NewError(pomelorelay.CodeStoreUnavailable, "", nil)
+	}
+	return nil
+}
+
+// await waits until fresh reports something, at most for the wait; it fails when the store cannot be reached.
+func (v *View) await(ctx context.Context, wait time.Duration, fresh func() bool) error {
+	over := time.NewTimer(wait)
+	defer over.Stop()
+	for {
+		v.s.mu.Lock()
+		err := v.reaches()
+		if err != nil || fresh() {
+			v.s.mu.Unlock()
+			return err
+		}
+		changed := v.s.changed
+		v.s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return pomelorelay.NewError(pomelorelay.CodeStoreUnavailable, "", ctx.Err())
+		case <-over.C:
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// WatchConfig returns the configuration; see pomelorelay.Platform.
+func (v *View) WatchConfig(ctx context.Context, after pomelorelay.Revision, wait time.Duration) (pomelorelay.ConfigChange, error) {
+	change := pomelorelay.ConfigChange{Whole: after == 0}
+	err := v.await(ctx, wait, func() bool {
+		change.At = v.s.revision
+		if v.s.config != nil && v.s.configAt > after {
+			change.Config = v.s.config
+		}
+		return change.Config != nil || after == 0
+	})
+	return change, err
+}
+
+// ReadConfig reads a configuration's document that a peer gave.
+func (v *View) ReadConfig(document []byte) (*pomelorelay.FleetConfig, error) {
+	return v.s.Decode(document)
+}
+
+// WatchUpstreams returns the upstreams; see pomelorelay.Platform.
+func (v *View) WatchUpstreams(ctx context.Context, after pomelorelay.Revision, wait time.Duration) (pomelorelay.UpstreamChange, error) {
+	change := pomelorelay.UpstreamChange{Whole: after == 0}
+	err := v.await(ctx, wait, func() bool {
+		change.At = v.s.revision
+		for id, e := range v.s.upstreams {
+			switch {
+			case e.at <= after:
+			case e.gone:
+				change.Gone = append(change.Gone, id)
+			default:
+				change.Present = append(change.Present, e.upstream)
+			}
+		}
+		return after == 0 || len(change.Gone)+len(change.Present) > 0
+	})
+	return change, err
+}
+
+// WatchPeers returns the routers; see pomelorelay.Platform.
+func (v *View) WatchPeers(ctx context.Context, after pomelorelay.Revision, wait time.Duration) (pomelorelay.PeerChange, error) {
+	change := pomelorelay.PeerChange{Whole: after == 0}
+	err := v.await(ctx, wait, func() bool {
+		change.At = v.s.revision
+		for node, e := range v.s.peers {
+			switch {
+			case e.at <= after:
+			case e.gone:
+				change.Gone = append(change.Gone, node)
+			default:
+				change.Present = append(change.Present, e.peer)
+			}
+		}
+		return after == 0 || len(change.Gone)+len(change.Present) > 0
+	})
+	return change, err
+}
+
+// Announce registers a router; see pomelorelay.Platform. Leases do not lapse by themselves here.
+func (v *View) Announce(_ context.Context, self pomelorelay.Peer, _ time.Duration) (pomelorelay.LeaseID, error) {
+	if err := v.reachesNow(); err != nil {
+		return 0, err
+	}
+	var lease pomelorelay.LeaseID
+	v.s.change(func(at pomelorelay.Revision) {
+		v.s.nextLease++
+		lease = v.s.nextLease
+		v.s.leases[lease] = self.Node
+		v.s.peers[self.Node] = fleetEntry{at: at, peer: self}
+	})
+	return lease, nil
+}
+
+func (v *View) reachesNow() error {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	return v.reaches()
+}
+
+// RenewLease renews a lease; it fails with CodeStoreLeaseLapsed when it has ended.
+func (v *View) RenewLease(_ context.Context, lease pomelorelay.LeaseID) error {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	if err := v.reaches(); err != nil {
+		return err
+	}
+	if _, ok := v.s.leases[lease]; !ok {
+		return pomelorelay.NewError(pomelorelay.CodeStoreLeaseLapsed, "", nil)
+	}
+	return nil
+}
+
+// CloseLease ends a lease and removes its router.
+func (v *View) CloseLease(_ context.Context, lease pomelorelay.LeaseID) error {
+	if err := v.reachesNow(); err != nil {
+		return err
+	}
+	v.s.change(func(at pomelorelay.Revision) {
+		if node, ok := v.s.leases[lease]; ok {
+			delete(v.s.leases, lease)
+			v.s.peers[node] = fleetEntry{at: at, gone: true}
+		}
+	})
+	return nil
+}
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -127,6 +127,7 @@
 		pomelorelay.Field{Key: "ExpectedMS", Value: d.Expected.Milliseconds()},
 		pomelorelay.Field{Key: "BacklogMS", Value: d.Backlog.Milliseconds()},
 		pomelorelay.Field{Key: "Missing", Value: int64(d.Missing)},
+		pomelorelay.Field{Key: "Shared", Value: int64(d.Shared)},
 		pomelorelay.Field{Key: "Running", Value: d.Running},
 		pomelorelay.Field{Key: "Runs", Value: c.runs},
 		pomelorelay.Field{Key: "Cost", Value: int64(d.Share.Cost)},
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -56,8 +56,10 @@
 	// Expected is the time until the answer should begin, Backlog the part of it that others cause.
 	Expected time.Duration
 	Backlog  time.Duration
-	// Missing are the tokens that the upstream must read.
+	// Missing is the work of what the upstream must read, in tokens of a short prompt; Shared are the tokens among it that belong to
+	// parts which other requests share.
 	Missing pomelorelay.Tokens
+	Shared  pomelorelay.Tokens
 	// Running is what the fleet runs at the upstream.
 	Running int
 	// Share is what decided about the account's share.
--- /dev/null
+++ b/pomeloplace/load_test.go
@@ -0,0 +1,82 @@
+package pomeloplace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+// Eight routers send drafts, questions and tags to nine engines. Placed at random, every session is read by each engine and the
+// queues are uneven; callers see late answers though the engines have time to spare.
+func TestPlacementServesABusyFleetInTime(t *testing.T) {
+	const length = 20 * time.Second
+	for _, c := range []struct {
+		perSecond float64
+		inTime    float64
+		refused   float64
+	}{
+		{perSecond: 150, inTime: 0.90, refused: 0.01},
+		{perSecond: 210, inTime: 0.82, refused: 0.05},
+	} {
+		ours := newPlay(1, 8, 9)
+		ours.run(c.perSecond, length)
+		random := newPlay(1, 8, 9)
+		random.choose = atRandom
+		random.run(c.perSecond, length)
+		t.Logf("%.0f requests a second: %s; at random: %s", c.perSecond, ours, random)
+		if got := float64(ours.inTime) / float64(ours.ended()); got < c.inTime {
+			t.Errorf("%.0f a second: %.3f in time, want %.2f", c.perSecond, got, c.inTime)
+		}
+		if got := float64(ours.refused) / float64(ours.asked); got > c.refused {
+			t.Errorf("%.0f a second: %.3f refused, want at most %.2f", c.perSecond, got, c.refused)
+		}
+		if ours.inTime <= random.inTime || ours.reread*2 > random.reread {
+			t.Errorf("%.0f a second: no better than at random", c.perSecond)
+		}
+	}
+}
+
+// ended is the number of requests whose answers had time to end before the play did.
+func (p *play) ended() int {
+	left := 0
+	for _, e := range p.engines {
+		left += len(e.running) + len(e.waiting)
+	}
+	return p.asked - left
+}
+
+func (p *play) String() string {
+	return fmt.Sprintf("%d asked, %d refused, %d in time, %d paused too long, %d shared tokens read", p.asked, p.refused, p.inTime, p.latePause, p.reread)
+}
+
+// atRandom sends each request to an engine at random and lets the placer refuse nothing.
+func atRandom(p *play, router int, r pomeloplace.Request) pomeloplace.Decision {
+	only := pomelorelay.UpstreamID(fmt.Sprintf("e%d", p.random.IntN(len(p.engines))))
+	for id := range p.engines {
+		if id != only {
+			r.Avoid = append(r.Avoid, id)
+		}
+	}
+	r.Target = time.Hour
+	return p.routers[router].Place(p.now, r)
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{9, 112, 600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := withEngines(n)
+			now := start
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(10 * time.Millisecond)
+				d := p.Place(now, prompt(uint64(i%75)+1, 5000, pomelorelay.Tokens(i%1000)+1))
+				if d.Run != nil {
+					p.Begun(now, d.Run)
+					p.Ended(now, d.Run, pomeloplace.ResultGood)
+				}
+			}
+		})
+	}
+}
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -28,6 +28,9 @@
 	shyShort  = 25 * time.Millisecond
 	// manyEvents is the number of events from which an answer counts as a stream of many.
 	manyEvents = 8
+	// longKeep is how long an engine goes on taking long prompts when fewer would do. Each change moves the prompts that are kept
+	// there, and shared parts are read again.
+	longKeep = 15 * time.Second
 	// flowFade is the time in which the measured flow of work follows a change by half.
 	flowFade = 3 * time.Second
 	// pairWork is the work of relating one token to one before it, in tokens that are read: 0.184 ms for a million pairs at 101
@@ -89,6 +92,9 @@
 	// ranked is by a hash that every router knows; the first take the long prompts.
 	ranked []*upstream
 	flow   flow
+	// forLong is how many engines take long prompts, neededAt when so many were last needed.
+	forLong  int
+	neededAt time.Time
 }
 
 func (s *pool) add(u *upstream) {
@@ -114,6 +120,10 @@
 	s.flow.fade(now)
 	need := int(math.Ceil(s.flow.engines(s.ranked[0].rate)))
 	need = min(need, int(longMost*float64(len(s.ranked))))
+	if need >= s.forLong || now.Sub(s.neededAt) > longKeep {
+		s.forLong, s.neededAt = need, now
+	}
+	need = s.forLong
 	for _, u := range s.ranked {
 		u.forLong = need > 0 && !u.info.Draining && !now.Before(u.downUntil)
 		if u.forLong {
--- /dev/null
+++ b/pomeloplace/place_test.go
@@ -0,0 +1,249 @@
+package pomeloplace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	engines = "engines"
+	plain   = "plain"
+)
+
+func newPlacer() *pomeloplace.Placer {
+	p := pomeloplace.New(pomeloplace.Config{
+		Self:    pomelorelay.Peer{Node: "r1", Domain: "a", Region: "ra"},
+		Regions: map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra", "b": "rb"},
+	})
+	p.SetServices([]pomelorelay.ServiceSpec{
+		{Name: engines, Engine: &pomelorelay.EngineSpec{Slots: 64, Memory: 500_000, EventTokens: 7}},
+		{Name: plain},
+	})
+	return p
+}
+
+func engine(id pomelorelay.UpstreamID) pomelorelay.FleetUpstream {
+	return pomelorelay.FleetUpstream{ID: id, Service: engines, Domain: "a", Slots: 64}
+}
+
+// withEngines returns a placer that knows the engines e0, e1 and so on.
+func withEngines(n int) *pomeloplace.Placer {
+	p := newPlacer()
+	for i := range n {
+		p.Put(engine(pomelorelay.UpstreamID(fmt.Sprintf("e%d", i))))
+	}
+	return p
+}
+
+// prompt is a request with a shared part and one of its own.
+func prompt(shared uint64, tokens, own pomelorelay.Tokens) pomeloplace.Request {
+	return pomeloplace.Request{
+		Service: engines, Prompt: tokens + own, Output: 100, Owed: true,
+		Parts:  []pomelorelay.PromptPart{{Hash: shared, Tokens: tokens}, {Hash: shared<<32 | uint64(own), Tokens: own}},
+		Target: 400 * time.Millisecond, Left: 10 * time.Second,
+	}
+}
+
+func place(t *testing.T, p *pomeloplace.Placer, now time.Time, r pomeloplace.Request) pomeloplace.Decision {
+	t.Helper()
+	d := p.Place(now, r)
+	if d.Reason != pomeloplace.ReasonNone {
+		t.Fatalf("refused: %s", d.Reason)
+	}
+	return d
+}
+
+func TestSharedPartsGoWhereTheyAreKept(t *testing.T) {
+	p := withEngines(9)
+	first := place(t, p, start, prompt(1, 5000, 100))
+	now := start
+	for i := range 20 {
+		now = now.Add(200 * time.Millisecond)
+		d := place(t, p, now, prompt(1, 5000, pomelorelay.Tokens(200+i)))
+		if d.Upstream.ID != first.Upstream.ID || d.Shared != 0 {
+			t.Fatalf("request %d went to %s and reads %d shared tokens again; %s keeps them", i, d.Upstream.ID, d.Shared, first.Upstream.ID)
+		}
+		p.Begun(now.Add(50*time.Millisecond), d.Run)
+		p.Ended(now.Add(100*time.Millisecond), d.Run, pomeloplace.ResultGood)
+	}
+}
+
+func TestOtherRoutersPartsAreKnown(t *testing.T) {
+	a, b := withEngines(9), withEngines(9)
+	d := place(t, a, start, prompt(1, 5000, 100))
+	var m pomelorelay.LoadReport
+	a.Report(&m)
+	b.Heard(start, "a", 1, &m)
+	got := place(t, b, start.Add(time.Second), prompt(1, 5000, 300))
+	if got.Upstream.ID != d.Upstream.ID {
+		t.Errorf("sent to %s, though %s keeps the part", got.Upstream.ID, d.Upstream.ID)
+	}
+}
+
+// An upstream begins to drain, or a request already failed at it. Sent there, the request would be cut by the upstream's end, or fail
+// once more.
+func TestNeverToDrainingAndSeldomToAvoided(t *testing.T) {
+	p := withEngines(3)
+	leaving := engine("e0")
+	leaving.Draining = true
+	p.Put(leaving)
+	r := prompt(1, 100, 100)
+	r.Avoid = []pomelorelay.UpstreamID{"e1"}
+	for i := range 20 {
+		d := place(t, p, start.Add(time.Duration(i)*time.Second), r)
+		if d.Upstream.ID != "e2" {
+			t.Fatalf("sent to %s", d.Upstream.ID)
+		}
+		p.Ended(start, d.Run, pomeloplace.ResultGood)
+	}
+	p.Remove("e2")
+	if d := place(t, p, start, r); d.Upstream.ID != "e1" {
+		t.Errorf("sent to %s, though only e1 is left", d.Upstream.ID)
+	}
+	p.Remove("e1")
+	if d := p.Place(start, r); d.Reason != pomeloplace.ReasonNoUpstream || d.RetryAfter <= 0 {
+		t.Errorf("%s after %v", d.Reason, d.RetryAfter)
+	}
+}
+
+// Long queues have formed at every engine. A request that is sent nevertheless waits past its target and delays the next; its caller
+// would rather hear at once when to come back.
+func TestRefusesWhatCannotBeginInTime(t *testing.T) {
+	p := withEngines(2)
+	refused := pomeloplace.Decision{}
+	for i := range 100 {
+		refused = p.Place(start, prompt(uint64(i+1), 5000, 5000))
+		if refused.Reason != pomeloplace.ReasonNone {
+			break
+		}
+		if refused.Expected > 400*time.Millisecond {
+			t.Fatalf("sent, though the answer is expected after %v", refused.Expected)
+		}
+	}
+	if refused.Reason != pomeloplace.ReasonLate || refused.RetryAfter <= 0 || refused.Run != nil {
+		t.Fatalf("%+v", refused)
+	}
+	if d := p.Place(start.Add(refused.RetryAfter), prompt(1, 5000, 100)); d.Reason != pomeloplace.ReasonNone {
+		t.Errorf("refused again (%s) after the time that it was told", d.Reason)
+	}
+}
+
+func TestBeyondAShareOnlyWhereItDelaysNobody(t *testing.T) {
+	p := withEngines(1)
+	for i := range 50 {
+		place(t, p, start.Add(time.Duration(i)*time.Second), prompt(uint64(i+1), 10, 10))
+	}
+	now := start.Add(time.Minute)
+	r := prompt(1, 10, 10)
+	r.Owed, r.Ahead = false, true
+	if d := p.Place(now, r); d.Reason != pomeloplace.ReasonShare {
+		t.Errorf("an account that is ahead of others: %q", d.Reason)
+	}
+	r.Owed = true
+	place(t, p, now, r)
+}
+
+// A single prompt takes longer to read than its caller's target. Refused each time, the largest requests would never be served.
+func TestTheLargestAreServedWhereLittleWaits(t *testing.T) {
+	p := withEngines(4)
+	place(t, p, start, prompt(1, 100, 50_000))
+}
+
+// An upstream that fails what it is sent still looks idle, and every router's requests would go there.
+func TestFailingUpstreamsLoseTheirRequests(t *testing.T) {
+	p := withEngines(2)
+	now := start
+	sent := make(map[pomelorelay.UpstreamID]int)
+	for i := range 60 {
+		now = now.Add(50 * time.Millisecond)
+		d := place(t, p, now, prompt(uint64(i+1), 0, 100))
+		sent[d.Upstream.ID]++
+		result := pomeloplace.ResultGood
+		if d.Upstream.ID == "e0" {
+			result = pomeloplace.ResultFailed
+		}
+		p.Ended(now.Add(20*time.Millisecond), d.Run, result)
+	}
+	if sent["e0"] > 10 {
+		t.Errorf("%d of 60 requests went to the upstream that fails all", sent["e0"])
+	}
+	d := place(t, p, now, prompt(100, 0, 100))
+	p.Ended(now, d.Run, pomeloplace.ResultUnreached)
+	if again := place(t, p, now.Add(100*time.Millisecond), prompt(101, 0, 100)); again.Upstream.ID == d.Upstream.ID {
+		t.Error("sent again at once to an upstream that takes no connection")
+	}
+}
+
+// An entry lapses while the store is away and comes back; the upstream lived all the while. A restart under the same name, on the
+// other hand, has lost what it kept.
+func TestReturnedUpstreamsKeepAndRestartedOnesForget(t *testing.T) {
+	p := withEngines(1)
+	d := place(t, p, start, prompt(1, 5000, 100))
+	p.Ended(start, d.Run, pomeloplace.ResultGood)
+	p.Remove("e0")
+	p.Put(engine("e0"))
+	if d := place(t, p, start.Add(time.Second), prompt(1, 5000, 200)); d.Shared != 0 {
+		t.Errorf("%d tokens forgotten of an upstream that was only away", d.Shared)
+	}
+	restarted := engine("e0")
+	restarted.Born = 5
+	p.Put(restarted)
+	if d := place(t, p, start.Add(2*time.Second), prompt(1, 5000, 300)); d.Shared != 5000 || d.Running > 1 {
+		t.Errorf("%d shared tokens to read and %d running at an upstream that has just started", d.Shared, d.Running)
+	}
+}
+
+// The report in which a router's load fell to nothing is lost with a link, or the router is gone. Its load would be counted for ever,
+// and the upstream would look full.
+func TestLostReportsAndSilentRouters(t *testing.T) {
+	a, b := withEngines(1), withEngines(1)
+	d := place(t, a, start, prompt(1, 100, 100))
+	var began pomelorelay.LoadReport
+	a.Report(&began)
+	b.Heard(start, "a", 1, &began)
+	running := func(now time.Time) int {
+		d := place(t, b, now, prompt(2, 0, 10))
+		b.Ended(now, d.Run, pomeloplace.ResultGood)
+		return d.Running
+	}
+	if n := running(start); n != 1 {
+		t.Fatalf("%d running, want 1", n)
+	}
+	a.Ended(start, d.Run, pomeloplace.ResultGood)
+	var lost pomelorelay.LoadReport
+	a.Report(&lost)
+	whole := pomelorelay.LoadReport{Whole: true}
+	a.Report(&whole)
+	b.Heard(start, "a", 1, &whole)
+	if n := running(start); n != 0 {
+		t.Errorf("%d running after a whole report, want 0", n)
+	}
+	b.Heard(start, "c", 1, &began)
+	b.Tick(start.Add(10 * time.Second))
+	if n := running(start.Add(10 * time.Second)); n != 0 {
+		t.Errorf("%d running of a router that is silent, want 0", n)
+	}
+}
+
+func TestPlainServicesGoToTheLeastLoaded(t *testing.T) {
+	p := newPlacer()
+	for i := range 3 {
+		p.Put(pomelorelay.FleetUpstream{ID: pomelorelay.UpstreamID(fmt.Sprintf("p%d", i)), Service: plain, Domain: "a", Slots: 6})
+	}
+	sent := make(map[pomelorelay.UpstreamID]int)
+	for range 12 {
+		d := place(t, p, start, pomeloplace.Request{Service: plain, Target: 300 * time.Millisecond, Left: time.Second, Owed: true})
+		sent[d.Upstream.ID]++
+	}
+	for id, n := range sent {
+		if n != 4 {
+			t.Errorf("%s has %d of 12 requests", id, n)
+		}
+	}
+}
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -100,6 +100,7 @@
 type candidate struct {
 	up      *upstream
 	missing pomelorelay.Tokens
+	shared  pomelorelay.Tokens
 	backlog time.Duration
 	// expected is the time until the answer begins, cost orders the candidates.
 	expected time.Duration
@@ -113,7 +114,7 @@
 		return Decision{Reason: ReasonNoUpstream, RetryAfter: unreachedFor}
 	}
 	d := Decision{
-		Upstream: best.up.info, Expected: best.expected, Backlog: best.backlog, Missing: best.missing, Running: best.up.running(),
+		Upstream: best.up.info, Expected: best.expected, Backlog: best.backlog, Missing: best.missing, Shared: best.shared, Running: best.up.running(),
 	}
 	if reason := p.refuses(best, &r); reason != ReasonNone {
 		d.Reason = reason
@@ -168,7 +169,9 @@
 
 func (p *Placer) weighEngine(c *candidate, r *Request) {
 	u := c.up
-	c.missing = work(u.kept.missing(r), r.Prompt)
+	missing := u.kept.missing(r)
+	c.missing = work(missing, r.Prompt)
+	c.shared = max(0, missing-r.own())
 	read := u.reading(float64(c.missing))
 	c.expected += read + firstStep
 	c.cost += read + time.Duration(missWeight*float64(read)) + homeCost(u, r)
@@ -183,6 +186,14 @@
 	}
 }
 
+// own returns the tokens of the prompt's last part, which no other request shares.
+func (r *Request) own() pomelorelay.Tokens {
+	if len(r.Parts) == 0 {
+		return r.Prompt
+	}
+	return r.Parts[len(r.Parts)-1].Tokens
+}
+
 // pauseCost is what the streams that run at an engine lose when it reads for a time without a break.
 func pauseCost(running int, reading time.Duration) time.Duration {
 	over := float64(reading-pauseFrom) / float64(pauseTo-pauseFrom)
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -161,8 +161,9 @@
 	used   uint64
 }
 
-// keptShare is the part of an engine's memory that prompts fill beside what runs there.
-const keptShare = 0.6
+// keptShare is the part of an engine's memory that kept prompts are taken to fill. What runs there leaves them less, but a part that is
+// sent to where it was last is read by one engine only, whether it is still there or not.
+const keptShare = 1.0
 
 func (k *kept) note(hash uint64, tokens pomelorelay.Tokens) {
 	if k.parts == nil {
--- /dev/null
+++ b/pomeloshare/share_test.go
@@ -0,0 +1,146 @@
+package pomeloshare_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloshare"
+
+	"pgregory.net/rapid"
+)
+
+const window = 4 * time.Second
+
+var start = time.Unix(1000, 0)
+
+// fill makes shares in which each account asked for its tokens a moment ago, of 100 tokens a second.
+func fill(asked map[pomelorelay.AccountID]pomelorelay.Cost) *pomeloshare.Shares {
+	s := pomeloshare.New(pomeloshare.Config{Window: window})
+	s.SetCapacity(100)
+	s.Tick(start)
+	for id, cost := range asked {
+		s.Asked(id, cost)
+	}
+	s.Tick(start.Add(100 * time.Millisecond))
+	return s
+}
+
+func TestLevelIsMaxMin(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		asked map[pomelorelay.AccountID]pomelorelay.Cost
+		want  pomelorelay.Cost
+	}{
+		{"enough for all", map[pomelorelay.AccountID]pomelorelay.Cost{"a": 100, "b": 200}, 0},
+		{"one asks for more", map[pomelorelay.AccountID]pomelorelay.Cost{"a": 100, "b": 1000}, 300},
+		{"two ask for more", map[pomelorelay.AccountID]pomelorelay.Cost{"a": 100, "b": 1000, "c": 2000}, 150},
+		{"even", map[pomelorelay.AccountID]pomelorelay.Cost{"a": 1000, "b": 1000, "c": 1000, "d": 1000}, 100},
+	} {
+		if _, _, level := fill(c.asked).State("a"); level != c.want {
+			t.Errorf("%s: level %v, want %v", c.name, level, c.want)
+		}
+	}
+}
+
+func TestOwedUpToTheLevel(t *testing.T) {
+	s := fill(map[pomelorelay.AccountID]pomelorelay.Cost{"small": 100, "large": 1000})
+	for range 6 {
+		if !s.Owed("large", 50) {
+			t.Fatal("refused below the level of 300")
+		}
+		s.Served("large", 50)
+	}
+	if s.Owed("large", 50) {
+		t.Error("owed beyond the level")
+	}
+	if !s.Owed("small", 50) {
+		t.Error("the small account is not owed what it asked for")
+	}
+	if wait := s.Wait("large", 50); wait <= 0 || wait > window {
+		t.Errorf("told to wait %v", wait)
+	}
+}
+
+func TestWindowForgets(t *testing.T) {
+	s := fill(map[pomelorelay.AccountID]pomelorelay.Cost{"large": 1000})
+	s.Served("large", 400)
+	if s.Owed("large", 50) {
+		t.Fatal("owed beyond the level")
+	}
+	for at := time.Duration(0); at <= window+window/5; at += 100 * time.Millisecond {
+		s.Tick(start.Add(at))
+	}
+	if asked, served, _ := s.State("large"); asked != 0 || served != 0 {
+		t.Errorf("%v asked and %v served are still in the window", asked, served)
+	}
+}
+
+// One account sends many times its usual through every router and is served much more than another that is short. Without a look at
+// who is short the flood gets whatever becomes free first, and the other account's callers see half of their requests refused.
+func TestAheadOfAnAccountThatIsShort(t *testing.T) {
+	const tokens = 100_000
+	s := pomeloshare.New(pomeloshare.Config{Window: window})
+	s.SetCapacity(tokens)
+	s.Tick(start)
+	s.Asked("flood", 20*tokens)
+	s.Served("flood", 5*tokens)
+	s.Asked("short", 4*tokens)
+	s.Served("short", tokens)
+	s.Tick(start.Add(100 * time.Millisecond))
+	if !s.Ahead("flood") {
+		t.Error("the flood is not ahead")
+	}
+	if s.Ahead("short") {
+		t.Error("the short account is ahead of itself")
+	}
+	s.Served("short", 3*tokens)
+	s.Tick(start.Add(200 * time.Millisecond))
+	if s.Ahead("flood") {
+		t.Error("the flood waits for an account that got everything")
+	}
+}
+
+// Reports between routers are lost with a broken link and come twice after it is back; a router that starts anew counts from zero.
+// Counted wrongly, an account would be refused for service that it never had.
+func TestReportsCountOnce(t *testing.T) {
+	s := fill(nil)
+	for at := time.Duration(0); at < 2*window; at += 100 * time.Millisecond {
+		s.Tick(start.Add(at))
+	}
+	report := func(incarnation pomelorelay.Incarnation, asked pomelorelay.Cost) {
+		s.Heard("r1", incarnation, []pomelorelay.AccountUse{{Account: "a", Asked: asked}})
+	}
+	report(1, 10)
+	report(1, 10)
+	report(1, 30)
+	report(2, 5)
+	report(1, 1000)
+	if asked, _, _ := s.State("a"); asked != 35 {
+		t.Errorf("%v asked, want 35", asked)
+	}
+}
+
+func TestReportsOfManyRoutersAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := fill(nil), fill(nil)
+		for at := time.Duration(0); at < 2*window; at += 100 * time.Millisecond {
+			b.Tick(start.Add(at))
+		}
+		var total pomelorelay.Cost
+		for range rapid.IntRange(1, 20).Draw(t, "requests") {
+			cost := pomelorelay.Cost(rapid.IntRange(1, 1000).Draw(t, "cost"))
+			a.Asked("x", cost)
+			total += cost
+			if rapid.Bool().Draw(t, "lost") {
+				a.Report(false, nil)
+				continue
+			}
+			b.Heard("a", 1, a.Report(false, nil))
+		}
+		b.Heard("a", 1, a.Report(true, nil))
+		if asked, _, _ := b.State("x"); asked != total {
+			t.Fatalf("%v arrived of %v", asked, total)
+		}
+	})
+}
