--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -160,9 +160,10 @@
 	freeShare = 0.55
 	// freeSlots is the part of an engine's slots up to which requests beyond a share are taken.
 	freeSlots = 0.9
-	// aheadSlots and aheadShare are the same for accounts that are ahead of one that is short: only what would else be idle.
-	aheadSlots = 0.3
-	aheadShare = 0.25
+	// aheadSlots and aheadShare are the same for accounts that are ahead of one that is short. What lies between is left to the short
+	// one, which gets all it asks for before the engines are full; below, nobody would use it.
+	aheadSlots = 0.6
+	aheadShare = 0.45
 	// fullMemory is the part of an engine's memory up to which running requests may fill it; above, it evicts what runs.
 	fullMemory = 0.9
 	// slotTurn is about how long it takes until one of an engine's slots is free, five seconds of a run by 64 slots.
