--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -49,10 +49,15 @@
 	}
 }
 
+// hear notes a router's message. One that was never seen registered is answered over its own link: it may have been parted from the
+// store before this router could read its entry.
 func (p *peers) hear(now time.Time, node pomelorelay.NodeID) {
-	if known := p.present[node]; known != nil {
-		known.heard = now
+	known := p.present[node]
+	if known == nil {
+		known = &knownPeer{Peer: pomelorelay.Peer{Node: node}}
+		p.present[node] = known
 	}
+	known.heard = now
 }
 
 // drop forgets unregistered routers that are silent; it reports whether there were any.
@@ -67,10 +72,13 @@
 	return dropped
 }
 
+// list returns the routers that can be dialled.
 func (p *peers) list() []pomelorelay.Peer {
 	list := make([]pomelorelay.Peer, 0, len(p.present))
 	for _, known := range p.present {
-		list = append(list, known.Peer)
+		if known.Addr.IsValid() {
+			list = append(list, known.Peer)
+		}
 	}
 	return list
 }
--- /dev/null
+++ b/pomeloentry/world_test.go
@@ -0,0 +1,206 @@
+package pomeloentry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloentry"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+)
+
+// patience bounds the wait for something that must happen; a verdict never depends on how long it took.
+const patience = 20 * time.Second
+
+// fleet is a few real routers before stand-ins of the store and of upstreams.
+type fleet struct {
+	t     *testing.T
+	store *pomelofake.FleetStore
+	nodes []*node
+	last  atomic.Uint64
+}
+
+type node struct {
+	entry    *pomeloentry.Entry
+	view     *pomelofake.View
+	settings pomelorelay.FleetSettings
+	log      *eventLog
+}
+
+// eventLog keeps the ids of what was logged.
+type eventLog struct {
+	mu  sync.Mutex
+	ids []pomelorelay.EventID
+}
+
+func (l *eventLog) Log(id pomelorelay.EventID, _ ...pomelorelay.Field) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ids = append(l.ids, id)
+}
+
+func (l *eventLog) has(id pomelorelay.EventID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, got := range l.ids {
+		if got == id {
+			return true
+		}
+	}
+	return false
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: pomelofake.NewFleetStore()}
+	f.store.Decode = func(document []byte) (*pomelorelay.FleetConfig, error) {
+		var c pomelorelay.FleetConfig
+		if err := json.Unmarshal(document, &c); err != nil {
+			return nil, pomelorelay.NewError(pomelorelay.CodePlatformConfig, "", err)
+		}
+		c.Document = document
+		return &c, nil
+	}
+	return f
+}
+
+// config returns a version with the routes named.
+func (f *fleet) config(version pomelorelay.Generation, paths ...string) *pomelorelay.FleetConfig {
+	f.t.Helper()
+	c := pomelorelay.FleetConfig{
+		Version: version, Services: []pomelorelay.ServiceSpec{{Name: "s"}}, Limits: pomelorelay.CallerLimits{BodyBytes: 1 << 20},
+		Accounts: []pomelorelay.AccountSpec{{Name: "acct", Keys: []string{"key"}}},
+	}
+	for _, p := range paths {
+		c.Routes = append(c.Routes, pomelorelay.Route{
+			Name: pomelorelay.RouteID(p), Host: "h.example", Prefix: p, Kind: pomelorelay.RouteOnce, Timeout: 5 * time.Second, Target: time.Second, Attempts: 1,
+			Shares: []pomelorelay.RouteShare{{Service: "s", Weight: 1}},
+		})
+	}
+	document, err := json.Marshal(c)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	decoded, err := f.store.Decode(document)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return decoded
+}
+
+func (f *fleet) freeAddr() netip.AddrPort {
+	f.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// start starts a router; stopWait is the time between the signal to stop and its end.
+func (f *fleet) start(stopWait time.Duration) *node {
+	f.t.Helper()
+	n := &node{view: f.store.View(), log: &eventLog{}}
+	n.settings = pomelorelay.FleetSettings{
+		Self:    pomelorelay.Peer{Node: pomelorelay.NodeID(fmt.Sprintf("r%d", len(f.nodes))), Addr: f.freeAddr(), Domain: "a", Region: "ra"},
+		Regions: map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra"},
+		Callers: f.freeAddr(), Readiness: f.freeAddr(), Metrics: f.freeAddr(),
+		StopWait: stopWait, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ShareWindow: 4 * time.Second,
+	}
+	entry, err := pomeloentry.New(pomeloentry.Config{Settings: n.settings, Platform: n.view, Wire: pomelofake.FleetWire{}, Logger: n.log})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.entry = entry
+	f.t.Cleanup(entry.Close)
+	if err := entry.Listen(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// upstream starts an upstream that answers after a pause, and registers it.
+func (f *fleet) upstream(id pomelorelay.UpstreamID, pause time.Duration) pomelorelay.FleetUpstream {
+	f.t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(pause)
+		w.Header().Set(pomelofake.FieldRequest, r.Header.Get(pomelofake.FieldRequest))
+		w.Header().Set(pomelofake.FieldSigned, string(id))
+		fmt.Fprint(w, "done")
+	}))
+	f.t.Cleanup(server.Close)
+	u := pomelorelay.FleetUpstream{ID: id, Service: "s", Addr: netip.MustParseAddrPort(server.Listener.Addr().String()), Domain: "a", Slots: 8}
+	f.store.Put(u)
+	return u
+}
+
+// call sends a request and returns the status and who answered; zero when the connection broke.
+func (f *fleet) call(n *node, path string) (int, string) {
+	f.t.Helper()
+	req, err := http.NewRequest("POST", "http://"+n.settings.Callers.String()+path, strings.NewReader("x"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host, req.Close = "h.example", true
+	req.Header.Set(pomelofake.FieldRequest, fmt.Sprint("req-", f.last.Add(1)))
+	req.Header.Set(pomelofake.FieldKey, "key")
+	req.Header.Set(pomelofake.FieldWait, "4000")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, resp.Header.Get(pomelofake.FieldSigned)
+}
+
+func (f *fleet) get(addr netip.AddrPort, path string) (int, string) {
+	f.t.Helper()
+	resp, err := http.Get("http://" + addr.String() + path)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(body)
+}
+
+func (f *fleet) ready(n *node) bool {
+	status, _ := f.get(n.settings.Readiness, "/ready")
+	return status == http.StatusOK
+}
+
+func (f *fleet) await(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	f.t.Fatalf("%s did not happen", what)
+}
+
+func (f *fleet) awaitStatus(n *node, path string, want int) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("%s answered %d", path, want), func() bool {
+		status, _ := f.call(n, path)
+		return status == want
+	})
+}
--- /dev/null
+++ b/pomeloforward/world_test.go
@@ -0,0 +1,218 @@
+package pomeloforward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+	"github.com/pomelorelay/pomelorelay/pomelotable"
+)
+
+// upstream is a server that answers as a test says, on raw connections.
+type upstream struct {
+	t      *testing.T
+	l      net.Listener
+	mu     sync.Mutex
+	heads  []string
+	ended  chan struct{}
+	answer func(conn net.Conn, r *http.Request)
+}
+
+func newUpstream(t *testing.T, answer func(conn net.Conn, r *http.Request)) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{t: t, l: l, answer: answer, ended: make(chan struct{}, 16)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(conn)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.heads = append(u.heads, fmt.Sprintf("%s %s %s=%s body=%s", r.Method, r.RequestURI, pomelofake.FieldAccount, r.Header.Get(pomelofake.FieldAccount), body))
+		u.mu.Unlock()
+		u.answer(conn, r)
+	}
+}
+
+func (u *upstream) requests() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.heads)
+}
+
+func (u *upstream) entry(id pomelorelay.UpstreamID) pomelorelay.FleetUpstream {
+	return pomelorelay.FleetUpstream{ID: id, Service: "s", Addr: netip.MustParseAddrPort(u.l.Addr().String())}
+}
+
+// head begins an answer to the request; the caller adds what follows the fields.
+func head(r *http.Request, status int, fields string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: me\r\n%s", status, pomelofake.FieldRequest, r.Header.Get(pomelofake.FieldRequest), pomelofake.FieldSigned, fields)
+}
+
+func plainAnswer(r *http.Request, status int, body string) string {
+	return head(r, status, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
+}
+
+func streamHead(r *http.Request) string {
+	return head(r, 200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+}
+
+func chunkOf(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func eventChunk(id int) string { return chunkOf(fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)) }
+
+const lastChunk = "0\r\n\r\n"
+
+// reset closes a connection so that its peer gets a reset.
+func reset(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
+// world is a handler before upstreams that it is given in order, one for each placement.
+type world struct {
+	t        *testing.T
+	table    *pomelotable.Table
+	places   []pomeloplace.Decision
+	works    []pomeloforward.Work
+	results  []pomeloplace.Result
+	stopsIn  time.Duration
+	stopping bool
+	mu       sync.Mutex
+	server   *httptest.Server
+}
+
+var routes = []pomelorelay.Route{
+	{Name: "read", Host: "h.example", Prefix: "/read/", Kind: pomelorelay.RouteIdempotent, Timeout: 2 * time.Second, Attempts: 2},
+	{Name: "book", Host: "h.example", Prefix: "/book/", Kind: pomelorelay.RouteOnce, Timeout: 2 * time.Second, Attempts: 1},
+	{Name: "draft", Host: "h.example", Prefix: "/draft/", Kind: pomelorelay.RouteStream, Timeout: 5 * time.Second, Attempts: 1},
+	{Name: "chat", Host: "h.example", Prefix: "/chat/", Kind: pomelorelay.RouteStream, Timeout: 5 * time.Second, Attempts: 2, Resumable: true},
+	{Name: "open", Host: "h.example", Prefix: "/open/", Kind: pomelorelay.RouteIdempotent, Timeout: 2 * time.Second, Attempts: 1, Public: true},
+}
+
+func newWorld(t *testing.T, upstreams ...pomelorelay.FleetUpstream) *world {
+	t.Helper()
+	w := &world{t: t}
+	for _, u := range upstreams {
+		w.places = append(w.places, pomeloplace.Decision{Upstream: u})
+	}
+	shared := append([]pomelorelay.Route(nil), routes...)
+	for i := range shared {
+		shared[i].Shares = []pomelorelay.RouteShare{{Service: "s", Weight: 1}}
+	}
+	w.table = pomelotable.New(&pomelorelay.FleetConfig{
+		Version: 3, Routes: shared, Accounts: []pomelorelay.AccountSpec{{Name: "acct", Keys: []string{"key"}}},
+		Limits: pomelorelay.CallerLimits{BodyBytes: 1000},
+	})
+	h := pomeloforward.New(pomeloforward.Config{
+		Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}, Wire: pomelofake.FleetWire{}, Tables: w, Placement: w, Stopping: w, Meter: w,
+		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+	})
+	w.server = httptest.NewServer(h)
+	t.Cleanup(func() {
+		w.server.Close()
+		h.Close()
+	})
+	return w
+}
+
+func (w *world) Current() *pomelotable.Table {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table
+}
+
+func (w *world) Place(_ context.Context, work pomeloforward.Work) (pomeloforward.Ticket, pomeloplace.Decision, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.works = append(w.works, work)
+	if len(w.places) == 0 {
+		return nil, pomeloplace.Decision{Reason: pomeloplace.ReasonLate, RetryAfter: 250 * time.Millisecond}, nil
+	}
+	d := w.places[0]
+	w.places = w.places[1:]
+	return w, d, nil
+}
+
+func (w *world) Begun() {}
+
+func (w *world) Ended(r pomeloplace.Result) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.results = append(w.results, r)
+}
+
+func (w *world) StopsIn() (time.Duration, bool) { return w.stopsIn, w.stopping }
+
+func (w *world) Answered(pomelorelay.RouteKind, string, time.Duration, time.Duration) {}
+
+func (w *world) Retried(pomelorelay.ResultCode) {}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	head   http.Header
+	body   string
+	// cut tells that the body did not end as its framing says.
+	cut error
+}
+
+// call sends a caller's request on a connection of its own.
+func (w *world) call(method, path, body string, fields ...string) answer {
+	w.t.Helper()
+	req, err := http.NewRequest(method, w.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Close = true
+	req.Header.Set(pomelofake.FieldRequest, "req-1")
+	req.Header.Set(pomelofake.FieldWait, "3000")
+	req.Header.Set(pomelofake.FieldKey, "key")
+	for i := 0; i+1 < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{cut: err}
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, head: resp.Header, body: string(got), cut: err}
+}
