The log is bounded and never waits; idle connections end before their upstream ends them

Cause: a test of the links showed that the time which an upstream names for idle connections was never used. The log had no bound and no count of lost lines.

--- a/events_node.go
+++ b/events_node.go
@@ -15,6 +15,8 @@
 	EventClaimsUnsettled  EventID = 112
 	EventSettingsReloaded EventID = 113
 	EventSettingsRefused  EventID = 114
+	EventLinesLeftOut     EventID = 115
+	EventLinesLost        EventID = 116
 )
 
 var nodeEvents = []EventInfo{
@@ -31,4 +33,6 @@
 	{EventClaimsUnsettled, "ClaimsUnsettled", LevelWarn, "A planned stop ended while the store did not yet hold how some claimed requests ended; their repeats hear that the outcome is unknown.", "Look at the store."},
 	{EventSettingsReloaded, "SettingsReloaded", LevelInfo, "The settings file was read again and is in order; addresses hold until the next start.", "None."},
 	{EventSettingsRefused, "SettingsRefused", LevelError, "The changed settings file cannot be used; the former settings hold.", "Correct the file."},
+	{EventLinesLeftOut, "LinesLeftOut", LevelInfo, "Lines of the event named by Of were over the bound of the second before and left out; the metrics count what they told.", "None."},
+	{EventLinesLost, "LinesLost", LevelWarn, "The reader of the output was too slow; so many lines were lost since the start.", "Look at who reads the output."},
 }
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -226,6 +226,7 @@
 	released := x.stop()
 	keep := x.Whole && released && x.Echoed && !x.Response.Close && x.conn.reader.Buffered() == 0 && x.written()
 	if keep {
+		x.conn.idleFor = x.idleFor()
 		x.links.conns.put(x.addr, x.conn)
 		return
 	}
--- a/pomelolog/logger.go
+++ b/pomelolog/logger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -19,12 +20,21 @@
 	Level pomelorelay.Level
 	// Writer takes the lines.
 	Writer io.Writer
+	// PerSecond bounds the lines of each event in a second; 300 when zero.
+	PerSecond int
+	// Clock tells the time to the bound; the machine's clock when nil.
+	Clock pomelorelay.Clock
 }
 
 // Logger implements pomelorelay.Logger.
 type Logger struct {
 	logger log.Logger
 	async  *log.AsyncWriter
+	bound  *bound
+	clock  pomelorelay.Clock
+	// lost counts the lines that a slow writer had no room for.
+	lost atomic.Uint64
+	told atomic.Uint64
 }
 
 // New returns a Logger; Close flushes it.
@@ -34,19 +44,47 @@
 		DiscardOnFull: true,
 		Writer:        log.IOWriter{Writer: cfg.Writer},
 	}
-	l := &Logger{async: async}
+	l := &Logger{async: async, bound: newBound(cfg.PerSecond), clock: cfg.Clock}
+	if l.clock == nil {
+		l.clock = pomelorelay.SystemClock{}
+	}
 	l.logger = log.Logger{
 		Level:      levelOf(cfg.Level),
 		TimeField:  "Time",
 		TimeFormat: time.RFC3339Nano,
 		Context:    log.NewContext(nil).Str("Node", string(cfg.Node)).Value(),
-		Writer:     async,
+		Writer:     log.WriterFunc(l.queue),
 	}
 	return l
 }
 
-// Log writes an event with its fields; it never blocks.
+// queue hands a line to the writer's goroutine; it never waits for it.
+func (l *Logger) queue(e *log.Entry) (int, error) {
+	n, err := l.async.WriteEntry(e)
+	if err != nil {
+		l.lost.Add(1)
+	}
+	return n, err
+}
+
+// Lost returns the number of lines that a slow writer had no room for.
+func (l *Logger) Lost() uint64 { return l.lost.Load() }
+
+// Log writes an event with its fields, unless its lines of this second are spent; it never blocks.
 func (l *Logger) Log(id pomelorelay.EventID, fields ...pomelorelay.Field) {
+	ok, before := l.bound.take(l.clock.Now(), id)
+	for _, b := range before {
+		l.write(pomelorelay.EventLinesLeftOut, pomelorelay.Field{Key: "Of", Value: int(b.event)}, pomelorelay.Field{Key: "Lines", Value: b.lines})
+	}
+	if lost := l.lost.Load(); lost != l.told.Load() && l.told.Swap(lost) != lost {
+		l.write(pomelorelay.EventLinesLost, pomelorelay.Field{Key: "Lines", Value: lost})
+	}
+	if ok {
+		l.write(id, fields...)
+	}
+}
+
+func (l *Logger) write(id pomelorelay.EventID, fields ...pomelorelay.Field) {
 	info := id.Info()
 	entry := l.logger.WithLevel(levelOf(info.Level))
 	if entry == nil {
@@ -59,8 +97,20 @@
 	entry.Msg("")
 }
 
-// Close writes what waits.
-func (l *Logger) Close() error { return l.async.Close() }
+// closeWait bounds the wait for a writer that takes nothing; a process that ends must not hang on its log.
+const closeWait = 500 * time.Millisecond
+
+// Close writes what waits, unless the writer is stuck.
+func (l *Logger) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- l.async.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(closeWait):
+		return nil
+	}
+}
 
 func addField(e *log.Entry, f pomelorelay.Field) *log.Entry {
 	switch v := f.Value.(type) {
--- /dev/null
+++ b/pomelolog/logger_test.go
@@ -0,0 +1,113 @@
+package pomelolog_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelolog"
+)
+
+// lines keeps what was written.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) count(t *testing.T) map[pomelorelay.EventID]int {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := make(map[pomelorelay.EventID]int)
+	for d := json.NewDecoder(&l.text); ; {
+		var line struct{ Event pomelorelay.EventID }
+		if err := d.Decode(&line); err == io.EOF {
+			return counts
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		counts[line.Event]++
+	}
+}
+
+// clock stands still until it is moved.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) move(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// A flood of requests would write as many lines, and the few that tell of a failure would drown in them.
+func TestEachEventIsBoundedByItself(t *testing.T) {
+	out, at := &lines{}, &clock{now: time.Unix(1000, 0)}
+	l := pomelolog.New(pomelolog.Config{Node: "r1", Level: pomelorelay.LevelInfo, Writer: out, PerSecond: 10, Clock: at})
+	for range 1000 {
+		l.Log(pomelorelay.EventRequestServed)
+	}
+	for range 5 {
+		l.Log(pomelorelay.EventRequestFailed)
+	}
+	at.move(time.Second)
+	l.Log(pomelorelay.EventRequestServed)
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	got := out.count(t)
+	if got[pomelorelay.EventRequestServed] != 11 || got[pomelorelay.EventRequestFailed] != 5 || got[pomelorelay.EventLinesLeftOut] != 1 {
+		t.Errorf("%v", got)
+	}
+}
+
+// Whoever reads the output stops reading. A log that waited for it would hold every request of the router.
+func TestAStalledReaderHoldsNobody(t *testing.T) {
+	r, w := io.Pipe()
+	defer r.Close()
+	l := pomelolog.New(pomelolog.Config{Node: "r1", Level: pomelorelay.LevelInfo, Writer: w, PerSecond: 1 << 30})
+	done := make(chan struct{})
+	go func() {
+		for range 20_000 {
+			l.Log(pomelorelay.EventRequestServed)
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a line waits for the reader")
+	}
+	if l.Lost() == 0 {
+		t.Error("no lost line was counted")
+	}
+	if err := l.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	l := pomelolog.New(pomelolog.Config{Node: "r1", Level: pomelorelay.LevelInfo, Writer: io.Discard, PerSecond: 1 << 30})
+	for b.Loop() {
+		l.Log(pomelorelay.EventRequestServed, pomelorelay.Field{Key: "Request", Value: "9c41d07be2a35f68"}, pomelorelay.Field{Key: "FirstMS", Value: int64(12)},
+			pomelorelay.Field{Key: "Upstream", Value: "i-7f3a91c2"}, pomelorelay.Field{Key: "Running", Value: 12}, pomelorelay.Field{Key: "Owed", Value: true})
+	}
+}
