--- a/pomeloentry/entry_test.go
+++ b/pomeloentry/entry_test.go
@@ -41,7 +41,9 @@
 	for _, n := range f.nodes {
 		f.awaitStatus(n, "/old/", 200)
 	}
-	f.await("the mesh", func() bool { return a.log.has(pomelorelay.EventPeersChanged) && b.log.has(pomelorelay.EventPeersChanged) })
+	f.await("the mesh", func() bool {
+		return a.log.has(pomelorelay.EventPeersChanged) && b.log.has(pomelorelay.EventPeersChanged)
+	})
 	b.view.SetCut(true)
 	f.store.Lapse()
 	f.await("the loss is logged", func() bool { return b.log.has(pomelorelay.EventPlatformLost) })
--- a/pomeloforward/forward_test.go
+++ b/pomeloforward/forward_test.go
@@ -73,13 +73,22 @@
 // The same for a read: it may run twice, and its caller wants the answer.
 func TestAReadIsSentAgain(t *testing.T) {
 	for name, answer := range map[string]func(net.Conn, *http.Request){
-		"reset":    func(conn net.Conn, _ *http.Request) { reset(conn) },
-		"failed":   func(conn net.Conn, r *http.Request) { write(conn, plainAnswer(r, 500, "no")) },
-		"cut":      func(conn net.Conn, r *http.Request) { write(conn, head(r, 200, "Content-Length: 10\r\n\r\nabc")); reset(conn) },
-		"unsigned": func(conn net.Conn, _ *http.Request) { write(conn, "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nContent-Length: 1\r\n\r\nx") },
-		"crossed":  func(conn net.Conn, _ *http.Request) { write(conn, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSigned-By: me\r\nContent-Length: 1\r\n\r\nx") },
-		"encoded":  func(conn net.Conn, r *http.Request) { write(conn, head(r, 200, "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx")) },
-		"no http":  func(conn net.Conn, _ *http.Request) { write(conn, "garbage\r\n\r\n"); reset(conn) },
+		"reset":  func(conn net.Conn, _ *http.Request) { reset(conn) },
+		"failed": func(conn net.Conn, r *http.Request) { write(conn, plainAnswer(r, 500, "no")) },
+		"cut": func(conn net.Conn, r *http.Request) {
+			write(conn, head(r, 200, "Content-Length: 10\r\n\r\nabc"))
+			reset(conn)
+		},
+		"unsigned": func(conn net.Conn, _ *http.Request) {
+			write(conn, "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nContent-Length: 1\r\n\r\nx")
+		},
+		"crossed": func(conn net.Conn, _ *http.Request) {
+			write(conn, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSigned-By: me\r\nContent-Length: 1\r\n\r\nx")
+		},
+		"encoded": func(conn net.Conn, r *http.Request) {
+			write(conn, head(r, 200, "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx"))
+		},
+		"no http": func(conn net.Conn, _ *http.Request) { write(conn, "garbage\r\n\r\n"); reset(conn) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			bad := newUpstream(t, answer)
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -204,11 +204,6 @@
 	}
 }
 
-func (k *kept) clear() {
-	clear(k.parts)
-	k.taken = 0
-}
-
 // missing returns the tokens of a prompt that must be read: all from the first part that is not kept.
 func (k *kept) missing(r *Request) pomelorelay.Tokens {
 	left := r.Prompt
