The largest requests that are owed wait behind as much as others do

Cause: of the requests above 20,000 tokens within their account's share a third was refused, since they were let in only behind a quarter of the wait.

--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -240,7 +240,11 @@
 	// A prompt that alone takes longer than the target can never begin in time; it is served where little waits, or nobody would
 	// ever serve the largest.
 	own := c.expected - c.backlog
-	if own > limit/2 && c.backlog <= limit/4 && own < r.Left/2 {
+	room := limit / 4
+	if r.Owed {
+		room = limit
+	}
+	if own > limit/2 && c.backlog <= room && own < r.Left/2 {
 		return ReasonNone
 	}
 	return reason
