Large fleets: reports by relays, one watch of the upstreams a domain, full routers refuse

Change: beyond a dozen routers one of each failure domain relays the reports; the relay's watch of the upstreams serves its neighbours; a router refuses what is over the bound of its host, before it reads a body, and is not ready meanwhile.

--- a/codes_general.go
+++ b/codes_general.go
@@ -16,6 +16,7 @@
 	CodeListen       ResultCode = 1012
 	CodeStopLate     ResultCode = 1013
 	CodeForbidden    ResultCode = 1014
+	CodeRouterFull   ResultCode = 1015
 )
 
 var generalCodes = []CodeInfo{
@@ -33,4 +34,5 @@
 	{CodeListen, "CannotListen", 500, RanNo, "An address of the settings cannot be listened on.", "Check Listen in the settings and what else runs on the host."},
 	{CodeStopLate, "StopLate", 500, RanUnknown, "A planned stop reached its bound with requests in progress.", "Raise Control.StopWait."},
 	{CodeForbidden, "Forbidden", 403, RanNo, "The account may not call the service.", "Ask the operators for a share of it."},
+	{CodeRouterFull, "RouterFull", 503, RanNo, "The router has as many requests as its host can carry.", "Send it again; the balancer picks another router."},
 }
--- a/events_node.go
+++ b/events_node.go
@@ -17,6 +17,7 @@
 	EventSettingsRefused  EventID = 114
 	EventLinesLeftOut     EventID = 115
 	EventLinesLost        EventID = 116
+	EventRouterFull       EventID = 117
 )
 
 var nodeEvents = []EventInfo{
@@ -35,4 +36,5 @@
 	{EventSettingsRefused, "SettingsRefused", LevelError, "The changed settings file cannot be used; the former settings hold.", "Correct the file."},
 	{EventLinesLeftOut, "LinesLeftOut", LevelInfo, "Lines of the event named by Of were over the bound of the second before and left out; the metrics count what they told.", "None."},
 	{EventLinesLost, "LinesLost", LevelWarn, "The reader of the output was too slow; so many lines were lost since the start.", "Look at who reads the output."},
+	{EventRouterFull, "RouterFull", LevelWarn, "A request was refused since the router has as many as its host can carry.", "Look at how the balancer spreads callers."},
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -71,6 +71,8 @@
 	Addr   netip.AddrPort
 	Domain DomainID
 	Region RegionID
+	// Power is the router's processor relative to others; zero when it is not known. The strongest relay for their failure domain.
+	Power float64
 }
 
 // LinkClass tells how far a peer is, for the byte budget.
--- a/messages_load.go
+++ b/messages_load.go
@@ -38,8 +38,47 @@
 	Leaving []UpstreamID
 }
 
+// Empty reports whether the report tells nothing; a whole one always tells that its router is there.
+func (r *LoadReport) Empty() bool {
+	return !r.Whole && len(r.Upstreams)+len(r.Accounts)+len(r.Parts)+len(r.Leaving) == 0
+}
+
 // Urgency is that of placements: others place by them.
 func (*LoadReport) Urgency() Urgency { return UrgencyNow }
 
 // CoalesceKey is empty: a report holds only what changed, and each counts.
 func (*LoadReport) CoalesceKey() string { return "" }
+
+// RelayedReport is a report with the router that made it.
+type RelayedReport struct {
+	Node        NodeID
+	Incarnation Incarnation
+	Report      *LoadReport
+}
+
+// LoadBundle carries reports that one router collected from others, so that not each must tell all.
+type LoadBundle struct {
+	Reports []RelayedReport
+}
+
+// Urgency is that of placements: others place by them.
+func (*LoadBundle) Urgency() Urgency { return UrgencyNow }
+
+// CoalesceKey is empty: reports hold only what changed, and each counts.
+func (*LoadBundle) CoalesceKey() string { return "" }
+
+// UpstreamNews tells what the store says of the upstreams at a revision, so that not each router must ask it.
+type UpstreamNews struct {
+	// After is the revision from which the store was watched; zero when everything was read.
+	After   Revision
+	At      Revision
+	Whole   bool
+	Present []FleetUpstream
+	Gone    []UpstreamID
+}
+
+// Urgency is that of upstreams that leave.
+func (*UpstreamNews) Urgency() Urgency { return UrgencyNow }
+
+// CoalesceKey is empty: news hold only what changed, and each counts.
+func (*UpstreamNews) CoalesceKey() string { return "" }
--- a/pomeloentry/config.go
+++ b/pomeloentry/config.go
@@ -40,11 +40,11 @@
 	w := &e.configWatch
 	e.follow(ctx, followed{name: "configuration", call: func(bool) error {
 		ctx, after := w.begin(ctx)
-		change, err := e.cfg.Platform.WatchConfig(ctx, after, watchWait)
+		change, err := e.cfg.Platform.WatchConfig(ctx, after, e.watchWait())
 		if err != nil {
 			return err
 		}
-		if w.reached(change.At) && change.Whole {
+		if went, _ := w.reached(change.At); went && change.Whole {
 			e.dropped(w)
 		}
 		e.post(&configArrived{change})
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -11,13 +11,17 @@
 )
 
 const (
-	// tickEvery is the interval of reports to the other routers: until the next one they place by what they know, and within it
+	// tickEvery is the interval at which what was collected for others is handed on and everything else is looked at.
+	tickEvery = 50 * time.Millisecond
+	// reportEvery is the interval of reports to the other routers: until the next one they place by what they know, and within it
 	// an engine gets two or three requests from all of them together.
-	tickEvery = 100 * time.Millisecond
+	reportEvery = 100 * time.Millisecond
 	// wholeEvery is the interval of reports that hold everything; a lost one is made up for within it.
 	wholeEvery = time.Second
 	// urgentGap is the least time between reports: the way between regions takes 12 ms, so that a faster pace tells nobody more.
-	urgentGap = 20 * time.Millisecond
+	// relayedGap is the same where a relay takes the reports of a whole failure domain.
+	urgentGap  = 20 * time.Millisecond
+	relayedGap = 50 * time.Millisecond
 	// gaugesEvery is the interval at which the metrics of what the router knows are renewed.
 	gaugesEvery = time.Second
 )
@@ -31,6 +35,7 @@
 	upstreams upstreams
 	peers     peers
 	pulls     pulls
+	relayed   relays
 
 	reportedAt time.Time
 	wholeAt    time.Time
@@ -59,7 +64,7 @@
 		case ev := <-c.e.events:
 			now := c.now()
 			ev.apply(c, now)
-			if c.placer.Urgent() && now.Sub(c.reportedAt) >= urgentGap {
+			if c.placer.Urgent() && now.Sub(c.reportedAt) >= c.gap() {
 				c.report(now)
 			}
 		case m := <-c.e.mesh.Receive():
@@ -76,7 +81,11 @@
 	c.shares.Tick(now)
 	c.placer.Tick(now)
 	c.dropLapsed(now)
-	c.report(now)
+	if now.Sub(c.reportedAt) >= reportEvery-tickEvery/2 || len(c.relayed.local)+len(c.relayed.foreign) > 0 {
+		c.report(now)
+	}
+	c.e.relaying.Store(c.relaysHere(now))
+	c.e.peerCount.Store(int64(len(c.peers.present)))
 	c.pullBehind(now)
 	if c.peers.drop(now) {
 		c.setPeers()
@@ -126,6 +135,13 @@
 	return d
 }
 
+func (c *control) gap() time.Duration {
+	if c.direct() {
+		return urgentGap
+	}
+	return relayedGap
+}
+
 // report tells the other routers what changed here.
 func (c *control) report(now time.Time) {
 	m := &pomelorelay.LoadReport{Whole: now.Sub(c.wholeAt) >= wholeEvery}
@@ -136,22 +152,36 @@
 	c.placer.Report(m)
 	m.Accounts = c.shares.Report(m.Whole, m.Accounts)
 	m.Leaving = c.upstreams.tell(now)
+	if !c.direct() {
+		c.relayOwn(now, m)
+		return
+	}
+	if m.Empty() {
+		return
+	}
 	for node := range c.peers.present {
-		// A message that the mesh refuses is lost like one on a broken link; the next whole report makes up for it.
-		if err := c.e.mesh.Send(node, m); err != nil {
-			c.e.metrics.Placed("report not sent")
-		}
+		c.send(node, m)
 	}
 }
 
+// takeReport takes another router's report, whoever brought it.
+func (c *control) takeReport(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
+	c.placer.Heard(now, from, incarnation, m)
+	c.shares.Heard(from, incarnation, m.Accounts)
+	c.takeLeaving(now, from, m.Leaving)
+}
+
 func (c *control) receive(now time.Time, m pomelorelay.Envelope) {
 	c.peers.hear(now, m.From)
 	c.noteGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
 	case *pomelorelay.LoadReport:
-		c.placer.Heard(now, m.From, m.Incarnation, msg)
-		c.shares.Heard(m.From, m.Incarnation, msg.Accounts)
-		c.takeLeaving(now, m.From, msg.Leaving)
+		c.takeReport(now, m.From, m.Incarnation, msg)
+		c.collect(now, m, msg)
+	case *pomelorelay.LoadBundle:
+		c.takeBundle(now, m.From, msg)
+	case *pomelorelay.UpstreamNews:
+		c.takeNews(now, msg)
 	case *pomelorelay.ConfigPull:
 		c.push(m.From, msg)
 	case *pomelorelay.ConfigPush:
--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -46,7 +46,15 @@
 	// stopAt is the Unix nanosecond at which a planned stop ends the process, zero while none is planned.
 	stopAt   atomic.Int64
 	inFlight atomic.Int64
-	conns    atomic.Int64
+	// peerCount is the number of known routers, relaying whether this one relays for its failure domain, newsAt the Unix nanosecond
+	// at which a neighbour last told of the upstreams.
+	peerCount atomic.Int64
+	relaying  atomic.Bool
+	newsAt    atomic.Int64
+	conns     atomic.Int64
+	bounds    bounds
+	// pressedAt is the Unix nanosecond at which the router last had nearly what it can take.
+	pressedAt atomic.Int64
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -69,6 +77,7 @@
 	}
 	e := &Entry{
 		cfg:         cfg,
+		bounds:      boundsOf(cfg.Settings),
 		incarnation: cfg.Incarnation,
 		metrics:     pomelometric.New(),
 		events:      make(chan event, eventQueue),
@@ -152,7 +161,7 @@
 
 // Ready reports whether the router takes requests.
 func (e *Entry) Ready() bool {
-	return e.table.Load() != nil && e.upstreams.Load() > 0 && e.stopAt.Load() == 0
+	return e.table.Load() != nil && e.upstreams.Load() > 0 && e.stopAt.Load() == 0 && !e.pressed()
 }
 
 // Close ends the router at once; Stop does so gracefully.
--- a/pomeloentry/entry_test.go
+++ b/pomeloentry/entry_test.go
@@ -158,3 +158,30 @@
 		return strings.Contains(text, `pomelorelay_state{name="peers"} 0`)
 	})
 }
+
+// One account's callers all come to one small host. Taken in, they would be answered late, and the process would be killed for its
+// memory with everybody else's requests.
+func TestAFullRouterSendsCallersElsewhere(t *testing.T) {
+	f := newFleet(t)
+	f.store.Publish(f.config(1, "/a/"))
+	f.upstream("u1", 400*time.Millisecond)
+	n := f.startWith(8*time.Second, func(s *pomelorelay.FleetSettings) { s.Self.Power = 0.01 })
+	f.awaitStatus(n, "/a/", 200)
+	const flood = 150
+	got := make(chan int, flood)
+	for range flood {
+		go func() {
+			status, _ := f.call(n, "/a/")
+			got <- status
+		}()
+	}
+	f.await("the router is full", func() bool { return n.log.has(pomelorelay.EventRouterFull) })
+	counts := make(map[int]int)
+	for range flood {
+		counts[<-got]++
+	}
+	if counts[503] == 0 || counts[200] == 0 || counts[200]+counts[503] != flood {
+		t.Errorf("answers by status: %v", counts)
+	}
+	f.await("it is ready again", func() bool { return f.ready(n) })
+}
--- a/pomeloentry/follow.go
+++ b/pomeloentry/follow.go
@@ -30,14 +30,29 @@
 	return ctx, w.after
 }
 
-// reached notes the revision from which to watch on; it reports whether the watch had been going on.
-func (w *watch) reached(at pomelorelay.Revision) bool {
+// reached notes the revision from which to watch on; it reports whether the watch had been going on, and whether the answer is newer
+// than what a neighbour told meanwhile.
+func (w *watch) reached(at pomelorelay.Revision) (went, fresh bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancel()
-	went := w.after > 0
+	if at < w.after {
+		return true, false
+	}
+	went = w.after > 0
 	w.after = at
-	return went
+	return went, true
+}
+
+// advance notes what a neighbour's watch brought; it reports false when that is old, or begins after what this watch has seen.
+func (w *watch) advance(after, at pomelorelay.Revision, whole bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.after == 0 || at < w.after || (!whole && after > w.after) {
+		return false
+	}
+	w.after = at
+	return true
 }
 
 // restart makes the watch read everything anew. A store that dropped its history may also have lost changes for watches that go on
@@ -52,8 +67,17 @@
 }
 
 // watchWait is how long a watch of what seldom changes waits: a store that lost a change for it tells at the next call. The routers'
-// calls are out of step, and the first that learns of a configuration tells the others.
-const watchWait = 4 * time.Second
+// calls are out of step, and the first that learns of a configuration tells the others. So it may wait longer where there are more
+// routers: every half second one of them asks.
+const (
+	watchWait  = 4 * time.Second
+	watchMost  = 25 * time.Second
+	watchApart = 500 * time.Millisecond
+)
+
+func (e *Entry) watchWait() time.Duration {
+	return min(max(watchWait, time.Duration(e.peerCount.Load())*watchApart), watchMost)
+}
 
 // dropped restarts the watches beside the one that found the history dropped.
 func (e *Entry) dropped(by *watch) {
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -18,7 +18,7 @@
 	// headerWait bounds the reading of a request's header; the operators' own bound is 3 s.
 	headerWait = 10 * time.Second
 	// idleWait closes connections that callers leave unused; callers may use one again after four fifths of the operators' bound, 15 s.
-	idleWait = 60 * time.Second
+	idleWait = 20 * time.Second
 	// maxHeaderBytes bounds a request's header, above the operators' bound of 16 KiB.
 	maxHeaderBytes = 64 << 10
 	// stopPoll is how often a graceful stop looks whether the last request has ended.
@@ -80,6 +80,9 @@
 func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	if !e.takes(w) {
+		return
+	}
 	e.forward.ServeHTTP(w, r)
 }
 
--- /dev/null
+++ b/pomeloentry/load.go
@@ -0,0 +1,87 @@
+package pomeloentry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
+)
+
+// The balancer picks a router by the caller, so that one account's flood may come to a single small host. A router that takes all of it
+// answers everybody late, runs out of descriptors and is killed for its memory. So each refuses what is over its bound at once and
+// cheaply, and the caller's next attempt reaches another router.
+
+const (
+	// requestMemory is what a request takes while it runs: two connections' buffers, stacks and a body, measured at 45 KB.
+	requestMemory = 64 << 10
+	// requestsShare is the part of the memory that requests may take.
+	requestsShare = 0.4
+	// requestsPerCore is the number of streams that a core carries: a stream has about 7 events a second at 40 µs each, and a request
+	// takes 0.4 ms besides; three quarters of the core are used.
+	requestsPerCore = 1600
+	// leastRequests keeps a host of unknown size at work.
+	leastRequests = 64
+	// connMemory is what an idle connection takes, measured at 18 KB, and connsShare the part of the memory that connections may take.
+	connMemory = 20 << 10
+	connsShare = 0.3
+	// systemFDs are the descriptors that the platform keeps for files, and fdsShare the part of the others that callers may take; each
+	// running request has a second one to its upstream.
+	systemFDs = 200
+	fdsShare  = 0.5
+	// pressedShare is the part of a bound from which a router asks for less: it is not ready, and callers' connections end with their
+	// answers. It does so until pressedFor after.
+	pressedShare = 0.85
+	pressedFor   = 500 * time.Millisecond
+	// busyRetry is what callers are told that meet a full router: another one takes them at once.
+	busyRetry = 10 * time.Millisecond
+)
+
+// bounds are what a router of its host's size takes.
+type bounds struct {
+	requests int64
+	conns    int64
+}
+
+func boundsOf(s pomelorelay.FleetSettings) bounds {
+	b := bounds{requests: 1 << 20, conns: 1 << 20}
+	if s.Memory > 0 {
+		b.requests = min(b.requests, int64(requestsShare*float64(s.Memory)/requestMemory))
+		b.conns = min(b.conns, int64(connsShare*float64(s.Memory)/connMemory))
+	}
+	if s.Self.Power > 0 {
+		b.requests = min(b.requests, int64(requestsPerCore*s.Self.Power))
+	}
+	if s.MaxFDs > systemFDs {
+		b.conns = min(b.conns, int64(fdsShare*float64(s.MaxFDs-systemFDs)))
+	}
+	b.requests = max(b.requests, leastRequests)
+	b.conns = max(b.conns, leastRequests)
+	return b
+}
+
+// pressed reports whether the router has nearly what it can take, or had a moment ago.
+func (e *Entry) pressed() bool {
+	now := e.cfg.Clock.Now().UnixNano()
+	full := float64(e.inFlight.Load()) > pressedShare*float64(e.bounds.requests) || float64(e.conns.Load()) > pressedShare*float64(e.bounds.conns)
+	if full {
+		e.pressedAt.Store(now)
+	}
+	return full || now-e.pressedAt.Load() < int64(pressedFor)
+}
+
+// takes counts a request in; it reports false, and has answered, when the router is full.
+func (e *Entry) takes(w http.ResponseWriter) bool {
+	if e.pressed() {
+		w.Header().Set("Connection", "close")
+	}
+	if e.inFlight.Load() <= e.bounds.requests {
+		return true
+	}
+	err := pomelorelay.NewError(pomelorelay.CodeRouterFull, "", nil)
+	err.RetryAfter = busyRetry
+	pomeloforward.Refuse(w, err)
+	e.metrics.Answered("None", "full", 0, 0)
+	e.log(pomelorelay.EventRouterFull, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.bounds.requests))
+	return false
+}
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -12,6 +12,8 @@
 	registrationTTL = 6 * time.Second
 	// renewEvery is the interval of renewals, a third of the time to live.
 	renewEvery = 2 * time.Second
+	// peersPace is the least time between two calls for the routers' entries: when a fleet starts, each entry would wake every watch.
+	peersPace = time.Second
 	// leaveWait bounds the call that ends the registration at a planned stop.
 	leaveWait = 500 * time.Millisecond
 )
@@ -24,6 +26,13 @@
 	pomelorelay.Peer
 	registered bool
 	heard      time.Time
+	// since is when this router first knew it.
+	since time.Time
+}
+
+// relays reports whether the router is there to relay.
+func (p *knownPeer) relays(now time.Time) bool {
+	return now.Sub(p.heard) <= relayTrust || now.Sub(p.since) <= relayGrace
 }
 
 // peers are the other routers. One that cannot reach the store loses its registration; it is still told everything as long as its
@@ -34,10 +43,10 @@
 
 func newPeers() peers { return peers{present: make(map[pomelorelay.NodeID]*knownPeer)} }
 
-func (p *peers) put(peer pomelorelay.Peer) {
+func (p *peers) put(now time.Time, peer pomelorelay.Peer) {
 	known := p.present[peer.Node]
 	if known == nil {
-		known = &knownPeer{}
+		known = &knownPeer{since: now}
 		p.present[peer.Node] = known
 	}
 	known.Peer, known.registered = peer, true
@@ -54,7 +63,7 @@
 func (p *peers) hear(now time.Time, node pomelorelay.NodeID) {
 	known := p.present[node]
 	if known == nil {
-		known = &knownPeer{Peer: pomelorelay.Peer{Node: node}}
+		known = &knownPeer{Peer: pomelorelay.Peer{Node: node}, since: now}
 		p.present[node] = known
 	}
 	known.heard = now
@@ -85,15 +94,19 @@
 
 func (e *Entry) watchPeers(ctx context.Context) {
 	w := &e.peersWatch
-	e.follow(ctx, followed{name: "routers", call: func(bool) error {
+	e.follow(ctx, followed{name: "routers", pace: peersPace, call: func(bool) error {
 		ctx, after := w.begin(ctx)
-		change, err := e.cfg.Platform.WatchPeers(ctx, after, watchWait)
+		change, err := e.cfg.Platform.WatchPeers(ctx, after, e.watchWait())
 		if err != nil {
 			return err
 		}
-		if w.reached(change.At) && change.Whole {
+		went, fresh := w.reached(change.At)
+		if went && change.Whole {
 			e.dropped(w)
 		}
+		if !fresh {
+			return nil
+		}
 		e.post(&peersArrived{change})
 		return nil
 	}})
@@ -110,7 +123,7 @@
 	}
 	for _, p := range a.change.Present {
 		if p.Node != c.e.cfg.Settings.Self.Node {
-			c.peers.put(p)
+			c.peers.put(now, p)
 		}
 	}
 	for _, node := range a.change.Gone {
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -21,6 +21,10 @@
 	// outOfTouch is the time without a word of the store from which a router relies on its peers and expects lapsed entries: upstreams
 	// write every 1.2 s, so that some do in each pace.
 	outOfTouch = 2 * time.Second
+	// newsFor is how long a neighbour's news spare a router its own watch: the neighbour's pace and half of it. Should the neighbour lose
+	// the store, the router asks itself, still in time to hear of an upstream that leaves. newsLook is how often it looks.
+	newsFor  = 1400 * time.Millisecond
+	newsLook = 200 * time.Millisecond
 	// tellFor is how long the others are told of an upstream that leaves.
 	tellFor = 3 * time.Second
 )
@@ -63,26 +67,42 @@
 	w := &e.upstreamsWatch
 	e.follow(ctx, followed{
 		name: "upstreams",
-		pace: upstreamsPace,
 		call: func(failed bool) error {
-			ctx, after := w.begin(ctx)
-			change, err := e.cfg.Platform.WatchUpstreams(ctx, after, watchWait)
+			if !e.relaying.Load() && e.newsFresh() {
+				sleep(ctx, newsLook)
+				return nil
+			}
+			began := time.Now()
+			watching, after := w.begin(ctx)
+			change, err := e.cfg.Platform.WatchUpstreams(watching, after, watchWait)
 			if err != nil {
 				return err
 			}
-			if w.reached(change.At) && change.Whole {
+			went, fresh := w.reached(change.At)
+			if went && change.Whole {
 				e.dropped(w)
 			}
-			e.post(&upstreamsArrived{change: change, back: failed})
+			if fresh {
+				e.post(&upstreamsArrived{change: change, after: after, back: failed})
+			}
+			sleep(ctx, upstreamsPace-time.Since(began))
 			return nil
 		},
 	})
 }
 
-// upstreamsArrived is posted when the store told of upstreams; back tells that it had not answered before.
+// newsFresh reports whether a neighbour lately told what the store says of the upstreams.
+func (e *Entry) newsFresh() bool {
+	return e.cfg.Clock.Now().UnixNano()-e.newsAt.Load() < int64(newsFor)
+}
+
+// upstreamsArrived is posted when the store told of upstreams; back tells that it had not answered before, after from where it was watched.
 type upstreamsArrived struct {
 	change pomelorelay.UpstreamChange
+	after  pomelorelay.Revision
 	back   bool
+	// told tells that a neighbour said it.
+	told bool
 }
 
 func (a *upstreamsArrived) apply(c *control, now time.Time) {
@@ -90,6 +110,9 @@
 		c.upstreams.backAt = now
 	}
 	c.upstreams.heardAt = now
+	if !a.told {
+		c.tellUpstreams(now, a.change, a.after)
+	}
 	for _, fault := range a.change.Faults {
 		c.e.log(pomelorelay.EventUpstreamBadEntry, field("Code", int(pomelorelay.CodeOf(fault))), field("Fault", fault.Error()))
 	}
--- a/pomeloentry/world_test.go
+++ b/pomeloentry/world_test.go
@@ -110,6 +110,12 @@
 
 // start starts a router; stopWait is the time between the signal to stop and its end.
 func (f *fleet) start(stopWait time.Duration) *node {
+	f.t.Helper()
+	return f.startWith(stopWait, func(*pomelorelay.FleetSettings) {})
+}
+
+// startWith starts a router whose settings are changed first.
+func (f *fleet) startWith(stopWait time.Duration, change func(*pomelorelay.FleetSettings)) *node {
 	f.t.Helper()
 	n := &node{view: f.store.View(), log: &eventLog{}}
 	n.settings = pomelorelay.FleetSettings{
@@ -118,6 +124,7 @@
 		Callers: f.freeAddr(), Readiness: f.freeAddr(), Metrics: f.freeAddr(),
 		StopWait: stopWait, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ShareWindow: 4 * time.Second,
 	}
+	change(&n.settings)
 	entry, err := pomeloentry.New(pomeloentry.Config{Settings: n.settings, Platform: n.view, Wire: pomelofake.FleetWire{}, Logger: n.log})
 	if err != nil {
 		f.t.Fatal(err)
--- /dev/null
+++ b/pomeloforward/bench_test.go
@@ -0,0 +1,53 @@
+package pomeloforward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+// BenchmarkStream sends one stream of 50 events after the other over one connection; what the caller and the upstream of the benchmark
+// take is in it.
+func BenchmarkStream(b *testing.B) {
+	const events = 50
+	t := &testing.T{}
+	u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+		write(conn, streamHead(r))
+		for i := range events {
+			write(conn, eventChunk(i+1))
+			time.Sleep(50 * time.Microsecond)
+		}
+		write(conn, lastChunk)
+	})
+	w := newWorld(t, u.entry("u"))
+	conn, err := net.Dial("tcp", w.server.Listener.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	body := strings.Repeat("x", 800)
+	for i := 0; b.Loop(); i++ {
+		w.mu.Lock()
+		w.places = append(w.places, pomeloplace.Decision{Upstream: u.entry("u")})
+		w.works, w.results = w.works[:0], w.results[:0]
+		w.mu.Unlock()
+		fmt.Fprintf(conn, "POST /draft/ HTTP/1.1\r\nHost: h.example\r\n%s: r%d\r\n%s: key\r\n%s: 3000\r\nContent-Length: %d\r\n\r\n%s",
+			pomelofake.FieldRequest, i, pomelofake.FieldKey, pomelofake.FieldWait, len(body), body)
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -60,17 +60,23 @@
 	if !errors.As(err, &e) {
 		e = pomelorelay.NewError(pomelorelay.CodeInternal, err.Error(), nil)
 	}
+	c.status = Refuse(c.w, e)
+	c.noteRefusal(e, c.status)
+}
+
+// Refuse answers with an error and returns the status.
+func Refuse(w http.ResponseWriter, e *pomelorelay.Error) int {
 	p := pomeloproblem.New(e)
 	p.Status = status(p.Status, e.Ran)
-	head := c.w.Header()
+	head := w.Header()
 	head.Set("Content-Type", pomeloproblem.ContentType)
 	if p.Status == http.StatusServiceUnavailable {
 		head.Set("Retry-After", retryAfter(e))
 	}
-	c.status = p.Status
-	c.w.WriteHeader(p.Status)
-	c.write(p.Encode())
-	c.noteRefusal(e, p.Status)
+	w.WriteHeader(p.Status)
+	// A caller that is gone cannot be told; the server closes the connection.
+	_, _ = w.Write(p.Encode())
+	return p.Status
 }
 
 func (c *call) noteRefusal(e *pomelorelay.Error, status int) {
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"net/netip"
 	"reflect"
 	"strings"
 	"testing"
@@ -62,6 +63,14 @@
 			Parts:     []pomelorelay.PartPlaced{{Upstream: "u", Hash: 0x5c1e07a2, Tokens: 800}},
 			Leaving:   []pomelorelay.UpstreamID{"v"},
 		},
+		&pomelorelay.LoadBundle{Reports: []pomelorelay.RelayedReport{{Node: "r1", Incarnation: 5, Report: &pomelorelay.LoadReport{
+			Seq: 2, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 1}}, Accounts: []pomelorelay.AccountUse{},
+			Parts: []pomelorelay.PartPlaced{}, Leaving: []pomelorelay.UpstreamID{},
+		}}}},
+		&pomelorelay.UpstreamNews{
+			After: 9, At: 12, Whole: true, Gone: []pomelorelay.UpstreamID{"v"},
+			Present: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6, Draining: true, Born: 77}},
+		},
 	}
 }
 
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -87,6 +87,10 @@
 		return &pomelorelay.LeavingNotice{Upstream: pomelorelay.UpstreamID(d.name(kind.LeavingNotice.GetUpstream()))}
 	case *pomelowire.Item_LoadReport:
 		return d.loadReport(kind.LoadReport)
+	case *pomelowire.Item_LoadBundle:
+		return d.loadBundle(kind.LoadBundle)
+	case *pomelowire.Item_UpstreamNews:
+		return d.upstreamNews(kind.UpstreamNews)
 	}
 	return nil
 }
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -1,11 +1,13 @@
 package pomelomesh
 
 import (
+	"net/netip"
+
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
 )
 
-func (d *decoder) loadReport(m *pomelowire.LoadReport) pomelorelay.Message {
+func (d *decoder) loadReport(m *pomelowire.LoadReport) *pomelorelay.LoadReport {
 	r := &pomelorelay.LoadReport{Seq: m.GetSeq(), Whole: m.GetWhole()}
 	r.Upstreams = make([]pomelorelay.UpstreamLoad, d.count(len(m.GetUpstreams()), maxList))
 	for i := range r.Upstreams {
@@ -41,3 +43,35 @@
 	}
 	return pomelorelay.Tokens(value)
 }
+
+func (d *decoder) loadBundle(m *pomelowire.LoadBundle) pomelorelay.Message {
+	b := &pomelorelay.LoadBundle{Reports: make([]pomelorelay.RelayedReport, d.count(len(m.GetReports()), maxList))}
+	for i := range b.Reports {
+		r := m.GetReports()[i]
+		b.Reports[i] = pomelorelay.RelayedReport{
+			Node: pomelorelay.NodeID(d.name(r.GetNode())), Incarnation: pomelorelay.Incarnation(r.GetIncarnation()), Report: d.loadReport(r.GetReport()),
+		}
+	}
+	return b
+}
+
+func (d *decoder) upstreamNews(m *pomelowire.UpstreamNews) pomelorelay.Message {
+	n := &pomelorelay.UpstreamNews{After: pomelorelay.Revision(m.GetAfter()), At: pomelorelay.Revision(m.GetAt()), Whole: m.GetWhole()}
+	n.Present = make([]pomelorelay.FleetUpstream, d.count(len(m.GetPresent()), maxList))
+	for i := range n.Present {
+		u := m.GetPresent()[i]
+		addr, err := netip.ParseAddrPort(u.GetAddress())
+		if err != nil {
+			d.fail("address of an upstream")
+		}
+		n.Present[i] = pomelorelay.FleetUpstream{
+			ID: pomelorelay.UpstreamID(d.name(u.GetId())), Service: pomelorelay.ServiceID(d.name(u.GetService())), Addr: addr,
+			Domain: pomelorelay.DomainID(d.name(u.GetDomain())), Slots: pomelorelay.Slots(u.GetSlots()), Draining: u.GetDraining(), Born: u.GetBorn(),
+		}
+	}
+	n.Gone = make([]pomelorelay.UpstreamID, d.count(len(m.GetGone()), maxList))
+	for i := range n.Gone {
+		n.Gone[i] = pomelorelay.UpstreamID(d.name(m.GetGone()[i]))
+	}
+	return n
+}
--- a/pomelomesh/encode.go
+++ b/pomelomesh/encode.go
@@ -43,8 +43,8 @@
 		return encodeMember(m)
 	case *pomelorelay.ConfigPull, *pomelorelay.ConfigPush, *pomelorelay.ConfigApplied:
 		return encodeConfig(m)
-	case *pomelorelay.LoadReport:
-		return &pomelowire.Item{Kind: &pomelowire.Item_LoadReport{LoadReport: encodeLoad(m)}}
+	case *pomelorelay.LoadReport, *pomelorelay.LoadBundle, *pomelorelay.UpstreamNews:
+		return encodeFleet(m)
 	case *pomelorelay.ClaimAsk, *pomelorelay.ClaimAnswer, *pomelorelay.ClaimSettle, *pomelorelay.ClaimSettled:
 		return encodeClaim(m)
 	default:
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -5,6 +5,40 @@
 	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
 )
 
+func encodeFleet(m pomelorelay.Message) *pomelowire.Item {
+	switch m := m.(type) {
+	case *pomelorelay.LoadReport:
+		return &pomelowire.Item{Kind: &pomelowire.Item_LoadReport{LoadReport: encodeLoad(m)}}
+	case *pomelorelay.LoadBundle:
+		return &pomelowire.Item{Kind: &pomelowire.Item_LoadBundle{LoadBundle: encodeBundle(m)}}
+	case *pomelorelay.UpstreamNews:
+		return &pomelowire.Item{Kind: &pomelowire.Item_UpstreamNews{UpstreamNews: encodeNews(m)}}
+	}
+	return nil
+}
+
+func encodeBundle(m *pomelorelay.LoadBundle) *pomelowire.LoadBundle {
+	w := &pomelowire.LoadBundle{}
+	for _, r := range m.Reports {
+		w.Reports = append(w.Reports, &pomelowire.RelayedReport{Node: string(r.Node), Incarnation: uint64(r.Incarnation), Report: encodeLoad(r.Report)})
+	}
+	return w
+}
+
+func encodeNews(m *pomelorelay.UpstreamNews) *pomelowire.UpstreamNews {
+	w := &pomelowire.UpstreamNews{After: uint64(m.After), At: uint64(m.At), Whole: m.Whole}
+	for _, u := range m.Present {
+		w.Present = append(w.Present, &pomelowire.Upstream{
+			Id: string(u.ID), Service: string(u.Service), Address: u.Addr.String(), Domain: string(u.Domain),
+			Slots: int32(u.Slots), Draining: u.Draining, Born: u.Born,
+		})
+	}
+	for _, id := range m.Gone {
+		w.Gone = append(w.Gone, string(id))
+	}
+	return w
+}
+
 func encodeLoad(m *pomelorelay.LoadReport) *pomelowire.LoadReport {
 	w := &pomelowire.LoadReport{Seq: m.Seq, Whole: m.Whole}
 	for _, u := range m.Upstreams {
--- a/pomelometric/metrics.go
+++ b/pomelometric/metrics.go
@@ -27,6 +27,7 @@
 	retries  *prometheus.CounterVec
 	places   *prometheus.CounterVec
 	gauges   *prometheus.GaugeVec
+	missed   prometheus.Counter
 }
 
 // New returns Metrics that start at zero, with those of the runtime and the process.
@@ -40,7 +41,8 @@
 		places:   prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "placements_total", Help: "Decisions on requests by reason of refusal; empty for a place."}, []string{"reason"}),
 		gauges:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "state", Help: "What the router knows now, by name."}, []string{"name"}),
 	}
-	m.registry.MustRegister(m.answers, m.first, m.total, m.retries, m.places, m.gauges, collectors.NewGoCollector())
+	m.missed = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "messages_missed_total", Help: "Messages to other routers that could not be queued."})
+	m.registry.MustRegister(m.missed, m.answers, m.first, m.total, m.retries, m.places, m.gauges, collectors.NewGoCollector())
 	return m
 }
 
@@ -59,6 +61,9 @@
 // Placed counts a decision on a request; the reason is empty for a place.
 func (m *Metrics) Placed(reason string) { m.places.WithLabelValues(reason).Inc() }
 
+// Missed counts a message to another router that could not be queued.
+func (m *Metrics) Missed() { m.missed.Inc() }
+
 // Set sets a value of what the router knows.
 func (m *Metrics) Set(name string, value float64) { m.gauges.WithLabelValues(name).Set(value) }
 
--- a/settings_fleet.go
+++ b/settings_fleet.go
@@ -18,6 +18,8 @@
 	Store netip.AddrPort
 	// Memory is the most that the process may use.
 	Memory Bytes
+	// MaxFDs is the most file descriptors that the process may have.
+	MaxFDs int
 	// StopWait is the time from the signal to stop until the process is killed.
 	StopWait time.Duration
 	// RetryRatio and RetrySlack bound what the whole fleet sends again within RetryWindow, of one service's requests.
