The shortest account is owed what is left over; lagging routers refuse; fewer calls to the store

Change: a router whose control goroutine ticks 100 ms late refuses at once, looks whether callers are there and closes connections over its bound; the account that is short and had least is owed; a router whose neighbour watches leaves the configuration to it.

--- a/cmd/pomelorelayd/entry.go
+++ b/cmd/pomelorelayd/entry.go
@@ -19,7 +19,7 @@
 
 const (
 	// memoryShare is the part of the memory that the platform allows up to which the collector lets the heap grow.
-	memoryShare = 0.7
+	memoryShare = 0.6
 	// storeTimeout bounds a call to the platform's store, which answers in 4 ms, or in a few hundred when it is slow.
 	storeTimeout = 1500 * time.Millisecond
 	// storeRest is how long the store is left alone after several failures in a row: short against the 4 s after whose end a router is
--- a/pomeloentry/config.go
+++ b/pomeloentry/config.go
@@ -9,8 +9,8 @@
 
 const (
 	// pullAfter is how long a router waits for its own watch before it asks a peer for a newer configuration: several answers of
-	// the store, and a fraction of the time within which a configuration is to be in force.
-	pullAfter = 200 * time.Millisecond
+	// the store, and a twentieth of the time within which a configuration is to be in force.
+	pullAfter = 100 * time.Millisecond
 	// pullEvery is the time between two asks.
 	pullEvery = 300 * time.Millisecond
 )
@@ -39,6 +39,12 @@
 func (e *Entry) watchConfig(ctx context.Context) {
 	w := &e.configWatch
 	e.follow(ctx, followed{name: "configuration", call: func(bool) error {
+		// Each change would wake the watch of every router. One with a neighbour that watches hears of it by the generation on that
+		// one's messages, and asks it.
+		if !e.relaying.Load() && e.newsFresh() && e.table.Load() != nil {
+			sleep(ctx, newsLook)
+			return nil
+		}
 		ctx, after := w.begin(ctx)
 		change, err := e.cfg.Platform.WatchConfig(ctx, after, e.watchWait())
 		if err != nil {
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -70,7 +70,9 @@
 		case m := <-c.e.mesh.Receive():
 			c.receive(c.now(), m)
 		case <-ticker.C:
-			c.tick(c.now())
+			now := c.now()
+			c.e.noteTick(now)
+			c.tick(now)
 		}
 	}
 }
--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -55,6 +55,9 @@
 	bounds    bounds
 	// pressedAt is the Unix nanosecond at which the router last had nearly what it can take.
 	pressedAt atomic.Int64
+	// tickedAt is the Unix nanosecond of the control goroutine's last tick, tickLag how late it came.
+	tickedAt atomic.Int64
+	tickLag  atomic.Int64
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -98,10 +101,12 @@
 		Placement:   placement{e},
 		Stopping:    stopping{e},
 		Meter:       e.metrics,
+		Left:        e.left,
 		RetryRatio:  cfg.Settings.RetryRatio,
 		RetrySlack:  cfg.Settings.RetrySlack,
 		RetryWindow: cfg.Settings.RetryWindow,
 	})
+	e.tickedAt.Store(cfg.Clock.Now().UnixNano())
 	c := newControl(e)
 	e.start(func(context.Context) { c.run() })
 	e.start(e.watchConfig)
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -38,6 +38,7 @@
 		IdleTimeout:                  idleWait,
 		MaxHeaderBytes:               maxHeaderBytes,
 		ConnState:                    e.countConn,
+		ConnContext:                  keepConn,
 		DisableGeneralOptionsHandler: true,
 	}
 	ready := mux.NewRouter()
@@ -94,10 +95,13 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (e *Entry) countConn(_ net.Conn, state http.ConnState) {
+func (e *Entry) countConn(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		e.conns.Add(1)
+		if float64(e.conns.Add(1)) > connsOver*float64(e.bounds.conns) {
+			// Nothing of it was read: its caller tries another router.
+			conn.Close()
+		}
 	case http.StateClosed, http.StateHijacked:
 		e.conns.Add(-1)
 	}
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -1,7 +1,10 @@
 package pomeloentry
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -16,7 +19,7 @@
 	// requestMemory is what a request takes while it runs: two connections' buffers, stacks and a body, measured at 45 KB.
 	requestMemory = 64 << 10
 	// requestsShare is the part of the memory that requests may take.
-	requestsShare = 0.4
+	requestsShare = 0.3
 	// requestsPerCore is the number of streams that a core carries: a stream has about 7 events a second at 40 µs each, and a request
 	// takes 0.4 ms besides; three quarters of the core are used.
 	requestsPerCore = 1600
@@ -60,10 +63,62 @@
 	return b
 }
 
+const (
+	// lagMost is how late the control goroutine's ticks may come; beyond, the processor does not keep up and new requests are refused.
+	// A request that waits as long to be read has lost a quarter of its target.
+	lagMost = 100 * time.Millisecond
+	// lagLook is the lateness from which a router looks whether a caller is still there before it sends a request on.
+	lagLook = 20 * time.Millisecond
+	// connsOver is how far over their bound connections may go before new ones are closed unread.
+	connsOver = 1.3
+)
+
+// lag returns how late the control goroutine is: what waits to run on this processor waits as long.
+func (e *Entry) lag() time.Duration {
+	since := time.Duration(e.cfg.Clock.Now().UnixNano() - e.tickedAt.Load())
+	return max(time.Duration(e.tickLag.Load()), since-tickEvery)
+}
+
+// noteTick notes when the control goroutine ticks.
+func (e *Entry) noteTick(now time.Time) {
+	last := e.tickedAt.Swap(now.UnixNano())
+	e.tickLag.Store(max(0, now.UnixNano()-last-int64(tickEvery)))
+}
+
+type connKey struct{}
+
+// keepConn keeps a caller's connection with its requests.
+func keepConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// left reports whether the caller closed its connection. On a processor that does not keep up, net/http notices that late: requests
+// would be sent on whose callers gave up while nobody read them.
+func (e *Entry) left(r *http.Request) bool {
+	if e.lag() < lagLook {
+		return false
+	}
+	conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = (n == 0 && failed == nil) || failed == syscall.ECONNRESET
+	})
+	return gone || err != nil
+}
+
 // pressed reports whether the router has nearly what it can take, or had a moment ago.
 func (e *Entry) pressed() bool {
 	now := e.cfg.Clock.Now().UnixNano()
-	full := float64(e.inFlight.Load()) > pressedShare*float64(e.bounds.requests) || float64(e.conns.Load()) > pressedShare*float64(e.bounds.conns)
+	full := e.lag() > lagMost || float64(e.inFlight.Load()) > pressedShare*float64(e.bounds.requests) || float64(e.conns.Load()) > pressedShare*float64(e.bounds.conns)
 	if full {
 		e.pressedAt.Store(now)
 	}
@@ -75,13 +130,13 @@
 	if e.pressed() {
 		w.Header().Set("Connection", "close")
 	}
-	if e.inFlight.Load() <= e.bounds.requests {
+	if e.inFlight.Load() <= e.bounds.requests && e.lag() <= lagMost {
 		return true
 	}
 	err := pomelorelay.NewError(pomelorelay.CodeRouterFull, "", nil)
 	err.RetryAfter = busyRetry
 	pomeloforward.Refuse(w, err)
 	e.metrics.Answered("None", "full", 0, 0)
-	e.log(pomelorelay.EventRouterFull, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.bounds.requests))
+	e.log(pomelorelay.EventRouterFull, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.bounds.requests), field("LagMS", e.lag().Milliseconds()))
 	return false
 }
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -12,8 +12,10 @@
 	registrationTTL = 6 * time.Second
 	// renewEvery is the interval of renewals, a third of the time to live.
 	renewEvery = 2 * time.Second
-	// peersPace is the least time between two calls for the routers' entries: when a fleet starts, each entry would wake every watch.
-	peersPace = time.Second
+	// peersPace is the least time between two calls for the routers' entries, of which each change wakes every watch; peersApart is what
+	// each router adds to it for those that do not relay: their relay tells them everything meanwhile.
+	peersPace  = time.Second
+	peersApart = 100 * time.Millisecond
 	// leaveWait bounds the call that ends the registration at a planned stop.
 	leaveWait = 500 * time.Millisecond
 )
@@ -93,8 +95,9 @@
 }
 
 func (e *Entry) watchPeers(ctx context.Context) {
-	w := &e.peersWatch
-	e.follow(ctx, followed{name: "routers", pace: peersPace, call: func(bool) error {
+	w, outer := &e.peersWatch, ctx
+	e.follow(ctx, followed{name: "routers", call: func(bool) error {
+		began := time.Now()
 		ctx, after := w.begin(ctx)
 		change, err := e.cfg.Platform.WatchPeers(ctx, after, e.watchWait())
 		if err != nil {
@@ -108,10 +111,18 @@
 			return nil
 		}
 		e.post(&peersArrived{change})
+		sleep(outer, e.peersPace()-time.Since(began))
 		return nil
 	}})
 }
 
+func (e *Entry) peersPace() time.Duration {
+	if e.relaying.Load() {
+		return peersPace
+	}
+	return max(peersPace, time.Duration(e.peerCount.Load())*peersApart)
+}
+
 // peersArrived is posted when the store told of routers.
 type peersArrived struct{ change pomelorelay.PeerChange }
 
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -153,6 +153,10 @@
 		c.refuse(err)
 		return
 	}
+	if left := c.h.cfg.Left; left != nil && left(c.r) {
+		c.note(endingGone, pomelorelay.EventRequestGone)
+		panic(http.ErrAbortHandler)
+	}
 	budget := c.h.budget(c.service)
 	budget.Earn(budgetPart * c.h.cfg.RetryRatio)
 	for {
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -18,6 +19,8 @@
 	Placement Placement
 	Stopping  Stopping
 	Meter     Meter
+	// Left reports whether a request's caller has left, where that can be told sooner than by its context; nil when it cannot.
+	Left func(*http.Request) bool
 	// RetryRatio, RetryWindow and RetrySlack bound this router's part of what the fleet sends again of one service's requests:
 	// the ratio of its requests, and the slack within the window.
 	RetryRatio  float64
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -219,14 +219,20 @@
 	if s.level == 0 {
 		return true
 	}
+	served := s.account(id).window.served
 	// Half of the request's cost lies beyond: of requests that straddle the level every second one is served.
-	return s.account(id).window.served+cost/2 <= s.level
+	return served+cost/2 <= s.level || served <= s.least
 }
 
+// water is up to where accounts are owed. Engines often produce more than the operators' figure; what is above it goes to whoever is
+// short and has had least. Given to whoever comes first, a flood takes most of it, and an account that is over the figure by little
+// is seen to get less than half of what the flood gets.
+func (s *Shares) water() pomelorelay.Cost { return max(s.level, s.least) }
+
 // State returns what the account asked for and was served in the window, and the level up to which accounts are owed.
 func (s *Shares) State(id pomelorelay.AccountID) (asked, served, level pomelorelay.Cost) {
 	a := s.account(id)
-	return a.window.asked, a.window.served, s.level
+	return a.window.asked, a.window.served, s.water()
 }
 
 // Wait returns about how long the account must wait until it is owed a request of the cost again.
@@ -234,7 +240,7 @@
 	if s.level == 0 {
 		return 0
 	}
-	over := s.account(id).window.served + cost/2 - s.level
-	perSecond := s.level / pomelorelay.Cost(s.cfg.Window.Seconds())
+	over := s.account(id).window.served + cost/2 - s.water()
+	perSecond := s.water() / pomelorelay.Cost(s.cfg.Window.Seconds())
 	return min(s.cfg.Window, max(0, time.Duration(float64(over/perSecond)*float64(time.Second))))
 }
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -144,3 +144,22 @@
 		}
 	})
 }
+
+// Engines produce more than the operators' figure. An account that asks for a little more than its share of the figure would be
+// refused half of that, while a flood takes what is left over.
+func TestTheShortestAccountIsOwedWhatIsLeftOver(t *testing.T) {
+	const tokens = 100_000
+	s := pomeloshare.New(pomeloshare.Config{Window: window})
+	s.SetCapacity(tokens)
+	s.Tick(start)
+	s.Asked("flood", 20*tokens)
+	s.Served("flood", 6*tokens)
+	s.Asked("short", 4*tokens)
+	s.Served("short", 2*tokens)
+	s.Asked("shortest", 4*tokens)
+	s.Served("shortest", 1.9*tokens)
+	s.Tick(start.Add(100 * time.Millisecond))
+	if s.Owed("flood", tokens/10) || !s.Owed("shortest", tokens/10) || s.Owed("short", tokens/2) {
+		t.Error("what is left over does not go to the shortest account first")
+	}
+}
