--- a/pomeloentry/follow.go
+++ b/pomeloentry/follow.go
@@ -13,6 +13,8 @@
 	// outage a router should hear from it long before its peers call it out of touch, 4 s.
 	followPause = 100 * time.Millisecond
 	followMost  = 400 * time.Millisecond
+	// followApart is what each router adds to the bound: together they try twenty times a second.
+	followApart = 50 * time.Millisecond
 )
 
 // watch is one watch of the store: where it stands, and how to make it begin anew.
@@ -88,6 +90,15 @@
 	}
 }
 
+// followMost bounds the pause after failures. Routers whose relay goes on trying can wait: all of a large fleet at once would spend the
+// store's rate on calls that fail, and the relay's news wake them.
+func (e *Entry) followMost() time.Duration {
+	if e.relaying.Load() {
+		return followMost
+	}
+	return max(followMost, time.Duration(e.peerCount.Load())*followApart)
+}
+
 // followed is something in the store that is watched.
 type followed struct {
 	name string
@@ -122,7 +133,7 @@
 			e.log(pomelorelay.EventPlatformLost, field("What", f.name), field("Code", int(pomelorelay.CodeOf(err))), field("Fault", err.Error()))
 		}
 		e.storeBack.await(ctx, pause)
-		pause = min(2*pause, followMost)
+		pause = min(2*pause, e.followMost())
 	}
 }
 
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -9,9 +9,9 @@
 
 const (
 	// registrationTTL is how long a router's entry outlives its last renewal; its peers close nothing before their links break.
-	registrationTTL = 6 * time.Second
+	registrationTTL = 15 * time.Second
 	// renewEvery is the interval of renewals, a third of the time to live.
-	renewEvery = 2 * time.Second
+	renewEvery = 5 * time.Second
 	// peersPace is the least time between two calls for the routers' entries, of which each change wakes every watch; peersApart is what
 	// each router adds to it for those that do not relay: their relay tells them everything meanwhile.
 	peersPace  = time.Second
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -145,6 +145,7 @@
 		return
 	}
 	c.e.newsAt.Store(now.UnixNano())
+	c.e.storeBack.signal()
 	change := pomelorelay.UpstreamChange{At: m.At, Whole: m.Whole, Present: m.Present, Gone: m.Gone}
 	(&upstreamsArrived{change: change, told: true}).apply(c, now)
 }
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -11,6 +11,9 @@
 	// upstreamsPace is the least time between two calls for the upstreams' entries, which change with every heartbeat. An upstream
 	// that leaves must get nothing 2.5 s later; whichever router hears first tells the others.
 	upstreamsPace = 900 * time.Millisecond
+	// upstreamsWait is how long such a call waits for a change. A relay whose watch waited longer would have nothing to tell its
+	// neighbours, and each would ask the store itself.
+	upstreamsWait = 700 * time.Millisecond
 	// returnWait is how long after the store came back a vanished entry may be missing: upstreams that live are back within 2 s.
 	returnWait = 2300 * time.Millisecond
 	// massWait is how long many entries that vanish at once are kept: they lapsed in an outage that this router did not notice.
@@ -74,7 +77,7 @@
 			}
 			began := time.Now()
 			watching, after := w.begin(ctx)
-			change, err := e.cfg.Platform.WatchUpstreams(watching, after, watchWait)
+			change, err := e.cfg.Platform.WatchUpstreams(watching, after, upstreamsWait)
 			if err != nil {
 				return err
 			}
