--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -58,6 +58,8 @@
 	// tickedAt is the Unix nanosecond of the control goroutine's last tick, tickLag how late it came.
 	tickedAt atomic.Int64
 	tickLag  atomic.Int64
+	// laggedAt is the Unix nanosecond of the last tick that came late.
+	laggedAt atomic.Int64
 
 	ctx     context.Context
 	cancel  context.CancelFunc
--- a/pomeloentry/follow.go
+++ b/pomeloentry/follow.go
@@ -13,8 +13,9 @@
 	// outage a router should hear from it long before its peers call it out of touch, 4 s.
 	followPause = 100 * time.Millisecond
 	followMost  = 400 * time.Millisecond
-	// followApart is what each router adds to the bound: together they try twenty times a second.
+	// followApart is what each router adds to the bound, up to followFar: a large fleet would spend the store's rate on calls that fail.
 	followApart = 50 * time.Millisecond
+	followFar   = 1200 * time.Millisecond
 )
 
 // watch is one watch of the store: where it stands, and how to make it begin anew.
@@ -96,7 +97,7 @@
 	if e.relaying.Load() {
 		return followMost
 	}
-	return max(followMost, time.Duration(e.peerCount.Load())*followApart)
+	return min(max(followMost, time.Duration(e.peerCount.Load())*followApart), followFar)
 }
 
 // followed is something in the store that is watched.
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -67,6 +67,9 @@
 		return pomelorelay.NewError(pomelorelay.CodeListen, addr.String(), err)
 	}
 	e.servers = append(e.servers, s)
+	if s.ConnState != nil {
+		l = boundListener{Listener: l, e: e}
+	}
 	e.start(func(context.Context) {
 		if err := s.Serve(l); err != http.ErrServerClosed {
 			e.errs <- err
@@ -95,13 +98,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (e *Entry) countConn(conn net.Conn, state http.ConnState) {
+func (e *Entry) countConn(_ net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		if float64(e.conns.Add(1)) > connsOver*float64(e.bounds.conns) {
-			// Nothing of it was read: its caller tries another router.
-			conn.Close()
-		}
+		e.conns.Add(1)
 	case http.StateClosed, http.StateHijacked:
 		e.conns.Add(-1)
 	}
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -69,6 +69,8 @@
 	lagMost = 100 * time.Millisecond
 	// lagLook is the lateness from which a router looks whether a caller is still there before it sends a request on.
 	lagLook = 20 * time.Millisecond
+	// laggedFor is how long after the last late tick callers are looked for: they wait a second until they give up.
+	laggedFor = 1500 * time.Millisecond
 	// connsOver is how far over their bound connections may go before new ones are closed unread.
 	connsOver = 1.3
 )
@@ -82,7 +84,35 @@
 // noteTick notes when the control goroutine ticks.
 func (e *Entry) noteTick(now time.Time) {
 	last := e.tickedAt.Swap(now.UnixNano())
-	e.tickLag.Store(max(0, now.UnixNano()-last-int64(tickEvery)))
+	lag := max(0, now.UnixNano()-last-int64(tickEvery))
+	e.tickLag.Store(lag)
+	if lag >= int64(lagLook) {
+		e.laggedAt.Store(now.UnixNano())
+	}
+}
+
+// lagged reports whether the control goroutine was late a moment ago: what waited meanwhile is only read now.
+func (e *Entry) lagged() bool {
+	now := e.cfg.Clock.Now().UnixNano()
+	return e.lag() >= lagLook || now-e.laggedAt.Load() < int64(laggedFor)
+}
+
+// boundListener closes connections that come while there are too many, before anything is read of them: their callers try another
+// router, and no goroutine or buffer is spent on them.
+type boundListener struct {
+	net.Listener
+	e *Entry
+}
+
+// Accept returns the next connection that the router has room for.
+func (l boundListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || float64(l.e.conns.Load()) <= connsOver*float64(l.e.bounds.conns) {
+			return conn, err
+		}
+		conn.Close()
+	}
 }
 
 type connKey struct{}
@@ -95,7 +125,7 @@
 // left reports whether the caller closed its connection. On a processor that does not keep up, net/http notices that late: requests
 // would be sent on whose callers gave up while nobody read them.
 func (e *Entry) left(r *http.Request) bool {
-	if e.lag() < lagLook {
+	if !e.lagged() {
 		return false
 	}
 	conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
