--- a/pomeloentry/entry_test.go
+++ b/pomeloentry/entry_test.go
@@ -185,3 +185,43 @@
 	}
 	f.await("it is ready again", func() bool { return f.ready(n) })
 }
+
+// Fourteen routers in one failure domain: each telling all others would take a small host's processor, so one relays. Should the rest
+// not hear through it what runs at an upstream, all would send there at once.
+func TestReportsReachEveryRouterThroughTheRelay(t *testing.T) {
+	const routers = 14
+	f := newFleet(t)
+	f.store.Publish(f.config(1, "/a/"))
+	f.upstream("u1", 0)
+	for i := range routers {
+		f.startWith(8*time.Second, func(s *pomelorelay.FleetSettings) {
+			s.Self.Power = 1
+			if i == 3 {
+				s.Self.Power = 2
+			}
+		})
+	}
+	for _, n := range f.nodes {
+		f.awaitStatus(n, "/a/", 200)
+	}
+	f.await("all know each other", func() bool {
+		for _, n := range f.nodes {
+			if _, text := f.get(n.settings.Metrics, "/metrics"); !strings.Contains(text, `pomelorelay_state{name="peers"} 13`) {
+				return false
+			}
+		}
+		return true
+	})
+	last := f.nodes[routers-1]
+	f.store.Publish(f.config(2, "/b/"))
+	for _, n := range f.nodes {
+		f.awaitStatus(n, "/b/", 200)
+	}
+	last.view.SetCut(true)
+	f.store.Drop("u1")
+	f.upstream("u2", 0)
+	f.await("a router without the store hears of u2 by its relay", func() bool {
+		status, by := f.call(last, "/b/")
+		return status == 200 && by == "u2"
+	})
+}
