The traffic path's attempts in a file of their own; settings are checked by a flag; nothing unused is read

The retry and reuse windows of the platform's settings decided nothing and are read no more; pomeloslot's package comment says what its parts do.

--- a/cmd/pomelorelayd/entry.go
+++ b/cmd/pomelorelayd/entry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -32,7 +33,22 @@
 func registerEntry(app *kingpin.Application) {
 	command := app.Command("entry", "Run an entry router on the users' platform until SIGTERM stops it gracefully.")
 	path := command.Flag("settings", "The platform's settings file.").Envar(pomeloplatform.SettingsVariable).Required().String()
-	command.Action(func(*kingpin.ParseContext) error { return runEntry(*path) })
+	check := command.Flag("check", "Check the settings file and exit.").Bool()
+	command.Action(func(*kingpin.ParseContext) error {
+		if *check {
+			return checkEntry(*path)
+		}
+		return runEntry(*path)
+	})
+}
+
+func checkEntry(path string) error {
+	settings, err := pomeloplatform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: the settings of %s are in order\n", path, settings.Self.Node)
+	return nil
 }
 
 func runEntry(path string) error {
--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -96,17 +96,16 @@
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.forward = pomeloforward.New(pomeloforward.Config{
-		Clock:       cfg.Clock,
-		Logger:      cfg.Logger,
-		Wire:        cfg.Wire,
-		Tables:      tables{e},
-		Placement:   placement{e},
-		Stopping:    stopping{e},
-		Meter:       e.metrics,
-		Left:        e.left,
-		RetryRatio:  cfg.Settings.RetryRatio,
-		RetrySlack:  cfg.Settings.RetrySlack,
-		RetryWindow: cfg.Settings.RetryWindow,
+		Clock:      cfg.Clock,
+		Logger:     cfg.Logger,
+		Wire:       cfg.Wire,
+		Tables:     tables{e},
+		Placement:  placement{e},
+		Stopping:   stopping{e},
+		Meter:      e.metrics,
+		Left:       e.left,
+		RetryRatio: cfg.Settings.RetryRatio,
+		RetrySlack: cfg.Settings.RetrySlack,
 	})
 	e.tickedAt.Store(cfg.Clock.Now().UnixNano())
 	c := newControl(e)
--- a/pomeloentry/world_test.go
+++ b/pomeloentry/world_test.go
@@ -122,7 +122,7 @@
 		Self:    pomelorelay.Peer{Node: pomelorelay.NodeID(fmt.Sprintf("r%d", len(f.nodes))), Addr: f.freeAddr(), Domain: "a", Region: "ra"},
 		Regions: map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra"},
 		Callers: f.freeAddr(), Readiness: f.freeAddr(), Metrics: f.freeAddr(),
-		StopWait: stopWait, RetryRatio: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ShareWindow: 4 * time.Second,
+		StopWait: stopWait, RetryRatio: 0.2, RetrySlack: 50, ShareWindow: 4 * time.Second,
 	}
 	change(&n.settings)
 	entry, err := pomeloentry.New(pomeloentry.Config{Settings: n.settings, Platform: n.view, Wire: pomelofake.FleetWire{}, Logger: n.log})
--- /dev/null
+++ b/pomeloforward/attempt.go
@@ -0,0 +1,225 @@
+package pomeloforward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+// run sends the request until it is answered or must not be sent again.
+func (c *call) run() {
+	if err := c.fitsStop(); err != nil {
+		c.refuse(err)
+		return
+	}
+	if left := c.h.cfg.Left; left != nil && left(c.r) {
+		c.note(endingGone, pomelorelay.EventRequestGone)
+		panic(http.ErrAbortHandler)
+	}
+	budget := c.h.budget(c.service)
+	budget.Earn(budgetPart * c.h.cfg.RetryRatio)
+	for {
+		f := c.attempt()
+		if f == nil {
+			c.served()
+			return
+		}
+		if !c.mayRetry(f) || (f.Outcome != pomelolink.OutcomeNotSent && !budget.Spend()) {
+			c.fail(f)
+			return
+		}
+		c.h.cfg.Meter.Retried(f.Err.Code)
+		c.log(pomelorelay.EventRequestRetried, codeFields(f)...)
+	}
+}
+
+const (
+	// streamTime is how long most streams take, nine of ten on a busy day, and plainTime is the same for other requests. One that
+	// begins later before a planned stop would be cut by it.
+	streamTime = 5 * time.Second
+	plainTime  = 700 * time.Millisecond
+)
+
+// fitsStop refuses a request that the process could not end before it stops.
+func (c *call) fitsStop() error {
+	stopsIn, stopping := c.h.cfg.Stopping.StopsIn()
+	need := plainTime
+	if c.route.Kind == pomelorelay.RouteStream {
+		need = streamTime
+	}
+	if !stopping || stopsIn > need {
+		return nil
+	}
+	e := pomelorelay.NewError(pomelorelay.CodeStopping, "", nil)
+	// Another router takes it at once.
+	e.RetryAfter = time.Millisecond
+	return e
+}
+
+// mayRetry reports whether the request may be sent again after the failure.
+func (c *call) mayRetry(f *pomelolink.Failure) bool {
+	if c.decision.Reason != pomeloplace.ReasonNone || c.r.Context().Err() != nil || c.left() <= 0 {
+		return false
+	}
+	switch f.Outcome {
+	case pomelolink.OutcomeNotSent:
+		return c.unreached < maxUnreached
+	case pomelolink.OutcomeRefusedNotRun:
+		return c.refused < maxRefused && c.runs < max(c.route.Attempts, 1)
+	case pomelolink.OutcomeCutShort, pomelolink.OutcomeUnknown:
+		return c.repeatable() && c.runs < c.route.Attempts
+	}
+	return false
+}
+
+// attempt finds a place for the request and sends it there once.
+func (c *call) attempt() *pomelolink.Failure {
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline.Add(endSlack))
+	defer cancel()
+	ticket, f := c.place(ctx)
+	if f != nil {
+		return f
+	}
+	up := c.decision.Upstream
+	before := c.ran
+	// Until the outcome is known the request counts as one that may have run, also when a defect ends this function.
+	c.ran = true
+	result := pomeloplace.ResultGone
+	defer func() { ticket.Ended(result) }()
+	f = c.exchange(ctx, up, ticket)
+	result = resultOf(ctx, f)
+	if f == nil {
+		return nil
+	}
+	c.avoid = append(c.avoid, up.ID)
+	switch f.Outcome {
+	case pomelolink.OutcomeNotSent:
+		c.unreached++
+		c.ran = before
+	case pomelolink.OutcomeRefusedNotRun:
+		c.refused++
+		c.ran = before
+	default:
+		c.runs++
+	}
+	return f
+}
+
+// resultOf tells what an attempt says of its upstream. A caller that left says nothing of it.
+func resultOf(ctx context.Context, f *pomelolink.Failure) pomeloplace.Result {
+	switch {
+	case f == nil:
+		return pomeloplace.ResultGood
+	case errors.Is(ctx.Err(), context.Canceled):
+		return pomeloplace.ResultGone
+	case f.Outcome == pomelolink.OutcomeNotSent:
+		return pomeloplace.ResultUnreached
+	}
+	return pomeloplace.ResultFailed
+}
+
+func (c *call) place(ctx context.Context) (Ticket, *pomelolink.Failure) {
+	ticket, d, err := c.h.cfg.Placement.Place(ctx, c.work())
+	c.decision = d
+	if err != nil {
+		c.decision.Reason = pomeloplace.ReasonLate
+		return nil, pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeDeadline, err)
+	}
+	if d.Reason == pomeloplace.ReasonNone {
+		return ticket, nil
+	}
+	f := pomelolink.NewFailure(pomelolink.OutcomeNotSent, codeOf(d.Reason), nil)
+	f.Err.RetryAfter = d.RetryAfter
+	return nil, f
+}
+
+func codeOf(r pomeloplace.Reason) pomelorelay.ResultCode {
+	switch r {
+	case pomeloplace.ReasonShare:
+		return pomelorelay.CodeShareSpent
+	case pomeloplace.ReasonLate:
+		return pomelorelay.CodeUpstreamsBusy
+	}
+	return pomelorelay.CodeNoUpstream
+}
+
+// generatedWeight is how much a generated token counts against one that is read, by the platform's word.
+const generatedWeight = 2
+
+func (c *call) work() Work {
+	output := c.fields.Output
+	if c.fields.Guess > 0 {
+		output = min(max(c.fields.Guess, 1), max(output, 1))
+	}
+	return Work{
+		ID:      c.fields.ID,
+		Account: c.account,
+		Cost:    pomelorelay.Cost(c.fields.Prompt + generatedWeight*output),
+		Again:   c.runs+c.refused > 0,
+		Place: pomeloplace.Request{
+			Service: c.service,
+			Prompt:  c.fields.Prompt,
+			Output:  output,
+			Parts:   c.fields.Parts,
+			Target:  c.route.Target,
+			Left:    c.left(),
+			Avoid:   c.avoid,
+		},
+	}
+}
+
+// exchange sends the request to an upstream and passes its answer on.
+func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, ticket Ticket) *pomelolink.Failure {
+	x, f := c.h.links.Open(ctx, up.Addr, c.request(up), len(c.bytes()), false)
+	if f != nil {
+		return f
+	}
+	defer func() { x.Close() }()
+	if f := c.checkHead(x); f != nil {
+		return f
+	}
+	if c.route.Kind == pomelorelay.RouteStream && x.Response.StatusCode == http.StatusOK {
+		return c.passStream(x, ticket)
+	}
+	ticket.Begun()
+	if c.answering {
+		// A stream that was to be taken up again got another answer than events; nothing of it can be passed on.
+		return pomelolink.NewFailure(pomelolink.OutcomeCutShort, pomelorelay.CodeStreamBroken, nil)
+	}
+	return c.passPlain(x)
+}
+
+// request builds the request to an upstream: method, path, query and body as they came.
+func (c *call) request(up pomelorelay.FleetUpstream) *http.Request {
+	head := c.r.Header.Clone()
+	pomelolink.RemoveHopHeaders(head)
+	head.Del("Content-Length")
+	head.Del("Expect")
+	if _, ok := head["User-Agent"]; !ok {
+		// An empty entry keeps net/http from adding a name of its own.
+		head["User-Agent"] = []string{""}
+	}
+	c.h.cfg.Wire.WriteUpstream(head, pomelorelay.UpstreamFields{
+		Wait: c.left(), Upstream: up.ID, Account: c.account, LastEvent: c.lastEvent, HasLastEvent: c.hasLastEvent,
+	})
+	req := &http.Request{
+		Method:        c.r.Method,
+		URL:           &url.URL{Scheme: "http", Host: c.r.Host, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery, ForceQuery: c.r.URL.ForceQuery},
+		Host:          c.r.Host,
+		Header:        head,
+		Body:          http.NoBody,
+		ContentLength: int64(len(c.bytes())),
+	}
+	if len(c.bytes()) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(c.bytes()))
+	}
+	return req
+}
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -21,11 +21,9 @@
 	Meter     Meter
 	// Left reports whether a request's caller has left, where that can be told sooner than by its context; nil when it cannot.
 	Left func(*http.Request) bool
-	// RetryRatio, RetryWindow and RetrySlack bound this router's part of what the fleet sends again of one service's requests:
-	// the ratio of its requests, and the slack within the window.
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetryRatio and RetrySlack bound what the fleet sends again of one service's requests: the ratio of them, and the slack.
+	RetryRatio float64
+	RetrySlack float64
 }
 
 // Tables gives the configuration in force.
--- a/pomeloforward/world_test.go
+++ b/pomeloforward/world_test.go
@@ -142,7 +142,7 @@
 	})
 	h := pomeloforward.New(pomeloforward.Config{
 		Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}, Wire: pomelofake.FleetWire{}, Tables: w, Placement: w, Stopping: w, Meter: w,
-		RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 100,
 	})
 	w.server = httptest.NewServer(h)
 	t.Cleanup(func() {
--- a/pomeloslot/doc.go
+++ b/pomeloslot/doc.go
@@ -3,6 +3,7 @@
 // least, and an Asker decides at which owners its router registers.
 //
 // Both are decision parts: no goroutines, no locks, no I/O, and not safe for
-// concurrent use. Beyond the agreed API, Own takes the peers to ask, and
-// SetPeers, Back and Cached exist.
+// concurrent use. A new Owner first asks the routers what runs at its
+// upstreams; what an upstream keeps of prompts it learns from cache events,
+// which may be late or missing.
 package pomeloslot
--- a/settings_fleet.go
+++ b/settings_fleet.go
@@ -22,12 +22,9 @@
 	MaxFDs int
 	// StopWait is the time from the signal to stop until the process is killed.
 	StopWait time.Duration
-	// RetryRatio and RetrySlack bound what the whole fleet sends again within RetryWindow, of one service's requests.
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetryRatio and RetrySlack bound what the whole fleet sends again of one service's requests: a ratio of them, and a slack.
+	RetryRatio float64
+	RetrySlack float64
 	// ShareWindow is the time over which accounts' shares of the engines are reckoned.
 	ShareWindow time.Duration
-	// ReuseWindow is the time within which a prompt part that is read again counts as read in vain.
-	ReuseWindow time.Duration
 }
