Only prompts that alone nearly fill their limit wait behind as much as others do

Cause: since the largest that are owed wait behind a whole limit, prompts of half of it did too, and were sent although their answers were expected after their target; TestRefusesWhatCannotBeginInTime failed, and had not been run then. Change: the wider room is for prompts whose own reading takes three quarters.

--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -241,7 +241,7 @@
 	// ever serve the largest.
 	own := c.expected - c.backlog
 	room := limit / 4
-	if r.Owed {
+	if r.Owed && own > limit-room {
 		room = limit
 	}
 	if own > limit/2 && c.backlog <= room && own < r.Left/2 {
