--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -121,7 +121,7 @@
 			c.shares.Asked(w.Account, w.Cost)
 		}
 		r.Owed = w.Again || c.shares.Owed(w.Account, w.Cost)
-		r.Ahead = c.shares.Ahead(w.Account)
+		r.Lead = c.shares.Lead(w.Account)
 		share.Cost, share.Owed = w.Cost, r.Owed
 		share.Asked, share.Served, share.Level = c.shares.State(w.Account)
 	}
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -25,8 +25,8 @@
 	Left   time.Duration
 	// Owed tells that the request is within its account's share.
 	Owed bool
-	// Ahead tells that the account has had more than its share while another is short.
-	Ahead bool
+	// Lead is how many times as much the account has had as it may beside another that is short; up to one it is not ahead.
+	Lead float64
 	// Avoid lists upstreams that failed this request.
 	Avoid []pomelorelay.UpstreamID
 }
@@ -160,10 +160,12 @@
 	freeShare = 0.55
 	// freeSlots is the part of an engine's slots up to which requests beyond a share are taken.
 	freeSlots = 0.9
-	// aheadSlots and aheadShare are the same for accounts that are ahead of one that is short. What lies between is left to the short
-	// one, which gets all it asks for before the engines are full; below, nobody would use it.
-	aheadSlots = 0.6
+	// aheadSlots and aheadShare are the same for accounts that are just ahead of one that is short. What lies between is left to the
+	// short one, which gets all it asks for before the engines are full; below, nobody would use it. Both fall with the lead, down to
+	// aheadLeast of them, so that of two accounts that are ahead the smaller one gets more of what it asks.
+	aheadSlots = 0.65
 	aheadShare = 0.45
+	aheadLeast = 0.6
 	// fullMemory is the part of an engine's memory up to which running requests may fill it; above, it evicts what runs.
 	fullMemory = 0.9
 	// slotTurn is about how long it takes until one of an engine's slots is free, five seconds of a run by 64 slots.
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -141,7 +141,7 @@
 	}
 	now := start.Add(time.Minute)
 	r := prompt(1, 10, 10)
-	r.Owed, r.Ahead = false, true
+	r.Owed, r.Lead = false, 1.5
 	if d := p.Place(now, r); d.Reason != pomeloplace.ReasonShare {
 		t.Errorf("an account that is ahead of others: %q", d.Reason)
 	}
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -225,8 +225,9 @@
 func (p *Placer) refuses(c candidate, r *Request) Reason {
 	share, slots, reason := owedShare, 1.0, ReasonLate
 	switch {
-	case !r.Owed && r.Ahead:
-		share, slots, reason = aheadShare, aheadSlots, ReasonShare
+	case !r.Owed && r.Lead > 1:
+		part := max(1/r.Lead, aheadLeast)
+		share, slots, reason = part*aheadShare, part*aheadSlots, ReasonShare
 	case !r.Owed:
 		share, slots, reason = freeShare, freeSlots, ReasonShare
 	}
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -172,12 +172,13 @@
 	return least
 }
 
-// Ahead reports whether an account beyond its share has had so much more than another that is short that the other goes first.
-func (s *Shares) Ahead(id pomelorelay.AccountID) bool {
+// Lead returns how many times as much an account beyond its share has had as it may have beside another that is short; up to one it is
+// not ahead.
+func (s *Shares) Lead(id pomelorelay.AccountID) float64 {
 	if s.level == 0 || s.least == 0 {
-		return false
+		return 0
 	}
-	return s.account(id).window.served > evenShare*max(s.least, s.level)
+	return float64(s.account(id).window.served / (evenShare * s.water()))
 }
 
 func (s *Shares) slide() {
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -88,15 +88,15 @@
 	s.Asked("short", 4*tokens)
 	s.Served("short", tokens)
 	s.Tick(start.Add(100 * time.Millisecond))
-	if !s.Ahead("flood") {
+	if s.Lead("flood") <= 1 {
 		t.Error("the flood is not ahead")
 	}
-	if s.Ahead("short") {
+	if s.Lead("short") > 1 {
 		t.Error("the short account is ahead of itself")
 	}
 	s.Served("short", 3*tokens)
 	s.Tick(start.Add(200 * time.Millisecond))
-	if s.Ahead("flood") {
+	if s.Lead("flood") > 1 {
 		t.Error("the flood waits for an account that got everything")
 	}
 }
@@ -163,3 +163,20 @@
 		t.Error("what is left over does not go to the shortest account first")
 	}
 }
+
+// Two accounts are ahead of a third that is short, one of them by far. Held back alike, the smaller of the two gets less than half of
+// what the larger one gets.
+func TestTheFurthestAheadIsHeldBackMost(t *testing.T) {
+	const tokens = 100_000
+	s := pomeloshare.New(pomeloshare.Config{Window: window})
+	s.SetCapacity(tokens)
+	s.Tick(start)
+	for id, served := range map[pomelorelay.AccountID]pomelorelay.Cost{"first": 18 * tokens, "second": 10 * tokens, "short": 5 * tokens} {
+		s.Asked(id, 20*tokens)
+		s.Served(id, served)
+	}
+	s.Tick(start.Add(100 * time.Millisecond))
+	if first, second := s.Lead("first"), s.Lead("second"); first <= second || second <= 1 {
+		t.Errorf("leads of %.2f and %.2f", first, second)
+	}
+}
