--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -167,11 +167,11 @@
 	// small one of 360 a second the first from 0.64 to 0.76. At 0.5 more of the engines' work is lost than lateness is saved.
 	freeSlots = 0.6
 	// aheadSlots and aheadShare are the same for accounts that are just ahead of one that is short. What lies between is left to the
-	// short one, which gets all it asks for before the engines are full; below, nobody would use it. Both fall with the lead, down to
-	// aheadLeast of them, so that of two accounts that are ahead the smaller one gets more of what it asks.
+	// short one, which gets all it asks for before the engines are full; below, nobody would use it. The slots fall with the square of
+	// the lead, down to aheadLeast of them: users call it unfair when one account gets twice as much as another that is short.
 	aheadSlots = 0.5
-	aheadShare = 0.45
-	aheadLeast = 0.8
+	aheadShare = 0.4
+	aheadLeast = 0.4
 	// fullMemory is the part of an engine's memory up to which running requests may fill it; above, it evicts what runs.
 	fullMemory = 0.9
 	// slotTurn is about how long it takes until one of an engine's slots is free, five seconds of a run by 64 slots.
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -233,8 +233,8 @@
 	share, slots, reason := owedShare, 1.0, ReasonLate
 	switch {
 	case !r.Owed && r.Lead > 1:
-		part := max(1/r.Lead, aheadLeast)
-		share, slots, reason = part*aheadShare, part*aheadSlots, ReasonShare
+		part := max(1/(r.Lead*r.Lead), aheadLeast)
+		share, slots, reason = aheadShare, part*aheadSlots, ReasonShare
 	case !r.Owed:
 		share, slots, reason = freeShare, freeSlots, ReasonShare
 	}
