--- a/pomeloforward/forward_test.go
+++ b/pomeloforward/forward_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelofake"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
