--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -72,6 +72,7 @@
 		case <-ticker.C:
 			now := c.now()
 			c.e.noteTick(now)
+			c.e.adapt()
 			c.tick(now)
 		}
 	}
--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -53,6 +53,8 @@
 	newsAt    atomic.Int64
 	conns     atomic.Int64
 	bounds    bounds
+	// limit is how many requests the router takes at once; the control goroutine moves it.
+	limit atomic.Int64
 	// pressedAt is the Unix nanosecond at which the router last had nearly what it can take.
 	pressedAt atomic.Int64
 	// tickedAt is the Unix nanosecond of the control goroutine's last tick, tickLag how late it came.
@@ -107,6 +109,7 @@
 		RetryRatio: cfg.Settings.RetryRatio,
 		RetrySlack: cfg.Settings.RetrySlack,
 	})
+	e.limit.Store(e.bounds.first)
 	e.tickedAt.Store(cfg.Clock.Now().UnixNano())
 	c := newControl(e)
 	e.start(func(context.Context) { c.run() })
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -20,9 +20,8 @@
 	requestMemory = 64 << 10
 	// requestsShare is the part of the memory that requests may take.
 	requestsShare = 0.3
-	// requestsPerCore is the number of streams that a core is taken to carry, an estimate: 8 routers of 0.4 cores that had 9 s of
-	// processor time for 6,000 requests ran at 1.4 ms a request, reports and runtime included, and a stream lasts some 2 s.
-	requestsPerCore = 1600
+	// requestsPerCore is the number of streams that a core is taken to carry at first; see limit.
+	requestsPerCore = 1000
 	// leastRequests keeps a host of unknown size at work.
 	leastRequests = 64
 	// connMemory is what an idle connection takes, by estimate: a stack, two buffers of 4 KB and net/http's own; and connsShare the part of the memory that connections may take.
@@ -36,6 +35,11 @@
 	// answers. It does so until pressedFor after.
 	pressedShare = 0.85
 	pressedFor   = 500 * time.Millisecond
+	// The limit of requests at once follows the processor: each tick that comes lagLook late takes limitDown of it off, each in time that
+	// finds it used adds limitUp. What a stream costs differs by how often its upstream sends events, 7 to 18 times a second; a
+	// fixed figure that fits one deployment keeps the hosts of another late for seconds, or refuses with half of the processor free.
+	limitDown = 0.9
+	limitUp   = 1.02
 	// busyRetry is what callers are told that meet a full router: another one takes them at once.
 	busyRetry = 10 * time.Millisecond
 )
@@ -44,6 +48,8 @@
 type bounds struct {
 	requests int64
 	conns    int64
+	// first is the limit of requests at once with which a router starts; requests bounds it.
+	first int64
 }
 
 func boundsOf(s pomelorelay.FleetSettings) bounds {
@@ -52,13 +58,14 @@
 		b.requests = min(b.requests, int64(requestsShare*float64(s.Memory)/requestMemory))
 		b.conns = min(b.conns, int64(connsShare*float64(s.Memory)/connMemory))
 	}
-	if s.Self.Power > 0 {
-		b.requests = min(b.requests, int64(requestsPerCore*s.Self.Power))
-	}
 	if s.MaxFDs > systemFDs {
 		b.conns = min(b.conns, int64(fdsShare*float64(s.MaxFDs-systemFDs)))
 	}
 	b.requests = max(b.requests, leastRequests)
+	b.first = b.requests
+	if s.Self.Power > 0 {
+		b.first = min(b.first, max(int64(requestsPerCore*s.Self.Power), leastRequests))
+	}
 	b.conns = max(b.conns, leastRequests)
 	return b
 }
@@ -91,6 +98,18 @@
 	}
 }
 
+// adapt moves the limit of requests at once after a tick.
+func (e *Entry) adapt() {
+	limit, running := float64(e.limit.Load()), float64(e.inFlight.Load())
+	switch {
+	case e.tickLag.Load() >= int64(lagLook):
+		limit = max(leastRequests, limitDown*min(limit, max(running, leastRequests)))
+	case running > pressedShare*limit:
+		limit = min(float64(e.bounds.requests), limitUp*limit+1)
+	}
+	e.limit.Store(int64(limit))
+}
+
 // lagged reports whether the control goroutine was late a moment ago: what waited meanwhile is only read now.
 func (e *Entry) lagged() bool {
 	now := e.cfg.Clock.Now().UnixNano()
@@ -154,7 +173,7 @@
 // pressed reports whether the router has nearly what it can take, or had a moment ago.
 func (e *Entry) pressed() bool {
 	now := e.cfg.Clock.Now().UnixNano()
-	full := e.lag() > lagMost || float64(e.inFlight.Load()) > pressedShare*float64(e.bounds.requests) || float64(e.conns.Load()) > pressedShare*float64(e.bounds.conns)
+	full := e.lag() > lagMost || float64(e.inFlight.Load()) > pressedShare*float64(e.limit.Load()) || float64(e.conns.Load()) > pressedShare*float64(e.bounds.conns)
 	if full {
 		e.pressedAt.Store(now)
 	}
@@ -166,13 +185,13 @@
 	if e.pressed() {
 		w.Header().Set("Connection", "close")
 	}
-	if e.inFlight.Load() <= e.bounds.requests && e.lag() <= lagMost {
+	if e.inFlight.Load() <= e.limit.Load() && e.lag() <= lagMost {
 		return true
 	}
 	err := pomelorelay.NewError(pomelorelay.CodeRouterFull, "", nil)
 	err.RetryAfter = busyRetry
 	pomeloforward.Refuse(w, err)
 	e.metrics.Answered("None", "full", 0, 0)
-	e.log(pomelorelay.EventRouterFull, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.bounds.requests), field("LagMS", e.lag().Milliseconds()))
+	e.log(pomelorelay.EventRouterFull, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.limit.Load()), field("LagMS", e.lag().Milliseconds()))
 	return false
 }
