A full router stays out of the balancer's rotation for two of its looks

Cause: a router that had nearly all it can take was not ready for 0.5 s, while the balancer looks once a second and takes a router out after two misses: floods stayed with the hosts that their callers' hash had picked. Change: not ready for 2.5 s.

--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -34,7 +34,7 @@
 	// pressedShare is the part of a bound from which a router asks for less: it is not ready, and callers' connections end with their
 	// answers. It does so until pressedFor after.
 	pressedShare = 0.85
-	pressedFor   = 500 * time.Millisecond
+	pressedFor   = 2500 * time.Millisecond
 	// The limit of requests at once follows the processor: each tick that comes lagLook late takes limitDown of it off, each in time that
 	// finds it used adds limitUp. What a stream costs differs by how often its upstream sends events, 7 to 18 times a second; a
 	// fixed figure that fits one deployment keeps the hosts of another late for seconds, or refuses with half of the processor free.
