--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -184,7 +184,7 @@
 	case *pomelorelay.LoadBundle:
 		c.takeBundle(now, m.From, msg)
 	case *pomelorelay.UpstreamNews:
-		c.takeNews(now, msg)
+		c.takeNews(now, m.From, msg)
 	case *pomelorelay.ConfigPull:
 		c.push(m.From, msg)
 	case *pomelorelay.ConfigPush:
--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -51,8 +51,10 @@
 	peerCount atomic.Int64
 	relaying  atomic.Bool
 	newsAt    atomic.Int64
-	conns     atomic.Int64
-	bounds    bounds
+	// relayChanged is set when another router than the known relay tells of the upstreams.
+	relayChanged atomic.Bool
+	conns        atomic.Int64
+	bounds       bounds
 	// limit is how many requests the router takes at once; the control goroutine moves it.
 	limit atomic.Int64
 	// pressedAt is the Unix nanosecond at which the router last had nearly what it can take.
--- a/pomeloentry/follow.go
+++ b/pomeloentry/follow.go
@@ -33,6 +33,13 @@
 	return ctx, w.after
 }
 
+// begun reports whether the watch has read everything once.
+func (w *watch) begun() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.after > 0
+}
+
 // reached notes the revision from which to watch on; it reports whether the watch had been going on, and whether the answer is newer
 // than what a neighbour told meanwhile.
 func (w *watch) reached(at pomelorelay.Revision) (went, fresh bool) {
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -12,10 +12,9 @@
 	registrationTTL = 15 * time.Second
 	// renewEvery is the interval of renewals, a third of the time to live.
 	renewEvery = 5 * time.Second
-	// peersPace is the least time between two calls for the routers' entries, of which each change wakes every watch; peersApart is what
-	// each router adds to it for those that do not relay: their relay tells them everything meanwhile.
-	peersPace  = time.Second
-	peersApart = 100 * time.Millisecond
+	// peersPace is the least time between two calls for the routers' entries, of which each change wakes every watch. A router whose relay
+	// tells it the upstreams does not call at all: it needs to know its own failure domain's relay only, and looks when that changes.
+	peersPace = time.Second
 	// leaveWait bounds the call that ends the registration at a planned stop.
 	leaveWait = 500 * time.Millisecond
 )
@@ -97,6 +96,10 @@
 func (e *Entry) watchPeers(ctx context.Context) {
 	w, outer := &e.peersWatch, ctx
 	e.follow(ctx, followed{name: "routers", call: func(bool) error {
+		if e.relayed() && w.begun() && !e.relayChanged.Swap(false) {
+			sleep(ctx, newsLook)
+			return nil
+		}
 		began := time.Now()
 		ctx, after := w.begin(ctx)
 		change, err := e.cfg.Platform.WatchPeers(ctx, after, e.watchWait())
@@ -111,16 +114,14 @@
 			return nil
 		}
 		e.post(&peersArrived{change})
-		sleep(outer, e.peersPace()-time.Since(began))
+		sleep(outer, peersPace-time.Since(began))
 		return nil
 	}})
 }
 
-func (e *Entry) peersPace() time.Duration {
-	if e.relaying.Load() {
-		return peersPace
-	}
-	return max(peersPace, time.Duration(e.peerCount.Load())*peersApart)
+// relayed reports whether this router's relay keeps it up to date, so that it need not know the routers of other failure domains.
+func (e *Entry) relayed() bool {
+	return e.peerCount.Load() > directMost && !e.relaying.Load() && e.newsFresh()
 }
 
 // peersArrived is posted when the store told of routers.
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -140,7 +140,10 @@
 }
 
 // takeNews takes what a neighbour's watch of the upstreams brought, unless something between that and this router's own is missing.
-func (c *control) takeNews(now time.Time, m *pomelorelay.UpstreamNews) {
+func (c *control) takeNews(now time.Time, from pomelorelay.NodeID, m *pomelorelay.UpstreamNews) {
+	if relay, _ := c.relayOf(now, c.e.cfg.Settings.Self.Domain); relay != from {
+		c.e.relayChanged.Store(true)
+	}
 	if !c.e.upstreamsWatch.advance(m.After, m.At, m.Whole) {
 		return
 	}
--- a/settings_fleet.go
+++ b/settings_fleet.go
@@ -22,6 +22,8 @@
 	MaxFDs int
 	// StopWait is the time from the signal to stop until the process is killed.
 	StopWait time.Duration
+	// DrainWait is the time after which an upstream that said it leaves must get no more requests.
+	DrainWait time.Duration
 	// RetryRatio and RetrySlack bound what the whole fleet sends again of one service's requests: a ratio of them, and a slack.
 	RetryRatio float64
 	RetrySlack float64
