The relay stand-in counts bytes before it hands them on

Cause of the flaky TestRelayTellsSourcesApart: the count grew after the write, so that who had the answer could ask for the count first ('passed 1 bytes, want 2'). The test is unchanged.

--- a/pomelofake/relaypump.go
+++ b/pomelofake/relaypump.go
@@ -83,15 +83,20 @@
 			dropped = true
 			continue
 		}
+		// Counted first: who has got the bytes may ask for the count before this goroutine goes on.
+		r.count(len(c.data))
 		if _, err := to.Write(c.data); err != nil {
 			return
 		}
-		r.mu.Lock()
-		r.passed += int64(len(c.data))
-		r.mu.Unlock()
 	}
 }
 
+func (r *Relay) count(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.passed += int64(n)
+}
+
 // unblocked waits while the rule blocks and returns the effect then; it reports false when the relay or the link ended.
 func (r *Relay) unblocked(link *relayLink, effect func(RelayRule) RelayEffect) (RelayEffect, bool) {
 	for {
