--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -121,7 +121,9 @@
 		if !w.Again {
 			c.shares.Asked(w.Account, w.Cost)
 		}
-		r.Owed = w.Again || c.shares.Owed(w.Account, w.Cost)
+		// Only what may have run, and was charged, goes before others: were it so for each request that found an upstream down, a flood
+		// would get past its share whenever many are, and other accounts would see their requests refused.
+		r.Owed = w.Charged || c.shares.Owed(w.Account, w.Cost)
 		r.Lead = c.shares.Lead(w.Account)
 		share.Cost, share.Owed = w.Cost, r.Owed
 		share.Asked, share.Served, share.Level = c.shares.State(w.Account)
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -4,6 +4,9 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelometric"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
 
 // NewLimited returns a router that does nothing but keep its limit of requests at once.
@@ -20,3 +23,24 @@
 	e.adapt()
 	return e.limit.Load()
 }
+
+// Decider decides on places as the control goroutine does, without the goroutine.
+type Decider struct{ c *control }
+
+// NewDecider returns a Decider that knows the configuration's limits and services, and the upstreams.
+func NewDecider(config pomelorelay.FleetConfig, upstreams ...pomelorelay.FleetUpstream) Decider {
+	settings := pomelorelay.FleetSettings{Self: pomelorelay.Peer{Node: "r", Domain: "a", Region: "ra"}, ShareWindow: 4 * time.Second}
+	c := newControl(&Entry{cfg: Config{Settings: settings, Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New()})
+	c.shares.SetCapacity(config.Limits.TokensPerSecond)
+	c.placer.SetServices(config.Services)
+	for _, u := range upstreams {
+		c.placer.Put(u)
+	}
+	return Decider{c}
+}
+
+// Place decides on a request.
+func (d Decider) Place(now time.Time, w pomeloforward.Work) pomeloplace.Decision {
+	d.c.shares.Tick(now)
+	return d.c.place(now, w)
+}
