Late and repeated reports are left out in one place, for load and for shares

The load of the same report went back with a late one, which two relays can bring about for a moment: an engine counted 9 running requests where 2 ran. Change: the control goroutine leaves such reports out before anyone takes them, and the shares need no number any more. The late and the former start's cases of TestReportsCountOnce stand in TestLateReportsAreLeftOut, which also checks the load; it fails before (9 run, want 2; 200 served, want 300) and passes after.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -169,10 +169,14 @@
 	}
 }
 
-// takeReport takes another router's report, whoever brought it.
+// takeReport takes another router's report, whoever brought it. One that is repeated or late is left out: for a moment two relays may hand
+// on the same reports, and taken after a newer one, an old report would bring back work that has ended, and sums that have grown since.
 func (c *control) takeReport(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
+	if !c.peers.newer(from, incarnation, m.Seq) {
+		return
+	}
 	c.placer.Heard(now, from, incarnation, m)
-	c.shares.Heard(from, incarnation, m.Seq, m.Accounts)
+	c.shares.Heard(from, incarnation, m.Accounts)
 	c.takeLeaving(now, from, m.Leaving)
 }
 
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -44,3 +44,15 @@
 	d.c.shares.Tick(now)
 	return d.c.place(now, w)
 }
+
+// Hear takes another router's report.
+func (d Decider) Hear(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
+	d.c.peers.hear(now, from)
+	d.c.takeReport(now, from, incarnation, m)
+}
+
+// Served returns what an account was served in the window.
+func (d Decider) Served(id pomelorelay.AccountID) pomelorelay.Cost {
+	_, served, _ := d.c.shares.State(id)
+	return served
+}
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -29,6 +29,9 @@
 	heard      time.Time
 	// since is when this router first knew it.
 	since time.Time
+	// incarnation and seq are of the last report that was taken.
+	incarnation pomelorelay.Incarnation
+	seq         uint64
 }
 
 // relays reports whether the router is there to relay.
@@ -70,6 +73,16 @@
 	known.heard = now
 }
 
+// newer reports whether a report comes after all that were taken from the router, and notes it.
+func (p *peers) newer(node pomelorelay.NodeID, incarnation pomelorelay.Incarnation, seq uint64) bool {
+	known := p.present[node]
+	if known == nil || incarnation < known.incarnation || (incarnation == known.incarnation && seq <= known.seq) {
+		return false
+	}
+	known.incarnation, known.seq = incarnation, seq
+	return true
+}
+
 // drop forgets unregistered routers that are silent; it reports whether there were any.
 func (p *peers) drop(now time.Time) bool {
 	dropped := false
--- a/pomeloentry/place_test.go
+++ b/pomeloentry/place_test.go
@@ -45,3 +45,49 @@
 		}
 	}
 }
+
+// Two relays hand on the same reports for a moment, one of them later, and a router that was restarted is still told of by its former
+// process. Taken after a newer report, an old one brings back work that has ended: the engine looks full, and requests are refused there.
+func TestLateReportsAreLeftOut(t *testing.T) {
+	d := pomeloentry.NewDecider(pomelorelay.FleetConfig{
+		Limits:   pomelorelay.CallerLimits{TokensPerSecond: 1000},
+		Services: []pomelorelay.ServiceSpec{{Name: "s", Engine: &pomelorelay.EngineSpec{Slots: 10, Memory: 500_000, EventTokens: 7}}},
+	}, pomelorelay.FleetUpstream{ID: "u", Service: "s", Domain: "a", Slots: 10})
+	now := time.Now()
+	running := func() int {
+		now = now.Add(time.Millisecond)
+		return d.Place(now, pomeloforward.Work{Place: pomeloplace.Request{Service: "s", Prompt: 100, Target: time.Nanosecond, Left: time.Nanosecond}}).Running
+	}
+	report := func(seq uint64, runs uint32, served pomelorelay.Cost) *pomelorelay.LoadReport {
+		return &pomelorelay.LoadReport{
+			Seq: seq, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: runs}},
+			Accounts: []pomelorelay.AccountUse{{Account: "acct", Asked: served, Served: served}},
+		}
+	}
+	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+		now = now.Add(100 * time.Millisecond)
+		running()
+	}
+	for _, c := range []struct {
+		name        string
+		incarnation pomelorelay.Incarnation
+		report      *pomelorelay.LoadReport
+		running     int
+		served      pomelorelay.Cost
+	}{
+		{"the first", 1, report(5, 8, 100), 8, 100},
+		{"a newer one", 1, report(7, 2, 300), 2, 300},
+		{"a late one", 1, report(6, 9, 200), 2, 300},
+		{"a repeated one", 1, report(7, 2, 300), 2, 300},
+		{"the first of a new start", 2, report(1, 1, 50), 1, 350},
+		{"one of the former start", 1, report(8, 9, 900), 1, 350},
+	} {
+		d.Hear(now, "peer", c.incarnation, c.report)
+		if got := running(); got != c.running {
+			t.Errorf("%s: %d run, want %d", c.name, got, c.running)
+		}
+		if got := d.Served("acct"); got != c.served {
+			t.Errorf("%s: %v served, want %v", c.name, got, c.served)
+		}
+	}
+}
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -11,12 +11,14 @@
 	// defaultDrain is the time to the last request of an upstream that leaves where the settings name none; the smaller bound of
 	// the present deployments.
 	defaultDrain = 2500 * time.Millisecond
-	// upstreamsPace is the least time between two calls for the upstreams' entries, which change with every heartbeat, as a part of that
-	// time. Whichever router hears first tells the others.
-	upstreamsPace = 0.36
-	// upstreamsWait is how long such a call waits for a change, in the same way. A relay whose watch waited longer would have nothing to
+	// pacePart, waitPart, silentPart and newsPart are parts of that time.
+	//
+	// pacePart is the least time between two calls for the upstreams' entries, which change with every heartbeat. Whichever router
+	// hears first tells the others.
+	pacePart = 0.36
+	// waitPart is how long such a call waits for a change. A relay whose watch waited longer would have nothing to
 	// tell its neighbours, and each would ask the store itself.
-	upstreamsWait = 0.28
+	waitPart = 0.28
 	// returnWait is how long after the store came back a vanished entry may be missing: upstreams that live are back within 2 s.
 	returnWait = 2300 * time.Millisecond
 	// massWait is how long many entries that vanish at once are kept: they lapsed in an outage that this router did not notice.
@@ -24,12 +26,12 @@
 	massWait = 1500 * time.Millisecond
 	// massShare is the part of the upstreams whose entries must vanish within massWait of each other for that.
 	massShare = 0.34
-	// outOfTouch is the time without a word of the store from which a router relies on its peers and expects lapsed entries: upstreams
+	// silentPart is the time without a word of the store from which a router relies on its peers and expects lapsed entries: upstreams
 	// write every 1.2 s, so that some do in each pace.
-	outOfTouch = 0.8
-	// newsFor is how long a neighbour's news spare a router its own watch: the neighbour's pace and half of it. Should the neighbour lose
+	silentPart = 0.8
+	// newsPart is how long a neighbour's news spare a router its own watch: the neighbour's pace and half of it. Should the neighbour lose
 	// the store, the router asks itself, still in time to hear of an upstream that leaves. newsLook is how often it looks.
-	newsFor  = 0.56
+	newsPart = 0.56
 	newsLook = 200 * time.Millisecond
 	// tellFor is how long the others are told of an upstream that leaves.
 	tellFor = 3 * time.Second
@@ -90,7 +92,7 @@
 			}
 			began := time.Now()
 			watching, after := w.begin(ctx)
-			change, err := e.cfg.Platform.WatchUpstreams(watching, after, e.ofDrain(upstreamsWait))
+			change, err := e.cfg.Platform.WatchUpstreams(watching, after, e.ofDrain(waitPart))
 			if err != nil {
 				return err
 			}
@@ -101,7 +103,7 @@
 			if fresh {
 				e.post(&upstreamsArrived{change: change, after: after, back: failed})
 			}
-			sleep(ctx, e.ofDrain(upstreamsPace)-time.Since(began))
+			sleep(ctx, e.ofDrain(pacePart)-time.Since(began))
 			return nil
 		},
 	})
@@ -109,7 +111,7 @@
 
 // newsFresh reports whether a neighbour lately told what the store says of the upstreams.
 func (e *Entry) newsFresh() bool {
-	return e.cfg.Clock.Now().UnixNano()-e.newsAt.Load() < int64(e.ofDrain(newsFor))
+	return e.cfg.Clock.Now().UnixNano()-e.newsAt.Load() < int64(e.ofDrain(newsPart))
 }
 
 // upstreamsArrived is posted when the store told of upstreams; back tells that it had not answered before, after from where it was watched.
@@ -122,7 +124,7 @@
 }
 
 func (a *upstreamsArrived) apply(c *control, now time.Time) {
-	if a.back || now.Sub(c.upstreams.heardAt) > c.e.ofDrain(outOfTouch) {
+	if a.back || now.Sub(c.upstreams.heardAt) > c.e.ofDrain(silentPart) {
 		c.upstreams.backAt = now
 	}
 	c.upstreams.heardAt = now
@@ -230,7 +232,7 @@
 // takeLeaving takes what a peer knows to leave. A router that cannot reach the store would send new work to an upstream that leaves;
 // one that can knows better than its peers, whose news may be older.
 func (c *control) takeLeaving(now time.Time, from pomelorelay.NodeID, ids []pomelorelay.UpstreamID) {
-	if now.Sub(c.upstreams.heardAt) <= c.e.ofDrain(outOfTouch) {
+	if now.Sub(c.upstreams.heardAt) <= c.e.ofDrain(silentPart) {
 		return
 	}
 	for _, id := range ids {
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -33,7 +33,6 @@
 // peer is the last that a router told, so that its next report counts only by what it added.
 type peer struct {
 	incarnation pomelorelay.Incarnation
-	seq         uint64
 	told        map[pomelorelay.AccountID]use
 }
 
@@ -97,19 +96,18 @@
 	a.add(s.step, u)
 }
 
-// Heard takes another router's sums since its start. Reports may be lost, and those that are repeated or late are left out: only what
-// changed since the last one counts, up or, by requests that did not run, down.
-func (s *Shares) Heard(from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, seq uint64, entries []pomelorelay.AccountUse) {
+// Heard takes another router's sums since its start, in the order in which they were told. They may be lost or repeated: only what changed
+// since the last ones counts, up or, by requests that did not run, down.
+func (s *Shares) Heard(from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, entries []pomelorelay.AccountUse) {
 	p := s.peers[from]
 	first := p == nil
 	if first || p.incarnation < incarnation {
 		p = &peer{incarnation: incarnation, told: make(map[pomelorelay.AccountID]use)}
 		s.peers[from] = p
 	}
-	if p.incarnation > incarnation || seq <= p.seq {
+	if p.incarnation > incarnation {
 		return
 	}
-	p.seq = seq
 	for _, e := range entries {
 		now := use{asked: e.Asked, served: e.Served}
 		before := p.told[e.Account]
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -108,15 +108,14 @@
 	for at := time.Duration(0); at < 2*window; at += 100 * time.Millisecond {
 		s.Tick(start.Add(at))
 	}
-	report := func(incarnation pomelorelay.Incarnation, seq uint64, asked pomelorelay.Cost) {
-		s.Heard("r1", incarnation, seq, []pomelorelay.AccountUse{{Account: "a", Asked: asked}})
-	}
-	report(1, 1, 10)
-	report(1, 1, 10)
-	report(1, 3, 30)
-	report(1, 2, 20)
-	report(2, 1, 5)
-	report(1, 4, 1000)
+	report := func(incarnation pomelorelay.Incarnation, asked pomelorelay.Cost) {
+		s.Heard("r1", incarnation, []pomelorelay.AccountUse{{Account: "a", Asked: asked}})
+	}
+	report(1, 10)
+	report(1, 10)
+	report(1, 30)
+	report(2, 5)
+	report(1, 1000)
 	if asked, _, _ := s.State("a"); asked != 35 {
 		t.Errorf("%v asked, want 35", asked)
 	}
@@ -129,7 +128,6 @@
 			b.Tick(start.Add(at))
 		}
 		var total pomelorelay.Cost
-		seq := uint64(0)
 		for range rapid.IntRange(1, 20).Draw(t, "requests") {
 			cost := pomelorelay.Cost(rapid.IntRange(1, 1000).Draw(t, "cost"))
 			a.Asked("x", cost)
@@ -138,10 +136,9 @@
 				a.Report(false, nil)
 				continue
 			}
-			seq++
-			b.Heard("a", 1, seq, a.Report(false, nil))
+			b.Heard("a", 1, a.Report(false, nil))
 		}
-		b.Heard("a", 1, seq+1, a.Report(true, nil))
+		b.Heard("a", 1, a.Report(true, nil))
 		if asked, _, _ := b.State("x"); asked != total {
 			t.Fatalf("%v arrived of %v", asked, total)
 		}
@@ -192,11 +189,11 @@
 		here.Tick(start.Add(at))
 		there.Tick(start.Add(at))
 	}
-	there.Heard("here", 1, 1, here.Report(true, nil))
+	there.Heard("here", 1, here.Report(true, nil))
 	here.Served("large", 400)
-	there.Heard("here", 1, 2, here.Report(false, nil))
+	there.Heard("here", 1, here.Report(false, nil))
 	here.Returned("large", 400)
-	there.Heard("here", 1, 3, here.Report(false, nil))
+	there.Heard("here", 1, here.Report(false, nil))
 	for name, s := range map[string]*pomeloshare.Shares{"here": here, "there": there} {
 		if _, served, _ := s.State("large"); served != 0 {
 			t.Errorf("%s: %v counts as served, want 0", name, served)
