Tests of the entry router wait until routers know each other, and listen where nobody else does

Cause: TestARouterWithoutTheStoreLearnsFromItsPeers waited for any list of routers. The first list may be read before the other router has registered (event 908 with Peers 0, traced); cut off then, the router knows nobody to learn from. A second failure under the same load: a port that was free when it was looked for was taken by another process's connection (event CannotListen).

Change: the wait asks for a list that holds a router, which is what the test is about; the addresses come from pomelofake.FreeAddr, moved from the tests of pomelonode, where it was made for the same reason; a failed test prints what its routers logged.

Conclusion: the test's premise did not hold.

--- a/pomeloentry/entry_test.go
+++ b/pomeloentry/entry_test.go
@@ -30,6 +30,9 @@
 	}
 }
 
+// knowsPeers reports whether a logged list of routers holds any: the first one may be read before the others have registered.
+func knowsPeers(f pomelorelay.Field) bool { return f.Key == "Peers" && f.Value != 0 }
+
 // A router is parted from the store while the operators drop a route. Its neighbours know; without their word its callers would be
 // served by a route that is gone, or refused on a new one, for as long as the cut lasts.
 func TestARouterWithoutTheStoreLearnsFromItsPeers(t *testing.T) {
@@ -42,7 +45,7 @@
 		f.awaitStatus(n, "/old/", 200)
 	}
 	f.await("the mesh", func() bool {
-		return a.log.has(pomelorelay.EventPeersChanged) && b.log.has(pomelorelay.EventPeersChanged)
+		return a.log.hasWith(pomelorelay.EventPeersChanged, knowsPeers) && b.log.hasWith(pomelorelay.EventPeersChanged, knowsPeers)
 	})
 	b.view.SetCut(true)
 	f.store.Lapse()
--- a/pomeloentry/world_test.go
+++ b/pomeloentry/world_test.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,29 +37,49 @@
 	log      *eventLog
 }
 
-// eventLog keeps the ids of what was logged.
+// eventLog keeps what a router logged.
 type eventLog struct {
-	mu  sync.Mutex
-	ids []pomelorelay.EventID
+	mu     sync.Mutex
+	events []loggedEvent
 }
 
-func (l *eventLog) Log(id pomelorelay.EventID, _ ...pomelorelay.Field) {
+type loggedEvent struct {
+	at     time.Time
+	id     pomelorelay.EventID
+	fields []pomelorelay.Field
+}
+
+func (l *eventLog) Log(id pomelorelay.EventID, fields ...pomelorelay.Field) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ids = append(l.ids, id)
+	l.events = append(l.events, loggedEvent{time.Now(), id, fields})
 }
 
 func (l *eventLog) has(id pomelorelay.EventID) bool {
+	return l.hasWith(id, func(pomelorelay.Field) bool { return true })
+}
+
+// hasWith reports whether an event was logged with a field that fits.
+func (l *eventLog) hasWith(id pomelorelay.EventID, fits func(pomelorelay.Field) bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, got := range l.ids {
-		if got == id {
+	for _, e := range l.events {
+		if e.id == id && slices.ContainsFunc(e.fields, fits) {
 			return true
 		}
 	}
 	return false
 }
 
+// print shows what the router logged: a failure seen once must be traceable from the output of its run.
+func (l *eventLog) print(t *testing.T, node pomelorelay.NodeID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.events {
+		t.Logf("%s %s event %d %v", e.at.Format("05.000"), node, e.id, e.fields)
+	}
+}
+
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: pomelofake.NewFleetStore()}
@@ -98,16 +118,6 @@
 	return decoded
 }
 
-func (f *fleet) freeAddr() netip.AddrPort {
-	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 // start starts a router; stopWait is the time between the signal to stop and its end.
 func (f *fleet) start(stopWait time.Duration) *node {
 	f.t.Helper()
@@ -119,9 +129,9 @@
 	f.t.Helper()
 	n := &node{view: f.store.View(), log: &eventLog{}}
 	n.settings = pomelorelay.FleetSettings{
-		Self:    pomelorelay.Peer{Node: pomelorelay.NodeID(fmt.Sprintf("r%d", len(f.nodes))), Addr: f.freeAddr(), Domain: "a", Region: "ra"},
+		Self:    pomelorelay.Peer{Node: pomelorelay.NodeID(fmt.Sprintf("r%d", len(f.nodes))), Addr: pomelofake.FreeAddr(), Domain: "a", Region: "ra"},
 		Regions: map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra"},
-		Callers: f.freeAddr(), Readiness: f.freeAddr(), Metrics: f.freeAddr(),
+		Callers: pomelofake.FreeAddr(), Readiness: pomelofake.FreeAddr(), Metrics: pomelofake.FreeAddr(),
 		StopWait: stopWait, RetryRatio: 0.2, RetrySlack: 50, ShareWindow: 4 * time.Second,
 	}
 	change(&n.settings)
@@ -130,6 +140,11 @@
 		f.t.Fatal(err)
 	}
 	n.entry = entry
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			n.log.print(f.t, n.settings.Self.Node)
+		}
+	})
 	f.t.Cleanup(entry.Close)
 	if err := entry.Listen(); err != nil {
 		f.t.Fatal(err)
--- a/pomelonode/fleet_test.go
+++ b/pomelonode/fleet_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -185,7 +184,7 @@
 
 // startEngine starts an engine that crashes with its host on a marked request.
 func (f *fleet) startEngine() (*pomelofake.Engine, netip.AddrPort) {
-	addr := f.free()
+	addr := pomelofake.FreeAddr().String()
 	var host *pomelofake.Host
 	engine := pomelofake.NewEngine(pomelofake.EngineConfig{
 		Model:       model,
@@ -246,7 +245,7 @@
 Store: {Addresses: ["%s"]}
 HostList: {Addresses: ["%s"]}
 TLS: {Insecure: true}
-`, i, domains[i%len(domains)], f.free(), f.free(), f.free(), f.storeAddr, f.hostsAddr)
+`, i, domains[i%len(domains)], pomelofake.FreeAddr(), pomelofake.FreeAddr(), pomelofake.FreeAddr(), f.storeAddr, f.hostsAddr)
 	s, err := pomeloconfig.ParseSettings([]byte(yaml))
 	if err != nil {
 		f.t.Fatal(err)
@@ -254,17 +253,6 @@
 	return s
 }
 
-// addresses counts the addresses that this process has given out.
-var addresses atomic.Int64
-
-// free returns an address that nothing listens on. Its IP number is this process's own and its port below those that the system
-// gives to outgoing connections: one that was free when it was looked for would be taken by a connection at times.
-func (f *fleet) free() string {
-	const firstPort = 20000
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.1:%d", 64+pid>>8&63, pid&255, firstPort+addresses.Add(1))
-}
-
 func (f *fleet) start(i int) {
 	r := f.routers[i]
 	s := r.settings
