A router that starts while the store is away learns from a seed

Cause: a router knew only what the store told it.

A router that lacks a configuration, upstreams or any peer while the store is silent asks a peer, or the seeds by their addresses alone, and takes configuration, upstreams (with the store's revision, from which its watch goes on) and routers. Envelopes carry where their sender is, so that a relay takes reports of a router whose entry it never read.

All routers lost at once while the store is away still wait for it.

--- a/events_store.go
+++ b/events_store.go
@@ -12,6 +12,7 @@
 	EventUpstreamGone       EventID = 907
 	EventPeersChanged       EventID = 908
 	EventPeerMissed         EventID = 909
+	EventStateFromPeer      EventID = 910
 )
 
 var storeEvents = []EventInfo{
@@ -25,4 +26,5 @@
 	{EventUpstreamGone, "UpstreamGone", LevelInfo, "An upstream is taken as gone and gets nothing new.", "None."},
 	{EventPeersChanged, "PeersChanged", LevelInfo, "The registered routers changed.", "None."},
 	{EventPeerMissed, "PeerMissed", LevelWarn, "A message to a router could not be queued.", "Check the link to it."},
+	{EventStateFromPeer, "StateFromPeer", LevelInfo, "A router that the store told too little took what a peer knows.", "Check the store and the way to it."},
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -96,6 +96,9 @@
 type Mesh interface {
 	// SetPeers replaces the peers that the mesh may connect to.
 	SetPeers(peers []Peer)
+	// Contact sends a message to whichever router answers at an address, and returns at once; one that cannot be reached is logged. It
+	// fails with CodeMeshMalformed.
+	Contact(addr netip.AddrPort, m Message) error
 	// SetGeneration sets the configuration generation that rides on every envelope.
 	SetGeneration(generation Generation)
 	// Send queues a message and never blocks; it fails with CodeMeshUnknownPeer or CodeMeshQueueFull.
--- a/messages.go
+++ b/messages.go
@@ -30,8 +30,11 @@
 type Envelope struct {
 	From        NodeID
 	Incarnation Incarnation
-	Generation  Generation
-	Message     Message
+	// Domain and Region are where the router said it is when its link was opened.
+	Domain     DomainID
+	Region     RegionID
+	Generation Generation
+	Message    Message
 }
 
 // Demand registers at a slot owner what a router has waiting for one upstream; a higher Seq replaces a lower one.
--- /dev/null
+++ b/messages_state.go
@@ -0,0 +1,31 @@
+package pomelorelay
+
+// StateAsk asks a router for what the platform's store told it; the asker cannot reach the store.
+type StateAsk struct {
+	// Above is the configuration that the asker has; it wants newer ones only.
+	Above Generation
+	// Upstreams tells that it wants the registered upstreams too.
+	Upstreams bool
+}
+
+// Urgency is that of configurations.
+func (*StateAsk) Urgency() Urgency { return UrgencySoon }
+
+// CoalesceKey names the kind: a later ask replaces an earlier one.
+func (*StateAsk) CoalesceKey() string { return "StateAsk" }
+
+// FleetState is what a router knows of the fleet from the platform's store; what was not asked for is left out.
+type FleetState struct {
+	// Document is the configuration as it was published.
+	Document []byte
+	// At is the store's revision at which Upstreams were registered; zero when they are left out.
+	At        Revision
+	Upstreams []FleetUpstream
+	Peers     []Peer
+}
+
+// Urgency is that of configurations.
+func (*FleetState) Urgency() Urgency { return UrgencySoon }
+
+// CoalesceKey names the kind: a later state replaces an earlier one.
+func (*FleetState) CoalesceKey() string { return "FleetState" }
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -35,6 +35,7 @@
 	upstreams upstreams
 	peers     peers
 	pulls     pulls
+	asks      asks
 	relayed   relays
 
 	reportedAt time.Time
@@ -90,6 +91,7 @@
 	c.e.relaying.Store(c.relaysHere(now))
 	c.e.peerCount.Store(int64(len(c.peers.present)))
 	c.pullBehind(now)
+	c.askForState(now)
 	if c.peers.drop(now) {
 		c.setPeers()
 	}
@@ -181,7 +183,7 @@
 }
 
 func (c *control) receive(now time.Time, m pomelorelay.Envelope) {
-	c.peers.hear(now, m.From)
+	c.peers.hear(now, pomelorelay.Peer{Node: m.From, Domain: m.Domain, Region: m.Region})
 	c.noteGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
 	case *pomelorelay.LoadReport:
@@ -195,6 +197,10 @@
 		c.push(m.From, msg)
 	case *pomelorelay.ConfigPush:
 		c.takePush(now, m.From, msg)
+	case *pomelorelay.StateAsk:
+		c.tellState(m.From, msg)
+	case *pomelorelay.FleetState:
+		c.takeState(now, m.From, msg)
 	}
 }
 
--- a/pomeloentry/entry_test.go
+++ b/pomeloentry/entry_test.go
@@ -1,11 +1,13 @@
 package pomeloentry_test
 
 import (
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
 )
 
 func TestServesOnceItKnowsRoutesAndUpstreams(t *testing.T) {
@@ -65,6 +67,41 @@
 	f.await("the store is back", func() bool { return b.log.has(pomelorelay.EventPlatformBack) })
 }
 
+// A router is started anew while the store is away. Its neighbours know the configuration, the upstreams and each other; without their word
+// it refuses every request until the store is back, though the upstreams live.
+func TestARouterThatStartsWithoutTheStoreLearnsFromASeed(t *testing.T) {
+	f := newFleet(t)
+	f.store.Publish(f.config(1, "/old/"))
+	leaving := f.upstream("u1", 0)
+	f.upstream("u2", 0)
+	a := f.start(8 * time.Second)
+	f.awaitStatus(a, "/old/", 200)
+	b := f.startWith(8*time.Second, func(s *pomelorelay.FleetSettings) {
+		f.store.SetDown(true)
+		gone := pomelofake.FreeAddr()
+		s.Seeds = []netip.AddrPort{gone, s.Self.Addr, a.settings.Self.Addr}
+	})
+	f.awaitStatus(b, "/old/", 200)
+	f.await("readiness", func() bool { return f.ready(b) })
+	if !b.log.has(pomelorelay.EventStateFromPeer) {
+		t.Error("it is not logged that a peer gave the state")
+	}
+	b.view.SetCut(true)
+	f.store.SetDown(false)
+	f.store.Publish(f.config(2, "/new/"))
+	f.awaitStatus(b, "/new/", 200)
+	leaving.Draining = true
+	f.store.Put(leaving)
+	f.await("b hears that u1 leaves", func() bool { return b.log.has(pomelorelay.EventLeaving) })
+	b.view.SetCut(false)
+	f.await("the store is back", func() bool { return b.log.has(pomelorelay.EventPlatformBack) })
+	f.store.Drop(leaving.ID)
+	f.await("u1 is gone", func() bool { return b.log.has(pomelorelay.EventUpstreamGone) })
+	if status, by := f.call(b, "/new/"); status != 200 || by != "u2" {
+		t.Errorf("%d by %q after u1 has gone", status, by)
+	}
+}
+
 // The store comes back with an older copy, or a peer pushes what it knew before. Going back, a router would accept a key that was
 // taken away.
 func TestConfigurationsNeverGoBack(t *testing.T) {
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -47,7 +47,7 @@
 
 // Hear takes another router's report.
 func (d Decider) Hear(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
-	d.c.peers.hear(now, from)
+	d.c.peers.hear(now, pomelorelay.Peer{Node: from})
 	d.c.takeReport(now, from, incarnation, m)
 }
 
--- a/pomeloentry/follow.go
+++ b/pomeloentry/follow.go
@@ -68,6 +68,17 @@
 	return true
 }
 
+// adopt makes a watch that has read nothing go on from a revision at which a peer knew everything; it reports false when it has.
+func (w *watch) adopt(at pomelorelay.Revision) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.after > 0 {
+		return false
+	}
+	w.after = at
+	return true
+}
+
 // restart makes the watch read everything anew. A store that dropped its history may also have lost changes for watches that go on
 // waiting; a router would be seen to use an old configuration until the next change.
 func (w *watch) restart() {
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -63,12 +63,15 @@
 }
 
 // hear notes a router's message. One that was never seen registered is answered over its own link: it may have been parted from the
-// store before this router could read its entry.
-func (p *peers) hear(now time.Time, node pomelorelay.NodeID) {
-	known := p.present[node]
+// store before this router could read its entry. What is not known of where it is, the message's sender says.
+func (p *peers) hear(now time.Time, peer pomelorelay.Peer) {
+	known := p.present[peer.Node]
 	if known == nil {
-		known = &knownPeer{Peer: pomelorelay.Peer{Node: node}, since: now}
-		p.present[node] = known
+		known = &knownPeer{Peer: peer, since: now}
+		p.present[peer.Node] = known
+	}
+	if known.Domain == "" {
+		known.Domain, known.Region = peer.Domain, peer.Region
 	}
 	known.heard = now
 }
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -87,7 +87,7 @@
 func (c *control) takeBundle(now time.Time, from pomelorelay.NodeID, b *pomelorelay.LoadBundle) {
 	for _, r := range b.Reports {
 		if r.Node != c.e.cfg.Settings.Self.Node {
-			c.peers.hear(now, r.Node)
+			c.peers.hear(now, pomelorelay.Peer{Node: r.Node})
 			c.takeReport(now, r.Node, r.Incarnation, r.Report)
 		}
 	}
--- /dev/null
+++ b/pomeloentry/state.go
@@ -0,0 +1,99 @@
+package pomeloentry
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+const (
+	// askAfter is how long a router that lacks something waits for the store, which answers in 4 ms when it is well.
+	askAfter = 300 * time.Millisecond
+	// askEvery is the time between two asks: an answer from another region takes 25 ms, and holds the whole configuration.
+	askEvery = 500 * time.Millisecond
+)
+
+// asks tells since when this router lacks something that its peers may know, and when it last asked for it.
+type asks struct {
+	since   time.Time
+	askedAt time.Time
+}
+
+// lacks reports whether the router cannot serve, or stands alone, while the store is silent.
+func (c *control) lacks(now time.Time) bool {
+	if now.Sub(c.upstreams.heardAt) <= c.e.ofDrain(silentPart) {
+		return false
+	}
+	return c.config == nil || !c.e.upstreamsWatch.begun() || len(c.peers.present) == 0
+}
+
+// askForState asks a peer, or the seeds while none is known, for what the store does not tell. A router that starts while the store is
+// away would refuse every request until the store is back, beside neighbours that serve; one that is parted from the store before it read
+// the list of routers would go on with dropped routes and keys.
+func (c *control) askForState(now time.Time) {
+	if !c.lacks(now) {
+		c.asks = asks{}
+		return
+	}
+	if c.asks.since.IsZero() {
+		c.asks.since = now
+	}
+	if now.Sub(c.asks.since) < askAfter || now.Sub(c.asks.askedAt) < askEvery {
+		return
+	}
+	c.asks.askedAt = now
+	m := &pomelorelay.StateAsk{Above: c.version(), Upstreams: !c.e.upstreamsWatch.begun()}
+	// Any peer will do, another one each time: the first may know as little as this router.
+	for node := range c.peers.present {
+		c.send(node, m)
+		return
+	}
+	for _, seed := range c.e.cfg.Settings.Seeds {
+		if seed == c.e.cfg.Settings.Self.Addr {
+			continue
+		}
+		if err := c.e.mesh.Contact(seed, m); err != nil {
+			c.e.log(pomelorelay.EventPeerMissed, field("Address", seed.String()), field("Message", "state"), field("Fault", err.Error()))
+		}
+	}
+}
+
+// tellState answers a router that asks. It answers also when it knows nothing, so that the two know each other.
+func (c *control) tellState(to pomelorelay.NodeID, ask *pomelorelay.StateAsk) {
+	m := &pomelorelay.FleetState{Peers: c.peers.list()}
+	if c.config != nil && c.config.Version > ask.Above {
+		m.Document = c.config.Document
+	}
+	if ask.Upstreams {
+		m.At = c.upstreams.at
+		for _, u := range c.upstreams.present {
+			m.Upstreams = append(m.Upstreams, u)
+		}
+	}
+	if err := c.e.mesh.Send(to, m); err != nil {
+		c.e.log(pomelorelay.EventPeerMissed, field("Node", to), field("Message", "state"), field("Fault", err.Error()))
+	}
+}
+
+// takeState takes what a peer knows, in so far as this router knows nothing itself; its watches go on from there.
+func (c *control) takeState(now time.Time, from pomelorelay.NodeID, m *pomelorelay.FleetState) {
+	if len(m.Document) > 0 {
+		c.takePush(now, from, &pomelorelay.ConfigPush{Root: m.Document})
+	}
+	if m.At > 0 && c.e.upstreamsWatch.adopt(m.At) {
+		c.upstreams.at = m.At
+		for _, u := range m.Upstreams {
+			c.putUpstream(now, u, string(from))
+		}
+		c.e.upstreams.Store(int64(len(c.upstreams.present)))
+	}
+	if !c.e.peersWatch.begun() {
+		for _, p := range m.Peers {
+			if p.Node != c.e.cfg.Settings.Self.Node {
+				c.peers.put(now, p)
+			}
+		}
+		c.setPeers()
+	}
+	c.e.log(pomelorelay.EventStateFromPeer, field("Node", from), field("Generation", uint64(c.version())), field("Revision", uint64(m.At)), field("Upstreams", len(m.Upstreams)), field("Peers", len(m.Peers)))
+}
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -54,6 +54,8 @@
 	// leaving holds when this router learnt that an upstream drains or has gone.
 	leaving  map[pomelorelay.UpstreamID]time.Time
 	vanished []time.Time
+	// at is the store's revision at which they were registered.
+	at pomelorelay.Revision
 	// backAt is when the store answered again after it had not, heardAt when it last told of upstreams.
 	backAt  time.Time
 	heardAt time.Time
@@ -128,6 +130,7 @@
 		c.upstreams.backAt = now
 	}
 	c.upstreams.heardAt = now
+	c.upstreams.at = a.change.At
 	if !a.told {
 		c.tellUpstreams(now, a.change, a.after)
 	}
@@ -137,7 +140,7 @@
 	seen := make(map[pomelorelay.UpstreamID]bool, len(a.change.Present))
 	for _, u := range a.change.Present {
 		seen[u.ID] = true
-		c.putUpstream(now, u)
+		c.putUpstream(now, u, "store")
 	}
 	for _, id := range a.change.Gone {
 		c.vanish(now, id)
@@ -152,7 +155,7 @@
 	c.e.upstreams.Store(int64(len(c.upstreams.present)))
 }
 
-func (c *control) putUpstream(now time.Time, u pomelorelay.FleetUpstream) {
+func (c *control) putUpstream(now time.Time, u pomelorelay.FleetUpstream, source string) {
 	before, known := c.upstreams.present[u.ID]
 	c.upstreams.present[u.ID] = u
 	delete(c.upstreams.lapsed, u.ID)
@@ -162,11 +165,11 @@
 	}
 	if u.Draining {
 		c.upstreams.leaving[u.ID] = now
-		c.e.log(pomelorelay.EventLeaving, field("Upstream", u.ID), field("Source", "store"))
+		c.e.log(pomelorelay.EventLeaving, field("Upstream", u.ID), field("Source", source))
 		return
 	}
 	delete(c.upstreams.leaving, u.ID)
-	c.e.log(pomelorelay.EventUpstreamListed, field("Upstream", u.ID), field("Service", u.Service), field("Address", u.Addr.String()), field("Domain", u.Domain), field("Born", u.Born))
+	c.e.log(pomelorelay.EventUpstreamListed, field("Upstream", u.ID), field("Service", u.Service), field("Address", u.Addr.String()), field("Domain", u.Domain), field("Born", u.Born), field("Source", source))
 }
 
 // vanish takes an entry that is no longer there. After an outage of the store, in which leases lapse, the entries of upstreams that
--- a/pomelofake/mesh.go
+++ b/pomelofake/mesh.go
@@ -1,6 +1,7 @@
 package pomelofake
 
 import (
+	"net/netip"
 	"sync"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -45,6 +46,19 @@
 	return m
 }
 
+// at returns the routers that joined with the address.
+func (n *Network) at(addr netip.AddrPort) []pomelorelay.NodeID {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var nodes []pomelorelay.NodeID
+	for node, m := range n.meshes {
+		if m.self.Addr == addr {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
 // Mesh implements pomelorelay.Mesh on a Network; it counts messages in place of bytes.
 type Mesh struct {
 	network     *Network
@@ -60,6 +74,14 @@
 // SetPeers does nothing: a network knows its routers.
 func (m *Mesh) SetPeers([]pomelorelay.Peer) {}
 
+// Contact sends a message to the router whose address it is.
+func (m *Mesh) Contact(addr netip.AddrPort, message pomelorelay.Message) error {
+	for _, node := range m.network.at(addr) {
+		return m.Send(node, message)
+	}
+	return nil
+}
+
 // SetGeneration sets the generation that rides on every envelope.
 func (m *Mesh) SetGeneration(generation pomelorelay.Generation) {
 	m.mu.Lock()
@@ -81,7 +103,7 @@
 	}
 	m.mu.Lock()
 	m.traffic[m.class(peer)].Sent++
-	e := pomelorelay.Envelope{From: m.self.Node, Incarnation: m.incarnation, Generation: m.generation, Message: message}
+	e := pomelorelay.Envelope{From: m.self.Node, Incarnation: m.incarnation, Domain: m.self.Domain, Region: m.self.Region, Generation: m.generation, Message: message}
 	m.mu.Unlock()
 	select {
 	case peer.inbox <- e:
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -71,6 +71,12 @@
 			After: 9, At: 12, Whole: true, Gone: []pomelorelay.UpstreamID{"v"},
 			Present: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6, Draining: true, Born: 77}},
 		},
+		&pomelorelay.StateAsk{Above: 7, Upstreams: true},
+		&pomelorelay.FleetState{
+			Document: []byte("{}"), At: 12,
+			Upstreams: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6}},
+			Peers:     []pomelorelay.Peer{{Node: "r1", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Domain: "a", Region: "ra", Power: 0.4}},
+		},
 	}
 }
 
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -91,6 +91,10 @@
 		return d.loadBundle(kind.LoadBundle)
 	case *pomelowire.Item_UpstreamNews:
 		return d.upstreamNews(kind.UpstreamNews)
+	case *pomelowire.Item_StateAsk:
+		return &pomelorelay.StateAsk{Above: pomelorelay.Generation(kind.StateAsk.GetAbove()), Upstreams: kind.StateAsk.GetUpstreams()}
+	case *pomelowire.Item_FleetState:
+		return d.fleetState(kind.FleetState)
 	}
 	return nil
 }
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -57,21 +57,43 @@
 
 func (d *decoder) upstreamNews(m *pomelowire.UpstreamNews) pomelorelay.Message {
 	n := &pomelorelay.UpstreamNews{After: pomelorelay.Revision(m.GetAfter()), At: pomelorelay.Revision(m.GetAt()), Whole: m.GetWhole()}
-	n.Present = make([]pomelorelay.FleetUpstream, d.count(len(m.GetPresent()), maxList))
-	for i := range n.Present {
-		u := m.GetPresent()[i]
-		addr, err := netip.ParseAddrPort(u.GetAddress())
-		if err != nil {
-			d.fail("address of an upstream")
-		}
-		n.Present[i] = pomelorelay.FleetUpstream{
-			ID: pomelorelay.UpstreamID(d.name(u.GetId())), Service: pomelorelay.ServiceID(d.name(u.GetService())), Addr: addr,
-			Domain: pomelorelay.DomainID(d.name(u.GetDomain())), Slots: pomelorelay.Slots(u.GetSlots()), Draining: u.GetDraining(), Born: u.GetBorn(),
-		}
-	}
+	n.Present = d.upstreams(m.GetPresent())
 	n.Gone = make([]pomelorelay.UpstreamID, d.count(len(m.GetGone()), maxList))
 	for i := range n.Gone {
 		n.Gone[i] = pomelorelay.UpstreamID(d.name(m.GetGone()[i]))
 	}
 	return n
 }
+
+func (d *decoder) upstreams(list []*pomelowire.Upstream) []pomelorelay.FleetUpstream {
+	upstreams := make([]pomelorelay.FleetUpstream, d.count(len(list), maxList))
+	for i := range upstreams {
+		u := list[i]
+		upstreams[i] = pomelorelay.FleetUpstream{
+			ID: pomelorelay.UpstreamID(d.name(u.GetId())), Service: pomelorelay.ServiceID(d.name(u.GetService())), Addr: d.addr(u.GetAddress()),
+			Domain: pomelorelay.DomainID(d.name(u.GetDomain())), Slots: pomelorelay.Slots(u.GetSlots()), Draining: u.GetDraining(), Born: u.GetBorn(),
+		}
+	}
+	return upstreams
+}
+
+func (d *decoder) addr(text string) netip.AddrPort {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		d.fail("address")
+	}
+	return addr
+}
+
+func (d *decoder) fleetState(m *pomelowire.FleetState) pomelorelay.Message {
+	s := &pomelorelay.FleetState{Document: m.GetDocument(), At: pomelorelay.Revision(m.GetAt()), Upstreams: d.upstreams(m.GetUpstreams())}
+	s.Peers = make([]pomelorelay.Peer, d.count(len(m.GetRouters()), maxList))
+	for i := range s.Peers {
+		p := m.GetRouters()[i]
+		s.Peers[i] = pomelorelay.Peer{
+			Node: pomelorelay.NodeID(d.name(p.GetNode())), Addr: d.addr(p.GetAddress()), Domain: pomelorelay.DomainID(d.name(p.GetDomain())),
+			Region: pomelorelay.RegionID(d.name(p.GetRegion())), Power: d.finite(p.GetPower()),
+		}
+	}
+	return s
+}
--- a/pomelomesh/dial.go
+++ b/pomelomesh/dial.go
@@ -85,10 +85,14 @@
 	if err := l.stream.RecvMsg(frame); err != nil {
 		return err
 	}
-	if hello := frame.GetHello(); hello.GetNode() != string(node) || tooLong(hello) {
+	hello := frame.GetHello()
+	if hello.GetNode() == "" || hello.GetNode() == string(l.m.cfg.Self.Node) || tooLong(hello) {
+		return l.m.refused(hello.GetNode(), "name")
+	}
+	if node != "" && hello.GetNode() != string(node) {
 		return l.m.refused(hello.GetNode(), "another router answers at the address")
 	}
-	return l.m.join(l, frame.GetHello())
+	return l.m.join(l, hello)
 }
 
 func (m *Mesh) dialOptions(info pomelorelay.Peer) []grpc.DialOption {
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -13,6 +13,10 @@
 		return &pomelowire.Item{Kind: &pomelowire.Item_LoadBundle{LoadBundle: encodeBundle(m)}}
 	case *pomelorelay.UpstreamNews:
 		return &pomelowire.Item{Kind: &pomelowire.Item_UpstreamNews{UpstreamNews: encodeNews(m)}}
+	case *pomelorelay.StateAsk:
+		return &pomelowire.Item{Kind: &pomelowire.Item_StateAsk{StateAsk: &pomelowire.StateAsk{Above: uint64(m.Above), Upstreams: m.Upstreams}}}
+	case *pomelorelay.FleetState:
+		return &pomelowire.Item{Kind: &pomelowire.Item_FleetState{FleetState: encodeState(m)}}
 	}
 	return nil
 }
@@ -26,15 +30,30 @@
 }
 
 func encodeNews(m *pomelorelay.UpstreamNews) *pomelowire.UpstreamNews {
-	w := &pomelowire.UpstreamNews{After: uint64(m.After), At: uint64(m.At), Whole: m.Whole}
-	for _, u := range m.Present {
-		w.Present = append(w.Present, &pomelowire.Upstream{
+	w := &pomelowire.UpstreamNews{After: uint64(m.After), At: uint64(m.At), Whole: m.Whole, Present: encodeUpstreams(m.Present)}
+	for _, id := range m.Gone {
+		w.Gone = append(w.Gone, string(id))
+	}
+	return w
+}
+
+func encodeUpstreams(upstreams []pomelorelay.FleetUpstream) []*pomelowire.Upstream {
+	var w []*pomelowire.Upstream
+	for _, u := range upstreams {
+		w = append(w, &pomelowire.Upstream{
 			Id: string(u.ID), Service: string(u.Service), Address: u.Addr.String(), Domain: string(u.Domain),
 			Slots: int32(u.Slots), Draining: u.Draining, Born: u.Born,
 		})
 	}
-	for _, id := range m.Gone {
-		w.Gone = append(w.Gone, string(id))
+	return w
+}
+
+func encodeState(m *pomelorelay.FleetState) *pomelowire.FleetState {
+	w := &pomelowire.FleetState{Document: m.Document, At: uint64(m.At), Upstreams: encodeUpstreams(m.Upstreams)}
+	for _, p := range m.Peers {
+		w.Routers = append(w.Routers, &pomelowire.Router{
+			Node: string(p.Node), Address: p.Addr.String(), Domain: string(p.Domain), Region: string(p.Region), Power: p.Power,
+		})
 	}
 	return w
 }
--- a/pomelomesh/hello.go
+++ b/pomelomesh/hello.go
@@ -139,6 +139,8 @@
 	}
 	l.peer = p
 	l.incarnation = pomelorelay.Incarnation(hello.GetIncarnation())
+	l.domain = pomelorelay.DomainID(hello.GetDomain())
+	l.region = pomelorelay.RegionID(hello.GetRegion())
 	l.class = p.meet(hello)
 	if !p.attach(l, l.incarnation) {
 		m.counters.stale.Add(1)
--- a/pomelomesh/link.go
+++ b/pomelomesh/link.go
@@ -29,6 +29,8 @@
 	peer        *peer
 	class       pomelorelay.LinkClass
 	incarnation pomelorelay.Incarnation
+	domain      pomelorelay.DomainID
+	region      pomelorelay.RegionID
 	stream      frameStream
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -173,7 +175,7 @@
 		return true
 	}
 	envelope := pomelorelay.Envelope{
-		From: l.peer.node, Incarnation: l.incarnation, Generation: pomelorelay.Generation(generation), Message: message,
+		From: l.peer.node, Incarnation: l.incarnation, Domain: l.domain, Region: l.region, Generation: pomelorelay.Generation(generation), Message: message,
 	}
 	select {
 	case l.m.inbox <- envelope:
--- a/pomelomesh/mesh.go
+++ b/pomelomesh/mesh.go
@@ -45,6 +45,8 @@
 	mu     sync.Mutex
 	peers  map[pomelorelay.NodeID]*peer
 	closed bool
+	// contacting holds the addresses that are being dialled without knowing who answers there.
+	contacting map[netip.AddrPort]bool
 }
 
 var _ pomelorelay.Mesh = (*Mesh)(nil)
@@ -53,7 +55,7 @@
 // the address cannot be listened on.
 func New(cfg Config) (*Mesh, error) {
 	cfg = cfg.withDefaults()
-	m := &Mesh{cfg: cfg, inbox: make(chan pomelorelay.Envelope, cfg.Inbox), peers: make(map[pomelorelay.NodeID]*peer), strangers: make(map[netip.Addr]time.Time)}
+	m := &Mesh{cfg: cfg, inbox: make(chan pomelorelay.Envelope, cfg.Inbox), peers: make(map[pomelorelay.NodeID]*peer), strangers: make(map[netip.Addr]time.Time), contacting: make(map[netip.AddrPort]bool)}
 	if err := m.loadKeys(); err != nil {
 		return nil, err
 	}
--- a/settings_fleet.go
+++ b/settings_fleet.go
@@ -10,6 +10,8 @@
 	// Self is this router; its address is where other routers reach it.
 	Self    Peer
 	Regions map[DomainID]RegionID
+	// Seeds are addresses of routers, perhaps of some that are gone or of this one.
+	Seeds []netip.AddrPort
 	// Callers, Readiness and Metrics are the addresses to listen on.
 	Callers   netip.AddrPort
 	Readiness netip.AddrPort
