Beyond an account's share, engines read no shared parts that another engine keeps

The predictions in the log fit what was read (1.84 against 1.2 million tokens and the 0.6 million of first reads), so the reads were chosen, not missed; 0.70 of the 1.84 million were for requests beyond their account's share, sent to a free engine because the one that keeps their parts was busy.

Change: such a request is refused when the best engine would have to read more than 400 shared tokens that another one keeps. What no engine keeps is read as before.

Test: a full keeper beside a free engine (failed before); the plays of load: large fleet, within their share in time 0.734 before, 0.763 after, its bound raised from 0.65 to 0.72; flood on a small fleet, in time 3,371 and 3,541 of 5,200, shared tokens read 1.16 and 0.88 million, bound 1 million.

--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -180,6 +180,11 @@
 	// the requests within a share that were in time from 0.37 to 0.79, and all that were in time from 7,700 to 11,300 of 23,800; on a
 	// small one of 360 a second the first from 0.64 to 0.76. At 0.5 it was 0.81, and 10,600 in all.
 	freeSlots = 0.6
+	// freeAgain is the most shared tokens that a request beyond its account's share may make an engine read though another one, which is
+	// too busy, keeps them: about what an engine reads in one step. Reading them takes engines from requests within their share. Of
+	// 250,000 requests on twenty days of floods and faults, 151,049 were in time without this bound, 155,672 at 2,000 and 156,223 at 400;
+	// 80,973, 77,257 and 77,157 were refused in the end; the shared tokens that were read again fell by 19 and 23 of 100.
+	freeAgain = 400
 	// aheadSlots and aheadShare are the same for accounts that are just ahead of one that is short. What lies between is left to the
 	// short one, which gets all it asks for before the engines are full; below, nobody would use it. The slots fall with the square of
 	// the lead, down to aheadLeast of them: users call it unfair when one account gets twice as much as another that is short.
--- a/pomeloplace/load_test.go
+++ b/pomeloplace/load_test.go
@@ -50,8 +50,8 @@
 	p.run(1000, 8*time.Second)
 	got := float64(p.owedInTime) / float64(p.owedAsked)
 	t.Logf("%s; within their share %d, in time %.3f, first of the answer late %d", p, p.owedAsked, got, p.lateFirst)
-	if got < 0.65 {
-		t.Errorf("%.3f of the requests within a share in time, want 0.65", got)
+	if got < 0.72 {
+		t.Errorf("%.3f of the requests within a share in time, want 0.72", got)
 	}
 }
 
@@ -69,6 +69,10 @@
 	if told.inTime < later.inTime+later.inTime/10 {
 		t.Errorf("%d in time when they come back as told, %d after 3 s: want a tenth more", told.inTime, later.inTime)
 	}
+	const mostRead = 1_000_000
+	if told.reread > mostRead {
+		t.Errorf("%d shared tokens read, want at most %d", told.reread, mostRead)
+	}
 	if told.lateFirst*2 > later.lateFirst {
 		t.Errorf("%d late when they come back as told, %d after 3 s: want half", told.lateFirst, later.lateFirst)
 	}
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -149,6 +149,28 @@
 	place(t, p, now, r)
 }
 
+// An account floods while the engine that keeps its prompts is full, and another one is free. Read again there, its long shared parts take
+// the free engine from callers within their share, who see late answers and refusals.
+func TestBeyondAShareNothingIsReadAgain(t *testing.T) {
+	p := withEngines(2)
+	keeper := place(t, p, start, prompt(1, 5000, 100)).Upstream.ID
+	p.Heard(start, "r2", 1, &pomelorelay.LoadReport{Seq: 1, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: keeper, Running: 60, Unread: 90_000, Sent: 90_000}}})
+	flood := func(shared uint64, tokens pomelorelay.Tokens) pomeloplace.Request {
+		r := prompt(shared, tokens, 100)
+		r.Owed = false
+		return r
+	}
+	if d := p.Place(start, flood(1, 5000)); d.Reason != pomeloplace.ReasonShare {
+		t.Errorf("%q at %s, which reads %d shared tokens again", d.Reason, d.Upstream.ID, d.Shared)
+	}
+	if d := place(t, p, start, flood(2, 5000)); d.Upstream.ID == keeper {
+		t.Error("a part that no engine keeps went to the full one")
+	}
+	if d := place(t, p, start, prompt(1, 5000, 100)); d.Upstream.ID == keeper || d.Shared != 5000 {
+		t.Errorf("a request within its share went to %s and reads %d shared tokens", d.Upstream.ID, d.Shared)
+	}
+}
+
 // A single prompt takes longer to read than its caller's target. Refused each time, the largest requests would never be served.
 func TestTheLargestAreServedWhereLittleWaits(t *testing.T) {
 	p := withEngines(4)
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -103,6 +103,8 @@
 	up      *upstream
 	missing pomelorelay.Tokens
 	shared  pomelorelay.Tokens
+	// again are the shared tokens that it must read though another upstream keeps them.
+	again   pomelorelay.Tokens
 	backlog time.Duration
 	// expected is the time until the answer begins, cost orders the candidates.
 	expected time.Duration
@@ -136,17 +138,20 @@
 		return best, false
 	}
 	found := false
+	least := r.Prompt
 	for round := 0; round < 2 && !found; round++ {
 		for _, u := range s.list {
 			if u.info.Draining || (round == 0 && (now.Before(u.downUntil) || slices.Contains(r.Avoid, u.info.ID))) {
 				continue
 			}
 			c := p.weigh(now, u, r)
+			least = min(least, c.shared)
 			if !found || c.cost < best.cost {
 				best, found = c, true
 			}
 		}
 	}
+	best.again = best.shared - least
 	return best, found
 }
 
@@ -241,6 +246,9 @@
 	case !r.Owed:
 		share, slots, reason = freeShare, freeSlots, ReasonShare
 	}
+	if !r.Owed && c.again > freeAgain {
+		return ReasonShare
+	}
 	limit := time.Duration(share * float64(r.Target))
 	if c.up.engine != nil && float64(c.up.running()) >= slots*float64(c.up.slots()) {
 		return reason
