Followers give a relay up only after its longest pause, and read the routers once

All 66 also read the routers' entries anew 25 s after the start, because in the first second several routers had taken themselves for the relay; their watches had outlived the store's history of 20 s by then, so each was a watch and a read.

Change: news last 0.66 of the bound, the wait is 0.24 instead of 0.28 of it; a router's own first read counts as news; the known relay's next word takes back that another one spoke.

Tests: the parts against each other and against the bound; the relay that speaks again.

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -56,3 +56,28 @@
 	_, served, _ := d.c.shares.State(id)
 	return served
 }
+
+// LongestPause returns how long a relay may tell its neighbours nothing, by the time after which an upstream that leaves must get nothing.
+func LongestPause(drain time.Duration) time.Duration {
+	return time.Duration((pacePart + waitPart) * float64(drain))
+}
+
+// NewsLast returns how long a router relies on a neighbour's last word of the upstreams.
+func NewsLast(drain time.Duration) time.Duration { return time.Duration(newsPart * float64(drain)) }
+
+// Look returns how often a router looks whether it has to ask the store itself.
+const Look = newsLook
+
+// LooksAgain tells a router of the relay r1 that others bring it news, in the order given, and returns whether it will read the routers anew.
+func LooksAgain(from ...pomelorelay.NodeID) bool {
+	settings := pomelorelay.FleetSettings{Self: pomelorelay.Peer{Node: "r9", Domain: "a", Region: "ra"}}
+	c := newControl(&Entry{cfg: Config{Settings: settings, Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New()})
+	now := time.Unix(1000, 0)
+	for _, node := range []pomelorelay.NodeID{"r1", "r2"} {
+		c.peers.put(now, pomelorelay.Peer{Node: node, Domain: "a", Region: "ra"})
+	}
+	for _, node := range from {
+		c.takeNews(now, node, &pomelorelay.UpstreamNews{At: 5})
+	}
+	return c.e.relayChanged.Load()
+}
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -141,9 +141,10 @@
 
 // takeNews takes what a neighbour's watch of the upstreams brought, unless something between that and this router's own is missing.
 func (c *control) takeNews(now time.Time, from pomelorelay.NodeID, m *pomelorelay.UpstreamNews) {
-	if relay, _ := c.relayOf(now, c.e.cfg.Settings.Self.Domain); relay != from {
-		c.e.relayChanged.Store(true)
-	}
+	// In the first second of a fleet's life several routers take themselves for the relay; what they told then must not make every router
+	// look again much later.
+	relay, _ := c.relayOf(now, c.e.cfg.Settings.Self.Domain)
+	c.e.relayChanged.Store(relay != from)
 	if !c.e.upstreamsWatch.advance(m.After, m.At, m.Whole) {
 		return
 	}
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -16,9 +16,9 @@
 	// pacePart is the least time between two calls for the upstreams' entries, which change with every heartbeat. Whichever router
 	// hears first tells the others.
 	pacePart = 0.36
-	// waitPart is how long such a call waits for a change. A relay whose watch waited longer would have nothing to
-	// tell its neighbours, and each would ask the store itself.
-	waitPart = 0.28
+	// waitPart is how long such a call waits for a change. A relay has nothing to tell its neighbours for the pace and the wait together,
+	// when a call without a change follows one that was answered at once.
+	waitPart = 0.24
 	// returnWait is how long after the store came back a vanished entry may be missing: upstreams that live are back within 2 s.
 	returnWait = 2300 * time.Millisecond
 	// massWait is how long many entries that vanish at once are kept: they lapsed in an outage that this router did not notice.
@@ -29,9 +29,11 @@
 	// silentPart is the time without a word of the store from which a router relies on its peers and expects lapsed entries: upstreams
 	// write every 1.2 s, so that some do in each pace.
 	silentPart = 0.8
-	// newsPart is how long a neighbour's news spare a router its own watch: the neighbour's pace and half of it. Should the neighbour lose
-	// the store, the router asks itself, still in time to hear of an upstream that leaves. newsLook is how often it looks.
-	newsPart = 0.56
+	// newsPart is how long a neighbour's news, or its own first read, spare a router its own watch: the neighbour's pace and wait, and a
+	// tenth. Were it shorter than both, all neighbours would ask the store whenever changes pause: 60 of 66 routers did so 9 s after
+	// their start, and once more for the configuration. Should the neighbour lose the store, the router asks itself, still in time to hear
+	// of an upstream that leaves. newsLook is how often it looks.
+	newsPart = 0.66
 	newsLook = 200 * time.Millisecond
 	// tellFor is how long the others are told of an upstream that leaves.
 	tellFor = 3 * time.Second
@@ -102,6 +104,9 @@
 			if went && change.Whole {
 				e.dropped(w)
 			}
+			if !went {
+				e.newsAt.Store(e.cfg.Clock.Now().UnixNano())
+			}
 			if fresh {
 				e.post(&upstreamsArrived{change: change, after: after, back: failed})
 			}
