A request whose caller left while its connection opened is not sent

Callers were looked for before a request got its place and before its connection was opened, not after; a connection that opens over such a stall was written to at once when the process ran again.

Change: Links.Open takes a Sending, whose Wanted is asked once the connection is open, just before the request is written. Not wanted: the place is given back as unsent and the request ends as one whose caller left.

Ruled out: no look at all, since the lag counts from the last tick also before the next one.

--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -115,6 +115,10 @@
 	if f == nil {
 		return nil
 	}
+	if result == pomeloplace.ResultUnsent && c.callerLeft() {
+		c.ran = before
+		c.abandon()
+	}
 	c.avoid = append(c.avoid, up.ID)
 	switch f.Outcome {
 	case pomelolink.OutcomeNotSent:
@@ -134,7 +138,7 @@
 	switch {
 	case f == nil:
 		return pomeloplace.ResultGood
-	case errors.Is(ctx.Err(), context.Canceled) && f.Outcome == pomelolink.OutcomeNotSent:
+	case f.Outcome == pomelolink.OutcomeNotSent && (f.Err.Code == pomelorelay.CodeCancelled || errors.Is(ctx.Err(), context.Canceled)):
 		return pomeloplace.ResultUnsent
 	case errors.Is(ctx.Err(), context.Canceled):
 		return pomeloplace.ResultGone
@@ -199,7 +203,7 @@
 
 // exchange sends the request to an upstream and passes its answer on.
 func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, ticket Ticket) *pomelolink.Failure {
-	x, f := c.h.links.Open(ctx, up.Addr, c.request(up), len(c.bytes()), false)
+	x, f := c.h.links.Open(ctx, pomelolink.Sending{Addr: up.Addr, Request: c.request(up), Size: len(c.bytes()), Wanted: func() bool { return !c.callerLeft() }})
 	if f != nil {
 		return f
 	}
--- a/pomeloforward/forward_test.go
+++ b/pomeloforward/forward_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -334,3 +335,30 @@
 		}
 	}
 }
+
+// The processor stands still for a second while the connection to the upstream opens, and the caller gives up meanwhile. Written once the
+// connection is there, its request would run for nobody; the place it holds is given back, and its account is not charged.
+func TestARequestWhoseCallerLeftWhileItsConnectionOpenedIsNotSent(t *testing.T) {
+	var runs atomic.Int64
+	up := newUpstream(t, func(conn net.Conn, r *http.Request) {
+		runs.Add(1)
+		fmt.Fprint(conn, head(r, 200, "Content-Length: 2\r\n\r\nok"))
+	})
+	w := newWorld(t, up.entry("up"))
+	var looks atomic.Int64
+	// The first two looks come before the request has its place and before the connection is opened.
+	w.mu.Lock()
+	w.left = func() bool { return looks.Add(1) > 2 }
+	w.mu.Unlock()
+	if got := w.call("POST", "/book/1", "x"); got.cut == nil {
+		t.Errorf("%+v, though the caller left", got)
+	}
+	if n := runs.Load(); n != 0 {
+		t.Errorf("the upstream got %d requests", n)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.results) != 1 || w.results[0] != pomeloplace.ResultUnsent {
+		t.Errorf("the place ended with %v", w.results)
+	}
+}
--- a/pomeloforward/world_test.go
+++ b/pomeloforward/world_test.go
@@ -114,8 +114,10 @@
 	results  []pomeloplace.Result
 	stopsIn  time.Duration
 	stopping bool
-	mu       sync.Mutex
-	server   *httptest.Server
+	// left tells whether a caller has left, nil when that is not to be told.
+	left   func() bool
+	mu     sync.Mutex
+	server *httptest.Server
 }
 
 var routes = []pomelorelay.Route{
@@ -142,6 +144,7 @@
 	})
 	h := pomeloforward.New(pomeloforward.Config{
 		Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}, Wire: pomelofake.FleetWire{}, Tables: w, Placement: w, Stopping: w, Meter: w,
+		Left:       w.hasLeft,
 		RetryRatio: 0.2, RetrySlack: 100,
 	})
 	w.server = httptest.NewServer(h)
@@ -152,6 +155,12 @@
 	return w
 }
 
+func (w *world) hasLeft(*http.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.left != nil && w.left()
+}
+
 func (w *world) Current() *pomelotable.Table {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -60,21 +60,39 @@
 	return &Failure{Outcome: outcome, Err: e}
 }
 
-// Open sends a request once and reads the head of its answer. On a failure the connection is closed.
-func (l *Links) Open(ctx context.Context, addr netip.AddrPort, req *http.Request, size int, fresh bool) (*Exchange, *Failure) {
-	conn, err := l.conns.get(ctx, addr, fresh)
+// Sending is a request to an upstream.
+type Sending struct {
+	Addr    netip.AddrPort
+	Request *http.Request
+	// Size is the length of the request's body.
+	Size int
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Wanted is asked once the connection is open, just before the request is written; nil when the request is wanted in any case.
+	// Opening a connection can take a second, and a caller that leaves meanwhile is noticed late on a busy processor.
+	Wanted func() bool
+}
+
+// Open sends a request once and reads the head of its answer. On a failure the connection is closed. A request that is not wanted any
+// more fails with CodeCancelled and is not sent.
+func (l *Links) Open(ctx context.Context, s Sending) (*Exchange, *Failure) {
+	conn, err := l.conns.get(ctx, s.Addr, s.Fresh)
 	if err != nil {
 		return nil, unreached(ctx, err)
 	}
-	x := &Exchange{links: l, ctx: ctx, addr: addr, conn: conn, wire: req.Header.Get(l.cfg.Protocol.IDHeader)}
+	if s.Wanted != nil && !s.Wanted() {
+		conn.Close()
+		return nil, NewFailure(OutcomeNotSent, pomelorelay.CodeCancelled, nil)
+	}
+	x := &Exchange{links: l, ctx: ctx, addr: s.Addr, conn: conn, wire: s.Request.Header.Get(l.cfg.Protocol.IDHeader)}
 	deadline, _ := ctx.Deadline()
 	if err := conn.begin(deadline); err != nil {
 		conn.Close()
 		return nil, unreached(ctx, err)
 	}
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
-	writeErr := x.write(req, size)
-	if f := x.readHead(req, writeErr); f != nil {
+	writeErr := x.write(s.Request, s.Size)
+	if f := x.readHead(s.Request, writeErr); f != nil {
 		x.Close()
 		return nil, f
 	}
--- a/pomelolink/link_test.go
+++ b/pomelolink/link_test.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	req := &http.Request{Method: "GET", URL: &url.URL{Scheme: "http", Host: addr.String(), Path: "/"}, Host: "h", Header: http.Header{idField: {"1"}}, Body: http.NoBody}
-	x, f := l.Open(ctx, addr, req, 0, false)
+	x, f := l.Open(ctx, pomelolink.Sending{Addr: addr, Request: req})
 	if f != nil {
 		t.Fatal(f.Err)
 	}
@@ -108,7 +108,7 @@
 	addr := netip.MustParseAddrPort(l.Addr().String())
 	l.Close()
 	req := &http.Request{Method: "GET", URL: &url.URL{Scheme: "http", Host: addr.String(), Path: "/"}, Header: http.Header{}, Body: http.NoBody}
-	_, f := newLinks(t).Open(context.Background(), addr, req, 0, false)
+	_, f := newLinks(t).Open(context.Background(), pomelolink.Sending{Addr: addr, Request: req})
 	if f == nil || f.Outcome != pomelolink.OutcomeNotSent || f.Err.Code != pomelorelay.CodeUpstreamUnreached {
 		t.Errorf("%+v", f)
 	}
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -224,7 +224,7 @@
 	if err != nil {
 		return pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeBadRequest, err)
 	}
-	x, f := c.h.links.Open(ctx, up.Address, req, len(c.bytes()), !c.repeatable())
+	x, f := c.h.links.Open(ctx, pomelolink.Sending{Addr: up.Address, Request: req, Size: len(c.bytes()), Fresh: !c.repeatable()})
 	if f != nil {
 		return f
 	}
--- a/pomeloroute/stream.go
+++ b/pomeloroute/stream.go
@@ -198,7 +198,7 @@
 		Header: head,
 		Body:   http.NoBody,
 	}
-	x, f := s.c.h.links.Open(s.ctx, s.up.Address, req, 0, true)
+	x, f := s.c.h.links.Open(s.ctx, pomelolink.Sending{Addr: s.up.Address, Request: req, Fresh: true})
 	if f != nil {
 		return false
 	}
