--- a/pomelofake/mesh.go
+++ b/pomelofake/mesh.go
@@ -46,17 +46,16 @@
 	return m
 }
 
-// at returns the routers that joined with the address.
-func (n *Network) at(addr netip.AddrPort) []pomelorelay.NodeID {
+// at returns the router that joined with the address.
+func (n *Network) at(addr netip.AddrPort) (pomelorelay.NodeID, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var nodes []pomelorelay.NodeID
 	for node, m := range n.meshes {
 		if m.self.Addr == addr {
-			nodes = append(nodes, node)
+			return node, true
 		}
 	}
-	return nodes
+	return "", false
 }
 
 // Mesh implements pomelorelay.Mesh on a Network; it counts messages in place of bytes.
@@ -76,10 +75,11 @@
 
 // Contact sends a message to the router whose address it is.
 func (m *Mesh) Contact(addr netip.AddrPort, message pomelorelay.Message) error {
-	for _, node := range m.network.at(addr) {
-		return m.Send(node, message)
+	node, ok := m.network.at(addr)
+	if !ok {
+		return nil
 	}
-	return nil
+	return m.Send(node, message)
 }
 
 // SetGeneration sets the generation that rides on every envelope.
