Routers learn together how fast engines read, and whether reading holds streams up

Cause: the first guess of the reading speed was that of one kind of engine (85 tokens a millisecond) and was corrected by a twentieth with each answer that had 6,000 tokens before it, by each router for itself and for each engine by itself.

Change: pomelospeed fits the time to the first token as a line over the tokens to be read, from the answers of all routers of a service; the sums travel in reports, so that a router that starts knows them with the first one. The first guess is twice what the operators say that the engines produce. An engine that turns slow is told by its own ratio of late (half-life 0.5 s), one up to twice the middle one is taken for chance. Where long reading holds streams up is learnt from the streams beside it, against the pause that their route allows; the length of a long prompt follows from both. A refused request's line names the bound (Time, Slots, Again).

--- a/messages_load.go
+++ b/messages_load.go
@@ -1,5 +1,7 @@
 package pomelorelay
 
+import "time"
+
 // UpstreamLoad is what one router has on one upstream.
 type UpstreamLoad struct {
 	Upstream UpstreamID
@@ -10,6 +12,8 @@
 	Held Tokens
 	// Sent is the sum of all prompt tokens sent there since the router's start.
 	Sent Tokens
+	// Expected and Took are the sums of the times to first tokens, as they were expected and as they were, since the router's start.
+	Expected, Took time.Duration
 }
 
 // AccountUse is one router's sums of an account since its start.
@@ -36,11 +40,13 @@
 	Parts     []PartPlaced
 	// Leaving are upstreams that the router knows to drain or to be gone.
 	Leaving []UpstreamID
+	// Speeds tell how fast the engines read.
+	Speeds []SpeedSums
 }
 
 // Empty reports whether the report tells nothing; a whole one always tells that its router is there.
 func (r *LoadReport) Empty() bool {
-	return !r.Whole && len(r.Upstreams)+len(r.Accounts)+len(r.Parts)+len(r.Leaving) == 0
+	return !r.Whole && len(r.Upstreams)+len(r.Accounts)+len(r.Parts)+len(r.Leaving)+len(r.Speeds) == 0
 }
 
 // Urgency is that of placements: others place by them.
@@ -82,3 +88,15 @@
 
 // CoalesceKey is empty: news hold only what changed, and each counts.
 func (*UpstreamNews) CoalesceKey() string { return "" }
+
+// SpeedSums are one router's sums, since its start, over the first tokens of a service's answers. Each answer counts by a weight of
+// its own; times are in milliseconds, reading in tokens.
+type SpeedSums struct {
+	Service ServiceID
+	// Answers is the number of answers.
+	Answers float64
+	// Weight sums up the weights, Read and Took the tokens read and the times taken, ReadRead and ReadTook their products, all weighted.
+	Weight, Read, Took, ReadRead, ReadTook float64
+	// Beside is the number of streams that ran while their engine read for long, Paused those among them that paused for too long.
+	Beside, Paused float64
+}
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -229,7 +229,7 @@
 	}
 	c.config = config
 	c.shares.SetCapacity(config.Limits.TokensPerSecond)
-	c.placer.SetServices(config.Services)
+	c.placer.SetConfig(config)
 	c.e.table.Store(pomelotable.New(config))
 	c.e.mesh.SetGeneration(config.Version)
 	c.e.log(pomelorelay.EventConfigInForce, field("Generation", uint64(config.Version)), field("Source", source), field("Routes", len(config.Routes)), field("Accounts", len(config.Accounts)))
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -32,7 +32,7 @@
 	settings := pomelorelay.FleetSettings{Self: pomelorelay.Peer{Node: "r", Domain: "a", Region: "ra"}, ShareWindow: 4 * time.Second}
 	c := newControl(&Entry{cfg: Config{Settings: settings, Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New()})
 	c.shares.SetCapacity(config.Limits.TokensPerSecond)
-	c.placer.SetServices(config.Services)
+	c.placer.SetConfig(&config)
 	for _, u := range upstreams {
 		c.placer.Put(u)
 	}
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -113,6 +113,9 @@
 	f = c.exchange(ctx, up, ticket)
 	result = resultOf(ctx, f)
 	if f == nil {
+		if c.route.Pause > 0 && c.longestPause > c.route.Pause {
+			result = pomeloplace.ResultPaused
+		}
 		return nil
 	}
 	if result == pomeloplace.ResultUnsent && c.callerLeft() {
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -90,6 +90,7 @@
 		pomelorelay.Field{Key: "Failure", Value: e.Error()},
 		pomelorelay.Field{Key: "RetryAfterMS", Value: e.RetryAfter.Milliseconds()},
 		pomelorelay.Field{Key: "Reason", Value: string(c.decision.Reason)},
+		pomelorelay.Field{Key: "Bound", Value: string(c.decision.Bound)},
 	)
 }
 
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -58,14 +58,15 @@
 		&pomelorelay.Farewell{Incarnation: 6},
 		&pomelorelay.LoadReport{
 			Seq: 9, Whole: true,
-			Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 3, Unread: 4000, Held: 9000, Sent: 70000}},
+			Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 3, Unread: 4000, Held: 9000, Sent: 70000, Expected: 3 * time.Second, Took: 2500 * time.Millisecond}},
 			Accounts:  []pomelorelay.AccountUse{{Account: "a", Asked: 12, Served: 7}},
 			Parts:     []pomelorelay.PartPlaced{{Upstream: "u", Hash: 0x5c1e07a2, Tokens: 800}},
 			Leaving:   []pomelorelay.UpstreamID{"v"},
+			Speeds:    []pomelorelay.SpeedSums{{Service: "s", Answers: 7, Weight: 0.25, Read: 900, Took: 7.5, ReadRead: 1e8, ReadTook: 2e5, Beside: 20, Paused: 3}},
 		},
 		&pomelorelay.LoadBundle{Reports: []pomelorelay.RelayedReport{{Node: "r1", Incarnation: 5, Report: &pomelorelay.LoadReport{
 			Seq: 2, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 1}}, Accounts: []pomelorelay.AccountUse{},
-			Parts: []pomelorelay.PartPlaced{}, Leaving: []pomelorelay.UpstreamID{},
+			Parts: []pomelorelay.PartPlaced{}, Leaving: []pomelorelay.UpstreamID{}, Speeds: []pomelorelay.SpeedSums{},
 		}}}},
 		&pomelorelay.UpstreamNews{
 			After: 9, At: 12, Whole: true, Gone: []pomelorelay.UpstreamID{"v"},
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -1,7 +1,9 @@
 package pomelomesh
 
 import (
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
@@ -15,6 +17,7 @@
 		r.Upstreams[i] = pomelorelay.UpstreamLoad{
 			Upstream: pomelorelay.UpstreamID(d.name(u.GetUpstream())), Running: u.GetRunning(),
 			Unread: d.tokens(u.GetUnread()), Held: d.tokens(u.GetHeld()), Sent: d.tokens(u.GetSent()),
+			Expected: d.milliseconds(u.GetExpected()), Took: d.milliseconds(u.GetTook()),
 		}
 	}
 	r.Accounts = make([]pomelorelay.AccountUse, d.count(len(m.GetAccounts()), maxList))
@@ -33,6 +36,14 @@
 	for i := range r.Leaving {
 		r.Leaving[i] = pomelorelay.UpstreamID(d.name(m.GetLeaving()[i]))
 	}
+	r.Speeds = make([]pomelorelay.SpeedSums, d.count(len(m.GetSpeeds()), maxList))
+	for i := range r.Speeds {
+		s := m.GetSpeeds()[i]
+		r.Speeds[i] = pomelorelay.SpeedSums{
+			Service: pomelorelay.ServiceID(d.name(s.GetService())), Answers: d.finite(s.GetAnswers()), Weight: d.finite(s.GetWeight()),
+			Read: d.finite(s.GetRead()), Took: d.finite(s.GetTook()), ReadRead: d.finite(s.GetReadRead()), ReadTook: d.finite(s.GetReadTook()), Beside: d.finite(s.GetBeside()), Paused: d.finite(s.GetPaused()),
+		}
+	}
 	return r
 }
 
@@ -44,6 +55,14 @@
 	return pomelorelay.Tokens(value)
 }
 
+func (d *decoder) milliseconds(value int64) time.Duration {
+	if value > math.MaxInt64/int64(time.Millisecond) {
+		d.fail("duration too long")
+		return 0
+	}
+	return d.duration(value * int64(time.Millisecond))
+}
+
 func (d *decoder) loadBundle(m *pomelowire.LoadBundle) pomelorelay.Message {
 	b := &pomelorelay.LoadBundle{Reports: make([]pomelorelay.RelayedReport, d.count(len(m.GetReports()), maxList))}
 	for i := range b.Reports {
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -63,6 +63,7 @@
 	for _, u := range m.Upstreams {
 		w.Upstreams = append(w.Upstreams, &pomelowire.UpstreamLoad{
 			Upstream: string(u.Upstream), Running: u.Running, Unread: int64(u.Unread), Held: int64(u.Held), Sent: int64(u.Sent),
+			Expected: u.Expected.Milliseconds(), Took: u.Took.Milliseconds(),
 		})
 	}
 	for _, a := range m.Accounts {
@@ -74,5 +75,10 @@
 	for _, id := range m.Leaving {
 		w.Leaving = append(w.Leaving, string(id))
 	}
+	for _, s := range m.Speeds {
+		w.Speeds = append(w.Speeds, &pomelowire.SpeedSums{
+			Service: string(s.Service), Answers: s.Answers, Weight: s.Weight, Read: s.Read, Took: s.Took, ReadRead: s.ReadRead, ReadTook: s.ReadTook, Beside: s.Beside, Paused: s.Paused,
+		})
+	}
 	return w
 }
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelospeed"
 )
 
 // Config holds what a Placer needs.
@@ -46,9 +47,25 @@
 	ReasonShare Reason = "Share"
 )
 
+// Bound tells which bound a refused request was over.
+type Bound string
+
+// The bounds.
+const (
+	// BoundNone stands for a request that has its place, or for which there is no upstream.
+	BoundNone Bound = ""
+	// BoundTime stands for an answer that would begin too late.
+	BoundTime Bound = "Time"
+	// BoundSlots stands for an engine that runs too many requests to take this one.
+	BoundSlots Bound = "Slots"
+	// BoundAgain stands for shared parts that would be read although a busier engine keeps them.
+	BoundAgain Bound = "Again"
+)
+
 // Decision is where a request goes, or why it goes nowhere and when it may come back.
 type Decision struct {
 	Reason Reason
+	Bound  Bound
 	// RetryAfter is when there is likely to be a place.
 	RetryAfter time.Duration
 	Upstream   pomelorelay.FleetUpstream
@@ -83,7 +100,10 @@
 	up      *upstream
 	sent    time.Time
 	missing pomelorelay.Tokens
-	ahead   pomelorelay.Tokens
+	// ahead are the tokens that were to be read before the request's own, as they were known.
+	ahead float64
+	// crowded tells that no slot was free, so that the time to the first token says nothing of reading.
+	crowded bool
 	held    pomelorelay.Tokens
 	begun   bool
 	ended   bool
@@ -106,29 +126,22 @@
 	ResultRefused
 	// ResultUnsent is a request whose caller left before it was sent.
 	ResultUnsent
+	// ResultPaused is a whole answer that paused for longer than its caller accepts.
+	ResultPaused
 )
 
 // NotRun reports whether the request surely did not run.
 func (r Result) NotRun() bool { return r == ResultUnreached || r == ResultRefused || r == ResultUnsent }
 
 const (
-	// startRate is the first guess of the prompt tokens that an engine reads in a millisecond beside its decoding; it is learnt
-	// from then on. Engines of the present deployments read 101 when they do nothing else.
-	startRate = 85
-	// minRate and maxRate bound what is learnt, a tenth and four times of the guess.
-	minRate = 8
-	maxRate = 340
-	// rateShare is the weight of a new sample in the running mean of the rate: about the last 20 samples count.
-	rateShare = 0.05
-	// rateSample is the least backlog in tokens from which a first token's time tells the rate; below, decoding steps and the way decide.
-	rateSample = 6000
+	// startRate is the first guess of how fast an engine reads where the operators do not say what all engines produce together.
+	startRate pomelospeed.Rate = 100
+	// readTimes is how many times as fast as it produces tokens on the whole an engine reads: about half of its time goes to generating.
+	readTimes = 2
 	// startService is the first guess of a plain service's time for a request; it is learnt from then on.
 	startService = 40 * time.Millisecond
 	// serviceShare is the weight of a new sample in its running mean.
 	serviceShare = 0.05
-	// firstStep is what an engine needs besides reading until the first token: a decoding step, a free turn and the way there; a guess, which only
-	// shifts all engines alike.
-	firstStep = 30 * time.Millisecond
 	// regionWay is the way to another region and back, twice the 12 ms that both deployments give.
 	regionWay = 24 * time.Millisecond
 	// missWeight is how much reading a shared part again counts beyond the time that it takes the engine: the users charge it at
@@ -147,10 +160,10 @@
 	crowdWeight = 50 * time.Millisecond
 	// regionCost is what the bytes of a request to another region and of its answer cost, in an engine's time.
 	regionCost = 3 * time.Millisecond
-	// pauseFrom and pauseTo are the lengths of uninterrupted reading between which the streams that run beside it pause for longer
-	// than callers expect: an event holds 6 to 11 tokens, and between two of them an engine reads a chunk of 4,096.
-	pauseFrom = 280 * time.Millisecond
-	pauseTo   = 420 * time.Millisecond
+	// pauseFrom and pauseTo are the lengths of uninterrupted reading, as parts of the pause that callers accept, between which the streams
+	// that run beside it become late.
+	pauseFrom = 0.7
+	pauseTo   = 1.05
 	// pauseWeight is what one late stream counts, in an engine's time. A stream that is late loses some 40 ms of an engine's worth; ten
 	// times that keeps long reading away from streams before it is certain. In the play at 160 requests a second, with weights near
 	// these, 400 ms instead of 200 took the requests that pause too long from 1.8 to 1.5 in 100; at 30 ms and the weights before it
--- a/pomeloplace/load_test.go
+++ b/pomeloplace/load_test.go
@@ -45,7 +45,7 @@
 	p := newPlay(1, 33, 56)
 	p.slots, p.eventTokens, p.delay, p.scale, p.beyond = 16, 11, 110*time.Millisecond, 5, 0.5
 	for _, r := range p.routers {
-		r.SetServices([]pomelorelay.ServiceSpec{{Name: engines, Engine: &pomelorelay.EngineSpec{Slots: 16, Memory: 386_234, EventTokens: 11}}})
+		r.SetConfig(&pomelorelay.FleetConfig{Routes: routes, Services: []pomelorelay.ServiceSpec{{Name: engines, Engine: &pomelorelay.EngineSpec{Slots: 16, Memory: 386_234, EventTokens: 11}}}})
 	}
 	p.run(1000, 8*time.Second)
 	got := float64(p.owedInTime) / float64(p.owedAsked)
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelospeed"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -16,8 +17,6 @@
 // them late, 20 to 40 at once. So long prompts go to a few engines that streams keep away from.
 
 const (
-	// longPrompt is the work from which a prompt is long: seven chunks of 4,096 tokens are read between two events.
-	longPrompt = 26000
 	// longRoom is the room that long prompts are given for their own work; short answers fill what they leave.
 	longRoom = 1.0
 	// longMost is the largest part of a service's engines for long prompts.
@@ -69,10 +68,10 @@
 	f.all += float64(tokens) * decay
 }
 
-func (f *flow) addOwn(now time.Time, tokens pomelorelay.Tokens) {
+func (f *flow) addOwn(now time.Time, tokens pomelorelay.Tokens, long bool) {
 	f.add(now, tokens)
 	f.own += float64(tokens) * decay
-	if tokens >= longPrompt {
+	if long {
 		f.long += float64(tokens) * decay
 	}
 }
@@ -89,14 +88,24 @@
 type pool struct {
 	// list is by id, so that the same calls always give the same answers.
 	list []*upstream
+	// line is how fast the service's engines read.
+	line *pomelospeed.Line
+	// pause is the longest pause between events that callers accept, pauses whether long reading leads to longer ones.
+	pause  time.Duration
+	pauses pomelospeed.Pauses
 	// ranked is by a hash that every router knows; the first take the long prompts.
 	ranked []*upstream
 	flow   flow
 	// forLong is how many engines take long prompts, neededAt when so many were last needed.
 	forLong  int
 	neededAt time.Time
+	factors  []float64
+	// told is the number of answers that the last report of their times counted.
+	told float64
 }
 
+func newPool() *pool { return &pool{line: pomelospeed.NewLine(startRate)} }
+
 func (s *pool) add(u *upstream) {
 	s.list = append(s.list, u)
 	slices.SortFunc(s.list, func(a, b *upstream) int { return cmp.Compare(a.info.ID, b.info.ID) })
@@ -117,8 +126,9 @@
 	if len(s.ranked) == 0 || s.ranked[0].engine == nil {
 		return
 	}
+	s.compare(now)
 	s.flow.fade(now)
-	need := int(math.Ceil(s.flow.engines(s.ranked[0].rate)))
+	need := int(math.Ceil(s.pauses.Weight() * s.flow.engines(float64(s.line.Rate()))))
 	need = min(need, int(longMost*float64(len(s.ranked))))
 	if need >= s.forLong || now.Sub(s.neededAt) > longKeep {
 		s.forLong, s.neededAt = need, now
@@ -132,13 +142,33 @@
 	}
 }
 
+// compare sets each engine's speed beside that of the middle one: what is the same for all belongs to the service's line, which may
+// still be on its way to where it fits.
+func (s *pool) compare(now time.Time) {
+	s.factors = s.factors[:0]
+	for _, u := range s.list {
+		s.factors = append(s.factors, u.factor.Ratio(now))
+	}
+	slices.Sort(s.factors)
+	middle := s.factors[len(s.factors)/2]
+	for _, u := range s.list {
+		u.slow = u.factor.Beside(now, middle)
+	}
+}
+
 // shyCost is what it costs a request to go to an engine of the other kind.
 func shyCost(u *upstream, r *Request, missing pomelorelay.Tokens) time.Duration {
-	if !u.forLong || missing >= longPrompt {
+	if !u.forLong || u.pool.long(missing) {
 		return 0
 	}
+	shy := shyShort
 	if r.Output >= manyEvents*max(1, u.engine.EventTokens) {
-		return shyStream
+		shy = shyStream
 	}
-	return shyShort
+	return time.Duration(u.pool.pauses.Weight() * float64(shy))
+}
+
+// long reports whether reading so much at a stretch makes streams beside it pause for too long.
+func (s *pool) long(work pomelorelay.Tokens) bool {
+	return s.pause > 0 && float64(work)/float64(s.line.Rate()) >= pauseFrom*milliseconds(s.pause)
 }
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -16,15 +16,20 @@
 	plain   = "plain"
 )
 
+// routes say how long streams may pause.
+var routes = []pomelorelay.Route{{Pause: pauseAllowed, Shares: []pomelorelay.RouteShare{{Service: engines, Weight: 1}}}}
+
+const pauseAllowed = 400 * time.Millisecond
+
 func newPlacer() *pomeloplace.Placer {
 	p := pomeloplace.New(pomeloplace.Config{
 		Self:    pomelorelay.Peer{Node: "r1", Domain: "a", Region: "ra"},
 		Regions: map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra", "b": "rb"},
 	})
-	p.SetServices([]pomelorelay.ServiceSpec{
+	p.SetConfig(&pomelorelay.FleetConfig{Routes: routes, Services: []pomelorelay.ServiceSpec{
 		{Name: engines, Engine: &pomelorelay.EngineSpec{Slots: 64, Memory: 500_000, EventTokens: 7}},
 		{Name: plain},
-	})
+	}})
 	return p
 }
 
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelospeed"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -17,6 +18,8 @@
 	retired  map[pomelorelay.UpstreamID]*upstream
 	services map[pomelorelay.ServiceID]*pool
 	engines  map[pomelorelay.ServiceID]*pomelorelay.EngineSpec
+	// capacity is what all engines together produce in a second by the operators' word; zero when they do not say.
+	capacity pomelorelay.Cost
 	peers    map[pomelorelay.NodeID]*peer
 	parts    []pomelorelay.PartPlaced
 	// oldest is when the router was last heard that has been silent for longest; zero when there is none.
@@ -24,6 +27,8 @@
 	// untold are the prompt tokens that were sent since the last report.
 	untold pomelorelay.Tokens
 	seq    uint64
+	// pauses are the longest pauses between events that the callers of a service accept.
+	pauses map[pomelorelay.ServiceID]time.Duration
 }
 
 // New returns a Placer that knows no upstream.
@@ -34,19 +39,50 @@
 		retired:   make(map[pomelorelay.UpstreamID]*upstream),
 		services:  make(map[pomelorelay.ServiceID]*pool),
 		engines:   make(map[pomelorelay.ServiceID]*pomelorelay.EngineSpec),
+		pauses:    make(map[pomelorelay.ServiceID]time.Duration),
 		peers:     make(map[pomelorelay.NodeID]*peer),
 	}
 }
 
-// SetServices takes what the configuration says of the services.
-func (p *Placer) SetServices(services []pomelorelay.ServiceSpec) {
+// SetConfig takes what the configuration says of the services and of what their engines produce.
+func (p *Placer) SetConfig(config *pomelorelay.FleetConfig) {
 	clear(p.engines)
-	for _, s := range services {
+	p.capacity = config.Limits.TokensPerSecond
+	clear(p.pauses)
+	for _, r := range config.Routes {
+		for _, s := range r.Shares {
+			if before, known := p.pauses[s.Service]; r.Pause > 0 && (!known || r.Pause < before) {
+				p.pauses[s.Service] = r.Pause
+			}
+		}
+	}
+	for name, s := range p.services {
+		s.pause = p.pauses[name]
+	}
+	for _, s := range config.Services {
 		p.engines[s.Name] = s.Engine
 	}
 	for _, u := range p.upstreams {
 		u.setEngine(p.engines[u.info.Service])
 	}
+	p.guess()
+}
+
+// guess makes the operators' figure the first guess of how fast each engine reads.
+func (p *Placer) guess() {
+	count := 0
+	for _, u := range p.upstreams {
+		if u.engine != nil {
+			count++
+		}
+	}
+	rate := startRate
+	if p.capacity > 0 && count > 0 {
+		rate = pomelospeed.Rate(readTimes * float64(p.capacity) / float64(count) / 1000)
+	}
+	for _, s := range p.services {
+		s.line.SetGuess(rate)
+	}
 }
 
 // Put takes an upstream's entry. One that was born anew, or has another address, keeps nothing of before; one whose entry only was
@@ -69,11 +105,13 @@
 	p.upstreams[info.ID] = u
 	s := p.services[info.Service]
 	if s == nil {
-		s = &pool{}
+		s = newPool()
+		s.pause = p.pauses[info.Service]
 		p.services[info.Service] = s
 	}
 	s.add(u)
 	u.pool = s
+	p.guess()
 }
 
 // same reports whether an entry is of the same start of the same upstream.
@@ -96,6 +134,7 @@
 	p.retired[id] = u
 	delete(p.upstreams, id)
 	u.pool.remove(u)
+	p.guess()
 }
 
 // candidate is an upstream weighed for a request.
@@ -121,8 +160,8 @@
 		ReportAge: p.reportAge(now),
 		Upstream:  best.up.info, Expected: best.expected, Backlog: best.backlog, Missing: best.missing, Shared: best.shared, Running: best.up.running(),
 	}
-	if reason := p.refuses(best, &r); reason != ReasonNone {
-		d.Reason = reason
+	if reason, bound := p.refuses(best, &r); bound != BoundNone {
+		d.Reason, d.Bound = reason, bound
 		d.RetryAfter = min(max(best.expected-r.Target/2, leastRetry), mostRetry)
 		return d
 	}
@@ -159,8 +198,8 @@
 func (p *Placer) weigh(now time.Time, u *upstream, r *Request) candidate {
 	c := candidate{up: u, backlog: u.await(now)}
 	c.expected = c.backlog
+	c.expected += p.way(u)
 	if p.cfg.Regions[u.info.Domain] != p.cfg.Self.Region {
-		c.expected += regionWay
 		c.cost += regionCost
 	}
 	taken := float64(u.running()) / float64(u.slots())
@@ -175,19 +214,27 @@
 	return c
 }
 
+// way returns the time that a request takes to an upstream and its answer back.
+func (p *Placer) way(u *upstream) time.Duration {
+	if p.cfg.Regions[u.info.Domain] == p.cfg.Self.Region {
+		return 0
+	}
+	return regionWay
+}
+
 func (p *Placer) weighEngine(c *candidate, r *Request) {
 	u := c.up
 	missing := u.kept.missing(r)
 	c.missing = work(missing, r.Prompt)
 	c.shared = max(0, missing-r.own())
 	read := u.reading(float64(c.missing))
-	c.expected += read + firstStep
+	c.expected += read + u.overhead()
 	c.cost += read + time.Duration(missWeight*float64(read)) + homeCost(u, r)
 	c.cost += time.Duration(waitWeight * float64(c.expected))
 	if late := c.expected - time.Duration(calmShare*float64(r.Target)); late > 0 {
 		c.cost += time.Duration(lateWeight * float64(late))
 	}
-	c.cost += pauseCost(u.running(), c.backlog+read) + shyCost(u, r, c.missing)
+	c.cost += u.pauseCost(c.backlog+read) + shyCost(u, r, c.missing)
 	if u.full(r.Prompt + r.Output) {
 		c.expected += slotTurn
 		c.cost += failWeight
@@ -202,11 +249,15 @@
 	return r.Parts[len(r.Parts)-1].Tokens
 }
 
-// pauseCost is what the streams that run at an engine lose when it reads for a time without a break.
-func pauseCost(running int, reading time.Duration) time.Duration {
-	over := float64(reading-pauseFrom) / float64(pauseTo-pauseFrom)
+// pauseCost is what the streams that run at the engine lose when it reads for a time without a break.
+func (u *upstream) pauseCost(reading time.Duration) time.Duration {
+	allowed := float64(u.pool.pause)
+	if allowed <= 0 {
+		return 0
+	}
+	over := (float64(reading)/allowed - pauseFrom) / (pauseTo - pauseFrom)
 	over = min(max(over, 0), 1)
-	return time.Duration(over * float64(running) * float64(pauseWeight))
+	return time.Duration(u.pool.pauses.Weight() * over * float64(u.running()) * float64(pauseWeight))
 }
 
 const (
@@ -236,8 +287,8 @@
 	return min(homeMost, time.Duration(float64(homeStep)*place))
 }
 
-// refuses reports why the best candidate is not good enough: the answer would begin too late to be worth what it delays.
-func (p *Placer) refuses(c candidate, r *Request) Reason {
+// refuses reports why the best candidate is not good enough, and by which bound.
+func (p *Placer) refuses(c candidate, r *Request) (Reason, Bound) {
 	share, slots, reason := owedShare, 1.0, ReasonLate
 	switch {
 	case !r.Owed && r.Lead > 1:
@@ -247,14 +298,14 @@
 		share, slots, reason = freeShare, freeSlots, ReasonShare
 	}
 	if !r.Owed && c.again > freeAgain {
-		return ReasonShare
+		return ReasonShare, BoundAgain
 	}
 	limit := time.Duration(share * float64(r.Target))
 	if c.up.engine != nil && float64(c.up.running()) >= slots*float64(c.up.slots()) {
-		return reason
+		return reason, BoundSlots
 	}
 	if c.expected <= limit {
-		return ReasonNone
+		return ReasonNone, BoundNone
 	}
 	// A prompt that alone takes longer than the target can never begin in time; it is served where little waits, or nobody would
 	// ever serve the largest.
@@ -264,25 +315,27 @@
 		room = limit
 	}
 	if own > limit/2 && c.backlog <= room && own < r.Left/2 {
-		return ReasonNone
+		return ReasonNone, BoundNone
 	}
-	return reason
+	return reason, BoundTime
 }
 
 func (p *Placer) start(now time.Time, c candidate, r *Request) *Run {
 	u := c.up
-	run := &Run{up: u, sent: now, missing: c.missing, ahead: pomelorelay.Tokens(u.queue), held: r.Prompt + r.Output}
+	run := &Run{up: u, sent: now, missing: c.missing, held: r.Prompt + r.Output}
 	u.own.running++
 	u.changed = true
 	if u.engine == nil {
 		return run
 	}
+	run.ahead, run.crowded = u.backlog(now), u.running() > u.slots()
 	u.own.unread += run.missing
 	u.own.held += run.held
 	u.own.sent += run.missing
 	p.untold += run.missing
 	u.enqueue(now, run.missing)
-	u.pool.flow.addOwn(now, run.missing)
+	u.noteLong(now)
+	u.pool.flow.addOwn(now, run.missing, u.pool.long(run.missing))
 	p.notePlaced(u, r)
 	return run
 }
@@ -309,7 +362,7 @@
 	u := run.up
 	u.own.unread -= run.missing
 	u.changed = true
-	u.learn(run, now.Sub(run.sent))
+	u.learn(now, run, now.Sub(run.sent)-p.way(u))
 }
 
 // Ended notes that a run ended.
@@ -326,6 +379,9 @@
 		u.own.held -= run.held
 	}
 	u.own.running--
+	if run.begun && u.engine != nil && (result == ResultGood || result == ResultPaused) && u.longAt.After(run.sent) {
+		u.pool.pauses.Note(now, result == ResultPaused)
+	}
 	u.changed = true
 	u.result(now, result)
 }
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelospeed"
 )
 
 // peer is what another router last told.
@@ -11,6 +12,7 @@
 	incarnation pomelorelay.Incarnation
 	heard       time.Time
 	loads       map[pomelorelay.UpstreamID]load
+	speeds      map[pomelorelay.ServiceID]pomelorelay.SpeedSums
 }
 
 // Report fills in what this router has on the upstreams: what changed since the last report, or all.
@@ -18,7 +20,14 @@
 	p.seq++
 	p.untold = 0
 	m.Seq = p.seq
-	for _, s := range p.services {
+	for name, s := range p.services {
+		if sums := s.line.Own(); sums.Answers > s.told || (m.Whole && sums.Answers > 0) {
+			s.told = sums.Answers
+			sums.Service = name
+			pauses := s.pauses.Own()
+			sums.Beside, sums.Paused = pauses.Beside, pauses.Paused
+			m.Speeds = append(m.Speeds, sums)
+		}
 		for _, u := range s.list {
 			if !u.changed && (!m.Whole || u.own == (load{})) {
 				continue
@@ -26,6 +35,7 @@
 			u.changed = false
 			m.Upstreams = append(m.Upstreams, pomelorelay.UpstreamLoad{
 				Upstream: u.info.ID, Running: uint32(max(0, u.own.running)), Unread: max(0, u.own.unread), Held: max(0, u.own.held), Sent: u.own.sent,
+				Expected: u.own.expected, Took: u.own.took,
 			})
 		}
 	}
@@ -48,10 +58,11 @@
 	}
 	if o == nil || incarnation > o.incarnation {
 		p.forget(from)
-		o = &peer{incarnation: incarnation, loads: make(map[pomelorelay.UpstreamID]load)}
+		o = &peer{incarnation: incarnation, loads: make(map[pomelorelay.UpstreamID]load), speeds: make(map[pomelorelay.ServiceID]pomelorelay.SpeedSums)}
 		p.peers[from] = o
 	}
 	o.heard = now
+	p.takeSpeeds(now, o, m.Speeds)
 	for _, l := range m.Upstreams {
 		p.take(now, o, l)
 	}
@@ -73,13 +84,28 @@
 	}
 	for id, l := range o.loads {
 		if !told[id] && l.running != 0 {
-			p.take(now, o, pomelorelay.UpstreamLoad{Upstream: id, Sent: l.sent})
+			p.take(now, o, pomelorelay.UpstreamLoad{Upstream: id, Sent: l.sent, Expected: l.expected, Took: l.took})
 		}
 	}
 }
 
+func (p *Placer) takeSpeeds(now time.Time, o *peer, speeds []pomelorelay.SpeedSums) {
+	for _, sums := range speeds {
+		before := o.speeds[sums.Service]
+		o.speeds[sums.Service] = sums
+		if s := p.services[sums.Service]; s != nil {
+			s.line.Heard(now, before, sums)
+			s.pauses.Heard(now, pauseCounts(before), pauseCounts(sums))
+		}
+	}
+}
+
+func pauseCounts(s pomelorelay.SpeedSums) pomelospeed.PauseCounts {
+	return pomelospeed.PauseCounts{Beside: s.Beside, Paused: s.Paused}
+}
+
 func (p *Placer) take(now time.Time, o *peer, l pomelorelay.UpstreamLoad) {
-	next := load{running: int(l.Running), unread: l.Unread, held: l.Held, sent: l.Sent}
+	next := load{running: int(l.Running), unread: l.Unread, held: l.Held, sent: l.Sent, expected: l.Expected, took: l.Took}
 	before, known := o.loads[l.Upstream]
 	o.loads[l.Upstream] = next
 	u := p.known(l.Upstream)
@@ -89,9 +115,13 @@
 	u.others.running += next.running - before.running
 	u.others.unread += next.unread - before.unread
 	u.others.held += next.held - before.held
+	if known && next.expected > before.expected {
+		u.factor.Note(now, next.took-before.took, next.expected-before.expected)
+	}
 	switch {
 	case known && next.sent > before.sent:
 		u.enqueue(now, next.sent-before.sent)
+		u.noteLong(now)
 		u.pool.flow.add(now, next.sent-before.sent)
 	case !known:
 		u.enqueue(now, next.unread)
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelospeed"
 )
 
 // load is what runs at an upstream.
@@ -14,6 +15,8 @@
 	unread  pomelorelay.Tokens
 	held    pomelorelay.Tokens
 	sent    pomelorelay.Tokens
+	// expected and took are the sums of the times to first tokens.
+	expected, took time.Duration
 }
 
 // upstream is one upstream as the whole fleet uses it.
@@ -29,8 +32,12 @@
 	// queue is the number of tokens that are still to be read at the time queueAt, as it falls by the rate.
 	queue   float64
 	queueAt time.Time
-	// rate is in tokens a millisecond, service is the time of a plain request.
-	rate    float64
+	// factor is how an engine's speed differs from its service's, slow the same beside the middle one of the service.
+	factor pomelospeed.Factor
+	slow   float64
+	// longAt is when the engine last had so much to read that streams beside it may have paused for too long.
+	longAt time.Time
+	// service is the time of a plain request.
 	service time.Duration
 	kept    kept
 	// failures is the rate of failures at failedAt; it fades.
@@ -42,7 +49,7 @@
 }
 
 func newUpstream(info pomelorelay.FleetUpstream, engine *pomelorelay.EngineSpec) *upstream {
-	u := &upstream{info: info, rate: startRate, service: startService}
+	u := &upstream{info: info, slow: 1, service: startService}
 	u.setEngine(engine)
 	return u
 }
@@ -68,7 +75,7 @@
 // drain lets the queue fall by what was read since.
 func (u *upstream) drain(now time.Time) {
 	if passed := now.Sub(u.queueAt); passed > 0 {
-		u.queue = max(0, u.queue-u.rate*milliseconds(passed))
+		u.queue = max(0, u.queue-u.rate()*milliseconds(passed))
 		u.queueAt = now
 	}
 }
@@ -78,6 +85,13 @@
 	u.queue += float64(tokens)
 }
 
+// noteLong notes when what is to be read takes as long as callers accept a stream to pause.
+func (u *upstream) noteLong(now time.Time) {
+	if u.pool.pause > 0 && u.reading(u.queue) >= u.pool.pause {
+		u.longAt = now
+	}
+}
+
 // backlog returns the tokens that are to be read before a new request's. Answers that have not begun bound it from above; reading
 // that is slower than the rate says shows by answers that still have not begun.
 func (u *upstream) backlog(now time.Time) float64 {
@@ -100,7 +114,15 @@
 }
 
 func (u *upstream) reading(tokens float64) time.Duration {
-	return time.Duration(tokens / u.rate * float64(time.Millisecond))
+	return time.Duration(tokens / u.rate() * float64(time.Millisecond))
+}
+
+// rate returns how many tokens the engine reads in a millisecond.
+func (u *upstream) rate() float64 { return float64(u.pool.line.Rate()) / u.slow }
+
+// overhead returns the time to a first token besides reading.
+func (u *upstream) overhead() time.Duration {
+	return time.Duration(u.slow * float64(u.pool.line.Overhead()))
 }
 
 // failing returns the rate of failures, faded since the last result.
@@ -110,7 +132,7 @@
 
 func (u *upstream) result(now time.Time, r Result) {
 	switch r {
-	case ResultGood:
+	case ResultGood, ResultPaused:
 		u.failures = u.failing(now) * (1 - failShare)
 		u.downUntil, u.downFor = time.Time{}, 0
 	case ResultFailed, ResultRefused:
@@ -133,19 +155,21 @@
 	u.downUntil = now.Add(u.downFor)
 }
 
-// learn takes the time to a first token as a sample of the rate.
-func (u *upstream) learn(r *Run, took time.Duration) {
+// learn takes the time to a first token, less the way there, as a sample of the speed.
+func (u *upstream) learn(now time.Time, r *Run, took time.Duration) {
 	if u.engine == nil {
 		u.service += time.Duration(serviceShare * float64(took-u.service))
 		return
 	}
-	tokens := r.ahead + r.missing
-	ms := milliseconds(took - firstStep)
-	if tokens < rateSample || ms <= 0 {
+	if r.crowded || took <= 0 {
 		return
 	}
-	sample := min(max(float64(tokens)/ms, minRate), maxRate)
-	u.rate += rateShare * (sample - u.rate)
+	tokens := r.ahead + float64(r.missing)
+	expected := u.pool.line.Expect(tokens)
+	u.factor.Note(now, took, expected)
+	u.own.expected += expected
+	u.own.took += took
+	u.pool.line.Note(now, tokens, time.Duration(float64(took)/u.slow))
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/pomeloplace/world_test.go
+++ b/pomeloplace/world_test.go
@@ -270,14 +270,18 @@
 	if j.made < j.output {
 		return
 	}
-	router.Ended(e.at, j.run, pomeloplace.ResultGood)
-	if j.first <= j.request.Target && j.pause <= 400*time.Millisecond {
+	result := pomeloplace.ResultGood
+	if j.pause > pauseAllowed {
+		result = pomeloplace.ResultPaused
+	}
+	router.Ended(e.at, j.run, result)
+	if j.first <= j.request.Target && result == pomeloplace.ResultGood {
 		p.inTime++
 		if j.request.Owed {
 			p.owedInTime++
 		}
 	}
-	if j.pause > 400*time.Millisecond {
+	if result == pomeloplace.ResultPaused {
 		p.latePause++
 	}
 	if j.first > j.request.Target {
--- /dev/null
+++ b/pomelospeed/line.go
@@ -0,0 +1,149 @@
+package pomelospeed
+
+import (
+	"math"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Rate is a reading speed in tokens a millisecond.
+type Rate float64
+
+const (
+	// leastRate and mostRate bound what is learnt, so that a few odd answers cannot make an engine look stopped or endless.
+	leastRate Rate = 0.5
+	mostRate  Rate = 5000
+	// startOverhead is the first guess of what an answer needs besides reading: some decoding steps and the way there.
+	startOverhead = 30 * time.Millisecond
+	// guessWeight is the number of answers that each of the two points of the first guess counts for; a tenth of a second of a busy
+	// fleet's answers outweighs it.
+	guessWeight = 1
+	// guessSpan is the reading time at which the second point stands until answers are seen.
+	guessSpan = 200 * time.Millisecond
+	// fadeTime is the time in which half of what was seen is forgotten: step times change with what runs.
+	fadeTime = 4 * time.Second
+	// leastSeen is the number of answers below which nothing is forgotten, so that a fleet in a calm hour keeps what it knows.
+	leastSeen = 50
+	// mostNews bounds the number of answers that one report of another router may count for: its first one sums up all since its start.
+	mostNews = 200
+	// oddRatio is how many times longer or shorter than expected an answer may be to count in full: an engine that stood still says
+	// nothing of how fast it reads. With fewer answers than sureAnswers the line itself may be as far off.
+	oddRatio    = 4
+	sureAnswers = 30
+)
+
+// Line is the time to the first token as a straight line over the prompt tokens to be read, fitted to the answers of all routers.
+type Line struct {
+	guess Rate
+	own   pomelorelay.SpeedSums
+	seen  pomelorelay.SpeedSums
+	at    time.Time
+	// overhead and perToken are in milliseconds.
+	overhead, perToken float64
+}
+
+// NewLine returns a Line that expects engines to read at the rate until it has seen answers.
+func NewLine(guess Rate) *Line {
+	l := &Line{}
+	l.SetGuess(guess)
+	return l
+}
+
+// SetGuess replaces the first guess.
+func (l *Line) SetGuess(guess Rate) {
+	l.guess = min(max(guess, leastRate), mostRate)
+	l.fit()
+}
+
+// Rate returns how fast an engine reads.
+func (l *Line) Rate() Rate { return Rate(1 / l.perToken) }
+
+// Overhead returns the time to the first token of a prompt of no length at an engine where nothing waits.
+func (l *Line) Overhead() time.Duration { return duration(l.overhead) }
+
+// Expect returns the time to the first token of an engine that has to read so many tokens before it, the request's own among them.
+func (l *Line) Expect(tokens float64) time.Duration { return duration(l.overhead + l.perToken*tokens) }
+
+// Note takes the time to the first token that this router saw.
+func (l *Line) Note(now time.Time, tokens float64, took time.Duration) {
+	expected := l.overhead + l.perToken*tokens
+	odd := oddRatio * max(1, sureAnswers/(l.seen.Answers+1))
+	y := min(max(milliseconds(took), expected/odd), expected*odd)
+	// Long waits vary more than short ones.
+	w := l.overhead / expected
+	s := pomelorelay.SpeedSums{Answers: 1, Weight: w, Read: w * tokens, Took: w * y, ReadRead: w * tokens * tokens, ReadTook: w * tokens * y}
+	l.own = plus(l.own, s, 1)
+	l.see(now, s)
+}
+
+// Own returns the sums of this router's answers since its start.
+func (l *Line) Own() pomelorelay.SpeedSums { return l.own }
+
+// Heard takes what another router's sums have grown by.
+func (l *Line) Heard(now time.Time, before, after pomelorelay.SpeedSums) {
+	news := plus(after, before, -1)
+	if news.Answers <= 0 {
+		return
+	}
+	if news.Answers > mostNews {
+		news = plus(pomelorelay.SpeedSums{}, news, mostNews/news.Answers)
+	}
+	l.see(now, news)
+}
+
+func (l *Line) see(now time.Time, s pomelorelay.SpeedSums) {
+	if l.at.IsZero() {
+		l.at = now
+	}
+	if passed := now.Sub(l.at); passed > 0 && l.seen.Answers > leastSeen {
+		keep := max(math.Exp2(-float64(passed)/float64(fadeTime)), leastSeen/l.seen.Answers)
+		l.seen = plus(pomelorelay.SpeedSums{}, l.seen, keep)
+	}
+	l.at = now
+	l.seen = plus(l.seen, s, 1)
+	l.fit()
+}
+
+// fit draws the line of least squares through what was seen and the first guess.
+func (l *Line) fit() {
+	s := plus(l.guessed(), l.seen, 1)
+	spread := s.Weight*s.ReadRead - s.Read*s.Read
+	slope := (s.Weight*s.ReadTook - s.Read*s.Took) / spread
+	overhead := (s.Took - slope*s.Read) / s.Weight
+	if overhead < 0 {
+		overhead, slope = 0, s.ReadTook/s.ReadRead
+	}
+	// The comparison is false also where the sums give no number.
+	if !(slope >= 1/float64(mostRate)) {
+		slope = 1 / float64(mostRate)
+	}
+	l.perToken = min(slope, 1/float64(leastRate))
+	l.overhead = max(overhead, 1)
+}
+
+// guessed returns the first guess as answers at two points of its line: at no tokens, and at about as many as the answers read that were
+// seen. Further out, it would outweigh many answers.
+func (l *Line) guessed() pomelorelay.SpeedSums {
+	at, w := milliseconds(guessSpan)*float64(l.guess), float64(guessWeight)
+	if l.seen.Answers > 0 {
+		at = math.Sqrt(l.seen.ReadRead / l.seen.Weight)
+		w *= l.seen.Weight / l.seen.Answers
+	}
+	low := milliseconds(startOverhead)
+	high := low + at/float64(l.guess)
+	return pomelorelay.SpeedSums{Weight: 2 * w, Read: w * at, Took: w * (low + high), ReadRead: w * at * at, ReadTook: w * at * high}
+}
+
+// plus returns the sums of a and so many times b.
+func plus(a, b pomelorelay.SpeedSums, times float64) pomelorelay.SpeedSums {
+	return pomelorelay.SpeedSums{
+		Service: a.Service,
+		Answers: a.Answers + times*b.Answers, Weight: a.Weight + times*b.Weight, Read: a.Read + times*b.Read,
+		Took: a.Took + times*b.Took, ReadRead: a.ReadRead + times*b.ReadRead, ReadTook: a.ReadTook + times*b.ReadTook,
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
