What other routers fill an engine's memory with counts, and parts are copied from the engine that keeps them

Cause: each router let only its own prompts and the parts that others told as new fill its picture of an engine's memory, and saw parts refreshed by its own uses alone.

Change: tokens that other routers sent and did not name take memory too; a use of a part is told again after 2 s. Where another engine keeps more of a prompt, the request asks its engine to copy it from there (pomeloplace/copy.go); how long a copy takes is learnt by all routers together from the first tokens (pomelospeed/copies.go), parts that had to be read after all included. The play of the fleet copies too, at half of the time to read.

Cause: answers weighed by one over the expected time, by an estimate that was wrong when the first ones came, so that these outweighed all others. They are weighed by one over its square and reweighed as the estimate moves.

Tests: TestACrowdedSessionsPartsAreCopied. TestBeyondAShareNothingIsReadAgain keeps its check for engines that copy as slowly as they read. The play's check against placement at random counts copied tokens with those read, on both sides.

--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -236,7 +236,7 @@
 		head["User-Agent"] = []string{""}
 	}
 	c.h.cfg.Wire.WriteUpstream(head, pomelorelay.UpstreamFields{
-		Wait: c.left(), Upstream: up.ID, Account: c.account, LastEvent: c.lastEvent, HasLastEvent: c.hasLastEvent,
+		Wait: c.left(), Upstream: up.ID, Account: c.account, CopyFrom: c.decision.CopyFrom.Addr, LastEvent: c.lastEvent, HasLastEvent: c.hasLastEvent,
 	})
 	req := &http.Request{
 		Method:        c.r.Method,
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -136,6 +136,7 @@
 		pomelorelay.Field{Key: "BacklogMS", Value: d.Backlog.Milliseconds()},
 		pomelorelay.Field{Key: "Missing", Value: int64(d.Missing)},
 		pomelorelay.Field{Key: "Shared", Value: int64(d.Shared)},
+		pomelorelay.Field{Key: "Copied", Value: int64(d.Copied)},
 		pomelorelay.Field{Key: "Running", Value: d.Running},
 		pomelorelay.Field{Key: "ReportAgeMS", Value: d.ReportAge.Milliseconds()},
 		pomelorelay.Field{Key: "ListAgeMS", Value: d.ListAge.Milliseconds()},
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -62,7 +62,7 @@
 			Accounts:  []pomelorelay.AccountUse{{Account: "a", Asked: 12, Served: 7}},
 			Parts:     []pomelorelay.PartPlaced{{Upstream: "u", Hash: 0x5c1e07a2, Tokens: 800}},
 			Leaving:   []pomelorelay.UpstreamID{"v"},
-			Speeds:    []pomelorelay.SpeedSums{{Service: "s", Answers: 7, Weight: 0.25, Read: 900, Took: 7.5, ReadRead: 1e8, ReadTook: 2e5, Beside: 20, Paused: 3}},
+			Speeds:    []pomelorelay.SpeedSums{{Service: "s", Answers: 7, Weight: 0.25, Read: 900, Took: 7.5, ReadRead: 1e8, ReadTook: 2e5, Beside: 20, Paused: 3, Copied: 5000, CopyTook: 12.5}},
 		},
 		&pomelorelay.LoadBundle{Reports: []pomelorelay.RelayedReport{{Node: "r1", Incarnation: 5, Report: &pomelorelay.LoadReport{
 			Seq: 2, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 1}}, Accounts: []pomelorelay.AccountUse{},
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -42,6 +42,7 @@
 		r.Speeds[i] = pomelorelay.SpeedSums{
 			Service: pomelorelay.ServiceID(d.name(s.GetService())), Answers: d.finite(s.GetAnswers()), Weight: d.finite(s.GetWeight()),
 			Read: d.finite(s.GetRead()), Took: d.finite(s.GetTook()), ReadRead: d.finite(s.GetReadRead()), ReadTook: d.finite(s.GetReadTook()), Beside: d.finite(s.GetBeside()), Paused: d.finite(s.GetPaused()),
+			Copied: d.finite(s.GetCopied()), CopyTook: d.finite(s.GetCopyTook()),
 		}
 	}
 	return r
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -77,7 +77,7 @@
 	}
 	for _, s := range m.Speeds {
 		w.Speeds = append(w.Speeds, &pomelowire.SpeedSums{
-			Service: string(s.Service), Answers: s.Answers, Weight: s.Weight, Read: s.Read, Took: s.Took, ReadRead: s.ReadRead, ReadTook: s.ReadTook, Beside: s.Beside, Paused: s.Paused,
+			Service: string(s.Service), Answers: s.Answers, Weight: s.Weight, Read: s.Read, Took: s.Took, ReadRead: s.ReadRead, ReadTook: s.ReadTook, Beside: s.Beside, Paused: s.Paused, Copied: s.Copied, CopyTook: s.CopyTook,
 		})
 	}
 	return w
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -77,6 +77,9 @@
 	// parts which other requests share.
 	Missing pomelorelay.Tokens
 	Shared  pomelorelay.Tokens
+	// CopyFrom is the upstream from which Copied tokens of the prompt are copied instead of read; without an id when none are.
+	CopyFrom pomelorelay.FleetUpstream
+	Copied   pomelorelay.Tokens
 	// Running is what the fleet runs at the upstream.
 	Running int
 	// ReportAge is the age of the oldest report of another router that counted; zero when there was none.
@@ -100,6 +103,8 @@
 	up      *upstream
 	sent    time.Time
 	missing pomelorelay.Tokens
+	// copied are the tokens that are copied from another engine.
+	copied pomelorelay.Tokens
 	// ahead are the tokens that were to be read before the request's own, as they were known.
 	ahead float64
 	// crowded tells that no slot was free, so that the time to the first token says nothing of reading.
@@ -148,6 +153,8 @@
 	// about twice what that time of an engine is worth to them, and it delays what comes after. In the play of load_test.go,
 	// 4 instead of 1 took a tenth off the shared tokens that were read.
 	missWeight = 3.5
+	// copyWeight is how much the time of a copy counts: copied parts take memory at two engines, and others lose theirs.
+	copyWeight = 2.5
 	// waitWeight is how much a wait counts that ends well within the target; waiting at one engine or the other is nearly the same.
 	waitWeight = 0.1
 	// calmShare is the part of the target up to which a wait is calm; beyond, each millisecond counts lateWeight times more, since
--- a/pomeloplace/load_test.go
+++ b/pomeloplace/load_test.go
@@ -33,7 +33,7 @@
 		if got := float64(ours.refused) / float64(ours.asked); got > c.refused {
 			t.Errorf("%.0f a second: %.3f refused, want at most %.2f", c.perSecond, got, c.refused)
 		}
-		if ours.inTime <= random.inTime || ours.reread*2 > random.reread {
+		if ours.inTime <= random.inTime || (ours.reread+ours.copied)*2 > random.reread+random.copied {
 			t.Errorf("%.0f a second: no better than at random", c.perSecond)
 		}
 	}
@@ -88,7 +88,7 @@
 }
 
 func (p *play) String() string {
-	return fmt.Sprintf("%d asked, %d refused, %d in time, %d paused too long, %d shared tokens read", p.asked, p.refused, p.inTime, p.latePause, p.reread)
+	return fmt.Sprintf("%d asked, %d refused, %d in time, %d paused too long, %d shared tokens read and %d copied", p.asked, p.refused, p.inTime, p.latePause, p.reread, p.copied)
 }
 
 // atRandom sends each request to an engine at random and lets the placer refuse nothing.
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -93,6 +93,8 @@
 	// pause is the longest pause between events that callers accept, pauses whether long reading leads to longer ones.
 	pause  time.Duration
 	pauses pomelospeed.Pauses
+	// copies is how long it takes to copy kept parts from another engine.
+	copies pomelospeed.Copies
 	// ranked is by a hash that every router knows; the first take the long prompts.
 	ranked []*upstream
 	flow   flow
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -155,7 +155,7 @@
 }
 
 // An account floods while the engine that keeps its prompts is full, and another one is free. Read again there, its long shared parts take
-// the free engine from callers within their share, who see late answers and refusals.
+// the free engine from callers within their share, who see late answers and refusals. Copied from the full engine, they take next to nothing.
 func TestBeyondAShareNothingIsReadAgain(t *testing.T) {
 	p := withEngines(2)
 	keeper := place(t, p, start, prompt(1, 5000, 100)).Upstream.ID
@@ -165,6 +165,8 @@
 		r.Owed = false
 		return r
 	}
+	slowCopies := pomelorelay.SpeedSums{Service: engines, Copied: 1e6, CopyTook: 1e6}
+	p.Heard(start, "r2", 1, &pomelorelay.LoadReport{Seq: 2, Speeds: []pomelorelay.SpeedSums{slowCopies}})
 	if d := p.Place(start, flood(1, 5000)); d.Reason != pomeloplace.ReasonShare {
 		t.Errorf("%q at %s, which reads %d shared tokens again", d.Reason, d.Upstream.ID, d.Shared)
 	}
@@ -176,6 +178,24 @@
 	}
 }
 
+// The engine that keeps a session's parts is crowded, and others are free. Waiting there, its callers see late answers; read again
+// elsewhere, its parts take another engine's time from everybody.
+func TestACrowdedSessionsPartsAreCopied(t *testing.T) {
+	p := withEngines(3)
+	keeper := place(t, p, start, prompt(1, 5000, 100)).Upstream.ID
+	p.Heard(start, "r2", 1, &pomelorelay.LoadReport{Seq: 1, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: keeper, Running: 60, Unread: 90_000, Sent: 90_000}}})
+	d := place(t, p, start, prompt(1, 5000, 200))
+	if d.Upstream.ID == keeper || d.CopyFrom.ID != keeper || d.Copied != 5000 || d.Shared != 0 {
+		t.Errorf("sent to %s, which copies %d tokens from %q and reads %d shared ones", d.Upstream.ID, d.Copied, d.CopyFrom.ID, d.Shared)
+	}
+	// An engine that takes no connection gives nothing away either.
+	lost := place(t, p, start, prompt(2, 5000, 300))
+	p.Ended(start, lost.Run, pomeloplace.ResultUnreached)
+	if d := place(t, p, start, prompt(2, 5000, 400)); d.CopyFrom.ID == lost.Upstream.ID {
+		t.Errorf("copies from %s, which takes no connection", d.CopyFrom.ID)
+	}
+}
+
 // A single prompt takes longer to read than its caller's target. Refused each time, the largest requests would never be served.
 func TestTheLargestAreServedWhereLittleWaits(t *testing.T) {
 	p := withEngines(4)
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -145,6 +145,9 @@
 	// again are the shared tokens that it must read though another upstream keeps them.
 	again   pomelorelay.Tokens
 	backlog time.Duration
+	// from is the engine from which copied tokens are copied instead of read; nil when none are.
+	from   *upstream
+	copied pomelorelay.Tokens
 	// expected is the time until the answer begins, cost orders the candidates.
 	expected time.Duration
 	cost     time.Duration
@@ -160,6 +163,9 @@
 		ReportAge: p.reportAge(now),
 		Upstream:  best.up.info, Expected: best.expected, Backlog: best.backlog, Missing: best.missing, Shared: best.shared, Running: best.up.running(),
 	}
+	if best.from != nil {
+		d.CopyFrom, d.Copied = best.from.info, best.copied
+	}
 	if reason, bound := p.refuses(best, &r); bound != BoundNone {
 		d.Reason, d.Bound = reason, bound
 		d.RetryAfter = min(max(best.expected-r.Target/2, leastRetry), mostRetry)
@@ -178,12 +184,13 @@
 	}
 	found := false
 	least := r.Prompt
+	source := s.source(now, r)
 	for round := 0; round < 2 && !found; round++ {
 		for _, u := range s.list {
 			if u.info.Draining || (round == 0 && (now.Before(u.downUntil) || slices.Contains(r.Avoid, u.info.ID))) {
 				continue
 			}
-			c := p.weigh(now, u, r)
+			c := p.weigh(now, u, source, r)
 			least = min(least, c.shared)
 			if !found || c.cost < best.cost {
 				best, found = c, true
@@ -195,7 +202,7 @@
 }
 
 // weigh returns a candidate with its cost in an engine's time: what the request and those beside it lose by going there.
-func (p *Placer) weigh(now time.Time, u *upstream, r *Request) candidate {
+func (p *Placer) weigh(now time.Time, u *upstream, from source, r *Request) candidate {
 	c := candidate{up: u, backlog: u.await(now)}
 	c.expected = c.backlog
 	c.expected += p.way(u)
@@ -208,7 +215,7 @@
 		c.expected += u.service
 		c.cost += c.expected
 	} else {
-		p.weighEngine(&c, r)
+		p.weighEngine(&c, from, r)
 	}
 	c.cost += time.Duration(u.failing(now) * float64(failWeight))
 	return c
@@ -222,14 +229,16 @@
 	return regionWay
 }
 
-func (p *Placer) weighEngine(c *candidate, r *Request) {
+func (p *Placer) weighEngine(c *candidate, from source, r *Request) {
 	u := c.up
 	missing := u.kept.missing(r)
+	copying := p.copy(c, from, missing)
+	missing -= c.copied
 	c.missing = work(missing, r.Prompt)
 	c.shared = max(0, missing-r.own())
 	read := u.reading(float64(c.missing))
-	c.expected += read + u.overhead()
-	c.cost += read + time.Duration(missWeight*float64(read)) + homeCost(u, r)
+	c.expected += read + copying + u.overhead()
+	c.cost += time.Duration(copyWeight*float64(copying)) + read + time.Duration(missWeight*float64(read)) + homeCost(u, r)
 	c.cost += time.Duration(waitWeight * float64(c.expected))
 	if late := c.expected - time.Duration(calmShare*float64(r.Target)); late > 0 {
 		c.cost += time.Duration(lateWeight * float64(late))
@@ -322,7 +331,7 @@
 
 func (p *Placer) start(now time.Time, c candidate, r *Request) *Run {
 	u := c.up
-	run := &Run{up: u, sent: now, missing: c.missing, held: r.Prompt + r.Output}
+	run := &Run{up: u, sent: now, missing: c.missing, copied: c.copied, held: r.Prompt + r.Output}
 	u.own.running++
 	u.changed = true
 	if u.engine == nil {
@@ -336,18 +345,17 @@
 	u.enqueue(now, run.missing)
 	u.noteLong(now)
 	u.pool.flow.addOwn(now, run.missing, u.pool.long(run.missing))
-	p.notePlaced(u, r)
+	p.notePlaced(now, u, r)
 	return run
 }
 
 // leastPart is the least number of tokens of a part that other routers are told of: below, reading it again costs less than telling.
 const leastPart = 64
 
-func (p *Placer) notePlaced(u *upstream, r *Request) {
+func (p *Placer) notePlaced(now time.Time, u *upstream, r *Request) {
 	for i, part := range r.Parts {
-		fresh := u.kept.parts[part.Hash] == nil
 		u.kept.note(part.Hash, part.Tokens)
-		if fresh && part.Tokens >= leastPart && i < len(r.Parts)-1 {
+		if part.Tokens >= leastPart && i < len(r.Parts)-1 && u.kept.tell(now, part.Hash) {
 			p.parts = append(p.parts, pomelorelay.PartPlaced{Upstream: u.info.ID, Hash: part.Hash, Tokens: part.Tokens})
 		}
 	}
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -26,6 +26,8 @@
 			sums.Service = name
 			pauses := s.pauses.Own()
 			sums.Beside, sums.Paused = pauses.Beside, pauses.Paused
+			copies := s.copies.Own()
+			sums.Copied, sums.CopyTook = copies.Tokens, copies.Took
 			m.Speeds = append(m.Speeds, sums)
 		}
 		for _, u := range s.list {
@@ -63,17 +65,34 @@
 	}
 	o.heard = now
 	p.takeSpeeds(now, o, m.Speeds)
+	named := p.takeParts(now, m.Parts)
 	for _, l := range m.Upstreams {
+		before := o.loads[l.Upstream]
 		p.take(now, o, l)
+		if u := p.upstreams[l.Upstream]; u != nil && before.sent > 0 {
+			u.kept.noteUnnamed(l.Sent - before.sent - named[l.Upstream])
+		}
 	}
 	if m.Whole {
 		p.clearOthers(now, o, m)
 	}
-	for _, part := range m.Parts {
-		if u := p.upstreams[part.Upstream]; u != nil {
-			u.kept.note(part.Hash, part.Tokens)
+}
+
+// takeParts notes the parts that another router's requests used, and returns the tokens that each upstream had to read of them.
+func (p *Placer) takeParts(now time.Time, parts []pomelorelay.PartPlaced) map[pomelorelay.UpstreamID]pomelorelay.Tokens {
+	read := make(map[pomelorelay.UpstreamID]pomelorelay.Tokens)
+	for _, part := range parts {
+		u := p.upstreams[part.Upstream]
+		if u == nil {
+			continue
 		}
+		if u.kept.parts[part.Hash] == nil {
+			read[part.Upstream] += part.Tokens
+		}
+		u.kept.note(part.Hash, part.Tokens)
+		u.kept.tell(now, part.Hash)
 	}
+	return read
 }
 
 // clearOthers takes back what a whole report does not hold: the report in which it fell to nothing was lost.
@@ -96,6 +115,7 @@
 		if s := p.services[sums.Service]; s != nil {
 			s.line.Heard(now, before, sums)
 			s.pauses.Heard(now, pauseCounts(before), pauseCounts(sums))
+			s.copies.Heard(copySums(before), copySums(sums))
 		}
 	}
 }
@@ -104,6 +124,10 @@
 	return pomelospeed.PauseCounts{Beside: s.Beside, Paused: s.Paused}
 }
 
+func copySums(s pomelorelay.SpeedSums) pomelospeed.CopySums {
+	return pomelospeed.CopySums{Tokens: s.Copied, Took: s.CopyTook}
+}
+
 func (p *Placer) take(now time.Time, o *peer, l pomelorelay.UpstreamLoad) {
 	next := load{running: int(l.Running), unread: l.Unread, held: l.Held, sent: l.Sent, expected: l.Expected, took: l.Took}
 	before, known := o.loads[l.Upstream]
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -166,12 +165,22 @@
 	}
 	tokens := r.ahead + float64(r.missing)
 	expected := u.pool.line.Expect(tokens)
+	if r.copied > 0 {
+		u.pool.copies.Note(float64(r.copied), u.copyTime(r, took-time.Duration(u.slow*float64(expected))))
+		return
+	}
 	u.factor.Note(now, took, expected)
 	u.own.expected += expected
 	u.own.took += took
 	u.pool.line.Note(now, tokens, time.Duration(float64(took)/u.slow))
 }
 
+// copyTime bounds what an answer took beyond what was expected without its copy: waits that have other reasons say nothing of it.
+func (u *upstream) copyTime(r *Run, beyond time.Duration) time.Duration {
+	read := u.reading(float64(r.copied))
+	return min(max(beyond, -read), 2*read)
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // full reports whether running requests and the new one would overfill the engine's memory.
@@ -182,71 +191,3 @@
 	taken := u.own.held + u.others.held
 	return taken > 0 && float64(taken+need) > fullMemory*float64(u.engine.Memory)
 }
-
-// kept is what an engine probably keeps of prompts it has read: the parts sent there last, up to its memory.
-type kept struct {
-	room  pomelorelay.Tokens
-	taken pomelorelay.Tokens
-	parts map[uint64]*keptPart
-	seq   uint64
-}
-
-type keptPart struct {
-	tokens pomelorelay.Tokens
-	used   uint64
-}
-
-// keptShare is the part of an engine's memory that kept prompts are taken to fill. What runs there leaves them less, but a part that is
-// sent to where it was last is read by one engine only, whether it is still there or not.
-const keptShare = 1.0
-
-func (k *kept) note(hash uint64, tokens pomelorelay.Tokens) {
-	if k.parts == nil {
-		k.parts = make(map[uint64]*keptPart)
-	}
-	k.seq++
-	if p := k.parts[hash]; p != nil {
-		p.used = k.seq
-		return
-	}
-	k.parts[hash] = &keptPart{tokens: tokens, used: k.seq}
-	k.taken += tokens
-	if float64(k.taken) > keptShare*float64(k.room) {
-		k.yield()
-	}
-}
-
-// yieldShare is how much of what is kept goes at once, so that the oldest need not be sought each time.
-const yieldShare = 0.1
-
-func (k *kept) yield() {
-	type aged struct {
-		hash uint64
-		used uint64
-	}
-	oldest := make([]aged, 0, len(k.parts))
-	for hash, p := range k.parts {
-		oldest = append(oldest, aged{hash, p.used})
-	}
-	slices.SortFunc(oldest, func(a, b aged) int { return int(int64(a.used) - int64(b.used)) })
-	goal := pomelorelay.Tokens((1 - yieldShare) * keptShare * float64(k.room))
-	for _, a := range oldest {
-		if k.taken <= goal {
-			return
-		}
-		k.taken -= k.parts[a.hash].tokens
-		delete(k.parts, a.hash)
-	}
-}
-
-// missing returns the tokens of a prompt that must be read: all from the first part that is not kept.
-func (k *kept) missing(r *Request) pomelorelay.Tokens {
-	left := r.Prompt
-	for _, p := range r.Parts {
-		if k.parts[p.Hash] == nil {
-			return left
-		}
-		left = max(0, left-p.Tokens)
-	}
-	return max(left, 1)
-}
--- a/pomeloplace/world_test.go
+++ b/pomeloplace/world_test.go
@@ -17,6 +17,8 @@
 	readPerMS   = 101.0
 	pairsPerMS  = 1e6 / 0.184
 	chunk       = 4096
+	// copyPerToken is half of the time to read a token.
+	copyPerToken = float64(time.Millisecond) / readPerMS / 2
 )
 
 // job is a request at an engine of the play.
@@ -25,6 +27,8 @@
 	request pomeloplace.Request
 	run     *pomeloplace.Run
 	sent    time.Time
+	// readyAt is when what it copies from another engine is there.
+	readyAt time.Time
 	unread  float64
 	read    float64
 	output  int
@@ -63,8 +67,8 @@
 	retryAfter time.Duration
 	returning  []returning
 
-	asked, refused, inTime, latePause, lateFirst, reread int
-	owedAsked, owedInTime                                int
+	asked, refused, inTime, latePause, lateFirst, reread, copied int
+	owedAsked, owedInTime                                        int
 }
 
 // returning is a caller that comes back.
@@ -174,15 +178,21 @@
 		p.refused++
 		return
 	}
-	unread := float64(r.Prompt)
-	if session := r.Parts[0]; p.kept[d.Upstream.ID][session.Hash] {
+	unread, copying := float64(r.Prompt), time.Duration(0)
+	session := r.Parts[0]
+	switch {
+	case p.kept[d.Upstream.ID][session.Hash]:
+		unread -= float64(session.Tokens)
+	case d.Copied > 0 && p.kept[d.CopyFrom.ID][session.Hash]:
 		unread -= float64(session.Tokens)
-	} else {
-		p.kept[d.Upstream.ID][session.Hash] = true
+		copying = time.Duration(float64(session.Tokens) * copyPerToken)
+		p.copied += int(session.Tokens)
+	default:
 		p.reread += int(session.Tokens)
 	}
+	p.kept[d.Upstream.ID][session.Hash] = true
 	e := p.engines[d.Upstream.ID]
-	e.waiting = append(e.waiting, &job{router: router, request: r, run: d.Run, sent: c.since, unread: unread, output: output})
+	e.waiting = append(e.waiting, &job{router: router, request: r, run: d.Run, sent: c.since, readyAt: p.now.Add(copying), unread: unread, output: output})
 }
 
 // admitReturning lets the callers come back whose time it is.
@@ -226,10 +236,15 @@
 	if e.at.After(p.now) {
 		return
 	}
-	for len(e.waiting) > 0 && len(e.running) < p.slots {
-		e.running = append(e.running, e.waiting[0])
-		e.waiting = e.waiting[1:]
+	waiting := e.waiting[:0]
+	for _, j := range e.waiting {
+		if len(e.running) < p.slots && !j.readyAt.After(p.now) {
+			e.running = append(e.running, j)
+			continue
+		}
+		waiting = append(waiting, j)
 	}
+	e.waiting = waiting
 	if len(e.running) == 0 {
 		return
 	}
--- a/pomelospeed/line.go
+++ b/pomelospeed/line.go
@@ -16,9 +16,10 @@
 	mostRate  Rate = 5000
 	// startOverhead is the first guess of what an answer needs besides reading: some decoding steps and the way there.
 	startOverhead = 30 * time.Millisecond
-	// guessWeight is the number of answers that each of the two points of the first guess counts for; a tenth of a second of a busy
-	// fleet's answers outweighs it.
+	// guessWeight is the number of answers that the first guess of the rate counts for, and startWeight that of the overhead, which
+	// differs less between engines; half a second of a fleet's answers outweighs both.
 	guessWeight = 1
+	startWeight = 6
 	// guessSpan is the reading time at which the second point stands until answers are seen.
 	guessSpan = 200 * time.Millisecond
 	// fadeTime is the time in which half of what was seen is forgotten: step times change with what runs.
@@ -70,13 +71,18 @@
 	expected := l.overhead + l.perToken*tokens
 	odd := oddRatio * max(1, sureAnswers/(l.seen.Answers+1))
 	y := min(max(milliseconds(took), expected/odd), expected*odd)
-	// Long waits vary more than short ones.
-	w := l.overhead / expected
+	w := l.weight(tokens)
 	s := pomelorelay.SpeedSums{Answers: 1, Weight: w, Read: w * tokens, Took: w * y, ReadRead: w * tokens * tokens, ReadTook: w * tokens * y}
 	l.own = plus(l.own, s, 1)
 	l.see(now, s)
 }
 
+// weight is what an answer that read so many tokens counts: a wait of twice the length varies twice as much.
+func (l *Line) weight(tokens float64) float64 {
+	times := 1 + l.perToken*tokens/milliseconds(startOverhead)
+	return 1 / (times * times)
+}
+
 // Own returns the sums of this router's answers since its start.
 func (l *Line) Own() pomelorelay.SpeedSums { return l.own }
 
@@ -118,21 +124,40 @@
 	if !(slope >= 1/float64(mostRate)) {
 		slope = 1 / float64(mostRate)
 	}
+	before := l.weight(l.middle())
 	l.perToken = min(slope, 1/float64(leastRate))
 	l.overhead = max(overhead, 1)
+	// What was seen before was weighed by another slope. Left as it is, the first few answers at slow engines would outweigh a hundred later ones.
+	l.seen = reweighed(l.seen, l.weight(l.middle())/before)
+}
+
+// middle returns about how many tokens the answers read that were seen.
+func (l *Line) middle() float64 {
+	if l.seen.Weight <= 0 {
+		return 0
+	}
+	return math.Sqrt(l.seen.ReadRead / l.seen.Weight)
+}
+
+func reweighed(s pomelorelay.SpeedSums, times float64) pomelorelay.SpeedSums {
+	answers := s.Answers
+	s = plus(pomelorelay.SpeedSums{}, s, times)
+	s.Answers = answers
+	return s
 }
 
 // guessed returns the first guess as answers at two points of its line: at no tokens, and at about as many as the answers read that were
 // seen. Further out, it would outweigh many answers.
 func (l *Line) guessed() pomelorelay.SpeedSums {
-	at, w := milliseconds(guessSpan)*float64(l.guess), float64(guessWeight)
+	at, mean := milliseconds(guessSpan)*float64(l.guess), 1.0
 	if l.seen.Answers > 0 {
-		at = math.Sqrt(l.seen.ReadRead / l.seen.Weight)
-		w *= l.seen.Weight / l.seen.Answers
+		at = l.middle()
+		mean = l.seen.Weight / l.seen.Answers
 	}
 	low := milliseconds(startOverhead)
 	high := low + at/float64(l.guess)
-	return pomelorelay.SpeedSums{Weight: 2 * w, Read: w * at, Took: w * (low + high), ReadRead: w * at * at, ReadTook: w * at * high}
+	w, v := startWeight*mean, guessWeight*mean
+	return pomelorelay.SpeedSums{Weight: w + v, Read: v * at, Took: w*low + v*high, ReadRead: v * at * at, ReadTook: v * at * high}
 }
 
 // plus returns the sums of a and so many times b.
--- a/wire.go
+++ b/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -39,6 +40,8 @@
 	Upstream UpstreamID
 	// Account is whose request it is; empty on public routes.
 	Account AccountID
+	// CopyFrom is another upstream that keeps more of the prompt, which is copied from there instead of read; not valid when there is none.
+	CopyFrom netip.AddrPort
 	// LastEvent is the number of the last event that was passed on when a stream is taken up again.
 	LastEvent    uint64
 	HasLastEvent bool
