Admission by what waits, room in slots by their root, and a fleet that starts together leaves room

Change, each measured by itself: - what is beyond a share leaves twice the root of an engine's slots free, in place of 0.4 of them; an account that is ahead of one that is short waits behind a shorter queue, not behind a fifth of the slots.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -83,6 +83,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.shares.Tick(now)
+	c.placer.SetUnheard(c.peers.unheard())
 	c.placer.Tick(now)
 	c.dropLapsed(now)
 	if now.Sub(c.reportedAt) >= reportEvery-tickEvery/2 || len(c.relayed.local)+len(c.relayed.foreign) > 0 {
@@ -195,6 +196,10 @@
 	if !c.peers.newer(from, incarnation, m.Seq) {
 		return
 	}
+	// A router's first report holds all that it has.
+	if m.Whole || m.Seq == 1 {
+		c.peers.noteWhole(from)
+	}
 	c.placer.Heard(now, from, incarnation, m)
 	c.shares.Heard(from, incarnation, m.Accounts)
 	c.takeLeaving(now, from, m.Leaving)
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -29,6 +29,8 @@
 	heard      time.Time
 	// since is when this router first knew it.
 	since time.Time
+	// whole tells that all it has on the upstreams is known.
+	whole bool
 	// incarnation and seq are of the last report that was taken.
 	incarnation pomelorelay.Incarnation
 	seq         uint64
@@ -86,6 +88,20 @@
 	return true
 }
 
+// noteWhole notes that a router's report told all that it has.
+func (p *peers) noteWhole(node pomelorelay.NodeID) { p.present[node].whole = true }
+
+// unheard returns the number of registered routers of which it is not known what they have on the upstreams.
+func (p *peers) unheard() int {
+	n := 0
+	for _, known := range p.present {
+		if known.registered && !known.whole {
+			n++
+		}
+	}
+	return n
+}
+
 // drop forgets unregistered routers that are silent; it reports whether there were any.
 func (p *peers) drop(now time.Time) bool {
 	dropped := false
--- /dev/null
+++ b/pomeloplace/admit.go
@@ -0,0 +1,132 @@
+package pomeloplace
+
+import (
+	"math"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// A request is admitted to the best upstream for it unless one of these bounds is passed. Each answers another load:
+//
+//   - Again: a flood of sessions whose engines are busy. Their shared parts would be read by engines that others need.
+//   - Slots: more long answers than engines run at once.
+//   - Queue: more prompts than engines read. What waits is bounded by the shortest target of the service's routes, for all requests alike:
+//     bounded by each request's own, those that can wait for long would fill the queue and keep out those that cannot.
+//   - Time: a request that would begin too late wherever it went.
+//
+// Requests that their account is owed may use all of the slots and most of the queue. What is beyond a share fills what is left, and
+// what belongs to an account that is ahead of one that is short fills less the further it is ahead.
+
+const (
+	// owedQueue, freeQueue and aheadQueue are the parts of the shortest target that may wait before a request within its account's share,
+	// one beyond it, and one of an account that is ahead of one that is short. The last falls with the square of the lead, down to aheadLeast of
+	// it: callers call it unfair when one account gets twice as much as another that is short.
+	owedQueue  = 0.45
+	freeQueue  = 0.3
+	aheadQueue = 0.2
+	aheadLeast = 0.4
+	// inTime is the part of its target within which an answer must be expected to begin; the rest is for what other routers sent meanwhile.
+	inTime = 0.85
+	// slotReserve is how many times the square root of an engine's slots is kept free of requests beyond shares: what other routers send
+	// meanwhile differs by about that root, and would find an engine full that was filled with requests that nobody is owed.
+	slotReserve = 2.0
+	// freeAgain is the most shared tokens that a request beyond its account's share may make an engine read though another one, which is
+	// too busy, keeps them: about what an engine reads in one step.
+	freeAgain = 400
+	// leastRetry and mostRetry bound what a refusal tells its caller. The least is the time after which an engine has a free slot again
+	// and the routers know it: one report. Callers that come back within their target still get their answer in time.
+	leastRetry = 100 * time.Millisecond
+	mostRetry  = 3 * time.Second
+)
+
+// expectation is what the callers of a service's routes expect of it.
+type expectation struct {
+	// target is the shortest time to the first of an answer, pause the shortest of the longest pauses between events; zero when no
+	// route says.
+	target, pause time.Duration
+}
+
+// expectations returns what the routes say of each service.
+func expectations(routes []pomelorelay.Route) map[pomelorelay.ServiceID]expectation {
+	all := make(map[pomelorelay.ServiceID]expectation)
+	for _, r := range routes {
+		for _, s := range r.Shares {
+			e := all[s.Service]
+			e.target, e.pause = shorter(e.target, r.Target), shorter(e.pause, r.Pause)
+			all[s.Service] = e
+		}
+	}
+	return all
+}
+
+// shorter returns the shorter of two times of which zero says nothing.
+func shorter(a, b time.Duration) time.Duration {
+	if a <= 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+// verdict is whether a request is admitted, and when it may come back otherwise.
+type verdict struct {
+	reason     Reason
+	bound      Bound
+	retryAfter time.Duration
+}
+
+// allowance is how much of an upstream a request may use.
+type allowance struct {
+	slots  int
+	queue  time.Duration
+	reason Reason
+}
+
+func allowanceOf(u *upstream, r *Request) allowance {
+	target := shorter(u.pool.target, r.Target)
+	slots := u.slots()
+	a := allowance{slots: slots, queue: part(owedQueue, target), reason: ReasonLate}
+	if r.Owed {
+		return a
+	}
+	a.reason = ReasonShare
+	a.slots = max(1, int(float64(slots)-slotReserve*math.Sqrt(float64(slots))))
+	a.queue = part(freeQueue, target)
+	if r.Lead > 1 {
+		a.queue = part(aheadQueue*max(1/(r.Lead*r.Lead), aheadLeast), target)
+	}
+	return a
+}
+
+// admit decides whether the request may go to the best candidate for it.
+func admit(c candidate, r *Request) verdict {
+	a := allowanceOf(c.up, r)
+	bound := boundOf(c, r, a)
+	if bound == BoundNone {
+		return verdict{}
+	}
+	// When what waits has fallen to what the request may join.
+	wait := max(c.backlog-a.queue, c.expected-part(inTime, r.Target))
+	return verdict{reason: a.reason, bound: bound, retryAfter: min(max(wait, leastRetry), mostRetry)}
+}
+
+// boundOf returns the bound that the request is over at the candidate.
+func boundOf(c candidate, r *Request, a allowance) Bound {
+	own := c.expected - c.backlog
+	switch {
+	case !r.Owed && c.again > freeAgain:
+		return BoundAgain
+	case c.up.engine != nil && c.up.running() >= a.slots:
+		return BoundSlots
+	case c.backlog > a.queue:
+		return BoundQueue
+	case c.expected <= part(inTime, r.Target):
+		return BoundNone
+	case own > r.Target/2 && own < r.Left/2:
+		// A long prompt takes most of its target by itself. Held to it, the largest would never be served.
+		return BoundNone
+	}
+	return BoundTime
+}
+
+func part(p float64, d time.Duration) time.Duration { return time.Duration(p * float64(d)) }
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -54,6 +54,8 @@
 const (
 	// BoundNone stands for a request that has its place, or for which there is no upstream.
 	BoundNone Bound = ""
+	// BoundQueue stands for engines at which too much waits.
+	BoundQueue Bound = "Queue"
 	// BoundTime stands for an answer that would begin too late.
 	BoundTime Bound = "Time"
 	// BoundSlots stands for an engine that runs too many requests to take this one.
@@ -165,8 +167,8 @@
 	// crowdWeight is the cost of the last free slot, growing with the square of the part that is taken: a full batch generates each
 	// token about twice as slowly.
 	crowdWeight = 50 * time.Millisecond
-	// regionCost is what the bytes of a request to another region and of its answer cost, in an engine's time.
-	regionCost = 3 * time.Millisecond
+	// regionTokens is what the bytes of a request to another region and of its answer cost, in tokens that an engine could read.
+	regionTokens = 270
 	// pauseFrom and pauseTo are the lengths of uninterrupted reading, as parts of the pause that callers accept, between which the streams
 	// that run beside it become late.
 	pauseFrom = 0.7
@@ -189,38 +191,10 @@
 	unreachedMost = 2800 * time.Millisecond
 	// leastUnread is the part of the unread tokens that still counts when reading should long be over by the rate.
 	leastUnread = 0.3
-	// owedShare and freeShare are the parts of the target within which the answer must be expected to begin, for requests within and
-	// beyond their account's share. The rest is for what the other routers sent meanwhile; what is beyond a share is served only
-	// where it delays nobody.
-	owedShare = 0.65
-	freeShare = 0.55
-	// freeSlots is the part of an engine's slots up to which requests beyond a share are taken. What routers know of each other's
-	// requests is 20 to 110 ms old; the room above is what the others send meanwhile, and keeps the streams of requests within a share
-	// from slowing each other. In the play of a large fleet at 2,000 requests a second, half of them beyond, 0.6 instead of 0.9 took
-	// the requests within a share that were in time from 0.37 to 0.79, and all that were in time from 7,700 to 11,300 of 23,800; on a
-	// small one of 360 a second the first from 0.64 to 0.76. At 0.5 it was 0.81, and 10,600 in all.
-	freeSlots = 0.6
-	// freeAgain is the most shared tokens that a request beyond its account's share may make an engine read though another one, which is
-	// too busy, keeps them: about what an engine reads in one step. Reading them takes engines from requests within their share. Of
-	// 250,000 requests on twenty days of floods and faults, 151,049 were in time without this bound, 155,672 at 2,000 and 156,223 at 400;
-	// 80,973, 77,257 and 77,157 were refused in the end; the shared tokens that were read again fell by 19 and 23 of 100.
-	freeAgain = 400
-	// aheadSlots and aheadShare are the same for accounts that are just ahead of one that is short. What lies between is left to the
-	// short one, which gets all it asks for before the engines are full; below, nobody would use it. The slots fall with the square of
-	// the lead, down to aheadLeast of them: users call it unfair when one account gets twice as much as another that is short.
-	aheadSlots = 0.5
-	aheadShare = 0.4
-	aheadLeast = 0.4
 	// fullMemory is the part of an engine's memory up to which running requests may fill it; above, it evicts what runs.
 	fullMemory = 0.9
 	// slotTurn is about how long it takes until one of an engine's slots is free, five seconds of a run by 64 slots.
 	slotTurn = 80 * time.Millisecond
 	// silentAfter is the age from which another router's report does not count: it is gone, and its requests with it.
 	silentAfter = 3 * time.Second
-	// leastRetry and mostRetry bound what a refusal tells its caller. The least is the time after which an engine has a free slot again
-	// and the routers know it: one report. Callers that come back within their target still get their answer in time: of 250,000
-	// requests on twenty days of floods and faults, 21,101 were late at 300 ms, 10,101 at 200, 7,414 at 100, 6,968 at 60, and 80,085,
-	// 79,117, 80,973, 82,461 were refused in the end.
-	leastRetry = 100 * time.Millisecond
-	mostRetry  = 3 * time.Second
 )
--- a/pomeloplace/load_test.go
+++ b/pomeloplace/load_test.go
@@ -55,6 +55,23 @@
 	}
 }
 
+// All routers are restarted at once, and their callers come back at the same moment, before any router has heard of the others. Each sees
+// idle engines: together they send several times what these can begin in time, and callers wait for seconds.
+func TestRoutersThatStartTogetherLeaveRoomForEachOther(t *testing.T) {
+	restart := func(knows bool) *play {
+		p := newPlay(1, 8, 9)
+		p.blind, p.knows = 300*time.Millisecond, knows
+		p.run(600, p.blind)
+		p.run(150, 3*time.Second)
+		t.Logf("know that they hear nothing: %v: %s; first of the answer late %d", knows, p, p.lateFirst)
+		return p
+	}
+	blind, careful := restart(false), restart(true)
+	if careful.lateFirst*2 > blind.lateFirst || careful.inTime < blind.inTime {
+		t.Errorf("%d late and %d in time; without knowing %d and %d: want half of the late ones, and as many in time", careful.lateFirst, careful.inTime, blind.lateFirst, blind.inTime)
+	}
+}
+
 // A flood lasts for longer than anybody waits, and each caller that is refused comes back once, when it is told to. Told to come back when the
 // flood may be over, it finds a place no more often, and its answer comes seconds late.
 func TestCallersThatComeBackAsToldAreInTime(t *testing.T) {
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -90,8 +90,8 @@
 	list []*upstream
 	// line is how fast the service's engines read.
 	line *pomelospeed.Line
-	// pause is the longest pause between events that callers accept, pauses whether long reading leads to longer ones.
-	pause  time.Duration
+	// expectation is what callers expect, pauses whether long reading leads to longer pauses than that.
+	expectation
 	pauses pomelospeed.Pauses
 	// copies is how long it takes to copy kept parts from another engine.
 	copies pomelospeed.Copies
@@ -102,6 +102,8 @@
 	forLong  int
 	neededAt time.Time
 	factors  []float64
+	// unheard is the number of routers of which nothing has been heard yet.
+	unheard int
 	// told is the number of answers that the last report of their times counted.
 	told float64
 }
@@ -144,6 +146,9 @@
 	}
 }
 
+// fleet returns how many of something this router and those of which nothing has been heard have, taken to have as much each.
+func (s *pool) fleet(own int) int { return own * (1 + s.unheard) }
+
 // compare sets each engine's speed beside that of the middle one: what is the same for all belongs to the service's line, which may
 // still be on its way to where it fits.
 func (s *pool) compare(now time.Time) {
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -16,8 +16,8 @@
 	plain   = "plain"
 )
 
-// routes say how long streams may pause.
-var routes = []pomelorelay.Route{{Pause: pauseAllowed, Shares: []pomelorelay.RouteShare{{Service: engines, Weight: 1}}}}
+// routes say what callers expect.
+var routes = []pomelorelay.Route{{Target: 400 * time.Millisecond, Pause: pauseAllowed, Shares: []pomelorelay.RouteShare{{Service: engines, Weight: 1}}}}
 
 const pauseAllowed = 400 * time.Millisecond
 
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -27,8 +27,8 @@
 	// untold are the prompt tokens that were sent since the last report.
 	untold pomelorelay.Tokens
 	seq    uint64
-	// pauses are the longest pauses between events that the callers of a service accept.
-	pauses map[pomelorelay.ServiceID]time.Duration
+	// expected are what the callers of each service expect.
+	expected map[pomelorelay.ServiceID]expectation
 }
 
 // New returns a Placer that knows no upstream.
@@ -39,7 +39,6 @@
 		retired:   make(map[pomelorelay.UpstreamID]*upstream),
 		services:  make(map[pomelorelay.ServiceID]*pool),
 		engines:   make(map[pomelorelay.ServiceID]*pomelorelay.EngineSpec),
-		pauses:    make(map[pomelorelay.ServiceID]time.Duration),
 		peers:     make(map[pomelorelay.NodeID]*peer),
 	}
 }
@@ -48,16 +47,9 @@
 func (p *Placer) SetConfig(config *pomelorelay.FleetConfig) {
 	clear(p.engines)
 	p.capacity = config.Limits.TokensPerSecond
-	clear(p.pauses)
-	for _, r := range config.Routes {
-		for _, s := range r.Shares {
-			if before, known := p.pauses[s.Service]; r.Pause > 0 && (!known || r.Pause < before) {
-				p.pauses[s.Service] = r.Pause
-			}
-		}
-	}
+	p.expected = expectations(config.Routes)
 	for name, s := range p.services {
-		s.pause = p.pauses[name]
+		s.expectation = p.expected[name]
 	}
 	for _, s := range config.Services {
 		p.engines[s.Name] = s.Engine
@@ -106,7 +98,7 @@
 	s := p.services[info.Service]
 	if s == nil {
 		s = newPool()
-		s.pause = p.pauses[info.Service]
+		s.expectation = p.expected[info.Service]
 		p.services[info.Service] = s
 	}
 	s.add(u)
@@ -166,9 +158,8 @@
 	if best.from != nil {
 		d.CopyFrom, d.Copied = best.from.info, best.copied
 	}
-	if reason, bound := p.refuses(best, &r); bound != BoundNone {
-		d.Reason, d.Bound = reason, bound
-		d.RetryAfter = min(max(best.expected-r.Target/2, leastRetry), mostRetry)
+	if v := admit(best, &r); v.bound != BoundNone {
+		d.Reason, d.Bound, d.RetryAfter = v.reason, v.bound, v.retryAfter
 		return d
 	}
 	d.Run = p.start(now, best, &r)
@@ -207,7 +198,7 @@
 	c.expected = c.backlog
 	c.expected += p.way(u)
 	if p.cfg.Regions[u.info.Domain] != p.cfg.Self.Region {
-		c.cost += regionCost
+		c.cost += u.worth(regionTokens)
 	}
 	taken := float64(u.running()) / float64(u.slots())
 	c.cost += time.Duration(float64(crowdWeight) * taken * taken)
@@ -296,39 +287,6 @@
 	return min(homeMost, time.Duration(float64(homeStep)*place))
 }
 
-// refuses reports why the best candidate is not good enough, and by which bound.
-func (p *Placer) refuses(c candidate, r *Request) (Reason, Bound) {
-	share, slots, reason := owedShare, 1.0, ReasonLate
-	switch {
-	case !r.Owed && r.Lead > 1:
-		part := max(1/(r.Lead*r.Lead), aheadLeast)
-		share, slots, reason = aheadShare, part*aheadSlots, ReasonShare
-	case !r.Owed:
-		share, slots, reason = freeShare, freeSlots, ReasonShare
-	}
-	if !r.Owed && c.again > freeAgain {
-		return ReasonShare, BoundAgain
-	}
-	limit := time.Duration(share * float64(r.Target))
-	if c.up.engine != nil && float64(c.up.running()) >= slots*float64(c.up.slots()) {
-		return reason, BoundSlots
-	}
-	if c.expected <= limit {
-		return ReasonNone, BoundNone
-	}
-	// A prompt that alone takes longer than the target can never begin in time; it is served where little waits, or nobody would
-	// ever serve the largest.
-	own := c.expected - c.backlog
-	room := limit / 4
-	if r.Owed && own > limit-room {
-		room = limit
-	}
-	if own > limit/2 && c.backlog <= room && own < r.Left/2 {
-		return ReasonNone, BoundNone
-	}
-	return reason, BoundTime
-}
-
 func (p *Placer) start(now time.Time, c candidate, r *Request) *Run {
 	u := c.up
 	run := &Run{up: u, sent: now, missing: c.missing, copied: c.copied, held: r.Prompt + r.Output}
@@ -342,7 +300,7 @@
 	u.own.held += run.held
 	u.own.sent += run.missing
 	p.untold += run.missing
-	u.enqueue(now, run.missing)
+	u.enqueue(now, run.missing*pomelorelay.Tokens(1+u.pool.unheard))
 	u.noteLong(now)
 	u.pool.flow.addOwn(now, run.missing, u.pool.long(run.missing))
 	p.notePlaced(now, u, r)
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -152,6 +152,15 @@
 	}
 }
 
+// SetUnheard tells how many registered routers have told nothing yet. They are taken to send as much as this one: when all routers start at
+// once, each sees idle engines, and together they would fill them several times over before the first reports arrive. What callers
+// notice are seconds of late answers after a restart of the fleet.
+func (p *Placer) SetUnheard(routers int) {
+	for _, s := range p.services {
+		s.unheard = routers
+	}
+}
+
 // Tick forgets routers that have been silent and spreads the long prompts anew.
 func (p *Placer) Tick(now time.Time) {
 	for _, s := range p.services {
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -67,9 +67,11 @@
 	return max(1, int(u.info.Slots))
 }
 
-func (u *upstream) running() int { return u.own.running + u.others.running }
+func (u *upstream) running() int { return u.pool.fleet(u.own.running) + u.others.running }
 
-func (u *upstream) unread() float64 { return float64(u.own.unread + u.others.unread) }
+func (u *upstream) unread() float64 {
+	return float64(u.own.unread)*(1+float64(u.pool.unheard)) + float64(u.others.unread)
+}
 
 // drain lets the queue fall by what was read since.
 func (u *upstream) drain(now time.Time) {
@@ -116,6 +118,11 @@
 	return time.Duration(tokens / u.rate() * float64(time.Millisecond))
 }
 
+// worth returns the time in which the service's engines read so many tokens, or that time of a plain upstream's.
+func (u *upstream) worth(tokens float64) time.Duration {
+	return time.Duration(tokens / float64(u.pool.line.Rate()) * float64(time.Millisecond))
+}
+
 // rate returns how many tokens the engine reads in a millisecond.
 func (u *upstream) rate() float64 { return float64(u.pool.line.Rate()) / u.slow }
 
--- a/pomeloplace/world_test.go
+++ b/pomeloplace/world_test.go
@@ -57,6 +57,9 @@
 	// slots and eventTokens are the engines', delay is how late reports arrive.
 	slots, eventTokens int
 	delay              time.Duration
+	// blind is how long the first reports take, and knows tells that the routers know that they hear nothing yet.
+	blind time.Duration
+	knows bool
 	// scale multiplies the number of sessions.
 	scale uint64
 	// beyond is the part of the requests that is beyond its account's share.
@@ -128,10 +131,10 @@
 	return r, int(output) + p.eventTokens
 }
 
-// run plays the load of so many requests a second.
+// run plays the load of so many requests a second for the length.
 func (p *play) run(perSecond float64, length time.Duration) {
-	end := start.Add(length)
-	arrival, report := start, start
+	end := p.now.Add(length)
+	arrival, report := p.now, p.now
 	for p.now.Before(end) {
 		p.now = p.now.Add(time.Millisecond)
 		for arrival.Before(p.now) {
@@ -220,6 +223,17 @@
 }
 
 func (p *play) deliver() {
+	if p.now.Sub(start) < p.blind {
+		for _, router := range p.routers {
+			if p.knows {
+				router.SetUnheard(len(p.routers) - 1)
+			}
+		}
+		return
+	}
+	for _, router := range p.routers {
+		router.SetUnheard(0)
+	}
 	for len(p.mail) > 0 && !p.mail[0].at.After(p.now) {
 		l := p.mail[0]
 		p.mail = p.mail[1:]
