Accounts that had little may wait longer; the way between regions is learnt; mechanisms can be switched off

The way to another region was the 24 ms of two deployments. The terms of a candidate's cost stood in one sum.

Change: the queue that an owed request may join grows from 0.45 to 0.8 of the target the less of its share the account has used. Reports tell speeds when a tenth more answers were seen, 20 at most, not each time.

--- a/cmd/pomelorelayd/entry.go
+++ b/cmd/pomelorelayd/entry.go
@@ -13,6 +13,7 @@
 	pomeloplatform "github.com/pomelorelay/pomelorelay/platform"
 	"github.com/pomelorelay/pomelorelay/pomeloentry"
 	"github.com/pomelorelay/pomelorelay/pomelolog"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
 	"github.com/pomelorelay/pomelorelay/pomelostore"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -34,11 +35,12 @@
 	command := app.Command("entry", "Run an entry router on the users' platform until SIGTERM stops it gracefully.")
 	path := command.Flag("settings", "The platform's settings file.").Envar(pomeloplatform.SettingsVariable).Required().String()
 	check := command.Flag("check", "Check the settings file and exit.").Bool()
+	without := command.Flag("without", "A mechanism of placement to switch off, to find out what it is worth; may be repeated.").Enums(pomeloplace.MechanismNames()...)
 	command.Action(func(*kingpin.ParseContext) error {
 		if *check {
 			return checkEntry(*path)
 		}
-		return runEntry(*path)
+		return runEntry(*path, *without)
 	})
 }
 
@@ -51,7 +53,7 @@
 	return nil
 }
 
-func runEntry(path string) error {
+func runEntry(path string, without []string) error {
 	settings, err := pomeloplatform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -63,14 +65,18 @@
 	defer logger.Close()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	entry, err := openEntry(settings, logger)
+	off, err := pomeloplace.ParseMechanisms(without)
+	if err != nil {
+		return err
+	}
+	entry, err := openEntry(settings, off, logger)
 	if err != nil {
 		return err
 	}
 	return serveEntry(entry, path, signals, logger)
 }
 
-func openEntry(settings pomelorelay.FleetSettings, logger pomelorelay.Logger) (*pomeloentry.Entry, error) {
+func openEntry(settings pomelorelay.FleetSettings, without pomeloplace.Mechanisms, logger pomelorelay.Logger) (*pomeloentry.Entry, error) {
 	client, err := pomelostore.New(pomelostore.Config{
 		Addresses:      []netip.AddrPort{settings.Store},
 		Timeout:        storeTimeout,
@@ -86,6 +92,7 @@
 		Platform: pomeloplatform.NewStore(client, storeTimeout),
 		Wire:     pomeloplatform.Wire{},
 		Logger:   logger,
+		Without:  without,
 	})
 	if err != nil {
 		return nil, err
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -47,7 +47,7 @@
 	s := e.cfg.Settings
 	return &control{
 		e:         e,
-		placer:    pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions}),
+		placer:    pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions, Without: e.cfg.Without}),
 		shares:    pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
 		upstreams: newUpstreams(),
 		peers:     newPeers(),
@@ -118,7 +118,7 @@
 func (c *control) place(now time.Time, w pomeloforward.Work) pomeloplace.Decision {
 	counts := w.Cost > 0 && w.Account != ""
 	r := w.Place
-	r.Owed = true
+	r.Owed, r.Used = true, 1
 	var share pomeloplace.ShareState
 	if counts {
 		if !w.Again {
@@ -130,6 +130,9 @@
 		r.Lead = c.shares.Lead(w.Account)
 		share.Cost, share.Owed = w.Cost, r.Owed
 		share.Asked, share.Served, share.Level = c.shares.State(w.Account)
+		if share.Level > 0 {
+			r.Used = float64(share.Served / share.Level)
+		}
 	}
 	d := c.placer.Place(now, r)
 	d.Share = share
--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
 	"github.com/pomelorelay/pomelorelay/pomelomesh"
 	"github.com/pomelorelay/pomelorelay/pomelometric"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
 	"github.com/pomelorelay/pomelorelay/pomelotable"
 )
 
@@ -22,6 +23,8 @@
 	Mesh     pomelorelay.Mesh
 	Clock    pomelorelay.Clock
 	Logger   pomelorelay.Logger
+	// Without are the mechanisms of placement that are switched off.
+	Without pomeloplace.Mechanisms
 	// Incarnation marks this start; the clock's nanoseconds when zero.
 	Incarnation pomelorelay.Incarnation
 }
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -134,6 +134,7 @@
 		pomelorelay.Field{Key: "PauseMS", Value: c.longestPause.Milliseconds()},
 		pomelorelay.Field{Key: "ExpectedMS", Value: d.Expected.Milliseconds()},
 		pomelorelay.Field{Key: "BacklogMS", Value: d.Backlog.Milliseconds()},
+		pomelorelay.Field{Key: "Term", Value: string(d.Term)},
 		pomelorelay.Field{Key: "Missing", Value: int64(d.Missing)},
 		pomelorelay.Field{Key: "Shared", Value: int64(d.Shared)},
 		pomelorelay.Field{Key: "Copied", Value: int64(d.Copied)},
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -20,9 +20,12 @@
 
 const (
 	// owedQueue, freeQueue and aheadQueue are the parts of the shortest target that may wait before a request within its account's share,
-	// one beyond it, and one of an account that is ahead of one that is short. The last falls with the square of the lead, down to aheadLeast of
-	// it: callers call it unfair when one account gets twice as much as another that is short.
+	// one beyond it, and one of an account that is ahead of one that is short. The first rises to lightQueue the less of its share the account
+	// has used: what accounts ask that have next to nothing fills no queue, and each refusal is a large part of it. The last
+	// falls with the square of the lead, down to aheadLeast of it: callers call it unfair when one account gets twice as much as another
+	// that is short.
 	owedQueue  = 0.45
+	lightQueue = 0.8
 	freeQueue  = 0.3
 	aheadQueue = 0.2
 	aheadLeast = 0.4
@@ -82,26 +85,37 @@
 	reason Reason
 }
 
-func allowanceOf(u *upstream, r *Request) allowance {
-	target := shorter(u.pool.target, r.Target)
+func (p *Placer) allowance(u *upstream, r *Request) allowance {
+	off, target := &p.cfg.Without, r.Target
+	if !off.SharedTarget {
+		target = shorter(u.pool.target, r.Target)
+	}
 	slots := u.slots()
-	a := allowance{slots: slots, queue: part(owedQueue, target), reason: ReasonLate}
+	light := 1 - min(max(r.Used, 0), 1)
+	if off.LightAccounts {
+		light = 0
+	}
+	a := allowance{slots: slots, queue: part(owedQueue+light*(lightQueue-owedQueue), target), reason: ReasonLate}
 	if r.Owed {
 		return a
 	}
 	a.reason = ReasonShare
-	a.slots = max(1, int(float64(slots)-slotReserve*math.Sqrt(float64(slots))))
-	a.queue = part(freeQueue, target)
-	if r.Lead > 1 {
+	if !off.SlotReserve {
+		a.slots = max(1, int(float64(slots)-slotReserve*math.Sqrt(float64(slots))))
+	}
+	if !off.FreeQueue {
+		a.queue = part(freeQueue, target)
+	}
+	if r.Lead > 1 && !off.Ahead {
 		a.queue = part(aheadQueue*max(1/(r.Lead*r.Lead), aheadLeast), target)
 	}
 	return a
 }
 
 // admit decides whether the request may go to the best candidate for it.
-func admit(c candidate, r *Request) verdict {
-	a := allowanceOf(c.up, r)
-	bound := boundOf(c, r, a)
+func (p *Placer) admit(c candidate, r *Request) verdict {
+	a := p.allowance(c.up, r)
+	bound := p.bound(c, r, a)
 	if bound == BoundNone {
 		return verdict{}
 	}
@@ -110,11 +124,11 @@
 	return verdict{reason: a.reason, bound: bound, retryAfter: min(max(wait, leastRetry), mostRetry)}
 }
 
-// boundOf returns the bound that the request is over at the candidate.
-func boundOf(c candidate, r *Request, a allowance) Bound {
+// bound returns the bound that the request is over at the candidate.
+func (p *Placer) bound(c candidate, r *Request, a allowance) Bound {
 	own := c.expected - c.backlog
 	switch {
-	case !r.Owed && c.again > freeAgain:
+	case !r.Owed && c.again > freeAgain && !p.cfg.Without.ReadAgain:
 		return BoundAgain
 	case c.up.engine != nil && c.up.running() >= a.slots:
 		return BoundSlots
@@ -128,5 +142,3 @@
 	}
 	return BoundTime
 }
-
-func part(p float64, d time.Duration) time.Duration { return time.Duration(p * float64(d)) }
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -12,6 +12,8 @@
 	Self pomelorelay.Peer
 	// Regions gives the region of each failure domain.
 	Regions map[pomelorelay.DomainID]pomelorelay.RegionID
+	// Without are the mechanisms that are switched off.
+	Without Mechanisms
 }
 
 // Request is a request that wants a place.
@@ -26,6 +28,8 @@
 	Left   time.Duration
 	// Owed tells that the request is within its account's share.
 	Owed bool
+	// Used is the part of its account's share that is used up, from 0 to 1; 1 when shares are not known.
+	Used float64
 	// Lead is how many times as much the account has had as it may beside another that is short; up to one it is not ahead.
 	Lead float64
 	// Avoid lists upstreams that failed this request.
@@ -68,6 +72,8 @@
 type Decision struct {
 	Reason Reason
 	Bound  Bound
+	// Term is the largest part of what it costs to send the request there.
+	Term Term
 	// RetryAfter is when there is likely to be a place.
 	RetryAfter time.Duration
 	Upstream   pomelorelay.FleetUpstream
@@ -149,52 +155,19 @@
 	startService = 40 * time.Millisecond
 	// serviceShare is the weight of a new sample in its running mean.
 	serviceShare = 0.05
-	// regionWay is the way to another region and back, twice the 12 ms that both deployments give.
-	regionWay = 24 * time.Millisecond
-	// missWeight is how much reading a shared part again counts beyond the time that it takes the engine: the users charge it at
-	// about twice what that time of an engine is worth to them, and it delays what comes after. In the play of load_test.go,
-	// 4 instead of 1 took a tenth off the shared tokens that were read.
-	missWeight = 3.5
-	// copyWeight is how much the time of a copy counts: copied parts take memory at two engines, and others lose theirs.
-	copyWeight = 2.5
-	// waitWeight is how much a wait counts that ends well within the target; waiting at one engine or the other is nearly the same.
-	waitWeight = 0.1
-	// calmShare is the part of the target up to which a wait is calm; beyond, each millisecond counts lateWeight times more, since
-	// other routers' requests that are not yet known may push the answer past its target. More than 1 sends requests away from short
-	// queues into the way of streams.
-	calmShare  = 0.55
-	lateWeight = 1.0
-	// crowdWeight is the cost of the last free slot, growing with the square of the part that is taken: a full batch generates each
-	// token about twice as slowly.
-	crowdWeight = 50 * time.Millisecond
-	// regionTokens is what the bytes of a request to another region and of its answer cost, in tokens that an engine could read.
-	regionTokens = 270
-	// pauseFrom and pauseTo are the lengths of uninterrupted reading, as parts of the pause that callers accept, between which the streams
-	// that run beside it become late.
-	pauseFrom = 0.7
-	pauseTo   = 1.05
-	// pauseWeight is what one late stream counts, in an engine's time. A stream that is late loses some 40 ms of an engine's worth; ten
-	// times that keeps long reading away from streams before it is certain. In the play at 160 requests a second, with weights near
-	// these, 400 ms instead of 200 took the requests that pause too long from 1.8 to 1.5 in 100; at 30 ms and the weights before it
-	// was 9.5.
-	pauseWeight = 400 * time.Millisecond
-	// failWeight is what an upstream that fails every request is behind one that fails none.
-	failWeight = 3 * time.Second
 	// failShare is the weight of a new result in the rate of failures.
 	failShare = 0.25
 	// failMemory is how long it takes until half of a rate of failures is forgiven, so that an upstream gets another chance.
 	failMemory = 2 * time.Second
 	// unreachedFor is how long an upstream that took no connection gets nothing, twice as long each time in a row, up to unreachedMost: a
-	// restart takes seconds. Idle as it looks, it would be the first choice of every router again each time: with a quarter of 112 engines
-	// down for 2 s, 66 routers tried 1,500 times to reach one, and 138 requests were refused after three in a row that were down.
+	// restart takes seconds. Idle as it looks, it would be the first choice of every router again each time, and requests that find
+	// several such upstreams in a row are refused.
 	unreachedFor  = 700 * time.Millisecond
 	unreachedMost = 2800 * time.Millisecond
 	// leastUnread is the part of the unread tokens that still counts when reading should long be over by the rate.
 	leastUnread = 0.3
 	// fullMemory is the part of an engine's memory up to which running requests may fill it; above, it evicts what runs.
 	fullMemory = 0.9
-	// slotTurn is about how long it takes until one of an engine's slots is free, five seconds of a run by 64 slots.
-	slotTurn = 80 * time.Millisecond
 	// silentAfter is the age from which another router's report does not count: it is gone, and its requests with it.
 	silentAfter = 3 * time.Second
 )
--- a/pomeloplace/copy.go
+++ b/pomeloplace/copy.go
@@ -36,7 +36,7 @@
 // copy decides whether the candidate copies parts that it would have to read, and returns the time of it.
 func (p *Placer) copy(c *candidate, from source, missing pomelorelay.Tokens) time.Duration {
 	tokens := missing - from.missing
-	if from.up == nil || from.up == c.up || tokens < leastCopy {
+	if p.cfg.Without.Copies || from.up == nil || from.up == c.up || tokens < leastCopy {
 		return 0
 	}
 	took := c.up.pool.copies.Expect(float64(tokens), c.up.pool.line.Rate())
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -126,11 +126,13 @@
 }
 
 // spread notes which engines take the long prompts from now on.
-func (s *pool) spread(now time.Time) {
+func (s *pool) spread(now time.Time, off *Mechanisms) {
 	if len(s.ranked) == 0 || s.ranked[0].engine == nil {
 		return
 	}
-	s.compare(now)
+	if !off.SlowEngines {
+		s.compare(now)
+	}
 	s.flow.fade(now)
 	need := int(math.Ceil(s.pauses.Weight() * s.flow.engines(float64(s.line.Rate()))))
 	need = min(need, int(longMost*float64(len(s.ranked))))
--- /dev/null
+++ b/pomeloplace/mechanism_test.go
@@ -0,0 +1,65 @@
+package pomeloplace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+func TestMechanismsAreSwitchedOffByName(t *testing.T) {
+	for _, name := range pomeloplace.MechanismNames() {
+		set, err := pomeloplace.ParseMechanisms([]string{name})
+		if err != nil || set == (pomeloplace.Mechanisms{}) {
+			t.Errorf("%s: %+v, %v", name, set, err)
+		}
+	}
+	if _, err := pomeloplace.ParseMechanisms([]string{"Copies", "Magic"}); !pomelorelay.IsErrCode(err, pomelorelay.CodeSettingsInvalid) {
+		t.Error(err)
+	}
+}
+
+// Other accounts' requests fill the queues, and a small account asks for the first time in seconds. Refused like the others, it loses all that it
+// wanted; what it asks makes no queue longer.
+func TestAnAccountThatHadNextToNothingMayWaitLonger(t *testing.T) {
+	p := withEngines(1)
+	p.Heard(start, "r2", 1, &pomelorelay.LoadReport{Seq: 1, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "e0", Running: 4, Unread: 25_000, Sent: 25_000}}})
+	r := prompt(1, 100, 100)
+	if d := p.Place(start, r); d.Reason != pomeloplace.ReasonLate || d.Bound != pomeloplace.BoundQueue {
+		t.Errorf("an account whose share is used up: %q by %q behind %v", d.Reason, d.Bound, d.Backlog)
+	}
+	r.Used = 0
+	if d := place(t, p, start, r); d.Expected > 400*time.Millisecond {
+		t.Errorf("expected after %v", d.Expected)
+	}
+}
+
+// A fleet stands in two regions, and the way between them takes longer than anybody said. Routers that do not learn it expect answers too
+// early, and send requests to the other region that are late there.
+func TestTheWayToAnotherRegionIsLearnt(t *testing.T) {
+	p := newPlacer()
+	far := engine("e0")
+	far.Domain = "b"
+	p.Put(far)
+	near := engine("e1")
+	p.Put(near)
+	now := start
+	ask := func(avoid pomelorelay.UpstreamID, way time.Duration) pomeloplace.Decision {
+		now = now.Add(200 * time.Millisecond)
+		r := prompt(uint64(now.UnixNano()), 500, 500)
+		r.Avoid = []pomelorelay.UpstreamID{avoid}
+		d := place(t, p, now, r)
+		p.Begun(now.Add(40*time.Millisecond+way), d.Run)
+		p.Ended(now.Add(50*time.Millisecond+way), d.Run, pomeloplace.ResultGood)
+		return d
+	}
+	const way = 100 * time.Millisecond
+	var there, here pomeloplace.Decision
+	for range 1000 {
+		there, here = ask("e1", way), ask("e0", 0)
+	}
+	if got := there.Expected - here.Expected; got < way*3/4 || got > way*5/4 {
+		t.Errorf("the other region is taken to be %v further, want about %v", got, way)
+	}
+}
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -6,8 +6,6 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Placer decides where requests go.
@@ -27,6 +25,8 @@
 	// untold are the prompt tokens that were sent since the last report.
 	untold pomelorelay.Tokens
 	seq    uint64
+	// ways are the ways to other regions and back that were learnt.
+	ways map[pomelorelay.RegionID]time.Duration
 	// expected are what the callers of each service expect.
 	expected map[pomelorelay.ServiceID]expectation
 }
@@ -39,6 +39,7 @@
 		retired:   make(map[pomelorelay.UpstreamID]*upstream),
 		services:  make(map[pomelorelay.ServiceID]*pool),
 		engines:   make(map[pomelorelay.ServiceID]*pomelorelay.EngineSpec),
+		ways:      make(map[pomelorelay.RegionID]time.Duration),
 		peers:     make(map[pomelorelay.NodeID]*peer),
 	}
 }
@@ -129,22 +130,6 @@
 	p.guess()
 }
 
-// candidate is an upstream weighed for a request.
-type candidate struct {
-	up      *upstream
-	missing pomelorelay.Tokens
-	shared  pomelorelay.Tokens
-	// again are the shared tokens that it must read though another upstream keeps them.
-	again   pomelorelay.Tokens
-	backlog time.Duration
-	// from is the engine from which copied tokens are copied instead of read; nil when none are.
-	from   *upstream
-	copied pomelorelay.Tokens
-	// expected is the time until the answer begins, cost orders the candidates.
-	expected time.Duration
-	cost     time.Duration
-}
-
 // Place decides on a request. The run that it returns must be ended.
 func (p *Placer) Place(now time.Time, r Request) Decision {
 	best, found := p.best(now, &r)
@@ -152,13 +137,14 @@
 		return Decision{Reason: ReasonNoUpstream, RetryAfter: unreachedFor, ReportAge: p.reportAge(now)}
 	}
 	d := Decision{
+		Term:      best.largest,
 		ReportAge: p.reportAge(now),
 		Upstream:  best.up.info, Expected: best.expected, Backlog: best.backlog, Missing: best.missing, Shared: best.shared, Running: best.up.running(),
 	}
 	if best.from != nil {
 		d.CopyFrom, d.Copied = best.from.info, best.copied
 	}
-	if v := admit(best, &r); v.bound != BoundNone {
+	if v := p.admit(best, &r); v.bound != BoundNone {
 		d.Reason, d.Bound, d.RetryAfter = v.reason, v.bound, v.retryAfter
 		return d
 	}
@@ -178,7 +164,7 @@
 	source := s.source(now, r)
 	for round := 0; round < 2 && !found; round++ {
 		for _, u := range s.list {
-			if u.info.Draining || (round == 0 && (now.Before(u.downUntil) || slices.Contains(r.Avoid, u.info.ID))) {
+			if u.info.Draining || (round == 0 && (u.rests(now, &p.cfg.Without) || slices.Contains(r.Avoid, u.info.ID))) {
 				continue
 			}
 			c := p.weigh(now, u, source, r)
@@ -192,101 +178,6 @@
 	return best, found
 }
 
-// weigh returns a candidate with its cost in an engine's time: what the request and those beside it lose by going there.
-func (p *Placer) weigh(now time.Time, u *upstream, from source, r *Request) candidate {
-	c := candidate{up: u, backlog: u.await(now)}
-	c.expected = c.backlog
-	c.expected += p.way(u)
-	if p.cfg.Regions[u.info.Domain] != p.cfg.Self.Region {
-		c.cost += u.worth(regionTokens)
-	}
-	taken := float64(u.running()) / float64(u.slots())
-	c.cost += time.Duration(float64(crowdWeight) * taken * taken)
-	if u.engine == nil {
-		c.expected += u.service
-		c.cost += c.expected
-	} else {
-		p.weighEngine(&c, from, r)
-	}
-	c.cost += time.Duration(u.failing(now) * float64(failWeight))
-	return c
-}
-
-// way returns the time that a request takes to an upstream and its answer back.
-func (p *Placer) way(u *upstream) time.Duration {
-	if p.cfg.Regions[u.info.Domain] == p.cfg.Self.Region {
-		return 0
-	}
-	return regionWay
-}
-
-func (p *Placer) weighEngine(c *candidate, from source, r *Request) {
-	u := c.up
-	missing := u.kept.missing(r)
-	copying := p.copy(c, from, missing)
-	missing -= c.copied
-	c.missing = work(missing, r.Prompt)
-	c.shared = max(0, missing-r.own())
-	read := u.reading(float64(c.missing))
-	c.expected += read + copying + u.overhead()
-	c.cost += time.Duration(copyWeight*float64(copying)) + read + time.Duration(missWeight*float64(read)) + homeCost(u, r)
-	c.cost += time.Duration(waitWeight * float64(c.expected))
-	if late := c.expected - time.Duration(calmShare*float64(r.Target)); late > 0 {
-		c.cost += time.Duration(lateWeight * float64(late))
-	}
-	c.cost += u.pauseCost(c.backlog+read) + shyCost(u, r, c.missing)
-	if u.full(r.Prompt + r.Output) {
-		c.expected += slotTurn
-		c.cost += failWeight
-	}
-}
-
-// own returns the tokens of the prompt's last part, which no other request shares.
-func (r *Request) own() pomelorelay.Tokens {
-	if len(r.Parts) == 0 {
-		return r.Prompt
-	}
-	return r.Parts[len(r.Parts)-1].Tokens
-}
-
-// pauseCost is what the streams that run at the engine lose when it reads for a time without a break.
-func (u *upstream) pauseCost(reading time.Duration) time.Duration {
-	allowed := float64(u.pool.pause)
-	if allowed <= 0 {
-		return 0
-	}
-	over := (float64(reading)/allowed - pauseFrom) / (pauseTo - pauseFrom)
-	over = min(max(over, 0), 1)
-	return time.Duration(u.pool.pauses.Weight() * over * float64(u.running()) * float64(pauseWeight))
-}
-
-const (
-	// homeStep is what each engine is behind the one before it in the order that a hash gives a prompt's shared parts, and homeMost the
-	// most that one can be behind the first. Requests for a part that no engine is known to keep then begin at the same few engines from
-	// every router, whatever the number of engines. Where a step is small, the first ten of a hundred engines are nearly equal: in the
-	// play of 66 routers before 112 engines at 1,600 requests a second, 8 ms instead of 1 ms took the shared tokens that were read from
-	// 18.5 to 14.2 million in 12 s, and the requests in time from 7,400 to 10,400 of 19,000; with 20 ms they were 8,700.
-	homeStep = 8 * time.Millisecond
-	homeMost = 60 * time.Millisecond
-)
-
-func homeCost(u *upstream, r *Request) time.Duration {
-	if len(r.Parts) < 2 {
-		return 0
-	}
-	// The last part is the request's own; the one before it is the longest chain that others share.
-	shared := r.Parts[len(r.Parts)-2].Hash
-	var key [8]byte
-	for i := range key {
-		key[i] = byte(shared >> (8 * i))
-	}
-	h := xxhash.New()
-	_, _ = h.Write(key[:])
-	_, _ = h.WriteString(string(u.info.ID))
-	place := float64(len(u.pool.list)) * float64(h.Sum64()>>11) / (1 << 53)
-	return min(homeMost, time.Duration(float64(homeStep)*place))
-}
-
 func (p *Placer) start(now time.Time, c candidate, r *Request) *Run {
 	u := c.up
 	run := &Run{up: u, sent: now, missing: c.missing, copied: c.copied, held: r.Prompt + r.Output}
@@ -328,7 +219,7 @@
 	u := run.up
 	u.own.unread -= run.missing
 	u.changed = true
-	u.learn(now, run, now.Sub(run.sent)-p.way(u))
+	p.learnWay(u, u.learn(now, run, now.Sub(run.sent), p.way(u)))
 }
 
 // Ended notes that a run ended.
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -21,7 +21,7 @@
 	p.untold = 0
 	m.Seq = p.seq
 	for name, s := range p.services {
-		if sums := s.line.Own(); sums.Answers > s.told || (m.Whole && sums.Answers > 0) {
+		if sums := s.line.Own(); s.tells(sums.Answers) || (m.Whole && sums.Answers > s.told) {
 			s.told = sums.Answers
 			sums.Service = name
 			pauses := s.pauses.Own()
@@ -45,6 +45,14 @@
 	p.parts = p.parts[:0]
 }
 
+// tells reports whether the times of so many answers are news: of the first ones each is, later a tenth more, or fewer where they are many.
+func (s *pool) tells(answers float64) bool {
+	return answers >= s.told+min(max(1, s.told/10), mostUntold)
+}
+
+// mostUntold is the most answers whose times the others are not told before the next whole report.
+const mostUntold = 20
+
 // urgentTokens is the number of prompt tokens sent since the last report from which the other routers should know at once: an
 // engine reads that many in about 40 ms, a tenth of the time in which an answer is to begin.
 const urgentTokens = 4000
@@ -69,7 +77,7 @@
 	for _, l := range m.Upstreams {
 		before := o.loads[l.Upstream]
 		p.take(now, o, l)
-		if u := p.upstreams[l.Upstream]; u != nil && before.sent > 0 {
+		if u := p.upstreams[l.Upstream]; u != nil && before.sent > 0 && !p.cfg.Without.OthersMemory {
 			u.kept.noteUnnamed(l.Sent - before.sent - named[l.Upstream])
 		}
 	}
@@ -109,6 +117,9 @@
 }
 
 func (p *Placer) takeSpeeds(now time.Time, o *peer, speeds []pomelorelay.SpeedSums) {
+	if p.cfg.Without.SharedSpeeds {
+		return
+	}
 	for _, sums := range speeds {
 		before := o.speeds[sums.Service]
 		o.speeds[sums.Service] = sums
@@ -156,6 +167,9 @@
 // once, each sees idle engines, and together they would fill them several times over before the first reports arrive. What callers
 // notice are seconds of late answers after a restart of the fleet.
 func (p *Placer) SetUnheard(routers int) {
+	if p.cfg.Without.Unheard {
+		routers = 0
+	}
 	for _, s := range p.services {
 		s.unheard = routers
 	}
@@ -164,7 +178,7 @@
 // Tick forgets routers that have been silent and spreads the long prompts anew.
 func (p *Placer) Tick(now time.Time) {
 	for _, s := range p.services {
-		s.spread(now)
+		s.spread(now, &p.cfg.Without)
 	}
 	p.oldest = time.Time{}
 	for node, o := range p.peers {
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -152,6 +152,11 @@
 	u.failedAt = now
 }
 
+// rests reports whether the upstream is left alone.
+func (u *upstream) rests(now time.Time, off *Mechanisms) bool {
+	return now.Before(u.downUntil) && !off.Rests
+}
+
 // rest leaves alone an upstream that took no connection. Requests that were under way to it when the first one failed count once.
 func (u *upstream) rest(now time.Time) {
 	if now.Before(u.downUntil) {
@@ -161,25 +166,28 @@
 	u.downUntil = now.Add(u.downFor)
 }
 
-// learn takes the time to a first token, less the way there, as a sample of the speed.
-func (u *upstream) learn(now time.Time, r *Run, took time.Duration) {
+// learn takes the time to a first token, of which the way is a part, as a sample of the speed. It returns what the answer took beyond
+// what was expected without the way.
+func (u *upstream) learn(now time.Time, r *Run, took, way time.Duration) time.Duration {
 	if u.engine == nil {
-		u.service += time.Duration(serviceShare * float64(took-u.service))
-		return
+		u.service += part(serviceShare, took-way-u.service)
+		return way
 	}
-	if r.crowded || took <= 0 {
-		return
+	if r.crowded || took <= way {
+		return way
 	}
 	tokens := r.ahead + float64(r.missing)
 	expected := u.pool.line.Expect(tokens)
+	beyond := took - part(u.slow, expected)
 	if r.copied > 0 {
-		u.pool.copies.Note(float64(r.copied), u.copyTime(r, took-time.Duration(u.slow*float64(expected))))
-		return
+		u.pool.copies.Note(float64(r.copied), u.copyTime(r, beyond-way))
+		return way
 	}
-	u.factor.Note(now, took, expected)
+	u.factor.Note(now, took-way, expected)
 	u.own.expected += expected
-	u.own.took += took
-	u.pool.line.Note(now, tokens, time.Duration(float64(took)/u.slow))
+	u.own.took += took - way
+	u.pool.line.Note(now, tokens, part(1/u.slow, took-way))
+	return beyond
 }
 
 // copyTime bounds what an answer took beyond what was expected without its copy: waits that have other reasons say nothing of it.
--- /dev/null
+++ b/pomeloplace/weigh.go
@@ -0,0 +1,226 @@
+package pomeloplace
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Term names a part of what it costs to send a request to an upstream.
+type Term string
+
+// The terms, and the load that each answers.
+const (
+	// TermRead is the reading of what the engine does not keep: sessions whose parts are spread over too many engines.
+	TermRead Term = "Read"
+	// TermCopy is the copying of parts that another engine keeps: crowds at one session's engine.
+	TermCopy Term = "Copy"
+	// TermHome is the engine's place in the order of those that begin to keep a part: sessions that nobody has read yet.
+	TermHome Term = "Home"
+	// TermWait is the time until the answer begins: uneven queues.
+	TermWait Term = "Wait"
+	// TermLate is the part of it that other routers' requests may push past the target: bursts.
+	TermLate Term = "Late"
+	// TermPause is what running streams lose beside long reading: long prompts among streams.
+	TermPause Term = "Pause"
+	// TermLong keeps streams away from the engines of long prompts.
+	TermLong Term = "Long"
+	// TermCrowd is what running streams lose to one more: long answers.
+	TermCrowd Term = "Crowd"
+	// TermRegion is the bytes to another region, which operators pay for.
+	TermRegion Term = "Region"
+	// TermMemory is what an engine loses that must evict running requests.
+	TermMemory Term = "Memory"
+	// TermFail is upstreams that fail requests.
+	TermFail Term = "Fail"
+)
+
+const (
+	// readWeight is how much reading counts: it takes the engine's time from what comes after, and shared parts that are read once more
+	// push others out of its memory.
+	readWeight = 4.5
+	// copyWeight is how much the time of a copy counts: copied parts take memory at two engines, and others lose theirs.
+	copyWeight = 2.5
+	// waitWeight is how much a wait counts that ends well within the target; waiting at one engine or the other is nearly the same.
+	waitWeight = 0.1
+	// calmShare is the part of the target up to which a wait is calm; beyond, each millisecond counts lateWeight times more, since
+	// other routers' requests that are not yet known may push the answer past its target. A larger weight would send requests away from short
+	// queues into the way of streams.
+	calmShare  = 0.55
+	lateWeight = 1.0
+	// crowdWeight is the cost of the last free slot, growing with the square of the part that is taken: a full batch generates each
+	// token about twice as slowly.
+	crowdWeight = 50 * time.Millisecond
+	// regionTokens is what the bytes of a request to another region and of its answer cost, in tokens that an engine could read.
+	regionTokens = 270
+	// pauseFrom and pauseTo are the lengths of uninterrupted reading, as parts of the pause that callers accept, between which the streams
+	// that run beside it become late.
+	pauseFrom = 0.7
+	pauseTo   = 1.05
+	// pauseWeight is what one late stream counts, in an engine's time: several times what it is worth, which keeps long reading away from
+	// streams before it is certain.
+	pauseWeight = 400 * time.Millisecond
+	// failWeight is what an upstream that fails every request is behind one that fails none.
+	failWeight = 3 * time.Second
+	// homeStep is what each engine is behind the one before it in the order that a hash gives a prompt's shared parts, and homeMost the
+	// most that one can be behind the first. Requests for a part that no engine is known to keep then begin at the same few engines from
+	// every router, whatever the number of engines. With a small step, the first ten of a hundred engines would be nearly equal.
+	homeStep = 8 * time.Millisecond
+	homeMost = 60 * time.Millisecond
+	// startWay is the first guess of the way to another region and back; it is learnt from then on.
+	startWay = 20 * time.Millisecond
+	// wayShare is the weight of a new sample in its running mean: times to first tokens differ by much more than the way.
+	wayShare = 0.005
+	// slotTurn is about how long it takes until one of an engine's slots is free: seconds of a run, by dozens of slots.
+	slotTurn = 80 * time.Millisecond
+)
+
+// candidate is an upstream weighed for a request.
+type candidate struct {
+	up      *upstream
+	missing pomelorelay.Tokens
+	shared  pomelorelay.Tokens
+	// again are the shared tokens that it must read though another upstream keeps them.
+	again   pomelorelay.Tokens
+	backlog time.Duration
+	// from is the engine from which copied tokens are copied instead of read; nil when none are.
+	from   *upstream
+	copied pomelorelay.Tokens
+	// expected is the time until the answer begins, cost orders the candidates.
+	expected time.Duration
+	cost     time.Duration
+	// largest is the largest part of the cost, largestCost what it is.
+	largest     Term
+	largestCost time.Duration
+}
+
+// add counts a part of the cost, in an engine's time: what the request and those beside it lose by going there.
+func (c *candidate) add(name Term, cost time.Duration) {
+	c.cost += cost
+	if cost > c.largestCost {
+		c.largest, c.largestCost = name, cost
+	}
+}
+
+// weigh returns a candidate with its cost.
+func (p *Placer) weigh(now time.Time, u *upstream, from source, r *Request) candidate {
+	c := candidate{up: u, backlog: u.await(now)}
+	c.expected = c.backlog + p.way(u)
+	off := &p.cfg.Without
+	if p.foreign(u) && !off.Regions {
+		c.add(TermRegion, u.worth(regionTokens))
+	}
+	if !off.Crowd {
+		c.add(TermCrowd, crowdCost(u))
+	}
+	if !off.Failures {
+		c.add(TermFail, time.Duration(u.failing(now)*float64(failWeight)))
+	}
+	if u.engine == nil {
+		c.expected += u.service
+		c.add(TermWait, c.expected)
+		return c
+	}
+	p.weighEngine(&c, from, r)
+	return c
+}
+
+func (p *Placer) weighEngine(c *candidate, from source, r *Request) {
+	u, off := c.up, &p.cfg.Without
+	missing := u.kept.missing(r)
+	copying := p.copy(c, from, missing)
+	missing -= c.copied
+	c.missing = work(missing, r.Prompt)
+	c.shared = max(0, missing-r.own())
+	read := u.reading(float64(c.missing))
+	c.expected += read + copying + u.overhead()
+	c.add(TermRead, part(readWeight, read))
+	c.add(TermCopy, part(copyWeight, copying))
+	if !off.Homes {
+		c.add(TermHome, homeCost(u, r))
+	}
+	if !off.Waits {
+		c.add(TermWait, part(waitWeight, c.expected))
+		c.add(TermLate, part(lateWeight, max(0, c.expected-part(calmShare, r.Target))))
+	}
+	if !off.Pauses {
+		c.add(TermPause, u.pauseCost(c.backlog+read))
+	}
+	if !off.LongEngines {
+		c.add(TermLong, shyCost(u, r, c.missing))
+	}
+	if u.full(r.Prompt + r.Output) {
+		c.expected += slotTurn
+		c.add(TermMemory, failWeight)
+	}
+}
+
+func (p *Placer) foreign(u *upstream) bool { return p.cfg.Regions[u.info.Domain] != p.cfg.Self.Region }
+
+// way returns the time that a request takes to an upstream and its answer back, beyond that to one of this router's own region.
+func (p *Placer) way(u *upstream) time.Duration {
+	if !p.foreign(u) {
+		return 0
+	}
+	way, known := p.ways[p.cfg.Regions[u.info.Domain]]
+	if !known {
+		return startWay
+	}
+	return way
+}
+
+// learnWay takes the time to a first token beyond what was expected without the way.
+func (p *Placer) learnWay(u *upstream, beyond time.Duration) {
+	if !p.foreign(u) {
+		return
+	}
+	way := p.way(u)
+	sample := min(max(beyond, -way), 3*way+startWay)
+	p.ways[p.cfg.Regions[u.info.Domain]] = max(0, way+part(wayShare, sample-way))
+}
+
+// own returns the tokens of the prompt's last part, which no other request shares.
+func (r *Request) own() pomelorelay.Tokens {
+	if len(r.Parts) == 0 {
+		return r.Prompt
+	}
+	return r.Parts[len(r.Parts)-1].Tokens
+}
+
+func crowdCost(u *upstream) time.Duration {
+	taken := float64(u.running()) / float64(u.slots())
+	return part(taken*taken, crowdWeight)
+}
+
+// pauseCost is what the streams that run at the engine lose when it reads for a time without a break.
+func (u *upstream) pauseCost(reading time.Duration) time.Duration {
+	allowed := float64(u.pool.pause)
+	if allowed <= 0 {
+		return 0
+	}
+	over := (float64(reading)/allowed - pauseFrom) / (pauseTo - pauseFrom)
+	over = min(max(over, 0), 1)
+	return part(u.pool.pauses.Weight()*over*float64(u.running()), pauseWeight)
+}
+
+func homeCost(u *upstream, r *Request) time.Duration {
+	if len(r.Parts) < 2 {
+		return 0
+	}
+	// The last part is the request's own; the one before it is the longest chain that others share.
+	shared := r.Parts[len(r.Parts)-2].Hash
+	var key [8]byte
+	for i := range key {
+		key[i] = byte(shared >> (8 * i))
+	}
+	h := xxhash.New()
+	_, _ = h.Write(key[:])
+	_, _ = h.WriteString(string(u.info.ID))
+	place := float64(len(u.pool.list)) * float64(h.Sum64()>>11) / (1 << 53)
+	return min(homeMost, part(place, homeStep))
+}
+
+// part returns so many times the duration.
+func part(times float64, d time.Duration) time.Duration { return time.Duration(times * float64(d)) }
