--- a/events_store.go
+++ b/events_store.go
@@ -13,6 +13,7 @@
 	EventPeersChanged       EventID = 908
 	EventPeerMissed         EventID = 909
 	EventStateFromPeer      EventID = 910
+	EventSpeedLearnt        EventID = 911
 )
 
 var storeEvents = []EventInfo{
@@ -27,4 +28,5 @@
 	{EventPeersChanged, "PeersChanged", LevelInfo, "The registered routers changed.", "None."},
 	{EventPeerMissed, "PeerMissed", LevelWarn, "A message to a router could not be queued.", "Check the link to it."},
 	{EventStateFromPeer, "StateFromPeer", LevelInfo, "A router that the store told too little took what a peer knows.", "Check the store and the way to it."},
+	{EventSpeedLearnt, "SpeedLearnt", LevelInfo, "What the router believes of how fast a service's engines read changed by a fifth or more.", "None; a service that turns slow as a whole shows here."},
 }
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -7,6 +7,7 @@
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 	"github.com/pomelorelay/pomelorelay/pomeloshare"
+	"github.com/pomelorelay/pomelorelay/pomelospeed"
 	"github.com/pomelorelay/pomelorelay/pomelotable"
 )
 
@@ -41,6 +42,8 @@
 	reportedAt time.Time
 	wholeAt    time.Time
 	gaugesAt   time.Time
+	// speeds are the reading speeds that were last logged.
+	speeds map[pomelorelay.ServiceID]pomelospeed.Rate
 }
 
 func newControl(e *Entry) *control {
@@ -51,6 +54,7 @@
 		shares:    pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
 		upstreams: newUpstreams(),
 		peers:     newPeers(),
+		speeds:    make(map[pomelorelay.ServiceID]pomelospeed.Rate),
 	}
 }
 
@@ -112,6 +116,25 @@
 	if c.config != nil {
 		m.Set("generation", float64(c.config.Version))
 	}
+	for _, s := range c.placer.Speeds() {
+		m.Set("read_tokens_per_ms_"+string(s.Service), float64(s.Rate))
+		m.Set("first_token_overhead_ms_"+string(s.Service), float64(s.Overhead.Milliseconds()))
+		c.noteSpeed(s)
+	}
+}
+
+// speedNews is the change of a reading speed from which it is worth a line.
+const speedNews = 1.2
+
+// noteSpeed writes a line when what is believed of a service's engines has changed: every later decision on their requests follows from it.
+func (c *control) noteSpeed(s pomeloplace.Speed) {
+	told := c.speeds[s.Service]
+	if told > 0 && s.Rate < speedNews*told && told < speedNews*s.Rate {
+		return
+	}
+	c.speeds[s.Service] = s.Rate
+	c.e.log(pomelorelay.EventSpeedLearnt, field("Service", s.Service), field("TokensPerMS", float64(s.Rate)), field("OverheadMS", s.Overhead.Milliseconds()),
+		field("Pauses", s.Pauses), field("CopyPart", s.CopyPart))
 }
 
 // place decides on a request and charges its account.
@@ -154,8 +177,8 @@
 const worthWaiting = 0.5
 
 // returnAfter tells a caller whose account is beyond its share when to come back: once the account is owed the request, if the answer can
-// still be in time then; else as soon as there may be a place again. In a flood that lasts, waiting raises no chance: of
-// requests that came back 3 s later 26 of 100 found a place, of fresh ones 32, counted on a day of floods; and the answer is late for sure.
+// still be in time then; else as soon as there may be a place again. In a flood that lasts, waiting longer raises no chance, and makes the
+// answer late for sure.
 func (c *control) returnAfter(d *pomeloplace.Decision, w *pomeloforward.Work) time.Duration {
 	wait := c.shares.Wait(w.Account, w.Cost)
 	if wait > time.Duration(worthWaiting*float64(w.Place.Target)) {
--- a/pomeloentry/follow.go
+++ b/pomeloentry/follow.go
@@ -16,8 +16,8 @@
 	// followApart is what each router adds to the bound, up to followFar: a large fleet would spend the store's rate on calls that fail.
 	followApart = 50 * time.Millisecond
 	followFar   = 1200 * time.Millisecond
-	// followIdle bounds the pause of what waits for the watch of the upstreams to succeed again, as a last resort. With each of the four
-	// loops trying by itself, 90 routers made 4,073 calls on a day of parted hosts and an outage instead of 3,880, one play each.
+	// followIdle bounds the pause of what waits for the watch of the upstreams to succeed again, as a last resort: each of the four loops
+	// trying by itself would spend calls on a store that is away.
 	followIdle = 5 * time.Second
 )
 
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -16,16 +16,15 @@
 // cheaply, and the caller's next attempt reaches another router.
 
 const (
-	// requestMemory is what a request takes while it runs: two connections' buffers, stacks and a body, by estimate, rounded up.
+	// requestMemory is what a request takes while it runs: two connections' buffers, stacks and a body.
 	requestMemory = 64 << 10
 	// requestsShare is the part of the memory that requests may take.
 	requestsShare = 0.3
-	// requestsPerCore is the number of streams that a core is taken to carry at first, an estimate: a host of 0.192 cores with 307 of 18
-	// events a second fell behind by seconds.
+	// requestsPerCore is the number of streams that a core is taken to carry at first.
 	requestsPerCore = 1000
 	// leastRequests keeps a host of unknown size at work.
 	leastRequests = 64
-	// connMemory is what an idle connection takes, by estimate: a stack, two buffers of 4 KB and net/http's own; and connsShare the part of the memory that connections may take.
+	// connMemory is what an idle connection takes: a stack, two buffers of 4 KB and net/http's own; and connsShare the part of the memory that connections may take.
 	connMemory = 20 << 10
 	connsShare = 0.3
 	// systemFDs are the descriptors that the platform keeps for files, and fdsShare the part of the others that callers may take; each
@@ -38,8 +37,7 @@
 	pressedFor   = 2500 * time.Millisecond
 	// The limit of requests at once follows the processor: each tick that comes lagLook late takes limitDown of it off, each in time that
 	// finds it used adds limitUp. What a stream costs differs by how often its upstream sends events: a fixed figure that fits one
-	// deployment keeps the hosts of another late for seconds, or refuses beside a free processor. In a play of ticks the limit stays
-	// between 0.8 and 1.1 of what the processor carries, and fewer than a quarter of the ticks are late.
+	// deployment keeps the hosts of another late for seconds, or refuses beside a free processor.
 	limitDown = 0.9
 	limitUp   = 1.02
 	// busyRetry is what callers are told that meet a full router: another one takes them at once.
@@ -123,8 +121,8 @@
 }
 
 // boundListener closes connections that come while there are too many or the processor does not keep up, before anything is read of
-// them: their callers try another router, and no goroutine or buffer is spent on them. A host of 0.192 cores that
-// read and refused each was seen to stand still for 0.9 s, with everything that ran there.
+// them: their callers try another router, and no goroutine or buffer is spent on them. A small host that read and refused each would stand
+// still, with everything that runs there.
 type boundListener struct {
 	net.Listener
 	e *Entry
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -8,8 +8,7 @@
 )
 
 const (
-	// defaultDrain is the time to the last request of an upstream that leaves where the settings name none; the smaller bound of
-	// the present deployments.
+	// defaultDrain is the time to the last request of an upstream that leaves where the settings name none.
 	defaultDrain = 2500 * time.Millisecond
 	// pacePart, waitPart, silentPart and newsPart are parts of that time.
 	//
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -53,8 +53,8 @@
 }
 
 const (
-	// streamTime is how long most streams take, nine of ten on a busy day, and plainTime is the same for other requests. One that
-	// begins later before a planned stop would be cut by it.
+	// streamTime is how long most streams take, and plainTime is the same for other requests. One that begins later before a planned stop
+	// would be cut by it.
 	streamTime = 5 * time.Second
 	plainTime  = 700 * time.Millisecond
 )
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -76,7 +76,7 @@
 	refusedRetry = 500 * time.Millisecond
 	// endSlack is how long after its deadline an upstream's own last word is awaited; it comes over one way between regions.
 	endSlack = 100 * time.Millisecond
-	// dialTimeout bounds a connection attempt: the way to another region and back takes 24 ms, a lost packet costs 200 ms.
+	// dialTimeout bounds a connection attempt: the way to another region and back, and a lost packet, which costs 200 ms.
 	dialTimeout = 500 * time.Millisecond
 	// ackTimeout is how long an upstream's host may acknowledge nothing: ten times the way between regions, and two lost packets.
 	ackTimeout = 2 * time.Second
@@ -86,8 +86,8 @@
 	idleConns = 64
 	// maxHeader bounds an answer's head.
 	maxHeader = 64 << 10
-	// maxUnreached bounds the upstreams that are tried for a request without any taking a connection: with a quarter of them down, one
-	// request in 4,000 finds six in a row; with three it is one in 64.
+	// maxUnreached bounds the upstreams that are tried for a request without any taking a connection. With a quarter of them down, one
+	// request in 64 would find three in a row.
 	maxUnreached = 6
 	// maxRefused bounds the upstreams that may refuse one request without running it.
 	maxRefused = 2
--- a/pomelolog/bound.go
+++ b/pomelolog/bound.go
@@ -9,8 +9,7 @@
 	"github.com/pomelorelay/pomelorelay"
 )
 
-// defaultPerSecond is the number of lines of one event that are written in a second: several times the requests that a router of
-// the present deployments gets. A line of a request takes 1.5 µs of the processor without the write (BenchmarkLine).
+// defaultPerSecond is the number of lines of one event that are written in a second: more than the requests that a small host serves.
 const defaultPerSecond = 300
 
 // bound keeps the lines of each event within a number a second and counts those that are left out. Without it a flood of requests is
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -12,9 +12,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// An engine reads a long prompt in chunks and gives each stream that runs beside it one token a chunk. While it reads some 26,000
-// tokens at a stretch, no event of those streams is complete within the 400 ms that callers expect: each long prompt makes all of
-// them late, 20 to 40 at once. So long prompts go to a few engines that streams keep away from.
+// An engine reads a long prompt in chunks and gives each stream that runs beside it one token a chunk. Where chunks are long and an event holds
+// many tokens, no event of those streams is complete within the pause that callers accept while a long prompt is read: it makes all of them
+// late at once. There, long prompts go to a few engines that streams keep away from.
 
 const (
 	// longRoom is the room that long prompts are given for their own work; short answers fill what they leave.
@@ -30,10 +30,10 @@
 	// longKeep is how long an engine goes on taking long prompts when fewer would do. Each change moves the prompts that are kept
 	// there, and shared parts are read again.
 	longKeep = 15 * time.Second
-	// flowFade is the time in which the measured flow of work follows a change by half.
+	// flowFade is the time in which the flow of work follows a change by half.
 	flowFade = 3 * time.Second
-	// pairWork is the work of relating one token to one before it, in tokens that are read: 0.184 ms for a million pairs at 101
-	// tokens a millisecond, as both deployments describe their engines.
+	// pairWork is the work of relating one token to one before it, in tokens that are read. It decides from which length on a prompt takes
+	// longer than its tokens say.
 	pairWork = 1.86e-5
 )
 
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -53,8 +53,8 @@
 // mostUntold is the most answers whose times the others are not told before the next whole report.
 const mostUntold = 20
 
-// urgentTokens is the number of prompt tokens sent since the last report from which the other routers should know at once: an
-// engine reads that many in about 40 ms, a tenth of the time in which an answer is to begin.
+// urgentTokens is the number of prompt tokens sent since the last report from which the other routers should know at once. With fewer, each
+// request would make a report of its own; with more, others would send to the same engine meanwhile.
 const urgentTokens = 4000
 
 // Urgent reports whether the other routers should have a report before the next one is due.
