What a full router refuses unread counts as asked

Change: the refusal reads the key and the token counts from the head and hands them to the control goroutine, if that has room for them. TestWhatAFullRouterRefusesCountsAsAsked fails without it: the other account stays within its share.

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -39,6 +39,11 @@
 	return Decider{c}
 }
 
+// RefusedUnread notes a request that a full router refused.
+func (d Decider) RefusedUnread(now time.Time, account pomelorelay.AccountID, cost pomelorelay.Cost) {
+	(&refusedUnread{account, cost}).apply(d.c, now)
+}
+
 // Place decides on a request.
 func (d Decider) Place(now time.Time, w pomeloforward.Work) pomeloplace.Decision {
 	d.c.shares.Tick(now)
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -84,7 +84,7 @@
 func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	if !e.takes(w) {
+	if !e.takes(w, r) {
 		return
 	}
 	e.forward.ServeHTTP(w, r)
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -140,6 +140,20 @@
 	}
 }
 
+// noteRefused counts what a request asked that is refused unread. Left out, an account whose callers come to full routers looks as if it wanted
+// nothing, the others get its share, and nobody sees how short it is. Where the control goroutine has more than it can take, the
+// request is not counted: the router must not wait for it.
+func (e *Entry) noteRefused(r *http.Request) {
+	account, cost := e.forward.Asks(r)
+	if cost <= 0 {
+		return
+	}
+	select {
+	case e.events <- &refusedUnread{account, cost}:
+	default:
+	}
+}
+
 type connKey struct{}
 
 // keepConn keeps a caller's connection with its requests.
@@ -181,7 +195,7 @@
 }
 
 // takes counts a request in; it reports false, and has answered, when the router is full.
-func (e *Entry) takes(w http.ResponseWriter) bool {
+func (e *Entry) takes(w http.ResponseWriter, r *http.Request) bool {
 	if e.pressed() {
 		w.Header().Set("Connection", "close")
 	}
@@ -192,6 +206,7 @@
 	err.RetryAfter = busyRetry
 	pomeloforward.Refuse(w, err)
 	e.metrics.Answered("None", "full", 0, 0)
+	e.noteRefused(r)
 	e.log(pomelorelay.EventRouterFull, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.limit.Load()), field("LagMS", e.lag().Milliseconds()))
 	return false
 }
--- a/pomeloentry/place_test.go
+++ b/pomeloentry/place_test.go
@@ -46,6 +46,32 @@
 	}
 }
 
+// The balancer sends most callers of one account to a host that is full. What it refuses unread counts for nobody, and the routers think that
+// the account wants no more than it gets: another account takes twice as much, and the first one's callers go on being refused.
+func TestWhatAFullRouterRefusesCountsAsAsked(t *testing.T) {
+	d := pomeloentry.NewDecider(pomelorelay.FleetConfig{
+		Limits:   pomelorelay.CallerLimits{TokensPerSecond: 10_000},
+		Services: []pomelorelay.ServiceSpec{{Name: "s", Engine: &pomelorelay.EngineSpec{Slots: 64, Memory: 500_000, EventTokens: 7}}},
+	}, pomelorelay.FleetUpstream{ID: "u", Service: "s", Domain: "a", Slots: 64})
+	now := time.Now()
+	other := func() pomeloplace.ShareState {
+		now = now.Add(500 * time.Millisecond)
+		return d.Place(now, pomeloforward.Work{Account: "other", Cost: 5000, Place: pomeloplace.Request{
+			Service: "s", Prompt: 100, Output: 10, Target: time.Second, Left: 10 * time.Second,
+		}}).Share
+	}
+	for range 6 {
+		other()
+	}
+	alone := other()
+	for range 10 {
+		d.RefusedUnread(now, "short", 4000)
+	}
+	if beside := other(); !alone.Owed || beside.Owed {
+		t.Errorf("owed %v alone and %v beside an account that is refused everything; level %.0f and %.0f", alone.Owed, beside.Owed, alone.Level, beside.Level)
+	}
+}
+
 // Two relays hand on the same reports for a moment, one of them later, and a router that was restarted is still told of by its former
 // process. Taken after a newer report, an old one brings back work that has ended: the engine looks full, and requests are refused there.
 func TestLateReportsAreLeftOut(t *testing.T) {
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
@@ -79,3 +80,11 @@
 		c.shares.Returned(d.work.Account, d.work.Cost)
 	}
 }
+
+// refusedUnread is posted when a full router refused a request before it was read.
+type refusedUnread struct {
+	account pomelorelay.AccountID
+	cost    pomelorelay.Cost
+}
+
+func (f *refusedUnread) apply(c *control, _ time.Time) { c.shares.Asked(f.account, f.cost) }
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -181,21 +181,30 @@
 // generatedWeight is how much a generated token counts against one that is read, by the platform's word.
 const generatedWeight = 2
 
-func (c *call) work() Work {
-	output := c.fields.Output
-	if c.fields.Guess > 0 {
-		output = min(max(c.fields.Guess, 1), max(output, 1))
+// outputOf returns how many tokens a request probably makes its engine generate.
+func outputOf(f pomelorelay.CallerFields) pomelorelay.Tokens {
+	if f.Guess > 0 {
+		return min(max(f.Guess, 1), max(f.Output, 1))
 	}
+	return f.Output
+}
+
+// costOf returns what a request counts towards its account's share.
+func costOf(f pomelorelay.CallerFields) pomelorelay.Cost {
+	return pomelorelay.Cost(f.Prompt + generatedWeight*outputOf(f))
+}
+
+func (c *call) work() Work {
 	return Work{
 		ID:      c.fields.ID,
 		Account: c.account,
-		Cost:    pomelorelay.Cost(c.fields.Prompt + generatedWeight*output),
+		Cost:    costOf(c.fields),
 		Again:   len(c.avoid) > 0,
 		Charged: c.runs > 0,
 		Place: pomeloplace.Request{
 			Service: c.service,
 			Prompt:  c.fields.Prompt,
-			Output:  output,
+			Output:  outputOf(c.fields),
 			Parts:   c.fields.Parts,
 			Target:  c.route.Target,
 			Left:    c.left(),
--- a/pomeloforward/forward_test.go
+++ b/pomeloforward/forward_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -362,3 +363,41 @@
 		t.Errorf("the place ended with %v", w.results)
 	}
 }
+
+// An upstream reads somebody's long prompt, and the streams that it runs beside it pause for longer than their callers accept. Taken for good
+// answers, they would teach nobody that long prompts had better go elsewhere.
+func TestAStreamThatPausesTooLongIsToldApart(t *testing.T) {
+	for _, c := range []struct {
+		pause time.Duration
+		want  pomeloplace.Result
+	}{
+		{0, pomeloplace.ResultGood},
+		{300 * time.Millisecond, pomeloplace.ResultPaused},
+	} {
+		u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+			write(conn, streamHead(r)+eventChunk(1))
+			time.Sleep(c.pause)
+			write(conn, eventChunk(2)+lastChunk)
+		})
+		w := newWorld(t, u.entry("u1"))
+		if got := w.call("POST", "/talk/", "x"); got.status != 200 || got.cut != nil {
+			t.Fatalf("%+v", got)
+		}
+		if got := w.result(0); got != c.want {
+			t.Errorf("after a pause of %v: %v, want %v", c.pause, got, c.want)
+		}
+	}
+}
+
+func TestWhatARefusedRequestAsks(t *testing.T) {
+	w := newWorld(t)
+	r := httptest.NewRequest("POST", "http://h.example/talk/", nil)
+	r.Header.Set(pomelofake.FieldTokens, "1000,50")
+	if account, cost := w.handler.Asks(r); account != "" || cost != 0 {
+		t.Errorf("without a key: %q asks %.0f", account, cost)
+	}
+	r.Header.Set(pomelofake.FieldKey, "key")
+	if account, cost := w.handler.Asks(r); account != "acct" || cost != 1100 {
+		t.Errorf("%q asks %.0f, want acct and 1100", account, cost)
+	}
+}
--- a/pomeloforward/handler.go
+++ b/pomeloforward/handler.go
@@ -62,6 +62,21 @@
 	c.run()
 }
 
+// Asks returns the account of a request that is refused before it is read, and what it counts towards the account's share; zero when
+// it counts nothing.
+func (h *Handler) Asks(r *http.Request) (pomelorelay.AccountID, pomelorelay.Cost) {
+	table := h.cfg.Tables.Current()
+	if table == nil {
+		return "", 0
+	}
+	fields := h.cfg.Wire.ReadCaller(r.Header)
+	account, ok := table.Account(fields.Key)
+	if !ok {
+		return "", 0
+	}
+	return account.Name, costOf(fields)
+}
+
 // survive turns a defect in the handling of one request into a failure that says nothing of what ran.
 func (c *call) survive() {
 	cause := recover()
--- a/pomeloforward/world_test.go
+++ b/pomeloforward/world_test.go
@@ -115,9 +115,10 @@
 	stopsIn  time.Duration
 	stopping bool
 	// left tells whether a caller has left, nil when that is not to be told.
-	left   func() bool
-	mu     sync.Mutex
-	server *httptest.Server
+	left    func() bool
+	mu      sync.Mutex
+	server  *httptest.Server
+	handler *pomeloforward.Handler
 }
 
 var routes = []pomelorelay.Route{
@@ -125,6 +126,7 @@
 	{Name: "book", Host: "h.example", Prefix: "/book/", Kind: pomelorelay.RouteOnce, Timeout: 2 * time.Second, Attempts: 1},
 	{Name: "draft", Host: "h.example", Prefix: "/draft/", Kind: pomelorelay.RouteStream, Timeout: 5 * time.Second, Attempts: 1},
 	{Name: "chat", Host: "h.example", Prefix: "/chat/", Kind: pomelorelay.RouteStream, Timeout: 5 * time.Second, Attempts: 2, Resumable: true},
+	{Name: "talk", Host: "h.example", Prefix: "/talk/", Kind: pomelorelay.RouteStream, Timeout: 5 * time.Second, Pause: 100 * time.Millisecond, Attempts: 1},
 	{Name: "open", Host: "h.example", Prefix: "/open/", Kind: pomelorelay.RouteIdempotent, Timeout: 2 * time.Second, Attempts: 1, Public: true},
 }
 
@@ -147,6 +149,7 @@
 		Left:       w.hasLeft,
 		RetryRatio: 0.2, RetrySlack: 100,
 	})
+	w.handler = h
 	w.server = httptest.NewServer(h)
 	t.Cleanup(func() {
 		w.server.Close()
@@ -187,6 +190,12 @@
 	w.results = append(w.results, r)
 }
 
+func (w *world) result(i int) pomeloplace.Result {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.results[i]
+}
+
 func (w *world) StopsIn() (time.Duration, bool) { return w.stopsIn, w.stopping }
 
 func (w *world) Answered(pomelorelay.RouteKind, string, time.Duration, time.Duration) {}
