Pauses count where streams pause, an account ahead gets fewer slots, and what is worth nothing goes

Accounts ahead were held back by a shorter queue only, and among 140 engines one is always free.

Change: - streams count from 2 in 100 that pause on, in full from 8 on; the first guess counts as four streams.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -141,7 +141,7 @@
 func (c *control) place(now time.Time, w pomeloforward.Work) pomeloplace.Decision {
 	counts := w.Cost > 0 && w.Account != ""
 	r := w.Place
-	r.Owed, r.Used = true, 1
+	r.Owed = true
 	var share pomeloplace.ShareState
 	if counts {
 		if !w.Again {
@@ -153,9 +153,6 @@
 		r.Lead = c.shares.Lead(w.Account)
 		share.Cost, share.Owed = w.Cost, r.Owed
 		share.Asked, share.Served, share.Level = c.shares.State(w.Account)
-		if share.Level > 0 {
-			r.Used = float64(share.Served / share.Level)
-		}
 	}
 	d := c.placer.Place(now, r)
 	d.Share = share
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -20,20 +20,18 @@
 
 const (
 	// owedQueue, freeQueue and aheadQueue are the parts of the shortest target that may wait before a request within its account's share,
-	// one beyond it, and one of an account that is ahead of one that is short. The first rises to lightQueue the less of its share the account
-	// has used: what accounts ask that have next to nothing fills no queue, and each refusal is a large part of it. The last
-	// falls with the square of the lead, down to aheadLeast of it: callers call it unfair when one account gets twice as much as another
-	// that is short.
+	// one beyond it, and one of an account that is ahead of one that is short. The last,
+	// and the slots that it may fill, fall with the square of the lead, down to aheadLeast of them: callers call it unfair when one account
+	// gets twice as much as another that is short.
 	owedQueue  = 0.45
-	lightQueue = 0.8
-	freeQueue  = 0.3
-	aheadQueue = 0.2
+	freeQueue  = 0.2
+	aheadQueue = 0.15
 	aheadLeast = 0.4
 	// inTime is the part of its target within which an answer must be expected to begin; the rest is for what other routers sent meanwhile.
 	inTime = 0.85
 	// slotReserve is how many times the square root of an engine's slots is kept free of requests beyond shares: what other routers send
 	// meanwhile differs by about that root, and would find an engine full that was filled with requests that nobody is owed.
-	slotReserve = 2.0
+	slotReserve = 3.0
 	// freeAgain is the most shared tokens that a request beyond its account's share may make an engine read though another one, which is
 	// too busy, keeps them: about what an engine reads in one step.
 	freeAgain = 400
@@ -91,11 +89,7 @@
 		target = shorter(u.pool.target, r.Target)
 	}
 	slots := u.slots()
-	light := 1 - min(max(r.Used, 0), 1)
-	if off.LightAccounts {
-		light = 0
-	}
-	a := allowance{slots: slots, queue: part(owedQueue+light*(lightQueue-owedQueue), target), reason: ReasonLate}
+	a := allowance{slots: slots, queue: part(owedQueue, target), reason: ReasonLate}
 	if r.Owed {
 		return a
 	}
@@ -107,7 +101,9 @@
 		a.queue = part(freeQueue, target)
 	}
 	if r.Lead > 1 && !off.Ahead {
-		a.queue = part(aheadQueue*max(1/(r.Lead*r.Lead), aheadLeast), target)
+		behind := max(1/(r.Lead*r.Lead), aheadLeast)
+		a.queue = part(aheadQueue*behind, target)
+		a.slots = max(1, int(behind*float64(a.slots)))
 	}
 	return a
 }
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -28,8 +28,6 @@
 	Left   time.Duration
 	// Owed tells that the request is within its account's share.
 	Owed bool
-	// Used is the part of its account's share that is used up, from 0 to 1; 1 when shares are not known.
-	Used float64
 	// Lead is how many times as much the account has had as it may beside another that is short; up to one it is not ahead.
 	Lead float64
 	// Avoid lists upstreams that failed this request.
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -21,10 +21,10 @@
 	longRoom = 1.0
 	// longMost is the largest part of a service's engines for long prompts.
 	longMost = 0.25
-	// shyStream and shyShort are what it costs a request to go where long prompts go, in an engine's time: a stream of many events is
+	// streamAtLong and shortAtLong are what it costs a request to go where long prompts go, in an engine's time: a stream of many events is
 	// late there as a rule, an answer of a few events sometimes.
-	shyStream = 400 * time.Millisecond
-	shyShort  = 25 * time.Millisecond
+	streamAtLong = 400 * time.Millisecond
+	shortAtLong  = 25 * time.Millisecond
 	// manyEvents is the number of events from which an answer counts as a stream of many.
 	manyEvents = 8
 	// longKeep is how long an engine goes on taking long prompts when fewer would do. Each change moves the prompts that are kept
@@ -165,16 +165,16 @@
 	}
 }
 
-// shyCost is what it costs a request to go to an engine of the other kind.
-func shyCost(u *upstream, r *Request, missing pomelorelay.Tokens) time.Duration {
+// longCost is what it costs a request to go to an engine of the other kind.
+func longCost(u *upstream, r *Request, missing pomelorelay.Tokens) time.Duration {
 	if !u.forLong || u.pool.long(missing) {
 		return 0
 	}
-	shy := shyShort
+	cost := shortAtLong
 	if r.Output >= manyEvents*max(1, u.engine.EventTokens) {
-		shy = shyStream
+		cost = streamAtLong
 	}
-	return time.Duration(u.pool.pauses.Weight() * float64(shy))
+	return time.Duration(u.pool.pauses.Weight() * float64(cost))
 }
 
 // long reports whether reading so much at a stretch makes streams beside it pause for too long.
--- a/pomeloplace/mechanism.go
+++ b/pomeloplace/mechanism.go
@@ -18,8 +18,6 @@
 	Copies bool
 	// OthersMemory is that what other routers sent takes room in an engine's memory.
 	OthersMemory bool
-	// Crowd is the cost of slots that are taken.
-	Crowd bool
 	// Waits is the cost of waiting.
 	Waits bool
 	// Regions is the cost of bytes to other regions.
@@ -36,8 +34,6 @@
 	FreeQueue bool
 	// Ahead is that accounts which are ahead of one that is short get less.
 	Ahead bool
-	// LightAccounts is that accounts which have used little of their share may join longer queues.
-	LightAccounts bool
 	// SharedTarget is that queues are bounded by the shortest target of a service's routes.
 	SharedTarget bool
 	// ReadAgain is that requests beyond shares are refused rather than their shared parts read again.
@@ -56,7 +52,6 @@
 	{"Homes", func(m *Mechanisms) *bool { return &m.Homes }},
 	{"Copies", func(m *Mechanisms) *bool { return &m.Copies }},
 	{"OthersMemory", func(m *Mechanisms) *bool { return &m.OthersMemory }},
-	{"Crowd", func(m *Mechanisms) *bool { return &m.Crowd }},
 	{"Waits", func(m *Mechanisms) *bool { return &m.Waits }},
 	{"Regions", func(m *Mechanisms) *bool { return &m.Regions }},
 	{"Failures", func(m *Mechanisms) *bool { return &m.Failures }},
@@ -65,7 +60,6 @@
 	{"SlotReserve", func(m *Mechanisms) *bool { return &m.SlotReserve }},
 	{"FreeQueue", func(m *Mechanisms) *bool { return &m.FreeQueue }},
 	{"Ahead", func(m *Mechanisms) *bool { return &m.Ahead }},
-	{"LightAccounts", func(m *Mechanisms) *bool { return &m.LightAccounts }},
 	{"SharedTarget", func(m *Mechanisms) *bool { return &m.SharedTarget }},
 	{"ReadAgain", func(m *Mechanisms) *bool { return &m.ReadAgain }},
 }
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -27,7 +27,7 @@
 	TermPause Term = "Pause"
 	// TermLong keeps streams away from the engines of long prompts.
 	TermLong Term = "Long"
-	// TermCrowd is what running streams lose to one more: long answers.
+	// TermCrowd is the slots of a plain upstream that are taken: uneven loads that do not wait yet.
 	TermCrowd Term = "Crowd"
 	// TermRegion is the bytes to another region, which operators pay for.
 	TermRegion Term = "Region"
@@ -50,8 +50,7 @@
 	// queues into the way of streams.
 	calmShare  = 0.55
 	lateWeight = 1.0
-	// crowdWeight is the cost of the last free slot, growing with the square of the part that is taken: a full batch generates each
-	// token about twice as slowly.
+	// crowdWeight is the cost of a plain upstream's last free slot, growing with the square of the part that is taken.
 	crowdWeight = 50 * time.Millisecond
 	// regionTokens is what the bytes of a request to another region and of its answer cost, in tokens that an engine could read.
 	regionTokens = 270
@@ -112,15 +111,13 @@
 	if p.foreign(u) && !off.Regions {
 		c.add(TermRegion, u.worth(regionTokens))
 	}
-	if !off.Crowd {
-		c.add(TermCrowd, crowdCost(u))
-	}
 	if !off.Failures {
 		c.add(TermFail, time.Duration(u.failing(now)*float64(failWeight)))
 	}
 	if u.engine == nil {
 		c.expected += u.service
 		c.add(TermWait, c.expected)
+		c.add(TermCrowd, crowdCost(u))
 		return c
 	}
 	p.weighEngine(&c, from, r)
@@ -149,7 +146,7 @@
 		c.add(TermPause, u.pauseCost(c.backlog+read))
 	}
 	if !off.LongEngines {
-		c.add(TermLong, shyCost(u, r, c.missing))
+		c.add(TermLong, longCost(u, r, c.missing))
 	}
 	if u.full(r.Prompt + r.Output) {
 		c.expected += slotTurn
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -153,8 +153,9 @@
 }
 
 const (
-	// unmetShare is the part of what an account asked for that must be missing before it counts as short.
-	unmetShare = 0.1
+	// unmetShare is the part of what an account asked for that must be missing before it counts as short. Callers call it unfair from half on;
+	// counted sooner, an account that misses one large request would hold back the others beside idle engines.
+	unmetShare = 0.35
 	// unmetLeast is the least that must be missing, two large requests.
 	unmetLeast = 25000
 	// evenShare is how far ahead of the shortest account one may be that gets more than its share. Twice would be unfair by the
--- a/pomelospeed/line.go
+++ b/pomelospeed/line.go
@@ -32,6 +32,8 @@
 	// nothing of how fast it reads. With fewer answers than sureAnswers the line itself may be as far off.
 	oddRatio    = 4
 	sureAnswers = 30
+	// quickerAnswers is the number of answers that let the rate be once more the first guess above it.
+	quickerAnswers = 4
 )
 
 // Line is the time to the first token as a straight line over the prompt tokens to be read, fitted to the answers of all routers.
@@ -89,7 +91,7 @@
 // Heard takes what another router's sums have grown by.
 func (l *Line) Heard(now time.Time, before, after pomelorelay.SpeedSums) {
 	news := plus(after, before, -1)
-	if news.Answers <= 0 {
+	if !sound(news) {
 		return
 	}
 	if news.Answers > mostNews {
@@ -98,6 +100,18 @@
 	l.see(now, news)
 }
 
+// sound reports whether sums can be those of answers; a router that tells others must not spoil what this one has seen.
+func sound(s pomelorelay.SpeedSums) bool {
+	return s.Answers > 0 && s.Weight > 0 && s.Read >= 0 && s.Took > 0 && s.Took <= s.Weight*milliseconds(mostTook) && s.ReadTook >= 0 && s.ReadTook <= s.Read*milliseconds(mostTook) &&
+		s.Read*s.Read <= s.Weight*s.ReadRead*(1+rounding)
+}
+
+// mostTook is longer than anybody waits for a first token.
+const mostTook = time.Hour
+
+// rounding is how far sums may be off by the rounding of numbers.
+const rounding = 1e-6
+
 func (l *Line) see(now time.Time, s pomelorelay.SpeedSums) {
 	if l.at.IsZero() {
 		l.at = now
@@ -117,20 +131,28 @@
 	spread := s.Weight*s.ReadRead - s.Read*s.Read
 	slope := (s.Weight*s.ReadTook - s.Read*s.Took) / spread
 	overhead := (s.Took - slope*s.Read) / s.Weight
-	if overhead < 0 {
+	// Comparisons are false where sums give no number, as those of a router that tells nonsense.
+	if !(overhead >= 0) {
 		overhead, slope = 0, s.ReadTook/s.ReadRead
 	}
-	// The comparison is false also where the sums give no number.
-	if !(slope >= 1/float64(mostRate)) {
-		slope = 1 / float64(mostRate)
+	least, most := l.bounds()
+	if !(slope >= 1/float64(most)) {
+		slope = 1 / float64(most)
 	}
 	before := l.weight(l.middle())
-	l.perToken = min(slope, 1/float64(leastRate))
+	l.perToken = min(slope, 1/float64(least))
 	l.overhead = max(overhead, 1)
 	// What was seen before was weighed by another slope. Left as it is, the first few answers at slow engines would outweigh a hundred later ones.
 	l.seen = reweighed(l.seen, l.weight(l.middle())/before)
 }
 
+// bounds returns the rates between which the line may be: the first few answers, perhaps behind queues that nobody knows of, must not make
+// reading look free.
+func (l *Line) bounds() (least, most Rate) {
+	answers := Rate(l.seen.Answers)
+	return max(leastRate, l.guess/(1+answers)), min(mostRate, l.guess*(1+answers/quickerAnswers))
+}
+
 // middle returns about how many tokens the answers read that were seen.
 func (l *Line) middle() float64 {
 	if l.seen.Weight <= 0 {
@@ -151,7 +173,7 @@
 func (l *Line) guessed() pomelorelay.SpeedSums {
 	at, mean := milliseconds(guessSpan)*float64(l.guess), 1.0
 	if l.seen.Answers > 0 {
-		at = l.middle()
+		at = max(l.middle(), 1)
 		mean = l.seen.Weight / l.seen.Answers
 	}
 	low := milliseconds(startOverhead)
--- a/pomelospeed/pause.go
+++ b/pomelospeed/pause.go
@@ -8,10 +8,12 @@
 const (
 	// pauseGuess is the first guess of the part of streams that pause for too long beside an engine that reads for long, and
 	// pauseGuessWeight the number of streams that it counts for.
-	pauseGuess       = 0.2
-	pauseGuessWeight = 10
-	// pauseSure is the part of streams from which long reading counts in full: what lies below is rather the doing of faults.
-	pauseSure = 0.1
+	pauseGuess       = 0.1
+	pauseGuessWeight = 4
+	// pauseChance is the part of streams up to which long reading does not count, since faults make as many pause, and pauseSure the part
+	// from which it counts in full.
+	pauseChance = 0.02
+	pauseSure   = 0.08
 	// leastStreams is the number of streams below which nothing is forgotten.
 	leastStreams = 100
 )
@@ -74,5 +76,5 @@
 // Weight returns how much it counts, from 0 to 1, that long reading makes streams pause.
 func (p *Pauses) Weight() float64 {
 	part := (p.seen.Paused + pauseGuess*pauseGuessWeight) / (p.seen.Beside + pauseGuessWeight)
-	return min(max(part/pauseSure, 0), 1)
+	return min(max((part-pauseChance)/(pauseSure-pauseChance), 0), 1)
 }
