Copies are tried again, unheard routers count for 3 s, and whole reports tell speeds

Found by reading the change again, each with a test that fails without its mend: - a router that starts while other regions are cut off, and the store still lists their routers, took each of them to send as much as itself for as long as the cut lasts, and would refuse its callers beside idle engines. They count for 3 s now (TestRoutersThatAreNeverHeardCountForAMomentOnly: 1 router after 10 s before, 0 now). - where copies seemed to take as long as reading nobody copied, nobody saw more, and nothing was forgotten: one moment of full engines ended copying for good. What copies took fades by half in 10 s (TestCopyingIsTriedAgain: 1.85 of the time to read after a minute, below 1 now). - whole reports told speeds only when there were new ones, so that a router that starts in a calm moment began with the operators' figure (TestARouterThatStartsInACalmMomentLearnsHowFastEnginesRead: 100 tokens a millisecond where engines read 25, within a tenth now).

Pauses and copies were learnt by the same code written twice; pomelospeed.Ratio holds it once. The time of copies is told in tokens that could have been read meanwhile, so that it holds at any speed; TestBeyondAShareNothingIsReadAgain states the same hundredfold time in that unit. Comments: a deployment's host, a number of routers and two "measured" are gone.

--- a/messages_load.go
+++ b/messages_load.go
@@ -99,6 +99,6 @@
 	Weight, Read, Took, ReadRead, ReadTook float64
 	// Beside is the number of streams that ran while their engine read for long, Paused those among them that paused for too long.
 	Beside, Paused float64
-	// Copied are the prompt tokens that were copied from another engine instead of read, CopyTook what that took.
+	// Copied are the prompt tokens that were copied from another engine instead of read, CopyTook the tokens that could have been read meanwhile.
 	Copied, CopyTook float64
 }
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -87,7 +87,7 @@
 
 func (c *control) tick(now time.Time) {
 	c.shares.Tick(now)
-	c.placer.SetUnheard(c.peers.unheard())
+	c.placer.SetUnheard(c.peers.unheard(now))
 	c.placer.Tick(now)
 	c.dropLapsed(now)
 	if now.Sub(c.reportedAt) >= reportEvery-tickEvery/2 || len(c.relayed.local)+len(c.relayed.foreign) > 0 {
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -39,6 +39,13 @@
 	return Decider{c}
 }
 
+// UnheardAfter returns how many routers are taken to send as much as this one, so long after one registered that is never heard.
+func UnheardAfter(passed time.Duration) int {
+	p, now := newPeers(), time.Now()
+	p.put(now, pomelorelay.Peer{Node: "silent", Domain: "b", Region: "rb"})
+	return p.unheard(now.Add(passed))
+}
+
 // RefusedUnread notes a request that a full router refused.
 func (d Decider) RefusedUnread(now time.Time, account pomelorelay.AccountID, cost pomelorelay.Cost) {
 	(&refusedUnread{account, cost}).apply(d.c, now)
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -36,8 +36,8 @@
 	pressedShare = 0.85
 	pressedFor   = 2500 * time.Millisecond
 	// The limit of requests at once follows the processor: each tick that comes lagLook late takes limitDown of it off, each in time that
-	// finds it used adds limitUp. What a stream costs differs by how often its upstream sends events: a fixed figure that fits one
-	// deployment keeps the hosts of another late for seconds, or refuses beside a free processor.
+	// finds it used adds limitUp. What a stream costs differs by how often its upstream sends events: a fixed limit would keep some
+	// hosts late for seconds, and make others refuse beside a free processor.
 	limitDown = 0.9
 	limitUp   = 1.02
 	// busyRetry is what callers are told that meet a full router: another one takes them at once.
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -91,11 +91,16 @@
 // noteWhole notes that a router's report told all that it has.
 func (p *peers) noteWhole(node pomelorelay.NodeID) { p.present[node].whole = true }
 
-// unheard returns the number of registered routers of which it is not known what they have on the upstreams.
-func (p *peers) unheard() int {
+// unheardFor is how long a router that was not heard yet is taken to send as much as this one: several whole reports. Taken so for longer, a
+// router that starts while other regions are cut off would keep most of the upstreams that it reaches free for them, and refuse its callers
+// beside idle engines until the cut ends.
+const unheardFor = 3 * time.Second
+
+// unheard returns the number of registered routers of which it is not known yet what they have on the upstreams.
+func (p *peers) unheard(now time.Time) int {
 	n := 0
 	for _, known := range p.present {
-		if known.registered && !known.whole {
+		if known.registered && !known.whole && now.Sub(known.since) < unheardFor {
 			n++
 		}
 	}
--- a/pomeloentry/place_test.go
+++ b/pomeloentry/place_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// A router starts while the links to another region are cut, but the store still lists the routers there. Taken to send as much as this one for as
+// long as they are not heard, they would have most of each engine kept free for them, and callers would be refused beside idle engines.
+func TestRoutersThatAreNeverHeardCountForAMomentOnly(t *testing.T) {
+	for _, c := range []struct {
+		passed time.Duration
+		want   int
+	}{
+		{0, 1},
+		{time.Second, 1},
+		{10 * time.Second, 0},
+	} {
+		if got := pomeloentry.UnheardAfter(c.passed); got != c.want {
+			t.Errorf("%v after it registered %d routers count as unheard, want %d", c.passed, got, c.want)
+		}
+	}
+}
+
 // The balancer sends most callers of one account to a host that is full. What it refuses unread counts for nobody, and the routers think that
 // the account wants no more than it gets: another account takes twice as much, and the first one's callers go on being refused.
 func TestWhatAFullRouterRefusesCountsAsAsked(t *testing.T) {
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -20,9 +20,8 @@
 
 const (
 	// owedQueue, freeQueue and aheadQueue are the parts of the shortest target that may wait before a request within its account's share,
-	// one beyond it, and one of an account that is ahead of one that is short. The last,
-	// and the slots that it may fill, fall with the square of the lead, down to aheadLeast of them: callers call it unfair when one account
-	// gets twice as much as another that is short.
+	// one beyond it, and one of an account that is ahead of one that is short. The last, and the slots that it may fill, fall with the square
+	// of the lead, down to aheadLeast of them: callers call it unfair when one account gets twice as much as another that is short.
 	owedQueue  = 0.45
 	freeQueue  = 0.2
 	aheadQueue = 0.15
--- a/pomeloplace/copy.go
+++ b/pomeloplace/copy.go
@@ -39,10 +39,9 @@
 	if p.cfg.Without.Copies || from.up == nil || from.up == c.up || tokens < leastCopy {
 		return 0
 	}
-	took := c.up.pool.copies.Expect(float64(tokens), c.up.pool.line.Rate())
-	if took >= c.up.reading(float64(tokens)) {
+	if c.up.pool.copyPart >= 1 {
 		return 0
 	}
 	c.from, c.copied = from.up, tokens
-	return took
+	return part(c.up.pool.copyPart, c.up.reading(float64(tokens)))
 }
--- a/pomeloplace/kept.go
+++ b/pomeloplace/kept.go
@@ -14,7 +14,7 @@
 	taken pomelorelay.Tokens
 	parts map[uint64]*keptPart
 	// unnamed are prompts of other routers' requests of which nobody told the parts, oldest first. They take memory like the others: left
-	// out, each router of eight would believe that its parts are kept eight times as long as they are, and send requests to engines that
+	// out, each router would believe that its parts are kept as many times as long as there are routers, and send requests to engines that
 	// have to read them again.
 	unnamed []keptPart
 	seq     uint64
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -92,9 +92,11 @@
 	line *pomelospeed.Line
 	// expectation is what callers expect, pauses whether long reading leads to longer pauses than that.
 	expectation
-	pauses pomelospeed.Pauses
-	// copies is how long it takes to copy kept parts from another engine.
-	copies pomelospeed.Copies
+	pauses *pomelospeed.Ratio
+	// copies is how long it takes to copy kept parts from another engine, as a part of the time to read them.
+	copies *pomelospeed.Ratio
+	// pauseWeight and copyPart are what these said when a request was last placed.
+	pauseWeight, copyPart float64
 	// ranked is by a hash that every router knows; the first take the long prompts.
 	ranked []*upstream
 	flow   flow
@@ -108,7 +110,15 @@
 	told float64
 }
 
-func newPool() *pool { return &pool{line: pomelospeed.NewLine(startRate)} }
+func newPool() *pool {
+	return &pool{line: pomelospeed.NewLine(startRate), pauses: pomelospeed.NewPauses(), copies: pomelospeed.NewCopies()}
+}
+
+// renew takes over what was learnt, once for all candidates of a request.
+func (s *pool) renew(now time.Time) {
+	s.pauseWeight = pomelospeed.PauseWeight(s.pauses.Value(now))
+	s.copyPart = max(0, s.copies.Value(now))
+}
 
 func (s *pool) add(u *upstream) {
 	s.list = append(s.list, u)
@@ -133,8 +143,9 @@
 	if !off.SlowEngines {
 		s.compare(now)
 	}
+	s.renew(now)
 	s.flow.fade(now)
-	need := int(math.Ceil(s.pauses.Weight() * s.flow.engines(float64(s.line.Rate()))))
+	need := int(math.Ceil(s.pauseWeight * s.flow.engines(float64(s.line.Rate()))))
 	need = min(need, int(longMost*float64(len(s.ranked))))
 	if need >= s.forLong || now.Sub(s.neededAt) > longKeep {
 		s.forLong, s.neededAt = need, now
@@ -151,6 +162,15 @@
 // fleet returns how many of something this router and those of which nothing has been heard have, taken to have as much each.
 func (s *pool) fleet(own int) int { return own * (1 + s.unheard) }
 
+// notePause takes a stream that ran while its engine read for long.
+func (s *pool) notePause(now time.Time, paused bool) {
+	sums := pomelospeed.Sums{Of: 1}
+	if paused {
+		sums.Amount = 1
+	}
+	s.pauses.Note(now, sums)
+}
+
 // compare sets each engine's speed beside that of the middle one: what is the same for all belongs to the service's line, which may
 // still be on its way to where it fits.
 func (s *pool) compare(now time.Time) {
@@ -174,7 +194,7 @@
 	if r.Output >= manyEvents*max(1, u.engine.EventTokens) {
 		cost = streamAtLong
 	}
-	return time.Duration(u.pool.pauses.Weight() * float64(cost))
+	return part(u.pool.pauseWeight, cost)
 }
 
 // long reports whether reading so much at a stretch makes streams beside it pause for too long.
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -165,7 +165,7 @@
 		r.Owed = false
 		return r
 	}
-	slowCopies := pomelorelay.SpeedSums{Service: engines, Copied: 1e6, CopyTook: 1e6}
+	slowCopies := pomelorelay.SpeedSums{Service: engines, Copied: 1e6, CopyTook: 100e6}
 	p.Heard(start, "r2", 1, &pomelorelay.LoadReport{Seq: 2, Speeds: []pomelorelay.SpeedSums{slowCopies}})
 	if d := p.Place(start, flood(1, 5000)); d.Reason != pomeloplace.ReasonShare {
 		t.Errorf("%q at %s, which reads %d shared tokens again", d.Reason, d.Upstream.ID, d.Shared)
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -162,6 +162,7 @@
 	found := false
 	least := r.Prompt
 	source := s.source(now, r)
+	s.renew(now)
 	for round := 0; round < 2 && !found; round++ {
 		for _, u := range s.list {
 			if u.info.Draining || (round == 0 && (u.rests(now, &p.cfg.Without) || slices.Contains(r.Avoid, u.info.ID))) {
@@ -237,7 +238,7 @@
 	}
 	u.own.running--
 	if run.begun && u.engine != nil && (result == ResultGood || result == ResultPaused) && u.longAt.After(run.sent) {
-		u.pool.pauses.Note(now, result == ResultPaused)
+		u.pool.notePause(now, result == ResultPaused)
 	}
 	u.changed = true
 	u.result(now, result)
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -21,13 +21,13 @@
 	p.untold = 0
 	m.Seq = p.seq
 	for name, s := range p.services {
-		if sums := s.line.Own(); s.tells(sums.Answers) || (m.Whole && sums.Answers > s.told) {
+		if sums := s.line.Own(); s.tells(sums.Answers) || (m.Whole && sums.Answers > 0) {
 			s.told = sums.Answers
 			sums.Service = name
 			pauses := s.pauses.Own()
-			sums.Beside, sums.Paused = pauses.Beside, pauses.Paused
+			sums.Beside, sums.Paused = pauses.Of, pauses.Amount
 			copies := s.copies.Own()
-			sums.Copied, sums.CopyTook = copies.Tokens, copies.Took
+			sums.Copied, sums.CopyTook = copies.Of, copies.Amount
 			m.Speeds = append(m.Speeds, sums)
 		}
 		for _, u := range s.list {
@@ -125,18 +125,18 @@
 		o.speeds[sums.Service] = sums
 		if s := p.services[sums.Service]; s != nil {
 			s.line.Heard(now, before, sums)
-			s.pauses.Heard(now, pauseCounts(before), pauseCounts(sums))
-			s.copies.Heard(copySums(before), copySums(sums))
+			s.pauses.Heard(now, pauseSums(before), pauseSums(sums))
+			s.copies.Heard(now, copySums(before), copySums(sums))
 		}
 	}
 }
 
-func pauseCounts(s pomelorelay.SpeedSums) pomelospeed.PauseCounts {
-	return pomelospeed.PauseCounts{Beside: s.Beside, Paused: s.Paused}
+func pauseSums(s pomelorelay.SpeedSums) pomelospeed.Sums {
+	return pomelospeed.Sums{Amount: s.Paused, Of: s.Beside}
 }
 
-func copySums(s pomelorelay.SpeedSums) pomelospeed.CopySums {
-	return pomelospeed.CopySums{Tokens: s.Copied, Took: s.CopyTook}
+func copySums(s pomelorelay.SpeedSums) pomelospeed.Sums {
+	return pomelospeed.Sums{Amount: s.CopyTook, Of: s.Copied}
 }
 
 func (p *Placer) take(now time.Time, o *peer, l pomelorelay.UpstreamLoad) {
--- a/pomeloplace/speed.go
+++ b/pomeloplace/speed.go
@@ -26,10 +26,7 @@
 		if len(s.list) == 0 || s.list[0].engine == nil {
 			continue
 		}
-		rate := s.line.Rate()
-		// A second of reading, copied.
-		copied := s.copies.Expect(1000*float64(rate), rate)
-		all = append(all, Speed{Service: name, Rate: rate, Overhead: s.line.Overhead(), Pauses: s.pauses.Weight(), CopyPart: copied.Seconds()})
+		all = append(all, Speed{Service: name, Rate: s.line.Rate(), Overhead: s.line.Overhead(), Pauses: s.pauseWeight, CopyPart: s.copyPart})
 	}
 	return all
 }
--- a/pomeloplace/speed_test.go
+++ b/pomeloplace/speed_test.go
@@ -14,15 +14,7 @@
 func TestRoutersTellEachOtherHowFastEnginesRead(t *testing.T) {
 	const rate = 25.0
 	old, fresh := withEngines(4), withEngines(4)
-	now := start
-	for i := range 200 {
-		now = now.Add(time.Second)
-		tokens := pomelorelay.Tokens(200 + 20*i)
-		d := place(t, old, now, pomeloplace.Request{Service: engines, Prompt: tokens, Output: 10, Owed: true, Target: time.Second, Left: 10 * time.Second})
-		took := 30*time.Millisecond + time.Duration(float64(tokens)/rate*float64(time.Millisecond))
-		old.Begun(now.Add(took), d.Run)
-		old.Ended(now.Add(took), d.Run, pomeloplace.ResultGood)
-	}
+	now := readAt(t, old, rate)
 	if got := speedOf(t, old); math.Abs(float64(got.Rate)/rate-1) > 0.1 {
 		t.Errorf("learnt %.1f tokens a millisecond, want %.0f", got.Rate, rate)
 	}
@@ -34,6 +26,36 @@
 	}
 }
 
+// The fleet is idle for a moment while a router starts. Told speeds only when there are new ones, it would begin the next busy minute with the
+// operators' figure, and send slow engines far too much.
+func TestARouterThatStartsInACalmMomentLearnsHowFastEnginesRead(t *testing.T) {
+	const rate = 25.0
+	old, fresh := withEngines(4), withEngines(4)
+	readAt(t, old, rate)
+	old.Report(&pomelorelay.LoadReport{Whole: true})
+	m := pomelorelay.LoadReport{Whole: true}
+	old.Report(&m)
+	fresh.Heard(start, "old", 1, &m)
+	if got := speedOf(t, fresh); math.Abs(float64(got.Rate)/rate-1) > 0.1 {
+		t.Errorf("told %.1f tokens a millisecond, want %.0f", got.Rate, rate)
+	}
+}
+
+// readAt lets a router see two hundred answers of engines that read at the rate, and returns when the last one came.
+func readAt(t *testing.T, p *pomeloplace.Placer, rate float64) time.Time {
+	t.Helper()
+	now := start
+	for i := range 200 {
+		now = now.Add(time.Second)
+		tokens := pomelorelay.Tokens(200 + 20*i)
+		d := place(t, p, now, pomeloplace.Request{Service: engines, Prompt: tokens, Output: 10, Owed: true, Target: time.Second, Left: 10 * time.Second})
+		took := 30*time.Millisecond + time.Duration(float64(tokens)/rate*float64(time.Millisecond))
+		p.Begun(now.Add(took), d.Run)
+		p.Ended(now.Add(took), d.Run, pomeloplace.ResultGood)
+	}
+	return now
+}
+
 func speedOf(t *testing.T, p *pomeloplace.Placer) pomeloplace.Speed {
 	t.Helper()
 	for _, s := range p.Speeds() {
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -118,7 +118,7 @@
 	return time.Duration(tokens / u.rate() * float64(time.Millisecond))
 }
 
-// worth returns the time in which the service's engines read so many tokens, or that time of a plain upstream's.
+// worth returns the time in which engines of the service read so many tokens; of plain upstreams, by the first guess.
 func (u *upstream) worth(tokens float64) time.Duration {
 	return time.Duration(tokens / float64(u.pool.line.Rate()) * float64(time.Millisecond))
 }
@@ -180,7 +180,7 @@
 	expected := u.pool.line.Expect(tokens)
 	beyond := took - part(u.slow, expected)
 	if r.copied > 0 {
-		u.pool.copies.Note(float64(r.copied), u.copyTime(r, beyond-way))
+		u.pool.copies.Note(now, u.copied(r, beyond-way))
 		return way
 	}
 	u.factor.Note(now, took-way, expected)
@@ -190,10 +190,11 @@
 	return beyond
 }
 
-// copyTime bounds what an answer took beyond what was expected without its copy: waits that have other reasons say nothing of it.
-func (u *upstream) copyTime(r *Run, beyond time.Duration) time.Duration {
-	read := u.reading(float64(r.copied))
-	return min(max(beyond, -read), 2*read)
+// copied returns what a copy took, in tokens that could have been read meanwhile: what the answer took beyond what was expected without it. That is
+// bounded, since waits that have other reasons say nothing of it.
+func (u *upstream) copied(r *Run, beyond time.Duration) pomelospeed.Sums {
+	tokens := float64(r.copied)
+	return pomelospeed.Sums{Amount: min(max(milliseconds(beyond)*u.rate(), -tokens), 2*tokens), Of: tokens}
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -199,7 +199,7 @@
 	}
 	over := (float64(reading)/allowed - pauseFrom) / (pauseTo - pauseFrom)
 	over = min(max(over, 0), 1)
-	return part(u.pool.pauses.Weight()*over*float64(u.running()), pauseWeight)
+	return part(u.pool.pauseWeight*over*float64(u.running()), pauseWeight)
 }
 
 func homeCost(u *upstream, r *Request) time.Duration {
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -113,7 +113,7 @@
 	Outcome pomelolink.Outcome
 	Code    pomelorelay.ResultCode
 	Cost    pomelorelay.Cost
-	// FirstToken and TokenGap are latencies of a stream, zero when none was measured.
+	// FirstToken and TokenGap are latencies of a stream, zero when it had none.
 	FirstToken time.Duration
 	TokenGap   time.Duration
 }
--- a/pomeloroute/meter.go
+++ b/pomeloroute/meter.go
@@ -83,7 +83,7 @@
 	return m.input + pomelorelay.Cost(m.tokens)*m.service.OutputCost
 }
 
-// end stops the meter and returns what was measured.
+// end stops the meter and returns its result.
 func (m *meter) end() Result {
 	if m.slot != nil {
 		m.slot.stop()
--- a/pomelospeed/line_test.go
+++ b/pomelospeed/line_test.go
@@ -157,22 +157,38 @@
 		{"often", 30, 1, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var told, heard pomelospeed.Pauses
+			told, heard := pomelospeed.NewPauses(), pomelospeed.NewPauses()
 			now := start
 			for i := range 100 {
 				now = now.Add(20 * time.Millisecond)
-				told.Note(now, i%100 < c.paused)
+				sums := pomelospeed.Sums{Of: 1}
+				if i < c.paused {
+					sums.Amount = 1
+				}
+				told.Note(now, sums)
 			}
-			heard.Heard(now, pomelospeed.PauseCounts{}, told.Own())
-			for who, p := range map[string]*pomelospeed.Pauses{"told": &told, "heard": &heard} {
-				if got := p.Weight(); got < c.least || got > c.most {
+			heard.Heard(now, pomelospeed.Sums{}, told.Own())
+			for who, p := range map[string]*pomelospeed.Ratio{"told": told, "heard": heard} {
+				if got := pomelospeed.PauseWeight(p.Value(now)); got < c.least || got > c.most {
 					t.Errorf("%s: weight %.2f, want %.2f to %.2f", who, got, c.least, c.most)
 				}
 			}
 		})
 	}
-	var fresh pomelospeed.Pauses
-	if fresh.Weight() != 1 {
-		t.Errorf("weight %.2f before anything is known, want 1", fresh.Weight())
+	if got := pomelospeed.PauseWeight(pomelospeed.NewPauses().Value(start)); got != 1 {
+		t.Errorf("weight %.2f before anything is known, want 1", got)
+	}
+}
+
+// Engines were full when routers copied parts between them, and the copies seemed to take longer than reading. Nobody copies any more then, so
+// that nobody sees it get better: shared parts would be read again for as long as the routers live.
+func TestCopyingIsTriedAgain(t *testing.T) {
+	copies := pomelospeed.NewCopies()
+	copies.Note(start, pomelospeed.Sums{Amount: 400_000, Of: 200_000})
+	if got := copies.Value(start); got < 1 {
+		t.Fatalf("copies take %.2f of the time to read, want 1 or more", got)
+	}
+	if got := copies.Value(start.Add(time.Minute)); got >= 1 {
+		t.Errorf("copies still take %.2f of the time to read after a minute without any", got)
 	}
 }
