One router of the fleet reads the platform's store for all

Change: Platform.Read and Platform.Watch list and watch all keys in one call. The relay of the first failure domain reads; it sends what changed (FleetUpdate, without heartbeats that change nothing) to the other domains' relays, which forward it. The others take their turns when no update comes: relays after 0.66 to 0.78 of the drain bound, the rest in an order of their names. A router that misses an update asks the sender for everything; one that starts reads once, stale, at a tenth of a call. Leases are renewed every 10 s. Each call is counted by kind, cause and code (pomelorelay_store_calls_total). Three watches, their restarts and the relays' own looks at the routers are gone.

Tests: TestStoreCallsDoNotGrowWithTheRouters counts the calls of 12 routers (before: the calls of three relays for the upstreams alone are over its bound), TestOneRouterReadsTheStore, TestAMissedUpdateIsMadeUpFor, TestATakeoverComesAfterTheReadersLongestPause (replaces TestNewsOutlastTheRelaysLongestPause with the same bounds). TestOnlyAnotherRelayMakesARouterLookAgain went with what it tested: no router reads the routers' entries because of its relay any more; TestStoreCallsDoNotGrowWithTheRouters bounds all reads.

--- a/fleet.go
+++ b/fleet.go
@@ -111,47 +111,33 @@
 	Born int64
 }
 
-// ConfigChange is the configuration after a change.
-type ConfigChange struct {
-	Config *FleetConfig
-	At     Revision
-	// Whole tells that the configuration was read, not watched.
-	Whole bool
-	// Fault tells why the newest document cannot be used; Config is nil then.
-	Fault error
-}
-
-// UpstreamChange is what changed among the registered upstreams.
-type UpstreamChange struct {
+// FleetChange is what the platform's store holds for routers, or what changed in it.
+type FleetChange struct {
+	// At is the store's revision up to which the change holds.
 	At Revision
-	// Whole tells that Present is every upstream, so that others are gone.
-	Whole   bool
-	Present []FleetUpstream
-	Gone    []UpstreamID
-	// Faults tell of entries that cannot be read; their ids are among Gone.
+	// Whole tells that the lists are complete, so that what they lack is gone.
+	Whole bool
+	// Config is the operators' configuration; nil when it did not change.
+	Config *FleetConfig
+	// ConfigFault tells why the newest configuration cannot be used; Config is nil then.
+	ConfigFault   error
+	Upstreams     []FleetUpstream
+	GoneUpstreams []UpstreamID
+	Peers         []Peer
+	GonePeers     []NodeID
+	// Faults tell of upstreams' entries that cannot be read; their ids are among GoneUpstreams.
 	Faults []error
 }
 
-// PeerChange is what changed among the registered routers.
-type PeerChange struct {
-	At      Revision
-	Whole   bool
-	Present []Peer
-	Gone    []NodeID
-}
-
-// Platform is what a router learns from the platform around it. A watch from revision zero returns what is there at once;
-// another waits for a change, at most for the wait, and returns an empty one when none came. When the store has dropped the history
-// since the revision, everything is returned anew. All fail with the store's codes.
+// Platform is what a router learns from the platform around it. All calls fail with the store's codes.
 type Platform interface {
-	// WatchConfig returns the operators' configuration.
-	WatchConfig(ctx context.Context, after Revision, wait time.Duration) (ConfigChange, error)
+	// Read returns everything. A stale read may lag by seconds; it costs the store a tenth of another.
+	Read(ctx context.Context, stale bool) (FleetChange, error)
+	// Watch returns what changed after a revision as soon as something did, or an empty change after the wait. It fails with
+	// CodeStoreCompacted when the store has dropped the history since the revision.
+	Watch(ctx context.Context, after Revision, wait time.Duration) (FleetChange, error)
 	// ReadConfig reads a configuration's document that a peer gave.
 	ReadConfig(document []byte) (*FleetConfig, error)
-	// WatchUpstreams returns the registered upstreams.
-	WatchUpstreams(ctx context.Context, after Revision, wait time.Duration) (UpstreamChange, error)
-	// WatchPeers returns the registered routers.
-	WatchPeers(ctx context.Context, after Revision, wait time.Duration) (PeerChange, error)
 	// Announce registers this router under a lease of the time to live.
 	Announce(ctx context.Context, self Peer, ttl time.Duration) (LeaseID, error)
 	// RenewLease renews the lease; it fails with CodeStoreLeaseLapsed when it has ended.
--- a/messages_load.go
+++ b/messages_load.go
@@ -73,21 +73,25 @@
 // CoalesceKey is empty: reports hold only what changed, and each counts.
 func (*LoadBundle) CoalesceKey() string { return "" }
 
-// UpstreamNews tells what the store says of the upstreams at a revision, so that not each router must ask it.
-type UpstreamNews struct {
-	// After is the revision from which the store was watched; zero when everything was read.
-	After   Revision
-	At      Revision
-	Whole   bool
-	Present []FleetUpstream
-	Gone    []UpstreamID
+// FleetUpdate carries what one router read in the store to the others, so that not each must read it. It holds what changed since After.
+type FleetUpdate struct {
+	// After is the revision of the sender's previous update; zero when everything was read.
+	After         Revision
+	At            Revision
+	Whole         bool
+	Upstreams     []FleetUpstream
+	GoneUpstreams []UpstreamID
+	Peers         []Peer
+	GonePeers     []NodeID
+	// Forwarded tells that the relay of a failure domain passed the update on to its neighbours.
+	Forwarded bool
 }
 
 // Urgency is that of upstreams that leave.
-func (*UpstreamNews) Urgency() Urgency { return UrgencyNow }
+func (*FleetUpdate) Urgency() Urgency { return UrgencyNow }
 
-// CoalesceKey is empty: news hold only what changed, and each counts.
-func (*UpstreamNews) CoalesceKey() string { return "" }
+// CoalesceKey is empty: an update holds only what changed, and each counts.
+func (*FleetUpdate) CoalesceKey() string { return "" }
 
 // SpeedSums are one router's sums, since its start, over the first tokens of a service's answers. Each answer counts by a weight of
 // its own; times are in milliseconds, reading in tokens.
--- a/messages_state.go
+++ b/messages_state.go
@@ -1,6 +1,6 @@
 package pomelorelay
 
-// StateAsk asks a router for what the platform's store told it; the asker cannot reach the store.
+// StateAsk asks a router for what it has from the platform's store: the asker cannot reach the store, or missed an update.
 type StateAsk struct {
 	// Above is the configuration that the asker has; it wants newer ones only.
 	Above Generation
--- a/pomeloentry/config.go
+++ b/pomeloentry/config.go
@@ -1,7 +1,6 @@
 package pomeloentry
 
 import (
-	"context"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -23,41 +22,6 @@
 	askedAt    time.Time
 }
 
-// configArrived is posted when the store gave a configuration.
-type configArrived struct{ change pomelorelay.ConfigChange }
-
-func (a *configArrived) apply(c *control, now time.Time) {
-	if a.change.Fault != nil {
-		c.e.log(pomelorelay.EventConfigRefused, field("Code", int(pomelorelay.CodeOf(a.change.Fault))), field("Fault", a.change.Fault.Error()))
-		return
-	}
-	if a.change.Config != nil {
-		c.setConfig(now, a.change.Config, "store")
-	}
-}
-
-func (e *Entry) watchConfig(ctx context.Context) {
-	w := &e.configWatch
-	e.follow(ctx, followed{name: "configuration", call: func(bool) error {
-		// Each change would wake the watch of every router. One with a neighbour that watches hears of it by the generation on that
-		// one's messages, and asks it.
-		if !e.relaying.Load() && e.newsFresh() && e.table.Load() != nil {
-			sleep(ctx, newsLook)
-			return nil
-		}
-		ctx, after := w.begin(ctx)
-		change, err := e.cfg.Platform.WatchConfig(ctx, after, e.watchWait())
-		if err != nil {
-			return err
-		}
-		if went, _ := w.reached(change.At); went && change.Whole {
-			e.dropped(w)
-		}
-		e.post(&configArrived{change})
-		return nil
-	}})
-}
-
 // noteGeneration takes a peer's generation, which rides on each of its messages.
 func (c *control) noteGeneration(now time.Time, from pomelorelay.NodeID, generation pomelorelay.Generation) {
 	if c.config != nil && generation <= c.config.Version {
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -93,8 +93,7 @@
 	if now.Sub(c.reportedAt) >= reportEvery-tickEvery/2 || len(c.relayed.local)+len(c.relayed.foreign) > 0 {
 		c.report(now)
 	}
-	c.e.relaying.Store(c.relaysHere(now))
-	c.e.peerCount.Store(int64(len(c.peers.present)))
+	c.takeTurn(now)
 	c.pullBehind(now)
 	c.askForState(now)
 	if c.peers.drop(now) {
@@ -237,8 +236,8 @@
 		c.collect(now, m, msg)
 	case *pomelorelay.LoadBundle:
 		c.takeBundle(now, m.From, msg)
-	case *pomelorelay.UpstreamNews:
-		c.takeNews(now, m.From, msg)
+	case *pomelorelay.FleetUpdate:
+		c.receiveUpdate(now, m.From, msg)
 	case *pomelorelay.ConfigPull:
 		c.push(m.From, msg)
 	case *pomelorelay.ConfigPush:
--- a/pomeloentry/entry.go
+++ b/pomeloentry/entry.go
@@ -38,10 +38,8 @@
 	metrics     *pomelometric.Metrics
 	events      chan event
 
-	configWatch    watch
-	upstreamsWatch watch
-	peersWatch     watch
-	storeBack      bell
+	cursor    cursor
+	storeBack bell
 
 	table atomic.Pointer[pomelotable.Table]
 	// upstreams is the number of known upstreams.
@@ -49,15 +47,12 @@
 	// stopAt is the Unix nanosecond at which a planned stop ends the process, zero while none is planned.
 	stopAt   atomic.Int64
 	inFlight atomic.Int64
-	// peerCount is the number of known routers, relaying whether this one relays for its failure domain, newsAt the Unix nanosecond
-	// at which a neighbour last told of the upstreams.
-	peerCount atomic.Int64
-	relaying  atomic.Bool
-	newsAt    atomic.Int64
-	// relayChanged is set when another router than the known relay tells of the upstreams.
-	relayChanged atomic.Bool
-	conns        atomic.Int64
-	bounds       bounds
+	// turn is how long, in nanoseconds, no update must have come until this router reads the store; zero for the first in turn.
+	// updatedAt is the Unix nanosecond at which another router last sent an update.
+	turn      atomic.Int64
+	updatedAt atomic.Int64
+	conns     atomic.Int64
+	bounds    bounds
 	// limit is how many requests the router takes at once; the control goroutine moves it.
 	limit atomic.Int64
 	// pressedAt is the Unix nanosecond at which the router last had nearly what it can take.
@@ -118,9 +113,7 @@
 	e.tickedAt.Store(cfg.Clock.Now().UnixNano())
 	c := newControl(e)
 	e.start(func(context.Context) { c.run() })
-	e.start(e.watchConfig)
-	e.start(e.watchUpstreams)
-	e.start(e.watchPeers)
+	e.start(e.followStore)
 	e.start(e.keepRegistered)
 	return e, nil
 }
--- a/pomeloentry/entry_test.go
+++ b/pomeloentry/entry_test.go
@@ -251,14 +251,7 @@
 	for _, n := range f.nodes {
 		f.awaitStatus(n, "/a/", 200)
 	}
-	f.await("all know each other", func() bool {
-		for _, n := range f.nodes {
-			if _, text := f.get(n.settings.Metrics, "/metrics"); !strings.Contains(text, `pomelorelay_state{name="peers"} 13`) {
-				return false
-			}
-		}
-		return true
-	})
+	f.awaitPeers(routers - 1)
 	last := f.nodes[routers-1]
 	f.store.Publish(f.config(2, "/b/"))
 	for _, n := range f.nodes {
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -1,6 +1,8 @@
 package pomeloentry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -69,27 +71,62 @@
 	return served
 }
 
-// LongestPause returns how long a relay may tell its neighbours nothing, by the time after which an upstream that leaves must get nothing.
+// LongestPause returns how long a reader may send no update, by the time after which an upstream that leaves must get nothing.
 func LongestPause(drain time.Duration) time.Duration {
 	return time.Duration((pacePart + waitPart) * float64(drain))
 }
 
-// NewsLast returns how long a router relies on a neighbour's last word of the upstreams.
-func NewsLast(drain time.Duration) time.Duration { return time.Duration(newsPart * float64(drain)) }
+// Turn returns how long without an update the router waits that is so many places after the first in the order of readers.
+func Turn(drain time.Duration, place int) time.Duration {
+	return time.Duration((turnPart + turnStep*float64(place-1)) * float64(drain))
+}
 
-// Look returns how often a router looks whether it has to ask the store itself.
-const Look = newsLook
+// Look returns how often a router looks whether it has to read the store itself.
+const Look = turnLook
 
-// LooksAgain tells a router of the relay r1 that others bring it news, in the order given, and returns whether it will read the routers anew.
-func LooksAgain(from ...pomelorelay.NodeID) bool {
-	settings := pomelorelay.FleetSettings{Self: pomelorelay.Peer{Node: "r9", Domain: "a", Region: "ra"}}
-	c := newControl(&Entry{cfg: Config{Settings: settings, Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New()})
-	now := time.Unix(1000, 0)
-	for _, node := range []pomelorelay.NodeID{"r1", "r2"} {
-		c.peers.put(now, pomelorelay.Peer{Node: node, Domain: "a", Region: "ra"})
-	}
-	for _, node := range from {
-		c.takeNews(now, node, &pomelorelay.UpstreamNews{At: 5})
+// Follower is the part of a router that takes updates and decides whether it reads the store.
+type Follower struct{ c *control }
+
+// NewFollower returns the router named, one of the peers; all of them were just registered.
+func NewFollower(self pomelorelay.NodeID, drain time.Duration, peers []pomelorelay.Peer) Follower {
+	e := &Entry{cfg: Config{Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New(), mesh: noMesh{}}
+	e.cfg.Settings.DrainWait = drain
+	for _, p := range peers {
+		if p.Node == self {
+			e.cfg.Settings.Self = p
+		}
 	}
-	return c.e.relayChanged.Load()
+	c := newControl(e)
+	c.applyPeers(time.Now(), &pomelorelay.FleetChange{Peers: peers})
+	return Follower{c}
+}
+
+// Turn returns how long without an update the router waits until it reads the store itself.
+func (f Follower) Turn(now time.Time) time.Duration {
+	f.c.takeTurn(now)
+	return time.Duration(f.c.e.turn.Load())
+}
+
+// Receive takes an update, and returns the revision up to which the router has everything.
+func (f Follower) Receive(now time.Time, from pomelorelay.NodeID, m *pomelorelay.FleetUpdate) pomelorelay.Revision {
+	f.c.receiveUpdate(now, from, m)
+	return f.c.e.cursor.get()
+}
+
+// TakeState takes what a peer has.
+func (f Follower) TakeState(now time.Time, from pomelorelay.NodeID, m *pomelorelay.FleetState) pomelorelay.Revision {
+	f.c.takeState(now, from, m)
+	return f.c.e.cursor.get()
 }
+
+// Upstreams returns the ids of the upstreams that the router has.
+func (f Follower) Upstreams() []pomelorelay.UpstreamID {
+	return slices.Sorted(maps.Keys(f.c.upstreams.present))
+}
+
+// noMesh loses every message.
+type noMesh struct{ pomelorelay.Mesh }
+
+func (noMesh) Send(pomelorelay.NodeID, pomelorelay.Message) error { return nil }
+func (noMesh) SetPeers([]pomelorelay.Peer)                        {}
+func (noMesh) SetGeneration(pomelorelay.Generation)               {}
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -9,12 +9,9 @@
 
 const (
 	// registrationTTL is how long a router's entry outlives its last renewal; its peers close nothing before their links break.
-	registrationTTL = 15 * time.Second
+	registrationTTL = 30 * time.Second
 	// renewEvery is the interval of renewals, a third of the time to live.
-	renewEvery = 5 * time.Second
-	// peersPace is the least time between two calls for the routers' entries, of which each change wakes every watch. A router whose relay
-	// tells it the upstreams does not call at all: it needs to know its own failure domain's relay only, and looks when that changes.
-	peersPace = time.Second
+	renewEvery = 10 * time.Second
 	// leaveWait bounds the call that ends the registration at a planned stop.
 	leaveWait = 500 * time.Millisecond
 )
@@ -119,6 +116,17 @@
 	return dropped
 }
 
+// registered returns the registered routers.
+func (p *peers) registered() []pomelorelay.Peer {
+	list := make([]pomelorelay.Peer, 0, len(p.present)+1)
+	for _, known := range p.present {
+		if known.registered {
+			list = append(list, known.Peer)
+		}
+	}
+	return list
+}
+
 // list returns the routers that can be dialled.
 func (p *peers) list() []pomelorelay.Peer {
 	list := make([]pomelorelay.Peer, 0, len(p.present))
@@ -130,56 +138,25 @@
 	return list
 }
 
-func (e *Entry) watchPeers(ctx context.Context) {
-	w, outer := &e.peersWatch, ctx
-	e.follow(ctx, followed{name: "routers", call: func(bool) error {
-		if e.relayed() && w.begun() && !e.relayChanged.Swap(false) {
-			sleep(ctx, newsLook)
-			return nil
-		}
-		began := time.Now()
-		ctx, after := w.begin(ctx)
-		change, err := e.cfg.Platform.WatchPeers(ctx, after, e.watchWait())
-		if err != nil {
-			return err
-		}
-		went, fresh := w.reached(change.At)
-		if went && change.Whole {
-			e.dropped(w)
-		}
-		if !fresh {
-			return nil
-		}
-		e.post(&peersArrived{change})
-		sleep(outer, peersPace-time.Since(began))
-		return nil
-	}})
-}
-
-// relayed reports whether this router's relay keeps it up to date, so that it need not know the routers of other failure domains.
-func (e *Entry) relayed() bool {
-	return e.peerCount.Load() > directMost && !e.relaying.Load() && e.newsFresh()
-}
-
-// peersArrived is posted when the store told of routers.
-type peersArrived struct{ change pomelorelay.PeerChange }
-
-func (a *peersArrived) apply(c *control, now time.Time) {
-	if a.change.Whole {
+// applyPeers takes in what changed among the registered routers.
+func (c *control) applyPeers(now time.Time, change *pomelorelay.FleetChange) {
+	if change.Whole {
 		for node := range c.peers.present {
 			c.peers.unregister(node)
 		}
 	}
-	for _, p := range a.change.Present {
+	for _, p := range change.Peers {
 		if p.Node != c.e.cfg.Settings.Self.Node {
 			c.peers.put(now, p)
 		}
 	}
-	for _, node := range a.change.Gone {
+	for _, node := range change.GonePeers {
 		c.peers.unregister(node)
 	}
-	c.peers.drop(now)
-	c.setPeers()
+	dropped := c.peers.drop(now)
+	if dropped || change.Whole || len(change.Peers) > 0 {
+		c.setPeers()
+	}
 }
 
 func (c *control) setPeers() {
@@ -194,12 +171,14 @@
 	e.follow(ctx, followed{name: "registration", pace: renewEvery, call: func(bool) error {
 		if lease == 0 {
 			opened, err := e.cfg.Platform.Announce(ctx, e.cfg.Settings.Self, registrationTTL)
+			e.metrics.StoreCalled("announce", "registration", pomelorelay.CodeOf(err))
 			if err == nil {
 				lease = opened
 			}
 			return err
 		}
 		err := e.cfg.Platform.RenewLease(ctx, lease)
+		e.metrics.StoreCalled("renew", "registration", pomelorelay.CodeOf(err))
 		if pomelorelay.IsErrCode(err, pomelorelay.CodeStoreLeaseLapsed) {
 			lease = 0
 		}
@@ -211,7 +190,9 @@
 	// ctx has ended; the entry would lapse by itself, a little later.
 	left, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveWait)
 	defer cancel()
-	if err := e.cfg.Platform.CloseLease(left, lease); err != nil {
+	err := e.cfg.Platform.CloseLease(left, lease)
+	e.metrics.StoreCalled("close", "registration", pomelorelay.CodeOf(err))
+	if err != nil {
 		e.log(pomelorelay.EventPlatformLost, field("What", "registration"), field("Fault", err.Error()))
 	}
 }
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -122,34 +122,3 @@
 		c.e.metrics.Missed()
 	}
 }
-
-// tellUpstreams tells the neighbours what the store said of the upstreams, if this router relays: each asking the store itself costs
-// the store a call a second and router.
-func (c *control) tellUpstreams(now time.Time, change pomelorelay.UpstreamChange, after pomelorelay.Revision) {
-	relays := c.relaysHere(now)
-	c.e.relaying.Store(relays)
-	if !relays {
-		return
-	}
-	news := &pomelorelay.UpstreamNews{After: after, At: change.At, Whole: change.Whole, Present: change.Present, Gone: change.Gone}
-	for node, p := range c.peers.present {
-		if p.Domain == c.e.cfg.Settings.Self.Domain {
-			c.send(node, news)
-		}
-	}
-}
-
-// takeNews takes what a neighbour's watch of the upstreams brought, unless something between that and this router's own is missing.
-func (c *control) takeNews(now time.Time, from pomelorelay.NodeID, m *pomelorelay.UpstreamNews) {
-	// In the first second of a fleet's life several routers take themselves for the relay; what they told then must not make every router
-	// look again much later.
-	relay, _ := c.relayOf(now, c.e.cfg.Settings.Self.Domain)
-	c.e.relayChanged.Store(relay != from)
-	if !c.e.upstreamsWatch.advance(m.After, m.At, m.Whole) {
-		return
-	}
-	c.e.newsAt.Store(now.UnixNano())
-	c.e.storeBack.signal()
-	change := pomelorelay.UpstreamChange{At: m.At, Whole: m.Whole, Present: m.Present, Gone: m.Gone}
-	(&upstreamsArrived{change: change, told: true}).apply(c, now)
-}
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -17,6 +17,8 @@
 type asks struct {
 	since   time.Time
 	askedAt time.Time
+	// missedAt is when it last asked because it missed an update.
+	missedAt time.Time
 }
 
 // lacks reports whether the router cannot serve, or stands alone, while the store is silent.
@@ -24,7 +26,7 @@
 	if now.Sub(c.upstreams.heardAt) <= c.e.ofDrain(silentPart) {
 		return false
 	}
-	return c.config == nil || !c.e.upstreamsWatch.begun() || len(c.peers.present) == 0
+	return c.config == nil || !c.e.cursor.begun() || len(c.peers.present) == 0
 }
 
 // askForState asks a peer, or the seeds while none is known, for what the store does not tell. A router that starts while the store is
@@ -32,7 +34,7 @@
 // the list of routers would go on with dropped routes and keys.
 func (c *control) askForState(now time.Time) {
 	if !c.lacks(now) {
-		c.asks = asks{}
+		c.asks.since, c.asks.askedAt = time.Time{}, time.Time{}
 		return
 	}
 	if c.asks.since.IsZero() {
@@ -42,7 +44,7 @@
 		return
 	}
 	c.asks.askedAt = now
-	m := &pomelorelay.StateAsk{Above: c.version(), Upstreams: !c.e.upstreamsWatch.begun()}
+	m := &pomelorelay.StateAsk{Above: c.version(), Upstreams: !c.e.cursor.begun()}
 	// Any peer will do, another one each time: the first may know as little as this router.
 	for node := range c.peers.present {
 		c.send(node, m)
@@ -58,16 +60,27 @@
 	}
 }
 
+// askState asks the sender of an update for everything, since an update before it was missed.
+func (c *control) askState(now time.Time, from pomelorelay.NodeID) {
+	if now.Sub(c.asks.missedAt) < askEvery {
+		return
+	}
+	c.asks.missedAt = now
+	c.send(from, &pomelorelay.StateAsk{Above: c.version(), Upstreams: true})
+}
+
 // tellState answers a router that asks. It answers also when it knows nothing, so that the two know each other.
 func (c *control) tellState(to pomelorelay.NodeID, ask *pomelorelay.StateAsk) {
-	m := &pomelorelay.FleetState{Peers: c.peers.list()}
+	m := &pomelorelay.FleetState{Peers: append(c.peers.registered(), c.e.cfg.Settings.Self)}
 	if c.config != nil && c.config.Version > ask.Above {
 		m.Document = c.config.Document
 	}
 	if ask.Upstreams {
-		m.At = c.upstreams.at
-		for _, u := range c.upstreams.present {
-			m.Upstreams = append(m.Upstreams, u)
+		m.At = c.e.cursor.get()
+		for id, u := range c.upstreams.present {
+			if _, lapses := c.upstreams.lapsed[id]; !lapses {
+				m.Upstreams = append(m.Upstreams, u)
+			}
 		}
 	}
 	if err := c.e.mesh.Send(to, m); err != nil {
@@ -75,25 +88,18 @@
 	}
 }
 
-// takeState takes what a peer knows, in so far as this router knows nothing itself; its watches go on from there.
+// takeState takes what a peer has, in so far as it is newer than what this router has.
 func (c *control) takeState(now time.Time, from pomelorelay.NodeID, m *pomelorelay.FleetState) {
 	if len(m.Document) > 0 {
 		c.takePush(now, from, &pomelorelay.ConfigPush{Root: m.Document})
 	}
-	if m.At > 0 && c.e.upstreamsWatch.adopt(m.At) {
-		c.upstreams.at = m.At
-		for _, u := range m.Upstreams {
-			c.putUpstream(now, u, string(from))
-		}
-		c.e.upstreams.Store(int64(len(c.upstreams.present)))
-	}
-	if !c.e.peersWatch.begun() {
-		for _, p := range m.Peers {
-			if p.Node != c.e.cfg.Settings.Self.Node {
-				c.peers.put(now, p)
-			}
-		}
-		c.setPeers()
+	change := pomelorelay.FleetChange{At: m.At, Whole: m.At > 0, Upstreams: m.Upstreams, Peers: m.Peers}
+	switch {
+	case m.At > c.e.cursor.get() && c.e.cursor.advance(0, m.At, true):
+		c.applyUpstreams(now, &change, false, string(from))
+		c.applyPeers(now, &change)
+	case !c.e.cursor.begun():
+		c.applyPeers(now, &change)
 	}
 	c.e.log(pomelorelay.EventStateFromPeer, field("Node", from), field("Generation", uint64(c.version())), field("Revision", uint64(m.At)), field("Upstreams", len(m.Upstreams)), field("Peers", len(m.Peers)))
 }
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -1,7 +1,6 @@
 package pomeloentry
 
 import (
-	"context"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -10,14 +9,6 @@
 const (
 	// defaultDrain is the time to the last request of an upstream that leaves where the settings name none.
 	defaultDrain = 2500 * time.Millisecond
-	// pacePart, waitPart, silentPart and newsPart are parts of that time.
-	//
-	// pacePart is the least time between two calls for the upstreams' entries, which change with every heartbeat. Whichever router
-	// hears first tells the others.
-	pacePart = 0.36
-	// waitPart is how long such a call waits for a change. A relay has nothing to tell its neighbours for the pace and the wait together,
-	// when a call without a change follows one that was answered at once.
-	waitPart = 0.24
 	// returnWait is how long after the store came back a vanished entry may be missing: upstreams that live are back within 2 s.
 	returnWait = 2300 * time.Millisecond
 	// massWait is how long many entries that vanish at once are kept: they lapsed in an outage that this router did not notice.
@@ -28,12 +19,6 @@
 	// silentPart is the time without a word of the store from which a router relies on its peers and expects lapsed entries: upstreams
 	// write every 1.2 s, so that some do in each pace.
 	silentPart = 0.8
-	// newsPart is how long a neighbour's news, or its own first read, spare a router its own watch: the neighbour's pace and wait, and a
-	// tenth. Were it shorter than both, all neighbours would ask the store whenever changes pause: 60 of 66 routers did so 9 s after
-	// their start, and once more for the configuration. Should the neighbour lose the store, the router asks itself, still in time to hear
-	// of an upstream that leaves. newsLook is how often it looks.
-	newsPart = 0.66
-	newsLook = 200 * time.Millisecond
 	// tellFor is how long the others are told of an upstream that leaves.
 	tellFor = 3 * time.Second
 )
@@ -83,73 +68,25 @@
 	return ids
 }
 
-func (e *Entry) watchUpstreams(ctx context.Context) {
-	w := &e.upstreamsWatch
-	e.follow(ctx, followed{
-		name:   "upstreams",
-		probes: true,
-		call: func(failed bool) error {
-			if !e.relaying.Load() && e.newsFresh() {
-				sleep(ctx, newsLook)
-				return nil
-			}
-			began := time.Now()
-			watching, after := w.begin(ctx)
-			change, err := e.cfg.Platform.WatchUpstreams(watching, after, e.ofDrain(waitPart))
-			if err != nil {
-				return err
-			}
-			went, fresh := w.reached(change.At)
-			if went && change.Whole {
-				e.dropped(w)
-			}
-			if !went {
-				e.newsAt.Store(e.cfg.Clock.Now().UnixNano())
-			}
-			if fresh {
-				e.post(&upstreamsArrived{change: change, after: after, back: failed})
-			}
-			sleep(ctx, e.ofDrain(pacePart)-time.Since(began))
-			return nil
-		},
-	})
-}
-
-// newsFresh reports whether a neighbour lately told what the store says of the upstreams.
-func (e *Entry) newsFresh() bool {
-	return e.cfg.Clock.Now().UnixNano()-e.newsAt.Load() < int64(e.ofDrain(newsPart))
-}
-
-// upstreamsArrived is posted when the store told of upstreams; back tells that it had not answered before, after from where it was watched.
-type upstreamsArrived struct {
-	change pomelorelay.UpstreamChange
-	after  pomelorelay.Revision
-	back   bool
-	// told tells that a neighbour said it.
-	told bool
-}
-
-func (a *upstreamsArrived) apply(c *control, now time.Time) {
-	if a.back || now.Sub(c.upstreams.heardAt) > c.e.ofDrain(silentPart) {
+// applyUpstreams takes in what changed among the upstreams; back tells that the store had not answered before.
+func (c *control) applyUpstreams(now time.Time, change *pomelorelay.FleetChange, back bool, source string) {
+	if back || now.Sub(c.upstreams.heardAt) > c.e.ofDrain(silentPart) {
 		c.upstreams.backAt = now
 	}
 	c.upstreams.heardAt = now
-	c.upstreams.at = a.change.At
-	if !a.told {
-		c.tellUpstreams(now, a.change, a.after)
-	}
-	for _, fault := range a.change.Faults {
+	c.upstreams.at = change.At
+	for _, fault := range change.Faults {
 		c.e.log(pomelorelay.EventUpstreamBadEntry, field("Code", int(pomelorelay.CodeOf(fault))), field("Fault", fault.Error()))
 	}
-	seen := make(map[pomelorelay.UpstreamID]bool, len(a.change.Present))
-	for _, u := range a.change.Present {
+	seen := make(map[pomelorelay.UpstreamID]bool, len(change.Upstreams))
+	for _, u := range change.Upstreams {
 		seen[u.ID] = true
-		c.putUpstream(now, u, "store")
+		c.putUpstream(now, u, source)
 	}
-	for _, id := range a.change.Gone {
+	for _, id := range change.GoneUpstreams {
 		c.vanish(now, id)
 	}
-	if a.change.Whole {
+	if change.Whole {
 		for id := range c.upstreams.present {
 			if !seen[id] {
 				c.vanish(now, id)
--- a/pomeloentry/world_test.go
+++ b/pomeloentry/world_test.go
@@ -226,3 +226,16 @@
 		return status == want
 	})
 }
+
+// awaitPeers waits until every router has so many others.
+func (f *fleet) awaitPeers(count int) {
+	f.t.Helper()
+	f.await("all routers have each other", func() bool {
+		for _, n := range f.nodes {
+			if _, text := f.get(n.settings.Metrics, "/metrics"); !strings.Contains(text, fmt.Sprintf("pomelorelay_state{name=\"peers\"} %d\n", count)) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/pomelofake/fleetstore.go
+++ b/pomelofake/fleetstore.go
@@ -21,6 +21,9 @@
 	peers     map[pomelorelay.NodeID]fleetEntry
 	leases    map[pomelorelay.LeaseID]pomelorelay.NodeID
 	nextLease pomelorelay.LeaseID
+	// oldest is the revision from which the history is kept.
+	oldest pomelorelay.Revision
+	calls  FleetCalls
 	// Decode reads the documents that peers give; it is required where routers give each other configurations.
 	Decode func(document []byte) (*pomelorelay.FleetConfig, error)
 }
@@ -83,6 +86,27 @@
 	})
 }
 
+// Compact drops the history, so that watches must read everything anew.
+func (s *FleetStore) Compact() {
+	s.change(func(at pomelorelay.Revision) { s.oldest = at })
+}
+
+// FleetCalls counts the calls that routers made, answered or not.
+type FleetCalls struct{ Reads, Watches, Announces int }
+
+// Calls returns the counts since the start.
+func (s *FleetStore) Calls() FleetCalls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *FleetStore) count(calls *int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*calls++
+}
+
 // View is the store as one router reaches it.
 type View struct {
 	s   *FleetStore
@@ -135,64 +159,67 @@
 	}
 }
 
-// WatchConfig returns the configuration; see pomelorelay.Platform.
-func (v *View) WatchConfig(ctx context.Context, after pomelorelay.Revision, wait time.Duration) (pomelorelay.ConfigChange, error) {
-	change := pomelorelay.ConfigChange{Whole: after == 0}
-	err := v.await(ctx, wait, func() bool {
-		change.At = v.s.revision
-		if v.s.config != nil && v.s.configAt > after {
-			change.Config = v.s.config
-		}
-		return change.Config != nil || after == 0
+// Read returns everything; see pomelorelay.Platform. It is never stale here.
+func (v *View) Read(ctx context.Context, _ bool) (pomelorelay.FleetChange, error) {
+	v.s.count(&v.s.calls.Reads)
+	change := pomelorelay.FleetChange{Whole: true}
+	err := v.await(ctx, 0, func() bool {
+		v.s.collect(&change, 0)
+		return true
 	})
 	return change, err
 }
 
-// ReadConfig reads a configuration's document that a peer gave.
-func (v *View) ReadConfig(document []byte) (*pomelorelay.FleetConfig, error) {
-	return v.s.Decode(document)
-}
-
-// WatchUpstreams returns the upstreams; see pomelorelay.Platform.
-func (v *View) WatchUpstreams(ctx context.Context, after pomelorelay.Revision, wait time.Duration) (pomelorelay.UpstreamChange, error) {
-	change := pomelorelay.UpstreamChange{Whole: after == 0}
+// Watch returns what changed after a revision; see pomelorelay.Platform.
+func (v *View) Watch(ctx context.Context, after pomelorelay.Revision, wait time.Duration) (pomelorelay.FleetChange, error) {
+	v.s.count(&v.s.calls.Watches)
+	var change pomelorelay.FleetChange
+	compacted := false
 	err := v.await(ctx, wait, func() bool {
-		change.At = v.s.revision
-		for id, e := range v.s.upstreams {
-			switch {
-			case e.at <= after:
-			case e.gone:
-				change.Gone = append(change.Gone, id)
-			default:
-				change.Present = append(change.Present, e.upstream)
-			}
-		}
-		return after == 0 || len(change.Gone)+len(change.Present) > 0
+		compacted = after < v.s.oldest
+		return compacted || v.s.collect(&change, after)
 	})
+	if err == nil && compacted {
+		err = pomelorelay.NewError(pomelorelay.CodeStoreCompacted, "", nil)
+	}
 	return change, err
 }
 
-// WatchPeers returns the routers; see pomelorelay.Platform.
-func (v *View) WatchPeers(ctx context.Context, after pomelorelay.Revision, wait time.Duration) (pomelorelay.PeerChange, error) {
-	change := pomelorelay.PeerChange{Whole: after == 0}
-	err := v.await(ctx, wait, func() bool {
-		change.At = v.s.revision
-		for node, e := range v.s.peers {
-			switch {
-			case e.at <= after:
-			case e.gone:
-				change.Gone = append(change.Gone, node)
-			default:
-				change.Present = append(change.Present, e.peer)
-			}
+// collect adds to the change what happened after the revision; it reports whether anything did. The mutex is held.
+func (s *FleetStore) collect(change *pomelorelay.FleetChange, after pomelorelay.Revision) bool {
+	change.At = s.revision
+	if s.config != nil && s.configAt > after {
+		change.Config = s.config
+	}
+	for id, e := range s.upstreams {
+		switch {
+		case e.at <= after:
+		case e.gone:
+			change.GoneUpstreams = append(change.GoneUpstreams, id)
+		default:
+			change.Upstreams = append(change.Upstreams, e.upstream)
 		}
-		return after == 0 || len(change.Gone)+len(change.Present) > 0
-	})
-	return change, err
+	}
+	for node, e := range s.peers {
+		switch {
+		case e.at <= after:
+		case e.gone:
+			change.GonePeers = append(change.GonePeers, node)
+		default:
+			change.Peers = append(change.Peers, e.peer)
+		}
+	}
+	return change.Config != nil || len(change.Upstreams)+len(change.GoneUpstreams)+len(change.Peers)+len(change.GonePeers) > 0
+}
+
+// ReadConfig reads a configuration's document that a peer gave.
+func (v *View) ReadConfig(document []byte) (*pomelorelay.FleetConfig, error) {
+	return v.s.Decode(document)
 }
 
 // Announce registers a router; see pomelorelay.Platform. Leases do not lapse by themselves here.
 func (v *View) Announce(_ context.Context, self pomelorelay.Peer, _ time.Duration) (pomelorelay.LeaseID, error) {
+	v.s.count(&v.s.calls.Announces)
 	if err := v.reachesNow(); err != nil {
 		return 0, err
 	}
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -68,9 +68,10 @@
 			Seq: 2, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 1}}, Accounts: []pomelorelay.AccountUse{},
 			Parts: []pomelorelay.PartPlaced{}, Leaving: []pomelorelay.UpstreamID{}, Speeds: []pomelorelay.SpeedSums{},
 		}}}},
-		&pomelorelay.UpstreamNews{
-			After: 9, At: 12, Whole: true, Gone: []pomelorelay.UpstreamID{"v"},
-			Present: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6, Draining: true, Born: 77}},
+		&pomelorelay.FleetUpdate{
+			After: 9, At: 12, Whole: true, Forwarded: true, GoneUpstreams: []pomelorelay.UpstreamID{"v"}, GonePeers: []pomelorelay.NodeID{"r2"},
+			Upstreams: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6, Draining: true, Born: 77}},
+			Peers:     []pomelorelay.Peer{{Node: "r1", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Domain: "a", Region: "ra", Power: 0.4}},
 		},
 		&pomelorelay.StateAsk{Above: 7, Upstreams: true},
 		&pomelorelay.FleetState{
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -89,8 +89,8 @@
 		return d.loadReport(kind.LoadReport)
 	case *pomelowire.Item_LoadBundle:
 		return d.loadBundle(kind.LoadBundle)
-	case *pomelowire.Item_UpstreamNews:
-		return d.upstreamNews(kind.UpstreamNews)
+	case *pomelowire.Item_FleetUpdate:
+		return d.fleetUpdate(kind.FleetUpdate)
 	case *pomelowire.Item_StateAsk:
 		return &pomelorelay.StateAsk{Above: pomelorelay.Generation(kind.StateAsk.GetAbove()), Upstreams: kind.StateAsk.GetUpstreams()}
 	case *pomelowire.Item_FleetState:
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -75,14 +75,20 @@
 	return b
 }
 
-func (d *decoder) upstreamNews(m *pomelowire.UpstreamNews) pomelorelay.Message {
-	n := &pomelorelay.UpstreamNews{After: pomelorelay.Revision(m.GetAfter()), At: pomelorelay.Revision(m.GetAt()), Whole: m.GetWhole()}
-	n.Present = d.upstreams(m.GetPresent())
-	n.Gone = make([]pomelorelay.UpstreamID, d.count(len(m.GetGone()), maxList))
-	for i := range n.Gone {
-		n.Gone[i] = pomelorelay.UpstreamID(d.name(m.GetGone()[i]))
+func (d *decoder) fleetUpdate(m *pomelowire.FleetUpdate) pomelorelay.Message {
+	u := &pomelorelay.FleetUpdate{
+		After: pomelorelay.Revision(m.GetAfter()), At: pomelorelay.Revision(m.GetAt()), Whole: m.GetWhole(), Forwarded: m.GetForwarded(),
+		Upstreams: d.upstreams(m.GetUpstreams()), Peers: d.routers(m.GetRouters()),
 	}
-	return n
+	u.GoneUpstreams = make([]pomelorelay.UpstreamID, d.count(len(m.GetGoneUpstreams()), maxList))
+	for i := range u.GoneUpstreams {
+		u.GoneUpstreams[i] = pomelorelay.UpstreamID(d.name(m.GetGoneUpstreams()[i]))
+	}
+	u.GonePeers = make([]pomelorelay.NodeID, d.count(len(m.GetGoneRouters()), maxList))
+	for i := range u.GonePeers {
+		u.GonePeers[i] = pomelorelay.NodeID(d.name(m.GetGoneRouters()[i]))
+	}
+	return u
 }
 
 func (d *decoder) upstreams(list []*pomelowire.Upstream) []pomelorelay.FleetUpstream {
@@ -106,14 +112,19 @@
 }
 
 func (d *decoder) fleetState(m *pomelowire.FleetState) pomelorelay.Message {
-	s := &pomelorelay.FleetState{Document: m.GetDocument(), At: pomelorelay.Revision(m.GetAt()), Upstreams: d.upstreams(m.GetUpstreams())}
-	s.Peers = make([]pomelorelay.Peer, d.count(len(m.GetRouters()), maxList))
-	for i := range s.Peers {
-		p := m.GetRouters()[i]
-		s.Peers[i] = pomelorelay.Peer{
+	return &pomelorelay.FleetState{
+		Document: m.GetDocument(), At: pomelorelay.Revision(m.GetAt()), Upstreams: d.upstreams(m.GetUpstreams()), Peers: d.routers(m.GetRouters()),
+	}
+}
+
+func (d *decoder) routers(list []*pomelowire.Router) []pomelorelay.Peer {
+	peers := make([]pomelorelay.Peer, d.count(len(list), maxList))
+	for i := range peers {
+		p := list[i]
+		peers[i] = pomelorelay.Peer{
 			Node: pomelorelay.NodeID(d.name(p.GetNode())), Addr: d.addr(p.GetAddress()), Domain: pomelorelay.DomainID(d.name(p.GetDomain())),
 			Region: pomelorelay.RegionID(d.name(p.GetRegion())), Power: d.finite(p.GetPower()),
 		}
 	}
-	return s
+	return peers
 }
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -11,8 +11,8 @@
 		return &pomelowire.Item{Kind: &pomelowire.Item_LoadReport{LoadReport: encodeLoad(m)}}
 	case *pomelorelay.LoadBundle:
 		return &pomelowire.Item{Kind: &pomelowire.Item_LoadBundle{LoadBundle: encodeBundle(m)}}
-	case *pomelorelay.UpstreamNews:
-		return &pomelowire.Item{Kind: &pomelowire.Item_UpstreamNews{UpstreamNews: encodeNews(m)}}
+	case *pomelorelay.FleetUpdate:
+		return &pomelowire.Item{Kind: &pomelowire.Item_FleetUpdate{FleetUpdate: encodeUpdate(m)}}
 	case *pomelorelay.StateAsk:
 		return &pomelowire.Item{Kind: &pomelowire.Item_StateAsk{StateAsk: &pomelowire.StateAsk{Above: uint64(m.Above), Upstreams: m.Upstreams}}}
 	case *pomelorelay.FleetState:
@@ -29,10 +29,16 @@
 	return w
 }
 
-func encodeNews(m *pomelorelay.UpstreamNews) *pomelowire.UpstreamNews {
-	w := &pomelowire.UpstreamNews{After: uint64(m.After), At: uint64(m.At), Whole: m.Whole, Present: encodeUpstreams(m.Present)}
-	for _, id := range m.Gone {
-		w.Gone = append(w.Gone, string(id))
+func encodeUpdate(m *pomelorelay.FleetUpdate) *pomelowire.FleetUpdate {
+	w := &pomelowire.FleetUpdate{
+		After: uint64(m.After), At: uint64(m.At), Whole: m.Whole, Forwarded: m.Forwarded,
+		Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers),
+	}
+	for _, id := range m.GoneUpstreams {
+		w.GoneUpstreams = append(w.GoneUpstreams, string(id))
+	}
+	for _, node := range m.GonePeers {
+		w.GoneRouters = append(w.GoneRouters, string(node))
 	}
 	return w
 }
@@ -49,9 +55,13 @@
 }
 
 func encodeState(m *pomelorelay.FleetState) *pomelowire.FleetState {
-	w := &pomelowire.FleetState{Document: m.Document, At: uint64(m.At), Upstreams: encodeUpstreams(m.Upstreams)}
-	for _, p := range m.Peers {
-		w.Routers = append(w.Routers, &pomelowire.Router{
+	return &pomelowire.FleetState{Document: m.Document, At: uint64(m.At), Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers)}
+}
+
+func encodeRouters(peers []pomelorelay.Peer) []*pomelowire.Router {
+	var w []*pomelowire.Router
+	for _, p := range peers {
+		w = append(w, &pomelowire.Router{
 			Node: string(p.Node), Address: p.Addr.String(), Domain: string(p.Domain), Region: string(p.Region), Power: p.Power,
 		})
 	}
--- a/pomelometric/metrics.go
+++ b/pomelometric/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -28,6 +29,7 @@
 	places   *prometheus.CounterVec
 	gauges   *prometheus.GaugeVec
 	missed   prometheus.Counter
+	calls    *prometheus.CounterVec
 }
 
 // New returns Metrics that start at zero, with those of the runtime and the process.
@@ -42,7 +44,8 @@
 		gauges:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "state", Help: "What the router knows now, by name."}, []string{"name"}),
 	}
 	m.missed = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "messages_missed_total", Help: "Messages to other routers that could not be queued."})
-	m.registry.MustRegister(m.missed, m.answers, m.first, m.total, m.retries, m.places, m.gauges, collectors.NewGoCollector())
+	m.calls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total", Help: "Calls to the platform's store by kind, cause and result code; 0 for none."}, []string{"kind", "cause", "code"})
+	m.registry.MustRegister(m.missed, m.calls, m.answers, m.first, m.total, m.retries, m.places, m.gauges, collectors.NewGoCollector())
 	return m
 }
 
@@ -64,6 +67,11 @@
 // Missed counts a message to another router that could not be queued.
 func (m *Metrics) Missed() { m.missed.Inc() }
 
+// StoreCalled counts a call to the platform's store: what was called, why, and the result code, zero when it succeeded.
+func (m *Metrics) StoreCalled(kind, cause string, code pomelorelay.ResultCode) {
+	m.calls.WithLabelValues(kind, cause, strconv.Itoa(int(code))).Inc()
+}
+
 // Set sets a value of what the router knows.
 func (m *Metrics) Set(name string, value float64) { m.gauges.WithLabelValues(name).Set(value) }
 
