Relays sum reports up, and reports come every 40 ms

Change: a relay sums up its neighbours' reports (aggregate.go), exchanges the sums with the other domains' relays, and sends each neighbour the sum of all other routers without its own part. LoadBundle became LoadSummary. With less to read, reports and summaries come every 40 ms in place of 100 and 50.

The operators' figure of what the engines produce is more than engines of few slots give, so an account that asks for most of it is within its share, and gets most. Change: an account that had 1.6 times as much as one that is short by far leaves 0.15 of each engine's slots free, within its share too (Shares.Yields). Engines of twelve slots ran one request beyond shares at most; the reserve for others is bounded to 0.4 of the slots.

Tests: TestASumTellsWhatAllOthersHave (rapid), TestASumForgetsTheSilentAndStartsFromNow, TestAnAccountFarAheadYieldsToOneThatIsShort, TestFewSlotsAreNotAllReserved (one of twelve before), TestAnAccountThatYieldsLeavesSlots.

--- a/messages_load.go
+++ b/messages_load.go
@@ -55,23 +55,19 @@
 // CoalesceKey is empty: a report holds only what changed, and each counts.
 func (*LoadReport) CoalesceKey() string { return "" }
 
-// RelayedReport is a report with the router that made it.
-type RelayedReport struct {
-	Node        NodeID
-	Incarnation Incarnation
-	Report      *LoadReport
-}
-
-// LoadBundle carries reports that one router collected from others, so that not each must tell all.
-type LoadBundle struct {
-	Reports []RelayedReport
+// LoadSummary is the sum of what several routers reported, sent by the relay of a failure domain: to its neighbours about all other routers, to
+// the relays of other domains about its own.
+type LoadSummary struct {
+	Report *LoadReport
+	// Standby are the routers that relay next, should this one fall silent.
+	Standby []NodeID
 }
 
 // Urgency is that of placements: others place by them.
-func (*LoadBundle) Urgency() Urgency { return UrgencyNow }
+func (*LoadSummary) Urgency() Urgency { return UrgencyNow }
 
-// CoalesceKey is empty: reports hold only what changed, and each counts.
-func (*LoadBundle) CoalesceKey() string { return "" }
+// CoalesceKey is empty: a summary holds only what changed, and each counts.
+func (*LoadSummary) CoalesceKey() string { return "" }
 
 // FleetUpdate carries what one router read in the store to the others, so that not each must read it. It holds what changed since After.
 type FleetUpdate struct {
--- /dev/null
+++ b/pomeloentry/aggregate_test.go
@@ -0,0 +1,123 @@
+package pomeloentry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloentry"
+
+	"pgregory.net/rapid"
+)
+
+// reporter is a router whose reports are summed up, and what the sum tells it of the others.
+type reporter struct {
+	incarnation pomelorelay.Incarnation
+	load        map[pomelorelay.UpstreamID]pomelorelay.UpstreamLoad
+	others      map[pomelorelay.UpstreamID]pomelorelay.UpstreamLoad
+}
+
+func newReporter(incarnation pomelorelay.Incarnation) *reporter {
+	return &reporter{
+		incarnation: incarnation, load: make(map[pomelorelay.UpstreamID]pomelorelay.UpstreamLoad),
+		others: make(map[pomelorelay.UpstreamID]pomelorelay.UpstreamLoad),
+	}
+}
+
+// Guards against a sum that differs from what each router would reckon by itself from all others' reports: engines would seem full or idle.
+func TestASumTellsWhatAllOthersHave(t *testing.T) {
+	nodes := []pomelorelay.NodeID{"r0", "r1", "r2", "r3"}
+	upstreams := []pomelorelay.UpstreamID{"u0", "u1", "u2"}
+	rapid.Check(t, func(rt *rapid.T) {
+		now := time.Unix(1000, 0)
+		sum := pomeloentry.NewSum()
+		routers := make(map[pomelorelay.NodeID]*reporter)
+		for _, node := range nodes {
+			routers[node] = newReporter(1)
+			sum.Take(now, node, 1, &pomelorelay.LoadReport{Whole: true})
+		}
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			node := rapid.SampledFrom(nodes).Draw(rt, "router")
+			r := routers[node]
+			switch rapid.IntRange(0, 9).Draw(rt, "what") {
+			case 0:
+				others := r.others
+				*r = *newReporter(r.incarnation + 1)
+				r.others = others
+				sum.Take(now, node, r.incarnation, &pomelorelay.LoadReport{Whole: true})
+			case 1:
+				whole := &pomelorelay.LoadReport{Whole: true}
+				for _, l := range r.load {
+					whole.Upstreams = append(whole.Upstreams, l)
+				}
+				sum.Take(now, node, r.incarnation, whole)
+			default:
+				id := rapid.SampledFrom(upstreams).Draw(rt, "upstream")
+				l := r.load[id]
+				more := pomelorelay.Tokens(rapid.IntRange(0, 900).Draw(rt, "sent"))
+				l.Upstream, l.Running, l.Sent = id, uint32(rapid.IntRange(0, 9).Draw(rt, "running")), l.Sent+more
+				l.Unread, l.Held = pomelorelay.Tokens(l.Running)*100, pomelorelay.Tokens(l.Running)*300
+				r.load[id] = l
+				sum.Take(now, node, r.incarnation, &pomelorelay.LoadReport{Upstreams: []pomelorelay.UpstreamLoad{l}})
+			}
+			if rapid.Bool().Draw(rt, "flush") {
+				deliver(sum, routers, nodes, rapid.Bool().Draw(rt, "whole"))
+			}
+		}
+		deliver(sum, routers, nodes, false)
+		for _, node := range nodes {
+			checkOthers(rt, node, routers, upstreams)
+		}
+	})
+}
+
+func deliver(sum pomeloentry.Sum, routers map[pomelorelay.NodeID]*reporter, nodes []pomelorelay.NodeID, whole bool) {
+	for node, m := range sum.Reports(whole, nodes...) {
+		for _, l := range m.Upstreams {
+			routers[node].others[l.Upstream] = l
+		}
+	}
+}
+
+func checkOthers(t *rapid.T, node pomelorelay.NodeID, routers map[pomelorelay.NodeID]*reporter, upstreams []pomelorelay.UpstreamID) {
+	for _, id := range upstreams {
+		var want pomelorelay.UpstreamLoad
+		for other, r := range routers {
+			if other != node {
+				want.Running += r.load[id].Running
+				want.Unread += r.load[id].Unread
+				want.Held += r.load[id].Held
+			}
+		}
+		got := routers[node].others[id]
+		if got.Running != want.Running || got.Unread != want.Unread || got.Held != want.Held {
+			t.Fatalf("%s at %s: the others have %+v, want %+v", node, id, got, want)
+		}
+	}
+}
+
+// Guards against a router that is gone and whose requests count for ever, and against a relay that begins to sum up and takes what routers sent in
+// hours for what they sent just now.
+func TestASumForgetsTheSilentAndStartsFromNow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sum := pomeloentry.NewSum()
+	load := func(running uint32, sent pomelorelay.Tokens) *pomelorelay.LoadReport {
+		return &pomelorelay.LoadReport{
+			Whole:     true,
+			Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: running, Sent: sent}},
+			Accounts:  []pomelorelay.AccountUse{{Account: "a", Asked: 2 * pomelorelay.Cost(sent), Served: pomelorelay.Cost(sent)}},
+		}
+	}
+	sum.Take(now, "old", 1, load(5, 1_000_000))
+	sum.Take(now, "old", 1, load(6, 1_000_700))
+	m := sum.Reports(false, "other")["other"]
+	if len(m.Upstreams) != 1 || m.Upstreams[0].Running != 6 || m.Upstreams[0].Sent != 700 || m.Accounts[0].Asked != 1400 || m.Accounts[0].Served != 700 {
+		t.Errorf("after a router's first two reports: %s", fmt.Sprint(m.Upstreams, m.Accounts))
+	}
+	sum.ForgetSilent(now.Add(4*time.Second), 3*time.Second)
+	m = sum.Reports(false, "other")["other"]
+	if len(m.Upstreams) != 1 || m.Upstreams[0].Running != 0 || m.Upstreams[0].Sent != 700 {
+		t.Errorf("after it was silent: %v", m.Upstreams)
+	}
+}
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -12,17 +12,14 @@
 )
 
 const (
-	// tickEvery is the interval at which what was collected for others is handed on and everything else is looked at.
-	tickEvery = 50 * time.Millisecond
-	// reportEvery is the interval of reports to the other routers: until the next one they place by what they know, and within it
-	// an engine gets two or three requests from all of them together.
-	reportEvery = 100 * time.Millisecond
+	// tickEvery is the interval at which timers are looked at.
+	tickEvery = 20 * time.Millisecond
+	// reportEvery is the interval of reports to the other routers; until the next one they place by older loads.
+	reportEvery = 40 * time.Millisecond
 	// wholeEvery is the interval of reports that hold everything; a lost one is made up for within it.
 	wholeEvery = time.Second
-	// urgentGap is the least time between reports: the way between regions takes 12 ms, so that a faster pace tells nobody more.
-	// relayedGap is the same where a relay takes the reports of a whole failure domain.
-	urgentGap  = 20 * time.Millisecond
-	relayedGap = 50 * time.Millisecond
+	// urgentGap is the least time between reports: the round trip between regions takes longer.
+	urgentGap = 20 * time.Millisecond
 	// gaugesEvery is the interval at which the metrics of what the router knows are renewed.
 	gaugesEvery = time.Second
 )
@@ -69,7 +66,7 @@
 		case ev := <-c.e.events:
 			now := c.now()
 			ev.apply(c, now)
-			if c.placer.Urgent() && now.Sub(c.reportedAt) >= c.gap() {
+			if c.placer.Urgent() && now.Sub(c.reportedAt) >= urgentGap {
 				c.report(now)
 			}
 		case m := <-c.e.mesh.Receive():
@@ -87,12 +84,15 @@
 
 func (c *control) tick(now time.Time) {
 	c.shares.Tick(now)
-	c.placer.SetUnheard(c.peers.unheard(now))
+	c.placer.SetUnheard(c.unheard(now))
 	c.placer.Tick(now)
 	c.dropLapsed(now)
-	if now.Sub(c.reportedAt) >= reportEvery-tickEvery/2 || len(c.relayed.local)+len(c.relayed.foreign) > 0 {
+	if now.Sub(c.reportedAt) >= reportEvery-tickEvery/2 {
 		c.report(now)
 	}
+	if c.relayed.local != nil {
+		c.flush(now)
+	}
 	c.takeTurn(now)
 	c.pullBehind(now)
 	c.askForState(now)
@@ -150,6 +150,7 @@
 		// would get past its share whenever many are, and other accounts would see their requests refused.
 		r.Owed = w.Charged || c.shares.Owed(w.Account, w.Cost)
 		r.Lead = c.shares.Lead(w.Account)
+		r.Yields = c.shares.Yields(w.Account)
 		share.Cost, share.Owed = w.Cost, r.Owed
 		share.Asked, share.Served, share.Level = c.shares.State(w.Account)
 	}
@@ -183,14 +184,7 @@
 	return max(d.RetryAfter, wait)
 }
 
-func (c *control) gap() time.Duration {
-	if c.direct() {
-		return urgentGap
-	}
-	return relayedGap
-}
-
-// report tells the other routers what changed here.
+// report sends the other routers what changed here.
 func (c *control) report(now time.Time) {
 	m := &pomelorelay.LoadReport{Whole: now.Sub(c.wholeAt) >= wholeEvery}
 	if m.Whole {
@@ -222,9 +216,7 @@
 	if m.Whole || m.Seq == 1 {
 		c.peers.noteWhole(from)
 	}
-	c.placer.Heard(now, from, incarnation, m)
-	c.shares.Heard(from, incarnation, m.Accounts)
-	c.takeLeaving(now, from, m.Leaving)
+	c.apply(now, pomelorelay.Envelope{From: from, Incarnation: incarnation}, m)
 }
 
 func (c *control) receive(now time.Time, m pomelorelay.Envelope) {
@@ -232,10 +224,12 @@
 	c.noteGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
 	case *pomelorelay.LoadReport:
-		c.takeReport(now, m.From, m.Incarnation, msg)
-		c.collect(now, m, msg)
-	case *pomelorelay.LoadBundle:
-		c.takeBundle(now, m.From, msg)
+		if c.direct() || c.relaysHere(now) {
+			c.takeReport(now, m.From, m.Incarnation, msg)
+			c.collect(now, m, msg)
+		}
+	case *pomelorelay.LoadSummary:
+		c.takeSummary(now, m, msg)
 	case *pomelorelay.FleetUpdate:
 		c.receiveUpdate(now, m.From, msg)
 	case *pomelorelay.ConfigPull:
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -45,7 +45,7 @@
 func UnheardAfter(passed time.Duration) int {
 	p, now := newPeers(), time.Now()
 	p.put(now, pomelorelay.Peer{Node: "silent", Domain: "b", Region: "rb"})
-	return p.unheard(now.Add(passed))
+	return p.unheard(now.Add(passed), func(*knownPeer) bool { return false })
 }
 
 // RefusedUnread notes a request that a full router refused.
@@ -130,3 +130,27 @@
 func (noMesh) Send(pomelorelay.NodeID, pomelorelay.Message) error { return nil }
 func (noMesh) SetPeers([]pomelorelay.Peer)                        {}
 func (noMesh) SetGeneration(pomelorelay.Generation)               {}
+
+// Sum sums up the reports of several sources as a relay does.
+type Sum struct{ a *aggregate }
+
+// NewSum returns a Sum of nothing.
+func NewSum() Sum { return Sum{newAggregate()} }
+
+// Take adds a source's report.
+func (s Sum) Take(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
+	s.a.take(now, string(from), from, incarnation, m)
+}
+
+// Reports returns what changed, or everything, for each source, without what that source has.
+func (s Sum) Reports(whole bool, sources ...pomelorelay.NodeID) map[pomelorelay.NodeID]*pomelorelay.LoadReport {
+	all := make(map[pomelorelay.NodeID]*pomelorelay.LoadReport)
+	for _, from := range sources {
+		all[from] = s.a.report(string(from), whole, 1)
+	}
+	s.a.flushed()
+	return all
+}
+
+// ForgetSilent forgets the sources that have reported nothing for a time.
+func (s Sum) ForgetSilent(now time.Time, most time.Duration) { s.a.forgetSilent(now, most) }
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -94,16 +94,23 @@
 const unheardFor = 3 * time.Second
 
 // unheard returns the number of registered routers of which it is not known yet what they have on the upstreams.
-func (p *peers) unheard(now time.Time) int {
+func (p *peers) unheard(now time.Time, summed func(*knownPeer) bool) int {
 	n := 0
 	for _, known := range p.present {
-		if known.registered && !known.whole && now.Sub(known.since) < unheardFor {
+		if known.registered && !known.whole && now.Sub(known.since) < unheardFor && !summed(known) {
 			n++
 		}
 	}
 	return n
 }
 
+// unheard leaves out the routers that a relay's summary holds.
+func (c *control) unheard(now time.Time) int {
+	return c.peers.unheard(now, func(p *knownPeer) bool {
+		return c.relayed.from != "" || c.relayed.domains[p.Domain] != ""
+	})
+}
+
 // drop forgets unregistered routers that are silent; it reports whether there were any.
 func (p *peers) drop(now time.Time) bool {
 	dropped := false
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -64,10 +64,10 @@
 			Leaving:   []pomelorelay.UpstreamID{"v"},
 			Speeds:    []pomelorelay.SpeedSums{{Service: "s", Answers: 7, Weight: 0.25, Read: 900, Took: 7.5, ReadRead: 1e8, ReadTook: 2e5, Beside: 20, Paused: 3, Copied: 5000, CopyTook: 12.5}},
 		},
-		&pomelorelay.LoadBundle{Reports: []pomelorelay.RelayedReport{{Node: "r1", Incarnation: 5, Report: &pomelorelay.LoadReport{
+		&pomelorelay.LoadSummary{Standby: []pomelorelay.NodeID{"r1"}, Report: &pomelorelay.LoadReport{
 			Seq: 2, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 1}}, Accounts: []pomelorelay.AccountUse{},
 			Parts: []pomelorelay.PartPlaced{}, Leaving: []pomelorelay.UpstreamID{}, Speeds: []pomelorelay.SpeedSums{},
-		}}}},
+		}},
 		&pomelorelay.FleetUpdate{
 			After: 9, At: 12, Whole: true, Forwarded: true, GoneUpstreams: []pomelorelay.UpstreamID{"v"}, GonePeers: []pomelorelay.NodeID{"r2"},
 			Upstreams: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6, Draining: true, Born: 77}},
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -87,8 +87,8 @@
 		return &pomelorelay.LeavingNotice{Upstream: pomelorelay.UpstreamID(d.name(kind.LeavingNotice.GetUpstream()))}
 	case *pomelowire.Item_LoadReport:
 		return d.loadReport(kind.LoadReport)
-	case *pomelowire.Item_LoadBundle:
-		return d.loadBundle(kind.LoadBundle)
+	case *pomelowire.Item_LoadSummary:
+		return d.loadSummary(kind.LoadSummary)
 	case *pomelowire.Item_FleetUpdate:
 		return d.fleetUpdate(kind.FleetUpdate)
 	case *pomelowire.Item_StateAsk:
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -64,15 +64,13 @@
 	return d.duration(value * int64(time.Millisecond))
 }
 
-func (d *decoder) loadBundle(m *pomelowire.LoadBundle) pomelorelay.Message {
-	b := &pomelorelay.LoadBundle{Reports: make([]pomelorelay.RelayedReport, d.count(len(m.GetReports()), maxList))}
-	for i := range b.Reports {
-		r := m.GetReports()[i]
-		b.Reports[i] = pomelorelay.RelayedReport{
-			Node: pomelorelay.NodeID(d.name(r.GetNode())), Incarnation: pomelorelay.Incarnation(r.GetIncarnation()), Report: d.loadReport(r.GetReport()),
-		}
+func (d *decoder) loadSummary(m *pomelowire.LoadSummary) pomelorelay.Message {
+	s := &pomelorelay.LoadSummary{Report: d.loadReport(m.GetReport())}
+	s.Standby = make([]pomelorelay.NodeID, d.count(len(m.GetStandby()), maxList))
+	for i := range s.Standby {
+		s.Standby[i] = pomelorelay.NodeID(d.name(m.GetStandby()[i]))
 	}
-	return b
+	return s
 }
 
 func (d *decoder) fleetUpdate(m *pomelowire.FleetUpdate) pomelorelay.Message {
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -9,8 +9,8 @@
 	switch m := m.(type) {
 	case *pomelorelay.LoadReport:
 		return &pomelowire.Item{Kind: &pomelowire.Item_LoadReport{LoadReport: encodeLoad(m)}}
-	case *pomelorelay.LoadBundle:
-		return &pomelowire.Item{Kind: &pomelowire.Item_LoadBundle{LoadBundle: encodeBundle(m)}}
+	case *pomelorelay.LoadSummary:
+		return &pomelowire.Item{Kind: &pomelowire.Item_LoadSummary{LoadSummary: encodeSummary(m)}}
 	case *pomelorelay.FleetUpdate:
 		return &pomelowire.Item{Kind: &pomelowire.Item_FleetUpdate{FleetUpdate: encodeUpdate(m)}}
 	case *pomelorelay.StateAsk:
@@ -21,10 +21,10 @@
 	return nil
 }
 
-func encodeBundle(m *pomelorelay.LoadBundle) *pomelowire.LoadBundle {
-	w := &pomelowire.LoadBundle{}
-	for _, r := range m.Reports {
-		w.Reports = append(w.Reports, &pomelowire.RelayedReport{Node: string(r.Node), Incarnation: uint64(r.Incarnation), Report: encodeLoad(r.Report)})
+func encodeSummary(m *pomelorelay.LoadSummary) *pomelowire.LoadSummary {
+	w := &pomelowire.LoadSummary{Report: encodeLoad(m.Report)}
+	for _, node := range m.Standby {
+		w.Standby = append(w.Standby, string(node))
 	}
 	return w
 }
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -30,7 +30,11 @@
 	inTime = 0.85
 	// slotReserve is how many times the square root of an engine's slots is kept free of requests beyond shares: what other routers send
 	// meanwhile differs by about that root, and would find an engine full that was filled with requests that nobody is owed.
+	// reserveMost is the largest part of the slots that is kept free so: engines of few slots would run nothing else.
 	slotReserve = 3.0
+	reserveMost = 0.4
+	// yieldReserve is the part of the slots that accounts keep free for one that is short by far.
+	yieldReserve = 0.15
 	// freeAgain is the most shared tokens that a request beyond its account's share may make an engine read though another one, which is
 	// too busy, keeps them: about what an engine reads in one step.
 	freeAgain = 400
@@ -89,12 +93,16 @@
 	}
 	slots := u.slots()
 	a := allowance{slots: slots, queue: part(owedQueue, target), reason: ReasonLate}
+	if r.Yields && !off.Ahead {
+		a.slots = max(1, slots-int(math.Ceil(yieldReserve*float64(slots))))
+	}
 	if r.Owed {
 		return a
 	}
 	a.reason = ReasonShare
 	if !off.SlotReserve {
-		a.slots = max(1, int(float64(slots)-slotReserve*math.Sqrt(float64(slots))))
+		reserve := min(slotReserve*math.Sqrt(float64(slots)), reserveMost*float64(slots))
+		a.slots = max(1, int(float64(slots)-reserve))
 	}
 	if !off.FreeQueue {
 		a.queue = part(freeQueue, target)
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -30,6 +30,8 @@
 	Owed bool
 	// Lead is how many times as much the account has had as it may beside another that is short; up to one it is not ahead.
 	Lead float64
+	// Yields tells that the account leaves room for another that is short by far.
+	Yields bool
 	// Avoid lists upstreams that failed this request.
 	Avoid []pomelorelay.UpstreamID
 }
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -338,3 +338,42 @@
 		t.Errorf("tried %d times in 5 s, want at most 4", tries)
 	}
 }
+
+// fewSlots returns a placer before one engine of twelve slots.
+func fewSlots() *pomeloplace.Placer {
+	p := withEngines(1)
+	p.SetConfig(&pomelorelay.FleetConfig{Routes: routes, Services: []pomelorelay.ServiceSpec{{Name: engines, Engine: &pomelorelay.EngineSpec{Slots: 12, Memory: 500_000, EventTokens: 18}}}})
+	return p
+}
+
+// runsUntilRefused returns how many requests the placer admits one second apart, none of which ends.
+func runsUntilRefused(p *pomeloplace.Placer, change func(*pomeloplace.Request)) int {
+	now := start
+	for n := 0; ; n++ {
+		now = now.Add(time.Second)
+		r := prompt(uint64(n+1), 100, 100)
+		change(&r)
+		d := p.Place(now, r)
+		if d.Reason != pomeloplace.ReasonNone {
+			return n
+		}
+		p.Begun(now.Add(20*time.Millisecond), d.Run)
+	}
+}
+
+// Guards against engines of few slots that stand idle because nearly all of their slots are kept free of requests beyond shares.
+func TestFewSlotsAreNotAllReserved(t *testing.T) {
+	got := runsUntilRefused(fewSlots(), func(r *pomeloplace.Request) { r.Owed = false })
+	if got < 6 || got > 10 {
+		t.Errorf("%d of twelve slots run requests beyond shares, want more than half and not all", got)
+	}
+}
+
+// Guards against an account that takes the last slots of every engine while another is short by far.
+func TestAnAccountThatYieldsLeavesSlots(t *testing.T) {
+	yields := runsUntilRefused(fewSlots(), func(r *pomeloplace.Request) { r.Yields = true })
+	short := runsUntilRefused(fewSlots(), func(*pomeloplace.Request) {})
+	if yields < 9 || yields >= short || short != 12 {
+		t.Errorf("an account that yields fills %d slots, a short one %d of twelve", yields, short)
+	}
+}
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -216,6 +216,18 @@
 	}
 }
 
+// Forget takes back what a router had on the upstreams.
+func (p *Placer) Forget(node pomelorelay.NodeID) { p.forget(node) }
+
+// ForgetOthers takes back what all routers but one had on the upstreams.
+func (p *Placer) ForgetOthers(but pomelorelay.NodeID) {
+	for node := range p.peers {
+		if node != but {
+			p.forget(node)
+		}
+	}
+}
+
 // recount sums up the other routers' load of a new upstream.
 func (p *Placer) recount(u *upstream, id pomelorelay.UpstreamID) {
 	for _, o := range p.peers {
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -48,7 +48,9 @@
 	level    pomelorelay.Cost
 	// least is the least that an account was served which asked for more; zero when nobody did.
 	least pomelorelay.Cost
-	asked []pomelorelay.Cost
+	// shortest is the same of accounts that are short by far.
+	shortest pomelorelay.Cost
+	asked    []pomelorelay.Cost
 }
 
 // New returns Shares of an unknown capacity, of which no account is owed less than it asks.
@@ -149,7 +151,8 @@
 		s.stepped = now
 	}
 	s.level = s.fill()
-	s.least = s.leastServed()
+	s.least = s.leastServed(unmetLeast)
+	s.shortest = s.leastServed(shortLeast)
 }
 
 const (
@@ -161,14 +164,18 @@
 	// evenShare is how far ahead of the shortest account one may be that gets more than its share. Twice would be unfair by the
 	// users' word; the reports of the other routers are a moment old.
 	evenShare = 1.25
+	// farAhead is how many times as much as the account that is shortest by far one may have had and still go first, within its share too:
+	// twice would be unfair by the users' word. shortLeast is the least that must be missing for an account to be short by far.
+	farAhead   = 1.6
+	shortLeast = 3 * unmetLeast
 )
 
-// leastServed returns the least that an account was served which is short; zero when none is.
-func (s *Shares) leastServed() pomelorelay.Cost {
+// leastServed returns the least that an account was served which misses so much of what it asked for; zero when none does.
+func (s *Shares) leastServed(unmet pomelorelay.Cost) pomelorelay.Cost {
 	least := pomelorelay.Cost(0)
 	for _, a := range s.accounts {
 		missing := a.window.asked - a.window.served
-		if missing < unmetLeast || missing < unmetShare*a.window.asked {
+		if missing < unmet || missing < unmetShare*a.window.asked {
 			continue
 		}
 		if served := max(a.window.served, 1); least == 0 || served < least {
@@ -232,6 +239,11 @@
 	return served+cost/2 <= s.level || served <= s.least
 }
 
+// Yields reports whether an account leaves room for another one that is short by far and has had much less, also of what it is owed itself.
+func (s *Shares) Yields(id pomelorelay.AccountID) bool {
+	return s.shortest > 0 && s.account(id).window.served > farAhead*s.shortest
+}
+
 // water is up to where accounts are owed. Engines often produce more than the operators' figure; what is above it goes to whoever is
 // short and has had least. Given to whoever comes first, a flood takes most of it, and an account that is over the figure by little
 // is seen to get less than half of what the flood gets.
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -206,3 +206,34 @@
 		}
 	}
 }
+
+// Guards against an account that gets more than twice as much as another one that waits all the time, because there is less than the operators'
+// figure says and both are owed what they ask for.
+func TestAnAccountFarAheadYieldsToOneThatIsShort(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		aheadGot, shortGot pomelorelay.Cost
+		shortAsked         pomelorelay.Cost
+		want               bool
+	}{
+		{"more than twice as much", 900_000, 400_000, 1_000_000, true},
+		{"a little more", 600_000, 400_000, 1_000_000, false},
+		{"short of little", 900_000, 10_000, 60_000, false},
+		{"short of a small part", 1_900_000, 900_000, 1_000_000, false},
+	} {
+		s := pomeloshare.New(pomeloshare.Config{Window: window})
+		s.SetCapacity(1_000_000)
+		s.Tick(start)
+		s.Asked("ahead", 2_000_000)
+		s.Served("ahead", c.aheadGot)
+		s.Asked("short", c.shortAsked)
+		s.Served("short", c.shortGot)
+		s.Tick(start.Add(100 * time.Millisecond))
+		if got := s.Yields("ahead"); got != c.want {
+			t.Errorf("%s: yields %v, want %v", c.name, got, c.want)
+		}
+		if s.Yields("short") {
+			t.Errorf("%s: the short account yields", c.name)
+		}
+	}
+}
