Reports without relays come every 100 ms again, and accounts that yield leave a tenth of the slots

Change: reports each 40 ms only where relays sum them up; yieldReserve 0.1 and farAhead 1.7 in place of 0.15 and 1.6.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -14,8 +14,10 @@
 const (
 	// tickEvery is the interval at which timers are looked at.
 	tickEvery = 20 * time.Millisecond
-	// reportEvery is the interval of reports to the other routers; until the next one they place by older loads.
-	reportEvery = 40 * time.Millisecond
+	// directEvery and relayedEvery are the intervals of reports to the other routers, sent to each by itself and by way of relays; until the
+	// next one they place by older loads.
+	directEvery  = 100 * time.Millisecond
+	relayedEvery = 40 * time.Millisecond
 	// wholeEvery is the interval of reports that hold everything; a lost one is made up for within it.
 	wholeEvery = time.Second
 	// urgentGap is the least time between reports: the round trip between regions takes longer.
@@ -87,7 +89,7 @@
 	c.placer.SetUnheard(c.unheard(now))
 	c.placer.Tick(now)
 	c.dropLapsed(now)
-	if now.Sub(c.reportedAt) >= reportEvery-tickEvery/2 {
+	if now.Sub(c.reportedAt) >= c.reportEvery()-tickEvery/2 {
 		c.report(now)
 	}
 	if c.relayed.local != nil {
@@ -184,6 +186,13 @@
 	return max(d.RetryAfter, wait)
 }
 
+func (c *control) reportEvery() time.Duration {
+	if c.direct() {
+		return directEvery
+	}
+	return relayedEvery
+}
+
 // report sends the other routers what changed here.
 func (c *control) report(now time.Time) {
 	m := &pomelorelay.LoadReport{Whole: now.Sub(c.wholeAt) >= wholeEvery}
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -34,7 +34,7 @@
 	slotReserve = 3.0
 	reserveMost = 0.4
 	// yieldReserve is the part of the slots that accounts keep free for one that is short by far.
-	yieldReserve = 0.15
+	yieldReserve = 0.1
 	// freeAgain is the most shared tokens that a request beyond its account's share may make an engine read though another one, which is
 	// too busy, keeps them: about what an engine reads in one step.
 	freeAgain = 400
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -166,7 +166,7 @@
 	evenShare = 1.25
 	// farAhead is how many times as much as the account that is shortest by far one may have had and still go first, within its share too:
 	// twice would be unfair by the users' word. shortLeast is the least that must be missing for an account to be short by far.
-	farAhead   = 1.6
+	farAhead   = 1.7
 	shortLeast = 3 * unmetLeast
 )
 
