--- /dev/null
+++ b/scripts/regression.sh
@@ -0,0 +1,28 @@
+#!/bin/sh
+# Plays what must hold before a landing, and prints a table: regression.sh BENCH SITES [JOBS]
+# BENCH is the users' bench, SITES the folder of their site files. Each site is scored once and hunted for the days in its line.
+set -eu
+bench=$1 sites=$2 jobs=${3:-3}
+out=$(mktemp -d)
+plays="
+large/bancada-comum-large 8
+further-grown/pcrs-minutes-grown 8
+grown/hearthway-relay-grown 8
+grown/bancada-comum-grown 8
+further/pcrs-minutes 40
+"
+echo "$plays" | while read -r site days; do
+	[ -n "$site" ] || continue
+	name=$(basename "$site")
+	"$bench" score "$sites/$site.toml" --jobs "$jobs" --why "Regression: $name" >"$out/$name.score" 2>&1 || true
+	"$bench" hunt "$sites/$site.toml" --days "$days" --jobs "$jobs" --why "Regression: $name" >"$out/$name.hunt" 2>&1 || true
+	awk -v name="$name" '
+		/^(trouble|scale)-[0-9]/ { sum += $4; n++ }
+		/^quiet-/ { quiet = $4 }
+		/^GATE/ { gate = $2 }
+		FILENAME ~ /hunt$/ && /BROKEN/ { broken++ }
+		FILENAME ~ /hunt$/ && /^snapshot/ { hunted = 1 }
+		END { printf "%-24s calm day %s, days with trouble %.3f, gate %s, hunt %s, days broken %d\n", name, quiet, n ? sum / n : 0, gate ? gate : "not played", hunted ? "played" : "not played", broken }
+	' "$out/$name.score" "$out/$name.hunt"
+done
+echo "outputs: $out"
