A relay that returns counts from a mark, and shares are reckoned every 50 ms

Cause, found by reading the change again: routers keep the last sums of each relay. One that falls silent and returns after another took its place reports sums that have grown by what the other one had reported meanwhile; they counted twice, and accounts seemed to have asked and been served twice as much for a window. And timers every 20 ms made each router sort accounts and engines 50 times a second in place of 20.

Change: the first sums of a relay that replaces another are a mark (Shares.Mark, TestSumsOfAReturningRelayCountOnce: 1,500 counted without it, 800 with it). Shares, loads, turns and lapses are looked at every 50 ms, reports and summaries every 20.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// tickEvery is the interval at which timers are looked at.
-	tickEvery = 20 * time.Millisecond
+	// tickEvery is the interval at which timers are looked at, adjustEvery that at which shares and loads are reckoned anew.
+	tickEvery   = 20 * time.Millisecond
+	adjustEvery = 50 * time.Millisecond
 	// directEvery and relayedEvery are the intervals of reports to the other routers, sent to each by itself and by way of relays; until the
 	// next one they place by older loads.
 	directEvery  = 100 * time.Millisecond
@@ -38,6 +39,7 @@
 	asks      asks
 	relayed   relays
 
+	adjustedAt time.Time
 	reportedAt time.Time
 	wholeAt    time.Time
 	gaugesAt   time.Time
@@ -85,26 +87,34 @@
 func (c *control) now() time.Time { return c.e.cfg.Clock.Now() }
 
 func (c *control) tick(now time.Time) {
-	c.shares.Tick(now)
-	c.placer.SetUnheard(c.unheard(now))
-	c.placer.Tick(now)
-	c.dropLapsed(now)
+	if now.Sub(c.adjustedAt) >= adjustEvery {
+		c.adjustedAt = now
+		c.adjust(now)
+	}
 	if now.Sub(c.reportedAt) >= c.reportEvery()-tickEvery/2 {
 		c.report(now)
 	}
 	if c.relayed.local != nil {
 		c.flush(now)
 	}
+	if now.Sub(c.gaugesAt) >= gaugesEvery {
+		c.gaugesAt = now
+		c.setGauges()
+	}
+}
+
+// adjust looks at everything that follows from time.
+func (c *control) adjust(now time.Time) {
+	c.shares.Tick(now)
+	c.placer.SetUnheard(c.unheard(now))
+	c.placer.Tick(now)
+	c.dropLapsed(now)
 	c.takeTurn(now)
 	c.pullBehind(now)
 	c.askForState(now)
 	if c.peers.drop(now) {
 		c.setPeers()
 	}
-	if now.Sub(c.gaugesAt) >= gaugesEvery {
-		c.gaugesAt = now
-		c.setGauges()
-	}
 }
 
 func (c *control) setGauges() {
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -150,6 +150,7 @@
 			}
 		}
 		r.domains[domain] = m.From
+		c.shares.Mark(m.From, m.Incarnation, report.Accounts)
 	}
 	r.all.take(now, "/"+string(domain), m.From, m.Incarnation, report)
 	c.apply(now, m, report)
@@ -164,6 +165,7 @@
 		}
 		c.placer.ForgetOthers(m.From)
 		r.from, r.incarnation, r.taken = m.From, m.Incarnation, 0
+		c.shares.Mark(m.From, m.Incarnation, s.Report.Accounts)
 	}
 	if s.Report.Seq <= r.taken {
 		return
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -122,6 +122,15 @@
 	}
 }
 
+// Mark takes another router's sums as a mark from which its next ones count: what they hold has been counted by another router's.
+func (s *Shares) Mark(from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, entries []pomelorelay.AccountUse) {
+	p := &peer{incarnation: incarnation, told: make(map[pomelorelay.AccountID]use, len(entries))}
+	for _, e := range entries {
+		p.told[e.Account] = use{asked: e.Asked, served: e.Served}
+	}
+	s.peers[from] = p
+}
+
 func (s *Shares) young() bool { return s.stepped.Sub(s.began) < s.cfg.Window }
 
 // Report appends this router's own sums: those that changed since the last call, or all.
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -237,3 +237,26 @@
 		}
 	}
 }
+
+// Guards against a relay that falls silent and returns: what another one summed up meanwhile would count twice, and shares would be wrong for a window.
+func TestSumsOfAReturningRelayCountOnce(t *testing.T) {
+	s := pomeloshare.New(pomeloshare.Config{Window: window})
+	s.SetCapacity(1000)
+	s.Tick(start)
+	at := start
+	for range 3 * int(window/time.Second) {
+		at = at.Add(time.Second)
+		s.Tick(at)
+	}
+	sums := func(asked pomelorelay.Cost) []pomelorelay.AccountUse {
+		return []pomelorelay.AccountUse{{Account: "a", Asked: asked, Served: asked}}
+	}
+	s.Heard("first", 1, sums(0))
+	s.Mark("second", 1, sums(0))
+	s.Heard("second", 1, sums(700))
+	s.Mark("first", 1, sums(700))
+	s.Heard("first", 1, sums(800))
+	if asked, served, _ := s.State("a"); asked != 800 || served != 800 {
+		t.Errorf("%v asked and %v served, want 800", asked, served)
+	}
+}
