An update of the fleet's reader carries the configuration that it read

The reader read version 30 at 18.134 s, sent the others its update, and lost power at 18.138 s. The update moved the others' revision past the configuration without it, the generation rides on messages only once it is in force, and the next reader went on from the update's revision: six routers had the version when the dead one was back, 3.2 to 3.8 s later.

Change: FleetUpdate carries the configuration's document.

Tests: TestAnUpdateCarriesTheConfiguration, TestTheReaderSendsTheConfigurationItRead.

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -113,6 +113,17 @@
 	return f.c.e.cursor.get()
 }
 
+// SetPlatform sets what reads configurations' documents.
+func (f Follower) SetPlatform(p pomelorelay.Platform) { f.c.e.cfg.Platform = p }
+
+// UpdateOf returns the update that the router sends of what it read.
+func (f Follower) UpdateOf(change pomelorelay.FleetChange) *pomelorelay.FleetUpdate {
+	return f.c.updateOf(&storeRead{change: change})
+}
+
+// Version returns the version of the configuration in force.
+func (f Follower) Version() pomelorelay.Generation { return f.c.version() }
+
 // TakeState takes what a peer has.
 func (f Follower) TakeState(now time.Time, from pomelorelay.NodeID, m *pomelorelay.FleetState) pomelorelay.Revision {
 	f.c.takeState(now, from, m)
--- a/pomeloentry/reader.go
+++ b/pomeloentry/reader.go
@@ -169,6 +169,10 @@
 // updateOf returns what of a change the other routers do not have: heartbeats that change nothing are left out.
 func (c *control) updateOf(a *storeRead) *pomelorelay.FleetUpdate {
 	m := &pomelorelay.FleetUpdate{After: a.after, At: a.change.At, Whole: a.change.Whole, GoneUpstreams: a.change.GoneUpstreams, GonePeers: a.change.GonePeers}
+	if a.change.Config != nil {
+		// The others go on from this revision: should this router die next, nobody would read the configuration again.
+		m.Document = a.change.Config.Document
+	}
 	for _, u := range a.change.Upstreams {
 		_, lapses := c.upstreams.lapsed[u.ID]
 		if m.Whole || lapses || c.upstreams.present[u.ID] != u {
@@ -230,6 +234,9 @@
 	if !m.Forwarded && c.relaysHere(now) {
 		c.forwardUpdate(from, m)
 	}
+	if len(m.Document) > 0 {
+		c.takePush(now, from, &pomelorelay.ConfigPush{Root: m.Document})
+	}
 	if missed {
 		c.askState(now, from)
 	}
--- a/pomeloentry/reader_test.go
+++ b/pomeloentry/reader_test.go
@@ -90,6 +90,29 @@
 	}
 }
 
+// Guards against a configuration that only the reader has read, and that is lost to all others for as long as the reader is dead: they go on from
+// the revision of its last update.
+func TestAnUpdateCarriesTheConfiguration(t *testing.T) {
+	fleet := newFleet(t)
+	f := pomeloentry.NewFollower("a-1", 4*time.Second, peersOf(2, 3))
+	f.SetPlatform(fleet.store.View())
+	at := f.Receive(time.Now(), "a-0", &pomelorelay.FleetUpdate{At: 10, Whole: true, Document: fleet.config(7, "/a/").Document})
+	if at != 10 || f.Version() != 7 {
+		t.Errorf("at %d with version %d in force, want 10 and 7", at, f.Version())
+	}
+}
+
+// Guards against an update without the configuration that was read with it.
+func TestTheReaderSendsTheConfigurationItRead(t *testing.T) {
+	fleet := newFleet(t)
+	f := pomeloentry.NewFollower("a-0", 4*time.Second, peersOf(2, 3))
+	config := fleet.config(7, "/a/")
+	m := f.UpdateOf(pomelorelay.FleetChange{At: 10, Config: config})
+	if string(m.Document) != string(config.Document) || m.At != 10 {
+		t.Errorf("the update at %d holds %q", m.At, m.Document)
+	}
+}
+
 // Guards against calls to the store that grow with the routers while nothing happens, and after the store dropped its history.
 func TestStoreCallsDoNotGrowWithTheRouters(t *testing.T) {
 	const routers, beats = 12, 100
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -69,7 +69,7 @@
 			Parts: []pomelorelay.PartPlaced{}, Leaving: []pomelorelay.UpstreamID{}, Speeds: []pomelorelay.SpeedSums{},
 		}},
 		&pomelorelay.FleetUpdate{
-			After: 9, At: 12, Whole: true, Forwarded: true, GoneUpstreams: []pomelorelay.UpstreamID{"v"}, GonePeers: []pomelorelay.NodeID{"r2"},
+			After: 9, At: 12, Whole: true, Forwarded: true, Document: []byte("{}"), GoneUpstreams: []pomelorelay.UpstreamID{"v"}, GonePeers: []pomelorelay.NodeID{"r2"},
 			Upstreams: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6, Draining: true, Born: 77}},
 			Peers:     []pomelorelay.Peer{{Node: "r1", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Domain: "a", Region: "ra", Power: 0.4}},
 		},
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -75,7 +75,7 @@
 
 func (d *decoder) fleetUpdate(m *pomelowire.FleetUpdate) pomelorelay.Message {
 	u := &pomelorelay.FleetUpdate{
-		After: pomelorelay.Revision(m.GetAfter()), At: pomelorelay.Revision(m.GetAt()), Whole: m.GetWhole(), Forwarded: m.GetForwarded(),
+		After: pomelorelay.Revision(m.GetAfter()), At: pomelorelay.Revision(m.GetAt()), Whole: m.GetWhole(), Forwarded: m.GetForwarded(), Document: m.GetDocument(),
 		Upstreams: d.upstreams(m.GetUpstreams()), Peers: d.routers(m.GetRouters()),
 	}
 	u.GoneUpstreams = make([]pomelorelay.UpstreamID, d.count(len(m.GetGoneUpstreams()), maxList))
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -31,7 +31,7 @@
 
 func encodeUpdate(m *pomelorelay.FleetUpdate) *pomelowire.FleetUpdate {
 	w := &pomelowire.FleetUpdate{
-		After: uint64(m.After), At: uint64(m.At), Whole: m.Whole, Forwarded: m.Forwarded,
+		After: uint64(m.After), At: uint64(m.At), Whole: m.Whole, Forwarded: m.Forwarded, Document: m.Document,
 		Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers),
 	}
 	for _, id := range m.GoneUpstreams {
