Accounts leave slots by how far ahead they are, and the fleet's reader reads at a fifth of the drain bound

Change: pace and wait of the reader 0.2 of the drain bound each, turns from 0.5 on; an account leaves 0.1 of the slots times how far ahead it is, up to 0.35 (Shares.Ahead).

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -162,7 +162,7 @@
 		// would get past its share whenever many are, and other accounts would see their requests refused.
 		r.Owed = w.Charged || c.shares.Owed(w.Account, w.Cost)
 		r.Lead = c.shares.Lead(w.Account)
-		r.Yields = c.shares.Yields(w.Account)
+		r.Ahead = c.shares.Ahead(w.Account)
 		share.Cost, share.Owed = w.Cost, r.Owed
 		share.Asked, share.Served, share.Level = c.shares.State(w.Account)
 	}
--- a/pomeloentry/reader.go
+++ b/pomeloentry/reader.go
@@ -18,13 +18,13 @@
 const (
 	// pacePart is the least time between two reads, as a part of the time to the last request of an upstream that leaves: upstreams write
 	// all the time.
-	pacePart = 0.36
+	pacePart = 0.2
 	// waitPart is how long a read waits for a change, as a part of the same time.
-	waitPart = 0.24
+	waitPart = 0.2
 	// turnPart is the part of that time without an update after which the second router in turn reads, and turnStep what each further one
 	// waits longer. The reader is silent for its pace and its wait together at most.
-	turnPart = 0.66
-	turnStep = 0.024
+	turnPart = 0.5
+	turnStep = 0.03
 	// turnLook is how often a router looks whether its turn has come.
 	turnLook = 200 * time.Millisecond
 	// settleWork is the work, in seconds of a whole core, after which a router that starts reads by itself if nobody sends it updates. The
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -33,8 +33,9 @@
 	// reserveMost is the largest part of the slots that is kept free so: engines of few slots would run nothing else.
 	slotReserve = 3.0
 	reserveMost = 0.4
-	// yieldReserve is the part of the slots that accounts keep free for one that is short by far.
+	// yieldReserve is the part of the slots that an account leaves to one that is short by far, times how far it is ahead, up to yieldMost.
 	yieldReserve = 0.1
+	yieldMost    = 0.35
 	// freeAgain is the most shared tokens that a request beyond its account's share may make an engine read though another one, which is
 	// too busy, keeps them: about what an engine reads in one step.
 	freeAgain = 400
@@ -93,8 +94,9 @@
 	}
 	slots := u.slots()
 	a := allowance{slots: slots, queue: part(owedQueue, target), reason: ReasonLate}
-	if r.Yields && !off.Ahead {
-		a.slots = max(1, slots-int(math.Ceil(yieldReserve*float64(slots))))
+	if r.Ahead > 1 && !off.Ahead {
+		reserve := min(yieldReserve*r.Ahead, yieldMost)
+		a.slots = max(1, slots-int(math.Ceil(reserve*float64(slots))))
 	}
 	if r.Owed {
 		return a
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -30,8 +30,8 @@
 	Owed bool
 	// Lead is how many times as much the account has had as it may beside another that is short; up to one it is not ahead.
 	Lead float64
-	// Yields tells that the account leaves room for another that is short by far.
-	Yields bool
+	// Ahead is how many times as much as it may the account has had beside another one that is short by far; above one it leaves slots to that.
+	Ahead float64
 	// Avoid lists upstreams that failed this request.
 	Avoid []pomelorelay.UpstreamID
 }
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -248,9 +248,13 @@
 	return served+cost/2 <= s.level || served <= s.least
 }
 
-// Yields reports whether an account leaves room for another one that is short by far and has had much less, also of what it is owed itself.
-func (s *Shares) Yields(id pomelorelay.AccountID) bool {
-	return s.shortest > 0 && s.account(id).window.served > farAhead*s.shortest
+// Ahead returns how many times as much as it may an account has had beside another one that is short by far, also of what it is owed itself; up
+// to one it leaves no room for the other.
+func (s *Shares) Ahead(id pomelorelay.AccountID) float64 {
+	if s.shortest == 0 {
+		return 0
+	}
+	return float64(s.account(id).window.served / (farAhead * s.shortest))
 }
 
 // water is up to where accounts are owed. Engines often produce more than the operators' figure; what is above it goes to whoever is
