--- a/cmd/pomelobench/main.go
+++ b/cmd/pomelobench/main.go
@@ -18,13 +18,12 @@
 func main() {
 	app := kingpin.New("pomelobench", "Stand-ins, load and reports for a fleet of pomelorelay routers.")
 	commands := map[string]command{
-		"standin":  newStandInCommand(app.Command("standin", "Run stand-ins of upstreams, store, host list and links until told to end.")),
-		"run":      newRunCommand(app.Command("run", "Put a load on routers or stand-ins; the last line is one JSON object.")),
-		"bounds":   newBoundsCommand(app.Command("bounds", "Compare the output of go test -bench with committed bounds.")),
-		"capacity": newCapacityCommand(app.Command("capacity", "Measure every role's slopes and write docs/CAPACITY.md.")),
-		"report":   newReportCommand(app.Command("report", "Turn the record of a run into one HTML page with plots.")),
-		"latency":  newLatencyCommand(app.Command("latency", "Measure the latency that one and two routers add, on loopback.")),
-		"spread":   newSpreadCommand(app.Command("spread", "Measure how soon changes of the configuration are in force on all routers.")),
+		"standin": newStandInCommand(app.Command("standin", "Run stand-ins of upstreams, store, host list and links until told to end.")),
+		"run":     newRunCommand(app.Command("run", "Put a load on routers or stand-ins; the last line is one JSON object.")),
+		"bounds":  newBoundsCommand(app.Command("bounds", "Compare the output of go test -bench with committed bounds.")),
+		"report":  newReportCommand(app.Command("report", "Turn the record of a run into one HTML page with plots.")),
+		"latency": newLatencyCommand(app.Command("latency", "Measure the latency that one and two routers add, on loopback.")),
+		"spread":  newSpreadCommand(app.Command("spread", "Measure how soon changes of the configuration are in force on all routers.")),
 	}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/events_store.go
+++ b/events_store.go
@@ -27,6 +27,6 @@
 	{EventUpstreamGone, "UpstreamGone", LevelInfo, "An upstream is taken as gone and gets nothing new.", "None."},
 	{EventPeersChanged, "PeersChanged", LevelInfo, "The registered routers changed.", "None."},
 	{EventPeerMissed, "PeerMissed", LevelWarn, "A message to a router could not be queued.", "Check the link to it."},
-	{EventStateFromPeer, "StateFromPeer", LevelInfo, "A router that the store told too little took what a peer knows.", "Check the store and the way to it."},
+	{EventStateFromPeer, "StateFromPeer", LevelInfo, "A router that cannot reach the store, or that missed an update, took the fleet's state from another router.", "Check the store and the links to it when it repeats."},
 	{EventSpeedLearnt, "SpeedLearnt", LevelInfo, "What the router believes of how fast a service's engines read changed by a fifth or more.", "None; a service that turns slow as a whole shows here."},
 }
