A router that its relay names as the next is not its own peer

Change: a router skips its own name. Test: TestAStandbyIsNotItsOwnPeer (20 other routers of 19 before).

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -130,6 +130,12 @@
 	return f.c.e.cursor.get()
 }
 
+// TakeSummary takes the sum of the others' reports from the relay of its failure domain, and returns the number of other routers.
+func (f Follower) TakeSummary(now time.Time, from pomelorelay.NodeID, m *pomelorelay.LoadSummary) int {
+	f.c.takeSummary(now, pomelorelay.Envelope{From: from, Incarnation: 1, Message: m}, m)
+	return len(f.c.peers.present)
+}
+
 // Upstreams returns the ids of the upstreams that the router has.
 func (f Follower) Upstreams() []pomelorelay.UpstreamID {
 	return slices.Sorted(maps.Keys(f.c.upstreams.present))
--- a/pomeloentry/reader_test.go
+++ b/pomeloentry/reader_test.go
@@ -154,3 +154,15 @@
 		f.await("every router learns that u1 leaves", func() bool { return n.log.has(pomelorelay.EventLeaving) })
 	}
 }
+
+// Guards against a router that takes itself for another one when its relay names it as the next.
+func TestAStandbyIsNotItsOwnPeer(t *testing.T) {
+	const routers = 20
+	f := pomeloentry.NewFollower("a-1", 4*time.Second, peersOf(1, routers))
+	got := f.TakeSummary(time.Now(), "a-0", &pomelorelay.LoadSummary{
+		Report: &pomelorelay.LoadReport{Seq: 1, Whole: true}, Standby: []pomelorelay.NodeID{"a-1", "a-10"},
+	})
+	if got != routers-1 {
+		t.Errorf("%d other routers, want %d", got, routers-1)
+	}
+}
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -172,7 +172,9 @@
 	}
 	r.taken = s.Report.Seq
 	for i, node := range s.Standby {
-		c.peers.hear(now.Add(time.Duration(i+1)*standbyGrace), pomelorelay.Peer{Node: node})
+		if node != c.e.cfg.Settings.Self.Node {
+			c.peers.hear(now.Add(time.Duration(i+1)*standbyGrace), pomelorelay.Peer{Node: node})
+		}
 	}
 	c.apply(now, m, s.Report)
 }
