One copy of a relay's sums and of the age from which reports do not count

Found by reading the change again, behaviour unchanged: a source's maps and their base stood twice with their constructors, the age of three seconds in two packages, and a revision of the upstreams was written and never read.

Tests: unchanged but for a name.

--- a/pomeloentry/aggregate.go
+++ b/pomeloentry/aggregate.go
@@ -17,40 +17,32 @@
 	leaving   map[pomelorelay.UpstreamID]bool
 }
 
-// source is what one router or one failure domain last reported.
-type source struct {
-	node        pomelorelay.NodeID
-	incarnation pomelorelay.Incarnation
-	heard       time.Time
-	// settled tells that it has reported everything once; what its counters held until then is its base, from which they count.
-	settled   bool
-	base      counters
+// sums are loads, uses and speeds by what they belong to.
+type sums struct {
 	upstreams map[pomelorelay.UpstreamID]pomelorelay.UpstreamLoad
 	accounts  map[pomelorelay.AccountID]pomelorelay.AccountUse
 	speeds    map[pomelorelay.ServiceID]pomelorelay.SpeedSums
 }
 
-// counters are a source's counters as they were first reported.
-type counters struct {
-	upstreams map[pomelorelay.UpstreamID]pomelorelay.UpstreamLoad
-	accounts  map[pomelorelay.AccountID]pomelorelay.AccountUse
-	speeds    map[pomelorelay.ServiceID]pomelorelay.SpeedSums
-}
-
-func newSource(node pomelorelay.NodeID, incarnation pomelorelay.Incarnation) *source {
-	return &source{
-		node: node, incarnation: incarnation,
-		base: counters{
-			upstreams: make(map[pomelorelay.UpstreamID]pomelorelay.UpstreamLoad),
-			accounts:  make(map[pomelorelay.AccountID]pomelorelay.AccountUse),
-			speeds:    make(map[pomelorelay.ServiceID]pomelorelay.SpeedSums),
-		},
+func newSums() sums {
+	return sums{
 		upstreams: make(map[pomelorelay.UpstreamID]pomelorelay.UpstreamLoad),
 		accounts:  make(map[pomelorelay.AccountID]pomelorelay.AccountUse),
 		speeds:    make(map[pomelorelay.ServiceID]pomelorelay.SpeedSums),
 	}
 }
 
+// source is what one router or one failure domain last reported, with its counters from the base on.
+type source struct {
+	node        pomelorelay.NodeID
+	incarnation pomelorelay.Incarnation
+	reportedAt  time.Time
+	sums
+	// base holds the counters as they were first reported; settled is set once everything was reported, after which nothing is added to it.
+	base    sums
+	settled bool
+}
+
 // load returns a report's entry with its counters from the base on.
 func (s *source) load(l pomelorelay.UpstreamLoad) pomelorelay.UpstreamLoad {
 	if _, known := s.upstreams[l.Upstream]; !known && !s.settled {
@@ -119,10 +111,10 @@
 		s = nil
 	}
 	if s == nil {
-		s = newSource(node, incarnation)
+		s = &source{node: node, incarnation: incarnation, sums: newSums(), base: newSums()}
 		a.sources[key] = s
 	}
-	s.heard = now
+	s.reportedAt = now
 	if m.Whole {
 		a.clear(s, m)
 	}
@@ -230,7 +222,7 @@
 // forgetSilent forgets the sources that have reported nothing for a time.
 func (a *aggregate) forgetSilent(now time.Time, most time.Duration) {
 	for key, s := range a.sources {
-		if now.Sub(s.heard) > most {
+		if now.Sub(s.reportedAt) > most {
 			a.forget(key)
 		}
 	}
--- a/pomeloentry/aggregate_test.go
+++ b/pomeloentry/aggregate_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 )
 
-// reporter is a router whose reports are summed up, and what the sum tells it of the others.
+// reporter is a router whose reports are summed up, and the sum of the others that it received.
 type reporter struct {
 	incarnation pomelorelay.Incarnation
 	load        map[pomelorelay.UpstreamID]pomelorelay.UpstreamLoad
@@ -26,7 +26,7 @@
 }
 
 // Guards against a sum that differs from what each router would reckon by itself from all others' reports: engines would seem full or idle.
-func TestASumTellsWhatAllOthersHave(t *testing.T) {
+func TestASumHoldsWhatAllOthersReported(t *testing.T) {
 	nodes := []pomelorelay.NodeID{"r0", "r1", "r2", "r3"}
 	upstreams := []pomelorelay.UpstreamID{"u0", "u1", "u2"}
 	rapid.Check(t, func(rt *rapid.T) {
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -35,7 +35,7 @@
 
 // relays reports whether the router is there to relay.
 func (p *knownPeer) relays(now time.Time) bool {
-	return now.Sub(p.heard) <= relayTrust || now.Sub(p.since) <= relayGrace
+	return now.Sub(p.heard) <= relayTimeout || now.Sub(p.since) <= relayGrace
 }
 
 // peers are the other routers. One that cannot reach the store loses its registration; it is still told everything as long as its
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
 
 // Up to a dozen routers each reports to all others. Beyond, that grows with the square of the routers. One router of each failure domain, its
@@ -14,8 +15,8 @@
 const (
 	// directMost is the number of other routers that each reports to by itself.
 	directMost = 12
-	// relayTrust is how long a silent router goes on counting as one that can relay: it sends something every second.
-	relayTrust = 1500 * time.Millisecond
+	// relayTimeout is how long a silent router goes on counting as one that can relay: it sends something every second.
+	relayTimeout = 1500 * time.Millisecond
 	// relayGrace is how long a router that is new to this one counts as heard.
 	relayGrace = 3 * time.Second
 	// standbyMost is the number of routers that a relay names to its neighbours as the next ones, and standbyGrace how much longer than the
@@ -24,8 +25,6 @@
 	standbyGrace = 700 * time.Millisecond
 	// flushEvery is the least time between two summaries of a relay.
 	flushEvery = 40 * time.Millisecond
-	// sourceSilent is the age from which a source's report does not count: it is gone, and its requests with it.
-	sourceSilent = 3 * time.Second
 )
 
 // relays is what a relay sums up, and whose summary this router uses when it is none.
@@ -189,8 +188,8 @@
 // flush sends what was summed up: the own domain's sum to the other domains' relays, and to each neighbour the sum of all others.
 func (c *control) flush(now time.Time) {
 	r := &c.relayed
-	r.local.forgetSilent(now, sourceSilent)
-	r.all.forgetSilent(now, sourceSilent)
+	r.local.forgetSilent(now, pomeloplace.SilentAfter)
+	r.all.forgetSilent(now, pomeloplace.SilentAfter)
 	whole := now.Sub(r.wholeAt) >= wholeEvery
 	if now.Sub(r.flushedAt) < flushEvery || (!whole && !r.all.changed()) {
 		return
@@ -220,7 +219,7 @@
 func (c *control) standby(now time.Time) []pomelorelay.NodeID {
 	var live []pomelorelay.Peer
 	for _, p := range c.peers.present {
-		if p.Domain == c.e.cfg.Settings.Self.Domain && p.registered && now.Sub(p.heard) <= relayTrust {
+		if p.Domain == c.e.cfg.Settings.Self.Domain && p.registered && now.Sub(p.heard) <= relayTimeout {
 			live = append(live, p.Peer)
 		}
 	}
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -40,8 +40,6 @@
 	// leaving holds when this router learnt that an upstream drains or has gone.
 	leaving  map[pomelorelay.UpstreamID]time.Time
 	vanished []time.Time
-	// at is the store's revision at which they were registered.
-	at pomelorelay.Revision
 	// backAt is when the store answered again after it had not, heardAt when it last told of upstreams.
 	backAt  time.Time
 	heardAt time.Time
@@ -74,7 +72,6 @@
 		c.upstreams.backAt = now
 	}
 	c.upstreams.heardAt = now
-	c.upstreams.at = change.At
 	for _, fault := range change.Faults {
 		c.e.log(pomelorelay.EventUpstreamBadEntry, field("Code", int(pomelorelay.CodeOf(fault))), field("Fault", fault.Error()))
 	}
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -168,6 +168,6 @@
 	leastUnread = 0.3
 	// fullMemory is the part of an engine's memory up to which running requests may fill it; above, it evicts what runs.
 	fullMemory = 0.9
-	// silentAfter is the age from which another router's report does not count: it is gone, and its requests with it.
-	silentAfter = 3 * time.Second
+	// SilentAfter is the age from which another router's report does not count: it is gone, and its requests with it.
+	SilentAfter = 3 * time.Second
 )
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -182,7 +182,7 @@
 	}
 	p.oldest = time.Time{}
 	for node, o := range p.peers {
-		if now.Sub(o.heard) > silentAfter {
+		if now.Sub(o.heard) > SilentAfter {
 			p.forget(node)
 			continue
 		}
--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Plays what must hold before a landing, and prints a table: regression.sh BENCH SITES [JOBS]
-# BENCH is the users' bench, SITES the folder of their site files. Each site is scored once and hunted for the days in its line.
+# Plays what must hold before a landing, and prints a table: regression.sh BENCH SITES [JOBS [SITE]]
+# BENCH is the users' bench, SITES the folder of their site files. Each site is scored once and hunted for the days in its line; SITE plays one of them.
 set -eu
-bench=$1 sites=$2 jobs=${3:-3}
+bench=$1 sites=$2 jobs=${3:-3} only=${4:-}
 out=$(mktemp -d)
 plays="
 large/bancada-comum-large 8
@@ -13,6 +13,7 @@
 "
 echo "$plays" | while read -r site days; do
 	[ -n "$site" ] || continue
+	[ -z "$only" ] || [ "$only" = "$site" ] || continue
 	name=$(basename "$site")
 	"$bench" score "$sites/$site.toml" --jobs "$jobs" --why "Regression: $name" >"$out/$name.score" 2>&1 || true
 	"$bench" hunt "$sites/$site.toml" --days "$days" --jobs "$jobs" --why "Regression: $name" >"$out/$name.hunt" 2>&1 || true
