--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -18,9 +18,9 @@
 	"$bench" score "$sites/$site.toml" --jobs "$jobs" --why "Regression: $name" >"$out/$name.score" 2>&1 || true
 	"$bench" hunt "$sites/$site.toml" --days "$days" --jobs "$jobs" --why "Regression: $name" >"$out/$name.hunt" 2>&1 || true
 	awk -v name="$name" '
-		/^(trouble|scale)-[0-9]/ { sum += $4; n++ }
-		/^quiet-/ { quiet = $4 }
-		/^GATE/ { gate = $2 }
+		FILENAME ~ /score$/ && /^(trouble|scale)-[0-9]/ { sum += $4; n++ }
+		FILENAME ~ /score$/ && /^quiet-/ { quiet = $4 }
+		FILENAME ~ /score$/ && /^GATE/ { gate = $2 }
 		FILENAME ~ /hunt$/ && /BROKEN/ { broken++ }
 		FILENAME ~ /hunt$/ && /^snapshot/ { hunted = 1 }
 		END { printf "%-24s calm day %s, days with trouble %.3f, gate %s, hunt %s, days broken %d\n", name, quiet, n ? sum / n : 0, gate ? gate : "not played", hunted ? "played" : "not played", broken }
