Requests are served only in the regions that their route and their account allow

Change: Residency is a type of the root package, decoded in platform/. pomeloresidency decides by the route and the account, and binds both the version in force and the one before it for as long as other routers may still apply that. The control goroutine asks it at each attempt, so that a version that narrows regions binds retries and streams taken up again. The placer passes over upstreams elsewhere, also as sources of copied prompts. A request that no region may serve, or whose regions have no upstream that takes requests, is refused at once as not run (1214, 1215) with the cause in the document and in the log line.

Ruled out: guessing a region from a domain's name; a domain that the settings do not name is allowed to unlimited requests only.

--- a/codes_route.go
+++ b/codes_route.go
@@ -16,6 +16,8 @@
 	CodeUpstreamFailed    ResultCode = 1211
 	CodeUpstreamsBusy     ResultCode = 1212
 	CodeShareSpent        ResultCode = 1213
+	CodeNoCommonRegion    ResultCode = 1214
+	CodeRegionUnavailable ResultCode = 1215
 )
 
 var routeCodes = []CodeInfo{
@@ -33,4 +35,6 @@
 	{CodeUpstreamFailed, "UpstreamFailed", 502, RanUnknown, "The upstream answered with a failure of its own.", "Send it again only if it may run twice."},
 	{CodeUpstreamsBusy, "UpstreamsBusy", 503, RanNo, "No upstream could begin the answer in time.", "Send it again after Retry-After."},
 	{CodeShareSpent, "ShareSpent", 503, RanNo, "The account has had its share of busy upstreams.", "Send it again after Retry-After, or ask the operators for a larger share."},
+	{CodeNoCommonRegion, "NoCommonRegion", 503, RanNo, "The regions allowed to the route and those allowed to the account have none in common.", "Ask the operators to change one of the two lists; until then no request is served."},
+	{CodeRegionUnavailable, "RegionUnavailable", 503, RanNo, "No upstream in the regions allowed to the request takes requests; the detail says why.", "Send it again after Retry-After."},
 }
--- a/fleet.go
+++ b/fleet.go
@@ -48,6 +48,8 @@
 	Resumable bool
 	// Prompts tells that requests name the parts of their prompts.
 	Prompts bool
+	// Regions are those in which the route's requests may be served; all are when it is empty.
+	Regions []RegionID
 }
 
 // EngineSpec is what the configuration says of a service's model engines.
@@ -75,6 +77,8 @@
 	Keys []string
 	// Priority goes before the routes' where it is set.
 	Priority *int
+	// Regions are those in which the account's requests may be served; all are when it is empty.
+	Regions []RegionID
 }
 
 // CallerLimits bound what callers may send.
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -6,6 +6,7 @@
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
+	"github.com/pomelorelay/pomelorelay/pomeloresidency"
 	"github.com/pomelorelay/pomelorelay/pomeloshare"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
 	"github.com/pomelorelay/pomelorelay/pomelotable"
@@ -32,6 +33,7 @@
 	e         *Entry
 	placer    *pomeloplace.Placer
 	shares    *pomeloshare.Shares
+	residency *pomeloresidency.Policy
 	config    *pomelorelay.FleetConfig
 	upstreams upstreams
 	peers     peers
@@ -53,6 +55,7 @@
 		e:         e,
 		placer:    pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions, Without: e.cfg.Without}),
 		shares:    pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
+		residency: pomeloresidency.New(pomeloresidency.Config{Overlap: s.ConfigWait}),
 		upstreams: newUpstreams(),
 		peers:     newPeers(),
 		speeds:    make(map[pomelorelay.ServiceID]pomelospeed.Rate),
@@ -152,6 +155,8 @@
 func (c *control) place(now time.Time, w pomeloforward.Work) pomeloplace.Decision {
 	counts := w.Cost > 0 && w.Account != ""
 	r := w.Place
+	// By the version in force at each attempt: one that narrows the regions binds also requests that came before it.
+	r.Residency = c.residency.Of(now, w.Route, w.Account)
 	r.Owed = true
 	var share pomeloplace.ShareState
 	if counts {
@@ -167,7 +172,7 @@
 		share.Asked, share.Served, share.Level = c.shares.State(w.Account)
 	}
 	d := c.placer.Place(now, r)
-	d.Share = share
+	d.Share, d.Residency = share, r.Residency
 	if !c.upstreams.heardAt.IsZero() {
 		d.ListAge = now.Sub(c.upstreams.heardAt)
 	}
@@ -270,6 +275,7 @@
 	c.config = config
 	c.shares.SetCapacity(config.Limits.TokensPerSecond)
 	c.placer.SetConfig(config)
+	c.residency.SetConfig(now, config)
 	c.e.table.Store(pomelotable.New(config))
 	c.e.mesh.SetGeneration(config.Version)
 	c.e.log(pomelorelay.EventConfigInForce, field("Generation", uint64(config.Version)), field("Source", source), field("Routes", len(config.Routes)), field("Accounts", len(config.Accounts)))
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -35,6 +35,7 @@
 	c := newControl(&Entry{cfg: Config{Settings: settings, Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New()})
 	c.shares.SetCapacity(config.Limits.TokensPerSecond)
 	c.placer.SetConfig(&config)
+	c.residency.SetConfig(time.Time{}, &config)
 	for _, u := range upstreams {
 		c.placer.Put(u)
 	}
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -164,7 +164,7 @@
 		return ticket, nil
 	}
 	f := pomelolink.NewFailure(pomelolink.OutcomeNotSent, codeOf(d.Reason), nil)
-	f.Err.RetryAfter = d.RetryAfter
+	f.Err.RetryAfter, f.Err.Detail = d.RetryAfter, string(d.Cause)
 	return nil, f
 }
 
@@ -174,6 +174,10 @@
 		return pomelorelay.CodeShareSpent
 	case pomeloplace.ReasonLate:
 		return pomelorelay.CodeUpstreamsBusy
+	case pomeloplace.ReasonNoRegion:
+		return pomelorelay.CodeNoCommonRegion
+	case pomeloplace.ReasonRegion:
+		return pomelorelay.CodeRegionUnavailable
 	}
 	return pomelorelay.CodeNoUpstream
 }
@@ -197,6 +201,7 @@
 func (c *call) work() Work {
 	return Work{
 		ID:      c.fields.ID,
+		Route:   c.route.Name,
 		Account: c.account,
 		Cost:    costOf(c.fields),
 		Again:   len(c.avoid) > 0,
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -35,6 +35,7 @@
 // Work is a request that wants an upstream.
 type Work struct {
 	ID      string
+	Route   pomelorelay.RouteID
 	Account pomelorelay.AccountID
 	// Cost is what the request counts towards its account's share; zero for plain services.
 	Cost  pomelorelay.Cost
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -90,7 +90,9 @@
 		pomelorelay.Field{Key: "Failure", Value: e.Error()},
 		pomelorelay.Field{Key: "RetryAfterMS", Value: e.RetryAfter.Milliseconds()},
 		pomelorelay.Field{Key: "Reason", Value: string(c.decision.Reason)},
+		pomelorelay.Field{Key: "Cause", Value: string(c.decision.Cause)},
 		pomelorelay.Field{Key: "Bound", Value: string(c.decision.Bound)},
+		pomelorelay.Field{Key: "Regions", Value: c.decision.Residency.String()},
 	)
 }
 
--- a/pomeloforward/forward_test.go
+++ b/pomeloforward/forward_test.go
@@ -401,3 +401,27 @@
 		t.Errorf("%q asks %.0f, want acct and 1100", account, cost)
 	}
 }
+
+// Guards against a refusal by residency that does not name its reason, or that leaves open whether the request ran.
+func TestRefusalsByResidencyNameTheirReason(t *testing.T) {
+	for _, c := range []struct {
+		decision pomeloplace.Decision
+		code     pomelorelay.ResultCode
+		detail   string
+	}{
+		{pomeloplace.Decision{Reason: pomeloplace.ReasonNoRegion, RetryAfter: 30 * time.Second}, pomelorelay.CodeNoCommonRegion, ""},
+		{pomeloplace.Decision{Reason: pomeloplace.ReasonRegion, Cause: pomeloplace.ReasonNoUpstream, RetryAfter: 700 * time.Millisecond}, pomelorelay.CodeRegionUnavailable, "NoUpstream"},
+	} {
+		w := newWorld(t)
+		w.places = []pomeloplace.Decision{c.decision}
+		got := w.call("POST", "/book/", "x")
+		if got.status != 503 || got.head.Get("Retry-After") != fmt.Sprintf("%.3f", c.decision.RetryAfter.Seconds()) {
+			t.Errorf("status %d, Retry-After %q", got.status, got.head.Get("Retry-After"))
+		}
+		for _, want := range []string{fmt.Sprint(int(c.code)), `"Ran":"No"`, c.detail} {
+			if !strings.Contains(got.body, want) {
+				t.Errorf("%s lacks %s", got.body, want)
+			}
+		}
+	}
+}
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -32,6 +32,8 @@
 	Lead float64
 	// Ahead is how many times as much as it may the account has had beside another one that is short by far; above one it leaves slots to that.
 	Ahead float64
+	// Residency says in which regions the request may be served.
+	Residency pomelorelay.Residency
 	// Avoid lists upstreams that failed this request.
 	Avoid []pomelorelay.UpstreamID
 }
@@ -45,6 +47,10 @@
 	ReasonNone Reason = ""
 	// ReasonNoUpstream stands for a service without an upstream that takes requests.
 	ReasonNoUpstream Reason = "NoUpstream"
+	// ReasonNoRegion stands for a request that no region may serve.
+	ReasonNoRegion Reason = "NoRegion"
+	// ReasonRegion stands for a service without an upstream that takes requests in the regions that may serve the request.
+	ReasonRegion Reason = "Region"
 	// ReasonLate stands for upstreams at which the request could not begin in time.
 	ReasonLate Reason = "Late"
 	// ReasonShare stands for a request beyond its account's share while upstreams are busy.
@@ -71,7 +77,11 @@
 // Decision is where a request goes, or why it goes nowhere and when it may come back.
 type Decision struct {
 	Reason Reason
-	Bound  Bound
+	// Cause tells why no upstream takes the request in the regions that may serve it.
+	Cause Reason
+	Bound Bound
+	// Residency is that under which the request was decided on.
+	Residency pomelorelay.Residency
 	// Term is the largest part of what it costs to send the request there.
 	Term Term
 	// RetryAfter is when there is likely to be a place.
@@ -155,6 +165,8 @@
 	startService = 40 * time.Millisecond
 	// serviceShare is the weight of a new sample in its running mean.
 	serviceShare = 0.05
+	// noRegionRetry is what callers are told whose requests no region may serve, which only the operators can change.
+	noRegionRetry = 30 * time.Second
 	// failShare is the weight of a new result in the rate of failures.
 	failShare = 0.25
 	// failMemory is how long it takes until half of a rate of failures is forgiven, so that an upstream gets another chance.
--- a/pomeloplace/copy.go
+++ b/pomeloplace/copy.go
@@ -18,11 +18,12 @@
 	missing pomelorelay.Tokens
 }
 
-// source returns the engine that keeps most of the request's prompt, of several the one that runs least.
-func (s *pool) source(now time.Time, r *Request) source {
+// source returns the engine that keeps most of the request's prompt, of several the one that runs least. Prompts are copied only from where the
+// request itself may be served.
+func (p *Placer) source(now time.Time, s *pool, r *Request) source {
 	best := source{missing: r.Prompt}
 	for _, u := range s.list {
-		if u.engine == nil || len(r.Parts) == 0 || now.Before(u.downUntil) || u.kept.parts[r.Parts[0].Hash] == nil {
+		if u.engine == nil || len(r.Parts) == 0 || !r.Residency.Allows(p.cfg.Regions[u.info.Domain]) || now.Before(u.downUntil) || u.kept.parts[r.Parts[0].Hash] == nil {
 			continue
 		}
 		missing := u.kept.missing(r)
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -132,9 +132,12 @@
 
 // Place decides on a request. The run that it returns must be ended.
 func (p *Placer) Place(now time.Time, r Request) Decision {
+	if r.Residency.Empty() {
+		return Decision{Reason: ReasonNoRegion, RetryAfter: noRegionRetry, ReportAge: p.reportAge(now)}
+	}
 	best, found := p.best(now, &r)
 	if !found {
-		return Decision{Reason: ReasonNoUpstream, RetryAfter: unreachedFor, ReportAge: p.reportAge(now)}
+		return p.unplaced(now, &r)
 	}
 	d := Decision{
 		Term:      best.largest,
@@ -152,6 +155,20 @@
 	return d
 }
 
+// unplaced is the decision on a request for which there is no upstream.
+func (p *Placer) unplaced(now time.Time, r *Request) Decision {
+	d := Decision{Reason: ReasonNoUpstream, RetryAfter: unreachedFor, ReportAge: p.reportAge(now)}
+	if r.Residency.Limited {
+		d.Reason, d.Cause = ReasonRegion, d.Reason
+	}
+	return d
+}
+
+// usable reports whether the request may be sent to the upstream at all.
+func (p *Placer) usable(u *upstream, r *Request) bool {
+	return !u.info.Draining && r.Residency.Allows(p.cfg.Regions[u.info.Domain])
+}
+
 // best returns the candidate of the lowest cost. Upstreams that failed this request or take no connections are taken only when there is no other.
 func (p *Placer) best(now time.Time, r *Request) (candidate, bool) {
 	var best candidate
@@ -161,11 +178,11 @@
 	}
 	found := false
 	least := r.Prompt
-	source := s.source(now, r)
+	source := p.source(now, s, r)
 	s.renew(now)
 	for round := 0; round < 2 && !found; round++ {
 		for _, u := range s.list {
-			if u.info.Draining || (round == 0 && (u.rests(now, &p.cfg.Without) || slices.Contains(r.Avoid, u.info.ID))) {
+			if !p.usable(u, r) || (round == 0 && (u.rests(now, &p.cfg.Without) || slices.Contains(r.Avoid, u.info.ID))) {
 				continue
 			}
 			c := p.weigh(now, u, source, r)
--- /dev/null
+++ b/pomeloplace/residency_test.go
@@ -0,0 +1,107 @@
+package pomeloplace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+func limited(r pomeloplace.Request, regions ...pomelorelay.RegionID) pomeloplace.Request {
+	r.Residency = pomelorelay.Residency{Limited: true, Regions: regions}
+	return r
+}
+
+func engineIn(id pomelorelay.UpstreamID, domain pomelorelay.DomainID) pomelorelay.FleetUpstream {
+	u := engine(id)
+	u.Domain = domain
+	return u
+}
+
+// Guards against a request that reaches an upstream outside of the regions that may serve it, whatever the state of those inside.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	draining := engineIn("b0", "b")
+	draining.Draining = true
+	for _, c := range []struct {
+		name    string
+		regions []pomelorelay.RegionID
+		prepare func(p *pomeloplace.Placer)
+		want    pomelorelay.UpstreamID
+		reason  pomeloplace.Reason
+		cause   pomeloplace.Reason
+	}{
+		{"an idle upstream inside", []pomelorelay.RegionID{"rb"}, func(*pomeloplace.Placer) {}, "b0", pomeloplace.ReasonNone, ""},
+		{"a draining one inside", []pomelorelay.RegionID{"rb"}, func(p *pomeloplace.Placer) { p.Put(draining) }, "", pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
+		{"none inside", []pomelorelay.RegionID{"rb"}, func(p *pomeloplace.Placer) { p.Remove("b0") }, "", pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
+		{"a region that nobody names", []pomelorelay.RegionID{"rc"}, func(*pomeloplace.Placer) {}, "", pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
+		{"an upstream of an unknown domain", []pomelorelay.RegionID{""}, func(*pomeloplace.Placer) {}, "", pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
+		{"no region in common", nil, func(*pomeloplace.Placer) {}, "", pomeloplace.ReasonNoRegion, ""},
+	} {
+		p := withEngines(3)
+		p.Put(engineIn("b0", "b"))
+		p.Put(engineIn("lost", "of no region"))
+		c.prepare(p)
+		d := p.Place(start, limited(prompt(1, 500, 100), c.regions...))
+		if d.Upstream.ID != c.want || d.Reason != c.reason || d.Cause != c.cause {
+			t.Errorf("%s: sent to %q, reason %q, cause %q", c.name, d.Upstream.ID, d.Reason, d.Cause)
+		}
+		if d.Reason != pomeloplace.ReasonNone && d.RetryAfter <= 0 {
+			t.Errorf("%s: no time to come back", c.name)
+		}
+	}
+}
+
+// Guards against a retry that leaves the regions because those inside failed the request or take no connections.
+func TestRetriesStayInTheirRegions(t *testing.T) {
+	p := withEngines(3)
+	p.Put(engineIn("b0", "b"))
+	now := start
+	for range 5 {
+		r := limited(prompt(1, 500, 100), "rb")
+		r.Avoid = []pomelorelay.UpstreamID{"b0"}
+		d := p.Place(now, r)
+		if d.Reason == pomeloplace.ReasonNone {
+			if d.Upstream.ID != "b0" {
+				t.Fatalf("sent to %s", d.Upstream.ID)
+			}
+			p.Ended(now, d.Run, pomeloplace.ResultUnreached)
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+}
+
+// Guards against prompts that are copied from an engine in a region where they may not be kept.
+func TestPromptsAreNotCopiedFromOtherRegions(t *testing.T) {
+	copies := func(regions ...pomelorelay.RegionID) bool {
+		p := newPlacer()
+		p.Put(engineIn("b0", "b"))
+		p.Put(engineIn("b1", "b"))
+		now := start
+		for i := range 3 {
+			d := place(t, p, now, prompt(1, 5000, pomelorelay.Tokens(100+i)))
+			p.Begun(now.Add(50*time.Millisecond), d.Run)
+			p.Ended(now.Add(90*time.Millisecond), d.Run, pomeloplace.ResultGood)
+			now = now.Add(time.Second)
+		}
+		// The engines that keep the part stop taking requests; others must copy or read it.
+		for i := range 2 {
+			u := engineIn(pomelorelay.UpstreamID(fmt.Sprintf("b%d", i)), "b")
+			u.Draining = true
+			p.Put(u)
+		}
+		p.Put(engineIn("a0", "a"))
+		d := p.Place(now, limited(prompt(1, 5000, 500), regions...))
+		if d.Upstream.ID != "a0" {
+			t.Fatalf("sent to %q: %s", d.Upstream.ID, d.Reason)
+		}
+		return d.Copied > 0
+	}
+	if !copies("ra", "rb") {
+		t.Error("nothing was copied where both regions are allowed")
+	}
+	if copies("ra") {
+		t.Error("the prompt was copied from a region that is not allowed")
+	}
+}
--- a/settings_fleet.go
+++ b/settings_fleet.go
@@ -26,6 +26,8 @@
 	StopWait time.Duration
 	// DrainWait is the time after which an upstream that said it leaves must get no more requests.
 	DrainWait time.Duration
+	// ConfigWait is the time within which a configuration is in force on every router.
+	ConfigWait time.Duration
 	// RetryRatio and RetrySlack bound what the whole fleet sends again of one service's requests: a ratio of them, and a slack.
 	RetryRatio float64
 	RetrySlack float64
