Upstreams of a failure domain under evacuation get nothing new

Change: evacuations are part of what the store's reader reads, of its updates, and of the whole state that a router takes from a peer when it missed an update or starts in an outage. One ends only by a deletion or by a newer whole state that lacks it, not because a router has no word of it. The placer passes over the domain's upstreams for first tries, retries, copies, and as engines for long prompts; a request that would have a place but for evacuations is refused at once (1216). Begun and ended ones are logged (912, 913) and counted (evacuated_domains).

--- a/codes_route.go
+++ b/codes_route.go
@@ -18,6 +18,7 @@
 	CodeShareSpent        ResultCode = 1213
 	CodeNoCommonRegion    ResultCode = 1214
 	CodeRegionUnavailable ResultCode = 1215
+	CodeEvacuated         ResultCode = 1216
 )
 
 var routeCodes = []CodeInfo{
@@ -37,4 +38,5 @@
 	{CodeShareSpent, "ShareSpent", 503, RanNo, "The account has had its share of busy upstreams.", "Send it again after Retry-After, or ask the operators for a larger share."},
 	{CodeNoCommonRegion, "NoCommonRegion", 503, RanNo, "The regions allowed to the route and those allowed to the account have none in common.", "Ask the operators to change one of the two lists; until then no request is served."},
 	{CodeRegionUnavailable, "RegionUnavailable", 503, RanNo, "No upstream in the regions allowed to the request takes requests; the detail says why.", "Send it again after Retry-After."},
+	{CodeEvacuated, "Evacuated", 503, RanNo, "All failure domains with upstreams of the service are being evacuated.", "Send it again after Retry-After; operators may take an evacuation back."},
 }
--- a/events_store.go
+++ b/events_store.go
@@ -14,6 +14,8 @@
 	EventPeerMissed         EventID = 909
 	EventStateFromPeer      EventID = 910
 	EventSpeedLearnt        EventID = 911
+	EventDomainEvacuated    EventID = 912
+	EventDomainRestored     EventID = 913
 )
 
 var storeEvents = []EventInfo{
@@ -29,4 +31,6 @@
 	{EventPeerMissed, "PeerMissed", LevelWarn, "A message to a router could not be queued.", "Check the link to it."},
 	{EventStateFromPeer, "StateFromPeer", LevelInfo, "A router that cannot reach the store, or that missed an update, took the fleet's state from another router.", "Check the store and the links to it when it repeats."},
 	{EventSpeedLearnt, "SpeedLearnt", LevelInfo, "What the router believes of how fast a service's engines read changed by a fifth or more.", "None; a service that turns slow as a whole shows here."},
+	{EventDomainEvacuated, "DomainEvacuated", LevelInfo, "The evacuation of a failure domain is in force at this router: its upstreams get nothing new, what runs there goes on.", "None."},
+	{EventDomainRestored, "DomainRestored", LevelInfo, "The evacuation of a failure domain was taken back; its upstreams take requests again.", "None."},
 }
--- a/fleet.go
+++ b/fleet.go
@@ -129,6 +129,9 @@
 	GoneUpstreams []UpstreamID
 	Peers         []Peer
 	GonePeers     []NodeID
+	// Evacuated are failure domains whose upstreams get nothing new, Restored those of which the operators took that back.
+	Evacuated []DomainID
+	Restored  []DomainID
 	// Faults tell of upstreams' entries that cannot be read; their ids are among GoneUpstreams.
 	Faults []error
 }
--- a/messages_load.go
+++ b/messages_load.go
@@ -79,6 +79,8 @@
 	GoneUpstreams []UpstreamID
 	Peers         []Peer
 	GonePeers     []NodeID
+	Evacuated     []DomainID
+	Restored      []DomainID
 	// Document is the operators' configuration; empty when it did not change.
 	Document []byte
 	// Forwarded tells that the relay of a failure domain passed the update on to its neighbours.
--- a/messages_state.go
+++ b/messages_state.go
@@ -18,10 +18,12 @@
 type FleetState struct {
 	// Document is the configuration as it was published.
 	Document []byte
-	// At is the store's revision at which Upstreams were registered; zero when they are left out.
+	// At is the store's revision at which Upstreams were registered; zero when they and Evacuated are left out.
 	At        Revision
 	Upstreams []FleetUpstream
 	Peers     []Peer
+	// Evacuated are the failure domains that were under evacuation at At.
+	Evacuated []DomainID
 }
 
 // Urgency is that of configurations.
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -36,6 +36,8 @@
 	residency *pomeloresidency.Policy
 	config    *pomelorelay.FleetConfig
 	upstreams upstreams
+	// evacuated are the failure domains under evacuation; one ends only when the store or a peer's whole state says so.
+	evacuated map[pomelorelay.DomainID]bool
 	peers     peers
 	pulls     pulls
 	asks      asks
@@ -57,6 +59,7 @@
 		shares:    pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
 		residency: pomeloresidency.New(pomeloresidency.Config{Overlap: s.ConfigWait}),
 		upstreams: newUpstreams(),
+		evacuated: make(map[pomelorelay.DomainID]bool),
 		peers:     newPeers(),
 		speeds:    make(map[pomelorelay.ServiceID]pomelospeed.Rate),
 	}
@@ -123,6 +126,7 @@
 func (c *control) setGauges() {
 	m := c.e.metrics
 	m.Set("upstreams", float64(len(c.upstreams.present)))
+	m.Set("evacuated_domains", float64(len(c.evacuated)))
 	m.Set("peers", float64(len(c.peers.present)))
 	m.Set("requests_in_flight", float64(c.e.inFlight.Load()))
 	m.Set("caller_connections", float64(c.e.conns.Load()))
--- /dev/null
+++ b/pomeloentry/evacuation.go
@@ -0,0 +1,41 @@
+package pomeloentry
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// applyEvacuations takes in which failure domains are under evacuation; source names the router that read it.
+func (c *control) applyEvacuations(change *pomelorelay.FleetChange, source string) {
+	for _, domain := range change.Evacuated {
+		c.setEvacuated(domain, true, source)
+	}
+	for _, domain := range change.Restored {
+		c.setEvacuated(domain, false, source)
+	}
+	if !change.Whole {
+		return
+	}
+	for _, domain := range slices.Sorted(maps.Keys(c.evacuated)) {
+		if !slices.Contains(change.Evacuated, domain) {
+			c.setEvacuated(domain, false, source)
+		}
+	}
+}
+
+func (c *control) setEvacuated(domain pomelorelay.DomainID, evacuated bool, source string) {
+	if c.evacuated[domain] == evacuated {
+		return
+	}
+	event := pomelorelay.EventDomainRestored
+	if evacuated {
+		event = pomelorelay.EventDomainEvacuated
+		c.evacuated[domain] = true
+	} else {
+		delete(c.evacuated, domain)
+	}
+	c.placer.SetEvacuated(domain, evacuated)
+	c.e.log(event, field("Domain", domain), field("Source", source), field("Revision", uint64(c.e.cursor.get())))
+}
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -142,6 +142,9 @@
 	return slices.Sorted(maps.Keys(f.c.upstreams.present))
 }
 
+// Evacuated returns the failure domains under evacuation.
+func (f Follower) Evacuated() []pomelorelay.DomainID { return slices.Sorted(maps.Keys(f.c.evacuated)) }
+
 // noMesh loses every message.
 type noMesh struct{ pomelorelay.Mesh }
 
--- a/pomeloentry/reader.go
+++ b/pomeloentry/reader.go
@@ -168,7 +168,7 @@
 
 // updateOf returns what of a change the other routers do not have: heartbeats that change nothing are left out.
 func (c *control) updateOf(a *storeRead) *pomelorelay.FleetUpdate {
-	m := &pomelorelay.FleetUpdate{After: a.after, At: a.change.At, Whole: a.change.Whole, GoneUpstreams: a.change.GoneUpstreams, GonePeers: a.change.GonePeers}
+	m := &pomelorelay.FleetUpdate{After: a.after, At: a.change.At, Whole: a.change.Whole, GoneUpstreams: a.change.GoneUpstreams, GonePeers: a.change.GonePeers, Evacuated: a.change.Evacuated, Restored: a.change.Restored}
 	if a.change.Config != nil {
 		// The others go on from this revision: should this router die next, nobody would read the configuration again.
 		m.Document = a.change.Config.Document
@@ -196,6 +196,7 @@
 		c.setConfig(now, change.Config, source)
 	}
 	c.applyUpstreams(now, change, back, source)
+	c.applyEvacuations(change, source)
 	c.applyPeers(now, change)
 }
 
@@ -243,6 +244,7 @@
 	if taken {
 		change := pomelorelay.FleetChange{
 			At: m.At, Whole: m.Whole, Upstreams: m.Upstreams, GoneUpstreams: m.GoneUpstreams, Peers: m.Peers, GonePeers: m.GonePeers,
+			Evacuated: m.Evacuated, Restored: m.Restored,
 		}
 		c.applyChange(now, &change, false, string(from))
 	}
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -1,6 +1,8 @@
 package pomeloentry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -77,6 +79,7 @@
 	}
 	if ask.Upstreams {
 		m.At = c.e.cursor.get()
+		m.Evacuated = slices.Sorted(maps.Keys(c.evacuated))
 		for id, u := range c.upstreams.present {
 			if _, lapses := c.upstreams.lapsed[id]; !lapses {
 				m.Upstreams = append(m.Upstreams, u)
@@ -93,10 +96,11 @@
 	if len(m.Document) > 0 {
 		c.takePush(now, from, &pomelorelay.ConfigPush{Root: m.Document})
 	}
-	change := pomelorelay.FleetChange{At: m.At, Whole: m.At > 0, Upstreams: m.Upstreams, Peers: m.Peers}
+	change := pomelorelay.FleetChange{At: m.At, Whole: m.At > 0, Upstreams: m.Upstreams, Peers: m.Peers, Evacuated: m.Evacuated}
 	switch {
 	case m.At > c.e.cursor.get() && c.e.cursor.advance(0, m.At, true):
 		c.applyUpstreams(now, &change, false, string(from))
+		c.applyEvacuations(&change, string(from))
 		c.applyPeers(now, &change)
 	case !c.e.cursor.begun():
 		c.applyPeers(now, &change)
--- a/pomeloentry/world_test.go
+++ b/pomeloentry/world_test.go
@@ -155,6 +155,12 @@
 
 // upstream starts an upstream that answers after a pause, and registers it.
 func (f *fleet) upstream(id pomelorelay.UpstreamID, pause time.Duration) pomelorelay.FleetUpstream {
+	f.t.Helper()
+	return f.upstreamWith(id, pause, func(*pomelorelay.FleetUpstream) {})
+}
+
+// upstreamWith starts an upstream whose entry is changed before it is registered.
+func (f *fleet) upstreamWith(id pomelorelay.UpstreamID, pause time.Duration, change func(*pomelorelay.FleetUpstream)) pomelorelay.FleetUpstream {
 	f.t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(pause)
@@ -164,6 +170,7 @@
 	}))
 	f.t.Cleanup(server.Close)
 	u := pomelorelay.FleetUpstream{ID: id, Service: "s", Addr: netip.MustParseAddrPort(server.Listener.Addr().String()), Domain: "a", Slots: 8}
+	change(&u)
 	f.store.Put(u)
 	return u
 }
--- a/pomelofake/fleetstore.go
+++ b/pomelofake/fleetstore.go
@@ -19,6 +19,7 @@
 	configAt  pomelorelay.Revision
 	upstreams map[pomelorelay.UpstreamID]fleetEntry
 	peers     map[pomelorelay.NodeID]fleetEntry
+	evacuated map[pomelorelay.DomainID]fleetEntry
 	leases    map[pomelorelay.LeaseID]pomelorelay.NodeID
 	nextLease pomelorelay.LeaseID
 	// oldest is the revision from which the history is kept.
@@ -28,7 +29,7 @@
 	Decode func(document []byte) (*pomelorelay.FleetConfig, error)
 }
 
-// fleetEntry is an upstream or a router at a revision, or the mark that one was removed.
+// fleetEntry is an upstream, a router or an evacuation at a revision, or the mark that one was removed.
 type fleetEntry struct {
 	at       pomelorelay.Revision
 	gone     bool
@@ -42,6 +43,7 @@
 		changed:   make(chan struct{}),
 		upstreams: make(map[pomelorelay.UpstreamID]fleetEntry),
 		peers:     make(map[pomelorelay.NodeID]fleetEntry),
+		evacuated: make(map[pomelorelay.DomainID]fleetEntry),
 		leases:    make(map[pomelorelay.LeaseID]pomelorelay.NodeID),
 	}
 }
@@ -71,6 +73,16 @@
 	s.change(func(at pomelorelay.Revision) { s.upstreams[id] = fleetEntry{at: at, gone: true} })
 }
 
+// Evacuate writes the evacuation of a failure domain.
+func (s *FleetStore) Evacuate(domain pomelorelay.DomainID) {
+	s.change(func(at pomelorelay.Revision) { s.evacuated[domain] = fleetEntry{at: at} })
+}
+
+// Restore takes an evacuation back.
+func (s *FleetStore) Restore(domain pomelorelay.DomainID) {
+	s.change(func(at pomelorelay.Revision) { s.evacuated[domain] = fleetEntry{at: at, gone: true} })
+}
+
 // SetDown makes every call fail, or ends that.
 func (s *FleetStore) SetDown(down bool) {
 	s.change(func(pomelorelay.Revision) { s.down = down })
@@ -209,7 +221,17 @@
 			change.Peers = append(change.Peers, e.peer)
 		}
 	}
-	return change.Config != nil || len(change.Upstreams)+len(change.GoneUpstreams)+len(change.Peers)+len(change.GonePeers) > 0
+	for domain, e := range s.evacuated {
+		switch {
+		case e.at <= after:
+		case e.gone:
+			change.Restored = append(change.Restored, domain)
+		default:
+			change.Evacuated = append(change.Evacuated, domain)
+		}
+	}
+	changed := len(change.Upstreams) + len(change.GoneUpstreams) + len(change.Peers) + len(change.GonePeers) + len(change.Evacuated) + len(change.Restored)
+	return change.Config != nil || changed > 0
 }
 
 // ReadConfig reads a configuration's document that a peer gave.
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -70,12 +70,14 @@
 		}},
 		&pomelorelay.FleetUpdate{
 			After: 9, At: 12, Whole: true, Forwarded: true, Document: []byte("{}"), GoneUpstreams: []pomelorelay.UpstreamID{"v"}, GonePeers: []pomelorelay.NodeID{"r2"},
+			Evacuated: []pomelorelay.DomainID{"b"}, Restored: []pomelorelay.DomainID{"c"},
 			Upstreams: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6, Draining: true, Born: 77}},
 			Peers:     []pomelorelay.Peer{{Node: "r1", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Domain: "a", Region: "ra", Power: 0.4}},
 		},
 		&pomelorelay.StateAsk{Above: 7, Upstreams: true},
 		&pomelorelay.FleetState{
-			Document: []byte("{}"), At: 12,
+			Evacuated: []pomelorelay.DomainID{"b"},
+			Document:  []byte("{}"), At: 12,
 			Upstreams: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6}},
 			Peers:     []pomelorelay.Peer{{Node: "r1", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Domain: "a", Region: "ra", Power: 0.4}},
 		},
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -77,6 +77,7 @@
 	u := &pomelorelay.FleetUpdate{
 		After: pomelorelay.Revision(m.GetAfter()), At: pomelorelay.Revision(m.GetAt()), Whole: m.GetWhole(), Forwarded: m.GetForwarded(), Document: m.GetDocument(),
 		Upstreams: d.upstreams(m.GetUpstreams()), Peers: d.routers(m.GetRouters()),
+		Evacuated: d.domains(m.GetEvacuated()), Restored: d.domains(m.GetRestored()),
 	}
 	u.GoneUpstreams = make([]pomelorelay.UpstreamID, d.count(len(m.GetGoneUpstreams()), maxList))
 	for i := range u.GoneUpstreams {
@@ -112,9 +113,18 @@
 func (d *decoder) fleetState(m *pomelowire.FleetState) pomelorelay.Message {
 	return &pomelorelay.FleetState{
 		Document: m.GetDocument(), At: pomelorelay.Revision(m.GetAt()), Upstreams: d.upstreams(m.GetUpstreams()), Peers: d.routers(m.GetRouters()),
+		Evacuated: d.domains(m.GetEvacuated()),
 	}
 }
 
+func (d *decoder) domains(list []string) []pomelorelay.DomainID {
+	domains := make([]pomelorelay.DomainID, d.count(len(list), maxList))
+	for i := range domains {
+		domains[i] = pomelorelay.DomainID(d.name(list[i]))
+	}
+	return domains
+}
+
 func (d *decoder) routers(list []*pomelowire.Router) []pomelorelay.Peer {
 	peers := make([]pomelorelay.Peer, d.count(len(list), maxList))
 	for i := range peers {
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -40,6 +40,7 @@
 	for _, node := range m.GonePeers {
 		w.GoneRouters = append(w.GoneRouters, string(node))
 	}
+	w.Evacuated, w.Restored = encodeDomains(m.Evacuated), encodeDomains(m.Restored)
 	return w
 }
 
@@ -55,7 +56,17 @@
 }
 
 func encodeState(m *pomelorelay.FleetState) *pomelowire.FleetState {
-	return &pomelowire.FleetState{Document: m.Document, At: uint64(m.At), Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers)}
+	return &pomelowire.FleetState{
+		Document: m.Document, At: uint64(m.At), Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers), Evacuated: encodeDomains(m.Evacuated),
+	}
+}
+
+func encodeDomains(domains []pomelorelay.DomainID) []string {
+	var w []string
+	for _, d := range domains {
+		w = append(w, string(d))
+	}
+	return w
 }
 
 func encodeRouters(peers []pomelorelay.Peer) []*pomelowire.Router {
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -51,6 +51,8 @@
 	ReasonNoRegion Reason = "NoRegion"
 	// ReasonRegion stands for a service without an upstream that takes requests in the regions that may serve the request.
 	ReasonRegion Reason = "Region"
+	// ReasonEvacuated stands for a service all of whose upstreams are in failure domains under evacuation.
+	ReasonEvacuated Reason = "Evacuated"
 	// ReasonLate stands for upstreams at which the request could not begin in time.
 	ReasonLate Reason = "Late"
 	// ReasonShare stands for a request beyond its account's share while upstreams are busy.
@@ -167,6 +169,8 @@
 	serviceShare = 0.05
 	// noRegionRetry is what callers are told whose requests no region may serve, which only the operators can change.
 	noRegionRetry = 30 * time.Second
+	// evacuatedRetry is what callers are told while all upstreams are under evacuation, which takes seconds at least.
+	evacuatedRetry = 2 * time.Second
 	// failShare is the weight of a new result in the rate of failures.
 	failShare = 0.25
 	// failMemory is how long it takes until half of a rate of failures is forgiven, so that an upstream gets another chance.
--- /dev/null
+++ b/pomeloplace/evacuation_test.go
@@ -0,0 +1,64 @@
+package pomeloplace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+// Guards against new requests, retries and copies at upstreams of a failure domain under evacuation, and against upstreams that stay unused
+// after it was taken back.
+func TestAnEvacuatedDomainGetsNothingNew(t *testing.T) {
+	p := withEngines(2)
+	p.Put(engineIn("b0", "b"))
+	p.SetEvacuated("a", true)
+	now := start
+	for range 10 {
+		d := place(t, p, now, prompt(1, 5000, 100))
+		if d.Upstream.ID != "b0" || d.Copied != 0 {
+			t.Fatalf("sent to %s, %d tokens copied", d.Upstream.ID, d.Copied)
+		}
+		p.Ended(now, d.Run, pomeloplace.ResultUnreached)
+		now = now.Add(20 * time.Millisecond)
+	}
+	p.Remove("b0")
+	for _, c := range []struct {
+		name    string
+		request pomeloplace.Request
+		reason  pomeloplace.Reason
+		cause   pomeloplace.Reason
+	}{
+		{"anywhere", prompt(1, 500, 100), pomeloplace.ReasonEvacuated, ""},
+		{"in the evacuated region", limited(prompt(1, 500, 100), "ra"), pomeloplace.ReasonRegion, pomeloplace.ReasonEvacuated},
+		{"elsewhere", limited(prompt(1, 500, 100), "rb"), pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
+	} {
+		d := p.Place(now, c.request)
+		if d.Reason != c.reason || d.Cause != c.cause || d.RetryAfter <= 0 {
+			t.Errorf("%s: %+v", c.name, d)
+		}
+	}
+	p.SetEvacuated("a", false)
+	if d := p.Place(now.Add(time.Minute), prompt(1, 500, 100)); d.Reason != pomeloplace.ReasonNone {
+		t.Errorf("refused after the evacuation was taken back: %s", d.Reason)
+	}
+}
+
+// Guards against prompts that are copied from an engine of a failure domain under evacuation.
+func TestNothingIsCopiedFromAnEvacuatedDomain(t *testing.T) {
+	p := newPlacer()
+	p.Put(engineIn("b0", "b"))
+	now := start
+	for i := range 3 {
+		d := place(t, p, now, prompt(1, 5000, pomelorelay.Tokens(100+i)))
+		p.Begun(now.Add(50*time.Millisecond), d.Run)
+		p.Ended(now.Add(90*time.Millisecond), d.Run, pomeloplace.ResultGood)
+		now = now.Add(time.Second)
+	}
+	p.Put(engineIn("a0", "a"))
+	p.SetEvacuated("b", true)
+	if d := place(t, p, now, prompt(1, 5000, 500)); d.Upstream.ID != "a0" || d.Copied != 0 {
+		t.Errorf("sent to %s, %d tokens copied", d.Upstream.ID, d.Copied)
+	}
+}
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -136,7 +136,7 @@
 }
 
 // spread notes which engines take the long prompts from now on.
-func (s *pool) spread(now time.Time, off *Mechanisms) {
+func (s *pool) spread(now time.Time, evacuated map[pomelorelay.DomainID]bool, off *Mechanisms) {
 	if len(s.ranked) == 0 || s.ranked[0].engine == nil {
 		return
 	}
@@ -152,7 +152,7 @@
 	}
 	need = s.forLong
 	for _, u := range s.ranked {
-		u.forLong = need > 0 && !u.info.Draining && !now.Before(u.downUntil)
+		u.forLong = need > 0 && !u.info.Draining && !evacuated[u.info.Domain] && !now.Before(u.downUntil)
 		if u.forLong {
 			need--
 		}
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -19,7 +19,9 @@
 	// capacity is what all engines together produce in a second by the operators' word; zero when they do not say.
 	capacity pomelorelay.Cost
 	peers    map[pomelorelay.NodeID]*peer
-	parts    []pomelorelay.PartPlaced
+	// evacuated are the failure domains whose upstreams get nothing new.
+	evacuated map[pomelorelay.DomainID]bool
+	parts     []pomelorelay.PartPlaced
 	// oldest is when the router was last heard that has been silent for longest; zero when there is none.
 	oldest time.Time
 	// untold are the prompt tokens that were sent since the last report.
@@ -41,6 +43,7 @@
 		engines:   make(map[pomelorelay.ServiceID]*pomelorelay.EngineSpec),
 		ways:      make(map[pomelorelay.RegionID]time.Duration),
 		peers:     make(map[pomelorelay.NodeID]*peer),
+		evacuated: make(map[pomelorelay.DomainID]bool),
 	}
 }
 
@@ -158,15 +161,43 @@
 // unplaced is the decision on a request for which there is no upstream.
 func (p *Placer) unplaced(now time.Time, r *Request) Decision {
 	d := Decision{Reason: ReasonNoUpstream, RetryAfter: unreachedFor, ReportAge: p.reportAge(now)}
+	if p.allEvacuated(r) {
+		d.Reason, d.RetryAfter = ReasonEvacuated, evacuatedRetry
+	}
 	if r.Residency.Limited {
 		d.Reason, d.Cause = ReasonRegion, d.Reason
 	}
 	return d
 }
 
+// allEvacuated reports whether upstreams would take the request if it were not for evacuations.
+func (p *Placer) allEvacuated(r *Request) bool {
+	s := p.services[r.Service]
+	if s == nil {
+		return false
+	}
+	return slices.ContainsFunc(s.list, func(u *upstream) bool {
+		return p.evacuated[u.info.Domain] && !u.info.Draining && p.allowed(u, r)
+	})
+}
+
+// SetEvacuated begins or ends the evacuation of a failure domain.
+func (p *Placer) SetEvacuated(domain pomelorelay.DomainID, evacuated bool) {
+	if evacuated {
+		p.evacuated[domain] = true
+		return
+	}
+	delete(p.evacuated, domain)
+}
+
+// allowed reports whether the request's residency allows the upstream.
+func (p *Placer) allowed(u *upstream, r *Request) bool {
+	return r.Residency.Allows(p.cfg.Regions[u.info.Domain])
+}
+
 // usable reports whether the request may be sent to the upstream at all.
 func (p *Placer) usable(u *upstream, r *Request) bool {
-	return !u.info.Draining && r.Residency.Allows(p.cfg.Regions[u.info.Domain])
+	return !u.info.Draining && !p.evacuated[u.info.Domain] && p.allowed(u, r)
 }
 
 // best returns the candidate of the lowest cost. Upstreams that failed this request or take no connections are taken only when there is no other.
