--- a/codes_route.go
+++ b/codes_route.go
@@ -19,6 +19,7 @@
 	CodeNoCommonRegion    ResultCode = 1214
 	CodeRegionUnavailable ResultCode = 1215
 	CodeEvacuated         ResultCode = 1216
+	CodeUpstreamsCold     ResultCode = 1217
 )
 
 var routeCodes = []CodeInfo{
@@ -39,4 +40,5 @@
 	{CodeNoCommonRegion, "NoCommonRegion", 503, RanNo, "The regions allowed to the route and those allowed to the account have none in common.", "Ask the operators to change one of the two lists; until then no request is served."},
 	{CodeRegionUnavailable, "RegionUnavailable", 503, RanNo, "No upstream in the regions allowed to the request takes requests; the detail says why.", "Send it again after Retry-After."},
 	{CodeEvacuated, "Evacuated", 503, RanNo, "All failure domains with upstreams of the service are being evacuated.", "Send it again after Retry-After; operators may take an evacuation back."},
+	{CodeUpstreamsCold, "UpstreamsCold", 503, RanNo, "All upstreams of the service have just started and get as many requests as they accept.", "Send it again after Retry-After."},
 }
--- a/fleet.go
+++ b/fleet.go
@@ -67,6 +67,10 @@
 	Name ServiceID
 	// MaxConns bounds the connections of all callers to one upstream; zero means no bound.
 	MaxConns int
+	// ColdFor is how long an upstream is cold after a start; zero where upstreams are not.
+	ColdFor time.Duration
+	// ColdRate is the number of requests a second that a cold upstream accepts.
+	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *EngineSpec
 }
@@ -102,6 +106,20 @@
 	Document []byte
 }
 
+// ColdUnknown stands for an upstream that does not say whether it is cold.
+const ColdUnknown time.Duration = -1
+
+// ColdBounds bound what the whole fleet sends to a cold upstream in any second: the ratio of the rate that it accepts, and a slack.
+type ColdBounds struct {
+	Ratio float64
+	Slack float64
+}
+
+// Most returns the most requests in any second to a cold upstream that accepts the rate.
+func (b ColdBounds) Most(rate float64) float64 {
+	return rate*max(b.Ratio, 1) + max(b.Slack, 0)
+}
+
 // FleetUpstream is an upstream as it registered itself.
 type FleetUpstream struct {
 	ID      UpstreamID
@@ -111,6 +129,8 @@
 	Slots   Slots
 	// Draining upstreams get nothing new.
 	Draining bool
+	// ColdFor is how much longer it says that it is cold; ColdUnknown when it does not say.
+	ColdFor time.Duration
 	// Born is when this incarnation started, Unix milliseconds; zero when it does not say.
 	Born int64
 }
--- a/messages_load.go
+++ b/messages_load.go
@@ -42,11 +42,21 @@
 	Leaving []UpstreamID
 	// Speeds tell how fast the engines read.
 	Speeds []SpeedSums
+	// Starts tell which upstreams may have started anew.
+	Starts []UpstreamStart
+}
+
+// UpstreamStart tells that an upstream took no connection, so that it is cold once it is back, or that it answers again and may be cold.
+type UpstreamStart struct {
+	Upstream  UpstreamID
+	Unreached bool
+	// ColdFor is how much longer it may be cold; zero with Unreached.
+	ColdFor time.Duration
 }
 
 // Empty reports whether the report tells nothing; a whole one always tells that its router is there.
 func (r *LoadReport) Empty() bool {
-	return !r.Whole && len(r.Upstreams)+len(r.Accounts)+len(r.Parts)+len(r.Leaving)+len(r.Speeds) == 0
+	return !r.Whole && len(r.Upstreams)+len(r.Accounts)+len(r.Parts)+len(r.Leaving)+len(r.Speeds)+len(r.Starts) == 0
 }
 
 // Urgency is that of placements: others place by them.
--- a/pomeloentry/aggregate.go
+++ b/pomeloentry/aggregate.go
@@ -14,6 +14,7 @@
 	accounts  map[pomelorelay.AccountID]*useSum
 	speeds    map[pomelorelay.ServiceID]*speedSum
 	parts     []sourcePart
+	starts    []sourceStart
 	leaving   map[pomelorelay.UpstreamID]bool
 }
 
@@ -93,6 +94,12 @@
 	part   pomelorelay.PartPlaced
 }
 
+// sourceStart is what a source found out of an upstream's start.
+type sourceStart struct {
+	source string
+	start  pomelorelay.UpstreamStart
+}
+
 func newAggregate() *aggregate {
 	return &aggregate{
 		sources:   make(map[string]*source),
@@ -137,6 +144,9 @@
 	for _, p := range m.Parts {
 		a.parts = append(a.parts, sourcePart{key, p})
 	}
+	for _, s := range m.Starts {
+		a.starts = append(a.starts, sourceStart{key, s})
+	}
 	for _, id := range m.Leaving {
 		a.leaving[id] = true
 	}
@@ -268,6 +278,11 @@
 			m.Parts = append(m.Parts, p.part)
 		}
 	}
+	for _, s := range a.starts {
+		if s.source != key {
+			m.Starts = append(m.Starts, s.start)
+		}
+	}
 	for id := range a.leaving {
 		m.Leaving = append(m.Leaving, id)
 	}
@@ -286,7 +301,7 @@
 			return true
 		}
 	}
-	return len(a.parts) > 0 || len(a.leaving) > 0
+	return len(a.parts)+len(a.starts)+len(a.leaving) > 0
 }
 
 // flushed marks everything as reported.
@@ -301,5 +316,6 @@
 		sum.changed = false
 	}
 	a.parts = a.parts[:0]
+	a.starts = a.starts[:0]
 	clear(a.leaving)
 }
--- a/pomeloentry/aggregate_test.go
+++ b/pomeloentry/aggregate_test.go
@@ -121,3 +121,16 @@
 		t.Errorf("after it was silent: %v", m.Upstreams)
 	}
 }
+
+// Guards against a relay that keeps to itself which upstreams may have started anew, or that tells a router its own news.
+func TestSumsPassOnStarts(t *testing.T) {
+	s := pomeloentry.NewSum()
+	s.Take(time.Now(), "r1", 1, &pomelorelay.LoadReport{Seq: 1, Starts: []pomelorelay.UpstreamStart{{Upstream: "u", Unreached: true}}})
+	reports := s.Reports(false, "r1", "r2")
+	if len(reports["r1"].Starts) != 0 || len(reports["r2"].Starts) != 1 {
+		t.Errorf("%+v to its source, %+v to the other", reports["r1"].Starts, reports["r2"].Starts)
+	}
+	if again := s.Reports(false, "r2")["r2"]; len(again.Starts) != 0 {
+		t.Errorf("told again: %+v", again.Starts)
+	}
+}
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -55,7 +55,7 @@
 	s := e.cfg.Settings
 	return &control{
 		e:         e,
-		placer:    pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions, Without: e.cfg.Without}),
+		placer:    pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions, Cold: s.Cold, Without: e.cfg.Without}),
 		shares:    pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
 		residency: pomeloresidency.New(pomeloresidency.Config{Overlap: s.ConfigWait}),
 		upstreams: newUpstreams(),
--- a/pomeloentry/evacuation.go
+++ b/pomeloentry/evacuation.go
@@ -3,29 +3,30 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay"
 )
 
 // applyEvacuations takes in which failure domains are under evacuation; source names the router that read it.
-func (c *control) applyEvacuations(change *pomelorelay.FleetChange, source string) {
+func (c *control) applyEvacuations(now time.Time, change *pomelorelay.FleetChange, source string) {
 	for _, domain := range change.Evacuated {
-		c.setEvacuated(domain, true, source)
+		c.setEvacuated(now, domain, true, source)
 	}
 	for _, domain := range change.Restored {
-		c.setEvacuated(domain, false, source)
+		c.setEvacuated(now, domain, false, source)
 	}
 	if !change.Whole {
 		return
 	}
 	for _, domain := range slices.Sorted(maps.Keys(c.evacuated)) {
 		if !slices.Contains(change.Evacuated, domain) {
-			c.setEvacuated(domain, false, source)
+			c.setEvacuated(now, domain, false, source)
 		}
 	}
 }
 
-func (c *control) setEvacuated(domain pomelorelay.DomainID, evacuated bool, source string) {
+func (c *control) setEvacuated(now time.Time, domain pomelorelay.DomainID, evacuated bool, source string) {
 	if c.evacuated[domain] == evacuated {
 		return
 	}
@@ -36,6 +37,6 @@
 	} else {
 		delete(c.evacuated, domain)
 	}
-	c.placer.SetEvacuated(domain, evacuated)
+	c.placer.SetEvacuated(now, domain, evacuated)
 	c.e.log(event, field("Domain", domain), field("Source", source), field("Revision", uint64(c.e.cursor.get())))
 }
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -161,7 +161,7 @@
 		c.peers.unregister(node)
 	}
 	dropped := c.peers.drop(now)
-	if dropped || change.Whole || len(change.Peers) > 0 {
+	if dropped || change.Whole || len(change.Peers)+len(change.GonePeers) > 0 {
 		c.setPeers()
 	}
 }
@@ -169,6 +169,7 @@
 func (c *control) setPeers() {
 	list := c.peers.list()
 	c.e.mesh.SetPeers(list)
+	c.placer.SetRouters(c.peers.registered())
 	c.e.log(pomelorelay.EventPeersChanged, field("Peers", len(list)))
 }
 
--- a/pomeloentry/reader.go
+++ b/pomeloentry/reader.go
@@ -196,7 +196,7 @@
 		c.setConfig(now, change.Config, source)
 	}
 	c.applyUpstreams(now, change, back, source)
-	c.applyEvacuations(change, source)
+	c.applyEvacuations(now, change, source)
 	c.applyPeers(now, change)
 }
 
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -100,7 +100,7 @@
 	switch {
 	case m.At > c.e.cursor.get() && c.e.cursor.advance(0, m.At, true):
 		c.applyUpstreams(now, &change, false, string(from))
-		c.applyEvacuations(&change, string(from))
+		c.applyEvacuations(now, &change, string(from))
 		c.applyPeers(now, &change)
 	case !c.e.cursor.begun():
 		c.applyPeers(now, &change)
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -97,7 +97,7 @@
 	before, known := c.upstreams.present[u.ID]
 	c.upstreams.present[u.ID] = u
 	delete(c.upstreams.lapsed, u.ID)
-	c.placer.Put(u)
+	c.placer.Put(now, u)
 	if known && before == u {
 		return
 	}
@@ -107,7 +107,7 @@
 		return
 	}
 	delete(c.upstreams.leaving, u.ID)
-	c.e.log(pomelorelay.EventUpstreamListed, field("Upstream", u.ID), field("Service", u.Service), field("Address", u.Addr.String()), field("Domain", u.Domain), field("Born", u.Born), field("Source", source))
+	c.e.log(pomelorelay.EventUpstreamListed, field("Upstream", u.ID), field("Service", u.Service), field("Address", u.Addr.String()), field("Domain", u.Domain), field("Born", u.Born), field("ColdMS", u.ColdFor.Milliseconds()), field("Source", source))
 }
 
 // vanish takes an entry that is no longer there. After an outage of the store, in which leases lapse, the entries of upstreams that
@@ -183,7 +183,7 @@
 		}
 		u.Draining = true
 		c.upstreams.present[id] = u
-		c.placer.Put(u)
+		c.placer.Put(now, u)
 		c.e.log(pomelorelay.EventLeaving, field("Upstream", id), field("Source", from))
 	}
 }
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -178,6 +178,8 @@
 		return pomelorelay.CodeNoCommonRegion
 	case pomeloplace.ReasonRegion:
 		return pomelorelay.CodeRegionUnavailable
+	case pomeloplace.ReasonCold:
+		return pomelorelay.CodeUpstreamsCold
 	case pomeloplace.ReasonEvacuated:
 		return pomelorelay.CodeEvacuated
 	}
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -45,9 +45,21 @@
 			Copied: d.finite(s.GetCopied()), CopyTook: d.finite(s.GetCopyTook()),
 		}
 	}
+	r.Starts = make([]pomelorelay.UpstreamStart, d.count(len(m.GetStarts()), maxList))
+	for i := range r.Starts {
+		s := m.GetStarts()[i]
+		r.Starts[i] = pomelorelay.UpstreamStart{Upstream: pomelorelay.UpstreamID(d.name(s.GetUpstream())), Unreached: s.GetUnreached(), ColdFor: d.milliseconds(s.GetCold())}
+	}
 	return r
 }
 
+func (d *decoder) cold(value int64) time.Duration {
+	if value < 0 {
+		return pomelorelay.ColdUnknown
+	}
+	return d.milliseconds(value)
+}
+
 func (d *decoder) tokens(value int64) pomelorelay.Tokens {
 	if value < 0 {
 		d.fail("tokens below zero")
@@ -96,7 +108,7 @@
 		u := list[i]
 		upstreams[i] = pomelorelay.FleetUpstream{
 			ID: pomelorelay.UpstreamID(d.name(u.GetId())), Service: pomelorelay.ServiceID(d.name(u.GetService())), Addr: d.addr(u.GetAddress()),
-			Domain: pomelorelay.DomainID(d.name(u.GetDomain())), Slots: pomelorelay.Slots(u.GetSlots()), Draining: u.GetDraining(), Born: u.GetBorn(),
+			Domain: pomelorelay.DomainID(d.name(u.GetDomain())), Slots: pomelorelay.Slots(u.GetSlots()), Draining: u.GetDraining(), ColdFor: d.cold(u.GetCold()), Born: u.GetBorn(),
 		}
 	}
 	return upstreams
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -1,6 +1,8 @@
 package pomelomesh
 
 import (
+	"time"
+
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelomesh/pomelowire"
 )
@@ -49,12 +51,19 @@
 	for _, u := range upstreams {
 		w = append(w, &pomelowire.Upstream{
 			Id: string(u.ID), Service: string(u.Service), Address: u.Addr.String(), Domain: string(u.Domain),
-			Slots: int32(u.Slots), Draining: u.Draining, Born: u.Born,
+			Slots: int32(u.Slots), Draining: u.Draining, Cold: encodeCold(u.ColdFor), Born: u.Born,
 		})
 	}
 	return w
 }
 
+func encodeCold(left time.Duration) int64 {
+	if left == pomelorelay.ColdUnknown {
+		return -1
+	}
+	return left.Milliseconds()
+}
+
 func encodeState(m *pomelorelay.FleetState) *pomelowire.FleetState {
 	return &pomelowire.FleetState{
 		Document: m.Document, At: uint64(m.At), Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers), Evacuated: encodeDomains(m.Evacuated),
@@ -96,6 +105,9 @@
 	for _, id := range m.Leaving {
 		w.Leaving = append(w.Leaving, string(id))
 	}
+	for _, s := range m.Starts {
+		w.Starts = append(w.Starts, &pomelowire.UpstreamStart{Upstream: string(s.Upstream), Unreached: s.Unreached, Cold: s.ColdFor.Milliseconds()})
+	}
 	for _, s := range m.Speeds {
 		w.Speeds = append(w.Speeds, &pomelowire.SpeedSums{
 			Service: string(s.Service), Answers: s.Answers, Weight: s.Weight, Read: s.Read, Took: s.Took, ReadRead: s.ReadRead, ReadTook: s.ReadTook, Beside: s.Beside, Paused: s.Paused, Copied: s.Copied, CopyTook: s.CopyTook,
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -12,6 +12,10 @@
 	Self pomelorelay.Peer
 	// Regions gives the region of each failure domain.
 	Regions map[pomelorelay.DomainID]pomelorelay.RegionID
+	// Cold bounds what the fleet sends to cold upstreams.
+	Cold pomelorelay.ColdBounds
+	// ColdHolders is the number of routers that may send to a cold upstream; pomelowarmup.DefaultHolders when zero.
+	ColdHolders int
 	// Without are the mechanisms that are switched off.
 	Without Mechanisms
 }
@@ -53,6 +57,8 @@
 	ReasonRegion Reason = "Region"
 	// ReasonEvacuated stands for a service all of whose upstreams are in failure domains under evacuation.
 	ReasonEvacuated Reason = "Evacuated"
+	// ReasonCold stands for a service all of whose upstreams are cold and have had what they accept.
+	ReasonCold Reason = "Cold"
 	// ReasonLate stands for upstreams at which the request could not begin in time.
 	ReasonLate Reason = "Late"
 	// ReasonShare stands for a request beyond its account's share while upstreams are busy.
@@ -171,6 +177,9 @@
 	noRegionRetry = 30 * time.Second
 	// evacuatedRetry is what callers are told while all upstreams are under evacuation, which takes seconds at least.
 	evacuatedRetry = 2 * time.Second
+	// hangFor is the time after which a connection attempt that failed says nothing of the upstream, unless others answered meanwhile: the way to
+	// it may be cut.
+	hangFor = 100 * time.Millisecond
 	// failShare is the weight of a new result in the rate of failures.
 	failShare = 0.25
 	// failMemory is how long it takes until half of a rate of failures is forgiven, so that an upstream gets another chance.
--- a/pomeloplace/evacuation_test.go
+++ b/pomeloplace/evacuation_test.go
@@ -12,9 +12,9 @@
 // after it was taken back.
 func TestAnEvacuatedDomainGetsNothingNew(t *testing.T) {
 	p := withEngines(2)
-	p.Put(engineIn("b0", "b"))
-	p.SetEvacuated("a", true)
+	p.Put(start, engineIn("b0", "b"))
 	now := start
+	p.SetEvacuated(now, "a", true)
 	for range 10 {
 		d := place(t, p, now, prompt(1, 5000, 100))
 		if d.Upstream.ID != "b0" || d.Copied != 0 {
@@ -39,7 +39,7 @@
 			t.Errorf("%s: %+v", c.name, d)
 		}
 	}
-	p.SetEvacuated("a", false)
+	p.SetEvacuated(now, "a", false)
 	if d := p.Place(now.Add(time.Minute), prompt(1, 500, 100)); d.Reason != pomeloplace.ReasonNone {
 		t.Errorf("refused after the evacuation was taken back: %s", d.Reason)
 	}
@@ -48,7 +48,7 @@
 // Guards against prompts that are copied from an engine of a failure domain under evacuation.
 func TestNothingIsCopiedFromAnEvacuatedDomain(t *testing.T) {
 	p := newPlacer()
-	p.Put(engineIn("b0", "b"))
+	p.Put(start, engineIn("b0", "b"))
 	now := start
 	for i := range 3 {
 		d := place(t, p, now, prompt(1, 5000, pomelorelay.Tokens(100+i)))
@@ -56,8 +56,8 @@
 		p.Ended(now.Add(90*time.Millisecond), d.Run, pomeloplace.ResultGood)
 		now = now.Add(time.Second)
 	}
-	p.Put(engineIn("a0", "a"))
-	p.SetEvacuated("b", true)
+	p.Put(start, engineIn("a0", "a"))
+	p.SetEvacuated(now, "b", true)
 	if d := place(t, p, now, prompt(1, 5000, 500)); d.Upstream.ID != "a0" || d.Copied != 0 {
 		t.Errorf("sent to %s, %d tokens copied", d.Upstream.ID, d.Copied)
 	}
--- a/pomeloplace/mechanism_test.go
+++ b/pomeloplace/mechanism_test.go
@@ -26,9 +26,9 @@
 	p := newPlacer()
 	far := engine("e0")
 	far.Domain = "b"
-	p.Put(far)
+	p.Put(start, far)
 	near := engine("e1")
-	p.Put(near)
+	p.Put(start, near)
 	now := start
 	ask := func(avoid pomelorelay.UpstreamID, way time.Duration) pomeloplace.Decision {
 		now = now.Add(200 * time.Millisecond)
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -41,7 +41,7 @@
 func withEngines(n int) *pomeloplace.Placer {
 	p := newPlacer()
 	for i := range n {
-		p.Put(engine(pomelorelay.UpstreamID(fmt.Sprintf("e%d", i))))
+		p.Put(start, engine(pomelorelay.UpstreamID(fmt.Sprintf("e%d", i))))
 	}
 	return p
 }
@@ -97,7 +97,7 @@
 	p := withEngines(3)
 	leaving := engine("e0")
 	leaving.Draining = true
-	p.Put(leaving)
+	p.Put(start, leaving)
 	r := prompt(1, 100, 100)
 	r.Avoid = []pomelorelay.UpstreamID{"e1"}
 	for i := range 20 {
@@ -234,13 +234,13 @@
 	d := place(t, p, start, prompt(1, 5000, 100))
 	p.Ended(start, d.Run, pomeloplace.ResultGood)
 	p.Remove("e0")
-	p.Put(engine("e0"))
+	p.Put(start, engine("e0"))
 	if d := place(t, p, start.Add(time.Second), prompt(1, 5000, 200)); d.Shared != 0 {
 		t.Errorf("%d tokens forgotten of an upstream that was only away", d.Shared)
 	}
 	restarted := engine("e0")
 	restarted.Born = 5
-	p.Put(restarted)
+	p.Put(start, restarted)
 	if d := place(t, p, start.Add(2*time.Second), prompt(1, 5000, 300)); d.Shared != 5000 || d.Running > 1 {
 		t.Errorf("%d shared tokens to read and %d running at an upstream that has just started", d.Shared, d.Running)
 	}
@@ -302,7 +302,7 @@
 func TestPlainServicesGoToTheLeastLoaded(t *testing.T) {
 	p := newPlacer()
 	for i := range 3 {
-		p.Put(pomelorelay.FleetUpstream{ID: pomelorelay.UpstreamID(fmt.Sprintf("p%d", i)), Service: plain, Domain: "a", Slots: 6})
+		p.Put(start, pomelorelay.FleetUpstream{ID: pomelorelay.UpstreamID(fmt.Sprintf("p%d", i)), Service: plain, Domain: "a", Slots: 6})
 	}
 	sent := make(map[pomelorelay.UpstreamID]int)
 	for range 12 {
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -6,6 +6,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
+	"github.com/pomelorelay/pomelorelay/pomelowarmup"
 )
 
 // Placer decides where requests go.
@@ -21,7 +22,12 @@
 	peers    map[pomelorelay.NodeID]*peer
 	// evacuated are the failure domains whose upstreams get nothing new.
 	evacuated map[pomelorelay.DomainID]bool
-	parts     []pomelorelay.PartPlaced
+	// warmup is which upstreams are cold, starts what the other routers are to learn of it.
+	warmup *pomelowarmup.Gate
+	starts []pomelorelay.UpstreamStart
+	// answeredAt is when an upstream last answered this router.
+	answeredAt time.Time
+	parts      []pomelorelay.PartPlaced
 	// oldest is when the router was last heard that has been silent for longest; zero when there is none.
 	oldest time.Time
 	// untold are the prompt tokens that were sent since the last report.
@@ -44,6 +50,9 @@
 		ways:      make(map[pomelorelay.RegionID]time.Duration),
 		peers:     make(map[pomelorelay.NodeID]*peer),
 		evacuated: make(map[pomelorelay.DomainID]bool),
+		warmup: pomelowarmup.New(pomelowarmup.Config{
+			Self: cfg.Self, Regions: cfg.Regions, Bounds: cfg.Cold, Holders: cfg.ColdHolders,
+		}),
 	}
 }
 
@@ -51,6 +60,7 @@
 func (p *Placer) SetConfig(config *pomelorelay.FleetConfig) {
 	clear(p.engines)
 	p.capacity = config.Limits.TokensPerSecond
+	p.warmup.SetServices(config.Services)
 	p.expected = expectations(config.Routes)
 	for name, s := range p.services {
 		s.expectation = p.expected[name]
@@ -83,7 +93,7 @@
 
 // Put takes an upstream's entry. One that was born anew, or has another address, keeps nothing of before; one whose entry only was
 // away for a while keeps all.
-func (p *Placer) Put(info pomelorelay.FleetUpstream) {
+func (p *Placer) Put(now time.Time, info pomelorelay.FleetUpstream) {
 	u := p.upstreams[info.ID]
 	if u == nil {
 		u = p.retired[info.ID]
@@ -91,9 +101,11 @@
 	if u == nil || !u.same(info) {
 		p.Remove(info.ID)
 		u = newUpstream(info, p.engines[info.Service])
+		u.start = p.startOf(now, info)
 		p.recount(u, info.ID)
 	}
 	u.info = info
+	u.start.Listed(now, info)
 	if p.upstreams[info.ID] == u {
 		return
 	}
@@ -110,6 +122,17 @@
 	p.guess()
 }
 
+// startOf returns what is known of the start of an upstream that is listed anew.
+func (p *Placer) startOf(now time.Time, info pomelorelay.FleetUpstream) *pomelowarmup.Upstream {
+	if p.known(info.ID) != nil {
+		return p.warmup.Restarted(now, info)
+	}
+	return p.warmup.Upstream(now, info)
+}
+
+// SetRouters takes the other routers that are registered.
+func (p *Placer) SetRouters(others []pomelorelay.Peer) { p.warmup.SetRouters(others) }
+
 // same reports whether an entry is of the same start of the same upstream.
 func (u *upstream) same(info pomelorelay.FleetUpstream) bool {
 	return u.info.Service == info.Service && u.info.Addr == info.Addr && (u.info.Born == info.Born || info.Born == 0)
@@ -138,7 +161,7 @@
 	if r.Residency.Empty() {
 		return Decision{Reason: ReasonNoRegion, RetryAfter: noRegionRetry, ReportAge: p.reportAge(now)}
 	}
-	best, found := p.best(now, &r)
+	best, v, found := p.choose(now, &r)
 	if !found {
 		return p.unplaced(now, &r)
 	}
@@ -150,7 +173,7 @@
 	if best.from != nil {
 		d.CopyFrom, d.Copied = best.from.info, best.copied
 	}
-	if v := p.admit(best, &r); v.bound != BoundNone {
+	if v.bound != BoundNone {
 		d.Reason, d.Bound, d.RetryAfter = v.reason, v.bound, v.retryAfter
 		return d
 	}
@@ -161,7 +184,9 @@
 // unplaced is the decision on a request for which there is no upstream.
 func (p *Placer) unplaced(now time.Time, r *Request) Decision {
 	d := Decision{Reason: ReasonNoUpstream, RetryAfter: unreachedFor, ReportAge: p.reportAge(now)}
-	if p.allEvacuated(r) {
+	if wait, cold := p.coldWait(now, r); cold {
+		d.Reason, d.RetryAfter = ReasonCold, wait
+	} else if p.allEvacuated(r) {
 		d.Reason, d.RetryAfter = ReasonEvacuated, evacuatedRetry
 	}
 	if r.Residency.Limited {
@@ -181,13 +206,33 @@
 	})
 }
 
-// SetEvacuated begins or ends the evacuation of a failure domain.
-func (p *Placer) SetEvacuated(domain pomelorelay.DomainID, evacuated bool) {
+// coldWait returns when this router may send the request to a cold upstream, and whether there is any that it could go to.
+func (p *Placer) coldWait(now time.Time, r *Request) (time.Duration, bool) {
+	s := p.services[r.Service]
+	if s == nil {
+		return 0, false
+	}
+	least, found := mostRetry, false
+	for _, u := range s.list {
+		if p.usable(u, r) && u.start.Cold(now) {
+			least, found = min(least, u.start.Wait(now)), true
+		}
+	}
+	return max(least, leastRetry), found
+}
+
+// SetEvacuated begins or ends the evacuation of a failure domain. Its upstreams may have become cold meanwhile.
+func (p *Placer) SetEvacuated(now time.Time, domain pomelorelay.DomainID, evacuated bool) {
 	if evacuated {
 		p.evacuated[domain] = true
 		return
 	}
 	delete(p.evacuated, domain)
+	for _, u := range p.upstreams {
+		if u.info.Domain == domain {
+			u.start.CoolAnew(now)
+		}
+	}
 }
 
 // allowed reports whether the request's residency allows the upstream.
@@ -200,8 +245,26 @@
 	return !u.info.Draining && !p.evacuated[u.info.Domain] && p.allowed(u, r)
 }
 
-// best returns the candidate of the lowest cost. Upstreams that failed this request or take no connections are taken only when there is no other.
-func (p *Placer) best(now time.Time, r *Request) (candidate, bool) {
+// choose returns the best candidate for the request, and whether it is admitted there. Cold upstreams are taken only when no other one admits it.
+func (p *Placer) choose(now time.Time, r *Request) (candidate, verdict, bool) {
+	best, found := p.best(now, r, pomelowarmup.Open)
+	var v verdict
+	if found {
+		if v = p.admit(best, r); v.bound == BoundNone {
+			return best, v, true
+		}
+	}
+	if cold, ok := p.best(now, r, pomelowarmup.Reserve); ok {
+		if admitted := p.admit(cold, r); admitted.bound == BoundNone || !found {
+			return cold, admitted, true
+		}
+	}
+	return best, v, found
+}
+
+// best returns the candidate of the lowest cost among the upstreams of a class. Those that failed this request or take no connections are taken
+// only when there is no other.
+func (p *Placer) best(now time.Time, r *Request, class pomelowarmup.Class) (candidate, bool) {
 	var best candidate
 	s := p.services[r.Service]
 	if s == nil {
@@ -213,7 +276,7 @@
 	s.renew(now)
 	for round := 0; round < 2 && !found; round++ {
 		for _, u := range s.list {
-			if !p.usable(u, r) || (round == 0 && (u.rests(now, &p.cfg.Without) || slices.Contains(r.Avoid, u.info.ID))) {
+			if !p.usable(u, r) || u.start.Class(now) != class || (round == 0 && (u.rests(now, &p.cfg.Without) || slices.Contains(r.Avoid, u.info.ID))) {
 				continue
 			}
 			c := p.weigh(now, u, source, r)
@@ -229,6 +292,7 @@
 
 func (p *Placer) start(now time.Time, c candidate, r *Request) *Run {
 	u := c.up
+	u.start.Take(now)
 	run := &Run{up: u, sent: now, missing: c.missing, copied: c.copied, held: r.Prompt + r.Output}
 	u.own.running++
 	u.changed = true
@@ -266,6 +330,7 @@
 	}
 	run.begun = true
 	u := run.up
+	p.noteAnswer(now, run)
 	u.own.unread -= run.missing
 	u.changed = true
 	p.learnWay(u, u.learn(now, run, now.Sub(run.sent), p.way(u)))
@@ -290,4 +355,30 @@
 	}
 	u.changed = true
 	u.result(now, result)
+	if result == ResultUnreached && (now.Sub(run.sent) < hangFor || p.answeredAt.After(run.sent)) && u.start.Unreached(now) {
+		p.starts = append(p.starts, pomelorelay.UpstreamStart{Upstream: u.info.ID, Unreached: true})
+	}
+}
+
+// noteAnswer notes that an upstream answers.
+func (p *Placer) noteAnswer(now time.Time, run *Run) {
+	p.answeredAt = now
+	u := run.up
+	if left, news := u.start.Answered(now, run.sent); news {
+		p.starts = append(p.starts, pomelorelay.UpstreamStart{Upstream: u.info.ID, ColdFor: left})
+	}
+}
+
+// takeStarts takes what another router found out of upstreams' starts.
+func (p *Placer) takeStarts(now time.Time, starts []pomelorelay.UpstreamStart) {
+	for _, s := range starts {
+		u := p.upstreams[s.Upstream]
+		switch {
+		case u == nil:
+		case s.Unreached:
+			u.start.Doubt(now)
+		default:
+			u.start.Cool(now, s.ColdFor)
+		}
+	}
 }
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -43,6 +43,8 @@
 	}
 	m.Parts = append(m.Parts, p.parts...)
 	p.parts = p.parts[:0]
+	m.Starts = append(m.Starts, p.starts...)
+	p.starts = p.starts[:0]
 }
 
 // tells reports whether the times of so many answers are news: of the first ones each is, later a tenth more, or fewer where they are many.
@@ -58,7 +60,7 @@
 const urgentTokens = 4000
 
 // Urgent reports whether the other routers should have a report before the next one is due.
-func (p *Placer) Urgent() bool { return p.untold >= urgentTokens }
+func (p *Placer) Urgent() bool { return p.untold >= urgentTokens || len(p.starts) > 0 }
 
 // Heard takes another router's report.
 func (p *Placer) Heard(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
@@ -73,6 +75,7 @@
 	}
 	o.heard = now
 	p.takeSpeeds(now, o, m.Speeds)
+	p.takeStarts(now, m.Starts)
 	named := p.takeParts(now, m.Parts)
 	for _, l := range m.Upstreams {
 		before := o.loads[l.Upstream]
--- a/pomeloplace/residency_test.go
+++ b/pomeloplace/residency_test.go
@@ -33,15 +33,15 @@
 		cause   pomeloplace.Reason
 	}{
 		{"an idle upstream inside", []pomelorelay.RegionID{"rb"}, func(*pomeloplace.Placer) {}, "b0", pomeloplace.ReasonNone, ""},
-		{"a draining one inside", []pomelorelay.RegionID{"rb"}, func(p *pomeloplace.Placer) { p.Put(draining) }, "", pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
+		{"a draining one inside", []pomelorelay.RegionID{"rb"}, func(p *pomeloplace.Placer) { p.Put(start, draining) }, "", pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
 		{"none inside", []pomelorelay.RegionID{"rb"}, func(p *pomeloplace.Placer) { p.Remove("b0") }, "", pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
 		{"a region that nobody names", []pomelorelay.RegionID{"rc"}, func(*pomeloplace.Placer) {}, "", pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
 		{"an upstream of an unknown domain", []pomelorelay.RegionID{""}, func(*pomeloplace.Placer) {}, "", pomeloplace.ReasonRegion, pomeloplace.ReasonNoUpstream},
 		{"no region in common", nil, func(*pomeloplace.Placer) {}, "", pomeloplace.ReasonNoRegion, ""},
 	} {
 		p := withEngines(3)
-		p.Put(engineIn("b0", "b"))
-		p.Put(engineIn("lost", "of no region"))
+		p.Put(start, engineIn("b0", "b"))
+		p.Put(start, engineIn("lost", "of no region"))
 		c.prepare(p)
 		d := p.Place(start, limited(prompt(1, 500, 100), c.regions...))
 		if d.Upstream.ID != c.want || d.Reason != c.reason || d.Cause != c.cause {
@@ -56,7 +56,7 @@
 // Guards against a retry that leaves the regions because those inside failed the request or take no connections.
 func TestRetriesStayInTheirRegions(t *testing.T) {
 	p := withEngines(3)
-	p.Put(engineIn("b0", "b"))
+	p.Put(start, engineIn("b0", "b"))
 	now := start
 	for range 5 {
 		r := limited(prompt(1, 500, 100), "rb")
@@ -76,8 +76,8 @@
 func TestPromptsAreNotCopiedFromOtherRegions(t *testing.T) {
 	copies := func(regions ...pomelorelay.RegionID) bool {
 		p := newPlacer()
-		p.Put(engineIn("b0", "b"))
-		p.Put(engineIn("b1", "b"))
+		p.Put(start, engineIn("b0", "b"))
+		p.Put(start, engineIn("b1", "b"))
 		now := start
 		for i := range 3 {
 			d := place(t, p, now, prompt(1, 5000, pomelorelay.Tokens(100+i)))
@@ -89,9 +89,9 @@
 		for i := range 2 {
 			u := engineIn(pomelorelay.UpstreamID(fmt.Sprintf("b%d", i)), "b")
 			u.Draining = true
-			p.Put(u)
+			p.Put(start, u)
 		}
-		p.Put(engineIn("a0", "a"))
+		p.Put(start, engineIn("a0", "a"))
 		d := p.Place(now, limited(prompt(1, 5000, 500), regions...))
 		if d.Upstream.ID != "a0" {
 			t.Fatalf("sent to %q: %s", d.Upstream.ID, d.Reason)
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -6,6 +6,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
+	"github.com/pomelorelay/pomelorelay/pomelowarmup"
 )
 
 // load is what runs at an upstream.
@@ -26,6 +27,8 @@
 	others  load
 	changed bool
 	pool    *pool
+	// start is whether it has started lately and is cold.
+	start *pomelowarmup.Upstream
 	// forLong tells that long prompts go here.
 	forLong bool
 	// queue is the number of tokens that are still to be read at the time queueAt, as it falls by the rate.
--- /dev/null
+++ b/pomeloplace/warmup_test.go
@@ -0,0 +1,141 @@
+package pomeloplace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+const (
+	coldFor  = 3 * time.Second
+	coldRate = 15.0
+)
+
+// withColdEngines returns the placer of the router named, one of two in the region, whose engines are cold after a start.
+func withColdEngines(self pomelorelay.NodeID, listed ...pomelorelay.FleetUpstream) *pomeloplace.Placer {
+	peers := []pomelorelay.Peer{{Node: "r1", Domain: "a", Region: "ra"}, {Node: "r2", Domain: "a", Region: "ra"}, {Node: "far", Domain: "b", Region: "rb"}}
+	var own pomelorelay.Peer
+	var others []pomelorelay.Peer
+	for _, p := range peers {
+		if p.Node == self {
+			own = p
+			continue
+		}
+		others = append(others, p)
+	}
+	p := pomeloplace.New(pomeloplace.Config{
+		Self: own, Regions: map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra", "b": "rb"}, Cold: pomelorelay.ColdBounds{Ratio: 1.5, Slack: 5},
+	})
+	p.SetConfig(&pomelorelay.FleetConfig{Routes: routes, Services: []pomelorelay.ServiceSpec{
+		{Name: engines, ColdFor: coldFor, ColdRate: coldRate, Engine: &pomelorelay.EngineSpec{Slots: 64, Memory: 500_000, EventTokens: 7}},
+	}})
+	p.SetRouters(others)
+	for _, u := range listed {
+		p.Put(start, u)
+	}
+	return p
+}
+
+func cold(id pomelorelay.UpstreamID, left time.Duration) pomelorelay.FleetUpstream {
+	u := engine(id)
+	u.ColdFor = left
+	return u
+}
+
+// Guards against a cold engine that idles and therefore draws requests of every router, and against one that is left out after it is warm.
+func TestAColdEngineGetsNothingBesideWarmOnes(t *testing.T) {
+	p := withColdEngines("r1", engine("e0"), cold("e1", coldFor))
+	now := start
+	for now.Before(start.Add(coldFor)) {
+		d := place(t, p, now, prompt(uint64(now.UnixNano()), 500, 100))
+		if d.Upstream.ID != "e0" {
+			t.Fatalf("sent to %s after %v", d.Upstream.ID, now.Sub(start))
+		}
+		p.Ended(now, d.Run, pomeloplace.ResultGood)
+		now = now.Add(10 * time.Millisecond)
+	}
+	drained := engine("e0")
+	drained.Draining = true
+	p.Put(now, drained)
+	if d := place(t, p, now, prompt(1, 500, 100)); d.Upstream.ID != "e1" {
+		t.Errorf("sent to %s once e1 was warm", d.Upstream.ID)
+	}
+}
+
+// Guards against a service that is refused as a whole while all of its engines are cold, and against more than they accept.
+func TestColdEnginesServeWhatTheyAccept(t *testing.T) {
+	sent := 0
+	var refused pomeloplace.Decision
+	routers := []*pomeloplace.Placer{withColdEngines("r1", cold("e0", coldFor)), withColdEngines("r2", cold("e0", coldFor))}
+	for now := start; now.Before(start.Add(coldFor)); now = now.Add(10 * time.Millisecond) {
+		for _, p := range routers {
+			d := p.Place(now, prompt(uint64(now.UnixNano()), 500, 100))
+			if d.Reason != pomeloplace.ReasonNone {
+				refused = d
+				continue
+			}
+			sent++
+			p.Ended(now, d.Run, pomeloplace.ResultGood)
+		}
+	}
+	if most := coldFor.Seconds() * coldRate; sent < 10 || float64(sent) > most {
+		t.Errorf("%d requests in %v, at most %.0f are accepted", sent, coldFor, most)
+	}
+	if refused.Reason != pomeloplace.ReasonCold || refused.RetryAfter <= 0 || refused.RetryAfter > coldFor {
+		t.Errorf("refused for %q, come back after %v", refused.Reason, refused.RetryAfter)
+	}
+}
+
+// Guards against an engine that crashes and gets the requests of the whole fleet when it is back, since its restart was not listed yet.
+func TestAnUnreachedEngineIsColdForTheWholeFleet(t *testing.T) {
+	near, other, far := withColdEngines("r1", engine("e0"), engine("e1")), withColdEngines("r2", engine("e0"), engine("e1")), withColdEngines("far", engine("e0"), engine("e1"))
+	now := start
+	for range 100 {
+		d := near.Place(now, prompt(uint64(now.UnixNano()), 500, 100))
+		if d.Upstream.ID == "e1" {
+			near.Ended(now.Add(time.Millisecond), d.Run, pomeloplace.ResultUnreached)
+			break
+		}
+		near.Ended(now, d.Run, pomeloplace.ResultGood)
+		now = now.Add(20 * time.Millisecond)
+	}
+	if !near.Urgent() {
+		t.Error("the other routers are not told at once")
+	}
+	var m pomelorelay.LoadReport
+	near.Report(&m)
+	if len(m.Starts) != 1 || !m.Starts[0].Unreached || m.Starts[0].Upstream != "e1" {
+		t.Fatalf("%+v", m.Starts)
+	}
+	other.Heard(now, "r1", 1, &m)
+	far.Heard(now, "r1", 1, &m)
+	for range 50 {
+		now = now.Add(20 * time.Millisecond)
+		if d := place(t, far, now, prompt(uint64(now.UnixNano()), 500, 100)); d.Upstream.ID == "e1" {
+			t.Fatal("a router of another region sent to the engine")
+		}
+	}
+}
+
+// Guards against a router cut off from everything that takes all upstreams for restarted, or tells others so.
+func TestACutOffRouterTakesNoUpstreamForRestarted(t *testing.T) {
+	p := withColdEngines("r1", engine("e0"), engine("e1"))
+	now := start
+	for range 4 {
+		d := p.Place(now, prompt(1, 500, 100))
+		if d.Reason == pomeloplace.ReasonNone {
+			p.Ended(now.Add(500*time.Millisecond), d.Run, pomeloplace.ResultUnreached)
+		}
+		now = now.Add(time.Second)
+	}
+	var m pomelorelay.LoadReport
+	p.Report(&m)
+	if len(m.Starts) != 0 {
+		t.Errorf("reported %+v", m.Starts)
+	}
+	if d := p.Place(now.Add(3*time.Second), prompt(1, 500, 100)); d.Reason != pomeloplace.ReasonNone {
+		t.Errorf("refused after the cut: %s", d.Reason)
+	}
+}
--- /dev/null
+++ b/pomelowarmup/gate.go
@@ -0,0 +1,87 @@
+package pomelowarmup
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Gate is one router's view of which upstreams are cold; it is not safe for concurrent use.
+type Gate struct {
+	cfg   Config
+	specs map[pomelorelay.ServiceID]spec
+	// routers are the registered ones of each region, this one included; changes counts their changes.
+	routers map[pomelorelay.RegionID][]pomelorelay.NodeID
+	changes uint64
+}
+
+// New returns a Gate that knows neither services nor routers.
+func New(cfg Config) *Gate {
+	if cfg.Holders <= 0 {
+		cfg.Holders = DefaultHolders
+	}
+	g := &Gate{cfg: cfg, specs: make(map[pomelorelay.ServiceID]spec)}
+	g.SetRouters(nil)
+	return g
+}
+
+// SetServices takes what the configuration says of the services.
+func (g *Gate) SetServices(services []pomelorelay.ServiceSpec) {
+	clear(g.specs)
+	for _, s := range services {
+		g.specs[s.Name] = spec{duration: s.ColdFor, bound: g.cfg.Bounds.Most(s.ColdRate)}
+	}
+}
+
+// SetRouters takes the other routers that are registered.
+func (g *Gate) SetRouters(others []pomelorelay.Peer) {
+	g.changes++
+	g.routers = make(map[pomelorelay.RegionID][]pomelorelay.NodeID)
+	for _, p := range append(slices.Clone(others), g.cfg.Self) {
+		g.routers[p.Region] = append(g.routers[p.Region], p.Node)
+	}
+}
+
+// holds reports whether this router holds a part of the upstream's bound.
+func (g *Gate) holds(u *Upstream) bool {
+	if u.heldAt != g.changes {
+		u.heldAt, u.held = g.changes, g.choose(u)
+	}
+	return u.held
+}
+
+// choose ranks the routers of the upstream's region, or this router's where that has none, by a hash of both names.
+func (g *Gate) choose(u *Upstream) bool {
+	region := g.routers[g.cfg.Regions[u.info.Domain]]
+	if len(region) == 0 {
+		region = g.routers[g.cfg.Self.Region]
+	}
+	own, before := weight(g.cfg.Self.Node, u.info.ID), 0
+	self := false
+	for _, node := range region {
+		self = self || node == g.cfg.Self.Node
+		if w := weight(node, u.info.ID); w > own {
+			before++
+		}
+	}
+	return self && before < g.cfg.Holders
+}
+
+func weight(node pomelorelay.NodeID, id pomelorelay.UpstreamID) uint64 {
+	return xxhash.Sum64String(string(node) + "/" + string(id))
+}
+
+// near reports whether this router is in the upstream's region.
+func (g *Gate) near(u *Upstream) bool {
+	return g.cfg.Regions[u.info.Domain] == g.cfg.Self.Region
+}
+
+// bucket returns the rate and the burst of this router at an upstream of which it holds a part of the bound.
+func (g *Gate) bucket(u *Upstream) (rate, burst float64) {
+	return g.specs[u.info.Service].bucket(g.cfg.Holders)
+}
+
+func (g *Gate) duration(u *Upstream) time.Duration { return g.specs[u.info.Service].duration }
--- /dev/null
+++ b/pomelowarmup/gate_test.go
@@ -0,0 +1,202 @@
+package pomelowarmup_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelowarmup"
+)
+
+// Guards against a cold upstream that gets more in a second than it stands, from routers that learn of it at different times, that are
+// started meanwhile, or that take others for its holders; and against one that gets nothing at all.
+func TestTheFleetStaysBelowTheBound(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(f *fleet, now time.Time, tick int)
+	}{
+		{"all learn at once", func(*fleet, time.Time, int) {}},
+		{"routers start anew", func(f *fleet, now time.Time, tick int) {
+			if tick%10 == 0 {
+				f.restart(now, f.random.IntN(len(f.peers)), coldFor)
+			}
+		}},
+		{"half of the routers miss a tenth of the registrations", func(f *fleet, _ time.Time, tick int) {
+			if tick == 0 {
+				for i := 0; i < len(f.gates); i += 2 {
+					f.gates[i].SetRouters(f.peers[len(f.peers)/10:])
+				}
+			}
+		}},
+		{"a region sees nobody but itself", func(f *fleet, _ time.Time, tick int) {
+			if tick > 0 {
+				return
+			}
+			for i, p := range f.peers {
+				if p.Region == "r1" {
+					var own []pomelorelay.Peer
+					for _, o := range f.peers {
+						if o.Region == "r1" && o.Node != p.Node {
+							own = append(own, o)
+						}
+					}
+					f.gates[i].SetRouters(own)
+				}
+			}
+		}},
+	} {
+		for seed := range uint64(20) {
+			f := newFleet(seed, 78, pomelowarmup.DefaultHolders)
+			now := start
+			for _, s := range f.states {
+				s.Cool(now.Add(time.Duration(f.random.IntN(300))*time.Millisecond), coldFor)
+			}
+			for tick := range 250 {
+				c.play(f, now, tick)
+				f.send(now)
+				now = now.Add(10 * time.Millisecond)
+			}
+			if most := f.busiest(); float64(most) > bound {
+				t.Errorf("%s, seed %d: %d requests in a second, the bound is %.1f", c.name, seed, most, bound)
+			}
+			if len(f.sent) < 5 {
+				t.Errorf("%s, seed %d: %d requests in all", c.name, seed, len(f.sent))
+			}
+		}
+	}
+}
+
+// Guards against a number of holders whose bursts together are over the bound, as when every router of a large region is one.
+func TestHoldersAreCompared(t *testing.T) {
+	for _, c := range []struct {
+		holders int
+		within  bool
+	}{{1, true}, {2, true}, {4, true}, {300, false}} {
+		f := newFleet(1, 300, c.holders)
+		now := start
+		for _, s := range f.states {
+			s.Cool(now, time.Minute)
+		}
+		for range 6000 {
+			f.send(now)
+			now = now.Add(10 * time.Millisecond)
+		}
+		most := f.busiest()
+		t.Logf("%d holders: %.1f a second, %d in the busiest second", c.holders, float64(len(f.sent))/60, most)
+		if within := float64(most) <= bound; within != c.within {
+			t.Errorf("%d holders: %d requests in a second, the bound is %.1f", c.holders, most, bound)
+		}
+	}
+}
+
+func TestWhatMakesAnUpstreamCold(t *testing.T) {
+	entry := func(left time.Duration) pomelorelay.FleetUpstream {
+		u := listed("u")
+		u.ColdFor = left
+		return u
+	}
+	free := func(u pomelorelay.FleetUpstream) pomelorelay.FleetUpstream {
+		u.Service = "never cold"
+		return u
+	}
+	far := entry(0)
+	far.Domain = "f"
+	near := routersOf(1)[0]
+	for _, c := range []struct {
+		name string
+		make func(g *pomelowarmup.Gate) *pomelowarmup.Upstream
+		// cold is how long the upstream is then taken as cold.
+		cold time.Duration
+	}{
+		{"listed as warm", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream { return g.Upstream(start, entry(0)) }, 0},
+		{"listed as cold", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream { return g.Upstream(start, entry(time.Second)) }, time.Second},
+		{"listed without a word", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			return g.Upstream(start, entry(pomelorelay.ColdUnknown))
+		}, coldFor},
+		{"without a word, of a service that is never cold", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			return g.Upstream(start, free(entry(pomelorelay.ColdUnknown)))
+		}, 0},
+		{"started anew", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream { return g.Restarted(start, entry(0)) }, coldFor},
+		{"started anew and cold for less", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream { return g.Restarted(start, entry(time.Second)) }, time.Second},
+		{"cold once more", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			u := g.Upstream(start, entry(0))
+			u.Listed(start, entry(2*time.Second))
+			return u
+		}, 2 * time.Second},
+		{"warm by its newest entry", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			u := g.Upstream(start, entry(2*time.Second))
+			u.Listed(start, entry(0))
+			return u
+		}, 0},
+		{"back from an evacuation", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			u := g.Upstream(start, entry(0))
+			u.CoolAnew(start)
+			return u
+		}, coldFor},
+		{"cold by another router's word", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			u := g.Upstream(start, entry(0))
+			u.Cool(start, 2*time.Second)
+			return u
+		}, 2 * time.Second},
+		{"unreached, then answering", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			u := g.Upstream(start.Add(-time.Second), entry(0))
+			u.Unreached(start.Add(-time.Second))
+			u.Answered(start, start.Add(-time.Millisecond))
+			return u
+		}, coldFor},
+		{"unreached, and answering what was sent before", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			u := g.Upstream(start.Add(-time.Second), entry(0))
+			u.Unreached(start)
+			u.Answered(start, start.Add(-time.Millisecond))
+			return u
+		}, 4 * time.Second},
+		{"unreached in another region", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			u := g.Upstream(start, far)
+			u.Unreached(start)
+			return u
+		}, 0},
+		{"unreached, of a service that is never cold", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
+			u := g.Upstream(start, free(entry(0)))
+			u.Unreached(start)
+			return u
+		}, 0},
+	} {
+		u := c.make(newGate(near, nil, pomelowarmup.DefaultHolders))
+		if c.cold > 0 && !u.Cold(start.Add(c.cold-time.Millisecond)) {
+			t.Errorf("%s: warm before %v", c.name, c.cold)
+		}
+		if u.Cold(start.Add(c.cold)) {
+			t.Errorf("%s: cold after %v", c.name, c.cold)
+		}
+	}
+}
+
+// Guards against an upstream that nobody tries while it may be back, and against one that every router tries.
+func TestOnlyHoldersTryAnUpstreamThatMayBeBack(t *testing.T) {
+	f := newFleet(3, 78, pomelowarmup.DefaultHolders)
+	tried := 0
+	for _, s := range f.states {
+		s.Doubt(start)
+		if s.Class(start.Add(time.Second)) == pomelowarmup.Open {
+			tried++
+		}
+	}
+	if tried != pomelowarmup.DefaultHolders {
+		t.Errorf("%d routers try it, want %d", tried, pomelowarmup.DefaultHolders)
+	}
+}
+
+// Guards against a time to come back at which the router still sends nothing.
+func TestTheWaitIsTrue(t *testing.T) {
+	f := newFleet(5, 12, pomelowarmup.DefaultHolders)
+	for i, s := range f.states {
+		s.Cool(start, coldFor)
+		wait := s.Wait(start)
+		if wait <= 0 || wait > coldFor {
+			t.Errorf("router %d: wait of %v", i, wait)
+		}
+		if s.Class(start.Add(wait+time.Millisecond)) == pomelowarmup.Closed {
+			t.Errorf("router %d sends nothing after its wait of %v", i, wait)
+		}
+	}
+}
--- /dev/null
+++ b/pomelowarmup/upstream.go
@@ -0,0 +1,180 @@
+package pomelowarmup
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Class tells whether a request may go to an upstream.
+type Class int
+
+// The classes.
+const (
+	// Open upstreams take requests: they are warm, or this router is to find out whether they are back.
+	Open Class = iota
+	// Reserve upstreams are cold and take a request of this router's part of their bound, where no open one can.
+	Reserve
+	// Closed upstreams are cold and get nothing from this router now.
+	Closed
+)
+
+// Upstream is what a router has found out of one upstream's start.
+type Upstream struct {
+	gate *Gate
+	info pomelorelay.FleetUpstream
+	// coldUntil is until when it is cold, doubtUntil until when it may have started anew without that being known.
+	coldUntil, doubtUntil time.Time
+	// doubtSince is when that became unknown.
+	doubtSince time.Time
+	// level is how much of a request this router may send, at levelAt.
+	level   float64
+	levelAt time.Time
+	// held is whether this router holds a part of the bound, as of the change heldAt of the routers.
+	held   bool
+	heldAt uint64
+}
+
+// Upstream returns the state of an upstream that is listed for the first time.
+func (g *Gate) Upstream(now time.Time, info pomelorelay.FleetUpstream) *Upstream {
+	u := &Upstream{gate: g, info: info}
+	switch {
+	case info.ColdFor > 0:
+		u.cool(now, info.ColdFor)
+	case info.ColdFor == pomelorelay.ColdUnknown:
+		u.cool(now, g.duration(u))
+	}
+	return u
+}
+
+// Restarted returns the state of an upstream that was listed before and has started anew since.
+func (g *Gate) Restarted(now time.Time, info pomelorelay.FleetUpstream) *Upstream {
+	u := &Upstream{gate: g, info: info}
+	u.cool(now, max(info.ColdFor, 0))
+	if info.ColdFor <= 0 {
+		u.cool(now, g.duration(u))
+	}
+	return u
+}
+
+// Listed takes the newest entry of the same start.
+func (u *Upstream) Listed(now time.Time, info pomelorelay.FleetUpstream) {
+	before := u.info.ColdFor
+	u.info = info
+	switch {
+	case info.ColdFor > 0:
+		u.limit(now)
+		u.coldUntil = now.Add(info.ColdFor)
+	case info.ColdFor == 0 && before > 0:
+		u.coldUntil = time.Time{}
+	}
+}
+
+// Unreached notes that the upstream took no connection, though others answered: whatever ended it, it will be cold when it is back. It reports
+// whether the other routers should be told; those of other regions cannot tell a broken link from an upstream that is down.
+func (u *Upstream) Unreached(now time.Time) bool {
+	if !u.gate.near(u) {
+		return false
+	}
+	return u.Doubt(now)
+}
+
+// Doubt notes that a router of the upstream's region could not connect to it; it reports whether that matters for the service.
+func (u *Upstream) Doubt(now time.Time) bool {
+	if u.gate.duration(u) <= 0 {
+		return false
+	}
+	u.limit(now)
+	if !now.Before(u.doubtUntil) {
+		u.doubtSince = now
+	}
+	u.doubtUntil = now.Add(doubtFor)
+	return true
+}
+
+// Answered notes an answer of the upstream to a request that was sent at a time. It returns how long the upstream may be cold from now on if that
+// was not known, for the other routers. An answer to a request of before says only that the upstream lived then.
+func (u *Upstream) Answered(now, sent time.Time) (time.Duration, bool) {
+	if !now.Before(u.doubtUntil) || sent.Before(u.doubtSince) {
+		return 0, false
+	}
+	u.Cool(now, u.gate.duration(u))
+	return u.coldUntil.Sub(now), true
+}
+
+// Cool notes that the upstream may be cold for a time from now on, and is reachable.
+func (u *Upstream) Cool(now time.Time, left time.Duration) {
+	u.doubtUntil = time.Time{}
+	u.cool(now, left)
+}
+
+// CoolAnew notes that the upstream may have become cold without a start.
+func (u *Upstream) CoolAnew(now time.Time) { u.cool(now, u.gate.duration(u)) }
+
+func (u *Upstream) cool(now time.Time, left time.Duration) {
+	if left <= 0 {
+		return
+	}
+	u.limit(now)
+	if until := now.Add(left); until.After(u.coldUntil) {
+		u.coldUntil = until
+	}
+}
+
+// limited reports whether the upstream is cold or may be.
+func (u *Upstream) limited(now time.Time) bool {
+	return now.Before(u.coldUntil) || now.Before(u.doubtUntil)
+}
+
+// limit begins with an empty bucket where the upstream was warm: a full one in each router that has just started would be too much together.
+func (u *Upstream) limit(now time.Time) {
+	if !u.limited(now) {
+		u.level, u.levelAt = 0, now
+	}
+}
+
+// Cold reports whether the upstream is cold, or may be.
+func (u *Upstream) Cold(now time.Time) bool { return u.limited(now) }
+
+// Class returns whether a request of this router may go to the upstream.
+func (u *Upstream) Class(now time.Time) Class {
+	switch {
+	case !u.limited(now):
+		return Open
+	case !u.gate.holds(u) || u.refill(now) < 1:
+		return Closed
+	case now.Before(u.doubtUntil):
+		return Open
+	}
+	return Reserve
+}
+
+// Take notes that a request is sent.
+func (u *Upstream) Take(now time.Time) {
+	if u.limited(now) {
+		u.level = max(0, u.refill(now)-1)
+	}
+}
+
+func (u *Upstream) refill(now time.Time) float64 {
+	rate, burst := u.gate.bucket(u)
+	if passed := now.Sub(u.levelAt); passed > 0 {
+		u.level = min(burst, u.level+rate*passed.Seconds())
+		u.levelAt = now
+	}
+	return u.level
+}
+
+// Wait returns when this router may send a request to the upstream.
+func (u *Upstream) Wait(now time.Time) time.Duration {
+	if !u.limited(now) {
+		return 0
+	}
+	wait := max(u.coldUntil.Sub(now), u.doubtUntil.Sub(now))
+	rate, _ := u.gate.bucket(u)
+	if !u.gate.holds(u) || rate <= 0 {
+		return wait
+	}
+	lacks := max(0, 1-u.refill(now))
+	return min(wait, time.Duration(lacks/rate*float64(time.Second)))
+}
--- a/settings_fleet.go
+++ b/settings_fleet.go
@@ -31,6 +31,8 @@
 	// RetryRatio and RetrySlack bound what the whole fleet sends again of one service's requests: a ratio of them, and a slack.
 	RetryRatio float64
 	RetrySlack float64
+	// Cold bounds what the whole fleet sends to cold upstreams.
+	Cold ColdBounds
 	// ShareWindow is the time over which accounts' shares of the engines are reckoned.
 	ShareWindow time.Duration
 }
