Listing the upstreams at a start takes time that grows with them, not with their square

Cause: each upstream that is listed sorted both lists of its service anew, hashing every id again at each comparison, and counted all engines for the first guess of their speed.

Change: upstreams are inserted in order with their hash computed once; engines are counted as they come and go. What a placement looks up for each upstream (region, evacuation, hash) lies in the upstream.

--- /dev/null
+++ b/pomeloentry/load_bench_test.go
@@ -0,0 +1,67 @@
+package pomeloentry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloentry"
+	"github.com/pomelorelay/pomelorelay/pomelomesh"
+)
+
+func manyUpstreams(n int) []pomelorelay.FleetUpstream {
+	list := make([]pomelorelay.FleetUpstream, n)
+	for i := range list {
+		list[i] = pomelorelay.FleetUpstream{ID: pomelorelay.UpstreamID(fmt.Sprintf("i-%010x", i*7919)), Service: "s", Domain: pomelorelay.DomainID(rune('a' + i%6)), Slots: 32, Born: 1}
+	}
+	return list
+}
+
+// BenchmarkTakeSummary decodes and takes the sum of the other routers' reports, in which a quarter of the upstreams changed.
+func BenchmarkTakeSummary(b *testing.B) {
+	for _, n := range []int{60, 600, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Now()
+			peers := peersOf(6, 50)
+			f := pomeloentry.NewFollower("a-1", 4*time.Second, peers)
+			ups := manyUpstreams(n)
+			f.Receive(now, "a-0", &pomelorelay.FleetUpdate{At: 1, Whole: true, Upstreams: ups, Peers: peers})
+			seq := uint64(0)
+			for b.Loop() {
+				seq++
+				m := &pomelorelay.LoadSummary{Report: &pomelorelay.LoadReport{Seq: seq, Whole: seq == 1}}
+				for i := int(seq) % 4; i < n; i += 4 {
+					m.Report.Upstreams = append(m.Report.Upstreams, pomelorelay.UpstreamLoad{
+						Upstream: ups[i].ID, Running: uint32(seq % 20), Unread: 5000, Held: 90000, Sent: pomelorelay.Tokens(seq * 5000),
+						Expected: time.Duration(seq) * 50 * time.Millisecond, Took: time.Duration(seq) * 52 * time.Millisecond,
+					})
+				}
+				data, err := pomelomesh.EncodeMessage(m)
+				if err != nil {
+					b.Fatal(err)
+				}
+				got, err := pomelomesh.DecodeMessage(data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				now = now.Add(40 * time.Millisecond)
+				f.TakeSummary(now, "a-0", got.(*pomelorelay.LoadSummary))
+			}
+		})
+	}
+}
+
+// BenchmarkListUpstreams takes the first whole update at a router that starts.
+func BenchmarkListUpstreams(b *testing.B) {
+	for _, n := range []int{60, 600, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			peers := peersOf(6, 50)
+			ups := manyUpstreams(n)
+			for b.Loop() {
+				f := pomeloentry.NewFollower("a-1", 4*time.Second, peers)
+				f.Receive(time.Now(), "a-0", &pomelorelay.FleetUpdate{At: 1, Whole: true, Upstreams: ups, Peers: peers})
+			}
+		})
+	}
+}
--- a/pomeloplace/load_test.go
+++ b/pomeloplace/load_test.go
@@ -135,7 +135,7 @@
 }
 
 func BenchmarkPlace(b *testing.B) {
-	for _, n := range []int{9, 112, 600} {
+	for _, n := range []int{9, 112, 600, 3000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			p := withEngines(n)
 			now := start
@@ -150,3 +150,28 @@
 		})
 	}
 }
+
+// BenchmarkPutAll lists all upstreams of a fleet at a router that starts.
+func BenchmarkPutAll(b *testing.B) {
+	for _, n := range []int{60, 600, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				withEngines(n)
+			}
+		})
+	}
+}
+
+// BenchmarkTick does what follows from time alone.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{60, 600, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := withEngines(n)
+			now := start
+			for b.Loop() {
+				now = now.Add(50 * time.Millisecond)
+				p.Tick(now)
+			}
+		})
+	}
+}
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -121,13 +121,18 @@
 }
 
 func (s *pool) add(u *upstream) {
-	s.list = append(s.list, u)
-	slices.SortFunc(s.list, func(a, b *upstream) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	s.ranked = append(s.ranked, u)
-	slices.SortFunc(s.ranked, func(a, b *upstream) int { return cmp.Compare(rank(a), rank(b)) })
+	s.list = insert(s.list, u, func(a, b *upstream) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	s.ranked = insert(s.ranked, u, func(a, b *upstream) int { return cmp.Compare(a.rank, b.rank) })
 }
 
-func rank(u *upstream) uint64 { return xxhash.Sum64String("long/" + string(u.info.ID)) }
+// insert puts an upstream into an ordered list.
+func insert(list []*upstream, u *upstream, compare func(a, b *upstream) int) []*upstream {
+	at, _ := slices.BinarySearchFunc(list, u, compare)
+	return slices.Insert(list, at, u)
+}
+
+// rank orders the engines for long prompts, alike at every router.
+func rank(id pomelorelay.UpstreamID) uint64 { return xxhash.Sum64String("long/" + string(id)) }
 
 func (s *pool) remove(u *upstream) {
 	is := func(o *upstream) bool { return o == u }
@@ -136,7 +141,7 @@
 }
 
 // spread notes which engines take the long prompts from now on.
-func (s *pool) spread(now time.Time, evacuated map[pomelorelay.DomainID]bool, off *Mechanisms) {
+func (s *pool) spread(now time.Time, off *Mechanisms) {
 	if len(s.ranked) == 0 || s.ranked[0].engine == nil {
 		return
 	}
@@ -152,7 +157,7 @@
 	}
 	need = s.forLong
 	for _, u := range s.ranked {
-		u.forLong = need > 0 && !u.info.Draining && !evacuated[u.info.Domain] && !now.Before(u.downUntil)
+		u.forLong = need > 0 && !u.info.Draining && !u.evacuated && !now.Before(u.downUntil)
 		if u.forLong {
 			need--
 		}
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -19,7 +19,9 @@
 	engines  map[pomelorelay.ServiceID]*pomelorelay.EngineSpec
 	// capacity is what all engines together produce in a second by the operators' word; zero when they do not say.
 	capacity pomelorelay.Cost
-	peers    map[pomelorelay.NodeID]*peer
+	// engineCount is the number of upstreams that are model engines.
+	engineCount int
+	peers       map[pomelorelay.NodeID]*peer
 	// evacuated are the failure domains whose upstreams get nothing new.
 	evacuated map[pomelorelay.DomainID]bool
 	// warmup is which upstreams are cold, starts what the other routers are to learn of it.
@@ -68,23 +70,26 @@
 	for _, s := range config.Services {
 		p.engines[s.Name] = s.Engine
 	}
+	p.engineCount = 0
 	for _, u := range p.upstreams {
 		u.setEngine(p.engines[u.info.Service])
+		p.count(u, 1)
 	}
 	p.guess()
 }
 
+// count counts an upstream that comes or goes among the engines.
+func (p *Placer) count(u *upstream, change int) {
+	if u.engine != nil {
+		p.engineCount += change
+	}
+}
+
 // guess makes the operators' figure the first guess of how fast each engine reads.
 func (p *Placer) guess() {
-	count := 0
-	for _, u := range p.upstreams {
-		if u.engine != nil {
-			count++
-		}
-	}
 	rate := startRate
-	if p.capacity > 0 && count > 0 {
-		rate = pomelospeed.Rate(readTimes * float64(p.capacity) / float64(count) / 1000)
+	if p.capacity > 0 && p.engineCount > 0 {
+		rate = pomelospeed.Rate(readTimes * float64(p.capacity) / float64(p.engineCount) / 1000)
 	}
 	for _, s := range p.services {
 		s.line.SetGuess(rate)
@@ -105,6 +110,9 @@
 		p.recount(u, info.ID)
 	}
 	u.info = info
+	u.region = p.cfg.Regions[info.Domain]
+	u.foreign = u.region != p.cfg.Self.Region
+	u.evacuated = p.evacuated[info.Domain]
 	u.start.Listed(now, info)
 	if p.upstreams[info.ID] == u {
 		return
@@ -117,8 +125,10 @@
 		s.expectation = p.expected[info.Service]
 		p.services[info.Service] = s
 	}
+	u.setEngine(p.engines[info.Service])
 	s.add(u)
 	u.pool = s
+	p.count(u, 1)
 	p.guess()
 }
 
@@ -153,6 +163,7 @@
 	p.retired[id] = u
 	delete(p.upstreams, id)
 	u.pool.remove(u)
+	p.count(u, -1)
 	p.guess()
 }
 
@@ -202,7 +213,7 @@
 		return false
 	}
 	return slices.ContainsFunc(s.list, func(u *upstream) bool {
-		return p.evacuated[u.info.Domain] && !u.info.Draining && p.allowed(u, r)
+		return u.evacuated && !u.info.Draining && p.allowed(u, r)
 	})
 }
 
@@ -223,13 +234,13 @@
 
 // SetEvacuated begins or ends the evacuation of a failure domain. Its upstreams may have become cold meanwhile.
 func (p *Placer) SetEvacuated(now time.Time, domain pomelorelay.DomainID, evacuated bool) {
-	if evacuated {
-		p.evacuated[domain] = true
-		return
-	}
-	delete(p.evacuated, domain)
+	p.evacuated[domain] = evacuated
 	for _, u := range p.upstreams {
-		if u.info.Domain == domain {
+		if u.info.Domain != domain {
+			continue
+		}
+		u.evacuated = evacuated
+		if !evacuated {
 			u.start.CoolAnew(now)
 		}
 	}
@@ -237,12 +248,12 @@
 
 // allowed reports whether the request's residency allows the upstream.
 func (p *Placer) allowed(u *upstream, r *Request) bool {
-	return r.Residency.Allows(p.cfg.Regions[u.info.Domain])
+	return r.Residency.Allows(u.region)
 }
 
 // usable reports whether the request may be sent to the upstream at all.
 func (p *Placer) usable(u *upstream, r *Request) bool {
-	return !u.info.Draining && !p.evacuated[u.info.Domain] && p.allowed(u, r)
+	return !u.info.Draining && !u.evacuated && p.allowed(u, r)
 }
 
 // choose returns the best candidate for the request, and whether it is admitted there. Cold upstreams are taken only when no other one admits it.
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -181,7 +181,7 @@
 // Tick forgets routers that have been silent and spreads the long prompts anew.
 func (p *Placer) Tick(now time.Time) {
 	for _, s := range p.services {
-		s.spread(now, p.evacuated, &p.cfg.Without)
+		s.spread(now, &p.cfg.Without)
 	}
 	p.oldest = time.Time{}
 	for node, o := range p.peers {
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -7,6 +7,8 @@
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
 	"github.com/pomelorelay/pomelorelay/pomelowarmup"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // load is what runs at an upstream.
@@ -21,12 +23,18 @@
 
 // upstream is one upstream as the whole fleet uses it.
 type upstream struct {
-	info    pomelorelay.FleetUpstream
-	engine  *pomelorelay.EngineSpec
-	own     load
-	others  load
-	changed bool
-	pool    *pool
+	info pomelorelay.FleetUpstream
+	// region is that of its failure domain, foreign whether it is another one than this router's.
+	region    pomelorelay.RegionID
+	foreign   bool
+	evacuated bool
+	// rank and idHash are hashes of its id.
+	rank, idHash uint64
+	engine       *pomelorelay.EngineSpec
+	own          load
+	others       load
+	changed      bool
+	pool         *pool
 	// start is whether it has started lately and is cold.
 	start *pomelowarmup.Upstream
 	// forLong tells that long prompts go here.
@@ -51,7 +59,7 @@
 }
 
 func newUpstream(info pomelorelay.FleetUpstream, engine *pomelorelay.EngineSpec) *upstream {
-	u := &upstream{info: info, slow: 1, service: startService}
+	u := &upstream{info: info, rank: rank(info.ID), idHash: xxhash.Sum64String(string(info.ID)), slow: 1, service: startService}
 	u.setEngine(engine)
 	return u
 }
@@ -136,6 +144,9 @@
 
 // failing returns the rate of failures, faded since the last result.
 func (u *upstream) failing(now time.Time) float64 {
+	if u.failures == 0 {
+		return 0
+	}
 	return u.failures * math.Exp2(-float64(now.Sub(u.failedAt))/float64(failMemory))
 }
 
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Term names a part of what it costs to send a request to an upstream.
@@ -108,7 +106,7 @@
 	c := candidate{up: u, backlog: u.await(now)}
 	c.expected = c.backlog + p.way(u)
 	off := &p.cfg.Without
-	if p.foreign(u) && !off.Regions {
+	if u.foreign && !off.Regions {
 		c.add(TermRegion, u.worth(regionTokens))
 	}
 	if !off.Failures {
@@ -154,14 +152,12 @@
 	}
 }
 
-func (p *Placer) foreign(u *upstream) bool { return p.cfg.Regions[u.info.Domain] != p.cfg.Self.Region }
-
 // way returns the time that a request takes to an upstream and its answer back, beyond that to one of this router's own region.
 func (p *Placer) way(u *upstream) time.Duration {
-	if !p.foreign(u) {
+	if !u.foreign {
 		return 0
 	}
-	way, known := p.ways[p.cfg.Regions[u.info.Domain]]
+	way, known := p.ways[u.region]
 	if !known {
 		return startWay
 	}
@@ -170,12 +166,12 @@
 
 // learnWay takes the time to a first token beyond what was expected without the way.
 func (p *Placer) learnWay(u *upstream, beyond time.Duration) {
-	if !p.foreign(u) {
+	if !u.foreign {
 		return
 	}
 	way := p.way(u)
 	sample := min(max(beyond, -way), 3*way+startWay)
-	p.ways[p.cfg.Regions[u.info.Domain]] = max(0, way+part(wayShare, sample-way))
+	p.ways[u.region] = max(0, way+part(wayShare, sample-way))
 }
 
 // own returns the tokens of the prompt's last part, which no other request shares.
@@ -208,16 +204,18 @@
 	}
 	// The last part is the request's own; the one before it is the longest chain that others share.
 	shared := r.Parts[len(r.Parts)-2].Hash
-	var key [8]byte
-	for i := range key {
-		key[i] = byte(shared >> (8 * i))
-	}
-	h := xxhash.New()
-	_, _ = h.Write(key[:])
-	_, _ = h.WriteString(string(u.info.ID))
-	place := float64(len(u.pool.list)) * float64(h.Sum64()>>11) / (1 << 53)
+	place := float64(len(u.pool.list)) * float64(mix(shared^u.idHash)>>11) / (1 << 53)
 	return min(homeMost, part(place, homeStep))
 }
 
+// mix spreads the bits of a number evenly, as the finalizer of MurmurHash3 does.
+func mix(n uint64) uint64 {
+	n ^= n >> 33
+	n *= 0xff51afd7ed558ccd
+	n ^= n >> 33
+	n *= 0xc4ceb9fe1a85ec53
+	return n ^ n>>33
+}
+
 // part returns so many times the duration.
 func part(times float64, d time.Duration) time.Duration { return time.Duration(times * float64(d)) }
