Cold upstreams are logged and counted

Cause: from the log it could not be seen which upstreams a router takes for cold, since when, and whether it may send to them.

Change: events 914 and 915 when an upstream is found cold and when it is warm again, with how much longer, whether it took no connection, and whether this router holds a part of its bound; the gauge cold_upstreams.

--- a/events_store.go
+++ b/events_store.go
@@ -16,6 +16,8 @@
 	EventSpeedLearnt        EventID = 911
 	EventDomainEvacuated    EventID = 912
 	EventDomainRestored     EventID = 913
+	EventUpstreamCold       EventID = 914
+	EventUpstreamWarm       EventID = 915
 )
 
 var storeEvents = []EventInfo{
@@ -33,4 +35,6 @@
 	{EventSpeedLearnt, "SpeedLearnt", LevelInfo, "What the router believes of how fast a service's engines read changed by a fifth or more.", "None; a service that turns slow as a whole shows here."},
 	{EventDomainEvacuated, "DomainEvacuated", LevelInfo, "The evacuation of a failure domain is in force at this router: its upstreams get nothing new, what runs there goes on.", "None."},
 	{EventDomainRestored, "DomainRestored", LevelInfo, "The evacuation of a failure domain was taken back; its upstreams take requests again.", "None."},
+	{EventUpstreamCold, "UpstreamCold", LevelInfo, "An upstream is cold, or took no connection and will be when it is back; the fleet sends it at most what it accepts then. Holder tells whether this router sends it any.", "None; look at the upstream when it repeats."},
+	{EventUpstreamWarm, "UpstreamWarm", LevelInfo, "An upstream that was cold takes requests as before.", "None."},
 }
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -10,6 +10,7 @@
 	"github.com/pomelorelay/pomelorelay/pomeloshare"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
 	"github.com/pomelorelay/pomelorelay/pomelotable"
+	"github.com/pomelorelay/pomelorelay/pomelowarmup"
 )
 
 const (
@@ -47,6 +48,8 @@
 	reportedAt time.Time
 	wholeAt    time.Time
 	gaugesAt   time.Time
+	// cold are the upstreams that were cold at the last look.
+	cold map[pomelorelay.UpstreamID]pomelowarmup.Status
 	// speeds are the reading speeds that were last logged.
 	speeds map[pomelorelay.ServiceID]pomelospeed.Rate
 }
@@ -106,6 +109,7 @@
 	if now.Sub(c.gaugesAt) >= gaugesEvery {
 		c.gaugesAt = now
 		c.setGauges()
+		c.noteWarmups(now)
 	}
 }
 
--- /dev/null
+++ b/pomeloentry/warmup_test.go
@@ -0,0 +1,38 @@
+package pomeloentry_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Guards against a router that sends to an upstream although its entry says that it is cold, and against one that never takes it for warm.
+func TestAColdUpstreamIsLeftOutUntilItIsWarm(t *testing.T) {
+	const left = 2 * time.Second
+	f := newFleet(t)
+	f.store.Publish(f.config(1, "/a/"))
+	warm := f.upstream("warm", 0)
+	n := f.start(8 * time.Second)
+	f.awaitStatus(n, "/a/", 200)
+	listed := time.Now()
+	u := f.upstreamWith("cold", 0, func(u *pomelorelay.FleetUpstream) { u.ColdFor = left })
+	f.await("the cold upstream is noticed", func() bool { return n.log.has(pomelorelay.EventUpstreamCold) })
+	for time.Since(listed) < left*9/10 {
+		if status, by := f.call(n, "/a/"); status != 200 || by != "warm" {
+			t.Fatalf("%d by %q after %v", status, by, time.Since(listed))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.await("the upstream is warm", func() bool { return n.log.has(pomelorelay.EventUpstreamWarm) })
+	warm.Draining = true
+	f.store.Put(warm)
+	f.await("the upstream serves", func() bool {
+		_, by := f.call(n, "/a/")
+		return by == string(u.ID)
+	})
+	if _, text := f.get(n.settings.Metrics, "/metrics"); !strings.Contains(text, `pomelorelay_state{name="cold_upstreams"} 0`) {
+		t.Error("the metrics lack cold_upstreams")
+	}
+}
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -232,6 +232,17 @@
 	return max(least, leastRetry), found
 }
 
+// Warmups returns the upstreams that are cold or may be.
+func (p *Placer) Warmups(now time.Time) map[pomelorelay.UpstreamID]pomelowarmup.Status {
+	cold := make(map[pomelorelay.UpstreamID]pomelowarmup.Status)
+	for id, u := range p.upstreams {
+		if s := u.start.Status(now); s.Cold {
+			cold[id] = s
+		}
+	}
+	return cold
+}
+
 // SetEvacuated begins or ends the evacuation of a failure domain. Its upstreams may have become cold meanwhile.
 func (p *Placer) SetEvacuated(now time.Time, domain pomelorelay.DomainID, evacuated bool) {
 	p.evacuated[domain] = evacuated
--- a/pomelowarmup/upstream.go
+++ b/pomelowarmup/upstream.go
@@ -136,6 +136,25 @@
 // Cold reports whether the upstream is cold, or may be.
 func (u *Upstream) Cold(now time.Time) bool { return u.limited(now) }
 
+// Status is what a router takes an upstream for, for its log.
+type Status struct {
+	Cold bool
+	// Left is how much longer, at most, if nothing else is learnt.
+	Left time.Duration
+	// Unreached tells that it took no connection and has not answered since.
+	Unreached bool
+	// Holder tells that this router holds a part of its bound.
+	Holder bool
+}
+
+// Status returns what the router takes the upstream for.
+func (u *Upstream) Status(now time.Time) Status {
+	if !u.limited(now) {
+		return Status{}
+	}
+	return Status{Cold: true, Left: max(u.coldUntil.Sub(now), u.doubtUntil.Sub(now)), Unreached: now.Before(u.doubtUntil), Holder: u.gate.holds(u)}
+}
+
 // Class returns whether a request of this router may go to the upstream.
 func (u *Upstream) Class(now time.Time) Class {
 	switch {
