What streams wait counts from when their engine began to read without a break

The cost of pauses looked at what was still to be read when a request was placed: a prompt that came while another one was half read saw a short wait, and the streams had waited for the first half already.

Change: an engine's unbroken reading so far is part of the wait that its streams have beside the next prompt.

--- a/pomeloplace/load_test.go
+++ b/pomeloplace/load_test.go
@@ -175,3 +175,26 @@
 		})
 	}
 }
+
+// Guards against long prompts that are read one after the other beside the same streams: on a calm day, when engines read a third of the time, each
+// wait is short, and together they make the streams pause for too long.
+func TestStreamsSeldomPauseOnACalmDay(t *testing.T) {
+	const (
+		seeds = 3
+		most  = 0.025
+	)
+	paused, ended := 0, 0
+	for seed := range uint64(seeds) {
+		p := newPlay(seed+1, 13, 30)
+		p.slots, p.eventTokens, p.delay, p.scale = 32, 10, 50*time.Millisecond, 3
+		for _, r := range p.routers {
+			r.SetConfig(&pomelorelay.FleetConfig{Routes: routes, Services: []pomelorelay.ServiceSpec{{Name: engines, Engine: &pomelorelay.EngineSpec{Slots: 32, Memory: 632_306, EventTokens: 10}}}})
+		}
+		p.run(430, 20*time.Second)
+		t.Logf("%s; first of the answer late %d", p, p.lateFirst)
+		paused, ended = paused+p.latePause, ended+p.ended()
+	}
+	if got := float64(paused) / float64(ended); got > most {
+		t.Errorf("%.4f of the answers paused for too long, want at most %.3f", got, most)
+	}
+}
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -42,6 +42,8 @@
 	// queue is the number of tokens that are still to be read at the time queueAt, as it falls by the rate.
 	queue   float64
 	queueAt time.Time
+	// busySince is since when it has been reading without a break.
+	busySince time.Time
 	// factor is how an engine's speed differs from its service's, slow the same beside the middle one of the service.
 	factor pomelospeed.Factor
 	slow   float64
@@ -89,6 +91,9 @@
 	if passed := now.Sub(u.queueAt); passed > 0 {
 		u.queue = max(0, u.queue-u.rate()*milliseconds(passed))
 		u.queueAt = now
+		if u.queue == 0 {
+			u.busySince = now
+		}
 	}
 }
 
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -118,11 +118,11 @@
 		c.add(TermCrowd, crowdCost(u))
 		return c
 	}
-	p.weighEngine(&c, from, r)
+	p.weighEngine(now, &c, from, r)
 	return c
 }
 
-func (p *Placer) weighEngine(c *candidate, from source, r *Request) {
+func (p *Placer) weighEngine(now time.Time, c *candidate, from source, r *Request) {
 	u, off := c.up, &p.cfg.Without
 	missing := u.kept.missing(r)
 	copying := p.copy(c, from, missing)
@@ -141,7 +141,7 @@
 		c.add(TermLate, part(lateWeight, max(0, c.expected-part(calmShare, r.Target))))
 	}
 	if !off.Pauses {
-		c.add(TermPause, u.pauseCost(c.backlog+read))
+		c.add(TermPause, u.pauseCost(u.busy(now)+c.backlog+read))
 	}
 	if !off.LongEngines {
 		c.add(TermLong, longCost(u, r, c.missing))
@@ -187,6 +187,14 @@
 	return part(taken*taken, crowdWeight)
 }
 
+// busy returns how long the engine has been reading without a break.
+func (u *upstream) busy(now time.Time) time.Duration {
+	if u.busySince.IsZero() {
+		return 0
+	}
+	return now.Sub(u.busySince)
+}
+
 // pauseCost is what the streams that run at the engine lose when it reads for a time without a break.
 func (u *upstream) pauseCost(reading time.Duration) time.Duration {
 	allowed := float64(u.pool.pause)
