Operators evacuate a failure domain through the product's own interface

Cause: evacuations existed on the users' platform only.

Change: the configuration lists the failure domains under evacuation (checked, in differences, parts and the audit trail).

Tests: no new work at the domain from four routers within 3 s and until it is taken back; checks; the command with its audit trail. Not yet there: regions of routes and accounts in the product's own configuration.

--- a/cmd/pomeloctl/pomelocommand/app.go
+++ b/cmd/pomeloctl/pomelocommand/app.go
@@ -85,7 +85,7 @@
 	actions := make(map[string]action)
 	for _, add := range []func(*kingpin.Application) (*kingpin.CmdClause, action){
 		a.questionnaireCommand, a.generateCommand, a.checkCommand, a.diffCommand, a.applyCommand, a.showCommand,
-		a.auditCommand, a.statusCommand, a.drainCommand, a.tokenCommand,
+		a.auditCommand, a.statusCommand, a.drainCommand, a.evacuateCommand, a.tokenCommand,
 	} {
 		clause, do := add(cli)
 		actions[clause.FullCommand()] = do
--- a/cmd/pomeloctl/pomelocommand/command_test.go
+++ b/cmd/pomeloctl/pomelocommand/command_test.go
@@ -184,3 +184,29 @@
 		t.Errorf("--help has exit code %d", code)
 	}
 }
+
+// Guards against an evacuation that is not in the audit trail, that changes anything else, or that cannot be taken back.
+func TestADomainIsEvacuatedAndTakenBack(t *testing.T) {
+	_, address := newPlatform(t)
+	file := writeFile(t, mustCtl(t, "generate", "--answers", jewellers))
+	mustCtl(t, "apply", file, "--store", address, "--why", "first")
+	out := mustCtl(t, "evacuate", "recife-a", "--store", address, "--why", "power work", "--author", "ana", "--wait", "--router", address)
+	if !strings.Contains(out, "recife-a gets nothing new") || !strings.Contains(out, "Generation 2,") || !strings.Contains(out, "In force on "+address) {
+		t.Fatal(out)
+	}
+	if shown := mustCtl(t, "show", "--store", address); strings.Count(shown, "Evacuated:") != 1 {
+		t.Fatal(shown)
+	}
+	if trail := mustCtl(t, "audit", "--store", address); !strings.Contains(trail, "why: power work") {
+		t.Fatal(trail)
+	}
+	for _, args := range [][]string{{"recife-a"}, {"nowhere"}, {"salvador-a", "--cancel"}} {
+		if code, _, diag := ctl(append([]string{"evacuate", "--store", address, "--why", "w"}, args...)...); code == 0 || !strings.Contains(diag, fmt.Sprint(int(pomelorelay.CodeConfigInvalid))) {
+			t.Errorf("%v: exit code %d, %s", args, code, diag)
+		}
+	}
+	mustCtl(t, "evacuate", "recife-a", "--cancel", "--store", address, "--why", "power is back")
+	if diff := mustCtl(t, "diff", file, "--store", address); diff != "Nothing differs.\n" {
+		t.Fatal(diff)
+	}
+}
--- a/cmd/pomeloctl/pomelocommand/router.go
+++ b/cmd/pomeloctl/pomelocommand/router.go
@@ -26,6 +26,7 @@
 	Generation  pomelorelay.Generation
 	Ready       bool
 	Stopping    bool
+	Evacuated   []pomelorelay.DomainID
 	Members     []json.RawMessage
 	Upstreams   []json.RawMessage
 	Pools       []json.RawMessage
--- a/cmd/pomeloctl/pomelocommand/status.go
+++ b/cmd/pomeloctl/pomelocommand/status.go
@@ -82,11 +82,19 @@
 			continue
 		}
 		s := line.Status
-		fmt.Fprintf(&text, "%-22s %-20s %-14s %-10s %10d %-8s %7d %9d\n", line.Router, s.Node, s.Domain, s.Region, s.Generation, s.state(), len(s.Members), len(s.Upstreams))
+		fmt.Fprintf(&text, "%-22s %-20s %-14s %-10s %10d %-8s %7d %9d%s\n", line.Router, s.Node, s.Domain, s.Region, s.Generation, s.state(), len(s.Members), len(s.Upstreams), s.evacuatedText())
 	}
 	return text.String()
 }
 
+// evacuatedText names the failure domains under evacuation, empty where there is none.
+func (s routerStatus) evacuatedText() string {
+	if len(s.Evacuated) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("  evacuated: %v", s.Evacuated)
+}
+
 func (s routerStatus) state() string {
 	switch {
 	case s.Stopping:
--- a/pomeloconfig/check.go
+++ b/pomeloconfig/check.go
@@ -33,6 +33,7 @@
 	}
 	k.checkTeams(c.Teams)
 	k.checkRegions(c.Regions)
+	k.checkEvacuated(c.Evacuated)
 	k.checkServices(c.Services)
 	k.checkUpstreams(c.Upstreams)
 	k.checkServed(c.Services)
@@ -91,6 +92,12 @@
 	}
 }
 
+func (k *configurationCheck) checkEvacuated(domains []pomelorelay.DomainID) {
+	for i, domain := range domains {
+		k.known(k.domains, index("Evacuated", i), string(domain), "the failure domain")
+	}
+}
+
 func (k *configurationCheck) checkServices(services []Service) {
 	if len(services) == 0 {
 		k.add("Services", "no service is given", "list at least one")
--- a/pomeloconfig/configuration.go
+++ b/pomeloconfig/configuration.go
@@ -14,6 +14,8 @@
 	Upstreams []Upstream `yaml:"Upstreams"`
 	Accounts  []Account  `yaml:"Accounts"`
 	Teams     []Team     `yaml:"Teams"`
+	// Evacuated are the failure domains whose upstreams get nothing new.
+	Evacuated []pomelorelay.DomainID `yaml:"Evacuated,omitempty" json:",omitempty"`
 }
 
 // Team is a group of operators with its own services and accounts.
--- a/pomeloconfig/difference.go
+++ b/pomeloconfig/difference.go
@@ -6,6 +6,8 @@
 	"maps"
 	"reflect"
 	"slices"
+
+	"github.com/pomelorelay/pomelorelay"
 )
 
 // ChangeKind tells what became of an entry.
@@ -101,6 +103,9 @@
 	return changes
 }
 
+// evacuation stands for a failure domain under evacuation in a difference.
+type evacuation struct{ Domain pomelorelay.DomainID }
+
 // entries returns the entries by kind and name.
 func (c Configuration) entries() map[string]any {
 	entries := make(map[string]any, len(c.Accounts)+len(c.Upstreams)+len(c.Services)+len(c.Regions)+len(c.Teams))
@@ -119,6 +124,9 @@
 	for _, e := range c.Accounts {
 		entries["Account/"+string(e.Name)] = e
 	}
+	for _, domain := range c.Evacuated {
+		entries["Evacuated/"+string(domain)] = evacuation{Domain: domain}
+	}
 	return entries
 }
 
--- a/pomeloconfig/encode.go
+++ b/pomeloconfig/encode.go
@@ -45,6 +45,7 @@
 		Upstreams: slices.Clone(c.Upstreams),
 		Accounts:  slices.Clone(c.Accounts),
 		Teams:     slices.Clone(c.Teams),
+		Evacuated: slices.Clone(c.Evacuated),
 	}
 	for i := range n.Regions {
 		n.Regions[i].FailureDomains = slices.Clone(n.Regions[i].FailureDomains)
@@ -63,6 +64,7 @@
 	slices.SortStableFunc(c.Services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(c.Upstreams, func(a, b Upstream) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortStableFunc(c.Accounts, func(a, b Account) int { return cmp.Compare(a.Name, b.Name) })
+	slices.Sort(c.Evacuated)
 	for i := range c.Regions {
 		slices.Sort(c.Regions[i].FailureDomains)
 	}
--- a/pomeloconfig/parts.go
+++ b/pomeloconfig/parts.go
@@ -26,11 +26,12 @@
 // partContent is what a part holds; a part has one kind of entry, but for the first, which has the few.
 type partContent struct {
 	Bucket    int
-	Teams     []Team     `json:",omitempty"`
-	Regions   []Region   `json:",omitempty"`
-	Services  []Service  `json:",omitempty"`
-	Upstreams []Upstream `json:",omitempty"`
-	Accounts  []Account  `json:",omitempty"`
+	Teams     []Team                 `json:",omitempty"`
+	Regions   []Region               `json:",omitempty"`
+	Services  []Service              `json:",omitempty"`
+	Upstreams []Upstream             `json:",omitempty"`
+	Accounts  []Account              `json:",omitempty"`
+	Evacuated []pomelorelay.DomainID `json:",omitempty"`
 }
 
 // Part is one piece of a configuration, compressed and named by the SHA-256 of its compressed bytes.
@@ -46,7 +47,7 @@
 // The same content gives the same parts, whatever the order of its entries.
 func Parts(c Configuration) ([]Part, error) {
 	c = c.normalised()
-	contents := []partContent{{Teams: c.Teams, Regions: c.Regions, Services: c.Services}}
+	contents := []partContent{{Teams: c.Teams, Regions: c.Regions, Services: c.Services, Evacuated: c.Evacuated}}
 	contents = append(contents, upstreamContents(c.Upstreams)...)
 	contents = append(contents, accountContents(c.Accounts)...)
 	packer, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
@@ -152,6 +153,7 @@
 	c.Services = append(c.Services, content.Services...)
 	c.Upstreams = append(c.Upstreams, content.Upstreams...)
 	c.Accounts = append(c.Accounts, content.Accounts...)
+	c.Evacuated = append(c.Evacuated, content.Evacuated...)
 	return nil
 }
 
--- a/pomeloconfig/snapshot.go
+++ b/pomeloconfig/snapshot.go
@@ -24,8 +24,9 @@
 	accounts    []compiledAccount
 	byAccount   map[pomelorelay.AccountID]int32
 	// tokens are in the order of their hashes.
-	tokens   []tokenEntry
-	smallest pomelorelay.Weight
+	tokens    []tokenEntry
+	smallest  pomelorelay.Weight
+	evacuated []pomelorelay.DomainID
 }
 
 // compiledAccount keeps the few shares by service outside, so that most accounts need none.
@@ -54,7 +55,7 @@
 	if err := problemsError(pomelorelay.CodeConfigInvalid, Check(c)); err != nil {
 		return nil, err
 	}
-	s := &Snapshot{root: root, teams: c.Teams, regions: c.Regions, services: c.Services, upstreams: c.Upstreams}
+	s := &Snapshot{root: root, teams: c.Teams, regions: c.Regions, services: c.Services, upstreams: c.Upstreams, evacuated: c.Evacuated}
 	s.compileServices()
 	s.compileAccounts(c)
 	return s, nil
--- a/pomelonode/configuration.go
+++ b/pomelonode/configuration.go
@@ -104,6 +104,7 @@
 			c.regions[d] = r.Name
 		}
 	}
+	c.evacuate(now)
 	c.queues.SetWeights(s)
 	c.keeper.SetRetention(longestRetention(s))
 	c.n.mesh.SetGeneration(s.Generation())
--- a/pomelonode/control.go
+++ b/pomelonode/control.go
@@ -50,6 +50,8 @@
 	left      map[pomelorelay.UpstreamID]bool
 	leftAt    map[pomelorelay.UpstreamID]time.Time
 	regions   map[pomelorelay.DomainID]pomelorelay.RegionID
+	// evacuated are the failure domains whose upstreams get nothing new by the configuration in force.
+	evacuated []pomelorelay.DomainID
 	jobs      jobs
 
 	waiting        map[pomelorelay.RequestID]*waiter
--- /dev/null
+++ b/pomelonode/evacuation.go
@@ -0,0 +1,38 @@
+package pomelonode
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// evacuate begins and ends evacuations as the configuration in force says. Upstreams of an evacuated failure domain get nothing new, as if
+// they were leaving; what runs there goes on.
+func (c *control) evacuate(now time.Time) {
+	domains := c.snapshot.Evacuated()
+	for _, d := range domains {
+		if !slices.Contains(c.evacuated, d) {
+			c.n.log(pomelorelay.EventDomainEvacuated, field("Domain", string(d)), field("Generation", uint64(c.snapshot.Generation())))
+		}
+	}
+	ended := slices.DeleteFunc(slices.Clone(c.evacuated), func(d pomelorelay.DomainID) bool { return slices.Contains(domains, d) })
+	c.evacuated = domains
+	for id, u := range c.upstreams {
+		switch {
+		case slices.Contains(domains, u.FailureDomain) && !c.left[id]:
+			c.leave(id)
+		case slices.Contains(ended, u.FailureDomain) && c.left[id] && !c.n.listedLeaving(id):
+			c.back(now, id)
+		}
+	}
+	for _, d := range ended {
+		c.n.log(pomelorelay.EventDomainRestored, field("Domain", string(d)), field("Generation", uint64(c.snapshot.Generation())))
+	}
+}
+
+// isEvacuated reports whether an upstream is in a failure domain under evacuation.
+func (c *control) isEvacuated(id pomelorelay.UpstreamID) bool {
+	u := c.upstreams[id]
+	return u != nil && slices.Contains(c.evacuated, u.FailureDomain)
+}
--- /dev/null
+++ b/pomelonode/evacuation_test.go
@@ -0,0 +1,44 @@
+package pomelonode_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Guards against new work at upstreams of an evacuated failure domain, as long as the configuration says so and from every router, and against one
+// that stays unused after it was taken back.
+func TestAnEvacuatedDomainGetsNoNewWork(t *testing.T) {
+	f := newFleet(t, 4)
+	f.awaitReady()
+	server := f.statuses[domains[0]]
+	call := func(n int) int {
+		return f.routers[n%len(f.routers)].call(http.MethodPost, "/status/jobs", "", fmt.Sprintf(`{"n":%d}`, n)).status
+	}
+	f.content.Evacuated = []pomelorelay.DomainID{domains[0]}
+	f.publish("evacuate")
+	accepted := time.Now()
+	for n := 0; time.Since(accepted) < leaveWithin; n++ {
+		call(n)
+	}
+	before := len(server.Runs(0))
+	for n := range 40 {
+		if status := call(n); status != http.StatusOK {
+			t.Fatalf("a request was answered %d", status)
+		}
+	}
+	if n := len(server.Runs(0)) - before; n != 0 {
+		t.Errorf("the evacuated domain got %d new requests", n)
+	}
+	f.content.Evacuated = nil
+	f.publish("take it back")
+	await(t, "the domain takes work again", func() bool {
+		for n := range 20 {
+			call(n)
+		}
+		return len(server.Runs(0)) > before
+	})
+}
--- a/pomelonode/hosts.go
+++ b/pomelonode/hosts.go
@@ -56,22 +56,27 @@
 // comeBack takes the mark from upstreams that the host list shows as staying.
 func (c *control) comeBack(now time.Time, leaving map[pomelorelay.UpstreamID]bool) {
 	for id := range c.left {
-		if leaving[id] {
+		if leaving[id] || c.isEvacuated(id) {
 			c.leftAt[id] = now
 			continue
 		}
 		if now.Sub(c.leftAt[id]) < noticeHolds {
 			continue
 		}
-		delete(c.left, id)
-		delete(c.leftAt, id)
-		c.asker.Back(id)
-		c.out = c.owner.Back(now, id, c.out)
-		c.publishTraffic()
-		c.n.log(pomelorelay.EventUpstreamBack, field("Upstream", string(id)))
+		c.back(now, id)
 	}
 }
 
+// back lets every part send new work to an upstream again.
+func (c *control) back(now time.Time, id pomelorelay.UpstreamID) {
+	delete(c.left, id)
+	delete(c.leftAt, id)
+	c.asker.Back(id)
+	c.out = c.owner.Back(now, id, c.out)
+	c.publishTraffic()
+	c.n.log(pomelorelay.EventUpstreamBack, field("Upstream", string(id)))
+}
+
 // readHosts reads the host list until the node closes.
 func (n *Node) readHosts(ctx context.Context) {
 	for {
@@ -140,13 +145,19 @@
 // stays reports whether neither the control goroutine nor the last host list says that an upstream leaves. The list is looked at
 // itself because requests pass a stalled control goroutine, which would not have taken it in.
 func (n *Node) stays(id pomelorelay.UpstreamID) bool {
-	if listed := n.leaving.Load(); listed != nil && (*listed)[id] {
+	if n.listedLeaving(id) {
 		return false
 	}
 	view := n.traffic.Load()
 	return view == nil || !view.left[id]
 }
 
+// listedLeaving reports whether the last host list says that an upstream leaves.
+func (n *Node) listedLeaving(id pomelorelay.UpstreamID) bool {
+	listed := n.leaving.Load()
+	return listed != nil && (*listed)[id]
+}
+
 const (
 	// haltedAfter is the silence of the control goroutine after which it mistrusts what it knows of upstreams.
 	haltedAfter = time.Second
--- a/pomelonode/status.go
+++ b/pomelonode/status.go
@@ -18,6 +18,7 @@
 	Generation  pomelorelay.Generation
 	Ready       bool
 	Stopping    bool
+	Evacuated   []pomelorelay.DomainID
 	Members     []memberStatus
 	Upstreams   []upstreamStatus
 	Pools       []poolStatus
@@ -78,6 +79,7 @@
 		Generation:  c.spreader.Generation(),
 		Ready:       n.Ready(),
 		Stopping:    n.stopping.Load(),
+		Evacuated:   c.evacuated,
 		Jobs:        jobStatus{Upstreams: len(c.jobs.upstreams), LedgerShards: len(c.jobs.ledger), ClaimShards: len(c.jobs.claims)},
 		members:     len(c.jobs.peers),
 		Claims:      c.claimAsker.Phases(),
