A prompt is charged with the streams that it makes late itself

Cause: with the unbroken reading so far in the wait, an engine that reads all the time, as most do in a flood, looked costly for every request, also for one that hardly adds to what its streams wait; sessions were spread over more engines.

Change: a prompt is charged with the streams that wait for all of the backlog and it, as before, or with those that it makes late beyond those which the unbroken reading before it makes late, whichever are more.

--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -141,7 +141,7 @@
 		c.add(TermLate, part(lateWeight, max(0, c.expected-part(calmShare, r.Target))))
 	}
 	if !off.Pauses {
-		c.add(TermPause, u.pauseCost(u.busy(now)+c.backlog+read))
+		c.add(TermPause, u.pauseCost(now, c.backlog, read))
 	}
 	if !off.LongEngines {
 		c.add(TermLong, longCost(u, r, c.missing))
@@ -195,15 +195,21 @@
 	return now.Sub(u.busySince)
 }
 
-// pauseCost is what the streams that run at the engine lose when it reads for a time without a break.
-func (u *upstream) pauseCost(reading time.Duration) time.Duration {
-	allowed := float64(u.pool.pause)
-	if allowed <= 0 {
+// pauseCost is what the streams that run at the engine lose when a prompt is read after the backlog: those that wait for all of it, or those that the
+// prompt makes late after what the engine has read without a break already.
+func (u *upstream) pauseCost(now time.Time, backlog, read time.Duration) time.Duration {
+	if u.pool.pause <= 0 {
 		return 0
 	}
-	over := (float64(reading)/allowed - pauseFrom) / (pauseTo - pauseFrom)
-	over = min(max(over, 0), 1)
-	return part(u.pool.pauseWeight*over*float64(u.running()), pauseWeight)
+	before := u.busy(now) + backlog
+	late := max(u.paused(backlog+read), u.paused(before+read)-u.paused(before))
+	return part(u.pool.pauseWeight*late*float64(u.running()), pauseWeight)
+}
+
+// paused returns the part of an engine's streams that are late when it reads for a time without a break.
+func (u *upstream) paused(reading time.Duration) float64 {
+	over := (float64(reading)/float64(u.pool.pause) - pauseFrom) / (pauseTo - pauseFrom)
+	return min(max(over, 0), 1)
 }
 
 func homeCost(u *upstream, r *Request) time.Duration {
