--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -51,7 +51,7 @@
 	// crowdWeight is the cost of a plain upstream's last free slot, growing with the square of the part that is taken.
 	crowdWeight = 50 * time.Millisecond
 	// regionTokens is what the bytes of a request to another region and of its answer cost, in tokens that an engine could read.
-	regionTokens = 270
+	regionTokens = 1000
 	// pauseFrom and pauseTo are the lengths of uninterrupted reading, as parts of the pause that callers accept, between which the streams
 	// that run beside it become late.
 	pauseFrom = 0.7
