A failure domain whose upstreams hang is left alone as a whole

Change: once three upstreams of a domain hang with no answer of any other meanwhile, all of it rests like an upstream that takes no connection; one request at a time finds out whether it is back, and any answer ends it. Refused connections do not count: the host answers. The mechanism DomainRests switches it off.

--- a/pomeloplace/mechanism.go
+++ b/pomeloplace/mechanism.go
@@ -26,6 +26,8 @@
 	Failures bool
 	// Rests is that upstreams which take no connection are left alone for a while.
 	Rests bool
+	// DomainRests is that all upstreams of a failure domain are left alone where several hang.
+	DomainRests bool
 	// Unheard is that routers of which nothing has been heard are taken to send as much as this one.
 	Unheard bool
 	// SlotReserve is that slots are kept free of requests beyond shares.
@@ -56,6 +58,7 @@
 	{"Regions", func(m *Mechanisms) *bool { return &m.Regions }},
 	{"Failures", func(m *Mechanisms) *bool { return &m.Failures }},
 	{"Rests", func(m *Mechanisms) *bool { return &m.Rests }},
+	{"DomainRests", func(m *Mechanisms) *bool { return &m.DomainRests }},
 	{"Unheard", func(m *Mechanisms) *bool { return &m.Unheard }},
 	{"SlotReserve", func(m *Mechanisms) *bool { return &m.SlotReserve }},
 	{"FreeQueue", func(m *Mechanisms) *bool { return &m.FreeQueue }},
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -24,6 +24,7 @@
 	peers       map[pomelorelay.NodeID]*peer
 	// evacuated are the failure domains whose upstreams get nothing new.
 	evacuated map[pomelorelay.DomainID]bool
+	domains   map[pomelorelay.DomainID]*domainState
 	// warmup is which upstreams are cold, starts what the other routers are to learn of it.
 	warmup *pomelowarmup.Gate
 	starts []pomelorelay.UpstreamStart
@@ -52,6 +53,7 @@
 		ways:      make(map[pomelorelay.RegionID]time.Duration),
 		peers:     make(map[pomelorelay.NodeID]*peer),
 		evacuated: make(map[pomelorelay.DomainID]bool),
+		domains:   make(map[pomelorelay.DomainID]*domainState),
 		warmup: pomelowarmup.New(pomelowarmup.Config{
 			Self: cfg.Self, Regions: cfg.Regions, Bounds: cfg.Cold, Holders: cfg.ColdHolders,
 		}),
@@ -113,6 +115,7 @@
 	u.region = p.cfg.Regions[info.Domain]
 	u.foreign = u.region != p.cfg.Self.Region
 	u.evacuated = p.evacuated[info.Domain]
+	u.domain = p.domain(info.Domain)
 	u.start.Listed(now, info)
 	if p.upstreams[info.ID] == u {
 		return
@@ -132,6 +135,15 @@
 	p.guess()
 }
 
+func (p *Placer) domain(id pomelorelay.DomainID) *domainState {
+	d := p.domains[id]
+	if d == nil {
+		d = newDomainState()
+		p.domains[id] = d
+	}
+	return d
+}
+
 // startOf returns what is known of the start of an upstream that is listed anew.
 func (p *Placer) startOf(now time.Time, info pomelorelay.FleetUpstream) *pomelowarmup.Upstream {
 	if p.known(info.ID) != nil {
@@ -315,6 +327,7 @@
 func (p *Placer) start(now time.Time, c candidate, r *Request) *Run {
 	u := c.up
 	u.start.Take(now)
+	u.domain.sent(now)
 	run := &Run{up: u, sent: now, missing: c.missing, copied: c.copied, held: r.Prompt + r.Output}
 	u.own.running++
 	u.changed = true
@@ -377,7 +390,18 @@
 	}
 	u.changed = true
 	u.result(now, result)
-	if result == ResultUnreached && (now.Sub(run.sent) < hangFor || p.answeredAt.After(run.sent)) && u.start.Unreached(now) {
+	if result == ResultUnreached {
+		p.noteUnreached(now, run)
+	}
+}
+
+// noteUnreached notes that an upstream took no connection.
+func (p *Placer) noteUnreached(now time.Time, run *Run) {
+	u, hung := run.up, now.Sub(run.sent) >= hangFor
+	if hung {
+		u.domain.hang(now, run.sent, u.info.ID)
+	}
+	if (!hung || p.answeredAt.After(run.sent)) && u.start.Unreached(now) {
 		p.starts = append(p.starts, pomelorelay.UpstreamStart{Upstream: u.info.ID, Unreached: true})
 	}
 }
@@ -385,6 +409,7 @@
 // noteAnswer notes that an upstream answers.
 func (p *Placer) noteAnswer(now time.Time, run *Run) {
 	p.answeredAt = now
+	run.up.domain.answer(now)
 	u := run.up
 	if left, news := u.start.Answered(now, run.sent); news {
 		p.starts = append(p.starts, pomelorelay.UpstreamStart{Upstream: u.info.ID, ColdFor: left})
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -28,6 +28,7 @@
 	region    pomelorelay.RegionID
 	foreign   bool
 	evacuated bool
+	domain    *domainState
 	// rank and idHash are hashes of its id.
 	rank, idHash uint64
 	engine       *pomelorelay.EngineSpec
@@ -173,7 +174,7 @@
 
 // rests reports whether the upstream is left alone.
 func (u *upstream) rests(now time.Time, off *Mechanisms) bool {
-	return now.Before(u.downUntil) && !off.Rests
+	return (now.Before(u.downUntil) && !off.Rests) || (u.domain.rests(now) && !off.DomainRests)
 }
 
 // rest leaves alone an upstream that took no connection. Requests that were under way to it when the first one failed count once.
