--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -5,6 +5,7 @@
 bench=$1 sites=$2 jobs=${3:-3} only=${4:-}
 out=$(mktemp -d)
 plays="
+shifted/bancada-comum-now-grown 16
 large/bancada-comum-large 8
 further-grown/pcrs-minutes-grown 8
 grown/hearthway-relay-grown 8
