--- a/pomeloplace/domain.go
+++ b/pomeloplace/domain.go
@@ -21,8 +21,8 @@
 	// downUntil is until when the domain is left alone, downFor how long it was last.
 	downUntil time.Time
 	downFor   time.Duration
-	// tries tells that a request is under way that finds out whether the domain is back.
-	tries bool
+	// probing tells that a request is under way to find out whether the domain is back.
+	probing bool
 }
 
 func newDomainState() *domainState {
@@ -38,7 +38,7 @@
 // sent notes a request to the domain; while it is taken for unreachable, no other one follows until this one has had its time.
 func (d *domainState) sent(now time.Time) {
 	if d.down() && !d.rests(now) {
-		d.downUntil, d.tries = now.Add(unreachedFor), true
+		d.downUntil, d.probing = now.Add(unreachedFor), true
 	}
 }
 
@@ -48,7 +48,7 @@
 	if len(d.hung) > 0 {
 		clear(d.hung)
 	}
-	d.downUntil, d.downFor, d.tries = time.Time{}, 0, false
+	d.downUntil, d.downFor, d.probing = time.Time{}, 0, false
 }
 
 // hang notes that a connection to an upstream hung until it was given up, for a request that was sent at a time.
@@ -57,8 +57,8 @@
 		return
 	}
 	d.hung[id] = true
-	if d.down() && (d.tries || !d.rests(now)) {
-		d.tries = false
+	if d.down() && (d.probing || !d.rests(now)) {
+		d.probing = false
 		d.downFor = min(max(2*d.downFor, unreachedFor), unreachedMost)
 		d.downUntil = now.Add(d.downFor)
 	}
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -423,7 +423,7 @@
 		switch {
 		case u == nil:
 		case s.Unreached:
-			u.start.Doubt(now)
+			u.start.Suspect(now)
 		default:
 			u.start.Cool(now, s.ColdFor)
 		}
--- a/pomelowarmup/config.go
+++ b/pomelowarmup/config.go
@@ -15,9 +15,9 @@
 	boundShare = 0.5
 	// rateShare is the part of that which comes evenly, the rest in bursts.
 	rateShare = 0.5
-	// doubtFor is how long an upstream that took no connection counts as one that may have started anew, unless something is learnt of it. The
+	// suspectFor is how long an upstream that took no connection counts as one that may have started anew, unless something is learnt of it. The
 	// holders try it again within that time.
-	doubtFor = 4 * time.Second
+	suspectFor = 4 * time.Second
 )
 
 // Config holds what a Gate needs.
--- a/pomelowarmup/gate_test.go
+++ b/pomelowarmup/gate_test.go
@@ -176,7 +176,7 @@
 	f := newFleet(3, 78, pomelowarmup.DefaultHolders)
 	tried := 0
 	for _, s := range f.states {
-		s.Doubt(start)
+		s.Suspect(start)
 		if s.Class(start.Add(time.Second)) == pomelowarmup.Open {
 			tried++
 		}
--- a/pomelowarmup/upstream.go
+++ b/pomelowarmup/upstream.go
@@ -23,10 +23,10 @@
 type Upstream struct {
 	gate *Gate
 	info pomelorelay.FleetUpstream
-	// coldUntil is until when it is cold, doubtUntil until when it may have started anew without that being known.
-	coldUntil, doubtUntil time.Time
-	// doubtSince is when that became unknown.
-	doubtSince time.Time
+	// coldUntil is until when it is cold, suspectUntil until when it may have started anew without that being known.
+	coldUntil, suspectUntil time.Time
+	// suspectSince is when that became unknown.
+	suspectSince time.Time
 	// level is how much of a request this router may send, at levelAt.
 	level   float64
 	levelAt time.Time
@@ -76,26 +76,26 @@
 	if !u.gate.near(u) {
 		return false
 	}
-	return u.Doubt(now)
+	return u.Suspect(now)
 }
 
-// Doubt notes that a router of the upstream's region could not connect to it; it reports whether that matters for the service.
-func (u *Upstream) Doubt(now time.Time) bool {
+// Suspect notes that a router of the upstream's region could not connect to it; it reports whether that matters for the service.
+func (u *Upstream) Suspect(now time.Time) bool {
 	if u.gate.duration(u) <= 0 {
 		return false
 	}
 	u.limit(now)
-	if !now.Before(u.doubtUntil) {
-		u.doubtSince = now
+	if !now.Before(u.suspectUntil) {
+		u.suspectSince = now
 	}
-	u.doubtUntil = now.Add(doubtFor)
+	u.suspectUntil = now.Add(suspectFor)
 	return true
 }
 
 // Answered notes an answer of the upstream to a request that was sent at a time. It returns how long the upstream may be cold from now on if that
 // was not known, for the other routers. An answer to a request of before says only that the upstream lived then.
 func (u *Upstream) Answered(now, sent time.Time) (time.Duration, bool) {
-	if !now.Before(u.doubtUntil) || sent.Before(u.doubtSince) {
+	if !now.Before(u.suspectUntil) || sent.Before(u.suspectSince) {
 		return 0, false
 	}
 	u.Cool(now, u.gate.duration(u))
@@ -104,7 +104,7 @@
 
 // Cool notes that the upstream may be cold for a time from now on, and is reachable.
 func (u *Upstream) Cool(now time.Time, left time.Duration) {
-	u.doubtUntil = time.Time{}
+	u.suspectUntil = time.Time{}
 	u.cool(now, left)
 }
 
@@ -123,7 +123,7 @@
 
 // limited reports whether the upstream is cold or may be.
 func (u *Upstream) limited(now time.Time) bool {
-	return now.Before(u.coldUntil) || now.Before(u.doubtUntil)
+	return now.Before(u.coldUntil) || now.Before(u.suspectUntil)
 }
 
 // limit begins with an empty bucket where the upstream was warm: a full one in each router that has just started would be too much together.
@@ -152,7 +152,7 @@
 	if !u.limited(now) {
 		return Status{}
 	}
-	return Status{Cold: true, Left: max(u.coldUntil.Sub(now), u.doubtUntil.Sub(now)), Unreached: now.Before(u.doubtUntil), Holder: u.gate.holds(u)}
+	return Status{Cold: true, Left: max(u.coldUntil.Sub(now), u.suspectUntil.Sub(now)), Unreached: now.Before(u.suspectUntil), Holder: u.gate.holds(u)}
 }
 
 // Class returns whether a request of this router may go to the upstream.
@@ -162,7 +162,7 @@
 		return Open
 	case !u.gate.holds(u) || u.refill(now) < 1:
 		return Closed
-	case now.Before(u.doubtUntil):
+	case now.Before(u.suspectUntil):
 		return Open
 	}
 	return Reserve
@@ -189,7 +189,7 @@
 	if !u.limited(now) {
 		return 0
 	}
-	wait := max(u.coldUntil.Sub(now), u.doubtUntil.Sub(now))
+	wait := max(u.coldUntil.Sub(now), u.suspectUntil.Sub(now))
 	rate, _ := u.gate.bucket(u)
 	if !u.gate.holds(u) || rate <= 0 {
 		return wait
