--- a/pomeloentry/config.go
+++ b/pomeloentry/config.go
@@ -14,7 +14,7 @@
 	pullEvery = 300 * time.Millisecond
 )
 
-// pulls tells who has a newer configuration, and since when.
+// pulls holds which peer has a newer configuration, and since when.
 type pulls struct {
 	from       pomelorelay.NodeID
 	generation pomelorelay.Generation
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -25,7 +25,7 @@
 	wholeEvery = time.Second
 	// urgentGap is the least time between reports: the round trip between regions takes longer.
 	urgentGap = 20 * time.Millisecond
-	// gaugesEvery is the interval at which the metrics of what the router knows are renewed.
+	// gaugesEvery is the interval at which the metrics of the router's state are renewed.
 	gaugesEvery = time.Second
 )
 
@@ -116,7 +116,7 @@
 // adjust looks at everything that follows from time.
 func (c *control) adjust(now time.Time) {
 	c.shares.Tick(now)
-	c.placer.SetUnheard(c.unheard(now))
+	c.placer.SetUnreported(c.unreported(now))
 	c.placer.Tick(now)
 	c.dropLapsed(now)
 	c.takeTurn(now)
@@ -148,7 +148,7 @@
 // speedNews is the change of a reading speed from which it is worth a line.
 const speedNews = 1.2
 
-// noteSpeed writes a line when what is believed of a service's engines has changed: every later decision on their requests follows from it.
+// noteSpeed writes a line when the estimate of a service's engines has changed: every later decision on their requests follows from it.
 func (c *control) noteSpeed(s pomeloplace.Speed) {
 	told := c.speeds[s.Service]
 	if told > 0 && s.Rate < speedNews*told && told < speedNews*s.Rate {
@@ -181,8 +181,8 @@
 	}
 	d := c.placer.Place(now, r)
 	d.Share, d.Residency = share, r.Residency
-	if !c.upstreams.heardAt.IsZero() {
-		d.ListAge = now.Sub(c.upstreams.heardAt)
+	if !c.upstreams.listedAt.IsZero() {
+		d.ListAge = now.Sub(c.upstreams.listedAt)
 	}
 	c.e.metrics.Placed(string(d.Reason))
 	switch {
@@ -198,7 +198,7 @@
 // target is for the answer.
 const worthWaiting = 0.5
 
-// returnAfter tells a caller whose account is beyond its share when to come back: once the account is owed the request, if the answer can
+// returnAfter returns when a caller whose account is beyond its share is to come back: once the account is owed the request, if the answer can
 // still be in time then; else as soon as there may be a place again. In a flood that lasts, waiting longer raises no chance, and makes the
 // answer late for sure.
 func (c *control) returnAfter(d *pomeloplace.Decision, w *pomeloforward.Work) time.Duration {
@@ -225,7 +225,7 @@
 	c.reportedAt = now
 	c.placer.Report(m)
 	m.Accounts = c.shares.Report(m.Whole, m.Accounts)
-	m.Leaving = c.upstreams.tell(now)
+	m.Leaving = c.upstreams.announced(now)
 	if !c.direct() {
 		c.relayOwn(now, m)
 		return
@@ -252,7 +252,7 @@
 }
 
 func (c *control) receive(now time.Time, m pomelorelay.Envelope) {
-	c.peers.hear(now, pomelorelay.Peer{Node: m.From, Domain: m.Domain, Region: m.Region})
+	c.peers.noteMessage(now, pomelorelay.Peer{Node: m.From, Domain: m.Domain, Region: m.Region})
 	c.noteGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
 	case *pomelorelay.LoadReport:
@@ -269,7 +269,7 @@
 	case *pomelorelay.ConfigPush:
 		c.takePush(now, m.From, msg)
 	case *pomelorelay.StateAsk:
-		c.tellState(m.From, msg)
+		c.sendState(m.From, msg)
 	case *pomelorelay.FleetState:
 		c.takeState(now, m.From, msg)
 	}
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -42,11 +42,11 @@
 	return Decider{c}
 }
 
-// UnheardAfter returns how many routers are taken to send as much as this one, so long after one registered that is never heard.
-func UnheardAfter(passed time.Duration) int {
+// UnreportedAfter returns how many routers are taken to send as much as this one, so long after one registered that is never heard.
+func UnreportedAfter(passed time.Duration) int {
 	p, now := newPeers(), time.Now()
 	p.put(now, pomelorelay.Peer{Node: "silent", Domain: "b", Region: "rb"})
-	return p.unheard(now.Add(passed), func(*knownPeer) bool { return false })
+	return p.unreported(now.Add(passed), func(*knownPeer) bool { return false })
 }
 
 // RefusedUnread notes a request that a full router refused.
@@ -60,9 +60,9 @@
 	return d.c.place(now, w)
 }
 
-// Hear takes another router's report.
-func (d Decider) Hear(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
-	d.c.peers.hear(now, pomelorelay.Peer{Node: from})
+// Report takes another router's report.
+func (d Decider) Report(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
+	d.c.peers.noteMessage(now, pomelorelay.Peer{Node: from})
 	d.c.takeReport(now, from, incarnation, m)
 }
 
--- a/pomeloentry/follow.go
+++ b/pomeloentry/follow.go
@@ -10,7 +10,7 @@
 
 const (
 	// followPause and followMost bound the pause after a failed call to the store: it answers in 4 ms when it is well, and after an
-	// outage a router should hear from it long before its peers call it out of touch, 4 s.
+	// outage a router should have its answer well within the time to a configuration's being in force.
 	followPause = 100 * time.Millisecond
 	followMost  = 400 * time.Millisecond
 	// followIdle bounds the pause of what waits for the store to answer this router's reader again.
@@ -64,7 +64,7 @@
 			failed = true
 			e.log(pomelorelay.EventPlatformLost, field("What", f.name), field("Code", int(pomelorelay.CodeOf(err))), field("Fault", err.Error()))
 		}
-		e.storeBack.await(ctx, pause)
+		e.storeBack.wait(ctx, pause)
 		pause = min(2*pause, e.followMost(&f))
 	}
 }
@@ -94,9 +94,9 @@
 	}
 }
 
-// await waits for the signal, at most for the time. The first call that the store answers again wakes the others: each waiting for its
+// wait waits for the signal, at most for the time. The first call that the store answers again wakes the others: each waiting for its
 // own time, a router that starts in an outage would refuse requests for most of a second longer.
-func (b *bell) await(ctx context.Context, most time.Duration) {
+func (b *bell) wait(ctx context.Context, most time.Duration) {
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -40,7 +40,7 @@
 	// hosts late for seconds, and make others refuse beside a free processor.
 	limitDown = 0.9
 	limitUp   = 1.02
-	// busyRetry is what callers are told that meet a full router: another one takes them at once.
+	// busyRetry is the Retry-After of a full router: another one takes them at once.
 	busyRetry = 10 * time.Millisecond
 )
 
@@ -141,7 +141,7 @@
 }
 
 // noteRefused counts what a request asked that is refused unread. Left out, an account whose callers come to full routers looks as if it wanted
-// nothing, the others get its share, and nobody sees how short it is. Where the control goroutine has more than it can take, the
+// nothing, the others get its share, and its shortage does not show. Where the control goroutine has more than it can take, the
 // request is not counted: the router must not wait for it.
 func (e *Entry) noteRefused(r *http.Request) {
 	account, cost := e.forward.Asks(r)
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -19,14 +19,14 @@
 // silentAfter is how long an unregistered router may be silent until it is taken as gone: a few whole reports.
 const silentAfter = 5 * time.Second
 
-// knownPeer is a router that is registered, or was and is still heard.
+// knownPeer is a router that is registered, or was and still sends messages.
 type knownPeer struct {
 	pomelorelay.Peer
 	registered bool
-	heard      time.Time
+	seenAt     time.Time
 	// since is when this router first knew it.
 	since time.Time
-	// whole tells that all it has on the upstreams is known.
+	// whole is set once it has reported all that it has on the upstreams.
 	whole bool
 	// incarnation and seq are of the last report that was taken.
 	incarnation pomelorelay.Incarnation
@@ -35,10 +35,10 @@
 
 // relays reports whether the router is there to relay.
 func (p *knownPeer) relays(now time.Time) bool {
-	return now.Sub(p.heard) <= relayTimeout || now.Sub(p.since) <= relayGrace
+	return now.Sub(p.seenAt) <= relayTimeout || now.Sub(p.since) <= relayGrace
 }
 
-// peers are the other routers. One that cannot reach the store loses its registration; it is still told everything as long as its
+// peers are the other routers. One that cannot reach the store loses its registration; it still gets every message as long as its
 // own messages come, or it would go on with an old configuration beside neighbours that could give it the new one.
 type peers struct {
 	present map[pomelorelay.NodeID]*knownPeer
@@ -61,9 +61,9 @@
 	}
 }
 
-// hear notes a router's message. One that was never seen registered is answered over its own link: it may have been parted from the
+// noteMessage notes a router's message. One that was never seen registered is answered over its own link: it may have been parted from the
 // store before this router could read its entry. What is not known of where it is, the message's sender says.
-func (p *peers) hear(now time.Time, peer pomelorelay.Peer) {
+func (p *peers) noteMessage(now time.Time, peer pomelorelay.Peer) {
 	known := p.present[peer.Node]
 	if known == nil {
 		known = &knownPeer{Peer: peer, since: now}
@@ -72,7 +72,7 @@
 	if known.Domain == "" {
 		known.Domain, known.Region = peer.Domain, peer.Region
 	}
-	known.heard = now
+	known.seenAt = now
 }
 
 // newer reports whether a report comes after all that were taken from the router, and notes it.
@@ -85,28 +85,28 @@
 	return true
 }
 
-// noteWhole notes that a router's report told all that it has.
+// noteWhole notes that a router has reported all that it has.
 func (p *peers) noteWhole(node pomelorelay.NodeID) { p.present[node].whole = true }
 
-// unheardFor is how long a router that was not heard yet is taken to send as much as this one: several whole reports. Taken so for longer, a
+// unreportedFor is how long a router without a report yet counts as sending as much as this one: several whole reports. Taken so for longer, a
 // router that starts while other regions are cut off would keep most of the upstreams that it reaches free for them, and refuse its callers
 // beside idle engines until the cut ends.
-const unheardFor = 3 * time.Second
+const unreportedFor = 3 * time.Second
 
-// unheard returns the number of registered routers of which it is not known yet what they have on the upstreams.
-func (p *peers) unheard(now time.Time, summed func(*knownPeer) bool) int {
+// unreported returns the number of registered routers that have not reported yet what they have on the upstreams.
+func (p *peers) unreported(now time.Time, summed func(*knownPeer) bool) int {
 	n := 0
 	for _, known := range p.present {
-		if known.registered && !known.whole && now.Sub(known.since) < unheardFor && !summed(known) {
+		if known.registered && !known.whole && now.Sub(known.since) < unreportedFor && !summed(known) {
 			n++
 		}
 	}
 	return n
 }
 
-// unheard leaves out the routers that a relay's summary holds.
-func (c *control) unheard(now time.Time) int {
-	return c.peers.unheard(now, func(p *knownPeer) bool {
+// unreported leaves out the routers that a relay's summary holds.
+func (c *control) unreported(now time.Time) int {
+	return c.peers.unreported(now, func(p *knownPeer) bool {
 		return c.relayed.from != "" || c.relayed.domains[p.Domain] != ""
 	})
 }
@@ -115,7 +115,7 @@
 func (p *peers) drop(now time.Time) bool {
 	dropped := false
 	for node, known := range p.present {
-		if !known.registered && now.Sub(known.heard) > silentAfter {
+		if !known.registered && now.Sub(known.seenAt) > silentAfter {
 			delete(p.present, node)
 			dropped = true
 		}
--- a/pomeloentry/place_test.go
+++ b/pomeloentry/place_test.go
@@ -57,7 +57,7 @@
 		{time.Second, 1},
 		{10 * time.Second, 0},
 	} {
-		if got := pomeloentry.UnheardAfter(c.passed); got != c.want {
+		if got := pomeloentry.UnreportedAfter(c.passed); got != c.want {
 			t.Errorf("%v after it registered %d routers count as unheard, want %d", c.passed, got, c.want)
 		}
 	}
@@ -125,7 +125,7 @@
 		{"the first of a new start", 2, report(1, 1, 50), 1, 350},
 		{"one of the former start", 1, report(8, 9, 900), 1, 350},
 	} {
-		d.Hear(now, "peer", c.incarnation, c.report)
+		d.Report(now, "peer", c.incarnation, c.report)
 		if got := running(); got != c.running {
 			t.Errorf("%s: %d run, want %d", c.name, got, c.running)
 		}
--- a/pomeloentry/reader.go
+++ b/pomeloentry/reader.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// storeRead is posted when the store answered this router; back tells that it had not answered before, after from where it was watched.
+// storeRead is posted when the store answered this router; back is set when it had not answered before, after from where it was watched.
 type storeRead struct {
 	change pomelorelay.FleetChange
 	after  pomelorelay.Revision
@@ -170,7 +170,7 @@
 func (c *control) updateOf(a *storeRead) *pomelorelay.FleetUpdate {
 	m := &pomelorelay.FleetUpdate{After: a.after, At: a.change.At, Whole: a.change.Whole, GoneUpstreams: a.change.GoneUpstreams, GonePeers: a.change.GonePeers, Evacuated: a.change.Evacuated, Restored: a.change.Restored}
 	if a.change.Config != nil {
-		// The others go on from this revision: should this router die next, nobody would read the configuration again.
+		// The others go on from this revision: should this router die next, the configuration would not be read again.
 		m.Document = a.change.Config.Document
 	}
 	for _, u := range a.change.Upstreams {
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -10,17 +10,17 @@
 
 // Up to a dozen routers each reports to all others. Beyond, that grows with the square of the routers. One router of each failure domain, its
 // relay, sums up its neighbours' reports, exchanges the sums with the relays of the other domains, and sends each neighbour the sum of all other
-// routers. Which one relays follows from the registrations and from who is heard.
+// routers. Which one relays follows from the registrations and from whose messages arrive.
 
 const (
 	// directMost is the number of other routers that each reports to by itself.
 	directMost = 12
 	// relayTimeout is how long a silent router goes on counting as one that can relay: it sends something every second.
 	relayTimeout = 1500 * time.Millisecond
-	// relayGrace is how long a router that is new to this one counts as heard.
+	// relayGrace is how long a router that is new to this one counts as live.
 	relayGrace = 3 * time.Second
 	// standbyMost is the number of routers that a relay names to its neighbours as the next ones, and standbyGrace how much longer than the
-	// relay they count as heard.
+	// relay they count as live.
 	standbyMost  = 2
 	standbyGrace = 700 * time.Millisecond
 	// flushEvery is the least time between two summaries of a relay.
@@ -172,7 +172,7 @@
 	r.taken = s.Report.Seq
 	for i, node := range s.Standby {
 		if node != c.e.cfg.Settings.Self.Node {
-			c.peers.hear(now.Add(time.Duration(i+1)*standbyGrace), pomelorelay.Peer{Node: node})
+			c.peers.noteMessage(now.Add(time.Duration(i+1)*standbyGrace), pomelorelay.Peer{Node: node})
 		}
 	}
 	c.apply(now, m, s.Report)
@@ -180,8 +180,8 @@
 
 // apply takes a report or a sum of reports for decisions.
 func (c *control) apply(now time.Time, m pomelorelay.Envelope, report *pomelorelay.LoadReport) {
-	c.placer.Heard(now, m.From, m.Incarnation, report)
-	c.shares.Heard(m.From, m.Incarnation, report.Accounts)
+	c.placer.TakeReport(now, m.From, m.Incarnation, report)
+	c.shares.TakeReport(m.From, m.Incarnation, report.Accounts)
 	c.takeLeaving(now, m.From, report.Leaving)
 }
 
@@ -219,7 +219,7 @@
 func (c *control) standby(now time.Time) []pomelorelay.NodeID {
 	var live []pomelorelay.Peer
 	for _, p := range c.peers.present {
-		if p.Domain == c.e.cfg.Settings.Self.Domain && p.registered && now.Sub(p.heard) <= relayTimeout {
+		if p.Domain == c.e.cfg.Settings.Self.Domain && p.registered && now.Sub(p.seenAt) <= relayTimeout {
 			live = append(live, p.Peer)
 		}
 	}
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -15,7 +15,7 @@
 	askEvery = 500 * time.Millisecond
 )
 
-// asks tells since when this router lacks something that its peers may know, and when it last asked for it.
+// asks holds since when this router lacks something that its peers may have, and when it last asked for it.
 type asks struct {
 	since   time.Time
 	askedAt time.Time
@@ -25,13 +25,13 @@
 
 // lacks reports whether the router cannot serve, or stands alone, while the store is silent.
 func (c *control) lacks(now time.Time) bool {
-	if now.Sub(c.upstreams.heardAt) <= c.e.ofDrain(silentPart) {
+	if now.Sub(c.upstreams.listedAt) <= c.e.ofDrain(silentPart) {
 		return false
 	}
 	return c.config == nil || !c.e.cursor.begun() || len(c.peers.present) == 0
 }
 
-// askForState asks a peer, or the seeds while none is known, for what the store does not tell. A router that starts while the store is
+// askForState asks a peer, or the seeds while none is known, for what the store does not answer. A router that starts while the store is
 // away would refuse every request until the store is back, beside neighbours that serve; one that is parted from the store before it read
 // the list of routers would go on with dropped routes and keys.
 func (c *control) askForState(now time.Time) {
@@ -47,7 +47,7 @@
 	}
 	c.asks.askedAt = now
 	m := &pomelorelay.StateAsk{Above: c.version(), Upstreams: !c.e.cursor.begun()}
-	// Any peer will do, another one each time: the first may know as little as this router.
+	// Any peer will do, another one each time: the first may lack as much as this router.
 	for node := range c.peers.present {
 		c.send(node, m)
 		return
@@ -71,8 +71,8 @@
 	c.send(from, &pomelorelay.StateAsk{Above: c.version(), Upstreams: true})
 }
 
-// tellState answers a router that asks. It answers also when it knows nothing, so that the two know each other.
-func (c *control) tellState(to pomelorelay.NodeID, ask *pomelorelay.StateAsk) {
+// sendState answers a router that asks. It answers also when it has nothing, so that both have each other's address.
+func (c *control) sendState(to pomelorelay.NodeID, ask *pomelorelay.StateAsk) {
 	m := &pomelorelay.FleetState{Peers: append(c.peers.registered(), c.e.cfg.Settings.Self)}
 	if c.config != nil && c.config.Version > ask.Above {
 		m.Document = c.config.Document
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -16,11 +16,11 @@
 	massWait = 1500 * time.Millisecond
 	// massShare is the part of the upstreams whose entries must vanish within massWait of each other for that.
 	massShare = 0.34
-	// silentPart is the time without a word of the store from which a router relies on its peers and expects lapsed entries: upstreams
+	// silentPart is the time without an answer of the store from which a router relies on its peers and expects lapsed entries: upstreams
 	// write every 1.2 s, so that some do in each pace.
 	silentPart = 0.8
-	// tellFor is how long the others are told of an upstream that leaves.
-	tellFor = 3 * time.Second
+	// announceFor is how long reports name an upstream that leaves.
+	announceFor = 3 * time.Second
 )
 
 // ofDrain returns a part of the time after which an upstream that said it leaves must get no more requests.
@@ -32,7 +32,7 @@
 	return time.Duration(part * float64(drain))
 }
 
-// upstreams are the registered upstreams as this router knows them.
+// upstreams are the registered upstreams in this router's view.
 type upstreams struct {
 	present map[pomelorelay.UpstreamID]pomelorelay.FleetUpstream
 	// lapsed holds when an upstream whose entry vanished is to be taken as gone.
@@ -40,9 +40,9 @@
 	// leaving holds when this router learnt that an upstream drains or has gone.
 	leaving  map[pomelorelay.UpstreamID]time.Time
 	vanished []time.Time
-	// backAt is when the store answered again after it had not, heardAt when it last told of upstreams.
-	backAt  time.Time
-	heardAt time.Time
+	// backAt is when the store answered again after it had not, listedAt when upstreams were last read from it.
+	backAt   time.Time
+	listedAt time.Time
 }
 
 func newUpstreams() upstreams {
@@ -53,11 +53,11 @@
 	}
 }
 
-// tell returns the upstreams whose leaving is news.
-func (u *upstreams) tell(now time.Time) []pomelorelay.UpstreamID {
+// announced returns the upstreams whose leaving is to be reported.
+func (u *upstreams) announced(now time.Time) []pomelorelay.UpstreamID {
 	var ids []pomelorelay.UpstreamID
 	for id, since := range u.leaving {
-		if now.Sub(since) > tellFor {
+		if now.Sub(since) > announceFor {
 			delete(u.leaving, id)
 			continue
 		}
@@ -66,12 +66,12 @@
 	return ids
 }
 
-// applyUpstreams takes in what changed among the upstreams; back tells that the store had not answered before.
+// applyUpstreams takes in what changed among the upstreams; back is set when the store had not answered before.
 func (c *control) applyUpstreams(now time.Time, change *pomelorelay.FleetChange, back bool, source string) {
-	if back || now.Sub(c.upstreams.heardAt) > c.e.ofDrain(silentPart) {
+	if back || now.Sub(c.upstreams.listedAt) > c.e.ofDrain(silentPart) {
 		c.upstreams.backAt = now
 	}
-	c.upstreams.heardAt = now
+	c.upstreams.listedAt = now
 	for _, fault := range change.Faults {
 		c.e.log(pomelorelay.EventUpstreamBadEntry, field("Code", int(pomelorelay.CodeOf(fault))), field("Fault", fault.Error()))
 	}
@@ -170,10 +170,10 @@
 	c.e.log(pomelorelay.EventUpstreamGone, field("Upstream", id))
 }
 
-// takeLeaving takes what a peer knows to leave. A router that cannot reach the store would send new work to an upstream that leaves;
-// one that can knows better than its peers, whose news may be older.
+// takeLeaving takes the upstreams that a peer reports to leave. A router that cannot reach the store would send new work to an upstream that leaves;
+// one that can has newer entries than its peers' reports.
 func (c *control) takeLeaving(now time.Time, from pomelorelay.NodeID, ids []pomelorelay.UpstreamID) {
-	if now.Sub(c.upstreams.heardAt) <= c.e.ofDrain(silentPart) {
+	if now.Sub(c.upstreams.listedAt) <= c.e.ofDrain(silentPart) {
 		return
 	}
 	for _, id := range ids {
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -29,7 +29,7 @@
 	// inTime is the part of its target within which an answer must be expected to begin; the rest is for what other routers sent meanwhile.
 	inTime = 0.85
 	// slotReserve is how many times the square root of an engine's slots is kept free of requests beyond shares: what other routers send
-	// meanwhile differs by about that root, and would find an engine full that was filled with requests that nobody is owed.
+	// meanwhile differs by about that root, and would find an engine full that was filled with requests beyond their accounts' shares.
 	// reserveMost is the largest part of the slots that is kept free so: engines of few slots would run nothing else.
 	slotReserve = 3.0
 	reserveMost = 0.4
@@ -39,8 +39,8 @@
 	// freeAgain is the most shared tokens that a request beyond its account's share may make an engine read though another one, which is
 	// too busy, keeps them: about what an engine reads in one step.
 	freeAgain = 400
-	// leastRetry and mostRetry bound what a refusal tells its caller. The least is the time after which an engine has a free slot again
-	// and the routers know it: one report. Callers that come back within their target still get their answer in time.
+	// leastRetry and mostRetry bound the Retry-After of a refusal. The least is the time after which an engine has a free slot again
+	// and the routers have its report. Callers that come back within their target still get their answer in time.
 	leastRetry = 100 * time.Millisecond
 	mostRetry  = 3 * time.Second
 )
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -110,7 +110,7 @@
 	Running int
 	// ReportAge is the age of the oldest report of another router that counted; zero when there was none.
 	ReportAge time.Duration
-	// ListAge is the time since the platform's store last told of upstreams.
+	// ListAge is the time since the last list of upstreams from the platform's store.
 	ListAge time.Duration
 	// Share is what decided about the account's share.
 	Share ShareState
@@ -133,7 +133,7 @@
 	copied pomelorelay.Tokens
 	// ahead are the tokens that were to be read before the request's own, as they were known.
 	ahead float64
-	// crowded tells that no slot was free, so that the time to the first token says nothing of reading.
+	// crowded tells that no slot was free, so that the time to the first token is no sample of reading.
 	crowded bool
 	held    pomelorelay.Tokens
 	begun   bool
@@ -173,11 +173,11 @@
 	startService = 40 * time.Millisecond
 	// serviceShare is the weight of a new sample in its running mean.
 	serviceShare = 0.05
-	// noRegionRetry is what callers are told whose requests no region may serve, which only the operators can change.
+	// noRegionRetry is the Retry-After of requests that no region may serve, which only the operators can change.
 	noRegionRetry = 30 * time.Second
-	// evacuatedRetry is what callers are told while all upstreams are under evacuation, which takes seconds at least.
+	// evacuatedRetry is the Retry-After while all upstreams are under evacuation, which takes seconds at least.
 	evacuatedRetry = 2 * time.Second
-	// hangFor is the time after which a connection attempt that failed says nothing of the upstream, unless others answered meanwhile: the way to
+	// hangFor is the time after which a connection attempt that failed says nothing of the upstream, unless others answered meanwhile: the network to
 	// it may be cut.
 	hangFor = 100 * time.Millisecond
 	// failShare is the weight of a new result in the rate of failures.
--- a/pomeloplace/kept.go
+++ b/pomeloplace/kept.go
@@ -13,8 +13,8 @@
 	room  pomelorelay.Tokens
 	taken pomelorelay.Tokens
 	parts map[uint64]*keptPart
-	// unnamed are prompts of other routers' requests of which nobody told the parts, oldest first. They take memory like the others: left
-	// out, each router would believe that its parts are kept as many times as long as there are routers, and send requests to engines that
+	// unnamed are prompts of other routers' requests whose parts were not reported, oldest first. They take memory like the others: left
+	// out, each router would expect its parts to be kept as many times as long as there are routers, and send requests to engines that
 	// have to read them again.
 	unnamed []keptPart
 	seq     uint64
@@ -23,7 +23,7 @@
 type keptPart struct {
 	tokens pomelorelay.Tokens
 	used   uint64
-	// told is when a router last told the others of its use.
+	// told is when its use was last reported to the others.
 	told time.Time
 }
 
@@ -60,19 +60,19 @@
 	}
 }
 
-// tell reports whether the others are to be told of a use of the part, and notes that they are. Used by one router only, a part would
-// look to the others as if nobody had used it since it was read.
+// tell reports whether a use of the part is due for a report to the others, and notes that it is sent. Used by one router only, a part would
+// look to the others as if it had not been used since it was read.
 func (k *kept) tell(now time.Time, hash uint64) bool {
 	p := k.parts[hash]
-	if p == nil || (!p.told.IsZero() && now.Sub(p.told) < tellAgain) {
+	if p == nil || (!p.told.IsZero() && now.Sub(p.told) < reportAgain) {
 		return false
 	}
 	p.told = now
 	return true
 }
 
-// tellAgain is the time after which another use of a part is told; engines keep a part for several times as long after its last use.
-const tellAgain = 2 * time.Second
+// reportAgain is the time after which another use of a part is reported; engines keep a part for several times as long after its last use.
+const reportAgain = 2 * time.Second
 
 // yieldShare is how much of what is kept goes at once, so that the oldest need not be sought each time.
 const yieldShare = 0.1
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -97,16 +97,16 @@
 	copies *pomelospeed.Ratio
 	// pauseWeight and copyPart are what these said when a request was last placed.
 	pauseWeight, copyPart float64
-	// ranked is by a hash that every router knows; the first take the long prompts.
+	// ranked is in the order of a hash that is the same at every router; the first take the long prompts.
 	ranked []*upstream
 	flow   flow
 	// forLong is how many engines take long prompts, neededAt when so many were last needed.
 	forLong  int
 	neededAt time.Time
 	factors  []float64
-	// unheard is the number of routers of which nothing has been heard yet.
-	unheard int
-	// told is the number of answers that the last report of their times counted.
+	// unreported is the number of routers without a report yet.
+	unreported int
+	// told is the number of answers in the last report of their times.
 	told float64
 }
 
@@ -164,8 +164,8 @@
 	}
 }
 
-// fleet returns how many of something this router and those of which nothing has been heard have, taken to have as much each.
-func (s *pool) fleet(own int) int { return own * (1 + s.unheard) }
+// fleet returns how many of something this router and those without a report have, assuming as much for each.
+func (s *pool) fleet(own int) int { return own * (1 + s.unreported) }
 
 // notePause takes a stream that ran while its engine read for long.
 func (s *pool) notePause(now time.Time, paused bool) {
--- a/pomeloplace/mechanism.go
+++ b/pomeloplace/mechanism.go
@@ -6,7 +6,7 @@
 type Mechanisms struct {
 	// SharedSpeeds are the times to first tokens that other routers saw.
 	SharedSpeeds bool
-	// SlowEngines is that an engine which turns slow is told from the others.
+	// SlowEngines is that an engine which turns slow is told apart from the others.
 	SlowEngines bool
 	// Pauses is the cost of reading for long beside streams.
 	Pauses bool
@@ -28,8 +28,8 @@
 	Rests bool
 	// DomainRests is that all upstreams of a failure domain are left alone where several hang.
 	DomainRests bool
-	// Unheard is that routers of which nothing has been heard are taken to send as much as this one.
-	Unheard bool
+	// Unreported is that routers without a report yet count as sending as much as this one.
+	Unreported bool
 	// SlotReserve is that slots are kept free of requests beyond shares.
 	SlotReserve bool
 	// FreeQueue is that requests beyond shares may join shorter queues only.
@@ -59,7 +59,7 @@
 	{"Failures", func(m *Mechanisms) *bool { return &m.Failures }},
 	{"Rests", func(m *Mechanisms) *bool { return &m.Rests }},
 	{"DomainRests", func(m *Mechanisms) *bool { return &m.DomainRests }},
-	{"Unheard", func(m *Mechanisms) *bool { return &m.Unheard }},
+	{"Unreported", func(m *Mechanisms) *bool { return &m.Unreported }},
 	{"SlotReserve", func(m *Mechanisms) *bool { return &m.SlotReserve }},
 	{"FreeQueue", func(m *Mechanisms) *bool { return &m.FreeQueue }},
 	{"Ahead", func(m *Mechanisms) *bool { return &m.Ahead }},
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -84,7 +84,7 @@
 	d := place(t, a, start, prompt(1, 5000, 100))
 	var m pomelorelay.LoadReport
 	a.Report(&m)
-	b.Heard(start, "a", 1, &m)
+	b.TakeReport(start, "a", 1, &m)
 	got := place(t, b, start.Add(time.Second), prompt(1, 5000, 300))
 	if got.Upstream.ID != d.Upstream.ID {
 		t.Errorf("sent to %s, though %s keeps the part", got.Upstream.ID, d.Upstream.ID)
@@ -159,14 +159,14 @@
 func TestBeyondAShareNothingIsReadAgain(t *testing.T) {
 	p := withEngines(2)
 	keeper := place(t, p, start, prompt(1, 5000, 100)).Upstream.ID
-	p.Heard(start, "r2", 1, &pomelorelay.LoadReport{Seq: 1, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: keeper, Running: 60, Unread: 90_000, Sent: 90_000}}})
+	p.TakeReport(start, "r2", 1, &pomelorelay.LoadReport{Seq: 1, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: keeper, Running: 60, Unread: 90_000, Sent: 90_000}}})
 	flood := func(shared uint64, tokens pomelorelay.Tokens) pomeloplace.Request {
 		r := prompt(shared, tokens, 100)
 		r.Owed = false
 		return r
 	}
 	slowCopies := pomelorelay.SpeedSums{Service: engines, Copied: 1e6, CopyTook: 100e6}
-	p.Heard(start, "r2", 1, &pomelorelay.LoadReport{Seq: 2, Speeds: []pomelorelay.SpeedSums{slowCopies}})
+	p.TakeReport(start, "r2", 1, &pomelorelay.LoadReport{Seq: 2, Speeds: []pomelorelay.SpeedSums{slowCopies}})
 	if d := p.Place(start, flood(1, 5000)); d.Reason != pomeloplace.ReasonShare {
 		t.Errorf("%q at %s, which reads %d shared tokens again", d.Reason, d.Upstream.ID, d.Shared)
 	}
@@ -183,7 +183,7 @@
 func TestACrowdedSessionsPartsAreCopied(t *testing.T) {
 	p := withEngines(3)
 	keeper := place(t, p, start, prompt(1, 5000, 100)).Upstream.ID
-	p.Heard(start, "r2", 1, &pomelorelay.LoadReport{Seq: 1, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: keeper, Running: 60, Unread: 90_000, Sent: 90_000}}})
+	p.TakeReport(start, "r2", 1, &pomelorelay.LoadReport{Seq: 1, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: keeper, Running: 60, Unread: 90_000, Sent: 90_000}}})
 	d := place(t, p, start, prompt(1, 5000, 200))
 	if d.Upstream.ID == keeper || d.CopyFrom.ID != keeper || d.Copied != 5000 || d.Shared != 0 {
 		t.Errorf("sent to %s, which copies %d tokens from %q and reads %d shared ones", d.Upstream.ID, d.Copied, d.CopyFrom.ID, d.Shared)
@@ -253,7 +253,7 @@
 	d := place(t, a, start, prompt(1, 100, 100))
 	var began pomelorelay.LoadReport
 	a.Report(&began)
-	b.Heard(start, "a", 1, &began)
+	b.TakeReport(start, "a", 1, &began)
 	running := func(now time.Time) int {
 		d := place(t, b, now, prompt(2, 0, 10))
 		b.Ended(now, d.Run, pomeloplace.ResultGood)
@@ -267,11 +267,11 @@
 	a.Report(&lost)
 	whole := pomelorelay.LoadReport{Whole: true}
 	a.Report(&whole)
-	b.Heard(start, "a", 1, &whole)
+	b.TakeReport(start, "a", 1, &whole)
 	if n := running(start); n != 0 {
 		t.Errorf("%d running after a whole report, want 0", n)
 	}
-	b.Heard(start, "c", 1, &began)
+	b.TakeReport(start, "c", 1, &began)
 	b.Tick(start.Add(10 * time.Second))
 	if n := running(start.Add(10 * time.Second)); n != 0 {
 		t.Errorf("%d running of a router that is silent, want 0", n)
@@ -285,8 +285,8 @@
 	if d := p.Place(start, prompt(1, 500, 10)); d.ReportAge != 0 {
 		t.Errorf("a report of %v, none was heard", d.ReportAge)
 	}
-	p.Heard(start, "r1", 1, &pomelorelay.LoadReport{Seq: 1, Whole: true})
-	p.Heard(start.Add(time.Second), "r2", 1, &pomelorelay.LoadReport{Seq: 1, Whole: true})
+	p.TakeReport(start, "r1", 1, &pomelorelay.LoadReport{Seq: 1, Whole: true})
+	p.TakeReport(start.Add(time.Second), "r2", 1, &pomelorelay.LoadReport{Seq: 1, Whole: true})
 	at := start.Add(1200 * time.Millisecond)
 	p.Tick(at)
 	if d := p.Place(at, prompt(1, 500, 10)); d.ReportAge != 1200*time.Millisecond {
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -17,7 +17,7 @@
 	retired  map[pomelorelay.UpstreamID]*upstream
 	services map[pomelorelay.ServiceID]*pool
 	engines  map[pomelorelay.ServiceID]*pomelorelay.EngineSpec
-	// capacity is what all engines together produce in a second by the operators' word; zero when they do not say.
+	// capacity is what all engines together produce in a second as the operators configured it; zero when they did not.
 	capacity pomelorelay.Cost
 	// engineCount is the number of upstreams that are model engines.
 	engineCount int
@@ -31,18 +31,18 @@
 	// answeredAt is when an upstream last answered this router.
 	answeredAt time.Time
 	parts      []pomelorelay.PartPlaced
-	// oldest is when the router was last heard that has been silent for longest; zero when there is none.
+	// oldest is the time of the oldest last report of another router; zero when there is none.
 	oldest time.Time
-	// untold are the prompt tokens that were sent since the last report.
-	untold pomelorelay.Tokens
-	seq    uint64
-	// ways are the ways to other regions and back that were learnt.
-	ways map[pomelorelay.RegionID]time.Duration
+	// sentSince are the prompt tokens that were sent since the last report.
+	sentSince pomelorelay.Tokens
+	seq       uint64
+	// latencies are the round trips to other regions that were learnt, beyond those within the own.
+	latencies map[pomelorelay.RegionID]time.Duration
 	// expected are what the callers of each service expect.
 	expected map[pomelorelay.ServiceID]expectation
 }
 
-// New returns a Placer that knows no upstream.
+// New returns a Placer without upstreams.
 func New(cfg Config) *Placer {
 	return &Placer{
 		cfg:       cfg,
@@ -50,7 +50,7 @@
 		retired:   make(map[pomelorelay.UpstreamID]*upstream),
 		services:  make(map[pomelorelay.ServiceID]*pool),
 		engines:   make(map[pomelorelay.ServiceID]*pomelorelay.EngineSpec),
-		ways:      make(map[pomelorelay.RegionID]time.Duration),
+		latencies: make(map[pomelorelay.RegionID]time.Duration),
 		peers:     make(map[pomelorelay.NodeID]*peer),
 		evacuated: make(map[pomelorelay.DomainID]bool),
 		domains:   make(map[pomelorelay.DomainID]*domainState),
@@ -338,15 +338,15 @@
 	u.own.unread += run.missing
 	u.own.held += run.held
 	u.own.sent += run.missing
-	p.untold += run.missing
-	u.enqueue(now, run.missing*pomelorelay.Tokens(1+u.pool.unheard))
+	p.sentSince += run.missing
+	u.enqueue(now, run.missing*pomelorelay.Tokens(1+u.pool.unreported))
 	u.noteLong(now)
 	u.pool.flow.addOwn(now, run.missing, u.pool.long(run.missing))
 	p.notePlaced(now, u, r)
 	return run
 }
 
-// leastPart is the least number of tokens of a part that other routers are told of: below, reading it again costs less than telling.
+// leastPart is the least number of tokens of a part that is reported to other routers: below, reading it again costs less than the report.
 const leastPart = 64
 
 func (p *Placer) notePlaced(now time.Time, u *upstream, r *Request) {
@@ -368,7 +368,7 @@
 	p.noteAnswer(now, run)
 	u.own.unread -= run.missing
 	u.changed = true
-	p.learnWay(u, u.learn(now, run, now.Sub(run.sent), p.way(u)))
+	p.learnLatency(u, u.learn(now, run, now.Sub(run.sent), p.latency(u)))
 }
 
 // Ended notes that a run ended.
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -7,10 +7,10 @@
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
 )
 
-// peer is what another router last told.
+// peer is the last report of another router.
 type peer struct {
 	incarnation pomelorelay.Incarnation
-	heard       time.Time
+	seenAt      time.Time
 	loads       map[pomelorelay.UpstreamID]load
 	speeds      map[pomelorelay.ServiceID]pomelorelay.SpeedSums
 }
@@ -18,7 +18,7 @@
 // Report fills in what this router has on the upstreams: what changed since the last report, or all.
 func (p *Placer) Report(m *pomelorelay.LoadReport) {
 	p.seq++
-	p.untold = 0
+	p.sentSince = 0
 	m.Seq = p.seq
 	for name, s := range p.services {
 		if sums := s.line.Own(); s.tells(sums.Answers) || (m.Whole && sums.Answers > 0) {
@@ -47,23 +47,23 @@
 	p.starts = p.starts[:0]
 }
 
-// tells reports whether the times of so many answers are news: of the first ones each is, later a tenth more, or fewer where they are many.
+// tells reports whether the times of so many answers are due for a report: each of the first ones, later a tenth more, or fewer where they are many.
 func (s *pool) tells(answers float64) bool {
-	return answers >= s.told+min(max(1, s.told/10), mostUntold)
+	return answers >= s.told+min(max(1, s.told/10), mostUnreported)
 }
 
-// mostUntold is the most answers whose times the others are not told before the next whole report.
-const mostUntold = 20
+// mostUnreported is the most answers whose times wait for the next whole report.
+const mostUnreported = 20
 
-// urgentTokens is the number of prompt tokens sent since the last report from which the other routers should know at once. With fewer, each
+// urgentTokens is the number of prompt tokens sent since the last report from which the next one is sent at once. With fewer, each
 // request would make a report of its own; with more, others would send to the same engine meanwhile.
 const urgentTokens = 4000
 
 // Urgent reports whether the other routers should have a report before the next one is due.
-func (p *Placer) Urgent() bool { return p.untold >= urgentTokens || len(p.starts) > 0 }
+func (p *Placer) Urgent() bool { return p.sentSince >= urgentTokens || len(p.starts) > 0 }
 
-// Heard takes another router's report.
-func (p *Placer) Heard(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
+// TakeReport takes another router's report.
+func (p *Placer) TakeReport(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
 	o := p.peers[from]
 	if o != nil && incarnation < o.incarnation {
 		return
@@ -73,7 +73,7 @@
 		o = &peer{incarnation: incarnation, loads: make(map[pomelorelay.UpstreamID]load), speeds: make(map[pomelorelay.ServiceID]pomelorelay.SpeedSums)}
 		p.peers[from] = o
 	}
-	o.heard = now
+	o.seenAt = now
 	p.takeSpeeds(now, o, m.Speeds)
 	p.takeStarts(now, m.Starts)
 	named := p.takeParts(now, m.Parts)
@@ -127,9 +127,9 @@
 		before := o.speeds[sums.Service]
 		o.speeds[sums.Service] = sums
 		if s := p.services[sums.Service]; s != nil {
-			s.line.Heard(now, before, sums)
-			s.pauses.Heard(now, pauseSums(before), pauseSums(sums))
-			s.copies.Heard(now, copySums(before), copySums(sums))
+			s.line.Merge(now, before, sums)
+			s.pauses.Merge(now, pauseSums(before), pauseSums(sums))
+			s.copies.Merge(now, copySums(before), copySums(sums))
 		}
 	}
 }
@@ -166,15 +166,15 @@
 	}
 }
 
-// SetUnheard tells how many registered routers have told nothing yet. They are taken to send as much as this one: when all routers start at
+// SetUnreported sets the number of registered routers without a report yet. They count as sending as much as this one: when all routers start at
 // once, each sees idle engines, and together they would fill them several times over before the first reports arrive. What callers
 // notice are seconds of late answers after a restart of the fleet.
-func (p *Placer) SetUnheard(routers int) {
-	if p.cfg.Without.Unheard {
+func (p *Placer) SetUnreported(routers int) {
+	if p.cfg.Without.Unreported {
 		routers = 0
 	}
 	for _, s := range p.services {
-		s.unheard = routers
+		s.unreported = routers
 	}
 }
 
@@ -185,12 +185,12 @@
 	}
 	p.oldest = time.Time{}
 	for node, o := range p.peers {
-		if now.Sub(o.heard) > SilentAfter {
+		if now.Sub(o.seenAt) > SilentAfter {
 			p.forget(node)
 			continue
 		}
-		if p.oldest.IsZero() || o.heard.Before(p.oldest) {
-			p.oldest = o.heard
+		if p.oldest.IsZero() || o.seenAt.Before(p.oldest) {
+			p.oldest = o.seenAt
 		}
 	}
 }
--- a/pomeloplace/speed_test.go
+++ b/pomeloplace/speed_test.go
@@ -20,7 +20,7 @@
 	}
 	var m pomelorelay.LoadReport
 	old.Report(&m)
-	fresh.Heard(now, "old", 1, &m)
+	fresh.TakeReport(now, "old", 1, &m)
 	if got := speedOf(t, fresh); math.Abs(float64(got.Rate)/rate-1) > 0.1 {
 		t.Errorf("told %.1f tokens a millisecond, want %.0f", got.Rate, rate)
 	}
@@ -35,7 +35,7 @@
 	old.Report(&pomelorelay.LoadReport{Whole: true})
 	m := pomelorelay.LoadReport{Whole: true}
 	old.Report(&m)
-	fresh.Heard(start, "old", 1, &m)
+	fresh.TakeReport(start, "old", 1, &m)
 	if got := speedOf(t, fresh); math.Abs(float64(got.Rate)/rate-1) > 0.1 {
 		t.Errorf("told %.1f tokens a millisecond, want %.0f", got.Rate, rate)
 	}
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -84,7 +84,7 @@
 func (u *upstream) running() int { return u.pool.fleet(u.own.running) + u.others.running }
 
 func (u *upstream) unread() float64 {
-	return float64(u.own.unread)*(1+float64(u.pool.unheard)) + float64(u.others.unread)
+	return float64(u.own.unread)*(1+float64(u.pool.unreported)) + float64(u.others.unread)
 }
 
 // drain lets the queue fall by what was read since.
@@ -118,8 +118,8 @@
 	return max(u.queue, leastUnread*u.unread())
 }
 
-// await returns the time until a request's turn comes.
-func (u *upstream) await(now time.Time) time.Duration {
+// turnIn returns the time until a request's turn comes.
+func (u *upstream) turnIn(now time.Time) time.Duration {
 	if u.engine == nil {
 		over := u.running() - u.slots() + 1
 		return time.Duration(max(0, over)) * u.service / time.Duration(u.slots())
@@ -186,8 +186,8 @@
 	u.downUntil = now.Add(u.downFor)
 }
 
-// learn takes the time to a first token, of which the way is a part, as a sample of the speed. It returns what the answer took beyond
-// what was expected without the way.
+// learn takes the time to a first token, of which the latency between regions is a part, as a sample of the speed. It returns what the answer took beyond
+// what was expected without that latency.
 func (u *upstream) learn(now time.Time, r *Run, took, way time.Duration) time.Duration {
 	if u.engine == nil {
 		u.service += part(serviceShare, took-way-u.service)
--- a/pomeloplace/warmup_test.go
+++ b/pomeloplace/warmup_test.go
@@ -109,8 +109,8 @@
 	if len(m.Starts) != 1 || !m.Starts[0].Unreached || m.Starts[0].Upstream != "e1" {
 		t.Fatalf("%+v", m.Starts)
 	}
-	other.Heard(now, "r1", 1, &m)
-	far.Heard(now, "r1", 1, &m)
+	other.TakeReport(now, "r1", 1, &m)
+	far.TakeReport(now, "r1", 1, &m)
 	for range 50 {
 		now = now.Add(20 * time.Millisecond)
 		if d := place(t, far, now, prompt(uint64(now.UnixNano()), 500, 100)); d.Upstream.ID == "e1" {
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -66,10 +66,10 @@
 	// every router, whatever the number of engines. With a small step, the first ten of a hundred engines would be nearly equal.
 	homeStep = 8 * time.Millisecond
 	homeMost = 60 * time.Millisecond
-	// startWay is the first guess of the way to another region and back; it is learnt from then on.
-	startWay = 20 * time.Millisecond
-	// wayShare is the weight of a new sample in its running mean: times to first tokens differ by much more than the way.
-	wayShare = 0.005
+	// startLatency is the first guess of the round trip to another region, beyond one within the own; it is learnt from then on.
+	startLatency = 20 * time.Millisecond
+	// latencyShare is the weight of a new sample in its running mean: times to first tokens vary by much more than the round trip.
+	latencyShare = 0.005
 	// slotTurn is about how long it takes until one of an engine's slots is free: seconds of a run, by dozens of slots.
 	slotTurn = 80 * time.Millisecond
 )
@@ -103,8 +103,8 @@
 
 // weigh returns a candidate with its cost.
 func (p *Placer) weigh(now time.Time, u *upstream, from source, r *Request) candidate {
-	c := candidate{up: u, backlog: u.await(now)}
-	c.expected = c.backlog + p.way(u)
+	c := candidate{up: u, backlog: u.turnIn(now)}
+	c.expected = c.backlog + p.latency(u)
 	off := &p.cfg.Without
 	if u.foreign && !off.Regions {
 		c.add(TermRegion, u.worth(regionTokens))
@@ -152,26 +152,26 @@
 	}
 }
 
-// way returns the time that a request takes to an upstream and its answer back, beyond that to one of this router's own region.
-func (p *Placer) way(u *upstream) time.Duration {
+// latency returns the round trip to an upstream, beyond that to one of this router's own region.
+func (p *Placer) latency(u *upstream) time.Duration {
 	if !u.foreign {
 		return 0
 	}
-	way, known := p.ways[u.region]
+	way, known := p.latencies[u.region]
 	if !known {
-		return startWay
+		return startLatency
 	}
 	return way
 }
 
-// learnWay takes the time to a first token beyond what was expected without the way.
-func (p *Placer) learnWay(u *upstream, beyond time.Duration) {
+// learnLatency takes the time to a first token beyond what was expected without the round trip to the region.
+func (p *Placer) learnLatency(u *upstream, beyond time.Duration) {
 	if !u.foreign {
 		return
 	}
-	way := p.way(u)
-	sample := min(max(beyond, -way), 3*way+startWay)
-	p.ways[u.region] = max(0, way+part(wayShare, sample-way))
+	way := p.latency(u)
+	sample := min(max(beyond, -way), 3*way+startLatency)
+	p.latencies[u.region] = max(0, way+part(latencyShare, sample-way))
 }
 
 // own returns the tokens of the prompt's last part, which no other request shares.
--- a/pomeloplace/world_test.go
+++ b/pomeloplace/world_test.go
@@ -226,20 +226,20 @@
 	if p.now.Sub(start) < p.blind {
 		for _, router := range p.routers {
 			if p.knows {
-				router.SetUnheard(len(p.routers) - 1)
+				router.SetUnreported(len(p.routers) - 1)
 			}
 		}
 		return
 	}
 	for _, router := range p.routers {
-		router.SetUnheard(0)
+		router.SetUnreported(0)
 	}
 	for len(p.mail) > 0 && !p.mail[0].at.After(p.now) {
 		l := p.mail[0]
 		p.mail = p.mail[1:]
 		for i, router := range p.routers {
 			if i != l.from {
-				router.Heard(p.now, pomelorelay.NodeID(fmt.Sprint("r", l.from)), 1, l.m)
+				router.TakeReport(p.now, pomelorelay.NodeID(fmt.Sprint("r", l.from)), 1, l.m)
 			}
 		}
 	}
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -30,7 +30,7 @@
 	steps   [buckets]use
 }
 
-// peer is the last that a router told, so that its next report counts only by what it added.
+// peer is a router's last report, so that its next report counts only by what it added.
 type peer struct {
 	incarnation pomelorelay.Incarnation
 	told        map[pomelorelay.AccountID]use
@@ -98,9 +98,9 @@
 	a.add(s.step, u)
 }
 
-// Heard takes another router's sums since its start, in the order in which they were told. They may be lost or repeated: only what changed
+// TakeReport takes another router's sums since its start, in the order in which they were sent. They may be lost or repeated: only what changed
 // since the last ones counts, up or, by requests that did not run, down.
-func (s *Shares) Heard(from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, entries []pomelorelay.AccountUse) {
+func (s *Shares) TakeReport(from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, entries []pomelorelay.AccountUse) {
 	p := s.peers[from]
 	first := p == nil
 	if first || p.incarnation < incarnation {
@@ -114,7 +114,7 @@
 		now := use{asked: e.Asked, served: e.Served}
 		before := p.told[e.Account]
 		p.told[e.Account] = now
-		// A router that has just started does not know when its peers' sums grew: it takes them as a mark to count from.
+		// A router that has just started has no earlier sums of its peers: it takes these as a mark to count from.
 		if first && s.young() {
 			continue
 		}
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -109,7 +109,7 @@
 		s.Tick(start.Add(at))
 	}
 	report := func(incarnation pomelorelay.Incarnation, asked pomelorelay.Cost) {
-		s.Heard("r1", incarnation, []pomelorelay.AccountUse{{Account: "a", Asked: asked}})
+		s.TakeReport("r1", incarnation, []pomelorelay.AccountUse{{Account: "a", Asked: asked}})
 	}
 	report(1, 10)
 	report(1, 10)
@@ -136,9 +136,9 @@
 				a.Report(false, nil)
 				continue
 			}
-			b.Heard("a", 1, a.Report(false, nil))
+			b.TakeReport("a", 1, a.Report(false, nil))
 		}
-		b.Heard("a", 1, a.Report(true, nil))
+		b.TakeReport("a", 1, a.Report(true, nil))
 		if asked, _, _ := b.State("x"); asked != total {
 			t.Fatalf("%v arrived of %v", asked, total)
 		}
@@ -189,11 +189,11 @@
 		here.Tick(start.Add(at))
 		there.Tick(start.Add(at))
 	}
-	there.Heard("here", 1, here.Report(true, nil))
+	there.TakeReport("here", 1, here.Report(true, nil))
 	here.Served("large", 400)
-	there.Heard("here", 1, here.Report(false, nil))
+	there.TakeReport("here", 1, here.Report(false, nil))
 	here.Returned("large", 400)
-	there.Heard("here", 1, here.Report(false, nil))
+	there.TakeReport("here", 1, here.Report(false, nil))
 	for name, s := range map[string]*pomeloshare.Shares{"here": here, "there": there} {
 		if _, served, _ := s.State("large"); served != 0 {
 			t.Errorf("%s: %v counts as served, want 0", name, served)
@@ -251,11 +251,11 @@
 	sums := func(asked pomelorelay.Cost) []pomelorelay.AccountUse {
 		return []pomelorelay.AccountUse{{Account: "a", Asked: asked, Served: asked}}
 	}
-	s.Heard("first", 1, sums(0))
+	s.TakeReport("first", 1, sums(0))
 	s.Mark("second", 1, sums(0))
-	s.Heard("second", 1, sums(700))
+	s.TakeReport("second", 1, sums(700))
 	s.Mark("first", 1, sums(700))
-	s.Heard("first", 1, sums(800))
+	s.TakeReport("first", 1, sums(800))
 	if asked, served, _ := s.State("a"); asked != 800 || served != 800 {
 		t.Errorf("%v asked and %v served, want 800", asked, served)
 	}
--- a/pomelospeed/line.go
+++ b/pomelospeed/line.go
@@ -14,7 +14,7 @@
 	// leastRate and mostRate bound what is learnt, so that a few odd answers cannot make an engine look stopped or endless.
 	leastRate Rate = 0.5
 	mostRate  Rate = 5000
-	// startOverhead is the first guess of what an answer needs besides reading: some decoding steps and the way there.
+	// startOverhead is the first guess of what an answer needs besides reading: some decoding steps and the network.
 	startOverhead = 30 * time.Millisecond
 	// guessWeight is the number of answers that the first guess of the rate counts for, and startWeight that of the overhead, which
 	// differs less between engines; half a second of a fleet's answers outweighs both.
@@ -24,7 +24,7 @@
 	guessSpan = 200 * time.Millisecond
 	// fadeTime is the time in which half of what was seen is forgotten: step times change with what runs.
 	fadeTime = 4 * time.Second
-	// leastSeen is the number of answers below which nothing is forgotten, so that a fleet in a calm hour keeps what it knows.
+	// leastSeen is the number of answers below which nothing is forgotten, so that a fleet in a calm hour keeps its estimate.
 	leastSeen = 50
 	// mostNews bounds the number of answers that one report of another router may count for: its first one sums up all since its start.
 	mostNews = 200
@@ -88,8 +88,8 @@
 // Own returns the sums of this router's answers since its start.
 func (l *Line) Own() pomelorelay.SpeedSums { return l.own }
 
-// Heard takes what another router's sums have grown by.
-func (l *Line) Heard(now time.Time, before, after pomelorelay.SpeedSums) {
+// Merge takes what another router's sums have grown by.
+func (l *Line) Merge(now time.Time, before, after pomelorelay.SpeedSums) {
 	news := plus(after, before, -1)
 	if !sound(news) {
 		return
@@ -100,7 +100,7 @@
 	l.see(now, news)
 }
 
-// sound reports whether sums can be those of answers; a router that tells others must not spoil what this one has seen.
+// sound reports whether sums can be those of answers; a router that reports others must not spoil what this one has seen.
 func sound(s pomelorelay.SpeedSums) bool {
 	return s.Answers > 0 && s.Weight > 0 && s.Read >= 0 && s.Took > 0 && s.Took <= s.Weight*milliseconds(mostTook) && s.ReadTook >= 0 && s.ReadTook <= s.Read*milliseconds(mostTook) &&
 		s.Read*s.Read <= s.Weight*s.ReadRead*(1+rounding)
@@ -131,7 +131,7 @@
 	spread := s.Weight*s.ReadRead - s.Read*s.Read
 	slope := (s.Weight*s.ReadTook - s.Read*s.Took) / spread
 	overhead := (s.Took - slope*s.Read) / s.Weight
-	// Comparisons are false where sums give no number, as those of a router that tells nonsense.
+	// Comparisons are false where sums give no number, as those of a faulty router.
 	if !(overhead >= 0) {
 		overhead, slope = 0, s.ReadTook/s.ReadRead
 	}
@@ -146,7 +146,7 @@
 	l.seen = reweighed(l.seen, l.weight(l.middle())/before)
 }
 
-// bounds returns the rates between which the line may be: the first few answers, perhaps behind queues that nobody knows of, must not make
+// bounds returns the rates between which the line may be: the first few answers, perhaps behind unreported queues, must not make
 // reading look free.
 func (l *Line) bounds() (least, most Rate) {
 	answers := Rate(l.seen.Answers)
--- a/pomelospeed/line_test.go
+++ b/pomelospeed/line_test.go
@@ -83,13 +83,13 @@
 		tokens := e.prompt()
 		old.Note(now, tokens, e.answer(tokens))
 	}
-	fresh.Heard(now, pomelorelay.SpeedSums{}, old.Own())
+	fresh.Merge(now, pomelorelay.SpeedSums{}, old.Own())
 	if got := float64(fresh.Rate()); math.Abs(got/25-1) > 0.1 {
 		t.Errorf("%.1f tokens a millisecond after the first report, want 25", got)
 	}
 	// Reports may be repeated; what they said before does not count again.
 	before := fresh.Rate()
-	fresh.Heard(now, old.Own(), old.Own())
+	fresh.Merge(now, old.Own(), old.Own())
 	if fresh.Rate() != before {
 		t.Errorf("a repeated report changed %v to %v", before, fresh.Rate())
 	}
@@ -167,7 +167,7 @@
 				}
 				told.Note(now, sums)
 			}
-			heard.Heard(now, pomelospeed.Sums{}, told.Own())
+			heard.Merge(now, pomelospeed.Sums{}, told.Own())
 			for who, p := range map[string]*pomelospeed.Ratio{"told": told, "heard": heard} {
 				if got := pomelospeed.PauseWeight(p.Value(now)); got < c.least || got > c.most {
 					t.Errorf("%s: weight %.2f, want %.2f to %.2f", who, got, c.least, c.most)
--- a/pomelospeed/rapid_test.go
+++ b/pomelospeed/rapid_test.go
@@ -27,7 +27,7 @@
 				next := pomelorelay.SpeedSums{
 					Answers: sum("answers"), Weight: sum("weight"), Read: sum("read"), Took: sum("took"), ReadRead: sum("read read"), ReadTook: sum("read took"),
 				}
-				l.Heard(now, told, next)
+				l.Merge(now, told, next)
 				told = next
 			},
 			"": func(t *rapid.T) {
--- a/pomelospeed/ratio.go
+++ b/pomelospeed/ratio.go
@@ -47,8 +47,8 @@
 // Own returns the sums of what this router saw since its start.
 func (r *Ratio) Own() Sums { return r.own }
 
-// Heard takes what another router's sums have grown by.
-func (r *Ratio) Heard(now time.Time, before, after Sums) {
+// Merge takes what another router's sums have grown by.
+func (r *Ratio) Merge(now time.Time, before, after Sums) {
 	news := after
 	news.add(before, -1)
 	if news.Of <= 0 {
--- a/pomelowarmup/gate.go
+++ b/pomelowarmup/gate.go
@@ -18,7 +18,7 @@
 	changes uint64
 }
 
-// New returns a Gate that knows neither services nor routers.
+// New returns a Gate without services and without other routers.
 func New(cfg Config) *Gate {
 	if cfg.Holders <= 0 {
 		cfg.Holders = DefaultHolders
--- a/pomelowarmup/upstream.go
+++ b/pomelowarmup/upstream.go
@@ -71,7 +71,7 @@
 }
 
 // Unreached notes that the upstream took no connection, though others answered: whatever ended it, it will be cold when it is back. It reports
-// whether the other routers should be told; those of other regions cannot tell a broken link from an upstream that is down.
+// whether to report that to the other routers; those of other regions cannot tell a broken link from an upstream that is down.
 func (u *Upstream) Unreached(now time.Time) bool {
 	if !u.gate.near(u) {
 		return false
