--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -264,7 +264,7 @@
 		}
 		u.evacuated = evacuated
 		if !evacuated {
-			u.start.CoolAnew(now)
+			u.start.MayBeCold(now)
 		}
 	}
 }
@@ -425,7 +425,7 @@
 		case s.Unreached:
 			u.start.Suspect(now)
 		default:
-			u.start.Cool(now, s.ColdFor)
+			u.start.ColdFor(now, s.ColdFor)
 		}
 	}
 }
--- a/pomelowarmup/gate_test.go
+++ b/pomelowarmup/gate_test.go
@@ -49,7 +49,7 @@
 			f := newFleet(seed, 78, pomelowarmup.DefaultHolders)
 			now := start
 			for _, s := range f.states {
-				s.Cool(now.Add(time.Duration(f.random.IntN(300))*time.Millisecond), coldFor)
+				s.ColdFor(now.Add(time.Duration(f.random.IntN(300))*time.Millisecond), coldFor)
 			}
 			for tick := range 250 {
 				c.play(f, now, tick)
@@ -75,7 +75,7 @@
 		f := newFleet(1, 300, c.holders)
 		now := start
 		for _, s := range f.states {
-			s.Cool(now, time.Minute)
+			s.ColdFor(now, time.Minute)
 		}
 		for range 6000 {
 			f.send(now)
@@ -130,12 +130,12 @@
 		}, 0},
 		{"back from an evacuation", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
 			u := g.Upstream(start, entry(0))
-			u.CoolAnew(start)
+			u.MayBeCold(start)
 			return u
 		}, coldFor},
 		{"cold by another router's word", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
 			u := g.Upstream(start, entry(0))
-			u.Cool(start, 2*time.Second)
+			u.ColdFor(start, 2*time.Second)
 			return u
 		}, 2 * time.Second},
 		{"unreached, then answering", func(g *pomelowarmup.Gate) *pomelowarmup.Upstream {
@@ -190,7 +190,7 @@
 func TestTheWaitIsTrue(t *testing.T) {
 	f := newFleet(5, 12, pomelowarmup.DefaultHolders)
 	for i, s := range f.states {
-		s.Cool(start, coldFor)
+		s.ColdFor(start, coldFor)
 		wait := s.Wait(start)
 		if wait <= 0 || wait > coldFor {
 			t.Errorf("router %d: wait of %v", i, wait)
--- a/pomelowarmup/upstream.go
+++ b/pomelowarmup/upstream.go
@@ -19,7 +19,7 @@
 	Closed
 )
 
-// Upstream is what a router has found out of one upstream's start.
+// Upstream is the warm-up state of one upstream at this router.
 type Upstream struct {
 	gate *Gate
 	info pomelorelay.FleetUpstream
@@ -40,9 +40,9 @@
 	u := &Upstream{gate: g, info: info}
 	switch {
 	case info.ColdFor > 0:
-		u.cool(now, info.ColdFor)
+		u.extendCold(now, info.ColdFor)
 	case info.ColdFor == pomelorelay.ColdUnknown:
-		u.cool(now, g.duration(u))
+		u.extendCold(now, g.duration(u))
 	}
 	return u
 }
@@ -50,9 +50,9 @@
 // Restarted returns the state of an upstream that was listed before and has started anew since.
 func (g *Gate) Restarted(now time.Time, info pomelorelay.FleetUpstream) *Upstream {
 	u := &Upstream{gate: g, info: info}
-	u.cool(now, max(info.ColdFor, 0))
+	u.extendCold(now, max(info.ColdFor, 0))
 	if info.ColdFor <= 0 {
-		u.cool(now, g.duration(u))
+		u.extendCold(now, g.duration(u))
 	}
 	return u
 }
@@ -70,8 +70,8 @@
 	}
 }
 
-// Unreached notes that the upstream took no connection, though others answered: whatever ended it, it will be cold when it is back. It reports
-// whether to report that to the other routers; those of other regions cannot tell a broken link from an upstream that is down.
+// Unreached notes that the upstream took no connection: whatever ended it, it will be cold when it is back. It returns whether to report that to
+// the other routers. Routers of other regions do not: there, a broken link and an upstream that is down look the same.
 func (u *Upstream) Unreached(now time.Time) bool {
 	if !u.gate.near(u) {
 		return false
@@ -93,25 +93,25 @@
 }
 
 // Answered notes an answer of the upstream to a request that was sent at a time. It returns how long the upstream may be cold from now on if that
-// was not known, for the other routers. An answer to a request of before says only that the upstream lived then.
+// was not known, for the other routers. An answer to an earlier request only shows that the upstream lived then.
 func (u *Upstream) Answered(now, sent time.Time) (time.Duration, bool) {
 	if !now.Before(u.suspectUntil) || sent.Before(u.suspectSince) {
 		return 0, false
 	}
-	u.Cool(now, u.gate.duration(u))
+	u.ColdFor(now, u.gate.duration(u))
 	return u.coldUntil.Sub(now), true
 }
 
-// Cool notes that the upstream may be cold for a time from now on, and is reachable.
-func (u *Upstream) Cool(now time.Time, left time.Duration) {
+// ColdFor notes that the upstream may be cold for a time from now on, and is reachable.
+func (u *Upstream) ColdFor(now time.Time, left time.Duration) {
 	u.suspectUntil = time.Time{}
-	u.cool(now, left)
+	u.extendCold(now, left)
 }
 
-// CoolAnew notes that the upstream may have become cold without a start.
-func (u *Upstream) CoolAnew(now time.Time) { u.cool(now, u.gate.duration(u)) }
+// MayBeCold notes that the upstream may have become cold without a start.
+func (u *Upstream) MayBeCold(now time.Time) { u.extendCold(now, u.gate.duration(u)) }
 
-func (u *Upstream) cool(now time.Time, left time.Duration) {
+func (u *Upstream) extendCold(now time.Time, left time.Duration) {
 	if left <= 0 {
 		return
 	}
@@ -121,22 +121,19 @@
 	}
 }
 
-// limited reports whether the upstream is cold or may be.
-func (u *Upstream) limited(now time.Time) bool {
-	return now.Before(u.coldUntil) || now.Before(u.suspectUntil)
-}
-
 // limit begins with an empty bucket where the upstream was warm: a full one in each router that has just started would be too much together.
 func (u *Upstream) limit(now time.Time) {
-	if !u.limited(now) {
+	if !u.Cold(now) {
 		u.level, u.levelAt = 0, now
 	}
 }
 
 // Cold reports whether the upstream is cold, or may be.
-func (u *Upstream) Cold(now time.Time) bool { return u.limited(now) }
+func (u *Upstream) Cold(now time.Time) bool {
+	return now.Before(u.coldUntil) || now.Before(u.suspectUntil)
+}
 
-// Status is what a router takes an upstream for, for its log.
+// Status describes an upstream for the log.
 type Status struct {
 	Cold bool
 	// Left is how much longer, at most, if nothing else is learnt.
@@ -147,9 +144,9 @@
 	Holder bool
 }
 
-// Status returns what the router takes the upstream for.
+// Status returns the upstream's state for the log.
 func (u *Upstream) Status(now time.Time) Status {
-	if !u.limited(now) {
+	if !u.Cold(now) {
 		return Status{}
 	}
 	return Status{Cold: true, Left: max(u.coldUntil.Sub(now), u.suspectUntil.Sub(now)), Unreached: now.Before(u.suspectUntil), Holder: u.gate.holds(u)}
@@ -158,7 +155,7 @@
 // Class returns whether a request of this router may go to the upstream.
 func (u *Upstream) Class(now time.Time) Class {
 	switch {
-	case !u.limited(now):
+	case !u.Cold(now):
 		return Open
 	case !u.gate.holds(u) || u.refill(now) < 1:
 		return Closed
@@ -170,7 +167,7 @@
 
 // Take notes that a request is sent.
 func (u *Upstream) Take(now time.Time) {
-	if u.limited(now) {
+	if u.Cold(now) {
 		u.level = max(0, u.refill(now)-1)
 	}
 }
@@ -186,7 +183,7 @@
 
 // Wait returns when this router may send a request to the upstream.
 func (u *Upstream) Wait(now time.Time) time.Duration {
-	if !u.limited(now) {
+	if !u.Cold(now) {
 		return 0
 	}
 	wait := max(u.coldUntil.Sub(now), u.suspectUntil.Sub(now))
