What the change had twice stands once, and a setting that nobody used goes

Against it lists repeats: the lookups of the stand-in store, the codes of refusals, the publishing of pomeloctl apply and evacuate, a play in two tests.

An evacuation lies in the state of its failure domain instead of in a map and in every upstream. ColdHolders of the placer, which no program set, goes. The test of refused placements covers every reason, since the table has no default. Behaviour is as before.

--- a/cmd/pomeloctl/pomelocommand/apply.go
+++ b/cmd/pomeloctl/pomelocommand/apply.go
@@ -59,13 +59,10 @@
 }
 
 func (a *app) apply(ctx context.Context, o applyOptions) error {
-	routers, err := parseAddresses("--router", o.routers)
+	routers, err := routersToWaitFor("apply", o.routers, o.wait)
 	if err != nil {
 		return err
 	}
-	if o.wait && len(routers) == 0 {
-		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "apply: --wait needs --router", nil)
-	}
 	c, err := a.readConfiguration(o.file)
 	if err != nil {
 		return err
@@ -74,25 +71,10 @@
 	if err != nil {
 		return err
 	}
-	// Routers that do not answer do not keep a change from being accepted; the others tell what it has to be above.
-	lines, _ := askAll(ctx, routers)
-	publisher := pomeloconfig.NewPublisher(pomeloconfig.PublisherConfig{Store: store})
-	root, err := publisher.Publish(ctx, c, pomeloconfig.Change{
-		ID: pomeloconfig.ChangeID(o.changeID), Author: o.author, Why: o.why,
-		Base: pomelorelay.Generation(o.base), Floor: highestGeneration(lines),
+	return a.publish(ctx, publishing{
+		store: store, configuration: c, routers: routers, wait: o.wait,
+		change: pomeloconfig.Change{ID: pomeloconfig.ChangeID(o.changeID), Author: o.author, Why: o.why, Base: pomelorelay.Generation(o.base)},
 	})
-	if err != nil {
-		return err
-	}
-	result := applyResult{Generation: root.Generation, ChangeID: root.ChangeID, Difference: root.Difference}
-	if !o.wait {
-		return a.print(result, result.text())
-	}
-	waitErr := result.await(ctx, routers)
-	if err := a.print(result, result.text()); err != nil {
-		return err
-	}
-	return waitErr
 }
 
 // await asks the routers until all have the generation, or a higher one, or the time is up.
--- a/cmd/pomeloctl/pomelocommand/evacuate.go
+++ b/cmd/pomeloctl/pomelocommand/evacuate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
@@ -34,13 +33,10 @@
 
 // evacuate publishes the configuration of the store with one failure domain's evacuation changed. Another change that comes between is a conflict.
 func (a *app) evacuate(ctx context.Context, o evacuateOptions) error {
-	routers, err := parseAddresses("--router", o.routers)
+	routers, err := routersToWaitFor("evacuate", o.routers, o.wait)
 	if err != nil {
 		return err
 	}
-	if o.wait && len(routers) == 0 {
-		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "evacuate: --wait needs --router", nil)
-	}
 	store, err := a.openStore()
 	if err != nil {
 		return err
@@ -52,27 +48,15 @@
 	if err := c.Evacuate(pomelorelay.DomainID(o.domain), o.cancel); err != nil {
 		return err
 	}
-	lines, _ := askAll(ctx, routers)
-	changed, err := pomeloconfig.NewPublisher(pomeloconfig.PublisherConfig{Store: store}).Publish(ctx, c, pomeloconfig.Change{
-		Author: o.author, Why: o.why, Base: root.Generation, Floor: highestGeneration(lines),
+	return a.publish(ctx, publishing{
+		store: store, configuration: c, routers: routers, wait: o.wait, headline: evacuateText(o),
+		change: pomeloconfig.Change{Author: o.author, Why: o.why, Base: root.Generation},
 	})
-	if err != nil {
-		return err
-	}
-	result := applyResult{Generation: changed.Generation, ChangeID: changed.ChangeID, Difference: changed.Difference}
-	var waitErr error
-	if o.wait {
-		waitErr = result.await(ctx, routers)
-	}
-	if err := a.print(result, fmt.Sprintf("%s: %s", evacuateText(o), result.text())); err != nil {
-		return err
-	}
-	return waitErr
 }
 
 func evacuateText(o evacuateOptions) string {
 	if o.cancel {
-		return o.domain + " takes work again"
+		return o.domain + " takes work again: "
 	}
-	return o.domain + " gets nothing new"
+	return o.domain + " gets nothing new: "
 }
--- a/pomelofake/fleetstore.go
+++ b/pomelofake/fleetstore.go
@@ -203,35 +203,28 @@
 	if s.config != nil && s.configAt > after {
 		change.Config = s.config
 	}
-	for id, e := range s.upstreams {
-		switch {
-		case e.at <= after:
-		case e.gone:
-			change.GoneUpstreams = append(change.GoneUpstreams, id)
-		default:
-			change.Upstreams = append(change.Upstreams, e.upstream)
+	changed := change.Config != nil
+	add := func(e fleetEntry, present, gone func()) {
+		if e.at <= after {
+			return
+		}
+		changed = true
+		if e.gone {
+			gone()
+			return
 		}
+		present()
+	}
+	for id, e := range s.upstreams {
+		add(e, func() { change.Upstreams = append(change.Upstreams, e.upstream) }, func() { change.GoneUpstreams = append(change.GoneUpstreams, id) })
 	}
 	for node, e := range s.peers {
-		switch {
-		case e.at <= after:
-		case e.gone:
-			change.GonePeers = append(change.GonePeers, node)
-		default:
-			change.Peers = append(change.Peers, e.peer)
-		}
+		add(e, func() { change.Peers = append(change.Peers, e.peer) }, func() { change.GonePeers = append(change.GonePeers, node) })
 	}
 	for domain, e := range s.evacuated {
-		switch {
-		case e.at <= after:
-		case e.gone:
-			change.Restored = append(change.Restored, domain)
-		default:
-			change.Evacuated = append(change.Evacuated, domain)
-		}
+		add(e, func() { change.Evacuated = append(change.Evacuated, domain) }, func() { change.Restored = append(change.Restored, domain) })
 	}
-	changed := len(change.Upstreams) + len(change.GoneUpstreams) + len(change.Peers) + len(change.GonePeers) + len(change.Evacuated) + len(change.Restored)
-	return change.Config != nil || changed > 0
+	return changed
 }
 
 // ReadConfig reads a configuration's document that a peer gave.
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -163,27 +163,20 @@
 	if d.Reason == pomeloplace.ReasonNone {
 		return ticket, nil
 	}
-	f := pomelolink.NewFailure(pomelolink.OutcomeNotSent, codeOf(d.Reason), nil)
+	f := pomelolink.NewFailure(pomelolink.OutcomeNotSent, reasonCodes[d.Reason], nil)
 	f.Err.RetryAfter, f.Err.Detail = d.RetryAfter, string(d.Cause)
 	return nil, f
 }
 
-func codeOf(r pomeloplace.Reason) pomelorelay.ResultCode {
-	switch r {
-	case pomeloplace.ReasonShare:
-		return pomelorelay.CodeShareSpent
-	case pomeloplace.ReasonLate:
-		return pomelorelay.CodeUpstreamsBusy
-	case pomeloplace.ReasonNoRegion:
-		return pomelorelay.CodeNoCommonRegion
-	case pomeloplace.ReasonRegion:
-		return pomelorelay.CodeRegionUnavailable
-	case pomeloplace.ReasonCold:
-		return pomelorelay.CodeUpstreamsCold
-	case pomeloplace.ReasonEvacuated:
-		return pomelorelay.CodeEvacuated
-	}
-	return pomelorelay.CodeNoUpstream
+// reasonCodes are the codes of the refusals of placements.
+var reasonCodes = map[pomeloplace.Reason]pomelorelay.ResultCode{
+	pomeloplace.ReasonNoUpstream: pomelorelay.CodeNoUpstream,
+	pomeloplace.ReasonShare:      pomelorelay.CodeShareSpent,
+	pomeloplace.ReasonLate:       pomelorelay.CodeUpstreamsBusy,
+	pomeloplace.ReasonNoRegion:   pomelorelay.CodeNoCommonRegion,
+	pomeloplace.ReasonRegion:     pomelorelay.CodeRegionUnavailable,
+	pomeloplace.ReasonCold:       pomelorelay.CodeUpstreamsCold,
+	pomeloplace.ReasonEvacuated:  pomelorelay.CodeEvacuated,
 }
 
 // generatedWeight is how much a generated token counts against one that is read, by the platform's word.
--- a/pomeloforward/forward_test.go
+++ b/pomeloforward/forward_test.go
@@ -402,8 +402,8 @@
 	}
 }
 
-// Guards against a refusal by residency that does not name its reason, or that leaves open whether the request ran.
-func TestRefusalsByResidencyNameTheirReason(t *testing.T) {
+// Guards against a refused placement that does not name its reason, or that leaves open whether the request ran.
+func TestRefusedPlacementsNameTheirReason(t *testing.T) {
 	for _, c := range []struct {
 		decision pomeloplace.Decision
 		code     pomelorelay.ResultCode
@@ -411,6 +411,11 @@
 	}{
 		{pomeloplace.Decision{Reason: pomeloplace.ReasonNoRegion, RetryAfter: 30 * time.Second}, pomelorelay.CodeNoCommonRegion, ""},
 		{pomeloplace.Decision{Reason: pomeloplace.ReasonRegion, Cause: pomeloplace.ReasonNoUpstream, RetryAfter: 700 * time.Millisecond}, pomelorelay.CodeRegionUnavailable, "NoUpstream"},
+		{pomeloplace.Decision{Reason: pomeloplace.ReasonCold, RetryAfter: time.Second}, pomelorelay.CodeUpstreamsCold, ""},
+		{pomeloplace.Decision{Reason: pomeloplace.ReasonEvacuated, RetryAfter: time.Second}, pomelorelay.CodeEvacuated, ""},
+		{pomeloplace.Decision{Reason: pomeloplace.ReasonNoUpstream, RetryAfter: time.Second}, pomelorelay.CodeNoUpstream, ""},
+		{pomeloplace.Decision{Reason: pomeloplace.ReasonShare, RetryAfter: time.Second}, pomelorelay.CodeShareSpent, ""},
+		{pomeloplace.Decision{Reason: pomeloplace.ReasonLate, RetryAfter: time.Second}, pomelorelay.CodeUpstreamsBusy, ""},
 	} {
 		w := newWorld(t)
 		w.places = []pomeloplace.Decision{c.decision}
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -14,8 +14,6 @@
 	Regions map[pomelorelay.DomainID]pomelorelay.RegionID
 	// Cold bounds what the fleet sends to cold upstreams.
 	Cold pomelorelay.ColdBounds
-	// ColdHolders is the number of routers that may send to a cold upstream; pomelowarmup.DefaultHolders when zero.
-	ColdHolders int
 	// Without are the mechanisms that are switched off.
 	Without Mechanisms
 }
--- a/pomeloplace/copy.go
+++ b/pomeloplace/copy.go
@@ -23,7 +23,7 @@
 func (p *Placer) source(now time.Time, s *pool, r *Request) source {
 	best := source{missing: r.Prompt}
 	for _, u := range s.list {
-		if u.engine == nil || len(r.Parts) == 0 || !p.allowed(u, r) || u.evacuated || u.rests(now, &p.cfg.Without) || u.kept.parts[r.Parts[0].Hash] == nil {
+		if u.engine == nil || len(r.Parts) == 0 || !p.allowed(u, r) || u.domain.evacuated || u.rests(now, &p.cfg.Without) || u.kept.parts[r.Parts[0].Hash] == nil {
 			continue
 		}
 		missing := u.kept.missing(r)
--- a/pomeloplace/domain.go
+++ b/pomeloplace/domain.go
@@ -13,8 +13,10 @@
 // domainHangs is the number of upstreams of a failure domain that must hang.
 const domainHangs = 3
 
-// domainState is what a router has found out of a failure domain's reachability.
+// domainState is whether a failure domain is reachable and takes requests.
 type domainState struct {
+	// evacuated domains get nothing new.
+	evacuated bool
 	// hung are the upstreams at which connections hung since one of the domain last answered.
 	hung     map[pomelorelay.UpstreamID]bool
 	answered time.Time
--- a/pomeloplace/evacuation_test.go
+++ b/pomeloplace/evacuation_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
 
@@ -50,12 +49,7 @@
 	p := newPlacer()
 	p.Put(start, engineIn("b0", "b"))
 	now := start
-	for i := range 3 {
-		d := place(t, p, now, prompt(1, 5000, pomelorelay.Tokens(100+i)))
-		p.Begun(now.Add(50*time.Millisecond), d.Run)
-		p.Ended(now.Add(90*time.Millisecond), d.Run, pomeloplace.ResultGood)
-		now = now.Add(time.Second)
-	}
+	now = keepShared(t, p, now)
 	p.Put(start, engineIn("a0", "a"))
 	p.SetEvacuated(now, "b", true)
 	if d := place(t, p, now, prompt(1, 5000, 500)); d.Upstream.ID != "a0" || d.Copied != 0 {
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -157,7 +157,7 @@
 	}
 	need = s.forLong
 	for _, u := range s.ranked {
-		u.forLong = need > 0 && !u.info.Draining && !u.evacuated && !now.Before(u.downUntil)
+		u.forLong = need > 0 && !u.info.Draining && !u.domain.evacuated && !now.Before(u.downUntil)
 		if u.forLong {
 			need--
 		}
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -22,9 +22,7 @@
 	// engineCount is the number of upstreams that are model engines.
 	engineCount int
 	peers       map[pomelorelay.NodeID]*peer
-	// evacuated are the failure domains whose upstreams get nothing new.
-	evacuated map[pomelorelay.DomainID]bool
-	domains   map[pomelorelay.DomainID]*domainState
+	domains     map[pomelorelay.DomainID]*domainState
 	// warmup is which upstreams are cold, starts what the other routers are to learn of it.
 	warmup *pomelowarmup.Gate
 	starts []pomelorelay.UpstreamStart
@@ -52,10 +50,9 @@
 		engines:   make(map[pomelorelay.ServiceID]*pomelorelay.EngineSpec),
 		latencies: make(map[pomelorelay.RegionID]time.Duration),
 		peers:     make(map[pomelorelay.NodeID]*peer),
-		evacuated: make(map[pomelorelay.DomainID]bool),
 		domains:   make(map[pomelorelay.DomainID]*domainState),
 		warmup: pomelowarmup.New(pomelowarmup.Config{
-			Self: cfg.Self, Regions: cfg.Regions, Bounds: cfg.Cold, Holders: cfg.ColdHolders,
+			Self: cfg.Self, Regions: cfg.Regions, Bounds: cfg.Cold,
 		}),
 	}
 }
@@ -114,7 +111,6 @@
 	u.info = info
 	u.region = p.cfg.Regions[info.Domain]
 	u.foreign = u.region != p.cfg.Self.Region
-	u.evacuated = p.evacuated[info.Domain]
 	u.domain = p.domain(info.Domain)
 	u.start.Listed(now, info)
 	if p.upstreams[info.ID] == u {
@@ -209,7 +205,7 @@
 	d := Decision{Reason: ReasonNoUpstream, RetryAfter: unreachedFor, ReportAge: p.reportAge(now)}
 	if wait, cold := p.coldWait(now, r); cold {
 		d.Reason, d.RetryAfter = ReasonCold, wait
-	} else if p.allEvacuated(r) {
+	} else if p.onlyEvacuated(r) {
 		d.Reason, d.RetryAfter = ReasonEvacuated, evacuatedRetry
 	}
 	if r.Residency.Limited {
@@ -218,14 +214,14 @@
 	return d
 }
 
-// allEvacuated reports whether upstreams would take the request if it were not for evacuations.
-func (p *Placer) allEvacuated(r *Request) bool {
+// onlyEvacuated reports whether an upstream would take the request if it were not for an evacuation.
+func (p *Placer) onlyEvacuated(r *Request) bool {
 	s := p.services[r.Service]
 	if s == nil {
 		return false
 	}
 	return slices.ContainsFunc(s.list, func(u *upstream) bool {
-		return u.evacuated && !u.info.Draining && p.allowed(u, r)
+		return u.domain.evacuated && !u.info.Draining && p.allowed(u, r)
 	})
 }
 
@@ -257,13 +253,12 @@
 
 // SetEvacuated begins or ends the evacuation of a failure domain. Its upstreams may have become cold meanwhile.
 func (p *Placer) SetEvacuated(now time.Time, domain pomelorelay.DomainID, evacuated bool) {
-	p.evacuated[domain] = evacuated
+	p.domain(domain).evacuated = evacuated
+	if evacuated {
+		return
+	}
 	for _, u := range p.upstreams {
-		if u.info.Domain != domain {
-			continue
-		}
-		u.evacuated = evacuated
-		if !evacuated {
+		if u.info.Domain == domain {
 			u.start.MayBeCold(now)
 		}
 	}
@@ -276,7 +271,7 @@
 
 // usable reports whether the request may be sent to the upstream at all.
 func (p *Placer) usable(u *upstream, r *Request) bool {
-	return !u.info.Draining && !u.evacuated && p.allowed(u, r)
+	return !u.info.Draining && !u.domain.evacuated && p.allowed(u, r)
 }
 
 // choose returns the best candidate for the request, and whether it is admitted there. Cold upstreams are taken only when no other one admits it.
--- a/pomeloplace/residency_test.go
+++ b/pomeloplace/residency_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+// keepShared lets engines answer a few requests with a shared part, which they keep from then on; it returns the time after the last.
+func keepShared(t *testing.T, p *pomeloplace.Placer, now time.Time) time.Time {
+	t.Helper()
+	for i := range 3 {
+		d := place(t, p, now, prompt(1, 5000, pomelorelay.Tokens(100+i)))
+		p.Begun(now.Add(50*time.Millisecond), d.Run)
+		p.Ended(now.Add(90*time.Millisecond), d.Run, pomeloplace.ResultGood)
+		now = now.Add(time.Second)
+	}
+	return now
+}
+
 // Guards against prompts that are copied from an engine in a region where they may not be kept.
 func TestPromptsAreNotCopiedFromOtherRegions(t *testing.T) {
 	copies := func(regions ...pomelorelay.RegionID) bool {
@@ -79,12 +91,7 @@
 		p.Put(start, engineIn("b0", "b"))
 		p.Put(start, engineIn("b1", "b"))
 		now := start
-		for i := range 3 {
-			d := place(t, p, now, prompt(1, 5000, pomelorelay.Tokens(100+i)))
-			p.Begun(now.Add(50*time.Millisecond), d.Run)
-			p.Ended(now.Add(90*time.Millisecond), d.Run, pomeloplace.ResultGood)
-			now = now.Add(time.Second)
-		}
+		now = keepShared(t, p, now)
 		// The engines that keep the part stop taking requests; others must copy or read it.
 		for i := range 2 {
 			u := engineIn(pomelorelay.UpstreamID(fmt.Sprintf("b%d", i)), "b")
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -25,10 +25,9 @@
 type upstream struct {
 	info pomelorelay.FleetUpstream
 	// region is that of its failure domain, foreign whether it is another one than this router's.
-	region    pomelorelay.RegionID
-	foreign   bool
-	evacuated bool
-	domain    *domainState
+	region  pomelorelay.RegionID
+	foreign bool
+	domain  *domainState
 	// rank and idHash are hashes of its id.
 	rank, idHash uint64
 	engine       *pomelorelay.EngineSpec
