Log which requests an upstream's crash ended, with a fingerprint

When a connection breaks during a run, the router now checks without delaying the request whether the upstream takes connections, once for all runs that broke there, and writes UpstreamCrashed (501) for each. Lines about a request, except RequestServed, have its fingerprint: account, method, path and body. crashed_runs_total counts the same. No decision changes.

--- a/ids.go
+++ b/ids.go
@@ -1,5 +1,7 @@
 package pomelorelay
 
+import "fmt"
+
 // AccountID is the name of a client account.
 type AccountID string
 
@@ -42,9 +44,12 @@
 // ShardID is the number of a ledger shard (part of the service ledger) or claim shard (part of the claims to run non-idempotent requests).
 type ShardID uint32
 
-// Fingerprint is a 64-bit hash of a request's account, service and body.
+// Fingerprint is a 64-bit hash of what makes two requests the same: the account, what is asked for, and the body.
 type Fingerprint uint64
 
+// String returns the fingerprint as 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Hash is a SHA-256 digest.
 type Hash [32]byte
 
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -122,6 +122,9 @@
 		c.mayHaveRun = ranBefore
 		c.abandon()
 	}
+	if f.ConnectionBroken {
+		c.h.crashes.check(crashedRun{request: c.fields.RequestID, fingerprint: c.fingerprint, upstream: up})
+	}
 	c.avoid = append(c.avoid, up.ID)
 	switch f.Outcome {
 	case pomelolink.OutcomeNotSent:
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -24,6 +24,8 @@
 	account   pomelorelay.AccountID
 	service   pomelorelay.ServiceID
 	body      *bytes.Buffer
+	// fingerprint identifies repetitions of the request under other request IDs and at other routers; zero until the body was read.
+	fingerprint pomelorelay.Fingerprint
 	// deadline is the earliest of the caller's deadline, the end of the route's timeout and that of defaultTimeout.
 	deadline time.Time
 	// answerStarted is set once the head of an answer was written to the caller.
@@ -49,7 +51,7 @@
 	return &call{h: h, w: w, r: r, arrivedAt: h.cfg.Clock.Now(), fields: h.cfg.Wire.ParseCallerFields(r.Header)}
 }
 
-// prepare looks up the route, the account and the service and reads the body. On failure nothing has run.
+// prepare looks up the route, the account and the service, reads the body and computes the fingerprint. On failure nothing has run.
 func (c *call) prepare() error {
 	c.table = c.h.cfg.Tables.Current()
 	if c.table == nil {
@@ -68,7 +70,12 @@
 	}
 	c.setDeadline()
 	c.lastEvent, c.hasLastEvent = c.fields.LastEvent, c.fields.HasLastEvent
-	return c.readBody()
+	if err := c.readBody(); err != nil {
+		return err
+	}
+	u := c.r.URL
+	c.fingerprint = pomelorelay.FingerprintOf([]byte(c.account), []byte(c.r.Method), []byte(c.r.Host), []byte(u.EscapedPath()), []byte(u.RawQuery), c.bodyBytes())
+	return nil
 }
 
 func (c *call) authenticate() error {
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -71,6 +71,8 @@
 	ObserveAnswer(kind pomelorelay.RouteKind, ending string, first, total time.Duration)
 	// CountRetry counts a request that is sent again after a failure with the code.
 	CountRetry(code pomelorelay.ResultCode)
+	// CountCrash counts a run that ended because its upstream crashed.
+	CountCrash()
 }
 
 const (
--- a/pomeloforward/forward_test.go
+++ b/pomeloforward/forward_test.go
@@ -75,6 +75,31 @@
 	}
 }
 
+// Guards against taking a lost answer for a crash, and a crash for a lost answer.
+func TestCrashIsDistinguishedFromLostAnswer(t *testing.T) {
+	for name, crashes := range map[string]bool{"crash": true, "lost answer": false} {
+		t.Run(name, func(t *testing.T) {
+			var u *upstream
+			u = newUpstream(t, func(conn net.Conn, _ *http.Request) {
+				if crashes {
+					u.l.Close()
+				}
+				reset(conn)
+			})
+			h := newHarness(t, u.entry("u1"))
+			h.call("POST", "/book/", "x")
+			checked := func() bool { return h.crashes.Load() > 0 || u.accepted.Load() == 3 }
+			for end := time.Now().Add(5 * time.Second); !checked() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			h.handler.Close()
+			if got := h.crashes.Load() == 1; got != crashes {
+				t.Errorf("reported as a crash: %t, want %t", got, crashes)
+			}
+		})
+	}
+}
+
 // Guards against failing a read that may run twice and can be answered by another upstream.
 func TestReadIsRetried(t *testing.T) {
 	for name, answer := range map[string]func(net.Conn, *http.Request){
--- a/pomeloforward/handler.go
+++ b/pomeloforward/handler.go
@@ -16,6 +16,7 @@
 	cfg     Config
 	links   *pomelolink.Client
 	buffers *pomelolink.Buffers
+	crashes *crashChecks
 
 	mu      sync.Mutex
 	budgets map[pomelorelay.ServiceID]*pomelobudget.RetryBudget
@@ -38,11 +39,15 @@
 		Logger:         cfg.Logger,
 	})
 	h.buffers = h.links.Buffers()
+	h.crashes = newCrashChecks(cfg, h.links)
 	return h
 }
 
-// Close closes the idle connections to upstreams.
-func (h *Handler) Close() { h.links.Close() }
+// Close closes the idle connections to upstreams and ends the checks of upstreams whose connections broke.
+func (h *Handler) Close() {
+	h.crashes.close()
+	h.links.Close()
+}
 
 // OpenedConnections returns the number of connections to upstreams opened since the start.
 func (h *Handler) OpenedConnections() uint64 { return h.links.ConnectionsOpened() }
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	heads  []string
 	ended  chan struct{}
 	answer func(conn net.Conn, r *http.Request)
+	// accepted counts the connections accepted.
+	accepted atomic.Int64
 }
 
 func newUpstream(t *testing.T, answer func(conn net.Conn, r *http.Request)) *upstream {
@@ -45,6 +48,7 @@
 			if err != nil {
 				return
 			}
+			u.accepted.Add(1)
 			go u.serve(conn)
 		}
 	}()
@@ -119,6 +123,8 @@
 	mu         sync.Mutex
 	server     *httptest.Server
 	handler    *pomeloforward.Handler
+	// crashes counts the runs that were reported to have ended in a crash of their upstream.
+	crashes atomic.Int64
 }
 
 var routes = []pomelorelay.Route{
@@ -202,6 +208,8 @@
 
 func (h *harness) CountRetry(pomelorelay.ResultCode) {}
 
+func (h *harness) CountCrash() { h.crashes.Add(1) }
+
 // answer is what a caller received.
 type answer struct {
 	status int
--- a/pomelometric/metrics.go
+++ b/pomelometric/metrics.go
@@ -26,6 +26,7 @@
 	firstAnswer    *prometheus.HistogramVec
 	fullAnswer     *prometheus.HistogramVec
 	retries        *prometheus.CounterVec
+	crashes        prometheus.Counter
 	placements     *prometheus.CounterVec
 	gauges         *prometheus.GaugeVec
 	missedMessages prometheus.Counter
@@ -43,9 +44,10 @@
 		placements:  prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "placements_total", Help: "Decisions on requests by reason of refusal; empty for a place."}, []string{"reason"}),
 		gauges:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "state", Help: "What the router knows now, by name."}, []string{"name"}),
 	}
+	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "crashed_runs_total", Help: "Requests that ran on an upstream when it crashed."})
 	m.missedMessages = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "messages_missed_total", Help: "Messages to other routers that could not be queued."})
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total", Help: "Calls to the platform's store by kind, cause and result code; 0 for none."}, []string{"kind", "cause", "code"})
-	m.registry.MustRegister(m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
+	m.registry.MustRegister(m.crashes, m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
 	return m
 }
 
@@ -61,6 +63,9 @@
 	m.retries.WithLabelValues(code.Info().Name).Inc()
 }
 
+// CountCrash counts a run that ended because its upstream crashed.
+func (m *Metrics) CountCrash() { m.crashes.Inc() }
+
 // CountPlacement counts a placement decision; reason is empty if the request was placed.
 func (m *Metrics) CountPlacement(reason string) { m.placements.WithLabelValues(reason).Inc() }
 
