--- a/events_quarantine.go
+++ b/events_quarantine.go
@@ -9,6 +9,6 @@
 
 var quarantineEvents = []EventInfo{
 	{EventSuspects, "Suspects", LevelWarn, "An upstream crashed; the requests that ran there are suspects.", "Look at the upstream's log."},
-	{EventQuarantined, "Quarantined", LevelError, "A request crashed an upstream a second time and is refused everywhere for a while.", "Tell its client account; lift the quarantine if it is wrong."},
-	{EventQuarantineLifted, "QuarantineLifted", LevelInfo, "A quarantine was lifted by an operator.", "None."},
+	{EventQuarantined, "Quarantined", LevelError, "A request crashed upstreams repeatedly and is refused everywhere for a while.", "Tell its client account; lift the quarantine if it is wrong."},
+	{EventQuarantineLifted, "QuarantineLifted", LevelInfo, "A quarantine ended early: an operator lifted it, or a request with the fingerprint was served.", "None."},
 }
--- a/fleet.go
+++ b/fleet.go
@@ -155,7 +155,9 @@
 	// Evacuated are failure domains whose upstreams get no new requests; RestoredDomains are those whose evacuation has ended.
 	Evacuated       []DomainID
 	RestoredDomains []DomainID
-	// EntryErrors holds an error for each upstream entry that cannot be decoded; these upstreams are also in RemovedUpstreams.
+	// Crashes are upstream crashes that routers have recorded in the store.
+	Crashes []RequestCrash
+	// EntryErrors holds an error for each entry that cannot be decoded; upstreams among them are also in RemovedUpstreams.
 	EntryErrors []error
 }
 
@@ -172,6 +174,10 @@
 	Register(ctx context.Context, self Peer, ttl time.Duration) (LeaseID, error)
 	// RenewLease renews the lease; it fails with CodeStoreLeaseLapsed if the lease has expired.
 	RenewLease(ctx context.Context, lease LeaseID) error
-	// CloseLease revokes the lease, which removes the registration.
+	// OpenLease opens a lease that expires after ttl unless renewed.
+	OpenLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// RecordCrashes replaces the crashes that a process of a router has recorded, under the lease.
+	RecordCrashes(ctx context.Context, node NodeID, incarnation Incarnation, crashes []RequestCrash, lease LeaseID) error
+	// CloseLease revokes the lease, which removes what was written under it.
 	CloseLease(ctx context.Context, lease LeaseID) error
 }
--- /dev/null
+++ b/messages_crash.go
@@ -0,0 +1,27 @@
+package pomelorelay
+
+// RequestCrash states that a process of an upstream crashed while it ran a request. Crashes are identified by their fingerprint, upstream
+// and start time; two statements of the same crash are merged.
+type RequestCrash struct {
+	Fingerprint Fingerprint
+	Upstream    UpstreamID
+	// StartUnixMilli is the start time of the upstream's process in Unix milliseconds; zero if the upstream does not report it.
+	StartUnixMilli int64
+	// UnixMilli is the time of the crash in Unix milliseconds, by the clock of the router that saw it.
+	UnixMilli int64
+	// Repeated states that the run began although its router knew of an earlier crash under the fingerprint.
+	Repeated bool
+	// Cleared states that a request with the fingerprint was served after the crash, so that it is not the crash's cause.
+	Cleared bool
+}
+
+// CrashNotice reports crashes to the other routers, directly or through the relays of their failure domains.
+type CrashNotice struct {
+	Crashes []RequestCrash
+}
+
+// Urgency implements Message; crashes are urgent because the requests that cause them may return at any router.
+func (*CrashNotice) Urgency() Urgency { return UrgencyHigh }
+
+// CoalesceKey returns an empty key: a notice holds only changes, so none may be replaced.
+func (*CrashNotice) CoalesceKey() string { return "" }
--- a/messages_load.go
+++ b/messages_load.go
@@ -94,6 +94,7 @@
 	RemovedPeers     []NodeID
 	Evacuated        []DomainID
 	RestoredDomains  []DomainID
+	Crashes          []RequestCrash
 	// Document is the operators' configuration; empty if unchanged.
 	Document []byte
 	// Forwarded states that the relay of a failure domain forwarded the update to the domain's routers.
--- a/messages_state.go
+++ b/messages_state.go
@@ -15,8 +15,8 @@
 // CoalesceKey returns the same key for all queries, so that a later query replaces an earlier one.
 func (*StateAsk) CoalesceKey() string { return "StateAsk" }
 
-// FleetState answers a StateAsk with a router's copy of the configuration, upstreams, routers and evacuated domains in the platform's
-// store; what was not requested is omitted.
+// FleetState answers a StateAsk with a router's copy of the configuration, upstreams, routers, evacuated domains and crashes in the
+// platform's store; what was not requested is omitted.
 type FleetState struct {
 	// Document is the published form of the configuration.
 	Document []byte
@@ -26,6 +26,8 @@
 	Peers     []Peer
 	// Evacuated are the failure domains under evacuation at that revision.
 	Evacuated []DomainID
+	// Crashes are the upstream crashes that the router knows of.
+	Crashes []RequestCrash
 }
 
 // Urgency implements Message; it equals that of configuration messages.
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -40,6 +40,7 @@
 	upstreams upstreams
 	// evacuated holds the failure domains under evacuation. Only the store or the full state sent by a peer ends an evacuation.
 	evacuated     map[pomelorelay.DomainID]bool
+	crashes       crashes
 	peers         peers
 	pendingPull   pendingPull
 	stateRequests stateRequests
@@ -57,16 +58,19 @@
 
 func newControl(e *Router) *control {
 	s := e.cfg.Settings
-	return &control{
+	c := &control{
 		e:            e,
 		placer:       pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions, ColdBounds: s.ColdBounds, DisabledMechanisms: e.cfg.DisabledMechanisms}),
 		shares:       pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
 		residency:    pomeloresidency.New(pomeloresidency.Config{Overlap: s.ConfigApplyTimeout}),
 		upstreams:    newUpstreams(),
 		evacuated:    make(map[pomelorelay.DomainID]bool),
+		crashes:      newCrashes(e.cfg.Logger),
 		peers:        newPeers(),
 		loggedSpeeds: make(map[pomelorelay.ServiceID]pomelospeed.PrefillRate),
 	}
+	e.crashSnapshot.Store(c.crashes.log.Snapshot())
+	return c
 }
 
 // run processes events, messages and ticks until the router is closed.
@@ -121,6 +125,7 @@
 	c.placer.SetUnreportedRouters(c.unreported(now))
 	c.placer.Tick(now)
 	c.removeLapsed(now)
+	c.expireCrashes(now)
 	c.updateReadDelay(now)
 	c.requestNewerConfig(now)
 	c.requestMissingState(now)
@@ -133,6 +138,9 @@
 	m := c.e.metrics
 	m.SetGauge("upstreams", float64(len(c.upstreams.present)))
 	m.SetGauge("evacuated_domains", float64(len(c.evacuated)))
+	crashes := c.e.crashSnapshot.Load()
+	m.SetGauge("crash_suspects", float64(crashes.Suspects()))
+	m.SetGauge("quarantined_requests", float64(crashes.Quarantined(c.now())))
 	m.SetGauge("peers", float64(len(c.peers.byNode)))
 	m.SetGauge("requests_in_flight", float64(c.e.inFlight.Load()))
 	m.SetGauge("caller_connections", float64(c.e.conns.Load()))
@@ -276,6 +284,8 @@
 		c.sendState(m.From, msg)
 	case *pomelorelay.FleetState:
 		c.applyPeerState(now, m.From, msg)
+	case *pomelorelay.CrashNotice:
+		c.receiveCrashes(now, m.From, msg)
 	}
 }
 
--- /dev/null
+++ b/pomeloentry/crashes.go
@@ -0,0 +1,300 @@
+package pomeloentry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloquarantine"
+)
+
+const (
+	// crashConfirmTime is how long after a broken connection the end of the upstream's process still explains it. The entry of an
+	// upstream that ended without draining is removed after three of its write intervals.
+	crashConfirmTime = 6 * time.Second
+	// maxBrokenRuns limits the number of broken connections of one upstream that wait for such an explanation.
+	maxBrokenRuns = 256
+	// maxToldCrashes limits the number of crashes in one message or record.
+	maxToldCrashes = 2048
+	// crashExpiryInterval is the interval at which expired crashes are dropped.
+	crashExpiryInterval = time.Second
+)
+
+// crashes holds the upstream crashes that count against requests, and broken connections that may turn out to be crashes.
+type crashes struct {
+	log *pomeloquarantine.CrashLog
+	// broken holds the runs whose connection broke by upstream.
+	broken map[pomelorelay.UpstreamID][]brokenRun
+	// observed are the crashes that were last given to the crashRecorder.
+	observed  []pomelorelay.RequestCrash
+	expiredAt time.Time
+}
+
+type brokenRun struct {
+	crash pomelorelay.RequestCrash
+	at    time.Time
+}
+
+func newCrashes(logger pomelorelay.Logger) crashes {
+	return crashes{log: pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{Logger: logger}), broken: make(map[pomelorelay.UpstreamID][]brokenRun)}
+}
+
+// crashGuard implements pomeloforward.CrashGuard. It answers from a snapshot and posts everything else to the control goroutine.
+type crashGuard struct{ e *Router }
+
+// QuarantineRemaining returns how long requests with the fingerprint are refused from now on.
+func (g crashGuard) QuarantineRemaining(f pomelorelay.Fingerprint) time.Duration {
+	return g.e.crashSnapshot.Load().QuarantineRemaining(g.e.cfg.Clock.Now(), f)
+}
+
+// IsSuspect reports whether an upstream crashed under the fingerprint and none has answered a request with it since.
+func (g crashGuard) IsSuspect(f pomelorelay.Fingerprint) bool {
+	return g.e.crashSnapshot.Load().IsSuspect(f)
+}
+
+// ConnectionBroke reports that the connection of a run broke.
+func (g crashGuard) ConnectionBroke(run pomelorelay.RequestCrash) { g.e.post(&connectionBroke{run}) }
+
+// UpstreamCrashed reports that the upstream of a run takes no connections after the run's connection broke.
+func (g crashGuard) UpstreamCrashed(run pomelorelay.RequestCrash) { g.e.post(&upstreamCrashed{run}) }
+
+type connectionBroke struct{ run pomelorelay.RequestCrash }
+
+func (b *connectionBroke) apply(c *control, now time.Time) {
+	id := b.run.Upstream
+	if len(c.crashes.broken[id]) < maxBrokenRuns {
+		c.crashes.broken[id] = append(c.crashes.broken[id], brokenRun{crash: b.run, at: now})
+	}
+}
+
+type upstreamCrashed struct{ run pomelorelay.RequestCrash }
+
+func (u *upstreamCrashed) apply(c *control, now time.Time) {
+	c.spreadCrashes(now, c.crashes.log.Observe(now, u.run))
+}
+
+// recordAnswered records that an upstream answered a request completely, so that requests with the fingerprint do not crash upstreams.
+func (c *control) recordAnswered(now time.Time, f pomelorelay.Fingerprint) {
+	c.spreadCrashes(now, c.crashes.log.Answered(now, f))
+}
+
+// confirmCrashes records the runs whose connection broke shortly before the upstream's process turned out to have ended.
+func (c *control) confirmCrashes(now time.Time, id pomelorelay.UpstreamID, startUnixMilli int64) {
+	for _, b := range c.crashes.broken[id] {
+		if now.Sub(b.at) >= crashConfirmTime || b.crash.StartUnixMilli != startUnixMilli {
+			continue
+		}
+		if changed := c.crashes.log.Observe(now, b.crash); len(changed) > 0 {
+			c.e.metrics.CountCrash()
+			c.e.log(pomelorelay.EventUpstreamCrashed, field("Upstream", id), field("Born", startUnixMilli), field("Fingerprint", b.crash.Fingerprint.String()))
+			c.spreadCrashes(now, changed)
+		}
+	}
+	delete(c.crashes.broken, id)
+}
+
+// expireCrashes drops crashes and broken connections that no longer count.
+func (c *control) expireCrashes(now time.Time) {
+	if now.Sub(c.crashes.expiredAt) < crashExpiryInterval {
+		return
+	}
+	c.crashes.expiredAt = now
+	for id, runs := range c.crashes.broken {
+		if now.Sub(runs[len(runs)-1].at) >= crashConfirmTime {
+			delete(c.crashes.broken, id)
+		}
+	}
+	if c.crashes.log.Expire(now) {
+		c.publishCrashes()
+		c.recordCrashes()
+	}
+}
+
+// publishCrashes publishes the crash log's state to the goroutines that handle requests.
+func (c *control) publishCrashes() { c.e.crashSnapshot.Store(c.crashes.log.Snapshot()) }
+
+// recordCrashes has the crashes that this router observed recorded in the store, if they have changed.
+func (c *control) recordCrashes() {
+	observed := c.crashes.log.Observed(maxToldCrashes)
+	if slices.Equal(observed, c.crashes.observed) {
+		return
+	}
+	c.crashes.observed = observed
+	c.e.crashRecorder.set(observed)
+}
+
+// spreadCrashes records crashes that this router observed or cleared, and tells the other routers of them.
+func (c *control) spreadCrashes(now time.Time, changed []pomelorelay.RequestCrash) {
+	if len(changed) == 0 {
+		return
+	}
+	c.publishCrashes()
+	c.recordCrashes()
+	c.forwardCrashes(now, c.e.cfg.Settings.Self, changed)
+}
+
+// mergeCrashes merges crashes that other routers observed, and returns those that changed anything. It tells the other routers which of them
+// do not count because this router's requests with the fingerprint were answered.
+func (c *control) mergeCrashes(now time.Time, list []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
+	changed, cleared := c.crashes.log.Merge(now, list)
+	if len(changed) > 0 {
+		c.publishCrashes()
+	}
+	c.spreadCrashes(now, cleared)
+	return changed
+}
+
+// receiveCrashes merges the crashes of a notice and forwards what was new.
+func (c *control) receiveCrashes(now time.Time, from pomelorelay.NodeID, m *pomelorelay.CrashNotice) {
+	changed := c.mergeCrashes(now, m.Crashes)
+	if p := c.peers.byNode[from]; p != nil && !c.reportsDirectly() && c.isRelay(now) {
+		c.forwardCrashes(now, p.Peer, changed)
+	}
+}
+
+// forwardCrashes sends crashes on their way to all routers: in a small fleet from the observer to each router, in a large one through the relays
+// of the failure domains, as load reports go.
+func (c *control) forwardCrashes(now time.Time, from pomelorelay.Peer, list []pomelorelay.RequestCrash) {
+	if len(list) == 0 {
+		return
+	}
+	self := c.e.cfg.Settings.Self
+	m := &pomelorelay.CrashNotice{Crashes: list[:min(len(list), maxToldCrashes)]}
+	direct := c.reportsDirectly()
+	if !direct && !c.isRelay(now) {
+		if node, ok := c.relayOf(now, self.Domain); ok {
+			c.send(node, m)
+		}
+		return
+	}
+	for node, p := range c.peers.byNode {
+		if node != from.Node && (direct || p.Domain == self.Domain) {
+			c.send(node, m)
+		}
+	}
+	if direct || from.Domain != self.Domain {
+		return
+	}
+	for _, domain := range c.domains() {
+		if node, ok := c.relayOf(now, domain); ok && domain != self.Domain {
+			c.send(node, m)
+		}
+	}
+}
+
+const (
+	// crashRecordTTL is how long the record of a router's crashes outlives its process, so that the crashes still count when all routers
+	// restart. It is the longest that the platform allows.
+	crashRecordTTL = 10 * time.Minute
+	// crashRecordRenewal is the interval of renewals, a third of crashRecordTTL.
+	crashRecordRenewal = crashRecordTTL / 3
+	// crashRecordInterval is the minimum time between two writes. Each crash of an upstream changes the records of the routers that used it,
+	// and each request that is served afterwards again.
+	crashRecordInterval = 500 * time.Millisecond
+)
+
+// crashRecorder keeps the crashes that this router observed recorded in the platform's store.
+type crashRecorder struct {
+	e       *Router
+	pending chan []pomelorelay.RequestCrash
+
+	// The other fields belong to the goroutine that calls keep.
+	crashes   []pomelorelay.RequestCrash
+	unwritten bool
+	lease     pomelorelay.LeaseID
+	renewedAt time.Time
+}
+
+func newCrashRecorder(e *Router) *crashRecorder {
+	return &crashRecorder{e: e, pending: make(chan []pomelorelay.RequestCrash, 1)}
+}
+
+// set replaces the crashes to record. Only the control goroutine calls it.
+func (r *crashRecorder) set(list []pomelorelay.RequestCrash) {
+	select {
+	case <-r.pending:
+	default:
+	}
+	r.pending <- list
+}
+
+// keep records the crashes until ctx ends. The record is left to its lease then, since it must outlive the process.
+func (r *crashRecorder) keep(ctx context.Context) {
+	r.e.runStoreTask(ctx, storeTask{name: "crashes", minInterval: crashRecordInterval, call: func(bool) error {
+		r.awaitWork(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		err := r.record(ctx)
+		if pomelorelay.IsErrCode(err, pomelorelay.CodeStoreLeaseLapsed) {
+			r.lease, r.unwritten = 0, len(r.crashes) > 0
+		}
+		return err
+	}})
+}
+
+// awaitWork returns when there is a record to write or a lease to renew.
+func (r *crashRecorder) awaitWork(ctx context.Context) {
+	if r.unwritten {
+		// A newer list replaces one that could not be written.
+		select {
+		case r.crashes = <-r.pending:
+		default:
+		}
+		return
+	}
+	var renewal <-chan time.Time
+	if r.lease != 0 {
+		timer := time.NewTimer(time.Until(r.renewedAt.Add(crashRecordRenewal)))
+		defer timer.Stop()
+		renewal = timer.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-renewal:
+	case r.crashes = <-r.pending:
+		r.unwritten = true
+	}
+}
+
+// record makes the store calls that are due.
+func (r *crashRecorder) record(ctx context.Context) error {
+	platform, settings := r.e.cfg.Platform, r.e.cfg.Settings
+	if len(r.crashes) == 0 {
+		return r.end(ctx)
+	}
+	if r.lease == 0 {
+		lease, err := platform.OpenLease(ctx, crashRecordTTL)
+		r.e.metrics.CountStoreCall("announce", "crashes", pomelorelay.CodeOf(err))
+		if err != nil {
+			return err
+		}
+		r.lease, r.renewedAt = lease, time.Now()
+	}
+	if r.unwritten {
+		err := platform.RecordCrashes(ctx, settings.Self.Node, r.e.incarnation, r.crashes, r.lease)
+		r.e.metrics.CountStoreCall("announce", "crashes", pomelorelay.CodeOf(err))
+		r.unwritten = err != nil
+		return err
+	}
+	err := platform.RenewLease(ctx, r.lease)
+	r.e.metrics.CountStoreCall("renew", "crashes", pomelorelay.CodeOf(err))
+	if err == nil {
+		r.renewedAt = time.Now()
+	}
+	return err
+}
+
+// end removes a record that holds no crashes any more.
+func (r *crashRecorder) end(ctx context.Context) error {
+	r.unwritten = false
+	if r.lease == 0 {
+		return nil
+	}
+	lease := r.lease
+	r.lease = 0
+	err := r.e.cfg.Platform.CloseLease(ctx, lease)
+	r.e.metrics.CountStoreCall("close", "crashes", pomelorelay.CodeOf(err))
+	return err
+}
--- /dev/null
+++ b/pomeloentry/crashes_test.go
@@ -0,0 +1,92 @@
+package pomeloentry_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// crashingUpstream registers an upstream that ends its connections without an answer, and refuses new ones afterwards if refuses is set.
+func (f *fleet) crashingUpstream(id pomelorelay.UpstreamID, refuses bool) pomelorelay.FleetUpstream {
+	f.t.Helper()
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if refuses {
+			server.Listener.Close()
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	f.t.Cleanup(server.Close)
+	u := pomelorelay.FleetUpstream{ID: id, Service: "s", Addr: netip.MustParseAddrPort(server.Listener.Addr().String()), Domain: "a", Slots: 8, StartUnixMilli: 1}
+	f.store.PutUpstream(u)
+	return u
+}
+
+func (f *fleet) awaitSuspects(n *node, want int) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("%s has %d crash suspects", n.settings.Self.Node, want), func() bool {
+		_, text := f.get(n.settings.MetricsAddr, "/metrics")
+		return strings.Contains(text, fmt.Sprintf("pomelorelay_state{name=\"crash_suspects\"} %d\n", want))
+	})
+}
+
+// Guards against crashes that only some routers know: those behind a relay, those that start later, or all while the store is away.
+func TestCrashIsKnownToEveryRouter(t *testing.T) {
+	const routers = 14
+	f := newFleet(t)
+	f.store.PublishConfig(f.config(1, "/a/"))
+	f.crashingUpstream("u1", true)
+	inDomain := func(i int) func(*pomelorelay.FleetSettings) {
+		return func(s *pomelorelay.FleetSettings) {
+			s.Self.Domain = pomelorelay.DomainID([]string{"a", "b"}[i%2])
+			s.Regions = map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra", "b": "ra"}
+			s.Self.CPUSpeed = 1
+		}
+	}
+	for i := range routers {
+		f.startWith(8*time.Second, inDomain(i))
+	}
+	f.awaitPeers(routers - 1)
+	last := f.nodes[routers-1]
+	f.await("the upstream is known", func() bool { return last.log.has(pomelorelay.EventUpstreamListed) })
+	f.store.SetUnavailable(true)
+	if status, _ := f.call(last, "/a/"); status != 502 {
+		t.Fatalf("a request whose upstream crashed is answered with %d, want 502", status)
+	}
+	for _, n := range f.nodes {
+		f.awaitSuspects(n, 1)
+	}
+	f.store.SetUnavailable(false)
+	f.await("the crash is recorded", func() bool { return f.store.CrashRecords() == 1 })
+	last.router.Close()
+	f.awaitSuspects(f.startWith(8*time.Second, inDomain(0)), 1)
+}
+
+// Guards against overlooking the crash of an upstream that is back under its ID, or that has fallen silent, before the router checks it.
+func TestEndOfProcessConfirmsCrash(t *testing.T) {
+	for name, end := range map[string]func(f *fleet, u pomelorelay.FleetUpstream){
+		"started again": func(f *fleet, u pomelorelay.FleetUpstream) {
+			u.StartUnixMilli++
+			f.store.PutUpstream(u)
+		},
+		"removed": func(f *fleet, u pomelorelay.FleetUpstream) { f.store.DeleteUpstream(u.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.store.PublishConfig(f.config(1, "/a/"))
+			u := f.crashingUpstream("u1", false)
+			n := f.start(8 * time.Second)
+			f.awaitStatus(n, "/a/", 502)
+			f.awaitSuspects(n, 0)
+			f.call(n, "/a/")
+			end(f, u)
+			f.awaitSuspects(n, 1)
+		})
+	}
+}
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -93,6 +93,7 @@
 func NewUpdateControl(self pomelorelay.NodeID, drain time.Duration, peers []pomelorelay.Peer) UpdateControl {
 	e := &Router{cfg: Config{Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New(), mesh: discardMesh{}}
 	e.cfg.Settings.DrainTimeout = drain
+	e.crashRecorder = newCrashRecorder(e)
 	for _, p := range peers {
 		if p.Node == self {
 			e.cfg.Settings.Self = p
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -12,6 +12,7 @@
 	"github.com/pomelorelay/pomelorelay/pomelomesh"
 	"github.com/pomelorelay/pomelorelay/pomelometric"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
+	"github.com/pomelorelay/pomelorelay/pomeloquarantine"
 	"github.com/pomelorelay/pomelorelay/pomelotable"
 )
 
@@ -40,7 +41,9 @@
 	cursor         cursor
 	storeRecovered broadcast
 
-	table atomic.Pointer[pomelotable.Table]
+	table         atomic.Pointer[pomelotable.Table]
+	crashSnapshot atomic.Pointer[pomeloquarantine.CrashSnapshot]
+	crashRecorder *crashRecorder
 	// upstreams is the number of registered upstreams.
 	upstreams atomic.Int64
 	// stopAt is the Unix nanosecond at which a graceful stop ends the process; zero when none is in progress.
@@ -104,18 +107,21 @@
 		Wire:       cfg.Wire,
 		Tables:     tables{e},
 		Placement:  placement{e},
+		Crashes:    crashGuard{e},
 		Shutdown:   stopping{e},
 		Meter:      e.metrics,
 		CallerGone: e.callerGone,
 		RetryRatio: cfg.Settings.RetryRatio,
 		RetrySlack: cfg.Settings.RetrySlack,
 	})
+	e.crashRecorder = newCrashRecorder(e)
 	e.requestLimit.Store(e.hostLimits.initialRequests)
 	e.lastTickAt.Store(cfg.Clock.Now().UnixNano())
 	c := newControl(e)
 	e.start(func(context.Context) { c.run() })
 	e.start(e.readStoreLoop)
 	e.start(e.keepRegistered)
+	e.start(e.crashRecorder.keep)
 	return e, nil
 }
 
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -86,6 +86,7 @@
 	if ask.Upstreams {
 		m.Revision = c.e.cursor.get()
 		m.Evacuated = slices.Sorted(maps.Keys(c.evacuated))
+		m.Crashes = c.crashes.log.All(maxToldCrashes)
 		for id, u := range c.upstreams.present {
 			if _, lapsed := c.upstreams.lapsed[id]; !lapsed {
 				m.Upstreams = append(m.Upstreams, u)
@@ -102,6 +103,7 @@
 	if len(m.Document) > 0 {
 		c.applyPushedConfig(now, from, &pomelorelay.ConfigPush{Root: m.Document})
 	}
+	c.mergeCrashes(now, m.Crashes)
 	change := pomelorelay.FleetChange{Revision: m.Revision, Full: m.Revision > 0, Upstreams: m.Upstreams, Peers: m.Peers, Evacuated: m.Evacuated}
 	switch {
 	case m.Revision > c.e.cursor.get() && c.e.cursor.advance(0, m.Revision, true):
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -176,7 +176,7 @@
 // updateFrom returns the parts of a change that the other routers lack; heartbeats of upstreams and routers that change nothing are
 // left out.
 func (c *control) updateFrom(r *storeRead) *pomelorelay.FleetUpdate {
-	m := &pomelorelay.FleetUpdate{After: r.after, Revision: r.change.Revision, Full: r.change.Full, RemovedUpstreams: r.change.RemovedUpstreams, RemovedPeers: r.change.RemovedPeers, Evacuated: r.change.Evacuated, RestoredDomains: r.change.RestoredDomains}
+	m := &pomelorelay.FleetUpdate{After: r.after, Revision: r.change.Revision, Full: r.change.Full, RemovedUpstreams: r.change.RemovedUpstreams, RemovedPeers: r.change.RemovedPeers, Evacuated: r.change.Evacuated, RestoredDomains: r.change.RestoredDomains, Crashes: r.change.Crashes[:min(len(r.change.Crashes), maxToldCrashes)]}
 	if r.change.Config != nil {
 		// The other routers advance their cursors to this revision. If they got no configuration and this router failed next, none of
 		// them would read that configuration again.
@@ -207,6 +207,7 @@
 	c.applyUpstreams(now, change, recovered, source)
 	c.applyEvacuations(now, change, source)
 	c.applyPeers(now, change)
+	c.mergeCrashes(now, change.Crashes)
 }
 
 // sendUpdate sends an update to the relays of the other failure domains, and to the routers of this domain, directly or through their
@@ -249,6 +250,8 @@
 	if len(m.Document) > 0 {
 		c.applyPushedConfig(now, from, &pomelorelay.ConfigPush{Root: m.Document})
 	}
+	// Crashes are merged in any order, so that those of a missed update count too.
+	c.mergeCrashes(now, m.Crashes)
 	if missed {
 		c.requestFullState(now, from)
 	}
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -105,6 +105,9 @@
 	if known && before == u {
 		return
 	}
+	if known && before.StartUnixMilli != u.StartUnixMilli {
+		c.confirmCrashes(now, u.ID, before.StartUnixMilli)
+	}
 	if u.Draining {
 		c.upstreams.leaving[u.ID] = now
 		c.e.log(pomelorelay.EventUpstreamLeaving, field("Upstream", u.ID), field("Source", source))
@@ -166,6 +169,9 @@
 }
 
 func (c *control) removeUpstream(now time.Time, id pomelorelay.UpstreamID) {
+	if u := c.upstreams.present[id]; !u.Draining {
+		c.confirmCrashes(now, id, u.StartUnixMilli)
+	}
 	delete(c.upstreams.lapsed, id)
 	delete(c.upstreams.present, id)
 	c.upstreams.leaving[id] = now
--- a/pomelofake/fleetstore.go
+++ b/pomelofake/fleetstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -21,7 +22,10 @@
 	peers          map[pomelorelay.NodeID]fleetEntry
 	evacuated      map[pomelorelay.DomainID]fleetEntry
 	leases         map[pomelorelay.LeaseID]pomelorelay.NodeID
-	nextLease      pomelorelay.LeaseID
+	// crashLeases are the open leases for crash records, crashRecords the records by router process.
+	crashLeases  map[pomelorelay.LeaseID]bool
+	crashRecords map[crashRecordKey]crashRecord
+	nextLease    pomelorelay.LeaseID
 	// compactedAt is the oldest revision from which a watch can continue.
 	compactedAt pomelorelay.Revision
 	calls       FleetStoreCallCounts
@@ -37,6 +41,18 @@
 	peer     pomelorelay.Peer
 }
 
+// crashRecordKey identifies the process of a router that wrote a crash record.
+type crashRecordKey struct {
+	node        pomelorelay.NodeID
+	incarnation pomelorelay.Incarnation
+}
+
+type crashRecord struct {
+	revision pomelorelay.Revision
+	lease    pomelorelay.LeaseID
+	crashes  []pomelorelay.RequestCrash
+}
+
 // NewFleetStore returns an empty store.
 func NewFleetStore() *FleetStore {
 	return &FleetStore{
@@ -45,6 +61,9 @@
 		peers:     make(map[pomelorelay.NodeID]fleetEntry),
 		evacuated: make(map[pomelorelay.DomainID]fleetEntry),
 		leases:    make(map[pomelorelay.LeaseID]pomelorelay.NodeID),
+
+		crashLeases:  make(map[pomelorelay.LeaseID]bool),
+		crashRecords: make(map[crashRecordKey]crashRecord),
 	}
 }
 
@@ -88,13 +107,15 @@
 	s.commit(func(pomelorelay.Revision) { s.unavailable = unavailable })
 }
 
-// ExpireLeases expires the leases of all routers and deletes their registrations, as a long outage does.
+// ExpireLeases expires the leases of all routers and deletes their registrations and crash records, as a long outage does.
 func (s *FleetStore) ExpireLeases() {
 	s.commit(func(at pomelorelay.Revision) {
 		for lease, node := range s.leases {
 			delete(s.leases, lease)
 			s.peers[node] = fleetEntry{revision: at, deleted: true}
 		}
+		clear(s.crashLeases)
+		clear(s.crashRecords)
 	})
 }
 
@@ -103,6 +124,13 @@
 	s.commit(func(at pomelorelay.Revision) { s.compactedAt = at })
 }
 
+// CrashRecords returns the number of crash records.
+func (s *FleetStore) CrashRecords() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.crashRecords)
+}
+
 // FleetStoreCallCounts counts the reads, watches and registrations of routers, including failed ones.
 type FleetStoreCallCounts struct{ Reads, Watches, Registrations int }
 
@@ -225,6 +253,12 @@
 	for domain, e := range s.evacuated {
 		add(e, func() { change.Evacuated = append(change.Evacuated, domain) }, func() { change.RestoredDomains = append(change.RestoredDomains, domain) })
 	}
+	for _, r := range s.crashRecords {
+		if r.revision > after {
+			changed = true
+			change.Crashes = append(change.Crashes, r.crashes...)
+		}
+	}
 	return changed
 }
 
@@ -262,13 +296,43 @@
 	if err := c.availableLocked(); err != nil {
 		return err
 	}
-	if _, ok := c.s.leases[lease]; !ok {
+	if _, ok := c.s.leases[lease]; !ok && !c.s.crashLeases[lease] {
 		return pomelorelay.NewError(pomelorelay.CodeStoreLeaseLapsed, "", nil)
 	}
 	return nil
 }
 
-// CloseLease ends a lease and deletes the registration of its router.
+// OpenLease opens a lease for crash records; it does not expire by itself.
+func (c *FleetStoreClient) OpenLease(context.Context, time.Duration) (pomelorelay.LeaseID, error) {
+	if err := c.available(); err != nil {
+		return 0, err
+	}
+	var lease pomelorelay.LeaseID
+	c.s.commit(func(pomelorelay.Revision) {
+		c.s.nextLease++
+		lease = c.s.nextLease
+		c.s.crashLeases[lease] = true
+	})
+	return lease, nil
+}
+
+// RecordCrashes replaces the crash record of a router's process; see pomelorelay.Platform.
+func (c *FleetStoreClient) RecordCrashes(_ context.Context, node pomelorelay.NodeID, incarnation pomelorelay.Incarnation, crashes []pomelorelay.RequestCrash, lease pomelorelay.LeaseID) error {
+	if err := c.available(); err != nil {
+		return err
+	}
+	var err error
+	c.s.commit(func(at pomelorelay.Revision) {
+		if !c.s.crashLeases[lease] {
+			err = pomelorelay.NewError(pomelorelay.CodeStoreLeaseLapsed, "", nil)
+			return
+		}
+		c.s.crashRecords[crashRecordKey{node, incarnation}] = crashRecord{revision: at, lease: lease, crashes: crashes}
+	})
+	return err
+}
+
+// CloseLease ends a lease and deletes what was written under it.
 func (c *FleetStoreClient) CloseLease(_ context.Context, lease pomelorelay.LeaseID) error {
 	if err := c.available(); err != nil {
 		return err
@@ -278,6 +342,8 @@
 			delete(c.s.leases, lease)
 			c.s.peers[node] = fleetEntry{revision: at, deleted: true}
 		}
+		delete(c.s.crashLeases, lease)
+		maps.DeleteFunc(c.s.crashRecords, func(_ crashRecordKey, r crashRecord) bool { return r.lease == lease })
 	})
 	return nil
 }
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -26,6 +26,10 @@
 	budget := c.h.retryBudget(c.service)
 	budget.Earn(retryBudgetFraction * c.h.cfg.RetryRatio)
 	for {
+		if remaining := c.h.cfg.Crashes.QuarantineRemaining(c.fingerprint); remaining > 0 {
+			c.fail(quarantineFailure(remaining))
+			return
+		}
 		f := c.attempt()
 		if f == nil {
 			c.logServed()
@@ -40,6 +44,13 @@
 	}
 }
 
+// quarantineFailure refuses a request that crashes upstreams.
+func quarantineFailure(remaining time.Duration) *pomelolink.Failure {
+	f := pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeQuarantined, nil)
+	f.Err.RetryAfter = remaining
+	return f
+}
+
 // callerGone reports whether the caller is known to have closed its connection.
 func (c *call) callerGone() bool {
 	gone := c.h.cfg.CallerGone
@@ -86,7 +97,8 @@
 	case pomelolink.OutcomeRefusedNotRun:
 		return c.refused < maxRefused && c.runs < max(c.route.MaxAttempts, 1)
 	case pomelolink.OutcomeTruncated, pomelolink.OutcomeUnknown:
-		return c.repeatable() && c.runs < c.route.MaxAttempts
+		// A suspect whose connection breaks may have crashed another upstream, which is known only after the check.
+		return c.repeatable() && c.runs < c.route.MaxAttempts && !(f.ConnectionBroken && c.suspect)
 	}
 	return false
 }
@@ -105,6 +117,7 @@
 		c.abandon()
 	}
 	up := c.decision.Upstream
+	c.suspect = c.h.cfg.Crashes.IsSuspect(c.fingerprint)
 	ranBefore := c.mayHaveRun
 	// Until the outcome is known the request counts as possibly run, even if this function panics.
 	c.mayHaveRun = true
@@ -123,7 +136,7 @@
 		c.abandon()
 	}
 	if f.ConnectionBroken {
-		c.h.crashes.check(crashedRun{request: c.fields.RequestID, fingerprint: c.fingerprint, upstream: up})
+		c.reportBrokenConnection(up)
 	}
 	c.avoid = append(c.avoid, up.ID)
 	switch f.Outcome {
@@ -139,6 +152,16 @@
 	return f
 }
 
+// reportBrokenConnection reports a run whose upstream may have crashed.
+func (c *call) reportBrokenConnection(up pomelorelay.FleetUpstream) {
+	crash := pomelorelay.RequestCrash{
+		Fingerprint: c.fingerprint, Upstream: up.ID, StartUnixMilli: up.StartUnixMilli, UnixMilli: c.h.cfg.Clock.Now().UnixMilli(), Repeated: c.suspect || c.brokenRuns > 0,
+	}
+	c.brokenRuns++
+	c.h.cfg.Crashes.ConnectionBroke(crash)
+	c.h.crashChecks.check(brokenRun{crash: crash, request: c.fields.RequestID, addr: up.Addr})
+}
+
 // resultOf returns the result of an attempt for its upstream. A caller's disconnect is not counted against the upstream.
 func resultOf(ctx context.Context, f *pomelolink.Failure) pomeloplace.Result {
 	switch {
@@ -203,6 +226,9 @@
 		ID:      c.fields.RequestID,
 		Route:   c.route.Name,
 		Account: c.account,
+
+		Fingerprint: c.fingerprint,
+
 		Cost:    requestCost(c.fields),
 		Retry:   len(c.avoid) > 0,
 		Charged: c.runs > 0,
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -17,6 +17,7 @@
 	Wire      pomelorelay.WireFormat
 	Tables    TableSource
 	Placement Placement
+	Crashes   CrashGuard
 	Shutdown  ShutdownState
 	Meter     Meter
 	// CallerGone reports whether a request's caller has disconnected, for servers that can detect this before the request's context
@@ -38,6 +39,8 @@
 	ID      string
 	Route   pomelorelay.RouteID
 	Account pomelorelay.AccountID
+	// Fingerprint identifies repetitions of the request under other IDs.
+	Fingerprint pomelorelay.Fingerprint
 	// Cost counts towards the account's share; zero for plain services (those without model engines).
 	Cost    pomelorelay.Cost
 	Request pomeloplace.Request
@@ -59,6 +62,18 @@
 	Done(r pomeloplace.Result)
 }
 
+// CrashGuard refuses requests that crash upstreams; its methods never block.
+type CrashGuard interface {
+	// QuarantineRemaining returns how long requests with the fingerprint are refused from now on; zero if they are not.
+	QuarantineRemaining(f pomelorelay.Fingerprint) time.Duration
+	// IsSuspect reports whether an upstream crashed under the fingerprint and none has answered a request with it since.
+	IsSuspect(f pomelorelay.Fingerprint) bool
+	// ConnectionBroke reports that the connection of a run broke; the upstream may have crashed.
+	ConnectionBroke(run pomelorelay.RequestCrash)
+	// UpstreamCrashed reports that the upstream of a run whose connection broke takes no connections.
+	UpstreamCrashed(run pomelorelay.RequestCrash)
+}
+
 // ShutdownState reports a planned stop of the process.
 type ShutdownState interface {
 	// TimeLeft returns the time until the process ends, and false when no stop is planned.
--- a/pomeloforward/crash.go
+++ b/pomeloforward/crash.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelolink"
 )
 
-// crashedRun is a run whose connection to its upstream broke, possibly because the upstream crashed.
-type crashedRun struct {
-	request     string
-	fingerprint pomelorelay.Fingerprint
-	upstream    pomelorelay.FleetUpstream
+// brokenRun is a run whose connection to its upstream broke, possibly because the upstream crashed.
+type brokenRun struct {
+	crash   pomelorelay.RequestCrash
+	request string
+	addr    netip.AddrPort
 }
 
 // crashChecks finds out whether upstreams whose connections broke have crashed. It checks an upstream once for all runs that broke
@@ -25,32 +26,32 @@
 
 	mu sync.Mutex
 	// pending holds the broken runs by upstream, for each upstream that is being checked.
-	pending map[pomelorelay.UpstreamID][]crashedRun
+	pending map[pomelorelay.UpstreamID][]brokenRun
 	wg      sync.WaitGroup
 }
 
 func newCrashChecks(cfg Config, links *pomelolink.Client) *crashChecks {
-	k := &crashChecks{cfg: cfg, links: links, pending: make(map[pomelorelay.UpstreamID][]crashedRun)}
+	k := &crashChecks{cfg: cfg, links: links, pending: make(map[pomelorelay.UpstreamID][]brokenRun)}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	return k
 }
 
 // check starts a check of the run's upstream unless one is in progress. It does not wait, because a check of a silent upstream takes a
 // second and the request may be sent elsewhere meanwhile.
-func (k *crashChecks) check(run crashedRun) {
+func (k *crashChecks) check(run brokenRun) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.ctx.Err() != nil {
 		return
 	}
-	id := run.upstream.ID
+	id := run.crash.Upstream
 	_, inProgress := k.pending[id]
 	k.pending[id] = append(k.pending[id], run)
 	if inProgress {
 		return
 	}
 	k.wg.Go(func() {
-		crashed := k.links.RefusesConnections(k.ctx, run.upstream.Addr)
+		crashed := k.links.RefusesConnections(k.ctx, run.addr)
 		k.mu.Lock()
 		runs := k.pending[id]
 		delete(k.pending, id)
@@ -61,11 +62,12 @@
 	})
 }
 
-func (k *crashChecks) report(runs []crashedRun) {
+func (k *crashChecks) report(runs []brokenRun) {
 	for _, run := range runs {
 		k.cfg.Meter.CountCrash()
-		k.cfg.Logger.Log(pomelorelay.EventUpstreamCrashed, pomelorelay.Field{Key: "Upstream", Value: string(run.upstream.ID)}, pomelorelay.Field{Key: "Born", Value: run.upstream.StartUnixMilli},
-			pomelorelay.Field{Key: "Request", Value: run.request}, pomelorelay.Field{Key: "Fingerprint", Value: run.fingerprint.String()})
+		k.cfg.Logger.Log(pomelorelay.EventUpstreamCrashed, pomelorelay.Field{Key: "Upstream", Value: string(run.crash.Upstream)}, pomelorelay.Field{Key: "Born", Value: run.crash.StartUnixMilli},
+			pomelorelay.Field{Key: "Request", Value: run.request}, pomelorelay.Field{Key: "Fingerprint", Value: run.crash.Fingerprint.String()})
+		k.cfg.Crashes.UpstreamCrashed(run.crash)
 	}
 }
 
--- a/pomeloforward/handler.go
+++ b/pomeloforward/handler.go
@@ -16,7 +16,8 @@
 	cfg     Config
 	links   *pomelolink.Client
 	buffers *pomelolink.Buffers
-	crashes *crashChecks
+
+	crashChecks *crashChecks
 
 	mu      sync.Mutex
 	budgets map[pomelorelay.ServiceID]*pomelobudget.RetryBudget
@@ -39,13 +40,13 @@
 		Logger:         cfg.Logger,
 	})
 	h.buffers = h.links.Buffers()
-	h.crashes = newCrashChecks(cfg, h.links)
+	h.crashChecks = newCrashChecks(cfg, h.links)
 	return h
 }
 
 // Close closes the idle connections to upstreams and ends the checks of upstreams whose connections broke.
 func (h *Handler) Close() {
-	h.crashes.close()
+	h.crashChecks.close()
 	h.links.Close()
 }
 
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -123,8 +123,11 @@
 	mu         sync.Mutex
 	server     *httptest.Server
 	handler    *pomeloforward.Handler
-	// crashes counts the runs that were reported to have ended in a crash of their upstream.
-	crashes atomic.Int64
+	// suspected states that every request is suspected of crashing upstreams; quarantine is the remaining quarantine of every request.
+	suspected  bool
+	quarantine time.Duration
+	// crashReports are the crashes reported.
+	crashReports []pomelorelay.RequestCrash
 }
 
 var routes = []pomelorelay.Route{
@@ -151,7 +154,7 @@
 		Limits: pomelorelay.CallerLimits{BodyBytes: 1000},
 	})
 	handler := pomeloforward.New(pomeloforward.Config{
-		Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}, Wire: pomelofake.TestWireFormat{}, Tables: h, Placement: h, Shutdown: h, Meter: h,
+		Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}, Wire: pomelofake.TestWireFormat{}, Tables: h, Placement: h, Crashes: h, Shutdown: h, Meter: h,
 		CallerGone: h.isCallerGone,
 		RetryRatio: 0.2, RetrySlack: 100,
 	})
@@ -208,7 +211,27 @@
 
 func (h *harness) CountRetry(pomelorelay.ResultCode) {}
 
-func (h *harness) CountCrash() { h.crashes.Add(1) }
+func (h *harness) CountCrash() {}
+
+func (h *harness) QuarantineRemaining(pomelorelay.Fingerprint) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.quarantine
+}
+
+func (h *harness) IsSuspect(pomelorelay.Fingerprint) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.suspected
+}
+
+func (h *harness) ConnectionBroke(pomelorelay.RequestCrash) {}
+
+func (h *harness) UpstreamCrashed(crash pomelorelay.RequestCrash) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crashReports = append(h.crashReports, crash)
+}
 
 // answer is what a caller received.
 type answer struct {
@@ -242,3 +265,9 @@
 	got, err := io.ReadAll(resp.Body)
 	return answer{status: resp.StatusCode, head: resp.Header, body: string(got), bodyErr: err}
 }
+
+func (h *harness) reportedCrashes() []pomelorelay.RequestCrash {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.crashReports
+}
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -23,6 +23,7 @@
 		{Pool: "assistant/small", Account: "oficina-2", Served: 4},
 	}
 	outcome := pomelorelay.ClaimOutcome{Status: 201, ContentType: "application/json", Body: []byte("{}")}
+	crashes := []pomelorelay.RequestCrash{{Fingerprint: 5, Upstream: "u", StartUnixMilli: 77, UnixMilli: 99, Repeated: true, Cleared: true}}
 	key, nonce := pomelorelay.ClaimKey{1, 2}, pomelorelay.ClaimNonce{3}
 	return []pomelorelay.Message{
 		&pomelorelay.Demand{Upstream: "u", Pool: "p", Seq: 7, HeadTag: -1.5, Waiting: 3, Prefixes: []uint64{1, math.MaxUint64}},
@@ -71,17 +72,18 @@
 		}},
 		&pomelorelay.FleetUpdate{
 			After: 9, Revision: 12, Full: true, Forwarded: true, Document: []byte("{}"), RemovedUpstreams: []pomelorelay.UpstreamID{"v"}, RemovedPeers: []pomelorelay.NodeID{"r2"},
-			Evacuated: []pomelorelay.DomainID{"b"}, RestoredDomains: []pomelorelay.DomainID{"c"},
+			Evacuated: []pomelorelay.DomainID{"b"}, RestoredDomains: []pomelorelay.DomainID{"c"}, Crashes: crashes,
 			Upstreams: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6, Draining: true, ColdRemaining: time.Second, StartUnixMilli: 77}},
 			Peers:     []pomelorelay.Peer{{Node: "r1", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Domain: "a", Region: "ra", CPUSpeed: 0.4}},
 		},
 		&pomelorelay.StateAsk{Above: 7, Upstreams: true},
 		&pomelorelay.FleetState{
-			Evacuated: []pomelorelay.DomainID{"b"},
-			Document:  []byte("{}"), Revision: 12,
+			Evacuated: []pomelorelay.DomainID{"b"}, Crashes: crashes,
+			Document: []byte("{}"), Revision: 12,
 			Upstreams: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6}},
 			Peers:     []pomelorelay.Peer{{Node: "r1", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Domain: "a", Region: "ra", CPUSpeed: 0.4}},
 		},
+		&pomelorelay.CrashNotice{Crashes: crashes},
 	}
 }
 
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -95,6 +95,8 @@
 		return &pomelorelay.StateAsk{Above: pomelorelay.Generation(kind.StateAsk.GetAbove()), Upstreams: kind.StateAsk.GetUpstreams()}
 	case *pomelowire.Item_FleetState:
 		return d.fleetState(kind.FleetState)
+	case *pomelowire.Item_CrashNotice:
+		return &pomelorelay.CrashNotice{Crashes: d.crashes(kind.CrashNotice.GetCrashes())}
 	}
 	return nil
 }
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -90,6 +90,7 @@
 		After: pomelorelay.Revision(m.GetAfter()), Revision: pomelorelay.Revision(m.GetAt()), Full: m.GetWhole(), Forwarded: m.GetForwarded(), Document: m.GetDocument(),
 		Upstreams: d.upstreams(m.GetUpstreams()), Peers: d.routers(m.GetRouters()),
 		Evacuated: d.domains(m.GetEvacuated()), RestoredDomains: d.domains(m.GetRestored()),
+		Crashes: d.crashes(m.GetCrashes()),
 	}
 	u.RemovedUpstreams = make([]pomelorelay.UpstreamID, d.listLength(len(m.GetGoneUpstreams()), maxListLength))
 	for i := range u.RemovedUpstreams {
@@ -125,10 +126,22 @@
 func (d *decoder) fleetState(m *pomelowire.FleetState) pomelorelay.Message {
 	return &pomelorelay.FleetState{
 		Document: m.GetDocument(), Revision: pomelorelay.Revision(m.GetAt()), Upstreams: d.upstreams(m.GetUpstreams()), Peers: d.routers(m.GetRouters()),
-		Evacuated: d.domains(m.GetEvacuated()),
+		Evacuated: d.domains(m.GetEvacuated()), Crashes: d.crashes(m.GetCrashes()),
 	}
 }
 
+func (d *decoder) crashes(list []*pomelowire.RequestCrash) []pomelorelay.RequestCrash {
+	crashes := make([]pomelorelay.RequestCrash, d.listLength(len(list), maxListLength))
+	for i := range crashes {
+		c := list[i]
+		crashes[i] = pomelorelay.RequestCrash{
+			Fingerprint: pomelorelay.Fingerprint(c.GetFingerprint()), Upstream: pomelorelay.UpstreamID(d.name(c.GetUpstream())), StartUnixMilli: c.GetBorn(), UnixMilli: c.GetAt(),
+			Repeated: c.GetRepeated(), Cleared: c.GetCleared(),
+		}
+	}
+	return crashes
+}
+
 func (d *decoder) domains(list []string) []pomelorelay.DomainID {
 	domains := make([]pomelorelay.DomainID, d.listLength(len(list), maxListLength))
 	for i := range domains {
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -19,6 +19,8 @@
 		return &pomelowire.Item{Kind: &pomelowire.Item_StateAsk{StateAsk: &pomelowire.StateAsk{Above: uint64(m.Above), Upstreams: m.Upstreams}}}
 	case *pomelorelay.FleetState:
 		return &pomelowire.Item{Kind: &pomelowire.Item_FleetState{FleetState: encodeState(m)}}
+	case *pomelorelay.CrashNotice:
+		return &pomelowire.Item{Kind: &pomelowire.Item_CrashNotice{CrashNotice: &pomelowire.CrashNotice{Crashes: encodeCrashes(m.Crashes)}}}
 	}
 	return nil
 }
@@ -34,7 +36,7 @@
 func encodeUpdate(m *pomelorelay.FleetUpdate) *pomelowire.FleetUpdate {
 	w := &pomelowire.FleetUpdate{
 		After: uint64(m.After), At: uint64(m.Revision), Whole: m.Full, Forwarded: m.Forwarded, Document: m.Document,
-		Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers),
+		Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers), Crashes: encodeCrashes(m.Crashes),
 	}
 	for _, id := range m.RemovedUpstreams {
 		w.GoneUpstreams = append(w.GoneUpstreams, string(id))
@@ -67,9 +69,20 @@
 func encodeState(m *pomelorelay.FleetState) *pomelowire.FleetState {
 	return &pomelowire.FleetState{
 		Document: m.Document, At: uint64(m.Revision), Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers), Evacuated: encodeDomains(m.Evacuated),
+		Crashes: encodeCrashes(m.Crashes),
 	}
 }
 
+func encodeCrashes(crashes []pomelorelay.RequestCrash) []*pomelowire.RequestCrash {
+	var w []*pomelowire.RequestCrash
+	for _, c := range crashes {
+		w = append(w, &pomelowire.RequestCrash{
+			Fingerprint: uint64(c.Fingerprint), Upstream: string(c.Upstream), Born: c.StartUnixMilli, At: c.UnixMilli, Repeated: c.Repeated, Cleared: c.Cleared,
+		})
+	}
+	return w
+}
+
 func encodeDomains(domains []pomelorelay.DomainID) []string {
 	var w []string
 	for _, d := range domains {
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -168,6 +168,9 @@
 	ResultLongPause
 )
 
+// Answered reports whether the upstream answered the request completely.
+func (r Result) Answered() bool { return r == ResultCompleted || r == ResultLongPause }
+
 // NotRun reports whether the upstream certainly did not run the request.
 func (r Result) NotRun() bool {
 	return r == ResultUnreachable || r == ResultRefused || r == ResultCancelledUnsent
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -380,7 +380,7 @@
 		u.own.memoryTokens -= run.memoryTokens
 	}
 	u.own.running--
-	if run.started && u.engine != nil && (result == ResultCompleted || result == ResultLongPause) && u.longPrefillAt.After(run.sent) {
+	if run.started && u.engine != nil && result.Answered() && u.longPrefillAt.After(run.sent) {
 		u.pool.recordPause(now, result == ResultLongPause)
 	}
 	u.changed = true
--- /dev/null
+++ b/pomeloquarantine/crashlog_test.go
@@ -0,0 +1,140 @@
+package pomeloquarantine_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloquarantine"
+
+	"pgregory.net/rapid"
+)
+
+const suspect pomelorelay.Fingerprint = 7
+
+var start = time.Unix(1_000_000, 0)
+
+// crashAt returns a crash of upstream n under the suspect, at a time after start.
+func crashAt(n int, after time.Duration, repeated bool) pomelorelay.RequestCrash {
+	return pomelorelay.RequestCrash{Fingerprint: suspect, Upstream: pomelorelay.UpstreamID(fmt.Sprint("u", n)), StartUnixMilli: 1, UnixMilli: start.Add(after).UnixMilli(), Repeated: repeated}
+}
+
+// Guards against a request that goes on crashing upstreams, and against refusing one whose upstreams ended for another reason.
+func TestCrashLogQuarantinesOnlyTheCause(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(l *pomeloquarantine.CrashLog)
+		want time.Duration
+	}{
+		{"two crashes", func(l *pomeloquarantine.CrashLog) {
+			l.Observe(start, crashAt(1, 0, false))
+			l.Observe(start, crashAt(2, 0, true))
+		}, 0},
+		{"three crashes in turn", func(l *pomeloquarantine.CrashLog) {
+			l.Observe(start, crashAt(1, 0, false))
+			l.Merge(start, []pomelorelay.RequestCrash{crashAt(2, 0, true)})
+			l.Observe(start, crashAt(3, 0, true))
+		}, 10 * time.Minute},
+		{"a fourth crash", func(l *pomeloquarantine.CrashLog) {
+			for n := range 4 {
+				l.Observe(start, crashAt(n, 0, n > 0))
+			}
+		}, 20 * time.Minute},
+		{"three upstreams of one host at once", func(l *pomeloquarantine.CrashLog) {
+			for n := range 3 {
+				l.Observe(start, crashAt(n, 0, false))
+			}
+		}, 0},
+		{"one crash seen by three routers", func(l *pomeloquarantine.CrashLog) {
+			l.Observe(start, crashAt(1, 0, false))
+			l.Merge(start, []pomelorelay.RequestCrash{crashAt(1, 0, true), crashAt(1, 0, true)})
+		}, 0},
+		{"an upstream that starts again under its ID", func(l *pomeloquarantine.CrashLog) {
+			for n := range 3 {
+				crash := crashAt(1, 0, n > 0)
+				crash.StartUnixMilli = int64(n)
+				l.Observe(start, crash)
+			}
+		}, 10 * time.Minute},
+		{"answered between the crashes", func(l *pomeloquarantine.CrashLog) {
+			l.Observe(start, crashAt(1, 0, false))
+			l.Observe(start, crashAt(2, 0, true))
+			l.Answered(start, suspect)
+			l.Merge(start, []pomelorelay.RequestCrash{crashAt(3, 0, true)})
+		}, 0},
+		{"answered shortly before the crashes", func(l *pomeloquarantine.CrashLog) {
+			l.Answered(start.Add(-10*time.Second), suspect)
+			for n := range 3 {
+				l.Observe(start, crashAt(n, 0, n > 0))
+			}
+		}, 0},
+		{"answered at another router", func(l *pomeloquarantine.CrashLog) {
+			for n := range 3 {
+				l.Observe(start, crashAt(n, 0, n > 0))
+			}
+			cleared := crashAt(2, 0, true)
+			cleared.Cleared = true
+			l.Merge(start, []pomelorelay.RequestCrash{cleared})
+		}, 0},
+		{"crashes of an hour ago", func(l *pomeloquarantine.CrashLog) {
+			for n := range 3 {
+				l.Merge(start, []pomelorelay.RequestCrash{crashAt(n, -time.Hour, true)})
+			}
+		}, 0},
+		{"a clock that is ahead", func(l *pomeloquarantine.CrashLog) {
+			for n := range 3 {
+				l.Merge(start, []pomelorelay.RequestCrash{crashAt(n, time.Hour, true)})
+			}
+		}, 10 * time.Minute},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{})
+			c.play(l)
+			if got := l.Snapshot().QuarantineRemaining(start, suspect); got != c.want {
+				t.Errorf("quarantined for %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestCrashLogForgetsExpiredAndOldestCrashes(t *testing.T) {
+	l := pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{MaxFingerprints: 16, Memory: time.Minute})
+	for n := range 100 {
+		crash := crashAt(n, time.Duration(n)*time.Second, false)
+		crash.Fingerprint = pomelorelay.Fingerprint(n)
+		l.Observe(start.Add(time.Duration(n)*time.Second), crash)
+	}
+	if n := l.Snapshot().Suspects(); n > 16 || !l.Snapshot().IsSuspect(99) || l.Snapshot().IsSuspect(0) {
+		t.Errorf("%d suspects of at most 16 are kept, the newest: %t, the oldest: %t", n, l.Snapshot().IsSuspect(99), l.Snapshot().IsSuspect(0))
+	}
+	if !l.Expire(start.Add(3*time.Minute)) || l.Snapshot().Suspects() != 0 {
+		t.Errorf("%d suspects are kept beyond Memory", l.Snapshot().Suspects())
+	}
+}
+
+// Guards against routers that know the same crashes and disagree, because notices and store records arrive in any order and repeatedly.
+func TestCrashLogsAgreeWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		crash := rapid.Custom(func(t *rapid.T) pomelorelay.RequestCrash {
+			c := crashAt(rapid.IntRange(0, 4).Draw(t, "upstream"), time.Duration(rapid.IntRange(0, 3).Draw(t, "second"))*time.Second, rapid.Bool().Draw(t, "repeated"))
+			c.Cleared = rapid.IntRange(0, 5).Draw(t, "cleared") == 0
+			return c
+		})
+		crashes := rapid.SliceOfN(crash, 1, 12).Draw(t, "crashes")
+		order := rapid.Permutation(append(slices.Clone(crashes), crashes...)).Draw(t, "order")
+		now := start.Add(5 * time.Second)
+		a, b := pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{}), pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{})
+		a.Merge(now, crashes)
+		for _, c := range order {
+			b.Merge(now, []pomelorelay.RequestCrash{c})
+		}
+		if x, y := a.Snapshot().QuarantineRemaining(now, suspect), b.Snapshot().QuarantineRemaining(now, suspect); x != y {
+			t.Errorf("quarantined for %v and %v", x, y)
+		}
+		if x, y := a.All(100), b.All(100); !slices.Equal(x, y) {
+			t.Errorf("crashes %v and %v", x, y)
+		}
+	})
+}
--- a/pomeloquarantine/defaults.go
+++ b/pomeloquarantine/defaults.go
@@ -6,7 +6,7 @@
 	"github.com/pomelorelay/pomelorelay"
 )
 
-// Defaults of Config.
+// Defaults of Config and CrashLogConfig.
 const (
 	defaultSuspectFor     = 10 * time.Minute
 	defaultQuarantineFor  = 10 * time.Minute
@@ -17,6 +17,8 @@
 	defaultMaxWait        = 10 * time.Second
 	defaultMaxSuspects    = 4096
 	defaultMaxQuarantined = 1024
+	defaultMaxCrashes     = 3
+	defaultCrashMemory    = time.Hour
 )
 
 func (c Config) withDefaults() Config {
