Write messages of net/http and gRPC through the router's log

What callers would see: beside an output that is not read, a router that runs out of descriptors once takes no connection any more, until it is restarted.

Cause: net/http and gRPC write their errors to the standard error output directly. When its reader hangs, the write blocks; net/http's writes the error of Accept in the accept loop. pomelolog's own lines never block. Found while tracing TestTrafficGoesOnBesideAStalledOutput, whose routers write both outputs to one full pipe; not the cause of that failure, of which no trace says that connections were not accepted.

Change: both daemons direct the two libraries' loggers to the router's log, event 118. Why it works: that log drops lines instead of waiting.

--- a/cmd/pomelorelayd/entry.go
+++ b/cmd/pomelorelayd/entry.go
@@ -64,6 +64,7 @@
 	}
 	logger := pomelolog.New(pomelolog.Config{Node: settings.Self.Node, Level: pomelorelay.LevelInfo, Writer: os.Stdout})
 	defer logger.Close()
+	pomelolog.CaptureLibraries(logger)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	disabled, err := pomeloplace.ParseMechanisms(without)
--- a/cmd/pomelorelayd/run.go
+++ b/cmd/pomelorelayd/run.go
@@ -26,6 +26,7 @@
 	}
 	logger := pomelolog.New(pomelolog.Config{Node: settings.Host.Name, Level: settings.Log.Level, Writer: os.Stderr})
 	defer logger.Close()
+	pomelolog.CaptureLibraries(logger)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	node, err := pomelonode.New(pomelonode.Config{Settings: settings, Logger: logger})
--- a/events_node.go
+++ b/events_node.go
@@ -18,6 +18,7 @@
 	EventLinesLeftOut     EventID = 115
 	EventLinesLost        EventID = 116
 	EventRouterFull       EventID = 117
+	EventLibraryMessage   EventID = 118
 )
 
 var nodeEvents = []EventInfo{
@@ -37,4 +38,5 @@
 	{EventLinesLeftOut, "LinesLeftOut", LevelInfo, "Lines of the event named by Of were over the bound of the second before and left out; the metrics count what they told.", "None."},
 	{EventLinesLost, "LinesLost", LevelWarn, "The reader of the output was too slow; so many lines were lost since the start.", "Look at who reads the output."},
 	{EventRouterFull, "RouterFull", LevelWarn, "A request was refused since the router has as many as its host can carry.", "Look at how the balancer spreads callers."},
+	{EventLibraryMessage, "LibraryMessage", LevelWarn, "A library reported an error, for example that no connection can be accepted.", "Look up the message."},
 }
