Do not blame requests for upstreams that leave as planned

What callers would see: a stream that outlasts the drain of three upstreams in turn is refused for ten minutes as if it had crashed them.

Cause: a connection that breaks and an upstream that refuses new ones counted as a crash, also when the upstream had announced that it leaves.

Evidence: TestPlannedEndIsNoCrash fails before, "timed out waiting until r0 has 0 crash suspects", for an upstream that drains and for one that removes its entry and goes on serving.

Change: a crash counts only while the upstream's entry is there and does not drain. Why it works: a crashed upstream's entry outlives it by the writes that it misses, a second and more; the check takes tenths of a second.

--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -70,7 +70,11 @@
 
 type upstreamCrashed struct{ run pomelorelay.RequestCrash }
 
+// apply counts the crash unless the upstream was leaving as planned: such an upstream drains, or has removed its entry, before it ends.
 func (u *upstreamCrashed) apply(c *control, now time.Time) {
+	if entry, present := c.upstreams.present[u.run.Upstream]; !present || entry.Draining {
+		return
+	}
 	c.spreadCrashes(now, c.crashes.log.Observe(now, u.run))
 }
 
--- a/pomeloentry/crashes_test.go
+++ b/pomeloentry/crashes_test.go
@@ -14,9 +14,14 @@
 
 // crashingUpstream registers an upstream that ends its connections without an answer, and refuses new ones afterwards if refuses is set.
 func (f *fleet) crashingUpstream(id pomelorelay.UpstreamID, refuses bool) pomelorelay.FleetUpstream {
+	return f.crashingUpstreamAfter(id, refuses, func() {})
+}
+
+func (f *fleet) crashingUpstreamAfter(id pomelorelay.UpstreamID, refuses bool, work func()) pomelorelay.FleetUpstream {
 	f.t.Helper()
 	var server *httptest.Server
 	server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		work()
 		if refuses {
 			server.Listener.Close()
 		}
@@ -90,3 +95,44 @@
 		})
 	}
 }
+
+// Guards against blaming requests for upstreams that end as planned while they run.
+func TestPlannedEndIsNoCrash(t *testing.T) {
+	for name, leave := range map[string]func(f *fleet, u pomelorelay.FleetUpstream){
+		"drains": func(f *fleet, u pomelorelay.FleetUpstream) {
+			u.Draining = true
+			f.store.PutUpstream(u)
+		},
+		"removes its entry": func(f *fleet, u pomelorelay.FleetUpstream) { f.store.DeleteUpstream(u.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.store.PublishConfig(f.config(1, "/a/"))
+			started, end := make(chan struct{}), make(chan struct{})
+			u := f.crashingUpstreamAfter("u1", true, func() {
+				close(started)
+				<-end
+			})
+			n := f.start(8 * time.Second)
+			f.await("the upstream is known", func() bool { return n.log.has(pomelorelay.EventUpstreamListed) })
+			status := make(chan int)
+			go func() {
+				got, _ := f.call(n, "/a/")
+				status <- got
+			}()
+			<-started
+			leave(f, u)
+			f.await("the upstream is known to leave", func() bool {
+				return n.log.has(pomelorelay.EventUpstreamLeaving) || n.log.has(pomelorelay.EventUpstreamGone)
+			})
+			close(end)
+			if got := <-status; got != 502 {
+				t.Errorf("the request is answered with %d, want 502", got)
+			}
+			f.await("the end of the upstream is noticed", func() bool { return n.log.has(pomelorelay.EventUpstreamCrashed) })
+			// The gauge is updated once a second.
+			time.Sleep(1200 * time.Millisecond)
+			f.awaitSuspects(n, 0)
+		})
+	}
+}
