Tell crashes once a tick, record them twice a second

Cause: one crash ends up to 64 requests of a router within milliseconds.

Change: the control goroutine collects them until its next tick of 20 ms, and builds the record every 500 ms at most.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -111,6 +111,7 @@
 	if c.relay.local != nil {
 		c.flushSummaries(now)
 	}
+	c.flushCrashes(now)
 	if now.Sub(c.gaugesAt) >= gaugeInterval {
 		c.gaugesAt = now
 		c.setGauges()
--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -26,9 +25,12 @@
 	log *pomeloquarantine.CrashLog
 	// broken holds the runs whose connection broke by upstream.
 	broken map[pomelorelay.UpstreamID][]brokenRun
-	// observed are the crashes that were last given to the crashRecorder.
-	observed  []pomelorelay.RequestCrash
-	expiredAt time.Time
+	// untold are crashes that this router observed or cleared and has not told the other routers; unrecorded is set while it has not given
+	// them to the crashRecorder.
+	untold     []pomelorelay.RequestCrash
+	unrecorded bool
+	recordedAt time.Time
+	expiredAt  time.Time
 }
 
 type brokenRun struct {
@@ -75,12 +77,12 @@
 	if entry, present := c.upstreams.present[u.run.Upstream]; !present || entry.Draining {
 		return
 	}
-	c.spreadCrashes(now, c.crashes.log.Observe(now, u.run))
+	c.crashes.tell(c.crashes.log.Observe(now, u.run))
 }
 
 // recordAnswered records that an upstream answered a request completely, so that requests with the fingerprint do not crash upstreams.
 func (c *control) recordAnswered(now time.Time, f pomelorelay.Fingerprint) {
-	c.spreadCrashes(now, c.crashes.log.Answered(now, f))
+	c.crashes.tell(c.crashes.log.Answered(now, f))
 }
 
 // confirmCrashes records the runs whose connection broke shortly before the upstream's process turned out to have ended.
@@ -92,7 +94,7 @@
 		if changed := c.crashes.log.Observe(now, b.crash); len(changed) > 0 {
 			c.e.metrics.CountCrash()
 			c.e.log(pomelorelay.EventUpstreamCrashed, field("Upstream", id), field("Born", startUnixMilli), field("Fingerprint", b.crash.Fingerprint.String()))
-			c.spreadCrashes(now, changed)
+			c.crashes.tell(changed)
 		}
 	}
 	delete(c.crashes.broken, id)
@@ -110,42 +112,35 @@
 		}
 	}
 	if c.crashes.log.Expire(now) {
-		c.publishCrashes()
-		c.recordCrashes()
+		c.crashes.unrecorded = true
 	}
 }
 
-// publishCrashes publishes the crash log's state to the goroutines that handle requests.
-func (c *control) publishCrashes() { c.e.crashSnapshot.Store(c.crashes.log.Snapshot()) }
-
-// recordCrashes has the crashes that this router observed recorded in the store, if they have changed.
-func (c *control) recordCrashes() {
-	observed := c.crashes.log.Observed(maxToldCrashes)
-	if slices.Equal(observed, c.crashes.observed) {
-		return
+// tell adds crashes that this router observed or cleared to those that flushCrashes tells the other routers.
+func (k *crashes) tell(changed []pomelorelay.RequestCrash) {
+	if len(changed) > 0 {
+		k.untold = append(k.untold, changed...)
+		k.unrecorded = true
 	}
-	c.crashes.observed = observed
-	c.e.crashRecorder.set(observed)
 }
 
-// spreadCrashes records crashes that this router observed or cleared, and tells the other routers of them.
-func (c *control) spreadCrashes(now time.Time, changed []pomelorelay.RequestCrash) {
-	if len(changed) == 0 {
-		return
+// flushCrashes publishes the crash log's state to the goroutines that handle requests, and records and tells the other routers what this
+// router observed. It runs once a tick, since one crash ends many requests within milliseconds.
+func (c *control) flushCrashes(now time.Time) {
+	c.e.crashSnapshot.Store(c.crashes.log.Snapshot())
+	c.forwardCrashes(now, c.e.cfg.Settings.Self, c.crashes.untold)
+	c.crashes.untold = nil
+	if c.crashes.unrecorded && now.Sub(c.crashes.recordedAt) >= crashRecordInterval {
+		c.crashes.unrecorded, c.crashes.recordedAt = false, now
+		c.e.crashRecorder.set(c.crashes.log.Observed(maxToldCrashes))
 	}
-	c.publishCrashes()
-	c.recordCrashes()
-	c.forwardCrashes(now, c.e.cfg.Settings.Self, changed)
 }
 
 // mergeCrashes merges crashes that other routers observed, and returns those that changed anything. It tells the other routers which of them
 // do not count because this router's requests with the fingerprint were answered.
 func (c *control) mergeCrashes(now time.Time, list []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
 	changed, cleared := c.crashes.log.Merge(now, list)
-	if len(changed) > 0 {
-		c.publishCrashes()
-	}
-	c.spreadCrashes(now, cleared)
+	c.crashes.tell(cleared)
 	return changed
 }
 
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -62,7 +62,7 @@
 	Done(r pomeloplace.Result)
 }
 
-// CrashGuard refuses requests that crash upstreams; its methods never block.
+// CrashGuard refuses requests that crash upstreams; its methods wait for no other router.
 type CrashGuard interface {
 	// QuarantineRemaining returns how long requests with the fingerprint are refused from now on; zero if they are not.
 	QuarantineRemaining(f pomelorelay.Fingerprint) time.Duration
--- a/pomeloquarantine/crashlog.go
+++ b/pomeloquarantine/crashlog.go
@@ -191,16 +191,19 @@
 	}
 }
 
-// Expire drops the crashes that no longer count and reports whether there were any. Call it about once a second.
+// Expire drops the crashes that no longer count and reports whether this router had observed any of them. Call it about once a second.
 func (l *CrashLog) Expire(now time.Time) bool {
 	expired := false
 	for f, h := range l.histories {
 		before := len(h.crashes)
-		maps.DeleteFunc(h.crashes, func(_ upstreamProcess, c loggedCrash) bool { return l.expired(now, &c.RequestCrash) })
+		maps.DeleteFunc(h.crashes, func(_ upstreamProcess, c loggedCrash) bool {
+			drop := l.expired(now, &c.RequestCrash)
+			expired = expired || drop && c.observed
+			return drop
+		})
 		if len(h.crashes) == before {
 			continue
 		}
-		expired = true
 		l.snapshot = nil
 		if len(h.crashes) == 0 {
 			delete(l.histories, f)
