Share answers and record crashes from the second crash of a request on

One crash decides nothing.

Change: crashes are recorded, and answers told, from the second crash under a fingerprint on. A router that answered after the first tells so when it hears of the second.

Conclusion: a fleet whose routers all die between the first two crashes of a request allows it one upstream more, of the three that the platform tolerates.

--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -25,10 +25,8 @@
 	log *pomeloquarantine.CrashLog
 	// broken holds the runs whose connection broke by upstream.
 	broken map[pomelorelay.UpstreamID][]brokenRun
-	// untold are crashes that this router observed or cleared and has not told the other routers; unrecorded is set while it has not given
-	// them to the crashRecorder.
+	// untold are crashes that this router observed or cleared and has not told the other routers.
 	untold     []pomelorelay.RequestCrash
-	unrecorded bool
 	recordedAt time.Time
 	expiredAt  time.Time
 }
@@ -111,17 +109,12 @@
 			delete(c.crashes.broken, id)
 		}
 	}
-	if c.crashes.log.Expire(now) {
-		c.crashes.unrecorded = true
-	}
+	c.crashes.log.Expire(now)
 }
 
 // tell adds crashes that this router observed or cleared to those that flushCrashes tells the other routers.
 func (k *crashes) tell(changed []pomelorelay.RequestCrash) {
-	if len(changed) > 0 {
-		k.untold = append(k.untold, changed...)
-		k.unrecorded = true
-	}
+	k.untold = append(k.untold, changed...)
 }
 
 // flushCrashes publishes the crash log's state to the goroutines that handle requests, and records and tells the other routers what this
@@ -130,9 +123,9 @@
 	c.e.crashSnapshot.Store(c.crashes.log.Snapshot())
 	c.forwardCrashes(now, c.e.cfg.Settings.Self, c.crashes.untold)
 	c.crashes.untold = nil
-	if c.crashes.unrecorded && now.Sub(c.crashes.recordedAt) >= crashRecordInterval {
-		c.crashes.unrecorded, c.crashes.recordedAt = false, now
-		c.e.crashRecorder.set(c.crashes.log.Observed(maxToldCrashes))
+	if c.crashes.log.RecordChanged() && now.Sub(c.crashes.recordedAt) >= crashRecordInterval {
+		c.crashes.recordedAt = now
+		c.e.crashRecorder.set(c.crashes.log.Record(maxToldCrashes))
 	}
 }
 
--- a/pomeloquarantine/crashlog.go
+++ b/pomeloquarantine/crashlog.go
@@ -30,6 +30,8 @@
 	histories map[pomelorelay.Fingerprint]*crashHistory
 	answered  recentSet
 	snapshot  *CrashSnapshot
+	// recordChanged is set if Record returns another list than before.
+	recordChanged bool
 }
 
 // crashHistory holds the crashes under one fingerprint.
@@ -47,10 +49,15 @@
 
 type loggedCrash struct {
 	pomelorelay.RequestCrash
-	// observed is set if this router observed the crash or cleared it.
-	observed bool
+	// observed is set if this router observed the crash or cleared it, clearTold once the other routers have been told that it is cleared.
+	observed  bool
+	clearTold bool
 }
 
+// minSharedCrashes is the number of crashes from which on a fingerprint's crashes are recorded in the store and its answers told to the other
+// routers. Most fingerprints are under one crash, that of an upstream which ended for another reason, and are not seen again.
+const minSharedCrashes = 2
+
 // NewCrashLog returns an empty CrashLog.
 func NewCrashLog(cfg CrashLogConfig) *CrashLog {
 	if cfg.Logger == nil {
@@ -72,29 +79,31 @@
 	return l.merge(now, []pomelorelay.RequestCrash{crash}, true)
 }
 
-// Merge adds crashes that other routers observed. It returns those that were new or newly cleared, and those that this router clears because it
-// has seen requests with their fingerprint answered.
+// Merge adds crashes that other routers observed. It returns those that were new or newly cleared, and those to tell the other routers because
+// this router has seen requests with their fingerprint answered.
 func (l *CrashLog) Merge(now time.Time, crashes []pomelorelay.RequestCrash) (changed, cleared []pomelorelay.RequestCrash) {
 	changed = l.merge(now, crashes, false)
 	for _, c := range changed {
-		if !c.Cleared && l.answered.contains(now, c.Fingerprint) {
-			cleared = append(cleared, l.clear(now, c.Fingerprint)...)
+		if l.answered.contains(now, c.Fingerprint) {
+			l.clear(now, c.Fingerprint)
 		}
+		cleared = append(cleared, l.takeCleared(c.Fingerprint)...)
 	}
 	return changed, cleared
 }
 
 // Answered records that an upstream answered a request with the fingerprint completely, which rules out that such requests crash upstreams. It
-// returns the earlier crashes that no longer count.
+// returns the crashes to tell the other routers because they no longer count.
 func (l *CrashLog) Answered(now time.Time, f pomelorelay.Fingerprint) []pomelorelay.RequestCrash {
 	l.answered.add(now, f)
-	return l.clear(now, f)
+	l.clear(now, f)
+	return l.takeCleared(f)
 }
 
-func (l *CrashLog) clear(now time.Time, f pomelorelay.Fingerprint) []pomelorelay.RequestCrash {
+func (l *CrashLog) clear(now time.Time, f pomelorelay.Fingerprint) {
 	h := l.histories[f]
 	if h == nil {
-		return nil
+		return
 	}
 	var cleared []pomelorelay.RequestCrash
 	for _, c := range h.crashes {
@@ -103,7 +112,24 @@
 			cleared = append(cleared, c.RequestCrash)
 		}
 	}
-	return l.merge(now, cleared, true)
+	l.merge(now, cleared, true)
+}
+
+// takeCleared returns the crashes under the fingerprint that this router has cleared and not told the other routers.
+func (l *CrashLog) takeCleared(f pomelorelay.Fingerprint) []pomelorelay.RequestCrash {
+	h := l.histories[f]
+	if h == nil || len(h.crashes) < minSharedCrashes {
+		return nil
+	}
+	var cleared []pomelorelay.RequestCrash
+	for key, c := range h.crashes {
+		if c.Cleared && c.observed && !c.clearTold {
+			cleared = append(cleared, c.RequestCrash)
+			c.clearTold = true
+			h.crashes[key] = c
+		}
+	}
+	return cleared
 }
 
 func (l *CrashLog) merge(now time.Time, crashes []pomelorelay.RequestCrash, observed bool) []pomelorelay.RequestCrash {
@@ -134,16 +160,30 @@
 	}
 	key := upstreamProcess{c.Upstream, c.StartUnixMilli}
 	known, ok := h.crashes[key]
-	merged := loggedCrash{RequestCrash: c, observed: known.observed || observed}
+	merged := loggedCrash{RequestCrash: c, observed: known.observed || observed, clearTold: known.clearTold}
 	if ok {
 		merged.UnixMilli = min(c.UnixMilli, known.UnixMilli)
 		merged.Repeated = c.Repeated || known.Repeated
 		merged.Cleared = c.Cleared || known.Cleared
 	}
 	h.crashes[key] = merged
+	l.recordChanged = l.recordChanged || h.isRecorded()
 	return !ok || merged.Repeated != known.Repeated || merged.Cleared != known.Cleared
 }
 
+// isRecorded reports whether this router records crashes of the history in the store.
+func (h *crashHistory) isRecorded() bool {
+	if len(h.crashes) < minSharedCrashes {
+		return false
+	}
+	for _, c := range h.crashes {
+		if c.observed {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *CrashLog) expired(now time.Time, c *pomelorelay.RequestCrash) bool {
 	return now.UnixMilli()-c.UnixMilli >= l.cfg.Memory.Milliseconds()
 }
@@ -191,25 +231,21 @@
 	}
 }
 
-// Expire drops the crashes that no longer count and reports whether this router had observed any of them. Call it about once a second.
-func (l *CrashLog) Expire(now time.Time) bool {
-	expired := false
+// Expire drops the crashes that no longer count. Call it about once a second.
+func (l *CrashLog) Expire(now time.Time) {
 	for f, h := range l.histories {
 		before := len(h.crashes)
-		maps.DeleteFunc(h.crashes, func(_ upstreamProcess, c loggedCrash) bool {
-			drop := l.expired(now, &c.RequestCrash)
-			expired = expired || drop && c.observed
-			return drop
-		})
+		recorded := h.isRecorded()
+		maps.DeleteFunc(h.crashes, func(_ upstreamProcess, c loggedCrash) bool { return l.expired(now, &c.RequestCrash) })
 		if len(h.crashes) == before {
 			continue
 		}
 		l.snapshot = nil
+		l.recordChanged = l.recordChanged || recorded
 		if len(h.crashes) == 0 {
 			delete(l.histories, f)
 		}
 	}
-	return expired
 }
 
 // dropDivisor is the part of MaxFingerprints that is dropped at once, so that the search for the oldest is rare.
@@ -236,21 +272,25 @@
 	return last
 }
 
-// Observed returns the newest crashes that this router observed or cleared, at most limit; the router records them in the platform's store.
-func (l *CrashLog) Observed(limit int) []pomelorelay.RequestCrash {
-	return l.newest(limit, func(c *loggedCrash) bool { return c.observed })
+// RecordChanged reports whether Record returns another list than at its last call.
+func (l *CrashLog) RecordChanged() bool { return l.recordChanged }
+
+// Record returns the newest crashes that this router observed or cleared and that it records in the platform's store, at most limit.
+func (l *CrashLog) Record(limit int) []pomelorelay.RequestCrash {
+	l.recordChanged = false
+	return l.newest(limit, func(h *crashHistory, c *loggedCrash) bool { return c.observed && len(h.crashes) >= minSharedCrashes })
 }
 
 // All returns the newest crashes, at most limit.
 func (l *CrashLog) All(limit int) []pomelorelay.RequestCrash {
-	return l.newest(limit, func(*loggedCrash) bool { return true })
+	return l.newest(limit, func(*crashHistory, *loggedCrash) bool { return true })
 }
 
-func (l *CrashLog) newest(limit int, include func(*loggedCrash) bool) []pomelorelay.RequestCrash {
+func (l *CrashLog) newest(limit int, include func(*crashHistory, *loggedCrash) bool) []pomelorelay.RequestCrash {
 	var list []pomelorelay.RequestCrash
 	for _, h := range l.histories {
 		for _, c := range h.crashes {
-			if include(&c) {
+			if include(h, &c) {
 				list = append(list, c.RequestCrash)
 			}
 		}
--- a/pomeloquarantine/crashlog_test.go
+++ b/pomeloquarantine/crashlog_test.go
@@ -138,3 +138,26 @@
 		}
 	})
 }
+
+// Guards against an answer that no other router hears of, and against messages and records about each request that ran on a crashed upstream.
+func TestAnswersAndRecordsAreSharedFromTheSecondCrash(t *testing.T) {
+	l := pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{})
+	l.Observe(start, crashAt(1, 0, false))
+	if told := l.Answered(start, suspect); len(told) > 0 || l.RecordChanged() {
+		t.Errorf("after one crash, %v are told, and a record is due: %t", told, l.RecordChanged())
+	}
+	later := start.Add(2 * time.Minute)
+	_, told := l.Merge(later, []pomelorelay.RequestCrash{crashAt(2, 2*time.Minute, true)})
+	if len(told) != 1 || told[0].Upstream != "u1" || !told[0].Cleared {
+		t.Errorf("after another router's crash, %v are told, want that of u1 as cleared", told)
+	}
+	if record := l.Record(10); !slices.Equal(record, told) || l.RecordChanged() {
+		t.Errorf("recorded %v, want %v once", record, told)
+	}
+	if told := l.Answered(later, suspect); len(told) != 1 || told[0].Upstream != "u2" {
+		t.Errorf("after another answer, %v are told, want that of u2", told)
+	}
+	if told := l.Answered(later, suspect); len(told) > 0 {
+		t.Errorf("%v are told again", told)
+	}
+}
