--- a/pomeloentry/crashes_test.go
+++ b/pomeloentry/crashes_test.go
@@ -14,9 +14,14 @@
 
 // crashingUpstream registers an upstream that ends its connections without an answer, and refuses new ones afterwards if refuses is set.
 func (f *fleet) crashingUpstream(id pomelorelay.UpstreamID, refuses bool) pomelorelay.FleetUpstream {
+	return f.crashingUpstreamAfter(id, refuses, func() {})
+}
+
+func (f *fleet) crashingUpstreamAfter(id pomelorelay.UpstreamID, refuses bool, work func()) pomelorelay.FleetUpstream {
 	f.t.Helper()
 	var server *httptest.Server
 	server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		work()
 		if refuses {
 			server.Listener.Close()
 		}
@@ -30,9 +35,14 @@
 
 func (f *fleet) awaitSuspects(n *node, want int) {
 	f.t.Helper()
-	f.await(fmt.Sprintf("%s has %d crash suspects", n.settings.Self.Node, want), func() bool {
+	f.awaitGauge(n, "crash_suspects", want)
+}
+
+func (f *fleet) awaitGauge(n *node, name string, want int) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("%s of %s is %d", name, n.settings.Self.Node, want), func() bool {
 		_, text := f.get(n.settings.MetricsAddr, "/metrics")
-		return strings.Contains(text, fmt.Sprintf("pomelorelay_state{name=\"crash_suspects\"} %d\n", want))
+		return strings.Contains(text, fmt.Sprintf("pomelorelay_state{name=%q} %d\n", name, want))
 	})
 }
 
@@ -42,6 +52,7 @@
 	f := newFleet(t)
 	f.store.PublishConfig(f.config(1, "/a/"))
 	f.crashingUpstream("u1", true)
+	f.crashingUpstream("u2", true)
 	inDomain := func(i int) func(*pomelorelay.FleetSettings) {
 		return func(s *pomelorelay.FleetSettings) {
 			s.Self.Domain = pomelorelay.DomainID([]string{"a", "b"}[i%2])
@@ -54,10 +65,12 @@
 	}
 	f.awaitPeers(routers - 1)
 	last := f.nodes[routers-1]
-	f.await("the upstream is known", func() bool { return last.log.has(pomelorelay.EventUpstreamListed) })
+	f.awaitGauge(last, "upstreams", 2)
 	f.store.SetUnavailable(true)
-	if status, _ := f.call(last, "/a/"); status != 502 {
-		t.Fatalf("a request whose upstream crashed is answered with %d, want 502", status)
+	for range 2 {
+		if status, _ := f.call(last, "/a/"); status != 502 {
+			t.Fatalf("a request whose upstream crashed is answered with %d, want 502", status)
+		}
 	}
 	for _, n := range f.nodes {
 		f.awaitSuspects(n, 1)
@@ -90,3 +103,44 @@
 		})
 	}
 }
+
+// Guards against blaming requests for upstreams that end as planned while they run.
+func TestPlannedEndIsNoCrash(t *testing.T) {
+	for name, leave := range map[string]func(f *fleet, u pomelorelay.FleetUpstream){
+		"drains": func(f *fleet, u pomelorelay.FleetUpstream) {
+			u.Draining = true
+			f.store.PutUpstream(u)
+		},
+		"removes its entry": func(f *fleet, u pomelorelay.FleetUpstream) { f.store.DeleteUpstream(u.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.store.PublishConfig(f.config(1, "/a/"))
+			started, end := make(chan struct{}), make(chan struct{})
+			u := f.crashingUpstreamAfter("u1", true, func() {
+				close(started)
+				<-end
+			})
+			n := f.start(8 * time.Second)
+			f.await("the upstream is known", func() bool { return n.log.has(pomelorelay.EventUpstreamListed) })
+			status := make(chan int)
+			go func() {
+				got, _ := f.call(n, "/a/")
+				status <- got
+			}()
+			<-started
+			leave(f, u)
+			f.await("the upstream is known to leave", func() bool {
+				return n.log.has(pomelorelay.EventUpstreamLeaving) || n.log.has(pomelorelay.EventUpstreamGone)
+			})
+			close(end)
+			if got := <-status; got != 502 {
+				t.Errorf("the request is answered with %d, want 502", got)
+			}
+			f.await("the end of the upstream is noticed", func() bool { return n.log.has(pomelorelay.EventUpstreamCrashed) })
+			// The gauge is updated once a second.
+			time.Sleep(1200 * time.Millisecond)
+			f.awaitSuspects(n, 0)
+		})
+	}
+}
