Record crashes in the store only when they lead to a quarantine

Hundreds of requests were under two crashes for a second, since a retry went to an upstream that ended next.

Change: the routers that observed a part of a quarantined fingerprint's crashes record all of them; other crashes live in the routers' memory. A fleet that dies as a whole before the third crash counts anew, and quarantines after two repeats more, of the three that the platform tolerates.

--- a/pomeloquarantine/crashlog.go
+++ b/pomeloquarantine/crashlog.go
@@ -39,6 +39,8 @@
 	crashes map[upstreamProcess]loggedCrash
 	// quarantined is set once the quarantine has been logged.
 	quarantined bool
+	// recorded is set if this router records the crashes in the store: they have led to a quarantine, and this router observed some.
+	recorded bool
 }
 
 // upstreamProcess identifies one process of an upstream; a process crashes at most once.
@@ -54,9 +56,9 @@
 	clearTold bool
 }
 
-// minSharedCrashes is the number of crashes from which on a fingerprint's crashes are recorded in the store and its answers told to the other
-// routers. Most fingerprints are under one crash, that of an upstream which ended for another reason, and are not seen again.
-const minSharedCrashes = 2
+// minToldCrashes is the number of crashes from which on the other routers are told of a fingerprint's answers. Most fingerprints are under one
+// crash, that of an upstream which ended for another reason, and are not seen again.
+const minToldCrashes = 2
 
 // NewCrashLog returns an empty CrashLog.
 func NewCrashLog(cfg CrashLogConfig) *CrashLog {
@@ -118,7 +120,7 @@
 // takeCleared returns the crashes under the fingerprint that this router has cleared and not told the other routers.
 func (l *CrashLog) takeCleared(f pomelorelay.Fingerprint) []pomelorelay.RequestCrash {
 	h := l.histories[f]
-	if h == nil || len(h.crashes) < minSharedCrashes {
+	if h == nil || len(h.crashes) < minToldCrashes {
 		return nil
 	}
 	var cleared []pomelorelay.RequestCrash
@@ -147,7 +149,7 @@
 	}
 	l.snapshot = nil
 	l.dropOldest()
-	l.logQuarantines(now, changed)
+	l.updateQuarantines(now, changed)
 	return changed
 }
 
@@ -167,23 +169,9 @@
 		merged.Cleared = c.Cleared || known.Cleared
 	}
 	h.crashes[key] = merged
-	l.recordChanged = l.recordChanged || h.isRecorded()
 	return !ok || merged.Repeated != known.Repeated || merged.Cleared != known.Cleared
 }
 
-// isRecorded reports whether this router records crashes of the history in the store.
-func (h *crashHistory) isRecorded() bool {
-	if len(h.crashes) < minSharedCrashes {
-		return false
-	}
-	for _, c := range h.crashes {
-		if c.observed {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *CrashLog) expired(now time.Time, c *pomelorelay.RequestCrash) bool {
 	return now.UnixMilli()-c.UnixMilli >= l.cfg.Memory.Milliseconds()
 }
@@ -210,7 +198,8 @@
 	return last + min(duration, l.cfg.Memory).Milliseconds()
 }
 
-func (l *CrashLog) logQuarantines(now time.Time, changed []pomelorelay.RequestCrash) {
+// updateQuarantines logs the quarantines that begin or end with the changed crashes, and notes which crashes are to be recorded.
+func (l *CrashLog) updateQuarantines(now time.Time, changed []pomelorelay.RequestCrash) {
 	for _, c := range changed {
 		h := l.histories[c.Fingerprint]
 		if h == nil {
@@ -218,6 +207,8 @@
 		}
 		end := l.quarantineEnd(h)
 		quarantined := end > now.UnixMilli()
+		h.recorded = h.recorded || quarantined && h.isObserved()
+		l.recordChanged = l.recordChanged || h.recorded
 		if quarantined == h.quarantined {
 			continue
 		}
@@ -231,17 +222,26 @@
 	}
 }
 
+// isObserved reports whether this router observed one of the crashes.
+func (h *crashHistory) isObserved() bool {
+	for _, c := range h.crashes {
+		if c.observed {
+			return true
+		}
+	}
+	return false
+}
+
 // Expire drops the crashes that no longer count. Call it about once a second.
 func (l *CrashLog) Expire(now time.Time) {
 	for f, h := range l.histories {
 		before := len(h.crashes)
-		recorded := h.isRecorded()
 		maps.DeleteFunc(h.crashes, func(_ upstreamProcess, c loggedCrash) bool { return l.expired(now, &c.RequestCrash) })
 		if len(h.crashes) == before {
 			continue
 		}
 		l.snapshot = nil
-		l.recordChanged = l.recordChanged || recorded
+		l.recordChanged = l.recordChanged || h.recorded
 		if len(h.crashes) == 0 {
 			delete(l.histories, f)
 		}
@@ -275,24 +275,26 @@
 // RecordChanged reports whether Record returns another list than at its last call.
 func (l *CrashLog) RecordChanged() bool { return l.recordChanged }
 
-// Record returns the newest crashes that this router observed or cleared and that it records in the platform's store, at most limit.
+// Record returns the newest crashes that this router records in the platform's store, at most limit: all those that led to quarantines of which
+// it observed a part. Until then, a fleet whose routers all restart begins to count anew.
 func (l *CrashLog) Record(limit int) []pomelorelay.RequestCrash {
 	l.recordChanged = false
-	return l.newest(limit, func(h *crashHistory, c *loggedCrash) bool { return c.observed && len(h.crashes) >= minSharedCrashes })
+	return l.newest(limit, func(h *crashHistory) bool { return h.recorded })
 }
 
 // All returns the newest crashes, at most limit.
 func (l *CrashLog) All(limit int) []pomelorelay.RequestCrash {
-	return l.newest(limit, func(*crashHistory, *loggedCrash) bool { return true })
+	return l.newest(limit, func(*crashHistory) bool { return true })
 }
 
-func (l *CrashLog) newest(limit int, include func(*crashHistory, *loggedCrash) bool) []pomelorelay.RequestCrash {
+func (l *CrashLog) newest(limit int, include func(*crashHistory) bool) []pomelorelay.RequestCrash {
 	var list []pomelorelay.RequestCrash
 	for _, h := range l.histories {
+		if !include(h) {
+			continue
+		}
 		for _, c := range h.crashes {
-			if include(h, &c) {
-				list = append(list, c.RequestCrash)
-			}
+			list = append(list, c.RequestCrash)
 		}
 	}
 	slices.SortFunc(list, func(a, b pomelorelay.RequestCrash) int {
