Keep quarantines when many upstreams crash at once

Cause: beyond 4,096 fingerprints those with the oldest crashes were dropped. A failure domain with a hundred engines leaves 6,400 suspects when it is lost, and with them every quarantine would have ended.

Evidence: TestQuarantineOutlastsManySuspects fails before, "the quarantine has ended". Change: fingerprints with the fewest crashes go first.

--- a/pomeloquarantine/crashlog.go
+++ b/pomeloquarantine/crashlog.go
@@ -18,7 +18,8 @@
 	QuarantineFor time.Duration
 	// Memory is how long a crash counts, 1 h by default.
 	Memory time.Duration
-	// MaxFingerprints limits the number of fingerprints, 4,096 by default; those with the oldest crashes are dropped first.
+	// MaxFingerprints limits the number of fingerprints, 4,096 by default; those with the fewest crashes, and of these the oldest, are dropped
+	// first.
 	MaxFingerprints int
 }
 
@@ -148,7 +149,7 @@
 		return nil
 	}
 	l.snapshot = nil
-	l.dropOldest()
+	l.dropExcess()
 	l.updateQuarantines(now, changed)
 	return changed
 }
@@ -251,13 +252,15 @@
 // dropDivisor is the part of MaxFingerprints that is dropped at once, so that the search for the oldest is rare.
 const dropDivisor = 8
 
-func (l *CrashLog) dropOldest() {
+// dropExcess drops fingerprints beyond MaxFingerprints. A quarantine outlasts the suspects of a failure domain that is lost.
+func (l *CrashLog) dropExcess() {
 	if len(l.histories) <= l.cfg.MaxFingerprints {
 		return
 	}
 	fingerprints := slices.Collect(maps.Keys(l.histories))
 	slices.SortFunc(fingerprints, func(a, b pomelorelay.Fingerprint) int {
-		return cmp.Or(cmp.Compare(l.histories[a].lastCrash(), l.histories[b].lastCrash()), cmp.Compare(a, b))
+		x, y := l.histories[a], l.histories[b]
+		return cmp.Or(cmp.Compare(min(len(x.crashes), l.cfg.MaxCrashes), min(len(y.crashes), l.cfg.MaxCrashes)), cmp.Compare(x.lastCrash(), y.lastCrash()), cmp.Compare(a, b))
 	})
 	for _, f := range fingerprints[:len(fingerprints)-l.cfg.MaxFingerprints+l.cfg.MaxFingerprints/dropDivisor] {
 		delete(l.histories, f)
--- a/pomeloquarantine/crashlog_test.go
+++ b/pomeloquarantine/crashlog_test.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// Guards against a quarantine that ends because many other upstreams crash.
+func TestQuarantineOutlastsManySuspects(t *testing.T) {
+	l := pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{MaxFingerprints: 16})
+	for n := range 3 {
+		l.Observe(start, crashAt(n, 0, n > 0))
+	}
+	for n := range 100 {
+		crash := crashAt(9, time.Second, false)
+		crash.Fingerprint = pomelorelay.Fingerprint(1000 + n)
+		l.Observe(start.Add(time.Second), crash)
+	}
+	if l.Snapshot().QuarantineRemaining(start, suspect) == 0 {
+		t.Error("the quarantine has ended")
+	}
+}
+
 // Guards against routers that know the same crashes and disagree, because notices and store records arrive in any order and repeatedly.
 func TestCrashLogsAgreeWhateverTheOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
