Mesh test: wait until both ends have counted the same bytes

Traced: a connection counts a write after it (conn.go), and the receiver may have read, counted and answered by then.

The two counts must be equal as before; the test waits for the sender's.

--- a/pomelomesh/mesh_test.go
+++ b/pomelomesh/mesh_test.go
@@ -89,7 +89,15 @@
 	if dialled := b.Counters().Dialled; dialled != 0 {
 		t.Errorf("the reply opened %d links", dialled)
 	}
-	if a.Traffic()[pomelorelay.LinkSameDomain].Sent == 0 || b.Traffic()[pomelorelay.LinkSameDomain].Received != a.Traffic()[pomelorelay.LinkSameDomain].Sent {
+	// A sender counts a write after it, when the receiver may have read it already.
+	equal := func() bool {
+		sent, received := a.Traffic()[pomelorelay.LinkSameDomain].Sent, b.Traffic()[pomelorelay.LinkSameDomain].Received
+		return sent > 0 && sent == received
+	}
+	for end := time.Now().Add(testTimeout); !equal() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if !equal() {
 		t.Errorf("bytes: %+v %+v", a.Traffic(), b.Traffic())
 	}
 }
