Read the crash log and its neighbours once more: names, comments, files

untold becomes unsent, told becomes sent, and the crash log's field observed no longer also means that this router cleared a crash (clearUnsent). What is sent to an upstream is an attempt, in both packages. Comments that a reader had to read twice, and one that gave figures for an example, are reworded.

--- a/cmd/pomeloctl/pomelocommand/command_test.go
+++ b/cmd/pomeloctl/pomelocommand/command_test.go
@@ -27,7 +27,7 @@
 type fakePlatform struct {
 	mu      sync.Mutex
 	records map[string]pomelorelay.Record
-	// reportsPrevious makes the router report the previous generation.
+	// reportsPrevious makes the router report the generation of the previous configuration.
 	reportsPrevious bool
 	drained         bool
 }
--- a/ids.go
+++ b/ids.go
@@ -44,7 +44,7 @@
 // ShardID is the number of a ledger shard (part of the service ledger) or claim shard (part of the claims to run non-idempotent requests).
 type ShardID uint32
 
-// Fingerprint is a 64-bit hash of what makes two requests the same: the account, what is asked for, and the body.
+// Fingerprint is a 64-bit hash of a request's account, target and body, which identifies repetitions of the request.
 type Fingerprint uint64
 
 // String returns the fingerprint as 16 hexadecimal digits.
--- a/messages_crash.go
+++ b/messages_crash.go
@@ -1,7 +1,7 @@
 package pomelorelay
 
-// RequestCrash states that a process of an upstream crashed while it ran a request. Crashes are identified by their fingerprint, upstream
-// and start time; two statements of the same crash are merged.
+// RequestCrash reports that a process of an upstream crashed while it ran a request. Fingerprint, Upstream and StartUnixMilli identify the
+// crash; reports of the same crash are merged.
 type RequestCrash struct {
 	Fingerprint Fingerprint
 	Upstream    UpstreamID
@@ -9,9 +9,9 @@
 	StartUnixMilli int64
 	// UnixMilli is the time of the crash in Unix milliseconds, by the clock of the router that saw it.
 	UnixMilli int64
-	// Repeated states that the run began although its router knew of an earlier crash under the fingerprint.
+	// Repeated states that the request was sent although its router knew of an earlier crash under the fingerprint.
 	Repeated bool
-	// Cleared states that a request with the fingerprint was served after the crash, so that it is not the crash's cause.
+	// Cleared states that an upstream has answered another request with the fingerprint, so that the request did not cause the crash.
 	Cleared bool
 }
 
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -174,7 +174,7 @@
 func (c *control) place(now time.Time, req pomeloforward.PlacementRequest) pomeloplace.Decision {
 	accounted := req.Cost > 0 && req.Account != ""
 	r := req.Request
-	// Use the configuration in force at each attempt: if a new configuration allows fewer regions, this also applies to requests that
+	// The regions are determined anew at each attempt: if a new configuration allows fewer regions, this also applies to requests that
 	// arrived before it.
 	r.Residency = c.residency.Residency(now, req.Route, req.Account)
 	r.WithinShare = true
--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	// crashConfirmTime is how long after a broken connection the end of the upstream's process still explains it. The entry of an
+	// crashConfirmTime is how long after a broken connection the end of the upstream's process is taken as the cause. The entry of an
 	// upstream that ended without draining is removed after three of its write intervals.
 	crashConfirmTime = 6 * time.Second
-	// maxBrokenRuns limits the number of broken connections of one upstream that wait for such an explanation.
-	maxBrokenRuns = 256
-	// maxToldCrashes limits the number of crashes in one message or record.
-	maxToldCrashes = 2048
+	// maxBrokenAttempts limits the number of such connections that are kept per upstream.
+	maxBrokenAttempts = 256
+	// maxCrashesPerMessage limits the number of crashes in a message to other routers and in a record in the store.
+	maxCrashesPerMessage = 2048
 	// crashExpiryInterval is the interval at which expired crashes are dropped.
 	crashExpiryInterval = time.Second
 )
@@ -23,21 +23,21 @@
 // crashes holds the upstream crashes that count against requests, and broken connections that may turn out to be crashes.
 type crashes struct {
 	log *pomeloquarantine.CrashLog
-	// broken holds the runs whose connection broke by upstream.
-	broken map[pomelorelay.UpstreamID][]brokenRun
-	// untold are crashes that this router observed or cleared and has not told the other routers.
-	untold     []pomelorelay.RequestCrash
+	// broken holds, by upstream, the attempts whose connection broke recently.
+	broken map[pomelorelay.UpstreamID][]brokenAttempt
+	// unsent are crashes that this router observed or cleared and has not yet sent to the other routers.
+	unsent     []pomelorelay.RequestCrash
 	recordedAt time.Time
 	expiredAt  time.Time
 }
 
-type brokenRun struct {
+type brokenAttempt struct {
 	crash pomelorelay.RequestCrash
 	at    time.Time
 }
 
 func newCrashes(logger pomelorelay.Logger) crashes {
-	return crashes{log: pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{Logger: logger}), broken: make(map[pomelorelay.UpstreamID][]brokenRun)}
+	return crashes{log: pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{Logger: logger}), broken: make(map[pomelorelay.UpstreamID][]brokenAttempt)}
 }
 
 // crashGuard implements pomeloforward.CrashGuard. It answers from a snapshot and posts everything else to the control goroutine.
@@ -53,37 +53,41 @@
 	return g.e.crashSnapshot.Load().IsSuspect(f)
 }
 
-// ConnectionBroke reports that the connection of a run broke.
-func (g crashGuard) ConnectionBroke(run pomelorelay.RequestCrash) { g.e.post(&connectionBroke{run}) }
+// ConnectionBroke reports that the connection of an attempt broke.
+func (g crashGuard) ConnectionBroke(crash pomelorelay.RequestCrash) {
+	g.e.post(&connectionBroke{crash})
+}
 
-// UpstreamCrashed reports that the upstream of a run takes no connections after the run's connection broke.
-func (g crashGuard) UpstreamCrashed(run pomelorelay.RequestCrash) { g.e.post(&upstreamCrashed{run}) }
+// UpstreamCrashed reports that the upstream of an attempt whose connection broke refuses connections.
+func (g crashGuard) UpstreamCrashed(crash pomelorelay.RequestCrash) {
+	g.e.post(&upstreamCrashed{crash})
+}
 
-type connectionBroke struct{ run pomelorelay.RequestCrash }
+type connectionBroke struct{ crash pomelorelay.RequestCrash }
 
 func (b *connectionBroke) apply(c *control, now time.Time) {
-	id := b.run.Upstream
-	if len(c.crashes.broken[id]) < maxBrokenRuns {
-		c.crashes.broken[id] = append(c.crashes.broken[id], brokenRun{crash: b.run, at: now})
+	id := b.crash.Upstream
+	if len(c.crashes.broken[id]) < maxBrokenAttempts {
+		c.crashes.broken[id] = append(c.crashes.broken[id], brokenAttempt{crash: b.crash, at: now})
 	}
 }
 
-type upstreamCrashed struct{ run pomelorelay.RequestCrash }
+type upstreamCrashed struct{ crash pomelorelay.RequestCrash }
 
 // apply counts the crash unless the upstream was leaving as planned: such an upstream drains, or has removed its entry, before it ends.
 func (u *upstreamCrashed) apply(c *control, now time.Time) {
-	if entry, present := c.upstreams.present[u.run.Upstream]; !present || entry.Draining {
+	if entry, present := c.upstreams.present[u.crash.Upstream]; !present || entry.Draining {
 		return
 	}
-	c.crashes.tell(c.crashes.log.Observe(now, u.run))
+	c.crashes.queue(c.crashes.log.Observe(now, u.crash))
 }
 
 // recordAnswered records that an upstream answered a request completely, so that requests with the fingerprint do not crash upstreams.
 func (c *control) recordAnswered(now time.Time, f pomelorelay.Fingerprint) {
-	c.crashes.tell(c.crashes.log.Answered(now, f))
+	c.crashes.queue(c.crashes.log.Answered(now, f))
 }
 
-// confirmCrashes records the runs whose connection broke shortly before the upstream's process turned out to have ended.
+// confirmCrashes counts a crash for each attempt whose connection broke shortly before it became known that the upstream's process had ended.
 func (c *control) confirmCrashes(now time.Time, id pomelorelay.UpstreamID, startUnixMilli int64) {
 	for _, b := range c.crashes.broken[id] {
 		if now.Sub(b.at) >= crashConfirmTime || b.crash.StartUnixMilli != startUnixMilli {
@@ -92,7 +96,7 @@
 		if changed := c.crashes.log.Observe(now, b.crash); len(changed) > 0 {
 			c.e.metrics.CountCrash()
 			c.e.log(pomelorelay.EventUpstreamCrashed, field("Upstream", id), field("Born", startUnixMilli), field("Fingerprint", b.crash.Fingerprint.String()))
-			c.crashes.tell(changed)
+			c.crashes.queue(changed)
 		}
 	}
 	delete(c.crashes.broken, id)
@@ -104,36 +108,36 @@
 		return
 	}
 	c.crashes.expiredAt = now
-	for id, runs := range c.crashes.broken {
-		if now.Sub(runs[len(runs)-1].at) >= crashConfirmTime {
+	for id, attempts := range c.crashes.broken {
+		if now.Sub(attempts[len(attempts)-1].at) >= crashConfirmTime {
 			delete(c.crashes.broken, id)
 		}
 	}
 	c.crashes.log.Expire(now)
 }
 
-// tell adds crashes that this router observed or cleared to those that flushCrashes tells the other routers.
-func (k *crashes) tell(changed []pomelorelay.RequestCrash) {
-	k.untold = append(k.untold, changed...)
+// queue adds crashes to those that flushCrashes sends to the other routers.
+func (k *crashes) queue(changed []pomelorelay.RequestCrash) {
+	k.unsent = append(k.unsent, changed...)
 }
 
-// flushCrashes publishes the crash log's state to the goroutines that handle requests, and records and tells the other routers what this
-// router observed. It runs once a tick, since one crash ends many requests within milliseconds.
+// flushCrashes publishes the crash log's state to the goroutines that handle requests, sends the other routers what this router observed, and
+// records what led to quarantines. It runs at each tick instead of at each change, because one crash ends many requests within milliseconds.
 func (c *control) flushCrashes(now time.Time) {
 	c.e.crashSnapshot.Store(c.crashes.log.Snapshot())
-	c.forwardCrashes(now, c.e.cfg.Settings.Self, c.crashes.untold)
-	c.crashes.untold = nil
+	c.forwardCrashes(now, c.e.cfg.Settings.Self, c.crashes.unsent)
+	c.crashes.unsent = nil
 	if c.crashes.log.RecordChanged() && now.Sub(c.crashes.recordedAt) >= crashRecordInterval {
 		c.crashes.recordedAt = now
-		c.e.crashRecorder.set(c.crashes.log.Record(maxToldCrashes))
+		c.e.crashRecorder.set(c.crashes.log.Record(maxCrashesPerMessage))
 	}
 }
 
-// mergeCrashes merges crashes that other routers observed, and returns those that changed anything. It tells the other routers which of them
-// do not count because this router's requests with the fingerprint were answered.
+// mergeCrashes merges crashes that other routers observed, and returns those that were new or newly cleared. It also queues those that do not
+// count because upstreams have answered requests with their fingerprint through this router.
 func (c *control) mergeCrashes(now time.Time, list []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
 	changed, cleared := c.crashes.log.Merge(now, list)
-	c.crashes.tell(cleared)
+	c.crashes.queue(cleared)
 	return changed
 }
 
@@ -148,7 +152,7 @@
 // forwardCrashes sends crashes on their way to all routers: in a small fleet from the observer to each router, in a large one through the relays
 // of the failure domains, as load reports go.
 func (c *control) forwardCrashes(now time.Time, from pomelorelay.Peer, list []pomelorelay.RequestCrash) {
-	for part := range slices.Chunk(list, maxToldCrashes) {
+	for part := range slices.Chunk(list, maxCrashesPerMessage) {
 		c.forwardNotice(now, from, &pomelorelay.CrashNotice{Crashes: part})
 	}
 }
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -86,7 +86,7 @@
 	if ask.Upstreams {
 		m.Revision = c.e.cursor.get()
 		m.Evacuated = slices.Sorted(maps.Keys(c.evacuated))
-		m.Crashes = c.crashes.log.All(maxToldCrashes)
+		m.Crashes = c.crashes.log.All(maxCrashesPerMessage)
 		for id, u := range c.upstreams.present {
 			if _, lapsed := c.upstreams.lapsed[id]; !lapsed {
 				m.Upstreams = append(m.Upstreams, u)
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -176,7 +176,7 @@
 // updateFrom returns the parts of a change that the other routers lack; heartbeats of upstreams and routers that change nothing are
 // left out.
 func (c *control) updateFrom(r *storeRead) *pomelorelay.FleetUpdate {
-	m := &pomelorelay.FleetUpdate{After: r.after, Revision: r.change.Revision, Full: r.change.Full, RemovedUpstreams: r.change.RemovedUpstreams, RemovedPeers: r.change.RemovedPeers, Evacuated: r.change.Evacuated, RestoredDomains: r.change.RestoredDomains, Crashes: r.change.Crashes[:min(len(r.change.Crashes), maxToldCrashes)]}
+	m := &pomelorelay.FleetUpdate{After: r.after, Revision: r.change.Revision, Full: r.change.Full, RemovedUpstreams: r.change.RemovedUpstreams, RemovedPeers: r.change.RemovedPeers, Evacuated: r.change.Evacuated, RestoredDomains: r.change.RestoredDomains, Crashes: r.change.Crashes[:min(len(r.change.Crashes), maxCrashesPerMessage)]}
 	if r.change.Config != nil {
 		// The other routers advance their cursors to this revision. If they got no configuration and this router failed next, none of
 		// them would read that configuration again.
--- a/pomelofair/charge.go
+++ b/pomelofair/charge.go
@@ -16,7 +16,7 @@
 }
 
 // expectedCost returns the caller's hint, limited to a range around the account's mean cost, or the mean without a hint.
-// With an unlimited hint, a caller that declared a cost of 1 instead of 1,000 could occupy all slots until its requests end.
+// With an unlimited hint, a caller that declared far too low a cost could occupy all slots until its requests end.
 func (q *Queues) expectedCost(r *request) pomelorelay.Cost {
 	mean := r.account.meanCost
 	if mean == 0 {
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// quarantineFailure refuses a request that crashes upstreams.
+// quarantineFailure returns the failure of a request that is refused because it crashes upstreams.
 func quarantineFailure(remaining time.Duration) *pomelolink.Failure {
 	f := pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeQuarantined, nil)
 	f.Err.RetryAfter = remaining
@@ -97,7 +97,7 @@
 	case pomelolink.OutcomeRefusedNotRun:
 		return c.refused < maxRefused && c.runs < max(c.route.MaxAttempts, 1)
 	case pomelolink.OutcomeTruncated, pomelolink.OutcomeUnknown:
-		// A suspect whose connection breaks may have crashed another upstream, which is known only after the check.
+		// A suspect whose connection breaks may have crashed another upstream, which is known only once the upstream has been checked.
 		return c.repeatable() && c.runs < c.route.MaxAttempts && !(f.ConnectionBroken && c.suspect)
 	}
 	return false
@@ -152,14 +152,14 @@
 	return f
 }
 
-// reportBrokenConnection reports a run whose upstream may have crashed.
+// reportBrokenConnection reports an attempt whose upstream may have crashed.
 func (c *call) reportBrokenConnection(up pomelorelay.FleetUpstream) {
 	crash := pomelorelay.RequestCrash{
-		Fingerprint: c.fingerprint, Upstream: up.ID, StartUnixMilli: up.StartUnixMilli, UnixMilli: c.h.cfg.Clock.Now().UnixMilli(), Repeated: c.suspect || c.brokenRuns > 0,
+		Fingerprint: c.fingerprint, Upstream: up.ID, StartUnixMilli: up.StartUnixMilli, UnixMilli: c.h.cfg.Clock.Now().UnixMilli(), Repeated: c.suspect || c.brokenAttempts > 0,
 	}
-	c.brokenRuns++
+	c.brokenAttempts++
 	c.h.cfg.Crashes.ConnectionBroke(crash)
-	c.h.crashChecks.check(brokenRun{crash: crash, request: c.fields.RequestID, addr: up.Addr})
+	c.h.crashChecks.check(brokenAttempt{crash: crash, request: c.fields.RequestID, addr: up.Addr})
 }
 
 // resultOf returns the result of an attempt for its upstream. A caller's disconnect is not counted against the upstream.
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -36,9 +36,10 @@
 	// that reached no upstream.
 	runs, refused, unreached int
 	avoid                    []pomelorelay.UpstreamID
-	// brokenRuns counts the runs whose connection broke. suspect is set if the request was suspected of crashing upstreams before its last run.
-	brokenRuns int
-	suspect    bool
+	// brokenAttempts counts the attempts whose connection broke. suspect is set if the request was suspected of crashing upstreams when its
+	// last attempt began.
+	brokenAttempts int
+	suspect        bool
 	// lastEvent is the number of the last stream event that the caller has received.
 	lastEvent    uint64
 	hasLastEvent bool
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -62,16 +62,16 @@
 	Done(r pomeloplace.Result)
 }
 
-// CrashGuard refuses requests that crash upstreams; its methods wait for no other router.
+// CrashGuard decides which requests are refused because they crash upstreams; its methods do not wait for other routers.
 type CrashGuard interface {
 	// QuarantineRemaining returns how long requests with the fingerprint are refused from now on; zero if they are not.
 	QuarantineRemaining(f pomelorelay.Fingerprint) time.Duration
 	// IsSuspect reports whether an upstream crashed under the fingerprint and none has answered a request with it since.
 	IsSuspect(f pomelorelay.Fingerprint) bool
-	// ConnectionBroke reports that the connection of a run broke; the upstream may have crashed.
-	ConnectionBroke(run pomelorelay.RequestCrash)
-	// UpstreamCrashed reports that the upstream of a run whose connection broke takes no connections.
-	UpstreamCrashed(run pomelorelay.RequestCrash)
+	// ConnectionBroke reports that the connection of an attempt broke; the upstream may have crashed.
+	ConnectionBroke(crash pomelorelay.RequestCrash)
+	// UpstreamCrashed reports that the upstream of an attempt whose connection broke refuses connections.
+	UpstreamCrashed(crash pomelorelay.RequestCrash)
 }
 
 // ShutdownState reports a planned stop of the process.
@@ -86,7 +86,7 @@
 	ObserveAnswer(kind pomelorelay.RouteKind, ending string, first, total time.Duration)
 	// CountRetry counts a request that is sent again after a failure with the code.
 	CountRetry(code pomelorelay.ResultCode)
-	// CountCrash counts a run that ended because its upstream crashed.
+	// CountCrash counts an attempt that failed because its upstream crashed.
 	CountCrash()
 }
 
--- a/pomeloforward/crash.go
+++ b/pomeloforward/crash.go
@@ -9,15 +9,15 @@
 	"github.com/pomelorelay/pomelorelay/pomelolink"
 )
 
-// brokenRun is a run whose connection to its upstream broke, possibly because the upstream crashed.
-type brokenRun struct {
+// brokenAttempt is an attempt whose connection to the upstream broke, possibly because the upstream crashed.
+type brokenAttempt struct {
 	crash   pomelorelay.RequestCrash
 	request string
 	addr    netip.AddrPort
 }
 
-// crashChecks finds out whether upstreams whose connections broke have crashed. It checks an upstream once for all runs that broke
-// together.
+// crashChecks finds out whether upstreams whose connections broke have crashed. It checks an upstream once for all attempts whose
+// connections broke at about the same time.
 type crashChecks struct {
 	cfg    Config
 	links  *pomelolink.Client
@@ -25,49 +25,49 @@
 	cancel context.CancelFunc
 
 	mu sync.Mutex
-	// pending holds the broken runs by upstream, for each upstream that is being checked.
-	pending map[pomelorelay.UpstreamID][]brokenRun
+	// pending holds the broken attempts by upstream, for each upstream that is being checked.
+	pending map[pomelorelay.UpstreamID][]brokenAttempt
 	wg      sync.WaitGroup
 }
 
 func newCrashChecks(cfg Config, links *pomelolink.Client) *crashChecks {
-	k := &crashChecks{cfg: cfg, links: links, pending: make(map[pomelorelay.UpstreamID][]brokenRun)}
+	k := &crashChecks{cfg: cfg, links: links, pending: make(map[pomelorelay.UpstreamID][]brokenAttempt)}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	return k
 }
 
-// check starts a check of the run's upstream unless one is in progress. It does not wait, because a check of a silent upstream takes a
+// check starts a check of the attempt's upstream unless one is in progress. It does not wait, because a check of a silent upstream takes a
 // second and the request may be sent elsewhere meanwhile.
-func (k *crashChecks) check(run brokenRun) {
+func (k *crashChecks) check(a brokenAttempt) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.ctx.Err() != nil {
 		return
 	}
-	id := run.crash.Upstream
+	id := a.crash.Upstream
 	_, inProgress := k.pending[id]
-	k.pending[id] = append(k.pending[id], run)
+	k.pending[id] = append(k.pending[id], a)
 	if inProgress {
 		return
 	}
 	k.wg.Go(func() {
-		crashed := k.links.RefusesConnections(k.ctx, run.addr)
+		crashed := k.links.RefusesConnections(k.ctx, a.addr)
 		k.mu.Lock()
-		runs := k.pending[id]
+		attempts := k.pending[id]
 		delete(k.pending, id)
 		k.mu.Unlock()
 		if crashed {
-			k.report(runs)
+			k.report(attempts)
 		}
 	})
 }
 
-func (k *crashChecks) report(runs []brokenRun) {
-	for _, run := range runs {
+func (k *crashChecks) report(attempts []brokenAttempt) {
+	for _, a := range attempts {
 		k.cfg.Meter.CountCrash()
-		k.cfg.Logger.Log(pomelorelay.EventUpstreamCrashed, pomelorelay.Field{Key: "Upstream", Value: string(run.crash.Upstream)}, pomelorelay.Field{Key: "Born", Value: run.crash.StartUnixMilli},
-			pomelorelay.Field{Key: "Request", Value: run.request}, pomelorelay.Field{Key: "Fingerprint", Value: run.crash.Fingerprint.String()})
-		k.cfg.Crashes.UpstreamCrashed(run.crash)
+		k.cfg.Logger.Log(pomelorelay.EventUpstreamCrashed, pomelorelay.Field{Key: "Upstream", Value: string(a.crash.Upstream)}, pomelorelay.Field{Key: "Born", Value: a.crash.StartUnixMilli},
+			pomelorelay.Field{Key: "Request", Value: a.request}, pomelorelay.Field{Key: "Fingerprint", Value: a.crash.Fingerprint.String()})
+		k.cfg.Crashes.UpstreamCrashed(a.crash)
 	}
 }
 
--- a/pomeloforward/forward_test.go
+++ b/pomeloforward/forward_test.go
@@ -75,80 +75,6 @@
 	}
 }
 
-// Guards against taking a lost answer for a crash, and a crash for a lost answer.
-func TestCrashIsDistinguishedFromLostAnswer(t *testing.T) {
-	for name, crashes := range map[string]bool{"crash": true, "lost answer": false} {
-		t.Run(name, func(t *testing.T) {
-			var u *upstream
-			u = newUpstream(t, func(conn net.Conn, _ *http.Request) {
-				if crashes {
-					u.l.Close()
-				}
-				reset(conn)
-			})
-			h := newHarness(t, u.entry("u1"))
-			h.call("POST", "/book/", "x")
-			checked := func() bool { return len(h.reportedCrashes()) > 0 || u.accepted.Load() == 3 }
-			for end := time.Now().Add(5 * time.Second); !checked() && time.Now().Before(end); {
-				time.Sleep(time.Millisecond)
-			}
-			h.handler.Close()
-			if got := len(h.reportedCrashes()) == 1; got != crashes {
-				t.Errorf("reported as a crash: %t, want %t", got, crashes)
-			}
-		})
-	}
-}
-
-// Guards against sending a quarantined request, and against a refusal without a true Retry-After.
-func TestQuarantinedRequestIsRefusedUnsent(t *testing.T) {
-	u := newUpstream(t, func(conn net.Conn, r *http.Request) { write(conn, plainAnswer(r, 200, "read")) })
-	h := newHarness(t, u.entry("u1"))
-	h.quarantine = 90 * time.Second
-	got := h.call("GET", "/read/", "x")
-	if got.status != 503 || got.head.Get("Retry-After") != "90.000" || u.requests() != 0 {
-		t.Errorf("status %d with Retry-After %q after %d sends, want 503 with 90.000 after none", got.status, got.head.Get("Retry-After"), u.requests())
-	}
-}
-
-// Guards against crashing another upstream with the retry of a suspect, while an innocent request is retried.
-func TestSuspectWhoseConnectionBrokeIsNotRetried(t *testing.T) {
-	for name, suspected := range map[string]bool{"suspect": true, "other request": false} {
-		t.Run(name, func(t *testing.T) {
-			broken := newUpstream(t, func(conn net.Conn, _ *http.Request) { reset(conn) })
-			sound := newUpstream(t, func(conn net.Conn, r *http.Request) { write(conn, plainAnswer(r, 200, "read")) })
-			h := newHarness(t, broken.entry("u1"), sound.entry("u2"))
-			h.suspected = suspected
-			want := 200
-			if suspected {
-				want = 502
-			}
-			if got := h.call("GET", "/read/", "x"); got.status != want {
-				t.Errorf("status %d after %d and %d sends, want %d", got.status, broken.requests(), sound.requests(), want)
-			}
-		})
-	}
-}
-
-// Guards against repetitions that are not recognised, and against different requests that are taken for repetitions.
-func TestFingerprintIdentifiesRepetitions(t *testing.T) {
-	u := newUpstream(t, func(conn net.Conn, r *http.Request) { write(conn, plainAnswer(r, 200, "read")) })
-	fingerprint := func(method, path, body string, fields ...string) pomelorelay.Fingerprint {
-		h := newHarness(t, u.entry("u1"))
-		h.call(method, path, body, fields...)
-		return h.requests[0].Fingerprint
-	}
-	first := fingerprint("POST", "/read/a?x=1", "x")
-	if fingerprint("POST", "/read/a?x=1", "x", pomelofake.TestHeaderRequestID, "req-2") != first {
-		t.Error("a repetition under another ID has another fingerprint")
-	}
-	for _, other := range [][3]string{{"PUT", "/read/a?x=1", "x"}, {"POST", "/read/b?x=1", "x"}, {"POST", "/read/a?x=2", "x"}, {"POST", "/read/a?x=1", "y"}} {
-		if fingerprint(other[0], other[1], other[2]) == first {
-			t.Errorf("%v has the same fingerprint", other)
-		}
-	}
-}
-
 // Guards against failing a read that may run twice and can be answered by another upstream.
 func TestReadIsRetried(t *testing.T) {
 	for name, answer := range map[string]func(net.Conn, *http.Request){
@@ -252,59 +178,6 @@
 	}
 }
 
-func TestStreamForwardsEachEventOnce(t *testing.T) {
-	u := newUpstream(t, stream(1, 2, 2, 3))
-	got := newHarness(t, u.entry("u")).call("POST", "/draft/", "x")
-	if want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"; got.body != want || got.bodyErr != nil {
-		t.Fatalf("answer %+v, want each event once and a complete stream", got)
-	}
-}
-
-// Guards against a stream with a gap or a cut that ends as if complete: the caller would take a part for the whole answer.
-func TestBrokenStreamCutsCallerConnection(t *testing.T) {
-	for name, answer := range map[string]func(net.Conn, *http.Request){
-		"gap": stream(1, 3),
-		"reset": func(conn net.Conn, r *http.Request) {
-			write(conn, streamHead(r)+eventChunk(1))
-			time.Sleep(20 * time.Millisecond)
-			reset(conn)
-		},
-		"closed": func(conn net.Conn, r *http.Request) {
-			write(conn, streamHead(r)+eventChunk(1)+chunkOf("id: 2\nda"))
-			conn.Close()
-		},
-		"half an event": func(conn net.Conn, r *http.Request) {
-			write(conn, streamHead(r)+eventChunk(1)+chunkOf("id: 2\nda")+lastChunk)
-		},
-	} {
-		u := newUpstream(t, answer)
-		got := newHarness(t, u.entry("u"), u.entry("u")).call("POST", "/draft/", "x")
-		if got.bodyErr == nil || strings.Contains(got.body, "id: 2") || strings.Contains(got.body, "id: 3") || u.requests() != 1 {
-			t.Errorf("%s: answer %+v after %d sends, want a cut stream after one", name, got, u.requests())
-		}
-	}
-}
-
-// Guards against a resumable stream that fails, or repeats or loses events, when its upstream stops and another one continues it.
-func TestResumableStreamContinuesAtAnotherUpstream(t *testing.T) {
-	first := newUpstream(t, func(conn net.Conn, r *http.Request) {
-		write(conn, streamHead(r)+eventChunk(1)+eventChunk(2)+chunkOf("id: 3\nda"))
-		time.Sleep(20 * time.Millisecond)
-		reset(conn)
-	})
-	second := newUpstream(t, func(conn net.Conn, r *http.Request) {
-		if r.Header.Get(pomelofake.TestHeaderLastEventID) != "2" {
-			write(conn, plainAnswer(r, 400, "no"))
-			return
-		}
-		stream(3, 4)(conn, r)
-	})
-	got := newHarness(t, first.entry("a"), second.entry("b")).call("POST", "/chat/", "x")
-	if want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"; got.body != want || got.bodyErr != nil {
-		t.Fatalf("answer %+v, want each event once and a complete stream", got)
-	}
-}
-
 // Guards against an upstream that keeps generating for a caller that disconnected in the middle of its stream.
 func TestCallerDisconnectCancelsUpstreamRequest(t *testing.T) {
 	ended := make(chan struct{})
@@ -438,31 +311,6 @@
 	}
 }
 
-// Guards against counting a stream as a good answer although it paused too long while its engine processed the long prompt of another request:
-// placement would not learn to send long prompts elsewhere.
-func TestStreamWithLongPauseIsReportedAsPaused(t *testing.T) {
-	for _, c := range []struct {
-		pause time.Duration
-		want  pomeloplace.Result
-	}{
-		{0, pomeloplace.ResultCompleted},
-		{300 * time.Millisecond, pomeloplace.ResultLongPause},
-	} {
-		u := newUpstream(t, func(conn net.Conn, r *http.Request) {
-			write(conn, streamHead(r)+eventChunk(1))
-			time.Sleep(c.pause)
-			write(conn, eventChunk(2)+lastChunk)
-		})
-		h := newHarness(t, u.entry("u1"))
-		if got := h.call("POST", "/talk/", "x"); got.status != 200 || got.bodyErr != nil {
-			t.Fatalf("answer %+v, want 200 with the complete body", got)
-		}
-		if got := h.result(0); got != c.want {
-			t.Errorf("after a pause of %v: %v, want %v", c.pause, got, c.want)
-		}
-	}
-}
-
 func TestEstimateCost(t *testing.T) {
 	h := newHarness(t)
 	r := httptest.NewRequest("POST", "http://h.example/talk/", nil)
--- /dev/null
+++ b/pomeloforward/stream_test.go
@@ -0,0 +1,90 @@
+package pomeloforward_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+func TestStreamForwardsEachEventOnce(t *testing.T) {
+	u := newUpstream(t, stream(1, 2, 2, 3))
+	got := newHarness(t, u.entry("u")).call("POST", "/draft/", "x")
+	if want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"; got.body != want || got.bodyErr != nil {
+		t.Fatalf("answer %+v, want each event once and a complete stream", got)
+	}
+}
+
+// Guards against a stream with a gap or a cut that ends as if complete: the caller would take a part for the whole answer.
+func TestBrokenStreamCutsCallerConnection(t *testing.T) {
+	for name, answer := range map[string]func(net.Conn, *http.Request){
+		"gap": stream(1, 3),
+		"reset": func(conn net.Conn, r *http.Request) {
+			write(conn, streamHead(r)+eventChunk(1))
+			time.Sleep(20 * time.Millisecond)
+			reset(conn)
+		},
+		"closed": func(conn net.Conn, r *http.Request) {
+			write(conn, streamHead(r)+eventChunk(1)+chunkOf("id: 2\nda"))
+			conn.Close()
+		},
+		"half an event": func(conn net.Conn, r *http.Request) {
+			write(conn, streamHead(r)+eventChunk(1)+chunkOf("id: 2\nda")+lastChunk)
+		},
+	} {
+		u := newUpstream(t, answer)
+		got := newHarness(t, u.entry("u"), u.entry("u")).call("POST", "/draft/", "x")
+		if got.bodyErr == nil || strings.Contains(got.body, "id: 2") || strings.Contains(got.body, "id: 3") || u.requests() != 1 {
+			t.Errorf("%s: answer %+v after %d sends, want a cut stream after one", name, got, u.requests())
+		}
+	}
+}
+
+// Guards against a resumable stream that fails, or repeats or loses events, when its upstream stops and another one continues it.
+func TestResumableStreamContinuesAtAnotherUpstream(t *testing.T) {
+	first := newUpstream(t, func(conn net.Conn, r *http.Request) {
+		write(conn, streamHead(r)+eventChunk(1)+eventChunk(2)+chunkOf("id: 3\nda"))
+		time.Sleep(20 * time.Millisecond)
+		reset(conn)
+	})
+	second := newUpstream(t, func(conn net.Conn, r *http.Request) {
+		if r.Header.Get(pomelofake.TestHeaderLastEventID) != "2" {
+			write(conn, plainAnswer(r, 400, "no"))
+			return
+		}
+		stream(3, 4)(conn, r)
+	})
+	got := newHarness(t, first.entry("a"), second.entry("b")).call("POST", "/chat/", "x")
+	if want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"; got.body != want || got.bodyErr != nil {
+		t.Fatalf("answer %+v, want each event once and a complete stream", got)
+	}
+}
+
+// Guards against counting a stream as a good answer although it paused too long while its engine processed the long prompt of another request:
+// placement would not learn to send long prompts elsewhere.
+func TestStreamWithLongPauseIsReportedAsPaused(t *testing.T) {
+	for _, c := range []struct {
+		pause time.Duration
+		want  pomeloplace.Result
+	}{
+		{0, pomeloplace.ResultCompleted},
+		{300 * time.Millisecond, pomeloplace.ResultLongPause},
+	} {
+		u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+			write(conn, streamHead(r)+eventChunk(1))
+			time.Sleep(c.pause)
+			write(conn, eventChunk(2)+lastChunk)
+		})
+		h := newHarness(t, u.entry("u1"))
+		if got := h.call("POST", "/talk/", "x"); got.status != 200 || got.bodyErr != nil {
+			t.Fatalf("answer %+v, want 200 with the complete body", got)
+		}
+		if got := h.result(0); got != c.want {
+			t.Errorf("after a pause of %v: %v, want %v", c.pause, got, c.want)
+		}
+	}
+}
--- a/pomelolog/libraries.go
+++ b/pomelolog/libraries.go
@@ -10,8 +10,8 @@
 	"google.golang.org/grpc/grpclog"
 )
 
-// CaptureLibraries makes the standard logger, which net/http uses, and the logger of gRPC write to l for the whole process. By default they
-// write to the standard error output, and a caller blocks for as long as that is not read.
+// CaptureLibraries redirects the standard logger, which net/http uses, and the logger of gRPC to l for the whole process. By default they
+// write to the standard error stream, and block while that is a full pipe.
 func CaptureLibraries(l pomelorelay.Logger) {
 	w := libraryWriter{l}
 	log.SetFlags(0)
--- a/pomelomesh/mesh_test.go
+++ b/pomelomesh/mesh_test.go
@@ -89,7 +89,7 @@
 	if dialled := b.Counters().Dialled; dialled != 0 {
 		t.Errorf("the reply opened %d links", dialled)
 	}
-	// A sender counts a write after it, when the receiver may have read it already.
+	// A sender counts bytes after the write returns; the receiver may have read and counted them before.
 	equal := func() bool {
 		sent, received := a.Traffic()[pomelorelay.LinkSameDomain].Sent, b.Traffic()[pomelorelay.LinkSameDomain].Received
 		return sent > 0 && sent == received
--- a/pomelometric/metrics.go
+++ b/pomelometric/metrics.go
@@ -63,7 +63,7 @@
 	m.retries.WithLabelValues(code.Info().Name).Inc()
 }
 
-// CountCrash counts a run that ended because its upstream crashed.
+// CountCrash counts an attempt that failed because its upstream crashed.
 func (m *Metrics) CountCrash() { m.crashes.Inc() }
 
 // CountPlacement counts a placement decision; reason is empty if the request was placed.
--- a/pomeloquarantine/crashlog.go
+++ b/pomeloquarantine/crashlog.go
@@ -25,7 +25,7 @@
 
 // CrashLog counts the upstreams that crashed under each fingerprint and quarantines fingerprints that crash too many. The crashes of all
 // routers are merged in any order and any number of times, so that every router that knows the same crashes comes to the same result. A
-// fingerprint whose requests are answered is not suspected.
+// fingerprint is no longer a suspect once an upstream has answered a request with it.
 type CrashLog struct {
 	cfg       CrashLogConfig
 	histories map[pomelorelay.Fingerprint]*crashHistory
@@ -35,31 +35,9 @@
 	recordChanged bool
 }
 
-// crashHistory holds the crashes under one fingerprint.
-type crashHistory struct {
-	crashes map[upstreamProcess]loggedCrash
-	// quarantined is set once the quarantine has been logged.
-	quarantined bool
-	// recorded is set if this router records the crashes in the store: they have led to a quarantine, and this router observed some.
-	recorded bool
-}
-
-// upstreamProcess identifies one process of an upstream; a process crashes at most once.
-type upstreamProcess struct {
-	upstream pomelorelay.UpstreamID
-	start    int64
-}
-
-type loggedCrash struct {
-	pomelorelay.RequestCrash
-	// observed is set if this router observed the crash or cleared it, clearTold once the other routers have been told that it is cleared.
-	observed  bool
-	clearTold bool
-}
-
-// minToldCrashes is the number of crashes from which on the other routers are told of a fingerprint's answers. Most fingerprints are under one
-// crash, that of an upstream which ended for another reason, and are not seen again.
-const minToldCrashes = 2
+// minCrashesToSendClears is the number of crashes under a fingerprint from which on this router sends the others what it clears. Most
+// fingerprints are under a single crash, that of an upstream which ended for another reason, and are not seen again.
+const minCrashesToSendClears = 2
 
 // NewCrashLog returns an empty CrashLog.
 func NewCrashLog(cfg CrashLogConfig) *CrashLog {
@@ -73,8 +51,8 @@
 	return &CrashLog{cfg: cfg, histories: make(map[pomelorelay.Fingerprint]*crashHistory), answered: newRecentSet()}
 }
 
-// Observe adds a crash that this router observed and returns it if it is new. It ignores a crash under a fingerprint whose requests are
-// being answered.
+// Observe adds a crash that this router observed and returns it if it is new. It ignores the crash if an upstream has recently answered a
+// request with the fingerprint.
 func (l *CrashLog) Observe(now time.Time, crash pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
 	if l.answered.contains(now, crash.Fingerprint) {
 		return nil
@@ -82,54 +60,56 @@
 	return l.merge(now, []pomelorelay.RequestCrash{crash}, true)
 }
 
-// Merge adds crashes that other routers observed. It returns those that were new or newly cleared, and those to tell the other routers because
-// this router has seen requests with their fingerprint answered.
+// Merge adds crashes that other routers observed. It returns those that were new or newly cleared, and those to send to the other routers as
+// cleared because upstreams have answered requests with their fingerprint through this router.
 func (l *CrashLog) Merge(now time.Time, crashes []pomelorelay.RequestCrash) (changed, cleared []pomelorelay.RequestCrash) {
 	changed = l.merge(now, crashes, false)
 	for _, c := range changed {
 		if l.answered.contains(now, c.Fingerprint) {
 			l.clear(now, c.Fingerprint)
 		}
-		cleared = append(cleared, l.takeCleared(c.Fingerprint)...)
+		cleared = append(cleared, l.takeUnsentClears(c.Fingerprint)...)
 	}
 	return changed, cleared
 }
 
 // Answered records that an upstream answered a request with the fingerprint completely, which rules out that such requests crash upstreams. It
-// returns the crashes to tell the other routers because they no longer count.
+// returns the earlier crashes to send to the other routers as cleared.
 func (l *CrashLog) Answered(now time.Time, f pomelorelay.Fingerprint) []pomelorelay.RequestCrash {
 	l.answered.add(now, f)
 	l.clear(now, f)
-	return l.takeCleared(f)
+	return l.takeUnsentClears(f)
 }
 
+// clear marks all crashes under the fingerprint as not caused by it.
 func (l *CrashLog) clear(now time.Time, f pomelorelay.Fingerprint) {
 	h := l.histories[f]
 	if h == nil {
 		return
 	}
 	var cleared []pomelorelay.RequestCrash
-	for _, c := range h.crashes {
+	for key, c := range h.crashes {
 		if !c.Cleared {
-			c.Cleared = true
+			c.Cleared, c.clearUnsent = true, true
+			h.crashes[key] = c
 			cleared = append(cleared, c.RequestCrash)
 		}
 	}
-	l.merge(now, cleared, true)
+	l.crashesChanged(now, cleared)
 }
 
-// takeCleared returns the crashes under the fingerprint that this router has cleared and not told the other routers.
-func (l *CrashLog) takeCleared(f pomelorelay.Fingerprint) []pomelorelay.RequestCrash {
+// takeUnsentClears returns the crashes under the fingerprint that this router has cleared and not yet sent to the other routers as cleared.
+func (l *CrashLog) takeUnsentClears(f pomelorelay.Fingerprint) []pomelorelay.RequestCrash {
 	h := l.histories[f]
-	if h == nil || len(h.crashes) < minToldCrashes {
+	if h == nil || len(h.crashes) < minCrashesToSendClears {
 		return nil
 	}
 	var cleared []pomelorelay.RequestCrash
 	for key, c := range h.crashes {
-		if c.Cleared && c.observed && !c.clearTold {
-			cleared = append(cleared, c.RequestCrash)
-			c.clearTold = true
+		if c.clearUnsent {
+			c.clearUnsent = false
 			h.crashes[key] = c
+			cleared = append(cleared, c.RequestCrash)
 		}
 	}
 	return cleared
@@ -145,13 +125,18 @@
 		}
 		changed = append(changed, c)
 	}
+	l.crashesChanged(now, changed)
+	return changed
+}
+
+// crashesChanged updates what is derived from the crashes.
+func (l *CrashLog) crashesChanged(now time.Time, changed []pomelorelay.RequestCrash) {
 	if len(changed) == 0 {
-		return nil
+		return
 	}
 	l.snapshot = nil
 	l.dropExcess()
 	l.updateQuarantines(now, changed)
-	return changed
 }
 
 // mergeOne merges one crash and reports whether that changed anything.
@@ -163,7 +148,7 @@
 	}
 	key := upstreamProcess{c.Upstream, c.StartUnixMilli}
 	known, ok := h.crashes[key]
-	merged := loggedCrash{RequestCrash: c, observed: known.observed || observed, clearTold: known.clearTold}
+	merged := loggedCrash{RequestCrash: c, observed: known.observed || observed, clearUnsent: known.clearUnsent}
 	if ok {
 		merged.UnixMilli = min(c.UnixMilli, known.UnixMilli)
 		merged.Repeated = c.Repeated || known.Repeated
@@ -177,28 +162,6 @@
 	return now.UnixMilli()-c.UnixMilli >= l.cfg.Memory.Milliseconds()
 }
 
-// quarantineEnd returns when the quarantine of a history ends, in Unix milliseconds; zero when there is none. Crashes of several upstreams at
-// once, of which no run began after another crash, do not suffice: they may have another cause, such as a loss of power.
-func (l *CrashLog) quarantineEnd(h *crashHistory) int64 {
-	count, repeated, last := 0, false, int64(0)
-	for _, c := range h.crashes {
-		if c.Cleared {
-			continue
-		}
-		count++
-		repeated = repeated || c.Repeated
-		last = max(last, c.UnixMilli)
-	}
-	if count < l.cfg.MaxCrashes || !repeated {
-		return 0
-	}
-	duration := l.cfg.QuarantineFor
-	for n := l.cfg.MaxCrashes; n < count && duration < l.cfg.Memory; n++ {
-		duration *= 2
-	}
-	return last + min(duration, l.cfg.Memory).Milliseconds()
-}
-
 // updateQuarantines logs the quarantines that begin or end with the changed crashes, and notes which crashes are to be recorded.
 func (l *CrashLog) updateQuarantines(now time.Time, changed []pomelorelay.RequestCrash) {
 	for _, c := range changed {
@@ -223,16 +186,6 @@
 	}
 }
 
-// isObserved reports whether this router observed one of the crashes.
-func (h *crashHistory) isObserved() bool {
-	for _, c := range h.crashes {
-		if c.observed {
-			return true
-		}
-	}
-	return false
-}
-
 // Expire drops the crashes that no longer count. Call it about once a second.
 func (l *CrashLog) Expire(now time.Time) {
 	for f, h := range l.histories {
@@ -249,7 +202,7 @@
 	}
 }
 
-// dropDivisor is the part of MaxFingerprints that is dropped at once, so that the search for the oldest is rare.
+// dropDivisor divides MaxFingerprints; the quotient is the number of fingerprints dropped beyond the excess, so that sorting them is rare.
 const dropDivisor = 8
 
 // dropExcess drops fingerprints beyond MaxFingerprints. A quarantine outlasts the suspects of a failure domain that is lost.
@@ -267,14 +220,6 @@
 	}
 }
 
-func (h *crashHistory) lastCrash() int64 {
-	last := int64(0)
-	for _, c := range h.crashes {
-		last = max(last, c.UnixMilli)
-	}
-	return last
-}
-
 // RecordChanged reports whether Record returns another list than at its last call.
 func (l *CrashLog) RecordChanged() bool { return l.recordChanged }
 
@@ -305,55 +250,3 @@
 	})
 	return list[:min(len(list), limit)]
 }
-
-// CrashSnapshot is an immutable view of a CrashLog, safe for concurrent use. The zero value holds no crashes.
-type CrashSnapshot struct {
-	suspects    map[pomelorelay.Fingerprint]bool
-	quarantined map[pomelorelay.Fingerprint]int64
-}
-
-// Snapshot returns an immutable view; the same one is returned until the CrashLog changes.
-func (l *CrashLog) Snapshot() *CrashSnapshot {
-	if l.snapshot != nil {
-		return l.snapshot
-	}
-	s := &CrashSnapshot{suspects: make(map[pomelorelay.Fingerprint]bool), quarantined: make(map[pomelorelay.Fingerprint]int64)}
-	for f, h := range l.histories {
-		for _, c := range h.crashes {
-			if !c.Cleared {
-				s.suspects[f] = true
-			}
-		}
-		if end := l.quarantineEnd(h); end > 0 {
-			s.quarantined[f] = end
-		}
-	}
-	l.snapshot = s
-	return s
-}
-
-// IsSuspect reports whether an upstream crashed under the fingerprint and none has answered a request with it since.
-func (s *CrashSnapshot) IsSuspect(f pomelorelay.Fingerprint) bool { return s.suspects[f] }
-
-// QuarantineRemaining returns the remaining duration of a fingerprint's quarantine, zero when there is none.
-func (s *CrashSnapshot) QuarantineRemaining(now time.Time, f pomelorelay.Fingerprint) time.Duration {
-	end, ok := s.quarantined[f]
-	if !ok {
-		return 0
-	}
-	return max(0, time.Duration(end-now.UnixMilli())*time.Millisecond)
-}
-
-// Suspects returns the number of suspects.
-func (s *CrashSnapshot) Suspects() int { return len(s.suspects) }
-
-// Quarantined returns the number of fingerprints under quarantine at the time.
-func (s *CrashSnapshot) Quarantined(now time.Time) int {
-	n := 0
-	for _, end := range s.quarantined {
-		if end > now.UnixMilli() {
-			n++
-		}
-	}
-	return n
-}
--- a/pomeloquarantine/crashlog_test.go
+++ b/pomeloquarantine/crashlog_test.go
@@ -156,22 +156,22 @@
 }
 
 // Guards against an answer that no other router hears of, and against a message about each request that ran on a crashed upstream.
-func TestAnswersAreToldFromTheSecondCrash(t *testing.T) {
+func TestClearsAreSentFromTheSecondCrash(t *testing.T) {
 	l := pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{})
 	l.Observe(start, crashAt(1, 0, false))
-	if told := l.Answered(start, suspect); len(told) > 0 {
-		t.Errorf("after one crash, %v are told", told)
+	if sent := l.Answered(start, suspect); len(sent) > 0 {
+		t.Errorf("after one crash, %v are sent", sent)
 	}
 	later := start.Add(2 * time.Minute)
-	_, told := l.Merge(later, []pomelorelay.RequestCrash{crashAt(2, 2*time.Minute, true)})
-	if len(told) != 1 || told[0].Upstream != "u1" || !told[0].Cleared {
-		t.Errorf("after another router's crash, %v are told, want that of u1 as cleared", told)
+	_, sent := l.Merge(later, []pomelorelay.RequestCrash{crashAt(2, 2*time.Minute, true)})
+	if len(sent) != 1 || sent[0].Upstream != "u1" || !sent[0].Cleared {
+		t.Errorf("after another router's crash, %v are sent, want that of u1 as cleared", sent)
 	}
-	if told := l.Answered(later, suspect); len(told) != 1 || told[0].Upstream != "u2" {
-		t.Errorf("after another answer, %v are told, want that of u2", told)
+	if sent := l.Answered(later, suspect); len(sent) != 1 || sent[0].Upstream != "u2" {
+		t.Errorf("after another answer, %v are sent, want that of u2", sent)
 	}
-	if told := l.Answered(later, suspect); len(told) > 0 {
-		t.Errorf("%v are told again", told)
+	if sent := l.Answered(later, suspect); len(sent) > 0 {
+		t.Errorf("%v are sent again", sent)
 	}
 }
 
