Logs and metrics: time without updates, and the delay after which a router reads the store

The logs could not tell a router that heard nothing from one that heard late. ConfigInForce names both times; the gauges show them between changes. No change of behaviour.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -143,6 +143,8 @@
 	m.SetGauge("crash_suspects", float64(suspects.Suspects()))
 	m.SetGauge("quarantined_requests", float64(suspects.Quarantined(c.now())))
 	m.SetGauge("peers", float64(len(c.peers.byNode)))
+	m.SetGauge("update_age_seconds", c.e.updateAge().Seconds())
+	m.SetGauge("read_delay_seconds", time.Duration(c.e.readDelay.Load()).Seconds())
 	m.SetGauge("requests_in_flight", float64(c.e.inFlight.Load()))
 	m.SetGauge("caller_connections", float64(c.e.conns.Load()))
 	m.SetGauge("upstream_connections_opened", float64(c.e.forward.OpenedConnections()))
@@ -301,5 +303,6 @@
 	c.residency.SetConfig(now, config)
 	c.e.table.Store(pomelotable.New(config))
 	c.e.mesh.SetGeneration(config.Version)
-	c.e.log(pomelorelay.EventConfigInForce, field("Generation", uint64(config.Version)), field("Source", source), field("Routes", len(config.Routes)), field("Accounts", len(config.Accounts)))
+	c.e.log(pomelorelay.EventConfigInForce, field("Generation", uint64(config.Version)), field("Source", source), field("Routes", len(config.Routes)), field("Accounts", len(config.Accounts)),
+		field("UpdateAgeMS", c.e.updateAge().Milliseconds()), field("ReadDelayMS", time.Duration(c.e.readDelay.Load()).Milliseconds()))
 }
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -98,8 +98,12 @@
 
 // shouldRead reports whether this router must read the store now.
 func (e *Router) shouldRead() bool {
-	delay := e.readDelay.Load()
-	return delay == 0 || e.cfg.Clock.Now().UnixNano()-e.lastUpdateAt.Load() >= delay
+	return e.updateAge() >= time.Duration(e.readDelay.Load())
+}
+
+// updateAge returns the time since the last update from another router, or since the Unix epoch if there was none.
+func (e *Router) updateAge() time.Duration {
+	return time.Duration(e.cfg.Clock.Now().UnixNano() - e.lastUpdateAt.Load())
 }
 
 // read reads the complete state at first and after the store compacted its history, and changes otherwise.
