--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -179,3 +179,38 @@
 
 // RemoveSilent removes the sources whose last report is older than the timeout.
 func (s Aggregate) RemoveSilent(now time.Time, timeout time.Duration) { s.a.removeSilent(now, timeout) }
+
+// ModelRouter runs the control state of one router without goroutines, on a model's clock, mesh and platform.
+type ModelRouter struct{ c *control }
+
+// NewModelRouter returns the ModelRouter of a router that starts with the model's settings.
+func NewModelRouter(cfg Config) ModelRouter {
+	e := &Router{cfg: cfg, incarnation: cfg.Incarnation, metrics: pomelometric.New(), mesh: cfg.Mesh}
+	e.crashRecorder = newCrashRecorder(e)
+	c := newControl(e)
+	// The gauges read parts of the router that the model leaves out.
+	c.gaugesAt = cfg.Clock.Now().Add(24 * time.Hour)
+	return ModelRouter{c}
+}
+
+// Tick runs the timer checks of the control goroutine.
+func (r ModelRouter) Tick(now time.Time) { r.c.tick(now) }
+
+// Receive processes another router's message.
+func (r ModelRouter) Receive(now time.Time, m pomelorelay.Envelope) { r.c.receive(now, m) }
+
+// Version returns the version of the configuration in force.
+func (r ModelRouter) Version() pomelorelay.Generation { return r.c.version() }
+
+// Cursor returns the store revision up to which the router has all changes.
+func (r ModelRouter) Cursor() pomelorelay.Revision { return r.c.e.cursor.get() }
+
+// ReadDue reports whether the router must read the store now, the given time after its start.
+func (r ModelRouter) ReadDue(uptime time.Duration) bool {
+	return !r.c.e.cursor.hasRead() || (uptime >= r.c.e.startupDelay() && r.c.e.shouldRead())
+}
+
+// ApplyRead applies an answer of the store to a read of the changes after a revision.
+func (r ModelRouter) ApplyRead(now time.Time, after pomelorelay.Revision, change pomelorelay.FleetChange, stale bool) {
+	(&storeRead{change: change, after: after, stale: stale, done: make(chan struct{})}).apply(r.c, now)
+}
--- /dev/null
+++ b/pomeloentry/model_test.go
@@ -0,0 +1,293 @@
+package pomeloentry_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloentry"
+)
+
+var (
+	modelDomainSize = flag.Int("model-domain-size", 15, "routers in each of the model's six failure domains")
+	modelSeeds      = flag.Uint64("model-seeds", 6, "number of seeds that the model runs")
+)
+
+const (
+	modelStep = 20 * time.Millisecond
+	// modelBound is the time within which a change must be in force, and after which a disturbed router counts as calm.
+	modelBound = 4 * time.Second
+	// modelReadInterval and modelPollInterval are the minimum times between two reads of the store, and between two checks whether to read.
+	modelReadInterval = 800 * time.Millisecond
+	modelPollInterval = pomeloentry.TakeoverPollInterval
+	modelMessageDelay = 12 * time.Millisecond
+	modelStaleness    = 5 * time.Second
+)
+
+// model is a fleet of routers on a virtual clock, with a store that always answers.
+type model struct {
+	now     time.Time
+	began   time.Time
+	routers []*modelRouter
+	byNode  map[pomelorelay.NodeID]*modelRouter
+	pending []modelMessage
+	// configs holds the versions written to the store, in order.
+	configs []modelConfig
+}
+
+type modelConfig struct {
+	version  pomelorelay.Generation
+	revision pomelorelay.Revision
+	at       time.Time
+}
+
+type modelMessage struct {
+	at       time.Time
+	to       pomelorelay.NodeID
+	envelope pomelorelay.Envelope
+}
+
+type modelRouter struct {
+	m    *model
+	peer pomelorelay.Peer
+	// run is the running process; nil while the router is down.
+	run         *pomeloentry.ModelRouter
+	incarnation pomelorelay.Incarnation
+	generation  pomelorelay.Generation
+	startedAt   time.Time
+	disturbedAt time.Time
+	downUntil   time.Time
+	frozenUntil time.Time
+	nextRead    time.Time
+}
+
+// Now implements pomelorelay.Clock.
+func (m *model) Now() time.Time { return m.now }
+
+// ParseConfig implements the part of pomelorelay.Platform that decodes documents.
+func (m *model) ParseConfig(document []byte) (*pomelorelay.FleetConfig, error) {
+	c := &pomelorelay.FleetConfig{Document: document}
+	return c, json.Unmarshal(document, &c.Version)
+}
+
+type modelPlatform struct {
+	pomelorelay.Platform
+	m *model
+}
+
+func (p modelPlatform) ParseConfig(document []byte) (*pomelorelay.FleetConfig, error) {
+	return p.m.ParseConfig(document)
+}
+
+// modelMesh implements the parts of pomelorelay.Mesh that the control state uses.
+type modelMesh struct {
+	pomelorelay.Mesh
+	r *modelRouter
+}
+
+func (x modelMesh) SetPeers([]pomelorelay.Peer)            {}
+func (x modelMesh) SetGeneration(g pomelorelay.Generation) { x.r.generation = g }
+
+func (x modelMesh) Send(to pomelorelay.NodeID, message pomelorelay.Message) error {
+	r := x.r
+	r.m.pending = append(r.m.pending, modelMessage{
+		at: r.m.now.Add(modelMessageDelay), to: to,
+		envelope: pomelorelay.Envelope{From: r.peer.Node, Incarnation: r.incarnation, Domain: r.peer.Domain, Region: r.peer.Region, Generation: r.generation, Message: message},
+	})
+	return nil
+}
+
+// newModel starts a fleet in which the first two routers of each failure domain are faster than the others, with version 1 in force.
+func newModel(domains, each int) *model {
+	m := &model{began: time.Unix(1_000_000, 0), byNode: make(map[pomelorelay.NodeID]*modelRouter)}
+	m.now = m.began
+	for d := range domains {
+		for n := range each {
+			speed := 0.2
+			if n < 2 {
+				speed = 0.8
+			}
+			name := fmt.Sprintf("%c-%02d", 'a'+d, n)
+			r := &modelRouter{m: m, peer: pomelorelay.Peer{Node: pomelorelay.NodeID(name), Domain: pomelorelay.DomainID(name[:1]), Region: "r", CPUSpeed: speed}}
+			m.routers, m.byNode[r.peer.Node] = append(m.routers, r), r
+		}
+	}
+	m.publish()
+	for _, r := range m.routers {
+		r.start()
+	}
+	return m
+}
+
+// revision returns the store's revision; upstreams write to it all the time.
+func (m *model) revision() pomelorelay.Revision {
+	return pomelorelay.Revision(1000 + m.now.Sub(m.began)/(10*time.Millisecond))
+}
+
+func (m *model) publish() {
+	m.configs = append(m.configs, modelConfig{version: pomelorelay.Generation(len(m.configs) + 1), revision: m.revision(), at: m.now})
+}
+
+// newest returns the newest version written until the given time.
+func (m *model) newest(until time.Time) *modelConfig {
+	for i := len(m.configs) - 1; i >= 0; i-- {
+		if !m.configs[i].at.After(until) {
+			return &m.configs[i]
+		}
+	}
+	return nil
+}
+
+func (r *modelRouter) start() {
+	m := r.m
+	r.incarnation++
+	r.startedAt, r.disturbedAt, r.nextRead = m.now, m.now, m.now
+	run := pomeloentry.NewModelRouter(pomeloentry.Config{
+		Settings: pomelorelay.FleetSettings{Self: r.peer, DrainTimeout: modelBound, ConfigApplyTimeout: modelBound},
+		Clock:    m, Logger: pomelorelay.NopLogger{}, Platform: modelPlatform{m: m}, Mesh: modelMesh{r: r}, Incarnation: r.incarnation,
+	})
+	r.run = &run
+}
+
+// step runs the router's timers and its reads of the store.
+func (r *modelRouter) step() {
+	m := r.m
+	if r.run == nil && !m.now.Before(r.downUntil) {
+		r.start()
+	}
+	if !r.running() {
+		return
+	}
+	r.run.Tick(m.now)
+	if m.now.Before(r.nextRead) {
+		return
+	}
+	if !r.run.ReadDue(m.now.Sub(r.startedAt)) {
+		r.nextRead = m.now.Add(modelPollInterval)
+		return
+	}
+	r.nextRead = m.now.Add(modelReadInterval)
+	r.read()
+}
+
+func (r *modelRouter) running() bool { return r.run != nil && !r.m.now.Before(r.frozenUntil) }
+
+// read reads the changes since the cursor, or everything, as it was some seconds before, if the router has read nothing yet.
+func (r *modelRouter) read() {
+	m := r.m
+	after, until := r.run.Cursor(), m.now
+	change := pomelorelay.FleetChange{Revision: m.revision()}
+	if after == 0 {
+		until = later(m.began, m.now.Add(-modelStaleness))
+		change.Full = true
+		change.Revision = pomelorelay.Revision(1000 + until.Sub(m.began)/(10*time.Millisecond))
+		for _, other := range m.routers {
+			change.Peers = append(change.Peers, other.peer)
+		}
+	}
+	if config := m.newest(until); config.revision > after {
+		document, _ := json.Marshal(config.version)
+		change.Config, _ = m.ParseConfig(document)
+	}
+	r.run.ApplyRead(m.now, after, change, after == 0)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// advance moves the clock by one step and reports the calm routers that do not have a version in force in time.
+func (m *model) advance() []*modelRouter {
+	m.now = m.now.Add(modelStep)
+	due := m.pending
+	m.pending = nil
+	for _, message := range due {
+		to := m.byNode[message.to]
+		switch {
+		case to == nil || to.run == nil:
+		case message.at.After(m.now) || !to.running():
+			m.pending = append(m.pending, message)
+		default:
+			to.run.Receive(m.now, message.envelope)
+		}
+	}
+	var late []*modelRouter
+	bound := m.newest(m.now.Add(-modelBound))
+	for _, r := range m.routers {
+		r.step()
+		if bound != nil && r.running() && m.now.Sub(r.disturbedAt) > modelBound && r.run.Version() < bound.version {
+			late = append(late, r)
+		}
+	}
+	return late
+}
+
+func (r *modelRouter) kill(down time.Duration) {
+	r.run = nil
+	r.downUntil = later(r.downUntil, r.m.now.Add(down))
+	r.disturbedAt = r.downUntil
+}
+
+func (r *modelRouter) freeze(length time.Duration) {
+	r.frozenUntil = later(r.frozenUntil, r.m.now.Add(length))
+	r.disturbedAt = later(r.disturbedAt, r.frozenUntil)
+}
+
+// disturb kills or freezes a part of the routers.
+func (m *model) disturb(random *rand.Rand) {
+	share, length := 0.1+0.3*random.Float64(), time.Duration(500+random.IntN(4000))*time.Millisecond
+	freeze := random.IntN(3) == 0
+	for _, r := range m.routers {
+		// The fast routers are the relays and their successors.
+		if chance := share; random.Float64() >= chance && (r.peer.CPUSpeed < 0.5 || random.Float64() >= chance) {
+			continue
+		}
+		if freeze {
+			r.freeze(length)
+		} else {
+			r.kill(length)
+		}
+	}
+}
+
+// Guards against a bound on configuration that is a sum of timeouts, when routers fail one after the other.
+func TestConfigurationIsInForceInTimeBesideFailuresInSeries(t *testing.T) {
+	for _, size := range []struct{ domains, each int }{{3, 3}, {6, *modelDomainSize}} {
+		t.Run(fmt.Sprint(size.domains*size.each), func(t *testing.T) {
+			for seed := range *modelSeeds {
+				m, random := newModel(size.domains, size.each), rand.New(rand.NewPCG(seed, 0))
+				nextFault, nextConfig := m.began.Add(6*time.Second), m.began.Add(6*time.Second)
+				worst := make(map[pomelorelay.NodeID]time.Duration)
+				for end := m.began.Add(20 * time.Second); m.now.Before(end); {
+					for _, r := range m.advance() {
+						worst[r.peer.Node] += modelStep
+					}
+					if m.now.After(nextConfig) {
+						m.publish()
+						nextConfig = m.now.Add(time.Duration(300+random.IntN(900)) * time.Millisecond)
+					}
+					if m.now.After(nextFault) {
+						m.disturb(random)
+						nextFault = m.now.Add(time.Duration(300+random.IntN(2500)) * time.Millisecond)
+					}
+				}
+				if len(worst) > 0 {
+					names := make([]string, 0, len(worst))
+					for node, late := range worst {
+						names = append(names, fmt.Sprintf("%s %v", node, late))
+					}
+					slices.Sort(names)
+					t.Errorf("seed %d: %d routers were late: %v", seed, len(names), names[:min(len(names), 6)])
+				}
+			}
+		})
+	}
+}
