Every router reads the store before a change is due, whatever failed between it and the reader

Callers on grown deployments saw routes that had been added answered with 404, or an older version used, more than 4 s after the change was acknowledged.

Cause: a router gets changes through a chain (reader, relay, the relay's successors). When the links of the chain fail one after the other, their timeouts add up: 2 s until another relay reads, 1.5 to 2.9 s until the relay's successors take over. The router's own read, which should have ended the sum, came after a time that grew with the fleet: up to 1.9 s among 8 routers, 13 s among 90, 38 s among 300. An update whose predecessor was missing put it off as well, although nothing could be applied from it.

Now the relays take over at 0.5 to 0.62 of the change wait (the shorter one of the drain and the configuration bound), every other router reads at 0.66 to 0.8 of it, spread by its name, and only updates that were applied count. The longest time without a read is 3.2 s of 4.

Two tests stated the old delays. TestTakeoverWaitsForReadersLongestPause now checks every router of four fleets instead of one position. TestOneRouterReadsTheStore allowed a tenth of the routers to read within a second after the bound, which is the fault; it now demands that the relays' updates come before any other router reads, and that those reads are spread; TestOnlyRelaysReadTheStoreWhenReaderFails counts the reads in the model.

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -73,19 +73,11 @@
 	return served
 }
 
-// LongestReadPause returns, for a drain wait, the longest time between updates from a router that reads the store continuously.
-func LongestReadPause(drain time.Duration) time.Duration {
-	return time.Duration((readIntervalFraction + watchWaitFraction) * float64(drain))
+// LongestReadPause returns, for a change wait, the longest time between updates from a router that reads the store continuously.
+func LongestReadPause(wait time.Duration) time.Duration {
+	return time.Duration((readIntervalFraction + watchWaitFraction) * float64(wait))
 }
 
-// ReadDelayOf returns the time without updates after which the router at a position in the read order reads the store.
-func ReadDelayOf(drain time.Duration, position int) time.Duration {
-	return time.Duration((takeoverFraction + takeoverStepFraction*float64(position-1)) * float64(drain))
-}
-
-// TakeoverPollInterval is how often a router checks whether it must read the store.
-const TakeoverPollInterval = takeoverPollInterval
-
 // UpdateControl applies updates and computes read delays as the control goroutine does.
 type UpdateControl struct{ c *control }
 
@@ -205,6 +197,9 @@
 // Cursor returns the store revision up to which the router has all changes.
 func (r ModelRouter) Cursor() pomelorelay.Revision { return r.c.e.cursor.get() }
 
+// PollInterval returns the time until the router checks again whether it must read the store.
+func (r ModelRouter) PollInterval() time.Duration { return r.c.e.takeoverPoll() }
+
 // ReadDue reports whether the router must read the store now, the given time after its start.
 func (r ModelRouter) ReadDue(uptime time.Duration) bool {
 	return !r.c.e.cursor.hasRead() || (uptime >= r.c.e.startupDelay() && r.c.e.shouldRead())
--- a/pomeloentry/model_test.go
+++ b/pomeloentry/model_test.go
@@ -22,9 +22,8 @@
 	modelStep = 20 * time.Millisecond
 	// modelBound is the time within which a change must be in force, and after which a disturbed router counts as calm.
 	modelBound = 4 * time.Second
-	// modelReadInterval and modelPollInterval are the minimum times between two reads of the store, and between two checks whether to read.
+	// modelReadInterval is the minimum time between two reads of the store.
 	modelReadInterval = 800 * time.Millisecond
-	modelPollInterval = pomeloentry.TakeoverPollInterval
 	modelMessageDelay = 12 * time.Millisecond
 	modelStaleness    = 5 * time.Second
 )
@@ -64,6 +63,8 @@
 	downUntil   time.Time
 	frozenUntil time.Time
 	nextRead    time.Time
+	// reads counts the reads of the store since the start of the process.
+	reads int
 }
 
 // Now implements pomelorelay.Clock.
@@ -146,7 +147,7 @@
 func (r *modelRouter) start() {
 	m := r.m
 	r.incarnation++
-	r.startedAt, r.disturbedAt, r.nextRead = m.now, m.now, m.now
+	r.startedAt, r.disturbedAt, r.nextRead, r.reads = m.now, m.now, m.now, 0
 	run := pomeloentry.NewModelRouter(pomeloentry.Config{
 		Settings: pomelorelay.FleetSettings{Self: r.peer, DrainTimeout: modelBound, ConfigApplyTimeout: modelBound},
 		Clock:    m, Logger: pomelorelay.NopLogger{}, Platform: modelPlatform{m: m}, Mesh: modelMesh{r: r}, Incarnation: r.incarnation,
@@ -168,7 +169,7 @@
 		return
 	}
 	if !r.run.ReadDue(m.now.Sub(r.startedAt)) {
-		r.nextRead = m.now.Add(modelPollInterval)
+		r.nextRead = m.now.Add(r.run.PollInterval())
 		return
 	}
 	r.nextRead = m.now.Add(modelReadInterval)
@@ -180,6 +181,7 @@
 // read reads the changes since the cursor, or everything, as it was some seconds before, if the router has read nothing yet.
 func (r *modelRouter) read() {
 	m := r.m
+	r.reads++
 	after, until := r.run.Cursor(), m.now
 	change := pomelorelay.FleetChange{Revision: m.revision()}
 	if after == 0 {
@@ -291,3 +293,30 @@
 		})
 	}
 }
+
+// Guards against all routers of a large fleet reading the store when the router that reads it for them fails.
+func TestOnlyRelaysReadTheStoreWhenReaderFails(t *testing.T) {
+	const domains = 6
+	m := newModel(domains, *modelDomainSize)
+	run := func(length time.Duration) {
+		for end := m.now.Add(length); m.now.Before(end); {
+			m.advance()
+		}
+	}
+	run(6 * time.Second)
+	before := make(map[*modelRouter]int)
+	for _, r := range m.routers {
+		before[r] = r.reads
+	}
+	m.byNode["a-00"].kill(time.Minute)
+	run(6 * time.Second)
+	var readers []pomelorelay.NodeID
+	for _, r := range m.routers {
+		if r.reads > before[r] {
+			readers = append(readers, r.peer.Node)
+		}
+	}
+	if len(readers) > domains {
+		t.Errorf("%d of %d routers read the store after its reader failed: %v", len(readers), len(m.routers), readers)
+	}
+}
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -29,7 +29,7 @@
 // lacksState reports whether the store has not answered for some time and this router lacks the configuration, the upstreams or any
 // peers.
 func (c *control) lacksState(now time.Time) bool {
-	if now.Sub(c.upstreams.listedAt) <= c.e.scaledDrainWait(storeSilenceFraction) {
+	if now.Sub(c.upstreams.listedAt) <= c.e.scaledChangeWait(storeSilenceFraction) {
 		return false
 	}
 	return c.config == nil || !c.e.cursor.hasRead() || len(c.peers.byNode) == 0
@@ -107,6 +107,7 @@
 	change := pomelorelay.FleetChange{Revision: m.Revision, Full: m.Revision > 0, Upstreams: m.Upstreams, Peers: m.Peers, Evacuated: m.Evacuated}
 	switch {
 	case m.Revision > c.e.cursor.get() && c.e.cursor.advance(0, m.Revision, true):
+		c.e.lastUpdateAt.Store(now.UnixNano())
 		c.applyUpstreams(now, &change, false, string(from))
 		c.applyEvacuations(now, &change, string(from))
 		c.applyPeers(now, &change)
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -12,22 +12,29 @@
 )
 
 // One router of the fleet reads the store and sends the changes to the relays of the other failure domains, which forward them to the
-// other routers of their domains, their neighbours. The read order follows from the registrations, so every router computes the same
-// one: the relay of the first domain reads continuously, each later router only after a longer time without updates.
+// other routers of their domains, their neighbours. The relay of the first domain reads continuously. The other relays, in an order that
+// follows from the registrations, and after them all other routers read the store only after a time without updates. This time does not
+// depend on the number of routers: each router reads the store before a change is due, whatever failed between it and the reader.
 
 const (
-	// readIntervalFraction is the minimum time between two reads, as a fraction of the drain wait (the time after which a leaving
-	// upstream must get no requests). Upstreams write all the time, so without a minimum a watch would return continuously.
+	// readIntervalFraction is the minimum time between two reads, as a fraction of the change wait. Upstreams write all the time, so without
+	// a minimum a watch would return continuously.
 	readIntervalFraction = 0.2
-	// watchWaitFraction is how long a read waits for a change, as a fraction of the drain wait.
+	// watchWaitFraction is how long a read waits for a change, as a fraction of the change wait.
 	watchWaitFraction = 0.2
-	// takeoverFraction is the time without updates after which the second router in the read order reads the store, as a fraction of the drain
-	// wait; takeoverStepFraction is added for each later router. While the router that reads the store works, the time without updates is at most
-	// its read interval plus its watch wait.
-	takeoverFraction     = 0.5
-	takeoverStepFraction = 0.03
-	// takeoverPollInterval is how often a router checks whether it must read the store.
-	takeoverPollInterval = 200 * time.Millisecond
+	// takeoverFraction is the time without updates after which the second relay in the read order reads the store, as a fraction of the
+	// change wait; those of the later relays are spread evenly over takeoverSpread. While the router that reads the store works, the time
+	// without updates is at most its read interval plus its watch wait.
+	takeoverFraction = 0.5
+	takeoverSpread   = 0.12
+	// ownReadFraction is the time without updates after which a router that is not a relay reads the store, as a fraction of the change
+	// wait; these times are spread over ownReadSpread by a hash. A relay that takes over sends its update before any of them. The rest of the
+	// change wait is for the call.
+	ownReadFraction = 0.66
+	ownReadSpread   = 0.14
+	// minTakeoverPoll and maxTakeoverPoll bound the time between two checks whether this router must read the store.
+	minTakeoverPoll = 10 * time.Millisecond
+	maxTakeoverPoll = 200 * time.Millisecond
 	// startupDelayWork is the startup delay of a router whose CPUSpeed is 1 (one core), before it is multiplied by a factor from 1 to 2
 	// derived from the router's name. Until the delay has passed, a router that has the complete state does not read the store. The
 	// delay is inversely proportional to CPUSpeed. The fastest routers thus read the store first, and the others get the changes from them
@@ -74,14 +81,14 @@
 	delay := e.startupDelay()
 	e.runStoreTask(ctx, storeTask{name: "store", probesStore: true, call: func(failed bool) error {
 		if e.cursor.hasRead() && (time.Since(started) < delay || !e.shouldRead()) {
-			sleep(ctx, takeoverPollInterval)
+			sleep(ctx, e.takeoverPoll())
 			return nil
 		}
 		began := time.Now()
 		if err := e.read(ctx, failed); err != nil {
 			return err
 		}
-		sleep(ctx, e.scaledDrainWait(readIntervalFraction)-time.Since(began))
+		sleep(ctx, e.scaledChangeWait(readIntervalFraction)-time.Since(began))
 		return nil
 	}})
 }
@@ -92,7 +99,7 @@
 	if speed <= 0 {
 		return 0
 	}
-	spread := 1 + float64(xxhash.Sum64String(string(e.cfg.Settings.Self.Node))>>11)/(1<<53)
+	spread := 1 + nameFraction(e.cfg.Settings.Self.Node)
 	return min(time.Duration(spread/speed*float64(startupDelayWork)), maxStartupDelay)
 }
 
@@ -101,6 +108,11 @@
 	return e.updateAge() >= time.Duration(e.readDelay.Load())
 }
 
+// takeoverPoll returns the time until the next check whether this router must read the store.
+func (e *Router) takeoverPoll() time.Duration {
+	return min(max(time.Duration(e.readDelay.Load())-e.updateAge(), minTakeoverPoll), maxTakeoverPoll)
+}
+
 // updateAge returns the time since the last update from another router, or since the Unix epoch if there was none.
 func (e *Router) updateAge() time.Duration {
 	return time.Duration(e.cfg.Clock.Now().UnixNano() - e.lastUpdateAt.Load())
@@ -113,7 +125,7 @@
 		// Changes missing from a stale read arrive with the first update.
 		return e.readAll(ctx, "start", !failed)
 	}
-	change, err := e.cfg.Platform.Watch(ctx, after, e.scaledDrainWait(watchWaitFraction))
+	change, err := e.cfg.Platform.Watch(ctx, after, e.scaledChangeWait(watchWaitFraction))
 	e.metrics.CountStoreCall("watch", e.readerRole(), pomelorelay.CodeOf(err))
 	if pomelorelay.IsErrCode(err, pomelorelay.CodeStoreCompacted) {
 		return e.readAll(ctx, "compacted", false)
@@ -244,7 +256,8 @@
 func (c *control) receiveUpdate(now time.Time, from pomelorelay.NodeID, m *pomelorelay.FleetUpdate) {
 	applied := c.e.cursor.advance(m.After, m.Revision, m.Full)
 	missed := !applied && c.e.cursor.isBehind(m.Revision)
-	if applied || missed || m.Revision == c.e.cursor.get() {
+	// A missed update is no news of the store: if the full state does not follow, this router reads the store.
+	if applied || m.Revision == c.e.cursor.get() {
 		c.e.lastUpdateAt.Store(now.UnixNano())
 		c.e.storeRecovered.signal()
 	}
@@ -281,26 +294,35 @@
 }
 
 // updateReadDelay computes the time without updates after which this router reads the store. It is zero for the relay of the first
-// failure domain and grows with the position in the read order: first the other relays, then all other routers by a hash.
+// failure domain.
 func (c *control) updateReadDelay(now time.Time) {
+	c.e.readDelay.Store(int64(c.e.scaledChangeWait(c.readDelayFraction(now))))
+}
+
+// readDelayFraction returns the read delay as a fraction of the change wait.
+func (c *control) readDelayFraction(now time.Time) float64 {
 	self := c.e.cfg.Settings.Self
-	rank, position := 0, -1
+	relays, position := 0, -1
 	for _, domain := range c.domains() {
 		node, ok := c.relayOf(now, domain)
 		if !ok {
 			continue
 		}
 		if node == self.Node {
-			position = rank
+			position = relays
 		}
-		rank++
+		relays++
 	}
-	if position < 0 {
-		position = rank + int(xxhash.Sum64String(string(self.Node))%uint64(len(c.peers.byNode)+1))
-	}
-	delay := time.Duration(0)
-	if position > 0 {
-		delay = c.e.scaledDrainWait(takeoverFraction + takeoverStepFraction*float64(position-1))
+	switch {
+	case position == 0:
+		return 0
+	case position > 0:
+		return takeoverFraction + takeoverSpread*float64(position-1)/float64(relays-1)
 	}
-	c.e.readDelay.Store(int64(delay))
+	return ownReadFraction + ownReadSpread*nameFraction(self.Node)
+}
+
+// nameFraction returns a number from 0 to 1, exclusive, that is derived from the name of a router.
+func nameFraction(node pomelorelay.NodeID) float64 {
+	return float64(xxhash.Sum64String(string(node))>>11) / (1 << 53)
 }
--- a/pomeloentry/storereader_test.go
+++ b/pomeloentry/storereader_test.go
@@ -11,15 +11,20 @@
 )
 
 // Guards against routers that read the store during a normal pause of the router that reads it continuously, and against routers that take over
-// from a failed one so late that a leaving upstream still gets requests after its drain wait.
+// from a failed one so late that a change of the store has no effect in time.
 func TestTakeoverWaitsForReadersLongestPause(t *testing.T) {
-	for _, drain := range []time.Duration{2500 * time.Millisecond, 4 * time.Second} {
-		second, pause := pomeloentry.ReadDelayOf(drain, 1), pomeloentry.LongestReadPause(drain)
-		if second < pause+drain/20 {
-			t.Errorf("drain wait %v: the second reader waits %v, the first may pause for %v", drain, second, pause)
-		}
-		if second+pomeloentry.TakeoverPollInterval > drain*3/4 {
-			t.Errorf("drain wait %v: a router takes over only after %v", drain, second+pomeloentry.TakeoverPollInterval)
+	for _, wait := range []time.Duration{2500 * time.Millisecond, 4 * time.Second} {
+		for _, each := range []int{1, 3, 15, 50} {
+			peers := peersOf(6, each)
+			for _, p := range peers {
+				delay, pause := pomeloentry.NewUpdateControl(p.Node, wait, peers).ReadDelay(time.Now()), pomeloentry.LongestReadPause(wait)
+				if delay != 0 && delay < pause+wait/20 {
+					t.Errorf("change wait %v: %s reads the store after %v, the reader may pause for %v", wait, p.Node, delay, pause)
+				}
+				if delay > wait*4/5 {
+					t.Errorf("change wait %v, %d routers: %s reads the store only after %v", wait, len(peers), p.Node, delay)
+				}
+			}
 		}
 	}
 }
@@ -47,19 +52,17 @@
 	if delays[0] != 0 || delays[1] == 0 {
 		t.Fatalf("the shortest read delays are %v, want exactly one of zero", delays[:3])
 	}
-	// The relay of each failure domain takes over in time for a leaving upstream.
-	if delays[5] > drain*4/5 {
-		t.Errorf("the sixth router takes over only after %v", delays[5])
+	// The relay of each failure domain takes over, and has sent its update, before any other router reads.
+	if delays[5] > drain*5/8 || delays[6] < delays[5]+drain/32 {
+		t.Errorf("the relays take over after at most %v, the other routers read after at least %v", delays[5], delays[6])
 	}
-	soon := 0
-	for _, delay := range delays {
-		if delay < drain+time.Second {
-			soon++
+	others := delays[6:]
+	for i := range others {
+		window, _ := slices.BinarySearch(others, others[i]+50*time.Millisecond)
+		if n := window - i; n > len(others)/5 {
+			t.Errorf("%d of %d routers read the store within 50 ms", n, len(others))
 		}
 	}
-	if soon > len(peers)/10 {
-		t.Errorf("%d of %d routers read the store within a second after the drain wait", soon, len(peers))
-	}
 }
 
 // Guards against a router that keeps using upstreams because it missed the update that removed them.
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -7,19 +7,17 @@
 )
 
 const (
-	// defaultDrainWait is the drain wait, the time after which a leaving upstream must get no new requests, if the settings have no
-	// DrainTimeout.
-	defaultDrainWait = 2500 * time.Millisecond
+	// defaultChangeWait is the change wait if the settings have neither DrainTimeout nor ConfigApplyTimeout.
+	defaultChangeWait = 2500 * time.Millisecond
 	// reregisterGrace is how long after a store outage an upstream without an entry in the store is kept; live upstreams register
 	// again within 2 s.
 	reregisterGrace = 2300 * time.Millisecond
 	// massLapseGrace is how long upstreams are kept when many entries lapse at once, as after a store outage that this router did not
-	// notice. The sum of this time and the read interval is shorter than the drain wait, after which an upstream that really left must
-	// get no requests.
+	// notice. The sum of this time and the read interval is shorter than the change wait.
 	massLapseGrace = 1500 * time.Millisecond
 	// massLapseFraction is the fraction of upstreams whose entries must lapse within massLapseGrace to count as a mass lapse.
 	massLapseFraction = 0.34
-	// storeSilenceFraction is the time without an answer from the store, as a fraction of the drain wait, after which a router accepts
+	// storeSilenceFraction is the time without an answer from the store, as a fraction of the change wait, after which a router accepts
 	// its peers' information on upstreams and keeps upstreams with lapsed entries for reregisterGrace. Upstreams write every 1.2 s, so
 	// each read interval normally brings some changes.
 	storeSilenceFraction = 0.8
@@ -27,13 +25,19 @@
 	leavingReportTime = 3 * time.Second
 )
 
-// scaledDrainWait returns a fraction of the drain wait, which is DrainTimeout in the settings.
-func (e *Router) scaledDrainWait(fraction float64) time.Duration {
-	drain := e.cfg.Settings.DrainTimeout
-	if drain <= 0 {
-		drain = defaultDrainWait
+// scaledChangeWait returns a fraction of the change wait, the time within which a change of the store must have its effect on every router: the
+// shorter one of DrainTimeout and ConfigApplyTimeout.
+func (e *Router) scaledChangeWait(fraction float64) time.Duration {
+	wait := time.Duration(0)
+	for _, bound := range []time.Duration{e.cfg.Settings.DrainTimeout, e.cfg.Settings.ConfigApplyTimeout} {
+		if bound > 0 && (wait == 0 || bound < wait) {
+			wait = bound
+		}
+	}
+	if wait == 0 {
+		wait = defaultChangeWait
 	}
-	return time.Duration(fraction * float64(drain))
+	return time.Duration(fraction * float64(wait))
 }
 
 // upstreams holds the registered upstreams known to this router.
@@ -72,7 +76,7 @@
 
 // applyUpstreams applies a change of the upstreams; recovered is set for the store's first answer after an outage.
 func (c *control) applyUpstreams(now time.Time, change *pomelorelay.FleetChange, recovered bool, source string) {
-	if recovered || now.Sub(c.upstreams.listedAt) > c.e.scaledDrainWait(storeSilenceFraction) {
+	if recovered || now.Sub(c.upstreams.listedAt) > c.e.scaledChangeWait(storeSilenceFraction) {
 		c.upstreams.storeRecoveredAt = now
 	}
 	c.upstreams.listedAt = now
@@ -183,7 +187,7 @@
 // applyLeaving marks the upstreams that a peer reports as leaving. Otherwise a router cut off from the store would send new
 // requests to these upstreams. A router with access to the store ignores such reports, because its entries are newer.
 func (c *control) applyLeaving(now time.Time, from pomelorelay.NodeID, ids []pomelorelay.UpstreamID) {
-	if now.Sub(c.upstreams.listedAt) <= c.e.scaledDrainWait(storeSilenceFraction) {
+	if now.Sub(c.upstreams.listedAt) <= c.e.scaledChangeWait(storeSilenceFraction) {
 		return
 	}
 	for _, id := range ids {
