A router's times do not follow the time of day

Callers saw routes and keys of an older version for seconds longer than allowed on routers whose clock had stepped back, also on small deployments.

Cause: the time since the last update was the difference of two Unix times. After a step back of 8 s beside the loss of the router that reads the store, every other router waited 8 s longer before it read the store itself. The delay of the control goroutine, the hold of readiness near capacity and the time left of a graceful stop were taken the same way: a step ahead refused requests, a step back kept a router unready or let it take requests that it could not finish. Now these times are of a steady clock.

Evidence: TestClockThatStepsBackDelaysNoConfiguration fails with the former difference (b-00 has version 1, want 2).

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -91,7 +91,7 @@
 			c.receive(c.now(), m)
 		case <-ticker.C:
 			now := c.now()
-			c.e.recordTick(now)
+			c.e.recordTick()
 			c.e.adaptRequestLimit()
 			c.tick(now)
 		}
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -83,7 +83,8 @@
 
 // NewUpdateControl returns the UpdateControl of the router named self, which is one of the peers; all were just registered.
 func NewUpdateControl(self pomelorelay.NodeID, drain time.Duration, peers []pomelorelay.Peer) UpdateControl {
-	e := &Router{cfg: Config{Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New(), mesh: discardMesh{}}
+	began := time.Now()
+	e := &Router{cfg: Config{Clock: pomelorelay.SystemClock{}, Steady: func() time.Duration { return time.Since(began) }, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New(), mesh: discardMesh{}}
 	e.cfg.Settings.DrainTimeout = drain
 	e.crashRecorder = newCrashRecorder(e)
 	for _, p := range peers {
@@ -179,6 +180,7 @@
 func NewModelRouter(cfg Config) ModelRouter {
 	e := &Router{cfg: cfg, incarnation: cfg.Incarnation, metrics: pomelometric.New(), mesh: cfg.Mesh}
 	e.crashRecorder = newCrashRecorder(e)
+	e.lastUpdateAt.Store(neverUpdated)
 	c := newControl(e)
 	// The gauges read parts of the router that the model leaves out.
 	c.gaugesAt = cfg.Clock.Now().Add(24 * time.Hour)
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -113,7 +113,7 @@
 func (e *Router) Stop() {
 	began := e.cfg.Clock.Now()
 	end := began.Add(e.cfg.Settings.StopTimeout - stopMargin)
-	e.stopAt.Store(end.UnixNano())
+	e.stopAt.Store(e.steady() + int64(e.cfg.Settings.StopTimeout-stopMargin))
 	e.log(pomelorelay.EventStopping, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()))
 	for {
 		now := e.cfg.Clock.Now()
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -88,17 +88,18 @@
 
 // lag returns the delay of the control goroutine, which approximates how long runnable goroutines wait for the processor.
 func (e *Router) lag() time.Duration {
-	since := time.Duration(e.cfg.Clock.Now().UnixNano() - e.lastTickAt.Load())
+	since := time.Duration(e.steady() - e.lastTickAt.Load())
 	return max(time.Duration(e.tickLag.Load()), since-tickInterval)
 }
 
 // recordTick records a tick of the control goroutine and its delay.
-func (e *Router) recordTick(now time.Time) {
-	last := e.lastTickAt.Swap(now.UnixNano())
-	lag := max(0, now.UnixNano()-last-int64(tickInterval))
+func (e *Router) recordTick() {
+	now := e.steady()
+	last := e.lastTickAt.Swap(now)
+	lag := max(0, now-last-int64(tickInterval))
 	e.tickLag.Store(lag)
 	if lag >= int64(lateTickThreshold) {
-		e.lastLateTickAt.Store(now.UnixNano())
+		e.lastLateTickAt.Store(now)
 	}
 }
 
@@ -117,7 +118,7 @@
 // recentlyLate reports whether the control goroutine is late, or was late at most lateTickHold ago. Requests that arrived meanwhile
 // are read late, and their callers may have given up.
 func (e *Router) recentlyLate() bool {
-	now := e.cfg.Clock.Now().UnixNano()
+	now := e.steady()
 	return e.lag() >= lateTickThreshold || now-e.lastLateTickAt.Load() < int64(lateTickHold)
 }
 
@@ -190,7 +191,7 @@
 
 // nearCapacity reports whether the router is close to its capacity, or was close to it at most nearCapacityHold ago.
 func (e *Router) nearCapacity() bool {
-	now := e.cfg.Clock.Now().UnixNano()
+	now := e.steady()
 	full := e.lag() > maxLag || float64(e.inFlight.Load()) > nearCapacityFraction*float64(e.requestLimit.Load()) || float64(e.conns.Load()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
 	if full {
 		e.nearCapacityAt.Store(now)
--- a/pomeloentry/model_test.go
+++ b/pomeloentry/model_test.go
@@ -63,12 +63,13 @@
 	downUntil   time.Time
 	frozenUntil time.Time
 	nextRead    time.Time
+	clockError  time.Duration
 	// reads counts the reads of the store since the start of the process.
 	reads int
 }
 
-// Now implements pomelorelay.Clock.
-func (m *model) Now() time.Time { return m.now }
+// Now implements pomelorelay.Clock: it returns the time of day on the router's host.
+func (r *modelRouter) Now() time.Time { return r.m.now.Add(r.clockError) }
 
 // ParseConfig implements the part of pomelorelay.Platform that decodes documents.
 func (m *model) ParseConfig(document []byte) (*pomelorelay.FleetConfig, error) {
@@ -150,7 +151,8 @@
 	r.startedAt, r.disturbedAt, r.nextRead, r.reads = m.now, m.now, m.now, 0
 	run := pomeloentry.NewModelRouter(pomeloentry.Config{
 		Settings: pomelorelay.FleetSettings{Self: r.peer, DrainTimeout: modelBound, ConfigApplyTimeout: modelBound},
-		Clock:    m, Logger: pomelorelay.NopLogger{}, Platform: modelPlatform{m: m}, Mesh: modelMesh{r: r}, Incarnation: r.incarnation,
+		Clock:    r, Steady: func() time.Duration { return m.now.Sub(m.began) }, Logger: pomelorelay.NopLogger{},
+		Platform: modelPlatform{m: m}, Mesh: modelMesh{r: r}, Incarnation: r.incarnation,
 	})
 	r.run = &run
 }
@@ -294,6 +296,25 @@
 	}
 }
 
+// Guards against a router that does not read the store in time because the time of day has stepped back.
+func TestClockThatStepsBackDelaysNoConfiguration(t *testing.T) {
+	m := newModel(3, 3)
+	for end := m.began.Add(20 * time.Second); m.now.Before(end); {
+		if late := m.advance(); len(late) > 0 {
+			t.Fatalf("%s has version %d in force, want %d", late[0].peer.Node, late[0].run.Version(), len(m.configs))
+		}
+		if m.now.Equal(m.began.Add(6 * time.Second)) {
+			for _, r := range m.routers {
+				r.clockError -= 8 * time.Second
+				if r.peer.Domain == "a" {
+					r.kill(time.Minute)
+				}
+			}
+			m.publish()
+		}
+	}
+}
+
 // Guards against all routers of a large fleet reading the store when the router that reads it for them fails.
 func TestOnlyRelaysReadTheStoreWhenReaderFails(t *testing.T) {
 	const domains = 6
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -18,11 +18,14 @@
 
 // Config configures a router. A nil Mesh is created from Settings.
 type Config struct {
-	Settings           pomelorelay.FleetSettings
-	Platform           pomelorelay.Platform
-	Wire               pomelorelay.WireFormat
-	Mesh               pomelorelay.Mesh
-	Clock              pomelorelay.Clock
+	Settings pomelorelay.FleetSettings
+	Platform pomelorelay.Platform
+	Wire     pomelorelay.WireFormat
+	Mesh     pomelorelay.Mesh
+	Clock    pomelorelay.Clock
+	// Steady returns the time since some moment before the router's start, whatever happens to the time of day; nil selects the system's
+	// monotonic clock.
+	Steady             func() time.Duration
 	Logger             pomelorelay.Logger
 	DisabledMechanisms pomeloplace.Mechanisms
 	// Incarnation identifies this start of the router; zero selects the clock's Unix nanoseconds.
@@ -46,23 +49,25 @@
 	crashRecorder *crashRecorder
 	// upstreams is the number of registered upstreams, peers that of the other routers.
 	upstreams, peers atomic.Int64
-	// stopAt is the Unix nanosecond at which a graceful stop ends the process; zero when none is in progress.
+	// Times of this router are nanoseconds of Config.Steady: the time of day may jump.
+
+	// stopAt is when a graceful stop ends the process; zero when none is in progress.
 	stopAt   atomic.Int64
 	inFlight atomic.Int64
 	// readDelay is the time in nanoseconds without an update after which this router reads the store; zero if it reads continuously.
-	// lastUpdateAt is the Unix nanosecond of the last update from another router.
+	// lastUpdateAt is when the last update from another router was applied; neverUpdated if there was none.
 	readDelay    atomic.Int64
 	lastUpdateAt atomic.Int64
 	conns        atomic.Int64
 	hostLimits   hostLimits
 	// requestLimit is the maximum number of concurrent requests; the control goroutine adapts it.
 	requestLimit atomic.Int64
-	// nearCapacityAt is the Unix nanosecond at which the router was last close to its capacity.
+	// nearCapacityAt is when the router was last close to its capacity.
 	nearCapacityAt atomic.Int64
-	// lastTickAt is the Unix nanosecond of the control goroutine's last tick, tickLag its delay in nanoseconds.
+	// lastTickAt is when the control goroutine last ticked, tickLag the delay of that tick in nanoseconds.
 	lastTickAt atomic.Int64
 	tickLag    atomic.Int64
-	// lastLateTickAt is the Unix nanosecond of the last late tick.
+	// lastLateTickAt is when the last late tick was.
 	lastLateTickAt atomic.Int64
 
 	ctx       context.Context
@@ -83,6 +88,10 @@
 	if cfg.Clock == nil {
 		cfg.Clock = pomelorelay.SystemClock{}
 	}
+	if cfg.Steady == nil {
+		began := time.Now()
+		cfg.Steady = func() time.Duration { return time.Since(began) }
+	}
 	if cfg.Logger == nil {
 		cfg.Logger = pomelorelay.NopLogger{}
 	}
@@ -117,7 +126,8 @@
 	})
 	e.crashRecorder = newCrashRecorder(e)
 	e.requestLimit.Store(e.hostLimits.initialRequests)
-	e.lastTickAt.Store(cfg.Clock.Now().UnixNano())
+	e.lastTickAt.Store(e.steady())
+	e.lastUpdateAt.Store(neverUpdated)
 	c := newControl(e)
 	e.start(func(context.Context) { c.run() })
 	e.start(e.readStoreLoop)
@@ -147,6 +157,9 @@
 	return nil
 }
 
+// steady returns the time of Config.Steady in nanoseconds.
+func (e *Router) steady() int64 { return int64(e.cfg.Steady()) }
+
 // start runs f in a goroutine that Close waits for.
 func (e *Router) start(f func(ctx context.Context)) {
 	e.wg.Add(1)
@@ -213,5 +226,5 @@
 	if at == 0 {
 		return 0, false
 	}
-	return time.Duration(at - s.e.cfg.Clock.Now().UnixNano()), true
+	return time.Duration(at - s.e.steady()), true
 }
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -107,7 +107,7 @@
 	change := pomelorelay.FleetChange{Revision: m.Revision, Full: m.Revision > 0, Upstreams: m.Upstreams, Peers: m.Peers, Evacuated: m.Evacuated}
 	switch {
 	case m.Revision > c.e.cursor.get() && c.e.cursor.advance(0, m.Revision, true):
-		c.e.lastUpdateAt.Store(now.UnixNano())
+		c.e.lastUpdateAt.Store(c.e.steady())
 		c.applyUpstreams(now, &change, false, string(from))
 		c.applyEvacuations(now, &change, string(from))
 		c.applyPeers(now, &change)
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -113,10 +113,11 @@
 	return min(max(time.Duration(e.readDelay.Load())-e.updateAge(), minTakeoverPoll), maxTakeoverPoll)
 }
 
-// updateAge returns the time since the last update from another router, or since the Unix epoch if there was none.
-func (e *Router) updateAge() time.Duration {
-	return time.Duration(e.cfg.Clock.Now().UnixNano() - e.lastUpdateAt.Load())
-}
+// neverUpdated stands for the time of the last update if there was none, long enough ago for the router to read the store.
+const neverUpdated = -int64(time.Hour)
+
+// updateAge returns the time since the last update from another router.
+func (e *Router) updateAge() time.Duration { return time.Duration(e.steady() - e.lastUpdateAt.Load()) }
 
 // read reads the complete state at first and after the store compacted its history, and changes otherwise.
 func (e *Router) read(ctx context.Context, failed bool) error {
@@ -258,7 +259,7 @@
 	missed := !applied && c.e.cursor.isBehind(m.Revision)
 	// A missed update is no news of the store: if the full state does not follow, this router reads the store.
 	if applied || m.Revision == c.e.cursor.get() {
-		c.e.lastUpdateAt.Store(now.UnixNano())
+		c.e.lastUpdateAt.Store(c.e.steady())
 		c.e.storeRecovered.signal()
 	}
 	if !m.Forwarded && c.isRelay(now) {
