Mesh: link times do not follow the time of day

Cause: the wait for an acknowledgement, the ping interval and the idle time were differences of Unix times. A step ahead of 2 s or more broke every link of a router and dropped what was queued on them; after a step back acknowledgements were not sent for as long, so that the other side broke the link, and a silent link was not noticed.

--- a/pomelomesh/link.go
+++ b/pomelomesh/link.go
@@ -36,7 +36,7 @@
 	cancel      context.CancelFunc
 	superseded  bool // guarded by the peer's mutex
 
-	// Times in Unix nanoseconds; zero means none.
+	// Times of Mesh.steady; zero means none.
 	ackAwaitedSince atomic.Int64 // sending of the first unacknowledged frame, plus the transfer time of the frames sent since
 	ackPendingSince atomic.Int64 // receipt of the first frame not yet acknowledged by this router
 	lastReceived    atomic.Int64 // last frame received
@@ -47,7 +47,7 @@
 func (m *Mesh) newLink(ctx context.Context, stream frameStream) *link {
 	l := &link{m: m, stream: stream}
 	l.ctx, l.cancel = context.WithCancel(ctx)
-	now := time.Now().UnixNano()
+	now := m.steady()
 	l.lastReceived.Store(now)
 	l.lastMessage.Store(now)
 	return l
@@ -64,7 +64,7 @@
 
 // writeFrame sends a frame and ends the link on failure. Only the peer's goroutine calls it.
 func (l *link) writeFrame(frame []byte, expectsAck bool) bool {
-	now := time.Now().UnixNano()
+	now := l.m.steady()
 	l.ackPendingSince.Store(0)
 	if expectsAck {
 		l.awaitAck(now, len(frame))
@@ -95,20 +95,20 @@
 }
 
 // keepaliveDue reports whether an acknowledgement or a ping must be sent.
-func (l *link) keepaliveDue(now time.Time) bool { return l.ackDue(now) || l.pingDue(now) }
+func (l *link) keepaliveDue(now int64) bool { return l.ackDue(now) || l.pingDue(now) }
 
-func (l *link) ackDue(now time.Time) bool {
+func (l *link) ackDue(now int64) bool {
 	since := l.ackPendingSince.Load()
-	return since != 0 && now.UnixNano()-since >= int64(l.m.cfg.Timing.AckDelay)
+	return since != 0 && now-since >= int64(l.m.cfg.Timing.AckDelay)
 }
 
-func (l *link) pingDue(now time.Time) bool {
-	return l.ackAwaitedSince.Load() == 0 && now.UnixNano()-l.lastReceived.Load() >= int64(l.m.cfg.Timing.PingInterval)
+func (l *link) pingDue(now int64) bool {
+	return l.ackAwaitedSince.Load() == 0 && now-l.lastReceived.Load() >= int64(l.m.cfg.Timing.PingInterval)
 }
 
-func (l *link) sendKeepalive(now time.Time) {
+func (l *link) sendKeepalive(now int64) {
 	if l.pingDue(now) {
-		l.ackAwaitedSince.CompareAndSwap(0, now.UnixNano())
+		l.ackAwaitedSince.CompareAndSwap(0, now)
 		ping := protowire.AppendVarint(protowire.AppendTag(l.m.frameHeader(), 4, protowire.VarintType), 1)
 		l.chargeFrame(ping)
 		l.writeFrame(ping, false)
@@ -119,7 +119,7 @@
 		l.chargeFrame(frame)
 		l.writeFrame(frame, false)
 		if l.inboxBlocked.Load() {
-			l.ackPendingSince.Store(now.UnixNano())
+			l.ackPendingSince.Store(now)
 		}
 	}
 }
@@ -129,12 +129,12 @@
 // expired reports whether the link must be closed: the link is idle and keepIdle is not set, or an acknowledgement is
 // missing. A half-open connection accepts writes for minutes while callers wait for grants that never arrive. Since the
 // peer acknowledges every frame within AckDelay, a missing acknowledgement reveals such a connection.
-func (l *link) expired(now time.Time, keepIdle bool) bool {
+func (l *link) expired(now int64, keepIdle bool) bool {
 	since := l.ackAwaitedSince.Load()
-	if since != 0 && now.UnixNano()-since >= int64(l.m.cfg.Timing.AckTimeout) {
+	if since != 0 && now-since >= int64(l.m.cfg.Timing.AckTimeout) {
 		return true
 	}
-	return !keepIdle && now.UnixNano()-l.lastMessage.Load() >= int64(l.m.cfg.Timing.IdleTimeout)
+	return !keepIdle && now-l.lastMessage.Load() >= int64(l.m.cfg.Timing.IdleTimeout)
 }
 
 // read delivers received messages until the stream ends.
@@ -154,7 +154,7 @@
 }
 
 func (l *link) recordFrame(frame *pomelowire.Frame) {
-	now := time.Now().UnixNano()
+	now := l.m.steady()
 	l.lastReceived.Store(now)
 	l.ackAwaitedSince.Store(0)
 	if len(frame.GetItems()) > 0 {
@@ -186,7 +186,7 @@
 	}
 	l.inboxBlocked.Store(true)
 	defer l.inboxBlocked.Store(false)
-	l.ackPendingSince.CompareAndSwap(0, time.Now().UnixNano())
+	l.ackPendingSince.CompareAndSwap(0, l.m.steady())
 	select {
 	case l.m.inbox <- envelope:
 		return true
--- a/pomelomesh/mesh.go
+++ b/pomelomesh/mesh.go
@@ -25,6 +25,7 @@
 // Mesh implements pomelorelay.Mesh over gRPC streams.
 type Mesh struct {
 	cfg               Config
+	began             time.Time
 	keys              *keys
 	listener          *countedListener
 	server            *grpc.Server
@@ -55,7 +56,7 @@
 // CodeMeshListen when it cannot listen on the address.
 func New(cfg Config) (*Mesh, error) {
 	cfg = cfg.withDefaults()
-	m := &Mesh{cfg: cfg, inbox: make(chan pomelorelay.Envelope, cfg.InboxSize), peers: make(map[pomelorelay.NodeID]*peer), unidentifiedLogged: make(map[netip.Addr]time.Time), contactsInProgress: make(map[netip.AddrPort]bool)}
+	m := &Mesh{cfg: cfg, began: time.Now(), inbox: make(chan pomelorelay.Envelope, cfg.InboxSize), peers: make(map[pomelorelay.NodeID]*peer), unidentifiedLogged: make(map[netip.Addr]time.Time), contactsInProgress: make(map[netip.AddrPort]bool)}
 	if err := m.loadKeys(); err != nil {
 		return nil, err
 	}
@@ -179,6 +180,9 @@
 	return traffic
 }
 
+// steady returns the time since the mesh was opened in nanoseconds, above zero; it does not follow the time of day.
+func (m *Mesh) steady() int64 { return int64(time.Since(m.began)) + 1 }
+
 // Close closes every connection and waits for the mesh's goroutines.
 func (m *Mesh) Close() error {
 	m.mu.Lock()
@@ -203,7 +207,7 @@
 		case <-m.ctx.Done():
 			return
 		case now := <-ticker.C:
-			m.check(now)
+			m.check()
 			if m.keys != nil {
 				m.keys.poll(now)
 			}
@@ -211,11 +215,11 @@
 	}
 }
 
-func (m *Mesh) check(now time.Time) {
+func (m *Mesh) check() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for node, p := range m.peers {
-		if p.check(now) {
+		if p.check() {
 			delete(m.peers, node)
 		}
 	}
--- a/pomelomesh/peer.go
+++ b/pomelomesh/peer.go
@@ -103,7 +103,7 @@
 
 // serve sends what is due and returns how long to wait before the next call.
 func (p *peer) serve(now time.Time) time.Duration {
-	p.sendKeepalives(now)
+	p.sendKeepalives()
 	l, wait := p.pickLink(now)
 	if wait > 0 {
 		return wait
@@ -116,7 +116,8 @@
 }
 
 // sendKeepalives sends the pings and acknowledgements that are due.
-func (p *peer) sendKeepalives(now time.Time) {
+func (p *peer) sendKeepalives() {
+	now := p.m.steady()
 	p.mu.Lock()
 	links := slices.Clone(p.links)
 	p.mu.Unlock()
@@ -237,7 +238,8 @@
 }
 
 // check closes expired links, wakes the writer for due keepalives and reports whether the peer can be removed.
-func (p *peer) check(now time.Time) bool {
+func (p *peer) check() bool {
+	now := p.m.steady()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range p.links {
