Decode the software version of upstreams, and what a resumed stream resumes

The version of an upstream's entry and the attempt that a resumed stream names are read and passed on between routers. Nothing uses them yet. An entry whose version is no string, or longer than 200 bytes, names no upstream.

--- a/fleet.go
+++ b/fleet.go
@@ -130,6 +130,8 @@
 	Addr    netip.AddrPort
 	Domain  DomainID
 	Slots   Slots
+	// Version is the version of the upstream's software.
+	Version SoftwareVersion
 	// Draining upstreams get no new requests.
 	Draining bool
 	// ColdRemaining is the time for which the upstream will remain cold, as reported by the upstream; ColdUnknown if it reports none.
--- a/ids.go
+++ b/ids.go
@@ -20,6 +20,10 @@
 // UpstreamID is the name of an upstream server.
 type UpstreamID string
 
+// SoftwareVersion is the version of an upstream's software, as the upstream registered it; empty if it registered none. Streams that begin at
+// one version cannot continue at another.
+type SoftwareVersion string
+
 // NodeID identifies a router by the host name in its settings.
 type NodeID string
 
--- a/pomelofake/fleetwire.go
+++ b/pomelofake/fleetwire.go
@@ -21,6 +21,7 @@
 	TestHeaderSignedBy         = "Signed-By"
 	TestHeaderNotRun           = "Not-Run"
 	TestHeaderLastEventID      = "Last-Event-Id"
+	TestHeaderResumes          = "Resumes"
 )
 
 // TestWireFormat is a wire format with plain header values, for tests that do not depend on a deployment's header names.
@@ -48,6 +49,7 @@
 	}
 	if id, err := strconv.ParseUint(head.Get(TestHeaderLastEventID), 10, 64); err == nil {
 		f.LastEvent, f.HasLastEvent = id, true
+		f.Resumes = head.Get(TestHeaderResumes)
 	}
 	return f
 }
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -109,7 +109,7 @@
 		u := list[i]
 		upstreams[i] = pomelorelay.FleetUpstream{
 			ID: pomelorelay.UpstreamID(d.name(u.GetId())), Service: pomelorelay.ServiceID(d.name(u.GetService())), Addr: d.addr(u.GetAddress()),
-			Domain: pomelorelay.DomainID(d.name(u.GetDomain())), Slots: pomelorelay.Slots(u.GetSlots()), Draining: u.GetDraining(), ColdRemaining: d.cold(u.GetCold()), StartUnixMilli: u.GetBorn(),
+			Domain: pomelorelay.DomainID(d.name(u.GetDomain())), Version: pomelorelay.SoftwareVersion(d.name(u.GetVersion())), Slots: pomelorelay.Slots(u.GetSlots()), Draining: u.GetDraining(), ColdRemaining: d.cold(u.GetCold()), StartUnixMilli: u.GetBorn(),
 		}
 	}
 	return upstreams
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -53,7 +53,7 @@
 	for _, u := range upstreams {
 		w = append(w, &pomelowire.Upstream{
 			Id: string(u.ID), Service: string(u.Service), Address: u.Addr.String(), Domain: string(u.Domain),
-			Slots: int32(u.Slots), Draining: u.Draining, Cold: encodeCold(u.ColdRemaining), Born: u.StartUnixMilli,
+			Version: string(u.Version), Slots: int32(u.Slots), Draining: u.Draining, Cold: encodeCold(u.ColdRemaining), Born: u.StartUnixMilli,
 		})
 	}
 	return w
--- a/wire.go
+++ b/wire.go
@@ -30,6 +30,8 @@
 	// LastEvent is the number of the last event that the caller received of an earlier response, if HasLastEvent is set.
 	LastEvent    uint64
 	HasLastEvent bool
+	// Resumes is the RequestID of the caller's attempt that received the stream's first event; empty if the caller does not name it.
+	Resumes string
 }
 
 // UpstreamFields holds the values of the request headers that a router sends to an upstream.
