A resumed stream continues only at the software version at which it began

Callers got streams whose first events were of one version of an upstream's software and whose later ones of another; what two versions write does not fit together, and upstreams do not check it.

Cause: the version of an upstream's entry was not read, a resumed stream was placed like a new one, and nothing remembered where a stream had begun.

Now a request whose stream has begun is placed only at upstreams of that version. Within one answer the router knows it. For streams that callers resume, each router remembers the version under the id of the attempt that received the first event, until the caller's deadline, and tells all others in its load reports; so a router that is dead, cut off or slow is not asked. A stream whose origin is unknown is refused at once (1218) if the service has several versions, or had within the time in which callers resume; one whose version has no usable upstream is refused too (1219), or its answer is ended.

Weighed: owners of a stream's origin by hash (a question before each resumed stream, links between all routers), a choice of version by a hash of the id (no memory, but the routers' views differ during a rollout: a guess). Cost: 18 to 20 bytes a stream and router; at 3,500 resumable streams a second and 300 routers a relay receives 70 KB a second, each other router as much from its relay (computed, not measured).

--- a/codes_route.go
+++ b/codes_route.go
@@ -20,6 +20,8 @@
 	CodeRegionUnavailable ResultCode = 1215
 	CodeEvacuated         ResultCode = 1216
 	CodeUpstreamsCold     ResultCode = 1217
+	CodeVersionUnknown    ResultCode = 1218
+	CodeVersionGone       ResultCode = 1219
 )
 
 var routeCodes = []CodeInfo{
@@ -41,4 +43,6 @@
 	{CodeRegionUnavailable, "RegionUnavailable", 503, RanNo, "No upstream in the regions allowed to the request takes requests; the detail says why.", "Send it again after Retry-After."},
 	{CodeEvacuated, "Evacuated", 503, RanNo, "All failure domains with upstreams of the service are being evacuated.", "Send it again after Retry-After; operators may take an evacuation back."},
 	{CodeUpstreamsCold, "UpstreamsCold", 503, RanNo, "All upstreams of the service have just started and get as many requests as they accept.", "Send it again after Retry-After."},
+	{CodeVersionUnknown, "VersionUnknown", 503, RanNo, "The request resumes a stream, the service has upstreams of several software versions, and the router does not know at which one the stream began.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
+	{CodeVersionGone, "VersionGone", 503, RanNo, "The request resumes a stream, and no upstream of the software version at which it began takes requests.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
 }
--- a/messages_load.go
+++ b/messages_load.go
@@ -45,6 +45,17 @@
 	Speeds []SpeedSums
 	// Starts are upstreams that may have restarted.
 	Starts []UpstreamStart
+	// Streams are resumable streams that have begun.
+	Streams []StreamOrigin
+}
+
+// StreamOrigin reports at which version of the upstreams' software a resumable stream began.
+type StreamOrigin struct {
+	// Stream is the fingerprint of the RequestID of the caller's attempt that received the first event.
+	Stream  Fingerprint
+	Version SoftwareVersion
+	// TimeLeft is the time within which the caller may resume the stream.
+	TimeLeft time.Duration
 }
 
 // UpstreamStart reports that an upstream accepted no connection, or that it answers again. In both cases the upstream may have restarted;
@@ -58,7 +69,7 @@
 
 // Empty reports whether the report has no content; a report of the full state is never empty, since it shows that its router is alive.
 func (r *LoadReport) Empty() bool {
-	return !r.Full && len(r.Upstreams)+len(r.Accounts)+len(r.Parts)+len(r.Leaving)+len(r.Speeds)+len(r.Starts) == 0
+	return !r.Full && len(r.Upstreams)+len(r.Accounts)+len(r.Parts)+len(r.Leaving)+len(r.Speeds)+len(r.Starts)+len(r.Streams) == 0
 }
 
 // Urgency implements Message; load is urgent because other routers choose upstreams by the reported load.
--- a/pomeloentry/aggregate.go
+++ b/pomeloentry/aggregate.go
@@ -15,6 +15,7 @@
 	speeds    map[pomelorelay.ServiceID]*speedSum
 	parts     []sourcePart
 	starts    []sourceStart
+	streams   []sourceStream
 	leaving   map[pomelorelay.UpstreamID]bool
 }
 
@@ -101,6 +102,12 @@
 	start  pomelorelay.UpstreamStart
 }
 
+// sourceStream is a stream that has begun and the source that reported it.
+type sourceStream struct {
+	source string
+	origin pomelorelay.StreamOrigin
+}
+
 func newAggregate() *aggregate {
 	return &aggregate{
 		sources:   make(map[string]*source),
@@ -148,6 +155,9 @@
 	for _, s := range m.Starts {
 		a.starts = append(a.starts, sourceStart{key, s})
 	}
+	for _, o := range m.Streams {
+		a.streams = append(a.streams, sourceStream{key, o})
+	}
 	for _, id := range m.Leaving {
 		a.leaving[id] = true
 	}
@@ -284,6 +294,11 @@
 			m.Starts = append(m.Starts, s.start)
 		}
 	}
+	for _, s := range a.streams {
+		if s.source != key {
+			m.Streams = append(m.Streams, s.origin)
+		}
+	}
 	for id := range a.leaving {
 		m.Leaving = append(m.Leaving, id)
 	}
@@ -303,7 +318,7 @@
 			return true
 		}
 	}
-	return len(a.parts)+len(a.starts)+len(a.leaving) > 0
+	return len(a.parts)+len(a.starts)+len(a.streams)+len(a.leaving) > 0
 }
 
 // markFlushed clears the marks of changed entries after summaries were sent.
@@ -319,5 +334,6 @@
 	}
 	a.parts = a.parts[:0]
 	a.starts = a.starts[:0]
+	a.streams = a.streams[:0]
 	clear(a.leaving)
 }
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -9,6 +9,7 @@
 	"github.com/pomelorelay/pomelorelay/pomeloresidency"
 	"github.com/pomelorelay/pomelorelay/pomeloshare"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
+	"github.com/pomelorelay/pomelorelay/pomelostream"
 	"github.com/pomelorelay/pomelorelay/pomelotable"
 	"github.com/pomelorelay/pomelorelay/pomelowarmup"
 )
@@ -38,6 +39,8 @@
 	residency *pomeloresidency.Policy
 	config    *pomelorelay.FleetConfig
 	upstreams upstreams
+	streams   *pomelostream.Origins
+	versions  *pomelostream.Versions
 	// evacuated holds the failure domains under evacuation. Only the store or the full state sent by a peer ends an evacuation.
 	evacuated     map[pomelorelay.DomainID]bool
 	crashes       crashes
@@ -64,6 +67,8 @@
 		shares:       pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
 		residency:    pomeloresidency.New(pomeloresidency.Config{Overlap: s.ConfigApplyTimeout}),
 		upstreams:    newUpstreams(),
+		streams:      pomelostream.NewOrigins(e.cfg.Clock.Now()),
+		versions:     pomelostream.NewVersions(),
 		evacuated:    make(map[pomelorelay.DomainID]bool),
 		crashes:      newCrashes(e.cfg.Logger),
 		peers:        newPeers(),
@@ -127,6 +132,7 @@
 	c.placer.Tick(now)
 	c.removeLapsed(now)
 	c.expireCrashes(now)
+	c.streams.Expire(now)
 	c.updateReadDelay(now)
 	c.requestNewerConfig(now)
 	c.requestMissingState(now)
@@ -142,6 +148,7 @@
 	suspects := c.e.crashSnapshot.Load()
 	m.SetGauge("crash_suspects", float64(suspects.Suspects()))
 	m.SetGauge("quarantined_requests", float64(suspects.Quarantined(c.now())))
+	m.SetGauge("stream_origins", float64(c.streams.Len()))
 	m.SetGauge("peers", float64(len(c.peers.byNode)))
 	m.SetGauge("update_age_seconds", c.e.updateAge().Seconds())
 	m.SetGauge("read_delay_seconds", time.Duration(c.e.readDelay.Load()).Seconds())
@@ -176,6 +183,9 @@
 func (c *control) place(now time.Time, req pomeloforward.PlacementRequest) pomeloplace.Decision {
 	accounted := req.Cost > 0 && req.Account != ""
 	r := req.Request
+	if !c.fixVersion(now, &req, &r) {
+		return pomeloplace.Decision{Reason: pomeloplace.ReasonVersionUnknown, RetryAfter: unknownVersionRetryAfter}
+	}
 	// The regions are determined anew at each attempt: if a new configuration allows fewer regions, this also applies to requests that
 	// arrived before it.
 	r.Residency = c.residency.Residency(now, req.Route, req.Account)
@@ -240,6 +250,7 @@
 	c.placer.FillReport(m)
 	m.Accounts = c.shares.AppendReport(m.Full, m.Accounts)
 	m.Leaving = c.upstreams.reportedLeaving(now)
+	m.Streams = c.streams.TakePending()
 	if !c.reportsDirectly() {
 		c.relayOwnReport(now, m)
 		return
@@ -271,11 +282,13 @@
 	c.recordGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
 	case *pomelorelay.LoadReport:
+		c.streams.Merge(now, msg.Streams)
 		if c.reportsDirectly() || c.isRelay(now) {
 			c.receiveReport(now, m.From, m.Incarnation, msg)
 			c.addNeighbourReport(now, m, msg)
 		}
 	case *pomelorelay.LoadSummary:
+		c.streams.Merge(now, msg.Report.Streams)
 		c.receiveSummary(now, m, msg)
 	case *pomelorelay.FleetUpdate:
 		c.receiveUpdate(now, m.From, msg)
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -30,7 +30,7 @@
 	if d.Run == nil {
 		return nil, d, ctx.Err()
 	}
-	return reservation{e: p.e, run: d.Run, request: req}, d, nil
+	return reservation{e: p.e, run: d.Run, request: req, version: d.Upstream.Version}, d, nil
 }
 
 // placementRequested is posted by a request that needs an upstream.
@@ -53,17 +53,25 @@
 	e       *Router
 	run     *pomeloplace.Run
 	request pomeloforward.PlacementRequest
+	version pomelorelay.SoftwareVersion
 }
 
 // AnswerBegan records the start of the answer.
-func (r reservation) AnswerBegan() { r.e.post(&answerBegan{r.run}) }
+func (r reservation) AnswerBegan() { r.e.post(&answerBegan{r.run, r.request.Stream, r.version}) }
 
 // Done records the result of the run.
 func (r reservation) Done(result pomeloplace.Result) { r.e.post(&runEnded{r.run, r.request, result}) }
 
-type answerBegan struct{ run *pomeloplace.Run }
+type answerBegan struct {
+	run     *pomeloplace.Run
+	stream  pomeloforward.StreamProgress
+	version pomelorelay.SoftwareVersion
+}
 
-func (b *answerBegan) apply(c *control, now time.Time) { c.placer.RecordAnswerStart(now, b.run) }
+func (b *answerBegan) apply(c *control, now time.Time) {
+	c.placer.RecordAnswerStart(now, b.run)
+	c.recordOrigin(now, b.stream, b.version)
+}
 
 type runEnded struct {
 	run     *pomeloplace.Run
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -104,6 +104,10 @@
 func (c *control) putUpstream(now time.Time, u pomelorelay.FleetUpstream, source string) {
 	before, known := c.upstreams.present[u.ID]
 	c.upstreams.present[u.ID] = u
+	c.versions.Add(u)
+	if known {
+		c.versions.Remove(now, before)
+	}
 	delete(c.upstreams.lapsed, u.ID)
 	c.placer.PutUpstream(now, u)
 	if known && before == u {
@@ -173,9 +177,11 @@
 }
 
 func (c *control) removeUpstream(now time.Time, id pomelorelay.UpstreamID) {
-	if u := c.upstreams.present[id]; !u.Draining {
+	u := c.upstreams.present[id]
+	if !u.Draining {
 		c.confirmCrashes(now, id, u.StartUnixMilli, pomelorelay.EvidenceRemoved)
 	}
+	c.versions.Remove(now, u)
 	delete(c.upstreams.lapsed, id)
 	delete(c.upstreams.present, id)
 	c.upstreams.leaving[id] = now
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -220,6 +220,8 @@
 	pomeloplace.ReasonNoUpstreamInRegion: pomelorelay.CodeRegionUnavailable,
 	pomeloplace.ReasonCold:               pomelorelay.CodeUpstreamsCold,
 	pomeloplace.ReasonEvacuated:          pomelorelay.CodeEvacuated,
+	pomeloplace.ReasonVersionUnknown:     pomelorelay.CodeVersionUnknown,
+	pomeloplace.ReasonVersionGone:        pomelorelay.CodeVersionGone,
 }
 
 // outputTokenWeight is the cost of a generated token relative to a prompt token, as the platform defines it.
@@ -249,6 +251,7 @@
 		Cost:    requestCost(c.fields),
 		Retry:   len(c.avoid) > 0,
 		Charged: c.runs > 0,
+		Stream:  c.streamProgress(),
 		Request: pomeloplace.Request{
 			Service:      c.service,
 			PromptTokens: c.fields.PromptTokens,
@@ -257,10 +260,35 @@
 			Target:       c.route.TargetLatency,
 			MaxWait:      c.timeLeft(),
 			Avoid:        c.avoid,
+			Version:      c.version,
+			VersionFixed: c.versionFixed,
 		},
 	}
 }
 
+// resumeTimeLeft returns the time within which the caller may resume its stream by another request: until its own timeout, not the route's.
+func (c *call) resumeTimeLeft() time.Duration {
+	if c.fields.Timeout <= 0 {
+		return c.timeLeft()
+	}
+	return min(c.fields.Timeout, defaultTimeout) - c.h.cfg.Clock.Now().Sub(c.arrivedAt)
+}
+
+// streamProgress returns what the caller has received of a resumable stream.
+func (c *call) streamProgress() StreamProgress {
+	if c.route.Kind != pomelorelay.RouteStream || !c.route.Resumable {
+		return StreamProgress{}
+	}
+	p := StreamProgress{Resumable: true, Resumed: c.fields.HasLastEvent, TimeLeft: c.resumeTimeLeft()}
+	if !p.Resumed {
+		p.Origin = pomelorelay.FingerprintOf([]byte(c.fields.RequestID))
+		p.OriginNamed = c.fields.RequestID != ""
+		return p
+	}
+	p.Origin, p.OriginNamed = pomelorelay.FingerprintOf([]byte(c.fields.Resumes)), c.fields.Resumes != ""
+	return p
+}
+
 // exchange sends the request to an upstream and forwards the answer.
 func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, reservation Reservation) *pomelolink.Failure {
 	x, f := c.h.links.Open(ctx, pomelolink.UpstreamRequest{Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), StillWanted: func() bool { return !c.callerGone() }})
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -44,6 +44,9 @@
 	// lastEvent is the number of the last stream event that the caller has received.
 	lastEvent    uint64
 	hasLastEvent bool
+	// version is the software version of the upstream that sent the first event of this answer, if versionFixed is set.
+	version      pomelorelay.SoftwareVersion
+	versionFixed bool
 	// answerBeganAt is when the answer began; decision is the last placement decision.
 	answerBeganAt time.Time
 	lastEventAt   time.Time
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -45,10 +45,24 @@
 	// Cost counts towards the account's share; zero for plain services (those without model engines).
 	Cost    pomelorelay.Cost
 	Request pomeloplace.Request
+	Stream  StreamProgress
 	// Retry marks a request that was placed before. Charged marks one that may have run and whose cost was charged to its account.
 	Retry, Charged bool
 }
 
+// StreamProgress is what the caller of a request has received of a resumable stream.
+type StreamProgress struct {
+	// Resumable is set for requests whose streams may be resumed.
+	Resumable bool
+	// Resumed is set if the caller had received events before it sent the request.
+	Resumed bool
+	// Origin is the fingerprint of the RequestID of the attempt that received, or will receive, the first event, if OriginNamed is set.
+	Origin      pomelorelay.Fingerprint
+	OriginNamed bool
+	// TimeLeft is the time within which the caller may resume the stream.
+	TimeLeft time.Duration
+}
+
 // Placement selects upstreams for requests.
 type Placement interface {
 	// Place returns a reservation or a refusal immediately; it fails when ctx ends.
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -26,6 +26,7 @@
 		}
 		if !begun {
 			begun = true
+			c.version, c.versionFixed = c.decision.Upstream.Version, true
 			reservation.AnswerBegan()
 		}
 		isNew, f := c.checkSequence(event)
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -50,9 +50,21 @@
 		s := m.GetStarts()[i]
 		r.Starts[i] = pomelorelay.UpstreamStart{Upstream: pomelorelay.UpstreamID(d.name(s.GetUpstream())), Unreachable: s.GetUnreached(), ColdRemaining: d.milliseconds(s.GetCold())}
 	}
+	r.Streams = d.streams(m.GetStreams())
 	return r
 }
 
+func (d *decoder) streams(list []*pomelowire.StreamOrigin) []pomelorelay.StreamOrigin {
+	origins := make([]pomelorelay.StreamOrigin, d.listLength(len(list), maxListLength))
+	for i := range origins {
+		o := list[i]
+		origins[i] = pomelorelay.StreamOrigin{
+			Stream: pomelorelay.Fingerprint(o.GetStream()), Version: pomelorelay.SoftwareVersion(d.name(o.GetVersion())), TimeLeft: time.Duration(o.GetLeft()) * time.Second,
+		}
+	}
+	return origins
+}
+
 func (d *decoder) cold(value int64) time.Duration {
 	if value < 0 {
 		return pomelorelay.ColdUnknown
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -83,6 +83,14 @@
 	return w
 }
 
+func encodeStreams(origins []pomelorelay.StreamOrigin) []*pomelowire.StreamOrigin {
+	var w []*pomelowire.StreamOrigin
+	for _, o := range origins {
+		w = append(w, &pomelowire.StreamOrigin{Stream: uint64(o.Stream), Version: string(o.Version), Left: uint32((o.TimeLeft + time.Second - 1) / time.Second)})
+	}
+	return w
+}
+
 func encodeDomains(domains []pomelorelay.DomainID) []string {
 	var w []string
 	for _, d := range domains {
@@ -118,6 +126,7 @@
 	for _, id := range m.Leaving {
 		w.Leaving = append(w.Leaving, string(id))
 	}
+	w.Streams = encodeStreams(m.Streams)
 	for _, s := range m.Starts {
 		w.Starts = append(w.Starts, &pomelowire.UpstreamStart{Upstream: string(s.Upstream), Unreached: s.Unreachable, Cold: s.ColdRemaining.Milliseconds()})
 	}
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -42,6 +42,10 @@
 	Residency pomelorelay.Residency
 	// Avoid lists upstreams that have already failed this request.
 	Avoid []pomelorelay.UpstreamID
+	// Version is the version of the upstreams' software at which the request's stream began, if VersionFixed is set; no other one may continue
+	// it.
+	Version      pomelorelay.SoftwareVersion
+	VersionFixed bool
 }
 
 // Reason is the reason why a request was refused.
@@ -57,6 +61,9 @@
 	ReasonNoAllowedRegion Reason = "NoRegion"
 	// ReasonNoUpstreamInRegion means that no upstream in the allowed regions accepts requests; Decision.Cause holds the underlying reason.
 	ReasonNoUpstreamInRegion Reason = "Region"
+	// ReasonVersionUnknown means that the version at which the stream began is unknown, ReasonVersionGone that no upstream of it is usable.
+	ReasonVersionUnknown Reason = "VersionUnknown"
+	ReasonVersionGone    Reason = "VersionGone"
 	// ReasonEvacuated means that every upstream of the service is in a failure domain under evacuation.
 	ReasonEvacuated Reason = "Evacuated"
 	// ReasonCold means that only cold upstreams are available, and this router may not send to them yet.
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -153,7 +153,7 @@
 
 // sameInstance reports whether the entry describes the same instance of the upstream, without a restart.
 func (u *upstream) sameInstance(info pomelorelay.FleetUpstream) bool {
-	return u.info.Service == info.Service && u.info.Addr == info.Addr && (u.info.StartUnixMilli == info.StartUnixMilli || info.StartUnixMilli == 0)
+	return u.info.Service == info.Service && u.info.Addr == info.Addr && u.info.Version == info.Version && (u.info.StartUnixMilli == info.StartUnixMilli || info.StartUnixMilli == 0)
 }
 
 // maxRemoved limits the number of removed upstreams that are remembered; all of them are forgotten when that number is reached.
@@ -207,6 +207,8 @@
 		d.Reason, d.RetryAfter = ReasonCold, wait
 	} else if p.onlyEvacuated(r) {
 		d.Reason, d.RetryAfter = ReasonEvacuated, evacuatedRetryAfter
+	} else if r.VersionFixed {
+		d.Reason = ReasonVersionGone
 	}
 	if r.Residency.Restricted {
 		d.Reason, d.Cause = ReasonNoUpstreamInRegion, d.Reason
@@ -221,7 +223,7 @@
 		return false
 	}
 	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool {
-		return u.domain.evacuated && !u.info.Draining && p.allowed(u, r)
+		return u.domain.evacuated && !u.info.Draining && p.allowed(u, r) && r.fitsVersion(u)
 	})
 }
 
@@ -271,7 +273,12 @@
 
 // usable reports whether the request may be sent to the upstream.
 func (p *Placer) usable(u *upstream, r *Request) bool {
-	return !u.info.Draining && !u.domain.evacuated && p.allowed(u, r)
+	return !u.info.Draining && !u.domain.evacuated && p.allowed(u, r) && r.fitsVersion(u)
+}
+
+// fitsVersion reports whether the upstream has the version at which the request's stream began.
+func (r *Request) fitsVersion(u *upstream) bool {
+	return !r.VersionFixed || u.info.Version == r.Version
 }
 
 // choose returns the best candidate and its admission. Cold upstreams are considered only if no other upstream admits the request.
--- /dev/null
+++ b/pomelostream/origins.go
@@ -0,0 +1,83 @@
+package pomelostream
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+const (
+	// maxOrigins bounds the number of streams that are remembered, and maxPending of those that wait for the next report.
+	maxOrigins = 1 << 17
+	maxPending = 1 << 13
+	// expiryStep is the accuracy with which streams expire.
+	expiryStep = time.Second
+)
+
+// Origins remembers at which software version of the upstreams streams began, until their callers can no longer resume them.
+type Origins struct {
+	versions map[pomelorelay.Fingerprint]pomelorelay.SoftwareVersion
+	// expiring holds the streams that expire in each step since the first one.
+	expiring map[int64][]pomelorelay.Fingerprint
+	began    time.Time
+	expired  int64
+	pending  []pomelorelay.StreamOrigin
+}
+
+// NewOrigins returns Origins that know no stream.
+func NewOrigins(now time.Time) *Origins {
+	return &Origins{versions: make(map[pomelorelay.Fingerprint]pomelorelay.SoftwareVersion), expiring: make(map[int64][]pomelorelay.Fingerprint), began: now}
+}
+
+// Record records a stream that began at this router, for the next report too.
+func (o *Origins) Record(now time.Time, origin pomelorelay.StreamOrigin) {
+	if o.add(now, origin) && len(o.pending) < maxPending {
+		o.pending = append(o.pending, origin)
+	}
+}
+
+// Merge records streams that other routers reported.
+func (o *Origins) Merge(now time.Time, origins []pomelorelay.StreamOrigin) {
+	for _, origin := range origins {
+		o.add(now, origin)
+	}
+}
+
+// add reports whether the stream was not known. The first version counts: later events of the stream come from the same one.
+func (o *Origins) add(now time.Time, origin pomelorelay.StreamOrigin) bool {
+	if _, known := o.versions[origin.Stream]; known || origin.TimeLeft <= 0 || len(o.versions) >= maxOrigins {
+		return false
+	}
+	step := o.step(now.Add(origin.TimeLeft)) + 1
+	o.versions[origin.Stream] = origin.Version
+	o.expiring[step] = append(o.expiring[step], origin.Stream)
+	return true
+}
+
+func (o *Origins) step(at time.Time) int64 { return int64(at.Sub(o.began) / expiryStep) }
+
+// Version returns the version at which a stream began, and false if it is not known.
+func (o *Origins) Version(stream pomelorelay.Fingerprint) (pomelorelay.SoftwareVersion, bool) {
+	v, ok := o.versions[stream]
+	return v, ok
+}
+
+// TakePending returns the streams that were recorded since the last call.
+func (o *Origins) TakePending() []pomelorelay.StreamOrigin {
+	taken := o.pending
+	o.pending = nil
+	return taken
+}
+
+// Expire forgets the streams that callers can no longer resume.
+func (o *Origins) Expire(now time.Time) {
+	for current := o.step(now); o.expired < current; o.expired++ {
+		for _, stream := range o.expiring[o.expired] {
+			delete(o.versions, stream)
+		}
+		delete(o.expiring, o.expired)
+	}
+}
+
+// Len returns the number of streams that are remembered.
+func (o *Origins) Len() int { return len(o.versions) }
--- /dev/null
+++ b/pomelostream/versions.go
@@ -0,0 +1,58 @@
+package pomelostream
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Versions tracks which software versions of each service there are, or were until lately.
+type Versions struct {
+	// present counts the upstreams of each version; leftAt is when the last one of a version was removed.
+	present map[serviceVersion]int
+	leftAt  map[serviceVersion]time.Time
+}
+
+type serviceVersion struct {
+	service pomelorelay.ServiceID
+	version pomelorelay.SoftwareVersion
+}
+
+// NewVersions returns Versions without upstreams.
+func NewVersions() *Versions {
+	return &Versions{present: make(map[serviceVersion]int), leftAt: make(map[serviceVersion]time.Time)}
+}
+
+// Add records a registered upstream.
+func (v *Versions) Add(u pomelorelay.FleetUpstream) {
+	v.present[serviceVersion{u.Service, u.Version}]++
+}
+
+// Remove records that an upstream is no longer registered.
+func (v *Versions) Remove(now time.Time, u pomelorelay.FleetUpstream) {
+	key := serviceVersion{u.Service, u.Version}
+	if v.present[key]--; v.present[key] <= 0 {
+		delete(v.present, key)
+		v.leftAt[key] = now
+	}
+}
+
+// Several reports whether a service has, or had within the given time before now, upstreams of more than one version.
+func (v *Versions) Several(now time.Time, service pomelorelay.ServiceID, within time.Duration) bool {
+	n := 0
+	for key := range v.present {
+		if key.service == service {
+			n++
+		}
+	}
+	for key, at := range v.leftAt {
+		if now.Sub(at) > within {
+			delete(v.leftAt, key)
+			continue
+		}
+		if key.service == service && v.present[key] == 0 {
+			n++
+		}
+	}
+	return n > 1
+}
