A router that starts learns where streams began, and guesses none meanwhile

Callers of a router that had just started had resumed streams refused during a rollout, or continued at the version that came after the one at which they began.

Cause: a router knew only the streams that began after its start, and only the versions that it had seen itself. Now it asks its relay, or any other router, for the streams and the versions that left lately, until two seconds after its start, when all others know it. Until it has known all streams for as long as callers may resume one, a stream whose named origin it does not know is refused.

--- a/messages_load.go
+++ b/messages_load.go
@@ -49,15 +49,6 @@
 	Streams []StreamOrigin
 }
 
-// StreamOrigin reports at which version of the upstreams' software a resumable stream began.
-type StreamOrigin struct {
-	// Stream is the fingerprint of the RequestID of the caller's attempt that received the first event.
-	Stream  Fingerprint
-	Version SoftwareVersion
-	// TimeLeft is the time within which the caller may resume the stream.
-	TimeLeft time.Duration
-}
-
 // UpstreamStart reports that an upstream accepted no connection, or that it answers again. In both cases the upstream may have restarted;
 // it is then cold, that is, it accepts only a low request rate for a while.
 type UpstreamStart struct {
--- a/messages_state.go
+++ b/messages_state.go
@@ -7,6 +7,8 @@
 	Above Generation
 	// Upstreams states that the registered upstreams are requested too.
 	Upstreams bool
+	// Streams states that the origins of streams are requested too, in StreamStates.
+	Streams bool
 }
 
 // Urgency implements Message; it equals that of configuration messages.
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -9,7 +9,6 @@
 	"github.com/pomelorelay/pomelorelay/pomeloresidency"
 	"github.com/pomelorelay/pomelorelay/pomeloshare"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
-	"github.com/pomelorelay/pomelorelay/pomelostream"
 	"github.com/pomelorelay/pomelorelay/pomelotable"
 	"github.com/pomelorelay/pomelorelay/pomelowarmup"
 )
@@ -39,8 +38,7 @@
 	residency *pomeloresidency.Policy
 	config    *pomelorelay.FleetConfig
 	upstreams upstreams
-	streams   *pomelostream.Origins
-	versions  *pomelostream.Versions
+	streams   streams
 	// evacuated holds the failure domains under evacuation. Only the store or the full state sent by a peer ends an evacuation.
 	evacuated     map[pomelorelay.DomainID]bool
 	crashes       crashes
@@ -67,8 +65,7 @@
 		shares:       pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
 		residency:    pomeloresidency.New(pomeloresidency.Config{Overlap: s.ConfigApplyTimeout}),
 		upstreams:    newUpstreams(),
-		streams:      pomelostream.NewOrigins(e.cfg.Clock.Now()),
-		versions:     pomelostream.NewVersions(),
+		streams:      newStreams(e.cfg.Clock.Now()),
 		evacuated:    make(map[pomelorelay.DomainID]bool),
 		crashes:      newCrashes(e.cfg.Logger),
 		peers:        newPeers(),
@@ -132,7 +129,8 @@
 	c.placer.Tick(now)
 	c.removeLapsed(now)
 	c.expireCrashes(now)
-	c.streams.Expire(now)
+	c.streams.origins.Expire(now)
+	c.requestStreams(now)
 	c.updateReadDelay(now)
 	c.requestNewerConfig(now)
 	c.requestMissingState(now)
@@ -148,7 +146,7 @@
 	suspects := c.e.crashSnapshot.Load()
 	m.SetGauge("crash_suspects", float64(suspects.Suspects()))
 	m.SetGauge("quarantined_requests", float64(suspects.Quarantined(c.now())))
-	m.SetGauge("stream_origins", float64(c.streams.Len()))
+	m.SetGauge("stream_origins", float64(c.streams.origins.Len()))
 	m.SetGauge("peers", float64(len(c.peers.byNode)))
 	m.SetGauge("update_age_seconds", c.e.updateAge().Seconds())
 	m.SetGauge("read_delay_seconds", time.Duration(c.e.readDelay.Load()).Seconds())
@@ -250,7 +248,7 @@
 	c.placer.FillReport(m)
 	m.Accounts = c.shares.AppendReport(m.Full, m.Accounts)
 	m.Leaving = c.upstreams.reportedLeaving(now)
-	m.Streams = c.streams.TakePending()
+	m.Streams = c.streams.origins.TakePending()
 	if !c.reportsDirectly() {
 		c.relayOwnReport(now, m)
 		return
@@ -282,13 +280,13 @@
 	c.recordGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
 	case *pomelorelay.LoadReport:
-		c.streams.Merge(now, msg.Streams)
+		c.streams.origins.Merge(now, msg.Streams)
 		if c.reportsDirectly() || c.isRelay(now) {
 			c.receiveReport(now, m.From, m.Incarnation, msg)
 			c.addNeighbourReport(now, m, msg)
 		}
 	case *pomelorelay.LoadSummary:
-		c.streams.Merge(now, msg.Report.Streams)
+		c.streams.origins.Merge(now, msg.Report.Streams)
 		c.receiveSummary(now, m, msg)
 	case *pomelorelay.FleetUpdate:
 		c.receiveUpdate(now, m.From, msg)
@@ -297,9 +295,11 @@
 	case *pomelorelay.ConfigPush:
 		c.applyPushedConfig(now, m.From, msg)
 	case *pomelorelay.StateAsk:
-		c.sendState(m.From, msg)
+		c.sendState(now, m.From, msg)
 	case *pomelorelay.FleetState:
 		c.applyPeerState(now, m.From, msg)
+	case *pomelorelay.StreamState:
+		c.applyStreamState(now, msg)
 	case *pomelorelay.CrashNotice:
 		c.receiveCrashes(now, m.From, msg)
 	}
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -78,7 +78,7 @@
 
 // sendState answers another router's request for the configuration, the upstreams and the list of routers. It answers even without a
 // configuration and upstreams, so that both routers learn each other's address.
-func (c *control) sendState(to pomelorelay.NodeID, ask *pomelorelay.StateAsk) {
+func (c *control) sendState(now time.Time, to pomelorelay.NodeID, ask *pomelorelay.StateAsk) {
 	m := &pomelorelay.FleetState{Peers: append(c.peers.registered(), c.e.cfg.Settings.Self)}
 	if c.config != nil && c.config.Version > ask.Above {
 		m.Document = c.config.Document
@@ -93,6 +93,9 @@
 			}
 		}
 	}
+	if ask.Streams {
+		c.sendStreams(now, to)
+	}
 	if err := c.e.mesh.Send(to, m); err != nil {
 		c.e.log(pomelorelay.EventPeerMissed, field("Node", to), field("Message", "state"), field("Fault", err.Error()))
 	}
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -6,6 +6,7 @@
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
+	"github.com/pomelorelay/pomelorelay/pomelostream"
 )
 
 // Events of one stream must come from upstreams of one software version, and upstreams do not check this. Each router remembers at which
@@ -19,6 +20,84 @@
 // defaultResumeWindow is the time within which callers may resume a stream while the configuration bounds it with no timeout.
 const defaultResumeWindow = time.Minute
 
+const (
+	// streamRequestInterval is the minimum time between two requests for the streams that other routers know.
+	streamRequestInterval = time.Second
+	// streamSettleTime is how long after its start a router goes on asking: until then some routers do not know it and do not report to it.
+	streamSettleTime = 2 * time.Second
+	// maxStreamsPerMessage bounds the streams in one message to a router that has started.
+	maxStreamsPerMessage = 4096
+)
+
+// streams holds what this router knows of streams that callers may resume.
+type streams struct {
+	origins  *pomelostream.Origins
+	versions *pomelostream.Versions
+	// knownSince is the time since which this router, or one that told it, has known all streams and versions.
+	knownSince time.Time
+	// startedAt is the router's start, requestedAt its last request for streams; told is set once another router has told them all after
+	// streamSettleTime.
+	startedAt   time.Time
+	requestedAt time.Time
+	told        bool
+}
+
+func newStreams(now time.Time) streams {
+	return streams{origins: pomelostream.NewOrigins(now), versions: pomelostream.NewVersions(), knownSince: now, startedAt: now}
+}
+
+// requestStreams asks another router for the streams that began before this router started.
+func (c *control) requestStreams(now time.Time) {
+	s := &c.streams
+	if s.told || now.Sub(s.requestedAt) < streamRequestInterval {
+		return
+	}
+	to, ok := c.streamSource(now)
+	if !ok {
+		return
+	}
+	s.requestedAt = now
+	c.send(to, &pomelorelay.StateAsk{Above: c.version(), Streams: true})
+}
+
+// streamSource returns the relay of this router's failure domain, or any other router if this one is the relay.
+func (c *control) streamSource(now time.Time) (pomelorelay.NodeID, bool) {
+	self := c.e.cfg.Settings.Self
+	if relay, ok := c.relayOf(now, self.Domain); ok && relay != self.Node {
+		return relay, true
+	}
+	// Each request may reach another router, because any single one may have started too.
+	for node, p := range c.peers.byNode {
+		if p.registered {
+			return node, true
+		}
+	}
+	return "", false
+}
+
+// sendStreams sends a router that has started the streams and versions that this router knows.
+func (c *control) sendStreams(now time.Time, to pomelorelay.NodeID) {
+	all := c.streams.origins.All(now)
+	for len(all) > maxStreamsPerMessage {
+		c.send(to, &pomelorelay.StreamState{Streams: all[:maxStreamsPerMessage]})
+		all = all[maxStreamsPerMessage:]
+	}
+	c.send(to, &pomelorelay.StreamState{Streams: all, Left: c.streams.versions.Left(now, c.resumeWindow()), KnownFor: now.Sub(c.streams.knownSince)})
+}
+
+func (c *control) applyStreamState(now time.Time, m *pomelorelay.StreamState) {
+	s := &c.streams
+	s.origins.Merge(now, m.Streams)
+	s.versions.Merge(now, m.Left)
+	if m.KnownFor <= 0 {
+		return
+	}
+	s.told = now.Sub(s.startedAt) >= streamSettleTime
+	if since := now.Add(-m.KnownFor); since.Before(s.knownSince) {
+		s.knownSince = since
+	}
+}
+
 // resumeWindow returns the longest time within which callers may resume a stream.
 func (c *control) resumeWindow() time.Duration {
 	window := time.Duration(0)
@@ -38,19 +117,24 @@
 	return window
 }
 
-// fixVersion sets the version at which a resumed stream must continue. It returns false if that version is unknown and the service has
-// upstreams of several.
+// fixVersion sets the version at which a resumed stream must continue. It returns false if that version is unknown and the stream may have
+// begun at another one than the service has now.
 func (c *control) fixVersion(now time.Time, req *pomeloforward.PlacementRequest, r *pomeloplace.Request) bool {
 	if !req.Stream.Resumed || r.VersionFixed {
 		return true
 	}
 	if req.Stream.OriginNamed {
-		if version, known := c.streams.Version(req.Stream.Origin); known {
+		if version, known := c.streams.origins.Version(req.Stream.Origin); known {
 			r.Version, r.VersionFixed = version, true
 			return true
 		}
 	}
-	return !c.versions.Several(now, r.Service, c.resumeWindow())
+	window := c.resumeWindow()
+	if c.streams.versions.Several(now, r.Service, window) {
+		return false
+	}
+	// A router that has just started may have missed a version that left. Callers that name no origin do not expect versions to matter.
+	return !req.Stream.OriginNamed || now.Sub(c.streams.knownSince) >= window
 }
 
 // recordOrigin records the version at which a resumable stream began.
@@ -58,5 +142,5 @@
 	if !stream.Resumable || !stream.OriginNamed {
 		return
 	}
-	c.streams.Record(now, pomelorelay.StreamOrigin{Stream: stream.Origin, Version: version, TimeLeft: stream.TimeLeft})
+	c.streams.origins.Record(now, pomelorelay.StreamOrigin{Stream: stream.Origin, Version: version, TimeLeft: stream.TimeLeft})
 }
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -104,9 +104,9 @@
 func (c *control) putUpstream(now time.Time, u pomelorelay.FleetUpstream, source string) {
 	before, known := c.upstreams.present[u.ID]
 	c.upstreams.present[u.ID] = u
-	c.versions.Add(u)
+	c.streams.versions.Add(u)
 	if known {
-		c.versions.Remove(now, before)
+		c.streams.versions.Remove(now, before)
 	}
 	delete(c.upstreams.lapsed, u.ID)
 	c.placer.PutUpstream(now, u)
@@ -181,7 +181,7 @@
 	if !u.Draining {
 		c.confirmCrashes(now, id, u.StartUnixMilli, pomelorelay.EvidenceRemoved)
 	}
-	c.versions.Remove(now, u)
+	c.streams.versions.Remove(now, u)
 	delete(c.upstreams.lapsed, id)
 	delete(c.upstreams.present, id)
 	c.upstreams.leaving[id] = now
--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -282,3 +282,69 @@
 		})
 	}
 }
+
+// beginStreams begins streams that break off after three events at the only upstream, of version v1, which then leaves for ones of v2.
+func (f versionFleet) beginStreams(n *node, count int) []streamed {
+	f.t.Helper()
+	old := f.engine("u1", "v1")
+	f.awaitReady(1)
+	old.breakAfter.Store(3)
+	close(old.release)
+	var begun []streamed
+	for range count {
+		s := f.stream(n, 0, "")
+		if s.events != 3 {
+			f.t.Fatalf("a stream has %d events before it breaks off, want 3", s.events)
+		}
+		begun = append(begun, s)
+	}
+	f.drain(old)
+	f.awaitDraining("u1")
+	return begun
+}
+
+// Guards against a router that starts during a rollout and refuses, or guesses, where streams began that its neighbours know.
+func TestRouterThatStartsLearnsWhereStreamsBegan(t *testing.T) {
+	f := newVersionFleet(t, 2)
+	begun := f.beginStreams(f.nodes[0], 12)
+	f.engine("a1", "v2")
+	f.engine("u2", "v1")
+	f.awaitGauge("upstreams", 3)
+	fresh := f.start(8 * time.Second)
+	f.awaitReady(3)
+	f.nodes[0].router.Close()
+	continued := 0
+	for _, s := range begun {
+		rest := f.stream(fresh, s.events, s.id)
+		if len(rest.versions) > 0 && (len(rest.versions) > 1 || rest.versions[0] != "v1") {
+			t.Errorf("a stream that began at v1 continues at %v", rest.versions)
+		}
+		if rest.whole && s.events+rest.events == versionEvents {
+			continued++
+		}
+	}
+	if continued < len(begun)*3/4 {
+		t.Errorf("%d of %d streams continued", continued, len(begun))
+	}
+}
+
+// Guards against a router that starts after a rollout and continues streams of the version that has left at the only one that it knows.
+func TestRouterThatStartsAloneGuessesNoVersion(t *testing.T) {
+	f := newVersionFleet(t, 1)
+	begun := f.beginStreams(f.nodes[0], 4)
+	f.store.DeleteUpstream("u1")
+	f.engine("a1", "v2")
+	f.awaitGauge("upstreams", 1)
+	f.nodes[0].router.Close()
+	f.nodes = nil
+	fresh := f.start(8 * time.Second)
+	f.await("the router is ready", func() bool { return f.ready(fresh) })
+	for _, s := range begun {
+		if rest := f.stream(fresh, s.events, s.id); rest.status != http.StatusServiceUnavailable {
+			t.Errorf("a stream that began at v1 is answered with %d and versions %v, want 503", rest.status, rest.versions)
+		}
+	}
+	if s := f.stream(fresh, 0, ""); !s.whole || s.events != versionEvents {
+		t.Errorf("a new stream has %d events, whole %v", s.events, s.whole)
+	}
+}
--- a/pomelomesh/decode_kinds.go
+++ b/pomelomesh/decode_kinds.go
@@ -92,9 +92,11 @@
 	case *pomelowire.Item_FleetUpdate:
 		return d.fleetUpdate(kind.FleetUpdate)
 	case *pomelowire.Item_StateAsk:
-		return &pomelorelay.StateAsk{Above: pomelorelay.Generation(kind.StateAsk.GetAbove()), Upstreams: kind.StateAsk.GetUpstreams()}
+		return &pomelorelay.StateAsk{Above: pomelorelay.Generation(kind.StateAsk.GetAbove()), Upstreams: kind.StateAsk.GetUpstreams(), Streams: kind.StateAsk.GetStreams()}
 	case *pomelowire.Item_FleetState:
 		return d.fleetState(kind.FleetState)
+	case *pomelowire.Item_StreamState:
+		return d.streamState(kind.StreamState)
 	case *pomelowire.Item_CrashNotice:
 		return &pomelorelay.CrashNotice{Crashes: d.crashes(kind.CrashNotice.GetCrashes()), Pending: d.crashes(kind.CrashNotice.GetPending())}
 	}
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -65,6 +65,18 @@
 	return origins
 }
 
+func (d *decoder) streamState(m *pomelowire.StreamState) pomelorelay.Message {
+	s := &pomelorelay.StreamState{Streams: d.streams(m.GetStreams()), KnownFor: d.milliseconds(m.GetKnown())}
+	s.Left = make([]pomelorelay.VersionLeft, d.listLength(len(m.GetLeft()), maxListLength))
+	for i := range s.Left {
+		v := m.GetLeft()[i]
+		s.Left[i] = pomelorelay.VersionLeft{
+			Service: pomelorelay.ServiceID(d.name(v.GetService())), Version: pomelorelay.SoftwareVersion(d.name(v.GetVersion())), Ago: d.milliseconds(v.GetAgo()),
+		}
+	}
+	return s
+}
+
 func (d *decoder) cold(value int64) time.Duration {
 	if value < 0 {
 		return pomelorelay.ColdUnknown
--- a/pomelomesh/encode.go
+++ b/pomelomesh/encode.go
@@ -43,7 +43,7 @@
 		return encodeMember(m)
 	case *pomelorelay.ConfigPull, *pomelorelay.ConfigPush, *pomelorelay.ConfigApplied:
 		return encodeConfig(m)
-	case *pomelorelay.LoadReport, *pomelorelay.LoadSummary, *pomelorelay.FleetUpdate, *pomelorelay.StateAsk, *pomelorelay.FleetState, *pomelorelay.CrashNotice:
+	case *pomelorelay.LoadReport, *pomelorelay.LoadSummary, *pomelorelay.FleetUpdate, *pomelorelay.StateAsk, *pomelorelay.FleetState, *pomelorelay.StreamState, *pomelorelay.CrashNotice:
 		return encodeFleet(m)
 	case *pomelorelay.ClaimAsk, *pomelorelay.ClaimAnswer, *pomelorelay.ClaimSettle, *pomelorelay.ClaimSettled:
 		return encodeClaim(m)
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -16,9 +16,11 @@
 	case *pomelorelay.FleetUpdate:
 		return &pomelowire.Item{Kind: &pomelowire.Item_FleetUpdate{FleetUpdate: encodeUpdate(m)}}
 	case *pomelorelay.StateAsk:
-		return &pomelowire.Item{Kind: &pomelowire.Item_StateAsk{StateAsk: &pomelowire.StateAsk{Above: uint64(m.Above), Upstreams: m.Upstreams}}}
+		return &pomelowire.Item{Kind: &pomelowire.Item_StateAsk{StateAsk: &pomelowire.StateAsk{Above: uint64(m.Above), Upstreams: m.Upstreams, Streams: m.Streams}}}
 	case *pomelorelay.FleetState:
 		return &pomelowire.Item{Kind: &pomelowire.Item_FleetState{FleetState: encodeState(m)}}
+	case *pomelorelay.StreamState:
+		return &pomelowire.Item{Kind: &pomelowire.Item_StreamState{StreamState: encodeStreamState(m)}}
 	case *pomelorelay.CrashNotice:
 		return &pomelowire.Item{Kind: &pomelowire.Item_CrashNotice{CrashNotice: &pomelowire.CrashNotice{Crashes: encodeCrashes(m.Crashes), Pending: encodeCrashes(m.Pending)}}}
 	}
@@ -91,6 +93,14 @@
 	return w
 }
 
+func encodeStreamState(m *pomelorelay.StreamState) *pomelowire.StreamState {
+	w := &pomelowire.StreamState{Streams: encodeStreams(m.Streams), Known: m.KnownFor.Milliseconds()}
+	for _, v := range m.Left {
+		w.Left = append(w.Left, &pomelowire.VersionLeft{Service: string(v.Service), Version: string(v.Version), Ago: v.Ago.Milliseconds()})
+	}
+	return w
+}
+
 func encodeDomains(domains []pomelorelay.DomainID) []string {
 	var w []string
 	for _, d := range domains {
--- a/pomelostream/origins.go
+++ b/pomelostream/origins.go
@@ -79,5 +79,17 @@
 	}
 }
 
+// All returns all streams that are remembered.
+func (o *Origins) All(now time.Time) []pomelorelay.StreamOrigin {
+	all := make([]pomelorelay.StreamOrigin, 0, len(o.versions))
+	for step, streams := range o.expiring {
+		left := o.began.Add(time.Duration(step) * expiryStep).Sub(now)
+		for _, stream := range streams {
+			all = append(all, pomelorelay.StreamOrigin{Stream: stream, Version: o.versions[stream], TimeLeft: left})
+		}
+	}
+	return all
+}
+
 // Len returns the number of streams that are remembered.
 func (o *Origins) Len() int { return len(o.versions) }
--- a/pomelostream/versions.go
+++ b/pomelostream/versions.go
@@ -37,6 +37,27 @@
 	}
 }
 
+// Left returns the versions that have no upstream, and had one within the given time before now.
+func (v *Versions) Left(now time.Time, within time.Duration) []pomelorelay.VersionLeft {
+	var left []pomelorelay.VersionLeft
+	for key, at := range v.leftAt {
+		if ago := now.Sub(at); ago <= within && v.present[key] == 0 {
+			left = append(left, pomelorelay.VersionLeft{Service: key.service, Version: key.version, Ago: ago})
+		}
+	}
+	return left
+}
+
+// Merge records versions that another router reported as left.
+func (v *Versions) Merge(now time.Time, left []pomelorelay.VersionLeft) {
+	for _, l := range left {
+		key, at := serviceVersion{l.Service, l.Version}, now.Add(-l.Ago)
+		if at.After(v.leftAt[key]) {
+			v.leftAt[key] = at
+		}
+	}
+}
+
 // Several reports whether a service has, or had within the given time before now, upstreams of more than one version.
 func (v *Versions) Several(now time.Time, service pomelorelay.ServiceID, within time.Duration) bool {
 	n := 0
