Request a configuration from the router that announced it last

A router that heard of a newer configuration from one that then failed went on asking that one, every 0.3 s, as long as its registration lasted, although others announced the same. Found by reading, as another way to a configuration that is late; TestConfigurationIsRequestedFromTheLastRouterThatAnnouncedIt failed before.

--- a/pomeloentry/config.go
+++ b/pomeloentry/config.go
@@ -14,7 +14,8 @@
 	configPullInterval = 300 * time.Millisecond
 )
 
-// pendingPull is the newest configuration generation that a peer announced and this router lacks. since is when a newer generation
+// pendingPull is the newest configuration generation that a peer announced and this router lacks; from is the peer that announced it last,
+// because earlier ones may have failed since. since is when a newer generation
 // than this router's was first announced, requestedAt when this router last requested one.
 type pendingPull struct {
 	from        pomelorelay.NodeID
@@ -28,7 +29,7 @@
 	if c.config != nil && generation <= c.config.Version {
 		return
 	}
-	if generation <= c.pendingPull.generation {
+	if generation < c.pendingPull.generation {
 		return
 	}
 	if c.pendingPull.since.IsZero() {
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -117,6 +117,14 @@
 	return f.c.updateFrom(&storeRead{change: change})
 }
 
+// Announce records the generation in the envelope of a router's message, and returns the router from which the configuration is requested
+// after the given time; empty if none is.
+func (f UpdateControl) Announce(now time.Time, from pomelorelay.NodeID, generation pomelorelay.Generation, after time.Duration) pomelorelay.NodeID {
+	f.c.recordGeneration(now, from, generation)
+	f.c.requestNewerConfig(now.Add(after))
+	return f.c.pendingPull.from
+}
+
 // Version returns the version of the configuration in force.
 func (f UpdateControl) Version() pomelorelay.Generation { return f.c.version() }
 
--- a/pomeloentry/storereader_test.go
+++ b/pomeloentry/storereader_test.go
@@ -106,6 +106,15 @@
 	}
 }
 
+// Guards against a router that requests a configuration only from the router that announced it first, which may have failed since.
+func TestConfigurationIsRequestedFromTheLastRouterThatAnnouncedIt(t *testing.T) {
+	f, now := pomeloentry.NewUpdateControl("a-1", 4*time.Second, peersOf(2, 3)), time.Now()
+	f.Announce(now, "a-0", 7, 0)
+	if from := f.Announce(now.Add(time.Second), "b-0", 7, time.Second); from != "b-0" {
+		t.Errorf("the configuration is requested from %q although b-0 announced it last", from)
+	}
+}
+
 // Guards against a router that reads a configuration from the store and omits it from its update to the other routers.
 func TestReaderSendsConfigurationItRead(t *testing.T) {
 	fleet := newFleet(t)
