A watch whose changes are too large for a response asks for a full read

Configurations that follow each other quickly, or a router that reads for the first time in seconds, make a watch return several versions of a document. Beyond 1.4 MB the response was refused as too large, the router asked for the same again, and had no configuration until the store dropped the history. Now it reads the complete state, which has one version. TestWatchOfTooManyChangesAsksForAFullRead failed before.

--- a/pomelostore/call.go
+++ b/pomelostore/call.go
@@ -22,6 +22,8 @@
 // value.
 const maxResponseOverhead = 64 << 10
 
+var errResponseTooLarge = errors.New("response is too large")
+
 // Call is one HTTP call to the store.
 type Call struct {
 	Method string
@@ -56,6 +58,11 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	reply, sent, err := c.exchange(ctx, call)
+	if errors.Is(err, errResponseTooLarge) && !call.Mutates {
+		// The store works; only this call cannot be answered.
+		c.recordResult(true)
+		return Reply{}, pomelorelay.NewError(pomelorelay.CodeStoreValueTooLarge, call.Method+" "+call.Path, err)
+	}
 	if err != nil {
 		return Reply{}, c.unansweredError(ctx, call, sent, err)
 	}
@@ -123,7 +130,7 @@
 		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return nil, errors.New("response exceeds " + strconv.FormatInt(limit, 10) + " bytes")
+		return nil, errors.Wrapf(errResponseTooLarge, "over %d bytes", limit)
 	}
 	return body, nil
 }
