The successor of a relay and the other relays know of each other

Callers of a failure domain whose relay was lost saw routers that placed requests without the loads of the other domains, and streams whose origins these routers did not know.

Cause: a router that does not relay hears its own relay only. When it takes over, it knows no other relay as live, and sends them nothing; they know none in its domain, and send it nothing. That lasted until the lost relay was back. Now a relay names the other domains' relays in its summaries, and a router counts them as live until the last of the relay's successors has taken over.

Evidence: found by the model, TestRelayThatSucceedsIsHeardByTheOthers: 8 s after the relay of b failed, neither side had heard of the other; now within 2 s.

--- a/messages_load.go
+++ b/messages_load.go
@@ -75,6 +75,8 @@
 	Report *LoadReport
 	// Standby are the routers that take over as relay, in order, if the sender fails.
 	Standby []NodeID
+	// Relays are the relays of the other failure domains that the sender hears; a report of the full state has them.
+	Relays []NodeID
 }
 
 // Urgency implements Message; load is urgent because other routers choose upstreams by the reported load.
--- a/pomeloentry/model_test.go
+++ b/pomeloentry/model_test.go
@@ -64,6 +64,8 @@
 	frozenUntil time.Time
 	nextRead    time.Time
 	clockError  time.Duration
+	// heard is when a summary of a failure domain last arrived.
+	heard map[pomelorelay.DomainID]time.Time
 	// reads counts the reads of the store since the start of the process.
 	reads int
 }
@@ -149,6 +151,7 @@
 	m := r.m
 	r.incarnation++
 	r.startedAt, r.disturbedAt, r.nextRead, r.reads = m.now, m.now, m.now, 0
+	r.heard = make(map[pomelorelay.DomainID]time.Time)
 	run := pomeloentry.NewModelRouter(pomeloentry.Config{
 		Settings: pomelorelay.FleetSettings{Self: r.peer, DrainTimeout: modelBound, ConfigApplyTimeout: modelBound},
 		Clock:    r, Steady: func() time.Duration { return m.now.Sub(m.began) }, Logger: pomelorelay.NopLogger{},
@@ -220,6 +223,9 @@
 		case message.at.After(m.now) || !to.running():
 			m.pending = append(m.pending, message)
 		default:
+			if _, ok := message.envelope.Message.(*pomelorelay.LoadSummary); ok {
+				to.heard[message.envelope.Domain] = m.now
+			}
 			to.run.Receive(m.now, message.envelope)
 		}
 	}
@@ -315,6 +321,25 @@
 	}
 }
 
+// Guards against failure domains that stay apart after the relay of one has failed, because its successor and the other relays have not heard
+// of each other.
+func TestRelayThatSucceedsIsHeardByTheOthers(t *testing.T) {
+	m := newModel(3, *modelDomainSize)
+	run := func(length time.Duration) {
+		for end := m.now.Add(length); m.now.Before(end); {
+			m.advance()
+		}
+	}
+	run(6 * time.Second)
+	m.byNode["b-00"].kill(time.Minute)
+	run(8 * time.Second)
+	for _, pair := range [][2]pomelorelay.NodeID{{"a-00", "b"}, {"c-00", "b"}, {"b-01", "a"}, {"b-01", "c"}} {
+		if silent := m.now.Sub(m.byNode[pair[0]].heard[pomelorelay.DomainID(pair[1])]); silent > 2*time.Second {
+			t.Errorf("%s has not heard of failure domain %s for %v", pair[0], pair[1], silent)
+		}
+	}
+}
+
 // Guards against all routers of a large fleet reading the store when the router that reads it for them fails.
 func TestOnlyRelaysReadTheStoreWhenReaderFails(t *testing.T) {
 	const domains = 6
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -24,6 +24,9 @@
 	// much longer than the relay the first successor counts as live, and each further one longer than the one before.
 	maxStandbys  = 2
 	standbyGrace = 700 * time.Millisecond
+	// relayNamedGrace is how much longer than its own relay a router counts the relays of the other failure domains as live: until the last
+	// standby has taken over and sent them its first summary.
+	relayNamedGrace = (maxStandbys + 1) * standbyGrace
 	// flushInterval is the minimum time between two summaries of a relay.
 	flushInterval = 40 * time.Millisecond
 )
@@ -180,6 +183,11 @@
 			c.peers.recordMessage(now.Add(time.Duration(i+1)*standbyGrace), pomelorelay.Peer{Node: node})
 		}
 	}
+	for _, node := range s.Relays {
+		if c.peers.byNode[node] != nil {
+			c.peers.recordMessage(now.Add(relayNamedGrace), pomelorelay.Peer{Node: node})
+		}
+	}
 	c.applyReport(now, m, s.Report)
 }
 
@@ -206,15 +214,23 @@
 	}
 	r.seq++
 	self := c.e.cfg.Settings.Self
+	var relays []pomelorelay.NodeID
 	for _, domain := range c.domains() {
-		if node, ok := c.relayOf(now, domain); ok && domain != self.Domain && (full || r.local.changed()) {
+		node, ok := c.relayOf(now, domain)
+		if !ok || domain == self.Domain {
+			continue
+		}
+		if full {
+			relays = append(relays, node)
+		}
+		if full || r.local.changed() {
 			c.send(node, &pomelorelay.LoadSummary{Report: r.local.report("", full, r.seq)})
 		}
 	}
 	standby := c.nextRelays(now)
 	for node, p := range c.peers.byNode {
 		if p.Domain == self.Domain {
-			c.send(node, &pomelorelay.LoadSummary{Report: r.all.report(string(node), full, r.seq), Standby: standby})
+			c.send(node, &pomelorelay.LoadSummary{Report: r.all.report(string(node), full, r.seq), Standby: standby, Relays: relays})
 		}
 	}
 	r.local.markFlushed()
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -67,7 +67,7 @@
 			Streams:   []pomelorelay.StreamOrigin{{Stream: 4711, Version: "v1.2", TimeLeft: 12 * time.Second}},
 			Speeds:    []pomelorelay.SpeedSums{{Service: "s", Answers: 7, WeightSum: 0.25, TokenSum: 900, TimeSum: 7.5, TokenSquareSum: 1e8, TokenTimeSum: 2e5, DuringPrefill: 20, Stalled: 3, CopiedTokens: 5000, CopyTimeTokens: 12.5}},
 		},
-		&pomelorelay.LoadSummary{Standby: []pomelorelay.NodeID{"r1"}, Report: &pomelorelay.LoadReport{
+		&pomelorelay.LoadSummary{Standby: []pomelorelay.NodeID{"r1"}, Relays: []pomelorelay.NodeID{"r4"}, Report: &pomelorelay.LoadReport{
 			Seq: 2, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 1}}, Accounts: []pomelorelay.AccountUse{},
 			Parts: []pomelorelay.PromptPartPlaced{}, Leaving: []pomelorelay.UpstreamID{}, Speeds: []pomelorelay.SpeedSums{}, Starts: []pomelorelay.UpstreamStart{}, Streams: []pomelorelay.StreamOrigin{},
 		}},
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -101,12 +101,15 @@
 }
 
 func (d *decoder) loadSummary(m *pomelowire.LoadSummary) pomelorelay.Message {
-	s := &pomelorelay.LoadSummary{Report: d.loadReport(m.GetReport())}
-	s.Standby = make([]pomelorelay.NodeID, d.listLength(len(m.GetStandby()), maxListLength))
-	for i := range s.Standby {
-		s.Standby[i] = pomelorelay.NodeID(d.name(m.GetStandby()[i]))
+	return &pomelorelay.LoadSummary{Report: d.loadReport(m.GetReport()), Standby: d.nodes(m.GetStandby()), Relays: d.nodes(m.GetRelays())}
+}
+
+func (d *decoder) nodes(list []string) []pomelorelay.NodeID {
+	nodes := make([]pomelorelay.NodeID, d.listLength(len(list), maxListLength))
+	for i := range nodes {
+		nodes[i] = pomelorelay.NodeID(d.name(list[i]))
 	}
-	return s
+	return nodes
 }
 
 func (d *decoder) fleetUpdate(m *pomelowire.FleetUpdate) pomelorelay.Message {
@@ -120,10 +123,7 @@
 	for i := range u.RemovedUpstreams {
 		u.RemovedUpstreams[i] = pomelorelay.UpstreamID(d.name(m.GetGoneUpstreams()[i]))
 	}
-	u.RemovedPeers = make([]pomelorelay.NodeID, d.listLength(len(m.GetGoneRouters()), maxListLength))
-	for i := range u.RemovedPeers {
-		u.RemovedPeers[i] = pomelorelay.NodeID(d.name(m.GetGoneRouters()[i]))
-	}
+	u.RemovedPeers = d.nodes(m.GetGoneRouters())
 	return u
 }
 
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -29,9 +29,7 @@
 
 func encodeSummary(m *pomelorelay.LoadSummary) *pomelowire.LoadSummary {
 	w := &pomelowire.LoadSummary{Report: encodeLoad(m.Report)}
-	for _, node := range m.Standby {
-		w.Standby = append(w.Standby, string(node))
-	}
+	w.Standby, w.Relays = encodeNodes(m.Standby), encodeNodes(m.Relays)
 	return w
 }
 
@@ -43,9 +41,7 @@
 	for _, id := range m.RemovedUpstreams {
 		w.GoneUpstreams = append(w.GoneUpstreams, string(id))
 	}
-	for _, node := range m.RemovedPeers {
-		w.GoneRouters = append(w.GoneRouters, string(node))
-	}
+	w.GoneRouters = encodeNodes(m.RemovedPeers)
 	w.Evacuated, w.Restored = encodeDomains(m.Evacuated), encodeDomains(m.RestoredDomains)
 	return w
 }
@@ -101,6 +97,14 @@
 	return w
 }
 
+func encodeNodes(nodes []pomelorelay.NodeID) []string {
+	var w []string
+	for _, node := range nodes {
+		w = append(w, string(node))
+	}
+	return w
+}
+
 func encodeDomains(domains []pomelorelay.DomainID) []string {
 	var w []string
 	for _, d := range domains {
