Product's own path: callers cannot resume a model's stream at another engine

The router resumes a broken stream at the engine that began it, which holds the stream or answers 404, so that one answer has one software version. A caller's Last-Event-ID, however, was passed on to whichever engine took the request, which may continue at another version. Such a request is refused now, with 400 and the way out. The table test 'resumes a model's stream' failed before (the request was served).

--- a/pomeloroute/answer_test.go
+++ b/pomeloroute/answer_test.go
@@ -149,6 +149,7 @@
 		{"bad timeout", "/status/x", "", []string{"X-Timeout", "soon"}, pomelorelay.CodeBadRequest},
 		{"zero timeout", "/status/x", "", []string{"X-Timeout", "0s"}, pomelorelay.CodeBadRequest},
 		{"bad hint", "/status/x", "", []string{"X-Cost-Hint", "NaN"}, pomelorelay.CodeBadRequest},
+		{"resumes a model's stream", "/drafter/v1/completions", `{"model":"m","stream":true}`, []string{"Last-Event-ID", "3"}, pomelorelay.CodeBadRequest},
 		{"no key", "/booking/x", "", nil, pomelorelay.CodeClaimKeyNeeded},
 		{"long key", "/booking/x", "", []string{"Idempotency-Key", strings.Repeat("k", 256)}, pomelorelay.CodeClaimKeyBounds},
 		{"not JSON", "/drafter/v1/completions", "{", nil, pomelorelay.CodeBadRequest},
--- a/pomeloroute/call.go
+++ b/pomeloroute/call.go
@@ -137,6 +137,10 @@
 		}
 		c.hint = pomelorelay.Cost(hint)
 	}
+	if c.service.Kind == pomeloconfig.ServiceModel && c.r.Header.Get(headerLastEvent) != "" {
+		// The router resumes a stream at the engine that began it. Any other engine may continue it at another version of its software.
+		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "callers cannot resume a model's stream; send the request anew without Last-Event-ID", nil)
+	}
 	c.key = c.r.Header.Get(headerKey)
 	if len(c.key) > maxKeyBytes {
 		return pomelorelay.NewError(pomelorelay.CodeClaimKeyBounds, "", nil)
