A router that starts does not count as close to its capacity

Callers found restarted routers not ready for 2.5 s after they had their state.

Cause: since the times of a router begin at its start, where 'never close to capacity' and 'never late' were zero, which then read as just now. TestRouterIsReadyOnceItHasItsState failed before (2.5 s).

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -188,7 +188,7 @@
 func NewModelRouter(cfg Config) ModelRouter {
 	e := &Router{cfg: cfg, incarnation: cfg.Incarnation, metrics: pomelometric.New(), mesh: cfg.Mesh}
 	e.crashRecorder = newCrashRecorder(e)
-	e.lastUpdateAt.Store(neverUpdated)
+	e.lastUpdateAt.Store(longAgo)
 	c := newControl(e)
 	// The gauges read parts of the router that the model leaves out.
 	c.gaugesAt = cfg.Clock.Now().Add(24 * time.Hour)
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -49,13 +49,13 @@
 	crashRecorder *crashRecorder
 	// upstreams is the number of registered upstreams, peers that of the other routers.
 	upstreams, peers atomic.Int64
-	// Times of this router are nanoseconds of Config.Steady: the time of day may jump.
+	// Times of this router are nanoseconds of Config.Steady, because the time of day may jump; longAgo stands for what has never been.
 
 	// stopAt is when a graceful stop ends the process; zero when none is in progress.
 	stopAt   atomic.Int64
 	inFlight atomic.Int64
 	// readDelay is the time in nanoseconds without an update after which this router reads the store; zero if it reads continuously.
-	// lastUpdateAt is when the last update from another router was applied; neverUpdated if there was none.
+	// lastUpdateAt is when the last update from another router was applied; longAgo if there was none.
 	readDelay    atomic.Int64
 	lastUpdateAt atomic.Int64
 	conns        atomic.Int64
@@ -127,7 +127,9 @@
 	e.crashRecorder = newCrashRecorder(e)
 	e.requestLimit.Store(e.hostLimits.initialRequests)
 	e.lastTickAt.Store(e.steady())
-	e.lastUpdateAt.Store(neverUpdated)
+	e.lastUpdateAt.Store(longAgo)
+	e.lastLateTickAt.Store(longAgo)
+	e.nearCapacityAt.Store(longAgo)
 	c := newControl(e)
 	e.start(func(context.Context) { c.run() })
 	e.start(e.readStoreLoop)
--- a/pomeloentry/router_test.go
+++ b/pomeloentry/router_test.go
@@ -10,6 +10,19 @@
 	"github.com/pomelorelay/pomelorelay/pomelofake"
 )
 
+// Guards against a router that counts as close to its capacity from its start.
+func TestRouterIsReadyOnceItHasItsState(t *testing.T) {
+	f := newFleet(t)
+	f.store.PublishConfig(f.config(1, "/a/"))
+	f.upstream("u1", 0)
+	began := time.Now()
+	n := f.start(8 * time.Second)
+	f.await("the router is ready", func() bool { return f.ready(n) })
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the router is ready after %v", took)
+	}
+}
+
 func TestServesOnceRoutesAndUpstreamsAreKnown(t *testing.T) {
 	f := newFleet(t)
 	n := f.start(8 * time.Second)
