--- a/pomeloentry/model_test.go
+++ b/pomeloentry/model_test.go
@@ -356,8 +356,7 @@
 	}
 }
 
-// Guards against failure domains that stay apart after the relay of one has failed, because its successor and the other relays have not heard
-// of each other.
+// Guards against failure domains that stay apart once the relay of one has failed, because its successor and the other relays are strangers.
 func TestRelayThatSucceedsIsHeardByTheOthers(t *testing.T) {
 	m := newModel(3, *modelDomainSize)
 	run := func(length time.Duration) {
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -49,7 +49,7 @@
 	crashRecorder *crashRecorder
 	// upstreams is the number of registered upstreams, peers that of the other routers.
 	upstreams, peers atomic.Int64
-	// Times of this router are nanoseconds of Config.Steady, because the time of day may jump; longAgo stands for what has never been.
+	// The times below are nanoseconds of Config.Steady, because the time of day may jump.
 
 	// stopAt is when a graceful stop ends the process; zero when none is in progress.
 	stopAt   atomic.Int64
@@ -78,6 +78,9 @@
 	errs      chan error
 }
 
+// longAgo stands for the time of what has never been; it is before the router's start by more than any time that the router waits.
+const longAgo = -int64(time.Hour)
+
 // eventQueueLength is the capacity of the control goroutine's event queue: several times the usual number of concurrent requests of a
 // router.
 const eventQueueLength = 1024
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -113,9 +113,6 @@
 	return min(max(time.Duration(e.readDelay.Load())-e.updateAge(), minTakeoverPoll), maxTakeoverPoll)
 }
 
-// longAgo stands for the time of what has never been; it is before the router's start by more than any time that the router waits.
-const longAgo = -int64(time.Hour)
-
 // updateAge returns the time since the last update from another router.
 func (e *Router) updateAge() time.Duration { return time.Duration(e.steady() - e.lastUpdateAt.Load()) }
 
