--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -279,14 +279,13 @@
 	if c.route.Kind != pomelorelay.RouteStream || !c.route.Resumable {
 		return StreamProgress{}
 	}
-	p := StreamProgress{Resumable: true, Resumed: c.fields.HasLastEvent, TimeLeft: c.resumeTimeLeft()}
-	if !p.Resumed {
-		p.Origin = pomelorelay.FingerprintOf([]byte(c.fields.RequestID))
-		p.OriginNamed = c.fields.RequestID != ""
-		return p
+	origin := c.fields.RequestID
+	if c.fields.HasLastEvent {
+		origin = c.fields.Resumes
+	}
+	return StreamProgress{
+		Resumable: true, Resumed: c.fields.HasLastEvent, Origin: pomelorelay.FingerprintOf([]byte(origin)), OriginNamed: origin != "", TimeLeft: c.resumeTimeLeft(),
 	}
-	p.Origin, p.OriginNamed = pomelorelay.FingerprintOf([]byte(c.fields.Resumes)), c.fields.Resumes != ""
-	return p
 }
 
 // exchange sends the request to an upstream and forwards the answer.
