Log the shared prompt parts of requests whose upstream crashed

The incident's logs cannot tell requests that crash upstreams from those that run beside them: a fingerprint is of the whole request, and no two are alike. UpstreamCrashed has the fingerprints of the prompt parts that other requests may share.

--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -176,7 +176,7 @@
 	c.brokeBefore = true
 	c.h.cfg.Meter.CountBrokenRun()
 	c.h.cfg.Crashes.ConnectionBroke(crash)
-	c.h.crashChecks.check(brokenAttempt{crash: crash, request: c.fields.RequestID, addr: up.Addr})
+	c.h.crashChecks.check(brokenAttempt{crash: crash, request: c.fields.RequestID, parts: c.parts, addr: up.Addr})
 }
 
 // resultOf returns the result of an attempt for its upstream. A caller's disconnect is not counted against the upstream.
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net/http"
@@ -26,6 +27,8 @@
 	body      *bytes.Buffer
 	// fingerprint identifies repetitions of the request under other request IDs and at other routers; zero until the body was read.
 	fingerprint pomelorelay.Fingerprint
+	// parts are the fingerprints of the prompt parts that other requests may share.
+	parts []pomelorelay.Fingerprint
 	// deadline is the earliest of the caller's deadline, the end of the route's timeout and that of defaultTimeout.
 	deadline time.Time
 	// answerStarted is set once the head of an answer was written to the caller.
@@ -83,9 +86,23 @@
 	}
 	u := c.r.URL
 	c.fingerprint = pomelorelay.FingerprintOf([]byte(c.account), []byte(c.r.Method), []byte(c.r.Host), []byte(u.EscapedPath()), []byte(u.RawQuery), c.bodyBytes())
+	c.parts = sharedParts(c.fields.PromptParts)
 	return nil
 }
 
+// maxSharedParts is the number of prompt parts of a request that are told apart; further ones are ignored.
+const maxSharedParts = 32
+
+// sharedParts returns the fingerprints of all prompt parts but the last one, which belongs to the request or its session.
+func sharedParts(parts []pomelorelay.PromptPart) []pomelorelay.Fingerprint {
+	var list []pomelorelay.Fingerprint
+	for _, part := range parts[:min(max(len(parts)-1, 0), maxSharedParts)] {
+		hash := binary.BigEndian.AppendUint64(nil, part.Hash)
+		list = append(list, pomelorelay.FingerprintOf([]byte("prompt part"), hash))
+	}
+	return list
+}
+
 func (c *call) authenticate() error {
 	account, ok := c.table.Account(c.fields.APIKey)
 	if ok {
--- a/pomeloforward/crash.go
+++ b/pomeloforward/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 
@@ -13,6 +14,7 @@
 type brokenAttempt struct {
 	crash   pomelorelay.RequestCrash
 	request string
+	parts   []pomelorelay.Fingerprint
 	addr    netip.AddrPort
 }
 
@@ -66,7 +68,7 @@
 	for _, a := range attempts {
 		k.cfg.Meter.CountCrash(pomelorelay.EvidenceRefused)
 		k.cfg.Logger.Log(pomelorelay.EventUpstreamCrashed, pomelorelay.Field{Key: "Upstream", Value: string(a.crash.Upstream)}, pomelorelay.Field{Key: "Born", Value: a.crash.StartUnixMilli}, pomelorelay.Field{Key: "Evidence", Value: string(pomelorelay.EvidenceRefused)},
-			pomelorelay.Field{Key: "Request", Value: a.request}, pomelorelay.Field{Key: "Fingerprint", Value: a.crash.Fingerprint.String()})
+			pomelorelay.Field{Key: "Request", Value: a.request}, pomelorelay.Field{Key: "Fingerprint", Value: a.crash.Fingerprint.String()}, pomelorelay.Field{Key: "Parts", Value: fmt.Sprint(a.parts)})
 		k.cfg.Crashes.UpstreamCrashed(a.crash)
 	}
 }
