--- a/events_quarantine.go
+++ b/events_quarantine.go
@@ -9,6 +9,6 @@
 
 var quarantineEvents = []EventInfo{
 	{EventSuspects, "Suspects", LevelWarn, "An upstream crashed; the requests that ran there are suspects.", "Look at the upstream's log."},
-	{EventQuarantined, "Quarantined", LevelError, "A request crashed upstreams repeatedly and is refused everywhere for a while.", "Tell its client account; lift the quarantine if it is wrong."},
-	{EventQuarantineLifted, "QuarantineLifted", LevelInfo, "A quarantine ended early: an operator lifted it, or a request with the fingerprint was served.", "None."},
+	{EventQuarantined, "Quarantined", LevelError, "A request, or requests with a prompt part, crashed upstreams repeatedly and are refused everywhere for a while.", "Tell its client account; lift the quarantine if it is wrong."},
+	{EventQuarantineLifted, "QuarantineLifted", LevelInfo, "A quarantine ended early: an operator lifted it, a request with the fingerprint was served, or another fingerprint explains the crashes.", "None."},
 }
--- a/messages_crash.go
+++ b/messages_crash.go
@@ -1,17 +1,21 @@
 package pomelorelay
 
-// RequestCrash reports that a process of an upstream crashed while it ran a request. Fingerprint, Upstream and StartUnixMilli identify the
-// crash; reports of the same crash are merged.
+// RequestCrash reports that a process of an upstream crashed while it ran requests with a fingerprint, that of a request or of a prompt part.
+// Fingerprint, Upstream and StartUnixMilli identify the crash; reports of the same crash are merged.
 type RequestCrash struct {
 	Fingerprint Fingerprint
-	Upstream    UpstreamID
+	// Part states that the fingerprint is that of a prompt part.
+	Part     bool
+	Upstream UpstreamID
 	// StartUnixMilli is the start time of the upstream's process in Unix milliseconds; zero if the upstream does not report it.
 	StartUnixMilli int64
 	// UnixMilli is the time of the crash in Unix milliseconds, by the clock of the router that saw it.
 	UnixMilli int64
-	// Repeated states that the request was sent although its router knew of an earlier crash under the fingerprint, confirmed or pending.
+	// Runs has a bit for each request with the fingerprint that ran then, at a position given by the request's own fingerprint; zero if unknown.
+	Runs uint64
+	// Repeated states that a request was sent although its router knew of an earlier crash under the fingerprint, confirmed or pending.
 	Repeated bool
-	// Cleared states that an upstream has answered another request with the fingerprint, so that the request did not cause the crash.
+	// Cleared states that an upstream has answered another request with the fingerprint, so that the fingerprint did not cause the crash.
 	Cleared bool
 }
 
--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -1,10 +1,12 @@
 package pomeloentry
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
 	"github.com/pomelorelay/pomelorelay/pomeloquarantine"
 )
 
@@ -21,32 +23,35 @@
 	crashExpiryInterval = time.Second
 )
 
-// crashes holds the upstream crashes that count against requests, and broken connections that may turn out to be crashes.
+// crashes holds the upstream crashes that count against requests and prompt parts, and runs that may turn out to be crashes.
 type crashes struct {
 	log *pomeloquarantine.CrashLog
-	// broken holds, by upstream, the attempts whose connection broke recently.
-	broken map[pomelorelay.UpstreamID][]brokenAttempt
+	// broken holds, by upstream, the runs whose connection broke recently.
+	broken map[pomelorelay.UpstreamID][]brokenRun
 	// unsent and unsentPending are confirmed and pending crashes that this router observed or cleared and has not yet sent to the other routers.
 	unsent, unsentPending []pomelorelay.RequestCrash
 	recordedAt            time.Time
 	expiredAt             time.Time
 }
 
-type brokenAttempt struct {
-	crash pomelorelay.RequestCrash
-	at    time.Time
+type brokenRun struct {
+	crashes []pomelorelay.RequestCrash
+	at      time.Time
 }
 
 func newCrashes(logger pomelorelay.Logger) crashes {
-	return crashes{log: pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{Logger: logger, PendingFor: crashConfirmTime}), broken: make(map[pomelorelay.UpstreamID][]brokenAttempt)}
+	return crashes{
+		log:    pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{Logger: logger, PendingFor: crashConfirmTime}),
+		broken: make(map[pomelorelay.UpstreamID][]brokenRun),
+	}
 }
 
 // crashGuard implements pomeloforward.CrashGuard. It answers from a snapshot and posts everything else to the control goroutine.
 type crashGuard struct{ e *Router }
 
-// QuarantineRemaining returns how long requests with the fingerprint are refused from now on.
-func (g crashGuard) QuarantineRemaining(f pomelorelay.Fingerprint) time.Duration {
-	return g.e.crashSnapshot.Load().QuarantineRemaining(g.e.cfg.Clock.Now(), f)
+// QuarantineRemaining returns how long requests with the fingerprints are refused from now on.
+func (g crashGuard) QuarantineRemaining(fingerprints []pomelorelay.Fingerprint) time.Duration {
+	return g.e.crashSnapshot.Load().QuarantineRemaining(g.e.cfg.Clock.Now(), fingerprints...)
 }
 
 // IsSuspect reports whether an upstream crashed under the fingerprint and none has answered a request with it since.
@@ -59,68 +64,94 @@
 	return g.e.crashSnapshot.Load().MayHaveCrashed(f)
 }
 
-// ConnectionBroke reports that the connection of an attempt broke.
-func (g crashGuard) ConnectionBroke(crash pomelorelay.RequestCrash) {
-	g.e.post(&connectionBroke{crash})
-}
+// ConnectionBroke reports that the connection of a run broke.
+func (g crashGuard) ConnectionBroke(run pomeloforward.BrokenRun) { g.e.post(&connectionBroke{run}) }
 
-// UpstreamCrashed reports that the upstream of an attempt whose connection broke refuses connections.
-func (g crashGuard) UpstreamCrashed(crash pomelorelay.RequestCrash) {
-	g.e.post(&upstreamCrashed{crash})
-}
+// UpstreamCrashed reports that the upstream of a run whose connection broke refuses connections.
+func (g crashGuard) UpstreamCrashed(run pomeloforward.BrokenRun) { g.e.post(&upstreamCrashed{run}) }
 
-type connectionBroke struct{ crash pomelorelay.RequestCrash }
+type connectionBroke struct{ run pomeloforward.BrokenRun }
 
 // apply counts the crash as pending, unless the upstream was leaving as planned, until the end of its process confirms it.
 func (b *connectionBroke) apply(c *control, now time.Time) {
-	id := b.crash.Upstream
-	if entry, present := c.upstreams.present[id]; present && !entry.Draining {
-		c.crashes.unsentPending = append(c.crashes.unsentPending, c.crashes.log.ObservePending(now, b.crash)...)
+	if entry, present := c.upstreams.present[b.run.Crashes[0].Upstream]; present && !entry.Draining {
+		for _, crash := range b.run.Crashes {
+			c.crashes.unsentPending = append(c.crashes.unsentPending, c.crashes.log.ObservePending(now, crash)...)
+		}
 	}
-	if len(c.crashes.broken[id]) < maxBrokenAttempts {
-		c.crashes.broken[id] = append(c.crashes.broken[id], brokenAttempt{crash: b.crash, at: now})
+	c.crashes.addBroken(now, b.run)
+}
+
+// addBroken keeps a run whose upstream may have crashed until that is confirmed.
+func (k *crashes) addBroken(now time.Time, run pomeloforward.BrokenRun) {
+	id := run.Crashes[0].Upstream
+	if len(k.broken[id]) < maxBrokenAttempts {
+		k.broken[id] = append(k.broken[id], brokenRun{crashes: run.Crashes, at: now})
 	}
 }
 
-type upstreamCrashed struct{ crash pomelorelay.RequestCrash }
+type upstreamCrashed struct{ run pomeloforward.BrokenRun }
 
 // apply counts the crash unless the upstream was leaving as planned: such an upstream drains, or has removed its entry, before it ends.
 func (u *upstreamCrashed) apply(c *control, now time.Time) {
-	if entry, present := c.upstreams.present[u.crash.Upstream]; !present || entry.Draining {
+	entry, present := c.upstreams.present[u.run.Crashes[0].Upstream]
+	if !present || entry.Draining {
 		return
 	}
-	c.crashes.queue(c.crashes.log.Observe(now, u.crash))
+	c.observeCrashes(now, u.run.Crashes)
+}
+
+// observeCrashes counts crashes that are confirmed, and returns those that are new.
+func (c *control) observeCrashes(now time.Time, list []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
+	var changed []pomelorelay.RequestCrash
+	for _, crash := range list {
+		changed = append(changed, c.crashes.log.Observe(now, crash)...)
+	}
+	c.crashes.queue(changed)
+	return changed
 }
 
-// recordServed records that an upstream answered a request completely and without a server error, which rules out that requests with the
-// fingerprint crash upstreams. An upstream that fails may answer with an error before it runs such a request.
-func (c *control) recordServed(now time.Time, f pomelorelay.Fingerprint) {
-	c.crashes.queue(c.crashes.log.Answered(now, f))
+// recordAnswered records that an upstream answered a request with the fingerprints, which rules out that these crash upstreams.
+// An upstream that fails may answer with an error before it runs such a request.
+func (c *control) recordAnswered(now time.Time, fingerprints ...pomelorelay.Fingerprint) {
+	for _, f := range fingerprints {
+		c.crashes.queue(c.crashes.log.Answered(now, f))
+	}
 }
 
-// confirmCrashes counts a crash for each attempt whose connection broke shortly before it became known that the upstream's process had ended.
+// confirmCrashes counts a crash for each run whose connection broke shortly before it became known that the upstream's process had ended.
 func (c *control) confirmCrashes(now time.Time, id pomelorelay.UpstreamID, startUnixMilli int64, evidence pomelorelay.CrashEvidence) {
 	for _, b := range c.crashes.broken[id] {
-		if now.Sub(b.at) >= crashConfirmTime || b.crash.StartUnixMilli != startUnixMilli {
+		if now.Sub(b.at) >= crashConfirmTime || b.crashes[0].StartUnixMilli != startUnixMilli {
 			continue
 		}
-		if changed := c.crashes.log.Observe(now, b.crash); len(changed) > 0 {
+		if changed := c.observeCrashes(now, b.crashes); len(changed) > 0 {
 			c.e.metrics.CountCrash(evidence)
-			c.e.log(pomelorelay.EventUpstreamCrashed, field("Upstream", id), field("Born", startUnixMilli), field("Evidence", evidence), field("AfterMS", now.Sub(b.at).Milliseconds()), field("Fingerprint", b.crash.Fingerprint.String()))
-			c.crashes.queue(changed)
+			c.e.log(pomelorelay.EventUpstreamCrashed, field("Upstream", id), field("Born", startUnixMilli), field("Evidence", evidence), field("AfterMS", now.Sub(b.at).Milliseconds()), field("Fingerprint", b.crashes[0].Fingerprint.String()), field("Parts", partsOf(b.crashes)))
 		}
 	}
 	delete(c.crashes.broken, id)
 }
 
+// partsOf returns the fingerprints of the prompt parts under which an upstream crashed, as text for logs.
+func partsOf(list []pomelorelay.RequestCrash) string {
+	var parts []pomelorelay.Fingerprint
+	for _, crash := range list {
+		if crash.Part {
+			parts = append(parts, crash.Fingerprint)
+		}
+	}
+	return fmt.Sprint(parts)
+}
+
 // expireCrashes drops crashes and broken connections that no longer count.
 func (c *control) expireCrashes(now time.Time) {
 	if now.Sub(c.crashes.expiredAt) < crashExpiryInterval {
 		return
 	}
 	c.crashes.expiredAt = now
-	for id, attempts := range c.crashes.broken {
-		if now.Sub(attempts[len(attempts)-1].at) >= crashConfirmTime {
+	for id, runs := range c.crashes.broken {
+		if now.Sub(runs[len(runs)-1].at) >= crashConfirmTime {
 			delete(c.crashes.broken, id)
 		}
 	}
@@ -136,7 +167,7 @@
 // records what led to quarantines. It runs at each tick instead of at each change, because one crash ends many requests within milliseconds.
 func (c *control) flushCrashes(now time.Time) {
 	c.e.crashSnapshot.Store(c.crashes.log.Snapshot())
-	c.forwardCrashes(now, c.e.cfg.Settings.Self, c.crashes.unsent, c.crashes.unsentPending)
+	c.forwardCrashes(now, c.e.cfg.Settings.Self, latestOf(c.crashes.unsent), latestOf(c.crashes.unsentPending))
 	c.crashes.unsent, c.crashes.unsentPending = nil, nil
 	if c.crashes.log.RecordChanged() && now.Sub(c.crashes.recordedAt) >= crashRecordInterval {
 		c.crashes.recordedAt = now
@@ -144,6 +175,25 @@
 	}
 }
 
+// latestOf returns the latest report of each crash in a list; later ones hold what earlier ones do.
+func latestOf(list []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
+	type crashID struct {
+		fingerprint pomelorelay.Fingerprint
+		upstream    pomelorelay.UpstreamID
+		start       int64
+	}
+	seen := make(map[crashID]bool, len(list))
+	var latest []pomelorelay.RequestCrash
+	for _, crash := range slices.Backward(list) {
+		id := crashID{crash.Fingerprint, crash.Upstream, crash.StartUnixMilli}
+		if !seen[id] {
+			seen[id] = true
+			latest = append(latest, crash)
+		}
+	}
+	return latest
+}
+
 // mergeCrashes merges crashes that other routers observed, and returns those that were new or newly cleared. It also queues those that do not
 // count because upstreams have answered requests with their fingerprint through this router.
 func (c *control) mergeCrashes(now time.Time, list []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
--- a/pomeloentry/fleet_test.go
+++ b/pomeloentry/fleet_test.go
@@ -176,7 +176,10 @@
 }
 
 // call sends a request and returns the status and the id of the upstream that answered; the status is 0 when the connection broke.
-func (f *fleet) call(n *node, path string) (int, string) {
+func (f *fleet) call(n *node, path string) (int, string) { return f.callWithParts(n, path, "") }
+
+// callWithParts is call for a request with prompt parts.
+func (f *fleet) callWithParts(n *node, path, parts string) (int, string) {
 	f.t.Helper()
 	req, err := http.NewRequest("POST", "http://"+n.settings.CallerAddr.String()+path, strings.NewReader("x"))
 	if err != nil {
@@ -186,6 +189,7 @@
 	req.Header.Set(pomelofake.TestHeaderRequestID, fmt.Sprint("req-", f.requests.Add(1)))
 	req.Header.Set(pomelofake.TestHeaderCallerKey, "key")
 	req.Header.Set(pomelofake.TestHeaderWait, "4000")
+	req.Header.Set(pomelofake.TestHeaderPromptParts, parts)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0, ""
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -30,7 +30,7 @@
 	if d.Run == nil {
 		return nil, d, ctx.Err()
 	}
-	return reservation{e: p.e, run: d.Run, request: req, version: d.Upstream.Version}, d, nil
+	return reservation{e: p.e, run: d.Run, request: req, upstream: d.Upstream}, d, nil
 }
 
 // placementRequested is posted by a request that needs an upstream.
@@ -50,43 +50,48 @@
 
 // reservation implements pomeloforward.Reservation.
 type reservation struct {
-	e       *Router
-	run     *pomeloplace.Run
-	request pomeloforward.PlacementRequest
-	version pomelorelay.SoftwareVersion
+	e        *Router
+	run      *pomeloplace.Run
+	request  pomeloforward.PlacementRequest
+	upstream pomelorelay.FleetUpstream
 }
 
 // AnswerBegan records the start of the answer.
-func (r reservation) AnswerBegan() { r.e.post(&answerBegan{r.run, r.request.Stream, r.version}) }
+func (r reservation) AnswerBegan() { r.e.post(&answerBegan{r}) }
 
-// Done records the result of the run.
-func (r reservation) Done(result pomeloplace.Result) { r.e.post(&runEnded{r.run, r.request, result}) }
+// AnswerLasts records that the answer has gone on for so long that its prompt does not crash upstreams.
+func (r reservation) AnswerLasts() { r.e.post(&answerLasts{r}) }
 
-type answerBegan struct {
-	run     *pomeloplace.Run
-	stream  pomeloforward.StreamProgress
-	version pomelorelay.SoftwareVersion
-}
+// Done records the end of the run.
+func (r reservation) Done(end pomeloforward.RunEnd) { r.e.post(&runEnded{r, end}) }
+
+type answerBegan struct{ reservation }
 
 func (b *answerBegan) apply(c *control, now time.Time) {
 	c.placer.RecordAnswerStart(now, b.run)
-	c.recordOrigin(now, b.stream, b.version)
+	c.recordOrigin(now, b.request.Stream, b.upstream.Version)
+}
+
+type answerLasts struct{ reservation }
+
+func (l *answerLasts) apply(c *control, now time.Time) {
+	c.recordAnswered(now, l.request.SharedParts...)
 }
 
 type runEnded struct {
-	run     *pomeloplace.Run
-	request pomeloforward.PlacementRequest
-	result  pomeloplace.Result
+	reservation
+	end pomeloforward.RunEnd
 }
 
 // apply ends a run. The cost of a request that did not run is returned to its account: otherwise, while upstreams are down, an
 // account whose requests are sent to them would use up its share without being served, and its other requests would be refused.
 func (e *runEnded) apply(c *control, now time.Time) {
-	c.placer.RecordEnd(now, e.run, e.result)
-	if e.result.Served() {
-		c.recordServed(now, e.request.Fingerprint)
+	c.placer.RecordEnd(now, e.run, e.end.Result)
+	if e.end.Answered {
+		c.recordAnswered(now, e.request.Fingerprint)
+		c.recordAnswered(now, e.request.SharedParts...)
 	}
-	if e.result.NotRun() && e.request.Cost > 0 && e.request.Account != "" && !e.request.Charged {
+	if e.end.Result.NotRun() && e.request.Cost > 0 && e.request.Account != "" && !e.request.Charged {
 		c.shares.Refund(e.request.Account, e.request.Cost)
 	}
 }
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -26,7 +26,7 @@
 	budget := c.h.retryBudget(c.service)
 	budget.Earn(c.h.retryLimit().PerRequest())
 	for {
-		if remaining := c.h.cfg.Crashes.QuarantineRemaining(c.fingerprint); remaining > 0 {
+		if remaining := c.h.cfg.Crashes.QuarantineRemaining(c.fingerprints); remaining > 0 {
 			c.fail(quarantineFailure(remaining))
 			return
 		}
@@ -119,24 +119,23 @@
 	}
 	// Checked as late as possible: on an overloaded processor, a second can pass between the reading of a request and its placement.
 	if c.callerGone() {
-		reservation.Done(pomeloplace.ResultCancelledUnsent)
+		reservation.Done(RunEnd{Result: pomeloplace.ResultCancelledUnsent})
 		c.abandon()
 	}
 	up := c.decision.Upstream
-	c.suspect = c.h.cfg.Crashes.IsSuspect(c.fingerprint)
-	c.brokeBefore = c.brokeBefore || c.h.cfg.Crashes.MayHaveCrashed(c.fingerprint)
+	c.checkSuspicion()
 	ranBefore := c.mayHaveRun
 	// Until the outcome is known the request counts as possibly run, even if this function panics.
 	c.mayHaveRun = true
-	result := pomeloplace.ResultCancelled
-	defer func() { reservation.Done(result) }()
-	f = c.exchange(ctx, up, reservation)
-	result = resultOf(ctx, f)
+	end := RunEnd{Result: pomeloplace.ResultCancelled}
+	defer func() { reservation.Done(end) }()
+	answer, f := c.exchange(ctx, up, reservation)
+	end.Result = resultOf(ctx, f)
 	if f == nil {
-		result = c.answerResult()
+		end = c.answerEnd(answer)
 		return nil
 	}
-	if result == pomeloplace.ResultCancelledUnsent && c.callerGone() {
+	if end.Result == pomeloplace.ResultCancelledUnsent && c.callerGone() {
 		c.mayHaveRun = ranBefore
 		c.abandon()
 	}
@@ -157,6 +156,20 @@
 	return f
 }
 
+// checkSuspicion notes what is known of crashes under the request's fingerprints before an attempt.
+func (c *call) checkSuspicion() {
+	c.sentAt, c.lastedLong, c.suspect = c.h.cfg.Clock.Now(), false, false
+	for i, f := range c.fingerprints {
+		c.suspect = c.suspect || c.h.cfg.Crashes.IsSuspect(f)
+		c.brokeBefore[i] = c.brokeBefore[i] || c.h.cfg.Crashes.MayHaveCrashed(f)
+	}
+}
+
+// answerEnd returns the end of an attempt whose complete answer was forwarded.
+func (c *call) answerEnd(resp *http.Response) RunEnd {
+	return RunEnd{Result: c.answerResult(), Answered: resp.StatusCode < http.StatusMultipleChoices}
+}
+
 // answerResult returns the result of an attempt whose complete answer was forwarded.
 func (c *call) answerResult() pomeloplace.Result {
 	switch {
@@ -170,13 +183,31 @@
 
 // reportBrokenConnection reports an attempt whose upstream may have crashed.
 func (c *call) reportBrokenConnection(up pomelorelay.FleetUpstream) {
-	crash := pomelorelay.RequestCrash{
-		Fingerprint: c.fingerprint, Upstream: up.ID, StartUnixMilli: up.StartUnixMilli, UnixMilli: c.h.cfg.Clock.Now().UnixMilli(), Repeated: c.brokeBefore,
+	run := c.brokenRun(up)
+	for i := range c.brokeBefore {
+		c.brokeBefore[i] = true
 	}
-	c.brokeBefore = true
 	c.h.cfg.Meter.CountBrokenRun()
-	c.h.cfg.Crashes.ConnectionBroke(crash)
-	c.h.crashChecks.check(brokenAttempt{crash: crash, request: c.fields.RequestID, parts: c.parts, addr: up.Addr})
+	c.h.cfg.Crashes.ConnectionBroke(run)
+	c.h.crashChecks.check(brokenAttempt{run: run, upstream: up, request: c.fields.RequestID, fingerprints: c.fingerprints})
+}
+
+// bitsPerRunSet is the number of bits in RequestCrash.Runs.
+const bitsPerRunSet = 64
+
+// brokenRun describes the last attempt as one during which the upstream may have crashed. An answer that has gone on for long clears the parts.
+func (c *call) brokenRun(up pomelorelay.FleetUpstream) BrokenRun {
+	run := BrokenRun{SentAt: c.sentAt}
+	for i, f := range c.fingerprints {
+		if i > 0 && c.lastedLong {
+			break
+		}
+		run.Crashes = append(run.Crashes, pomelorelay.RequestCrash{
+			Fingerprint: f, Part: i > 0, Upstream: up.ID, StartUnixMilli: up.StartUnixMilli, UnixMilli: c.h.cfg.Clock.Now().UnixMilli(),
+			Runs: 1 << (c.fingerprint % bitsPerRunSet), Repeated: c.brokeBefore[i],
+		})
+	}
+	return run
 }
 
 // resultOf returns the result of an attempt for its upstream. A caller's disconnect is not counted against the upstream.
@@ -247,6 +278,7 @@
 		Account: c.account,
 
 		Fingerprint: c.fingerprint,
+		SharedParts: c.fingerprints[1:],
 
 		Cost:    requestCost(c.fields),
 		Retry:   len(c.avoid) > 0,
@@ -288,25 +320,25 @@
 	}
 }
 
-// exchange sends the request to an upstream and forwards the answer.
-func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, reservation Reservation) *pomelolink.Failure {
+// exchange sends the request to an upstream and forwards the answer, whose head it returns.
+func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, reservation Reservation) (*http.Response, *pomelolink.Failure) {
 	x, f := c.h.links.Open(ctx, pomelolink.UpstreamRequest{Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), StillWanted: func() bool { return !c.callerGone() }})
 	if f != nil {
-		return f
+		return nil, f
 	}
 	defer func() { x.Close() }()
 	if f := c.checkHead(x); f != nil {
-		return f
+		return nil, f
 	}
 	if c.route.Kind == pomelorelay.RouteStream && x.Response.StatusCode == http.StatusOK {
-		return c.forwardStream(x, reservation)
+		return x.Response, c.forwardStream(x, reservation)
 	}
 	reservation.AnswerBegan()
 	if c.answerStarted {
 		// The upstream of a resumed stream answered without events, which cannot continue the stream.
-		return pomelolink.NewFailure(pomelolink.OutcomeTruncated, pomelorelay.CodeStreamBroken, nil)
+		return nil, pomelolink.NewFailure(pomelolink.OutcomeTruncated, pomelorelay.CodeStreamBroken, nil)
 	}
-	return c.forwardPlain(x)
+	return x.Response, c.forwardPlain(x)
 }
 
 // upstreamRequest builds the request to an upstream; method, path, query and body are unchanged.
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -27,8 +27,8 @@
 	body      *bytes.Buffer
 	// fingerprint identifies repetitions of the request under other request IDs and at other routers; zero until the body was read.
 	fingerprint pomelorelay.Fingerprint
-	// parts are the fingerprints of the prompt parts that other requests may share.
-	parts []pomelorelay.Fingerprint
+	// fingerprints holds the fingerprint and those of the prompt parts that other requests may share.
+	fingerprints []pomelorelay.Fingerprint
 	// deadline is the earliest of the caller's deadline, the end of the route's timeout and that of defaultTimeout.
 	deadline time.Time
 	// answerStarted is set once the head of an answer was written to the caller.
@@ -39,9 +39,13 @@
 	// that reached no upstream.
 	runs, refused, unreached int
 	avoid                    []pomelorelay.UpstreamID
-	// brokeBefore is set if a connection is known to have broken under the fingerprint before the last attempt began, suspect if an upstream
-	// had crashed.
-	brokeBefore, suspect bool
+	// brokeBefore tells for each of the fingerprints whether a connection is known to have broken under it before the last attempt began; suspect
+	// is set if an upstream had crashed under one of them.
+	brokeBefore []bool
+	suspect     bool
+	// sentAt is when the last attempt began, lastedLong whether its answer went on for harmlessAfter.
+	sentAt     time.Time
+	lastedLong bool
 	// retryDenied is set if the request was not retried because the service's retry budget was spent.
 	retryDenied bool
 	// lastEvent is the number of the last stream event that the caller has received.
@@ -86,7 +90,8 @@
 	}
 	u := c.r.URL
 	c.fingerprint = pomelorelay.FingerprintOf([]byte(c.account), []byte(c.r.Method), []byte(c.r.Host), []byte(u.EscapedPath()), []byte(u.RawQuery), c.bodyBytes())
-	c.parts = sharedParts(c.fields.PromptParts)
+	c.fingerprints = append([]pomelorelay.Fingerprint{c.fingerprint}, sharedParts(c.fields.PromptParts)...)
+	c.brokeBefore = make([]bool, len(c.fingerprints))
 	return nil
 }
 
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -42,6 +42,8 @@
 	Account pomelorelay.AccountID
 	// Fingerprint identifies repetitions of the request under other IDs.
 	Fingerprint pomelorelay.Fingerprint
+	// SharedParts are the fingerprints of the prompt parts that other requests may share.
+	SharedParts []pomelorelay.Fingerprint
 	// Cost counts towards the account's share; zero for plain services (those without model engines).
 	Cost    pomelorelay.Cost
 	Request pomeloplace.Request
@@ -73,22 +75,39 @@
 type Reservation interface {
 	// AnswerBegan records the start of the answer.
 	AnswerBegan()
-	// Done records the result and releases the slot.
-	Done(r pomeloplace.Result)
+	// AnswerLasts records that the answer has gone on for so long that its prompt does not crash upstreams.
+	AnswerLasts()
+	// Done records the end of the run and releases the slot.
+	Done(end RunEnd)
 }
 
-// CrashGuard decides which requests are refused because they crash upstreams; its methods do not wait for other routers.
+// RunEnd is how a run ended.
+type RunEnd struct {
+	Result pomeloplace.Result
+	// Answered is set if the upstream answered completely and with success.
+	Answered bool
+}
+
+// BrokenRun is a run during which the upstream's process may have ended.
+type BrokenRun struct {
+	SentAt time.Time
+	// Crashes holds a crash under the request's fingerprint, and one under each prompt part that may have caused it.
+	Crashes []pomelorelay.RequestCrash
+}
+
+// CrashGuard decides which requests are refused because they crash upstreams; its methods do not wait for other routers. Fingerprints are those
+// of requests and of prompt parts.
 type CrashGuard interface {
-	// QuarantineRemaining returns how long requests with the fingerprint are refused from now on; zero if they are not.
-	QuarantineRemaining(f pomelorelay.Fingerprint) time.Duration
+	// QuarantineRemaining returns how long requests with the fingerprints are refused from now on; zero if they are not.
+	QuarantineRemaining(fingerprints []pomelorelay.Fingerprint) time.Duration
 	// IsSuspect reports whether an upstream crashed under the fingerprint and none has answered a request with it since.
 	IsSuspect(f pomelorelay.Fingerprint) bool
 	// MayHaveCrashed reports whether the connection of another attempt with the fingerprint broke lately, or an upstream crashed under it.
 	MayHaveCrashed(f pomelorelay.Fingerprint) bool
-	// ConnectionBroke reports that the connection of an attempt broke; the upstream may have crashed.
-	ConnectionBroke(crash pomelorelay.RequestCrash)
-	// UpstreamCrashed reports that the upstream of an attempt whose connection broke refuses connections.
-	UpstreamCrashed(crash pomelorelay.RequestCrash)
+	// ConnectionBroke reports that the connection of a run broke; the upstream may have crashed.
+	ConnectionBroke(run BrokenRun)
+	// UpstreamCrashed reports that the upstream of a run whose connection broke refuses connections.
+	UpstreamCrashed(run BrokenRun)
 }
 
 // ShutdownState reports a planned stop of the process.
@@ -140,6 +159,9 @@
 	maxRefused = 2
 	// maxBufferedAnswer is the size in bytes up to which a plain answer is buffered completely.
 	maxBufferedAnswer = 64 << 10
+	// harmlessAfter is how long after its first event an answer shows that its prompt does not crash upstreams: they crash when they begin to
+	// answer such a prompt.
+	harmlessAfter = 500 * time.Millisecond
 	// writeGrace is how long after a request's deadline its caller may still read the answer.
 	writeGrace = 2 * time.Second
 )
--- a/pomeloforward/crash.go
+++ b/pomeloforward/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"sync"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -12,10 +11,10 @@
 
 // brokenAttempt is an attempt whose connection to the upstream broke, possibly because the upstream crashed.
 type brokenAttempt struct {
-	crash   pomelorelay.RequestCrash
-	request string
-	parts   []pomelorelay.Fingerprint
-	addr    netip.AddrPort
+	run          BrokenRun
+	upstream     pomelorelay.FleetUpstream
+	request      string
+	fingerprints []pomelorelay.Fingerprint
 }
 
 // crashChecks finds out whether upstreams whose connections broke have crashed. It checks an upstream once for all attempts whose
@@ -46,14 +45,14 @@
 	if k.ctx.Err() != nil {
 		return
 	}
-	id := a.crash.Upstream
+	id := a.upstream.ID
 	_, inProgress := k.pending[id]
 	k.pending[id] = append(k.pending[id], a)
 	if inProgress {
 		return
 	}
 	k.wg.Go(func() {
-		crashed := k.links.RefusesConnections(k.ctx, a.addr)
+		crashed := k.links.RefusesConnections(k.ctx, a.upstream.Addr)
 		k.mu.Lock()
 		attempts := k.pending[id]
 		delete(k.pending, id)
@@ -67,9 +66,9 @@
 func (k *crashChecks) report(attempts []brokenAttempt) {
 	for _, a := range attempts {
 		k.cfg.Meter.CountCrash(pomelorelay.EvidenceRefused)
-		k.cfg.Logger.Log(pomelorelay.EventUpstreamCrashed, pomelorelay.Field{Key: "Upstream", Value: string(a.crash.Upstream)}, pomelorelay.Field{Key: "Born", Value: a.crash.StartUnixMilli}, pomelorelay.Field{Key: "Evidence", Value: string(pomelorelay.EvidenceRefused)},
-			pomelorelay.Field{Key: "Request", Value: a.request}, pomelorelay.Field{Key: "Fingerprint", Value: a.crash.Fingerprint.String()}, pomelorelay.Field{Key: "Parts", Value: fmt.Sprint(a.parts)})
-		k.cfg.Crashes.UpstreamCrashed(a.crash)
+		k.cfg.Logger.Log(pomelorelay.EventUpstreamCrashed, pomelorelay.Field{Key: "Upstream", Value: string(a.upstream.ID)}, pomelorelay.Field{Key: "Born", Value: a.upstream.StartUnixMilli}, pomelorelay.Field{Key: "Evidence", Value: string(pomelorelay.EvidenceRefused)},
+			pomelorelay.Field{Key: "Request", Value: a.request}, pomelorelay.Field{Key: "Fingerprint", Value: a.fingerprints[0].String()}, pomelorelay.Field{Key: "Parts", Value: fmt.Sprint(a.fingerprints[1:])})
+		k.cfg.Crashes.UpstreamCrashed(a.run)
 	}
 }
 
--- /dev/null
+++ b/pomeloforward/crashpart_test.go
@@ -0,0 +1,76 @@
+package pomeloforward_test
+
+import (
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
+)
+
+// fingerprintsOf returns the fingerprints under which a run may have crashed its upstream.
+func fingerprintsOf(run pomeloforward.BrokenRun) []pomelorelay.Fingerprint {
+	var list []pomelorelay.Fingerprint
+	for _, crash := range run.Crashes {
+		list = append(list, crash.Fingerprint)
+	}
+	return list
+}
+
+// Guards against requests that share a prompt part and count apart, and against the last part, which belongs to one request, counting for others.
+func TestBrokenRunNamesSharedParts(t *testing.T) {
+	u := newUpstream(t, func(conn net.Conn, _ *http.Request) { reset(conn) })
+	broken := func(body, parts string) []pomelorelay.Fingerprint {
+		h := newHarness(t, u.entry("u1"))
+		h.call("POST", "/draft/", body, pomelofake.TestHeaderPromptParts, parts)
+		return fingerprintsOf(h.broken[0])
+	}
+	first, second := broken("x", "1:10 2:10 3:10"), broken("y", "4:10 2:10 3:10")
+	if len(first) != 3 || len(second) != 3 || first[2] != second[2] || first[1] == second[1] || first[0] == second[0] {
+		t.Errorf("fingerprints %v and %v, want that of the second part in both, and no other", first, second)
+	}
+	for _, parts := range []string{"", "5:10"} {
+		if got := broken("x", parts); !slices.Equal(got, first[:1]) {
+			t.Errorf("fingerprints %v of parts %q, want that of the request only", got, parts)
+		}
+	}
+}
+
+// Guards against blaming the prompt of an answer that its upstream had been sending for long when it crashed.
+func TestLongAnswerClearsItsParts(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pause time.Duration
+		parts int
+	}{{"at its beginning", 0, 1}, {"later", 600 * time.Millisecond, 0}} {
+		u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+			write(conn, streamHead(r)+eventChunk(1))
+			time.Sleep(c.pause)
+			write(conn, eventChunk(2))
+			time.Sleep(20 * time.Millisecond)
+			reset(conn)
+		})
+		h := newHarness(t, u.entry("u1"))
+		h.call("POST", "/draft/", "x", pomelofake.TestHeaderPromptParts, "1:10 2:10")
+		if got := len(h.broken[0].Crashes) - 1; got != c.parts || h.lasting != 1-c.parts {
+			t.Errorf("a crash %s counts against %d parts, want %d; the answer lasted: %t", c.name, got, c.parts, h.lasting > 0)
+		}
+	}
+}
+
+// Guards against taking an error or a refusal as proof that a request crashes no upstream.
+func TestOnlySuccessIsAnAnswer(t *testing.T) {
+	for status, want := range map[int]int{200: 1, 404: 0, 500: 0} {
+		u := newUpstream(t, func(conn net.Conn, r *http.Request) { write(conn, plainAnswer(r, status, "x")) })
+		h := newHarness(t, u.entry("u1"))
+		h.call("POST", "/book/", "x")
+		h.result(0)
+		if h.answered != want {
+			t.Errorf("status %d: %d answers, want %d", status, h.answered, want)
+		}
+	}
+}
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -126,8 +126,10 @@
 	// suspected states that every request is suspected of crashing upstreams; quarantine is the remaining quarantine of every request.
 	suspected  bool
 	quarantine time.Duration
-	// broken are the broken connections reported, crashReports the crashes.
-	broken, crashReports []pomelorelay.RequestCrash
+	// broken are the runs reported whose connection broke, crashReports those whose upstream crashed.
+	broken, crashReports []pomeloforward.BrokenRun
+	// answered counts the runs that ended with an answer, lasting those whose answer lasted.
+	answered, lasting int
 }
 
 var routes = []pomelorelay.Route{
@@ -193,10 +195,19 @@
 
 func (h *harness) AnswerBegan() {}
 
-func (h *harness) Done(r pomeloplace.Result) {
+func (h *harness) AnswerLasts() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.results = append(h.results, r)
+	h.lasting++
+}
+
+func (h *harness) Done(end pomeloforward.RunEnd) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.results = append(h.results, end.Result)
+	if end.Answered {
+		h.answered++
+	}
 }
 
 func (h *harness) result(i int) pomeloplace.Result {
@@ -219,7 +230,7 @@
 
 func (h *harness) CountCrash(pomelorelay.CrashEvidence) {}
 
-func (h *harness) QuarantineRemaining(pomelorelay.Fingerprint) time.Duration {
+func (h *harness) QuarantineRemaining([]pomelorelay.Fingerprint) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.quarantine
@@ -233,16 +244,14 @@
 	return h.suspected
 }
 
-func (h *harness) ConnectionBroke(crash pomelorelay.RequestCrash) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.broken = append(h.broken, crash)
-}
+func (h *harness) ConnectionBroke(run pomeloforward.BrokenRun) { h.addRun(&h.broken, run) }
+
+func (h *harness) UpstreamCrashed(run pomeloforward.BrokenRun) { h.addRun(&h.crashReports, run) }
 
-func (h *harness) UpstreamCrashed(crash pomelorelay.RequestCrash) {
+func (h *harness) addRun(list *[]pomeloforward.BrokenRun, run pomeloforward.BrokenRun) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.crashReports = append(h.crashReports, crash)
+	*list = append(*list, run)
 }
 
 // answer is what a caller received.
@@ -278,7 +287,7 @@
 	return answer{status: resp.StatusCode, head: resp.Header, body: string(got), bodyErr: err}
 }
 
-func (h *harness) reportedCrashes() []pomelorelay.RequestCrash {
+func (h *harness) reportedCrashes() []pomeloforward.BrokenRun {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.crashReports
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay/pomelolink"
 )
@@ -18,14 +19,14 @@
 	var events pomelolink.EventReader
 	events.Reset(c.h.buffers.Chunk(), x)
 	defer func() { c.h.buffers.PutChunk(events.Buffer()) }()
-	begun := false
+	var begunAt time.Time
 	for {
 		event, err := events.Next()
 		if err != nil {
-			return c.endStream(x, &events, begun, err)
+			return c.endStream(x, &events, !begunAt.IsZero(), err)
 		}
-		if !begun {
-			begun = true
+		if begunAt.IsZero() {
+			begunAt = c.h.cfg.Clock.Now()
 			c.version, c.versionFixed = c.decision.Upstream.Version, true
 			reservation.AnswerBegan()
 		}
@@ -40,6 +41,10 @@
 			c.writeHead(x.Response, -1)
 		}
 		c.recordPause()
+		if !c.lastedLong && c.lastEventAt.Sub(begunAt) >= harmlessAfter {
+			c.lastedLong = true
+			reservation.AnswerLasts()
+		}
 		c.write(event.Raw)
 		if events.Empty() {
 			c.flush()
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -23,7 +23,7 @@
 		{Pool: "assistant/small", Account: "oficina-2", Served: 4},
 	}
 	outcome := pomelorelay.ClaimOutcome{Status: 201, ContentType: "application/json", Body: []byte("{}")}
-	crashes := []pomelorelay.RequestCrash{{Fingerprint: 5, Upstream: "u", StartUnixMilli: 77, UnixMilli: 99, Repeated: true, Cleared: true}}
+	crashes := []pomelorelay.RequestCrash{{Fingerprint: 5, Upstream: "u", StartUnixMilli: 77, UnixMilli: 99, Repeated: true, Cleared: true, Runs: 9, Part: true}}
 	key, nonce := pomelorelay.ClaimKey{1, 2}, pomelorelay.ClaimNonce{3}
 	return []pomelorelay.Message{
 		&pomelorelay.Demand{Upstream: "u", Pool: "p", Seq: 7, HeadTag: -1.5, Waiting: 3, Prefixes: []uint64{1, math.MaxUint64}},
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -160,7 +160,7 @@
 		c := list[i]
 		crashes[i] = pomelorelay.RequestCrash{
 			Fingerprint: pomelorelay.Fingerprint(c.GetFingerprint()), Upstream: pomelorelay.UpstreamID(d.name(c.GetUpstream())), StartUnixMilli: c.GetBorn(), UnixMilli: c.GetAt(),
-			Repeated: c.GetRepeated(), Cleared: c.GetCleared(),
+			Repeated: c.GetRepeated(), Cleared: c.GetCleared(), Runs: c.GetRuns(), Part: c.GetPart(),
 		}
 	}
 	return crashes
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -76,6 +76,7 @@
 	for _, c := range crashes {
 		w = append(w, &pomelowire.RequestCrash{
 			Fingerprint: uint64(c.Fingerprint), Upstream: string(c.Upstream), Born: c.StartUnixMilli, At: c.UnixMilli, Repeated: c.Repeated, Cleared: c.Cleared,
+			Runs: c.Runs, Part: c.Part,
 		})
 	}
 	return w
--- a/pomeloquarantine/crashhistory.go
+++ b/pomeloquarantine/crashhistory.go
@@ -9,8 +9,8 @@
 // crashHistory holds the crashes under one fingerprint.
 type crashHistory struct {
 	crashes map[upstreamProcess]loggedCrash
-	// quarantined is set once the quarantine has been logged.
-	quarantined bool
+	// isCause is set if the history explains crashes, quarantined if its quarantine has not ended.
+	isCause, quarantined bool
 	// recorded is set if this router records the crashes in the store: they have led to a quarantine, and this router observed some.
 	recorded bool
 }
@@ -46,6 +46,14 @@
 	return false
 }
 
+// isPart reports whether the fingerprint is that of a prompt part.
+func (h *crashHistory) isPart() bool {
+	for _, c := range h.crashes {
+		return c.Part
+	}
+	return false
+}
+
 func (h *crashHistory) lastCrash() int64 {
 	last := int64(0)
 	for _, c := range h.crashes {
@@ -54,42 +62,54 @@
 	return last
 }
 
-// crashTally summarizes the crashes of a history that are not cleared.
+// crashTally summarizes the crashes of a history that are neither cleared nor explained otherwise.
 type crashTally struct {
 	// confirmed is the number of confirmed crashes, last the time of the last one, pending the expiries of the pending ones in ascending order,
 	// all in Unix milliseconds.
 	confirmed int
 	last      int64
 	pending   []int64
+	// firstAt and lastAt are the times of the first and of the last crash, confirmed or pending, in Unix milliseconds.
+	firstAt, lastAt int64
+	// runs is the number of runs of all crashes.
+	runs int
 	// repeated is set if a confirmed crash was one of a run that began after another crash, pendingRepeated if a pending one was.
 	repeated, pendingRepeated bool
 }
 
-func (l *CrashLog) tally(h *crashHistory) crashTally {
+func (t *crashTally) crashes() int { return t.confirmed + len(t.pending) }
+
+// tally summarizes the crashes of a history, without those of the given upstream processes.
+func (l *CrashLog) tally(h *crashHistory, explained map[upstreamProcess]bool) crashTally {
 	var t crashTally
-	for _, c := range h.crashes {
-		switch {
-		case c.Cleared:
-		case c.pending:
+	for key, c := range h.crashes {
+		if c.Cleared || explained[key] {
+			continue
+		}
+		t.runs += runsOf(&c)
+		if t.firstAt == 0 || c.UnixMilli < t.firstAt {
+			t.firstAt = c.UnixMilli
+		}
+		t.lastAt = max(t.lastAt, c.UnixMilli)
+		if c.pending {
 			t.pending = append(t.pending, l.expiry(&c))
 			t.pendingRepeated = t.pendingRepeated || c.Repeated
-		default:
-			t.confirmed++
-			t.last = max(t.last, c.UnixMilli)
-			t.repeated = t.repeated || c.Repeated
+			continue
 		}
+		t.confirmed++
+		t.last = max(t.last, c.UnixMilli)
+		t.repeated = t.repeated || c.Repeated
 	}
 	slices.Sort(t.pending)
 	return t
 }
 
-// quarantineEnd returns when the quarantine of a history ends, in Unix milliseconds, and whether confirmed crashes suffice for it; zero when
-// there is none. Crashes of several upstreams at once, of which no run began after another crash, do not suffice: they may have another
+// quarantineEnd returns when the quarantine for the crashes ends, in Unix milliseconds, and whether confirmed crashes suffice for it; zero when
+// there is none because fewer than needed are known. Crashes of several upstreams at once, of which no run began after another crash, do not suffice: they may have another
 // cause, such as a loss of power.
-func (l *CrashLog) quarantineEnd(h *crashHistory) (int64, bool) {
-	t := l.tally(h)
-	if t.confirmed < l.cfg.MaxCrashes || !t.repeated {
-		return l.pendingQuarantineEnd(&t), false
+func (l *CrashLog) quarantineEnd(t *crashTally, needed int) (int64, bool) {
+	if t.confirmed < needed || !t.repeated {
+		return pendingQuarantineEnd(t, needed), false
 	}
 	duration := l.cfg.QuarantineFor
 	for n := l.cfg.MaxCrashes; n < t.confirmed && duration < l.cfg.Memory; n++ {
@@ -99,8 +119,8 @@
 }
 
 // pendingQuarantineEnd returns until when enough crashes are pending to make up for the confirmed ones that are missing; zero if they do not.
-func (l *CrashLog) pendingQuarantineEnd(t *crashTally) int64 {
-	missing := max(l.cfg.MaxCrashes-t.confirmed, 1)
+func pendingQuarantineEnd(t *crashTally, needed int) int64 {
+	missing := max(needed-t.confirmed, 1)
 	if len(t.pending) < missing || !(t.repeated || t.pendingRepeated) {
 		return 0
 	}
--- a/pomeloquarantine/crashlog.go
+++ b/pomeloquarantine/crashlog.go
@@ -25,14 +25,20 @@
 	MaxFingerprints int
 }
 
-// CrashLog counts the upstreams that crashed under each fingerprint and quarantines fingerprints that crash too many. A crash is pending from
-// the moment that a connection broke until it is confirmed or PendingFor is over; pending crashes count, but lead to no quarantine beyond
-// that. The crashes of all routers are merged in any order and any number of times, so that every router that knows the same crashes comes to the same result. A
-// fingerprint is no longer a suspect once an upstream has answered a request with it.
+// CrashLog counts the upstreams that crashed under each fingerprint, of a request or of a prompt part, and quarantines the fingerprints that
+// explain the crashes. A crash is pending from the moment that a connection broke until it is confirmed or PendingFor is over; pending crashes
+// count, but lead to no quarantine beyond that. The crashes of all routers are merged in any order and any number of times, so that every router
+// that knows the same crashes comes to the same result. A fingerprint is no longer a suspect once an upstream has answered a request with it.
 type CrashLog struct {
 	cfg       CrashLogConfig
 	histories map[pomelorelay.Fingerprint]*crashHistory
 	answered  recentSet
+	// changed is set if crashes changed at or before now and the fields below are not up to date.
+	changed      bool
+	now          time.Time
+	explanations []explanation
+	// explained are the upstream processes whose crashes the explanations explain.
+	explained map[upstreamProcess]bool
 	snapshot  *CrashSnapshot
 	// recordChanged is set if Record returns another list than before.
 	recordChanged bool
@@ -58,7 +64,7 @@
 // Observe adds a crash that this router observed and returns it if it is new. It ignores the crash if an upstream has recently answered a
 // request with the fingerprint.
 func (l *CrashLog) Observe(now time.Time, crash pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
-	if l.answered.contains(now, crash.Fingerprint) {
+	if l.recentlyAnswered(now, &crash) {
 		return nil
 	}
 	return l.merge(now, []pomelorelay.RequestCrash{crash}, crashSource{observed: true})
@@ -66,7 +72,7 @@
 
 // ObservePending adds a pending crash that this router observed, in the same way.
 func (l *CrashLog) ObservePending(now time.Time, crash pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
-	if l.answered.contains(now, crash.Fingerprint) {
+	if l.recentlyAnswered(now, &crash) {
 		return nil
 	}
 	return l.merge(now, []pomelorelay.RequestCrash{crash}, crashSource{observed: true, pending: true})
@@ -86,7 +92,7 @@
 func (l *CrashLog) mergeOthers(now time.Time, crashes []pomelorelay.RequestCrash, source crashSource) (changed, cleared []pomelorelay.RequestCrash) {
 	changed = l.merge(now, crashes, source)
 	for _, c := range changed {
-		if l.answered.contains(now, c.Fingerprint) {
+		if l.recentlyAnswered(now, &c) {
 			l.clear(now, c.Fingerprint)
 		}
 		cleared = append(cleared, l.takeUnsentClears(c.Fingerprint)...)
@@ -102,6 +108,15 @@
 	return l.takeUnsentClears(f)
 }
 
+// recentlyAnswered reports whether an upstream has answered a request with the crash's fingerprint so recently that it did not cause the crash.
+func (l *CrashLog) recentlyAnswered(now time.Time, c *pomelorelay.RequestCrash) bool {
+	since := recentFor
+	if c.Part {
+		since = partRecentFor
+	}
+	return l.answered.containsSince(now, c.Fingerprint, now.Add(-since))
+}
+
 // clear marks all crashes under the fingerprint as not caused by it.
 func (l *CrashLog) clear(now time.Time, f pomelorelay.Fingerprint) {
 	h := l.histories[f]
@@ -155,9 +170,8 @@
 	if len(changed) == 0 {
 		return
 	}
-	l.snapshot = nil
+	l.now, l.changed = now, true
 	l.dropExcess()
-	l.updateQuarantines(now, changed)
 }
 
 // mergeOne merges one crash and reports whether that changed anything.
@@ -176,9 +190,10 @@
 		merged.UnixMilli = min(c.UnixMilli, known.UnixMilli)
 		merged.Repeated = c.Repeated || known.Repeated
 		merged.Cleared = c.Cleared || known.Cleared
+		merged.Runs |= known.Runs
 	}
 	h.crashes[key] = merged
-	return !ok || merged.Repeated != known.Repeated || merged.Cleared != known.Cleared || merged.pending != known.pending
+	return !ok || merged.Repeated != known.Repeated || merged.Cleared != known.Cleared || merged.pending != known.pending || merged.Runs != known.Runs
 }
 
 func (l *CrashLog) expired(now time.Time, c *loggedCrash) bool {
@@ -193,42 +208,57 @@
 	return c.UnixMilli + l.cfg.Memory.Milliseconds()
 }
 
-// updateQuarantines logs the quarantines that begin or end with the changed crashes, and notes which crashes are to be recorded.
-func (l *CrashLog) updateQuarantines(now time.Time, changed []pomelorelay.RequestCrash) {
-	for _, c := range changed {
-		h := l.histories[c.Fingerprint]
-		if h == nil {
-			continue
+// refresh updates the explanations after a change, logs the quarantines that begin or end, and notes which crashes are to be recorded.
+func (l *CrashLog) refresh() {
+	if !l.changed {
+		return
+	}
+	l.changed, l.snapshot = false, nil
+	l.explanations, l.explained = l.explain()
+	before := make(map[pomelorelay.Fingerprint]bool)
+	for f, h := range l.histories {
+		if h.quarantined {
+			before[f] = true
 		}
-		end, confirmed := l.quarantineEnd(h)
-		quarantined := end > now.UnixMilli()
-		h.recorded = h.recorded || quarantined && confirmed && h.isObserved()
-		l.recordChanged = l.recordChanged || h.recorded
-		if quarantined == h.quarantined {
-			continue
+		h.isCause, h.quarantined = false, false
+	}
+	for _, e := range l.explanations {
+		l.beginQuarantine(&e, before)
+	}
+	for f := range before {
+		if !l.histories[f].quarantined {
+			l.cfg.Logger.Log(pomelorelay.EventQuarantineLifted, pomelorelay.Field{Key: "Fingerprint", Value: f.String()})
 		}
-		h.quarantined = quarantined
-		if quarantined {
-			l.cfg.Logger.Log(pomelorelay.EventQuarantined, pomelorelay.Field{Key: "Fingerprint", Value: c.Fingerprint.String()}, pomelorelay.Field{Key: "Upstream", Value: c.Upstream},
-				pomelorelay.Field{Key: "Crashes", Value: len(h.crashes)}, pomelorelay.Field{Key: "Confirmed", Value: confirmed}, pomelorelay.Field{Key: "ForMS", Value: end - now.UnixMilli()})
+	}
+}
+
+// beginQuarantine marks the fingerprints of an explanation, and logs those that were not quarantined before.
+func (l *CrashLog) beginQuarantine(e *explanation, before map[pomelorelay.Fingerprint]bool) {
+	for _, f := range e.fingerprints {
+		h := l.histories[f]
+		h.isCause, h.quarantined = true, e.end > l.now.UnixMilli()
+		h.recorded = h.recorded || h.quarantined && e.confirmed && h.isObserved()
+		l.recordChanged = l.recordChanged || h.recorded
+		if !h.quarantined || before[f] {
 			continue
 		}
-		l.cfg.Logger.Log(pomelorelay.EventQuarantineLifted, pomelorelay.Field{Key: "Fingerprint", Value: c.Fingerprint.String()})
+		t := l.tally(h, nil)
+		l.cfg.Logger.Log(pomelorelay.EventQuarantined, pomelorelay.Field{Key: "Fingerprint", Value: f.String()}, pomelorelay.Field{Key: "Part", Value: h.isPart()}, pomelorelay.Field{Key: "Together", Value: len(e.fingerprints)},
+			pomelorelay.Field{Key: "Crashes", Value: t.crashes()}, pomelorelay.Field{Key: "Runs", Value: t.runs}, pomelorelay.Field{Key: "Confirmed", Value: e.confirmed}, pomelorelay.Field{Key: "ForMS", Value: e.end - l.now.UnixMilli()})
 	}
 }
 
 // Expire drops the crashes that no longer count. Call it about once a second.
 func (l *CrashLog) Expire(now time.Time) {
+	l.now = now
 	for f, h := range l.histories {
 		before := len(h.crashes)
 		maps.DeleteFunc(h.crashes, func(_ upstreamProcess, c loggedCrash) bool { return l.expired(now, &c) })
 		if len(h.crashes) == before {
 			continue
 		}
-		l.snapshot = nil
+		l.changed = true
 		l.recordChanged = l.recordChanged || h.recorded
-		end, _ := l.quarantineEnd(h)
-		h.quarantined = end > now.UnixMilli()
 		if len(h.crashes) == 0 {
 			delete(l.histories, f)
 		}
@@ -254,11 +284,15 @@
 }
 
 // RecordChanged reports whether Record returns another list than at its last call.
-func (l *CrashLog) RecordChanged() bool { return l.recordChanged }
+func (l *CrashLog) RecordChanged() bool {
+	l.refresh()
+	return l.recordChanged
+}
 
 // Record returns the newest crashes that this router records in the platform's store, at most limit: all those that led to quarantines of which
 // it observed a part. Until then, a fleet whose routers all restart begins to count anew.
 func (l *CrashLog) Record(limit int) []pomelorelay.RequestCrash {
+	l.refresh()
 	l.recordChanged = false
 	return l.newest(limit, func(h *crashHistory) bool { return h.recorded })
 }
--- a/pomeloquarantine/crashlog_test.go
+++ b/pomeloquarantine/crashlog_test.go
@@ -181,6 +181,9 @@
 		crash := rapid.Custom(func(t *rapid.T) pomelorelay.RequestCrash {
 			c := crashAt(rapid.IntRange(0, 4).Draw(t, "upstream"), time.Duration(rapid.IntRange(0, 3).Draw(t, "second"))*time.Second, rapid.Bool().Draw(t, "repeated"))
 			c.Cleared = rapid.IntRange(0, 5).Draw(t, "cleared") == 0
+			c.Fingerprint += pomelorelay.Fingerprint(rapid.IntRange(0, 2).Draw(t, "fingerprint"))
+			c.Part = c.Fingerprint != suspect
+			c.Runs = uint64(rapid.IntRange(0, 7).Draw(t, "runs"))
 			return c
 		})
 		crashes := rapid.SliceOfN(crash, 1, 12).Draw(t, "crashes")
@@ -191,8 +194,10 @@
 		for _, c := range order {
 			b.Merge(now, []pomelorelay.RequestCrash{c})
 		}
-		if x, y := a.Snapshot().QuarantineRemaining(now, suspect), b.Snapshot().QuarantineRemaining(now, suspect); x != y {
-			t.Errorf("quarantined for %v and %v", x, y)
+		for _, request := range [][]pomelorelay.Fingerprint{{suspect}, {suspect + 1}, {suspect + 2}, {suspect, suspect + 1, suspect + 2}} {
+			if x, y := a.Snapshot().QuarantineRemaining(now, request...), b.Snapshot().QuarantineRemaining(now, request...); x != y {
+				t.Errorf("request %v is quarantined for %v and %v", request, x, y)
+			}
 		}
 		if x, y := a.All(100), b.All(100); !slices.Equal(x, y) {
 			t.Errorf("crashes %v and %v", x, y)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,8 +5,8 @@
 skip=""
 if [ -s KNOWN-RED.txt ]; then
 	lines=$(grep -c . KNOWN-RED.txt)
-	if [ "$lines" -gt 6 ]; then
-		echo "KNOWN-RED.txt has $lines lines, at most 6 are allowed" >&2
+	if [ "$lines" -gt 5 ]; then
+		echo "KNOWN-RED.txt has $lines lines, at most 5 are allowed" >&2
 		exit 1
 	fi
 	echo "Skipping tests that are known to fail:"
