A send to an upstream that has ended already is no crash

Cause: a send to such an address breaks like one under which the upstream ends, and it was sent although an earlier crash was known, which a crash of several upstreams at once needs to count. With prompt parts, each such send would count against all parts of its prompt.

Change: a run that was sent after a connection to the process was known to have broken, with no answer of the process since, is not counted. A process ends once, so that the run did not end it.

TestSendsToEndedProcessesAreNoCrashes: without the change the sound request is refused with 1400 at its fourth send.

--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -28,6 +28,8 @@
 	log *pomeloquarantine.CrashLog
 	// broken holds, by upstream, the runs whose connection broke recently.
 	broken map[pomelorelay.UpstreamID][]brokenRun
+	// processes holds what is known of whether processes of upstreams live.
+	processes map[upstreamProcess]*processState
 	// unsent and unsentPending are confirmed and pending crashes that this router observed or cleared and has not yet sent to the other routers.
 	unsent, unsentPending []pomelorelay.RequestCrash
 	recordedAt            time.Time
@@ -41,8 +43,9 @@
 
 func newCrashes(logger pomelorelay.Logger) crashes {
 	return crashes{
-		log:    pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{Logger: logger, PendingFor: crashConfirmTime}),
-		broken: make(map[pomelorelay.UpstreamID][]brokenRun),
+		log:       pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{Logger: logger, PendingFor: crashConfirmTime}),
+		broken:    make(map[pomelorelay.UpstreamID][]brokenRun),
+		processes: make(map[upstreamProcess]*processState),
 	}
 }
 
@@ -74,7 +77,13 @@
 
 // apply counts the crash as pending, unless the upstream was leaving as planned, until the end of its process confirms it.
 func (b *connectionBroke) apply(c *control, now time.Time) {
-	if entry, present := c.upstreams.present[b.run.Crashes[0].Upstream]; present && !entry.Draining {
+	process := processOfCrash(b.run.Crashes[0])
+	ended := c.crashes.hadEnded(now, process, b.run.SentAt)
+	c.crashes.recordBreak(now, process)
+	if ended {
+		return
+	}
+	if entry, present := c.upstreams.present[process.upstream]; present && !entry.Draining {
 		for _, crash := range b.run.Crashes {
 			c.crashes.unsentPending = append(c.crashes.unsentPending, c.crashes.log.ObservePending(now, crash)...)
 		}
@@ -94,11 +103,14 @@
 
 // apply counts the crash unless the upstream was leaving as planned: such an upstream drains, or has removed its entry, before it ends.
 func (u *upstreamCrashed) apply(c *control, now time.Time) {
-	entry, present := c.upstreams.present[u.run.Crashes[0].Upstream]
+	process := processOfCrash(u.run.Crashes[0])
+	entry, present := c.upstreams.present[process.upstream]
 	if !present || entry.Draining {
 		return
 	}
-	c.observeCrashes(now, u.run.Crashes)
+	if !c.crashes.hadEnded(now, process, u.run.SentAt) {
+		c.observeCrashes(now, u.run.Crashes)
+	}
 }
 
 // observeCrashes counts crashes that are confirmed, and returns those that are new.
@@ -155,6 +167,7 @@
 			delete(c.crashes.broken, id)
 		}
 	}
+	c.expireProcesses(now)
 	c.crashes.log.Expire(now)
 }
 
@@ -179,13 +192,12 @@
 func latestOf(list []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
 	type crashID struct {
 		fingerprint pomelorelay.Fingerprint
-		upstream    pomelorelay.UpstreamID
-		start       int64
+		process     upstreamProcess
 	}
 	seen := make(map[crashID]bool, len(list))
 	var latest []pomelorelay.RequestCrash
 	for _, crash := range slices.Backward(list) {
-		id := crashID{crash.Fingerprint, crash.Upstream, crash.StartUnixMilli}
+		id := crashID{crash.Fingerprint, processOfCrash(crash)}
 		if !seen[id] {
 			seen[id] = true
 			latest = append(latest, crash)
@@ -204,6 +216,9 @@
 
 // receiveCrashes merges the crashes of a notice and forwards what was new.
 func (c *control) receiveCrashes(now time.Time, from pomelorelay.NodeID, m *pomelorelay.CrashNotice) {
+	for _, crash := range slices.Concat(m.Crashes, m.Pending) {
+		c.crashes.recordBreak(now, processOfCrash(crash))
+	}
 	changed := c.mergeCrashes(now, m.Crashes)
 	pending, cleared := c.crashes.log.MergePending(now, m.Pending)
 	c.crashes.queue(cleared)
--- a/pomeloentry/crashpart_test.go
+++ b/pomeloentry/crashpart_test.go
@@ -40,3 +40,27 @@
 		}
 	}
 }
+
+// Guards against refusing a proper request that is sent to addresses whose upstreams have ended already.
+func TestSendsToEndedProcessesAreNoCrashes(t *testing.T) {
+	f := newFleet(t)
+	f.store.PublishConfig(f.config(1, "/a/"))
+	for _, id := range []pomelorelay.UpstreamID{"u1", "u2", "u3"} {
+		f.crashingUpstream(id, false)
+	}
+	n := f.start(8 * time.Second)
+	f.awaitGauge(n, "upstreams", 3)
+	call := func(path string) {
+		if status, _ := f.call(n, path); status != http.StatusBadGateway {
+			t.Fatalf("%s is answered with %d, want 502", path, status)
+		}
+		// Longer than a tick.
+		time.Sleep(100 * time.Millisecond)
+	}
+	for i := range 3 {
+		call(fmt.Sprint("/a/ran-then", i))
+	}
+	for range 6 {
+		call("/a/proper")
+	}
+}
