An answer without length proves nothing until its upstream has lived on

What callers saw, on an upstream whose answers have neither length nor chunks: the process that ends under a request cuts its answer short, and the crashes under the request are cleared on all routers, so that it goes on crashing.

Change: it clears only once the process has answered something at least 100 ms later, or after 8 s without evidence of its end. If the process turns out to have ended, it counts as a crash.

TestAnswerThatTheEndOfItsProcessCutIsACrash: without the change no crash is counted; TestAnswerWithoutLengthIsProofOnceItsUpstreamLivesOn guards the other side; TestOnlyDelimitedSuccessIsAnAnswer tells the answers apart, also a stream without length that ends inside an event, which is broken off.

--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -73,6 +73,9 @@
 // UpstreamCrashed reports that the upstream of a run whose connection broke refuses connections.
 func (g crashGuard) UpstreamCrashed(run pomeloforward.BrokenRun) { g.e.post(&upstreamCrashed{run}) }
 
+// AnswerMayBeCut reports that only the end of the connection showed that the answer of a run was complete.
+func (g crashGuard) AnswerMayBeCut(run pomeloforward.BrokenRun) { g.e.post(&answerMayBeCut{run}) }
+
 type connectionBroke struct{ run pomeloforward.BrokenRun }
 
 // apply counts the crash as pending, unless the upstream was leaving as planned, until the end of its process confirms it.
@@ -108,6 +111,7 @@
 	if !present || entry.Draining {
 		return
 	}
+	c.confirmCutAnswers(now, process, pomelorelay.EvidenceRefused)
 	if !c.crashes.hadEnded(now, process, u.run.SentAt) {
 		c.observeCrashes(now, u.run.Crashes)
 	}
@@ -123,7 +127,7 @@
 	return changed
 }
 
-// recordAnswered records that an upstream answered a request with the fingerprints, which rules out that these crash upstreams.
+// recordAnswered records that upstreams live on after they answered a request with the fingerprints, which rules out that these crash upstreams.
 // An upstream that fails may answer with an error before it runs such a request.
 func (c *control) recordAnswered(now time.Time, fingerprints ...pomelorelay.Fingerprint) {
 	for _, f := range fingerprints {
@@ -133,6 +137,7 @@
 
 // confirmCrashes counts a crash for each run whose connection broke shortly before it became known that the upstream's process had ended.
 func (c *control) confirmCrashes(now time.Time, id pomelorelay.UpstreamID, startUnixMilli int64, evidence pomelorelay.CrashEvidence) {
+	c.confirmCutAnswers(now, upstreamProcess{id, startUnixMilli}, evidence)
 	for _, b := range c.crashes.broken[id] {
 		if now.Sub(b.at) >= crashConfirmTime || b.crashes[0].StartUnixMilli != startUnixMilli {
 			continue
--- a/pomeloentry/crashpart_test.go
+++ b/pomeloentry/crashpart_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
 )
 
 // Guards against requests that share a prompt part and crash one upstream after another because each is unlike the others.
@@ -64,3 +67,54 @@
 		call("/a/proper")
 	}
 }
+
+// undelimitedUpstream registers an upstream that answers without length and ends the connection, and then its listener if it crashes.
+func (f *fleet) undelimitedUpstream(id pomelorelay.UpstreamID, crashes bool) {
+	f.t.Helper()
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if crashes {
+			server.Listener.Close()
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			f.t.Error(err)
+			return
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n\r\nwhole", pomelofake.TestHeaderRequestID, r.Header.Get(pomelofake.TestHeaderRequestID), pomelofake.TestHeaderSignedBy, id)
+	}))
+	f.t.Cleanup(server.Close)
+	f.store.PutUpstream(pomelorelay.FleetUpstream{ID: id, Service: "s", Addr: netip.MustParseAddrPort(server.Listener.Addr().String()), Domain: "a", Slots: 8, StartUnixMilli: 1})
+}
+
+// Guards against an answer without length that proves nothing although its upstream lives on.
+func TestAnswerWithoutLengthIsProofOnceItsUpstreamLivesOn(t *testing.T) {
+	f := newFleet(t)
+	f.store.PublishConfig(f.config(1, "/a/"))
+	f.crashingUpstream("u1", true)
+	n := f.start(8 * time.Second)
+	f.awaitStatus(n, "/a/", http.StatusBadGateway)
+	f.awaitGauge(n, "crash_suspects", 1)
+	f.undelimitedUpstream("u2", false)
+	f.store.DeleteUpstream("u1")
+	f.awaitStatus(n, "/a/", http.StatusOK)
+	time.Sleep(200 * time.Millisecond)
+	answeredAgain := time.Now()
+	f.awaitStatus(n, "/a/other", http.StatusOK)
+	f.awaitGauge(n, "crash_suspects", 0)
+	if took := time.Since(answeredAgain); took > 6*time.Second {
+		t.Errorf("the crash was cleared after %v", took)
+	}
+}
+
+// Guards against taking an answer that the end of its upstream's process cut short for proof that the request crashes no upstream.
+func TestAnswerThatTheEndOfItsProcessCutIsACrash(t *testing.T) {
+	f := newFleet(t)
+	f.store.PublishConfig(f.config(1, "/a/"))
+	f.undelimitedUpstream("u1", true)
+	n := f.start(8 * time.Second)
+	f.awaitStatus(n, "/a/", http.StatusOK)
+	f.store.PutUpstream(pomelorelay.FleetUpstream{ID: "u1", Service: "s", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Domain: "a", Slots: 8, StartUnixMilli: 2})
+	f.awaitGauge(n, "crash_suspects", 1)
+}
--- a/pomeloentry/crashprocess.go
+++ b/pomeloentry/crashprocess.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
 )
 
 // signOfLifeMargin is how much later than an event of a process a sign of life must be to show that the process lived on: bytes that a router
@@ -30,6 +31,8 @@
 	aliveAt time.Time
 	// brokeAt is when this router first knew that a connection to the process had broken, with no sign of life since.
 	brokeAt time.Time
+	// undelimited are the runs whose answer was complete unless the process ended meanwhile.
+	undelimited []brokenRun
 }
 
 // livedOn reports whether the process answered after a time.
@@ -59,15 +62,58 @@
 	return !p.brokeAt.IsZero() && p.brokeAt.Before(sentAt) && !p.livedOn(p.brokeAt) && now.Sub(p.brokeAt) < crashConfirmTime
 }
 
-// recordSignOfLife records that the process answered.
+// recordSignOfLife records that the process answered. Earlier answers without length were then complete.
 func (c *control) recordSignOfLife(now time.Time, id upstreamProcess) {
-	c.crashes.process(id).aliveAt = now
+	p := c.crashes.process(id)
+	p.aliveAt = now
+	if len(p.undelimited) > 0 {
+		c.proveAnswers(p, now, func(run brokenRun) bool { return p.livedOn(run.at) })
+	}
+}
+
+// proveAnswers records the answers without length that were complete.
+func (c *control) proveAnswers(p *processState, now time.Time, complete func(brokenRun) bool) {
+	var left []brokenRun
+	for _, run := range p.undelimited {
+		if !complete(run) {
+			left = append(left, run)
+			continue
+		}
+		for _, crash := range run.crashes {
+			c.recordAnswered(now, crash.Fingerprint)
+		}
+	}
+	p.undelimited = left
+}
+
+type answerMayBeCut struct{ run pomeloforward.BrokenRun }
+
+func (a *answerMayBeCut) apply(c *control, now time.Time) {
+	p := c.crashes.process(processOfCrash(a.run.Crashes[0]))
+	if len(p.undelimited) < maxBrokenAttempts {
+		p.undelimited = append(p.undelimited, brokenRun{crashes: a.run.Crashes, at: now})
+	}
+}
+
+// confirmCutAnswers counts a crash for each answer without length whose process turned out to have ended. A removed entry alone does not show
+// that: some upstreams remove it and serve on for a while.
+func (c *control) confirmCutAnswers(now time.Time, id upstreamProcess, evidence pomelorelay.CrashEvidence) {
+	p := c.crashes.processes[id]
+	if p == nil || evidence == pomelorelay.EvidenceRemoved && p.brokeAt.IsZero() {
+		return
+	}
+	for _, run := range p.undelimited {
+		c.observeCrashes(now, run.crashes)
+	}
+	p.undelimited = nil
 }
 
-// expireProcesses forgets processes of which nothing has been heard for crashConfirmTime.
+// expireProcesses forgets processes of which nothing has been heard for crashConfirmTime. An answer without length was complete if its
+// process is not known to have ended by then.
 func (c *control) expireProcesses(now time.Time) {
 	for id, p := range c.crashes.processes {
-		if now.Sub(p.aliveAt) >= crashConfirmTime && now.Sub(p.brokeAt) >= crashConfirmTime {
+		c.proveAnswers(p, now, func(run brokenRun) bool { return now.Sub(run.at) >= crashConfirmTime })
+		if now.Sub(p.aliveAt) >= crashConfirmTime && now.Sub(p.brokeAt) >= crashConfirmTime && len(p.undelimited) == 0 {
 			delete(c.crashes.processes, id)
 		}
 	}
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -167,7 +167,16 @@
 
 // answerEnd returns the end of an attempt whose complete answer was forwarded.
 func (c *call) answerEnd(resp *http.Response) RunEnd {
-	return RunEnd{Result: c.answerResult(), Answered: resp.StatusCode < http.StatusMultipleChoices}
+	end := RunEnd{Result: c.answerResult()}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return end
+	}
+	if endsWithConnection(resp) {
+		c.h.cfg.Crashes.AnswerMayBeCut(c.brokenRun(c.decision.Upstream))
+		return end
+	}
+	end.Answered = true
+	return end
 }
 
 // answerResult returns the result of an attempt whose complete answer was forwarded.
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -84,7 +84,7 @@
 // RunEnd is how a run ended.
 type RunEnd struct {
 	Result pomeloplace.Result
-	// Answered is set if the upstream answered completely and with success.
+	// Answered is set if the upstream answered with success, and the answer itself showed that it was complete.
 	Answered bool
 }
 
@@ -108,6 +108,8 @@
 	ConnectionBroke(run BrokenRun)
 	// UpstreamCrashed reports that the upstream of a run whose connection broke refuses connections.
 	UpstreamCrashed(run BrokenRun)
+	// AnswerMayBeCut reports that only the end of the connection showed that the answer of a run was complete; the upstream may have crashed.
+	AnswerMayBeCut(run BrokenRun)
 }
 
 // ShutdownState reports a planned stop of the process.
--- a/pomeloforward/crashpart_test.go
+++ b/pomeloforward/crashpart_test.go
@@ -62,15 +62,35 @@
 	}
 }
 
-// Guards against taking an error or a refusal as proof that a request crashes no upstream.
-func TestOnlySuccessIsAnAnswer(t *testing.T) {
-	for status, want := range map[int]int{200: 1, 404: 0, 500: 0} {
-		u := newUpstream(t, func(conn net.Conn, r *http.Request) { write(conn, plainAnswer(r, status, "x")) })
-		h := newHarness(t, u.entry("u1"))
-		h.call("POST", "/book/", "x")
+// Guards against taking an error, a refusal or the end of an upstream's process as proof that a request crashes no upstream.
+func TestOnlyDelimitedSuccessIsAnAnswer(t *testing.T) {
+	undelimited := func(text string) func(net.Conn, *http.Request) {
+		return func(conn net.Conn, r *http.Request) {
+			write(conn, head(r, 200, "\r\n"+text))
+			conn.Close()
+		}
+	}
+	plain := func(status int) func(net.Conn, *http.Request) {
+		return func(conn net.Conn, r *http.Request) { write(conn, plainAnswer(r, status, "x")) }
+	}
+	for _, c := range []struct {
+		name, path            string
+		answer                func(net.Conn, *http.Request)
+		answered, undelimited int
+	}{
+		{"success", "/book/", plain(200), 1, 0},
+		{"error", "/book/", plain(500), 0, 0},
+		{"rejected", "/book/", plain(404), 0, 0},
+		{"plain without length", "/book/", undelimited("all of it"), 0, 1},
+		{"stream", "/draft/", stream(1, 2), 1, 0},
+		{"stream without length", "/draft/", undelimited("id: 1\ndata: piece 1\n\n"), 0, 1},
+		{"stream without length, cut inside an event", "/draft/", undelimited("id: 1\nda"), 0, 0},
+	} {
+		h := newHarness(t, newUpstream(t, c.answer).entry("u1"))
+		h.call("POST", c.path, "x")
 		h.result(0)
-		if h.answered != want {
-			t.Errorf("status %d: %d answers, want %d", status, h.answered, want)
+		if h.answered != c.answered || len(h.undelimited) != c.undelimited {
+			t.Errorf("%s: %d answers and %d that may be cut, want %d and %d", c.name, h.answered, len(h.undelimited), c.answered, c.undelimited)
 		}
 	}
 }
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -126,8 +126,8 @@
 	// suspected states that every request is suspected of crashing upstreams; quarantine is the remaining quarantine of every request.
 	suspected  bool
 	quarantine time.Duration
-	// broken are the runs reported whose connection broke, crashReports those whose upstream crashed.
-	broken, crashReports []pomeloforward.BrokenRun
+	// broken are the runs reported whose connection broke, crashReports those whose upstream crashed, undelimited those whose answer may be cut.
+	broken, crashReports, undelimited []pomeloforward.BrokenRun
 	// answered counts the runs that ended with an answer, lasting those whose answer lasted.
 	answered, lasting int
 }
@@ -248,6 +248,8 @@
 
 func (h *harness) UpstreamCrashed(run pomeloforward.BrokenRun) { h.addRun(&h.crashReports, run) }
 
+func (h *harness) AnswerMayBeCut(run pomeloforward.BrokenRun) { h.addRun(&h.undelimited, run) }
+
 func (h *harness) addRun(list *[]pomeloforward.BrokenRun, run pomeloforward.BrokenRun) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
