Product's own interface: requests that share a crashing message are refused

What callers saw: on the interface with claims, requests whose prompts share a message under which engines crash end one engine after the other.

A request is isolated once its own fingerprint has crashed an upstream; a request that is unlike it runs freely.

Change: each router counts crashes under the messages that other requests may share, all but the last, in the crash log of the entry path, and tells the other routers. An error answer clears no message.

--- a/pomelonode/assembly.go
+++ b/pomelonode/assembly.go
@@ -164,4 +164,5 @@
 	}
 	c.quarantine = pomeloquarantine.NewTable(cfg)
 	c.arbiter = pomeloquarantine.NewArbiter(cfg)
+	c.crashedParts = newCrashedParts(n.cfg.Logger)
 }
--- a/pomelonode/control.go
+++ b/pomelonode/control.go
@@ -41,6 +41,7 @@
 	claimRequester *pomeloclaim.Requester
 	quarantine     *pomeloquarantine.Table
 	arbiter        *pomeloquarantine.Arbiter
+	crashedParts   *crashedParts
 	configSyncer   *pomeloconfig.Syncer
 
 	snapshot      *pomeloconfig.Snapshot
@@ -148,6 +149,7 @@
 	c.keeper.Tick(now, &c.claimOut)
 	c.claimRequester.Tick(now, &c.claimOut)
 	c.quarantine.Tick(now, &c.suspectOut)
+	c.crashedParts.tick(now)
 	c.outgoing = c.configSyncer.Tick(now, c.outgoing)
 	c.fetchConfig(now)
 	for pool := range c.pools {
--- a/pomelonode/members.go
+++ b/pomelonode/members.go
@@ -46,7 +46,7 @@
 	c.n.log(event, field("Member", string(node)))
 	c.incarnations[node] = incarnation
 	delete(c.dead, node)
-	c.quarantine.MemberJoined(now, node, &c.suspectOut)
+	c.sendSuspects(now, node)
 }
 
 // reclaimFrom reclaims the slots granted to a router that died or restarted, and removes the other state kept about that router.
@@ -82,7 +82,15 @@
 	c.n.log(pomelorelay.EventDomainReachable, field("Domain", string(domain)))
 	for _, node := range c.members.Members(domain) {
 		if node != c.n.self.Node {
-			c.quarantine.MemberJoined(now, node, &c.suspectOut)
+			c.sendSuspects(now, node)
 		}
 	}
 }
+
+// sendSuspects sends a router that joined or rejoined the fleet what is known of requests and prompt parts that crash upstreams.
+func (c *control) sendSuspects(now time.Time, node pomelorelay.NodeID) {
+	c.quarantine.MemberJoined(now, node, &c.suspectOut)
+	if crashes := c.crashedParts.log.All(maxCrashesPerNotice); len(crashes) > 0 {
+		c.outgoing = append(c.outgoing, pomelorelay.Outgoing{To: node, Message: &pomelorelay.CrashNotice{Crashes: crashes}})
+	}
+}
--- a/pomelonode/node.go
+++ b/pomelonode/node.go
@@ -52,6 +52,7 @@
 
 	traffic        atomic.Pointer[trafficView]
 	suspects       atomic.Pointer[pomeloquarantine.Snapshot]
+	crashedParts   atomic.Pointer[pomeloquarantine.CrashSnapshot]
 	status         atomic.Pointer[status]
 	heartbeat      atomic.Int64
 	watchingConfig atomic.Bool
@@ -103,6 +104,7 @@
 	})
 	c := newControl(n)
 	n.suspects.Store(c.quarantine.Snapshot())
+	n.crashedParts.Store(c.crashedParts.log.Snapshot())
 	n.status.Store(&status{Node: n.self.Node})
 	n.heartbeat.Store(n.cfg.Clock.Now().UnixNano())
 	n.start(func(context.Context) { c.run() })
--- a/pomelonode/receive.go
+++ b/pomelonode/receive.go
@@ -86,6 +86,8 @@
 		c.arbiter.HandleCleared(e.From, m)
 	case *pomelorelay.QuarantineNotice:
 		c.quarantine.HandleQuarantineNotice(now, m, &c.suspectOut)
+	case *pomelorelay.CrashNotice:
+		c.sendCrashedParts(c.crashedParts.merge(now, m.Crashes))
 	}
 }
 
--- a/pomelonode/suspects.go
+++ b/pomelonode/suspects.go
@@ -13,9 +13,10 @@
 // everything else to the control goroutine.
 type suspects struct{ n *Node }
 
-// CheckQuarantine fails with CodeQuarantined while requests with the fingerprint are quarantined.
-func (a suspects) CheckQuarantine(f pomelorelay.Fingerprint) error {
-	remaining := a.n.suspects.Load().QuarantineRemaining(a.n.cfg.Clock.Now(), f)
+// CheckQuarantine fails with CodeQuarantined while requests with the fingerprint, or with the prompt parts, are quarantined.
+func (a suspects) CheckQuarantine(f pomelorelay.Fingerprint, sharedParts []pomelorelay.Fingerprint) error {
+	now := a.n.cfg.Clock.Now()
+	remaining := max(a.n.suspects.Load().QuarantineRemaining(now, f), a.n.crashedParts.Load().QuarantineRemaining(now, sharedParts...))
 	if remaining <= 0 {
 		return nil
 	}
@@ -64,17 +65,17 @@
 
 // AttemptStarted reports that an attempt is about to be sent.
 func (a suspects) AttemptStarted(run pomeloroute.SuspectRun) {
-	a.n.mail.post(suspectAttemptStarted{suspectRun(run)})
+	a.n.mail.post(suspectAttemptStarted{suspectRun(run), run.SharedParts})
 }
 
 // UpstreamCrashed reports that the upstream crashed while the attempt ran.
 func (a suspects) UpstreamCrashed(run pomeloroute.SuspectRun) {
-	a.n.mail.post(suspectAttemptCrashed{suspectRun(run)})
+	a.n.mail.post(suspectAttemptCrashed{suspectRun(run), run.SharedParts})
 }
 
 // AttemptEnded reports that the attempt ended without a crash, and whether its answer was complete and no server error.
 func (a suspects) AttemptEnded(run pomeloroute.SuspectRun, served bool) {
-	a.n.mail.post(suspectAttemptEnded{suspectRun(run), served})
+	a.n.mail.post(suspectAttemptEnded{suspectRun(run), run.SharedParts, served})
 }
 
 func suspectRun(r pomeloroute.SuspectRun) pomeloquarantine.Run {
@@ -104,23 +105,35 @@
 	c.quarantine.Cancel(e.w.run, &c.suspectOut)
 }
 
-type suspectAttemptStarted struct{ run pomeloquarantine.Run }
+type suspectAttemptStarted struct {
+	run         pomeloquarantine.Run
+	sharedParts []pomelorelay.Fingerprint
+}
 
-func (e suspectAttemptStarted) apply(c *control, _ time.Time) { c.quarantine.Began(e.run) }
+func (e suspectAttemptStarted) apply(c *control, _ time.Time) {
+	c.quarantine.Began(e.run)
+	c.crashedParts.began(e.run, e.sharedParts)
+}
 
-type suspectAttemptCrashed struct{ run pomeloquarantine.Run }
+type suspectAttemptCrashed struct {
+	run         pomeloquarantine.Run
+	sharedParts []pomelorelay.Fingerprint
+}
 
 func (e suspectAttemptCrashed) apply(c *control, now time.Time) {
 	c.quarantine.Crashed(now, e.run, &c.suspectOut)
+	c.sendCrashedParts(c.crashedParts.crashed(now, e.run, e.sharedParts))
 }
 
 type suspectAttemptEnded struct {
-	run    pomeloquarantine.Run
-	served bool
+	run         pomeloquarantine.Run
+	sharedParts []pomelorelay.Fingerprint
+	served      bool
 }
 
-func (e suspectAttemptEnded) apply(c *control, _ time.Time) {
+func (e suspectAttemptEnded) apply(c *control, now time.Time) {
 	c.quarantine.Ended(e.run, e.served, &c.suspectOut)
+	c.sendCrashedParts(c.crashedParts.ended(now, e.run, e.sharedParts, e.served))
 }
 
 // quarantineLifted is posted when an operator lifts a quarantine.
@@ -128,6 +141,7 @@
 
 func (e quarantineLifted) apply(c *control, now time.Time) {
 	c.quarantine.Lift(now, e.fingerprint, &c.suspectOut)
+	c.sendCrashedParts(c.crashedParts.log.Answered(now, e.fingerprint))
 }
 
 // flushSuspects sends the messages and delivers the verdicts of the quarantine components, and publishes their snapshot for the goroutines
@@ -145,4 +159,7 @@
 	if s := c.quarantine.Snapshot(); s != c.n.suspects.Load() {
 		c.n.suspects.Store(s)
 	}
+	if s := c.crashedParts.log.Snapshot(); s != c.n.crashedParts.Load() {
+		c.n.crashedParts.Store(s)
+	}
 }
--- a/pomeloroute/call.go
+++ b/pomeloroute/call.go
@@ -43,6 +43,8 @@
 	deadline    time.Time
 	waitUntil   time.Time
 	fingerprint pomelorelay.Fingerprint
+	// sharedParts are the fingerprints of all messages but the last, which other requests may share.
+	sharedParts []pomelorelay.Fingerprint
 	claim       Claim
 	claimed     bool
 	// answerStarted is set once an answer's header was sent to the caller; after that there are no retries.
@@ -60,7 +62,8 @@
 }
 
 type modelRequest struct {
-	Model pomelorelay.ModelID `json:"model"`
+	Model    pomelorelay.ModelID `json:"model"`
+	Messages []json.RawMessage   `json:"messages"`
 }
 
 func (h *Handler) newCall(w http.ResponseWriter, r *http.Request) (*call, error) {
@@ -196,7 +199,7 @@
 	if err := json.Unmarshal(c.bytes(), &m); err != nil {
 		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "the body is not JSON with a model", err)
 	}
-	c.model = m.Model
+	c.model, c.sharedParts = m.Model, sharedParts(m.Messages)
 	if snapshot := c.h.cfg.ConfigSource.Current(); snapshot == nil || !snapshot.HasPool(c.pool()) {
 		return pomelorelay.NewError(pomelorelay.CodeNoUpstream, "no upstream serves the model", nil)
 	}
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -148,17 +148,19 @@
 type SuspectRun struct {
 	// KnownSuspect is set if an earlier attempt of this request ran on an upstream that crashed; AwaitPermission must then not rely on the
 	// router's snapshot of suspected requests, which may be older than the crash.
-	KnownSuspect  bool
-	Request       pomelorelay.RequestID
-	Fingerprint   pomelorelay.Fingerprint
+	KnownSuspect bool
+	Request      pomelorelay.RequestID
+	Fingerprint  pomelorelay.Fingerprint
+	// SharedParts are the fingerprints of the prompt parts that other requests may share.
+	SharedParts   []pomelorelay.Fingerprint
 	Upstream      pomelorelay.UpstreamID
 	QuarantineFor time.Duration
 }
 
 // Suspects limits how many upstreams a request can crash.
 type Suspects interface {
-	// CheckQuarantine fails with CodeQuarantined if the fingerprint is quarantined; it never blocks.
-	CheckQuarantine(f pomelorelay.Fingerprint) error
+	// CheckQuarantine fails with CodeQuarantined if requests with the fingerprint, or with the prompt parts, are quarantined; it never blocks.
+	CheckQuarantine(f pomelorelay.Fingerprint, sharedParts []pomelorelay.Fingerprint) error
 	// AwaitPermission returns immediately for a request that is not suspected of crashing upstreams. A suspect waits until it may
 	// run, or fails with CodeSuspectHeld or CodeQuarantined.
 	AwaitPermission(ctx context.Context, run SuspectRun) error
@@ -167,6 +169,6 @@
 	// UpstreamCrashed reports that the upstream crashed while the attempt ran; it never blocks.
 	UpstreamCrashed(run SuspectRun)
 	// AttemptEnded reports that the attempt ended without a crash, and whether its answer was complete and no server error; it never
-	// blocks.
+	// blocks. An answer clears the run's SharedParts too.
 	AttemptEnded(run SuspectRun, served bool)
 }
--- a/pomeloroute/digest.go
+++ b/pomeloroute/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/json"
 
 	"github.com/pomelorelay/pomelorelay"
 )
@@ -11,6 +12,18 @@
 	return pomelorelay.FingerprintOf([]byte(account), []byte(service), body)
 }
 
+// maxSharedParts is the number of messages of a prompt that are told apart; further ones are ignored.
+const maxSharedParts = 32
+
+// sharedParts returns the fingerprints of all messages of a prompt but the last one, which belongs to the request.
+func sharedParts(messages []json.RawMessage) []pomelorelay.Fingerprint {
+	var list []pomelorelay.Fingerprint
+	for _, message := range messages[:min(max(len(messages)-1, 0), maxSharedParts)] {
+		list = append(list, pomelorelay.FingerprintOf([]byte("prompt part"), message))
+	}
+	return list
+}
+
 // claimFingerprint hashes a request's method, path, query and body, so that reuse of a key for a different request is detected.
 func claimFingerprint(method, path, query string, body []byte) pomelorelay.Fingerprint {
 	return pomelorelay.FingerprintOf([]byte(method), []byte(path), []byte(query), body)
--- a/pomeloroute/helpers_test.go
+++ b/pomeloroute/helpers_test.go
@@ -141,7 +141,9 @@
 	b.claims[c.Key].claim = pomeloroute.Claim{Key: c.Key, State: s.State, Outcome: s.Outcome}
 }
 
-func (b *harness) CheckQuarantine(pomelorelay.Fingerprint) error { return b.quarantineErr }
+func (b *harness) CheckQuarantine(pomelorelay.Fingerprint, []pomelorelay.Fingerprint) error {
+	return b.quarantineErr
+}
 
 func (b *harness) AwaitPermission(_ context.Context, run pomeloroute.SuspectRun) error {
 	b.mu.Lock()
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -16,7 +16,7 @@
 
 // run processes a call: it checks for a quarantine, claims the idempotency key if there is one, and makes attempts.
 func (c *call) run() error {
-	if err := c.h.cfg.Suspects.CheckQuarantine(c.fingerprint); err != nil {
+	if err := c.h.cfg.Suspects.CheckQuarantine(c.fingerprint, c.sharedParts); err != nil {
 		return err
 	}
 	c.h.budget(c.service.Name).Earn(c.service.RetryBudget)
@@ -160,6 +160,10 @@
 func (c *call) reportRun(ctx context.Context, ticket Ticket, run SuspectRun, f *pomelolink.Failure) {
 	crashed := f != nil && f.ConnectionBroken && c.h.client.DropsConnections(ctx, ticket.Upstream().Address)
 	if !crashed {
+		if c.answerStatus >= http.StatusMultipleChoices {
+			// An upstream may answer with an error before it reads the prompt.
+			run.SharedParts = nil
+		}
 		c.h.cfg.Suspects.AttemptEnded(run, f == nil && c.answerStatus < http.StatusInternalServerError)
 		return
 	}
@@ -174,6 +178,7 @@
 		KnownSuspect:  c.suspect,
 		Request:       c.id,
 		Fingerprint:   c.fingerprint,
+		SharedParts:   c.sharedParts,
 		Upstream:      ticket.Upstream().Name,
 		QuarantineFor: c.service.QuarantineFor,
 	}
