--- a/pomelolink/link_test.go
+++ b/pomelolink/link_test.go
@@ -113,3 +113,51 @@
 		t.Errorf("got %+v, want OutcomeNotSent with CodeUpstreamUnreached", f)
 	}
 }
+
+// silentAfterFirst accepts connections and answers the first request on each; on the first connection, no later one.
+func silentAfterFirst(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			go func() {
+				reader := bufio.NewReader(conn)
+				for answered := 0; ; answered++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil || n == 0 && answered > 0 {
+						return
+					}
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", idField, r.Header.Get(idField))
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// Guards against a kept connection that has gone silent and fails one request after the other.
+func TestSilentConnectionIsUsedOnce(t *testing.T) {
+	l, addr := newClient(t), silentAfterFirst(t)
+	exchange(t, l, addr)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	req := &http.Request{Method: "GET", URL: &url.URL{Scheme: "http", Host: addr.String(), Path: "/"}, Host: "h", Header: http.Header{idField: {"1"}}, Body: http.NoBody}
+	if _, f := l.Open(ctx, pomelolink.UpstreamRequest{Addr: addr, Request: req}); f == nil || f.Err.Code != pomelorelay.CodeUpstreamTimeout || f.ConnectionBroken {
+		t.Fatalf("got %+v on a silent connection, want CodeUpstreamTimeout", f)
+	}
+	for range 3 {
+		exchange(t, l, addr)
+	}
+	if n := l.ConnectionsOpened(); n != 2 {
+		t.Errorf("%d connections opened, want 2: the silent one and another", n)
+	}
+}
--- a/pomelostore/lost_test.go
+++ b/pomelostore/lost_test.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"net/url"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelostore"
@@ -129,3 +132,35 @@
 		}
 	}
 }
+
+// Guards against a connection to the store that has gone silent and fails one call after the other.
+func TestSilentStoreConnectionIsReplaced(t *testing.T) {
+	var connections atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if connections.Load() == 1 && r.URL.Query().Get("again") != "" {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, "{}")
+	}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	client := newClient(t, pomelostore.Config{Addresses: []netip.AddrPort{server.Listener.Addr().(*net.TCPAddr).AddrPort()}})
+	call := func(query url.Values) error {
+		_, err := client.Do(context.Background(), pomelostore.Call{Method: http.MethodGet, Path: "/", Query: query, Timeout: 200 * time.Millisecond, Counter: new(expvar.Int)})
+		return err
+	}
+	again := url.Values{"again": {"1"}}
+	if err := call(nil); err != nil {
+		t.Fatal(err)
+	}
+	wantCode(t, call(again), pomelorelay.CodeStoreUnavailable)
+	if err := call(again); err != nil {
+		t.Errorf("the call after the silent one fails: %v", err)
+	}
+}
