A slow router does not take the first events of an answer for a long one

An answer that has gone on for half a second clears the parts of its prompt. By reading: a router that is slow or stopped may read two events of a crashing run half a second apart. It now takes four events as well.

TestLongAnswerClearsItsParts, "after two events": before, such a crash counted against no part.

--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -161,9 +161,10 @@
 	maxRefused = 2
 	// maxBufferedAnswer is the size in bytes up to which a plain answer is buffered completely.
 	maxBufferedAnswer = 64 << 10
-	// harmlessAfter is how long after its first event an answer shows that its prompt does not crash upstreams: they crash when they begin to
-	// answer such a prompt.
-	harmlessAfter = 500 * time.Millisecond
+	// harmlessAfter is how long after its first event an answer of at least harmlessEvents events shows that its prompt does not crash upstreams:
+	// they crash when they begin to answer such a prompt. A slow router may read the first events late.
+	harmlessAfter  = 500 * time.Millisecond
+	harmlessEvents = 4
 	// writeGrace is how long after a request's deadline its caller may still read the answer.
 	writeGrace = 2 * time.Second
 )
--- a/pomeloforward/crashpart_test.go
+++ b/pomeloforward/crashpart_test.go
@@ -43,14 +43,18 @@
 // Guards against blaming the prompt of an answer that its upstream had been sending for long when it crashed.
 func TestLongAnswerClearsItsParts(t *testing.T) {
 	for _, c := range []struct {
-		name  string
-		pause time.Duration
-		parts int
-	}{{"at its beginning", 0, 1}, {"later", 600 * time.Millisecond, 0}} {
+		name   string
+		events int
+		pause  time.Duration
+		parts  int
+	}{{"at its beginning", 5, 0, 1}, {"after two events", 1, 600 * time.Millisecond, 1}, {"later", 5, 150 * time.Millisecond, 0}} {
 		u := newUpstream(t, func(conn net.Conn, r *http.Request) {
-			write(conn, streamHead(r)+eventChunk(1))
-			time.Sleep(c.pause)
-			write(conn, eventChunk(2))
+			write(conn, streamHead(r))
+			for n := range c.events {
+				write(conn, eventChunk(n+1))
+				time.Sleep(c.pause)
+			}
+			write(conn, eventChunk(c.events+1))
 			time.Sleep(20 * time.Millisecond)
 			reset(conn)
 		})
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -20,7 +20,7 @@
 	events.Reset(c.h.buffers.Chunk(), x)
 	defer func() { c.h.buffers.PutChunk(events.Buffer()) }()
 	var begunAt time.Time
-	for {
+	for n := 1; ; n++ {
 		event, err := events.Next()
 		if err != nil {
 			return c.endStream(x, &events, !begunAt.IsZero(), err)
@@ -41,7 +41,7 @@
 			c.writeHead(x.Response, -1)
 		}
 		c.recordPause()
-		if !c.lastedLong && c.lastEventAt.Sub(begunAt) >= harmlessAfter {
+		if !c.lastedLong && n >= harmlessEvents && c.lastEventAt.Sub(begunAt) >= harmlessAfter {
 			c.lastedLong = true
 			reservation.AnswerLasts()
 		}
