--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -84,16 +85,20 @@
 	if e.Ran == pomelorelay.RanNo {
 		ending, event = endingRefused, pomelorelay.EventRequestRefused
 	}
-	c.logEnding(ending, event,
-		pomelorelay.Field{Key: "Status", Value: status},
-		pomelorelay.Field{Key: "Code", Value: int(e.Code)},
-		pomelorelay.Field{Key: "Failure", Value: e.Error()},
-		pomelorelay.Field{Key: "RetryAfterMS", Value: e.RetryAfter.Milliseconds()},
-		pomelorelay.Field{Key: "Reason", Value: string(c.decision.Reason)},
-		pomelorelay.Field{Key: "Cause", Value: string(c.decision.Cause)},
-		pomelorelay.Field{Key: "Bound", Value: string(c.decision.Bound)},
-		pomelorelay.Field{Key: "Regions", Value: c.decision.Residency.String()},
-	)
+	fields := []pomelorelay.Field{
+		{Key: "Status", Value: status},
+		{Key: "Code", Value: int(e.Code)},
+		{Key: "Failure", Value: e.Error()},
+		{Key: "RetryAfterMS", Value: e.RetryAfter.Milliseconds()},
+		{Key: "Reason", Value: string(c.decision.Reason)},
+		{Key: "Cause", Value: string(c.decision.Cause)},
+		{Key: "Bound", Value: string(c.decision.Bound)},
+		{Key: "Regions", Value: c.decision.Residency.String()},
+	}
+	if e.Code == pomelorelay.CodeQuarantined {
+		fields = append(fields, pomelorelay.Field{Key: "Parts", Value: fmt.Sprint(c.fingerprints[1:])})
+	}
+	c.logEnding(ending, event, fields...)
 }
 
 // refusalStatus replaces any server error by 503 if the request did not run, and 503 by 502 if it may have run.
