A run that lasted may have crashed its upstream although another one broke before

By reading, for fleets whose routers send to an upstream seldom: where answers are lost, a connection to each upstream has always broken lately, and nothing has been heard of it since. Its next crash was then taken for a send to a process that had ended, and counted for nothing.

A send is taken for one only if it broke within 100 ms, as the connection to what listens in place of a process does.

TestRunThatLastedMayHaveCrashedItsUpstream: before, the request is still sent after its third crash; TestSendsToEndedProcessesAreNoCrashes still passes.

--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -81,7 +81,7 @@
 // apply counts the crash as pending, unless the upstream was leaving as planned, until the end of its process confirms it.
 func (b *connectionBroke) apply(c *control, now time.Time) {
 	process := processOfCrash(b.run.Crashes[0])
-	ended := c.crashes.hadEnded(now, process, b.run.SentAt)
+	ended := c.crashes.hadEnded(now, process, b.run)
 	c.crashes.recordBreak(now, process)
 	if ended {
 		return
@@ -112,7 +112,7 @@
 		return
 	}
 	c.confirmCutAnswers(now, process, pomelorelay.EvidenceRefused)
-	if !c.crashes.hadEnded(now, process, u.run.SentAt) {
+	if !c.crashes.hadEnded(now, process, u.run) {
 		c.observeCrashes(now, u.run.Crashes)
 	}
 }
--- a/pomeloentry/crashpart_test.go
+++ b/pomeloentry/crashpart_test.go
@@ -118,3 +118,25 @@
 	f.store.PutUpstream(pomelorelay.FleetUpstream{ID: "u1", Service: "s", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Domain: "a", Slots: 8, StartUnixMilli: 2})
 	f.awaitGauge(n, "crash_suspects", 1)
 }
+
+// Guards against a request that crashes upstreams and is not counted because a connection to each of them had broken before.
+func TestRunThatLastedMayHaveCrashedItsUpstream(t *testing.T) {
+	f := newFleet(t)
+	f.store.PublishConfig(f.config(1, "/a/"))
+	for _, id := range []pomelorelay.UpstreamID{"u1", "u2", "u3"} {
+		f.crashingUpstreamAfter(id, false, func() { time.Sleep(150 * time.Millisecond) })
+	}
+	n := f.start(8 * time.Second)
+	f.awaitGauge(n, "upstreams", 3)
+	for i := range 3 {
+		f.call(n, fmt.Sprint("/a/other", i))
+	}
+	for range 3 {
+		f.call(n, "/a/crashing")
+		// Longer than a tick.
+		time.Sleep(100 * time.Millisecond)
+	}
+	if status, _ := f.call(n, "/a/crashing"); status != http.StatusServiceUnavailable || !n.log.has(pomelorelay.EventQuarantined) {
+		t.Errorf("after three broken runs the request is answered with %d, want 503 as quarantined", status)
+	}
+}
--- a/pomeloentry/crashprocess.go
+++ b/pomeloentry/crashprocess.go
@@ -7,9 +7,14 @@
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
 )
 
-// signOfLifeMargin is how much later than an event of a process a sign of life must be to show that the process lived on: bytes that a router
-// received before may be handled later.
-const signOfLifeMargin = 100 * time.Millisecond
+const (
+	// endedSendTime is the time within which a send breaks whose upstream had ended before: what listens at its address closes the connection.
+	// It allows for two round trips to another region. A run lasts longer until its upstream begins to answer it.
+	endedSendTime = 100 * time.Millisecond
+	// signOfLifeMargin is how much later than an event of a process a sign of life must be to show that the process lived on: bytes that a router
+	// received before may be handled later.
+	signOfLifeMargin = 100 * time.Millisecond
+)
 
 // upstreamProcess identifies one process of an upstream.
 type upstreamProcess struct {
@@ -57,9 +62,12 @@
 }
 
 // hadEnded reports whether the process had probably ended before a run was sent. A process ends once, so that the run did not cause it.
-func (k *crashes) hadEnded(now time.Time, id upstreamProcess, sentAt time.Time) bool {
+func (k *crashes) hadEnded(now time.Time, id upstreamProcess, run pomeloforward.BrokenRun) bool {
+	if run.EndedAt.Sub(run.SentAt) >= endedSendTime {
+		return false
+	}
 	p := k.process(id)
-	return !p.brokeAt.IsZero() && p.brokeAt.Before(sentAt) && !p.livedOn(p.brokeAt) && now.Sub(p.brokeAt) < crashConfirmTime
+	return !p.brokeAt.IsZero() && p.brokeAt.Before(run.SentAt) && !p.livedOn(p.brokeAt) && now.Sub(p.brokeAt) < crashConfirmTime
 }
 
 // recordSignOfLife records that the process answered. Earlier answers without length were then complete.
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -206,13 +206,14 @@
 
 // brokenRun describes the last attempt as one during which the upstream may have crashed. An answer that has gone on for long clears the parts.
 func (c *call) brokenRun(up pomelorelay.FleetUpstream) BrokenRun {
-	run := BrokenRun{SentAt: c.sentAt}
+	now := c.h.cfg.Clock.Now()
+	run := BrokenRun{SentAt: c.sentAt, EndedAt: now}
 	for i, f := range c.fingerprints {
 		if i > 0 && c.lastedLong {
 			break
 		}
 		run.Crashes = append(run.Crashes, pomelorelay.RequestCrash{
-			Fingerprint: f, Part: i > 0, Upstream: up.ID, StartUnixMilli: up.StartUnixMilli, UnixMilli: c.h.cfg.Clock.Now().UnixMilli(),
+			Fingerprint: f, Part: i > 0, Upstream: up.ID, StartUnixMilli: up.StartUnixMilli, UnixMilli: now.UnixMilli(),
 			Runs: 1 << (c.fingerprint % bitsPerRunSet), Repeated: c.brokeBefore[i],
 		})
 	}
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -90,7 +90,7 @@
 
 // BrokenRun is a run during which the upstream's process may have ended.
 type BrokenRun struct {
-	SentAt time.Time
+	SentAt, EndedAt time.Time
 	// Crashes holds a crash under the request's fingerprint, and one under each prompt part that may have caused it.
 	Crashes []pomelorelay.RequestCrash
 }
