--- a/fingerprint.go
+++ b/fingerprint.go
@@ -16,6 +16,12 @@
 	return Fingerprint(d.Sum64())
 }
 
+// MaxSharedParts is the number of prompt parts of a request that are told apart; further ones are ignored.
+const MaxSharedParts = 32
+
+// PartFingerprintOf hashes what identifies a prompt part.
+func PartFingerprintOf(id []byte) Fingerprint { return FingerprintOf([]byte("prompt part"), id) }
+
 // WriteLengthPrefixed writes the length before the data to a hash, so that different lists of parts never encode to the same bytes.
 func WriteLengthPrefixed(hash io.Writer, part []byte) {
 	var size [8]byte
--- a/fleet.go
+++ b/fleet.go
@@ -140,6 +140,9 @@
 	StartUnixMilli int64
 }
 
+// Process returns the upstream's process.
+func (u *FleetUpstream) Process() UpstreamProcess { return UpstreamProcess{u.ID, u.StartUnixMilli} }
+
 // FleetChange holds the configuration, upstreams, routers and evacuated domains in the platform's store, or the changes to them.
 type FleetChange struct {
 	// Revision is the store revision that the change leads to.
--- a/messages_crash.go
+++ b/messages_crash.go
@@ -11,7 +11,7 @@
 	StartUnixMilli int64
 	// UnixMilli is the time of the crash in Unix milliseconds, by the clock of the router that saw it.
 	UnixMilli int64
-	// Runs has a bit for each request with the fingerprint that ran then, at a position given by the request's own fingerprint; zero if unknown.
+	// Runs has a bit for each request with the fingerprint that ran then, by RunBit; zero if unknown.
 	Runs uint64
 	// Repeated states that a request was sent although its router knew of an earlier crash under the fingerprint, confirmed or pending.
 	Repeated bool
@@ -19,6 +19,23 @@
 	Cleared bool
 }
 
+// Process returns the process that crashed.
+func (c *RequestCrash) Process() UpstreamProcess {
+	return UpstreamProcess{c.Upstream, c.StartUnixMilli}
+}
+
+// UpstreamProcess identifies one process of an upstream; a process crashes at most once.
+type UpstreamProcess struct {
+	Upstream       UpstreamID
+	StartUnixMilli int64
+}
+
+// bitsPerRunSet is the number of bits in RequestCrash.Runs.
+const bitsPerRunSet = 64
+
+// RunBit returns the bit of RequestCrash.Runs that stands for a request.
+func RunBit(request Fingerprint) uint64 { return 1 << (request % bitsPerRunSet) }
+
 // CrashEvidence is what showed that an upstream crashed.
 type CrashEvidence string
 
--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -15,8 +15,8 @@
 	// upstream that ended without draining is removed after three of its write intervals and up to a second, read within half a second,
 	// and kept for massLapseGrace if many others are missing too.
 	crashConfirmTime = 8 * time.Second
-	// maxBrokenAttempts limits the number of such connections that are kept per upstream.
-	maxBrokenAttempts = 256
+	// maxBrokenRuns limits the number of such runs that are kept per upstream.
+	maxBrokenRuns = 256
 	// maxCrashesPerMessage limits the number of crashes in a message to other routers and in a record in the store.
 	maxCrashesPerMessage = 2048
 	// crashExpiryInterval is the interval at which expired crashes are dropped.
@@ -29,7 +29,7 @@
 	// broken holds, by upstream, the runs whose connection broke recently.
 	broken map[pomelorelay.UpstreamID][]brokenRun
 	// processes holds what is known of whether processes of upstreams live.
-	processes map[upstreamProcess]*processState
+	processes map[pomelorelay.UpstreamProcess]*processState
 	// unsent and unsentPending are confirmed and pending crashes that this router observed or cleared and has not yet sent to the other routers.
 	unsent, unsentPending []pomelorelay.RequestCrash
 	recordedAt            time.Time
@@ -45,7 +45,7 @@
 	return crashes{
 		log:       pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{Logger: logger, PendingFor: crashConfirmTime}),
 		broken:    make(map[pomelorelay.UpstreamID][]brokenRun),
-		processes: make(map[upstreamProcess]*processState),
+		processes: make(map[pomelorelay.UpstreamProcess]*processState),
 	}
 }
 
@@ -80,13 +80,13 @@
 
 // apply counts the crash as pending, unless the upstream was leaving as planned, until the end of its process confirms it.
 func (b *connectionBroke) apply(c *control, now time.Time) {
-	process := processOfCrash(b.run.Crashes[0])
+	process := b.run.Crashes[0].Process()
 	ended := c.crashes.hadEnded(now, process, b.run)
 	c.crashes.recordBreak(now, process)
 	if ended {
 		return
 	}
-	if entry, present := c.upstreams.present[process.upstream]; present && !entry.Draining {
+	if entry, present := c.upstreams.present[process.Upstream]; present && !entry.Draining {
 		for _, crash := range b.run.Crashes {
 			c.crashes.unsentPending = append(c.crashes.unsentPending, c.crashes.log.ObservePending(now, crash)...)
 		}
@@ -97,7 +97,7 @@
 // addBroken keeps a run whose upstream may have crashed until that is confirmed.
 func (k *crashes) addBroken(now time.Time, run pomeloforward.BrokenRun) {
 	id := run.Crashes[0].Upstream
-	if len(k.broken[id]) < maxBrokenAttempts {
+	if len(k.broken[id]) < maxBrokenRuns {
 		k.broken[id] = append(k.broken[id], brokenRun{crashes: run.Crashes, at: now})
 	}
 }
@@ -106,8 +106,8 @@
 
 // apply counts the crash unless the upstream was leaving as planned: such an upstream drains, or has removed its entry, before it ends.
 func (u *upstreamCrashed) apply(c *control, now time.Time) {
-	process := processOfCrash(u.run.Crashes[0])
-	entry, present := c.upstreams.present[process.upstream]
+	process := u.run.Crashes[0].Process()
+	entry, present := c.upstreams.present[process.Upstream]
 	if !present || entry.Draining {
 		return
 	}
@@ -137,7 +137,7 @@
 
 // confirmCrashes counts a crash for each run whose connection broke shortly before it became known that the upstream's process had ended.
 func (c *control) confirmCrashes(now time.Time, id pomelorelay.UpstreamID, startUnixMilli int64, evidence pomelorelay.CrashEvidence) {
-	c.confirmCutAnswers(now, upstreamProcess{id, startUnixMilli}, evidence)
+	c.confirmCutAnswers(now, pomelorelay.UpstreamProcess{Upstream: id, StartUnixMilli: startUnixMilli}, evidence)
 	for _, b := range c.crashes.broken[id] {
 		if now.Sub(b.at) >= crashConfirmTime || b.crashes[0].StartUnixMilli != startUnixMilli {
 			continue
@@ -197,12 +197,12 @@
 func latestOf(list []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
 	type crashID struct {
 		fingerprint pomelorelay.Fingerprint
-		process     upstreamProcess
+		process     pomelorelay.UpstreamProcess
 	}
 	seen := make(map[crashID]bool, len(list))
 	var latest []pomelorelay.RequestCrash
 	for _, crash := range slices.Backward(list) {
-		id := crashID{crash.Fingerprint, processOfCrash(crash)}
+		id := crashID{crash.Fingerprint, crash.Process()}
 		if !seen[id] {
 			seen[id] = true
 			latest = append(latest, crash)
@@ -222,7 +222,7 @@
 // receiveCrashes merges the crashes of a notice and forwards what was new.
 func (c *control) receiveCrashes(now time.Time, from pomelorelay.NodeID, m *pomelorelay.CrashNotice) {
 	for _, crash := range slices.Concat(m.Crashes, m.Pending) {
-		c.crashes.recordBreak(now, processOfCrash(crash))
+		c.crashes.recordBreak(now, crash.Process())
 	}
 	changed := c.mergeCrashes(now, m.Crashes)
 	pending, cleared := c.crashes.log.MergePending(now, m.Pending)
--- a/pomeloentry/crashprocess.go
+++ b/pomeloentry/crashprocess.go
@@ -16,20 +16,6 @@
 	signOfLifeMargin = 100 * time.Millisecond
 )
 
-// upstreamProcess identifies one process of an upstream.
-type upstreamProcess struct {
-	upstream       pomelorelay.UpstreamID
-	startUnixMilli int64
-}
-
-func processOf(u pomelorelay.FleetUpstream) upstreamProcess {
-	return upstreamProcess{u.ID, u.StartUnixMilli}
-}
-
-func processOfCrash(crash pomelorelay.RequestCrash) upstreamProcess {
-	return upstreamProcess{crash.Upstream, crash.StartUnixMilli}
-}
-
 // processState is what a router knows of whether a process of an upstream lives.
 type processState struct {
 	// aliveAt is when the process last answered this router.
@@ -45,7 +31,7 @@
 	return p.aliveAt.After(after.Add(signOfLifeMargin))
 }
 
-func (k *crashes) process(id upstreamProcess) *processState {
+func (k *crashes) process(id pomelorelay.UpstreamProcess) *processState {
 	p := k.processes[id]
 	if p == nil {
 		p = &processState{}
@@ -55,14 +41,14 @@
 }
 
 // recordBreak records that a connection to the process is known to have broken.
-func (k *crashes) recordBreak(now time.Time, id upstreamProcess) {
+func (k *crashes) recordBreak(now time.Time, id pomelorelay.UpstreamProcess) {
 	if p := k.process(id); p.brokeAt.IsZero() || p.livedOn(p.brokeAt) || now.Sub(p.brokeAt) >= crashConfirmTime {
 		p.brokeAt = now
 	}
 }
 
 // hadEnded reports whether the process had probably ended before a run was sent. A process ends once, so that the run did not cause it.
-func (k *crashes) hadEnded(now time.Time, id upstreamProcess, run pomeloforward.BrokenRun) bool {
+func (k *crashes) hadEnded(now time.Time, id pomelorelay.UpstreamProcess, run pomeloforward.BrokenRun) bool {
 	if run.EndedAt.Sub(run.SentAt) >= endedSendTime {
 		return false
 	}
@@ -71,7 +57,7 @@
 }
 
 // recordSignOfLife records that the process answered. Earlier answers without length were then complete.
-func (c *control) recordSignOfLife(now time.Time, id upstreamProcess) {
+func (c *control) recordSignOfLife(now time.Time, id pomelorelay.UpstreamProcess) {
 	p := c.crashes.process(id)
 	p.aliveAt = now
 	if len(p.undelimited) > 0 {
@@ -97,15 +83,15 @@
 type answerMayBeCut struct{ run pomeloforward.BrokenRun }
 
 func (a *answerMayBeCut) apply(c *control, now time.Time) {
-	p := c.crashes.process(processOfCrash(a.run.Crashes[0]))
-	if len(p.undelimited) < maxBrokenAttempts {
+	p := c.crashes.process(a.run.Crashes[0].Process())
+	if len(p.undelimited) < maxBrokenRuns {
 		p.undelimited = append(p.undelimited, brokenRun{crashes: a.run.Crashes, at: now})
 	}
 }
 
 // confirmCutAnswers counts a crash for each answer without length whose process turned out to have ended. A removed entry alone does not show
 // that: some upstreams remove it and serve on for a while.
-func (c *control) confirmCutAnswers(now time.Time, id upstreamProcess, evidence pomelorelay.CrashEvidence) {
+func (c *control) confirmCutAnswers(now time.Time, id pomelorelay.UpstreamProcess, evidence pomelorelay.CrashEvidence) {
 	p := c.crashes.processes[id]
 	if p == nil || evidence == pomelorelay.EvidenceRemoved && p.brokeAt.IsZero() {
 		return
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -70,13 +70,13 @@
 func (b *answerBegan) apply(c *control, now time.Time) {
 	c.placer.RecordAnswerStart(now, b.run)
 	c.recordOrigin(now, b.request.Stream, b.upstream.Version)
-	c.recordSignOfLife(now, processOf(b.upstream))
+	c.recordSignOfLife(now, b.upstream.Process())
 }
 
 type answerLasts struct{ reservation }
 
 func (l *answerLasts) apply(c *control, now time.Time) {
-	c.recordSignOfLife(now, processOf(l.upstream))
+	c.recordSignOfLife(now, l.upstream.Process())
 	c.recordAnswered(now, l.request.SharedParts...)
 }
 
@@ -90,7 +90,7 @@
 func (e *runEnded) apply(c *control, now time.Time) {
 	c.placer.RecordEnd(now, e.run, e.end.Result)
 	if e.end.Answered {
-		c.recordSignOfLife(now, processOf(e.upstream))
+		c.recordSignOfLife(now, e.upstream.Process())
 		c.recordAnswered(now, e.request.Fingerprint)
 		c.recordAnswered(now, e.request.SharedParts...)
 	}
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -201,9 +201,6 @@
 	c.h.crashChecks.check(brokenAttempt{run: run, upstream: up, request: c.fields.RequestID, fingerprints: c.fingerprints})
 }
 
-// bitsPerRunSet is the number of bits in RequestCrash.Runs.
-const bitsPerRunSet = 64
-
 // brokenRun describes the last attempt as one during which the upstream may have crashed. An answer that has gone on for long clears the parts.
 func (c *call) brokenRun(up pomelorelay.FleetUpstream) BrokenRun {
 	now := c.h.cfg.Clock.Now()
@@ -214,7 +211,7 @@
 		}
 		run.Crashes = append(run.Crashes, pomelorelay.RequestCrash{
 			Fingerprint: f, Part: i > 0, Upstream: up.ID, StartUnixMilli: up.StartUnixMilli, UnixMilli: now.UnixMilli(),
-			Runs: 1 << (c.fingerprint % bitsPerRunSet), Repeated: c.brokeBefore[i],
+			Runs: pomelorelay.RunBit(c.fingerprint), Repeated: c.brokeBefore[i],
 		})
 	}
 	return run
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -95,15 +95,11 @@
 	return nil
 }
 
-// maxSharedParts is the number of prompt parts of a request that are told apart; further ones are ignored.
-const maxSharedParts = 32
-
 // sharedParts returns the fingerprints of all prompt parts but the last one, which belongs to the request or its session.
 func sharedParts(parts []pomelorelay.PromptPart) []pomelorelay.Fingerprint {
 	var list []pomelorelay.Fingerprint
-	for _, part := range parts[:min(max(len(parts)-1, 0), maxSharedParts)] {
-		hash := binary.BigEndian.AppendUint64(nil, part.Hash)
-		list = append(list, pomelorelay.FingerprintOf([]byte("prompt part"), hash))
+	for _, part := range parts[:min(max(len(parts)-1, 0), pomelorelay.MaxSharedParts)] {
+		list = append(list, pomelorelay.PartFingerprintOf(binary.BigEndian.AppendUint64(nil, part.Hash)))
 	}
 	return list
 }
--- a/pomelonode/crashedparts.go
+++ b/pomelonode/crashedparts.go
@@ -14,8 +14,6 @@
 	maxCrashesPerNotice = 1024
 	// crashExpiryInterval is the interval at which expired crashes are dropped.
 	crashExpiryInterval = time.Second
-	// bitsPerRunSet is the number of bits in RequestCrash.Runs.
-	bitsPerRunSet = 64
 )
 
 // crashedParts counts upstream crashes under the prompt parts that requests share. Whole requests are isolated instead, by a
@@ -60,7 +58,7 @@
 	var changed []pomelorelay.RequestCrash
 	for i, f := range parts {
 		changed = append(changed, p.log.Observe(now, pomelorelay.RequestCrash{
-			Fingerprint: f, Part: true, Upstream: run.Upstream, StartUnixMilli: id, UnixMilli: now.UnixMilli(), Runs: 1 << (run.Fingerprint % bitsPerRunSet), Repeated: known[i],
+			Fingerprint: f, Part: true, Upstream: run.Upstream, StartUnixMilli: id, UnixMilli: now.UnixMilli(), Runs: pomelorelay.RunBit(run.Fingerprint), Repeated: known[i],
 		})...)
 	}
 	return changed
--- a/pomeloquarantine/crashhistory.go
+++ b/pomeloquarantine/crashhistory.go
@@ -8,19 +8,13 @@
 
 // crashHistory holds the crashes under one fingerprint.
 type crashHistory struct {
-	crashes map[upstreamProcess]loggedCrash
+	crashes map[pomelorelay.UpstreamProcess]loggedCrash
 	// isCause is set if the history explains crashes, quarantined if its quarantine has not ended.
 	isCause, quarantined bool
 	// recorded is set if this router records the crashes in the store: they have led to a quarantine, and this router observed some.
 	recorded bool
 }
 
-// upstreamProcess identifies one process of an upstream; a process crashes at most once.
-type upstreamProcess struct {
-	upstream pomelorelay.UpstreamID
-	start    int64
-}
-
 type loggedCrash struct {
 	pomelorelay.RequestCrash
 	crashSource
@@ -80,7 +74,7 @@
 func (t *crashTally) crashes() int { return t.confirmed + len(t.pending) }
 
 // tally summarizes the crashes of a history, without those of the given upstream processes.
-func (l *CrashLog) tally(h *crashHistory, explained map[upstreamProcess]bool) crashTally {
+func (l *CrashLog) tally(h *crashHistory, explained map[pomelorelay.UpstreamProcess]bool) crashTally {
 	var t crashTally
 	for key, c := range h.crashes {
 		if c.Cleared || explained[key] {
--- a/pomeloquarantine/crashlog.go
+++ b/pomeloquarantine/crashlog.go
@@ -38,7 +38,7 @@
 	now          time.Time
 	explanations []explanation
 	// explained are the upstream processes whose crashes the explanations explain.
-	explained map[upstreamProcess]bool
+	explained map[pomelorelay.UpstreamProcess]bool
 	snapshot  *CrashSnapshot
 	// recordChanged is set if Record returns another list than before.
 	recordChanged bool
@@ -178,10 +178,10 @@
 func (l *CrashLog) mergeOne(c pomelorelay.RequestCrash, source crashSource) bool {
 	h := l.histories[c.Fingerprint]
 	if h == nil {
-		h = &crashHistory{crashes: make(map[upstreamProcess]loggedCrash)}
+		h = &crashHistory{crashes: make(map[pomelorelay.UpstreamProcess]loggedCrash)}
 		l.histories[c.Fingerprint] = h
 	}
-	key := upstreamProcess{c.Upstream, c.StartUnixMilli}
+	key := c.Process()
 	known, ok := h.crashes[key]
 	merged := loggedCrash{RequestCrash: c, crashSource: source, clearUnsent: known.clearUnsent}
 	if ok {
@@ -253,7 +253,7 @@
 	l.now = now
 	for f, h := range l.histories {
 		before := len(h.crashes)
-		maps.DeleteFunc(h.crashes, func(_ upstreamProcess, c loggedCrash) bool { return l.expired(now, &c) })
+		maps.DeleteFunc(h.crashes, func(_ pomelorelay.UpstreamProcess, c loggedCrash) bool { return l.expired(now, &c) })
 		if len(h.crashes) == before {
 			continue
 		}
--- a/pomeloquarantine/explanation.go
+++ b/pomeloquarantine/explanation.go
@@ -33,8 +33,8 @@
 // explain finds the fingerprints that explain the crashes, beginning with the one under which most upstreams crashed. Crashes that are explained
 // do not count for others: whatever ran beside the cause saw a part of its crashes. It returns the explanations and the upstream processes
 // whose crashes they explain.
-func (l *CrashLog) explain() ([]explanation, map[upstreamProcess]bool) {
-	explained := make(map[upstreamProcess]bool)
+func (l *CrashLog) explain() ([]explanation, map[pomelorelay.UpstreamProcess]bool) {
+	explained := make(map[pomelorelay.UpstreamProcess]bool)
 	candidates := l.candidates()
 	if len(candidates) == 0 {
 		return nil, explained
@@ -85,8 +85,8 @@
 }
 
 // crashedProcesses returns the upstream processes whose crash is confirmed, with its time in Unix milliseconds.
-func (l *CrashLog) crashedProcesses() map[upstreamProcess]int64 {
-	crashed := make(map[upstreamProcess]int64)
+func (l *CrashLog) crashedProcesses() map[pomelorelay.UpstreamProcess]int64 {
+	crashed := make(map[pomelorelay.UpstreamProcess]int64)
 	for _, h := range l.histories {
 		for key, c := range h.crashes {
 			if at, ok := crashed[key]; !c.pending && (!ok || c.UnixMilli < at) {
@@ -98,7 +98,7 @@
 }
 
 // bestCandidate returns the candidate that exceeds the crashes that it needs by the largest factor.
-func (l *CrashLog) bestCandidate(candidates map[pomelorelay.Fingerprint]*candidate, crashed map[upstreamProcess]int64, explained map[upstreamProcess]bool) *candidate {
+func (l *CrashLog) bestCandidate(candidates map[pomelorelay.Fingerprint]*candidate, crashed map[pomelorelay.UpstreamProcess]int64, explained map[pomelorelay.UpstreamProcess]bool) *candidate {
 	var best *candidate
 	for f, c := range candidates {
 		c.tally = l.tally(c.history, explained)
@@ -122,7 +122,7 @@
 }
 
 // explainBy returns the explanation by a candidate and those whose runs were the same.
-func (l *CrashLog) explainBy(best *candidate, candidates map[pomelorelay.Fingerprint]*candidate, explained map[upstreamProcess]bool) explanation {
+func (l *CrashLog) explainBy(best *candidate, candidates map[pomelorelay.Fingerprint]*candidate, explained map[pomelorelay.UpstreamProcess]bool) explanation {
 	e := explanation{end: best.end, confirmed: best.confirmed}
 	runs := best.history.unexplainedRuns(explained)
 	for f, c := range candidates {
@@ -135,8 +135,8 @@
 }
 
 // unexplainedRuns returns the runs of the history's crashes that are neither cleared nor explained.
-func (h *crashHistory) unexplainedRuns(explained map[upstreamProcess]bool) map[upstreamProcess]uint64 {
-	runs := make(map[upstreamProcess]uint64, len(h.crashes))
+func (h *crashHistory) unexplainedRuns(explained map[pomelorelay.UpstreamProcess]bool) map[pomelorelay.UpstreamProcess]uint64 {
+	runs := make(map[pomelorelay.UpstreamProcess]uint64, len(h.crashes))
 	for key, c := range h.crashes {
 		if !c.Cleared && !explained[key] {
 			runs[key] = c.Runs
@@ -146,7 +146,7 @@
 }
 
 // hasRuns reports whether these are known to be the runs of the history's crashes that are neither cleared nor explained.
-func (h *crashHistory) hasRuns(runs map[upstreamProcess]uint64, explained map[upstreamProcess]bool) bool {
+func (h *crashHistory) hasRuns(runs map[pomelorelay.UpstreamProcess]uint64, explained map[pomelorelay.UpstreamProcess]bool) bool {
 	n := 0
 	for key, c := range h.crashes {
 		if c.Cleared || explained[key] {
@@ -162,7 +162,7 @@
 
 // neededCrashes returns the number of crashes from which on a candidate is quarantined. Upstreams crash under the first runs of the cause that
 // they begin to answer; a fingerprint with many runs per crash more likely ran beside the cause.
-func (l *CrashLog) neededCrashes(c *candidate, crashed map[upstreamProcess]int64, explained map[upstreamProcess]bool) int {
+func (l *CrashLog) neededCrashes(c *candidate, crashed map[pomelorelay.UpstreamProcess]int64, explained map[pomelorelay.UpstreamProcess]bool) int {
 	needed, usual := l.cfg.MaxCrashes, usualRuns*c.tally.crashes()
 	if c.history.isPart() {
 		needed = max(needed, partCrashes)
@@ -177,7 +177,7 @@
 }
 
 // othersCrashed reports whether upstreams crashed between the candidate's crashes that did not run it, for no known reason.
-func (c *candidate) othersCrashed(crashed map[upstreamProcess]int64, explained map[upstreamProcess]bool) bool {
+func (c *candidate) othersCrashed(crashed map[pomelorelay.UpstreamProcess]int64, explained map[pomelorelay.UpstreamProcess]bool) bool {
 	for key, at := range crashed {
 		if own, ok := c.history.crashes[key]; (!ok || own.Cleared) && !explained[key] && at >= c.tally.firstAt && at <= c.tally.lastAt {
 			return true
--- a/pomeloroute/digest.go
+++ b/pomeloroute/digest.go
@@ -12,14 +12,11 @@
 	return pomelorelay.FingerprintOf([]byte(account), []byte(service), body)
 }
 
-// maxSharedParts is the number of messages of a prompt that are told apart; further ones are ignored.
-const maxSharedParts = 32
-
 // sharedParts returns the fingerprints of all messages of a prompt but the last one, which belongs to the request.
 func sharedParts(messages []json.RawMessage) []pomelorelay.Fingerprint {
 	var list []pomelorelay.Fingerprint
-	for _, message := range messages[:min(max(len(messages)-1, 0), maxSharedParts)] {
-		list = append(list, pomelorelay.FingerprintOf([]byte("prompt part"), message))
+	for _, message := range messages[:min(max(len(messages)-1, 0), pomelorelay.MaxSharedParts)] {
+		list = append(list, pomelorelay.PartFingerprintOf(message))
 	}
 	return list
 }
