--- a/pomelonode/crashedparts.go
+++ b/pomelonode/crashedparts.go
@@ -1,6 +1,7 @@
 package pomelonode
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -78,7 +79,9 @@
 }
 
 // merge adds the crashes that another router reported, and returns those to send to the other routers as cleared.
-func (p *crashedParts) merge(now time.Time, list []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
+func (p *crashedParts) merge(now time.Time, reported []pomelorelay.RequestCrash) []pomelorelay.RequestCrash {
+	// The message may belong to other routers too.
+	list := slices.Clone(reported)
 	for i := range list {
 		list[i].StartUnixMilli = p.crashID(list[i].Upstream, list[i].StartUnixMilli)
 	}
