--- a/pomeloforward/crashpart_test.go
+++ b/pomeloforward/crashpart_test.go
@@ -27,6 +27,7 @@
 	broken := func(body, parts string) []pomelorelay.Fingerprint {
 		h := newHarness(t, u.entry("u1"))
 		h.call("POST", "/draft/", body, pomelofake.TestHeaderPromptParts, parts)
+		h.result(0)
 		return fingerprintsOf(h.broken[0])
 	}
 	first, second := broken("x", "1:10 2:10 3:10"), broken("y", "4:10 2:10 3:10")
@@ -60,6 +61,7 @@
 		})
 		h := newHarness(t, u.entry("u1"))
 		h.call("POST", "/draft/", "x", pomelofake.TestHeaderPromptParts, "1:10 2:10")
+		h.result(0)
 		if got := len(h.broken[0].Crashes) - 1; got != c.parts || h.lasting != 1-c.parts {
 			t.Errorf("a crash %s counts against %d parts, want %d; the answer lasted: %t", c.name, got, c.parts, h.lasting > 0)
 		}
