--- a/pomelocheck/checker_test.go
+++ b/pomelocheck/checker_test.go
@@ -85,8 +85,8 @@
 	})
 }
 
-// A connection breaks after the request was delivered, and the router resends the request or reports it as not run. The caller
-// is charged twice, or resends a paid booking that did run.
+// Guards against a router that sends a request again, or reports it as not run, after a connection broke on which it had been delivered: the
+// caller would be charged twice, or would repeat a booking that has been made.
 func TestDetectsDoubleRunsAndRunsReportedAsNotRun(t *testing.T) {
 	idempotent := sent("a", "x", 0)
 	idempotent.AtMostOnce = false
--- a/pomeloconfig/snapshot.go
+++ b/pomeloconfig/snapshot.go
@@ -208,7 +208,7 @@
 	return s.services[i], true
 }
 
-// Upstream returns the upstream with the name.
+// Upstream returns the upstream with the given name, and false if there is none.
 func (s *Snapshot) Upstream(name pomelorelay.UpstreamID) (Upstream, bool) {
 	i, ok := s.upstreamIndex[name]
 	if !ok {
--- a/pomeloentry/storereader_test.go
+++ b/pomeloentry/storereader_test.go
@@ -40,7 +40,8 @@
 	return peers
 }
 
-// Guards against all routers of a large fleet reading the store: one reads continuously, the others' read delays are spread.
+// Guards against all routers of a large fleet reading the store at once: one reads it continuously, and each of the others waits for a different
+// time before it takes over.
 func TestOneRouterReadsTheStore(t *testing.T) {
 	const drain = 4 * time.Second
 	peers := peersOf(6, 50)
--- a/pomelonode/node.go
+++ b/pomelonode/node.go
@@ -15,8 +15,8 @@
 	"github.com/pomelorelay/pomelorelay/pomelostore"
 )
 
-// Config configures a Node. Store, HostList and Mesh are created from Settings if nil. A nil Clock means the system clock, a nil Logger
-// no logging.
+// Config configures a Node. Store, HostList and Mesh are created from Settings if nil. A nil Clock selects the system clock; a nil Logger
+// discards the log.
 type Config struct {
 	Settings pomeloconfig.Settings
 	Store    pomelorelay.Store
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -62,7 +62,7 @@
 	return &Shares{cfg: cfg, accounts: make(map[pomelorelay.AccountID]*account), peers: make(map[pomelorelay.NodeID]*peer)}
 }
 
-// SetCapacity sets the tokens per second that all engines together produce; zero when unknown.
+// SetCapacity sets the number of tokens per second that all engines together produce; zero means that it is unknown.
 func (s *Shares) SetCapacity(perSecond pomelorelay.Cost) { s.capacity = perSecond }
 
 func (s *Shares) account(id pomelorelay.AccountID) *account {
@@ -104,8 +104,9 @@
 	a.add(s.currentStep, u)
 }
 
-// MergeReport merges another router's sums since its start. Reports must be passed in the order in which they were sent, and may be lost or
-// repeated: only the difference from the previous report counts. It is negative where requests were refunded because they did not run.
+// MergeReport merges a report of another router, which holds what the router has counted since it started. Reports must be passed in the order
+// in which they were sent, and may be lost or repeated: only the difference from the previous report counts. It is negative where requests
+// were refunded because they did not run.
 func (s *Shares) MergeReport(from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, entries []pomelorelay.AccountUse) {
 	p := s.peers[from]
 	firstReport := p == nil
@@ -274,7 +275,7 @@
 // above the configured level would get less than half of what the flood gets.
 func (s *Shares) effectiveLevel() pomelorelay.Cost { return max(s.level, s.minServedShort) }
 
-// Usage returns the account's requested and served cost within the window, and the level up to which accounts are served.
+// Usage returns the cost that the account requested and that it was served within the window, and the cost up to which every account is served.
 func (s *Shares) Usage(id pomelorelay.AccountID) (requested, served, level pomelorelay.Cost) {
 	a := s.account(id)
 	return a.window.requested, a.window.served, s.effectiveLevel()
--- a/pomelowarmup/upstream.go
+++ b/pomelowarmup/upstream.go
@@ -31,8 +31,8 @@
 	// tokens is the fill of this router's token bucket at refilledAt, in requests.
 	tokens     float64
 	refilledAt time.Time
-	// holder reports whether this router may send to the upstream while it is cold. It was computed for the router list whose
-	// Gate.routersVersion is holderVersion.
+	// holder is set if this router may send to the upstream while it is cold. It depends on the list of routers and was computed when
+	// Gate.routersVersion, which counts the changes of that list, was holderVersion.
 	holder        bool
 	holderVersion uint64
 }
