Crash reports: one type for a run that may have crashed its upstream

pomeloentry kept its own copy of pomeloforward.BrokenRun, and a call held its request's fingerprint twice. The tests of upstreams that drop connections and of silent connections share their set-up. No change of behaviour: answers without length are still timed by the control goroutine, as signs of life are.

--- a/pomeloentry/crashes.go
+++ b/pomeloentry/crashes.go
@@ -27,7 +27,7 @@
 type crashes struct {
 	log *pomeloquarantine.CrashLog
 	// broken holds, by upstream, the runs whose connection broke recently.
-	broken map[pomelorelay.UpstreamID][]brokenRun
+	broken map[pomelorelay.UpstreamID][]pomeloforward.BrokenRun
 	// processes holds what is known of whether processes of upstreams live.
 	processes map[pomelorelay.UpstreamProcess]*processState
 	// unsent and unsentPending are confirmed and pending crashes that this router observed or cleared and has not yet sent to the other routers.
@@ -36,15 +36,10 @@
 	expiredAt             time.Time
 }
 
-type brokenRun struct {
-	crashes []pomelorelay.RequestCrash
-	at      time.Time
-}
-
 func newCrashes(logger pomelorelay.Logger) crashes {
 	return crashes{
 		log:       pomeloquarantine.NewCrashLog(pomeloquarantine.CrashLogConfig{Logger: logger, PendingFor: crashConfirmTime}),
-		broken:    make(map[pomelorelay.UpstreamID][]brokenRun),
+		broken:    make(map[pomelorelay.UpstreamID][]pomeloforward.BrokenRun),
 		processes: make(map[pomelorelay.UpstreamProcess]*processState),
 	}
 }
@@ -91,14 +86,14 @@
 			c.crashes.unsentPending = append(c.crashes.unsentPending, c.crashes.log.ObservePending(now, crash)...)
 		}
 	}
-	c.crashes.addBroken(now, b.run)
+	c.crashes.addBroken(b.run)
 }
 
 // addBroken keeps a run whose upstream may have crashed until that is confirmed.
-func (k *crashes) addBroken(now time.Time, run pomeloforward.BrokenRun) {
+func (k *crashes) addBroken(run pomeloforward.BrokenRun) {
 	id := run.Crashes[0].Upstream
 	if len(k.broken[id]) < maxBrokenRuns {
-		k.broken[id] = append(k.broken[id], brokenRun{crashes: run.Crashes, at: now})
+		k.broken[id] = append(k.broken[id], run)
 	}
 }
 
@@ -139,12 +134,12 @@
 func (c *control) confirmCrashes(now time.Time, id pomelorelay.UpstreamID, startUnixMilli int64, evidence pomelorelay.CrashEvidence) {
 	c.confirmCutAnswers(now, pomelorelay.UpstreamProcess{Upstream: id, StartUnixMilli: startUnixMilli}, evidence)
 	for _, b := range c.crashes.broken[id] {
-		if now.Sub(b.at) >= crashConfirmTime || b.crashes[0].StartUnixMilli != startUnixMilli {
+		if now.Sub(b.EndedAt) >= crashConfirmTime || b.Crashes[0].StartUnixMilli != startUnixMilli {
 			continue
 		}
-		if changed := c.observeCrashes(now, b.crashes); len(changed) > 0 {
+		if changed := c.observeCrashes(now, b.Crashes); len(changed) > 0 {
 			c.e.metrics.CountCrash(evidence)
-			c.e.log(pomelorelay.EventUpstreamCrashed, field("Upstream", id), field("Born", startUnixMilli), field("Evidence", evidence), field("AfterMS", now.Sub(b.at).Milliseconds()), field("Fingerprint", b.crashes[0].Fingerprint.String()), field("Parts", partsOf(b.crashes)))
+			c.e.log(pomelorelay.EventUpstreamCrashed, field("Upstream", id), field("Born", startUnixMilli), field("Evidence", evidence), field("AfterMS", now.Sub(b.EndedAt).Milliseconds()), field("Fingerprint", b.Crashes[0].Fingerprint.String()), field("Parts", partsOf(b.Crashes)))
 		}
 	}
 	delete(c.crashes.broken, id)
@@ -168,7 +163,7 @@
 	}
 	c.crashes.expiredAt = now
 	for id, runs := range c.crashes.broken {
-		if now.Sub(runs[len(runs)-1].at) >= crashConfirmTime {
+		if now.Sub(runs[len(runs)-1].EndedAt) >= crashConfirmTime {
 			delete(c.crashes.broken, id)
 		}
 	}
--- a/pomeloentry/crashpart_test.go
+++ b/pomeloentry/crashpart_test.go
@@ -44,15 +44,22 @@
 	}
 }
 
-// Guards against refusing a proper request that is sent to addresses whose upstreams have ended already.
-func TestSendsToEndedProcessesAreNoCrashes(t *testing.T) {
-	f := newFleet(t)
+// startBeforeDroppingUpstreams starts a router with three upstreams that take connections, and close them after work without an answer.
+func (f *fleet) startBeforeDroppingUpstreams(work func()) *node {
+	f.t.Helper()
 	f.store.PublishConfig(f.config(1, "/a/"))
 	for _, id := range []pomelorelay.UpstreamID{"u1", "u2", "u3"} {
-		f.crashingUpstream(id, false)
+		f.crashingUpstreamAfter(id, false, work)
 	}
 	n := f.start(8 * time.Second)
 	f.awaitGauge(n, "upstreams", 3)
+	return n
+}
+
+// Guards against refusing a proper request that is sent to addresses whose upstreams have ended already.
+func TestSendsToEndedProcessesAreNoCrashes(t *testing.T) {
+	f := newFleet(t)
+	n := f.startBeforeDroppingUpstreams(func() {})
 	call := func(path string) {
 		if status, _ := f.call(n, path); status != http.StatusBadGateway {
 			t.Fatalf("%s is answered with %d, want 502", path, status)
@@ -122,12 +129,7 @@
 // Guards against a request that crashes upstreams and is not counted because a connection to each of them had broken before.
 func TestRunThatLastedMayHaveCrashedItsUpstream(t *testing.T) {
 	f := newFleet(t)
-	f.store.PublishConfig(f.config(1, "/a/"))
-	for _, id := range []pomelorelay.UpstreamID{"u1", "u2", "u3"} {
-		f.crashingUpstreamAfter(id, false, func() { time.Sleep(150 * time.Millisecond) })
-	}
-	n := f.start(8 * time.Second)
-	f.awaitGauge(n, "upstreams", 3)
+	n := f.startBeforeDroppingUpstreams(func() { time.Sleep(150 * time.Millisecond) })
 	for i := range 3 {
 		f.call(n, fmt.Sprint("/a/other", i))
 	}
--- a/pomeloentry/crashprocess.go
+++ b/pomeloentry/crashprocess.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// endedSendTime is the time within which a send breaks whose upstream had ended before: what listens at its address closes the connection.
-	// It allows for two round trips to another region. A run lasts longer until its upstream begins to answer it.
+	// endedSendTime is how long a request to an upstream that has ended already takes to fail at most, where something else listens at its
+	// address and closes the connection: two round trips to another region. A request that crashes its upstream takes longer.
 	endedSendTime = 100 * time.Millisecond
-	// signOfLifeMargin is how much later than an event of a process a sign of life must be to show that the process lived on: bytes that a router
-	// received before may be handled later.
+	// signOfLifeMargin is how long after an event an upstream must answer to show that it outlived the event; what it had sent before may be
+	// handled a little later.
 	signOfLifeMargin = 100 * time.Millisecond
 )
 
@@ -23,7 +23,7 @@
 	// brokeAt is when this router first knew that a connection to the process had broken, with no sign of life since.
 	brokeAt time.Time
 	// undelimited are the runs whose answer was complete unless the process ended meanwhile.
-	undelimited []brokenRun
+	undelimited []pomeloforward.BrokenRun
 }
 
 // livedOn reports whether the process answered after a time.
@@ -61,19 +61,19 @@
 	p := c.crashes.process(id)
 	p.aliveAt = now
 	if len(p.undelimited) > 0 {
-		c.proveAnswers(p, now, func(run brokenRun) bool { return p.livedOn(run.at) })
+		c.proveAnswers(p, now, func(run pomeloforward.BrokenRun) bool { return p.livedOn(run.EndedAt) })
 	}
 }
 
 // proveAnswers records the answers without length that were complete.
-func (c *control) proveAnswers(p *processState, now time.Time, complete func(brokenRun) bool) {
-	var left []brokenRun
+func (c *control) proveAnswers(p *processState, now time.Time, complete func(pomeloforward.BrokenRun) bool) {
+	var left []pomeloforward.BrokenRun
 	for _, run := range p.undelimited {
 		if !complete(run) {
 			left = append(left, run)
 			continue
 		}
-		for _, crash := range run.crashes {
+		for _, crash := range run.Crashes {
 			c.recordAnswered(now, crash.Fingerprint)
 		}
 	}
@@ -85,7 +85,10 @@
 func (a *answerMayBeCut) apply(c *control, now time.Time) {
 	p := c.crashes.process(a.run.Crashes[0].Process())
 	if len(p.undelimited) < maxBrokenRuns {
-		p.undelimited = append(p.undelimited, brokenRun{crashes: a.run.Crashes, at: now})
+		run := a.run
+		// Signs of life are timed when this goroutine handles them, which may be late.
+		run.EndedAt = now
+		p.undelimited = append(p.undelimited, run)
 	}
 }
 
@@ -97,7 +100,7 @@
 		return
 	}
 	for _, run := range p.undelimited {
-		c.observeCrashes(now, run.crashes)
+		c.observeCrashes(now, run.Crashes)
 	}
 	p.undelimited = nil
 }
@@ -106,7 +109,7 @@
 // process is not known to have ended by then.
 func (c *control) expireProcesses(now time.Time) {
 	for id, p := range c.crashes.processes {
-		c.proveAnswers(p, now, func(run brokenRun) bool { return now.Sub(run.at) >= crashConfirmTime })
+		c.proveAnswers(p, now, func(run pomeloforward.BrokenRun) bool { return now.Sub(run.EndedAt) >= crashConfirmTime })
 		if now.Sub(p.aliveAt) >= crashConfirmTime && now.Sub(p.brokeAt) >= crashConfirmTime && len(p.undelimited) == 0 {
 			delete(c.crashes.processes, id)
 		}
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -211,7 +211,7 @@
 		}
 		run.Crashes = append(run.Crashes, pomelorelay.RequestCrash{
 			Fingerprint: f, Part: i > 0, Upstream: up.ID, StartUnixMilli: up.StartUnixMilli, UnixMilli: now.UnixMilli(),
-			Runs: pomelorelay.RunBit(c.fingerprint), Repeated: c.brokeBefore[i],
+			Runs: pomelorelay.RunBit(c.fingerprints[0]), Repeated: c.brokeBefore[i],
 		})
 	}
 	return run
@@ -284,7 +284,7 @@
 		Route:   c.route.Name,
 		Account: c.account,
 
-		Fingerprint: c.fingerprint,
+		Fingerprint: c.fingerprints[0],
 		SharedParts: c.fingerprints[1:],
 
 		Cost:    requestCost(c.fields),
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -25,9 +25,8 @@
 	account   pomelorelay.AccountID
 	service   pomelorelay.ServiceID
 	body      *bytes.Buffer
-	// fingerprint identifies repetitions of the request under other request IDs and at other routers; zero until the body was read.
-	fingerprint pomelorelay.Fingerprint
-	// fingerprints holds the fingerprint and those of the prompt parts that other requests may share.
+	// fingerprints holds the request's fingerprint, which identifies its repetitions under other request IDs and at other routers, and then those
+	// of the prompt parts that other requests may share. It is empty until the body was read.
 	fingerprints []pomelorelay.Fingerprint
 	// deadline is the earliest of the caller's deadline, the end of the route's timeout and that of defaultTimeout.
 	deadline time.Time
@@ -89,8 +88,8 @@
 		return err
 	}
 	u := c.r.URL
-	c.fingerprint = pomelorelay.FingerprintOf([]byte(c.account), []byte(c.r.Method), []byte(c.r.Host), []byte(u.EscapedPath()), []byte(u.RawQuery), c.bodyBytes())
-	c.fingerprints = append([]pomelorelay.Fingerprint{c.fingerprint}, sharedParts(c.fields.PromptParts)...)
+	request := pomelorelay.FingerprintOf([]byte(c.account), []byte(c.r.Method), []byte(c.r.Host), []byte(u.EscapedPath()), []byte(u.RawQuery), c.bodyBytes())
+	c.fingerprints = append([]pomelorelay.Fingerprint{request}, sharedParts(c.fields.PromptParts)...)
 	c.brokeBefore = make([]bool, len(c.fingerprints))
 	return nil
 }
--- a/pomelolink/link_test.go
+++ b/pomelolink/link_test.go
@@ -30,25 +30,41 @@
 
 // serve accepts connections and answers each request with the given header fields.
 func serve(t *testing.T, fields string) netip.AddrPort {
+	t.Helper()
+	return serveWhile(t, fields, func(int, int) bool { return true })
+}
+
+// serveWhile accepts connections and answers their requests with the given header fields, for as long as answers allows it for the number of
+// the connection and that of the request on it; then the connection stays open in silence.
+func serveWhile(t *testing.T, fields string, answers func(connection, request int) bool) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
+	ended := make(chan struct{})
+	t.Cleanup(func() {
+		l.Close()
+		close(ended)
+	})
 	go func() {
-		for {
+		for connection := 0; ; connection++ {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
 			go func() {
 				defer conn.Close()
-				for reader := bufio.NewReader(conn); ; {
+				reader := bufio.NewReader(conn)
+				for request := 0; ; request++ {
 					r, err := http.ReadRequest(reader)
 					if err != nil {
 						return
 					}
+					if !answers(connection, request) {
+						<-ended
+						return
+					}
 					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n%s\r\nok", idField, r.Header.Get(idField), fields)
 				}
 			}()
@@ -114,39 +130,10 @@
 	}
 }
 
-// silentAfterFirst accepts connections and answers the first request on each; on the first connection, no later one.
-func silentAfterFirst(t *testing.T) netip.AddrPort {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for n := 0; ; n++ {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { conn.Close() })
-			go func() {
-				reader := bufio.NewReader(conn)
-				for answered := 0; ; answered++ {
-					r, err := http.ReadRequest(reader)
-					if err != nil || n == 0 && answered > 0 {
-						return
-					}
-					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", idField, r.Header.Get(idField))
-				}
-			}()
-		}
-	}()
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
 // Guards against a kept connection that has gone silent and fails one request after the other.
 func TestSilentConnectionIsUsedOnce(t *testing.T) {
-	l, addr := newClient(t), silentAfterFirst(t)
+	l := newClient(t)
+	addr := serveWhile(t, "", func(connection, request int) bool { return connection > 0 || request == 0 })
 	exchange(t, l, addr)
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
--- a/pomeloquarantine/explanation.go
+++ b/pomeloquarantine/explanation.go
@@ -16,7 +16,7 @@
 	partCrashesBesideOthers = 5
 	// usualRuns is the number of runs per crash that the cause of crashes may have: some begin before the crash is noticed.
 	usualRuns = 2
-	// maxRunsFactor limits how many times MaxCrashes the number of crashes is that a fingerprint with more runs per crash needs.
+	// maxRunsFactor bounds the number of crashes that a fingerprint with more runs per crash needs, as a multiple of MaxCrashes.
 	maxRunsFactor = 4
 )
 
@@ -97,7 +97,7 @@
 	return crashed
 }
 
-// bestCandidate returns the candidate that exceeds the crashes that it needs by the largest factor.
+// bestCandidate returns the candidate with the largest ratio of unexplained crashes to the number that it needs, or nil if none has enough.
 func (l *CrashLog) bestCandidate(candidates map[pomelorelay.Fingerprint]*candidate, crashed map[pomelorelay.UpstreamProcess]int64, explained map[pomelorelay.UpstreamProcess]bool) *candidate {
 	var best *candidate
 	for f, c := range candidates {
@@ -114,8 +114,8 @@
 	return best
 }
 
-// compare orders candidates by the factor by which they exceed what they need, largest first. Of two parts of the same requests, the one that
-// also ran beside the cause has more runs.
+// compare orders candidates by the ratio of crashes to those needed, largest first, then by runs, fewest first: of two parts of the same
+// requests, the one that other requests have too has more runs.
 func (c *candidate) compare(other *candidate) int {
 	a, b := &c.tally, &other.tally
 	return cmp.Or(cmp.Compare(b.crashes()*c.needed, a.crashes()*other.needed), cmp.Compare(a.runs, b.runs), cmp.Compare(c.fingerprint, other.fingerprint))
