Store: a call that times out closes the other idle connections

What callers saw: a new route answered with 404 later than the bound of configuration, CONFIG. Cause: connections to the store that go silent stay in net/http's pool. When a call on one times out, only that one is closed, and each further one costs the next call its whole timeout. Evidence: TestSilentStoreConnectionsCostOneTimeout with four idle connections fails before this change ("the call after the one that timed out fails"), and passes with it; with one it passed before. It replaces TestSilentStoreConnectionIsReplaced, which had the case of one only. Why it works: one call without an answer in time is reason enough not to trust connections that have been idle for longer. An open connection that works costs one handshake to replace.

--- a/pomelostore/call.go
+++ b/pomelostore/call.go
@@ -143,6 +143,10 @@
 	} else {
 		c.recordResult(false)
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// The other idle connections may have gone silent too, and each would cost a further timeout.
+		c.http.CloseIdleConnections()
+	}
 	if call.Mutates && sent {
 		c.stats.Unknown.Add(1)
 		return pomelorelay.NewError(pomelorelay.CodeStoreUnknown, call.Method+" "+call.Path, cause)
--- a/pomelostore/lost_test.go
+++ b/pomelostore/lost_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"expvar"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"net/url"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,34 +135,75 @@
 	}
 }
 
-// Guards against a connection to the store that has gone silent and fails one call after the other.
-func TestSilentStoreConnectionIsReplaced(t *testing.T) {
-	var connections atomic.Int64
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if connections.Load() == 1 && r.URL.Query().Get("again") != "" {
+// Guards against connections to the store that have gone silent while idle and cost one timeout each, one after the other.
+func TestSilentStoreConnectionsCostOneTimeout(t *testing.T) {
+	for _, idle := range []int{1, 4} {
+		t.Run(fmt.Sprint(idle, " idle connections"), func(t *testing.T) {
+			server := newSilentServer(t)
+			client := newClient(t, pomelostore.Config{Addresses: []netip.AddrPort{addressOf(t, server.Server)}})
+			call := func() error {
+				_, err := client.Do(context.Background(), pomelostore.Call{Method: http.MethodGet, Path: "/", Timeout: 300 * time.Millisecond, Counter: new(expvar.Int)})
+				return err
+			}
+			var calls sync.WaitGroup
+			server.together.Add(idle)
+			for range idle {
+				calls.Go(func() {
+					if err := call(); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			calls.Wait()
+			server.silence()
+			wantCode(t, call(), pomelorelay.CodeStoreUnavailable)
+			if err := call(); err != nil {
+				t.Errorf("the call after the one that timed out fails: %v", err)
+			}
+		})
+	}
+}
+
+// silentServer is a server whose open connections can go silent, while new ones are served.
+type silentServer struct {
+	*httptest.Server
+	// together holds the first calls back until all of them have arrived, each on its own connection.
+	together sync.WaitGroup
+	mu       sync.Mutex
+	open     map[string]bool
+	silent   map[string]bool
+}
+
+func newSilentServer(t *testing.T) *silentServer {
+	s := &silentServer{open: make(map[string]bool), silent: make(map[string]bool)}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isSilent(r.RemoteAddr) {
 			<-r.Context().Done()
 			return
 		}
 		io.WriteString(w, "{}")
 	}))
-	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
-		if s == http.StateNew {
-			connections.Add(1)
-		}
-	}
-	server.Start()
-	t.Cleanup(server.Close)
-	client := newClient(t, pomelostore.Config{Addresses: []netip.AddrPort{server.Listener.Addr().(*net.TCPAddr).AddrPort()}})
-	call := func(query url.Values) error {
-		_, err := client.Do(context.Background(), pomelostore.Call{Method: http.MethodGet, Path: "/", Query: query, Timeout: 200 * time.Millisecond, Counter: new(expvar.Int)})
-		return err
-	}
-	again := url.Values{"again": {"1"}}
-	if err := call(nil); err != nil {
-		t.Fatal(err)
-	}
-	wantCode(t, call(again), pomelorelay.CodeStoreUnavailable)
-	if err := call(again); err != nil {
-		t.Errorf("the call after the silent one fails: %v", err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+// isSilent reports whether a connection has gone silent, and otherwise records that it is open.
+func (s *silentServer) isSilent(addr string) bool {
+	s.mu.Lock()
+	known, silent := s.open[addr], s.silent[addr]
+	s.open[addr] = true
+	anySilent := len(s.silent) > 0
+	s.mu.Unlock()
+	if !known && !anySilent {
+		s.together.Done()
+		s.together.Wait()
 	}
+	return silent
+}
+
+// silence makes all open connections silent.
+func (s *silentServer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.Copy(s.silent, s.open)
 }
