Store: connections that have gone silent are closed before a call needs them

What callers saw: a new route answered with 404 later than the bound of configuration, CONFIG. Cause: a router that gets its updates from others calls the store every 10 s only. Connections that go silent meanwhile stay in its pool unnoticed, long after the router counts as undisturbed. Change: connections to the store have keepalive probes and TCP_USER_TIMEOUT, as those to upstreams; the dialer of pomelolink becomes pomelodialer. Why it works: probes end an idle silent connection within 2 s, less than the 4 s after which a router counts as undisturbed.

--- a/pomelolink/config.go
+++ b/pomelolink/config.go
@@ -1,14 +1,10 @@
 package pomelolink
 
 import (
-	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
-
-	"golang.org/x/sys/unix"
 )
 
 // Protocol describes the parts of a deployment's upstream protocol that an exchange depends on.
@@ -72,25 +68,3 @@
 	OutcomeTruncated                        // part of an answer was received
 	OutcomeUnknown                          // bytes were written and no valid answer was received
 )
-
-// newDialer returns a dialer whose connections detect a peer that stops responding without sending a reset.
-func newDialer(cfg Config) net.Dialer {
-	d := net.Dialer{Timeout: cfg.DialTimeout}
-	if cfg.AckTimeout <= 0 {
-		return d
-	}
-	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: cfg.AckTimeout / 2, Interval: cfg.AckTimeout / 2, Count: 1}
-	// By default the kernel retransmits unacknowledged data for minutes, so a request to a host behind a network partition
-	// would block until its deadline. With the timeout it fails early and can be retried elsewhere.
-	d.Control = func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(cfg.AckTimeout/time.Millisecond))
-		})
-		if err != nil {
-			return err
-		}
-		return failed
-	}
-	return d
-}
--- a/pomelolink/pool.go
+++ b/pomelolink/pool.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/pomelorelay/pomelorelay/pomelodialer"
 )
 
 const (
@@ -23,7 +25,7 @@
 // reused connection breaks and the request looks replayable.
 type pool struct {
 	cfg    Config
-	dialer net.Dialer
+	dialer *net.Dialer
 	// opened counts the connections opened since the start.
 	opened    atomic.Uint64
 	stopSweep chan struct{}
@@ -37,7 +39,7 @@
 func newPool(cfg Config) *pool {
 	p := &pool{
 		cfg:       cfg,
-		dialer:    newDialer(cfg),
+		dialer:    pomelodialer.New(pomelodialer.Config{Timeout: cfg.DialTimeout, AckTimeout: cfg.AckTimeout}),
 		stopSweep: make(chan struct{}),
 		idle:      make(map[netip.AddrPort][]*upstreamConn),
 	}
--- a/pomelostore/client.go
+++ b/pomelostore/client.go
@@ -1,12 +1,12 @@
 package pomelostore
 
 import (
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelodialer"
 
 	"github.com/go-faster/errors"
 )
@@ -47,7 +47,7 @@
 }
 
 func newHTTPClient(cfg Config) *http.Client {
-	dialer := &net.Dialer{Timeout: cfg.Timeout}
+	dialer := pomelodialer.New(pomelodialer.Config{Timeout: cfg.Timeout, AckTimeout: cfg.AckTimeout})
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:            dialer.DialContext,
--- a/pomelostore/config.go
+++ b/pomelostore/config.go
@@ -23,6 +23,8 @@
 	Addresses []netip.AddrPort
 	// Timeout limits one call; a watch is limited to WatchWait plus Timeout.
 	Timeout time.Duration
+	// AckTimeout closes a connection, idle or not, on which the store acknowledges nothing for this long; zero keeps the system's default.
+	AckTimeout time.Duration
 	// WatchWait is how long the store holds one watch call when nothing changes.
 	WatchWait time.Duration
 	// CallsPerSecond is the call budget of this process; one second's worth may be spent in a burst.
