Router: a read of the store that is due leaves time for another one

What callers saw: a new route answered with 404 later than the bound of configuration, CONFIG. Cause: a router that hears of a change from nobody reads the store by itself after 0.66 to 0.80 of the bound. That read could take 0.2 of the bound for its wait and 1.5 s more, whatever the bound: one call without an answer, for any reason, was beyond it. The sum stood nowhere, as its terms were spread over three packages. Change: a read that is due does not wait for a change; one that is not answered within 0.1 of the bound is made once more, and may then take as long as before, so that a slow store still answers. StoreReadRepeated (916) tells a read that was lost from one that began late.

--- a/events_store.go
+++ b/events_store.go
@@ -18,6 +18,7 @@
 	EventDomainRestored     EventID = 913
 	EventUpstreamCold       EventID = 914
 	EventUpstreamWarm       EventID = 915
+	EventStoreReadRepeated  EventID = 916
 )
 
 var storeEvents = []EventInfo{
@@ -37,4 +38,5 @@
 	{EventDomainRestored, "DomainRestored", LevelInfo, "The evacuation of a failure domain was taken back; its upstreams take requests again.", "None."},
 	{EventUpstreamCold, "UpstreamCold", LevelInfo, "An upstream is cold, or took no connection and will be when it is back; the fleet sends it at most what it accepts then. Holder tells whether this router sends it any.", "None; look at the upstream when it repeats."},
 	{EventUpstreamWarm, "UpstreamWarm", LevelInfo, "An upstream that was cold takes requests as before.", "None."},
+	{EventStoreReadRepeated, "StoreReadRepeated", LevelWarn, "A read of the platform's store was not answered in the time that the bound of configuration leaves, and is made once more. AfterMS is how long it took, UpdateAgeMS the time since the last update from another router.", "Check the way to the store when it repeats."},
 }
--- a/pomeloentry/fleet_test.go
+++ b/pomeloentry/fleet_test.go
@@ -61,14 +61,20 @@
 
 // hasWith reports whether an event was logged with a matching field.
 func (l *eventLog) hasWith(id pomelorelay.EventID, matches func(pomelorelay.Field) bool) bool {
+	_, ok := l.timeOf(id, matches)
+	return ok
+}
+
+// timeOf returns when an event was first logged with a matching field.
+func (l *eventLog) timeOf(id pomelorelay.EventID, matches func(pomelorelay.Field) bool) (time.Time, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.events {
 		if e.id == id && slices.ContainsFunc(e.fields, matches) {
-			return true
+			return e.at, true
 		}
 	}
-	return false
+	return time.Time{}, false
 }
 
 // print writes the router's log to the test output, so that a rare failure can be analysed from the run in which it occurred.
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -17,21 +17,6 @@
 // depend on the number of routers: each router reads the store before a change is due, whatever failed between it and the reader.
 
 const (
-	// readIntervalFraction is the minimum time between two reads, as a fraction of the change wait. Upstreams write all the time, so without
-	// a minimum a watch would return continuously.
-	readIntervalFraction = 0.2
-	// watchWaitFraction is how long a read waits for a change, as a fraction of the change wait.
-	watchWaitFraction = 0.2
-	// takeoverFraction is the time without updates after which the second relay in the read order reads the store, as a fraction of the
-	// change wait; those of the later relays are spread evenly over takeoverSpread. While the router that reads the store works, the time
-	// without updates is at most its read interval plus its watch wait.
-	takeoverFraction = 0.5
-	takeoverSpread   = 0.12
-	// ownReadFraction is the time without updates after which a router that is not a relay reads the store, as a fraction of the change
-	// wait; these times are spread over ownReadSpread by a hash. A relay that takes over sends its update before any of them. The rest of the
-	// change wait is for the call.
-	ownReadFraction = 0.66
-	ownReadSpread   = 0.14
 	// minTakeoverPoll and maxTakeoverPoll bound the time between two checks whether this router must read the store.
 	minTakeoverPoll = 10 * time.Millisecond
 	maxTakeoverPoll = 200 * time.Millisecond
@@ -79,13 +64,15 @@
 func (e *Router) readStoreLoop(ctx context.Context) {
 	started := time.Now()
 	delay := e.startupDelay()
+	watch := watchPace{due: true}
 	e.runStoreTask(ctx, storeTask{name: "store", probesStore: true, call: func(failed bool) error {
 		if e.cursor.hasRead() && (time.Since(started) < delay || !e.shouldRead()) {
+			watch.due = true
 			sleep(ctx, e.takeoverPoll())
 			return nil
 		}
 		began := time.Now()
-		if err := e.read(ctx, failed); err != nil {
+		if err := e.read(ctx, failed, &watch); err != nil {
 			return err
 		}
 		sleep(ctx, e.scaledChangeWait(readIntervalFraction)-time.Since(began))
@@ -117,14 +104,13 @@
 func (e *Router) updateAge() time.Duration { return time.Duration(e.steady() - e.lastUpdateAt.Load()) }
 
 // read reads the complete state at first and after the store compacted its history, and changes otherwise.
-func (e *Router) read(ctx context.Context, failed bool) error {
+func (e *Router) read(ctx context.Context, failed bool, watch *watchPace) error {
 	after := e.cursor.get()
 	if after == 0 {
 		// Changes missing from a stale read arrive with the first update.
 		return e.readAll(ctx, "start", !failed)
 	}
-	change, err := e.cfg.Platform.Watch(ctx, after, e.scaledChangeWait(watchWaitFraction))
-	e.metrics.CountStoreCall("watch", e.readerRole(), pomelorelay.CodeOf(err))
+	change, err := e.watch(ctx, after, watch)
 	if pomelorelay.IsErrCode(err, pomelorelay.CodeStoreCompacted) {
 		return e.readAll(ctx, "compacted", false)
 	}
@@ -135,6 +121,47 @@
 	return nil
 }
 
+// watchPace is how the next watch is made.
+type watchPace struct {
+	// due is set for a read that may already be late, which does not wait for a change.
+	due bool
+	// patient lets the store take as long as any call may take, because it did not answer within the time of a read, or only just.
+	patient bool
+}
+
+// watch reads the changes after a revision and adjusts the pace of the next watch. A read that is not answered in time is made once more, on
+// another connection.
+func (e *Router) watch(ctx context.Context, after pomelorelay.Revision, pace *watchPace) (pomelorelay.FleetChange, error) {
+	wait := e.scaledChangeWait(watchWaitFraction)
+	if pace.due {
+		wait = 0
+	}
+	timeout := e.scaledChangeWait(readTimeoutFraction)
+	began := time.Now()
+	change, err := e.watchWithin(ctx, after, wait, pace.patient, timeout)
+	took := time.Since(began)
+	if err != nil && !pace.patient && took >= wait+timeout && ctx.Err() == nil {
+		e.log(pomelorelay.EventStoreReadRepeated, field("AfterMS", took.Milliseconds()), field("UpdateAgeMS", e.updateAge().Milliseconds()), field("Fault", err.Error()))
+		pace.patient = true
+		change, err = e.watchWithin(ctx, after, 0, true, timeout)
+	}
+	pace.due = err != nil
+	pace.patient = pace.patient && (err != nil || time.Since(began) > wait+timeout/2)
+	return change, err
+}
+
+// watchWithin makes one watch, which may take the timeout beyond its wait or, if patient is set, as long as any call.
+func (e *Router) watchWithin(ctx context.Context, after pomelorelay.Revision, wait time.Duration, patient bool, timeout time.Duration) (pomelorelay.FleetChange, error) {
+	if !patient {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait+timeout)
+		defer cancel()
+	}
+	change, err := e.cfg.Platform.Watch(ctx, after, wait)
+	e.metrics.CountStoreCall("watch", e.readerRole(), pomelorelay.CodeOf(err))
+	return change, err
+}
+
 func (e *Router) readAll(ctx context.Context, cause string, allowStale bool) error {
 	change, err := e.cfg.Platform.Read(ctx, allowStale)
 	e.metrics.CountStoreCall("read", cause, pomelorelay.CodeOf(err))
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// defaultChangeWait is the change wait if the settings have neither DrainTimeout nor ConfigApplyTimeout.
-	defaultChangeWait = 2500 * time.Millisecond
 	// reregisterGrace is how long after a store outage an upstream without an entry in the store is kept; live upstreams register
 	// again within 2 s.
 	reregisterGrace = 2300 * time.Millisecond
@@ -25,21 +23,6 @@
 	leavingReportTime = 3 * time.Second
 )
 
-// scaledChangeWait returns a fraction of the change wait, the time within which a change of the store must have its effect on every router: the
-// shorter one of DrainTimeout and ConfigApplyTimeout.
-func (e *Router) scaledChangeWait(fraction float64) time.Duration {
-	wait := time.Duration(0)
-	for _, bound := range []time.Duration{e.cfg.Settings.DrainTimeout, e.cfg.Settings.ConfigApplyTimeout} {
-		if bound > 0 && (wait == 0 || bound < wait) {
-			wait = bound
-		}
-	}
-	if wait == 0 {
-		wait = defaultChangeWait
-	}
-	return time.Duration(fraction * float64(wait))
-}
-
 // upstreams holds the registered upstreams known to this router.
 type upstreams struct {
 	present map[pomelorelay.UpstreamID]pomelorelay.FleetUpstream
