Store: every client closes silent connections, also in the product's own router

The same cause elsewhere: pomelonode, pomeloctl and pomelobench open the store without a limit on acknowledgements. A watch of pomelonode waits up to 30 s, and 2 s more, on a connection that has gone silent. The limit becomes a default of pomelostore.Config, 1 s, and the program's own constant goes. By reading; no test makes a connection silent for the kernel.

--- a/cmd/pomelorelayd/entry.go
+++ b/cmd/pomelorelayd/entry.go
@@ -25,8 +25,6 @@
 	// storeTimeout bounds a call to the platform's store, which normally answers within 4 ms, and within a few hundred milliseconds
 	// when it is slow.
 	storeTimeout = 1500 * time.Millisecond
-	// storeAckTimeout closes a connection to the store that has gone silent, before the router needs it for a read that is due.
-	storeAckTimeout = time.Second
 	// storeBreakerCooldown is how long the router makes no call to the store after several consecutive failed ones. It is short
 	// compared with the 4 s after which every router is assumed to have seen a change of the store.
 	storeBreakerCooldown = 400 * time.Millisecond
@@ -84,7 +82,6 @@
 	client, err := pomelostore.New(pomelostore.Config{
 		Addresses:       []netip.AddrPort{settings.StoreAddr},
 		Timeout:         storeTimeout,
-		AckTimeout:      storeAckTimeout,
 		CallsPerSecond:  storeCallsPerSecond,
 		BreakerCooldown: storeBreakerCooldown,
 		Logger:          logger,
--- a/pomelostore/config.go
+++ b/pomelostore/config.go
@@ -10,6 +10,7 @@
 // Defaults of Config.
 const (
 	DefaultTimeout         = 2 * time.Second
+	DefaultAckTimeout      = time.Second
 	DefaultWatchWait       = 30 * time.Second
 	DefaultCallsPerSecond  = 50
 	DefaultBreakerFailures = 5
@@ -23,7 +24,7 @@
 	Addresses []netip.AddrPort
 	// Timeout limits one call; a watch is limited to WatchWait plus Timeout.
 	Timeout time.Duration
-	// AckTimeout closes a connection, idle or not, on which the store acknowledges nothing for this long; zero keeps the system's default.
+	// AckTimeout closes a connection, idle or not, on which the store acknowledges nothing for this long.
 	AckTimeout time.Duration
 	// WatchWait is how long the store holds one watch call when nothing changes.
 	WatchWait time.Duration
@@ -45,6 +46,9 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = DefaultTimeout
 	}
+	if cfg.AckTimeout == 0 {
+		cfg.AckTimeout = DefaultAckTimeout
+	}
 	if cfg.WatchWait == 0 {
 		cfg.WatchWait = DefaultWatchWait
 	}
