--- a/pomelofake/relay.go
+++ b/pomelofake/relay.go
@@ -56,6 +56,8 @@
 	source     netip.Addr
 	sourceConn net.Conn
 	targetConn net.Conn
+	// silent is set once Silence was called; the relay's mutex guards it.
+	silent bool
 }
 
 func (c *relayConnection) close() {
@@ -97,6 +99,15 @@
 	}
 }
 
+// Silence makes the open connections silent for good: they stay open and forward nothing more, while new ones work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.connections {
+		conn.silent = true
+	}
+}
+
 // BytesForwarded returns the number of bytes forwarded in both directions since the start.
 func (r *Relay) BytesForwarded() int64 {
 	r.mu.Lock()
--- a/pomelofake/relay_test.go
+++ b/pomelofake/relay_test.go
@@ -1,9 +1,11 @@
 package pomelofake_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,3 +168,21 @@
 		t.Errorf("forwarded %d bytes, want 2", relay.BytesForwarded())
 	}
 }
+
+// Guards against a silent connection that breaks, which its user would notice, or that makes new ones silent too.
+func TestRelaySilencesOpenConnectionsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relay, dial := newTestRelay(t)
+		conn := dial()
+		if b, err := exchangeByte(conn, 1); b != 2 || err != nil {
+			t.Fatalf("before: got %d, %v, want 2", b, err)
+		}
+		relay.Silence()
+		if b, err := exchangeByte(conn, 3); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("on the silent connection: got %d, %v, want no answer", b, err)
+		}
+		if b, err := exchangeByte(dial(), 5); b != 6 || err != nil {
+			t.Errorf("on a new connection: got %d, %v, want 6", b, err)
+		}
+	})
+}
--- a/pomelofake/relayforward.go
+++ b/pomelofake/relayforward.go
@@ -83,6 +83,9 @@
 			dropped = true
 			continue
 		}
+		if r.isSilent(conn) {
+			continue
+		}
 		// Count before writing: a test that has received the bytes may read the count before this goroutine is scheduled again.
 		r.addForwarded(len(c.data))
 		if _, err := to.Write(c.data); err != nil {
@@ -91,6 +94,12 @@
 	}
 }
 
+func (r *Relay) isSilent(conn *relayConnection) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return conn.silent
+}
+
 func (r *Relay) addForwarded(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
