Router: a read that is discarded says nothing of what the router knows

Found by reading the diff: a check, or a read whose place in the series another update had taken, counted as the age of what the router knows although its result was dropped, and put the next check off by half of the bound. It counts once it is applied; a check that keeps its place applies crashes too. The limit of a watch is one argument instead of two; the comment of changewait.go names the sum as it is.

--- a/pomeloentry/changewait.go
+++ b/pomeloentry/changewait.go
@@ -3,8 +3,8 @@
 import "time"
 
 // A change of the store must be in force at every router within the change wait, whatever failed between a router and the one that reads the
-// store. The fractions below add up to less than 1: ownReadFraction, ownReadSpread, readTimeoutFraction for a call that is not answered, the
-// pause after it (minRetryPause), and the next call.
+// store. ownReadFraction, ownReadSpread and readTimeoutFraction, for a read that is not answered, leave a quarter of the change wait for the read
+// that follows.
 const (
 	// readIntervalFraction is the minimum time between two reads, as a fraction of the change wait. Upstreams write all the time, so without
 	// a minimum a watch would return continuously.
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -160,7 +160,7 @@
 	return nil
 }
 
-// newRead returns the storeRead of a call that begins now.
+// newRead returns the storeRead of a call that begins now; check tells that its result is for this router alone.
 func (e *Router) newRead(check bool) *storeRead {
 	return &storeRead{askedAt: e.steady(), askedUnixMilli: e.cfg.Clock.Now().UnixMilli(), check: check}
 }
@@ -169,7 +169,7 @@
 type watchPace struct {
 	// due is set for a read that may already be late, which does not wait for a change.
 	due bool
-	// patient lets the store take as long as any call may take, because it did not answer within the time of a read, or only just.
+	// patient lets the store take as long as any call may, because it lately did not answer within the time of a read, or only just.
 	patient bool
 }
 
@@ -181,24 +181,28 @@
 		wait = 0
 	}
 	timeout := e.scaledChangeWait(readTimeoutFraction)
+	limit := wait + timeout
+	if pace.patient {
+		limit = 0
+	}
 	began := time.Now()
-	change, err := e.watchWithin(ctx, after, wait, pace.patient, timeout)
+	change, err := e.watchOnce(ctx, after, wait, limit)
 	took := time.Since(began)
-	if err != nil && !pace.patient && took >= wait+timeout && ctx.Err() == nil {
+	if err != nil && limit > 0 && took >= limit && ctx.Err() == nil {
 		e.log(pomelorelay.EventStoreReadRepeated, field("AfterMS", took.Milliseconds()), field("UpdateAgeMS", e.updateAge().Milliseconds()), field("Fault", err.Error()))
 		pace.patient = true
-		change, err = e.watchWithin(ctx, after, 0, true, timeout)
+		change, err = e.watchOnce(ctx, after, 0, 0)
 	}
 	pace.due = err != nil
 	pace.patient = pace.patient && (err != nil || time.Since(began) > wait+timeout/2)
 	return change, err
 }
 
-// watchWithin makes one watch, which may take the timeout beyond its wait or, if patient is set, as long as any call.
-func (e *Router) watchWithin(ctx context.Context, after pomelorelay.Revision, wait time.Duration, patient bool, timeout time.Duration) (pomelorelay.FleetChange, error) {
-	if !patient {
+// watchOnce makes one watch. It fails after the limit if that is above zero, and otherwise when the platform's call does.
+func (e *Router) watchOnce(ctx context.Context, after pomelorelay.Revision, wait, limit time.Duration) (pomelorelay.FleetChange, error) {
+	if limit > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+timeout)
+		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
 	change, err := e.cfg.Platform.Watch(ctx, after, wait)
@@ -258,21 +262,24 @@
 
 func (r *storeRead) apply(c *control, now time.Time) {
 	defer close(r.done)
+	m := c.updateFrom(r)
+	// The cursor stays after a check that found nothing but a configuration, so that the updates that arrive still follow on it.
+	keepsCursor := r.check && m.ConfigOnly()
+	if !keepsCursor && !c.e.cursor.advance(r.after, r.change.Revision, r.change.Full) {
+		// Another router's update arrived first; the next read starts after that update.
+		return
+	}
 	if !r.stale {
 		c.recordStoreRead(r.askedAt)
 	}
-	if r.check && c.updateFrom(r).ConfigOnly() {
-		// The cursor stays, so that the updates that arrive still follow on it.
-		c.applyConfigChange(now, &r.change, "store")
-		return
+	if !r.stale && !r.check {
+		c.sendUpdate(now, m)
 	}
-	if !c.e.cursor.advance(r.after, r.change.Revision, r.change.Full) {
-		// Another router's update arrived first; the next read starts after that update.
+	if keepsCursor {
+		c.applyConfigChange(now, &r.change, "store")
+		c.mergeCrashes(now, r.change.Crashes)
 		return
 	}
-	if !r.stale && !r.check {
-		c.sendUpdate(now, c.updateFrom(r))
-	}
 	c.applyChange(now, &r.change, r.recovered, "store")
 }
 
