--- a/pomeloclaim/requester.go
+++ b/pomeloclaim/requester.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// releaseUntracked releases a claim of this process that became durable after its attempt ended. Keepers ignore the release
+// releaseUntracked releases a claim that was granted to this process after the attempt that asked for it had ended. Keepers ignore the release
 // of a settled claim, so a duplicate answer is harmless.
 func (a *Requester) releaseUntracked(now time.Time, m *pomelorelay.ClaimAnswer, out *Output) {
 	if m.State != pomelorelay.ClaimGranted || !a.isOwn(m.Nonce) {
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -35,7 +35,7 @@
 	Current() *pomelotable.Table
 }
 
-// PlacementRequest is a request that needs an upstream.
+// PlacementRequest is a caller's request for which an upstream is to be selected.
 type PlacementRequest struct {
 	ID      string
 	Route   pomelorelay.RouteID
