Load announced by upstreams: parsed, and fields for it between routers

Responses announce running and waiting requests, slots and, on some upstreams, how long work takes on their host at the moment. Only the first two figures were parsed, and nothing used them. The header is now parsed whole and a malformed one is told apart from an absent one. Load reports get fields for the newest announcement, its age and process, for the number of requests sent, and for routers that refuse requests because of their own load. Nothing fills or reads these fields yet.

Tests of platform, pomelomesh and the root package pass.

--- a/messages_load.go
+++ b/messages_load.go
@@ -15,6 +15,14 @@
 	// FirstTokenExpected and FirstTokenMeasured are the sums of the requests' expected and measured times to first token since the
 	// router's start.
 	FirstTokenExpected, FirstTokenMeasured time.Duration
+	// RequestsSent is the total of requests sent since the router's start; zero from routers of earlier versions.
+	RequestsSent uint64
+	// Announced is the newest load that the router knows the upstream to have announced, and AnnouncedAge is its age when the report was
+	// sent.
+	Announced    UpstreamFigures
+	AnnouncedAge time.Duration
+	// AnnouncedStart is the start time in Unix milliseconds of the process that announced the load; zero if unknown.
+	AnnouncedStart int64
 }
 
 // AccountUse is the total cost requested by and served to an account at one router since the router's start.
@@ -47,6 +55,8 @@
 	Starts []UpstreamStart
 	// Streams are resumable streams that have begun.
 	Streams []StreamOrigin
+	// Limited states that the router refuses requests because its processor is overloaded.
+	Limited bool
 }
 
 // UpstreamStart reports that an upstream accepted no connection, or that it answers again. In both cases the upstream may have restarted;
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -10,15 +10,16 @@
 )
 
 func (d *decoder) loadReport(m *pomelowire.LoadReport) *pomelorelay.LoadReport {
-	r := &pomelorelay.LoadReport{Seq: m.GetSeq(), Full: m.GetWhole()}
+	r := &pomelorelay.LoadReport{Seq: m.GetSeq(), Full: m.GetWhole(), Limited: m.GetLimited()}
 	r.Upstreams = make([]pomelorelay.UpstreamLoad, d.listLength(len(m.GetUpstreams()), maxListLength))
 	for i := range r.Upstreams {
 		u := m.GetUpstreams()[i]
 		r.Upstreams[i] = pomelorelay.UpstreamLoad{
 			Upstream: pomelorelay.UpstreamID(d.name(u.GetUpstream())), Running: u.GetRunning(),
 			PendingPrefill: d.tokens(u.GetUnread()), KVTokens: d.tokens(u.GetHeld()), PromptTokensSent: d.tokens(u.GetSent()),
-			FirstTokenExpected: d.milliseconds(u.GetExpected()), FirstTokenMeasured: d.milliseconds(u.GetTook()),
+			FirstTokenExpected: d.milliseconds(u.GetExpected()), FirstTokenMeasured: d.milliseconds(u.GetTook()), RequestsSent: u.GetRequests(),
 		}
+		d.announced(u.GetAnnounced(), &r.Upstreams[i])
 	}
 	r.Accounts = make([]pomelorelay.AccountUse, d.listLength(len(m.GetAccounts()), maxListLength))
 	for i := range r.Accounts {
@@ -54,6 +55,16 @@
 	return r
 }
 
+func (d *decoder) announced(m *pomelowire.AnnouncedLoad, l *pomelorelay.UpstreamLoad) {
+	if m == nil {
+		return
+	}
+	l.Announced = pomelorelay.UpstreamFigures{
+		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: pomelorelay.Slots(min(m.GetSlots(), math.MaxInt32)), SlownessPercent: int(m.GetSlowness()),
+	}
+	l.AnnouncedAge, l.AnnouncedStart = d.milliseconds(m.GetAge()), m.GetBorn()
+}
+
 func (d *decoder) streams(list []*pomelowire.StreamOrigin) []pomelorelay.StreamOrigin {
 	origins := make([]pomelorelay.StreamOrigin, d.listLength(len(list), maxListLength))
 	for i := range origins {
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -124,12 +124,24 @@
 	return w
 }
 
+func encodeAnnounced(l *pomelorelay.UpstreamLoad) *pomelowire.AnnouncedLoad {
+	f := l.Announced
+	if !f.Known() {
+		return nil
+	}
+	return &pomelowire.AnnouncedLoad{
+		Running: uint32(f.Running), Waiting: uint32(f.Waiting), Slots: uint32(f.Slots), Slowness: uint32(f.SlownessPercent), Age: l.AnnouncedAge.Milliseconds(),
+		Born: l.AnnouncedStart,
+	}
+}
+
 func encodeLoad(m *pomelorelay.LoadReport) *pomelowire.LoadReport {
-	w := &pomelowire.LoadReport{Seq: m.Seq, Whole: m.Full}
+	w := &pomelowire.LoadReport{Seq: m.Seq, Whole: m.Full, Limited: m.Limited}
 	for _, u := range m.Upstreams {
 		w.Upstreams = append(w.Upstreams, &pomelowire.UpstreamLoad{
 			Upstream: string(u.Upstream), Running: u.Running, Unread: int64(u.PendingPrefill), Held: int64(u.KVTokens), Sent: int64(u.PromptTokensSent),
 			Expected: u.FirstTokenExpected.Milliseconds(), Took: u.FirstTokenMeasured.Milliseconds(),
+			Requests: u.RequestsSent, Announced: encodeAnnounced(&u),
 		})
 	}
 	for _, a := range m.Accounts {
--- a/wire.go
+++ b/wire.go
@@ -58,11 +58,26 @@
 	Misdirected bool
 	// Signed states that the response has the header with which upstreams mark their own responses.
 	Signed bool
-	// Running and Waiting are the upstream's numbers of running and queued requests, if HasLoad is set.
+	// Load is the load that the upstream announces; it is not known if the upstream announces none, or LoadInvalid is set.
+	Load UpstreamFigures
+	// LoadInvalid states that the announced load is malformed.
+	LoadInvalid bool
+}
+
+// UpstreamFigures is the load that an upstream announces in its responses.
+type UpstreamFigures struct {
+	// Running and Waiting are the numbers of running and queued requests.
 	Running, Waiting int
-	HasLoad          bool
+	// Slots is the number of requests that the upstream runs concurrently.
+	Slots Slots
+	// SlownessPercent is how long work takes on the upstream's host at the moment, in percent of the usual time; zero if the upstream
+	// does not announce it.
+	SlownessPercent int
 }
 
+// Known reports whether the upstream announced its load.
+func (f UpstreamFigures) Known() bool { return f.Slots > 0 }
+
 // WireFormat reads and writes the HTTP header fields that a deployment uses.
 type WireFormat interface {
 	// ReadinessPath returns the path of the readiness check for the load balancer.
