Placement: complete evaluation only of upstreams that can have the lowest cost

Cause: each placement evaluated every upstream completely and looked the prompt's parts up in the cache map of each of them.

Change: an index from the hash of a part to the upstreams that cache it gives the cached prefix of the prompt at all upstreams at once. The costs of prefill and copy, then the affinity, are a lower bound of the cost; an upstream whose bound is not below the best cost so far is not evaluated. The plan of the prefill is shared by engines with the same rate and cached prefix. The queue estimate of each eligible engine is still updated at each placement, so that it passes through the same values. Cold upstreams are searched only if the first search saw one.

TestDecisionsEqualThoseOfExhaustiveEvaluation compares all fields of the decisions with those of a complete evaluation over random events.

--- a/pomeloplace/copy.go
+++ b/pomeloplace/copy.go
@@ -1,6 +1,7 @@
 package pomeloplace
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -22,28 +23,29 @@
 // Engines outside the request's allowed regions, under evacuation or in backoff are not eligible; draining ones are.
 func (p *Placer) findCopySource(now time.Time, s *pool, r *Request) copySource {
 	best := copySource{uncached: r.PromptTokens}
-	for _, u := range s.upstreams {
-		if u.engine == nil || len(r.Parts) == 0 || !p.allowed(u, r) || u.domain.evacuated || u.inBackoff(now, &p.cfg.DisabledMechanisms) || u.cache.parts[r.Parts[0].Hash] == nil {
+	for _, u := range s.prefixes.found {
+		if u.engine == nil || !p.allowed(u, r) || u.domain.evacuated || u.inBackoff(now, &p.cfg.DisabledMechanisms) {
 			continue
 		}
-		uncached := u.cache.uncached(r)
-		if best.up == nil || uncached < best.uncached || (uncached == best.uncached && u.running() < best.up.running()) {
+		uncached := s.prefixes.uncached(u, r)
+		if best.up == nil || uncached < best.uncached || (uncached == best.uncached && u.beforeAsSource(best.up)) {
 			best = copySource{u, uncached}
 		}
 	}
 	return best
 }
 
-// planCopy decides whether the candidate copies uncached parts from the source, and returns the estimated copy time. Nothing is copied when
-// copying takes as long as prefilling.
-func (p *Placer) planCopy(c *candidate, from copySource, uncached pomelorelay.Tokens) time.Duration {
-	tokens := uncached - from.uncached
-	if p.cfg.DisabledMechanisms.Copies || from.up == nil || from.up == c.up || tokens < minCopyTokens {
-		return 0
-	}
-	if c.up.pool.copyFraction >= 1 {
-		return 0
+// beforeAsSource reports whether the engine is preferred to another one with the same cached prefix.
+func (u *upstream) beforeAsSource(o *upstream) bool {
+	return cmp.Or(cmp.Compare(u.running(), o.running()), cmp.Compare(u.order, o.order)) < 0
+}
+
+// planCopy decides whether the engine copies uncached parts from the source. Nothing is copied when copying takes as long as prefilling.
+func (p *Placer) planCopy(plan *prefillPlan, u *upstream, from copySource) {
+	tokens := plan.uncached - from.uncached
+	if p.cfg.DisabledMechanisms.Copies || from.up == nil || from.up == u || tokens < minCopyTokens || u.pool.copyFraction >= 1 {
+		return
 	}
-	c.copyFrom, c.copiedTokens = from.up, tokens
-	return scale(c.up.pool.copyFraction, c.up.prefillTime(float64(tokens)))
+	plan.copyFrom, plan.copiedTokens = from.up, tokens
+	plan.copyTime = scale(u.pool.copyFraction, prefillTimeAt(plan.rate, float64(tokens)))
 }
--- /dev/null
+++ b/pomeloplace/export_test.go
@@ -0,0 +1,74 @@
+package pomeloplace
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelowarmup"
+)
+
+// PlaceExhaustively is Place with a complete evaluation of every upstream, and without the index of prefixes.
+func (p *Placer) PlaceExhaustively(now time.Time, r Request) Decision {
+	best, found := p.exhaustiveBest(now, &r, pomelowarmup.AdmissionOpen)
+	outcome := admission{}
+	if found {
+		outcome = p.admit(best, &r)
+	}
+	if !found || outcome.bound != BoundNone {
+		if cold, ok := p.exhaustiveBest(now, &r, pomelowarmup.AdmissionFallback); ok {
+			if admitted := p.admit(cold, &r); admitted.bound == BoundNone || !found {
+				best, outcome, found = cold, admitted, true
+			}
+		}
+	}
+	if !found {
+		return p.noUpstreamDecision(now, &r)
+	}
+	return p.decide(now, best, outcome, &r)
+}
+
+func (p *Placer) exhaustiveBest(now time.Time, r *Request, class pomelowarmup.Admission) (best candidate, found bool) {
+	s := p.pools[r.Service]
+	source := copySource{uncached: r.PromptTokens}
+	for _, u := range s.upstreams {
+		if u.engine == nil || len(r.Parts) == 0 || !p.allowed(u, r) || u.domain.evacuated || u.inBackoff(now, &p.cfg.DisabledMechanisms) || u.cache.parts[r.Parts[0].Hash] == nil {
+			continue
+		}
+		if n := u.cache.uncached(r); source.up == nil || n < source.uncached || (n == source.uncached && u.running() < source.up.running()) {
+			source = copySource{u, n}
+		}
+	}
+	s.refreshEstimates(now)
+	minUncached := r.PromptTokens
+	for round := 0; round < 2 && !found; round++ {
+		for _, u := range s.upstreams {
+			if !p.usable(u, r) || u.warmup.Admission(now) != class || (round == 0 && (u.inBackoff(now, &p.cfg.DisabledMechanisms) || slices.Contains(r.Avoid, u.info.ID))) {
+				continue
+			}
+			plan := prefillPlan{}
+			if u.engine != nil {
+				plan = p.newPrefillPlan(u, source, u.cache.uncached(r), u.prefillRate(), r)
+			}
+			c := p.evaluate(now, u, &plan, r)
+			minUncached = min(minUncached, c.uncachedShared)
+			if !found || c.cost < best.cost {
+				best, found = c, true
+			}
+		}
+	}
+	best.recomputed = best.uncachedShared - minUncached
+	return best, found
+}
+
+// uncached returns the number of prompt tokens after the cached prefix, and at least one token.
+func (c *prefixCache) uncached(r *Request) pomelorelay.Tokens {
+	remaining := r.PromptTokens
+	for _, p := range r.Parts {
+		if c.parts[p.Hash] == nil {
+			return remaining
+		}
+		remaining = max(0, remaining-p.Tokens)
+	}
+	return max(remaining, 1)
+}
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -103,7 +103,9 @@
 	// byLongRank holds the same upstreams, sorted by a hash that is equal on every router, so that all routers assign the same first engines to
 	// long prompts.
 	byLongRank []*upstream
-	work       workRate
+	// prefixes finds the engines that cache a prefix of a prompt.
+	prefixes prefixIndex
+	work     workRate
 	// longEngines is the number of engines assigned to long prompts; longEnginesNeededAt is when that many were last needed.
 	longEngines         int
 	longEnginesNeededAt time.Time
@@ -128,6 +130,15 @@
 func (s *pool) add(u *upstream) {
 	s.upstreams = insertSorted(s.upstreams, u, func(a, b *upstream) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	s.byLongRank = insertSorted(s.byLongRank, u, func(a, b *upstream) int { return cmp.Compare(a.longRank, b.longRank) })
+	s.renumber()
+	s.prefixes.addUpstream(u)
+}
+
+// renumber sets the order of each upstream.
+func (s *pool) renumber() {
+	for i, u := range s.upstreams {
+		u.order = i
+	}
 }
 
 func insertSorted(list []*upstream, u *upstream, compare func(a, b *upstream) int) []*upstream {
@@ -142,6 +153,8 @@
 	equal := func(o *upstream) bool { return o == u }
 	s.upstreams = slices.DeleteFunc(s.upstreams, equal)
 	s.byLongRank = slices.DeleteFunc(s.byLongRank, equal)
+	s.renumber()
+	s.prefixes.removeUpstream(u)
 }
 
 // assignLongEngines selects the engines that serve long prompts.
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -184,6 +184,11 @@
 	if !found {
 		return p.noUpstreamDecision(now, &r)
 	}
+	return p.decide(now, best, outcome, &r)
+}
+
+// decide returns the decision for the best candidate and starts its run if it is admitted.
+func (p *Placer) decide(now time.Time, best candidate, outcome admission, r *Request) Decision {
 	d := Decision{
 		LargestCostTerm: best.largestTerm,
 		ReportAge:       p.reportAge(now),
@@ -196,7 +201,7 @@
 		d.Reason, d.Bound, d.RetryAfter = outcome.reason, outcome.bound, outcome.retryAfter
 		return d
 	}
-	d.Run = p.startRun(now, best, &r)
+	d.Run = p.startRun(now, best, r)
 	return d
 }
 
@@ -283,47 +288,22 @@
 
 // choose returns the best candidate and its admission. Cold upstreams are considered only if no other upstream admits the request.
 func (p *Placer) choose(now time.Time, r *Request) (candidate, admission, bool) {
-	best, found := p.bestCandidate(now, r, pomelowarmup.AdmissionOpen)
+	open := p.search(now, r, pomelowarmup.AdmissionOpen)
 	var outcome admission
-	if found {
-		if outcome = p.admit(best, r); outcome.bound == BoundNone {
-			return best, outcome, true
+	if open.found {
+		if outcome = p.admit(open.best, r); outcome.bound == BoundNone {
+			return open.best, outcome, true
 		}
 	}
-	if cold, ok := p.bestCandidate(now, r, pomelowarmup.AdmissionFallback); ok {
-		if admitted := p.admit(cold, r); admitted.bound == BoundNone || !found {
-			return cold, admitted, true
-		}
+	if !open.fallbackSeen {
+		return open.best, outcome, open.found
 	}
-	return best, outcome, found
-}
-
-// bestCandidate returns the candidate with the lowest cost among the upstreams of an admission class. Upstreams in backoff and those that failed
-// this request are considered only if there is no other.
-func (p *Placer) bestCandidate(now time.Time, r *Request, class pomelowarmup.Admission) (candidate, bool) {
-	var best candidate
-	s := p.pools[r.Service]
-	if s == nil {
-		return best, false
-	}
-	found := false
-	minUncached := r.PromptTokens
-	source := p.findCopySource(now, s, r)
-	s.refreshEstimates(now)
-	for round := 0; round < 2 && !found; round++ {
-		for _, u := range s.upstreams {
-			if !p.usable(u, r) || u.warmup.Admission(now) != class || (round == 0 && (u.inBackoff(now, &p.cfg.DisabledMechanisms) || slices.Contains(r.Avoid, u.info.ID))) {
-				continue
-			}
-			c := p.evaluate(now, u, source, r)
-			minUncached = min(minUncached, c.uncachedShared)
-			if !found || c.cost < best.cost {
-				best, found = c, true
-			}
+	if cold := p.search(now, r, pomelowarmup.AdmissionFallback); cold.found {
+		if admitted := p.admit(cold.best, r); admitted.bound == BoundNone || !open.found {
+			return cold.best, admitted, true
 		}
 	}
-	best.recomputed = best.uncachedShared - minUncached
-	return best, found
+	return open.best, outcome, open.found
 }
 
 func (p *Placer) startRun(now time.Time, c candidate, r *Request) *Run {
--- a/pomeloplace/prefixcache.go
+++ b/pomeloplace/prefixcache.go
@@ -19,6 +19,9 @@
 	// parts again.
 	unidentified []cachedPart
 	seq          uint64
+	// index is the index of the pool that lists the cache's owner; nil while none does.
+	index *prefixIndex
+	owner *upstream
 }
 
 type cachedPart struct {
@@ -41,6 +44,9 @@
 		return
 	}
 	c.parts[hash] = &cachedPart{tokens: tokens, lastUse: c.seq}
+	if c.index != nil {
+		c.index.add(hash, c.owner)
+	}
 	c.grow(tokens)
 }
 
@@ -97,18 +103,9 @@
 		}
 		c.used -= c.parts[entries[0].hash].tokens
 		delete(c.parts, entries[0].hash)
-		entries = entries[1:]
-	}
-}
-
-// uncached returns the number of prompt tokens to prefill: everything from the first uncached part on, and at least one token.
-func (c *prefixCache) uncached(r *Request) pomelorelay.Tokens {
-	remaining := r.PromptTokens
-	for _, p := range r.Parts {
-		if c.parts[p.Hash] == nil {
-			return remaining
+		if c.index != nil {
+			c.index.remove(entries[0].hash, c.owner)
 		}
-		remaining = max(0, remaining-p.Tokens)
+		entries = entries[1:]
 	}
-	return max(remaining, 1)
 }
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -53,6 +53,10 @@
 	// serviceTime is the moving average of the time of a request to a plain upstream.
 	serviceTime time.Duration
 	cache       prefixCache
+	// order is the position in the list of the pool.
+	order int
+	// cachedPrefix is the result of the latest search for the cached prefix of a prompt.
+	cachedPrefix cachedPrefix
 	// failureRate is the moving failure rate at failureRateAt; it decays over time.
 	failureRate   float64
 	failureRateAt time.Time
@@ -118,6 +122,13 @@
 	return max(u.queueEstimate, minPendingFraction*u.pendingPrefill())
 }
 
+// updateQueue applies the effect of queuedTokens on the queue estimate; a queue that stays empty needs none.
+func (u *upstream) updateQueue(now time.Time) {
+	if u.engine != nil && (u.queueEstimate != 0 || u.own.pendingPrefill != 0 || u.others.pendingPrefill != 0) {
+		u.queuedTokens(now)
+	}
+}
+
 // queueDelay returns the estimated time until a new request is processed.
 func (u *upstream) queueDelay(now time.Time) time.Duration {
 	if u.engine == nil {
@@ -132,7 +143,12 @@
 }
 
 func (u *upstream) prefillTime(tokens float64) time.Duration {
-	return time.Duration(tokens / u.prefillRate() * float64(time.Millisecond))
+	return prefillTimeAt(u.prefillRate(), tokens)
+}
+
+// prefillTimeAt returns the prefill time at a rate in tokens per millisecond.
+func prefillTimeAt(rate, tokens float64) time.Duration {
+	return time.Duration(tokens / rate * float64(time.Millisecond))
 }
 
 // poolPrefillTime returns the prefill time at the service's average rate; plain services use the initial rate.
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -105,9 +105,42 @@
 	}
 }
 
-// evaluate returns the candidate with its cost.
-func (p *Placer) evaluate(now time.Time, u *upstream, from copySource, r *Request) candidate {
-	c := candidate{up: u, queueDelay: u.queueDelay(now)}
+// prefillPlan is how an engine gets the tokens of a prompt that it does not have cached: which of them it copies, and the prefill of the others.
+type prefillPlan struct {
+	// uncached and rate are the input of the plan: the number of uncached tokens, and the engine's prefill rate in tokens per millisecond.
+	uncached pomelorelay.Tokens
+	rate     float64
+	// copyFrom is the engine from which copiedTokens are copied in copyTime; nil when nothing is copied.
+	copyFrom     *upstream
+	copiedTokens pomelorelay.Tokens
+	copyTime     time.Duration
+	// prefillTokens is the work of the prefill and prefill its time.
+	prefillTokens pomelorelay.Tokens
+	prefill       time.Duration
+	// uncachedShared is the number of shared tokens in the prefill.
+	uncachedShared pomelorelay.Tokens
+	// cost is the sum of the costs of prefill and copy.
+	cost time.Duration
+}
+
+// newPrefillPlan returns the plan for the engine.
+func (p *Placer) newPrefillPlan(u *upstream, from copySource, uncached pomelorelay.Tokens, rate float64, r *Request) prefillPlan {
+	plan := prefillPlan{uncached: uncached, rate: rate}
+	p.planCopy(&plan, u, from)
+	uncached -= plan.copiedTokens
+	plan.prefillTokens = prefillWork(uncached, r.PromptTokens)
+	plan.uncachedShared = max(0, uncached-r.ownTokens())
+	plan.prefill = prefillTimeAt(rate, float64(plan.prefillTokens))
+	plan.cost = scale(prefillWeight, plan.prefill) + scale(copyWeight, plan.copyTime)
+	return plan
+}
+
+// evaluate returns the candidate with its cost, given the plan of its prefill.
+func (p *Placer) evaluate(now time.Time, u *upstream, plan *prefillPlan, r *Request) candidate {
+	c := candidate{
+		up: u, queueDelay: u.queueDelay(now), prefillTokens: plan.prefillTokens, uncachedShared: plan.uncachedShared,
+		copyFrom: plan.copyFrom, copiedTokens: plan.copiedTokens,
+	}
 	c.expectedLatency = c.queueDelay + p.regionLatency(u)
 	disabled := &p.cfg.DisabledMechanisms
 	if u.otherRegion && !disabled.RegionCost {
@@ -122,21 +155,15 @@
 		c.addCost(TermOccupancy, occupancyCost(u))
 		return c
 	}
-	p.evaluateEngine(now, &c, from, r)
+	p.evaluateEngine(now, &c, plan, r)
 	return c
 }
 
-func (p *Placer) evaluateEngine(now time.Time, c *candidate, from copySource, r *Request) {
+func (p *Placer) evaluateEngine(now time.Time, c *candidate, plan *prefillPlan, r *Request) {
 	u, disabled := c.up, &p.cfg.DisabledMechanisms
-	uncached := u.cache.uncached(r)
-	copyTime := p.planCopy(c, from, uncached)
-	uncached -= c.copiedTokens
-	c.prefillTokens = prefillWork(uncached, r.PromptTokens)
-	c.uncachedShared = max(0, uncached-r.ownTokens())
-	prefill := u.prefillTime(float64(c.prefillTokens))
-	c.expectedLatency += prefill + copyTime + u.firstTokenOverhead()
-	c.addCost(TermPrefill, scale(prefillWeight, prefill))
-	c.addCost(TermCopy, scale(copyWeight, copyTime))
+	c.expectedLatency += plan.prefill + plan.copyTime + u.firstTokenOverhead()
+	c.addCost(TermPrefill, scale(prefillWeight, plan.prefill))
+	c.addCost(TermCopy, scale(copyWeight, plan.copyTime))
 	if !disabled.PrefixAffinity {
 		c.addCost(TermAffinity, affinityCost(u, r))
 	}
@@ -145,7 +172,7 @@
 		c.addCost(TermLateness, scale(latenessWeight, max(0, c.expectedLatency-scale(latenessThreshold, r.Target))))
 	}
 	if !disabled.PauseCost {
-		c.addCost(TermPause, u.pauseCost(now, c.queueDelay, prefill))
+		c.addCost(TermPause, u.pauseCost(now, c.queueDelay, plan.prefill))
 	}
 	if !disabled.LongEngines {
 		c.addCost(TermLongEngine, longEngineCost(u, r, c.prefillTokens))
