Control: routers grouped by failure domain

Cause: the relay of a domain was determined by iterating the map of all routers, for each report and summary and seven times in each periodic update (every 50 ms, for the delay of store reads).

Change: the routers are grouped by domain; the groups are built again after a change of the list. BenchmarkReceiveSummary did not apply its summaries, because the sender expired as a relay after 3 s of the benchmark's clock; it now records the sender's messages and fails if a summary is not applied. BenchmarkAdjust measures the periodic update among 90 routers.

The tests of pomeloentry pass.

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -136,10 +136,22 @@
 
 // ReceiveSummary applies a summary from the relay of the failure domain, and returns the number of other routers.
 func (f UpdateControl) ReceiveSummary(now time.Time, from pomelorelay.NodeID, m *pomelorelay.LoadSummary) int {
+	f.RecordMessage(now, from)
 	f.c.receiveSummary(now, pomelorelay.Envelope{From: from, Incarnation: 1, Message: m}, m)
 	return len(f.c.peers.byNode)
 }
 
+// RecordMessage records a message from a router.
+func (f UpdateControl) RecordMessage(now time.Time, from pomelorelay.NodeID) {
+	f.c.peers.recordMessage(now, pomelorelay.Peer{Node: from})
+}
+
+// Adjust runs the periodic updates.
+func (f UpdateControl) Adjust(now time.Time) { f.c.adjust(now) }
+
+// AppliedSummary returns the sequence number of the last summary that was applied.
+func (f UpdateControl) AppliedSummary() uint64 { return f.c.relay.lastSeq }
+
 // Upstreams returns the ids of the known upstreams.
 func (f UpdateControl) Upstreams() []pomelorelay.UpstreamID {
 	return slices.Sorted(maps.Keys(f.c.upstreams.present))
--- a/pomeloentry/load_bench_test.go
+++ b/pomeloentry/load_bench_test.go
@@ -47,6 +47,9 @@
 				}
 				now = now.Add(40 * time.Millisecond)
 				f.ReceiveSummary(now, "a-0", got.(*pomelorelay.LoadSummary))
+				if f.AppliedSummary() != seq {
+					b.Fatalf("summary %d was not applied", seq)
+				}
 			}
 		})
 	}
@@ -65,3 +68,18 @@
 		})
 	}
 }
+
+// BenchmarkAdjust runs the periodic updates of an idle router among 90 others and 90 upstreams.
+func BenchmarkAdjust(b *testing.B) {
+	now := time.Now()
+	peers := peersOf(6, 15)
+	f := pomeloentry.NewUpdateControl("a-1", 4*time.Second, peers)
+	f.Receive(now, "a-0", &pomelorelay.FleetUpdate{Revision: 1, Full: true, Upstreams: manyUpstreams(90), Peers: peers})
+	for b.Loop() {
+		now = now.Add(50 * time.Millisecond)
+		for _, p := range peers {
+			f.RecordMessage(now, p.Node)
+		}
+		f.Adjust(now)
+	}
+}
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -44,6 +44,25 @@
 // arrive; otherwise it would keep an old configuration although its neighbours could send it the new one.
 type peers struct {
 	byNode map[pomelorelay.NodeID]*knownPeer
+	// byDomain holds the same routers by failure domain; nil when it must be built again. The relay of a domain is determined for each report
+	// and several times in each periodic update.
+	byDomain map[pomelorelay.DomainID][]*knownPeer
+}
+
+// inDomain returns the routers of a failure domain, in no particular order.
+func (p *peers) inDomain(domain pomelorelay.DomainID) []*knownPeer {
+	p.groupByDomain()
+	return p.byDomain[domain]
+}
+
+func (p *peers) groupByDomain() {
+	if p.byDomain != nil {
+		return
+	}
+	p.byDomain = make(map[pomelorelay.DomainID][]*knownPeer)
+	for _, known := range p.byNode {
+		p.byDomain[known.Domain] = append(p.byDomain[known.Domain], known)
+	}
 }
 
 func newPeers() peers { return peers{byNode: make(map[pomelorelay.NodeID]*knownPeer)} }
@@ -55,6 +74,7 @@
 		p.byNode[peer.Node] = known
 	}
 	known.Peer, known.registered = peer, true
+	p.byDomain = nil
 }
 
 func (p *peers) unregister(node pomelorelay.NodeID) {
@@ -71,6 +91,10 @@
 	if known == nil {
 		known = &knownPeer{Peer: peer, knownSince: now}
 		p.byNode[peer.Node] = known
+		p.byDomain = nil
+	}
+	if known.Domain == "" && peer.Domain != "" {
+		p.byDomain = nil
 	}
 	if known.Domain == "" {
 		known.Domain, known.Region = peer.Domain, peer.Region
@@ -122,7 +146,7 @@
 	for node, known := range p.byNode {
 		if !known.registered && now.Sub(known.seenAt) > peerSilenceTimeout {
 			delete(p.byNode, node)
-			dropped = true
+			p.byDomain, dropped = nil, true
 		}
 	}
 	return dropped
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -56,8 +56,8 @@
 	if self := c.e.cfg.Settings.Self; self.Domain == domain {
 		best, found = self, true
 	}
-	for _, p := range c.peers.byNode {
-		if p.Domain == domain && p.registered && p.relayEligible(now) && (!found || precedes(p.Peer, best)) {
+	for _, p := range c.peers.inDomain(domain) {
+		if p.registered && p.relayEligible(now) && (!found || precedes(p.Peer, best)) {
 			best, found = p.Peer, true
 		}
 	}
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -401,9 +401,10 @@
 // domains returns the failure domains of this router and of its peers, sorted so that all routers use the same order.
 func (c *control) domains() []pomelorelay.DomainID {
 	all := []pomelorelay.DomainID{c.e.cfg.Settings.Self.Domain}
-	for _, p := range c.peers.byNode {
-		if p.Domain != "" && !slices.Contains(all, p.Domain) {
-			all = append(all, p.Domain)
+	c.peers.groupByDomain()
+	for domain := range c.peers.byDomain {
+		if domain != "" && domain != all[0] {
+			all = append(all, domain)
 		}
 	}
 	slices.Sort(all)
