--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -135,15 +135,26 @@
 	}
 }
 
+// encodeUpstreamLoads allocates all entries at once; each report and summary has up to one for each upstream.
+func encodeUpstreamLoads(loads []pomelorelay.UpstreamLoad) []*pomelowire.UpstreamLoad {
+	if len(loads) == 0 {
+		return nil
+	}
+	entries, w := make([]pomelowire.UpstreamLoad, len(loads)), make([]*pomelowire.UpstreamLoad, len(loads))
+	for i := range loads {
+		u, e := &loads[i], &entries[i]
+		e.Upstream, e.Running = string(u.Upstream), u.Running
+		e.Unread, e.Held, e.Sent = int64(u.PendingPrefill), int64(u.KVTokens), int64(u.PromptTokensSent)
+		e.Expected, e.Took = u.FirstTokenExpected.Milliseconds(), u.FirstTokenMeasured.Milliseconds()
+		e.Requests, e.Announced = u.RequestsSent, encodeAnnounced(u)
+		w[i] = e
+	}
+	return w
+}
+
 func encodeLoad(m *pomelorelay.LoadReport) *pomelowire.LoadReport {
 	w := &pomelowire.LoadReport{Seq: m.Seq, Whole: m.Full, Limited: m.Limited}
-	for _, u := range m.Upstreams {
-		w.Upstreams = append(w.Upstreams, &pomelowire.UpstreamLoad{
-			Upstream: string(u.Upstream), Running: u.Running, Unread: int64(u.PendingPrefill), Held: int64(u.KVTokens), Sent: int64(u.PromptTokensSent),
-			Expected: u.FirstTokenExpected.Milliseconds(), Took: u.FirstTokenMeasured.Milliseconds(),
-			Requests: u.RequestsSent, Announced: encodeAnnounced(&u),
-		})
-	}
+	w.Upstreams = encodeUpstreamLoads(m.Upstreams)
 	for _, a := range m.Accounts {
 		w.Accounts = append(w.Accounts, &pomelowire.AccountUse{Account: string(a.Account), Asked: uint64(a.Requested), Served: uint64(a.Served)})
 	}
