Benchmarks: a request through a whole router, and bounds for placement and control

BenchmarkRequest measures a short request through a router among 90 plain upstreams, on new and on kept connections, with the processor time of the process. bench.sh runs it with BenchmarkPlace, BenchmarkTick, BenchmarkReceiveSummary, BenchmarkAdjust and BenchmarkLine; the bounds are counts of allocations, as for the other benchmarks.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -19,6 +19,9 @@
 run pomelomesh 'LinkMemory' 1x
 run pomeloclaim 'Commit' 100ms
 run pomeloconfig 'Authenticate|Weight' 100ms
+run pomeloplace 'Place/112$|Tick/600$' 100ms
+run pomeloentry 'ReceiveSummary/60$|Adjust|Request' 200ms
+run pomelolog 'Line' 100ms
 run pomeloroute 'AddedLatency|Handler' 200ms
 run pomeloroute 'IdleStream' 1x
 grep '^Benchmark' "$out"
