--- a/pomeloentry/aggregate.go
+++ b/pomeloentry/aggregate.go
@@ -53,6 +53,7 @@
 	}
 	base := s.baseline.upstreams[l.Upstream]
 	l.PromptTokensSent -= base.PromptTokensSent
+	l.RequestsSent -= base.RequestsSent
 	l.FirstTokenExpected -= base.FirstTokenExpected
 	l.FirstTokenMeasured -= base.FirstTokenMeasured
 	return l
@@ -189,6 +190,7 @@
 	sum.PendingPrefill += l.PendingPrefill - before.PendingPrefill
 	sum.KVTokens += l.KVTokens - before.KVTokens
 	sum.PromptTokensSent += l.PromptTokensSent - before.PromptTokensSent
+	sum.RequestsSent += l.RequestsSent - before.RequestsSent
 	sum.FirstTokenExpected += l.FirstTokenExpected - before.FirstTokenExpected
 	sum.FirstTokenMeasured += l.FirstTokenMeasured - before.FirstTokenMeasured
 	sum.changed = true
@@ -267,6 +269,7 @@
 			l.PendingPrefill -= o.PendingPrefill
 			l.KVTokens -= o.KVTokens
 			l.PromptTokensSent -= o.PromptTokensSent
+			l.RequestsSent -= o.RequestsSent
 			l.FirstTokenExpected -= o.FirstTokenExpected
 			l.FirstTokenMeasured -= o.FirstTokenMeasured
 		}
--- a/pomeloentry/aggregate_test.go
+++ b/pomeloentry/aggregate_test.go
@@ -58,6 +58,7 @@
 				l := r.load[id]
 				more := pomelorelay.Tokens(rapid.IntRange(0, 900).Draw(rt, "sent"))
 				l.Upstream, l.Running, l.PromptTokensSent = id, uint32(rapid.IntRange(0, 9).Draw(rt, "running")), l.PromptTokensSent+more
+				l.RequestsSent += uint64(more)
 				l.PendingPrefill, l.KVTokens = pomelorelay.Tokens(l.Running)*100, pomelorelay.Tokens(l.Running)*300
 				r.load[id] = l
 				sum.Add(now, node, r.incarnation, &pomelorelay.LoadReport{Upstreams: []pomelorelay.UpstreamLoad{l}})
@@ -106,19 +107,19 @@
 	load := func(running uint32, sent pomelorelay.Tokens) *pomelorelay.LoadReport {
 		return &pomelorelay.LoadReport{
 			Full:      true,
-			Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: running, PromptTokensSent: sent}},
+			Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: running, PromptTokensSent: sent, RequestsSent: uint64(sent) / 100}},
 			Accounts:  []pomelorelay.AccountUse{{Account: "a", Requested: 2 * pomelorelay.Cost(sent), Served: pomelorelay.Cost(sent)}},
 		}
 	}
 	sum.Add(now, "old", 1, load(5, 1_000_000))
 	sum.Add(now, "old", 1, load(6, 1_000_700))
 	m := sum.Reports(false, "other")["other"]
-	if len(m.Upstreams) != 1 || m.Upstreams[0].Running != 6 || m.Upstreams[0].PromptTokensSent != 700 || m.Accounts[0].Requested != 1400 || m.Accounts[0].Served != 700 {
+	if len(m.Upstreams) != 1 || m.Upstreams[0].Running != 6 || m.Upstreams[0].PromptTokensSent != 700 || m.Upstreams[0].RequestsSent != 7 || m.Accounts[0].Requested != 1400 || m.Accounts[0].Served != 700 {
 		t.Errorf("after a router's first two reports: %s", fmt.Sprint(m.Upstreams, m.Accounts))
 	}
 	sum.RemoveSilent(now.Add(4*time.Second), 3*time.Second)
 	m = sum.Reports(false, "other")["other"]
-	if len(m.Upstreams) != 1 || m.Upstreams[0].Running != 0 || m.Upstreams[0].PromptTokensSent != 700 {
+	if len(m.Upstreams) != 1 || m.Upstreams[0].Running != 0 || m.Upstreams[0].PromptTokensSent != 700 || m.Upstreams[0].RequestsSent != 7 {
 		t.Errorf("after the silent router was removed: %v", m.Upstreams)
 	}
 }
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -88,6 +88,7 @@
 // apply ends a run. The cost of a request that did not run is returned to its account: otherwise, while upstreams are down, an
 // account whose requests are sent to them would use up its share without being served, and its other requests would be refused.
 func (e *runEnded) apply(c *control, now time.Time) {
+	c.placer.RecordEvents(e.run, e.end.Events)
 	c.placer.RecordEnd(now, e.run, e.end.Result)
 	if e.end.Answered {
 		c.recordSignOfLife(now, e.upstream.Process())
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -129,8 +129,9 @@
 	c.mayHaveRun = true
 	end := RunEnd{Result: pomeloplace.ResultCancelled}
 	defer func() { reservation.Done(end) }()
+	c.eventsRead = 0
 	answer, f := c.exchange(ctx, up, reservation)
-	end.Result = resultOf(ctx, f)
+	end.Result, end.Events = resultOf(ctx, f), c.eventsRead
 	if f == nil {
 		end = c.answerEnd(answer)
 		return nil
@@ -167,7 +168,7 @@
 
 // answerEnd returns the end of an attempt whose complete answer was forwarded.
 func (c *call) answerEnd(resp *http.Response) RunEnd {
-	end := RunEnd{Result: c.answerResult()}
+	end := RunEnd{Result: c.answerResult(), Events: c.eventsRead}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return end
 	}
@@ -293,6 +294,7 @@
 		Stream:  c.streamProgress(),
 		Request: pomeloplace.Request{
 			Service:      c.service,
+			Route:        c.route.Name,
 			PromptTokens: c.fields.PromptTokens,
 			OutputTokens: expectedOutput(c.fields),
 			Parts:        c.fields.PromptParts,
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -57,8 +57,10 @@
 	answerBeganAt time.Time
 	lastEventAt   time.Time
 	longestPause  time.Duration
-	decision      pomeloplace.Decision
-	status        int
+	// eventsRead is the number of stream events that the upstream of the last attempt sent.
+	eventsRead int
+	decision   pomeloplace.Decision
+	status     int
 }
 
 func newCall(h *Handler, w http.ResponseWriter, r *http.Request) *call {
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -86,6 +86,8 @@
 	Result pomeloplace.Result
 	// Answered is set if the upstream answered with success, and the answer itself showed that it was complete.
 	Answered bool
+	// Events is the number of stream events that the upstream sent.
+	Events int
 }
 
 // BrokenRun is a run during which the upstream's process may have ended.
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -130,6 +130,8 @@
 	broken, crashReports, undelimited []pomeloforward.BrokenRun
 	// answered counts the runs that ended with an answer, lasting those whose answer lasted.
 	answered, lasting int
+	// events holds the number of events of each run.
+	events []int
 }
 
 var routes = []pomelorelay.Route{
@@ -205,6 +207,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.results = append(h.results, end.Result)
+	h.events = append(h.events, end.Events)
 	if end.Answered {
 		h.answered++
 	}
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -25,6 +25,7 @@
 		if err != nil {
 			return c.endStream(x, &events, !begunAt.IsZero(), err)
 		}
+		c.eventsRead = n
 		if begunAt.IsZero() {
 			begunAt = c.h.cfg.Clock.Now()
 			c.version, c.versionFixed = c.decision.Upstream.Version, true
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloroom"
 )
 
 // BoundRecompute limits the cached tokens prefilled again when a flood of sessions finds its engines busy, BoundSlots the requests running at an
@@ -24,11 +25,6 @@
 	// onTimeFraction is the fraction of the latency target within which the answer must be expected to begin; the remainder absorbs requests of
 	// other routers that are not reported yet.
 	onTimeFraction = 0.85
-	// An engine with n slots reserves slotReserveFactor times the square root of n for in-share requests, but at most maxReserveFraction of
-	// them, since a small engine would reserve nearly all. The number of unreported requests of other routers varies by about that root; without
-	// the reserve, in-share requests would find engines full of over-share requests.
-	slotReserveFactor  = 3.0
-	maxReserveFraction = 0.4
 	// yieldedSlotFraction times Request.LeadOverLeastServed is the fraction of an engine's slots that an account leaves free while it is ahead of
 	// an account that is far short of its demand; maxYieldedSlotFraction is the maximum of that fraction.
 	yieldedSlotFraction    = 0.1
@@ -76,6 +72,7 @@
 	reason     Reason
 	bound      Bound
 	retryAfter time.Duration
+	reserve    pomeloroom.Outcome
 }
 
 // allowance is the part of an upstream that a request may use.
@@ -83,15 +80,25 @@
 	maxRunning    int
 	maxQueueDelay time.Duration
 	reason        Reason
+	// measured is set if the measured reserve applies. From fixedLimit running requests on, a request must then also leave room for unreported
+	// requests (see leavesRoom).
+	measured   bool
+	fixedLimit int
+	// inShareQueueDelay is the longest queue delay of in-share requests.
+	inShareQueueDelay time.Duration
+	reserve           pomeloroom.Outcome
 }
 
-func (p *Placer) allowance(u *upstream, r *Request) allowance {
+func (p *Placer) allowance(now time.Time, u *upstream, r *Request) allowance {
 	disabled, target := &p.cfg.DisabledMechanisms, r.Target
 	if !disabled.SharedTarget {
 		target = minNonZero(u.pool.target, r.Target)
 	}
 	slots := u.slots()
-	a := allowance{maxRunning: slots, maxQueueDelay: scale(inShareQueueFraction, target), reason: ReasonTooLate}
+	a := allowance{
+		maxRunning: slots, maxQueueDelay: scale(inShareQueueFraction, target), reason: ReasonTooLate,
+		inShareQueueDelay: scale(inShareQueueFraction, target),
+	}
 	if r.LeadOverLeastServed > 1 && !disabled.AheadLimits {
 		reserve := min(yieldedSlotFraction*r.LeadOverLeastServed, maxYieldedSlotFraction)
 		a.maxRunning = max(1, slots-int(math.Ceil(reserve*float64(slots))))
@@ -101,8 +108,8 @@
 	}
 	a.reason = ReasonOverShare
 	if !disabled.SlotReserve {
-		reserve := min(slotReserveFactor*math.Sqrt(float64(slots)), maxReserveFraction*float64(slots))
-		a.maxRunning = max(1, int(float64(slots)-reserve))
+		// Without the reserve, in-share requests would find engines full of over-share requests.
+		p.applyReserve(now, u, r, &a)
 	}
 	if !disabled.OverShareQueue {
 		a.maxQueueDelay = scale(overShareQueueFraction, target)
@@ -116,25 +123,27 @@
 }
 
 // admit decides whether the request may be sent to its best candidate.
-func (p *Placer) admit(c candidate, r *Request) admission {
-	a := p.allowance(c.up, r)
-	bound := p.exceededBound(c, r, a)
+func (p *Placer) admit(now time.Time, c candidate, r *Request) admission {
+	a := p.allowance(now, c.up, r)
+	bound := p.exceededBound(now, c, r, a)
 	if bound == BoundNone {
-		return admission{}
+		return admission{reserve: a.reserve}
 	}
 	// The request is admissible once the queue delay and the expected latency have both dropped to their limits.
 	wait := max(c.queueDelay-a.maxQueueDelay, c.expectedLatency-scale(onTimeFraction, r.Target))
-	return admission{reason: a.reason, bound: bound, retryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
+	return admission{reason: a.reason, bound: bound, retryAfter: min(max(wait, minRetryAfter), maxRetryAfter), reserve: a.reserve}
 }
 
 // exceededBound returns the limit that the request exceeds at the candidate, or BoundNone.
-func (p *Placer) exceededBound(c candidate, r *Request, a allowance) Bound {
+func (p *Placer) exceededBound(now time.Time, c candidate, r *Request, a allowance) Bound {
 	ownTime := c.expectedLatency - c.queueDelay
 	switch {
 	case !r.WithinShare && c.recomputed > maxRecomputeTokens && !p.cfg.DisabledMechanisms.RecomputeLimit:
 		return BoundRecompute
 	case c.up.engine != nil && c.up.running() >= a.maxRunning:
 		return BoundSlots
+	case a.measured && c.up.running() >= a.fixedLimit && !p.leavesRoom(now, c, r, a):
+		return BoundSlots
 	case c.queueDelay > a.maxQueueDelay:
 		return BoundQueue
 	case c.expectedLatency <= scale(onTimeFraction, r.Target):
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloroom"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
 )
 
@@ -21,6 +22,7 @@
 // Request describes a request to be placed.
 type Request struct {
 	Service pomelorelay.ServiceID
+	Route   pomelorelay.RouteID
 	// PromptTokens is the length of the prompt.
 	PromptTokens pomelorelay.Tokens
 	// OutputTokens is the expected length of the answer.
@@ -124,6 +126,8 @@
 	ReportAge time.Duration
 	// ListAge is the time since upstreams were last listed from the platform's store.
 	ListAge time.Duration
+	// Reserve is the slot reserve that applied to the request; zero for requests within their share and for large engines.
+	Reserve pomeloroom.Outcome
 	// Share is the state of the account's fair share at the time of the decision.
 	Share ShareState
 }
@@ -150,8 +154,15 @@
 	// prefill speed.
 	waitedForSlot bool
 	memoryTokens  pomelorelay.Tokens
-	started       bool
-	ended         bool
+	// plan and expected describe the run as it was sent; expected is zero while the slot time is unknown. expectedEnd moves with the start of the
+	// answer.
+	plan        pomeloroom.Plan
+	expected    time.Duration
+	expectedEnd time.Time
+	// events is the number of events of a stream.
+	events  int
+	started bool
+	ended   bool
 }
 
 // Result is the outcome of a run.
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloroom"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,6 +109,11 @@
 	longEngines         int
 	longEnginesNeededAt time.Time
 	speedFactors        []float64
+	// slotTime is the learnt duration of runs; nil if the mechanism is disabled. inShare is the fraction of this router's sends that are within their
+	// accounts' shares, sendTokens their mean prefill work in tokens; inShareRefused is the fraction of in-share requests that found no slot.
+	slotTime            *pomeloroom.SlotTime
+	inShare, sendTokens *pomelospeed.DecayingRatio
+	inShareRefused      *pomelospeed.DecayingRatio
 	// unreportedRouters is the number of registered routers that have not yet sent a load report.
 	unreportedRouters int
 	// reportedAnswers is the number of answers included in the last speed report.
@@ -115,7 +121,10 @@
 }
 
 func newPool() *pool {
-	return &pool{speed: pomelospeed.NewFirstTokenModel(initialPrefillRate), pauseRatio: pomelospeed.NewPauseRatio(), copyRatio: pomelospeed.NewCopyTimeRatio()}
+	return &pool{
+		inShare: newSendRatio(1), sendTokens: newSendRatio(0), inShareRefused: newSendRatio(0),
+		speed: pomelospeed.NewFirstTokenModel(initialPrefillRate), pauseRatio: pomelospeed.NewPauseRatio(), copyRatio: pomelospeed.NewCopyTimeRatio(),
+	}
 }
 
 // refreshEstimates updates pauseWeight and copyFraction. Placement calls it once per request, so that all candidates are compared by the same
--- a/pomeloplace/mechanism.go
+++ b/pomeloplace/mechanism.go
@@ -32,6 +32,10 @@
 	UnreportedRouterLoad bool
 	// SlotReserve disables the slots reserved for requests within their account's share.
 	SlotReserve bool
+	// MeasuredReserve disables the measured slot reserve of small engines, which then have the fixed one.
+	MeasuredReserve bool
+	// SlotTime disables the learnt time until a slot of a small engine becomes free.
+	SlotTime bool
 	// OverShareQueue disables the shorter queue limit for requests beyond their account's share.
 	OverShareQueue bool
 	// AheadLimits disables the stricter limits for accounts with high usage while another account is short of its demand.
@@ -61,6 +65,8 @@
 	{"DomainRests", func(m *Mechanisms) *bool { return &m.DomainBackoff }},
 	{"Unreported", func(m *Mechanisms) *bool { return &m.UnreportedRouterLoad }},
 	{"SlotReserve", func(m *Mechanisms) *bool { return &m.SlotReserve }},
+	{"MeasuredReserve", func(m *Mechanisms) *bool { return &m.MeasuredReserve }},
+	{"SlotTime", func(m *Mechanisms) *bool { return &m.SlotTime }},
 	{"FreeQueue", func(m *Mechanisms) *bool { return &m.OverShareQueue }},
 	{"Ahead", func(m *Mechanisms) *bool { return &m.AheadLimits }},
 	{"SharedTarget", func(m *Mechanisms) *bool { return &m.SharedTarget }},
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -21,10 +21,14 @@
 
 const maxPause = 400 * time.Millisecond
 
-func newPlacer() *pomeloplace.Placer {
+func newPlacer() *pomeloplace.Placer { return newPlacerWithout(pomeloplace.Mechanisms{}) }
+
+// newPlacerWithout returns a placer with the mechanisms disabled.
+func newPlacerWithout(disabled pomeloplace.Mechanisms) *pomeloplace.Placer {
 	p := pomeloplace.New(pomeloplace.Config{
-		Self:    pomelorelay.Peer{Node: "r1", Domain: "a", Region: "ra"},
-		Regions: map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra", "b": "rb"},
+		DisabledMechanisms: disabled,
+		Self:               pomelorelay.Peer{Node: "r1", Domain: "a", Region: "ra"},
+		Regions:            map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra", "b": "rb"},
 	})
 	p.SetConfig(&pomelorelay.FleetConfig{Routes: routes, Services: []pomelorelay.ServiceSpec{
 		{Name: engines, Engine: &pomelorelay.EngineSpec{Slots: 64, KVCapacity: 500_000, TokensPerEvent: 7}},
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloroom"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
 	"github.com/pomelorelay/pomelorelay/pomelowarmup"
 )
@@ -34,6 +35,8 @@
 	// tokensSinceReport is the number of prompt tokens sent since the last report.
 	tokensSinceReport pomelorelay.Tokens
 	seq               uint64
+	// reportAges averages the ages of the other routers' reports.
+	reportAges reportAges
 	// regionLatencies holds the learnt additional round-trip time to other regions.
 	regionLatencies map[pomelorelay.RegionID]time.Duration
 	// targets holds the latency targets of each service.
@@ -121,6 +124,9 @@
 	s := p.pools[info.Service]
 	if s == nil {
 		s = newPool()
+		if !p.cfg.DisabledMechanisms.SlotTime {
+			s.slotTime = pomeloroom.NewSlotTime()
+		}
 		s.latencyTargets = p.targets[info.Service]
 		p.pools[info.Service] = s
 	}
@@ -192,6 +198,10 @@
 	if best.copyFrom != nil {
 		d.CopyFrom, d.CopiedTokens = best.copyFrom.info, best.copiedTokens
 	}
+	d.Reserve = outcome.reserve
+	if r.WithinShare && best.up.small() {
+		best.up.recordInShare(now, outcome.bound)
+	}
 	if outcome.bound != BoundNone {
 		d.Reason, d.Bound, d.RetryAfter = outcome.reason, outcome.bound, outcome.retryAfter
 		return d
@@ -286,12 +296,12 @@
 	best, found := p.bestCandidate(now, r, pomelowarmup.AdmissionOpen)
 	var outcome admission
 	if found {
-		if outcome = p.admit(best, r); outcome.bound == BoundNone {
+		if outcome = p.admit(now, best, r); outcome.bound == BoundNone {
 			return best, outcome, true
 		}
 	}
 	if cold, ok := p.bestCandidate(now, r, pomelowarmup.AdmissionFallback); ok {
-		if admitted := p.admit(cold, r); admitted.bound == BoundNone || !found {
+		if admitted := p.admit(now, cold, r); admitted.bound == BoundNone || !found {
 			return cold, admitted, true
 		}
 	}
@@ -332,6 +342,7 @@
 	u.domain.recordSend(now)
 	run := &Run{up: u, sent: now, prefillTokens: c.prefillTokens, copiedTokens: c.copiedTokens, memoryTokens: r.PromptTokens + r.OutputTokens}
 	u.own.running++
+	u.own.requests++
 	u.changed = true
 	if u.engine == nil {
 		return run
@@ -341,6 +352,7 @@
 	u.own.memoryTokens += run.memoryTokens
 	u.own.sent += run.prefillTokens
 	p.tokensSinceReport += run.prefillTokens
+	u.trackRun(now, run, c, r)
 	u.enqueue(now, run.prefillTokens*pomelorelay.Tokens(1+u.pool.unreportedRouters))
 	u.noteLongPrefill(now)
 	u.pool.work.addOwn(now, run.prefillTokens, u.pool.isLong(run.prefillTokens))
@@ -367,6 +379,7 @@
 	}
 	run.started = true
 	u := run.up
+	run.expectedEnd = run.expectedEnd.Add(now.Sub(run.sent) - run.plan.FirstToken)
 	p.recordAnswer(now, run)
 	u.own.pendingPrefill -= run.prefillTokens
 	u.changed = true
@@ -385,6 +398,7 @@
 			u.own.pendingPrefill -= run.prefillTokens
 		}
 		u.own.memoryTokens -= run.memoryTokens
+		u.endRun(now, run, result)
 	}
 	u.own.running--
 	if run.started && u.engine != nil && result.Answered() && u.longPrefillAt.After(run.sent) {
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloroom"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
 )
 
@@ -11,8 +12,13 @@
 type peer struct {
 	incarnation pomelorelay.Incarnation
 	seenAt      time.Time
-	loads       map[pomelorelay.UpstreamID]load
-	speeds      map[pomelorelay.ServiceID]pomelorelay.SpeedSums
+	// complete is set after a report of the full state: an upstream that appears later counts from zero.
+	complete bool
+	// sends is the rate of the router's requests to small engines, weight the weight of its report in the mean age.
+	sends  pomeloroom.Rate
+	weight float64
+	loads  map[pomelorelay.UpstreamID]load
+	speeds map[pomelorelay.ServiceID]pomelorelay.SpeedSums
 }
 
 // FillReport adds this router's load to a load report: changes since the last report, or the full state if Full is set.
@@ -38,6 +44,7 @@
 			m.Upstreams = append(m.Upstreams, pomelorelay.UpstreamLoad{
 				Upstream: u.info.ID, Running: uint32(max(0, u.own.running)), PendingPrefill: max(0, u.own.pendingPrefill), KVTokens: max(0, u.own.memoryTokens), PromptTokensSent: u.own.sent,
 				FirstTokenExpected: u.own.expectedSum, FirstTokenMeasured: u.own.measuredSum,
+				RequestsSent: u.own.requests,
 			})
 		}
 	}
@@ -76,6 +83,7 @@
 		o = &peer{incarnation: incarnation, loads: make(map[pomelorelay.UpstreamID]load), speeds: make(map[pomelorelay.ServiceID]pomelorelay.SpeedSums)}
 		p.peers[from] = o
 	}
+	p.reportAges.move(o, now)
 	o.seenAt = now
 	p.applySpeeds(now, o, m.Speeds)
 	p.applyStarts(now, m.Starts)
@@ -90,6 +98,7 @@
 	if m.Full {
 		p.clearUnlistedLoads(now, o, m)
 	}
+	o.complete = o.complete || m.Full
 }
 
 // applyParts records the prompt parts used by another router's requests and returns the tokens that each upstream had to prefill for them.
@@ -117,7 +126,7 @@
 	}
 	for id, l := range o.loads {
 		if !listed[id] && l.running != 0 {
-			p.applyLoad(now, o, pomelorelay.UpstreamLoad{Upstream: id, PromptTokensSent: l.sent, FirstTokenExpected: l.expectedSum, FirstTokenMeasured: l.measuredSum})
+			p.applyLoad(now, o, pomelorelay.UpstreamLoad{Upstream: id, PromptTokensSent: l.sent, FirstTokenExpected: l.expectedSum, FirstTokenMeasured: l.measuredSum, RequestsSent: l.requests})
 		}
 	}
 }
@@ -146,7 +155,7 @@
 }
 
 func (p *Placer) applyLoad(now time.Time, o *peer, l pomelorelay.UpstreamLoad) {
-	next := load{running: int(l.Running), pendingPrefill: l.PendingPrefill, memoryTokens: l.KVTokens, sent: l.PromptTokensSent, expectedSum: l.FirstTokenExpected, measuredSum: l.FirstTokenMeasured}
+	next := load{running: int(l.Running), pendingPrefill: l.PendingPrefill, memoryTokens: l.KVTokens, sent: l.PromptTokensSent, expectedSum: l.FirstTokenExpected, measuredSum: l.FirstTokenMeasured, requests: l.RequestsSent}
 	before, known := o.loads[l.Upstream]
 	o.loads[l.Upstream] = next
 	u := p.lookUp(l.Upstream)
@@ -156,6 +165,9 @@
 	u.others.running += next.running - before.running
 	u.others.pendingPrefill += next.pendingPrefill - before.pendingPrefill
 	u.others.memoryTokens += next.memoryTokens - before.memoryTokens
+	if u.small() {
+		recordReported(now, o, u, before, next, known || o.complete)
+	}
 	if known && next.expectedSum > before.expectedSum {
 		u.speedFactor.Observe(now, next.measuredSum-before.measuredSum, next.expectedSum-before.expectedSum)
 	}
@@ -187,11 +199,13 @@
 		s.assignLongEngines(now, &p.cfg.DisabledMechanisms)
 	}
 	p.oldestReportAt = time.Time{}
+	p.reportAges = reportAges{base: now}
 	for node, o := range p.peers {
 		if now.Sub(o.seenAt) > PeerTimeout {
 			p.forgetRouter(node)
 			continue
 		}
+		p.reportAges.add(now, o)
 		if p.oldestReportAt.IsZero() || o.seenAt.Before(p.oldestReportAt) {
 			p.oldestReportAt = o.seenAt
 		}
--- a/pomeloplace/simulation_test.go
+++ b/pomeloplace/simulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -62,6 +63,16 @@
 	// unreported during it.
 	reportBlackout  time.Duration
 	unreportedKnown bool
+	// maxExtraDelay is the largest additional delay of reports, which differs between routers. prefillRate is the prefill rate in tokens per ms.
+	maxExtraDelay time.Duration
+	prefillRate   float64
+	// targets replaces the targets of the kinds of request; estimateSigma is the spread of estimated output lengths around the actual ones.
+	targets       []time.Duration
+	estimateSigma float64
+	// account assigns the request with the hash to an account; nil by default.
+	account func(own uint64)
+	// onEnd is called for each answer that ends; nil by default.
+	onEnd func(j *job, late bool, result pomeloplace.Result)
 	// sessionFactor multiplies the number of sessions.
 	sessionFactor uint64
 	// overShare is the fraction of requests beyond their account's share.
@@ -91,7 +102,7 @@
 
 func newSimulation(seed uint64, routers, engineCount int) *simulation {
 	s := &simulation{
-		random: rand.New(rand.NewPCG(seed, 1)), now: start, slots: 64, eventTokens: 7, reportDelay: 12 * time.Millisecond, sessionFactor: 1,
+		random: rand.New(rand.NewPCG(seed, 1)), now: start, slots: 64, eventTokens: 7, reportDelay: 12 * time.Millisecond, sessionFactor: 1, prefillRate: prefillPerMS,
 		engines: make(map[pomelorelay.UpstreamID]*simEngine), cached: make(map[pomelorelay.UpstreamID]map[uint64]bool),
 		choose: func(s *simulation, router int, r pomeloplace.Request) pomeloplace.Decision {
 			return s.routers[router].Place(s.now, r)
@@ -114,22 +125,30 @@
 
 // randomRequest returns a long draft in a shared session, a short question, or a tagging request with an answer of a few tokens.
 func (s *simulation) randomRequest() (pomeloplace.Request, int) {
-	kind := s.random.Float64()
+	kind, route := s.random.Float64(), 0
 	own, shared, sessions, output, target := 0.0, pomelorelay.Tokens(0), uint64(0), 0.0, 400*time.Millisecond
 	switch {
 	case kind < 0.21:
 		own, shared, sessions, output, target = s.logNormal(6610, 1.4, 54600), 5400, 75, s.logNormal(385, 0.44, 1120), 600*time.Millisecond
 	case kind < 0.65:
+		route = 1
 		own, shared, sessions, output = s.logNormal(628, 1, 3310), 200, 360, s.logNormal(294, 0.69, 950)
 	default:
+		route = 2
 		own, shared, sessions, output = s.logNormal(1800, 1.3, 6870), 570, 192, s.logNormal(21, 1.4, 90)
 	}
 	session := uint64(shared)<<32 | s.random.Uint64N(sessions*s.sessionFactor) + 1
 	r := pomeloplace.Request{
-		Service: engines, PromptTokens: shared + pomelorelay.Tokens(own) + 1, OutputTokens: pomelorelay.Tokens(output) + 1, WithinShare: true,
+		Service: engines, Route: pomelorelay.RouteID(fmt.Sprint(route)), PromptTokens: shared + pomelorelay.Tokens(own) + 1, OutputTokens: pomelorelay.Tokens(output) + 1, WithinShare: true,
 		Parts:  []pomelorelay.PromptPart{{Hash: session, Tokens: shared}, {Hash: s.random.Uint64(), Tokens: pomelorelay.Tokens(own) + 1}},
 		Target: target, MaxWait: 10 * time.Second,
 	}
+	if s.targets != nil {
+		r.Target = s.targets[route]
+	}
+	if s.estimateSigma > 0 {
+		r.OutputTokens = pomelorelay.Tokens((output+float64(s.eventTokens))*math.Exp(s.estimateSigma*s.random.NormFloat64())) + 1
+	}
 	return r, int(output) + s.eventTokens
 }
 
@@ -159,6 +178,9 @@
 	r, output := s.randomRequest()
 	r.WithinShare = s.random.Float64() >= s.overShare
 	s.requested++
+	if s.account != nil {
+		s.account(r.Parts[1].Hash)
+	}
 	if r.WithinShare {
 		s.inShareRequested++
 	}
@@ -220,7 +242,8 @@
 		m := &pomelorelay.LoadReport{Full: full}
 		router.FillReport(m)
 		router.Tick(s.now)
-		s.inTransit = append(s.inTransit, reportInTransit{arrivesAt: s.now.Add(s.reportDelay), from: i, m: m})
+		extra := s.maxExtraDelay * time.Duration(i) / time.Duration(len(s.routers))
+		s.inTransit = append(s.inTransit, reportInTransit{arrivesAt: s.now.Add(s.reportDelay + extra), from: i, m: m})
 	}
 }
 
@@ -236,6 +259,7 @@
 	for _, router := range s.routers {
 		router.SetUnreportedRouters(0)
 	}
+	slices.SortStableFunc(s.inTransit, func(a, b reportInTransit) int { return a.arrivesAt.Compare(b.arrivesAt) })
 	for len(s.inTransit) > 0 && !s.inTransit[0].arrivesAt.After(s.now) {
 		delivered := s.inTransit[0]
 		s.inTransit = s.inTransit[1:]
@@ -270,7 +294,7 @@
 		if j.uncached > 0 {
 			n := min(budget, j.uncached)
 			budget -= n
-			ms += n/prefillPerMS + n*j.prefilled/attentionPairsPerMS
+			ms += n/s.prefillRate + n*j.prefilled/attentionPairsPerMS
 			j.uncached -= n
 			j.prefilled += n
 			if j.uncached > 0 {
@@ -305,6 +329,7 @@
 	if j.longestPause > maxPause {
 		result = pomeloplace.ResultLongPause
 	}
+	router.RecordEvents(j.run, (j.output+s.eventTokens-1)/s.eventTokens)
 	router.RecordEnd(e.nextStepAt, j.run, result)
 	if j.firstToken <= j.request.Target && result == pomeloplace.ResultCompleted {
 		s.onTime++
@@ -318,6 +343,9 @@
 	if j.firstToken > j.request.Target {
 		s.lateFirstTokens++
 	}
+	if s.onEnd != nil {
+		s.onEnd(j, j.firstToken > j.request.Target, result)
+	}
 	for i, o := range e.running {
 		if o == j {
 			e.running = append(e.running[:i], e.running[i+1:]...)
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloroom"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
 	"github.com/pomelorelay/pomelorelay/pomelowarmup"
 
@@ -17,6 +18,7 @@
 	pendingPrefill pomelorelay.Tokens
 	memoryTokens   pomelorelay.Tokens
 	sent           pomelorelay.Tokens
+	requests       uint64
 	// expectedSum and measuredSum are the sums of the expected and measured times to first token.
 	expectedSum, measuredSum time.Duration
 }
@@ -53,6 +55,9 @@
 	// serviceTime is the moving average of the time of a request to a plain upstream.
 	serviceTime time.Duration
 	cache       prefixCache
+	// reserve measures the slots that requests take and leave; runs holds this router's runs. Both are kept for small engines only.
+	reserve pomeloroom.Reserve
+	runs    []*Run
 	// failureRate is the moving failure rate at failureRateAt; it decays over time.
 	failureRate   float64
 	failureRateAt time.Time
@@ -126,7 +131,7 @@
 	}
 	wait := u.prefillTime(u.queuedTokens(now))
 	if excess := u.running() - u.slots() + 1; excess > 0 {
-		wait += time.Duration(excess) * slotFreeInterval
+		wait += time.Duration(excess) * u.slotInterval(now)
 	}
 	return wait
 }
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -73,7 +73,7 @@
 	initialRegionLatency = 20 * time.Millisecond
 	// regionLatencyAlpha is the weight of a new sample in the moving average; times to first token vary much more than the round trip.
 	regionLatencyAlpha = 0.005
-	// slotFreeInterval is the approximate time until one of an engine's slots becomes free: runs take seconds, and an
+	// slotFreeInterval is the approximate time until one of an engine's slots becomes free where it is not learnt: runs take seconds, and a large
 	// engine has dozens of slots.
 	slotFreeInterval = 80 * time.Millisecond
 )
@@ -151,7 +151,7 @@
 		c.addCost(TermLongEngine, longEngineCost(u, r, c.prefillTokens))
 	}
 	if u.memoryFull(r.PromptTokens + r.OutputTokens) {
-		c.expectedLatency += slotFreeInterval
+		c.expectedLatency += u.slotInterval(now)
 		c.addCost(TermMemory, failureCost)
 	}
 }
