--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -162,6 +162,14 @@
 		m.SetGauge("first_token_overhead_ms_"+string(s.Service), float64(s.FirstTokenOverhead.Milliseconds()))
 		c.logSpeed(s)
 	}
+	for _, s := range c.placer.SlotTimes(c.now()) {
+		m.SetGauge("slot_time_median_error_"+string(s.Service), s.MedianError)
+		m.SetGauge("slot_time_p90_error_"+string(s.Service), s.P90Error)
+		m.SetGauge("slot_time_remaining_ms_"+string(s.Service), float64(s.MeanRemaining.Milliseconds()))
+		m.SetGauge("reserve_slots_"+string(s.Service), s.Reserve)
+		m.SetGauge("reserve_sends_per_second_"+string(s.Service), s.SendsPerSecond)
+		m.SetGauge("reserve_report_age_seconds_"+string(s.Service), s.ReportAge.Seconds())
+	}
 }
 
 // speedLogRatio is the factor by which a prefill speed must change to be logged again.
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -156,6 +156,16 @@
 		pomelorelay.Field{Key: "Served", Value: int64(d.Share.Served)},
 		pomelorelay.Field{Key: "Level", Value: int64(d.Share.FairShare)},
 	)
+	if d.Reserve.Slots > 0 {
+		all = append(all,
+			pomelorelay.Field{Key: "Reserve", Value: d.Reserve.Slots},
+			pomelorelay.Field{Key: "ReserveSends", Value: d.Reserve.SendsPerSecond},
+			pomelorelay.Field{Key: "ReserveUnseen", Value: d.Reserve.Unseen},
+			pomelorelay.Field{Key: "ReserveUpcoming", Value: d.Reserve.Upcoming},
+			pomelorelay.Field{Key: "ReserveGrowth", Value: d.Reserve.Growth},
+			pomelorelay.Field{Key: "ReserveAgeMS", Value: d.Reserve.ReportAge.Milliseconds()},
+		)
+	}
 	if c.retryDenied {
 		all = append(all, pomelorelay.Field{Key: "RetryDenied", Value: true})
 	}
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -213,6 +213,12 @@
 	}
 }
 
+func (h *harness) eventsOf(i int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.events[i]
+}
+
 func (h *harness) result(i int) pomeloplace.Result {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/pomeloforward/stream_test.go
+++ b/pomeloforward/stream_test.go
@@ -13,10 +13,15 @@
 
 func TestStreamForwardsEachEventOnce(t *testing.T) {
 	u := newUpstream(t, stream(1, 2, 2, 3))
-	got := newHarness(t, u.entry("u")).call("POST", "/draft/", "x")
+	h := newHarness(t, u.entry("u"))
+	got := h.call("POST", "/draft/", "x")
 	if want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"; got.body != want || got.bodyErr != nil {
 		t.Fatalf("answer %+v, want each event once and a complete stream", got)
 	}
+	// The slot time is learnt from the events; an attempt that reports none is not learnt from.
+	if got := h.eventsOf(0); got != 4 {
+		t.Errorf("%d events reported, want the 4 that the upstream sent", got)
+	}
 }
 
 // Guards against a stream with a gap or a cut that ends as if complete: the caller would take a part for the whole answer.
--- a/pomeloplace/room.go
+++ b/pomeloplace/room.go
@@ -193,11 +193,14 @@
 func (p *Placer) SlotTimes(now time.Time) []SlotTime {
 	var all []SlotTime
 	for name, s := range p.pools {
-		if s.slotTime == nil || len(s.upstreams) == 0 || !s.upstreams[0].small() {
+		if len(s.upstreams) == 0 || !s.upstreams[0].small() {
 			continue
 		}
-		t := SlotTime{Service: name, MeanRemaining: s.slotTime.MeanRemaining(), ReportAge: p.reportAges.mean(now)}
-		t.MedianError, t.P90Error, _ = s.slotTime.Errors()
+		t := SlotTime{Service: name, ReportAge: p.reportAges.mean(now)}
+		if s.slotTime != nil {
+			t.MeanRemaining = s.slotTime.MeanRemaining()
+			t.MedianError, t.P90Error, _ = s.slotTime.Errors()
+		}
 		for _, u := range s.upstreams {
 			r := p.computeReserve(now, u)
 			t.SendsPerSecond += r.SendsPerSecond / float64(len(s.upstreams))
--- a/pomeloplace/simulation_test.go
+++ b/pomeloplace/simulation_test.go
@@ -66,6 +66,7 @@
 	// maxExtraDelay is the largest additional delay of reports, which differs between routers. prefillRate is the prefill rate in tokens per ms.
 	maxExtraDelay time.Duration
 	prefillRate   float64
+	maxPause      time.Duration
 	// targets replaces the targets of the kinds of request; estimateSigma is the spread of estimated output lengths around the actual ones.
 	targets       []time.Duration
 	estimateSigma float64
@@ -102,7 +103,7 @@
 
 func newSimulation(seed uint64, routers, engineCount int) *simulation {
 	s := &simulation{
-		random: rand.New(rand.NewPCG(seed, 1)), now: start, slots: 64, eventTokens: 7, reportDelay: 12 * time.Millisecond, sessionFactor: 1, prefillRate: prefillPerMS,
+		random: rand.New(rand.NewPCG(seed, 1)), now: start, slots: 64, eventTokens: 7, reportDelay: 12 * time.Millisecond, sessionFactor: 1, prefillRate: prefillPerMS, maxPause: maxPause,
 		engines: make(map[pomelorelay.UpstreamID]*simEngine), cached: make(map[pomelorelay.UpstreamID]map[uint64]bool),
 		choose: func(s *simulation, router int, r pomeloplace.Request) pomeloplace.Decision {
 			return s.routers[router].Place(s.now, r)
@@ -326,7 +327,7 @@
 		return
 	}
 	result := pomeloplace.ResultCompleted
-	if j.longestPause > maxPause {
+	if j.longestPause > s.maxPause {
 		result = pomeloplace.ResultLongPause
 	}
 	router.RecordEvents(j.run, (j.output+s.eventTokens-1)/s.eventTokens)
