--- a/pomeloplace/overload_test.go
+++ b/pomeloplace/overload_test.go
@@ -41,7 +41,6 @@
 	// busy sums the running requests of all engines over steps samples.
 	busy, steps int
 	reserves    float64
-	why         map[string]int
 	reserved    int
 }
 
--- a/pomeloplace/simulation_test.go
+++ b/pomeloplace/simulation_test.go
@@ -169,8 +169,9 @@
 			s.sendReports(s.now.Sub(start)%time.Second < 100*time.Millisecond)
 		}
 		s.deliverReports()
-		for id, e := range s.engines {
-			s.step(id, e)
+		for i := range len(s.engines) {
+			id := pomelorelay.UpstreamID(fmt.Sprint("e", i))
+			s.step(id, s.engines[id])
 		}
 	}
 }
