--- a/pomeloroom/reserve.go
+++ b/pomeloroom/reserve.go
@@ -113,7 +113,9 @@
 	}
 	count := out.Unseen + out.Upcoming
 	needed := count + deviations*math.Sqrt(count) + out.Growth*c.UntilFree.Seconds()
-	needed = max(min(needed, out.Slots), min(minReserve, out.Slots))
-	out.Slots = needed + (out.Slots-needed)*min(1, max(0, c.InShareRefused)/maxInShareRefused)
+	// The weighted sum, unlike needed plus a part of the difference, does not fall by a rounding error when needed grows.
+	limit, weight := out.Slots, min(1, max(0, c.InShareRefused)/maxInShareRefused)
+	needed = max(min(needed, limit), min(minReserve, limit))
+	out.Slots = max(min(needed*(1-weight)+limit*weight, limit), min(minReserve, limit))
 	return out
 }
