--- a/pomeloplace/export_test.go
+++ b/pomeloplace/export_test.go
@@ -13,11 +13,11 @@
 	best, found := p.exhaustiveBest(now, &r, pomelowarmup.AdmissionOpen)
 	outcome := admission{}
 	if found {
-		outcome = p.admit(best, &r)
+		outcome = p.admit(now, best, &r)
 	}
 	if !found || outcome.bound != BoundNone {
 		if cold, ok := p.exhaustiveBest(now, &r, pomelowarmup.AdmissionFallback); ok {
-			if admitted := p.admit(cold, &r); admitted.bound == BoundNone || !found {
+			if admitted := p.admit(now, cold, &r); admitted.bound == BoundNone || !found {
 				best, outcome, found = cold, admitted, true
 			}
 		}
