--- /dev/null
+++ b/pomelooverload/control.go
@@ -0,0 +1,208 @@
+package pomelooverload
+
+import "time"
+
+// Class is why a request is refused, least important requests first.
+type Class string
+
+// Values of Class.
+const (
+	// ClassNone marks an admitted request.
+	ClassNone Class = ""
+	// ClassHopeless marks a request that could not be answered in its remaining time.
+	ClassHopeless Class = "hopeless"
+	// ClassOverShare marks a request beyond its account's share.
+	ClassOverShare Class = "over_share"
+	// ClassPriority marks a request within its account's share whose priority is not the highest.
+	ClassPriority Class = "priority"
+	// ClassWithinShare marks a request within its account's share and of the highest priority.
+	ClassWithinShare Class = "within_share"
+)
+
+// Request is what the decision depends on, known before the body is read.
+type Request struct {
+	// TimeLeft is how long the caller still waits; zero if unknown.
+	TimeLeft time.Duration
+	// Expected is the expected time from the decision to the answer.
+	Expected  time.Duration
+	OverShare bool
+	// Priority is the rank of the request; 0 is the highest.
+	Priority int
+}
+
+// Control decides on requests; times are durations since any fixed moment and must not decrease.
+type Control struct {
+	cfg        Config
+	stages     [StageCount]delay
+	intervalAt time.Duration
+	// decided counts the admitted requests of the current interval, from which the first limit is taken; rate is that of the last interval.
+	decided int
+	limited bool
+	since   time.Duration
+	// limit is the admitted rate in requests per second, and step what an interval adds to it at most.
+	limit, step float64
+	tokens      float64
+	filledAt    time.Duration
+	refusedAt   time.Duration
+	refused     int
+}
+
+// New returns a Control that limits nothing yet.
+func New(cfg Config) *Control {
+	cfg.setDefaults()
+	return &Control{cfg: cfg}
+}
+
+// Observe records how long a request waited on a stage until now.
+func (c *Control) Observe(now time.Duration, stage Stage, waited time.Duration) {
+	c.advance(now)
+	d := &c.stages[stage]
+	d.observe(now, waited, c.cfg.Threshold)
+	least := minLate
+	if stage == StageTick {
+		least = minLateTicks
+	}
+	if !c.limited && d.standing(now, c.cfg.Interval, least) {
+		c.begin(now)
+	}
+}
+
+// Tick adjusts the limit; it must be called at least once an interval.
+func (c *Control) Tick(now time.Duration) { c.advance(now) }
+
+// Admit decides on a request that has waited so long; ClassNone admits it, any other class is the reason for its refusal.
+func (c *Control) Admit(now, waited time.Duration, r Request) Class {
+	c.advance(now)
+	if !c.limited {
+		c.decided++
+		return ClassNone
+	}
+	if r.TimeLeft > 0 && r.TimeLeft < waited+r.Expected {
+		return c.refuse(now, ClassHopeless)
+	}
+	c.fill(now)
+	if c.tokens < 1+r.reserve()*c.burst() {
+		return c.refuse(now, r.class())
+	}
+	c.tokens--
+	c.decided++
+	return ClassNone
+}
+
+func (c *Control) refuse(now time.Duration, class Class) Class {
+	c.refusedAt = now
+	c.refused++
+	return class
+}
+
+const (
+	// overShareReserve is the fraction of the bucket that over-share requests leave to the others. While they use all tokens above it, requests
+	// within the share find a reserve of this size, so they are refused only when they alone exceed the limit.
+	overShareReserve = 0.45
+	// priorityReserve is the additional fraction that a request of lower priority leaves, for each rank up to maxRanks.
+	priorityReserve = 0.1
+	maxRanks        = 3
+)
+
+func (r *Request) reserve() float64 {
+	reserve := priorityReserve * float64(min(max(r.Priority, 0), maxRanks))
+	if r.OverShare {
+		// The ranks of over-share requests share what is left of the bucket, so that at minBurst each can still be admitted.
+		return overShareReserve + reserve
+	}
+	return reserve
+}
+
+func (r *Request) class() Class {
+	switch {
+	case r.OverShare:
+		return ClassOverShare
+	case r.Priority > 0:
+		return ClassPriority
+	}
+	return ClassWithinShare
+}
+
+func (c *Control) burst() float64 { return max(minBurst, c.limit*burstTime.Seconds()) }
+
+func (c *Control) fill(now time.Duration) {
+	c.tokens = min(c.burst(), c.tokens+c.limit*(now-c.filledAt).Seconds())
+	c.filledAt = now
+}
+
+// begin starts the limit from the rate at which requests were admitted while the queue stood, which is what the processor could do.
+func (c *Control) begin(now time.Duration) {
+	passed := max(now-c.intervalAt, c.cfg.Interval)
+	c.limited, c.since = true, now
+	c.limit = max(minRate, limitDecrease*float64(c.decided)/passed.Seconds())
+	c.step = max(1, limitIncrease*c.limit)
+	c.tokens, c.filledAt, c.refusedAt, c.refused = 0, now, now, 0
+	c.intervalAt, c.decided = now, 0
+	for i := range c.stages {
+		c.stages[i].endInterval()
+	}
+}
+
+// advance closes the interval if it is over.
+func (c *Control) advance(now time.Duration) {
+	if now-c.intervalAt < c.cfg.Interval {
+		return
+	}
+	worst := time.Duration(0)
+	for i := range c.stages {
+		worst = max(worst, c.stages[i].endInterval())
+	}
+	if c.limited {
+		c.adjust(now, worst)
+	}
+	c.intervalAt, c.decided = now, 0
+}
+
+func (c *Control) adjust(now, worst time.Duration) {
+	c.fill(now)
+	switch {
+	case worst > c.cfg.Threshold:
+		c.limit = max(minRate, limitDecrease*c.limit)
+	case worst < c.cfg.Threshold/2 && now-c.refusedAt < c.cfg.Interval:
+		c.limit += c.step
+	}
+	if worst <= c.cfg.Threshold && now-c.refusedAt >= c.cfg.Hold {
+		c.limited = false
+	}
+}
+
+// Delay returns the largest minimum delay of the stages.
+func (c *Control) Delay() time.Duration {
+	worst := time.Duration(0)
+	for i := range c.stages {
+		worst = max(worst, c.stages[i].current())
+	}
+	return worst
+}
+
+// State is the state of a Control, for reports, metrics and the log.
+type State struct {
+	Limited bool
+	// Since is when the limit began; Limit is the admitted rate in requests per second. Both are zero while nothing is limited.
+	Since time.Duration
+	Limit float64
+	// Refused is the number of requests refused since the limit began.
+	Refused int
+	Delay   time.Duration
+	// AboveHalf states that the delay is above half of the threshold.
+	AboveHalf bool
+	// CloseUnread states that refusing all requests takes more than the host's processor time, so that connections must be closed unread.
+	CloseUnread bool
+}
+
+// State returns the state now.
+func (c *Control) State(now time.Duration) State {
+	c.advance(now)
+	delay := c.Delay()
+	s := State{Delay: delay, AboveHalf: delay > c.cfg.Threshold/2, Refused: c.refused}
+	if c.limited {
+		s.Limited, s.Since, s.Limit = true, c.since, c.limit
+		s.CloseUnread = delay > hopelessDelay
+	}
+	return s
+}
