Overload control: used by the routers in place of the tick lag

A router measured only the lag of its control tick; above 100 ms it refused everything and closed new connections unread. The tick lag remains as a signal. New connections of a limited router are decided on before net/http parses them; the refusal is a complete response, and an unread body is drained so that no reset destroys it. Over-share requests are refused without a placement for 20 ms after one found no slot. Limited routers leave the rotation by LoadReport.Limited, which neighbours get directly.

--- a/codes_general.go
+++ b/codes_general.go
@@ -17,6 +17,8 @@
 	CodeStopLate       ResultCode = 1013
 	CodeForbidden      ResultCode = 1014
 	CodeRouterFull     ResultCode = 1015
+
+	CodeRouterOverloaded ResultCode = 1016
 )
 
 var generalCodes = []CodeInfo{
@@ -35,4 +37,5 @@
 	{CodeStopLate, "StopLate", 500, RanUnknown, "A planned stop reached its bound with requests in progress.", "Raise Control.StopWait."},
 	{CodeForbidden, "Forbidden", 403, RanNo, "The account may not call the service.", "Ask the operators for a share of it."},
 	{CodeRouterFull, "RouterFull", 503, RanNo, "The router has as many requests as its host can carry.", "Send it again; the balancer picks another router."},
+	{CodeRouterOverloaded, "RouterOverloaded", 503, RanNo, "The router's processor is overloaded; the request was refused before its body was read.", "Send it again after Retry-After on a new connection; the balancer picks another router."},
 }
--- a/events_node.go
+++ b/events_node.go
@@ -19,6 +19,9 @@
 	EventLinesLost        EventID = 116
 	EventRouterFull       EventID = 117
 	EventLibraryMessage   EventID = 118
+	EventOverloadBegan    EventID = 119
+	EventOverloadEnded    EventID = 120
+	EventRequestShed      EventID = 121
 )
 
 var nodeEvents = []EventInfo{
@@ -39,4 +42,7 @@
 	{EventLinesLost, "LinesLost", LevelWarn, "The reader of the output was too slow; so many lines were lost since the start.", "Look at who reads the output."},
 	{EventRouterFull, "RouterFull", LevelWarn, "A request was refused since the router has as many as its host can carry.", "Look at how the balancer spreads callers."},
 	{EventLibraryMessage, "LibraryMessage", LevelWarn, "A library reported an error, for example that no connection can be accepted.", "Look up the message."},
+	{EventOverloadBegan, "OverloadBegan", LevelWarn, "The router's processor is overloaded: requests waited for DelayMS; it admits at most Limit requests a second.", "Look at how the balancer spreads callers."},
+	{EventOverloadEnded, "OverloadEnded", LevelInfo, "The router admits all requests again; Refused were refused since the limit began.", "None."},
+	{EventRequestShed, "RequestShed", LevelInfo, "An overloaded router refused a request before reading its body; at most five lines a second are written.", "Look at OverloadBegan."},
 }
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -46,6 +46,7 @@
 	pendingPull   pendingPull
 	stateRequests stateRequests
 	relay         relayState
+	overload      overloadWatch
 
 	adjustedAt   time.Time
 	reportedAt   time.Time
@@ -70,6 +71,10 @@
 		crashes:      newCrashes(e.cfg.Logger),
 		peers:        newPeers(),
 		loggedSpeeds: make(map[pomelorelay.ServiceID]pomelospeed.PrefillRate),
+		overload:     overloadWatch{expected: make(map[pomelorelay.RouteID]time.Duration)},
+	}
+	if e.overload == nil {
+		e.overload = newOverload()
 	}
 	e.crashSnapshot.Store(c.crashes.log.Snapshot())
 	return c
@@ -95,6 +100,7 @@
 			now := c.now()
 			c.e.recordTick()
 			c.e.adaptRequestLimit()
+			c.tickOverload()
 			c.tick(now)
 		}
 	}
@@ -106,6 +112,7 @@
 	if now.Sub(c.adjustedAt) >= adjustInterval {
 		c.adjustedAt = now
 		c.adjust(now)
+		c.adjustOverload(now)
 	}
 	if now.Sub(c.reportedAt) >= c.reportInterval()-tickInterval/2 {
 		c.report(now)
@@ -154,6 +161,7 @@
 	m.SetGauge("requests_in_flight", float64(c.e.inFlight.Load()))
 	m.SetGauge("caller_connections", float64(c.e.conns.Load()))
 	m.SetGauge("upstream_connections_opened", float64(c.e.forward.OpenedConnections()))
+	c.setOverloadGauges()
 	if c.config != nil {
 		m.SetGauge("generation", float64(c.config.Version))
 	}
@@ -214,6 +222,7 @@
 	case d.Reason == pomeloplace.ReasonOverShare:
 		d.RetryAfter = c.retryAfter(&d, &req)
 	}
+	c.recordPlacement(&req, &d)
 	return d
 }
 
@@ -250,6 +259,7 @@
 	m.Accounts = c.shares.AppendReport(m.Full, m.Accounts)
 	m.Leaving = c.upstreams.reportedLeaving(now)
 	m.Streams = c.streams.origins.TakePending()
+	m.Limited = c.overload.last.Limited
 	if !c.reportsDirectly() {
 		c.relayOwnReport(now, m)
 		return
@@ -281,6 +291,10 @@
 	c.recordGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
 	case *pomelorelay.LoadReport:
+		c.peers.markLimited(now, m.From, msg.Limited)
+		if isLimitedNotice(msg) {
+			return
+		}
 		c.streams.origins.Merge(now, msg.Streams)
 		if c.reportsDirectly() || c.isRelay(now) {
 			c.receiveReport(now, m.From, m.Incarnation, msg)
@@ -315,6 +329,7 @@
 	c.shares.SetCapacity(config.Limits.TokensPerSecond)
 	c.placer.SetConfig(config)
 	c.residency.SetConfig(now, config)
+	c.e.overload.slotless.Store(newSlotlessTable(config))
 	c.e.table.Store(pomelotable.New(config))
 	c.e.mesh.SetGeneration(config.Version)
 	c.e.log(pomelorelay.EventConfigInForce, field("Generation", uint64(config.Version)), field("Source", source), field("Routes", len(config.Routes)), field("Accounts", len(config.Accounts)),
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -39,7 +39,7 @@
 		IdleTimeout:                  callerIdleTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
 		ConnState:                    e.countConn,
-		ConnContext:                  withConn,
+		ConnContext:                  e.withConn,
 		DisableGeneralOptionsHandler: true,
 	}
 	ready := mux.NewRouter()
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -1,7 +1,6 @@
 package pomeloentry
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -73,8 +72,7 @@
 }
 
 const (
-	// maxLag is the tick delay above which the processor is overloaded and new requests are refused. A request that waits this long to
-	// be read has used a quarter of its latency target.
+	// maxLag is the tick delay from which the handlers report it to the overload control themselves, because the control goroutine may not run.
 	maxLag = 100 * time.Millisecond
 	// lateTickThreshold is the tick delay from which the router lowers its request limit, and checks before forwarding a request that
 	// its caller is still connected.
@@ -122,12 +120,14 @@
 	return e.lag() >= lateTickThreshold || now-e.lastLateTickAt.Load() < int64(lateTickHold)
 }
 
-func (e *Router) overloaded() bool {
-	return e.lag() > maxLag || float64(e.conns.Load()) > connOverloadFactor*float64(e.hostLimits.maxConns)
+// mustCloseUnread reports whether new connections are closed unread: because there are too many, or because refusing their requests takes more than
+// the host's processor time.
+func (e *Router) mustCloseUnread() bool {
+	return e.overload.closeUnread.Load() || float64(e.conns.Load()) > connOverloadFactor*float64(e.hostLimits.maxConns)
 }
 
-// loadSheddingListener closes new connections unread while the router is overloaded, without spending a goroutine or a buffer on
-// them; callers then try another router. Reading and refusing each request would stall a small host and everything that runs on it.
+// loadSheddingListener closes new connections unread as the last resort, without spending a goroutine or a buffer on them; callers then try another
+// router. While the router is limited, it returns connections whose first request is decided on before net/http parses it.
 type loadSheddingListener struct {
 	net.Listener
 	e *Router
@@ -137,9 +137,16 @@
 func (l loadSheddingListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil || !l.e.overloaded() {
-			return conn, err
+		if err != nil {
+			return nil, err
 		}
+		if !l.e.mustCloseUnread() {
+			if tcp, ok := conn.(*net.TCPConn); ok && l.e.overload.limited.Load() {
+				return newScreenedConn(l.e, tcp), nil
+			}
+			return conn, nil
+		}
+		l.e.overload.refused.unreadConns.Add(1)
 		// The error of closing is ignored: the connection is unusable either way.
 		_ = conn.Close()
 	}
@@ -159,20 +166,17 @@
 	}
 }
 
-type connKey struct{}
-
-// withConn stores a caller's connection in the context of its requests.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // callerGone reports whether the caller closed its connection. On an overloaded processor net/http detects this late, and requests
 // of callers that have already given up would be forwarded.
 func (e *Router) callerGone(r *http.Request) bool {
-	if !e.recentlyLate() {
+	if !e.recentlyLate() && !e.overload.limited.Load() {
 		return false
 	}
-	conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+	info := connOf(r.Context())
+	if info == nil {
+		return false
+	}
+	conn, ok := info.conn.(*net.TCPConn)
 	if !ok {
 		return false
 	}
@@ -192,19 +196,27 @@
 // nearCapacity reports whether the router is close to its capacity, or was close to it at most nearCapacityHold ago.
 func (e *Router) nearCapacity() bool {
 	now := e.steady()
-	full := e.lag() > maxLag || float64(e.inFlight.Load()) > nearCapacityFraction*float64(e.requestLimit.Load()) || float64(e.conns.Load()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
+	full := float64(e.inFlight.Load()) > nearCapacityFraction*float64(e.requestLimit.Load()) || float64(e.conns.Load()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
 	if full {
 		e.nearCapacityAt.Store(now)
 	}
 	return full || now-e.nearCapacityAt.Load() < int64(nearCapacityHold)
 }
 
-// admit reports whether the router can accept the request. When it is full, admit answers with CodeRouterFull and returns false.
+// admit reports whether the router can accept the request. When it is overloaded or full, admit answers with a refusal and returns false.
 func (e *Router) admit(w http.ResponseWriter, r *http.Request) bool {
-	if e.nearCapacity() {
+	if refused := e.decideOn(r); refused.code != 0 {
 		w.Header().Set("Connection", "close")
+		err := pomelorelay.NewError(refused.code, "", nil)
+		err.RetryAfter = refused.retryAfter
+		pomeloforward.WriteError(w, err)
+		e.logRefusal(refused)
+		return false
 	}
-	if e.inFlight.Load() <= e.requestLimit.Load() && e.lag() <= maxLag {
+	if e.overload.limited.Load() || e.nearCapacity() {
+		w.Header().Set("Connection", "close")
+	}
+	if e.inFlight.Load() <= e.requestLimit.Load() {
 		return true
 	}
 	err := pomelorelay.NewError(pomelorelay.CodeRouterFull, "", nil)
@@ -215,3 +227,24 @@
 	e.log(pomelorelay.EventRouterFull, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.requestLimit.Load()), field("LagMS", e.lag().Milliseconds()))
 	return false
 }
+
+// decideOn decides on a request that net/http has parsed, unless that was done when the first bytes of its connection were read.
+func (e *Router) decideOn(r *http.Request) refusal {
+	a := arrival{host: r.Host, path: r.URL.Path, head: r.Header}
+	info, now := connOf(r.Context()), e.steady()
+	if info != nil {
+		a.first = info.decidedAt.Load() == 0
+		if a.first && info.decided.Load() {
+			return refusal{}
+		}
+		a.waited = time.Duration(now - info.acceptedAt)
+	}
+	refused := e.decide(a)
+	if info != nil {
+		if a.first {
+			e.metrics.ObserveStage("accept", a.waited)
+		}
+		info.decidedAt.Store(now)
+	}
+	return refused
+}
--- /dev/null
+++ b/pomeloentry/overload.go
@@ -0,0 +1,409 @@
+package pomeloentry
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelooverload"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+// overload is the router's overload control. Handlers, the listener and the control goroutine use it concurrently.
+type overload struct {
+	mu      sync.Mutex
+	control *pomelooverload.Control
+	// unread sums the cost by account of requests refused before their body was read, since the last flush.
+	unread map[pomelorelay.AccountID]pomelorelay.Cost
+
+	// The fields below copy parts of the control's state for readers that must not wait for mu.
+	limited, aboveHalf, closeUnread atomic.Bool
+	// away is set while the router is out of the load balancer's rotation because it is limited.
+	away     atomic.Bool
+	shares   atomic.Pointer[shareSnapshot]
+	slotless atomic.Pointer[slotlessTable]
+	refused  refusedCounts
+	// loggedSecond is the second of the steady clock in which refusals were last logged, loggedRefusals their number.
+	loggedSecond, loggedRefusals atomic.Int64
+}
+
+// maxRefusalLines is the maximum number of refusals logged in a second. The logger has its own limit, but the fields of a line cost as much as the
+// rest of a refusal.
+const maxRefusalLines = 5
+
+func newOverload() *overload {
+	o := &overload{control: pomelooverload.New(pomelooverload.Config{}), unread: make(map[pomelorelay.AccountID]pomelorelay.Cost)}
+	o.slotless.Store(&slotlessTable{})
+	return o
+}
+
+// refusedCounts counts refused requests by class.
+type refusedCounts struct{ hopeless, overShare, priority, withinShare, slotless, unreadConns atomic.Int64 }
+
+func (r *refusedCounts) of(class pomelooverload.Class) *atomic.Int64 {
+	switch class {
+	case pomelooverload.ClassHopeless:
+		return &r.hopeless
+	case pomelooverload.ClassOverShare:
+		return &r.overShare
+	case pomelooverload.ClassPriority:
+		return &r.priority
+	case pomelooverload.ClassWithinShare:
+		return &r.withinShare
+	}
+	return &r.slotless
+}
+
+// shareSnapshot is an immutable view of the control goroutine's state, by which overloaded routers refuse requests before they read the body.
+type shareSnapshot struct {
+	overShare map[pomelorelay.AccountID]bool
+	// expected is the recent mean of the expected time to the answer by route.
+	expected map[pomelorelay.RouteID]time.Duration
+}
+
+// slotlessKey identifies an account's requests to a service.
+type slotlessKey struct {
+	account pomelorelay.AccountID
+	service pomelorelay.ServiceID
+}
+
+// slotlessCell holds until when over-share requests are refused because the last one found no slot, and with which Retry-After in nanoseconds.
+type slotlessCell struct{ until, retryAfter atomic.Int64 }
+
+// slotlessTable has a cell for each account and service of the configuration; the map itself is immutable.
+type slotlessTable map[slotlessKey]*slotlessCell
+
+// slotlessHold is how long the refusal of an over-share request for want of slots holds for the next ones: a slot that becomes free later may
+// serve them.
+const slotlessHold = 20 * time.Millisecond
+
+func newSlotlessTable(config *pomelorelay.FleetConfig) *slotlessTable {
+	t := make(slotlessTable, len(config.Accounts)*len(config.Services))
+	for _, a := range config.Accounts {
+		for _, s := range config.Services {
+			t[slotlessKey{a.Name, s.Name}] = &slotlessCell{}
+		}
+	}
+	return &t
+}
+
+// markSlotless records that an over-share request was refused for want of slots.
+func (o *overload) markSlotless(now int64, account pomelorelay.AccountID, service pomelorelay.ServiceID, retryAfter time.Duration) {
+	if cell := (*o.slotless.Load())[slotlessKey{account, service}]; cell != nil {
+		cell.retryAfter.Store(int64(retryAfter))
+		cell.until.Store(now + int64(slotlessHold))
+	}
+}
+
+// slotlessRetryAfter returns the Retry-After of an over-share request that would find no slot, and false if none was refused lately.
+func (o *overload) slotlessRetryAfter(now int64, p *pomeloforward.Preview) (time.Duration, bool) {
+	cell := (*o.slotless.Load())[slotlessKey{p.Account, p.Service}]
+	if cell == nil || now > cell.until.Load() {
+		return 0, false
+	}
+	return time.Duration(cell.retryAfter.Load()), true
+}
+
+// refusal is why a request is refused before its body is read; the zero value admits it.
+type refusal struct {
+	code       pomelorelay.ResultCode
+	retryAfter time.Duration
+	class      pomelooverload.Class
+}
+
+// classSlotless marks over-share requests refused because the last one found no slot.
+const classSlotless pomelooverload.Class = "slotless"
+
+// overloadRetryAfter is the Retry-After of an overloaded router; another router can accept the request immediately.
+const overloadRetryAfter = 10 * time.Millisecond
+
+// arrival is a request about whose admission the router decides.
+type arrival struct {
+	host, path string
+	head       http.Header
+	// waited is the time since the acceptance of the connection, if first is set: later requests of a connection have no such time.
+	waited time.Duration
+	first  bool
+}
+
+// decide decides on a request from its header. Unless the router is overloaded it only records how long the request waited.
+func (e *Router) decide(a arrival) refusal {
+	o, now := e.overload, e.steady()
+	s := e.observeArrival(now, a)
+	if !s.Limited && !s.AboveHalf {
+		return refusal{}
+	}
+	p, known := e.forward.Preview(a.host, a.path, a.head)
+	r := pomelooverload.Request{TimeLeft: p.TimeLeft, Priority: p.Priority, OverShare: !known}
+	if shares := o.shares.Load(); shares != nil && known {
+		r.OverShare, r.Expected = shares.overShare[p.Account], shares.expected[p.Route]
+	}
+	if known && r.OverShare && s.AboveHalf {
+		if wait, ok := o.slotlessRetryAfter(now, &p); ok {
+			o.count(p, classSlotless)
+			return refusal{pomelorelay.CodeShareSpent, wait, classSlotless}
+		}
+	}
+	o.mu.Lock()
+	class := o.control.Admit(time.Duration(now), s.Delay, r)
+	o.mu.Unlock()
+	if class == pomelooverload.ClassNone {
+		return refusal{}
+	}
+	o.count(p, class)
+	return refusal{pomelorelay.CodeRouterOverloaded, overloadRetryAfter, class}
+}
+
+// observeArrival records how long a request waited and returns the state of the control; while nothing needs a decision, it also admits the request.
+func (e *Router) observeArrival(now int64, a arrival) pomelooverload.State {
+	o := e.overload
+	lag := e.lag()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if a.first {
+		o.control.Observe(time.Duration(now), pomelooverload.StageAccept, a.waited)
+	}
+	if lag > maxLag {
+		// The control goroutine itself may not run.
+		o.control.Observe(time.Duration(now), pomelooverload.StageTick, lag)
+	}
+	s := o.control.State(time.Duration(now))
+	if !s.Limited && !s.AboveHalf {
+		o.control.Admit(time.Duration(now), a.waited, pomelooverload.Request{})
+	}
+	o.publish(s)
+	return s
+}
+
+// observe records how long something waited on a stage.
+func (o *overload) observe(now int64, stage pomelooverload.Stage, waited time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.control.Observe(time.Duration(now), stage, waited)
+	o.publish(o.control.State(time.Duration(now)))
+}
+
+// state returns the state of the control.
+func (o *overload) state(now int64) pomelooverload.State {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.control.State(time.Duration(now))
+	o.publish(s)
+	return s
+}
+
+// publish copies the state for readers without mu; the caller holds mu. A store to an unchanged flag would invalidate the cache lines of its readers.
+func (o *overload) publish(s pomelooverload.State) {
+	setFlag(&o.limited, s.Limited)
+	setFlag(&o.aboveHalf, s.AboveHalf)
+	setFlag(&o.closeUnread, s.CloseUnread)
+}
+
+func setFlag(flag *atomic.Bool, value bool) {
+	if flag.Load() != value {
+		flag.Store(value)
+	}
+}
+
+// count counts a refused request, and sums its cost up for its account's demand. Otherwise an account whose callers reach overloaded routers would
+// appear idle and satisfied, and its share would go to others.
+func (o *overload) count(p pomeloforward.Preview, class pomelooverload.Class) {
+	o.refused.of(class).Add(1)
+	if p.Cost <= 0 {
+		return
+	}
+	o.mu.Lock()
+	o.unread[p.Account] += p.Cost
+	o.mu.Unlock()
+}
+
+// mayLogRefusal reports whether a refusal is within the number logged each second.
+func (o *overload) mayLogRefusal(now int64) bool {
+	second := now / int64(time.Second)
+	if o.loggedSecond.Swap(second) != second {
+		o.loggedRefusals.Store(0)
+	}
+	return o.loggedRefusals.Add(1) <= maxRefusalLines
+}
+
+// logRefusal logs a refusal, up to maxRefusalLines a second.
+func (e *Router) logRefusal(r refusal) {
+	if e.overload.mayLogRefusal(e.steady()) {
+		e.log(pomelorelay.EventRequestShed, field("Class", string(r.class)), field("Code", int(r.code)), field("RetryAfterMS", r.retryAfter.Milliseconds()))
+	}
+}
+
+// overloadWatch is the control goroutine's part of the overload control.
+type overloadWatch struct {
+	readiness pomelooverload.Readiness
+	// last is the state at the last tick, and noticeAt when the neighbours were last told of the limit.
+	last     pomelooverload.State
+	noticeAt time.Time
+	// expected is the mean expected time to the answer by route.
+	expected map[pomelorelay.RouteID]time.Duration
+}
+
+// expectedWeight is the weight of a placement in the mean expected time of its route.
+const expectedWeight = 0.05
+
+// recordExpected adds a placement to the mean expected time of its route.
+func (w *overloadWatch) recordExpected(route pomelorelay.RouteID, expected time.Duration) {
+	mean, known := w.expected[route]
+	if !known {
+		mean = expected
+	}
+	w.expected[route] = mean + time.Duration(expectedWeight*float64(expected-mean))
+}
+
+// tickOverload observes the tick's delay and logs the beginning and the end of the limit.
+func (c *control) tickOverload() {
+	o, now := c.e.overload, c.e.steady()
+	o.observe(now, pomelooverload.StageTick, time.Duration(c.e.tickLag.Load()))
+	s, last := o.state(now), c.overload.last
+	c.overload.last = s
+	switch {
+	case s.Limited && !last.Limited:
+		c.e.log(pomelorelay.EventOverloadBegan, field("DelayMS", s.Delay.Milliseconds()), field("Limit", s.Limit), field("InFlight", c.e.inFlight.Load()))
+	case !s.Limited && last.Limited:
+		c.e.log(pomelorelay.EventOverloadEnded, field("DelayMS", s.Delay.Milliseconds()), field("LastedMS", (time.Duration(now)-last.Since).Milliseconds()), field("Refused", s.Refused))
+	}
+}
+
+// adjustOverload publishes the snapshot while it is needed, flushes the cost of refused requests, and decides on readiness.
+func (c *control) adjustOverload(now time.Time) {
+	o := c.e.overload
+	c.flushUnread()
+	if !o.limited.Load() && !o.aboveHalf.Load() {
+		o.shares.Store(nil)
+	} else {
+		o.shares.Store(c.shareSnapshot())
+	}
+	o.away.Store(!c.overload.readiness.Ready(time.Duration(c.e.steady()), c.overload.last, c.neighbours(now)))
+	c.sendLimited(now)
+}
+
+func (c *control) flushUnread() {
+	o := c.e.overload
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for account, cost := range o.unread {
+		c.shares.RecordRequest(account, cost)
+	}
+	clear(o.unread)
+}
+
+func (c *control) shareSnapshot() *shareSnapshot {
+	s := &shareSnapshot{overShare: make(map[pomelorelay.AccountID]bool), expected: make(map[pomelorelay.RouteID]time.Duration, len(c.overload.expected))}
+	for route, expected := range c.overload.expected {
+		s.expected[route] = expected
+	}
+	if c.config == nil {
+		return s
+	}
+	for i := range c.config.Accounts {
+		account := c.config.Accounts[i].Name
+		if !c.shares.WithinShare(account, 0) || c.shares.LeadOverLevel(account) > 1 {
+			s.overShare[account] = true
+		}
+	}
+	return s
+}
+
+// recordPlacement records what the overload control uses of a placement decision.
+func (c *control) recordPlacement(req *pomeloforward.PlacementRequest, d *pomeloplace.Decision) {
+	switch {
+	case d.Reason == pomeloplace.ReasonNone:
+		c.overload.recordExpected(req.Route, d.ExpectedLatency)
+	case d.Reason == pomeloplace.ReasonOverShare && d.Bound == pomeloplace.BoundSlots:
+		c.e.overload.markSlotless(c.e.steady(), req.Account, req.Request.Service, d.RetryAfter)
+	}
+}
+
+const (
+	// limitedNoticeInterval is the interval at which a limited router tells its neighbours so, and limitedTimeout how long a neighbour counts as
+	// limited after its last notice: two lost notices do not end it.
+	limitedNoticeInterval = 500 * time.Millisecond
+	limitedTimeout        = 1500 * time.Millisecond
+)
+
+// isLimitedNotice reports whether a report only says whether its sender is limited. Ordinary reports are numbered from 1.
+func isLimitedNotice(m *pomelorelay.LoadReport) bool { return m.Seq == 0 }
+
+// sendLimited tells the neighbours directly that this router is limited, or no longer is. Relays sum reports up, and a sum cannot tell which router
+// is limited.
+func (c *control) sendLimited(now time.Time) {
+	w := &c.overload
+	limited := w.last.Limited
+	if !limited && w.noticeAt.IsZero() {
+		return
+	}
+	if limited && now.Sub(w.noticeAt) < limitedNoticeInterval {
+		return
+	}
+	w.noticeAt = now
+	if !limited {
+		w.noticeAt = time.Time{}
+	}
+	for node, p := range c.peers.byNode {
+		if p.Domain == c.e.cfg.Settings.Self.Domain {
+			c.send(node, &pomelorelay.LoadReport{Limited: limited})
+		}
+	}
+}
+
+// markLimited records whether a router says that it is limited.
+func (p *peers) markLimited(now time.Time, node pomelorelay.NodeID, limited bool) {
+	known := p.byNode[node]
+	switch {
+	case known == nil:
+	case limited:
+		known.limitedAt = now
+	default:
+		known.limitedAt = time.Time{}
+	}
+}
+
+// neighbours counts the live routers of this failure domain. Routers that report through a relay send this router nothing while they are not
+// limited, so a registered one counts as live while any router of the domain is heard.
+func (c *control) neighbours(now time.Time) pomelooverload.Neighbours {
+	var n pomelooverload.Neighbours
+	self := c.e.cfg.Settings.Self
+	heard, silent := 0, 0
+	for node, p := range c.peers.byNode {
+		if p.Domain != self.Domain {
+			continue
+		}
+		switch {
+		case now.Sub(p.seenAt) <= relayTimeout:
+			heard++
+		case p.registered:
+			silent++
+		}
+		if now.Sub(p.limitedAt) <= limitedTimeout {
+			n.Limited++
+			if node < self.Node {
+				n.LimitedBefore++
+			}
+		}
+	}
+	if heard > 0 {
+		n.Known = heard
+		if !c.reportsDirectly() {
+			n.Known += silent
+		}
+	}
+	return n
+}
+
+func (c *control) setOverloadGauges() {
+	m, o := c.e.metrics, c.e.overload
+	for _, class := range []pomelooverload.Class{pomelooverload.ClassHopeless, pomelooverload.ClassOverShare, pomelooverload.ClassPriority, pomelooverload.ClassWithinShare, classSlotless} {
+		m.SetGauge("overload_refused_"+string(class), float64(o.refused.of(class).Load()))
+	}
+	m.SetGauge("overload_closed_unread", float64(o.refused.unreadConns.Load()))
+	m.SetGauge("overload_limit", c.overload.last.Limit)
+	m.SetGauge("overload_delay_seconds", c.overload.last.Delay.Seconds())
+}
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -30,6 +30,8 @@
 	knownSince time.Time
 	// fullyReported is set after the peer's first full load report.
 	fullyReported bool
+	// limitedAt is when the router last said that it limits its requests; zero if its last word was that it does not.
+	limitedAt time.Time
 	// incarnation and lastSeq are the incarnation and the sequence number of the last applied load report.
 	incarnation pomelorelay.Incarnation
 	lastSeq     uint64
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelooverload"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
 
@@ -19,7 +20,7 @@
 
 // Place returns a reservation or a refusal; it fails when ctx ends first.
 func (p placement) Place(ctx context.Context, req pomeloforward.PlacementRequest) (pomeloforward.Reservation, pomeloplace.Decision, error) {
-	ev := &placementRequested{ctx: ctx, request: req, answer: make(chan pomeloplace.Decision, 1)}
+	ev := &placementRequested{ctx: ctx, request: req, askedAt: p.e.steady(), answer: make(chan pomeloplace.Decision, 1)}
 	select {
 	case p.e.events <- ev:
 	case <-ctx.Done():
@@ -30,17 +31,30 @@
 	if d.Run == nil {
 		return nil, d, ctx.Err()
 	}
+	p.e.observeSent(ctx)
 	return reservation{e: p.e, run: d.Run, request: req, upstream: d.Upstream}, d, nil
 }
 
+// observeSent records the time from the decision on a request to its sending, which follows its placement at once.
+func (e *Router) observeSent(ctx context.Context) {
+	if info := connOf(ctx); info != nil {
+		e.metrics.ObserveStage("send", time.Duration(e.steady()-info.decidedAt.Load()))
+	}
+}
+
 // placementRequested is posted by a request that needs an upstream.
 type placementRequested struct {
 	ctx     context.Context
 	request pomeloforward.PlacementRequest
+	askedAt int64
 	answer  chan pomeloplace.Decision
 }
 
 func (r *placementRequested) apply(c *control, now time.Time) {
+	asked := c.e.steady()
+	waited := time.Duration(asked - r.askedAt)
+	c.e.overload.observe(asked, pomelooverload.StagePlace, waited)
+	c.e.metrics.ObserveStage("place", waited)
 	if r.ctx.Err() != nil {
 		r.answer <- pomeloplace.Decision{}
 		return
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -66,6 +66,7 @@
 	requestLimit atomic.Int64
 	// nearCapacityAt is when the router was last close to its capacity.
 	nearCapacityAt atomic.Int64
+	overload       *overload
 	// lastTickAt is when the control goroutine last ticked, tickLag the delay of that tick in nanoseconds.
 	lastTickAt atomic.Int64
 	tickLag    atomic.Int64
@@ -107,6 +108,7 @@
 		metrics:     pomelometric.New(),
 		events:      make(chan event, eventQueueLength),
 		errs:        make(chan error, listenerCount),
+		overload:    newOverload(),
 	}
 	if e.incarnation == 0 {
 		e.incarnation = pomelorelay.Incarnation(cfg.Clock.Now().UnixNano())
@@ -197,7 +199,16 @@
 
 // Ready reports whether the router accepts requests.
 func (e *Router) Ready() bool {
-	return e.table.Load() != nil && e.upstreams.Load() > 0 && e.stopAt.Load() == 0 && !e.nearCapacity()
+	return e.table.Load() != nil && e.upstreams.Load() > 0 && e.stopAt.Load() == 0 && e.inRotation()
+}
+
+// inRotation reports whether the router has capacity for the load balancer's callers. While its processor is overloaded, only the overload control
+// decides, since all routers of a domain could be overloaded at once.
+func (e *Router) inRotation() bool {
+	if e.overload.limited.Load() {
+		return !e.overload.away.Load()
+	}
+	return !e.nearCapacity()
 }
 
 // Close stops the router immediately, without waiting for requests; Stop shuts it down gracefully.
--- /dev/null
+++ b/pomeloentry/screen.go
@@ -0,0 +1,202 @@
+package pomeloentry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloproblem"
+)
+
+// callerConn is what a request's context tells about its connection.
+type callerConn struct {
+	conn net.Conn
+	// acceptedAt is when the connection was accepted, in nanoseconds of Config.Steady.
+	acceptedAt int64
+	// decided is set once the router has decided on the connection's first request.
+	decided atomic.Bool
+	// decidedAt is when the last request was admitted.
+	decidedAt atomic.Int64
+}
+
+type connKey struct{}
+
+// withConn stores a caller's connection in the context of its requests.
+func (e *Router) withConn(ctx context.Context, c net.Conn) context.Context {
+	info := &callerConn{conn: c, acceptedAt: e.steady()}
+	if screened, ok := c.(*screenedConn); ok {
+		info, info.acceptedAt = screened.info, screened.info.acceptedAt
+	}
+	return context.WithValue(ctx, connKey{}, info)
+}
+
+// connOf returns the connection of a request; nil without one.
+func connOf(ctx context.Context) *callerConn {
+	info, _ := ctx.Value(connKey{}).(*callerConn)
+	return info
+}
+
+// screenedConn decides on the first request of a connection before net/http parses it. Through net/http, a refusal takes the parsing of the header,
+// a request, a response and a wait for the body.
+type screenedConn struct {
+	*net.TCPConn
+	e    *Router
+	info *callerConn
+	read bool
+}
+
+func newScreenedConn(e *Router, conn *net.TCPConn) *screenedConn {
+	return &screenedConn{TCPConn: conn, e: e, info: &callerConn{conn: conn, acceptedAt: e.steady()}}
+}
+
+// Read reads from the connection. If the first read holds the header of a request that is refused, Read answers it and returns io.EOF.
+func (c *screenedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.read || err != nil {
+		return n, err
+	}
+	c.read = true
+	head, ok := parseHead(p[:n])
+	if !ok {
+		// Incomplete, malformed or unusual; net/http reads on, and the handler decides.
+		return n, nil
+	}
+	now := c.e.steady()
+	waited := time.Duration(now - c.info.acceptedAt)
+	c.e.metrics.ObserveStage("accept", waited)
+	r := c.e.decide(arrival{host: head.host, path: head.path, head: head.fields, waited: waited, first: true})
+	c.info.decided.Store(true)
+	if r.code == 0 {
+		c.info.decidedAt.Store(now)
+		return n, nil
+	}
+	c.e.logRefusal(r)
+	c.refuse(r, head.length < 0 || head.length > int64(n-head.size))
+	return 0, io.EOF
+}
+
+const (
+	// lingerTimeout bounds the time for which a refused connection is read until its caller closes it, and lingerBytes the number of bytes.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 1 << 20
+	lingerBuffer  = 32 << 10
+)
+
+var lingerBuffers = sync.Pool{New: func() any { return new([lingerBuffer]byte) }}
+
+// refuse answers the request. If a part of its body is unread, it reads on until the caller closes the connection: closing a socket with unread
+// bytes resets the connection, which may destroy the response before the caller reads it.
+func (c *screenedConn) refuse(r refusal, unread bool) {
+	// The errors of a connection that the caller has left are ignored: net/http closes it.
+	if _, err := c.Write(refusalResponse(r)); err != nil || !unread {
+		return
+	}
+	_ = c.CloseWrite()
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	buffer := lingerBuffers.Get().(*[lingerBuffer]byte)
+	defer lingerBuffers.Put(buffer)
+	for total := 0; total < lingerBytes; {
+		n, err := c.TCPConn.Read(buffer[:])
+		if err != nil {
+			return
+		}
+		total += n
+	}
+}
+
+// overloadedResponse is the response of an overloaded router.
+var overloadedResponse = encodeRefusal(refusal{code: pomelorelay.CodeRouterOverloaded, retryAfter: overloadRetryAfter})
+
+func refusalResponse(r refusal) []byte {
+	if r.code == pomelorelay.CodeRouterOverloaded {
+		return overloadedResponse
+	}
+	return encodeRefusal(r)
+}
+
+// encodeRefusal returns the complete HTTP response to a refused request.
+func encodeRefusal(r refusal) []byte {
+	p := pomeloproblem.New(pomelorelay.NewError(r.code, "", nil))
+	body := p.Encode()
+	var b bytes.Buffer
+	b.WriteString("HTTP/1.1 503 Service Unavailable\r\nContent-Type: " + pomeloproblem.ContentType + "\r\nRetry-After: ")
+	b.WriteString(strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
+	b.WriteString("\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\nConnection: close\r\n\r\n")
+	b.Write(body)
+	return b.Bytes()
+}
+
+// requestHead is the parsed head of a request.
+type requestHead struct {
+	host, path string
+	fields     http.Header
+	// size is the length of the head in bytes, length that of the body; -1 if it is unknown.
+	size   int
+	length int64
+}
+
+// parseHead parses the head of a request for the decision on it. It returns false for an incomplete head and for whatever it leaves to net/http,
+// which parses the heads of admitted requests itself.
+func parseHead(data []byte) (requestHead, bool) {
+	end := bytes.Index(data, []byte("\r\n\r\n"))
+	if end < 0 {
+		return requestHead{}, false
+	}
+	line, rest, _ := strings.Cut(string(data[:end]), "\r\n")
+	method, target, _ := strings.Cut(line, " ")
+	target, version, _ := strings.Cut(target, " ")
+	if method == http.MethodHead || version != "HTTP/1.1" || !strings.HasPrefix(target, "/") {
+		return requestHead{}, false
+	}
+	path, _, _ := strings.Cut(target, "?")
+	head := requestHead{path: path, size: end + len("\r\n\r\n")}
+	var ok bool
+	if head.fields, ok = parseFields(rest); !ok {
+		return requestHead{}, false
+	}
+	head.host = head.fields.Get("Host")
+	return head, head.parseLength()
+}
+
+func (h *requestHead) parseLength() bool {
+	if h.fields.Get("Transfer-Encoding") != "" {
+		h.length = -1
+		return true
+	}
+	text := h.fields.Get("Content-Length")
+	if text == "" {
+		return true
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	h.length = n
+	return err == nil && n >= 0
+}
+
+// parseFields parses the header lines; it returns false if one is malformed or continues the line before it.
+func parseFields(lines string) (http.Header, bool) {
+	count := strings.Count(lines, "\r\n") + 1
+	fields, values := make(http.Header, count), make([]string, count)
+	for i := 0; lines != ""; i++ {
+		var line string
+		line, lines, _ = strings.Cut(lines, "\r\n")
+		key, value, ok := strings.Cut(line, ":")
+		if !ok || key == "" || strings.ContainsAny(key, " \t") {
+			return nil, false
+		}
+		values[i] = strings.TrimSpace(value)
+		key = textproto.CanonicalMIMEHeaderKey(key)
+		if _, repeated := fields[key]; !repeated {
+			fields[key] = values[i : i+1 : i+1]
+		}
+	}
+	return fields, true
+}
--- a/pomelooverload/config.go
+++ b/pomelooverload/config.go
@@ -26,10 +26,13 @@
 	minLateTicks = 2
 	// minRate is the lowest limit in requests per second. A router that admits nothing would not notice that its delay has another cause.
 	minRate = 5.0
+	// initialFraction is the first limit as a fraction of the rate at which requests were admitted while none was refused: refusing the others and
+	// the standing queue take the rest of the processor's time.
+	initialFraction = 0.4
 	// limitDecrease multiplies the limit after an interval in which all requests were late.
 	limitDecrease = 0.8
 	// limitIncrease is added to the limit after an interval with a delay below half of the threshold, as a fraction of the limit at the start.
-	limitIncrease = 0.04
+	limitIncrease = 0.02
 	// minBurst is the minimum size of the token bucket, and burstTime the time in which the limit fills it.
 	minBurst  = 4.0
 	burstTime = 100 * time.Millisecond
--- a/pomelooverload/control.go
+++ b/pomelooverload/control.go
@@ -30,15 +30,16 @@
 	Priority int
 }
 
-// Control decides on requests; times are durations since any fixed moment and must not decrease.
+// Control decides on requests; times are durations since any fixed moment, and may be out of order by a few milliseconds.
 type Control struct {
 	cfg        Config
 	stages     [StageCount]delay
 	intervalAt time.Duration
-	// decided counts the admitted requests of the current interval, from which the first limit is taken; rate is that of the last interval.
-	decided int
-	limited bool
-	since   time.Duration
+	// admitted counts the admitted requests of the current interval; rate is that of the last one in requests per second.
+	admitted int
+	rate     float64
+	limited  bool
+	since    time.Duration
 	// limit is the admitted rate in requests per second, and step what an interval adds to it at most.
 	limit, step float64
 	tokens      float64
@@ -74,7 +75,7 @@
 func (c *Control) Admit(now, waited time.Duration, r Request) Class {
 	c.advance(now)
 	if !c.limited {
-		c.decided++
+		c.admitted++
 		return ClassNone
 	}
 	if r.TimeLeft > 0 && r.TimeLeft < waited+r.Expected {
@@ -85,7 +86,7 @@
 		return c.refuse(now, r.class())
 	}
 	c.tokens--
-	c.decided++
+	c.admitted++
 	return ClassNone
 }
 
@@ -126,18 +127,21 @@
 func (c *Control) burst() float64 { return max(minBurst, c.limit*burstTime.Seconds()) }
 
 func (c *Control) fill(now time.Duration) {
+	if now < c.filledAt {
+		return
+	}
 	c.tokens = min(c.burst(), c.tokens+c.limit*(now-c.filledAt).Seconds())
 	c.filledAt = now
 }
 
-// begin starts the limit from the rate at which requests were admitted while the queue stood, which is what the processor could do.
+// begin starts the limit from the rate at which requests were admitted while none was refused.
 func (c *Control) begin(now time.Duration) {
 	passed := max(now-c.intervalAt, c.cfg.Interval)
 	c.limited, c.since = true, now
-	c.limit = max(minRate, limitDecrease*float64(c.decided)/passed.Seconds())
+	c.limit = max(minRate, initialFraction*max(c.rate, float64(c.admitted)/passed.Seconds()))
 	c.step = max(1, limitIncrease*c.limit)
 	c.tokens, c.filledAt, c.refusedAt, c.refused = 0, now, now, 0
-	c.intervalAt, c.decided = now, 0
+	c.intervalAt, c.admitted = now, 0
 	for i := range c.stages {
 		c.stages[i].endInterval()
 	}
@@ -155,7 +159,8 @@
 	if c.limited {
 		c.adjust(now, worst)
 	}
-	c.intervalAt, c.decided = now, 0
+	c.rate = float64(c.admitted) / (now - c.intervalAt).Seconds()
+	c.intervalAt, c.admitted = now, 0
 }
 
 func (c *Control) adjust(now, worst time.Duration) {
