Overload control: admitted requests are decided on once; tests of slots and neighbours

A screened request that was admitted was decided on again in its handler and took a second token, so that hardly any request of a limited router was served. Over-share requests are refused without a placement while the router is limited too, not only above half of the threshold. A handler observes the lag of the control goroutine at most each 20 ms, so that a pause of the process does not begin the limit. Tests: limited and ordinary neighbours, notices, sums of reports, marks of placements without slots.

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -34,9 +34,72 @@
 	}
 }
 
+// LimitedWithoutTicks reports whether the overload control of a router whose control goroutine has not run for a while limits its requests once
+// handlers have decided on a number of requests, one each interval, before the control goroutine runs.
+func LimitedWithoutTicks(stalled time.Duration, requests int, interval time.Duration) bool {
+	now := stalled
+	e := &Router{cfg: Config{Steady: func() time.Duration { return now }}, overload: newOverload()}
+	for range requests {
+		now += interval
+		e.observeArrival(e.steady(), arrival{first: true})
+	}
+	return e.overload.limited.Load()
+}
+
+// RefuseForSlots acts as if a placement of the account, which is beyond its share, had just found no slot.
+func (e *Router) RefuseForSlots(account pomelorelay.AccountID, service pomelorelay.ServiceID, retryAfter time.Duration) {
+	e.overload.shares.Store(&shareSnapshot{overShare: map[pomelorelay.AccountID]bool{account: true}})
+	e.overload.markSlotless(e.steady(), account, service, retryAfter)
+}
+
+// SlotlessRetryAfter returns the Retry-After with which the account's over-share requests are refused without a placement the given time from now,
+// and false if they are placed.
+func (d PlacementControl) SlotlessRetryAfter(account pomelorelay.AccountID, service pomelorelay.ServiceID, after time.Duration) (time.Duration, bool) {
+	return d.c.e.overload.slotlessRetryAfter(d.c.e.steady()+int64(after), &pomeloforward.Preview{Account: account, Service: service})
+}
+
+// OverShare returns the accounts that are beyond their share according to the handlers' snapshot.
+func (d PlacementControl) OverShare() map[pomelorelay.AccountID]bool {
+	return d.c.shareSnapshot().overShare
+}
+
 // Limited reports whether the overload control limits the router's requests.
 func (e *Router) Limited() bool { return e.overload.limited.Load() }
 
+// RecordingMesh is a DiscardMesh that keeps the load reports sent to each router.
+type RecordingMesh struct {
+	discardMesh
+	Reports map[pomelorelay.NodeID][]*pomelorelay.LoadReport
+}
+
+// Send records a load report.
+func (m RecordingMesh) Send(to pomelorelay.NodeID, message pomelorelay.Message) error {
+	if r, ok := message.(*pomelorelay.LoadReport); ok {
+		m.Reports[to] = append(m.Reports[to], r)
+	}
+	return nil
+}
+
+// TickLimited runs the updates of the overload control while the router is, or is not, limited; it returns the load reports sent to each router.
+func (f UpdateControl) TickLimited(now time.Time, limited bool) map[pomelorelay.NodeID][]*pomelorelay.LoadReport {
+	mesh := RecordingMesh{Reports: make(map[pomelorelay.NodeID][]*pomelorelay.LoadReport)}
+	f.c.e.mesh = mesh
+	f.c.overload.last.Limited = limited
+	f.c.e.overload.limited.Store(limited)
+	f.c.adjustOverload(now)
+	return mesh.Reports
+}
+
+// ReceiveReport processes a load report that another router of the failure domain sent directly.
+func (f UpdateControl) ReceiveReport(now time.Time, from pomelorelay.NodeID, m *pomelorelay.LoadReport) {
+	f.c.receive(now, pomelorelay.Envelope{From: from, Incarnation: 1, Domain: f.c.e.cfg.Settings.Self.Domain, Message: m})
+}
+
+// Neighbours returns what the router knows of the other routers of its failure domain.
+func (f UpdateControl) Neighbours(now time.Time) pomelooverload.Neighbours {
+	return f.c.neighbours(now)
+}
+
 // PlacementControl places requests as the control goroutine does, without the goroutine.
 type PlacementControl struct{ c *control }
 
@@ -46,6 +109,8 @@
 	began := time.Now()
 	steady := func() time.Duration { return time.Since(began) }
 	c := newControl(&Router{cfg: Config{Settings: settings, Clock: pomelorelay.SystemClock{}, Steady: steady, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New()})
+	c.config = &config
+	c.e.overload.slotless.Store(newSlotlessTable(&config))
 	c.shares.SetCapacity(config.Limits.TokensPerSecond)
 	c.placer.SetConfig(&config)
 	c.residency.SetConfig(time.Time{}, &config)
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -8,6 +8,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelometric"
 )
 
 // The load balancer selects a router by caller, so a flood of one account may hit a single small host. A router that accepted all of
@@ -233,16 +234,16 @@
 	a := arrival{host: r.Host, path: r.URL.Path, head: r.Header}
 	info, now := connOf(r.Context()), e.steady()
 	if info != nil {
-		a.first = info.decidedAt.Load() == 0
-		if a.first && info.decided.Load() {
+		if info.screened.Swap(false) {
 			return refusal{}
 		}
+		a.first = info.decidedAt.Load() == 0
 		a.waited = time.Duration(now - info.acceptedAt)
 	}
 	refused := e.decide(a)
 	if info != nil {
 		if a.first {
-			e.metrics.ObserveStage("accept", a.waited)
+			e.metrics.ObserveStage(pomelometric.StageAccept, a.waited)
 		}
 		info.decidedAt.Store(now)
 	}
--- a/pomeloentry/overload.go
+++ b/pomeloentry/overload.go
@@ -21,6 +21,8 @@
 
 	// The fields below copy parts of the control's state for readers that must not wait for mu.
 	limited, aboveHalf, closeUnread atomic.Bool
+	// lagSeenAt is when a handler last observed the lag of the control goroutine.
+	lagSeenAt atomic.Int64
 	// away is set while the router is out of the load balancer's rotation because it is limited.
 	away     atomic.Bool
 	shares   atomic.Pointer[shareSnapshot]
@@ -141,7 +143,7 @@
 	if shares := o.shares.Load(); shares != nil && known {
 		r.OverShare, r.Expected = shares.overShare[p.Account], shares.expected[p.Route]
 	}
-	if known && r.OverShare && s.AboveHalf {
+	if known && r.OverShare {
 		if wait, ok := o.slotlessRetryAfter(now, &p); ok {
 			o.count(p, classSlotless)
 			return refusal{pomelorelay.CodeShareSpent, wait, classSlotless}
@@ -161,6 +163,9 @@
 func (e *Router) observeArrival(now int64, a arrival) pomelooverload.State {
 	o := e.overload
 	lag := e.lag()
+	if lag > maxLag && !o.mayObserveLag(now) {
+		lag = 0
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if a.first {
@@ -178,6 +183,13 @@
 	return s
 }
 
+// mayObserveLag reports whether a handler may observe the lag of the control goroutine now. After a pause of the whole process, which is no overload,
+// many handlers run before the control goroutine does; without the minimum time between two observations, their number would begin the limit.
+func (o *overload) mayObserveLag(now int64) bool {
+	last := o.lagSeenAt.Load()
+	return now-last >= int64(tickInterval) && o.lagSeenAt.CompareAndSwap(last, now)
+}
+
 // observe records how long something waited on a stage.
 func (o *overload) observe(now int64, stage pomelooverload.Stage, waited time.Duration) {
 	o.mu.Lock()
@@ -276,10 +288,13 @@
 func (c *control) adjustOverload(now time.Time) {
 	o := c.e.overload
 	c.flushUnread()
-	if !o.limited.Load() && !o.aboveHalf.Load() {
-		o.shares.Store(nil)
-	} else {
+	if o.limited.Load() || o.aboveHalf.Load() {
 		o.shares.Store(c.shareSnapshot())
+	} else {
+		o.shares.Store(nil)
+		if !o.away.Load() && c.overload.noticeAt.IsZero() {
+			return
+		}
 	}
 	o.away.Store(!c.overload.readiness.Ready(time.Duration(c.e.steady()), c.overload.last, c.neighbours(now)))
 	c.sendLimited(now)
@@ -404,6 +419,11 @@
 		m.SetGauge("overload_refused_"+string(class), float64(o.refused.of(class).Load()))
 	}
 	m.SetGauge("overload_closed_unread", float64(o.refused.unreadConns.Load()))
+	away := 0.0
+	if o.away.Load() {
+		away = 1
+	}
+	m.SetGauge("overload_out_of_rotation", away)
 	m.SetGauge("overload_limit", c.overload.last.Limit)
 	m.SetGauge("overload_delay_seconds", c.overload.last.Delay.Seconds())
 }
--- a/pomeloentry/overload_test.go
+++ b/pomeloentry/overload_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloentry"
 	"github.com/pomelorelay/pomelorelay/pomelofake"
 )
 
@@ -97,36 +98,58 @@
 	}
 }
 
-// Guards against a screened head that net/http would read otherwise: incomplete, folded and unusual ones are left to it, and an admitted request
-// is parsed and served as if it had not been screened.
+// Guards against a screened head that net/http would read otherwise, since incomplete ones are left to it, and against a decision that is taken a
+// second time when an admitted request reaches its handler.
 func TestScreenedRequestsAreServedUnchanged(t *testing.T) {
 	_, n := overloaded(t)
 	whole := rawRequest(20)
 	cut := bytes.Index(whole, []byte("\r\n\r\n")) - 7
-	for range 100 {
-		n.router.Overload()
-		conn, err := net.Dial("tcp", n.settings.CallerAddr.String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, part := range [][]byte{whole[:cut], whole[cut:]} {
-			if _, err := conn.Write(part); err != nil {
-				t.Fatal(err)
+	for name, parts := range map[string][][]byte{"whole": {whole}, "in two parts": {whole[:cut], whole[cut:]}} {
+		t.Run(name, func(t *testing.T) {
+			// The limit of an idle router is at least 5 requests a second, so one of the requests of two seconds is admitted.
+			for range 200 {
+				n.router.Overload()
+				if status := exchangeParts(t, n.settings.CallerAddr, parts); status == http.StatusOK {
+					return
+				} else if status != http.StatusServiceUnavailable {
+					t.Fatalf("status %d, want 200 or 503", status)
+				}
+				time.Sleep(10 * time.Millisecond)
 			}
-			time.Sleep(5 * time.Millisecond)
-		}
-		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil {
-			t.Fatalf("a request in two parts got %v instead of a response", err)
-		}
-		_ = conn.Close()
-		switch resp.StatusCode {
-		case http.StatusServiceUnavailable:
-		case http.StatusOK:
-			return
-		default:
-			t.Fatalf("status %d, want 200 or 503", resp.StatusCode)
+			t.Error("no request was admitted, want one")
+		})
+	}
+}
+
+// exchangeParts sends parts of a request with a pause after each and returns the status of the response.
+func exchangeParts(t *testing.T, addr netip.AddrPort, parts [][]byte) int {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	for _, part := range parts {
+		if _, err := conn.Write(part); err != nil {
+			t.Fatal(err)
 		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("got %v instead of a response", err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a limit of half a second after a pause of the whole process, when handlers run before the control goroutine does, and against a
+// router without limit whose control goroutine does not run although its handlers do.
+func TestStalledControlGoroutineBeginsTheLimit(t *testing.T) {
+	if pomeloentry.LimitedWithoutTicks(time.Second, 50, 20*time.Microsecond) {
+		t.Error("limited by requests of the first millisecond after a pause, want not")
+	}
+	if !pomeloentry.LimitedWithoutTicks(time.Second, 50, 5*time.Millisecond) {
+		t.Error("not limited although the control goroutine did not run for 1.25 s, want limited")
 	}
-	t.Error("no request in two parts was admitted within 100")
 }
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelometric"
 	"github.com/pomelorelay/pomelorelay/pomelooverload"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
@@ -38,7 +39,7 @@
 // observeSent records the time from the decision on a request to its sending, which follows its placement at once.
 func (e *Router) observeSent(ctx context.Context) {
 	if info := connOf(ctx); info != nil {
-		e.metrics.ObserveStage("send", time.Duration(e.steady()-info.decidedAt.Load()))
+		e.metrics.ObserveStage(pomelometric.StageSend, time.Duration(e.steady()-info.decidedAt.Load()))
 	}
 }
 
@@ -54,7 +55,7 @@
 	asked := c.e.steady()
 	waited := time.Duration(asked - r.askedAt)
 	c.e.overload.observe(asked, pomelooverload.StagePlace, waited)
-	c.e.metrics.ObserveStage("place", waited)
+	c.e.metrics.ObserveStage(pomelometric.StagePlace, waited)
 	if r.ctx.Err() != nil {
 		r.answer <- pomeloplace.Decision{}
 		return
--- a/pomeloentry/screen.go
+++ b/pomeloentry/screen.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelometric"
 	"github.com/pomelorelay/pomelorelay/pomeloproblem"
 )
 
@@ -22,8 +23,8 @@
 	conn net.Conn
 	// acceptedAt is when the connection was accepted, in nanoseconds of Config.Steady.
 	acceptedAt int64
-	// decided is set once the router has decided on the connection's first request.
-	decided atomic.Bool
+	// screened is set while a request that was admitted before net/http parsed it has not reached its handler.
+	screened atomic.Bool
 	// decidedAt is when the last request was admitted.
 	decidedAt atomic.Int64
 }
@@ -72,10 +73,10 @@
 	}
 	now := c.e.steady()
 	waited := time.Duration(now - c.info.acceptedAt)
-	c.e.metrics.ObserveStage("accept", waited)
+	c.e.metrics.ObserveStage(pomelometric.StageAccept, waited)
 	r := c.e.decide(arrival{host: head.host, path: head.path, head: head.fields, waited: waited, first: true})
-	c.info.decided.Store(true)
 	if r.code == 0 {
+		c.info.screened.Store(true)
 		c.info.decidedAt.Store(now)
 		return n, nil
 	}
--- a/pomelometric/metrics.go
+++ b/pomelometric/metrics.go
@@ -19,6 +19,19 @@
 // reach the longest deadlines.
 var secondsBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8, 16}
 
+// Stage is a part of a request's way through the router.
+type Stage string
+
+// Values of Stage.
+const (
+	// StageAccept is the time from the acceptance of a connection to the decision on its first request.
+	StageAccept Stage = "accept"
+	// StagePlace is the time from a placement's request to the control goroutine's decision.
+	StagePlace Stage = "place"
+	// StageSend is the time from the decision on a request to its sending.
+	StageSend Stage = "send"
+)
+
 // stageBuckets are the bucket bounds of the times that requests wait in the router, in seconds; they are dense around the overload threshold of 20 ms.
 var stageBuckets = []float64{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}
 
@@ -34,7 +47,7 @@
 	brokenRuns     prometheus.Counter
 	placements     *prometheus.CounterVec
 	gauges         *prometheus.GaugeVec
-	stages         *prometheus.HistogramVec
+	stages         map[Stage]prometheus.Observer
 	missedMessages prometheus.Counter
 	storeCalls     *prometheus.CounterVec
 }
@@ -50,13 +63,17 @@
 		placements:  prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "placements_total", Help: "Decisions on requests by reason of refusal; empty for a place."}, []string{"reason"}),
 		gauges:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "state", Help: "What the router knows now, by name."}, []string{"name"}),
 	}
-	m.stages = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "stage_seconds", Help: "Time in the router by stage: accept to decision, place (placement request to decision), send (decision to sending).", Buckets: stageBuckets}, []string{"stage"})
+	stages := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "stage_seconds", Help: "Time in the router by stage: accept to decision, place (placement request to decision), send (decision to sending).", Buckets: stageBuckets}, []string{"stage"})
+	m.stages = make(map[Stage]prometheus.Observer)
+	for _, stage := range []Stage{StageAccept, StagePlace, StageSend} {
+		m.stages[stage] = stages.WithLabelValues(string(stage))
+	}
 	m.deniedRetries = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "retries_denied_total", Help: "Requests not sent again because the service's retry budget was spent."}, []string{"service"})
 	m.crashes = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "crashed_runs_total", Help: "Requests that ran on an upstream when it crashed, by what showed the crash."}, []string{"evidence"})
 	m.brokenRuns = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "broken_runs_total", Help: "Requests whose connection to the upstream broke, because of a crash or not."})
 	m.missedMessages = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "messages_missed_total", Help: "Messages to other routers that could not be queued."})
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total", Help: "Calls to the platform's store by kind, cause and result code; 0 for none."}, []string{"kind", "cause", "code"})
-	m.registry.MustRegister(m.stages, m.crashes, m.brokenRuns, m.deniedRetries, m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
+	m.registry.MustRegister(stages, m.crashes, m.brokenRuns, m.deniedRetries, m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
 	return m
 }
 
@@ -97,8 +114,8 @@
 }
 
 // ObserveStage records how long a request was on a stage of its way through the router.
-func (m *Metrics) ObserveStage(stage string, d time.Duration) {
-	m.stages.WithLabelValues(stage).Observe(d.Seconds())
+func (m *Metrics) ObserveStage(stage Stage, d time.Duration) {
+	m.stages[stage].Observe(d.Seconds())
 }
 
 // SetGauge sets the gauge of the given name.
