--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -231,7 +231,7 @@
 
 // decideOn decides on a request that net/http has parsed, unless that was done when the first bytes of its connection were read.
 func (e *Router) decideOn(r *http.Request) refusal {
-	a := arrival{host: r.Host, path: r.URL.Path, head: r.Header}
+	a := arrival{host: r.Host, path: r.URL.EscapedPath(), head: r.Header}
 	info, now := connOf(r.Context()), e.steady()
 	if info != nil {
 		if info.screened.Swap(false) {
--- a/pomeloentry/screen.go
+++ b/pomeloentry/screen.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,23 +67,33 @@
 		return n, err
 	}
 	c.read = true
-	head, ok := parseHead(p[:n])
-	if !ok {
-		// Incomplete, malformed or unusual; net/http reads on, and the handler decides.
+	r, unread := c.screen(p[:n])
+	if r.code == 0 {
 		return n, nil
 	}
+	c.e.logRefusal(r)
+	c.refuse(r, unread)
+	return 0, io.EOF
+}
+
+// screen decides on the request that begins with the data, and reports whether a part of its body is unread. An incomplete, malformed or unusual
+// head is admitted here: net/http reads on, and the handler decides.
+func (c *screenedConn) screen(data []byte) (r refusal, unread bool) {
+	buffer := headBuffers.Get().(*headBuffer)
+	defer headBuffers.Put(buffer)
+	head, ok := buffer.parse(data)
+	if !ok {
+		return refusal{}, false
+	}
 	now := c.e.steady()
 	waited := time.Duration(now - c.info.acceptedAt)
 	c.e.metrics.ObserveStage(pomelometric.StageAccept, waited)
-	r := c.e.decide(arrival{host: head.host, path: head.path, head: head.fields, waited: waited, first: true})
+	r = c.e.decide(arrival{host: head.host, path: head.path, head: buffer.fields, waited: waited, first: true})
 	if r.code == 0 {
 		c.info.screened.Store(true)
 		c.info.decidedAt.Store(now)
-		return n, nil
 	}
-	c.e.logRefusal(r)
-	c.refuse(r, head.length < 0 || head.length > int64(n-head.size))
-	return 0, io.EOF
+	return r, head.length < 0 || head.length > int64(len(data)-head.size)
 }
 
 const (
@@ -136,18 +147,25 @@
 	return b.Bytes()
 }
 
-// requestHead is the parsed head of a request.
+// headBuffer holds the header fields of a request while the router decides on it.
+type headBuffer struct {
+	fields http.Header
+	values []string
+}
+
+var headBuffers = sync.Pool{New: func() any { return &headBuffer{fields: make(http.Header)} }}
+
+// requestHead is the parsed head of a request, without its header fields.
 type requestHead struct {
 	host, path string
-	fields     http.Header
 	// size is the length of the head in bytes, length that of the body; -1 if it is unknown.
 	size   int
 	length int64
 }
 
-// parseHead parses the head of a request for the decision on it. It returns false for an incomplete head and for whatever it leaves to net/http,
-// which parses the heads of admitted requests itself.
-func parseHead(data []byte) (requestHead, bool) {
+// parse parses the head of a request for the decision on it. It returns false for an incomplete head and for whatever it leaves to net/http, which
+// parses the heads of admitted requests itself.
+func (b *headBuffer) parse(data []byte) (requestHead, bool) {
 	end := bytes.Index(data, []byte("\r\n\r\n"))
 	if end < 0 {
 		return requestHead{}, false
@@ -155,49 +173,44 @@
 	line, rest, _ := strings.Cut(string(data[:end]), "\r\n")
 	method, target, _ := strings.Cut(line, " ")
 	target, version, _ := strings.Cut(target, " ")
-	if method == http.MethodHead || version != "HTTP/1.1" || !strings.HasPrefix(target, "/") {
+	if method == http.MethodHead || version != "HTTP/1.1" || !strings.HasPrefix(target, "/") || !b.parseFields(rest) {
 		return requestHead{}, false
 	}
 	path, _, _ := strings.Cut(target, "?")
-	head := requestHead{path: path, size: end + len("\r\n\r\n")}
-	var ok bool
-	if head.fields, ok = parseFields(rest); !ok {
-		return requestHead{}, false
-	}
-	head.host = head.fields.Get("Host")
-	return head, head.parseLength()
+	length, ok := b.bodyLength()
+	return requestHead{host: b.fields.Get("Host"), path: path, size: end + len("\r\n\r\n"), length: length}, ok
 }
 
-func (h *requestHead) parseLength() bool {
-	if h.fields.Get("Transfer-Encoding") != "" {
-		h.length = -1
-		return true
+// bodyLength returns the length of the body in bytes, -1 if it is unknown; it returns false for an invalid length.
+func (b *headBuffer) bodyLength() (int64, bool) {
+	if b.fields.Get("Transfer-Encoding") != "" {
+		return -1, true
 	}
-	text := h.fields.Get("Content-Length")
+	text := b.fields.Get("Content-Length")
 	if text == "" {
-		return true
+		return 0, true
 	}
 	n, err := strconv.ParseInt(text, 10, 64)
-	h.length = n
-	return err == nil && n >= 0
+	return n, err == nil && n >= 0
 }
 
 // parseFields parses the header lines; it returns false if one is malformed or continues the line before it.
-func parseFields(lines string) (http.Header, bool) {
+func (b *headBuffer) parseFields(lines string) bool {
 	count := strings.Count(lines, "\r\n") + 1
-	fields, values := make(http.Header, count), make([]string, count)
+	clear(b.fields)
+	b.values = slices.Grow(b.values[:0], count)[:count]
 	for i := 0; lines != ""; i++ {
 		var line string
 		line, lines, _ = strings.Cut(lines, "\r\n")
 		key, value, ok := strings.Cut(line, ":")
 		if !ok || key == "" || strings.ContainsAny(key, " \t") {
-			return nil, false
+			return false
 		}
-		values[i] = strings.TrimSpace(value)
+		b.values[i] = strings.TrimSpace(value)
 		key = textproto.CanonicalMIMEHeaderKey(key)
-		if _, repeated := fields[key]; !repeated {
-			fields[key] = values[i : i+1 : i+1]
+		if _, repeated := b.fields[key]; !repeated {
+			b.fields[key] = b.values[i : i+1 : i+1]
 		}
 	}
-	return fields, true
+	return true
 }
