--- a/pomeloentry/request_bench_test.go
+++ b/pomeloentry/request_bench_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 
@@ -27,7 +26,7 @@
 	f.awaitStatus(n, "/a", http.StatusOK)
 	for _, kept := range []bool{false, true} {
 		b.Run(fmt.Sprintf("Kept=%t", kept), func(b *testing.B) {
-			before, refused := processorTime(), 0
+			before, refused := processorTime(b), 0
 			var conn net.Conn
 			for i := 0; b.Loop(); i++ {
 				if conn == nil {
@@ -43,7 +42,7 @@
 				}
 			}
 			b.ReportMetric(float64(refused)/float64(b.N), "refused/op")
-			b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
 		})
 	}
 }
@@ -68,12 +67,3 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err == nil && resp.StatusCode == http.StatusOK && !resp.Close
 }
-
-// processorTime returns the user and system time of the process.
-func processorTime() time.Duration {
-	var use syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &use); err != nil {
-		return 0
-	}
-	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
-}
