Placement by announced load and lasting speed

Placement knew the load of upstreams from reports only, and their speed from times to first token. It now keeps what upstreams announce, uses the product of lasting and momentary factor for prefill, first token, queue and service time, and the announced running and waiting requests where they are more than routers account for. Observed times are divided by the mean of the momentary factors at sending and at the response before they enter any model. Announced figures refuse no request: admission that they would refuse is checked without them. Mechanism Feedback disables all of it.

--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -120,6 +120,11 @@
 	CopiedTokens pomelorelay.Tokens
 	// Running is the number of requests of all routers at the upstream.
 	Running int
+	// Announced is the load that the upstream announced last, with its age; it is not known if the upstream announces none.
+	Announced    pomelorelay.UpstreamFigures
+	AnnouncedAge time.Duration
+	// Slowness is the momentary factor of the upstream's host that the decision is based on.
+	Slowness float64
 	// ReportAge is the age of the oldest load report in use; zero when there is none.
 	ReportAge time.Duration
 	// ListAge is the time since upstreams were last listed from the platform's store.
@@ -150,8 +155,10 @@
 	// prefill speed.
 	waitedForSlot bool
 	memoryTokens  pomelorelay.Tokens
-	started       bool
-	ended         bool
+	// momentary is the momentary factor that was known when the request was sent.
+	momentary float64
+	started   bool
+	ended     bool
 }
 
 // Result is the outcome of a run.
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -183,14 +183,15 @@
 // updateSlowdowns compares each engine's speed with the median engine. A deviation common to all engines belongs to the service's speed
 // estimate, which may not have converged yet.
 func (s *pool) updateSlowdowns(now time.Time) {
+	s.updateLasting(now)
 	s.speedFactors = s.speedFactors[:0]
 	for _, u := range s.upstreams {
-		s.speedFactors = append(s.speedFactors, u.speedFactor.Ratio(now))
+		s.speedFactors = append(s.speedFactors, u.speedFactor.Ratio(now)/u.lastingFactor)
 	}
 	slices.Sort(s.speedFactors)
 	median := s.speedFactors[len(s.speedFactors)/2]
 	for _, u := range s.upstreams {
-		u.slowdown = u.speedFactor.RelativeTo(now, median)
+		u.slowdown = u.lastingFactor * u.speedFactor.RelativeTo(now, median*u.lastingFactor)
 	}
 }
 
--- a/pomeloplace/mechanism.go
+++ b/pomeloplace/mechanism.go
@@ -40,6 +40,8 @@
 	SharedTarget bool
 	// RecomputeLimit disables the refusal of over-share requests whose shared prompt parts would be prefilled a second time.
 	RecomputeLimit bool
+	// Feedback disables the use of the load that upstreams announce.
+	Feedback bool
 }
 
 // mechanisms lists the name that ParseMechanisms accepts for each field of Mechanisms, in declaration order.
@@ -65,6 +67,7 @@
 	{"Ahead", func(m *Mechanisms) *bool { return &m.AheadLimits }},
 	{"SharedTarget", func(m *Mechanisms) *bool { return &m.SharedTarget }},
 	{"ReadAgain", func(m *Mechanisms) *bool { return &m.RecomputeLimit }},
+	{"Feedback", func(m *Mechanisms) *bool { return &m.Feedback }},
 }
 
 // MechanismNames returns the names accepted by ParseMechanisms.
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -189,6 +189,7 @@
 		ReportAge:       p.reportAge(now),
 		Upstream:        best.up.info, ExpectedLatency: best.expectedLatency, QueueDelay: best.queueDelay, PrefillTokens: best.prefillTokens, UncachedShared: best.uncachedShared, Running: best.up.running(),
 	}
+	d.Announced, d.AnnouncedAge, d.Slowness = best.up.announcement(now)
 	if best.copyFrom != nil {
 		d.CopyFrom, d.CopiedTokens = best.copyFrom.info, best.copiedTokens
 	}
@@ -286,12 +287,12 @@
 	best, found := p.bestCandidate(now, r, pomelowarmup.AdmissionOpen)
 	var outcome admission
 	if found {
-		if outcome = p.admit(best, r); outcome.bound == BoundNone {
+		if outcome = p.admitAnnounced(now, best, r); outcome.bound == BoundNone {
 			return best, outcome, true
 		}
 	}
 	if cold, ok := p.bestCandidate(now, r, pomelowarmup.AdmissionFallback); ok {
-		if admitted := p.admit(cold, r); admitted.bound == BoundNone || !found {
+		if admitted := p.admitAnnounced(now, cold, r); admitted.bound == BoundNone || !found {
 			return cold, admitted, true
 		}
 	}
@@ -330,8 +331,10 @@
 	u := c.up
 	u.warmup.RecordSend(now)
 	u.domain.recordSend(now)
-	run := &Run{up: u, sent: now, prefillTokens: c.prefillTokens, copiedTokens: c.copiedTokens, memoryTokens: r.PromptTokens + r.OutputTokens}
+	run := &Run{up: u, sent: now, prefillTokens: c.prefillTokens, copiedTokens: c.copiedTokens, memoryTokens: r.PromptTokens + r.OutputTokens, momentary: u.momentary}
 	u.own.running++
+	u.own.requests++
+	u.feedback.RecordSend(now)
 	u.changed = true
 	if u.engine == nil {
 		return run
@@ -387,6 +390,7 @@
 		u.own.memoryTokens -= run.memoryTokens
 	}
 	u.own.running--
+	u.recordFeedbackEnd(now, run, result)
 	if run.started && u.engine != nil && result.Answered() && u.longPrefillAt.After(run.sent) {
 		u.pool.recordPause(now, result == ResultLongPause)
 	}
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -36,7 +36,7 @@
 			}
 			u.changed = false
 			m.Upstreams = append(m.Upstreams, pomelorelay.UpstreamLoad{
-				Upstream: u.info.ID, Running: uint32(max(0, u.own.running)), PendingPrefill: max(0, u.own.pendingPrefill), KVTokens: max(0, u.own.memoryTokens), PromptTokensSent: u.own.sent,
+				Upstream: u.info.ID, Running: uint32(max(0, u.own.running)), PendingPrefill: max(0, u.own.pendingPrefill), KVTokens: max(0, u.own.memoryTokens), PromptTokensSent: u.own.sent, RequestsSent: u.own.requests,
 				FirstTokenExpected: u.own.expectedSum, FirstTokenMeasured: u.own.measuredSum,
 			})
 		}
@@ -117,7 +117,7 @@
 	}
 	for id, l := range o.loads {
 		if !listed[id] && l.running != 0 {
-			p.applyLoad(now, o, pomelorelay.UpstreamLoad{Upstream: id, PromptTokensSent: l.sent, FirstTokenExpected: l.expectedSum, FirstTokenMeasured: l.measuredSum})
+			p.applyLoad(now, o, pomelorelay.UpstreamLoad{Upstream: id, PromptTokensSent: l.sent, RequestsSent: l.requests, FirstTokenExpected: l.expectedSum, FirstTokenMeasured: l.measuredSum})
 		}
 	}
 }
@@ -146,18 +146,19 @@
 }
 
 func (p *Placer) applyLoad(now time.Time, o *peer, l pomelorelay.UpstreamLoad) {
-	next := load{running: int(l.Running), pendingPrefill: l.PendingPrefill, memoryTokens: l.KVTokens, sent: l.PromptTokensSent, expectedSum: l.FirstTokenExpected, measuredSum: l.FirstTokenMeasured}
+	next := load{running: int(l.Running), pendingPrefill: l.PendingPrefill, memoryTokens: l.KVTokens, sent: l.PromptTokensSent, requests: l.RequestsSent, expectedSum: l.FirstTokenExpected, measuredSum: l.FirstTokenMeasured}
 	before, known := o.loads[l.Upstream]
 	o.loads[l.Upstream] = next
 	u := p.lookUp(l.Upstream)
 	if u == nil {
 		return
 	}
+	p.applyAnnounced(now, u, &l)
 	u.others.running += next.running - before.running
 	u.others.pendingPrefill += next.pendingPrefill - before.pendingPrefill
 	u.others.memoryTokens += next.memoryTokens - before.memoryTokens
 	if known && next.expectedSum > before.expectedSum {
-		u.speedFactor.Observe(now, next.measuredSum-before.measuredSum, next.expectedSum-before.expectedSum)
+		u.observeSpeed(now, next.measuredSum-before.measuredSum, next.expectedSum-before.expectedSum)
 	}
 	switch {
 	case known && next.sent > before.sent:
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -17,6 +17,7 @@
 	pendingPrefill pomelorelay.Tokens
 	memoryTokens   pomelorelay.Tokens
 	sent           pomelorelay.Tokens
+	requests       uint64
 	// expectedSum and measuredSum are the sums of the expected and measured times to first token.
 	expectedSum, measuredSum time.Duration
 }
@@ -48,6 +49,7 @@
 	// engine.
 	speedFactor pomelospeed.SlowdownFactor
 	slowdown    float64
+	announcedState
 	// longPrefillAt is when the engine last had a backlog long enough to pause concurrent streams for too long.
 	longPrefillAt time.Time
 	// serviceTime is the moving average of the time of a request to a plain upstream.
@@ -62,7 +64,7 @@
 }
 
 func newUpstream(info pomelorelay.FleetUpstream, engine *pomelorelay.EngineSpec) *upstream {
-	u := &upstream{info: info, longRank: longRank(info.ID), idHash: xxhash.Sum64String(string(info.ID)), slowdown: 1, serviceTime: initialServiceTime}
+	u := &upstream{info: info, longRank: longRank(info.ID), idHash: xxhash.Sum64String(string(info.ID)), slowdown: 1, announcedState: newAnnouncedState(info), serviceTime: initialServiceTime}
 	u.setEngine(engine)
 	return u
 }
@@ -121,11 +123,11 @@
 // queueDelay returns the estimated time until a new request is processed.
 func (u *upstream) queueDelay(now time.Time) time.Duration {
 	if u.engine == nil {
-		excess := u.running() - u.slots() + 1
-		return time.Duration(max(0, excess)) * u.serviceTime / time.Duration(u.slots())
+		excess := u.occupied() - u.slots() + 1
+		return time.Duration(max(0, excess)) * u.expectedServiceTime() / time.Duration(u.slots())
 	}
 	wait := u.prefillTime(u.queuedTokens(now))
-	if excess := u.running() - u.slots() + 1; excess > 0 {
+	if excess := u.occupied() - u.slots() + 1; excess > 0 {
 		wait += time.Duration(excess) * slotFreeInterval
 	}
 	return wait
@@ -141,11 +143,11 @@
 }
 
 // prefillRate returns the engine's prefill rate in tokens per millisecond.
-func (u *upstream) prefillRate() float64 { return float64(u.pool.speed.PrefillRate()) / u.slowdown }
+func (u *upstream) prefillRate() float64 { return float64(u.pool.speed.PrefillRate()) / u.slowness() }
 
 // firstTokenOverhead returns the part of the time to first token that does not depend on the prompt.
 func (u *upstream) firstTokenOverhead() time.Duration {
-	return time.Duration(u.slowdown * float64(u.pool.speed.Overhead()))
+	return scale(u.slowness(), u.pool.speed.Overhead())
 }
 
 // decayedFailureRate returns the failure rate, decayed since the last result.
@@ -190,8 +192,9 @@
 // to another region. It returns a new sample of that round trip: the time in excess of the engine's estimate, or rtt itself if the run gives no
 // usable sample.
 func (u *upstream) observeFirstToken(now time.Time, r *Run, latency, rtt time.Duration) time.Duration {
+	momentary := u.momentaryDuring(now, r)
 	if u.engine == nil {
-		u.serviceTime += scale(serviceTimeAlpha, latency-rtt-u.serviceTime)
+		u.serviceTime += scale(serviceTimeAlpha, scale(1/momentary, latency-rtt)-u.serviceTime)
 		return rtt
 	}
 	if r.waitedForSlot || latency <= rtt {
@@ -199,15 +202,16 @@
 	}
 	tokens := r.queuedTokens + float64(r.prefillTokens)
 	expected := u.pool.speed.ExpectedTime(tokens)
-	excess := latency - scale(u.slowdown, expected)
+	excess := latency - scale(u.slowdown*momentary, expected)
 	if r.copiedTokens > 0 {
 		u.pool.copyRatio.Observe(now, u.copySample(r, excess-rtt))
 		return rtt
 	}
-	u.speedFactor.Observe(now, latency-rtt, expected)
+	usual := scale(1/momentary, latency-rtt)
+	u.observeSpeed(now, usual, expected)
 	u.own.expectedSum += expected
-	u.own.measuredSum += latency - rtt
-	u.pool.speed.Observe(now, tokens, scale(1/u.slowdown, latency-rtt))
+	u.own.measuredSum += usual
+	u.pool.speed.Observe(now, tokens, scale(1/u.slowdown, usual))
 	return excess
 }
 
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -107,6 +107,12 @@
 
 // evaluate returns the candidate with its cost.
 func (p *Placer) evaluate(now time.Time, u *upstream, from copySource, r *Request) candidate {
+	u.refreshAnnounced(now)
+	return p.evaluateRefreshed(now, u, from, r)
+}
+
+// evaluateRefreshed returns the candidate by the announced load as of the last refresh.
+func (p *Placer) evaluateRefreshed(now time.Time, u *upstream, from copySource, r *Request) candidate {
 	c := candidate{up: u, queueDelay: u.queueDelay(now)}
 	c.expectedLatency = c.queueDelay + p.regionLatency(u)
 	disabled := &p.cfg.DisabledMechanisms
@@ -117,7 +123,7 @@
 		c.addCost(TermFailures, time.Duration(u.decayedFailureRate(now)*float64(failureCost)))
 	}
 	if u.engine == nil {
-		c.expectedLatency += u.serviceTime
+		c.expectedLatency += u.expectedServiceTime()
 		c.addCost(TermWait, c.expectedLatency)
 		c.addCost(TermOccupancy, occupancyCost(u))
 		return c
@@ -187,7 +193,7 @@
 }
 
 func occupancyCost(u *upstream) time.Duration {
-	occupied := float64(u.running()) / float64(u.slots())
+	occupied := float64(u.occupied()) / float64(u.slots())
 	return scale(occupied*occupied, occupancyWeight)
 }
 
@@ -208,7 +214,7 @@
 	}
 	before := u.busyFor(now) + backlog
 	lateFraction := max(u.pausedFraction(backlog+prefill), u.pausedFraction(before+prefill)-u.pausedFraction(before))
-	return scale(u.pool.pauseWeight*lateFraction*float64(u.running()), longPauseCost)
+	return scale(u.pool.pauseWeight*lateFraction*float64(u.occupied()), longPauseCost)
 }
 
 // pausedFraction returns the fraction of streams whose pause is too long after an uninterrupted prefill of the given duration.
