Announced load from responses to placement and to other routers

The load header was parsed and dropped. Figures of all responses, also of errors and refusals, now reach placement with the start of the answer or with its end, so no further event is posted. Malformed ones are counted and logged once for each upstream and minute. Load reports carry what their router heard and the requests sent; relays forward the newest announcement once, with its age increased by the time for which they held it. The log line of a request has the figures, their age and the factor; metrics count announcements by outcome and compare the expected slowness with the next figure.

Tests: pomeloforward, pomelolink and the root package pass; pomeloentry passed whole before its new tests, which pass.

--- a/events_route.go
+++ b/events_route.go
@@ -12,6 +12,7 @@
 	EventRequestCut      EventID = 507
 	EventRequestGone     EventID = 508
 	EventRequestRetried  EventID = 509
+	EventLoadInvalid     EventID = 510
 )
 
 var routeEvents = []EventInfo{
@@ -25,4 +26,5 @@
 	{EventRequestCut, "RequestCut", LevelWarn, "An answer broke off after it had begun; the caller's connection was closed.", "Look up the code and the upstream."},
 	{EventRequestGone, "RequestGone", LevelInfo, "The caller left before its answer was whole; the upstream's work was cancelled.", "None."},
 	{EventRequestRetried, "RequestRetried", LevelInfo, "A request is sent again after a failure that allows it.", "Look at the upstream when it repeats."},
+	{EventLoadInvalid, "LoadInvalid", LevelWarn, "An upstream announces its load in a malformed header, which is ignored; logged once for each upstream and minute.", "Report it to the upstream's operators."},
 }
--- a/pomeloentry/aggregate.go
+++ b/pomeloentry/aggregate.go
@@ -53,6 +53,7 @@
 	}
 	base := s.baseline.upstreams[l.Upstream]
 	l.PromptTokensSent -= base.PromptTokensSent
+	l.RequestsSent -= base.RequestsSent
 	l.FirstTokenExpected -= base.FirstTokenExpected
 	l.FirstTokenMeasured -= base.FirstTokenMeasured
 	return l
@@ -77,7 +78,8 @@
 
 type loadSum struct {
 	pomelorelay.UpstreamLoad
-	changed bool
+	changed   bool
+	announced announcedLoad
 }
 
 type useSum struct {
@@ -136,6 +138,7 @@
 	for _, l := range m.Upstreams {
 		l = s.rebaseLoad(l)
 		a.addLoad(s.upstreams[l.Upstream], l)
+		a.addAnnounced(now, key, &l)
 		s.upstreams[l.Upstream] = l
 	}
 	for _, u := range m.Accounts {
@@ -189,6 +192,7 @@
 	sum.PendingPrefill += l.PendingPrefill - before.PendingPrefill
 	sum.KVTokens += l.KVTokens - before.KVTokens
 	sum.PromptTokensSent += l.PromptTokensSent - before.PromptTokensSent
+	sum.RequestsSent += l.RequestsSent - before.RequestsSent
 	sum.FirstTokenExpected += l.FirstTokenExpected - before.FirstTokenExpected
 	sum.FirstTokenMeasured += l.FirstTokenMeasured - before.FirstTokenMeasured
 	sum.changed = true
@@ -251,7 +255,7 @@
 
 // report returns the entries that changed since the last flush of summaries, or all entries when full is set. It excludes what the
 // source named key reported itself; an empty key excludes nothing.
-func (a *aggregate) report(key string, full bool, seq uint64) *pomelorelay.LoadReport {
+func (a *aggregate) report(now time.Time, key string, full bool, seq uint64) *pomelorelay.LoadReport {
 	m := &pomelorelay.LoadReport{Seq: seq, Full: full}
 	own := a.sources[key]
 	if own == nil {
@@ -267,9 +271,11 @@
 			l.PendingPrefill -= o.PendingPrefill
 			l.KVTokens -= o.KVTokens
 			l.PromptTokensSent -= o.PromptTokensSent
+			l.RequestsSent -= o.RequestsSent
 			l.FirstTokenExpected -= o.FirstTokenExpected
 			l.FirstTokenMeasured -= o.FirstTokenMeasured
 		}
+		sum.announced.fill(now, key, &l)
 		m.Upstreams = append(m.Upstreams, l)
 	}
 	for id, sum := range a.accounts {
@@ -324,7 +330,7 @@
 // markFlushed clears the marks of changed entries after summaries were sent.
 func (a *aggregate) markFlushed() {
 	for _, sum := range a.upstreams {
-		sum.changed = false
+		sum.changed, sum.announced.unsent = false, false
 	}
 	for _, sum := range a.accounts {
 		sum.changed = false
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -55,21 +55,24 @@
 	coldUpstreams map[pomelorelay.UpstreamID]pomelowarmup.Status
 	// loggedSpeeds holds the prefill speeds that were last logged.
 	loggedSpeeds map[pomelorelay.ServiceID]pomelospeed.PrefillRate
+	// loggedInvalid holds the times at which malformed announcements of upstreams were last logged.
+	loggedInvalid map[pomelorelay.UpstreamID]time.Time
 }
 
 func newControl(e *Router) *control {
 	s := e.cfg.Settings
 	c := &control{
-		e:            e,
-		placer:       pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions, ColdBounds: s.ColdBounds, DisabledMechanisms: e.cfg.DisabledMechanisms}),
-		shares:       pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
-		residency:    pomeloresidency.New(pomeloresidency.Config{Overlap: s.ConfigApplyTimeout}),
-		upstreams:    newUpstreams(),
-		streams:      newStreams(e.cfg.Clock.Now()),
-		evacuated:    make(map[pomelorelay.DomainID]bool),
-		crashes:      newCrashes(e.cfg.Logger),
-		peers:        newPeers(),
-		loggedSpeeds: make(map[pomelorelay.ServiceID]pomelospeed.PrefillRate),
+		e:             e,
+		placer:        pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions, ColdBounds: s.ColdBounds, DisabledMechanisms: e.cfg.DisabledMechanisms}),
+		shares:        pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
+		residency:     pomeloresidency.New(pomeloresidency.Config{Overlap: s.ConfigApplyTimeout}),
+		upstreams:     newUpstreams(),
+		streams:       newStreams(e.cfg.Clock.Now()),
+		evacuated:     make(map[pomelorelay.DomainID]bool),
+		crashes:       newCrashes(e.cfg.Logger),
+		peers:         newPeers(),
+		loggedSpeeds:  make(map[pomelorelay.ServiceID]pomelospeed.PrefillRate),
+		loggedInvalid: make(map[pomelorelay.UpstreamID]time.Time),
 	}
 	e.crashSnapshot.Store(c.crashes.log.Snapshot())
 	return c
@@ -247,6 +250,7 @@
 	}
 	c.reportedAt = now
 	c.placer.FillReport(m)
+	c.placer.FillAnnounced(now, m)
 	m.Accounts = c.shares.AppendReport(m.Full, m.Accounts)
 	m.Leaving = c.upstreams.reportedLeaving(now)
 	m.Streams = c.streams.origins.TakePending()
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -173,9 +173,14 @@
 
 // Reports returns for each source the entries that changed, or all entries when full is set, without the source's own contribution.
 func (s Aggregate) Reports(full bool, sources ...pomelorelay.NodeID) map[pomelorelay.NodeID]*pomelorelay.LoadReport {
+	return s.ReportsAt(time.Time{}, full, sources...)
+}
+
+// ReportsAt returns the same as Reports, with the ages of announcements at the given time.
+func (s Aggregate) ReportsAt(now time.Time, full bool, sources ...pomelorelay.NodeID) map[pomelorelay.NodeID]*pomelorelay.LoadReport {
 	all := make(map[pomelorelay.NodeID]*pomelorelay.LoadReport)
 	for _, from := range sources {
-		all[from] = s.a.report(string(from), full, 1)
+		all[from] = s.a.report(now, string(from), full, 1)
 	}
 	s.a.markFlushed()
 	return all
@@ -228,3 +233,18 @@
 	}
 	read.apply(r.c, now)
 }
+
+// AnnouncementControl records announced loads as the control goroutine does.
+type AnnouncementControl struct{ c *control }
+
+// NewAnnouncementControl returns an AnnouncementControl that logs to the given logger.
+func NewAnnouncementControl(logger pomelorelay.Logger) AnnouncementControl {
+	e := &Router{cfg: Config{Clock: pomelorelay.SystemClock{}, Logger: logger}, metrics: pomelometric.New(), mesh: discardMesh{}}
+	e.crashRecorder = newCrashRecorder(e)
+	return AnnouncementControl{newControl(e)}
+}
+
+// RecordInvalid records a malformed announcement.
+func (a AnnouncementControl) RecordInvalid(now time.Time, id pomelorelay.UpstreamID) {
+	a.c.recordAnnounced(now, reservation{upstream: pomelorelay.FleetUpstream{ID: id}}, pomeloforward.AnnouncedLoad{Invalid: true})
+}
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -56,8 +56,8 @@
 	upstream pomelorelay.FleetUpstream
 }
 
-// AnswerBegan records the start of the answer.
-func (r reservation) AnswerBegan() { r.e.post(&answerBegan{r}) }
+// AnswerBegan records the start of the answer and the load that the upstream announced in its header.
+func (r reservation) AnswerBegan(load pomeloforward.AnnouncedLoad) { r.e.post(&answerBegan{r, load}) }
 
 // AnswerLasts records that the answer has gone on for so long that its prompt does not crash upstreams.
 func (r reservation) AnswerLasts() { r.e.post(&answerLasts{r}) }
@@ -65,9 +65,13 @@
 // Done records the end of the run.
 func (r reservation) Done(end pomeloforward.RunEnd) { r.e.post(&runEnded{r, end}) }
 
-type answerBegan struct{ reservation }
+type answerBegan struct {
+	reservation
+	load pomeloforward.AnnouncedLoad
+}
 
 func (b *answerBegan) apply(c *control, now time.Time) {
+	c.recordAnnounced(now, b.reservation, b.load)
 	c.placer.RecordAnswerStart(now, b.run)
 	c.recordOrigin(now, b.request.Stream, b.upstream.Version)
 	c.recordSignOfLife(now, b.upstream.Process())
@@ -88,6 +92,7 @@
 // apply ends a run. The cost of a request that did not run is returned to its account: otherwise, while upstreams are down, an
 // account whose requests are sent to them would use up its share without being served, and its other requests would be refused.
 func (e *runEnded) apply(c *control, now time.Time) {
+	c.recordAnnounced(now, e.reservation, e.end.Load)
 	c.placer.RecordEnd(now, e.run, e.end.Result)
 	if e.end.Answered {
 		c.recordSignOfLife(now, e.upstream.Process())
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -224,13 +224,13 @@
 			relays = append(relays, node)
 		}
 		if full || r.local.changed() {
-			c.send(node, &pomelorelay.LoadSummary{Report: r.local.report("", full, r.seq)})
+			c.send(node, &pomelorelay.LoadSummary{Report: r.local.report(now, "", full, r.seq)})
 		}
 	}
 	standby := c.nextRelays(now)
 	for node, p := range c.peers.byNode {
 		if p.Domain == self.Domain {
-			c.send(node, &pomelorelay.LoadSummary{Report: r.all.report(string(node), full, r.seq), Standby: standby, Relays: relays})
+			c.send(node, &pomelorelay.LoadSummary{Report: r.all.report(now, string(node), full, r.seq), Standby: standby, Relays: relays})
 		}
 	}
 	r.local.markFlushed()
--- a/pomelofake/fleetwire.go
+++ b/pomelofake/fleetwire.go
@@ -1,6 +1,7 @@
 package pomelofake
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +21,7 @@
 	TestHeaderAccount          = "Client-Account"
 	TestHeaderSignedBy         = "Signed-By"
 	TestHeaderNotRun           = "Not-Run"
+	TestHeaderLoad             = "Load"
 	TestHeaderLastEventID      = "Last-Event-Id"
 	TestHeaderResumes          = "Resumes"
 )
@@ -76,9 +78,14 @@
 // ParseAnswerFields parses status and headers of an upstream's answer.
 func (TestWireFormat) ParseAnswerFields(resp *http.Response) pomelorelay.AnswerFields {
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
-	return pomelorelay.AnswerFields{
+	f := pomelorelay.AnswerFields{
 		NotRun:      misdirected || resp.Header.Get(TestHeaderNotRun) != "",
 		Misdirected: misdirected,
 		Signed:      resp.Header.Get(TestHeaderSignedBy) != "",
 	}
+	if text := resp.Header.Get(TestHeaderLoad); text != "" {
+		_, err := fmt.Sscanf(text, "%d,%d,%d,%d", &f.Load.Running, &f.Load.Waiting, &f.Load.Slots, &f.Load.SlownessPercent)
+		f.LoadInvalid = err != nil
+	}
+	return f
 }
--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -23,6 +23,7 @@
 func (c *call) checkHead(x *pomelolink.Exchange) *pomelolink.Failure {
 	resp := x.Response
 	answer := c.h.cfg.Wire.ParseAnswerFields(resp)
+	c.noteLoad(answer)
 	if resp.Header.Get("Content-Encoding") != "" {
 		return malformed(errEncoded)
 	}
@@ -40,6 +41,20 @@
 	return nil
 }
 
+// noteLoad keeps the load that the upstream announced until it is recorded.
+func (c *call) noteLoad(answer pomelorelay.AnswerFields) {
+	if answer.LoadInvalid || answer.Load.Known() {
+		c.load = AnnouncedLoad{Figures: answer.Load, Invalid: answer.LoadInvalid, ReadAt: c.h.cfg.Clock.Now()}
+	}
+}
+
+// takeLoad returns the load to be recorded; each announcement is recorded once.
+func (c *call) takeLoad() AnnouncedLoad {
+	load := c.load
+	c.load = AnnouncedLoad{}
+	return load
+}
+
 func malformed(cause error) *pomelolink.Failure {
 	return pomelolink.NewFailure(pomelolink.OutcomeTruncated, pomelorelay.CodeAnswerMalformed, cause)
 }
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -128,7 +128,10 @@
 	// Until the outcome is known the request counts as possibly run, even if this function panics.
 	c.mayHaveRun = true
 	end := RunEnd{Result: pomeloplace.ResultCancelled}
-	defer func() { reservation.Done(end) }()
+	defer func() {
+		end.Load = c.takeLoad()
+		reservation.Done(end)
+	}()
 	answer, f := c.exchange(ctx, up, reservation)
 	end.Result = resultOf(ctx, f)
 	if f == nil {
@@ -331,6 +334,9 @@
 func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, reservation Reservation) (*http.Response, *pomelolink.Failure) {
 	x, f := c.h.links.Open(ctx, pomelolink.UpstreamRequest{Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), StillWanted: func() bool { return !c.callerGone() }})
 	if f != nil {
+		if f.Refusal != nil {
+			c.noteLoad(c.h.cfg.Wire.ParseAnswerFields(f.Refusal))
+		}
 		return nil, f
 	}
 	defer func() { x.Close() }()
@@ -340,7 +346,7 @@
 	if c.route.Kind == pomelorelay.RouteStream && x.Response.StatusCode == http.StatusOK {
 		return x.Response, c.forwardStream(x, reservation)
 	}
-	reservation.AnswerBegan()
+	reservation.AnswerBegan(c.takeLoad())
 	if c.answerStarted {
 		// The upstream of a resumed stream answered without events, which cannot continue the stream.
 		return nil, pomelolink.NewFailure(pomelolink.OutcomeTruncated, pomelorelay.CodeStreamBroken, nil)
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -58,7 +58,9 @@
 	lastEventAt   time.Time
 	longestPause  time.Duration
 	decision      pomeloplace.Decision
-	status        int
+	// load is what the upstream of the last attempt announced, until it is recorded.
+	load   AnnouncedLoad
+	status int
 }
 
 func newCall(h *Handler, w http.ResponseWriter, r *http.Request) *call {
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -73,8 +73,8 @@
 
 // Reservation is a request's slot at an upstream; Done must be called exactly once.
 type Reservation interface {
-	// AnswerBegan records the start of the answer.
-	AnswerBegan()
+	// AnswerBegan records the start of the answer and the load that the upstream announced in its header.
+	AnswerBegan(load AnnouncedLoad)
 	// AnswerLasts records that the answer has gone on for so long that its prompt does not crash upstreams.
 	AnswerLasts()
 	// Done records the end of the run and releases the slot.
@@ -86,6 +86,17 @@
 	Result pomeloplace.Result
 	// Answered is set if the upstream answered with success, and the answer itself showed that it was complete.
 	Answered bool
+	// Load is the load that the upstream announced, unless AnswerBegan has recorded it.
+	Load AnnouncedLoad
+}
+
+// AnnouncedLoad is the load that an upstream announced in the header of its response.
+type AnnouncedLoad struct {
+	Figures pomelorelay.UpstreamFigures
+	// Invalid states that the announcement was malformed.
+	Invalid bool
+	// ReadAt is when the header was read.
+	ReadAt time.Time
 }
 
 // BrokenRun is a run during which the upstream's process may have ended.
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -147,6 +147,9 @@
 		pomelorelay.Field{Key: "Shared", Value: int64(d.UncachedShared)},
 		pomelorelay.Field{Key: "Copied", Value: int64(d.CopiedTokens)},
 		pomelorelay.Field{Key: "Running", Value: d.Running},
+		pomelorelay.Field{Key: "Announced", Value: announced(d.Announced)},
+		pomelorelay.Field{Key: "AnnouncedAgeMS", Value: d.AnnouncedAge.Milliseconds()},
+		pomelorelay.Field{Key: "Slowness", Value: d.Slowness},
 		pomelorelay.Field{Key: "ReportAgeMS", Value: d.ReportAge.Milliseconds()},
 		pomelorelay.Field{Key: "ListAgeMS", Value: d.ListAge.Milliseconds()},
 		pomelorelay.Field{Key: "Runs", Value: c.runs},
@@ -162,6 +165,14 @@
 	c.log(event, all...)
 }
 
+// announced returns the figures that an upstream announced, in the order of the header; empty if it announced none.
+func announced(f pomelorelay.UpstreamFigures) string {
+	if !f.Known() {
+		return ""
+	}
+	return fmt.Sprintf("%d,%d,%d,%d", f.Running, f.Waiting, f.Slots, f.SlownessPercent)
+}
+
 // log writes an event with the fields that identify the request.
 func (c *call) log(event pomelorelay.EventID, fields ...pomelorelay.Field) {
 	all := []pomelorelay.Field{
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -116,8 +116,10 @@
 	placements []pomeloplace.Decision
 	requests   []pomeloforward.PlacementRequest
 	results    []pomeloplace.Result
-	stopsIn    time.Duration
-	stopping   bool
+	// loads holds the announced loads in the order in which they were recorded.
+	loads    []pomeloforward.AnnouncedLoad
+	stopsIn  time.Duration
+	stopping bool
 	// callerGone reports whether a caller has disconnected; nil means never.
 	callerGone func() bool
 	mu         sync.Mutex
@@ -193,7 +195,15 @@
 	return h, d, nil
 }
 
-func (h *harness) AnswerBegan() {}
+func (h *harness) AnswerBegan(load pomeloforward.AnnouncedLoad) { h.addLoad(load) }
+
+func (h *harness) addLoad(load pomeloforward.AnnouncedLoad) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if load.Invalid || load.Figures.Known() {
+		h.loads = append(h.loads, load)
+	}
+}
 
 func (h *harness) AnswerLasts() {
 	h.mu.Lock()
@@ -202,6 +212,7 @@
 }
 
 func (h *harness) Done(end pomeloforward.RunEnd) {
+	h.addLoad(end.Load)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.results = append(h.results, end.Result)
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -28,7 +28,7 @@
 		if begunAt.IsZero() {
 			begunAt = c.h.cfg.Clock.Now()
 			c.version, c.versionFixed = c.decision.Upstream.Version, true
-			reservation.AnswerBegan()
+			reservation.AnswerBegan(c.takeLoad())
 		}
 		isNew, f := c.checkSequence(event)
 		if f != nil {
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -50,6 +50,8 @@
 	Err     *pomelorelay.Error
 	// ConnectionBroken is set if the connection broke or the answer ended early, possibly because the upstream crashed.
 	ConnectionBroken bool
+	// Refusal is the answer by which the upstream refused the request without running it; nil for other failures. Its body is closed.
+	Refusal *http.Response
 }
 
 // NewFailure returns a Failure; with OutcomeNotSent its error states that the request did not run.
@@ -230,6 +232,7 @@
 
 func (x *Exchange) refusedFailure() *Failure {
 	f := NewFailure(OutcomeRefusedNotRun, pomelorelay.CodeUpstreamRefused, nil)
+	f.Refusal = x.Response
 	if seconds, err := strconv.Atoi(x.Response.Header.Get("Retry-After")); err == nil && seconds >= 0 {
 		f.Err.RetryAfter = time.Duration(seconds) * time.Second
 	}
--- a/pomelometric/metrics.go
+++ b/pomelometric/metrics.go
@@ -19,6 +19,9 @@
 // reach the longest deadlines.
 var secondsBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8, 16}
 
+// ratioBuckets are the bucket bounds of ratios of an estimate to the truth; they are symmetric around 1 on a logarithmic scale.
+var ratioBuckets = []float64{0.25, 0.4, 0.5, 0.67, 0.8, 0.9, 1.11, 1.25, 1.5, 2, 2.5, 4}
+
 // Metrics holds a router's counters, gauges and histograms; it is safe for concurrent use.
 type Metrics struct {
 	registry       *prometheus.Registry
@@ -33,6 +36,9 @@
 	gauges         *prometheus.GaugeVec
 	missedMessages prometheus.Counter
 	storeCalls     *prometheus.CounterVec
+	// announcements counts announced loads by what became of them; slownessError compares the expected slowness with the announced one.
+	announcements *prometheus.CounterVec
+	slownessError prometheus.Histogram
 }
 
 // New returns Metrics at zero, with the collector of the Go runtime registered.
@@ -51,7 +57,9 @@
 	m.brokenRuns = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "broken_runs_total", Help: "Requests whose connection to the upstream broke, because of a crash or not."})
 	m.missedMessages = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "messages_missed_total", Help: "Messages to other routers that could not be queued."})
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total", Help: "Calls to the platform's store by kind, cause and result code; 0 for none."}, []string{"kind", "cause", "code"})
-	m.registry.MustRegister(m.crashes, m.brokenRuns, m.deniedRetries, m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
+	m.announcements = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "announced_loads_total", Help: "Loads that upstreams announced, by outcome: used, repeated, stale or invalid."}, []string{"outcome"})
+	m.slownessError = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "announced_slowness_ratio", Help: "Slowness expected from earlier announcements over the next announced one.", Buckets: ratioBuckets})
+	m.registry.MustRegister(m.announcements, m.slownessError, m.crashes, m.brokenRuns, m.deniedRetries, m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
 	return m
 }
 
@@ -83,6 +91,15 @@
 // CountPlacement counts a placement decision; reason is empty if the request was placed.
 func (m *Metrics) CountPlacement(reason string) { m.placements.WithLabelValues(reason).Inc() }
 
+// CountAnnouncement counts an announced load by its outcome. The ratio of the expected slowness to the announced one is zero if there was nothing to
+// compare.
+func (m *Metrics) CountAnnouncement(outcome string, ratio float64) {
+	m.announcements.WithLabelValues(outcome).Inc()
+	if ratio > 0 {
+		m.slownessError.Observe(ratio)
+	}
+}
+
 // CountUnqueuedMessage counts a message to another router that could not be queued.
 func (m *Metrics) CountUnqueuedMessage() { m.missedMessages.Inc() }
 
