Momentary factor is at least 1

Hosts at their usual speed had a factor of about 0.9, their figure relative to the mean, and those not heard of for a second had 1.

--- a/pomelofeedback/upstream.go
+++ b/pomelofeedback/upstream.go
@@ -22,7 +22,7 @@
 	// maxFactor bounds the factor and minFactor its inverse, because a single false figure can be as high as 100 times the usual one. Hosts are known
 	// to become 2.5 times slower.
 	maxFactor = 4.0
-	minFactor = 0.5
+	minFactor = 1.0
 	// maxDeviation bounds the logarithm of a figure's ratio to the usual one before it enters the means and errors.
 	maxDeviation = 2.0
 )
