Cost of full engines where speeds differ

The lasting factor sends requests to the faster engines until their slots are taken; a full engine cost only a tenth of the wait for a slot, so requests were refused although slower engines had free slots.

--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -61,6 +61,17 @@
 	u.feedback.RecordEnd(now)
 }
 
+// fullEngineCost is the cost of an engine without a free slot that announces its slowness, in engine time. It exceeds the cost of a long prompt at an
+// engine at half speed: otherwise requests would be refused because the fast engines are full while slow ones have free slots.
+const fullEngineCost = time.Second
+
+func (u *upstream) fullCost() time.Duration {
+	if !u.feedback.AnnouncesSlowness() || u.occupied() < u.slots() {
+		return 0
+	}
+	return fullEngineCost
+}
+
 // announcement returns the figures that the upstream announced last, their age and the momentary factor.
 func (u *upstream) announcement(now time.Time) (pomelorelay.UpstreamFigures, time.Duration, float64) {
 	latest, known := u.feedback.Latest()
