--- a/pomeloplace/simulation_test.go
+++ b/pomeloplace/simulation_test.go
@@ -25,9 +25,12 @@
 // job is a request at a simulated engine.
 type job struct {
 	router  int
+	engine  pomelorelay.UpstreamID
 	request pomeloplace.Request
 	run     *pomeloplace.Run
 	sent    time.Time
+	// expected is the estimated time until the answer begins.
+	expected time.Duration
 	// readyAt is when the copy from another engine is complete, or when the job arrived if nothing is copied.
 	readyAt      time.Time
 	uncached     float64
@@ -56,14 +59,20 @@
 	cached    map[pomelorelay.UpstreamID]map[uint64]bool
 
 	// slots and eventTokens are the slots and the tokens per event of each engine; reportDelay is the delivery delay of load reports.
-	slots, eventTokens int
-	reportDelay        time.Duration
+	slots, eventTokens          int
+	reportDelay, reportInterval time.Duration
 	// reportBlackout is the initial time in which no load reports are delivered. unreportedKnown makes each placer count all other routers as
 	// unreported during it.
 	reportBlackout  time.Duration
 	unreportedKnown bool
 	// sessionFactor multiplies the number of sessions.
 	sessionFactor uint64
+	// draw returns a request and its output in place of randomRequest, slowness how much longer the steps of an engine take now, and announced the
+	// load that an engine announces; began is called with each answer that begins. All are optional.
+	draw      func() (pomeloplace.Request, int)
+	slowness  func(id pomelorelay.UpstreamID) float64
+	announced func(id pomelorelay.UpstreamID) pomelorelay.UpstreamFigures
+	began     func(j *job)
 	// overShare is the fraction of requests beyond their account's share.
 	overShare float64
 
@@ -91,7 +100,7 @@
 
 func newSimulation(seed uint64, routers, engineCount int) *simulation {
 	s := &simulation{
-		random: rand.New(rand.NewPCG(seed, 1)), now: start, slots: 64, eventTokens: 7, reportDelay: 12 * time.Millisecond, sessionFactor: 1,
+		random: rand.New(rand.NewPCG(seed, 1)), now: start, slots: 64, eventTokens: 7, reportDelay: 12 * time.Millisecond, reportInterval: 100 * time.Millisecond, sessionFactor: 1,
 		engines: make(map[pomelorelay.UpstreamID]*simEngine), cached: make(map[pomelorelay.UpstreamID]map[uint64]bool),
 		choose: func(s *simulation, router int, r pomeloplace.Request) pomeloplace.Decision {
 			return s.routers[router].Place(s.now, r)
@@ -144,9 +153,9 @@
 			s.arrive()
 		}
 		s.submitDueRetries()
-		if s.now.Sub(report) >= 100*time.Millisecond {
+		if s.now.Sub(report) >= s.reportInterval {
 			report = s.now
-			s.sendReports(s.now.Sub(start)%time.Second < 100*time.Millisecond)
+			s.sendReports(s.now.Sub(start)%time.Second < s.reportInterval)
 		}
 		s.deliverReports()
 		for id, e := range s.engines {
@@ -156,7 +165,10 @@
 }
 
 func (s *simulation) arrive() {
-	r, output := s.randomRequest()
+	if s.draw == nil {
+		s.draw = s.randomRequest
+	}
+	r, output := s.draw()
 	r.WithinShare = s.random.Float64() >= s.overShare
 	s.requested++
 	if r.WithinShare {
@@ -197,7 +209,7 @@
 	}
 	s.cached[d.Upstream.ID][session.Hash] = true
 	e := s.engines[d.Upstream.ID]
-	e.waiting = append(e.waiting, &job{router: router, request: r, run: d.Run, sent: c.firstSentAt, readyAt: s.now.Add(copyTime), uncached: uncached, output: output})
+	e.waiting = append(e.waiting, &job{router: router, engine: d.Upstream.ID, request: r, run: d.Run, sent: c.firstSentAt, expected: d.ExpectedLatency, readyAt: s.now.Add(copyTime), uncached: uncached, output: output})
 }
 
 // submitDueRetries submits the retries that are due.
@@ -219,6 +231,7 @@
 	for i, router := range s.routers {
 		m := &pomelorelay.LoadReport{Full: full}
 		router.FillReport(m)
+		router.FillAnnounced(s.now, m)
 		router.Tick(s.now)
 		s.inTransit = append(s.inTransit, reportInTransit{arrivesAt: s.now.Add(s.reportDelay), from: i, m: m})
 	}
@@ -279,6 +292,9 @@
 		}
 		done = append(done, j)
 	}
+	if s.slowness != nil {
+		ms *= s.slowness(id)
+	}
 	e.nextStepAt = s.now.Add(time.Duration(ms * float64(time.Millisecond)))
 	for _, j := range done {
 		s.emitToken(e, j)
@@ -292,6 +308,7 @@
 	if j.generated%s.eventTokens == 1 {
 		if j.generated == 1 {
 			j.firstToken = e.nextStepAt.Sub(j.sent)
+			s.beginAnswer(j)
 			router.RecordAnswerStart(e.nextStepAt, j.run)
 		} else {
 			j.longestPause = max(j.longestPause, e.nextStepAt.Sub(j.lastEventAt))
@@ -325,3 +342,13 @@
 		}
 	}
 }
+
+// beginAnswer announces the engine's load in the head of an answer. The load is that at the beginning of the step whose end emits the first token.
+func (s *simulation) beginAnswer(j *job) {
+	if s.announced != nil {
+		s.routers[j.router].RecordAnnounced(s.now, j.run, s.now, s.announced(j.engine))
+	}
+	if s.began != nil {
+		s.began(j)
+	}
+}
