Full engines cost more by the slots that a request may use

An over-share request may use 7 of 12 slots, and the faster engines soon had as many: it was refused although others ran fewer. The cost of a full engine now follows the request's own limit.

--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -61,12 +61,12 @@
 	u.feedback.RecordEnd(now)
 }
 
-// fullEngineCost is the cost of an engine without a free slot that announces its slowness, in engine time. It exceeds the cost of a long prompt at an
-// engine at half speed: otherwise requests would be refused because the fast engines are full while slow ones have free slots.
+// fullEngineCost is the cost, in engine time, of an engine that announces its slowness and has no slot that the request may use. It exceeds the cost
+// of a long prompt at an engine at half speed: otherwise requests would be refused because the fast engines are full while slow ones have free slots.
 const fullEngineCost = time.Second
 
-func (u *upstream) fullCost() time.Duration {
-	if !u.feedback.AnnouncesSlowness() || u.occupied() < u.slots() {
+func (p *Placer) fullCost(u *upstream, r *Request) time.Duration {
+	if !u.feedback.AnnouncesSlowness() || u.occupied() < p.allowance(u, r).maxRunning {
 		return 0
 	}
 	return fullEngineCost
--- a/pomeloplace/announced_test.go
+++ b/pomeloplace/announced_test.go
@@ -63,6 +63,7 @@
 		}
 		s.routers = append(s.routers, p)
 	}
+	s.overShare = 0.3
 	s.draw = f.request
 	s.slowness = func(id pomelorelay.UpstreamID) float64 {
 		lasting := 0.64
@@ -147,7 +148,7 @@
 
 func (f *unevenFleet) String() string {
 	text := fmt.Sprintf("%s; late %d, most requests to an engine in 50 ms %.2f", f.simulation, f.lateFirstTokens, f.busiestMean())
-	text += fmt.Sprint("; refusals ", f.refusals)
+	text += fmt.Sprintf("; within their share %d requested, %d on time; refusals %v", f.inShareRequested, f.inShareOnTime, f.refusals)
 	for _, k := range kinds {
 		text += fmt.Sprintf("; %s: %d requested, %d within 300 ms", k.name, f.requested[k.name], f.inTime[k.name])
 	}
@@ -314,3 +315,21 @@
 		t.Errorf("%d answers within 100 ms, %d without announcements: want more", with, without)
 	}
 }
+
+// Guards against a factor for upstreams that announce no slowness, and against old counts: both would change the results of deployments with three
+// figures.
+func TestThreeFiguresCountForAMoment(t *testing.T) {
+	p := withEngines(1)
+	d := place(t, p, start, prompt(1, 100, 100))
+	p.RecordAnnounced(start, d.Run, start, pomelorelay.UpstreamFigures{Running: 66, Waiting: 4, Slots: 64})
+	for _, c := range []struct {
+		age     time.Duration
+		waiting bool
+	}{{10 * time.Millisecond, true}, {290 * time.Millisecond, true}, {310 * time.Millisecond, false}} {
+		got := place(t, p, start.Add(c.age), prompt(1, 100, 100))
+		if (got.QueueDelay >= 400*time.Millisecond) != c.waiting || got.Slowness != 1 || got.AnnouncedAge != c.age {
+			t.Errorf("age %v: delay %v, factor %v, logged age %v; want a wait for slots: %v, factor 1", c.age, got.QueueDelay, got.Slowness, got.AnnouncedAge, c.waiting)
+		}
+		p.RecordEnd(start.Add(c.age), got.Run, pomeloplace.ResultCancelled)
+	}
+}
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -156,7 +156,7 @@
 	if !disabled.LongEngines {
 		c.addCost(TermLongEngine, longEngineCost(u, r, c.prefillTokens))
 	}
-	c.addCost(TermWait, u.fullCost())
+	c.addCost(TermWait, p.fullCost(u, r))
 	if u.memoryFull(r.PromptTokens + r.OutputTokens) {
 		c.expectedLatency += slotFreeInterval
 		c.addCost(TermMemory, failureCost)
