--- a/messages_load.go
+++ b/messages_load.go
@@ -17,8 +17,8 @@
 	FirstTokenExpected, FirstTokenMeasured time.Duration
 	// RequestsSent is the total of requests sent since the router's start; zero from routers of earlier versions.
 	RequestsSent uint64
-	// Announced is the newest load that the router knows the upstream to have announced, and AnnouncedAge is its age when the report was
-	// sent.
+	// Announced is the newest load that the upstream has announced to the sender since its last report, and AnnouncedAge is its age when
+	// the report was sent.
 	Announced    UpstreamFigures
 	AnnouncedAge time.Duration
 	// AnnouncedStart is the start time in Unix milliseconds of the process that announced the load; zero if unknown.
