Streams avoid hosts where they would pause

A host that is slow now makes a stream pause for longer at the next prefill of another request; only the pauses that the request's own prefill causes were counted. The additional pause of a typical prefill of the service now has a cost where the momentary factor is above 1.

--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -162,3 +162,33 @@
 	plain.recomputed = c.recomputed
 	return plain
 }
+
+// typicalPrefillAlpha is the weight of a request in the typical prefill, which so covers about the last hundred requests of this router.
+const typicalPrefillAlpha = 0.01
+
+// typicalPrefill estimates the prefill that a stream meets: the mean over prefill work, in which a long prefill counts as often as it is long.
+type typicalPrefill struct{ work, squares float64 }
+
+func (t *typicalPrefill) add(tokens pomelorelay.Tokens) {
+	w := float64(tokens)
+	t.work += typicalPrefillAlpha * (w - t.work)
+	t.squares += typicalPrefillAlpha * (w*w - t.squares)
+}
+
+func (t *typicalPrefill) tokens() float64 {
+	if t.work <= 0 {
+		return 0
+	}
+	return t.squares / t.work
+}
+
+// slowPauseCost returns the cost of the pauses that the request's own stream is expected to have because its host is slow now: the next prefill there
+// makes it pause for longer than at the usual speed.
+func (u *upstream) slowPauseCost(r *Request) time.Duration {
+	if u.momentary <= 1 || u.pool.maxPause <= 0 || r.OutputTokens < minStreamEvents*max(1, u.engine.TokensPerEvent) {
+		return 0
+	}
+	slow := u.prefillTime(u.pool.typicalPrefill.tokens())
+	more := u.pausedFraction(slow) - u.pausedFraction(scale(1/u.momentary, slow))
+	return scale(u.pool.pauseWeight*more, longPauseCost)
+}
--- a/pomeloplace/announced_test.go
+++ b/pomeloplace/announced_test.go
@@ -333,3 +333,34 @@
 		p.RecordEnd(start.Add(c.age), got.Run, pomeloplace.ResultCancelled)
 	}
 }
+
+// Guards against a stream at a host that is slow now, where the next long prefill makes it pause for longer than its caller accepts, although an equal
+// engine is usual.
+func TestStreamAvoidsHostWhereItWouldPause(t *testing.T) {
+	p := withEngines(2)
+	now := start
+	for i := range 600 {
+		now = now.Add(20 * time.Millisecond)
+		// Both engines announce in turn; e0 is slow in intervals of 0.3 s.
+		r := prompt(uint64(i), 0, 25_000)
+		r.Target = time.Hour
+		avoided := pomelorelay.UpstreamID(fmt.Sprint("e", i%2))
+		r.Avoid = []pomelorelay.UpstreamID{avoided}
+		d := place(t, p, now, r)
+		percent := 100
+		if d.Upstream.ID == "e0" && now.Sub(start)/(300*time.Millisecond)%3 == 0 {
+			percent = 250
+		}
+		p.RecordAnnounced(now, d.Run, now, pomelorelay.UpstreamFigures{Running: 1, Slots: 64, SlownessPercent: percent})
+		p.RecordEnd(now, d.Run, pomeloplace.ResultCancelled)
+		if percent == 250 && i > 300 {
+			stream := prompt(uint64(i)<<20, 0, 10)
+			stream.OutputTokens = 400
+			got := place(t, p, now, stream)
+			p.RecordEnd(now, got.Run, pomeloplace.ResultCancelled)
+			if got.Upstream.ID != "e1" {
+				t.Fatalf("request %d: stream sent to %s with a factor of %.2f, want e1", i, got.Upstream.ID, got.Slowness)
+			}
+		}
+	}
+}
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -108,6 +108,7 @@
 	longEngines         int
 	longEnginesNeededAt time.Time
 	speedFactors        []float64
+	typicalPrefill      typicalPrefill
 	// unreportedRouters is the number of registered routers that have not yet sent a load report.
 	unreportedRouters int
 	// reportedAnswers is the number of answers included in the last speed report.
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -346,6 +346,7 @@
 	p.tokensSinceReport += run.prefillTokens
 	u.enqueue(now, run.prefillTokens*pomelorelay.Tokens(1+u.pool.unreportedRouters))
 	u.noteLongPrefill(now)
+	u.pool.typicalPrefill.add(run.prefillTokens)
 	u.pool.work.addOwn(now, run.prefillTokens, u.pool.isLong(run.prefillTokens))
 	p.recordParts(now, u, r)
 	return run
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -151,7 +151,7 @@
 		c.addCost(TermLateness, scale(latenessWeight, max(0, c.expectedLatency-scale(latenessThreshold, r.Target))))
 	}
 	if !disabled.PauseCost {
-		c.addCost(TermPause, u.pauseCost(now, c.queueDelay, prefill))
+		c.addCost(TermPause, u.pauseCost(now, c.queueDelay, prefill)+u.slowPauseCost(r))
 	}
 	if !disabled.LongEngines {
 		c.addCost(TermLongEngine, longEngineCost(u, r, c.prefillTokens))
