--- a/pomeloentry/aggregate.go
+++ b/pomeloentry/aggregate.go
@@ -78,7 +78,8 @@
 
 type loadSum struct {
 	pomelorelay.UpstreamLoad
-	changed bool
+	changed   bool
+	announced announcedLoad
 }
 
 type useSum struct {
@@ -137,6 +138,7 @@
 	for _, l := range m.Upstreams {
 		l = s.rebaseLoad(l)
 		a.addLoad(s.upstreams[l.Upstream], l)
+		a.addAnnounced(now, key, &l)
 		s.upstreams[l.Upstream] = l
 	}
 	for _, u := range m.Accounts {
@@ -253,7 +255,7 @@
 
 // report returns the entries that changed since the last flush of summaries, or all entries when full is set. It excludes what the
 // source named key reported itself; an empty key excludes nothing.
-func (a *aggregate) report(key string, full bool, seq uint64) *pomelorelay.LoadReport {
+func (a *aggregate) report(now time.Time, key string, full bool, seq uint64) *pomelorelay.LoadReport {
 	m := &pomelorelay.LoadReport{Seq: seq, Full: full}
 	own := a.sources[key]
 	if own == nil {
@@ -273,6 +275,7 @@
 			l.FirstTokenExpected -= o.FirstTokenExpected
 			l.FirstTokenMeasured -= o.FirstTokenMeasured
 		}
+		sum.announced.fill(now, key, &l)
 		m.Upstreams = append(m.Upstreams, l)
 	}
 	for id, sum := range a.accounts {
@@ -327,7 +330,7 @@
 // markFlushed clears the marks of changed entries after summaries were sent.
 func (a *aggregate) markFlushed() {
 	for _, sum := range a.upstreams {
-		sum.changed = false
+		sum.changed, sum.announced.unsent = false, false
 	}
 	for _, sum := range a.accounts {
 		sum.changed = false
--- a/pomeloplace/choose.go
+++ b/pomeloplace/choose.go
@@ -71,6 +71,7 @@
 // consider selects the upstream if its cost is lower than that of the best candidate so far. The prefill and the prefix affinity distinguish
 // engines most; since the other terms of the cost are not negative, most engines need no complete evaluation.
 func (s *search) consider(u *upstream) {
+	u.refreshAnnounced(s.now)
 	if u.engine == nil {
 		s.minUncached = 0
 		s.evaluate(u, &prefillPlan{})
