--- a/pomeloplace/choose_test.go
+++ b/pomeloplace/choose_test.go
@@ -109,6 +109,12 @@
 		Upstreams: []pomelorelay.UpstreamLoad{{Upstream: id, Running: uint32(rapid.IntRange(0, 5).Draw(t, "running")), PendingPrefill: pending, KVTokens: 2 * pending, PromptTokensSent: w.sent}},
 		Parts:     []pomelorelay.PromptPartPlaced{{Upstream: id, Hash: rapid.Uint64Range(1, 6).Draw(t, "hash"), Tokens: 800}},
 	}
+	if l := &m.Upstreams[0]; rapid.Bool().Draw(t, "announced") {
+		l.Announced = pomelorelay.UpstreamFigures{
+			Running: rapid.IntRange(0, 6).Draw(t, "announced running"), Slots: 4, SlownessPercent: rapid.SampledFrom([]int{0, 80, 100, 250, 400}).Draw(t, "slowness"),
+		}
+		l.AnnouncedAge = time.Duration(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "age"))
+	}
 	w.both(func(p *pomeloplace.Placer) { p.ApplyReport(w.now, "r2", 1, &m) })
 }
 
--- a/pomeloplace/export_test.go
+++ b/pomeloplace/export_test.go
@@ -10,14 +10,18 @@
 
 // PlaceExhaustively is Place with a complete evaluation of every upstream, and without the index of prefixes.
 func (p *Placer) PlaceExhaustively(now time.Time, r Request) Decision {
+	if s := p.pools[r.Service]; s != nil {
+		// The check of a refusal without announced figures uses the index.
+		s.prefixes.find(&r)
+	}
 	best, found := p.exhaustiveBest(now, &r, pomelowarmup.AdmissionOpen)
 	outcome := admission{}
 	if found {
-		outcome = p.admit(now, best, &r)
+		outcome = p.admitAnnounced(now, best, &r)
 	}
 	if !found || outcome.bound != BoundNone {
 		if cold, ok := p.exhaustiveBest(now, &r, pomelowarmup.AdmissionFallback); ok {
-			if admitted := p.admit(now, cold, &r); admitted.bound == BoundNone || !found {
+			if admitted := p.admitAnnounced(now, cold, &r); admitted.bound == BoundNone || !found {
 				best, outcome, found = cold, admitted, true
 			}
 		}
@@ -46,6 +50,7 @@
 			if !p.usable(u, r) || u.warmup.Admission(now) != class || (round == 0 && (u.inBackoff(now, &p.cfg.DisabledMechanisms) || slices.Contains(r.Avoid, u.info.ID))) {
 				continue
 			}
+			u.refreshAnnounced(now)
 			plan := prefillPlan{}
 			if u.engine != nil {
 				plan = p.newPrefillPlan(u, source, u.cache.uncached(r), u.prefillRate(), r)
