--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -60,7 +60,9 @@
 	// eventsRead is the number of stream events that the upstream of the last attempt sent.
 	eventsRead int
 	decision   pomeloplace.Decision
-	status     int
+	// load is what the upstream of the last attempt announced, until it is recorded.
+	load   AnnouncedLoad
+	status int
 }
 
 func newCall(h *Handler, w http.ResponseWriter, r *http.Request) *call {
--- a/pomeloplace/long.go
+++ b/pomeloplace/long.go
@@ -116,6 +116,7 @@
 	slotTime            *pomeloroom.SlotTime
 	inShare, sendTokens *pomelospeed.DecayingRatio
 	inShareRefused      *pomelospeed.DecayingRatio
+	typicalPrefill      typicalPrefill
 	// unreportedRouters is the number of registered routers that have not yet sent a load report.
 	unreportedRouters int
 	// reportedAnswers is the number of answers included in the last speed report.
@@ -205,14 +206,15 @@
 // updateSlowdowns compares each engine's speed with the median engine. A deviation common to all engines belongs to the service's speed
 // estimate, which may not have converged yet.
 func (s *pool) updateSlowdowns(now time.Time) {
+	s.updateLasting(now)
 	s.speedFactors = s.speedFactors[:0]
 	for _, u := range s.upstreams {
-		s.speedFactors = append(s.speedFactors, u.speedFactor.Ratio(now))
+		s.speedFactors = append(s.speedFactors, u.speedFactor.Ratio(now)/u.lastingFactor)
 	}
 	slices.Sort(s.speedFactors)
 	median := s.speedFactors[len(s.speedFactors)/2]
 	for _, u := range s.upstreams {
-		u.slowdown = u.speedFactor.RelativeTo(now, median)
+		u.slowdown = u.lastingFactor * u.speedFactor.RelativeTo(now, median*u.lastingFactor)
 	}
 }
 
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -200,6 +200,7 @@
 		ReportAge:       p.reportAge(now),
 		Upstream:        best.up.info, ExpectedLatency: best.expectedLatency, QueueDelay: best.queueDelay, PrefillTokens: best.prefillTokens, UncachedShared: best.uncachedShared, Running: best.up.running(),
 	}
+	d.Announced, d.AnnouncedAge, d.Slowness = best.up.announcement(now)
 	if best.copyFrom != nil {
 		d.CopyFrom, d.CopiedTokens = best.copyFrom.info, best.copiedTokens
 	}
@@ -301,7 +302,7 @@
 	open := p.search(now, r, pomelowarmup.AdmissionOpen)
 	var outcome admission
 	if open.found {
-		if outcome = p.admit(now, open.best, r); outcome.bound == BoundNone {
+		if outcome = p.admitAnnounced(now, open.best, r); outcome.bound == BoundNone {
 			return open.best, outcome, true
 		}
 	}
@@ -309,7 +310,7 @@
 		return open.best, outcome, open.found
 	}
 	if cold := p.search(now, r, pomelowarmup.AdmissionFallback); cold.found {
-		if admitted := p.admit(now, cold.best, r); admitted.bound == BoundNone || !open.found {
+		if admitted := p.admitAnnounced(now, cold.best, r); admitted.bound == BoundNone || !open.found {
 			return cold.best, admitted, true
 		}
 	}
@@ -320,9 +321,10 @@
 	u := c.up
 	u.warmup.RecordSend(now)
 	u.domain.recordSend(now)
-	run := &Run{up: u, sent: now, prefillTokens: c.prefillTokens, copiedTokens: c.copiedTokens, memoryTokens: r.PromptTokens + r.OutputTokens}
+	run := &Run{up: u, sent: now, prefillTokens: c.prefillTokens, copiedTokens: c.copiedTokens, memoryTokens: r.PromptTokens + r.OutputTokens, momentary: u.momentary}
 	u.own.running++
 	u.own.requests++
+	u.feedback.RecordSend(now)
 	u.changed = true
 	if u.engine == nil {
 		return run
@@ -335,6 +337,7 @@
 	u.trackRun(now, run, c, r)
 	u.enqueue(now, run.prefillTokens*pomelorelay.Tokens(1+u.pool.unreportedRouters))
 	u.noteLongPrefill(now)
+	u.pool.typicalPrefill.add(run.prefillTokens)
 	u.pool.work.addOwn(now, run.prefillTokens, u.pool.isLong(run.prefillTokens))
 	p.recordParts(now, u, r)
 	return run
@@ -381,6 +384,7 @@
 		u.endRun(now, run, result)
 	}
 	u.own.running--
+	u.recordFeedbackEnd(now, run, result)
 	if run.started && u.engine != nil && result.Answered() && u.longPrefillAt.After(run.sent) {
 		u.pool.recordPause(now, result == ResultLongPause)
 	}
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -162,6 +162,7 @@
 	if u == nil {
 		return
 	}
+	p.applyAnnounced(now, u, &l)
 	u.others.running += next.running - before.running
 	u.others.pendingPrefill += next.pendingPrefill - before.pendingPrefill
 	u.others.memoryTokens += next.memoryTokens - before.memoryTokens
@@ -169,7 +170,7 @@
 		recordReported(now, o, u, before, next, known || o.complete)
 	}
 	if known && next.expectedSum > before.expectedSum {
-		u.speedFactor.Observe(now, next.measuredSum-before.measuredSum, next.expectedSum-before.expectedSum)
+		u.observeSpeed(now, next.measuredSum-before.measuredSum, next.expectedSum-before.expectedSum)
 	}
 	switch {
 	case known && next.sent > before.sent:
--- a/pomeloplace/weigh.go
+++ b/pomeloplace/weigh.go
@@ -150,7 +150,7 @@
 		c.addCost(TermFailures, time.Duration(u.decayedFailureRate(now)*float64(failureCost)))
 	}
 	if u.engine == nil {
-		c.expectedLatency += u.serviceTime
+		c.expectedLatency += u.expectedServiceTime()
 		c.addCost(TermWait, c.expectedLatency)
 		c.addCost(TermOccupancy, occupancyCost(u))
 		return c
@@ -172,11 +172,12 @@
 		c.addCost(TermLateness, scale(latenessWeight, max(0, c.expectedLatency-scale(latenessThreshold, r.Target))))
 	}
 	if !disabled.PauseCost {
-		c.addCost(TermPause, u.pauseCost(now, c.queueDelay, plan.prefill))
+		c.addCost(TermPause, u.pauseCost(now, c.queueDelay, plan.prefill)+u.slowPauseCost(r))
 	}
 	if !disabled.LongEngines {
 		c.addCost(TermLongEngine, longEngineCost(u, r, c.prefillTokens))
 	}
+	c.addCost(TermWait, p.fullCost(now, u, r))
 	if u.memoryFull(r.PromptTokens + r.OutputTokens) {
 		c.expectedLatency += u.slotInterval(now)
 		c.addCost(TermMemory, failureCost)
@@ -214,7 +215,7 @@
 }
 
 func occupancyCost(u *upstream) time.Duration {
-	occupied := float64(u.running()) / float64(u.slots())
+	occupied := float64(u.occupied()) / float64(u.slots())
 	return scale(occupied*occupied, occupancyWeight)
 }
 
@@ -235,7 +236,7 @@
 	}
 	before := u.busyFor(now) + backlog
 	lateFraction := max(u.pausedFraction(backlog+prefill), u.pausedFraction(before+prefill)-u.pausedFraction(before))
-	return scale(u.pool.pauseWeight*lateFraction*float64(u.running()), longPauseCost)
+	return scale(u.pool.pauseWeight*lateFraction*float64(u.occupied()), longPauseCost)
 }
 
 // pausedFraction returns the fraction of streams whose pause is too long after an uninterrupted prefill of the given duration.
