--- a/cmd/pomelorelayd/entry.go
+++ b/cmd/pomelorelayd/entry.go
@@ -22,9 +22,6 @@
 const (
 	// memoryLimitFraction is the Go memory limit as a fraction of the memory that the platform allows.
 	memoryLimitFraction = 0.6
-	// gcPercent is the growth of the heap between collections, in percent of the live heap, where the memory limit bounds it. The live heap of a
-	// router is a fraction of the limit, and most of what a request allocates is garbage at its end.
-	gcPercent = 400
 	// storeTimeout bounds a call to the platform's store, which normally answers within 4 ms, and within a few hundred milliseconds
 	// when it is slow.
 	storeTimeout = 1500 * time.Millisecond
@@ -62,7 +59,9 @@
 	if err != nil {
 		return err
 	}
-	limitMemory(settings.MemoryLimit)
+	if settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryLimit)))
+	}
 	logger := pomelolog.New(pomelolog.Config{Node: settings.Self.Node, Level: pomelorelay.LevelInfo, Writer: os.Stdout})
 	defer logger.Close()
 	pomelolog.CaptureLibraries(logger)
@@ -79,17 +78,6 @@
 	return serveEntry(router, path, signals, logger)
 }
 
-// limitMemory sets the garbage collector's limits; it leaves the percentage alone if the environment sets one.
-func limitMemory(limit pomelorelay.Bytes) {
-	if limit <= 0 {
-		return
-	}
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(limit)))
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
-}
-
 func openEntry(settings pomelorelay.FleetSettings, disabled pomeloplace.Mechanisms, logger pomelorelay.Logger) (*pomeloentry.Router, error) {
 	client, err := pomelostore.New(pomelostore.Config{
 		Addresses:       []netip.AddrPort{settings.StoreAddr},
