Rotation: the slowest routers of a domain leave together while one is limited

Cause: a flood moved from one 0.144-core host to the next every 2 to 3 s, since a router left the rotation only for its own limit. Change: pomelooverload.Rotation replaces Readiness. Each router computes the same set from notices and CPUSpeed; at most 45% are away and half of the speed stays. A limit is announced after 200 ms. Among equally fast routers, limited ones leave first, then by name: by name alone, a flood at the last slow router would stay there. Notices carry the router's own limit only; routers that are away would otherwise keep each other away.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -267,7 +267,7 @@
 	m.Accounts = c.shares.AppendReport(m.Full, m.Accounts)
 	m.Leaving = c.upstreams.reportedLeaving(now)
 	m.Streams = c.streams.origins.TakePending()
-	m.Limited = c.overload.last.Limited
+	m.Limited = c.limitAnnounced()
 	if !c.reportsDirectly() {
 		c.relayOwnReport(now, m)
 		return
--- a/pomeloentry/limited.go
+++ b/pomeloentry/limited.go
@@ -21,7 +21,7 @@
 // is limited.
 func (c *control) sendLimited(now time.Time) {
 	w := &c.overload
-	limited := w.last.Limited
+	limited := c.limitAnnounced()
 	if !limited && w.noticeAt.IsZero() {
 		return
 	}
@@ -32,10 +32,8 @@
 	if !limited {
 		w.noticeAt = time.Time{}
 	}
-	for node, p := range c.peers.byNode {
-		if p.Domain == c.e.cfg.Settings.Self.Domain {
-			c.send(node, &pomelorelay.LoadReport{Limited: limited})
-		}
+	for _, p := range c.peers.inDomain(c.e.cfg.Settings.Self.Domain) {
+		c.send(p.Node, &pomelorelay.LoadReport{Limited: limited})
 	}
 }
 
@@ -51,34 +49,27 @@
 	}
 }
 
-// neighbours counts the live routers of this failure domain. Routers that report through a relay send this router nothing while they are not
-// limited, so a registered one counts as live while any router of the domain is heard.
-func (c *control) neighbours(now time.Time) pomelooverload.Neighbours {
-	var n pomelooverload.Neighbours
+// domainRouters returns the live routers of this failure domain, this one included. Routers that report through a relay send this router nothing while
+// they are not limited, so a registered one counts as live while any router of the domain is heard. A router that hears none knows only itself.
+func (c *control) domainRouters(now time.Time) []pomelooverload.Router {
 	self := c.e.cfg.Settings.Self
-	heard, silent := 0, 0
-	for node, p := range c.peers.byNode {
-		if p.Domain != self.Domain {
-			continue
-		}
-		switch {
-		case now.Sub(p.seenAt) <= relayTimeout:
-			heard++
-		case p.registered:
-			silent++
-		}
-		if now.Sub(p.limitedAt) <= limitedTimeout {
-			n.Limited++
-			if node < self.Node {
-				n.LimitedBefore++
-			}
+	list := append(c.overload.domain[:0], pomelooverload.Router{Node: self.Node, CPUSpeed: self.CPUSpeed, Limited: c.limitAnnounced()})
+	all, heard := !c.reportsDirectly(), false
+	for _, p := range c.peers.inDomain(self.Domain) {
+		recent := now.Sub(p.seenAt) <= relayTimeout
+		heard = heard || recent
+		if recent || (all && p.registered) {
+			list = append(list, pomelooverload.Router{Node: p.Node, CPUSpeed: p.CPUSpeed, Limited: now.Sub(p.limitedAt) <= limitedTimeout})
 		}
 	}
-	if heard > 0 {
-		n.Known = heard
-		if !c.reportsDirectly() {
-			n.Known += silent
-		}
+	c.overload.domain = list
+	if !heard {
+		return list[:1]
 	}
-	return n
+	return list
+}
+
+// limitAnnounced reports whether this router tells others that it is limited.
+func (c *control) limitAnnounced() bool {
+	return c.overload.last.Announced(time.Duration(c.e.steady()))
 }
--- a/pomeloentry/overload.go
+++ b/pomeloentry/overload.go
@@ -22,7 +22,7 @@
 	limited, aboveHalf, closeUnread atomic.Bool
 	// lagSeenAt is when a handler last observed the lag of the control goroutine.
 	lagSeenAt atomic.Int64
-	// away is set while the router is out of the load balancer's rotation because it is limited.
+	// away is set while the router is out of the load balancer's rotation because a router of its failure domain is limited.
 	away     atomic.Bool
 	shares   atomic.Pointer[shareSnapshot]
 	slotless atomic.Pointer[slotlessTable]
--- a/pomeloentry/overloadwatch.go
+++ b/pomeloentry/overloadwatch.go
@@ -11,7 +11,9 @@
 
 // overloadWatch is the control goroutine's part of the overload control.
 type overloadWatch struct {
-	readiness pomelooverload.Readiness
+	rotation pomelooverload.Rotation
+	// domain is the buffer of domainRouters.
+	domain []pomelooverload.Router
 	// last is the state at the last tick, and noticeAt when the neighbours were last told of the limit.
 	last     pomelooverload.State
 	noticeAt time.Time
@@ -45,7 +47,7 @@
 	}
 }
 
-// adjustOverload publishes the snapshot while it is needed, flushes the cost of refused requests, and decides on readiness.
+// adjustOverload publishes the snapshot while it is needed, flushes the cost of refused requests, and decides on the rotation.
 func (c *control) adjustOverload(now time.Time) {
 	o := c.e.overload
 	c.flushUnread()
@@ -53,11 +55,8 @@
 		o.shares.Store(c.shareSnapshot())
 	} else {
 		o.shares.Store(nil)
-		if !o.away.Load() && c.overload.noticeAt.IsZero() {
-			return
-		}
 	}
-	o.away.Store(!c.overload.readiness.Ready(time.Duration(c.e.steady()), c.overload.last, c.neighbours(now)))
+	setFlag(&o.away, !c.overload.rotation.Ready(time.Duration(c.e.steady()), c.e.cfg.Settings.Self.Node, c.domainRouters(now)))
 	c.sendLimited(now)
 }
 
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -205,10 +205,10 @@
 // inRotation reports whether the router has capacity for the load balancer's callers. While its processor is overloaded, only the overload control
 // decides, since all routers of a domain could be overloaded at once.
 func (e *Router) inRotation() bool {
-	if e.overload.limited.Load() {
-		return !e.overload.away.Load()
+	if e.overload.away.Load() {
+		return false
 	}
-	return !e.nearCapacity()
+	return e.overload.limited.Load() || !e.nearCapacity()
 }
 
 // Close stops the router immediately, without waiting for requests; Stop shuts it down gracefully.
