Connections are closed after responses only out of rotation or near the connection limit

Cause: a limited router closed its callers' kept connections, and each further request cost a new connection. Change: admit sets Connection: close while the router is away or close to its connection limit. Conclusion: kept connections stay with a router in rotation.

--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -32,8 +32,8 @@
 	// to callers' connections. Each running request uses a second file descriptor for its upstream connection.
 	reservedFDs    = 200
 	connFDFraction = 0.5
-	// nearCapacityFraction is the fraction of the request or the connection limit from which the router sheds load: it reports not
-	// ready and closes callers' connections after their answers. It does so until nearCapacityHold after the load has dropped.
+	// nearCapacityFraction is the fraction of the request or the connection limit from which the router reports not ready, until nearCapacityHold
+	// after the load has dropped, and the fraction of the connection limit from which it closes callers' connections after their answers.
 	nearCapacityFraction = 0.85
 	nearCapacityHold     = 2500 * time.Millisecond
 	// The request limit follows the processor: each tick later than lateTickThreshold multiplies the limit by limitDecrease; each
@@ -204,19 +204,24 @@
 	return full || now-e.nearCapacityAt.Load() < int64(nearCapacityHold)
 }
 
+// sendsCallersAway reports whether the router closes callers' connections after their responses, so that the load balancer selects another router or
+// descriptors become free. A router in rotation keeps them: its callers would come back on a new connection for each request.
+func (e *Router) sendsCallersAway() bool {
+	return e.overload.away.Load() || float64(e.conns.Load()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
+}
+
 // admit reports whether the router can accept the request. When it is overloaded or full, admit answers with a refusal and returns false.
 func (e *Router) admit(w http.ResponseWriter, r *http.Request) bool {
-	if refused := e.decideOn(r); refused.code != 0 {
+	if e.sendsCallersAway() {
 		w.Header().Set("Connection", "close")
+	}
+	if refused := e.decideOn(r); refused.code != 0 {
 		err := pomelorelay.NewError(refused.code, "", nil)
 		err.RetryAfter = refused.retryAfter
 		pomeloforward.WriteError(w, err)
 		e.logRefusal(refused)
 		return false
 	}
-	if e.overload.limited.Load() || e.nearCapacity() {
-		w.Header().Set("Connection", "close")
-	}
 	if e.inFlight.Load() <= e.requestLimit.Load() {
 		return true
 	}
--- a/pomeloentry/overload_test.go
+++ b/pomeloentry/overload_test.go
@@ -153,3 +153,43 @@
 		t.Error("not limited although the control goroutine did not run for 1.25 s, want limited")
 	}
 }
+
+// Guards against a router out of rotation that no longer serves its open connections, and against one in rotation that closes them: callers would open
+// a new connection for each request.
+func TestRouterOutOfRotationServesOpenConnections(t *testing.T) {
+	f, n := overloaded(t)
+	conn, err := net.Dial("tcp", n.settings.CallerAddr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	f.await("the limit ends", func() bool { return !n.router.Limited() })
+	reader := bufio.NewReader(conn)
+	request := func() *http.Response {
+		t.Helper()
+		if _, err := conn.Write(rawRequest(20)); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	if resp := request(); resp.StatusCode != http.StatusOK || resp.Close {
+		t.Errorf("status %d, close %v in rotation; want 200 and an open connection", resp.StatusCode, resp.Close)
+	}
+	n.router.JoinDomain("x", "y", "z")
+	f.await("the limited router leaves the rotation", func() bool {
+		n.router.Overload()
+		return !n.router.Ready()
+	})
+	f.await("the limit ends", func() bool { return !n.router.Limited() })
+	if resp := request(); n.router.Ready() || resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("ready %v, status %d, close %v out of rotation; want 200 and then a closed connection", n.router.Ready(), resp.StatusCode, resp.Close)
+	}
+}
