Placement: full engines cost nothing for accounts that are ahead

Cause: with announced slowness, an engine without a slot for the request costs one second more, so that requests move to engines with free slots. An account that is ahead of a short one has a lower limit of slots, and it evaded that limit by moving to the least occupied engines: in six seconds it got 7.7 M tokens while a short account of 9.0 M asked got 3.0 M.

Change: the cost is left out for such accounts.

--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -65,8 +65,10 @@
 // of a long prompt at an engine at half speed: otherwise requests would be refused because the fast engines are full while slow ones have free slots.
 const fullEngineCost = time.Second
 
+// fullCost returns the cost of an engine without a slot for the request. It leaves out accounts that are ahead: their lower limits hold back requests
+// only if these do not move on to the engines that are least occupied.
 func (p *Placer) fullCost(now time.Time, u *upstream, r *Request) time.Duration {
-	if !u.feedback.AnnouncesSlowness() || u.occupied() < p.allowance(now, u, r).maxRunning {
+	if r.ahead() || !u.feedback.AnnouncesSlowness() || u.occupied() < p.allowance(now, u, r).maxRunning {
 		return 0
 	}
 	return fullEngineCost
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -50,6 +50,9 @@
 	VersionFixed bool
 }
 
+// ahead reports whether the request's account has been served more than its limit while another account is short of its demand.
+func (r *Request) ahead() bool { return r.LeadOverLevel > 1 || r.LeadOverLeastServed > 1 }
+
 // Reason is the reason why a request was refused.
 type Reason string
 
--- a/pomeloplace/room.go
+++ b/pomeloplace/room.go
@@ -140,7 +140,7 @@
 		return
 	}
 	a.reserve = p.computeReserve(now, u)
-	if r.LeadOverLevel > 1 || r.LeadOverLeastServed > 1 {
+	if r.ahead() {
 		a.reserve.Slots = pomeloroom.MaxReserve(slots)
 		return
 	}
