--- a/codes_route.go
+++ b/codes_route.go
@@ -22,6 +22,7 @@
 	CodeUpstreamsCold     ResultCode = 1217
 	CodeVersionUnknown    ResultCode = 1218
 	CodeVersionGone       ResultCode = 1219
+	CodeTimeTooShort      ResultCode = 1220
 )
 
 var routeCodes = []CodeInfo{
@@ -45,4 +46,5 @@
 	{CodeUpstreamsCold, "UpstreamsCold", 503, RanNo, "All upstreams of the service have just started and get as many requests as they accept.", "Send it again after Retry-After."},
 	{CodeVersionUnknown, "VersionUnknown", 503, RanNo, "The request resumes a stream, the service has upstreams of several software versions, and the router does not know at which one the stream began.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
 	{CodeVersionGone, "VersionGone", 503, RanNo, "The request resumes a stream, and no upstream of the software version at which it began takes requests.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
+	{CodeTimeTooShort, "TimeTooShort", 503, RanNo, "The time that the caller has left does not suffice for an answer, even without a queue.", "Send it again with a later deadline."},
 }
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -261,6 +261,7 @@
 	pomeloplace.ReasonEvacuated:          pomelorelay.CodeEvacuated,
 	pomeloplace.ReasonVersionUnknown:     pomelorelay.CodeVersionUnknown,
 	pomeloplace.ReasonVersionGone:        pomelorelay.CodeVersionGone,
+	pomeloplace.ReasonTimeTooShort:       pomelorelay.CodeTimeTooShort,
 }
 
 // outputTokenWeight is the cost of a generated token relative to a prompt token, as the platform defines it.
@@ -300,6 +301,7 @@
 			Parts:        c.fields.PromptParts,
 			Target:       c.route.TargetLatency,
 			MaxWait:      c.timeLeft(),
+			Priority:     c.priority(),
 			Avoid:        c.avoid,
 			Version:      c.version,
 			VersionFixed: c.versionFixed,
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -23,8 +23,10 @@
 	table     *pomelotable.Table
 	route     *pomelorelay.Route
 	account   pomelorelay.AccountID
-	service   pomelorelay.ServiceID
-	body      *bytes.Buffer
+	// accountPriority replaces the route's priority unless it is nil.
+	accountPriority *int
+	service         pomelorelay.ServiceID
+	body            *bytes.Buffer
 	// fingerprints holds the request's fingerprint, which identifies its repetitions under other request IDs and at other routers, and then those
 	// of the prompt parts that other requests may share. It is empty until the body was read.
 	fingerprints []pomelorelay.Fingerprint
@@ -108,7 +110,7 @@
 func (c *call) authenticate() error {
 	account, ok := c.table.Account(c.fields.APIKey)
 	if ok {
-		c.account = account.Name
+		c.account, c.accountPriority = account.Name, account.Priority
 		return nil
 	}
 	if c.route.Public || len(c.table.Config().Accounts) == 0 {
@@ -117,6 +119,14 @@
 	return pomelorelay.NewError(pomelorelay.CodeUnauthorised, "", nil)
 }
 
+// priority returns the priority of the request's account, or else of its route.
+func (c *call) priority() int {
+	if c.accountPriority != nil {
+		return *c.accountPriority
+	}
+	return c.route.Priority
+}
+
 // defaultTimeout bounds the time of a request for which neither the caller nor the route sets a shorter timeout.
 const defaultTimeout = time.Minute
 
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -124,8 +124,15 @@
 
 // admit decides whether the request may be sent to its best candidate.
 func (p *Placer) admit(now time.Time, c candidate, r *Request) admission {
+	if c.timeTooShort(r) {
+		return admission{reason: ReasonTimeTooShort, bound: BoundTimeLeft, retryAfter: max(c.queueDelay, minRetryAfter)}
+	}
 	a := p.allowance(now, c.up, r)
 	bound := p.exceededBound(now, c, r, a)
+	if bound == BoundNone && c.up.engine != nil && c.up.running() >= max(1, a.maxRunning-r.deferredSlots(c.up.slots())) {
+		// A bound of its own keeps such refusals out of what the reserve learns from BoundSlots: the engine has free slots.
+		bound = BoundPriority
+	}
 	if bound == BoundNone {
 		return admission{reserve: a.reserve}
 	}
@@ -134,6 +141,15 @@
 	return admission{reason: a.reason, bound: bound, retryAfter: min(max(wait, minRetryAfter), maxRetryAfter), reserve: a.reserve}
 }
 
+// minAnswerFraction is the lowest usual ratio of the measured to the expected time to the first token.
+const minAnswerFraction = 0.45
+
+// timeTooShort reports whether the caller will have gone before the answer can begin, even without a queue.
+func (c *candidate) timeTooShort(r *Request) bool {
+	ownTime := c.expectedLatency - c.queueDelay
+	return r.MaxWait > 0 && r.MaxWait < scale(minAnswerFraction, ownTime)
+}
+
 // exceededBound returns the limit that the request exceeds at the candidate, or BoundNone.
 func (p *Placer) exceededBound(now time.Time, c candidate, r *Request, a allowance) Bound {
 	ownTime := c.expectedLatency - c.queueDelay
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -40,6 +40,10 @@
 	// LeadOverLeastServed is the account's usage divided by the maximum that any account is allowed while another one is far short of its demand;
 	// zero while no account is far short. Above 1, all of the account's requests get fewer slots.
 	LeadOverLeastServed float64
+	// Priority is the priority of the account or else of the route; 0 is the highest.
+	Priority int
+	// deferred is the fraction of slots that the request leaves free for other requests.
+	deferred float64
 	// Residency restricts the regions in which the request may be served.
 	Residency pomelorelay.Residency
 	// Avoid lists upstreams that have already failed this request.
@@ -72,6 +76,8 @@
 	ReasonCold Reason = "Cold"
 	// ReasonTooLate means that no upstream could be expected to begin the answer within the target.
 	ReasonTooLate Reason = "Late"
+	// ReasonTimeTooShort means that the caller's remaining time does not suffice for the beginning of an answer, even without a queue.
+	ReasonTimeTooShort Reason = "TimeTooShort"
 	// ReasonOverShare means that the request exceeds its account's share while the upstreams are busy.
 	ReasonOverShare Reason = "Share"
 )
@@ -92,6 +98,10 @@
 	// BoundRecompute limits the number of shared prompt tokens that a request beyond its account's share may prefill although another engine has
 	// them cached.
 	BoundRecompute Bound = "Again"
+	// BoundPriority limits the number of requests running at an engine for requests of lower priority than one that was refused or delayed.
+	BoundPriority Bound = "Priority"
+	// BoundTimeLeft is the remaining time of the caller.
+	BoundTimeLeft Bound = "TimeLeft"
 )
 
 // Decision is the result of placing a request: the selected upstream, or the reason for refusal and when to retry.
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -41,6 +41,8 @@
 	regionLatencies map[pomelorelay.RegionID]time.Duration
 	// targets holds the latency targets of each service.
 	targets map[pomelorelay.ServiceID]latencyTargets
+	// priorities holds the priorities of the services whose requests differ in it.
+	priorities map[pomelorelay.ServiceID]*servicePriorities
 }
 
 // New returns a Placer without upstreams.
@@ -66,6 +68,7 @@
 	p.capacity = config.Limits.TokensPerSecond
 	p.warmup.SetServices(config.Services)
 	p.targets = latencyTargetsByService(config.Routes)
+	p.priorities = prioritiesByService(config)
 	for name, s := range p.pools {
 		s.latencyTargets = p.targets[name]
 	}
@@ -186,6 +189,7 @@
 	if r.Residency.Empty() {
 		return Decision{Reason: ReasonNoAllowedRegion, RetryAfter: noRegionRetryAfter, ReportAge: p.reportAge(now)}
 	}
+	r.deferred = p.deferredFraction(now, &r)
 	best, outcome, found := p.choose(now, &r)
 	if !found {
 		return p.noUpstreamDecision(now, &r)
@@ -209,8 +213,10 @@
 	}
 	if outcome.bound != BoundNone {
 		d.Reason, d.Bound, d.RetryAfter = outcome.reason, outcome.bound, outcome.retryAfter
+		p.recordDenial(now, r, &d)
 		return d
 	}
+	p.recordDenial(now, r, &d)
 	d.Run = p.startRun(now, best, r)
 	return d
 }
