Requests by account, promises made and kept

Cause: operators could not see from metrics which account is served or refused and for what reason, and whether a Retry-After was of use. Change: account_requests_total by account and event, with at most 200 accounts labelled; promises_total; pomelopromise remembers up to 4,096 refused requests until 1 s after their Retry-After. Requests that the overload control refuses unread are counted when their cost is flushed, so that a refusal does no more work than before but for two additions. The Retry-After is unchanged. Conclusion: counters only; no decision changes.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -6,6 +6,7 @@
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
+	"github.com/pomelorelay/pomelorelay/pomelopromise"
 	"github.com/pomelorelay/pomelorelay/pomeloresidency"
 	"github.com/pomelorelay/pomelorelay/pomeloshare"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
@@ -35,6 +36,7 @@
 	e         *Router
 	placer    *pomeloplace.Placer
 	shares    *pomeloshare.Shares
+	promises  *pomelopromise.Promises
 	residency *pomeloresidency.Policy
 	config    *pomelorelay.FleetConfig
 	upstreams upstreams
@@ -64,6 +66,7 @@
 		e:            e,
 		placer:       pomeloplace.New(pomeloplace.Config{Self: s.Self, Regions: s.Regions, ColdBounds: s.ColdBounds, DisabledMechanisms: e.cfg.DisabledMechanisms}),
 		shares:       pomeloshare.New(pomeloshare.Config{Window: s.ShareWindow}),
+		promises:     pomelopromise.New(),
 		residency:    pomeloresidency.New(pomeloresidency.Config{Overlap: s.ConfigApplyTimeout}),
 		upstreams:    newUpstreams(),
 		streams:      newStreams(e.cfg.Clock.Now()),
@@ -132,6 +135,7 @@
 // state, and peers.
 func (c *control) adjust(now time.Time) {
 	c.shares.Tick(now)
+	c.promises.Expire(now)
 	c.placer.SetUnreportedRouters(c.unreported(now))
 	c.placer.Tick(now)
 	c.removeLapsed(now)
@@ -231,6 +235,8 @@
 		d.RetryAfter = c.retryAfter(&d, &req)
 	}
 	c.recordPlacement(&req, &d)
+	c.countAccount(&req, &d, r.WithinShare)
+	c.countPromise(now, &req, &d)
 	return d
 }
 
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -139,6 +140,15 @@
 	return d.c.place(now, req)
 }
 
+// RefusedByOverload records a request that the overload control refused without reading it.
+func (d PlacementControl) RefusedByOverload(account pomelorelay.AccountID, cost pomelorelay.Cost) {
+	d.c.e.overload.count(pomeloforward.Preview{Account: account, Cost: cost}, pomelooverload.ClassOverShare)
+	d.c.flushUnread()
+}
+
+// Metrics returns the handler that serves the control's metrics.
+func (d PlacementControl) Metrics() http.Handler { return d.c.e.metrics.Handler() }
+
 // Report applies another router's load report.
 func (d PlacementControl) Report(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
 	d.c.peers.recordMessage(now, pomelorelay.Peer{Node: from})
--- a/pomeloentry/overload.go
+++ b/pomeloentry/overload.go
@@ -15,8 +15,8 @@
 type overload struct {
 	mu      sync.Mutex
 	control *pomelooverload.Control
-	// unread sums the cost by account of requests refused before their body was read, since the last flush.
-	unread map[pomelorelay.AccountID]pomelorelay.Cost
+	// unread sums the requests by account that were refused before their body was read, since the last flush.
+	unread map[pomelorelay.AccountID]unreadRequests
 
 	// The fields below copy parts of the control's state for readers that must not wait for mu.
 	limited, aboveHalf, closeUnread atomic.Bool
@@ -36,7 +36,7 @@
 const maxRefusalLines = 5
 
 func newOverload() *overload {
-	o := &overload{control: pomelooverload.New(pomelooverload.Config{}), unread: make(map[pomelorelay.AccountID]pomelorelay.Cost)}
+	o := &overload{control: pomelooverload.New(pomelooverload.Config{}), unread: make(map[pomelorelay.AccountID]unreadRequests)}
 	o.slotless.Store(&slotlessTable{})
 	return o
 }
@@ -227,7 +227,9 @@
 		return
 	}
 	o.mu.Lock()
-	o.unread[p.Account] += p.Cost
+	u := o.unread[p.Account]
+	u.add(p.Cost, class)
+	o.unread[p.Account] = u
 	o.mu.Unlock()
 }
 
--- a/pomeloentry/overloadwatch.go
+++ b/pomeloentry/overloadwatch.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// adjustOverload publishes the snapshot while it is needed, flushes the cost of refused requests, and decides on readiness.
+// adjustOverload publishes the snapshot while it is needed, flushes the refused requests, and decides on readiness.
 func (c *control) adjustOverload(now time.Time) {
 	o := c.e.overload
 	c.flushUnread()
@@ -65,8 +65,9 @@
 	o := c.e.overload
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for account, cost := range o.unread {
-		c.shares.RecordRequest(account, cost)
+	for account, u := range o.unread {
+		c.shares.RecordRequest(account, u.cost)
+		c.countUnread(account, u)
 	}
 	clear(o.unread)
 }
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -105,6 +105,9 @@
 func (e *runEnded) apply(c *control, now time.Time) {
 	c.placer.RecordEvents(e.run, e.end.Events)
 	c.placer.RecordEnd(now, e.run, e.end.Result)
+	if e.end.Result.Served() && e.request.Account != "" {
+		c.e.metrics.CountAccountServed(e.request.Account)
+	}
 	if e.end.Answered {
 		c.recordSignOfLife(now, e.upstream.Process())
 		c.recordAnswered(now, e.request.Fingerprint)
@@ -121,4 +124,10 @@
 	cost    pomelorelay.Cost
 }
 
-func (r *refusedUnread) apply(c *control, _ time.Time) { c.shares.RecordRequest(r.account, r.cost) }
+func (r *refusedUnread) apply(c *control, _ time.Time) {
+	c.shares.RecordRequest(r.account, r.cost)
+	if r.account != "" {
+		c.e.metrics.CountAccountRequests(r.account, 1)
+		c.e.metrics.CountAccountRefused(r.account, reasonUnread, 1)
+	}
+}
--- a/pomelometric/metrics.go
+++ b/pomelometric/metrics.go
@@ -50,6 +50,8 @@
 	stages         map[Stage]prometheus.Observer
 	missedMessages prometheus.Counter
 	storeCalls     *prometheus.CounterVec
+	promises       *prometheus.CounterVec
+	accounts       accountCounters
 }
 
 // New returns Metrics at zero, with the collector of the Go runtime registered.
@@ -73,7 +75,9 @@
 	m.brokenRuns = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "broken_runs_total", Help: "Requests whose connection to the upstream broke, because of a crash or not."})
 	m.missedMessages = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "messages_missed_total", Help: "Messages to other routers that could not be queued."})
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total", Help: "Calls to the platform's store by kind, cause and result code; 0 for none."}, []string{"kind", "cause", "code"})
-	m.registry.MustRegister(stages, m.crashes, m.brokenRuns, m.deniedRetries, m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
+	m.promises = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "promises_total", Help: "Callers told to return (made), and returns to the same router that were admitted (kept) or refused again (broken)."}, []string{"outcome"})
+	m.accounts = newAccountCounters()
+	m.registry.MustRegister(m.promises, m.accounts.requests, stages, m.crashes, m.brokenRuns, m.deniedRetries, m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
 	return m
 }
 
