--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -110,6 +110,9 @@
 	c.recordAnnounced(now, e.reservation, e.end.Load)
 	c.placer.RecordEvents(e.run, e.end.Events)
 	c.placer.RecordEnd(now, e.run, e.end.Result)
+	if e.end.Result.Served() && e.request.Account != "" {
+		c.e.metrics.CountAccountServed(e.request.Account)
+	}
 	if e.end.Answered {
 		c.recordSignOfLife(now, e.upstream.Process())
 		c.recordAnswered(now, e.request.Fingerprint)
@@ -126,4 +129,10 @@
 	cost    pomelorelay.Cost
 }
 
-func (r *refusedUnread) apply(c *control, _ time.Time) { c.shares.RecordRequest(r.account, r.cost) }
+func (r *refusedUnread) apply(c *control, _ time.Time) {
+	c.shares.RecordRequest(r.account, r.cost)
+	if r.account != "" {
+		c.e.metrics.CountAccountRequests(r.account, 1)
+		c.e.metrics.CountAccountRefused(r.account, reasonUnread, 1)
+	}
+}
--- a/pomelometric/metrics.go
+++ b/pomelometric/metrics.go
@@ -56,6 +56,8 @@
 	// announcements counts announced loads by what became of them; slownessError compares the expected slowness with the announced one.
 	announcements *prometheus.CounterVec
 	slownessError prometheus.Histogram
+	promises      *prometheus.CounterVec
+	accounts      accountCounters
 }
 
 // New returns Metrics at zero, with the collector of the Go runtime registered.
@@ -81,7 +83,9 @@
 	m.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "store_calls_total", Help: "Calls to the platform's store by kind, cause and result code; 0 for none."}, []string{"kind", "cause", "code"})
 	m.announcements = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "announced_loads_total", Help: "Loads that upstreams announced, by outcome: used, repeated, stale or invalid."}, []string{"outcome"})
 	m.slownessError = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "announced_slowness_ratio", Help: "Slowness expected from earlier announcements over the next announced one.", Buckets: ratioBuckets})
-	m.registry.MustRegister(stages, m.announcements, m.slownessError, m.crashes, m.brokenRuns, m.deniedRetries, m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
+	m.promises = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: "promises_total", Help: "Callers told to return (made), and returns to the same router that were admitted (kept) or refused again (broken)."}, []string{"outcome"})
+	m.accounts = newAccountCounters()
+	m.registry.MustRegister(m.promises, m.accounts.requests, stages, m.announcements, m.slownessError, m.crashes, m.brokenRuns, m.deniedRetries, m.missedMessages, m.storeCalls, m.answers, m.firstAnswer, m.fullAnswer, m.retries, m.placements, m.gauges, collectors.NewGoCollector())
 	return m
 }
 
