--- a/pomeloplace/room.go
+++ b/pomeloplace/room.go
@@ -170,7 +170,8 @@
 // routers, and leaves the queue short enough that an in-share request that arrives next is admitted.
 func (p *Placer) leavesRoom(now time.Time, c candidate, r *Request, a allowance) bool {
 	unseen := c.up.prefillTime(a.reserve.Unseen * c.up.pool.sendTokens.Value(now))
-	queue := c.queueDelay + c.up.prefillTime(float64(c.prefillTokens))
+	// The mean prefill stands for the request's own one: with its own, long prompts would be admitted less often than short ones.
+	queue := c.queueDelay + c.up.prefillTime(c.up.pool.sendTokens.Value(now))
 	return c.expectedLatency+unseen <= scale(onTimeFraction, r.Target) && queue <= a.inShareQueueDelay
 }
 
