Trial, not run: refusals are decided on before net/http, by a bounded number of workers

Cause: refusals on new connections take most of a small host's processor time and hold descriptors while they linger.

--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -63,20 +63,31 @@
 }
 
 func (e *Router) serve(s *http.Server, addr netip.AddrPort) error {
-	l, err := net.Listen("tcp", addr.String())
+	config := net.ListenConfig{}
+	if s.ConnState != nil {
+		// The listener sets keepalive only on connections that are not refused.
+		config.KeepAlive = -1
+	}
+	l, err := config.Listen(e.ctx, "tcp", addr.String())
 	if err != nil {
 		return pomelorelay.NewError(pomelorelay.CodeCannotListen, addr.String(), err)
 	}
 	e.servers = append(e.servers, s)
 	if s.ConnState != nil {
-		l = loadSheddingListener{Listener: l, e: e}
+		e.screener = newScreener(e)
+		e.serveOn(s, passedListener{e.screener, l.Addr()})
+		l = &loadSheddingListener{Listener: l, e: e, s: e.screener}
 	}
+	e.serveOn(s, l)
+	return nil
+}
+
+func (e *Router) serveOn(s *http.Server, l net.Listener) {
 	e.start(func(context.Context) {
 		if err := s.Serve(l); err != http.ErrServerClosed {
 			e.errs <- err
 		}
 	})
-	return nil
 }
 
 // Errors returns the channel of errors from failed listeners.
