--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -63,31 +63,20 @@
 }
 
 func (e *Router) serve(s *http.Server, addr netip.AddrPort) error {
-	config := net.ListenConfig{}
-	if s.ConnState != nil {
-		// The listener sets keepalive only on connections that are not refused.
-		config.KeepAlive = -1
-	}
-	l, err := config.Listen(e.ctx, "tcp", addr.String())
+	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return pomelorelay.NewError(pomelorelay.CodeCannotListen, addr.String(), err)
 	}
 	e.servers = append(e.servers, s)
 	if s.ConnState != nil {
-		e.screener = newScreener(e)
-		e.serveOn(s, passedListener{e.screener, l.Addr()})
-		l = &loadSheddingListener{Listener: l, e: e, s: e.screener}
+		l = loadSheddingListener{Listener: l, e: e}
 	}
-	e.serveOn(s, l)
-	return nil
-}
-
-func (e *Router) serveOn(s *http.Server, l net.Listener) {
 	e.start(func(context.Context) {
 		if err := s.Serve(l); err != http.ErrServerClosed {
 			e.errs <- err
 		}
 	})
+	return nil
 }
 
 // Errors returns the channel of errors from failed listeners.
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"runtime"
 	"syscall"
 	"time"
 
@@ -129,55 +128,31 @@
 }
 
 // loadSheddingListener closes new connections unread as the last resort, without spending a goroutine or a buffer on them; callers then try another
-// router. While the router is limited, a screener decides on the first requests of connections.
+// router. While the router is limited, it returns connections whose first request is decided on before net/http parses it.
 type loadSheddingListener struct {
 	net.Listener
 	e *Router
-	s *screener
-	// accepted counts the connections since other goroutines last ran.
-	accepted int
 }
 
-// Accept returns the next connection that the router has capacity for and that needs no decision.
-func (l *loadSheddingListener) Accept() (net.Conn, error) {
+// Accept returns the next connection that the router has capacity for.
+func (l loadSheddingListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		tcp, ok := conn.(*net.TCPConn)
-		switch {
-		case !ok:
+		if !l.e.mustCloseUnread() {
+			if tcp, ok := conn.(*net.TCPConn); ok && l.e.overload.limited.Load() {
+				return newScreenedConn(l.e, tcp), nil
+			}
 			return conn, nil
-		case l.e.mustCloseUnread():
-			l.s.closeUnread(tcp)
-		case !l.e.overload.limited.Load():
-			setKeepAlive(tcp)
-			return conn, nil
-		default:
-			l.screen(tcp)
-		}
-		if l.accepted++; l.accepted >= acceptBatch {
-			l.accepted = 0
-			runtime.Gosched()
 		}
+		l.e.overload.refused.unreadConns.Add(1)
+		// The error of closing is ignored: the connection is unusable either way.
+		_ = conn.Close()
 	}
 }
 
-func (l *loadSheddingListener) screen(conn *net.TCPConn) {
-	l.e.conns.Add(1)
-	if !l.s.put(screenItem{conn: conn, acceptedAt: l.e.steady()}) {
-		l.e.conns.Add(-1)
-		l.s.closeUnread(conn)
-	}
-}
-
-// setKeepAlive sets the options that net sets on accepted connections by default. They take four system calls, which refused connections do without.
-func setKeepAlive(conn *net.TCPConn) {
-	// A connection that the caller has left fails at its next use.
-	_ = conn.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true})
-}
-
 // countRefused adds the cost of a request that was refused without reading its body to its account's demand. Otherwise an account
 // whose callers reach full routers would appear idle and satisfied, and its share would go to others. If the event queue is full,
 // the cost is dropped, because request handling must not wait for the control goroutine.
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -67,8 +67,6 @@
 	// nearCapacityAt is when the router was last close to its capacity.
 	nearCapacityAt atomic.Int64
 	overload       *overload
-	// screener is nil until Listen opens the callers' port.
-	screener *screener
 	// lastTickAt is when the control goroutine last ticked, tickLag the delay of that tick in nanoseconds.
 	lastTickAt atomic.Int64
 	tickLag    atomic.Int64
--- a/pomeloentry/screen.go
+++ b/pomeloentry/screen.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -46,46 +47,82 @@
 	return info
 }
 
-// screenedConn is a connection whose first bytes were read to decide on its request before net/http parses it.
+// screenedConn decides on the first request of a connection before net/http parses it. Through net/http, a refusal takes the parsing of the header,
+// a request, a response and a wait for the body.
 type screenedConn struct {
 	*net.TCPConn
-	info  *callerConn
-	first []byte
+	e    *Router
+	info *callerConn
+	read bool
 }
 
-// Read returns the bytes that were read for the decision, then those that arrive.
+func newScreenedConn(e *Router, conn *net.TCPConn) *screenedConn {
+	return &screenedConn{TCPConn: conn, e: e, info: &callerConn{conn: conn, acceptedAt: e.steady()}}
+}
+
+// Read reads from the connection. If the first read holds the header of a request that is refused, Read answers it and returns io.EOF.
 func (c *screenedConn) Read(p []byte) (int, error) {
-	if len(c.first) == 0 {
-		return c.TCPConn.Read(p)
+	n, err := c.TCPConn.Read(p)
+	if c.read || err != nil {
+		return n, err
 	}
-	n := copy(p, c.first)
-	if c.first = c.first[n:]; len(c.first) == 0 {
-		c.first = nil
+	c.read = true
+	r, unread := c.screen(p[:n])
+	if r.code == 0 {
+		return n, nil
 	}
-	return n, nil
+	c.e.logRefusal(r)
+	c.refuse(r, unread)
+	return 0, io.EOF
 }
 
-// screen decides on the request that begins with the data, and returns the number of bytes of its body that are unread, -1 if it is unknown. An
-// incomplete, malformed or unusual head is admitted here: net/http reads on, and the handler decides.
-func (e *Router) screen(info *callerConn, data []byte) (r refusal, unread int64) {
+// screen decides on the request that begins with the data, and reports whether a part of its body is unread. An incomplete, malformed or unusual
+// head is admitted here: net/http reads on, and the handler decides.
+func (c *screenedConn) screen(data []byte) (r refusal, unread bool) {
 	buffer := headBuffers.Get().(*headBuffer)
 	defer headBuffers.Put(buffer)
 	head, ok := buffer.parse(data)
 	if !ok {
-		return refusal{}, 0
+		return refusal{}, false
 	}
-	now := e.steady()
-	waited := time.Duration(now - info.acceptedAt)
-	e.metrics.ObserveStage(pomelometric.StageAccept, waited)
-	r = e.decide(arrival{host: head.host, path: head.path, head: buffer.fields, waited: waited, first: true})
+	now := c.e.steady()
+	waited := time.Duration(now - c.info.acceptedAt)
+	c.e.metrics.ObserveStage(pomelometric.StageAccept, waited)
+	r = c.e.decide(arrival{host: head.host, path: head.path, head: buffer.fields, waited: waited, first: true})
 	if r.code == 0 {
-		info.screened.Store(true)
-		info.decidedAt.Store(now)
+		c.info.screened.Store(true)
+		c.info.decidedAt.Store(now)
+	}
+	return r, head.length < 0 || head.length > int64(len(data)-head.size)
+}
+
+const (
+	// lingerTimeout bounds the time for which a refused connection is read until its caller closes it, and lingerBytes the number of bytes.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 1 << 20
+	lingerBuffer  = 32 << 10
+)
+
+var lingerBuffers = sync.Pool{New: func() any { return new([lingerBuffer]byte) }}
+
+// refuse answers the request. If a part of its body is unread, it reads on until the caller closes the connection: closing a socket with unread
+// bytes resets the connection, which may destroy the response before the caller reads it.
+func (c *screenedConn) refuse(r refusal, unread bool) {
+	// The errors of a connection that the caller has left are ignored: net/http closes it.
+	if _, err := c.Write(refusalResponse(r)); err != nil || !unread {
+		return
 	}
-	if head.length < 0 {
-		return r, -1
+	_ = c.CloseWrite()
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	buffer := lingerBuffers.Get().(*[lingerBuffer]byte)
+	defer lingerBuffers.Put(buffer)
+	for total := 0; total < lingerBytes; {
+		n, err := c.TCPConn.Read(buffer[:])
+		if err != nil {
+			return
+		}
+		total += n
 	}
-	return r, max(0, head.length-int64(len(data)-head.size))
 }
 
 // overloadedResponse is the response of an overloaded router.
