Overload control: the limit recovers after a stall; hopeless requests do not prolong it

Causes (found in review): a stall lowered the measured rate, so the limit began at a fraction of the capacity and rose by 2% of its first value in 100 ms; each refusal of a request with too little time left counted as demand and kept the limit; one caller that had connected long before it sent its request could make the router close connections unread.

--- a/pomelooverload/config.go
+++ b/pomelooverload/config.go
@@ -33,6 +33,14 @@
 	limitDecrease = 0.8
 	// limitIncrease is added to the limit after an interval with a delay below half of the threshold, as a fraction of the limit at the start.
 	limitIncrease = 0.02
+	// stepGrowth multiplies the addition with each one in a row up to maxStepFraction of the limit, so that a limit that began far below the capacity
+	// reaches it within seconds.
+	stepGrowth      = 1.2
+	maxStepFraction = 0.05
+	// rateDecay is the fraction of the admitted rate that remains after an interval in which less was admitted, and maxIntervals the length from
+	// which an interval was stalled, in intervals.
+	rateDecay    = 0.9
+	maxIntervals = 2
 	// minBurst is the minimum size of the token bucket, and burstTime the time in which the limit fills it.
 	minBurst  = 4.0
 	burstTime = 100 * time.Millisecond
--- a/pomelooverload/control.go
+++ b/pomelooverload/control.go
@@ -40,12 +40,13 @@
 	rate     float64
 	limited  bool
 	since    time.Duration
-	// limit is the admitted rate in requests per second, and step what an interval adds to it at most.
-	limit, step float64
-	tokens      float64
-	filledAt    time.Duration
-	refusedAt   time.Duration
-	refused     int
+	// limit is the admitted rate in requests per second. step is what the next interval adds to it; it starts at minStep and grows with each
+	// addition in a row.
+	limit, step, minStep float64
+	tokens               float64
+	filledAt             time.Duration
+	refusedAt            time.Duration
+	refused              int
 }
 
 // New returns a Control that limits nothing yet.
@@ -79,7 +80,9 @@
 		return ClassNone
 	}
 	if r.TimeLeft > 0 && r.TimeLeft < waited+r.Expected {
-		return c.refuse(now, ClassHopeless)
+		// Such a request would be refused without the limit, too, so it must not prolong it.
+		c.refused++
+		return ClassHopeless
 	}
 	c.fill(now)
 	if c.tokens < 1+r.reserve()*c.burst() {
@@ -139,7 +142,8 @@
 	passed := max(now-c.intervalAt, c.cfg.Interval)
 	c.limited, c.since = true, now
 	c.limit = max(minRate, initialFraction*max(c.rate, float64(c.admitted)/passed.Seconds()))
-	c.step = max(1, limitIncrease*c.limit)
+	c.minStep = max(1, limitIncrease*c.limit)
+	c.step = c.minStep
 	c.tokens, c.filledAt, c.refusedAt, c.refused = 0, now, now, 0
 	c.intervalAt, c.admitted = now, 0
 	for i := range c.stages {
@@ -159,17 +163,27 @@
 	if c.limited {
 		c.adjust(now, worst)
 	}
-	c.rate = float64(c.admitted) / (now - c.intervalAt).Seconds()
+	c.updateRate(now - c.intervalAt)
 	c.intervalAt, c.admitted = now, 0
 }
 
+// updateRate records the rate of the interval that lasted for so long. Less than before is admitted during a stall of the process, and at its end, so
+// the rate falls slowly, and not at all by an interval that a stall has prolonged.
+func (c *Control) updateRate(lasted time.Duration) {
+	if lasted > maxIntervals*c.cfg.Interval {
+		return
+	}
+	c.rate = max(float64(c.admitted)/lasted.Seconds(), rateDecay*c.rate)
+}
+
 func (c *Control) adjust(now, worst time.Duration) {
 	c.fill(now)
 	switch {
 	case worst > c.cfg.Threshold:
-		c.limit = max(minRate, limitDecrease*c.limit)
+		c.limit, c.step = max(minRate, limitDecrease*c.limit), c.minStep
 	case worst < c.cfg.Threshold/2 && now-c.refusedAt < c.cfg.Interval:
 		c.limit += c.step
+		c.step = min(stepGrowth*c.step, max(c.minStep, maxStepFraction*c.limit))
 	}
 	if worst <= c.cfg.Threshold && now-c.refusedAt >= c.cfg.Hold {
 		c.limited = false
@@ -200,6 +214,17 @@
 	CloseUnread bool
 }
 
+// closesUnread reports whether several requests in a row waited longer than callers do. A single one may come from a caller that connected long
+// before it sent its request.
+func (c *Control) closesUnread() bool {
+	for i := range c.stages {
+		if d := &c.stages[i]; d.late >= minLate && d.current() > hopelessDelay {
+			return true
+		}
+	}
+	return false
+}
+
 // State returns the state now.
 func (c *Control) State(now time.Duration) State {
 	c.advance(now)
@@ -207,7 +232,7 @@
 	s := State{Delay: delay, AboveHalf: delay > c.cfg.Threshold/2, Refused: c.refused}
 	if c.limited {
 		s.Limited, s.Since, s.Limit = true, c.since, c.limit
-		s.CloseUnread = delay > hopelessDelay
+		s.CloseUnread = c.closesUnread()
 	}
 	return s
 }
--- a/pomelooverload/control_test.go
+++ b/pomelooverload/control_test.go
@@ -230,3 +230,54 @@
 		}
 	}
 }
+
+// Guards against a limit that stays far below the capacity after a stall of the process: the router would refuse most of its usual requests for many
+// seconds although its processor is idle.
+func TestLimitRecoversAfterAStall(t *testing.T) {
+	const gap, stall, end = 5 * time.Millisecond, 500 * time.Millisecond, 6 * time.Second
+	b := newByDelay()
+	lastRefused := time.Duration(0)
+	for at := time.Duration(0); at < end; at += gap {
+		waited := time.Duration(0)
+		if at >= time.Second && at < time.Second+stall {
+			waited = time.Second + stall - at
+		}
+		if !b.admit(at+waited, waited, pomelooverload.Request{}) {
+			lastRefused = at
+		}
+	}
+	if lastRefused > 5*time.Second {
+		t.Errorf("still refused at %v at 200 requests/s, stalled from 1 s to 1.5 s, want none after 5 s", lastRefused)
+	}
+}
+
+// Guards against callers with hopeless deadlines that keep an idle router limited.
+func TestHopelessRequestsDoNotProlongTheLimit(t *testing.T) {
+	c := pomelooverload.New(pomelooverload.Config{})
+	for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+		c.Observe(at, pomelooverload.StageAccept, 200*time.Millisecond)
+	}
+	if !c.State(time.Second).Limited {
+		t.Fatal("not limited after 1 s of late requests")
+	}
+	hopeless := pomelooverload.Request{TimeLeft: time.Millisecond, Expected: time.Second}
+	for at := time.Second; at < 4*time.Second; at += 100 * time.Millisecond {
+		c.Admit(at, 0, hopeless)
+	}
+	if c.State(4 * time.Second).Limited {
+		t.Error("limited 3 s after the last late request, want the limit ended")
+	}
+}
+
+// Guards against a caller that connects long before it sends its request: its wait alone must not make the router close connections unread.
+func TestOneEarlyConnectionClosesNoOthers(t *testing.T) {
+	c := pomelooverload.New(pomelooverload.Config{})
+	for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+		c.Observe(at, pomelooverload.StageAccept, 200*time.Millisecond)
+	}
+	c.Observe(1200*time.Millisecond, pomelooverload.StageAccept, time.Millisecond)
+	c.Observe(1310*time.Millisecond, pomelooverload.StageAccept, 2*time.Second)
+	if c.State(1310 * time.Millisecond).CloseUnread {
+		t.Error("connections are closed unread after a single late request")
+	}
+}
