Benchmark of refusals reads one response

It read until the connection ended, which the router resets 0.5 s after a refusal with an unread body; the response had arrived by then.

--- a/pomeloentry/overload_bench_test.go
+++ b/pomeloentry/overload_bench_test.go
@@ -1,9 +1,11 @@
 package pomeloentry_test
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"syscall"
 	"testing"
@@ -34,7 +36,7 @@
 	}
 }
 
-// callOnce sends the request on a new connection and reads until the end; without a request it only connects.
+// callOnce sends the request on a new connection and reads the response; without a request it only connects.
 func callOnce(addr netip.AddrPort, request []byte) error {
 	conn, err := net.Dial("tcp", addr.String())
 	if err != nil {
@@ -47,7 +49,12 @@
 	if _, err := conn.Write(request); err != nil {
 		return err
 	}
-	_, err = io.Copy(io.Discard, conn)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
 
