Overload control: connections of a limited router are decided on in a bounded number

Cause: at 1,500 to 2,000 requests a second a host of 0.144 cores accepted connections faster than it could refuse them. Their goroutines delayed the control, links and running requests, and callers waited until their deadlines; refused connections lingered by the thousand. A pause of the process counted twice and began the limit; a limited router ignored its number of connections in its readiness.

Change: a limited router closes connections unread beyond 64 undecided ones, at most 128 refused connections linger, and listeners set no keepalive options. A pause counts once, and a limited router near its connection limit is not ready. Refusals through net/http close connections whose body is unread, as before.

--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -63,7 +63,8 @@
 }
 
 func (e *Router) serve(s *http.Server, addr netip.AddrPort) error {
-	l, err := net.Listen("tcp", addr.String())
+	// The idle timeout closes the connections of silent callers; keepalive probes would cost four system calls for each connection.
+	l, err := (&net.ListenConfig{KeepAlive: -1}).Listen(e.ctx, "tcp", addr.String())
 	if err != nil {
 		return pomelorelay.NewError(pomelorelay.CodeCannotListen, addr.String(), err)
 	}
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -127,6 +127,10 @@
 	return e.overload.closeUnread.Load() || float64(e.conns.Load()) > connOverloadFactor*float64(e.hostLimits.maxConns)
 }
 
+// maxUndecided is the maximum number of connections of a limited router on which it has not decided. Their goroutines are scheduled before those of
+// the control and of running requests, and the last of them waits for all others; a small host decides on this many within about 50 ms.
+const maxUndecided = 64
+
 // loadSheddingListener closes new connections unread as the last resort, without spending a goroutine or a buffer on them; callers then try another
 // router. While the router is limited, it returns connections whose first request is decided on before net/http parses it.
 type loadSheddingListener struct {
@@ -142,10 +146,13 @@
 			return nil, err
 		}
 		if !l.e.mustCloseUnread() {
-			if tcp, ok := conn.(*net.TCPConn); ok && l.e.overload.limited.Load() {
+			tcp, ok := conn.(*net.TCPConn)
+			if !ok || !l.e.overload.limited.Load() {
+				return conn, nil
+			}
+			if l.e.overload.undecided.Load() < maxUndecided {
 				return newScreenedConn(l.e, tcp), nil
 			}
-			return conn, nil
 		}
 		l.e.overload.refused.unreadConns.Add(1)
 		// The error of closing is ignored: the connection is unusable either way.
@@ -197,7 +204,7 @@
 // nearCapacity reports whether the router is close to its capacity, or was close to it at most nearCapacityHold ago.
 func (e *Router) nearCapacity() bool {
 	now := e.steady()
-	full := float64(e.inFlight.Load()) > nearCapacityFraction*float64(e.requestLimit.Load()) || float64(e.conns.Load()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
+	full := float64(e.inFlight.Load()) > nearCapacityFraction*float64(e.requestLimit.Load()) || e.connsNearCapacity()
 	if full {
 		e.nearCapacityAt.Store(now)
 	}
@@ -210,12 +217,20 @@
 	return e.overload.away.Load() || float64(e.conns.Load()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
 }
 
+func (e *Router) connsNearCapacity() bool {
+	return float64(e.conns.Load()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
+}
+
 // admit reports whether the router can accept the request. When it is overloaded or full, admit answers with a refusal and returns false.
 func (e *Router) admit(w http.ResponseWriter, r *http.Request) bool {
 	if e.sendsCallersAway() {
 		w.Header().Set("Connection", "close")
 	}
 	if refused := e.decideOn(r); refused.code != 0 {
+		if r.ContentLength != 0 {
+			// Keeping the connection would take reading the body first.
+			w.Header().Set("Connection", "close")
+		}
 		err := pomelorelay.NewError(refused.code, "", nil)
 		err.RetryAfter = refused.retryAfter
 		pomeloforward.WriteError(w, err)
--- a/pomeloentry/overload.go
+++ b/pomeloentry/overload.go
@@ -22,6 +22,9 @@
 	limited, aboveHalf, closeUnread atomic.Bool
 	// lagSeenAt is when a handler last observed the lag of the control goroutine.
 	lagSeenAt atomic.Int64
+	// undecided is the number of screened connections whose first request is not decided on, lingering that of refused ones that are read until their
+	// callers close them.
+	undecided, lingering atomic.Int64
 	// away is set while the router is out of the load balancer's rotation because a router of its failure domain is limited.
 	away     atomic.Bool
 	shares   atomic.Pointer[shareSnapshot]
@@ -161,7 +164,8 @@
 // observeArrival records how long a request waited and returns the state of the control; while nothing needs a decision, it also admits the request.
 func (e *Router) observeArrival(now int64, a arrival) pomelooverload.State {
 	o := e.overload
-	lag := e.lag()
+	// The lag of the last tick was observed by the control goroutine; counted twice, a single pause of the process would begin the limit.
+	lag := time.Duration(now-e.lastTickAt.Load()) - tickInterval
 	if lag > maxLag && !o.mayObserveLag(now) {
 		lag = 0
 	}
--- a/pomeloentry/overloadwatch.go
+++ b/pomeloentry/overloadwatch.go
@@ -36,7 +36,9 @@
 // tickOverload observes the tick's delay and logs the beginning and the end of the limit.
 func (c *control) tickOverload() {
 	o, now := c.e.overload, c.e.steady()
-	o.observe(now, pomelooverload.StageTick, time.Duration(c.e.tickLag.Load()))
+	if lag := time.Duration(c.e.tickLag.Load()); lag <= maxLag || o.lagSeenAt.Load() < now-int64(lag) {
+		o.observe(now, pomelooverload.StageTick, lag)
+	}
 	s, last := o.state(now), c.overload.last
 	c.overload.last = s
 	switch {
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -208,7 +208,10 @@
 	if e.overload.away.Load() {
 		return false
 	}
-	return e.overload.limited.Load() || !e.nearCapacity()
+	if e.overload.limited.Load() {
+		return !e.connsNearCapacity()
+	}
+	return !e.nearCapacity()
 }
 
 // Close stops the router immediately, without waiting for requests; Stop shuts it down gracefully.
--- a/pomeloentry/screen.go
+++ b/pomeloentry/screen.go
@@ -53,20 +53,38 @@
 	*net.TCPConn
 	e    *Router
 	info *callerConn
-	read bool
+	// read is set after the first read, or when the connection is closed before it.
+	read atomic.Bool
+}
+
+// markRead records that the connection no longer waits for the decision on its first request.
+func (c *screenedConn) markRead() {
+	if !c.read.Swap(true) {
+		c.e.overload.undecided.Add(-1)
+	}
+}
+
+// Close closes the connection.
+func (c *screenedConn) Close() error {
+	c.markRead()
+	return c.TCPConn.Close()
 }
 
 func newScreenedConn(e *Router, conn *net.TCPConn) *screenedConn {
+	e.overload.undecided.Add(1)
 	return &screenedConn{TCPConn: conn, e: e, info: &callerConn{conn: conn, acceptedAt: e.steady()}}
 }
 
 // Read reads from the connection. If the first read holds the header of a request that is refused, Read answers it and returns io.EOF.
 func (c *screenedConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if c.read || err != nil {
+	if c.read.Load() {
 		return n, err
 	}
-	c.read = true
+	if err != nil {
+		return n, err
+	}
+	c.markRead()
 	r, unread := c.screen(p[:n])
 	if r.code == 0 {
 		return n, nil
@@ -100,7 +118,9 @@
 	// lingerTimeout bounds the time for which a refused connection is read until its caller closes it, and lingerBytes the number of bytes.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 1 << 20
-	lingerBuffer  = 32 << 10
+	// maxLingering bounds the connections that linger at once, each of which holds a buffer and a descriptor.
+	maxLingering = 128
+	lingerBuffer = 32 << 10
 )
 
 var lingerBuffers = sync.Pool{New: func() any { return new([lingerBuffer]byte) }}
@@ -112,6 +132,13 @@
 	if _, err := c.Write(refusalResponse(r)); err != nil || !unread {
 		return
 	}
+	lingering := &c.e.overload.lingering
+	if lingering.Add(1) > maxLingering {
+		// The caller may lose the response, and tries another router as it does after a connection closed unread.
+		lingering.Add(-1)
+		return
+	}
+	defer lingering.Add(-1)
 	_ = c.CloseWrite()
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	buffer := lingerBuffers.Get().(*[lingerBuffer]byte)
