Sends of a restarted upstream counter are not counted as 1.8e19

Cause: PutUpstream makes a new upstream when the start time changes, so the counter of requests sent starts again at 0 under the same ID. A relay subtracts its baseline, the unsigned sum wraps around, and the receiver's difference of two reports was about 1.8e19 sends. Change: recordReported takes the difference as a signed number. Conclusion: a restart behind a relay no longer distorts the measured reserve.

--- a/pomeloentry/aggregate_test.go
+++ b/pomeloentry/aggregate_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloentry"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
 
 	"pgregory.net/rapid"
 )
@@ -137,3 +138,23 @@
 		t.Errorf("starts reported twice: %+v", second.Starts)
 	}
 }
+
+// A relay counts a router's sends from a baseline above zero, and the upstream restarts, so that the router's counter begins at zero again.
+// Guards against taking the wrapped difference for about 1.8e19 sends, which would keep all slots reserved.
+func TestRestartedCounterAddsNoSends(t *testing.T) {
+	const service = "engines"
+	now := time.Unix(1000, 0)
+	p := pomeloplace.New(pomeloplace.Config{Self: pomelorelay.Peer{Node: "r1", Domain: "a"}})
+	p.SetConfig(&pomelorelay.FleetConfig{Services: []pomelorelay.ServiceSpec{{Name: service, Engine: &pomelorelay.EngineSpec{Slots: 12, KVCapacity: 500_000}}}})
+	p.PutUpstream(now, pomelorelay.FleetUpstream{ID: "u", Service: service, Domain: "a", Slots: 12})
+	sum := pomeloentry.NewAggregate()
+	for _, requests := range []uint64{1000, 1010, 2, 5} {
+		now = now.Add(100 * time.Millisecond)
+		sum.Add(now, "r0", 1, &pomelorelay.LoadReport{Full: true, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", RequestsSent: requests}}})
+		p.ApplyReport(now, "relay", 1, sum.ReportsAt(now, true, "r1")["r1"])
+		p.Tick(now)
+	}
+	if got := p.SlotTimes(now)[0].SendsPerSecond; got <= 0 || got > 200 {
+		t.Errorf("%g sends per second to the engine, want more than 0 and at most 200 after 13 sends", got)
+	}
+}
--- a/pomeloplace/room.go
+++ b/pomeloplace/room.go
@@ -96,8 +96,9 @@
 	}
 	started := float64(next.running - before.running)
 	sent := max(0, started)
-	if next.requests > before.requests {
-		sent = max(sent, float64(next.requests-before.requests))
+	// A counter that restarts below a relay's baseline wraps around; its unsigned difference would count about 1.8e19 sends.
+	if d := int64(next.requests - before.requests); d > 0 {
+		sent = max(sent, float64(d))
 	}
 	o.sends.Add(now, sent)
 	u.reserve.RecordReported(now, sent, sent-started)
