False announced counts no longer overflow the occupancy cost

Cause: the counts of an announcement were unbounded against the slots of the upstream. With 2^21 requests at a plain upstream of 4 slots the cost of its occupancy exceeds an int64, becomes negative and attracts every request. Change: the placer takes at most 64 announced requests per slot. The decoder drops an announced load beyond the limits of the load header (counts up to 2^20, slots at least 1, slowness up to 10,000) and keeps the rest of the report. Evidence: TestFalseCountsAttractNoRequests and TestAnnouncedLoadOutOfRangeIsDropped fail without the change and pass with it. Conclusion: false counts make an upstream expensive and never cheap.

--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -215,3 +215,35 @@
 		t.Errorf("lengths %v: the sender's name was sent twice", lengths)
 	}
 }
+
+// A faulty router reports figures that no valid load header has. Guards against using them, and against losing the rest of its report.
+func TestAnnouncedLoadOutOfRangeIsDropped(t *testing.T) {
+	const maxCount = 1 << 20
+	for _, c := range []struct {
+		figures pomelorelay.UpstreamFigures
+		valid   bool
+	}{
+		{pomelorelay.UpstreamFigures{Running: maxCount, Waiting: maxCount, Slots: maxCount, SlownessPercent: 10_000}, true},
+		{pomelorelay.UpstreamFigures{Slots: 1}, true},
+		{pomelorelay.UpstreamFigures{Running: maxCount + 1, Slots: 1}, false},
+		{pomelorelay.UpstreamFigures{Waiting: maxCount + 1, Slots: 1}, false},
+		{pomelorelay.UpstreamFigures{Slots: maxCount + 1}, false},
+		{pomelorelay.UpstreamFigures{Slots: 1, SlownessPercent: 10_001}, false},
+	} {
+		data, err := pomelomesh.EncodeMessage(&pomelorelay.LoadReport{Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 3, Announced: c.figures}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := pomelomesh.DecodeMessage(data)
+		if err != nil {
+			t.Fatalf("%+v: %v", c.figures, err)
+		}
+		want := pomelorelay.UpstreamFigures{}
+		if c.valid {
+			want = c.figures
+		}
+		if l := m.(*pomelorelay.LoadReport).Upstreams[0]; l.Announced != want || l.Running != 3 {
+			t.Errorf("decoded %+v with %d running, want %+v with 3", l.Announced, l.Running, want)
+		}
+	}
+}
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -55,12 +55,24 @@
 	return r
 }
 
+const (
+	// maxAnnouncedCount and maxAnnouncedSlowness are the limits of the load header, from which routers take announced figures.
+	maxAnnouncedCount    = 1 << 20
+	maxAnnouncedSlowness = 10_000
+)
+
+// announcedInRange reports whether the figures could come from a valid load header.
+func announcedInRange(m *pomelowire.AnnouncedLoad) bool {
+	return max(m.GetRunning(), m.GetWaiting(), m.GetSlots()) <= maxAnnouncedCount && m.GetSlots() >= 1 && m.GetSlowness() <= maxAnnouncedSlowness
+}
+
+// announced decodes an announced load. One out of range is dropped like a malformed header; the rest of the report is used.
 func (d *decoder) announced(m *pomelowire.AnnouncedLoad, l *pomelorelay.UpstreamLoad) {
-	if m == nil {
+	if m == nil || !announcedInRange(m) {
 		return
 	}
 	l.Announced = pomelorelay.UpstreamFigures{
-		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: pomelorelay.Slots(min(m.GetSlots(), math.MaxInt32)), SlownessPercent: int(m.GetSlowness()),
+		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: pomelorelay.Slots(m.GetSlots()), SlownessPercent: int(m.GetSlowness()),
 	}
 	l.AnnouncedAge, l.AnnouncedStart = d.milliseconds(m.GetAge()), m.GetBorn()
 }
--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -28,9 +28,14 @@
 	return announcedState{feedback: pomelofeedback.NewUpstream(info.StartUnixMilli), momentary: 1, lastingFactor: 1}
 }
 
+// maxAnnouncedPerSlot bounds the announced requests per slot. With false counts of about a million at an upstream of few slots, the cost of its
+// occupancy would overflow, become negative and attract every request.
+const maxAnnouncedPerSlot = 64
+
 // refreshAnnounced updates the estimates from announcements to the given time.
 func (u *upstream) refreshAnnounced(now time.Time) {
-	u.momentary, u.announcedRunning = u.feedback.Slowness(now), u.feedback.Running(now, 0)
+	u.momentary = u.feedback.Slowness(now)
+	u.announcedRunning = min(u.feedback.Running(now, 0), maxAnnouncedPerSlot*u.slots())
 }
 
 // slowness returns how many times slower than the service's average the engine is now.
--- a/pomeloplace/announced_test.go
+++ b/pomeloplace/announced_test.go
@@ -364,3 +364,20 @@
 		}
 	}
 }
+
+// Guards against a plain upstream of few slots whose false counts are so large that the cost of its occupancy overflows: it would be negative and the
+// upstream would get every request.
+func TestFalseCountsAttractNoRequests(t *testing.T) {
+	p := newPlacer()
+	for _, id := range []pomelorelay.UpstreamID{"p0", "p1"} {
+		p.PutUpstream(start, pomelorelay.FleetUpstream{ID: id, Service: plain, Domain: "a", Slots: 4})
+	}
+	figures := pomelorelay.UpstreamFigures{Running: 1 << 20, Waiting: 1 << 20, Slots: 4}
+	p.ApplyReport(start, "other", 1, &pomelorelay.LoadReport{Full: true, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "p0", Announced: figures}}})
+	r := pomeloplace.Request{Service: plain, WithinShare: true, Target: 400 * time.Millisecond, MaxWait: 10 * time.Second}
+	for n := range 3 {
+		if d := place(t, p, start, r); d.Upstream.ID != "p1" {
+			t.Errorf("request %d was sent to %s, want p1", n, d.Upstream.ID)
+		}
+	}
+}
