Runs end at their upstream also after its engine was removed

Cause: RecordEnd ended a run only while the upstream had an engine spec, so a run whose service lost its spec stayed in the upstream's runs. Change: RecordEnd always ends the run; without an engine no slot time is observed. Evidence: TestRunEndsAfterItsEngineWasRemoved fails without the change (1 run, want 0) and passes with it. Conclusion: a configuration change no longer leaves runs behind.

--- a/pomeloplace/export_test.go
+++ b/pomeloplace/export_test.go
@@ -77,3 +77,6 @@
 	}
 	return max(remaining, 1)
 }
+
+// Runs returns the number of this router's runs that are kept for the slot time of an upstream.
+func (p *Placer) Runs(id pomelorelay.UpstreamID) int { return len(p.upstreams[id].runs) }
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -381,8 +381,9 @@
 			u.own.pendingPrefill -= run.prefillTokens
 		}
 		u.own.memoryTokens -= run.memoryTokens
-		u.endRun(now, run, result)
 	}
+	// A configuration may have removed the engine during the run, which must not stay among the upstream's runs.
+	u.endRun(now, run, result)
 	u.own.running--
 	u.recordFeedbackEnd(now, run, result)
 	if run.started && u.engine != nil && result.Answered() && u.longPrefillAt.After(run.sent) {
--- a/pomeloplace/room.go
+++ b/pomeloplace/room.go
@@ -80,7 +80,7 @@
 	}
 	u.runs = slices.Delete(u.runs, at, at+1)
 	u.reserve.RecordEnded(now)
-	if u.pool.slotTime == nil || !result.Served() || run.waitedForSlot {
+	if u.engine == nil || u.pool.slotTime == nil || !result.Served() || run.waitedForSlot {
 		return
 	}
 	output := pomelorelay.Tokens(run.events) * max(1, u.engine.TokensPerEvent)
--- a/pomeloplace/room_test.go
+++ b/pomeloplace/room_test.go
@@ -113,3 +113,18 @@
 		t.Errorf("report %+v, want 3 requests sent", m.Upstreams)
 	}
 }
+
+// A configuration removes the engine of a service while a request runs. Guards against a run that stays among those of the upstream for good and
+// distorts the time until a slot becomes free once the engine is configured again.
+func TestRunEndsAfterItsEngineWasRemoved(t *testing.T) {
+	p, now := smallEngine(12, 0, true, pomeloplace.Mechanisms{})
+	d := place(t, p, now, prompt(1, 0, 10))
+	if got := p.Runs("e0"); got != 1 {
+		t.Fatalf("%d runs after a send, want 1", got)
+	}
+	p.SetConfig(&pomelorelay.FleetConfig{Routes: routes, Services: []pomelorelay.ServiceSpec{{Name: engines}}})
+	p.RecordEnd(now.Add(time.Second), d.Run, pomeloplace.ResultCompleted)
+	if got := p.Runs("e0"); got != 0 {
+		t.Errorf("%d runs after the end, want 0", got)
+	}
+}
