One limit of the age of announcements

Cause: three packages each had a limit of 1 s for the age of an announcement; changing one of them alone would report or keep unused ones. Change: pomelofeedback exports MaxAge; pomeloplace and pomeloentry use it. No behaviour changes, so no test is added. Evidence: the tests of pomelofeedback and those of announcements in pomeloentry and pomeloplace pass. Conclusion: the three places agree by construction.

--- a/pomeloentry/announced.go
+++ b/pomeloentry/announced.go
@@ -11,9 +11,6 @@
 // invalidLogInterval is the time between two log lines on malformed announcements of an upstream, which may come with each response.
 const invalidLogInterval = time.Minute
 
-// maxAnnouncedAge is the age from which any announcement replaces the known one, as nobody uses that any longer.
-const maxAnnouncedAge = time.Second
-
 // Outcomes of an announced load, as metric labels.
 const (
 	announcementUsed     = "used"
@@ -68,12 +65,13 @@
 }
 
 // addAnnounced keeps the announcement in a source's entry if it is newer than the one known, and of the same or a later process.
+// An announcement older than MaxAge is replaced by any other, since nobody uses it any longer.
 func (a *aggregate) addAnnounced(now time.Time, key string, l *pomelorelay.UpstreamLoad) {
 	if !l.Announced.Known() {
 		return
 	}
 	known, at := &a.upstreams[l.Upstream].announced, now.Add(-max(0, l.AnnouncedAge))
-	if now.Sub(known.at) <= maxAnnouncedAge && (l.AnnouncedStart < known.start || (l.AnnouncedStart == known.start && !at.After(known.at))) {
+	if now.Sub(known.at) <= pomelofeedback.MaxAge && (l.AnnouncedStart < known.start || (l.AnnouncedStart == known.start && !at.After(known.at))) {
 		return
 	}
 	*known = announcedLoad{figures: l.Announced, start: l.AnnouncedStart, at: at, source: key, unsent: true}
--- a/pomelofeedback/runs.go
+++ b/pomelofeedback/runs.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// maxRecent is the number of recent sends and ends that are remembered, several times what one router sends to one upstream within maxAge. The
+// maxRecent is the number of recent sends and ends that are remembered, several times what one router sends to one upstream within MaxAge. The
 // oldest are forgotten first; the announced counts then lack them.
 const maxRecent = 64
 
--- a/pomelofeedback/upstream.go
+++ b/pomelofeedback/upstream.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// maxAge is the age from which an announcement is not used; hosts change speed several times a second.
-	maxAge = time.Second
-	// fadeStart is the age from which the weight falls linearly to nothing at maxAge.
+	// MaxAge is the age from which an announcement is not used; hosts change speed several times a second.
+	MaxAge = time.Second
+	// fadeStart is the age from which the weight falls linearly to nothing at MaxAge.
 	fadeStart = 400 * time.Millisecond
 	// runningMaxAge is the age up to which announced counts are used. Requests of other routers begin and end meanwhile, and their reports, which
 	// are about 100 ms old, then show the load better.
@@ -78,7 +78,7 @@
 	if a.At.After(now) {
 		a.At = now
 	}
-	if !a.Figures.Known() || now.Sub(a.At) > maxAge || (a.StartUnixMilli != 0 && a.StartUnixMilli < u.start) {
+	if !a.Figures.Known() || now.Sub(a.At) > MaxAge || (a.StartUnixMilli != 0 && a.StartUnixMilli < u.start) {
 		return Comparison{Outcome: OutcomeStale}
 	}
 	u.followProcess(a.StartUnixMilli)
@@ -117,7 +117,7 @@
 	if u.AnnouncesSlowness() {
 		age := a.At.Sub(u.latest.At)
 		ratio = math.Exp(mean + u.weight(age)*(u.latestDeviation-mean) - next)
-		if age <= maxAge {
+		if age <= MaxAge {
 			u.errors[ageClass(age)].add(a.At, square(next-u.latestDeviation), square(next-mean))
 		}
 	}
@@ -156,10 +156,10 @@
 
 // weight returns the weight, from 0 to 1, of an announcement of the given age.
 func (u *Upstream) weight(age time.Duration) float64 {
-	if age >= maxAge {
+	if age >= MaxAge {
 		return 0
 	}
-	fade := min(1, float64(maxAge-age)/float64(maxAge-fadeStart))
+	fade := min(1, float64(MaxAge-age)/float64(MaxAge-fadeStart))
 	return fade * u.errors[ageClass(age)].weight()
 }
 
--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -119,9 +119,6 @@
 	return c
 }
 
-// maxReportedAge is the age up to which a router reports an announcement; older ones are not used.
-const maxReportedAge = time.Second
-
 // FillAnnounced adds what this router heard from upstreams since the last report to the entries of a load report.
 func (p *Placer) FillAnnounced(now time.Time, m *pomelorelay.LoadReport) {
 	for i := range m.Upstreams {
@@ -130,7 +127,7 @@
 		if u == nil || !u.heard.Figures.Known() {
 			continue
 		}
-		if age := now.Sub(u.heard.At); age <= maxReportedAge {
+		if age := now.Sub(u.heard.At); age <= pomelofeedback.MaxAge {
 			l.Announced, l.AnnouncedAge, l.AnnouncedStart = u.heard.Figures, max(0, age), u.heard.StartUnixMilli
 		}
 		u.heard = pomelofeedback.Announcement{}
