The slowness of upstreams that no placement considers expires

Cause: the momentary factor was refreshed only when a placement considered the upstream. One in backoff or draining kept its last factor, and its queue was estimated to drain up to 4 times too slowly. Change: Tick refreshes the estimates from announcements of all upstreams. Evidence: TestSlownessOfUnusedEngineExpires fails without the change (factor 1.81, want 1) and passes with it. Conclusion: the factor follows the announcements also where no requests are placed.

--- a/pomeloplace/announced_test.go
+++ b/pomeloplace/announced_test.go
@@ -381,3 +381,31 @@
 		}
 	}
 }
+
+// Guards against a draining engine that keeps the factor of a slow moment, since no placement considers it: its queue would drain too slowly.
+func TestSlownessOfUnusedEngineExpires(t *testing.T) {
+	p := withEngines(1)
+	now := start
+	for i := range 300 {
+		now = now.Add(30 * time.Millisecond)
+		d := place(t, p, now, prompt(uint64(i), 100, 100))
+		p.RecordAnnounced(now, d.Run, now, pomelorelay.UpstreamFigures{Slots: 64, SlownessPercent: 100 + 300*(i/20%2)})
+		p.RecordEnd(now, d.Run, pomeloplace.ResultCancelled)
+	}
+	for range 2 {
+		now = now.Add(30 * time.Millisecond)
+		d := place(t, p, now, prompt(1, 100, 100))
+		p.RecordAnnounced(now, d.Run, now, pomelorelay.UpstreamFigures{Slots: 64, SlownessPercent: 400})
+	}
+	if got := p.Momentary("e0"); got <= 1 {
+		t.Fatalf("factor %v in a slow moment, want more than 1", got)
+	}
+	draining := engine("e0")
+	draining.Draining = true
+	p.PutUpstream(now, draining)
+	now = now.Add(2 * time.Second)
+	p.Tick(now)
+	if got := p.Momentary("e0"); got != 1 {
+		t.Errorf("factor %v after 2 s without announcements, want 1", got)
+	}
+}
--- a/pomeloplace/export_test.go
+++ b/pomeloplace/export_test.go
@@ -80,3 +80,6 @@
 
 // Runs returns the number of this router's runs that are kept for the slot time of an upstream.
 func (p *Placer) Runs(id pomelorelay.UpstreamID) int { return len(p.upstreams[id].runs) }
+
+// Momentary returns the momentary factor of an upstream as of its last evaluation.
+func (p *Placer) Momentary(id pomelorelay.UpstreamID) float64 { return p.upstreams[id].momentary }
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -194,9 +194,13 @@
 	}
 }
 
-// Tick removes routers whose reports have expired and updates the assignment of long prompts.
+// Tick removes routers whose reports have expired and updates the estimates from announcements and the assignment of long prompts.
 func (p *Placer) Tick(now time.Time) {
 	for _, s := range p.pools {
+		// A placement refreshes only the upstreams that it considers; the queues of the others would drain at an outdated rate.
+		for _, u := range s.upstreams {
+			u.refreshAnnounced(now)
+		}
 		s.assignLongEngines(now, &p.cfg.DisabledMechanisms)
 	}
 	p.oldestReportAt = time.Time{}
