--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -28,9 +28,14 @@
 	return announcedState{feedback: pomelofeedback.NewUpstream(info.StartUnixMilli), momentary: 1, lastingFactor: 1}
 }
 
+// maxAnnouncedPerSlot bounds the announced requests per slot. With false counts of about a million at an upstream of few slots, the cost of its
+// occupancy would overflow, become negative and attract every request.
+const maxAnnouncedPerSlot = 64
+
 // refreshAnnounced updates the estimates from announcements to the given time.
 func (u *upstream) refreshAnnounced(now time.Time) {
-	u.momentary, u.announcedRunning = u.feedback.Slowness(now), u.feedback.Running(now, 0)
+	u.momentary = u.feedback.Slowness(now)
+	u.announcedRunning = min(u.feedback.Running(now, 0), maxAnnouncedPerSlot*u.slots())
 }
 
 // slowness returns how many times slower than the service's average the engine is now.
@@ -116,9 +121,6 @@
 	return c
 }
 
-// maxReportedAge is the age up to which a router reports an announcement; older ones are not used.
-const maxReportedAge = time.Second
-
 // FillAnnounced adds what this router heard from upstreams since the last report to the entries of a load report.
 func (p *Placer) FillAnnounced(now time.Time, m *pomelorelay.LoadReport) {
 	for i := range m.Upstreams {
@@ -127,7 +129,7 @@
 		if u == nil || !u.heard.Figures.Known() {
 			continue
 		}
-		if age := now.Sub(u.heard.At); age <= maxReportedAge {
+		if age := now.Sub(u.heard.At); age <= pomelofeedback.MaxAge {
 			l.Announced, l.AnnouncedAge, l.AnnouncedStart = u.heard.Figures, max(0, age), u.heard.StartUnixMilli
 		}
 		u.heard = pomelofeedback.Announcement{}
--- a/pomeloplace/announced_test.go
+++ b/pomeloplace/announced_test.go
@@ -364,3 +364,48 @@
 		}
 	}
 }
+
+// Guards against a plain upstream of few slots whose false counts are so large that the cost of its occupancy overflows: it would be negative and the
+// upstream would get every request.
+func TestFalseCountsAttractNoRequests(t *testing.T) {
+	p := newPlacer()
+	for _, id := range []pomelorelay.UpstreamID{"p0", "p1"} {
+		p.PutUpstream(start, pomelorelay.FleetUpstream{ID: id, Service: plain, Domain: "a", Slots: 4})
+	}
+	figures := pomelorelay.UpstreamFigures{Running: 1 << 20, Waiting: 1 << 20, Slots: 4}
+	p.ApplyReport(start, "other", 1, &pomelorelay.LoadReport{Full: true, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "p0", Announced: figures}}})
+	r := pomeloplace.Request{Service: plain, WithinShare: true, Target: 400 * time.Millisecond, MaxWait: 10 * time.Second}
+	for n := range 3 {
+		if d := place(t, p, start, r); d.Upstream.ID != "p1" {
+			t.Errorf("request %d was sent to %s, want p1", n, d.Upstream.ID)
+		}
+	}
+}
+
+// Guards against a draining engine that keeps the factor of a slow moment, since no placement considers it: its queue would drain too slowly.
+func TestSlownessOfUnusedEngineExpires(t *testing.T) {
+	p := withEngines(1)
+	now := start
+	for i := range 300 {
+		now = now.Add(30 * time.Millisecond)
+		d := place(t, p, now, prompt(uint64(i), 100, 100))
+		p.RecordAnnounced(now, d.Run, now, pomelorelay.UpstreamFigures{Slots: 64, SlownessPercent: 100 + 300*(i/20%2)})
+		p.RecordEnd(now, d.Run, pomeloplace.ResultCancelled)
+	}
+	for range 2 {
+		now = now.Add(30 * time.Millisecond)
+		d := place(t, p, now, prompt(1, 100, 100))
+		p.RecordAnnounced(now, d.Run, now, pomelorelay.UpstreamFigures{Slots: 64, SlownessPercent: 400})
+	}
+	if got := p.Momentary("e0"); got <= 1 {
+		t.Fatalf("factor %v in a slow moment, want more than 1", got)
+	}
+	draining := engine("e0")
+	draining.Draining = true
+	p.PutUpstream(now, draining)
+	now = now.Add(2 * time.Second)
+	p.Tick(now)
+	if got := p.Momentary("e0"); got != 1 {
+		t.Errorf("factor %v after 2 s without announcements, want 1", got)
+	}
+}
