Placement: refusals are checked against all upstreams without announced figures

Cause: a refused request was checked again only at the upstream that announced figures had selected.

Change: the search is repeated without announced figures before a request is refused.

--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -143,31 +143,6 @@
 	}
 }
 
-// admitAnnounced decides whether the request may be sent to its best candidate. It is refused only if it would also be without announced figures.
-func (p *Placer) admitAnnounced(now time.Time, c candidate, r *Request) admission {
-	outcome := p.admit(now, c, r)
-	if outcome.bound == BoundNone || (c.up.momentary <= 1 && c.up.announcedRunning <= c.up.running()) {
-		return outcome
-	}
-	if p.admit(now, p.withoutAnnounced(now, c, r), r).bound == BoundNone {
-		return admission{reserve: outcome.reserve}
-	}
-	return outcome
-}
-
-// withoutAnnounced returns the candidate as it would be without announced figures.
-func (p *Placer) withoutAnnounced(now time.Time, c candidate, r *Request) candidate {
-	u := c.up
-	uncached := u.pool.prefixes.uncached(u, r)
-	momentary, running := u.momentary, u.announcedRunning
-	u.momentary, u.announcedRunning = 1, 0
-	plan := p.newPrefillPlan(u, copySource{up: c.copyFrom, uncached: uncached - c.copiedTokens}, uncached, u.prefillRate(), r)
-	plain := p.evaluate(now, u, &plan, r)
-	u.momentary, u.announcedRunning = momentary, running
-	plain.recomputed = c.recomputed
-	return plain
-}
-
 // typicalPrefillAlpha is the weight of a request in the typical prefill, which so covers about the last hundred requests of this router.
 const typicalPrefillAlpha = 0.01
 
--- a/pomeloplace/choose.go
+++ b/pomeloplace/choose.go
@@ -20,6 +20,8 @@
 	found  bool
 	// minUncached is the minimum number of uncached shared tokens over all candidates.
 	minUncached pomelorelay.Tokens
+	// withoutAnnounced leaves announced figures out, and announcedSeen reports whether they change the estimate of an upstream.
+	withoutAnnounced, announcedSeen bool
 	// fallbackSeen reports whether an upstream is usable only as a fallback.
 	fallbackSeen bool
 	// plan is the latest plan for an engine other than the source of copies; most engines have the same. sourcePlan is the plan for the source.
@@ -28,8 +30,8 @@
 
 // search returns the search for the candidate with the lowest cost among the upstreams of an admission class. Upstreams in backoff and those that
 // failed this request are considered only if there is no other.
-func (p *Placer) search(now time.Time, r *Request, class pomelowarmup.Admission) search {
-	s := search{p: p, now: now, r: r, pool: p.pools[r.Service], class: class, minUncached: r.PromptTokens}
+func (p *Placer) search(now time.Time, r *Request, class pomelowarmup.Admission, withoutAnnounced bool) search {
+	s := search{p: p, now: now, r: r, pool: p.pools[r.Service], class: class, withoutAnnounced: withoutAnnounced, minUncached: r.PromptTokens}
 	if s.pool == nil {
 		return s
 	}
@@ -71,7 +73,12 @@
 // consider selects the upstream if its cost is lower than that of the best candidate so far. The prefill and the prefix affinity distinguish
 // engines most; since the other terms of the cost are not negative, most engines need no complete evaluation.
 func (s *search) consider(u *upstream) {
-	u.refreshAnnounced(s.now)
+	if s.withoutAnnounced {
+		u.momentary, u.announcedRunning = 1, 0
+	} else {
+		u.refreshAnnounced(s.now)
+		s.announcedSeen = s.announcedSeen || u.momentary > 1 || u.announcedRunning > u.running()
+	}
 	if u.engine == nil {
 		s.minUncached = 0
 		s.evaluate(u, &prefillPlan{})
--- a/pomeloplace/export_test.go
+++ b/pomeloplace/export_test.go
@@ -10,20 +10,10 @@
 
 // PlaceExhaustively is Place with a complete evaluation of every upstream, and without the index of prefixes.
 func (p *Placer) PlaceExhaustively(now time.Time, r Request) Decision {
-	if s := p.pools[r.Service]; s != nil {
-		// The check of a refusal without announced figures uses the index.
-		s.prefixes.find(&r)
-	}
-	best, found := p.exhaustiveBest(now, &r, pomelowarmup.AdmissionOpen)
-	outcome := admission{}
-	if found {
-		outcome = p.admitAnnounced(now, best, &r)
-	}
+	best, outcome, found := p.exhaustiveAdmitted(now, &r, pomelowarmup.AdmissionOpen)
 	if !found || outcome.bound != BoundNone {
-		if cold, ok := p.exhaustiveBest(now, &r, pomelowarmup.AdmissionFallback); ok {
-			if admitted := p.admitAnnounced(now, cold, &r); admitted.bound == BoundNone || !found {
-				best, outcome, found = cold, admitted, true
-			}
+		if cold, admitted, ok := p.exhaustiveAdmitted(now, &r, pomelowarmup.AdmissionFallback); ok && (admitted.bound == BoundNone || !found) {
+			best, outcome, found = cold, admitted, true
 		}
 	}
 	if !found {
@@ -32,7 +22,24 @@
 	return p.decide(now, best, outcome, &r)
 }
 
-func (p *Placer) exhaustiveBest(now time.Time, r *Request, class pomelowarmup.Admission) (best candidate, found bool) {
+func (p *Placer) exhaustiveAdmitted(now time.Time, r *Request, class pomelowarmup.Admission) (candidate, admission, bool) {
+	best, found := p.exhaustiveBest(now, r, class, false)
+	if !found {
+		return best, admission{}, false
+	}
+	outcome := p.admit(now, best, r)
+	if outcome.bound == BoundNone {
+		return best, outcome, true
+	}
+	plain, _ := p.exhaustiveBest(now, r, class, true)
+	if admitted := p.admit(now, plain, r); admitted.bound == BoundNone {
+		best, outcome = plain, admitted
+	}
+	best.up.refreshAnnounced(now)
+	return best, outcome, true
+}
+
+func (p *Placer) exhaustiveBest(now time.Time, r *Request, class pomelowarmup.Admission, withoutAnnounced bool) (best candidate, found bool) {
 	s := p.pools[r.Service]
 	source := copySource{uncached: r.PromptTokens}
 	for _, u := range s.upstreams {
@@ -50,7 +57,9 @@
 			if !p.usable(u, r) || u.warmup.Admission(now) != class || (round == 0 && (u.inBackoff(now, &p.cfg.DisabledMechanisms) || slices.Contains(r.Avoid, u.info.ID))) {
 				continue
 			}
-			u.refreshAnnounced(now)
+			if u.refreshAnnounced(now); withoutAnnounced {
+				u.momentary, u.announcedRunning = 1, 0
+			}
 			plan := prefillPlan{}
 			if u.engine != nil {
 				plan = p.newPrefillPlan(u, source, u.cache.uncached(r), u.prefillRate(), r)
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -305,24 +305,35 @@
 
 // choose returns the best candidate and its admission. Cold upstreams are considered only if no other upstream admits the request.
 func (p *Placer) choose(now time.Time, r *Request) (candidate, admission, bool) {
-	open := p.search(now, r, pomelowarmup.AdmissionOpen)
-	var outcome admission
-	if open.found {
-		if outcome = p.admitAnnounced(now, open.best, r); outcome.bound == BoundNone {
-			return open.best, outcome, true
-		}
-	}
-	if !open.fallbackSeen {
+	open, outcome := p.searchAdmitted(now, r, pomelowarmup.AdmissionOpen)
+	if (open.found && outcome.bound == BoundNone) || !open.fallbackSeen {
 		return open.best, outcome, open.found
 	}
-	if cold := p.search(now, r, pomelowarmup.AdmissionFallback); cold.found {
-		if admitted := p.admitAnnounced(now, cold.best, r); admitted.bound == BoundNone || !open.found {
-			return cold.best, admitted, true
-		}
+	if cold, admitted := p.searchAdmitted(now, r, pomelowarmup.AdmissionFallback); cold.found && (admitted.bound == BoundNone || !open.found) {
+		return cold.best, admitted, true
 	}
 	return open.best, outcome, open.found
 }
 
+// searchAdmitted returns the search for the best candidate of an admission class and the admission of that candidate. A request is refused only if it
+// would also be without announced figures, which may be false.
+func (p *Placer) searchAdmitted(now time.Time, r *Request, class pomelowarmup.Admission) (search, admission) {
+	s := p.search(now, r, class, false)
+	if !s.found {
+		return s, admission{}
+	}
+	outcome := p.admit(now, s.best, r)
+	if outcome.bound == BoundNone || !s.announcedSeen {
+		return s, outcome
+	}
+	plain := p.search(now, r, class, true)
+	if admitted := p.admit(now, plain.best, r); admitted.bound == BoundNone {
+		s, outcome = plain, admitted
+	}
+	s.best.up.refreshAnnounced(now)
+	return s, outcome
+}
+
 func (p *Placer) startRun(now time.Time, c candidate, r *Request) *Run {
 	u := c.up
 	u.warmup.RecordSend(now)
