--- a/pomeloplace/room.go
+++ b/pomeloplace/room.go
@@ -14,6 +14,8 @@
 	sendRatioHalfLife = 2 * time.Second
 	// silentPeerWeight is the weight, in requests per second, of the report of a router that sends nothing in the mean age of the reports.
 	silentPeerWeight = 0.01
+	// minCountedPrefills is the least prefill with which leavesRoom counts a prompt, in mean prefills of recent sends.
+	minCountedPrefills = 3
 )
 
 // newSendRatio returns a mean over this router's sends; the prior counts as one send.
@@ -171,8 +173,8 @@
 // routers, and leaves the queue short enough that an in-share request that arrives next is admitted.
 func (p *Placer) leavesRoom(now time.Time, c candidate, r *Request, a allowance) bool {
 	unseen := c.up.prefillTime(a.reserve.Unseen * c.up.pool.sendTokens.Value(now))
-	// The mean prefill stands for the request's own one: with its own, long prompts would be admitted less often than short ones.
-	queue := c.queueDelay + c.up.prefillTime(c.up.pool.sendTokens.Value(now))
+	// A prompt counts with several mean prefills at least: otherwise long ones would be admitted far less often than short ones.
+	queue := c.queueDelay + c.up.prefillTime(max(float64(c.prefillTokens), minCountedPrefills*c.up.pool.sendTokens.Value(now)))
 	return c.expectedLatency+unseen <= scale(onTimeFraction, r.Target) && queue <= a.inShareQueueDelay
 }
 
