--- a/pomeloplace/export_test.go
+++ b/pomeloplace/export_test.go
@@ -33,7 +33,10 @@
 	}
 	plain, _ := p.exhaustiveBest(now, r, class, true)
 	if admitted := p.admit(now, plain, r); admitted.bound == BoundNone {
-		best, outcome = plain, admitted
+		outcome = admitted
+		if plain.up != best.up {
+			best = plain
+		}
 	}
 	best.up.refreshAnnounced(now)
 	return best, outcome, true
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -328,7 +328,10 @@
 	}
 	plain := p.search(now, r, class, true)
 	if admitted := p.admit(now, plain.best, r); admitted.bound == BoundNone {
-		s, outcome = plain, admitted
+		outcome = admitted
+		if plain.best.up != s.best.up {
+			s = plain
+		}
 	}
 	s.best.up.refreshAnnounced(now)
 	return s, outcome
