Overload control: acceptance gives way before connections are closed unread

Change: at most 64 in a row are closed, then the others are decided on; the bound is 600 connections a core, at least 64.

--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -127,9 +128,30 @@
 	return e.overload.closeUnread.Load() || float64(e.conns.Load()) > connOverloadFactor*float64(e.hostLimits.maxConns)
 }
 
-// maxUndecided is the maximum number of connections of a limited router on which it has not decided. Their goroutines are scheduled before those of
-// the control and of running requests, and the last of them waits for all others; a small host decides on this many within about 50 ms.
-const maxUndecided = 64
+const (
+	// undecidedPerCore is the maximum number, per core, of connections of a limited router on which it has not decided, and minUndecided the least
+	// maximum. Their goroutines run before those of the control and of running requests; a host decides on this many within about 50 ms.
+	undecidedPerCore = 600
+	minUndecided     = 64
+	// maxClosedInRow is the number of connections that are closed unread before the others are decided on. The goroutine that accepts connections
+	// does not give way by itself while more are waiting, and would close all of them.
+	maxClosedInRow = 64
+)
+
+// mayScreen reports whether a new connection of a limited router waits for a decision; otherwise it is closed unread. Only the goroutine that accepts
+// callers' connections calls it.
+func (e *Router) mayScreen() bool {
+	o, limit := e.overload, max(minUndecided, int64(undecidedPerCore*e.cfg.Settings.Self.CPUSpeed))
+	if o.undecided.Load() >= limit {
+		if o.closedInRow < maxClosedInRow {
+			o.closedInRow++
+			return false
+		}
+		runtime.Gosched()
+	}
+	o.closedInRow = 0
+	return o.undecided.Load() < limit
+}
 
 // loadSheddingListener closes new connections unread as the last resort, without spending a goroutine or a buffer on them; callers then try another
 // router. While the router is limited, it returns connections whose first request is decided on before net/http parses it.
@@ -150,7 +172,7 @@
 			if !ok || !l.e.overload.limited.Load() {
 				return conn, nil
 			}
-			if l.e.overload.undecided.Load() < maxUndecided {
+			if l.e.mayScreen() {
 				return newScreenedConn(l.e, tcp), nil
 			}
 		}
--- a/pomeloentry/overload.go
+++ b/pomeloentry/overload.go
@@ -25,6 +25,8 @@
 	// undecided is the number of screened connections whose first request is not decided on, lingering that of refused ones that are read until their
 	// callers close them.
 	undecided, lingering atomic.Int64
+	// closedInRow is the number of connections closed unread since the last one that was not.
+	closedInRow int
 	// away is set while the router is out of the load balancer's rotation because a router of its failure domain is limited.
 	away     atomic.Bool
 	shares   atomic.Pointer[shareSnapshot]
