--- a/pomeloentry/accounts.go
+++ b/pomeloentry/accounts.go
@@ -48,14 +48,14 @@
 
 // unreadRequests sums the requests of an account that the overload control refused before their body was read.
 type unreadRequests struct {
-	cost                 pomelorelay.Cost
-	overloaded, slotless int
+	cost                    pomelorelay.Cost
+	overloaded, fullService int
 }
 
 func (u *unreadRequests) add(cost pomelorelay.Cost, class pomelooverload.Class) {
 	u.cost += cost
-	if class == classSlotless {
-		u.slotless++
+	if class == classNoFreeSlot {
+		u.fullService++
 		return
 	}
 	u.overloaded++
@@ -66,7 +66,7 @@
 	if account == "" {
 		return
 	}
-	c.e.metrics.CountAccountRequests(account, u.overloaded+u.slotless)
+	c.e.metrics.CountAccountRequests(account, u.overloaded+u.fullService)
 	c.e.metrics.CountAccountRefused(account, reasonOverload, u.overloaded)
-	c.e.metrics.CountAccountRefused(account, string(pomeloplace.ReasonOverShare), u.slotless)
+	c.e.metrics.CountAccountRefused(account, string(pomeloplace.ReasonOverShare), u.fullService)
 }
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -347,7 +347,7 @@
 	c.shares.SetCapacity(config.Limits.TokensPerSecond)
 	c.placer.SetConfig(config)
 	c.residency.SetConfig(now, config)
-	c.e.overload.slotless.Store(newSlotlessTable(config))
+	c.e.overload.fullServices.Store(newFullServiceTable(config))
 	c.e.table.Store(pomelotable.New(config))
 	c.e.mesh.SetGeneration(config.Version)
 	c.e.log(pomelorelay.EventConfigInForce, field("Generation", uint64(config.Version)), field("Source", source), field("Routes", len(config.Routes)), field("Accounts", len(config.Accounts)),
--- a/pomeloentry/overload.go
+++ b/pomeloentry/overload.go
@@ -28,10 +28,10 @@
 	// closedInRow is the number of connections closed unread since the last one that was not.
 	closedInRow int
 	// away is set while the router is out of the load balancer's rotation because a router of its failure domain is limited.
-	away     atomic.Bool
-	shares   atomic.Pointer[shareSnapshot]
-	slotless atomic.Pointer[slotlessTable]
-	refused  refusedCounts
+	away         atomic.Bool
+	shares       atomic.Pointer[shareSnapshot]
+	fullServices atomic.Pointer[fullServiceTable]
+	refused      refusedCounts
 	// loggedSecond is the second of the steady clock in which refusals were last logged, loggedRefusals their number.
 	loggedSecond, loggedRefusals atomic.Int64
 }
@@ -42,12 +42,12 @@
 
 func newOverload() *overload {
 	o := &overload{control: pomelooverload.New(pomelooverload.Config{}), unread: make(map[pomelorelay.AccountID]unreadRequests)}
-	o.slotless.Store(&slotlessTable{})
+	o.fullServices.Store(&fullServiceTable{})
 	return o
 }
 
 // refusedCounts counts refused requests by class.
-type refusedCounts struct{ hopeless, overShare, priority, withinShare, slotless, unreadConns atomic.Int64 }
+type refusedCounts struct{ hopeless, overShare, priority, withinShare, noFreeSlot, unreadConns atomic.Int64 }
 
 func (r *refusedCounts) of(class pomelooverload.Class) *atomic.Int64 {
 	switch class {
@@ -60,7 +60,7 @@
 	case pomelooverload.ClassWithinShare:
 		return &r.withinShare
 	}
-	return &r.slotless
+	return &r.noFreeSlot
 }
 
 // shareSnapshot is an immutable view of the control goroutine's state, by which overloaded routers refuse requests before they read the body.
@@ -70,43 +70,43 @@
 	expected map[pomelorelay.RouteID]time.Duration
 }
 
-// slotlessKey identifies an account's requests to a service.
-type slotlessKey struct {
+// fullServiceKey identifies an account's requests to a service.
+type fullServiceKey struct {
 	account pomelorelay.AccountID
 	service pomelorelay.ServiceID
 }
 
-// slotlessCell holds until when over-share requests are refused because the last one found no slot, and with which Retry-After in nanoseconds.
-type slotlessCell struct{ until, retryAfter atomic.Int64 }
+// fullServiceCell holds until when over-share requests are refused because the last one found no slot, and with which Retry-After in nanoseconds.
+type fullServiceCell struct{ until, retryAfter atomic.Int64 }
 
-// slotlessTable has a cell for each account and service of the configuration; the map itself is immutable.
-type slotlessTable map[slotlessKey]*slotlessCell
+// fullServiceTable has a cell for each account and service of the configuration; the map itself is immutable.
+type fullServiceTable map[fullServiceKey]*fullServiceCell
 
-// slotlessHold is how long the refusal of an over-share request for want of slots holds for the next ones: a slot that becomes free later may
+// fullServiceHold is how long the refusal of an over-share request for want of slots holds for the next ones: a slot that becomes free later may
 // serve them.
-const slotlessHold = 20 * time.Millisecond
+const fullServiceHold = 20 * time.Millisecond
 
-func newSlotlessTable(config *pomelorelay.FleetConfig) *slotlessTable {
-	t := make(slotlessTable, len(config.Accounts)*len(config.Services))
+func newFullServiceTable(config *pomelorelay.FleetConfig) *fullServiceTable {
+	t := make(fullServiceTable, len(config.Accounts)*len(config.Services))
 	for _, a := range config.Accounts {
 		for _, s := range config.Services {
-			t[slotlessKey{a.Name, s.Name}] = &slotlessCell{}
+			t[fullServiceKey{a.Name, s.Name}] = &fullServiceCell{}
 		}
 	}
 	return &t
 }
 
-// markSlotless records that an over-share request was refused for want of slots.
-func (o *overload) markSlotless(now int64, account pomelorelay.AccountID, service pomelorelay.ServiceID, retryAfter time.Duration) {
-	if cell := (*o.slotless.Load())[slotlessKey{account, service}]; cell != nil {
+// markFullService records that an over-share request was refused for want of slots.
+func (o *overload) markFullService(now int64, account pomelorelay.AccountID, service pomelorelay.ServiceID, retryAfter time.Duration) {
+	if cell := (*o.fullServices.Load())[fullServiceKey{account, service}]; cell != nil {
 		cell.retryAfter.Store(int64(retryAfter))
-		cell.until.Store(now + int64(slotlessHold))
+		cell.until.Store(now + int64(fullServiceHold))
 	}
 }
 
-// slotlessRetryAfter returns the Retry-After of an over-share request that would find no slot, and false if none was refused lately.
-func (o *overload) slotlessRetryAfter(now int64, p *pomeloforward.Preview) (time.Duration, bool) {
-	cell := (*o.slotless.Load())[slotlessKey{p.Account, p.Service}]
+// fullServiceRetryAfter returns the Retry-After of an over-share request that would find no slot, and false if none was refused lately.
+func (o *overload) fullServiceRetryAfter(now int64, p *pomeloforward.Preview) (time.Duration, bool) {
+	cell := (*o.fullServices.Load())[fullServiceKey{p.Account, p.Service}]
 	if cell == nil || now > cell.until.Load() {
 		return 0, false
 	}
@@ -120,8 +120,8 @@
 	class      pomelooverload.Class
 }
 
-// classSlotless marks over-share requests refused because the last one found no slot.
-const classSlotless pomelooverload.Class = "slotless"
+// classNoFreeSlot marks over-share requests refused because the last one found no slot.
+const classNoFreeSlot pomelooverload.Class = "no_free_slot"
 
 // overloadRetryAfter is the Retry-After of an overloaded router; another router can accept the request immediately.
 const overloadRetryAfter = 10 * time.Millisecond
@@ -148,9 +148,9 @@
 		r.OverShare, r.Expected = shares.overShare[p.Account], shares.expected[p.Route]
 	}
 	if known && r.OverShare {
-		if wait, ok := o.slotlessRetryAfter(now, &p); ok {
-			o.count(p, classSlotless)
-			return refusal{pomelorelay.CodeShareSpent, wait, classSlotless}
+		if wait, ok := o.fullServiceRetryAfter(now, &p); ok {
+			o.count(p, classNoFreeSlot)
+			return refusal{pomelorelay.CodeShareSpent, wait, classNoFreeSlot}
 		}
 	}
 	o.mu.Lock()
--- a/pomeloentry/overloadwatch.go
+++ b/pomeloentry/overloadwatch.go
@@ -96,13 +96,13 @@
 	case d.Reason == pomeloplace.ReasonNone:
 		c.overload.recordExpected(req.Route, d.ExpectedLatency)
 	case d.Reason == pomeloplace.ReasonOverShare && d.Bound == pomeloplace.BoundSlots:
-		c.e.overload.markSlotless(c.e.steady(), req.Account, req.Request.Service, d.RetryAfter)
+		c.e.overload.markFullService(c.e.steady(), req.Account, req.Request.Service, d.RetryAfter)
 	}
 }
 
 func (c *control) setOverloadGauges() {
 	m, o := c.e.metrics, c.e.overload
-	for _, class := range []pomelooverload.Class{pomelooverload.ClassHopeless, pomelooverload.ClassOverShare, pomelooverload.ClassPriority, pomelooverload.ClassWithinShare, classSlotless} {
+	for _, class := range []pomelooverload.Class{pomelooverload.ClassHopeless, pomelooverload.ClassOverShare, pomelooverload.ClassPriority, pomelooverload.ClassWithinShare, classNoFreeSlot} {
 		m.SetGauge("overload_refused_"+string(class), float64(o.refused.of(class).Load()))
 	}
 	m.SetGauge("overload_closed_unread", float64(o.refused.unreadConns.Load()))
--- a/pomelooverload/config.go
+++ b/pomelooverload/config.go
@@ -44,9 +44,9 @@
 	// minBurst is the minimum size of the token bucket, and burstTime the time in which the limit fills it.
 	minBurst  = 4.0
 	burstTime = 100 * time.Millisecond
-	// hopelessDelay is the delay from which connections are closed unread: half of the time after which callers abandon an unread request. While
+	// closeUnreadDelay is the delay from which connections are closed unread: half of the time after which callers abandon an unread request. While
 	// the router keeps up with refusing, the delay stays far below.
-	hopelessDelay = 500 * time.Millisecond
+	closeUnreadDelay = 500 * time.Millisecond
 )
 
 func (c *Config) setDefaults() {
--- a/pomelooverload/control.go
+++ b/pomelooverload/control.go
@@ -64,7 +64,7 @@
 	if stage == StageTick {
 		least = minLateTicks
 	}
-	if !c.limited && d.standing(now, c.cfg.Interval, least) {
+	if !c.limited && d.hasStandingQueue(now, c.cfg.Interval, least) {
 		c.begin(now)
 	}
 }
@@ -218,7 +218,7 @@
 // before it sent its request.
 func (c *Control) closesUnread() bool {
 	for i := range c.stages {
-		if d := &c.stages[i]; d.late >= minLate && d.current() > hopelessDelay {
+		if d := &c.stages[i]; d.late >= minLate && d.current() > closeUnreadDelay {
 			return true
 		}
 	}
--- a/pomelooverload/delay.go
+++ b/pomelooverload/delay.go
@@ -46,9 +46,9 @@
 	d.late++
 }
 
-// standing reports whether all requests were late for an interval, which shows a standing queue; a burst that the router absorbs leaves a punctual
+// hasStandingQueue reports whether all requests were late for an interval, which shows a standing queue; a burst that the router absorbs leaves a punctual
 // request in each interval. It takes at least the given number of late requests within the interval, at most minLate.
-func (d *delay) standing(now, interval time.Duration, least int) bool {
+func (d *delay) hasStandingQueue(now, interval time.Duration, least int) bool {
 	if d.late < least || now-d.lateSince < interval {
 		return false
 	}
--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -20,8 +20,8 @@
 	// lasting is observed for all engines; lastingFactor is its ratio to the median engine, and 1 unless the upstream announces its slowness.
 	lasting       pomelospeed.LastingRatio
 	lastingFactor float64
-	// heard is the last announcement in a response to this router, if it is still to be reported.
-	heard pomelofeedback.Announcement
+	// unreported is the last announcement in a response to this router, if it is still to be reported.
+	unreported pomelofeedback.Announcement
 }
 
 func newAnnouncedState(info pomelorelay.FleetUpstream) announcedState {
@@ -116,7 +116,7 @@
 	a := pomelofeedback.Announcement{Figures: figures, StartUnixMilli: u.info.StartUnixMilli, At: at}
 	c := u.feedback.Observe(now, a)
 	if c.Outcome == pomelofeedback.OutcomeNewest {
-		u.heard, u.changed = a, true
+		u.unreported, u.changed = a, true
 	}
 	return c
 }
@@ -126,13 +126,13 @@
 	for i := range m.Upstreams {
 		l := &m.Upstreams[i]
 		u := p.upstreams[l.Upstream]
-		if u == nil || !u.heard.Figures.Known() {
+		if u == nil || !u.unreported.Figures.Known() {
 			continue
 		}
-		if age := now.Sub(u.heard.At); age <= pomelofeedback.MaxAge {
-			l.Announced, l.AnnouncedAge, l.AnnouncedStart = u.heard.Figures, max(0, age), u.heard.StartUnixMilli
+		if age := now.Sub(u.unreported.At); age <= pomelofeedback.MaxAge {
+			l.Announced, l.AnnouncedAge, l.AnnouncedStart = u.unreported.Figures, max(0, age), u.unreported.StartUnixMilli
 		}
-		u.heard = pomelofeedback.Announcement{}
+		u.unreported = pomelofeedback.Announcement{}
 	}
 }
 
--- a/pomeloplace/announced_test.go
+++ b/pomeloplace/announced_test.go
@@ -158,6 +158,7 @@
 // A quarter of the engines are slow for good, and hosts are slow for moments. Guards against placing requests as if all engines were equally fast,
 // and against routers that all send to the same fast engine by reports that are 60 ms old.
 func TestUnevenFleetBeginsMoreAnswersInTime(t *testing.T) {
+	t.Parallel()
 	const seeds, perSecond, length = 1, 700, 6 * time.Second
 	total := func(disabled pomeloplace.Mechanisms) (inTime map[string]int, busiest, spread float64) {
 		inTime = make(map[string]int)
--- a/pomeloplace/load_test.go
+++ b/pomeloplace/load_test.go
@@ -12,6 +12,7 @@
 // Compares placement with random selection for eight routers and nine engines. Random selection prefills every session on each engine
 // and makes queues uneven, so that answers are late although the engines have spare capacity.
 func TestPlacementMeetsTargetUnderLoad(t *testing.T) {
+	t.Parallel()
 	const length = 20 * time.Second
 	for _, c := range []struct {
 		perSecond       float64
@@ -84,6 +85,7 @@
 // During a long overload, each refused caller retries once after its Retry-After. Guards against a longer Retry-After, which does not improve
 // the chance of admission and makes the answers seconds late.
 func TestRetryAfterLetsRetriesMeetTheirTarget(t *testing.T) {
+	t.Parallel()
 	const seeds = 3
 	type outcome struct{ onTime, lateFirstTokens, prefilled int }
 	overload := func(retryAfter time.Duration) (sum outcome) {
--- a/pomeloplace/overload_test.go
+++ b/pomeloplace/overload_test.go
@@ -180,6 +180,7 @@
 // request nine times their usual load at 140 engines of 12 slots, from 72 routers whose reports are 20 to 300 ms old. Compares with the fixed reserve
 // in a calm load, in the first 4 s of the flood, and later. Single runs vary by several percent, which the bounds allow for.
 func TestMeasuredReserveUnderFlood(t *testing.T) {
+	t.Parallel()
 	phases := func(name string, disabled pomeloplace.Mechanisms) (all [3]overload) {
 		o := newOverload(1, disabled)
 		o.runAt(false, 3*time.Second)
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -209,7 +209,7 @@
 		d.CopyFrom, d.CopiedTokens = best.copyFrom.info, best.copiedTokens
 	}
 	d.Reserve = outcome.reserve
-	if r.WithinShare && best.up.small() {
+	if r.WithinShare && best.up.hasFewSlots() {
 		best.up.recordInShare(now, outcome.bound)
 	}
 	if outcome.bound != BoundNone {
--- a/pomeloplace/report.go
+++ b/pomeloplace/report.go
@@ -166,7 +166,7 @@
 	u.others.running += next.running - before.running
 	u.others.pendingPrefill += next.pendingPrefill - before.pendingPrefill
 	u.others.memoryTokens += next.memoryTokens - before.memoryTokens
-	if u.small() {
+	if u.hasFewSlots() {
 		recordReported(now, o, u, before, next, known || o.complete)
 	}
 	if known && next.expectedSum > before.expectedSum {
--- a/pomeloplace/room.go
+++ b/pomeloplace/room.go
@@ -23,12 +23,12 @@
 	return pomelospeed.NewDecayingRatio(pomelospeed.DecayingRatioConfig{Prior: prior, PriorWeight: 1, HalfLife: sendRatioHalfLife})
 }
 
-// small reports whether slot time and reserve are learnt for the upstream.
-func (u *upstream) small() bool { return u.engine != nil && u.slots() <= pomeloroom.MaxSlots }
+// hasFewSlots reports whether slot time and reserve are learnt for the upstream.
+func (u *upstream) hasFewSlots() bool { return u.engine != nil && u.slots() <= pomeloroom.MaxSlots }
 
 // slotInterval returns the expected time until one of the engine's slots becomes free.
 func (u *upstream) slotInterval(now time.Time) time.Duration {
-	if !u.small() || u.pool.slotTime == nil {
+	if !u.hasFewSlots() || u.pool.slotTime == nil {
 		return slotFreeInterval
 	}
 	remaining := time.Duration(0)
@@ -48,7 +48,7 @@
 
 // trackRun records a run that was sent to a small engine.
 func (u *upstream) trackRun(now time.Time, run *Run, c candidate, r *Request) {
-	if !u.small() {
+	if !u.hasFewSlots() {
 		return
 	}
 	inShare := 0.0
@@ -139,7 +139,7 @@
 	slots := u.slots()
 	a.fixedLimit = max(1, int(float64(slots)-pomeloroom.MaxReserve(slots)))
 	a.maxRunning = a.fixedLimit
-	if !u.small() || p.cfg.DisabledMechanisms.MeasuredReserve {
+	if !u.hasFewSlots() || p.cfg.DisabledMechanisms.MeasuredReserve {
 		return
 	}
 	a.reserve = p.computeReserve(now, u)
@@ -197,7 +197,7 @@
 func (p *Placer) SlotTimes(now time.Time) []SlotTime {
 	var all []SlotTime
 	for name, s := range p.pools {
-		if len(s.upstreams) == 0 || !s.upstreams[0].small() {
+		if len(s.upstreams) == 0 || !s.upstreams[0].hasFewSlots() {
 			continue
 		}
 		t := SlotTime{Service: name, ReportAge: p.reportAges.mean(now)}
