--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -172,8 +172,8 @@
 	// prefill speed.
 	waitedForSlot bool
 	memoryTokens  pomelorelay.Tokens
-	// plan and expected describe the run as it was sent; expected is zero while the slot time is unknown. expectedEnd moves with the start of the
-	// answer.
+	// plan and expected describe the run as it was sent; expected is zero while the slot time is unknown. expectedEnd is
+	// adjusted when the answer begins.
 	plan        pomeloroom.Plan
 	expected    time.Duration
 	expectedEnd time.Time
