Overload control: the stated bounds hold

Change: the limit begins when all requests were late for 80 ms; at most 40% of a domain's routers leave, so that 45% holds while two change places. The tests have the stated bounds; two expected sets of routers are smaller by one.

--- a/pomelooverload/config.go
+++ b/pomelooverload/config.go
@@ -18,6 +18,9 @@
 	defaultInterval  = 100 * time.Millisecond
 	// defaultHold leaves a tenth of the 0.5 s within which the limit must end for the last interval.
 	defaultHold = 400 * time.Millisecond
+	// onsetFraction is the fraction of an interval for which all requests must be late until the limit begins. The rest is for the time until the first
+	// requests are late, so that the limit begins within an interval.
+	onsetFraction = 0.8
 	// minLate is the minimum number of late requests in an interval that begin the limit. A caller that connects long before it sends its request
 	// looks like a late request, and at low rates a few of them could be all requests of an interval.
 	minLate = 5
--- a/pomelooverload/control.go
+++ b/pomelooverload/control.go
@@ -64,11 +64,13 @@
 	if stage == StageTick {
 		least = minLateTicks
 	}
-	if !c.limited && d.hasStandingQueue(now, c.cfg.Interval, least) {
+	if !c.limited && d.hasStandingQueue(now, scale(onsetFraction, c.cfg.Interval), least) {
 		c.begin(now)
 	}
 }
 
+func scale(factor float64, d time.Duration) time.Duration { return time.Duration(factor * float64(d)) }
+
 // Tick adjusts the limit; it must be called at least once an interval.
 func (c *Control) Tick(now time.Duration) { c.advance(now) }
 
--- a/pomelooverload/control_test.go
+++ b/pomelooverload/control_test.go
@@ -163,11 +163,11 @@
 	if got.late*4 > before.late {
 		t.Errorf("%d callers got nothing in time, want less than a quarter of %d by the tick lag", got.late, before.late)
 	}
-	if len(b.began) != 1 || b.began[0]-floodStart > 130*time.Millisecond {
-		t.Errorf("the limit began at %v, want it once within 130 ms of %v", b.began, floodStart)
+	if len(b.began) != 1 || b.began[0]-floodStart > 100*time.Millisecond {
+		t.Errorf("the limit began at %v, want it once within 100 ms of %v", b.began, floodStart)
 	}
-	if len(b.ended) != 1 || b.ended[0]-floodEnd > 600*time.Millisecond {
-		t.Errorf("the limit ended at %v, want it once within 600 ms of %v", b.ended, floodEnd)
+	if len(b.ended) != 1 || b.ended[0]-floodEnd > 500*time.Millisecond {
+		t.Errorf("the limit ended at %v, want it once within 500 ms of %v", b.ended, floodEnd)
 	}
 }
 
--- a/pomelooverload/rotation.go
+++ b/pomelooverload/rotation.go
@@ -15,9 +15,9 @@
 	// a flood that goes on does not meet all slow routers again at once.
 	awayHold     = 6 * time.Second
 	returnSpread = 2 * time.Second
-	// maxAwayFraction is the largest fraction of a domain's routers that are away at once. With fewer than half in rotation the load balancer uses
-	// all of them; the margin is for a router whose view of the domain differs.
-	maxAwayFraction = 0.45
+	// maxAwayFraction is the largest fraction of a domain's routers that leave. With fewer than half in rotation the load balancer uses all of them, so
+	// at most 45% may be away at once; the margin is for a moment in which two routers change places, since their views of the domain differ.
+	maxAwayFraction = 0.4
 	// minSpeedFraction is the least fraction of the domain's total speed that stays in rotation.
 	minSpeedFraction = 0.5
 	// minBySpeed is the least number of routers of a domain in which the slowest routers leave for the faster ones.
--- a/pomelooverload/rotation_test.go
+++ b/pomelooverload/rotation_test.go
@@ -210,8 +210,8 @@
 			if most := 0.15; share > most {
 				t.Errorf("the flood was at slow hosts %.0f%% of the time, want at most %.0f%%; 8 of 14 hosts are slow", 100*share, 100*most)
 			}
-			if away > 7 {
-				t.Errorf("%d of %d routers were away at once, want at most 7", away, len(unevenDomain))
+			if most := len(unevenDomain) * 45 / 100; away > most {
+				t.Errorf("%d of %d routers were away at once, want at most %d", away, len(unevenDomain), most)
 			}
 		})
 	}
@@ -230,8 +230,8 @@
 			last++
 		}
 	}
-	if last != 6 {
-		t.Fatalf("%d routers are away, want 6", last)
+	if last != 5 {
+		t.Fatalf("%d routers are away, want 5", last)
 	}
 	for f.now < ended+9*time.Second {
 		f.run(f.now+rotationTick, 0)
@@ -264,7 +264,7 @@
 		"three routers":                      {[]float64{0.1, 1, 1}, []int{2}, []int{2}},
 		"three routers, the slow is limited": {[]float64{0.1, 1, 1}, []int{0}, []int{0}},
 		"half of the speed stays":            {[]float64{0.1, 0.1, 9}, []int{2}, []int{}},
-		"one much faster":                    {[]float64{0.9, 0.9, 0.9, 0.9, 6, 0.9, 0.9}, []int{4}, []int{0, 1, 2}},
+		"one much faster":                    {[]float64{0.9, 0.9, 0.9, 0.9, 6, 0.9, 0.9}, []int{4}, []int{0, 1}},
 		"a limited one much faster":          {[]float64{0.1, 1, 9, 1}, []int{2}, []int{0}},
 		"a faster one limited too":           {[]float64{0.1, 1, 1, 1, 1, 1}, []int{0, 3}, []int{0, 3}},
 		"the flooded ones of a speed first":  {[]float64{0.1, 0.1, 0.1, 0.1, 1, 1}, []int{3}, []int{0, 3}},
