Refusals, accounts and decaying times have one copy of their code

The complete response to a request that net/http has not parsed was encoded apart from other refusals, the account and cost of a header were looked up in two places, and two ratios of times decayed by copies of the same code.

--- a/pomeloentry/screen.go
+++ b/pomeloentry/screen.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
 	"github.com/pomelorelay/pomelorelay/pomelometric"
-	"github.com/pomelorelay/pomelorelay/pomeloproblem"
 )
 
 // callerConn is what a request's context tells about its connection.
@@ -164,14 +164,9 @@
 
 // encodeRefusal returns the complete HTTP response to a refused request.
 func encodeRefusal(r refusal) []byte {
-	p := pomeloproblem.New(pomelorelay.NewError(r.code, "", nil))
-	body := p.Encode()
-	var b bytes.Buffer
-	b.WriteString("HTTP/1.1 503 Service Unavailable\r\nContent-Type: " + pomeloproblem.ContentType + "\r\nRetry-After: ")
-	b.WriteString(strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
-	b.WriteString("\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\nConnection: close\r\n\r\n")
-	b.Write(body)
-	return b.Bytes()
+	err := pomelorelay.NewError(r.code, "", nil)
+	err.RetryAfter = r.retryAfter
+	return pomeloforward.ErrorResponse(err)
 }
 
 // headBuffer holds the header fields of a request while the router decides on it.
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -1,6 +1,7 @@
 package pomeloforward
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -80,6 +81,25 @@
 	return p.Status
 }
 
+// ErrorResponse returns the complete HTTP/1.1 response to a request that is refused before net/http has parsed it; it ends the connection.
+func ErrorResponse(e *pomelorelay.Error) []byte {
+	p := pomeloproblem.New(e)
+	p.Status = refusalStatus(p.Status, e.Ran)
+	head := http.Header{"Content-Type": {pomeloproblem.ContentType}, "Connection": {"close"}}
+	if p.Status == http.StatusServiceUnavailable {
+		head.Set("Retry-After", retryAfter(e))
+	}
+	body := p.Encode()
+	head.Set("Content-Length", strconv.Itoa(len(body)))
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", p.Status, http.StatusText(p.Status))
+	// Writing to a buffer does not fail.
+	_ = head.Write(&b)
+	b.WriteString("\r\n")
+	b.Write(body)
+	return b.Bytes()
+}
+
 func (c *call) logRefusal(e *pomelorelay.Error, status int) {
 	ending, event := endingFailed, pomelorelay.EventRequestFailed
 	if e.Ran == pomelorelay.RanNo {
--- a/pomeloforward/handler.go
+++ b/pomeloforward/handler.go
@@ -9,6 +9,7 @@
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelobudget"
 	"github.com/pomelorelay/pomelorelay/pomelolink"
+	"github.com/pomelorelay/pomelorelay/pomelotable"
 )
 
 // Handler forwards callers' requests to upstreams; it is safe for concurrent use.
@@ -75,12 +76,20 @@
 	if table == nil {
 		return "", 0
 	}
-	fields := h.cfg.Wire.ParseCallerFields(r.Header)
-	account, ok := table.Account(fields.APIKey)
-	if !ok {
+	account, cost := accountCost(table, h.cfg.Wire.ParseCallerFields(r.Header))
+	if account == nil {
 		return "", 0
 	}
-	return account.Name, requestCost(fields)
+	return account.Name, cost
+}
+
+// accountCost returns the account of a request and its cost; nil if the API key is unknown.
+func accountCost(table *pomelotable.Table, f pomelorelay.CallerFields) (*pomelorelay.AccountSpec, pomelorelay.Cost) {
+	account, ok := table.Account(f.APIKey)
+	if !ok {
+		return nil, 0
+	}
+	return account, requestCost(f)
 }
 
 // recoverPanic turns a panic in the handling of a request into an internal error that leaves open whether the request ran.
--- a/pomeloforward/preview.go
+++ b/pomeloforward/preview.go
@@ -33,10 +33,10 @@
 	}
 	fields := h.cfg.Wire.ParseCallerFields(head)
 	p := Preview{Route: route.Name, Priority: route.Priority, TimeLeft: fields.Timeout}
-	account, ok := table.Account(fields.APIKey)
+	account, cost := accountCost(table, fields)
 	switch {
-	case ok:
-		p.Account, p.Cost = account.Name, requestCost(fields)
+	case account != nil:
+		p.Account, p.Cost = account.Name, cost
 		if account.Priority != nil {
 			p.Priority = *account.Priority
 		}
--- a/pomelospeed/factor.go
+++ b/pomelospeed/factor.go
@@ -1,9 +1,6 @@
 package pomelospeed
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// factorHalfLife is the half-life of one engine's answers in the ratio, short enough to detect an engine that becomes slow within a second.
@@ -21,32 +18,19 @@
 )
 
 // SlowdownFactor is the ratio of one engine's times to first token to those that the linear model of its service predicts.
-type SlowdownFactor struct {
-	took, expected float64 // milliseconds
-	decayedAt      time.Time
-}
+type SlowdownFactor struct{ times decayingTimes }
 
 // Observe records answers by the sums of their actual and expected times to first token.
 func (f *SlowdownFactor) Observe(now time.Time, took, expected time.Duration) {
-	f.decay(now)
-	f.took += milliseconds(took)
-	f.expected += milliseconds(expected)
-}
-
-func (f *SlowdownFactor) decay(now time.Time) {
-	if passed := now.Sub(f.decayedAt); passed > 0 {
-		retained := math.Exp2(-float64(passed) / float64(factorHalfLife))
-		f.took *= retained
-		f.expected *= retained
-		f.decayedAt = now
-	}
+	f.times.decay(now, factorHalfLife)
+	f.times.took += milliseconds(took)
+	f.times.expected += milliseconds(expected)
 }
 
 // Ratio returns the ratio over recent answers, clamped to the range from 1/maxFactor to maxFactor.
 func (f *SlowdownFactor) Ratio(now time.Time) float64 {
-	f.decay(now)
-	prior := milliseconds(factorPrior)
-	return min(max((f.took+prior)/(f.expected+prior), 1/maxFactor), maxFactor)
+	f.times.decay(now, factorHalfLife)
+	return f.times.ratio(factorPrior, 1, maxFactor)
 }
 
 // RelativeTo returns how many times slower the engine is than the median engine, whose ratio is given, or 1 where the difference may be noise.
--- a/pomelospeed/lasting.go
+++ b/pomelospeed/lasting.go
@@ -1,9 +1,6 @@
 package pomelospeed
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// lastingHalfLife is the half-life of the sums of LastingRatio: an engine that gets 18 requests a second then has about 260 in its sums, and the
@@ -25,10 +22,7 @@
 
 // LastingRatio is the ratio of one engine's times to first token to those that the linear model of its service predicts, over tens of seconds. Unlike
 // SlowdownFactor it recognises engines at half of the others' speed, but only after some seconds.
-type LastingRatio struct {
-	took, expected float64 // milliseconds
-	decayedAt      time.Time
-}
+type LastingRatio struct{ times decayingTimes }
 
 // Observe records answers by the sums of their actual times, divided by the momentary slowness of the engine's host, and of their expected times.
 func (r *LastingRatio) Observe(now time.Time, took, expected time.Duration) {
@@ -36,32 +30,21 @@
 		return
 	}
 	usual := r.Ratio(now) * milliseconds(expected)
-	r.took += min(max(milliseconds(took), usual/lastingOutlier), usual*lastingOutlier)
-	r.expected += milliseconds(expected)
+	r.times.took += min(max(milliseconds(took), usual/lastingOutlier), usual*lastingOutlier)
+	r.times.expected += milliseconds(expected)
 }
 
 // Ratio returns the ratio over the answers of the last tens of seconds.
 func (r *LastingRatio) Ratio(now time.Time) float64 {
-	r.decay(now)
-	prior := milliseconds(lastingPrior)
-	return min(max((r.took+prior)/(r.expected+prior), 1/maxLastingFactor), maxLastingFactor)
-}
-
-func (r *LastingRatio) decay(now time.Time) {
-	if passed := now.Sub(r.decayedAt); passed > 0 {
-		retained := math.Exp2(-float64(passed) / float64(lastingHalfLife))
-		r.took *= retained
-		r.expected *= retained
-		r.decayedAt = now
-	}
+	r.times.decay(now, lastingHalfLife)
+	return r.times.ratio(lastingPrior, 1, maxLastingFactor)
 }
 
 // RelativeTo returns how many times slower the engine is than the median engine, whose ratio is given; below 1 if it is faster.
 func (r *LastingRatio) RelativeTo(now time.Time, median float64) float64 {
+	r.times.decay(now, lastingHalfLife)
 	// With the prior at the median, an engine without recent answers counts as one of median speed whatever the error of the linear model.
-	prior := milliseconds(lastingPrior)
-	r.decay(now)
-	ratio := min(max((r.took/median+prior)/(r.expected+prior), 1/maxLastingFactor), maxLastingFactor)
+	ratio := r.times.ratio(lastingPrior, median, maxLastingFactor)
 	if ratio < 1 {
 		return 1 / significantFrom(1/ratio)
 	}
