--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -60,7 +60,7 @@
 func (c *clientConn) send(path, key string, body []byte, deadline time.Duration) outcome {
 	o := outcome{id: fmt.Sprintf("%016x", lastID.Add(1)), router: c.router, sentAt: time.Now(), reused: c.requests > 0, deadline: deadline}
 	c.requests++
-	c.rec.log("client sends %s %s (%d bytes) to %s, reused=%v", o.id, path, len(body), c.router.name, o.reused)
+	c.rec.detail(o.id, "client sends %s %s (%d bytes) to %s, reused=%v", o.id, path, len(body), c.router.name, o.reused)
 	_ = c.conn.SetDeadline(o.sentAt.Add(deadline))
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: files.example\r\n%s: %s\r\n%s: %d\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n",
 		path, fieldAttempt, o.id, fieldDeadline, deadline.Milliseconds(), key, len(body))
@@ -79,7 +79,7 @@
 			o.err = err
 		}
 		c.close()
-		c.rec.log("client of %s gets no complete answer: %v", o.id, o.err)
+		c.rec.detail(o.id, "client of %s gets no complete answer: %v", o.id, o.err)
 		return o
 	}
 	o.status, o.signed, o.err = res.StatusCode, res.Header.Get(fieldSignature) != "", nil
@@ -89,7 +89,7 @@
 	if res.Close || o.writtenAt.IsZero() {
 		c.close()
 	}
-	c.rec.log("client of %s gets %d signed=%v retry-after=%v", o.id, o.status, o.signed, o.retryAfter)
+	c.rec.detail(o.id, "client of %s gets %d signed=%v retry-after=%v", o.id, o.status, o.signed, o.retryAfter)
 	return o
 }
 
--- a/review/stand/refused.go
+++ b/review/stand/refused.go
@@ -35,6 +35,7 @@
 // playRefused lets clients file requests at a service with one server that is full at times. The server follows some of its refusals by a second
 // copy of the same answer, a little later on the same connection.
 func playRefused(p *play) (result, error) {
+	p.rec.brief = true
 	var garbling atomic.Bool
 	s := &server{id: "i-casefile-1", service: "casefile", zone: zones[0], slots: make(chan struct{}, 6), queue: 6, rec: p.rec, late: copyDelay, work: func(*http.Request) time.Duration {
 		return minFilingWork + time.Duration(rand.Int64N(int64(maxFilingWork-minFilingWork)))
@@ -108,6 +109,7 @@
 				attempts++
 				ran := p.rec.runsOf(o.id)
 				runs += len(ran)
+				p.rec.log("%s sent to %s at %.3f, answered %d at %.3f, runs %d", o.id, o.router.name, p.rec.since(o.sentAt), o.status, p.rec.since(o.endedAt), len(ran))
 				switch o.status {
 				case http.StatusOK:
 					served++
@@ -115,6 +117,7 @@
 					refused++
 					if len(ran) > 0 {
 						broken++
+						p.rec.write(o.id)
 						p.rec.log("REFUSED %s: answered %d %v after it was sent, and run by %s from %v after it was sent, finished=%v", o.id, o.status, o.endedAt.Sub(o.sentAt).Round(time.Millisecond), ran[0].server,
 							ran[0].began.Sub(o.sentAt).Round(time.Millisecond), ran[0].finished)
 					}
@@ -122,6 +125,7 @@
 			}
 			if runs > 1 {
 				doubled++
+				p.rec.write(done.attempts[len(done.attempts)-1].id)
 				p.rec.log("filing was run %d times: attempts %s and %s", runs, done.attempts[0].id, done.attempts[len(done.attempts)-1].id)
 			}
 		}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -133,7 +133,7 @@
 	s.announce(w)
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
-	s.rec.log("server %s refuses %s unrun with %d", s.id, id, status)
+	s.rec.detail(id, "server %s refuses %s unrun with %d", s.id, id, status)
 	conn, ok := r.Context().Value(connKey{}).(net.Conn)
 	if !ok || s.repeatsAnswer == nil || !s.repeatsAnswer() {
 		return
@@ -141,7 +141,7 @@
 	copied := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), fieldAttempt, id, fieldNotExecuted)
 	time.AfterFunc(s.late, func() {
 		if _, err := io.WriteString(conn, copied); err == nil {
-			s.rec.log("server %s sends its refusal of %s a second time", s.id, id)
+			s.rec.detail(id, "server %s sends its refusal of %s a second time", s.id, id)
 		}
 	})
 }
