--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -44,6 +44,13 @@
 	fmt.Fprintf(r.out, "%8.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// row writes a line without its time.
+func (r *record) row(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.out, format+"\n", args...)
+}
+
 // detail writes a line on a request, or holds it back.
 func (r *record) detail(id, format string, args ...any) {
 	r.mu.Lock()
--- a/review/stand/refused.go
+++ b/review/stand/refused.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,14 +14,16 @@
 const (
 	garbledShare = 0.05
 	copyDelay    = 3 * time.Millisecond
-	spells       = 10
+	spells       = 8
 	spellTime    = 5500 * time.Millisecond
 	spellPause   = 1500 * time.Millisecond
 )
 
 // The load of the case refused: more requests than the server has slots for, so that it refuses some.
 const (
-	filingClients = 40
+	filingClients = 90
+	filingSlots   = 12
+	filingQueue   = 4
 	filingPause   = 60 * time.Millisecond
 	filingTimeout = 3 * time.Second
 	minFilingWork = 10 * time.Millisecond
@@ -37,7 +40,7 @@
 func playRefused(p *play) (result, error) {
 	p.rec.brief = true
 	var garbling atomic.Bool
-	s := &server{id: "i-casefile-1", service: "casefile", zone: zones[0], slots: make(chan struct{}, 6), queue: 6, rec: p.rec, late: copyDelay, work: func(*http.Request) time.Duration {
+	s := &server{id: "i-casefile-1", service: "casefile", zone: zones[0], slots: make(chan struct{}, filingSlots), queue: filingQueue, rec: p.rec, late: copyDelay, work: func(*http.Request) time.Duration {
 		return minFilingWork + time.Duration(rand.Int64N(int64(maxFilingWork-minFilingWork)))
 	}}
 	s.repeatsAnswer = func() bool { return garbling.Load() && rand.Float64() < garbledShare }
@@ -101,6 +104,7 @@
 // judgeRefused counts the attempts that were answered by a promise that they have not run and never will, and have run.
 func judgeRefused(p *play, filings [][]filing) result {
 	attempts, served, refused, broken, doubled := 0, 0, 0, 0, 0
+	p.rec.row("attempt router sent-at ended-at status runs")
 	for _, list := range filings {
 		for _, done := range list {
 			runs := 0
@@ -109,7 +113,7 @@
 				attempts++
 				ran := p.rec.runsOf(o.id)
 				runs += len(ran)
-				p.rec.log("%s sent to %s at %.3f, answered %d at %.3f, runs %d", o.id, o.router.name, p.rec.since(o.sentAt), o.status, p.rec.since(o.endedAt), len(ran))
+				p.rec.row("%s %s %.3f %.3f %d %d", strings.TrimLeft(o.id, "0"), o.router.name, p.rec.since(o.sentAt), p.rec.since(o.endedAt), o.status, len(ran))
 				switch o.status {
 				case http.StatusOK:
 					served++
