Request lines name the upstream connection of the attempt

The lines did not say which connection carried a request and its second send, so these explanations could not be told apart:

- The copy of the first refusal was read as the answer to a second send on the same connection.
Refuted by a false 503 whose two sends went over different connections.
- The copy was read as the answer to another request on that connection.
Refuted by a false 503 without a second send.
- The refusal of a second send hid a first one that may have run.
Refuted by Runs 0 in the false 503's line.

RequestRetried and the request's last line now have the number of the connection and the position of the exchange on it.

--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -46,7 +46,7 @@
 			return
 		}
 		c.h.cfg.Meter.CountRetry(c.service, f.Err.Code)
-		c.log(pomelorelay.EventRequestRetried, codeFields(f)...)
+		c.log(pomelorelay.EventRequestRetried, append(codeFields(f), c.connectionFields()...)...)
 	}
 }
 
@@ -338,11 +338,13 @@
 func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, reservation Reservation) (*http.Response, *pomelolink.Failure) {
 	x, f := c.h.links.Open(ctx, pomelolink.UpstreamRequest{Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), StillWanted: func() bool { return !c.callerGone() }})
 	if f != nil {
+		c.connection = f.Connection
 		if f.Refusal != nil {
 			c.noteLoad(c.h.cfg.Wire.ParseAnswerFields(f.Refusal))
 		}
 		return nil, f
 	}
+	c.connection = x.Connection
 	defer func() { x.Close() }()
 	if f := c.checkHead(x); f != nil {
 		return nil, f
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 	"github.com/pomelorelay/pomelorelay/pomelotable"
 )
@@ -62,6 +63,8 @@
 	// eventsRead is the number of stream events that the upstream of the last attempt sent.
 	eventsRead int
 	decision   pomeloplace.Decision
+	// connection is the upstream connection that carried the last attempt.
+	connection pomelolink.ConnectionUse
 	// load is what the upstream of the last attempt announced, until it is recorded.
 	load   AnnouncedLoad
 	status int
--- a/pomelolink/conn.go
+++ b/pomelolink/conn.go
@@ -13,6 +13,14 @@
 
 var errHeaderTooLarge = errors.New("answer header exceeds the size limit")
 
+// ConnectionUse identifies an exchange by its connection.
+type ConnectionUse struct {
+	// Number is the connection's number, counted by its Client from 1.
+	Number uint64
+	// Exchange is the position of the exchange on the connection, from 1.
+	Exchange int
+}
+
 // upstreamConn is a connection to an upstream that counts the bytes written and read. It carries one exchange at a time.
 type upstreamConn struct {
 	net.Conn
@@ -23,13 +31,14 @@
 	// headerBytesLeft is how many more bytes of an answer's header may be read: zero means no limit, negative that the limit is reached.
 	headerBytesLeft int64
 	reused          bool
+	use             ConnectionUse
 	idleSince       time.Time
 	// maxIdle is how long the connection may stay idle, from the upstream's Keep-Alive field if it sent one.
 	maxIdle time.Duration
 }
 
-func newUpstreamConn(raw net.Conn) *upstreamConn {
-	c := &upstreamConn{Conn: raw}
+func newUpstreamConn(raw net.Conn, number uint64) *upstreamConn {
+	c := &upstreamConn{Conn: raw, use: ConnectionUse{Number: number}}
 	c.reader = bufio.NewReaderSize(c, connBufferBytes)
 	return c
 }
@@ -65,6 +74,7 @@
 func (c *upstreamConn) begin(deadline time.Time) error {
 	c.written.Store(0)
 	c.read.Store(0)
+	c.use.Exchange++
 	return c.SetDeadline(deadline)
 }
 
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -35,7 +35,9 @@
 	requestID string
 	// Response is the answer; reading its body fails if the answer is truncated.
 	Response *http.Response
-	stop     func() bool
+	// Connection is the connection that carries the exchange.
+	Connection ConnectionUse
+	stop       func() bool
 	// writeDone receives the result of writing the request concurrently; nil if it was not written concurrently or its result was received.
 	writeDone chan error
 	// BodyComplete is set by the code that reads the answer's body, once the body was read to its end.
@@ -50,6 +52,8 @@
 	Err     *pomelorelay.Error
 	// ConnectionBroken is set if the connection broke or the answer ended early, possibly because the upstream crashed.
 	ConnectionBroken bool
+	// Connection is the connection that carried the attempt; zero if there was none.
+	Connection ConnectionUse
 	// Refusal is the answer by which the upstream refused the request without running it; nil for other failures. Its body is closed.
 	Refusal *http.Response
 }
@@ -93,9 +97,11 @@
 		conn.Close()
 		return nil, notSentFailure(ctx, err)
 	}
+	x.Connection = conn.use
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	writeErr := x.write(r.Request, r.Size)
 	if f := x.readHeader(r.Request, writeErr); f != nil {
+		f.Connection = x.Connection
 		x.Close()
 		return nil, f
 	}
--- a/pomelolink/pool.go
+++ b/pomelolink/pool.go
@@ -75,8 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.opened.Add(1)
-	c := newUpstreamConn(raw)
+	c := newUpstreamConn(raw, p.opened.Add(1))
 	c.maxIdle = p.cfg.IdleTimeout
 	return c, nil
 }
