Attempts of one request use different upstream connections

Cause: after a refusal the router may send a request again to the same upstream, and took the connection on which the refusal had just arrived. An answer is recognized by connection and id, so a late copy of the refusal passed as the answer to the second send.

Change: a request remembers its connections and uses none of them again, which holds for any delay of the copy. The product's own interface did the same for requests that may repeat.

--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -336,7 +336,9 @@
 
 // exchange sends the request to an upstream and forwards the answer, whose head it returns.
 func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, reservation Reservation) (*http.Response, *pomelolink.Failure) {
-	x, f := c.h.links.Open(ctx, pomelolink.UpstreamRequest{Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), StillWanted: func() bool { return !c.callerGone() }})
+	x, f := c.h.links.Open(ctx, pomelolink.UpstreamRequest{
+		Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), Carriers: &c.carriers, StillWanted: func() bool { return !c.callerGone() },
+	})
 	if f != nil {
 		c.connection = f.Connection
 		if f.Refusal != nil {
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -65,6 +65,8 @@
 	decision   pomeloplace.Decision
 	// connection is the upstream connection that carried the last attempt.
 	connection pomelolink.ConnectionUse
+	// carriers are the upstream connections of all attempts.
+	carriers pomelolink.Carriers
 	// load is what the upstream of the last attempt announced, until it is recorded.
 	load   AnnouncedLoad
 	status int
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -75,6 +75,9 @@
 	Size int
 	// NewConnection prevents the use of an idle connection.
 	NewConnection bool
+	// Carriers are the connections that have carried the request's id before. Open uses none of them and adds the one that it uses. It may be
+	// nil only if no other attempt has the id.
+	Carriers *Carriers
 	// StillWanted is called after the connection is opened and before the request is written; the request is sent only if it returns true
 	// or is nil. Opening a connection can take a second, and the caller's disconnect may be detected late on a busy CPU.
 	StillWanted func() bool
@@ -83,7 +86,7 @@
 // Open sends a request at most once and reads the header of its answer. A request that is no longer wanted is not sent; Open
 // then fails with CodeCancelled.
 func (c *Client) Open(ctx context.Context, r UpstreamRequest) (*Exchange, *Failure) {
-	conn, err := c.conns.conn(ctx, r.Addr, r.NewConnection)
+	conn, err := c.conns.conn(ctx, r.Addr, r.NewConnection, r.Carriers)
 	if err != nil {
 		return nil, notSentFailure(ctx, err)
 	}
@@ -97,6 +100,7 @@
 		conn.Close()
 		return nil, notSentFailure(ctx, err)
 	}
+	r.Carriers.add(conn)
 	x.Connection = conn.use
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
 	writeErr := x.write(r.Request, r.Size)
@@ -211,7 +215,7 @@
 
 // checkHeader verifies that the answer belongs to this request and that a truncated body can be detected. Without the check, a late or
 // duplicate answer on a reused connection would reach the wrong caller. The check detects such an answer by its id, since only connections
-// to upstreams that echo ids are reused.
+// to upstreams that echo ids are reused, and Carriers keeps the attempts of one request on different connections.
 func (x *Exchange) checkHeader(req *http.Request) *Failure {
 	id := x.Response.Header.Get(x.client.cfg.Protocol.IDHeader)
 	x.IDEchoed = id == x.requestID
--- a/pomelolink/link_test.go
+++ b/pomelolink/link_test.go
@@ -148,3 +148,31 @@
 		t.Errorf("%d connections opened, want 2: the silent one and another", n)
 	}
 }
+
+// Guards against a further attempt of a request on a connection that still owes a copy of the answer to an earlier one.
+func TestAttemptsOfOneRequestUseDifferentConnections(t *testing.T) {
+	l, addr := newClient(t), serve(t, "")
+	exchange(t, l, addr)
+	var carriers pomelolink.Carriers
+	seen := make(map[uint64]bool)
+	for range 3 {
+		req := &http.Request{Method: "GET", URL: &url.URL{Scheme: "http", Host: addr.String(), Path: "/"}, Host: "h", Header: http.Header{idField: {"2"}}, Body: http.NoBody}
+		x, f := l.Open(context.Background(), pomelolink.UpstreamRequest{Addr: addr, Request: req, Carriers: &carriers})
+		if f != nil {
+			t.Fatal(f.Err)
+		}
+		if _, err := io.ReadAll(x.Response.Body); err != nil {
+			t.Fatal(err)
+		}
+		x.BodyComplete = true
+		x.Close()
+		if seen[x.Connection.Number] {
+			t.Errorf("connection %d carried two attempts of one request", x.Connection.Number)
+		}
+		seen[x.Connection.Number] = true
+	}
+	exchange(t, l, addr)
+	if n := l.ConnectionsOpened(); n != 3 {
+		t.Errorf("%d connections opened, want 3: other requests use the connections further", n)
+	}
+}
--- a/pomelolink/pool.go
+++ b/pomelolink/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -58,10 +59,10 @@
 	return p
 }
 
-// conn returns an idle connection that is still usable, or a new one; with forceNew set it always opens a new one.
-func (p *pool) conn(ctx context.Context, addr netip.AddrPort, forceNew bool) (*upstreamConn, error) {
+// conn returns an idle connection that is still usable and not among the carriers, or a new one; with forceNew set it always opens a new one.
+func (p *pool) conn(ctx context.Context, addr netip.AddrPort, forceNew bool, carriers *Carriers) (*upstreamConn, error) {
 	for !forceNew {
-		c := p.take(addr)
+		c := p.take(addr, carriers)
 		if c == nil {
 			break
 		}
@@ -80,17 +81,18 @@
 	return c, nil
 }
 
-func (p *pool) take(addr netip.AddrPort) *upstreamConn {
+// take removes and returns the last used idle connection that is not among the carriers; nil if there is none.
+func (p *pool) take(addr netip.AddrPort, carriers *Carriers) *upstreamConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !carriers.contains(c) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	list[len(list)-1] = nil
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *pool) put(addr netip.AddrPort, c *upstreamConn) {
--- a/pomeloroute/call.go
+++ b/pomeloroute/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
 
 	"github.com/gorilla/mux"
 )
@@ -59,6 +60,8 @@
 	// outcome is the answer that is stored for retries with the same idempotency key; nil until the answer is complete.
 	outcome         *pomelorelay.ClaimOutcome
 	failedUpstreams []pomelorelay.UpstreamID
+	// carriers are the upstream connections of all attempts.
+	carriers pomelolink.Carriers
 }
 
 type modelRequest struct {
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -232,7 +232,7 @@
 	if err != nil {
 		return pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeBadRequest, err)
 	}
-	x, f := c.h.client.Open(ctx, pomelolink.UpstreamRequest{Addr: up.Address, Request: req, Size: len(c.bytes()), NewConnection: !c.repeatable()})
+	x, f := c.h.client.Open(ctx, pomelolink.UpstreamRequest{Addr: up.Address, Request: req, Size: len(c.bytes()), NewConnection: !c.repeatable(), Carriers: &c.carriers})
 	if f != nil {
 		return f
 	}
--- a/pomeloroute/stream.go
+++ b/pomeloroute/stream.go
@@ -198,7 +198,7 @@
 		Header: head,
 		Body:   http.NoBody,
 	}
-	x, f := s.c.h.client.Open(s.ctx, pomelolink.UpstreamRequest{Addr: s.up.Address, Request: req, NewConnection: true})
+	x, f := s.c.h.client.Open(s.ctx, pomelolink.UpstreamRequest{Addr: s.up.Address, Request: req, NewConnection: true, Carriers: &s.c.carriers})
 	if f != nil {
 		return false
 	}
