Request lines tell how much time a planned stop leaves

Their lines said RequestGone, "the caller left first", so these explanations could not be told apart:

- The router took them too late, and its own stop closed their connections.
Refuted by a line whose StopLeftMS is above zero.
- The callers or the servers ended the connections.
Refuted by lines that end together at the stop, with StopLeftMS 0 or less.
- The process was killed at the end of its grace time.
Refuted by a line Stopped before them.

StopLeftMS is in a request's last line while the router stops.

--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -191,6 +191,9 @@
 			pomelorelay.Field{Key: "ReserveAgeMS", Value: d.Reserve.ReportAge.Milliseconds()},
 		)
 	}
+	if left, stopping := c.h.cfg.Shutdown.TimeLeft(); stopping {
+		all = append(all, pomelorelay.Field{Key: "StopLeftMS", Value: left.Milliseconds()})
+	}
 	if c.retryDenied {
 		all = append(all, pomelorelay.Field{Key: "RetryDenied", Value: true})
 	}
