A planned stop answers or refuses each request of the entry router

Cause: a plain request was taken while more than 700 ms were left, a stream with 5 s, whatever its deadline; the stop then closed all connections 700 ms before the end of the grace time.

Change: a request is taken if its deadline lies before the end, or 1.5 times the longest recent run of its route does; else it gets a 503 with a Retry-After of 1 ms, also while its body arrives and before each further attempt. At seven eighths of the grace time, requests without an answer get a final one: 503 if they did not run, else 500 that says "may have run". The process ends at eleven twelfths. All times follow from the deadline, the route and the grace time.

--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -24,8 +24,10 @@
 	maxHeaderBytes = 64 << 10
 	// stopPollInterval is how often a graceful stop checks whether the last connection has closed.
 	stopPollInterval = 20 * time.Millisecond
-	// stopMargin is the time by which a graceful stop ends before the process would be killed.
-	stopMargin = 700 * time.Millisecond
+	// finalAnswersFraction and stopFraction are the fractions of the stop timeout after which requests without an answer get a final one, and
+	// after which the process ends. What remains is for writing the answers, and for ending before the process would be killed.
+	finalAnswersFraction = 7.0 / 8
+	stopFraction         = 11.0 / 12
 	// balancerDrainTime is how long after the stop signal the load balancer may send new connections: two readiness checks, 1 s apart.
 	balancerDrainTime = 2500 * time.Millisecond
 )
@@ -109,16 +111,20 @@
 	}
 }
 
-// Stop shuts the router down gracefully. The router reports not ready, keeps serving its open connections and ends when the last one
-// closes or shortly before the process is killed. Closing idle connections earlier could race with requests already sent on them.
+// Stop shuts the router down gracefully. The router reports not ready and keeps serving its open connections; it refuses requests that it could not
+// answer in time. It ends when the last connection closes or shortly before the process is killed. Closing idle connections earlier could race
+// with requests already sent on them.
 func (e *Router) Stop() {
-	began := e.cfg.Clock.Now()
-	end := began.Add(e.cfg.Settings.StopTimeout - stopMargin)
-	e.stopAt.Store(e.steady() + int64(e.cfg.Settings.StopTimeout-stopMargin))
+	timeout := float64(e.cfg.Settings.StopTimeout)
+	untilAnswers, untilEnd := time.Duration(finalAnswersFraction*timeout), time.Duration(stopFraction*timeout)
+	began := e.steady()
+	e.stopAt.Store(began + int64(untilAnswers))
 	e.log(pomelorelay.EventStopping, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()))
+	final := time.AfterFunc(untilAnswers, e.callFinalAnswers)
+	defer final.Stop()
 	for {
-		now := e.cfg.Clock.Now()
-		if now.After(end) || (now.Sub(began) > balancerDrainTime && e.conns.Load() == 0) {
+		elapsed := time.Duration(e.steady() - began)
+		if elapsed > untilEnd || (elapsed > balancerDrainTime && e.conns.Load() == 0) {
 			break
 		}
 		time.Sleep(stopPollInterval)
@@ -126,3 +132,11 @@
 	e.log(pomelorelay.EventStopped, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()))
 	e.Close()
 }
+
+// callFinalAnswers makes all requests without an answer end with a final one.
+func (e *Router) callFinalAnswers() {
+	if n := e.inFlight.Load(); n > 0 {
+		e.log(pomelorelay.EventStopLate, field("InFlight", n))
+	}
+	e.endAnswers()
+}
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -51,7 +51,7 @@
 	upstreams, peers atomic.Int64
 	// The times below are nanoseconds of Config.Steady, because the time of day may jump.
 
-	// stopAt is when a graceful stop ends the process; zero when none is in progress.
+	// stopAt is when a graceful stop ends requests without an answer; zero when none is in progress.
 	stopAt   atomic.Int64
 	inFlight atomic.Int64
 	// readDelay is the time in nanoseconds without an update after which this router reads the store; zero if it reads continuously.
@@ -73,8 +73,12 @@
 	// lastLateTickAt is when the last late tick was.
 	lastLateTickAt atomic.Int64
 
-	ctx       context.Context
-	cancel    context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelFunc
+	// finalAnswers ends when requests without an answer must end; endAnswers ends it.
+	finalAnswers context.Context
+	endAnswers   context.CancelFunc
+
 	closeOnce sync.Once
 	wg        sync.WaitGroup
 	servers   []*http.Server
@@ -117,6 +121,7 @@
 		return nil, err
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.finalAnswers, e.endAnswers = context.WithCancel(context.Background())
 	e.forward = pomeloforward.New(pomeloforward.Config{
 		Clock:      cfg.Clock,
 		Logger:     cfg.Logger,
@@ -224,6 +229,7 @@
 		e.mesh.Close()
 		e.wg.Wait()
 		e.forward.Close()
+		e.endAnswers()
 	})
 }
 
@@ -242,7 +248,10 @@
 // stopping implements pomeloforward.ShutdownState.
 type stopping struct{ e *Router }
 
-// TimeLeft returns the time until the process ends, and false when no stop is in progress.
+// FinalAnswers returns a context that is done once requests without an answer must end.
+func (s stopping) FinalAnswers() context.Context { return s.e.finalAnswers }
+
+// TimeLeft returns the time until FinalAnswers is done, and false when no stop is in progress.
 func (s stopping) TimeLeft() (time.Duration, bool) {
 	at := s.e.stopAt.Load()
 	if at == 0 {
--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -122,6 +122,10 @@
 	if length >= 0 && resp.StatusCode != http.StatusNoContent && c.r.Method != http.MethodHead {
 		head.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	c.closeIfStopping()
+	if c.keepAnswer != nil {
+		c.keepAnswer()
+	}
 	c.answerStarted = true
 	c.status = resp.StatusCode
 	c.answerBeganAt = c.h.cfg.Clock.Now()
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -16,8 +16,8 @@
 
 // run sends the request until it is answered or may not be retried.
 func (c *call) run() {
-	if err := c.checkShutdown(); err != nil {
-		c.refuse(err)
+	if f := c.stopFailure(); f != nil {
+		c.fail(f)
 		return
 	}
 	if c.callerGone() {
@@ -39,6 +39,10 @@
 			c.fail(f)
 			return
 		}
+		if stopped := c.stopFailure(); stopped != nil {
+			c.fail(stopped)
+			return
+		}
 		if f.Outcome != pomelolink.OutcomeNotSent && !budget.Spend() {
 			c.h.cfg.Meter.CountRetryDenied(c.service)
 			c.retryDenied = true
@@ -69,32 +73,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-const (
-	// typicalStreamTime is the duration of most streams, typicalPlainTime that of other requests. A request that starts with less time
-	// left before a planned stop would probably be cut.
-	typicalStreamTime = 5 * time.Second
-	typicalPlainTime  = 700 * time.Millisecond
-)
-
-// checkShutdown refuses a request that would probably not end before the process stops.
-func (c *call) checkShutdown() error {
-	timeLeft, stopping := c.h.cfg.Shutdown.TimeLeft()
-	need := typicalPlainTime
-	if c.route.Kind == pomelorelay.RouteStream {
-		need = typicalStreamTime
-	}
-	if !stopping || timeLeft > need {
-		return nil
-	}
-	e := pomelorelay.NewError(pomelorelay.CodeStopping, "", nil)
-	// Another router can accept the request immediately.
-	e.RetryAfter = time.Millisecond
-	return e
-}
-
 // mayRetry reports whether the request may be sent again after the failure.
 func (c *call) mayRetry(f *pomelolink.Failure) bool {
-	if c.decision.Reason != pomeloplace.ReasonNone || c.r.Context().Err() != nil || c.timeLeft() <= 0 {
+	if c.decision.Reason != pomeloplace.ReasonNone || c.r.Context().Err() != nil || c.timeLeft() <= 0 || (c.mustEnd() && !c.answerStarted) {
 		return false
 	}
 	switch f.Outcome {
@@ -113,6 +94,8 @@
 func (c *call) attempt() *pomelolink.Failure {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline.Add(answerGrace))
 	defer cancel()
+	ctx, release := c.untilFinalAnswers(ctx)
+	defer release()
 	reservation, f := c.place(ctx)
 	if f != nil {
 		return f
@@ -242,6 +225,9 @@
 	reservation, d, err := c.h.cfg.Placement.Place(ctx, c.placementRequest())
 	c.decision = d
 	if err != nil {
+		if f := c.stopFailure(); f != nil {
+			return nil, f
+		}
 		c.decision.Reason = pomeloplace.ReasonTooLate
 		return nil, pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeDeadlinePassed, err)
 	}
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -31,10 +31,13 @@
 	// fingerprints holds the request's fingerprint, which identifies its repetitions under other request IDs and at other routers, and then those
 	// of the prompt parts that other requests may share. It is empty until the body was read.
 	fingerprints []pomelorelay.Fingerprint
+	// readAt is when the body had been read.
+	readAt time.Time
 	// deadline is the earliest of the caller's deadline, the end of the route's timeout and that of defaultTimeout.
 	deadline time.Time
-	// answerStarted is set once the head of an answer was written to the caller.
+	// answerStarted is set once the head of an answer was written to the caller. keepAnswer then lets the attempt outlast FinalAnswers.
 	answerStarted bool
+	keepAnswer    func() bool
 	// mayHaveRun is set during an attempt, and stays set after an attempt that the upstream may have run.
 	mayHaveRun bool
 	// runs counts the failed attempts that an upstream may have run, refused those that an upstream refused without running, and unreached those
@@ -98,6 +101,7 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
+	c.readAt = c.h.cfg.Clock.Now()
 	u := c.r.URL
 	request := pomelorelay.FingerprintOf([]byte(c.account), []byte(c.r.Method), []byte(c.r.Host), []byte(u.EscapedPath()), []byte(u.RawQuery), c.bodyBytes())
 	c.fingerprints = append([]pomelorelay.Fingerprint{request}, sharedParts(c.fields.PromptParts)...)
@@ -155,15 +159,23 @@
 	if limit > 0 && c.r.ContentLength > limit {
 		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
 	}
+	if f := c.stopFailure(); f != nil {
+		return f.Err
+	}
 	if c.r.ContentLength == 0 {
 		return nil
 	}
+	release := c.endReadAtFinalAnswers()
+	defer release()
 	c.body = c.h.buffers.Body()
 	var body io.Reader = c.r.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
-	_, err := c.body.ReadFrom(body)
+	_, err := c.body.ReadFrom(&bodyUntilStop{c: c, r: body})
+	if f := c.stopFailure(); f != nil && err != nil {
+		return f.Err
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -127,8 +127,10 @@
 
 // ShutdownState reports a planned stop of the process.
 type ShutdownState interface {
-	// TimeLeft returns the time until the process ends, and false when no stop is planned.
+	// TimeLeft returns the time until FinalAnswers is done, and false when no stop is planned.
 	TimeLeft() (time.Duration, bool)
+	// FinalAnswers returns a context that is done once requests without an answer must get a final one, because the process is about to end.
+	FinalAnswers() context.Context
 }
 
 // FleetSize reports the size of the fleet.
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -31,7 +31,8 @@
 // treat the answer as complete.
 func (c *call) fail(f *pomelolink.Failure) {
 	fields := codeFields(f)
-	if errors.Is(c.r.Context().Err(), context.Canceled) {
+	// At the end of a stop the router itself closes the connections.
+	if errors.Is(c.r.Context().Err(), context.Canceled) && !c.mustEnd() {
 		c.logEnding(endingGone, pomelorelay.EventRequestGone, fields...)
 		panic(http.ErrAbortHandler)
 	}
@@ -62,6 +63,7 @@
 	if !errors.As(err, &e) {
 		e = pomelorelay.NewError(pomelorelay.CodeInternal, err.Error(), nil)
 	}
+	c.closeIfStopping()
 	c.status = WriteError(c.w, e)
 	c.logRefusal(e, c.status)
 }
@@ -145,6 +147,9 @@
 // logEnding writes the request's final log line, with how it ended and what determined its placement.
 func (c *call) logEnding(ending string, event pomelorelay.EventID, fields ...pomelorelay.Field) {
 	now := c.h.cfg.Clock.Now()
+	if ending != endingRefused && ending != endingGone && !c.readAt.IsZero() {
+		c.h.runTimes.add(c.table.Config().Routes, c.route.Name, now.Sub(c.readAt))
+	}
 	first := now.Sub(c.arrivedAt)
 	if !c.answerBeganAt.IsZero() {
 		first = c.answerBeganAt.Sub(c.arrivedAt)
--- a/pomeloforward/handler.go
+++ b/pomeloforward/handler.go
@@ -19,6 +19,7 @@
 	buffers *pomelolink.Buffers
 
 	crashChecks *crashChecks
+	runTimes    runTimes
 
 	mu      sync.Mutex
 	budgets map[pomelorelay.ServiceID]*pomelobudget.RetryBudget
@@ -59,9 +60,6 @@
 	c := newCall(h, w, r)
 	defer c.releaseBody()
 	defer c.recoverPanic()
-	if _, stopping := h.cfg.Shutdown.TimeLeft(); stopping {
-		w.Header().Set("Connection", "close")
-	}
 	if err := c.prepare(); err != nil {
 		c.refuse(err)
 		return
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -120,6 +120,9 @@
 	loads    []pomeloforward.AnnouncedLoad
 	stopsIn  time.Duration
 	stopping bool
+	// finalAnswers ends requests without an answer once endAnswers was called.
+	finalAnswers context.Context
+	endAnswers   context.CancelFunc
 	// callerGone reports whether a caller has disconnected; nil means never.
 	callerGone func() bool
 	mu         sync.Mutex
@@ -148,6 +151,8 @@
 func newHarness(t *testing.T, upstreams ...pomelorelay.FleetUpstream) *harness {
 	t.Helper()
 	h := &harness{t: t}
+	h.finalAnswers, h.endAnswers = context.WithCancel(context.Background())
+	t.Cleanup(h.endAnswers)
 	for _, u := range upstreams {
 		h.placements = append(h.placements, pomeloplace.Decision{Upstream: u})
 	}
@@ -238,7 +243,11 @@
 
 func (h *harness) Routers() int { return 1 }
 
-func (h *harness) TimeLeft() (time.Duration, bool) { return h.stopsIn, h.stopping }
+func (h *harness) TimeLeft() (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stopsIn, h.stopping
+}
 
 func (h *harness) ObserveAnswer(pomelorelay.RouteKind, string, time.Duration, time.Duration) {}
 
@@ -276,6 +285,26 @@
 	*list = append(*list, run)
 }
 
+// decisionFor returns the decision to send a request to the upstream.
+func decisionFor(u *upstream) pomeloplace.Decision {
+	return pomeloplace.Decision{Upstream: u.entry("u")}
+}
+
+// readAnswer reads an answer from a caller's connection.
+func readAnswer(t *testing.T, conn net.Conn) answer {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return answer{bodyErr: err}
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, head: resp.Header, body: string(got), bodyErr: err}
+}
+
 // answer is what a caller received.
 type answer struct {
 	status int
--- /dev/null
+++ b/pomeloforward/shutdown.go
@@ -0,0 +1,148 @@
+package pomeloforward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
+)
+
+// stopRetryAfter is the Retry-After of a stopping router; another router can accept the request immediately.
+const stopRetryAfter = time.Millisecond
+
+// stopFailure returns the failure of a request that is not sent because the router stops before its answer would be complete; nil if it may be
+// sent. An answer that has begun is continued as long as possible.
+func (c *call) stopFailure() *pomelolink.Failure {
+	left, stopping := c.h.cfg.Shutdown.TimeLeft()
+	if !stopping || c.answerStarted || (left > 0 && c.timeNeeded() <= left) {
+		return nil
+	}
+	f := pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeStopping, nil)
+	f.Err.RetryAfter = stopRetryAfter
+	return f
+}
+
+// timeNeeded returns the time within which a request that is sent now will be answered: until its deadline, or less if all recent requests of its
+// route were answered much sooner.
+func (c *call) timeNeeded() time.Duration {
+	need := c.timeLeft()
+	if longest, known := c.h.runTimes.longest(c.route.Name); known {
+		need = min(need, time.Duration(runTimeMargin*float64(longest)))
+	}
+	return need
+}
+
+// mustEnd reports whether requests must get their final answers.
+func (c *call) mustEnd() bool { return c.h.cfg.Shutdown.FinalAnswers().Err() != nil }
+
+// untilFinalAnswers returns a context that also ends when requests must get their final answers, unless the answer has begun by then.
+func (c *call) untilFinalAnswers(ctx context.Context) (context.Context, func()) {
+	if c.answerStarted {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	c.keepAnswer = context.AfterFunc(c.h.cfg.Shutdown.FinalAnswers(), func() {
+		e := pomelorelay.NewError(pomelorelay.CodeStopLate, "", nil)
+		e.RetryAfter = stopRetryAfter
+		cancel(e)
+	})
+	return ctx, func() {
+		c.keepAnswer()
+		cancel(nil)
+	}
+}
+
+// endReadAtFinalAnswers ends the read of the request's body when requests must get their final answers. The function that it returns undoes this.
+func (c *call) endReadAtFinalAnswers() func() bool {
+	return context.AfterFunc(c.h.cfg.Shutdown.FinalAnswers(), func() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now())
+	})
+}
+
+// closeIfStopping tells the caller to use another connection for its next request if the router is stopping.
+func (c *call) closeIfStopping() {
+	if _, stopping := c.h.cfg.Shutdown.TimeLeft(); stopping {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
+// bodyUntilStop reads a request's body; it fails once the request could no longer be answered before the router stops.
+type bodyUntilStop struct {
+	c *call
+	r io.Reader
+}
+
+// Read reads from the body; it fails with CodeStopping.
+func (b *bodyUntilStop) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if err != nil {
+		return n, err
+	}
+	if f := b.c.stopFailure(); f != nil {
+		return n, f.Err
+	}
+	return n, nil
+}
+
+const (
+	// runTimeCount is the number of recent run times that are kept for a route, minRunTimes the number from which they are used.
+	runTimeCount = 64
+	minRunTimes  = 8
+	// runTimeMargin is the ratio of the time that a request is given to the longest recent run time.
+	runTimeMargin = 1.5
+)
+
+// runTimes keeps the recent times from the reading of requests to the ends of their answers, by route. The zero value is empty.
+type runTimes struct {
+	mu      sync.Mutex
+	byRoute map[pomelorelay.RouteID]*recentTimes
+}
+
+// recentTimes is a ring of times.
+type recentTimes struct {
+	times [runTimeCount]time.Duration
+	count int
+}
+
+// add adds the time of a request. If there are more routes than the configuration has, it removes those that are not among them.
+func (r *runTimes) add(configured []pomelorelay.Route, route pomelorelay.RouteID, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recent := r.byRoute[route]
+	if recent == nil {
+		if r.byRoute == nil || len(r.byRoute) >= len(configured) {
+			r.keepOnly(configured)
+		}
+		recent = &recentTimes{}
+		r.byRoute[route] = recent
+	}
+	recent.times[recent.count%runTimeCount] = took
+	recent.count++
+}
+
+// keepOnly removes all routes but the configured ones.
+func (r *runTimes) keepOnly(configured []pomelorelay.Route) {
+	kept := make(map[pomelorelay.RouteID]*recentTimes, len(configured))
+	for i := range configured {
+		if recent := r.byRoute[configured[i].Name]; recent != nil {
+			kept[configured[i].Name] = recent
+		}
+	}
+	r.byRoute = kept
+}
+
+// longest returns the longest recent time of a route, and false while few are known.
+func (r *runTimes) longest(route pomelorelay.RouteID) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recent := r.byRoute[route]
+	if recent == nil || recent.count < minRunTimes {
+		return 0, false
+	}
+	return slices.Max(recent.times[:min(recent.count, runTimeCount)]), true
+}
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -113,24 +113,31 @@
 }
 
 func notSentFailure(ctx context.Context, err error) *Failure {
-	if code := contextCode(ctx, err); code != 0 {
-		if code == pomelorelay.CodeCallerGone {
-			return NewFailure(OutcomeNotSent, pomelorelay.CodeCancelled, err)
-		}
-		return NewFailure(OutcomeNotSent, pomelorelay.CodeDeadlinePassed, err)
+	if f := contextFailure(ctx, OutcomeNotSent, err); f != nil {
+		return f
 	}
 	return NewFailure(OutcomeNotSent, pomelorelay.CodeUpstreamUnreached, err)
 }
 
-// contextCode returns CodeCallerGone for a cancelled context, CodeUpstreamTimeout for a passed deadline and zero for any other error.
-func contextCode(ctx context.Context, err error) pomelorelay.ResultCode {
+// contextFailure returns the failure of an attempt whose context ended, or whose deadline passed; nil for any other error. A context that was
+// cancelled with an Error as its cause gives that error's code and Retry-After.
+func contextFailure(ctx context.Context, outcome Outcome, err error) *Failure {
+	var cause *pomelorelay.Error
+	cancelled, timeout := pomelorelay.CodeCallerGone, pomelorelay.CodeUpstreamTimeout
+	if outcome == OutcomeNotSent {
+		cancelled, timeout = pomelorelay.CodeCancelled, pomelorelay.CodeDeadlinePassed
+	}
 	switch {
+	case errors.As(context.Cause(ctx), &cause):
+		f := NewFailure(outcome, cause.Code, err)
+		f.Err.RetryAfter = cause.RetryAfter
+		return f
 	case errors.Is(ctx.Err(), context.Canceled):
-		return pomelorelay.CodeCallerGone
+		return NewFailure(outcome, cancelled, err)
 	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded):
-		return pomelorelay.CodeUpstreamTimeout
+		return NewFailure(outcome, timeout, err)
 	}
-	return 0
+	return nil
 }
 
 func (x *Exchange) write(req *http.Request, size int) error {
@@ -185,8 +192,8 @@
 	if x.conn.read.Load() > 0 {
 		outcome = OutcomeTruncated
 	}
-	if code := contextCode(x.ctx, err); code != 0 {
-		return NewFailure(outcome, code, err)
+	if f := contextFailure(x.ctx, outcome, err); f != nil {
+		return f
 	}
 	if !isConnectionError(err) {
 		return NewFailure(outcome, pomelorelay.CodeAnswerMalformed, err)
