A late stop of the product's own router answers its requests

Callers of `pomelorelayd run` got cut connections when Control.StopWait ended while their requests ran, waited for a slot or sent their body: the same cause as in the entry router, found by reading.

Change: at seven eighths of the time for the stop, requests without an answer get a final one: 503 with Ran: No if no upstream has got them, else 500 with Ran: Unknown. A stop that had to end some fails with CodeStopLate, as before.

--- a/pomelonode/listen.go
+++ b/pomelonode/listen.go
@@ -14,6 +14,9 @@
 const (
 	// stopPollInterval is how often a graceful stop checks whether requests are in progress or outcomes are not yet stored.
 	stopPollInterval = 20 * time.Millisecond
+	// finalAnswersFraction is the fraction of the time for a graceful stop after which requests without an answer get a final one; the rest is
+	// for writing the answers.
+	finalAnswersFraction = 7.0 / 8
 	// maxClaimsWait limits how long a graceful stop waits until the outcomes of requests with claimed idempotency keys are stored.
 	maxClaimsWait = 20 * time.Second
 )
@@ -96,11 +99,19 @@
 func (n *Node) Drained() <-chan struct{} { return n.drained }
 
 // Stop stops the router gracefully: it drains, waits until all requests in progress have ended and the outcomes of those with claimed
-// idempotency keys are stored, and closes. It fails with CodeStopLate if requests are still in progress when ctx is done.
+// idempotency keys are stored, and closes. Shortly before the deadline of ctx it ends requests that have no answer yet with an error. It fails with
+// CodeStopLate if it ended some, or if requests are still in progress when ctx is done.
 func (n *Node) Stop(ctx context.Context) error {
 	n.Drain()
+	if deadline, ok := ctx.Deadline(); ok {
+		final := time.AfterFunc(time.Duration(finalAnswersFraction*float64(time.Until(deadline))), n.callFinalAnswers)
+		defer final.Stop()
+	}
 	err := n.awaitIdle(ctx)
-	if err == nil {
+	if err == nil && n.stopLate.Load() {
+		err = pomelorelay.NewError(pomelorelay.CodeStopLate, "", nil)
+	}
+	if ctx.Err() == nil {
 		n.shutdownServers(ctx)
 	}
 	n.log(pomelorelay.EventStopped)
@@ -108,10 +119,21 @@
 	return err
 }
 
+// callFinalAnswers makes all requests without an answer end with a final one.
+func (n *Node) callFinalAnswers() {
+	if left := n.inFlight.Load(); left > 0 {
+		n.stopLate.Store(true)
+		n.log(pomelorelay.EventStopLate, field("InFlight", left))
+	}
+	n.endAnswers()
+}
+
 func (n *Node) awaitIdle(ctx context.Context) error {
 	for n.inFlight.Load() > 0 {
 		if !sleep(ctx, stopPollInterval) {
-			n.log(pomelorelay.EventStopLate, field("InFlight", n.inFlight.Load()))
+			if !n.stopLate.Load() {
+				n.log(pomelorelay.EventStopLate, field("InFlight", n.inFlight.Load()))
+			}
 			return pomelorelay.NewError(pomelorelay.CodeStopLate, "", ctx.Err())
 		}
 	}
--- a/pomelonode/node.go
+++ b/pomelonode/node.go
@@ -57,12 +57,18 @@
 	heartbeat      atomic.Int64
 	watchingConfig atomic.Bool
 	stopping       atomic.Bool
+	// stopLate is set if a stop ended requests that had no answer.
+	stopLate atomic.Bool
 	// leaving is the set of upstreams that the last host list shows as leaving.
 	leaving  atomic.Pointer[map[pomelorelay.UpstreamID]bool]
 	inFlight atomic.Int64
 
-	ctx       context.Context
-	cancel    context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelFunc
+	// finalAnswers ends when requests without an answer must end; endAnswers ends it.
+	finalAnswers context.Context
+	endAnswers   context.CancelFunc
+
 	closing   chan struct{}
 	drained   chan struct{}
 	closeOnce sync.Once
@@ -86,6 +92,7 @@
 		return nil, err
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.finalAnswers, n.endAnswers = context.WithCancel(context.Background())
 	n.loadClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
 	n.callerHandler = pomeloroute.New(pomeloroute.Config{
 		Node:         n.self.Node,
@@ -96,6 +103,7 @@
 		Admission:    admission{n},
 		Claims:       claims{n},
 		Suspects:     suspects{n},
+		FinalAnswers: n.finalAnswers,
 		Options: pomeloroute.Options{
 			MaxHeaderBytes:    cfg.Settings.Limits.HeaderBytes,
 			MaxBody:           cfg.Settings.Limits.BodyBytes,
@@ -220,6 +228,7 @@
 		n.mesh.Close()
 		n.wg.Wait()
 		n.callerHandler.Close()
+		n.endAnswers()
 	})
 	return nil
 }
--- a/pomeloroute/answer.go
+++ b/pomeloroute/answer.go
@@ -89,6 +89,7 @@
 	for name := range resp.Trailer {
 		head.Add("Trailer", name)
 	}
+	c.keepAnswer()
 	c.answerStarted, c.answerStatus = true, resp.StatusCode
 	c.w.WriteHeader(resp.StatusCode)
 }
--- a/pomeloroute/call.go
+++ b/pomeloroute/call.go
@@ -50,6 +50,8 @@
 	claimed     bool
 	// answerStarted is set once an answer's header was sent to the caller; after that there are no retries.
 	answerStarted bool
+	// keepAnswer lets the attempt outlast Config.FinalAnswers; nil before the first attempt.
+	keepAnswer func() bool
 	// answerStatus is the status of that answer.
 	answerStatus int
 	// errorEventSent is set once a broken stream was ended with an error event.
@@ -179,8 +181,15 @@
 	if c.r.ContentLength > limit {
 		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
 	}
+	release := context.AfterFunc(c.h.cfg.FinalAnswers, func() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now())
+	})
+	defer release()
 	c.body = c.h.buffers.Body()
 	_, err := c.body.ReadFrom(&countedBody{c: c, r: http.MaxBytesReader(c.w, c.r.Body, limit)})
+	if c.h.cfg.FinalAnswers.Err() != nil {
+		return pomelorelay.NewError(pomelorelay.CodeStopping, "", err)
+	}
 	if errors.Is(err, errBodyMemoryFull) {
 		return pomelorelay.NewError(pomelorelay.CodeBodiesFull, "", nil)
 	}
@@ -247,7 +256,19 @@
 	if c.claimed {
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithDeadline(parent, c.deadline)
+	return c.untilFinalAnswers(context.WithDeadline(parent, c.deadline))
+}
+
+// untilFinalAnswers returns a context that also ends when requests must get their final answers, unless the answer has begun by then.
+func (c *call) untilFinalAnswers(ctx context.Context, cancelParent context.CancelFunc) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	keep := context.AfterFunc(c.h.cfg.FinalAnswers, func() { cancel(pomelorelay.NewError(pomelorelay.CodeStopLate, "", nil)) })
+	c.keepAnswer = keep
+	return ctx, func() {
+		keep()
+		cancel(nil)
+		cancelParent()
+	}
 }
 
 func (c *call) bodyReader() io.ReadCloser {
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -20,6 +20,8 @@
 	Admission    Admission
 	Claims       Claims
 	Suspects     Suspects
+	// FinalAnswers is done once requests without an answer must get a final one, because the process is about to end; nil means never.
+	FinalAnswers context.Context
 	Options      Options
 }
 
--- a/pomeloroute/defaults.go
+++ b/pomeloroute/defaults.go
@@ -1,6 +1,7 @@
 package pomeloroute
 
 import (
+	"context"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -30,6 +31,9 @@
 	if c.Logger == nil {
 		c.Logger = pomelorelay.NopLogger{}
 	}
+	if c.FinalAnswers == nil {
+		c.FinalAnswers = context.Background()
+	}
 	c.Options = c.Options.withDefaults()
 	return c
 }
--- a/pomeloroute/run.go
+++ b/pomeloroute/run.go
@@ -66,7 +66,7 @@
 }
 
 func (c *call) mayRetry(f *pomelolink.Failure) bool {
-	if c.answerStarted || c.r.Context().Err() != nil || !c.h.cfg.Clock.Now().Before(c.deadline) {
+	if c.answerStarted || c.r.Context().Err() != nil || c.h.cfg.FinalAnswers.Err() != nil || !c.h.cfg.Clock.Now().Before(c.deadline) {
 		return false
 	}
 	switch f.Outcome {
@@ -80,6 +80,9 @@
 
 // correctRan replaces RanNo in the last attempt's error with RanUnknown if an earlier attempt may have run.
 func (c *call) correctRan(e *pomelorelay.Error) error {
+	if e.Code == pomelorelay.CodeStopLate && e.Ran == pomelorelay.RanNo {
+		e = pomelorelay.NewError(pomelorelay.CodeStopping, "", e)
+	}
 	if !c.mayHaveRun || e.Ran != pomelorelay.RanNo {
 		return e
 	}
@@ -90,12 +93,12 @@
 
 // attempt waits for a slot and sends the request once.
 func (c *call) attempt() *pomelolink.Failure {
-	ctx, cancel := c.context()
-	defer cancel()
 	ticket, f := c.admitAttempt()
 	if f != nil {
 		return f
 	}
+	ctx, cancel := c.context()
+	defer cancel()
 	result := Result{Outcome: pomelolink.OutcomeNotSent}
 	defer func() { ticket.Done(result) }()
 	run := c.suspectRun(ticket)
@@ -185,7 +188,7 @@
 }
 
 func (c *call) admitAttempt() (Ticket, *pomelolink.Failure) {
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := c.untilFinalAnswers(context.WithDeadline(c.r.Context(), c.deadline))
 	defer cancel()
 	head := c.bytes()
 	if len(head) > maxPrefixBytes {
@@ -212,8 +215,10 @@
 
 // admissionFailure converts an error that occurred before anything was sent into a failure that is not retried.
 func admissionFailure(ctx context.Context, err error) *pomelolink.Failure {
-	var coded *pomelorelay.Error
+	var coded, cause *pomelorelay.Error
 	switch {
+	case errors.As(context.Cause(ctx), &cause):
+		coded = pomelorelay.NewError(pomelorelay.CodeStopping, "", err)
 	case errors.As(err, &coded):
 	case errors.Is(ctx.Err(), context.Canceled):
 		coded = pomelorelay.NewError(pomelorelay.CodeCancelled, "", err)
