Large events and answers share a bounded part of the memory

Found by reading.

Change: what an event or a plain answer takes beyond 4 KiB is reserved from a tenth of the process's memory, in the product's own interface from the limit on bodies. A plain answer that finds none is forwarded without being buffered; a stream fails, and its upstream with it.

TestEventsOfAllStreamsShareMemory does not compile before, since there was no such limit.

--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -21,6 +21,8 @@
 	requestMemoryBytes = 64 << 10
 	// requestMemoryFraction is the fraction of memory available to requests.
 	requestMemoryFraction = 0.3
+	// answerMemoryFraction is the fraction of memory available to large events and answers, all requests together.
+	answerMemoryFraction = 0.1
 	// initialRequestsPerCore is the initial limit of concurrent streams per core.
 	initialRequestsPerCore = 1000
 	// minRequests is the minimum of the limits on requests and on connections, which keeps a host of unknown size in service.
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -135,6 +135,8 @@
 		CallerGone: e.callerGone,
 		RetryRatio: cfg.Settings.RetryRatio,
 		RetrySlack: cfg.Settings.RetrySlack,
+
+		AnswerMemory: pomelorelay.Bytes(answerMemoryFraction * float64(cfg.Settings.MemoryLimit)),
 	})
 	e.crashRecorder = newCrashRecorder(e)
 	e.requestLimit.Store(e.hostLimits.initialRequests)
--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -73,15 +73,21 @@
 }
 
 // forwardPlain forwards an answer. It buffers a short one completely, so that a cut is detected before the caller gets a status.
-// If a long one is cut, the caller's connection is closed.
+// If a long one is cut, or one for which there is no memory, the caller's connection is closed.
 func (c *call) forwardPlain(x *pomelolink.Exchange) *pomelolink.Failure {
 	buffer := c.h.buffers.Body()
 	defer c.h.buffers.PutBody(buffer)
-	_, err := buffer.ReadFrom(io.LimitReader(x.Response.Body, maxBufferedAnswer+1))
+	limit := maxSmallAnswer
+	_, err := buffer.ReadFrom(io.LimitReader(x.Response.Body, int64(limit+1)))
+	if buffer.Len() > limit && err == nil && c.h.buffers.ReserveAnswer(bufferedAnswerMemory) {
+		defer c.h.buffers.ReleaseAnswer(bufferedAnswerMemory)
+		limit = maxBufferedAnswer
+		_, err = buffer.ReadFrom(io.LimitReader(x.Response.Body, int64(limit+1-buffer.Len())))
+	}
 	if err != nil {
 		return x.Fail(err)
 	}
-	if buffer.Len() > maxBufferedAnswer {
+	if buffer.Len() > limit {
 		return c.forwardLong(x, buffer)
 	}
 	if buffer.Len() == 0 && endsWithConnection(x.Response) && c.r.Method != http.MethodHead {
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -27,6 +27,8 @@
 	// RetryRatio and RetrySlack bound the fleet's retries for a service: to this ratio of its requests, plus a constant number of retries.
 	RetryRatio float64
 	RetrySlack float64
+	// AnswerMemory limits the memory of all buffered answers beyond one chunk each; zero means no limit.
+	AnswerMemory pomelorelay.Bytes
 }
 
 // TableSource provides the route table in force.
@@ -176,6 +178,9 @@
 	maxRefused = 2
 	// maxBufferedAnswer is the size in bytes up to which a plain answer is buffered completely.
 	maxBufferedAnswer = 64 << 10
+	// bufferedAnswerMemory is the memory reserved for a plain answer that exceeds maxSmallAnswer bytes: its buffer grows by doubling.
+	bufferedAnswerMemory = 2 * maxBufferedAnswer
+	maxSmallAnswer       = 4 << 10
 	// harmlessAfter is how long after its first event an answer of at least harmlessEvents events shows that its prompt does not crash upstreams:
 	// they crash when they begin to answer such a prompt. A slow router may read the first events late.
 	harmlessAfter  = 500 * time.Millisecond
--- a/pomeloforward/handler.go
+++ b/pomeloforward/handler.go
@@ -34,12 +34,13 @@
 			NotRun:              func(resp *http.Response) bool { return cfg.Wire.ParseAnswerFields(resp).NotRun },
 			AllowCloseDelimited: true,
 		},
-		MaxHeaderBytes: maxAnswerHeaderBytes,
-		DialTimeout:    dialTimeout,
-		IdleConns:      maxIdleConns,
-		IdleTimeout:    idleTimeout,
-		AckTimeout:     ackTimeout,
-		Logger:         cfg.Logger,
+		MaxHeaderBytes:  maxAnswerHeaderBytes,
+		MaxAnswerMemory: cfg.AnswerMemory,
+		DialTimeout:     dialTimeout,
+		IdleConns:       maxIdleConns,
+		IdleTimeout:     idleTimeout,
+		AckTimeout:      ackTimeout,
+		Logger:          cfg.Logger,
 	})
 	h.buffers = h.links.Buffers()
 	h.crashChecks = newCrashChecks(cfg, h.links)
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -17,8 +17,8 @@
 // forwardStream forwards complete events as they arrive, each once and in order.
 func (c *call) forwardStream(x *pomelolink.Exchange, reservation Reservation) *pomelolink.Failure {
 	var events pomelolink.EventReader
-	events.Reset(c.h.buffers.Chunk(), x)
-	defer func() { c.h.buffers.PutChunk(events.Buffer()) }()
+	events.Reset(x)
+	defer events.Release()
 	var begunAt time.Time
 	for n := 1; ; n++ {
 		event, err := events.Next()
--- a/pomelolink/buffer.go
+++ b/pomelolink/buffer.go
@@ -5,6 +5,9 @@
 	"bytes"
 	"io"
 	"sync"
+	"sync/atomic"
+
+	"github.com/pomelorelay/pomelorelay"
 )
 
 const (
@@ -13,16 +16,22 @@
 	maxPooledBuffer = 256 << 10
 )
 
-// Buffers pools the buffers of exchanges, so that an idle stream holds little memory.
+// Buffers pools the buffers of exchanges, so that an idle stream holds little memory. It limits the total size of buffered answers: each may be
+// within its own limit, and all of them together exceed the memory of the process.
 type Buffers struct {
 	bodies  sync.Pool
 	writers sync.Pool
 	chunks  sync.Pool
+	// answerLimit is the limit on answerBytes, the reserved bytes; zero for no limit.
+	answerLimit int64
+	answerBytes atomic.Int64
 }
 
-// NewBuffers returns a Buffers with empty pools.
-func NewBuffers() *Buffers {
+// NewBuffers returns a Buffers with empty pools; answerLimit limits the bytes reserved for answers, zero means no limit.
+func NewBuffers(answerLimit pomelorelay.Bytes) *Buffers {
 	return &Buffers{
+		answerLimit: int64(answerLimit),
+
 		bodies:  sync.Pool{New: func() any { return new(bytes.Buffer) }},
 		writers: sync.Pool{New: func() any { return bufio.NewWriterSize(io.Discard, connBufferBytes) }},
 		chunks:  sync.Pool{New: func() any { return new([connBufferBytes]byte) }},
@@ -61,3 +70,15 @@
 		p.chunks.Put((*[connBufferBytes]byte)(b[:connBufferBytes]))
 	}
 }
+
+// ReserveAnswer reserves bytes for the answer of an exchange and reports whether they are within the limit; ReleaseAnswer releases them.
+func (p *Buffers) ReserveAnswer(n int) bool {
+	if p.answerBytes.Add(int64(n)) <= p.answerLimit || p.answerLimit == 0 {
+		return true
+	}
+	p.answerBytes.Add(-int64(n))
+	return false
+}
+
+// ReleaseAnswer releases reserved bytes.
+func (p *Buffers) ReleaseAnswer(n int) { p.answerBytes.Add(-int64(n)) }
--- a/pomelolink/config.go
+++ b/pomelolink/config.go
@@ -22,6 +22,8 @@
 	Protocol Protocol
 	// MaxHeaderBytes limits the size of an answer's header.
 	MaxHeaderBytes pomelorelay.Bytes
+	// MaxAnswerMemory limits the memory that all events of streams together take beyond one chunk each; zero means no limit.
+	MaxAnswerMemory pomelorelay.Bytes
 	// DialTimeout limits the duration of a connection attempt.
 	DialTimeout time.Duration
 	// IdleConns limits the number of idle connections kept per upstream.
@@ -45,7 +47,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = pomelorelay.NopLogger{}
 	}
-	return &Client{cfg: cfg, conns: newPool(cfg), buffers: NewBuffers()}
+	return &Client{cfg: cfg, conns: newPool(cfg), buffers: NewBuffers(cfg.MaxAnswerMemory)}
 }
 
 // Buffers returns the buffer pools that all exchanges share.
--- a/pomelolink/event.go
+++ b/pomelolink/event.go
@@ -10,8 +10,12 @@
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 1 << 20
 
-// ErrEventTooLarge is returned for an event larger than 1 MiB.
-var ErrEventTooLarge = errors.New("server-sent event exceeds 1 MiB")
+// ErrEventTooLarge is returned for an event larger than 1 MiB, ErrAnswersTooLarge for one that exceeds Config.MaxAnswerMemory together with those
+// of other streams.
+var (
+	ErrEventTooLarge   = errors.New("server-sent event exceeds 1 MiB")
+	ErrAnswersTooLarge = errors.New("server-sent events of all streams exceed their memory")
+)
 
 var (
 	blankLine     = []byte("\n\n")
@@ -66,11 +70,24 @@
 	end   int
 	body  io.Reader
 	x     *Exchange
+	// reserved is the number of bytes reserved for the growth of buf.
+	reserved int
 }
 
-// Reset starts reading an exchange's body into buf and discards unread data of the previous one.
-func (r *EventReader) Reset(buf []byte, x *Exchange) {
-	r.buf, r.start, r.end, r.body, r.x = buf, 0, 0, x.Response.Body, x
+// Reset starts reading an exchange's body and discards unread data of the previous one. Release must be called after the last exchange.
+func (r *EventReader) Reset(x *Exchange) {
+	if r.buf == nil {
+		r.buf = x.client.buffers.Chunk()
+	}
+	r.start, r.end, r.body, r.x = 0, 0, x.Response.Body, x
+}
+
+// Release returns the buffer to its pool.
+func (r *EventReader) Release() {
+	buffers := r.x.client.buffers
+	buffers.PutChunk(r.buf)
+	buffers.ReleaseAnswer(r.reserved)
+	r.buf, r.reserved = nil, 0
 }
 
 // Empty reports whether all received data was returned as events.
@@ -79,7 +96,7 @@
 }
 
 // Next returns the next complete event; an event truncated by the end of the body is never returned. It fails with
-// ErrEventTooLarge or with the error of the body, io.EOF at its end.
+// ErrEventTooLarge, ErrAnswersTooLarge or with the error of the body, io.EOF at its end.
 func (r *EventReader) Next() (Event, error) {
 	scanned := r.start
 	for {
@@ -100,9 +117,6 @@
 // HasPartialEvent reports whether an incomplete event is buffered.
 func (r *EventReader) HasPartialEvent() bool { return r.start < r.end }
 
-// Buffer returns the reader's current buffer, so that the caller can return it to its pool after the stream.
-func (r *EventReader) Buffer() []byte { return r.buf }
-
 // delimiterOverlap is how many bytes before newly read data can belong to an event delimiter that ends in that data: the longest delimiter
 // has four bytes.
 const delimiterOverlap = 3
@@ -128,6 +142,10 @@
 		if len(r.buf) >= maxEventBytes {
 			return 0, ErrEventTooLarge
 		}
+		if !r.x.client.buffers.ReserveAnswer(len(r.buf)) {
+			return 0, ErrAnswersTooLarge
+		}
+		r.reserved += len(r.buf)
 		r.buf = append(r.buf, make([]byte, len(r.buf))...)
 	}
 	n, err := r.body.Read(r.buf[r.end:])
--- a/pomelolink/link_test.go
+++ b/pomelolink/link_test.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
@@ -176,3 +179,61 @@
 		t.Errorf("%d connections opened, want 3: other requests use the connections further", n)
 	}
 }
+
+// Guards against events that are each within their limit and exceed the memory of the process together.
+func TestEventsOfAllStreamsShareMemory(t *testing.T) {
+	const memory, eventBytes = 64 << 10, 40 << 10
+	l := pomelolink.New(pomelolink.Config{
+		Protocol:       pomelolink.Protocol{IDHeader: idField, NotRun: func(*http.Response) bool { return false }, AllowCloseDelimited: true},
+		MaxHeaderBytes: 4096, MaxAnswerMemory: memory, DialTimeout: time.Second, IdleConns: 4, IdleTimeout: 10 * time.Second,
+	})
+	t.Cleanup(l.Close)
+	addr := serveAnswer(t, "Content-Type: text/event-stream\r\n\r\ndata: "+strings.Repeat("x", eventBytes)+"\n\n")
+	read := func() (release func(), err error) {
+		req := &http.Request{Method: "GET", URL: &url.URL{Scheme: "http", Host: addr.String(), Path: "/"}, Host: "h", Header: http.Header{idField: {"1"}}, Body: http.NoBody}
+		x, f := l.Open(context.Background(), pomelolink.UpstreamRequest{Addr: addr, Request: req})
+		if f != nil {
+			t.Fatal(f.Err)
+		}
+		var events pomelolink.EventReader
+		events.Reset(x)
+		_, err = events.Next()
+		return func() {
+			events.Release()
+			x.Close()
+		}, err
+	}
+	releaseFirst, err := read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	releaseSecond, err := read()
+	if !errors.Is(err, pomelolink.ErrAnswersTooLarge) {
+		t.Errorf("a second event of %d bytes within %d: %v, want ErrAnswersTooLarge", eventBytes, memory, err)
+	}
+	releaseSecond()
+	releaseFirst()
+	release, err := read()
+	if err != nil {
+		t.Errorf("after the others were released: %v", err)
+	}
+	release()
+}
+
+// serveAnswer answers the first request of each connection with the given rest of the header and body, and closes the connection.
+func serveAnswer(t *testing.T, rest string) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s", idField, r.Header.Get(idField), rest)
+	})
+	server.Start()
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
--- a/pomeloroute/config.go
+++ b/pomeloroute/config.go
@@ -33,7 +33,8 @@
 	MaxHeaderBytes pomelorelay.Bytes
 	// MaxBody limits the size of a request body, even if the service allows more, 16 MiB by default.
 	MaxBody pomelorelay.Bytes
-	// MaxBufferedBodies limits the total size of the request bodies that are buffered at a time, 256 MiB by default.
+	// MaxBufferedBodies limits the total size of the request bodies that are buffered at a time, and that of the large events of streams, 256 MiB
+	// each by default.
 	MaxBufferedBodies pomelorelay.Bytes
 	// MaxBufferedAnswer is the largest plain answer that is buffered completely before it is forwarded, 64 KiB by default.
 	MaxBufferedAnswer pomelorelay.Bytes
--- a/pomeloroute/handler.go
+++ b/pomeloroute/handler.go
@@ -55,10 +55,12 @@
 	return pomelolink.New(pomelolink.Config{
 		Protocol:       pomelolink.Protocol{IDHeader: headerRequestID, NotRun: isNotRun},
 		MaxHeaderBytes: cfg.Options.MaxHeaderBytes,
-		DialTimeout:    cfg.Options.DialTimeout,
-		IdleConns:      cfg.Options.IdleConns,
-		IdleTimeout:    cfg.Options.IdleTimeout,
-		Logger:         cfg.Logger,
+
+		MaxAnswerMemory: cfg.Options.MaxBufferedBodies,
+		DialTimeout:     cfg.Options.DialTimeout,
+		IdleConns:       cfg.Options.IdleConns,
+		IdleTimeout:     cfg.Options.IdleTimeout,
+		Logger:          cfg.Logger,
 	})
 }
 
--- a/pomeloroute/stream.go
+++ b/pomeloroute/stream.go
@@ -44,11 +44,11 @@
 
 func newStream(ctx context.Context, c *call, x *pomelolink.Exchange, m *meter, up *pomeloconfig.Upstream) *stream {
 	s := &stream{ctx: ctx, c: c, x: x, m: m, up: up, engine: c.service.Kind == pomeloconfig.ServiceModel}
-	s.events.Reset(c.h.buffers.Chunk(), x)
+	s.events.Reset(x)
 	return s
 }
 
-func (s *stream) release() { s.c.h.buffers.PutChunk(s.events.Buffer()) }
+func (s *stream) release() { s.events.Release() }
 
 // forward forwards events until the stream is complete or has failed and cannot be resumed.
 func (s *stream) forward() *pomelolink.Failure {
@@ -165,7 +165,7 @@
 }
 
 func (s *stream) failure(err error) *pomelolink.Failure {
-	if errors.Is(err, errNoUsage) || errors.Is(err, pomelolink.ErrEventTooLarge) {
+	if errors.Is(err, errNoUsage) || errors.Is(err, pomelolink.ErrEventTooLarge) || errors.Is(err, pomelolink.ErrAnswersTooLarge) {
 		s.x.CloseConnection()
 		return pomelolink.NewFailure(pomelolink.OutcomeTruncated, pomelorelay.CodeAnswerMalformed, err)
 	}
@@ -208,7 +208,7 @@
 	}
 	s.x.Close()
 	s.x = x
-	s.events.Reset(s.events.Buffer(), x)
+	s.events.Reset(x)
 	s.c.h.cfg.Logger.Log(pomelorelay.EventStreamResumed, pomelorelay.Field{Key: "Request", Value: s.c.wireID}, pomelorelay.Field{Key: "Upstream", Value: s.up.Name})
 	return true
 }
