Bytes that belong to no event are not forwarded before an event follows

When the upstream had failed, the router resumed the stream at another one and the caller's answer went on behind the blank lines.

Change: events without an id in streams with ids, and events without data, are held until an event follows, which keeps their order, and dropped if the stream breaks off. After 4 KiB of them the stream has failed.

TestBlankEventsOfBrokenStreamAreNotForwarded fails before; TestCommentsOfStreamAreForwarded guards what must stay.

--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -63,6 +63,8 @@
 	answerBeganAt time.Time
 	lastEventAt   time.Time
 	longestPause  time.Duration
+	// held are the events that are forwarded once another one follows them.
+	held []byte
 	// eventsRead is the number of stream events that the upstream of the last attempt sent.
 	eventsRead int
 	decision   pomeloplace.Decision
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -181,6 +181,8 @@
 	// bufferedAnswerMemory is the memory reserved for a plain answer that exceeds maxSmallAnswer bytes: its buffer grows by doubling.
 	bufferedAnswerMemory = 2 * maxBufferedAnswer
 	maxSmallAnswer       = 4 << 10
+	// maxHeld limits the bytes of events that are held back until another event follows, since an upstream may send bytes without end.
+	maxHeld = 4 << 10
 	// harmlessAfter is how long after its first event an answer of at least harmlessEvents events shows that its prompt does not crash upstreams:
 	// they crash when they begin to answer such a prompt. A slow router may read the first events late.
 	harmlessAfter  = 500 * time.Millisecond
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -12,6 +12,7 @@
 var (
 	errPartial  = errors.New("stream ended within an event")
 	errNoEvents = errors.New("connection closed before the first event of a stream")
+	errNoIDs    = errors.New("over 4 KiB of a stream without an event id")
 )
 
 // forwardStream forwards complete events as they arrive, each once and in order.
@@ -19,13 +20,21 @@
 	var events pomelolink.EventReader
 	events.Reset(x)
 	defer events.Release()
+	c.held = c.held[:0]
 	var begunAt time.Time
-	for n := 1; ; n++ {
+	for {
 		event, err := events.Next()
 		if err != nil {
 			return c.endStream(x, &events, !begunAt.IsZero(), err)
 		}
-		c.eventsRead = n
+		held, f := c.hold(event)
+		if f != nil {
+			return f
+		}
+		if held {
+			continue
+		}
+		c.eventsRead++
 		if begunAt.IsZero() {
 			begunAt = c.h.cfg.Clock.Now()
 			c.version, c.versionFixed = c.decision.Upstream.Version, true
@@ -42,10 +51,11 @@
 			c.writeHead(x.Response, -1)
 		}
 		c.recordPause()
-		if !c.lastedLong && n >= harmlessEvents && c.lastEventAt.Sub(begunAt) >= harmlessAfter {
+		if !c.lastedLong && c.eventsRead >= harmlessEvents && c.lastEventAt.Sub(begunAt) >= harmlessAfter {
 			c.lastedLong = true
 			reservation.AnswerLasts()
 		}
+		c.writeHeld()
 		c.write(event.Raw)
 		if events.Empty() {
 			c.flush()
@@ -53,6 +63,24 @@
 	}
 }
 
+// hold keeps an event that may be no part of the answer until another event follows it, and reports whether it did: one without an id in a stream
+// with ids, and one without data. If the stream breaks off, it is not forwarded. It fails on a series of such events, which may have no end.
+func (c *call) hold(e pomelolink.Event) (bool, *pomelolink.Failure) {
+	if _, numbered := e.ID(); numbered || (len(e.Data()) > 0 && !c.route.Resumable && !c.hasLastEvent) {
+		return false, nil
+	}
+	if len(c.held)+len(e.Raw) > maxHeld {
+		return false, malformed(errNoIDs)
+	}
+	c.held = append(c.held, e.Raw...)
+	return true, nil
+}
+
+func (c *call) writeHeld() {
+	c.write(c.held)
+	c.held = c.held[:0]
+}
+
 // recordPause updates the longest pause between two events, which is compared with the route's MaxEventGap.
 func (c *call) recordPause() {
 	now := c.h.cfg.Clock.Now()
@@ -98,5 +126,6 @@
 	if !c.answerStarted {
 		c.writeHead(x.Response, -1)
 	}
+	c.writeHeld()
 	return nil
 }
--- a/pomeloforward/stream_test.go
+++ b/pomeloforward/stream_test.go
@@ -130,3 +130,30 @@
 		}
 	}
 }
+
+// Guards against reordering or losing the parts of a stream that are no events of their own, as comments that keep a connection alive.
+func TestCommentsOfStreamAreForwarded(t *testing.T) {
+	const comment = ": still there\n\n"
+	u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+		write(conn, streamHead(r)+chunkOf(comment)+eventChunk(1)+chunkOf(comment)+eventChunk(2)+chunkOf(comment)+lastChunk)
+	})
+	h := newHarness(t, u.entry("u"))
+	want := comment + "id: 1\ndata: piece 1\n\n" + comment + "id: 2\ndata: piece 2\n\n" + comment
+	if got := h.call("POST", "/chat/", "x"); got.body != want || got.bodyErr != nil {
+		t.Errorf("body %q (%v), want %q", got.body, got.bodyErr, want)
+	}
+}
+
+// Guards against forwarding bytes that belong to no event, of a stream that breaks off and is resumed elsewhere.
+func TestBlankEventsOfBrokenStreamAreNotForwarded(t *testing.T) {
+	broken := newUpstream(t, func(conn net.Conn, r *http.Request) {
+		write(conn, streamHead(r)+chunkOf("\n\n\n\n"))
+		time.Sleep(20 * time.Millisecond)
+		reset(conn)
+	})
+	h := newHarness(t, broken.entry("u1"), newUpstream(t, stream(1, 2)).entry("u2"))
+	want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+	if got := h.call("POST", "/chat/", "x"); got.body != want || got.bodyErr != nil {
+		t.Errorf("body %q (%v), want %q", got.body, got.bodyErr, want)
+	}
+}
