An answer that has begun ends by its request's deadline and counts as failed

Bytes without end in place of an answer were read for 100 ms beyond the request's deadline; where the caller left first, its upstream did not count as failing; and a body of unknown length was forwarded as fast as it came, 1,061,580,800 bytes within 2 s, which takes the processor from other callers.

Cause: the 100 ms in which the upstream's own final answer may arrive held for answers that had begun, too; a caller's disconnect never counts against an upstream; nothing bounds an answer that doesn't state its length.

Change: from the first byte of an answer on, the deadline is the request's. A run whose caller leaves at its deadline while an answer goes on counts as failed. A plain answer of unknown length is cut after 16 MiB.

--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -17,6 +17,7 @@
 	errFalseNotRun = errors.New("status states that the request did not run, but the upstream did not confirm it")
 	errFailed      = errors.New("upstream answered with a server error")
 	errNoBody      = errors.New("connection closed before the body of an answer without length")
+	errNoEnd       = errors.New("answer without length exceeds 16 MiB")
 )
 
 // checkHead fails when the head of an answer must not reach the caller.
@@ -104,8 +105,12 @@
 	c.write(buffer.Bytes())
 	chunk := c.h.buffers.Chunk()
 	defer c.h.buffers.PutChunk(chunk)
+	total := buffer.Len()
 	for {
 		n, err := x.Response.Body.Read(chunk)
+		if total += n; total > maxUnsizedAnswer && x.Response.ContentLength < 0 {
+			return malformed(errNoEnd)
+		}
 		c.write(chunk[:n])
 		if errors.Is(err, io.EOF) {
 			x.BodyComplete = true
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -117,7 +117,7 @@
 	}()
 	c.eventsRead = 0
 	answer, f := c.exchange(ctx, up, reservation)
-	end.Result, end.Events = resultOf(ctx, f), c.eventsRead
+	end.Result, end.Events = c.resultOf(ctx, f), c.eventsRead
 	if f == nil {
 		end = c.answerEnd(answer)
 		return nil
@@ -204,13 +204,16 @@
 	return run
 }
 
-// resultOf returns the result of an attempt for its upstream. A caller's disconnect is not counted against the upstream.
-func resultOf(ctx context.Context, f *pomelolink.Failure) pomeloplace.Result {
+// resultOf returns the result of an attempt for its upstream. A caller's disconnect is not counted against the upstream, unless the caller left at
+// its deadline while an answer went on.
+func (c *call) resultOf(ctx context.Context, f *pomelolink.Failure) pomeloplace.Result {
 	switch {
 	case f == nil:
 		return pomeloplace.ResultCompleted
 	case f.Outcome == pomelolink.OutcomeNotSent && (f.Err.Code == pomelorelay.CodeCancelled || errors.Is(ctx.Err(), context.Canceled)):
 		return pomeloplace.ResultCancelledUnsent
+	case f.Outcome == pomelolink.OutcomeTruncated && c.timeLeft() <= answerGrace:
+		return pomeloplace.ResultFailed
 	case errors.Is(ctx.Err(), context.Canceled):
 		return pomeloplace.ResultCancelled
 	case f.Outcome == pomelolink.OutcomeNotSent:
@@ -323,7 +326,8 @@
 // exchange sends the request to an upstream and forwards the answer, whose head it returns.
 func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, reservation Reservation) (*http.Response, *pomelolink.Failure) {
 	x, f := c.h.links.Open(ctx, pomelolink.UpstreamRequest{
-		Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), Carriers: &c.carriers, StillWanted: func() bool { return !c.callerGone() },
+		Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), Carriers: &c.carriers, AnswerBy: c.deadline,
+		StillWanted: func() bool { return !c.callerGone() },
 	})
 	if f != nil {
 		c.connection = f.Connection
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -181,7 +181,9 @@
 	// bufferedAnswerMemory is the memory reserved for a plain answer that exceeds maxSmallAnswer bytes: its buffer grows by doubling.
 	bufferedAnswerMemory = 2 * maxBufferedAnswer
 	maxSmallAnswer       = 4 << 10
-	// maxHeld limits the bytes of events that are held back until another event follows, since an upstream may send bytes without end.
+	// maxUnsizedAnswer limits a plain answer that does not state its length, since an upstream may send bytes without end.
+	maxUnsizedAnswer = 16 << 20
+	// maxHeld limits the bytes of events that are held back until another event follows, for the same reason.
 	maxHeld = 4 << 10
 	// harmlessAfter is how long after its first event an answer of at least harmlessEvents events shows that its prompt does not crash upstreams:
 	// they crash when they begin to answer such a prompt. A slow router may read the first events late.
--- a/pomelolink/conn.go
+++ b/pomelolink/conn.go
@@ -30,9 +30,11 @@
 	read    atomic.Int64
 	// headerBytesLeft is how many more bytes of an answer's header may be read: zero means no limit, negative that the limit is reached.
 	headerBytesLeft int64
-	reused          bool
-	use             ConnectionUse
-	idleSince       time.Time
+	// answerBy is the deadline that holds from the first byte of an answer on; zero once it was set, or for none.
+	answerBy  time.Time
+	reused    bool
+	use       ConnectionUse
+	idleSince time.Time
 	// maxIdle is how long the connection may stay idle, from the upstream's Keep-Alive field if it sent one.
 	maxIdle time.Duration
 }
@@ -58,6 +60,11 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.read.Add(int64(n))
+	if n > 0 && !c.answerBy.IsZero() {
+		if deadlineErr := c.limitAnswer(); err == nil {
+			err = deadlineErr
+		}
+	}
 	if c.headerBytesLeft > 0 {
 		c.headerBytesLeft -= int64(n)
 		if c.headerBytesLeft == 0 {
@@ -71,7 +78,18 @@
 
 func (c *upstreamConn) unlimitHeader() { c.headerBytesLeft = 0 }
 
-func (c *upstreamConn) begin(deadline time.Time) error {
+// limitAnswer sets the deadline of an answer that has begun before it.
+func (c *upstreamConn) limitAnswer() error {
+	by := c.answerBy
+	c.answerBy = time.Time{}
+	if time.Now().After(by) {
+		return nil
+	}
+	return c.SetReadDeadline(by)
+}
+
+func (c *upstreamConn) begin(deadline, answerBy time.Time) error {
+	c.answerBy = answerBy
 	c.written.Store(0)
 	c.read.Store(0)
 	c.use.Exchange++
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -78,6 +78,9 @@
 	// Carriers are the connections that have carried the request's id before. Open uses none of them and adds the one that it uses. It may be
 	// nil only if no other attempt has the id.
 	Carriers *Carriers
+	// AnswerBy is when an answer of which a part has been received must be complete; an answer that begins later may take until the context's
+	// deadline. Zero means the context's deadline.
+	AnswerBy time.Time
 	// StillWanted is called after the connection is opened and before the request is written; the request is sent only if it returns true
 	// or is nil. Opening a connection can take a second, and the caller's disconnect may be detected late on a busy CPU.
 	StillWanted func() bool
@@ -96,7 +99,7 @@
 	}
 	x := &Exchange{client: c, ctx: ctx, addr: r.Addr, conn: conn, requestID: r.Request.Header.Get(c.cfg.Protocol.IDHeader)}
 	deadline, _ := ctx.Deadline()
-	if err := conn.begin(deadline); err != nil {
+	if err := conn.begin(deadline, r.AnswerBy); err != nil {
 		conn.Close()
 		return nil, notSentFailure(ctx, err)
 	}
