Large request bodies share a bounded part of the memory

A caller that fell silent within its body kept handler and buffer for good.

Cause: each body was read into a doubling buffer; the operators' limit bounds each body, nothing their sum.

Change: bodies over 64 KiB share a quarter of the process's memory. One of known length is reserved before it is read, in a buffer of its size; a request without room gets 503 (1210) at once. The body is read until the request's deadline at most.

TestLargeBodiesShareMemory and TestSilentBodyEndsAtDeadline guard it.

--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -21,6 +21,8 @@
 	requestMemoryBytes = 64 << 10
 	// requestMemoryFraction is the fraction of memory available to requests.
 	requestMemoryFraction = 0.3
+	// bodyMemoryFraction is the fraction of memory available to large request bodies, all requests together.
+	bodyMemoryFraction = 0.25
 	// answerMemoryFraction is the fraction of memory available to large events and answers, all requests together.
 	answerMemoryFraction = 0.1
 	// initialRequestsPerCore is the initial limit of concurrent streams per core.
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -136,6 +136,7 @@
 		RetryRatio: cfg.Settings.RetryRatio,
 		RetrySlack: cfg.Settings.RetrySlack,
 
+		BodyMemory:   pomelorelay.Bytes(bodyMemoryFraction * float64(cfg.Settings.MemoryLimit)),
 		AnswerMemory: pomelorelay.Bytes(answerMemoryFraction * float64(cfg.Settings.MemoryLimit)),
 	})
 	e.crashRecorder = newCrashRecorder(e)
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -28,6 +26,8 @@
 	accountPriority *int
 	service         pomelorelay.ServiceID
 	body            *bytes.Buffer
+	// bodyReserved is the number of bytes reserved for the body.
+	bodyReserved int64
 	// fingerprints holds the request's fingerprint, which identifies its repetitions under other request IDs and at other routers, and then those
 	// of the prompt parts that other requests may share. It is empty until the body was read.
 	fingerprints []pomelorelay.Fingerprint
@@ -156,53 +156,6 @@
 	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(writeGrace))
 }
 
-func (c *call) readBody() error {
-	limit := int64(c.table.Limits().BodyBytes)
-	if limit > 0 && c.r.ContentLength > limit {
-		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
-	}
-	if f := c.stopFailure(); f != nil {
-		return f.Err
-	}
-	if c.r.ContentLength == 0 {
-		return nil
-	}
-	release := c.endReadAtFinalAnswers()
-	defer release()
-	c.body = c.h.buffers.Body()
-	var body io.Reader = c.r.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(c.w, c.r.Body, limit)
-	}
-	_, err := c.body.ReadFrom(&bodyUntilStop{c: c, r: body})
-	if f := c.stopFailure(); f != nil && err != nil {
-		return f.Err
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return pomelorelay.NewError(pomelorelay.CodeTooLarge, "", nil)
-	}
-	if err != nil {
-		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "the body ended early", err)
-	}
-	return nil
-}
-
-func (c *call) bodyBytes() []byte {
-	if c.body == nil {
-		return nil
-	}
-	return c.body.Bytes()
-}
-
-// releaseBody returns the body's buffer to the pool.
-func (c *call) releaseBody() {
-	if c.body != nil {
-		c.h.buffers.PutBody(c.body)
-		c.body = nil
-	}
-}
-
 // repeatable reports whether a request that may have run may be sent again.
 func (c *call) repeatable() bool {
 	return c.route.Kind == pomelorelay.RouteIdempotent || (c.route.Kind == pomelorelay.RouteStream && c.route.Resumable)
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -27,6 +27,8 @@
 	// RetryRatio and RetrySlack bound the fleet's retries for a service: to this ratio of its requests, plus a constant number of retries.
 	RetryRatio float64
 	RetrySlack float64
+	// BodyMemory limits the memory of all request bodies over 64 KiB; zero means no limit.
+	BodyMemory pomelorelay.Bytes
 	// AnswerMemory limits the memory of all buffered answers beyond one chunk each; zero means no limit.
 	AnswerMemory pomelorelay.Bytes
 }
--- a/pomeloforward/handler.go
+++ b/pomeloforward/handler.go
@@ -20,6 +20,7 @@
 
 	crashChecks *crashChecks
 	runTimes    runTimes
+	bodies      bodyMemory
 
 	mu      sync.Mutex
 	budgets map[pomelorelay.ServiceID]*pomelobudget.RetryBudget
@@ -43,6 +44,7 @@
 		Logger:          cfg.Logger,
 	})
 	h.buffers = h.links.Buffers()
+	h.bodies.limit = int64(cfg.BodyMemory)
 	h.crashChecks = newCrashChecks(cfg, h.links)
 	return h
 }
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -149,6 +149,12 @@
 }
 
 func newHarness(t *testing.T, upstreams ...pomelorelay.FleetUpstream) *harness {
+	t.Helper()
+	return newHarnessWithBodies(t, 1000, 0, upstreams...)
+}
+
+// newHarnessWithBodies returns a harness with a limit on each body and on the memory of all of them.
+func newHarnessWithBodies(t *testing.T, bodyLimit, bodyMemory pomelorelay.Bytes, upstreams ...pomelorelay.FleetUpstream) *harness {
 	t.Helper()
 	h := &harness{t: t}
 	h.finalAnswers, h.endAnswers = context.WithCancel(context.Background())
@@ -162,12 +168,12 @@
 	}
 	h.table = pomelotable.New(&pomelorelay.FleetConfig{
 		Version: 3, Routes: shared, Accounts: []pomelorelay.AccountSpec{{Name: "acct", Keys: []string{"key"}}},
-		Limits: pomelorelay.CallerLimits{BodyBytes: 1000},
+		Limits: pomelorelay.CallerLimits{BodyBytes: bodyLimit},
 	})
 	handler := pomeloforward.New(pomeloforward.Config{
 		Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}, Wire: pomelofake.TestWireFormat{}, Tables: h, Placement: h, Crashes: h, Shutdown: h, Meter: h,
 		CallerGone: h.isCallerGone,
-		Fleet:      h, RetryRatio: 0.2, RetrySlack: 100,
+		Fleet:      h, RetryRatio: 0.2, RetrySlack: 100, BodyMemory: bodyMemory,
 	})
 	h.handler = handler
 	h.server = httptest.NewServer(handler)
--- a/pomeloforward/shutdown.go
+++ b/pomeloforward/shutdown.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -57,13 +55,6 @@
 	}
 }
 
-// endReadAtFinalAnswers ends the read of the request's body when requests must get their final answers. The function that it returns undoes this.
-func (c *call) endReadAtFinalAnswers() func() bool {
-	return context.AfterFunc(c.h.cfg.Shutdown.FinalAnswers(), func() {
-		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now())
-	})
-}
-
 // closeIfStopping tells the caller to use another connection for its next request if the router is stopping.
 func (c *call) closeIfStopping() {
 	if _, stopping := c.h.cfg.Shutdown.TimeLeft(); stopping {
@@ -71,24 +62,6 @@
 	}
 }
 
-// bodyUntilStop reads a request's body; it fails once the request could no longer be answered before the router stops.
-type bodyUntilStop struct {
-	c *call
-	r io.Reader
-}
-
-// Read reads from the body; it fails with CodeStopping.
-func (b *bodyUntilStop) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	if err != nil {
-		return n, err
-	}
-	if f := b.c.stopFailure(); f != nil {
-		return n, f.Err
-	}
-	return n, nil
-}
-
 const (
 	// runTimeCount is the number of recent run times that are kept for a route, minRunTimes the number from which they are used.
 	runTimeCount = 64
