--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -123,19 +123,18 @@
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.finalAnswers, e.endAnswers = context.WithCancel(context.Background())
 	e.forward = pomeloforward.New(pomeloforward.Config{
-		Clock:      cfg.Clock,
-		Logger:     cfg.Logger,
-		Wire:       cfg.Wire,
-		Tables:     tables{e},
-		Placement:  placement{e},
-		Crashes:    crashGuard{e},
-		Shutdown:   stopping{e},
-		Fleet:      fleetSize{e},
-		Meter:      e.metrics,
-		CallerGone: e.callerGone,
-		RetryRatio: cfg.Settings.RetryRatio,
-		RetrySlack: cfg.Settings.RetrySlack,
-
+		Clock:        cfg.Clock,
+		Logger:       cfg.Logger,
+		Wire:         cfg.Wire,
+		Tables:       tables{e},
+		Placement:    placement{e},
+		Crashes:      crashGuard{e},
+		Shutdown:     stopping{e},
+		Fleet:        fleetSize{e},
+		Meter:        e.metrics,
+		CallerGone:   e.callerGone,
+		RetryRatio:   cfg.Settings.RetryRatio,
+		RetrySlack:   cfg.Settings.RetrySlack,
 		BodyMemory:   pomelorelay.Bytes(bodyMemoryFraction * float64(cfg.Settings.MemoryLimit)),
 		AnswerMemory: pomelorelay.Bytes(answerMemoryFraction * float64(cfg.Settings.MemoryLimit)),
 	})
--- a/pomelolink/buffer.go
+++ b/pomelolink/buffer.go
@@ -31,10 +31,9 @@
 func NewBuffers(answerLimit pomelorelay.Bytes) *Buffers {
 	return &Buffers{
 		answerLimit: int64(answerLimit),
-
-		bodies:  sync.Pool{New: func() any { return new(bytes.Buffer) }},
-		writers: sync.Pool{New: func() any { return bufio.NewWriterSize(io.Discard, connBufferBytes) }},
-		chunks:  sync.Pool{New: func() any { return new([connBufferBytes]byte) }},
+		bodies:      sync.Pool{New: func() any { return new(bytes.Buffer) }},
+		writers:     sync.Pool{New: func() any { return bufio.NewWriterSize(io.Discard, connBufferBytes) }},
+		chunks:      sync.Pool{New: func() any { return new([connBufferBytes]byte) }},
 	}
 }
 
--- a/pomeloroute/handler.go
+++ b/pomeloroute/handler.go
@@ -53,9 +53,8 @@
 
 func newClient(cfg Config) *pomelolink.Client {
 	return pomelolink.New(pomelolink.Config{
-		Protocol:       pomelolink.Protocol{IDHeader: headerRequestID, NotRun: isNotRun},
-		MaxHeaderBytes: cfg.Options.MaxHeaderBytes,
-
+		Protocol:        pomelolink.Protocol{IDHeader: headerRequestID, NotRun: isNotRun},
+		MaxHeaderBytes:  cfg.Options.MaxHeaderBytes,
 		MaxAnswerMemory: cfg.Options.MaxBufferedBodies,
 		DialTimeout:     cfg.Options.DialTimeout,
 		IdleConns:       cfg.Options.IdleConns,
