--- a/pomelolink/link_test.go
+++ b/pomelolink/link_test.go
@@ -237,3 +237,53 @@
 	t.Cleanup(server.Close)
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
+
+// Guards against an answer that has begun in time and goes on beyond AnswerBy, and against cutting one that begins later.
+func TestAnswerThatHasBegunEndsByAnswerBy(t *testing.T) {
+	const answerBy, contextTime = 200 * time.Millisecond, 10 * time.Second
+	for _, c := range []struct {
+		name      string
+		beginsIn  time.Duration
+		continues bool
+		complete  bool
+	}{
+		{"begun, without end", 0, true, false},
+		{"begun later", 2 * answerBy, false, true},
+	} {
+		addr := serveSlowly(t, c.beginsIn, c.continues)
+		ctx, cancel := context.WithTimeout(context.Background(), contextTime)
+		req := &http.Request{Method: "GET", URL: &url.URL{Scheme: "http", Host: addr.String(), Path: "/"}, Host: "h", Header: http.Header{idField: {"1"}}, Body: http.NoBody}
+		began := time.Now()
+		x, f := newClient(t).Open(ctx, pomelolink.UpstreamRequest{Addr: addr, Request: req, AnswerBy: began.Add(answerBy)})
+		if f != nil {
+			t.Fatal(c.name, f.Err)
+		}
+		_, err := io.Copy(io.Discard, x.Response.Body)
+		if complete := err == nil; complete != c.complete {
+			t.Errorf("%s: complete %v (%v), want %v", c.name, complete, err, c.complete)
+		}
+		if took := time.Since(began); took > contextTime/2 {
+			t.Errorf("%s: took %v, want much less than the context's %v", c.name, took, contextTime)
+		}
+		x.Close()
+		cancel()
+	}
+}
+
+// serveSlowly answers each request after a wait, with a body that has no end if continues is set.
+func serveSlowly(t *testing.T, wait time.Duration, continues bool) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(wait)
+		w.Header().Set(idField, r.Header.Get(idField))
+		for {
+			if _, err := io.WriteString(w, "x"); err != nil || !continues || r.Context().Err() != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
