A stream that lasts until its deadline does not count as failed

Cause, by reading: since an answer that has begun ends at the deadline and counts against its upstream, so does each stream of events that is still running then. On a fleet that is asked for twice what it can serve these are many, and their engines are avoided as failing. Before, the callers left first, which is no failure.

TestStreamUntilDeadlineIsNoFailure fails before.

--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -204,8 +204,8 @@
 	return run
 }
 
-// resultOf returns the result of an attempt for its upstream. A caller's disconnect is not counted against the upstream, unless the caller left at
-// its deadline while an answer went on.
+// resultOf returns the result of an attempt for its upstream. A caller's disconnect is not counted against the upstream, and neither is a stream of
+// events that lasts until the deadline. An answer without events that goes on until then is.
 func (c *call) resultOf(ctx context.Context, f *pomelolink.Failure) pomeloplace.Result {
 	switch {
 	case f == nil:
@@ -213,6 +213,9 @@
 	case f.Outcome == pomelolink.OutcomeNotSent && (f.Err.Code == pomelorelay.CodeCancelled || errors.Is(ctx.Err(), context.Canceled)):
 		return pomeloplace.ResultCancelledUnsent
 	case f.Outcome == pomelolink.OutcomeTruncated && c.timeLeft() <= answerGrace:
+		if c.eventsRead > 0 {
+			return pomeloplace.ResultCancelled
+		}
 		return pomeloplace.ResultFailed
 	case errors.Is(ctx.Err(), context.Canceled):
 		return pomeloplace.ResultCancelled
--- a/pomeloforward/endless_test.go
+++ b/pomeloforward/endless_test.go
@@ -101,3 +101,24 @@
 		t.Errorf("%d bytes forwarded (%v), want at most 16 MiB and a cut", len(got.body), got.bodyErr)
 	}
 }
+
+// Guards against taking an upstream for failing because its streams last longer than their requests.
+func TestStreamUntilDeadlineIsNoFailure(t *testing.T) {
+	closed := make(chan time.Time, 1)
+	u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+		_, err := conn.Write([]byte(streamHead(r)))
+		for id := 1; err == nil; id++ {
+			time.Sleep(5 * time.Millisecond)
+			_, err = conn.Write([]byte(eventChunk(id)))
+		}
+		closed <- time.Now()
+	})
+	h := newHarness(t, u.entry("u"))
+	if got := h.call("POST", "/draft/", "x", pomelofake.TestHeaderWait, "300"); got.bodyErr == nil {
+		t.Errorf("answer %+v, want a cut stream", got)
+	}
+	<-closed
+	if r := h.result(0); r != pomeloplace.ResultCancelled {
+		t.Errorf("result %v, want ResultCancelled", r)
+	}
+}
