A request allocates less again

The final answers of a planned stop had added a second context with two closures to each attempt, and the connection's fields a list of their own; the list of a line's fields was too short by two and was copied.

--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -50,7 +50,7 @@
 			return
 		}
 		c.h.cfg.Meter.CountRetry(c.service, f.Err.Code)
-		c.log(pomelorelay.EventRequestRetried, append(codeFields(f), c.connectionFields()...)...)
+		c.log(pomelorelay.EventRequestRetried, c.appendConnection(codeFields(f))...)
 	}
 }
 
@@ -94,8 +94,10 @@
 func (c *call) attempt() *pomelolink.Failure {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline.Add(answerGrace))
 	defer cancel()
-	ctx, release := c.untilFinalAnswers(ctx)
-	defer release()
+	if !c.answerStarted {
+		c.keepAnswer = context.AfterFunc(c.h.cfg.Shutdown.FinalAnswers(), cancel)
+		defer c.keepAnswer()
+	}
 	reservation, f := c.place(ctx)
 	if f != nil {
 		return f
@@ -126,6 +128,7 @@
 		c.mayHaveRun = ranBefore
 		c.abandon()
 	}
+	c.noteStop(ctx, f)
 	if f.ConnectionBroken {
 		c.reportBrokenConnection(up)
 	}
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -185,7 +185,7 @@
 		pomelorelay.Field{Key: "Served", Value: int64(d.Share.Served)},
 		pomelorelay.Field{Key: "Level", Value: int64(d.Share.FairShare)},
 	)
-	all = append(all, c.connectionFields()...)
+	all = c.appendConnection(all)
 	if d.Reserve.Slots > 0 {
 		all = append(all,
 			pomelorelay.Field{Key: "Reserve", Value: d.Reserve.Slots},
@@ -206,17 +206,17 @@
 }
 
 // maxEndingFields is the number of fields that logEnding adds, for the capacity of their list.
-const maxEndingFields = 22
+const maxEndingFields = 25
 
-// connectionFields returns the fields that identify the upstream connection of the last attempt; none if no connection carried it.
-func (c *call) connectionFields() []pomelorelay.Field {
+// appendConnection appends the fields that identify the upstream connection of the last attempt, unless no connection carried it.
+func (c *call) appendConnection(fields []pomelorelay.Field) []pomelorelay.Field {
 	if c.connection.Number == 0 {
-		return nil
-	}
-	return []pomelorelay.Field{
-		{Key: "Connection", Value: c.connection.Number},
-		{Key: "Exchange", Value: c.connection.Exchange},
+		return fields
 	}
+	return append(fields,
+		pomelorelay.Field{Key: "Connection", Value: c.connection.Number},
+		pomelorelay.Field{Key: "Exchange", Value: c.connection.Exchange},
+	)
 }
 
 // announced returns the figures that an upstream announced, in the order of the header; empty if it announced none.
--- a/pomeloforward/shutdown.go
+++ b/pomeloforward/shutdown.go
@@ -36,21 +36,13 @@
 // mustEnd reports whether requests must get their final answers.
 func (c *call) mustEnd() bool { return c.h.cfg.Shutdown.FinalAnswers().Err() != nil }
 
-// untilFinalAnswers returns a context that also ends when requests must get their final answers, unless the answer has begun by then.
-func (c *call) untilFinalAnswers(ctx context.Context) (context.Context, func()) {
-	if c.answerStarted {
-		return ctx, func() {}
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	c.keepAnswer = context.AfterFunc(c.h.cfg.Shutdown.FinalAnswers(), func() {
-		e := pomelorelay.NewError(pomelorelay.CodeStopLate, "", nil)
-		e.RetryAfter = stopRetryAfter
-		cancel(e)
-	})
-	return ctx, func() {
-		c.keepAnswer()
-		cancel(nil)
+// noteStop replaces the error of an attempt that was cancelled because requests must get their final answers.
+func (c *call) noteStop(ctx context.Context, f *pomelolink.Failure) {
+	if ctx.Err() != context.Canceled || c.r.Context().Err() != nil || !c.mustEnd() {
+		return
 	}
+	f.Err = pomelolink.NewFailure(f.Outcome, pomelorelay.CodeStopLate, f.Err).Err
+	f.Err.RetryAfter = stopRetryAfter
 }
 
 // closeIfStopping tells the caller to use another connection for its next request if the router is stopping.
