Idle and header timeouts of callers follow the configuration

Callers' idle connections were closed after 20 s and unfinished headers after 10 s, whatever limits the operators had set.

Cause: net/http reads its timeouts once, when a server starts, and the router gave it constants that were chosen for limits of 15 s and 3 s.

Change: net/http gets timeouts that only mark what a deadline is for; the connection replaces them by those of the configuration in force: a third more than the idle limit, which is 20 s at 15 s as before, and the larger of 10 s and the header limit.

--- a/pomeloentry/fleet_test.go
+++ b/pomeloentry/fleet_test.go
@@ -102,6 +102,12 @@
 
 // config returns a configuration version with routes of the given path prefixes.
 func (f *fleet) config(version pomelorelay.Generation, paths ...string) *pomelorelay.FleetConfig {
+	f.t.Helper()
+	return f.configWith(version, func(*pomelorelay.FleetConfig) {}, paths...)
+}
+
+// configWith returns a modified configuration version.
+func (f *fleet) configWith(version pomelorelay.Generation, change func(*pomelorelay.FleetConfig), paths ...string) *pomelorelay.FleetConfig {
 	f.t.Helper()
 	c := pomelorelay.FleetConfig{
 		Version: version, Services: []pomelorelay.ServiceSpec{{Name: "s"}}, Limits: pomelorelay.CallerLimits{BodyBytes: 1 << 20},
@@ -113,6 +119,7 @@
 			Shares: []pomelorelay.RouteShare{{Service: "s", Weight: 1}},
 		})
 	}
+	change(&c)
 	document, err := json.Marshal(c)
 	if err != nil {
 		f.t.Fatal(err)
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -15,11 +15,8 @@
 const (
 	// listenerCount is the number of HTTP ports of a router.
 	listenerCount = 3
-	// headerTimeout bounds the reading of a request's header; the limit in the operators' configuration is 3 s.
-	headerTimeout = 10 * time.Second
-	// callerIdleTimeout closes idle connections of callers. It exceeds the limit of 15 s in the operators' configuration, because
-	// callers may reuse a connection that was idle for up to four fifths of those 15 s.
-	callerIdleTimeout = 20 * time.Second
+	// controlHeaderTimeout bounds the reading of a request's header on the ports for readiness and metrics.
+	controlHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes bounds a request's header; the limit in the operators' configuration is 16 KiB.
 	maxHeaderBytes = 64 << 10
 	// stopPollInterval is how often a graceful stop checks whether the last connection has closed.
@@ -37,8 +34,8 @@
 	settings := e.cfg.Settings
 	callers := &http.Server{
 		Handler:                      http.HandlerFunc(e.serveCaller),
-		ReadHeaderTimeout:            headerTimeout,
-		IdleTimeout:                  callerIdleTimeout,
+		ReadHeaderTimeout:            headerMark,
+		IdleTimeout:                  idleMark,
 		MaxHeaderBytes:               maxHeaderBytes,
 		ConnState:                    e.countConn,
 		ConnContext:                  e.withConn,
@@ -52,8 +49,8 @@
 		addr   netip.AddrPort
 		server *http.Server
 	}{
-		{settings.MetricsAddr, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout}},
-		{settings.ReadinessAddr, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
+		{settings.MetricsAddr, &http.Server{Handler: metrics, ReadHeaderTimeout: controlHeaderTimeout}},
+		{settings.ReadinessAddr, &http.Server{Handler: ready, ReadHeaderTimeout: controlHeaderTimeout}},
 		{settings.CallerAddr, callers},
 	} {
 		if err := e.serve(l.server, l.addr); err != nil {
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -173,11 +173,15 @@
 		}
 		if !l.e.mustCloseUnread() {
 			tcp, ok := conn.(*net.TCPConn)
-			if !ok || !l.e.overload.limited.Load() {
+			if !ok {
 				return conn, nil
 			}
+			timed := timedConn{tcp, l.e}
+			if !l.e.overload.limited.Load() {
+				return timed, nil
+			}
 			if l.e.mayScreen() {
-				return newScreenedConn(l.e, tcp), nil
+				return newScreenedConn(timed), nil
 			}
 		}
 		l.e.overload.refused.unreadConns.Add(1)
@@ -210,7 +214,7 @@
 	if info == nil {
 		return false
 	}
-	conn, ok := info.conn.(*net.TCPConn)
+	conn, ok := info.conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/pomeloentry/screen.go
+++ b/pomeloentry/screen.go
@@ -50,8 +50,7 @@
 // screenedConn decides on the first request of a connection before net/http parses it. Through net/http, a refusal takes the parsing of the header,
 // a request, a response and a wait for the body.
 type screenedConn struct {
-	*net.TCPConn
-	e    *Router
+	timedConn
 	info *callerConn
 	// read is set after the first read, or when the connection is closed before it.
 	read atomic.Bool
@@ -70,9 +69,9 @@
 	return c.TCPConn.Close()
 }
 
-func newScreenedConn(e *Router, conn *net.TCPConn) *screenedConn {
-	e.overload.undecided.Add(1)
-	return &screenedConn{TCPConn: conn, e: e, info: &callerConn{conn: conn, acceptedAt: e.steady()}}
+func newScreenedConn(conn timedConn) *screenedConn {
+	conn.e.overload.undecided.Add(1)
+	return &screenedConn{timedConn: conn, info: &callerConn{conn: conn, acceptedAt: conn.e.steady()}}
 }
 
 // Read reads from the connection. If the first read holds the header of a request that is refused, Read answers it and returns io.EOF.
