A stopping router takes late streams by their deadlines only

A stream that a stopping router took because the recent runs of its route had been short was cut at the end of the stop if it took longer.

Cause: run times are an estimate. The stop used it for as long as the time left exceeded it, also for answers that it cannot end truthfully.

Change: in the first three sevenths of the time until the final answers, three eighths of the grace time, streams are taken by run times or by their deadline; later by their deadline only. A refused stream is taken by another router at once. Fractions, so that they hold for any grace time.

Evidence: TestLateStreamIsTakenByItsDeadline; with the fraction out of reach its second row is answered 200 instead of 503.

--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -112,8 +112,8 @@
 // answer in time. It ends when the last connection closes or shortly before the process is killed. Closing idle connections earlier could race
 // with requests already sent on them.
 func (e *Router) Stop() {
-	timeout := float64(e.cfg.Settings.StopTimeout)
-	untilAnswers, untilEnd := time.Duration(finalAnswersFraction*timeout), time.Duration(stopFraction*timeout)
+	timeout := e.cfg.Settings.StopTimeout
+	untilAnswers, untilEnd := untilFinalAnswers(timeout), time.Duration(stopFraction*float64(timeout))
 	began := e.steady()
 	e.stopAt.Store(began + int64(untilAnswers))
 	e.log(pomelorelay.EventStopping, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()))
@@ -130,6 +130,11 @@
 	e.Close()
 }
 
+// untilFinalAnswers returns the time from a stop signal until requests without an answer get a final one.
+func untilFinalAnswers(timeout time.Duration) time.Duration {
+	return time.Duration(finalAnswersFraction * float64(timeout))
+}
+
 // callFinalAnswers makes all requests without an answer end with a final one.
 func (e *Router) callFinalAnswers() {
 	if n := e.inFlight.Load(); n > 0 {
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -253,6 +253,15 @@
 // FinalAnswers returns a context that is done once requests without an answer must end.
 func (s stopping) FinalAnswers() context.Context { return s.e.finalAnswers }
 
+// Elapsed returns the time since the stop began; zero when none is in progress.
+func (s stopping) Elapsed() time.Duration {
+	left, stopping := s.TimeLeft()
+	if !stopping {
+		return 0
+	}
+	return untilFinalAnswers(s.e.cfg.Settings.StopTimeout) - left
+}
+
 // TimeLeft returns the time until FinalAnswers is done, and false when no stop is in progress.
 func (s stopping) TimeLeft() (time.Duration, bool) {
 	at := s.e.stopAt.Load()
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -133,6 +133,8 @@
 type ShutdownState interface {
 	// TimeLeft returns the time until FinalAnswers is done, and false when no stop is planned.
 	TimeLeft() (time.Duration, bool)
+	// Elapsed returns the time since the stop began; zero when no stop is planned.
+	Elapsed() time.Duration
 	// FinalAnswers returns a context that is done once requests without an answer must get a final one, because the process is about to end.
 	FinalAnswers() context.Context
 }
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -117,9 +117,11 @@
 	requests   []pomeloforward.PlacementRequest
 	results    []pomeloplace.Result
 	// loads holds the announced loads in the order in which they were recorded.
-	loads    []pomeloforward.AnnouncedLoad
-	stopsIn  time.Duration
-	stopping bool
+	loads   []pomeloforward.AnnouncedLoad
+	stopsIn time.Duration
+	// stoppedFor is the time since the stop began.
+	stoppedFor time.Duration
+	stopping   bool
 	// finalAnswers ends requests without an answer once endAnswers was called.
 	finalAnswers context.Context
 	endAnswers   context.CancelFunc
@@ -255,6 +257,12 @@
 	return h.stopsIn, h.stopping
 }
 
+func (h *harness) Elapsed() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stoppedFor
+}
+
 func (h *harness) ObserveAnswer(pomelorelay.RouteKind, string, time.Duration, time.Duration) {}
 
 func (h *harness) CountRetry(pomelorelay.ServiceID, pomelorelay.ResultCode) {}
--- a/pomeloforward/shutdown.go
+++ b/pomeloforward/shutdown.go
@@ -15,7 +15,7 @@
 // sent. An answer that has begun is continued as long as possible.
 func (c *call) stopFailure() *pomelolink.Failure {
 	left, stopping := c.h.cfg.Shutdown.TimeLeft()
-	if !stopping || c.answerStarted || (left > 0 && c.timeNeeded() <= left) {
+	if !stopping || c.answerStarted || (left > 0 && c.timeNeeded(left) <= left) {
 		return nil
 	}
 	f := pomelolink.NewFailure(pomelolink.OutcomeNotSent, pomelorelay.CodeStopping, nil)
@@ -23,10 +23,18 @@
 	return f
 }
 
+// estimateStreamsUntil is the part of a stop during which streams are taken by the run times of their routes. Where the estimate is wrong, a plain
+// request still gets a final answer, and a stream that has begun is cut; later only its deadline counts.
+const estimateStreamsUntil = 3.0 / 7
+
 // timeNeeded returns the time within which a request that is sent now will be answered: until its deadline, or less if all recent requests of its
 // route were answered much sooner.
-func (c *call) timeNeeded() time.Duration {
+func (c *call) timeNeeded(left time.Duration) time.Duration {
 	need := c.timeLeft()
+	elapsed := c.h.cfg.Shutdown.Elapsed()
+	if c.route.Kind == pomelorelay.RouteStream && float64(elapsed) > estimateStreamsUntil*float64(elapsed+left) {
+		return need
+	}
 	if longest, known := c.h.runTimes.longest(c.route.Name); known {
 		need = min(need, time.Duration(runTimeMargin*float64(longest)))
 	}
--- a/pomeloforward/shutdown_test.go
+++ b/pomeloforward/shutdown_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// Guards against taking a stream, late in a stop, by run times that it may exceed: once it has begun, only its connection can be cut.
+func TestLateStreamIsTakenByItsDeadline(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		elapsed, left time.Duration
+		wait          string
+		want          int
+	}{
+		{"early, run time known", 2900 * time.Millisecond, 4100 * time.Millisecond, "9000", 200},
+		{"late, run time known", 3100 * time.Millisecond, 3900 * time.Millisecond, "9000", 503},
+		{"late, deadline before the end", 3100 * time.Millisecond, 3900 * time.Millisecond, "3500", 200},
+		{"early in a long stop", 9 * time.Second, 12 * time.Second, "60000", 200},
+	} {
+		u := newUpstream(t, stream(1, 2))
+		h := newHarness(t)
+		for range 11 {
+			h.placements = append(h.placements, decisionFor(u))
+		}
+		for range 10 {
+			h.call("POST", "/draft/", "x")
+		}
+		h.stopping, h.stoppedFor, h.stopsIn = true, c.elapsed, c.left
+		if got := h.call("POST", "/draft/", "x", pomelofake.TestHeaderWait, c.wait); got.status != c.want || got.bodyErr != nil {
+			t.Errorf("%s: answer %+v, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against refusing too little: a slow run among the recent ones shows that a request may not end in time.
 func TestStoppingRouterRefusesRouteWithSlowRuns(t *testing.T) {
 	u := newUpstream(t, func(conn net.Conn, r *http.Request) {
