Tests compare stops and endless answers with the stated bounds again

The endless answer must now end within 90 ms of its deadline in one of five tries, since load can only delay single ones; the stop must end within its grace time again, and nine tenths of the time left count.

--- a/pomeloentry/shutdown_test.go
+++ b/pomeloentry/shutdown_test.go
@@ -91,7 +91,7 @@
 						t.Errorf("the request sent %v after the stop was answered %d, want 200 or 503", at, status)
 					case status == 503 && resp.Header.Get("Retry-After") != "0.001":
 						t.Errorf("Retry-After %q, want 0.001", resp.Header.Get("Retry-After"))
-					case status == 503 && at+c.wait < final*3/4:
+					case status == 503 && at+c.wait < final*9/10:
 						t.Errorf("the request sent %v after the stop was refused, and could have been answered", at)
 					}
 				})
@@ -102,7 +102,7 @@
 			case <-time.After(testTimeout):
 				t.Fatal("Stop does not return")
 			}
-			if took := time.Since(began); took > c.stop+testTimeout/4 {
+			if took := time.Since(began); took > c.stop {
 				t.Errorf("stopped after %v, want less than %v", took, c.stop)
 			}
 		})
--- a/pomeloforward/endless_test.go
+++ b/pomeloforward/endless_test.go
@@ -1,6 +1,7 @@
 package pomeloforward_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -23,10 +24,12 @@
 	}
 }
 
-// Guards against an answer without end that outlasts its request or does not count against its upstream, and against forwarding it as complete.
+// Guards against an answer without end that outlasts its request's deadline or does not count against its upstream, and against forwarding it as complete.
 func TestAnswerWithoutEndEndsByTheDeadline(t *testing.T) {
-	// An answer that is recognized ends before a deadline of 2 s; another one after a deadline of 400 ms, long before that of the caller's connection.
-	const recognizedBy, endedBy = 1900 * time.Millisecond, 1900 * time.Millisecond
+	// slack is less than the time that a late answer is given beyond the deadline. A busy machine delays single tries: one of them must be in time.
+	const wait, slack, tries = 400 * time.Millisecond, 90 * time.Millisecond, 5
+	// recognizedBy is well before the deadline of an answer that is recognized.
+	const recognizedBy = 1900 * time.Millisecond
 	none := func(*http.Request) string { return "" }
 	signed := func(fields string) func(*http.Request) string {
 		return func(r *http.Request) string { return head(r, 200, fields+"\r\n") }
@@ -54,21 +57,33 @@
 		t.Run(c.name, func(t *testing.T) {
 			closed := make(chan time.Time, 2)
 			u := newUpstream(t, endless(c.first, c.block, 5*time.Millisecond, closed))
-			h := newHarness(t, u.entry("u"))
-			began, wait, limit := time.Now(), "400", endedBy
-			if c.fast {
-				wait, limit = "9000", recognizedBy
-			}
-			got := h.call("POST", c.path, "x", pomelofake.TestHeaderWait, wait)
-			if got.status == 200 && got.bodyErr == nil {
-				t.Errorf("the answer was forwarded as complete, %d bytes", len(got.body))
+			ask := func(wait string) time.Duration {
+				h := newHarness(t, u.entry("u"))
+				began := time.Now()
+				got := h.call("POST", c.path, "x", pomelofake.TestHeaderWait, wait)
+				if got.status == 200 && got.bodyErr == nil {
+					t.Errorf("the answer was forwarded as complete, %d bytes", len(got.body))
+				}
+				took := (<-closed).Sub(began)
+				if r := h.result(0); r != pomeloplace.ResultFailed {
+					t.Errorf("result %v, want ResultFailed", r)
+				}
+				return took
 			}
-			if took := (<-closed).Sub(began); took > limit {
-				t.Errorf("the connection was closed after %v, want at most %v", took, limit)
+			if c.fast {
+				if took := ask("9000"); took > recognizedBy {
+					t.Errorf("the connection was closed after %v, want at most %v", took, recognizedBy)
+				}
+				return
 			}
-			if r := h.result(0); r != pomeloplace.ResultFailed {
-				t.Errorf("result %v, want ResultFailed", r)
+			var took []time.Duration
+			for len(took) < tries {
+				took = append(took, ask(fmt.Sprint(wait.Milliseconds())))
+				if took[len(took)-1] <= wait+slack {
+					return
+				}
 			}
+			t.Errorf("the connections were closed after %v, the deadline is %v", took, wait)
 		})
 	}
 }
