--- a/pomeloentry/aggregate_test.go
+++ b/pomeloentry/aggregate_test.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// Guards against requests of a removed router that stay counted, and against a new relay that counts all tokens sent since the routers started,
-// hours ago, as newly sent.
+// Guards against requests of a removed router that stay counted, and against a new relay that reads the first value of each router's running total
+// of tokens as an increase, although it grew over hours.
 func TestAggregateRemovesSilentSourcesAndStartsAtBaseline(t *testing.T) {
 	now := time.Unix(1000, 0)
 	sum := pomeloentry.NewAggregate()
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -21,8 +21,8 @@
 	maxHeaderBytes = 64 << 10
 	// stopPollInterval is how often a graceful stop checks whether the last connection has closed.
 	stopPollInterval = 20 * time.Millisecond
-	// finalAnswersFraction and stopFraction are the fractions of the stop timeout after which requests without an answer get a final one, and
-	// after which the process ends. What remains is for writing the answers, and for ending before the process would be killed.
+	// finalAnswersFraction and stopFraction are the fractions of the stop timeout after which requests whose response has not begun are ended with
+	// an error response, and after which the process ends. What remains is for writing these responses, and for ending before it is killed.
 	finalAnswersFraction = 7.0 / 8
 	stopFraction         = 11.0 / 12
 	// balancerDrainTime is how long after the stop signal the load balancer may send new connections: two readiness checks, 1 s apart.
@@ -130,7 +130,7 @@
 	e.Close()
 }
 
-// untilFinalAnswers returns the time from a stop signal until requests without an answer get a final one.
+// untilFinalAnswers returns the time from a stop signal until requests whose response has not begun are ended with an error response.
 func untilFinalAnswers(timeout time.Duration) time.Duration {
 	return time.Duration(finalAnswersFraction * float64(timeout))
 }
--- a/pomelolink/link_test.go
+++ b/pomelolink/link_test.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// Guards against a kept connection that has gone silent and fails one request after the other.
+// Guards against reusing an idle connection whose peer no longer responds, on which one request after the other would time out.
 func TestSilentConnectionIsUsedOnce(t *testing.T) {
 	l := newClient(t)
 	addr := serveWhile(t, "", func(connection, request int) bool { return connection > 0 || request == 0 })
--- a/pomelonode/listen.go
+++ b/pomelonode/listen.go
@@ -14,8 +14,8 @@
 const (
 	// stopPollInterval is how often a graceful stop checks whether requests are in progress or outcomes are not yet stored.
 	stopPollInterval = 20 * time.Millisecond
-	// finalAnswersFraction is the fraction of the time for a graceful stop after which requests without an answer get a final one; the rest is
-	// for writing the answers.
+	// finalAnswersFraction is the fraction of a graceful stop's time limit after which requests whose response has not begun are ended with an
+	// error response; the rest is for writing these responses.
 	finalAnswersFraction = 7.0 / 8
 	// maxClaimsWait limits how long a graceful stop waits until the outcomes of requests with claimed idempotency keys are stored.
 	maxClaimsWait = 20 * time.Second
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -22,8 +22,8 @@
 	overShareQueueFraction = 0.2
 	aheadQueueFraction     = 0.15
 	minAheadFraction       = 0.4
-	// onTimeFraction is the fraction of the latency target within which the answer must be expected to begin; the remainder absorbs requests of
-	// other routers that are not reported yet.
+	// onTimeFraction is the fraction of the latency target within which the answer must be expected to begin; the remainder allows for the delay by
+	// requests that other routers have sent to the engine and not yet reported.
 	onTimeFraction = 0.85
 	// yieldedSlotFraction times Request.LeadOverLeastServed is the fraction of an engine's slots that an account leaves free while it is ahead of
 	// an account that is far short of its demand; maxYieldedSlotFraction is the maximum of that fraction.
--- a/pomelopromise/promises.go
+++ b/pomelopromise/promises.go
@@ -37,7 +37,7 @@
 	due map[pomelorelay.Fingerprint]time.Time
 }
 
-// New returns Promises without any.
+// New returns an empty Promises.
 func New() *Promises { return &Promises{due: make(map[pomelorelay.Fingerprint]time.Time)} }
 
 // Len returns the number of remembered promises.
--- a/pomelostream/origins.go
+++ b/pomelostream/origins.go
@@ -17,7 +17,7 @@
 // Origins remembers at which software version of the upstreams streams began, until their callers can no longer resume them.
 type Origins struct {
 	versions map[pomelorelay.Fingerprint]pomelorelay.SoftwareVersion
-	// expiring holds the streams that expire in each step since the first one.
+	// expiring holds the streams by the expiryStep in which they expire, counted from began.
 	expiring map[int64][]pomelorelay.Fingerprint
 	began    time.Time
 	expired  int64
