Request lines tell the limits of a decision and the lead of the account

Callers of one account were refused while another account was served several times as much. The lines of both held Asked, Served and Level, from which neither the lead that lowered the limits nor the limit that refused could be told, so that "beyond the level nothing is shared" could not be told from "the account's router refuses for other reasons". Each request's last line now has ServedAll, LeadLevel, LeadLeast, MaxRunning and MaxQueueMS. No decision changes.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -223,7 +223,9 @@
 		r.LeadOverLevel = c.shares.LeadOverLevel(req.Account)
 		r.LeadOverLeastServed = c.shares.LeadOverLeastServed(req.Account)
 		share.Cost, share.WithinShare = req.Cost, r.WithinShare
+		share.LeadOverLevel, share.LeadOverLeastServed = r.LeadOverLevel, r.LeadOverLeastServed
 		share.Requested, share.Served, share.FairShare = c.shares.Usage(req.Account)
+		share.TotalServed = c.shares.TotalServed()
 	}
 	d := c.placer.Place(now, r)
 	d.Share, d.Residency = share, r.Residency
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -184,6 +184,11 @@
 		pomelorelay.Field{Key: "Asked", Value: int64(d.Share.Requested)},
 		pomelorelay.Field{Key: "Served", Value: int64(d.Share.Served)},
 		pomelorelay.Field{Key: "Level", Value: int64(d.Share.FairShare)},
+		pomelorelay.Field{Key: "ServedAll", Value: int64(d.Share.TotalServed)},
+		pomelorelay.Field{Key: "LeadLevel", Value: d.Share.LeadOverLevel},
+		pomelorelay.Field{Key: "LeadLeast", Value: d.Share.LeadOverLeastServed},
+		pomelorelay.Field{Key: "MaxRunning", Value: d.MaxRunning},
+		pomelorelay.Field{Key: "MaxQueueMS", Value: d.MaxQueueDelay.Milliseconds()},
 	)
 	all = c.appendConnection(all)
 	if d.Reserve.Slots > 0 {
@@ -206,7 +211,7 @@
 }
 
 // maxEndingFields is the number of fields that logEnding adds, for the capacity of their list.
-const maxEndingFields = 25
+const maxEndingFields = 30
 
 // appendConnection appends the fields that identify the upstream connection of the last attempt, unless no connection carried it.
 func (c *call) appendConnection(fields []pomelorelay.Field) []pomelorelay.Field {
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -73,6 +73,9 @@
 	bound      Bound
 	retryAfter time.Duration
 	reserve    pomeloroom.Outcome
+	// maxRunning and maxQueueDelay are the limits that applied.
+	maxRunning    int
+	maxQueueDelay time.Duration
 }
 
 // allowance is the part of an upstream that a request may use.
@@ -134,11 +137,14 @@
 		bound = BoundPriority
 	}
 	if bound == BoundNone {
-		return admission{reserve: a.reserve}
+		return admission{reserve: a.reserve, maxRunning: a.maxRunning, maxQueueDelay: a.maxQueueDelay}
 	}
 	// The request is admissible once the queue delay and the expected latency have both dropped to their limits.
 	wait := max(c.queueDelay-a.maxQueueDelay, c.expectedLatency-scale(onTimeFraction, r.Target))
-	return admission{reason: a.reason, bound: bound, retryAfter: min(max(wait, minRetryAfter), maxRetryAfter), reserve: a.reserve}
+	return admission{
+		reason: a.reason, bound: bound, retryAfter: min(max(wait, minRetryAfter), maxRetryAfter), reserve: a.reserve,
+		maxRunning: a.maxRunning, maxQueueDelay: a.maxQueueDelay,
+	}
 }
 
 // minAnswerFraction is the lowest usual ratio of the measured to the expected time to the first token.
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -144,6 +144,9 @@
 	ReportAge time.Duration
 	// ListAge is the time since upstreams were last listed from the platform's store.
 	ListAge time.Duration
+	// MaxRunning and MaxQueueDelay are the limits that applied to the request at the upstream: running requests and queue delay.
+	MaxRunning    int
+	MaxQueueDelay time.Duration
 	// Reserve is the slot reserve that applied to the request; zero for requests within their share and for large engines.
 	Reserve pomeloroom.Outcome
 	// Share is the state of the account's fair share at the time of the decision.
@@ -156,7 +159,11 @@
 	// Requested and Served are the account's costs in the sliding window. FairShare is the cost per window up to which each account is served.
 	// It is zero when no account is limited: the capacity is unknown or covers all requests, and no account is short of its demand.
 	Requested, Served, FairShare pomelorelay.Cost
-	WithinShare                  bool
+	// TotalServed is the cost served to all accounts in the sliding window.
+	TotalServed pomelorelay.Cost
+	// LeadOverLevel and LeadOverLeastServed are those of the request.
+	LeadOverLevel, LeadOverLeastServed float64
+	WithinShare                        bool
 }
 
 // Run is a request in progress at an upstream.
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -54,7 +54,9 @@
 	// minServedFarShort is the lowest served cost among short accounts with at least minFarUnmetTokens of unserved demand; zero when there is
 	// none.
 	minServedFarShort pomelorelay.Cost
-	demands           []pomelorelay.Cost
+	// totalServed is the cost served to all accounts within the window, as of the last Tick.
+	totalServed pomelorelay.Cost
+	demands     []pomelorelay.Cost
 }
 
 // New returns Shares of an unknown capacity, which do not limit any account.
@@ -167,6 +169,10 @@
 	if now.Sub(s.stepStart) >= stepLength {
 		s.stepStart = now
 	}
+	s.totalServed = 0
+	for _, a := range s.accounts {
+		s.totalServed += a.window.served
+	}
 	s.level = s.computeLevel()
 	s.minServedShort = s.minServed(minUnmetTokens)
 	s.minServedFarShort = s.minServed(minFarUnmetTokens)
@@ -281,6 +287,9 @@
 	return a.window.requested, a.window.served, s.effectiveLevel()
 }
 
+// TotalServed returns the cost served to all accounts within the window, as of the last Tick.
+func (s *Shares) TotalServed() pomelorelay.Cost { return s.totalServed }
+
 // RetryAfter returns the estimated time until a request of the given cost is within the account's share again, at most the window;
 // zero when no account is limited.
 func (s *Shares) RetryAfter(id pomelorelay.AccountID, cost pomelorelay.Cost) time.Duration {
