--- a/pomeloplace/simulation_test.go
+++ b/pomeloplace/simulation_test.go
@@ -85,6 +85,10 @@
 	slowness  func(id pomelorelay.UpstreamID) float64
 	announced func(id pomelorelay.UpstreamID) pomelorelay.UpstreamFigures
 	began     func(j *job)
+	// entry returns the router that a request reaches; a random one by default. onSend adds to a router's report, onReceive applies a delivered one.
+	entry     func(r pomeloplace.Request) int
+	onSend    func(router int, m *pomelorelay.LoadReport)
+	onReceive func(router, from int, m *pomelorelay.LoadReport)
 	// overShare is the fraction of requests beyond their account's share.
 	overShare float64
 
@@ -204,7 +208,12 @@
 // submit sends a request to a random router; a request with retryAt set is not retried again.
 func (s *simulation) submit(c pendingRequest) {
 	r, output := c.request, c.output
-	router := s.random.IntN(len(s.routers))
+	router := 0
+	if s.entry == nil {
+		router = s.random.IntN(len(s.routers))
+	} else {
+		router = s.entry(r)
+	}
 	d := s.choose(s, router, r)
 	if d.Reason != pomeloplace.ReasonNone {
 		if s.retryRefused && c.retryAt.IsZero() {
@@ -257,6 +266,9 @@
 		router.FillReport(m)
 		router.FillAnnounced(s.now, m)
 		router.Tick(s.now)
+		if s.onSend != nil {
+			s.onSend(i, m)
+		}
 		extra := s.maxExtraDelay * time.Duration(i) / time.Duration(len(s.routers))
 		s.inTransit = append(s.inTransit, reportInTransit{arrivesAt: s.now.Add(s.reportDelay + extra), from: i, m: m})
 	}
@@ -280,6 +292,9 @@
 		s.inTransit = s.inTransit[1:]
 		for i, router := range s.routers {
 			if i != delivered.from {
+				if s.onReceive != nil {
+					s.onReceive(i, delivered.from, delivered.m)
+				}
 				router.ApplyReport(s.now, pomelorelay.NodeID(fmt.Sprint("r", delivered.from)), 1, delivered.m)
 			}
 		}
