Limits fall with an account's lead over the one that is owed most

Two thresholds in tokens decided who was short, a lead had no effect below 1.25 and 1.7 times somebody's service, and floors of 0.4 and 0.65 of the slots ended the correction there.

Usage now also decays with half of the window; the level is the max-min share of what was served in it. An account is owed what it lacks of the smaller of the level and its own requests, by the part of its last requests that was refused. The limits of an account that asks for more than the level are multiplied by one less its lead over the one that is owed most, down to idle engines. The two thresholds, the tolerances and the floors go. Requests of accounts that lead no longer make lower priorities yield.

Tests of the old limits state the new ones: TestAheadAccountsLeaveSlotsFree and TestAccountFarAheadYieldsToAShortAccount bound the lead from both sides now and have more cases; TestOverShareRequestUsesSpareSlots has a case within the share.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -220,10 +220,8 @@
 		// Only retries that may have run and were charged skip the share check. If every retry after an unreachable upstream skipped
 		// it, a flood could exceed its share while many upstreams are down, and requests of other accounts would be refused.
 		r.WithinShare = req.Charged || c.shares.WithinShare(req.Account, req.Cost)
-		r.LeadOverLevel = c.shares.LeadOverLevel(req.Account)
-		r.LeadOverLeastServed = c.shares.LeadOverLeastServed(req.Account)
-		share.Cost, share.WithinShare = req.Cost, r.WithinShare
-		share.LeadOverLevel, share.LeadOverLeastServed = r.LeadOverLevel, r.LeadOverLeastServed
+		r.Lead = c.shares.Lead(req.Account)
+		share.Cost, share.WithinShare, share.Lead = req.Cost, r.WithinShare, r.Lead
 		share.Requested, share.Served, share.FairShare = c.shares.Usage(req.Account)
 		share.TotalServed = c.shares.TotalServed()
 	}
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -185,8 +185,7 @@
 		pomelorelay.Field{Key: "Served", Value: int64(d.Share.Served)},
 		pomelorelay.Field{Key: "Level", Value: int64(d.Share.FairShare)},
 		pomelorelay.Field{Key: "ServedAll", Value: int64(d.Share.TotalServed)},
-		pomelorelay.Field{Key: "LeadLevel", Value: d.Share.LeadOverLevel},
-		pomelorelay.Field{Key: "LeadLeast", Value: d.Share.LeadOverLeastServed},
+		pomelorelay.Field{Key: "Lead", Value: d.Share.Lead},
 		pomelorelay.Field{Key: "MaxRunning", Value: d.MaxRunning},
 		pomelorelay.Field{Key: "MaxQueueMS", Value: d.MaxQueueDelay.Milliseconds()},
 	)
@@ -211,7 +210,7 @@
 }
 
 // maxEndingFields is the number of fields that logEnding adds, for the capacity of their list.
-const maxEndingFields = 30
+const maxEndingFields = 29
 
 // appendConnection appends the fields that identify the upstream connection of the last attempt, unless no connection carried it.
 func (c *call) appendConnection(fields []pomelorelay.Field) []pomelorelay.Field {
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -1,7 +1,6 @@
 package pomeloplace
 
 import (
-	"math"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -10,25 +9,16 @@
 
 // BoundRecompute limits the cached tokens prefilled again when a flood of sessions finds its engines busy, BoundSlots the requests running at an
 // engine when answers are long, BoundQueue the wait when prompts exceed the prefill rate, BoundTime the time until the answer begins. In-share
-// requests (within the account's share) may use all slots and most of the queue, over-share requests less. An account is ahead when it has been
-// served more than an account that is short of its demand; the larger this lead, the lower its limits.
+// requests (within the account's share) may use all slots and most of the queue, over-share requests less. The limits of both fall to zero with the
+// lead of their account over the account that is owed most, which bounds the difference in what accounts get whatever else decides placements.
 
 const (
-	// These fractions of the shortest latency target limit the queue delay of in-share requests, of over-share requests, and of over-share requests
-	// whose account is ahead of an account that is short of its demand. The last limit and the slots of such requests are divided by the square of
-	// the lead (Request.LeadOverLevel), to no less than minAheadFraction of their value: callers consider it unfair when an account gets twice as
-	// much as a short one.
+	// These fractions of the shortest latency target limit the queue delay of in-share and of over-share requests.
 	inShareQueueFraction   = 0.45
 	overShareQueueFraction = 0.2
-	aheadQueueFraction     = 0.15
-	minAheadFraction       = 0.4
 	// onTimeFraction is the fraction of the latency target within which the answer must be expected to begin; the remainder allows for the delay by
 	// requests that other routers have sent to the engine and not yet reported.
 	onTimeFraction = 0.85
-	// yieldedSlotFraction times Request.LeadOverLeastServed is the fraction of an engine's slots that an account leaves free while it is ahead of
-	// an account that is far short of its demand; maxYieldedSlotFraction is the maximum of that fraction.
-	yieldedSlotFraction    = 0.1
-	maxYieldedSlotFraction = 0.35
 	// maxRecomputeTokens is the maximum number of shared tokens that an over-share request may prefill although a busier engine has them cached; an
 	// engine processes about as many in one step.
 	maxRecomputeTokens = 400
@@ -102,27 +92,33 @@
 		maxRunning: slots, maxQueueDelay: scale(inShareQueueFraction, target), reason: ReasonTooLate,
 		inShareQueueDelay: scale(inShareQueueFraction, target),
 	}
-	if r.LeadOverLeastServed > 1 && !disabled.AheadLimits {
-		reserve := min(yieldedSlotFraction*r.LeadOverLeastServed, maxYieldedSlotFraction)
-		a.maxRunning = max(1, slots-int(math.Ceil(reserve*float64(slots))))
+	if !r.WithinShare {
+		p.limitOverShare(now, u, r, target, &a)
 	}
-	if r.WithinShare {
-		return a
+	if r.Lead > 0 && !disabled.AheadLimits {
+		a.scale(max(0, 1-r.Lead))
 	}
+	return a
+}
+
+// limitOverShare lowers the limits of an over-share request.
+func (p *Placer) limitOverShare(now time.Time, u *upstream, r *Request, target time.Duration, a *allowance) {
 	a.reason = ReasonOverShare
-	if !disabled.SlotReserve {
+	if !p.cfg.DisabledMechanisms.SlotReserve {
 		// Without the reserve, in-share requests would find engines full of over-share requests.
-		p.applyReserve(now, u, r, &a)
+		p.applyReserve(now, u, a)
 	}
-	if !disabled.OverShareQueue {
+	if !p.cfg.DisabledMechanisms.OverShareQueue {
 		a.maxQueueDelay = scale(overShareQueueFraction, target)
 	}
-	if r.LeadOverLevel > 1 && !disabled.AheadLimits {
-		fraction := max(1/(r.LeadOverLevel*r.LeadOverLevel), minAheadFraction)
-		a.maxQueueDelay = scale(aheadQueueFraction*fraction, target)
-		a.maxRunning = max(1, int(fraction*float64(a.maxRunning)))
-	}
-	return a
+}
+
+// scale multiplies the limits; an idle upstream stays usable.
+func (a *allowance) scale(fraction float64) {
+	a.reason = ReasonOverShare
+	a.maxQueueDelay = scale(fraction, a.maxQueueDelay)
+	a.maxRunning = max(1, int(fraction*float64(a.maxRunning)))
+	a.fixedLimit = max(1, int(fraction*float64(a.fixedLimit)))
 }
 
 // admit decides whether the request may be sent to its best candidate.
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -34,12 +34,9 @@
 	MaxWait time.Duration
 	// WithinShare reports whether the request is within its account's fair share.
 	WithinShare bool
-	// LeadOverLevel is the account's usage divided by the maximum that an account beyond its fair share is allowed while another account is short
-	// of its demand; zero while no account is short. Above 1, the account's over-share requests get a shorter queue and fewer slots.
-	LeadOverLevel float64
-	// LeadOverLeastServed is the account's usage divided by the maximum that any account is allowed while another one is far short of its demand;
-	// zero while no account is far short. Above 1, all of the account's requests get fewer slots.
-	LeadOverLeastServed float64
+	// Lead is by how much the account's recent service exceeds that of the account which is owed most, as a fraction of the fair level; the limits of
+	// its requests fall with it.
+	Lead float64
 	// Priority is the priority of the account or else of the route; 0 is the highest.
 	Priority int
 	// deferred is the fraction of slots that the request leaves free for other requests.
@@ -54,9 +51,6 @@
 	VersionFixed bool
 }
 
-// ahead reports whether the request's account has been served more than its limit while another account is short of its demand.
-func (r *Request) ahead() bool { return r.LeadOverLevel > 1 || r.LeadOverLeastServed > 1 }
-
 // Reason is the reason why a request was refused.
 type Reason string
 
@@ -161,9 +155,9 @@
 	Requested, Served, FairShare pomelorelay.Cost
 	// TotalServed is the cost served to all accounts in the sliding window.
 	TotalServed pomelorelay.Cost
-	// LeadOverLevel and LeadOverLeastServed are those of the request.
-	LeadOverLevel, LeadOverLeastServed float64
-	WithinShare                        bool
+	// Lead is that of the request.
+	Lead        float64
+	WithinShare bool
 }
 
 // Run is a request in progress at an upstream.
--- a/pomeloplace/floods_test.go
+++ b/pomeloplace/floods_test.go
@@ -198,7 +198,7 @@
 	f.largest = max(f.largest, cost)
 	shares.Tick(f.now)
 	shares.RecordRequest(id, cost)
-	r.WithinShare, r.LeadOverLevel, r.LeadOverLeastServed = shares.WithinShare(id, cost), shares.LeadOverLevel(id), shares.LeadOverLeastServed(id)
+	r.WithinShare, r.Lead = shares.WithinShare(id, cost), shares.Lead(id)
 	if flood := f.flood(account); flood != nil && f.scenario.priorities {
 		r.Priority = flood.priority
 	}
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -149,11 +149,11 @@
 	}
 	now := start.Add(time.Minute)
 	r := prompt(1, 10, 10)
-	r.WithinShare, r.LeadOverLevel = false, 1.5
+	r.WithinShare, r.Lead = false, 0.5
 	if d := p.Place(now, r); d.Reason != pomeloplace.ReasonOverShare {
 		t.Errorf("request of an account ahead of others: reason %q, want Share", d.Reason)
 	}
-	r.WithinShare = true
+	r.WithinShare, r.Lead = true, 0
 	place(t, p, now, r)
 }
 
@@ -374,10 +374,11 @@
 // Guards against an account that occupies the last slots of every engine while another is far below its share.
 func TestAheadAccountsLeaveSlotsFree(t *testing.T) {
 	filledSlots := func(ahead float64) int {
-		return runsUntilRefused(fewSlots(), func(r *pomeloplace.Request) { r.LeadOverLeastServed = ahead })
+		return runsUntilRefused(fewSlots(), func(r *pomeloplace.Request) { r.Lead = ahead })
 	}
-	short, slightlyAhead, farAhead := filledSlots(0), filledSlots(1.1), filledSlots(5)
-	if short != 12 || slightlyAhead < 9 || slightlyAhead >= short || farAhead >= slightlyAhead || farAhead < 6 {
-		t.Errorf("of 12 slots, an account fills %d when short, %d when slightly ahead, %d when far ahead", short, slightlyAhead, farAhead)
+	short, slightlyAhead, farAhead, shutOut := filledSlots(0), filledSlots(0.1), filledSlots(0.5), filledSlots(1.5)
+	if short != 12 || slightlyAhead < 9 || slightlyAhead >= short || farAhead > 6 || farAhead < 2 || shutOut != 1 {
+		t.Errorf("of 12 slots, an account fills %d when short, %d when slightly ahead, %d when far ahead, %d when ahead by more than its share; want 12, 9 to 11, 2 to 6, and 1: an idle engine serves anyone",
+			short, slightlyAhead, farAhead, shutOut)
 	}
 }
--- a/pomeloplace/priority.go
+++ b/pomeloplace/priority.go
@@ -73,11 +73,12 @@
 	return maxDeferredFraction * recency * float64(rank) / float64(len(s.values)-1)
 }
 
-// recordDenial records a request that was refused because upstreams are busy or that is expected to be answered late.
+// recordDenial records a request that was refused because upstreams are busy or that is expected to be answered late. Requests of accounts that lead
+// others do not count: lower priorities would leave slots free for a flood that has been served more than they have.
 func (p *Placer) recordDenial(now time.Time, r *Request, d *Decision) {
 	s := p.priorities[r.Service]
 	denied := d.Bound != BoundNone && d.Bound != BoundTimeLeft || d.ExpectedLatency > r.Target
-	if s != nil && denied {
+	if s != nil && denied && r.Lead == 0 {
 		s.deniedAt[s.rank(r.Priority)] = now
 	}
 }
--- a/pomeloplace/room.go
+++ b/pomeloplace/room.go
@@ -133,9 +133,8 @@
 	return max(0, now.Sub(a.base)-time.Duration(a.offset/a.weight*float64(time.Second)))
 }
 
-// applyReserve limits the running requests at which an over-share request is admitted. Accounts that are ahead keep the fixed reserve: the limits
-// that keep them from getting twice as much as a short account are derived from it.
-func (p *Placer) applyReserve(now time.Time, u *upstream, r *Request, a *allowance) {
+// applyReserve limits the running requests at which an over-share request is admitted.
+func (p *Placer) applyReserve(now time.Time, u *upstream, a *allowance) {
 	slots := u.slots()
 	a.fixedLimit = max(1, int(float64(slots)-pomeloroom.MaxReserve(slots)))
 	a.maxRunning = a.fixedLimit
@@ -143,10 +142,6 @@
 		return
 	}
 	a.reserve = p.computeReserve(now, u)
-	if r.ahead() {
-		a.reserve.Slots = pomeloroom.MaxReserve(slots)
-		return
-	}
 	a.measured = true
 	a.maxRunning = max(1, int(float64(slots)-a.reserve.Slots))
 }
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -28,6 +28,8 @@
 	changed bool
 	window  usage
 	steps   [windowSteps]usage
+	// recent and last are the fleet's usage with exponential decay.
+	recent, last usage
 }
 
 // peer is another router's last report, from which the increments of its next report are computed.
@@ -48,12 +50,12 @@
 	// level is the max-min fair level (see computeLevel) as of the last Tick, in tokens per window; zero when the capacity is unknown or covers all
 	// requests.
 	level pomelorelay.Cost
-	// minServedShort is the lowest served cost among short accounts, those with much unserved demand (see minUnmetFraction); zero when no
-	// account is short.
-	minServedShort pomelorelay.Cost
-	// minServedFarShort is the lowest served cost among short accounts with at least minFarUnmetTokens of unserved demand; zero when there is
-	// none.
-	minServedFarShort pomelorelay.Cost
+	// recentLevel is the max-min fair level of recent service; zero when all requests were served. maxOwed is the most that any account lacks of
+	// the smaller of its recent requests and recentLevel. Both are as of the last Tick.
+	recentLevel, maxOwed pomelorelay.Cost
+	decayedAt            time.Time
+	// servedLevel is the max-min fair level of the cost served within the window, as of the last Tick; zero when all requests were served.
+	servedLevel pomelorelay.Cost
 	// totalServed is the cost served to all accounts within the window, as of the last Tick.
 	totalServed pomelorelay.Cost
 	demands     []pomelorelay.Cost
@@ -81,6 +83,10 @@
 	a.window.served += u.served
 	a.steps[step].requested += u.requested
 	a.steps[step].served += u.served
+	for _, decayed := range []*usage{&a.recent, &a.last} {
+		decayed.requested += u.requested
+		decayed.served += u.served
+	}
 }
 
 // RecordRequest records a request that this router received.
@@ -156,10 +162,10 @@
 	return out
 }
 
-// Tick advances the window to now and recomputes the fair level and the lowest served costs of short accounts.
+// Tick advances the window to now and recomputes the fair levels.
 func (s *Shares) Tick(now time.Time) {
 	if s.startedAt.IsZero() {
-		s.startedAt, s.stepStart = now, now
+		s.startedAt, s.stepStart, s.decayedAt = now, now, now
 	}
 	stepLength := s.cfg.Window / windowSteps
 	for n := 0; n < windowSteps && now.Sub(s.stepStart) >= stepLength; n++ {
@@ -173,51 +179,11 @@
 	for _, a := range s.accounts {
 		s.totalServed += a.window.served
 	}
-	s.level = s.computeLevel()
-	s.minServedShort = s.minServed(minUnmetTokens)
-	s.minServedFarShort = s.minServed(minFarUnmetTokens)
-}
-
-const (
-	// minUnmetFraction is the minimum unserved fraction of a short account's demand. Users consider it unfair when half is unserved; with a lower
-	// threshold, an account with one large unserved request would lower the limits of all others while engines are idle.
-	minUnmetFraction = 0.35
-	// minUnmetTokens is the minimum unserved cost of a short account, in tokens: that of two large requests.
-	minUnmetTokens = 25000
-	// leadTolerance is the maximum cost served to an account beyond its share while another account is short, as a multiple of the fair level or of
-	// the cost served to the least served short account, whichever is higher. Users consider a ratio of 2 unfair; the margin allows for the delay
-	// of other routers' reports.
-	leadTolerance = 1.25
-	// farLeadTolerance is the ratio of an account's served cost to that of the least served far-short account above which the account's limits
-	// should be lowered, even within its share; users consider a ratio of 2 unfair. A short account is far short when at least minFarUnmetTokens of
-	// its demand are unserved.
-	farLeadTolerance  = 1.7
-	minFarUnmetTokens = 3 * minUnmetTokens
-)
-
-// minServed returns the lowest served cost among the short accounts with at least minUnmet of unserved demand; zero when there is none.
-func (s *Shares) minServed(minUnmet pomelorelay.Cost) pomelorelay.Cost {
-	lowest := pomelorelay.Cost(0)
-	for _, a := range s.accounts {
-		unmet := a.window.requested - a.window.served
-		if unmet < minUnmet || unmet < minUnmetFraction*a.window.requested {
-			continue
-		}
-		if served := max(a.window.served, 1); lowest == 0 || served < lowest {
-			lowest = served
-		}
-	}
-	return lowest
-}
-
-// LeadOverLevel returns the ratio of the account's served cost to the maximum that an account beyond its share is allowed while another account
-// is short of its demand. Above 1, the account's limits should be lowered; the ratio is 0 when no account is short, or when the capacity is
-// unknown or covers all requests.
-func (s *Shares) LeadOverLevel(id pomelorelay.AccountID) float64 {
-	if s.level == 0 || s.minServedShort == 0 {
-		return 0
-	}
-	return float64(s.account(id).window.served / (leadTolerance * s.effectiveLevel()))
+	s.windowDemands()
+	s.level = maxMinLevel(s.capacity*pomelorelay.Cost(s.cfg.Window.Seconds()), s.demands)
+	s.servedLevel = maxMinLevel(s.totalServed, s.demands)
+	s.decay(now)
+	s.updateLead()
 }
 
 func (s *Shares) advanceWindow() {
@@ -232,26 +198,29 @@
 	}
 }
 
-// computeLevel returns the max-min fair level per window: accounts that request less than the level are served in full, and the others get the
-// level. It is zero when the capacity is unknown or covers all requests.
-func (s *Shares) computeLevel() pomelorelay.Cost {
-	remaining := s.capacity * pomelorelay.Cost(s.cfg.Window.Seconds())
-	if remaining <= 0 {
-		return 0
-	}
+// windowDemands collects the costs that accounts requested within the window.
+func (s *Shares) windowDemands() {
 	s.demands = s.demands[:0]
 	for _, a := range s.accounts {
 		if a.window.requested > 0 {
 			s.demands = append(s.demands, a.window.requested)
 		}
 	}
-	slices.Sort(s.demands)
-	for i, demand := range s.demands {
-		evenSplit := remaining / pomelorelay.Cost(len(s.demands)-i)
+}
+
+// maxMinLevel returns the max-min fair level of a capacity: demands below the level are served in full, and the others get the level. It is zero when
+// the capacity is zero or covers all demands. The demands are sorted.
+func maxMinLevel(capacity pomelorelay.Cost, demands []pomelorelay.Cost) pomelorelay.Cost {
+	if capacity <= 0 {
+		return 0
+	}
+	slices.Sort(demands)
+	for i, demand := range demands {
+		evenSplit := capacity / pomelorelay.Cost(len(demands)-i)
 		if demand > evenSplit {
 			return evenSplit
 		}
-		remaining -= demand
+		capacity -= demand
 	}
 	return 0
 }
@@ -264,22 +233,11 @@
 	}
 	served := s.account(id).window.served
 	// Half of the cost is counted, so that about every second request that would cross the level is served.
-	return served+cost/2 <= s.level || served <= s.minServedShort
-}
-
-// LeadOverLeastServed returns the ratio of the account's served cost to the maximum that any account is allowed, even within its share, while
-// another account is far short of its demand. Above 1, the account's limits should be lowered; the ratio is 0 when no account is far short.
-func (s *Shares) LeadOverLeastServed(id pomelorelay.AccountID) float64 {
-	if s.minServedFarShort == 0 {
-		return 0
-	}
-	return float64(s.account(id).window.served / (farLeadTolerance * s.minServedFarShort))
+	return served+cost/2 <= s.level || s.mostOwed(id)
 }
 
-// effectiveLevel returns the level up to which accounts are served. Engines often produce more than the configured capacity; the surplus goes to
-// the least served short account. If the surplus went to whichever requests come first, a flood would take most of it, and an account slightly
-// above the configured level would get less than half of what the flood gets.
-func (s *Shares) effectiveLevel() pomelorelay.Cost { return max(s.level, s.minServedShort) }
+// effectiveLevel returns the level up to which accounts are served: engines often produce more than the configured capacity.
+func (s *Shares) effectiveLevel() pomelorelay.Cost { return max(s.level, s.servedLevel) }
 
 // Usage returns the cost that the account requested and that it was served within the window, and the cost up to which every account is served.
 func (s *Shares) Usage(id pomelorelay.AccountID) (requested, served, level pomelorelay.Cost) {
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -88,16 +88,16 @@
 	s.RecordRequest("short", 4*tokens)
 	s.RecordServed("short", tokens)
 	s.Tick(start.Add(100 * time.Millisecond))
-	if s.LeadOverLevel("flood") <= 1 {
-		t.Error("LeadOverLevel of the flooding account is at most 1 although the other account is short of its demand")
+	if got := s.Lead("flood"); got < 0.5 {
+		t.Errorf("lead of the flooding account %.2f, want at least 0.5: the other account lacks half of what the flood got", got)
 	}
-	if s.LeadOverLevel("short") > 1 {
-		t.Error("LeadOverLevel of the account that is short of its demand is above 1")
+	if got := s.Lead("short"); got != 0 {
+		t.Errorf("lead of the account that is short of its demand %.2f, want 0", got)
 	}
 	s.RecordServed("short", 3*tokens)
 	s.Tick(start.Add(200 * time.Millisecond))
-	if s.LeadOverLevel("flood") > 1 {
-		t.Error("LeadOverLevel of the flooding account is above 1 although the demand of the other account is met")
+	if got := s.Lead("flood"); got != 0 {
+		t.Errorf("lead of the flooding account %.2f although the demand of the other account is met, want 0", got)
 	}
 }
 
@@ -176,8 +176,8 @@
 		s.RecordServed(id, served)
 	}
 	s.Tick(start.Add(100 * time.Millisecond))
-	if first, second := s.LeadOverLevel("first"), s.LeadOverLevel("second"); first <= second || second <= 1 {
-		t.Errorf("LeadOverLevel of %.2f and %.2f, want the first above the second and both above 1", first, second)
+	if first, second := s.Lead("first"), s.Lead("second"); first < 1 || first <= second || second <= 0 {
+		t.Errorf("leads of %.2f and %.2f, want the first above 1 and above the second, and both above 0", first, second)
 	}
 }
 
@@ -215,12 +215,13 @@
 		name                     string
 		aheadServed, shortServed pomelorelay.Cost
 		shortRequested           pomelorelay.Cost
-		want                     bool
+		least, most              float64
 	}{
-		{"more than twice as much", 900_000, 400_000, 1_000_000, true},
-		{"a little more", 600_000, 400_000, 1_000_000, false},
-		{"few tokens unserved", 900_000, 10_000, 60_000, false},
-		{"a small fraction unserved", 1_900_000, 900_000, 1_000_000, false},
+		{"more than twice as much", 900_000, 400_000, 1_000_000, 0.5, 1},
+		{"six times as much", 1_500_000, 250_000, 1_000_000, 1, 2},
+		{"a little more", 600_000, 400_000, 1_000_000, 0.2, 0.4},
+		{"few tokens unserved", 900_000, 10_000, 60_000, 0, 0.2},
+		{"a small fraction unserved", 1_900_000, 900_000, 1_000_000, 0, 0.1},
 	} {
 		s := pomeloshare.New(pomeloshare.Config{Window: window})
 		s.SetCapacity(1_000_000)
@@ -230,11 +231,11 @@
 		s.RecordRequest("short", c.shortRequested)
 		s.RecordServed("short", c.shortServed)
 		s.Tick(start.Add(100 * time.Millisecond))
-		if got := s.LeadOverLeastServed("ahead") > 1; got != c.want {
-			t.Errorf("%s: yields %v, want %v", c.name, got, c.want)
+		if got := s.Lead("ahead"); got < c.least || got > c.most {
+			t.Errorf("%s: lead %.2f, want %.2f to %.2f", c.name, got, c.least, c.most)
 		}
-		if s.LeadOverLeastServed("short") > 1 {
-			t.Errorf("%s: the short account yields", c.name)
+		if got := s.Lead("short"); got != 0 {
+			t.Errorf("%s: lead of the short account %.2f, want 0", c.name, got)
 		}
 	}
 }
