Leads compare only the accounts that may use an upstream's region

An account restricted to one region that is owed service limited every account ahead of it in the fleet, also at upstreams where it may not run: these would stand idle while their callers are refused. Where the configuration restricts accounts, service is compared for each region among the accounts allowed there, and the lead at an upstream is that of its region. TestAccountsOfOtherRegionsAreNotCompared and TestLeadOfTheUpstreamsRegionApplies fail without it (they don't compile).

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -220,8 +220,8 @@
 		// Only retries that may have run and were charged skip the share check. If every retry after an unreachable upstream skipped
 		// it, a flood could exceed its share while many upstreams are down, and requests of other accounts would be refused.
 		r.WithinShare = req.Charged || c.shares.WithinShare(req.Account, req.Cost)
-		r.Lead = c.shares.Lead(req.Account)
-		share.Cost, share.WithinShare, share.Lead = req.Cost, r.WithinShare, r.Lead
+		r.Lead, r.RegionLeads = c.shares.Lead(req.Account), c.shares.RegionLeads(req.Account)
+		share.Cost, share.WithinShare = req.Cost, r.WithinShare
 		share.Requested, share.Served, share.FairShare = c.shares.Usage(req.Account)
 		share.TotalServed = c.shares.TotalServed()
 	}
@@ -347,6 +347,7 @@
 	c.shares.SetCapacity(config.Limits.TokensPerSecond)
 	c.placer.SetConfig(config)
 	c.residency.SetConfig(now, config)
+	c.shares.SetResidencies(accountResidencies(config), c.regions())
 	c.e.overload.fullServices.Store(newFullServiceTable(config))
 	c.e.table.Store(pomelotable.New(config))
 	c.e.mesh.SetGeneration(config.Version)
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -185,7 +185,7 @@
 		pomelorelay.Field{Key: "Served", Value: int64(d.Share.Served)},
 		pomelorelay.Field{Key: "Level", Value: int64(d.Share.FairShare)},
 		pomelorelay.Field{Key: "ServedAll", Value: int64(d.Share.TotalServed)},
-		pomelorelay.Field{Key: "Lead", Value: d.Share.Lead},
+		pomelorelay.Field{Key: "Lead", Value: d.Lead},
 		pomelorelay.Field{Key: "MaxRunning", Value: d.MaxRunning},
 		pomelorelay.Field{Key: "MaxQueueMS", Value: d.MaxQueueDelay.Milliseconds()},
 	)
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -95,8 +95,8 @@
 	if !r.WithinShare {
 		p.limitOverShare(now, u, r, target, &a)
 	}
-	if r.Lead > 0 && !disabled.AheadLimits {
-		a.scale(max(0, 1-r.Lead))
+	if lead := r.leadAt(u); lead > 0 && !disabled.AheadLimits {
+		a.scale(max(0, 1-lead))
 	}
 	return a
 }
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -35,8 +35,9 @@
 	// WithinShare reports whether the request is within its account's fair share.
 	WithinShare bool
 	// Lead is by how much the account's recent service exceeds that of the account which is owed most, as a fraction of the fair level; the limits of
-	// its requests fall with it.
-	Lead float64
+	// its requests fall with it. RegionLeads replaces it at the upstreams of a region, where only the accounts allowed there are compared.
+	Lead        float64
+	RegionLeads map[pomelorelay.RegionID]float64
 	// Priority is the priority of the account or else of the route; 0 is the highest.
 	Priority int
 	// deferred is the fraction of slots that the request leaves free for other requests.
@@ -51,6 +52,14 @@
 	VersionFixed bool
 }
 
+// leadAt returns the account's lead over the accounts that may use the upstream.
+func (r *Request) leadAt(u *upstream) float64 {
+	if lead, found := r.RegionLeads[u.region]; found {
+		return lead
+	}
+	return r.Lead
+}
+
 // Reason is the reason why a request was refused.
 type Reason string
 
@@ -141,6 +150,8 @@
 	// MaxRunning and MaxQueueDelay are the limits that applied to the request at the upstream: running requests and queue delay.
 	MaxRunning    int
 	MaxQueueDelay time.Duration
+	// Lead is the lead of the request's account at the upstream.
+	Lead float64
 	// Reserve is the slot reserve that applied to the request; zero for requests within their share and for large engines.
 	Reserve pomeloroom.Outcome
 	// Share is the state of the account's fair share at the time of the decision.
@@ -155,8 +166,6 @@
 	Requested, Served, FairShare pomelorelay.Cost
 	// TotalServed is the cost served to all accounts in the sliding window.
 	TotalServed pomelorelay.Cost
-	// Lead is that of the request.
-	Lead        float64
 	WithinShare bool
 }
 
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -382,3 +382,18 @@
 			short, slightlyAhead, farAhead, shutOut)
 	}
 }
+
+// Guards against the lead of another region deciding at an upstream: an account would be refused beside idle slots, or fill those that another is owed.
+func TestLeadOfTheUpstreamsRegionApplies(t *testing.T) {
+	for _, c := range []struct {
+		leads map[pomelorelay.RegionID]float64
+		want  int
+	}{
+		{nil, 1}, {map[pomelorelay.RegionID]float64{"ra": 0, "rb": 1}, 12}, {map[pomelorelay.RegionID]float64{"ra": 1, "rb": 0}, 1},
+	} {
+		got := runsUntilRefused(fewSlots(), func(r *pomeloplace.Request) { r.Lead, r.RegionLeads = 1, c.leads })
+		if got != c.want {
+			t.Errorf("leads %v: %d of 12 slots filled in ra, want %d", c.leads, got, c.want)
+		}
+	}
+}
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -208,16 +208,17 @@
 	if best.copyFrom != nil {
 		d.CopyFrom, d.CopiedTokens = best.copyFrom.info, best.copiedTokens
 	}
+	d.Lead = r.leadAt(best.up)
 	d.Reserve, d.MaxRunning, d.MaxQueueDelay = outcome.reserve, outcome.maxRunning, outcome.maxQueueDelay
 	if r.WithinShare && best.up.hasFewSlots() {
 		best.up.recordInShare(now, outcome.bound)
 	}
 	if outcome.bound != BoundNone {
 		d.Reason, d.Bound, d.RetryAfter = outcome.reason, outcome.bound, outcome.retryAfter
-		p.recordDenial(now, r, &d)
+		p.recordDenial(now, r, best.up, &d)
 		return d
 	}
-	p.recordDenial(now, r, &d)
+	p.recordDenial(now, r, best.up, &d)
 	d.Run = p.startRun(now, best, r)
 	return d
 }
--- a/pomeloplace/priority.go
+++ b/pomeloplace/priority.go
@@ -75,10 +75,10 @@
 
 // recordDenial records a request that was refused because upstreams are busy or that is expected to be answered late. Requests of accounts that lead
 // others do not count: lower priorities would leave slots free for a flood that has been served more than they have.
-func (p *Placer) recordDenial(now time.Time, r *Request, d *Decision) {
+func (p *Placer) recordDenial(now time.Time, r *Request, u *upstream, d *Decision) {
 	s := p.priorities[r.Service]
 	denied := d.Bound != BoundNone && d.Bound != BoundTimeLeft || d.ExpectedLatency > r.Target
-	if s != nil && denied && r.Lead == 0 {
+	if s != nil && denied && r.leadAt(u) == 0 {
 		s.deniedAt[s.rank(r.Priority)] = now
 	}
 }
--- a/pomeloshare/lead.go
+++ b/pomeloshare/lead.go
@@ -48,52 +48,107 @@
 	return min(max(0, (a.last.requested-a.last.served)/requested), 1)
 }
 
+// comparison compares the recent service of accounts that may use the same upstreams.
+type comparison struct {
+	// level is the max-min fair level of recent service, zero when all requests were served; maxOwed is the most that any account is owed.
+	level, maxOwed pomelorelay.Cost
+}
+
 // owed returns what the account lacks of the smaller of its recent requests and the level, by the fraction of its last requests that were refused: an
 // account that is served whatever it requests now has no use for what it lacks.
-func (s *Shares) owed(a *account) pomelorelay.Cost {
+func (c *comparison) owed(a *account) pomelorelay.Cost {
 	// Refunds of requests that were recorded as served long before may exceed what remains of them.
-	return a.refusedFraction() * (min(a.recent.requested, s.recentLevel) - max(0, a.recent.served))
+	return a.refusedFraction() * (min(a.recent.requested, c.level) - max(0, a.recent.served))
+}
+
+func (c *comparison) lead(a *account) float64 {
+	if c.maxOwed == 0 || a.recent.requested <= c.level {
+		return 0
+	}
+	return max(0, float64((a.recent.served-c.level+c.maxOwed)/c.level))
+}
+
+// mostOwed reports whether the account is owed something, and no account more.
+func (c *comparison) mostOwed(a *account) bool { return c.maxOwed > 0 && c.owed(a) >= c.maxOwed }
+
+// SetResidencies sets the regions that accounts are restricted to, and all regions of the fleet.
+func (s *Shares) SetResidencies(residencies map[pomelorelay.AccountID]pomelorelay.Residency, regions []pomelorelay.RegionID) {
+	s.residencies = residencies
+	for id, a := range s.accounts {
+		a.residency = residencies[id]
+	}
+	s.regions = make(map[pomelorelay.RegionID]*comparison)
+	if len(residencies) == 0 {
+		return
+	}
+	for _, region := range regions {
+		s.regions[region] = &comparison{}
+	}
 }
 
-// updateLead recomputes the level of recent service and the largest amount owed. The level divides what was actually served, so that it follows the
-// throughput of the engines, whatever is configured.
+// updateLead recomputes the comparisons.
 func (s *Shares) updateLead() {
+	s.compare(&s.fleet, func(pomelorelay.Residency) bool { return true })
+	for region, c := range s.regions {
+		s.compare(c, func(r pomelorelay.Residency) bool { return r.Allows(region) })
+	}
+}
+
+// compare compares the accounts whose residency is included. The level divides what was actually served, so that it follows the throughput of the
+// engines, whatever is configured.
+func (s *Shares) compare(c *comparison, included func(pomelorelay.Residency) bool) {
 	total := pomelorelay.Cost(0)
 	s.demands = s.demands[:0]
 	for _, a := range s.accounts {
-		total += max(0, a.recent.served)
-		if a.recent.requested > 0 {
+		if a.recent.requested > 0 && included(a.residency) {
+			total += max(0, a.recent.served)
 			s.demands = append(s.demands, a.recent.requested)
 		}
 	}
-	s.recentLevel, s.maxOwed = maxMinLevel(total, s.demands), 0
-	if s.recentLevel == 0 {
+	c.level, c.maxOwed = maxMinLevel(total, s.demands), 0
+	if c.level == 0 {
 		return
 	}
 	for _, a := range s.accounts {
-		s.maxOwed = max(s.maxOwed, s.owed(a))
+		if included(a.residency) {
+			c.maxOwed = max(c.maxOwed, c.owed(a))
+		}
 	}
 }
 
 // Lead returns by how much the account's recent service exceeds that of the account which is owed most, as a fraction of the fair level of recent
 // service. An account is owed the smaller of what it requests and the level. The lead is zero for an account that requests no more than the level, and
 // while no account is owed anything.
-func (s *Shares) Lead(id pomelorelay.AccountID) float64 {
-	a := s.account(id)
-	if s.maxOwed == 0 || a.recent.requested <= s.recentLevel {
-		return 0
+func (s *Shares) Lead(id pomelorelay.AccountID) float64 { return s.fleet.lead(s.account(id)) }
+
+// RegionLeads returns the account's lead over the accounts allowed in each region; nil while no account is restricted to regions.
+func (s *Shares) RegionLeads(id pomelorelay.AccountID) map[pomelorelay.RegionID]float64 {
+	if len(s.regions) == 0 {
+		return nil
+	}
+	leads, a := make(map[pomelorelay.RegionID]float64, len(s.regions)), s.account(id)
+	for region, c := range s.regions {
+		leads[region] = c.lead(a)
 	}
-	return max(0, float64((a.recent.served-s.recentLevel+s.maxOwed)/s.recentLevel))
+	return leads
 }
 
 // AboveLevel reports whether the account's recent service exceeds the fair level of recent service.
 func (s *Shares) AboveLevel(id pomelorelay.AccountID) bool {
 	a := s.account(id)
-	return s.recentLevel > 0 && a.recent.requested > s.recentLevel && a.recent.served > s.recentLevel
+	return s.fleet.level > 0 && a.recent.requested > s.fleet.level && a.recent.served > s.fleet.level
 }
 
-// mostOwed reports whether no account is owed more than this one, and this one is owed something.
+// mostOwed reports whether no account that may use the same upstreams is owed more than this one.
 func (s *Shares) mostOwed(id pomelorelay.AccountID) bool {
 	a := s.account(id)
-	return s.maxOwed > 0 && s.owed(a) >= s.maxOwed
+	if s.fleet.mostOwed(a) {
+		return true
+	}
+	for region, c := range s.regions {
+		if a.residency.Allows(region) && c.mostOwed(a) {
+			return true
+		}
+	}
+	return false
 }
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -28,6 +28,8 @@
 	changed bool
 	window  usage
 	steps   [windowSteps]usage
+	// residency is the set of regions that the account's requests may use.
+	residency pomelorelay.Residency
 	// recent and last are the fleet's usage with exponential decay.
 	recent, last usage
 }
@@ -50,10 +52,12 @@
 	// level is the max-min fair level (see computeLevel) as of the last Tick, in tokens per window; zero when the capacity is unknown or covers all
 	// requests.
 	level pomelorelay.Cost
-	// recentLevel is the max-min fair level of recent service; zero when all requests were served. maxOwed is the most that any account lacks of
-	// the smaller of its recent requests and recentLevel. Both are as of the last Tick.
-	recentLevel, maxOwed pomelorelay.Cost
-	decayedAt            time.Time
+	// fleet compares the recent service of all accounts, regions that of the accounts allowed in each region; regions is empty while no account is
+	// restricted. They are as of the last Tick.
+	fleet       comparison
+	regions     map[pomelorelay.RegionID]*comparison
+	residencies map[pomelorelay.AccountID]pomelorelay.Residency
+	decayedAt   time.Time
 	// servedLevel is the max-min fair level of the cost served within the window, as of the last Tick; zero when all requests were served.
 	servedLevel pomelorelay.Cost
 	// totalServed is the cost served to all accounts within the window, as of the last Tick.
@@ -72,7 +76,7 @@
 func (s *Shares) account(id pomelorelay.AccountID) *account {
 	a := s.accounts[id]
 	if a == nil {
-		a = &account{}
+		a = &account{residency: s.residencies[id]}
 		s.accounts[id] = a
 	}
 	return a
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -263,3 +263,31 @@
 		t.Errorf("%v requested and %v served, want 800", requested, served)
 	}
 }
+
+// Guards against an account that leads in the whole fleet and is limited for the sake of an account that its upstreams cannot serve: the engines of its
+// region would stand idle while it is refused.
+func TestAccountsOfOtherRegionsAreNotCompared(t *testing.T) {
+	s := pomeloshare.New(pomeloshare.Config{Window: window})
+	s.SetResidencies(map[pomelorelay.AccountID]pomelorelay.Residency{
+		"here": pomelorelay.NewResidency([]pomelorelay.RegionID{"ra"}), "there": pomelorelay.NewResidency([]pomelorelay.RegionID{"rb"}),
+	}, []pomelorelay.RegionID{"ra", "rb"})
+	s.Tick(start)
+	for id, served := range map[pomelorelay.AccountID]pomelorelay.Cost{"here": 100_000, "there": 800_000, "anywhere": 800_000} {
+		s.RecordRequest(id, 2_000_000)
+		s.RecordServed(id, served)
+	}
+	s.Tick(start.Add(100 * time.Millisecond))
+	if got := s.Lead("there"); got < 1 {
+		t.Errorf("lead over all accounts %.2f, want at least 1", got)
+	}
+	if got := s.RegionLeads("there")["rb"]; got > 0.01 {
+		t.Errorf("lead where the account that is owed most may not run: %.2f, want 0", got)
+	}
+	if leads := s.RegionLeads("anywhere"); leads["ra"] < 1 || leads["rb"] > 0.01 {
+		t.Errorf("leads of an unrestricted account by region: %v, want at least 1 in ra and 0 in rb", leads)
+	}
+	s.SetResidencies(nil, []pomelorelay.RegionID{"ra", "rb"})
+	if leads := s.RegionLeads("anywhere"); leads != nil {
+		t.Errorf("leads by region %v while no account is restricted, want none", leads)
+	}
+}
