Streams keep their version when all routers are killed at once

Cause: a resumed stream whose origin is unknown continued if the router knew one version only. That the router must have known the versions for as long as streams may be resumed was asked of streams with a named origin only; after a restart of the fleet no router knows the version that has left. It is asked of all now. Streams without a named origin get a Retry-After until then, because no report tells where they began.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -206,7 +206,7 @@
 	accounted := req.Cost > 0 && req.Account != ""
 	r := req.Request
 	if !c.fixVersion(now, &req, &r) {
-		return pomeloplace.Decision{Reason: pomeloplace.ReasonVersionUnknown, RetryAfter: unknownVersionRetryAfter}
+		return pomeloplace.Decision{Reason: pomeloplace.ReasonVersionUnknown, RetryAfter: c.versionRetryAfter(now, &req)}
 	}
 	// The regions are determined anew at each attempt: if a new configuration allows fewer regions, this also applies to requests that
 	// arrived before it.
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -118,7 +118,8 @@
 }
 
 // fixVersion sets the version at which a resumed stream must continue. It returns false if that version is unknown and the stream may have
-// begun at another one than the service has now.
+// begun at another one than the service has now: besides several versions, also at a router that has not known the versions for as long as streams
+// may be resumed, because all routers that knew a version which has left since may have failed.
 func (c *control) fixVersion(now time.Time, req *pomeloforward.PlacementRequest, r *pomeloplace.Request) bool {
 	if !req.Stream.Resumed || r.VersionFixed {
 		return true
@@ -130,11 +131,20 @@
 		}
 	}
 	window := c.resumeWindow()
-	if c.streams.versions.Several(now, r.Service, window) {
-		return false
+	return !c.streams.versions.Several(now, r.Service, window) && now.Sub(c.streams.knownSince) >= window
+}
+
+// versionRetryAfter returns the Retry-After of a resumed stream whose version is unknown. No report tells the version of a stream whose caller does not
+// name its origin: it can continue only once the versions have been known for long enough.
+func (c *control) versionRetryAfter(now time.Time, req *pomeloforward.PlacementRequest) time.Duration {
+	if req.Stream.OriginNamed {
+		return unknownVersionRetryAfter
 	}
-	// A router that has just started may have missed a version that left. Callers that name no origin do not expect versions to matter.
-	return !req.Stream.OriginNamed || now.Sub(c.streams.knownSince) >= window
+	window := c.resumeWindow()
+	if left := window - now.Sub(c.streams.knownSince); left > 0 {
+		return left
+	}
+	return window
 }
 
 // recordOrigin records the version at which a resumable stream began.
