The lead counts what all accounts are owed, and limits fall with its square

The lead is now the account's excess over the level plus twice the sum that is owed, over all that was served; of two accounts it is still the difference over the level. The limits are multiplied by one less its square, since small leads are those of single requests.

--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -10,7 +10,8 @@
 // BoundRecompute limits the cached tokens prefilled again when a flood of sessions finds its engines busy, BoundSlots the requests running at an
 // engine when answers are long, BoundQueue the wait when prompts exceed the prefill rate, BoundTime the time until the answer begins. In-share
 // requests (within the account's share) may use all slots and most of the queue, over-share requests less. The limits of both fall to zero with the
-// lead of their account over the account that is owed most, which bounds the difference in what accounts get whatever else decides placements.
+// lead of their account, which bounds the difference in what accounts get whatever else decides placements. They fall with its square: a small lead is
+// that of single requests, and limits that followed it would leave slots idle.
 
 const (
 	// These fractions of the shortest latency target limit the queue delay of in-share and of over-share requests.
@@ -96,7 +97,7 @@
 		p.limitOverShare(now, u, r, target, &a)
 	}
 	if lead := r.leadAt(u); lead > 0 && !disabled.AheadLimits {
-		a.scale(max(0, 1-lead))
+		a.scale(max(0, 1-lead*lead))
 	}
 	return a
 }
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -34,7 +34,7 @@
 	MaxWait time.Duration
 	// WithinShare reports whether the request is within its account's fair share.
 	WithinShare bool
-	// Lead is by how much the account's recent service exceeds that of the account which is owed most, as a fraction of the fair level; the limits of
+	// Lead is by how much the account's recent service exceeds that of accounts that are owed service, as a fraction of the fair level; the limits of
 	// its requests fall with it. RegionLeads replaces it at the upstreams of a region, where only the accounts allowed there are compared.
 	Lead        float64
 	RegionLeads map[pomelorelay.RegionID]float64
--- a/pomeloshare/lead.go
+++ b/pomeloshare/lead.go
@@ -50,8 +50,10 @@
 
 // comparison compares the recent service of accounts that may use the same upstreams.
 type comparison struct {
-	// level is the max-min fair level of recent service, zero when all requests were served; maxOwed is the most that any account is owed.
-	level, maxOwed pomelorelay.Cost
+	// level is the max-min fair level of recent service, zero when all requests were served; total is the recent service of all accounts.
+	level, total pomelorelay.Cost
+	// maxOwed is the most that any account is owed, sumOwed what all accounts are owed.
+	maxOwed, sumOwed pomelorelay.Cost
 }
 
 // owed returns what the account lacks of the smaller of its recent requests and the level, by the fraction of its last requests that were refused: an
@@ -61,11 +63,13 @@
 	return a.refusedFraction() * (min(a.recent.requested, c.level) - max(0, a.recent.served))
 }
 
+// lead adds what is owed to the account's excess over the level, in such a way that between two accounts it is the difference of their service. Among
+// many it is less than the difference to the one that is owed most, which cannot use all that the others would leave free.
 func (c *comparison) lead(a *account) float64 {
 	if c.maxOwed == 0 || a.recent.requested <= c.level {
 		return 0
 	}
-	return max(0, float64((a.recent.served-c.level+c.maxOwed)/c.level))
+	return max(0, float64((a.recent.served-c.level)/c.level+2*c.sumOwed/c.total))
 }
 
 // mostOwed reports whether the account is owed something, and no account more.
@@ -105,18 +109,20 @@
 			s.demands = append(s.demands, a.recent.requested)
 		}
 	}
-	c.level, c.maxOwed = maxMinLevel(total, s.demands), 0
+	*c = comparison{level: maxMinLevel(total, s.demands), total: total}
 	if c.level == 0 {
 		return
 	}
 	for _, a := range s.accounts {
 		if included(a.residency) {
-			c.maxOwed = max(c.maxOwed, c.owed(a))
+			owed := max(0, c.owed(a))
+			c.maxOwed = max(c.maxOwed, owed)
+			c.sumOwed += owed
 		}
 	}
 }
 
-// Lead returns by how much the account's recent service exceeds that of the account which is owed most, as a fraction of the fair level of recent
+// Lead returns by how much the account's recent service exceeds that of accounts that are owed service, as a fraction of the fair level of recent
 // service. An account is owed the smaller of what it requests and the level. The lead is zero for an account that requests no more than the level, and
 // while no account is owed anything.
 func (s *Shares) Lead(id pomelorelay.AccountID) float64 { return s.fleet.lead(s.account(id)) }
