An account that is owed service yields less to higher priorities

Among nine or ten floods one of low priority was still served 0.36 to 0.46 of what the best one got: refusals of small accounts, which have the highest priority here, made it leave a quarter of the slots to floods of higher priority. The lead of each of them is small among so many.

The slots that a request leaves free for higher priorities fall with what its account is owed, to none at half of the level. TestOwedAccountYieldsLess and TestLeadingAccountMakesNobodyYield show it.

--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -38,6 +38,8 @@
 	// its requests fall with it. RegionLeads replaces it at the upstreams of a region, where only the accounts allowed there are compared.
 	Lead        float64
 	RegionLeads map[pomelorelay.RegionID]float64
+	// Owed is what the account is owed of recent service, as a fraction of the fair level.
+	Owed float64
 	// Priority is the priority of the account or else of the route; 0 is the highest.
 	Priority int
 	// deferred is the fraction of slots that the request leaves free for other requests.
--- a/pomeloplace/floods_test.go
+++ b/pomeloplace/floods_test.go
@@ -15,7 +15,7 @@
 )
 
 var (
-	floodSeeds = flag.Int("flood-seeds", 8, "number of drawn floods that TestFloodingAccountsAreServedAlike simulates")
+	floodSeeds = flag.Int("flood-seeds", 24, "number of drawn floods that TestFloodingAccountsAreServedAlike simulates")
 	floodFrom  = flag.Int("flood-from", 1, "first seed of these floods")
 )
 
@@ -198,7 +198,7 @@
 	f.largest = max(f.largest, cost)
 	shares.Tick(f.now)
 	shares.RecordRequest(id, cost)
-	r.WithinShare, r.Lead = shares.WithinShare(id, cost), shares.Lead(id)
+	r.WithinShare, r.Lead, r.Owed = shares.WithinShare(id, cost), shares.Lead(id), shares.Owed(id)
 	if flood := f.flood(account); flood != nil && f.scenario.priorities {
 		r.Priority = flood.priority
 	}
@@ -291,32 +291,46 @@
 		all/pomelorelay.Cost(floodSeconds)/pomelorelay.Cost(f.scenario.engines), calmServed/calmAsked, text, f.idle, f.decisions, f.onTime)
 }
 
+// checkFloods simulates a scenario and fails if an account got less than half of what it must get.
+func checkFloods(t *testing.T, seed uint64, c floodScenario) {
+	t.Parallel()
+	f := newFloods(seed, c)
+	f.simulate()
+	lowest, where := f.unfairness()
+	t.Logf("%+v: lowest %.2f; %s", c, lowest, f)
+	if lowest < 0.5 {
+		t.Errorf("%.2f: %s", lowest, where)
+	}
+}
+
+func checkFloodsOfSeed(t *testing.T, seed int) {
+	t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+		checkFloods(t, rand.New(rand.NewPCG(uint64(seed), 0)).Uint64(), drawnFloods.Example(seed))
+	})
+}
+
+// brokenSeeds are seeds of floods that broke the bound in an earlier state of the code: by few large requests (148), and by priorities.
+var brokenSeeds = []int{90, 148, 213, 226}
+
 // Guards against a flooding account that gets less than half of what another one gets: by its priority, by the routers that it reaches, by when it began,
 // or because engines give more than is configured and the surplus goes to whoever comes first.
 func TestFloodingAccountsAreServedAlike(t *testing.T) {
 	t.Parallel()
-	check := func(t *testing.T, seed uint64, c floodScenario) {
-		t.Parallel()
-		f := newFloods(seed, c)
-		f.simulate()
-		lowest, where := f.unfairness()
-		t.Logf("%+v: lowest %.2f; %s", c, lowest, f)
-		if lowest < 0.5 {
-			t.Errorf("%.2f: %s", lowest, where)
-		}
-	}
 	all := 7
 	for name, c := range map[string]floodScenario{
 		"low priority and two routers": {7, 9, 64, 0.42, 12 * time.Millisecond, 0, true, []floodSpec{{0, 8, 0, all}, {0, 8, 2, 2}}},
 		"one begins later":             {7, 9, 64, 0.42, 12 * time.Millisecond, 0, false, []floodSpec{{0, 8, 0, all}, {3 * time.Second, 8, 0, 1}}},
 		"configured beyond capacity":   {7, 9, 12, 2, 100 * time.Millisecond, 0, false, []floodSpec{{0, 9, 0, all}, {0, 4, 0, 1}, {2 * time.Second, 9, 0, 1}}},
 	} {
-		t.Run(name, func(t *testing.T) { check(t, 1, c) })
+		t.Run(name, func(t *testing.T) { checkFloods(t, 1, c) })
 	}
 	for i := range *floodSeeds {
-		seed := *floodFrom + i
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			check(t, rand.New(rand.NewPCG(uint64(seed), 0)).Uint64(), drawnFloods.Example(seed))
-		})
+		checkFloodsOfSeed(t, *floodFrom+i)
+	}
+	for _, seed := range brokenSeeds {
+		checkFloodsOfSeed(t, seed)
 	}
 }
+
+// Guards against eight floods beside calm accounts at engines of 24 slots in which one account gets 0.49 of what another one gets.
+func TestEightFloodsAreServedAlike(t *testing.T) { checkFloodsOfSeed(t, 75) }
--- a/pomeloplace/priority.go
+++ b/pomeloplace/priority.go
@@ -70,9 +70,16 @@
 			recency = max(recency, 1-float64(age)/float64(denialTimeout))
 		}
 	}
-	return maxDeferredFraction * recency * float64(rank) / float64(len(s.values)-1)
+	return r.yielding() * maxDeferredFraction * recency * float64(rank) / float64(len(s.values)-1)
 }
 
+// maxOwedYielding is the fraction of the fair level from which an account that is owed it no longer yields to higher priorities: users consider it
+// unfair when an account gets less than half of what others get.
+const maxOwedYielding = 0.5
+
+// yielding returns the part of the deferral that applies to the request.
+func (r *Request) yielding() float64 { return max(0, 1-r.Owed/maxOwedYielding) }
+
 // recordDenial records a request that was refused because upstreams are busy or that is expected to be answered late. Requests of accounts that lead
 // others do not count: lower priorities would leave slots free for a flood that has been served more than they have.
 func (p *Placer) recordDenial(now time.Time, r *Request, u *upstream, d *Decision) {
--- a/pomeloplace/priority_test.go
+++ b/pomeloplace/priority_test.go
@@ -116,3 +116,26 @@
 		}
 	}
 }
+
+// Guards against a low priority that keeps an account from half of what others get: it would leave slots free for them whatever it was served.
+func TestOwedAccountYieldsLess(t *testing.T) {
+	for _, c := range []struct {
+		owed float64
+		want int
+	}{{0, 9}, {0.25, 11}, {0.5, 12}, {1, 12}} {
+		if got := fillAfterDenial(withPriorities(12, 0, 1, 2), 0, 0, pomeloplace.Request{Priority: 2, WithinShare: true, Owed: c.owed}); got != c.want {
+			t.Errorf("owed %.2f of the level: %d of 12 slots filled, want %d", c.owed, got, c.want)
+		}
+	}
+}
+
+// Guards against a flood of high priority whose refusals make others yield although it has been served more than they have.
+func TestLeadingAccountMakesNobodyYield(t *testing.T) {
+	p := withPriorities(12, 0, 1, 2)
+	for _, run := range fill(p, start, pomeloplace.Request{Priority: 0, WithinShare: true, Lead: 0.1}) {
+		p.RecordEnd(start, run, pomeloplace.ResultCompleted)
+	}
+	if got := len(fill(p, start, pomeloplace.Request{Priority: 2, WithinShare: true})); got != 12 {
+		t.Errorf("%d of 12 slots filled after a leading account was refused, want all", got)
+	}
+}
--- a/pomeloshare/lead.go
+++ b/pomeloshare/lead.go
@@ -127,6 +127,14 @@
 // while no account is owed anything.
 func (s *Shares) Lead(id pomelorelay.AccountID) float64 { return s.fleet.lead(s.account(id)) }
 
+// Owed returns what the account is owed, as a fraction of the fair level of recent service.
+func (s *Shares) Owed(id pomelorelay.AccountID) float64 {
+	if s.fleet.level == 0 {
+		return 0
+	}
+	return max(0, float64(s.fleet.owed(s.account(id))/s.fleet.level))
+}
+
 // RegionLeads returns the account's lead over the accounts allowed in each region; nil while no account is restricted to regions.
 func (s *Shares) RegionLeads(id pomelorelay.AccountID) map[pomelorelay.RegionID]float64 {
 	if len(s.regions) == 0 {
