A request that may have run is not limited by its account's lead

Such a request was charged when it was first sent; refused for the lead of its account, its caller would lose a stream midway. Found by reading the diff: retries that were charged skip the share check, and the lead has to be skipped with it. TestRequestThatMayHaveRunIsNotLimitedByTheLead fails without it.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -220,8 +220,10 @@
 		// Only retries that may have run and were charged skip the share check. If every retry after an unreachable upstream skipped
 		// it, a flood could exceed its share while many upstreams are down, and requests of other accounts would be refused.
 		r.WithinShare = req.Charged || c.shares.WithinShare(req.Account, req.Cost)
+		if !req.Charged {
+			r.Lead, r.RegionLeads = c.shares.Lead(req.Account), c.shares.RegionLeads(req.Account)
+		}
 		r.Owed = c.shares.Owed(req.Account)
-		r.Lead, r.RegionLeads = c.shares.Lead(req.Account), c.shares.RegionLeads(req.Account)
 		share.Cost, share.WithinShare = req.Cost, r.WithinShare
 		share.Requested, share.Served, share.FairShare = c.shares.Usage(req.Account)
 		share.TotalServed = c.shares.TotalServed()
--- a/pomeloentry/place_test.go
+++ b/pomeloentry/place_test.go
@@ -136,3 +136,26 @@
 		}
 	}
 }
+
+// Guards against a request that is refused for its account's lead after an upstream has begun to run it: what it costs was charged before, and its caller
+// would lose a stream midway.
+func TestRequestThatMayHaveRunIsNotLimitedByTheLead(t *testing.T) {
+	d := pomeloentry.NewPlacementControl(pomelorelay.FleetConfig{
+		Limits:   pomelorelay.CallerLimits{TokensPerSecond: 10_000},
+		Services: []pomelorelay.ServiceSpec{{Name: "s", Engine: &pomelorelay.EngineSpec{Slots: 64, KVCapacity: 500_000, TokensPerEvent: 7}}},
+	}, pomelorelay.FleetUpstream{ID: "u", Service: "s", Domain: "a", Slots: 64})
+	now := time.Now()
+	lead := func(charged bool) float64 {
+		now = now.Add(100 * time.Millisecond)
+		d.RefusedUnread(now, "short", 4000)
+		return d.Place(now, pomeloforward.PlacementRequest{Account: "flood", Cost: 5000, Retry: charged, Charged: charged, Request: pomeloplace.Request{
+			Service: "s", PromptTokens: 100, OutputTokens: 10, Target: time.Second, MaxWait: 10 * time.Second,
+		}}).Lead
+	}
+	for range 20 {
+		lead(false)
+	}
+	if first, again := lead(false), lead(true); first <= 0 || again != 0 {
+		t.Errorf("lead of %.2f of a first attempt, want above 0, and of %.2f of one that may have run before, want 0", first, again)
+	}
+}
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -213,7 +213,7 @@
 }
 
 // maxMinLevel returns the max-min fair level of a capacity: demands below the level are served in full, and the others get the level. It is zero when
-// the capacity is zero or covers all demands. The demands are sorted.
+// the capacity is zero or covers all demands. It sorts the demands in place.
 func maxMinLevel(capacity pomelorelay.Cost, demands []pomelorelay.Cost) pomelorelay.Cost {
 	if capacity <= 0 {
 		return 0
