--- a/pomeloplace/floods_test.go
+++ b/pomeloplace/floods_test.go
@@ -115,10 +115,12 @@
 	}
 	f.slots, f.reportDelay, f.retryRefused = c.slots, c.reportDelay, true
 	f.choose, f.began, f.entry, f.onSend, f.onReceive = f.place, f.recordBegin, f.enter, f.addUse, f.mergeUse
-	f.draw = func() (r pomeloplace.Request, output int) {
-		for r, output = f.randomRequest(); r.PromptTokens > maxFloodPrompt; r, output = f.randomRequest() {
+	f.draw = func() (pomeloplace.Request, int) {
+		for {
+			if r, output := f.randomRequest(); r.PromptTokens <= maxFloodPrompt {
+				return r, output
+			}
 		}
-		return r, output
 	}
 	f.account = func(own uint64) { f.accountOf[own] = f.drawAccount() }
 	return f
