--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -65,7 +65,7 @@
 	demands     []pomelorelay.Cost
 }
 
-// New returns Shares of an unknown capacity, which do not limit any account.
+// New returns Shares of an unknown capacity, for which every request is within its account's share.
 func New(cfg Config) *Shares {
 	return &Shares{cfg: cfg, accounts: make(map[pomelorelay.AccountID]*account), peers: make(map[pomelorelay.NodeID]*peer)}
 }
