An overloaded router refuses first only what is beyond its share

Cause, at least in part: counted accounts above the level of what is served as beyond their share there. That level has no tolerance and needs no configured capacity; a few refused requests put some account above it, and its requests leave nearly half of the router's admissions to others, though nothing limits what accounts may have. Within a configured capacity the question is what WithinShare answers, so the method goes.

--- a/pomeloentry/limited_test.go
+++ b/pomeloentry/limited_test.go
@@ -165,3 +165,23 @@
 		t.Errorf("accounts beyond their share: %v, want only flood", got)
 	}
 }
+
+// Guards against an overloaded router that refuses an account's requests first because it was served a little more than others, although nothing bounds what
+// accounts may have: a few refused requests put some account above the level of what is served.
+func TestNoAccountIsOverShareWhileCapacityIsUnknown(t *testing.T) {
+	d := pomeloentry.NewPlacementControl(pomelorelay.FleetConfig{
+		Accounts: []pomelorelay.AccountSpec{{Name: "more"}, {Name: "less"}},
+		Services: []pomelorelay.ServiceSpec{{Name: "s", Engine: &pomelorelay.EngineSpec{Slots: 64, KVCapacity: 500_000, TokensPerEvent: 7}}},
+	}, pomelorelay.FleetUpstream{ID: "u", Service: "s", Domain: "a", Slots: 64})
+	now := time.Now()
+	for range 10 {
+		for account, cost := range map[pomelorelay.AccountID]pomelorelay.Cost{"more": 1200, "less": 1000} {
+			now = now.Add(50 * time.Millisecond)
+			d.RefusedUnread(now, account, 100)
+			d.Place(now, pomeloforward.PlacementRequest{Account: account, Cost: cost, Request: pomeloplace.Request{Service: "s", PromptTokens: 100, OutputTokens: 10, Target: time.Second, MaxWait: 10 * time.Second}})
+		}
+	}
+	if got := d.OverShare(); len(got) > 0 {
+		t.Errorf("accounts beyond their share: %v, want none", got)
+	}
+}
--- a/pomeloentry/overloadwatch.go
+++ b/pomeloentry/overloadwatch.go
@@ -83,7 +83,7 @@
 	}
 	for i := range c.config.Accounts {
 		account := c.config.Accounts[i].Name
-		if !c.shares.WithinShare(account, 0) || c.shares.AboveLevel(account) {
+		if !c.shares.WithinShare(account, 0) {
 			s.overShare[account] = true
 		}
 	}
--- a/pomeloshare/lead.go
+++ b/pomeloshare/lead.go
@@ -147,12 +147,6 @@
 	return leads
 }
 
-// AboveLevel reports whether the account's recent service exceeds the fair level of recent service.
-func (s *Shares) AboveLevel(id pomelorelay.AccountID) bool {
-	a := s.account(id)
-	return s.fleet.level > 0 && a.recent.requested > s.fleet.level && a.recent.served > s.fleet.level
-}
-
 // mostOwed reports whether no account that may use the same upstreams is owed more than this one.
 func (s *Shares) mostOwed(id pomelorelay.AccountID) bool {
 	a := s.account(id)
