--- a/pomeloentry/limited_test.go
+++ b/pomeloentry/limited_test.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// Guards against neighbours that are not told of the limit or of its end, against one notice for each tick, and against a notice that is applied as a
-// load report.
+// Guards against neighbours that are not told that an overloaded router limits its admissions, or that it no longer does, against a notice in each tick,
+// and against a notice that is applied as a load report.
 func TestLimitedRouterNotifiesItsNeighbours(t *testing.T) {
 	now := time.Now()
 	f := pomeloentry.NewUpdateControl("a-1", 4*time.Second, peersOf(2, 3))
--- a/pomelolog/batch.go
+++ b/pomelolog/batch.go
@@ -69,7 +69,7 @@
 	return err
 }
 
-// Close writes the waiting lines.
+// Close stops the flush timer and writes the buffered lines.
 func (b *batchWriter) Close() error {
 	b.timer.Stop()
 	b.mu.Lock()
