--- a/pomeloentry/accounts.go
+++ b/pomeloentry/accounts.go
@@ -18,17 +18,6 @@
 	reasonOverload = "Overload"
 )
 
-// accountResidencies returns the regions of the accounts that the configuration restricts.
-func accountResidencies(config *pomelorelay.FleetConfig) map[pomelorelay.AccountID]pomelorelay.Residency {
-	all := make(map[pomelorelay.AccountID]pomelorelay.Residency)
-	for _, a := range config.Accounts {
-		if len(a.Regions) > 0 {
-			all[a.Name] = pomelorelay.NewResidency(a.Regions)
-		}
-	}
-	return all
-}
-
 // regions returns the regions of the fleet; one may occur several times.
 func (c *control) regions() []pomelorelay.RegionID {
 	return slices.Collect(maps.Values(c.e.cfg.Settings.Regions))
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -350,7 +350,7 @@
 	c.shares.SetCapacity(config.Limits.TokensPerSecond)
 	c.placer.SetConfig(config)
 	c.residency.SetConfig(now, config)
-	c.shares.SetResidencies(accountResidencies(config), c.regions())
+	c.shares.SetResidencies(c.residency.Accounts(), c.regions())
 	c.e.overload.fullServices.Store(newFullServiceTable(config))
 	c.e.table.Store(pomelotable.New(config))
 	c.e.mesh.SetGeneration(config.Version)
--- a/pomeloresidency/policy.go
+++ b/pomeloresidency/policy.go
@@ -36,6 +36,11 @@
 	p.current = newRules(config)
 }
 
+// Accounts returns the regions of the accounts that the current configuration restricts.
+func (p *Policy) Accounts() map[pomelorelay.AccountID]pomelorelay.Residency {
+	return p.current.accounts
+}
+
 func newRules(config *pomelorelay.FleetConfig) rules {
 	r := rules{
 		routes:   make(map[pomelorelay.RouteID]pomelorelay.Residency),
