A test that the configuration's regions reach the comparison of accounts

Only the parts were tested. The test's control applied a configuration by its own copy of setConfig, which left the regions out; both use configureDecisions now.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -341,16 +341,21 @@
 	}
 }
 
+// configureDecisions applies the configuration to the parts that decide on placements.
+func (c *control) configureDecisions(now time.Time) {
+	c.placer.SetConfig(c.config)
+	c.residency.SetConfig(now, c.config)
+	c.shares.SetCapacity(c.config.Limits.TokensPerSecond)
+	c.shares.SetResidencies(c.residency.Accounts(), c.regions())
+}
+
 // setConfig activates a configuration unless the one in force has the same or a newer version.
 func (c *control) setConfig(now time.Time, config *pomelorelay.FleetConfig, source string) {
 	if c.config != nil && config.Version <= c.config.Version {
 		return
 	}
 	c.config = config
-	c.shares.SetCapacity(config.Limits.TokensPerSecond)
-	c.placer.SetConfig(config)
-	c.residency.SetConfig(now, config)
-	c.shares.SetResidencies(c.residency.Accounts(), c.regions())
+	c.configureDecisions(now)
 	c.e.overload.fullServices.Store(newFullServiceTable(config))
 	c.e.table.Store(pomelotable.New(config))
 	c.e.mesh.SetGeneration(config.Version)
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -129,15 +129,13 @@
 
 // NewPlacementControl returns a PlacementControl with the configuration and the upstreams.
 func NewPlacementControl(config pomelorelay.FleetConfig, upstreams ...pomelorelay.FleetUpstream) PlacementControl {
-	settings := pomelorelay.FleetSettings{Self: pomelorelay.Peer{Node: "r", Domain: "a", Region: "ra"}, ShareWindow: 4 * time.Second}
+	settings := pomelorelay.FleetSettings{Self: pomelorelay.Peer{Node: "r", Domain: "a", Region: "ra"}, ShareWindow: 4 * time.Second, Regions: map[pomelorelay.DomainID]pomelorelay.RegionID{"a": "ra", "b": "rb"}}
 	began := time.Now()
 	steady := func() time.Duration { return time.Since(began) }
 	c := newControl(&Router{cfg: Config{Settings: settings, Clock: pomelorelay.SystemClock{}, Steady: steady, Logger: pomelorelay.NopLogger{}}, metrics: pomelometric.New()})
 	c.config = &config
 	c.e.overload.fullServices.Store(newFullServiceTable(&config))
-	c.shares.SetCapacity(config.Limits.TokensPerSecond)
-	c.placer.SetConfig(&config)
-	c.residency.SetConfig(time.Time{}, &config)
+	c.configureDecisions(time.Time{})
 	for _, u := range upstreams {
 		c.placer.PutUpstream(time.Time{}, u)
 	}
--- a/pomeloentry/place_test.go
+++ b/pomeloentry/place_test.go
@@ -159,3 +159,27 @@
 		t.Errorf("lead of %.2f of a first attempt, want above 0, and of %.2f of one that may have run before, want 0", first, again)
 	}
 }
+
+// Guards against an account that is limited for the sake of one which the configuration keeps out of its region.
+func TestAccountOfAnotherRegionDoesNotLimit(t *testing.T) {
+	for _, c := range []struct {
+		short []pomelorelay.RegionID
+		leads bool
+	}{{nil, true}, {[]pomelorelay.RegionID{"ra"}, true}, {[]pomelorelay.RegionID{"rb"}, false}} {
+		d := pomeloentry.NewPlacementControl(pomelorelay.FleetConfig{
+			Accounts: []pomelorelay.AccountSpec{{Name: "flood"}, {Name: "short", Regions: c.short}},
+			Services: []pomelorelay.ServiceSpec{{Name: "s", Engine: &pomelorelay.EngineSpec{Slots: 64, KVCapacity: 500_000, TokensPerEvent: 7}}},
+		}, pomelorelay.FleetUpstream{ID: "u", Service: "s", Domain: "a", Slots: 64})
+		now, lead := time.Now(), 0.0
+		for range 20 {
+			now = now.Add(50 * time.Millisecond)
+			d.RefusedUnread(now, "short", 4000)
+			lead = d.Place(now, pomeloforward.PlacementRequest{Account: "flood", Cost: 5000, Request: pomeloplace.Request{
+				Service: "s", PromptTokens: 100, OutputTokens: 10, Target: time.Second, MaxWait: 10 * time.Second,
+			}}).Lead
+		}
+		if leads := lead > 0; leads != c.leads {
+			t.Errorf("the other account is allowed in %v: lead %.2f in ra, want one: %v", c.short, lead, c.leads)
+		}
+	}
+}
