Shares follow what engines produce where that is less than is configured

Cause: WithinShare compared with the level of the configured capacity only. Where engines produce less, every request of a flood is within its share: no slot is kept free from it, it may queue for as long as anyone, and only its lead limits it, which cannot see single accounts of small demand. Class: a guarantee computed from what is configured instead of from what is served.

The level is now the lower of the two. With one account alone the configured one stays, as there is nobody to keep slots for.

Where engines give more than is configured nothing changes.

--- a/pomeloplace/floods_test.go
+++ b/pomeloplace/floods_test.go
@@ -311,8 +311,9 @@
 	})
 }
 
-// brokenSeeds are seeds of floods that broke the bound in an earlier state of the code: by few large requests (148), and by priorities.
-var brokenSeeds = []int{90, 148, 213, 226}
+// brokenSeeds are seeds of floods that broke the bound in an earlier state of the code: by few large requests (148), where engines produce less than is
+// configured (483), and by priorities.
+var brokenSeeds = []int{90, 148, 213, 226, 483}
 
 // Guards against a flooding account that gets less than half of what another one gets: by its priority, by the routers that it reaches, by when it began,
 // or because engines give more than is configured and the surplus goes to whoever comes first.
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -49,8 +49,8 @@
 	currentStep int
 	stepStart   time.Time
 	startedAt   time.Time
-	// level is the max-min fair level (see computeLevel) as of the last Tick, in tokens per window; zero when the capacity is unknown or covers all
-	// requests.
+	// level is the max-min fair level of the configured capacity, or, if several accounts send requests, of the cost served within the window where that is
+	// lower, as of the last Tick, in tokens per window; zero when the capacity is unknown or covers all requests.
 	level pomelorelay.Cost
 	// fleet compares the recent service of all accounts, regions that of the accounts allowed in each region; regions is empty while no account is
 	// restricted. They are as of the last Tick.
@@ -186,6 +186,10 @@
 	s.windowDemands()
 	s.level = maxMinLevel(s.capacity*pomelorelay.Cost(s.cfg.Window.Seconds()), s.demands)
 	s.servedLevel = maxMinLevel(s.totalServed, s.demands)
+	if s.servedLevel > 0 && len(s.demands) > 1 {
+		// Engines that produce less than is configured would leave all requests of a flood within its share.
+		s.level = min(s.level, s.servedLevel)
+	}
 	s.decay(now)
 	s.updateLead()
 }
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -62,6 +62,34 @@
 	}
 }
 
+// Guards against a flood whose requests all count as within its share because engines produce less than the configured capacity: small accounts would find
+// no slot that is kept free for them.
+func TestShareFollowsWhatEnginesProduce(t *testing.T) {
+	s := newSharesWithDemand(map[pomelorelay.AccountID]pomelorelay.Cost{"small": 20, "large": 1000})
+	s.RecordServed("small", 10)
+	s.RecordServed("large", 130)
+	s.Tick(start.Add(200 * time.Millisecond))
+	if s.WithinShare("large", 20) {
+		t.Error("a request is within the share although its account was served 130 of 140, where the level is 120")
+	}
+	if !s.WithinShare("small", 10) {
+		t.Error("the small account's request is not within its share")
+	}
+}
+
+// Guards against slots that are kept free from the only account that sends requests, because engines produce less than the configured capacity.
+func TestAccountAloneIsLimitedByNoOther(t *testing.T) {
+	s := newSharesWithDemand(map[pomelorelay.AccountID]pomelorelay.Cost{"alone": 1000})
+	s.RecordServed("alone", 140)
+	s.Tick(start.Add(200 * time.Millisecond))
+	if !s.WithinShare("alone", 20) {
+		t.Error("a request is beyond the share although no other account sends any and the configured capacity of 400 is not used up")
+	}
+	if got := s.Lead("alone"); got != 0 {
+		t.Errorf("lead %.2f, want 0", got)
+	}
+}
+
 func TestUsageLeavesTheWindow(t *testing.T) {
 	s := newSharesWithDemand(map[pomelorelay.AccountID]pomelorelay.Cost{"large": 1000})
 	s.RecordServed("large", 400)
