Leads do not shrink with the accounts that are served all they request

Cause: what others are owed was divided by all that was served. Class: a bound stated for two accounts, diluted by those it is not about.

What others are owed is now divided by the fair share of the accounts that request more than the level, and an account's own part does not count.

Evidence: TestSmallAccountsDoNotReduceALead failed before (0.57 beside 100 small accounts, 0.94 without them).

--- a/pomeloshare/lead.go
+++ b/pomeloshare/lead.go
@@ -50,8 +50,8 @@
 
 // comparison compares the recent service of accounts that may use the same upstreams.
 type comparison struct {
-	// level is the max-min fair level of recent service, zero when all requests were served; total is the recent service of all accounts.
-	level, total pomelorelay.Cost
+	// level is the max-min fair level of recent service, zero when all requests were served; limited is the level times the accounts that request more.
+	level, limited pomelorelay.Cost
 	// maxOwed is the most that any account is owed, sumOwed what all accounts are owed.
 	maxOwed, sumOwed pomelorelay.Cost
 }
@@ -63,13 +63,15 @@
 	return a.refusedFraction() * (min(a.recent.requested, c.level) - max(0, a.recent.served))
 }
 
-// lead adds what is owed to the account's excess over the level, in such a way that between two accounts it is the difference of their service. Among
-// many it is less than the difference to the one that is owed most, which cannot use all that the others would leave free.
+// lead adds what others are owed to the account's excess over the level, in such a way that between two accounts that request more than the level it is the
+// difference of their service, however many others request less. Among many that request more it is less than the difference to the one that is owed
+// most, which cannot use all that the others would leave free.
 func (c *comparison) lead(a *account) float64 {
 	if c.maxOwed == 0 || a.recent.requested <= c.level {
 		return 0
 	}
-	return max(0, float64((a.recent.served-c.level)/c.level+2*c.sumOwed/c.total))
+	others := c.sumOwed - max(0, c.owed(a))
+	return max(0, float64((a.recent.served-c.level)/c.level+2*others/c.limited))
 }
 
 // mostOwed reports whether the account is owed something, and no account more.
@@ -109,12 +111,15 @@
 			s.demands = append(s.demands, a.recent.requested)
 		}
 	}
-	*c = comparison{level: maxMinLevel(total, s.demands), total: total}
+	*c = comparison{level: maxMinLevel(total, s.demands)}
 	if c.level == 0 {
 		return
 	}
 	for _, a := range s.accounts {
 		if included(a.residency) {
+			if a.recent.requested > c.level {
+				c.limited += c.level
+			}
 			owed := max(0, c.owed(a))
 			c.maxOwed = max(c.maxOwed, owed)
 			c.sumOwed += owed
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -1,6 +1,7 @@
 package pomeloshare_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -209,6 +210,30 @@
 	}
 }
 
+// Guards against a lead that shrinks with the number of accounts that are served all they request: on a large fleet one flood would get several times as much
+// as another one.
+func TestSmallAccountsDoNotReduceALead(t *testing.T) {
+	lead := func(small int) float64 {
+		s := pomeloshare.New(pomeloshare.Config{Window: window})
+		s.Tick(start)
+		s.RecordRequest("ahead", 2_000_000)
+		s.RecordServed("ahead", 750_000)
+		s.RecordRequest("behind", 2_000_000)
+		s.RecordServed("behind", 250_000)
+		for i := range small {
+			id := pomelorelay.AccountID(fmt.Sprint("small", i))
+			s.RecordRequest(id, 50_000)
+			s.RecordServed(id, 50_000)
+		}
+		s.Tick(start.Add(100 * time.Millisecond))
+		return s.Lead("ahead")
+	}
+	alone, among := lead(0), lead(100)
+	if alone < 0.8 || among < 0.95*alone {
+		t.Errorf("the account that got three times as much leads by %.2f, beside 100 accounts that are served all they request by %.2f; want at least 0.8, and the same", alone, among)
+	}
+}
+
 // Guards against requests that never ran but count as served: when a quarter of the engines crash, an account's requests are placed there, fail,
 // and are placed again or refused. The failed requests would use up the account's share, and its callers would be refused while others are
 // served.
