--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -63,8 +63,7 @@
 	}
 }
 
-// Guards against a flood whose requests all count as within its share because engines produce less than the configured capacity: small accounts would find
-// no slot that is kept free for them.
+// Guards against a flood from which no slot is kept free for small accounts, because engines produce less than the configured capacity.
 func TestShareFollowsWhatEnginesProduce(t *testing.T) {
 	s := newSharesWithDemand(map[pomelorelay.AccountID]pomelorelay.Cost{"small": 20, "large": 1000})
 	s.RecordServed("small", 10)
@@ -210,8 +209,7 @@
 	}
 }
 
-// Guards against a lead that shrinks with the number of accounts that are served all they request: on a large fleet one flood would get several times as much
-// as another one.
+// Guards against a lead that shrinks with the number of accounts that are served all they request, as they are on a large fleet.
 func TestSmallAccountsDoNotReduceALead(t *testing.T) {
 	lead := func(small int) float64 {
 		s := pomeloshare.New(pomeloshare.Config{Window: window})
