Refusals of full and overloaded routers name the account

RouterFull and RequestShed did not tell whose requests these were, so a log could not show whether an account lacks engines or routers.

--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -193,8 +193,7 @@
 // countRefused adds the cost of a request that was refused without reading its body to its account's demand. Otherwise an account
 // whose callers reach full routers would appear idle and satisfied, and its share would go to others. If the event queue is full,
 // the cost is dropped, because request handling must not wait for the control goroutine.
-func (e *Router) countRefused(r *http.Request) {
-	account, cost := e.forward.EstimateCost(r)
+func (e *Router) countRefused(account pomelorelay.AccountID, cost pomelorelay.Cost) {
 	if cost <= 0 {
 		return
 	}
@@ -274,8 +273,9 @@
 	err.RetryAfter = fullRouterRetryAfter
 	pomeloforward.WriteError(w, err)
 	e.metrics.ObserveAnswer("None", "full", 0, 0)
-	e.countRefused(r)
-	e.log(pomelorelay.EventRouterFull, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.requestLimit.Load()), field("LagMS", e.lag().Milliseconds()))
+	account, cost := e.forward.EstimateCost(r)
+	e.countRefused(account, cost)
+	e.log(pomelorelay.EventRouterFull, field("Account", string(account)), field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.requestLimit.Load()), field("LagMS", e.lag().Milliseconds()))
 	return false
 }
 
--- a/pomeloentry/overload.go
+++ b/pomeloentry/overload.go
@@ -118,6 +118,7 @@
 	code       pomelorelay.ResultCode
 	retryAfter time.Duration
 	class      pomelooverload.Class
+	account    pomelorelay.AccountID
 }
 
 // classNoFreeSlot marks over-share requests refused because the last one found no slot.
@@ -150,7 +151,7 @@
 	if known && r.OverShare {
 		if wait, ok := o.fullServiceRetryAfter(now, &p); ok {
 			o.count(p, classNoFreeSlot)
-			return refusal{pomelorelay.CodeShareSpent, wait, classNoFreeSlot}
+			return refusal{pomelorelay.CodeShareSpent, wait, classNoFreeSlot, p.Account}
 		}
 	}
 	o.mu.Lock()
@@ -160,7 +161,7 @@
 		return refusal{}
 	}
 	o.count(p, class)
-	return refusal{pomelorelay.CodeRouterOverloaded, overloadRetryAfter, class}
+	return refusal{pomelorelay.CodeRouterOverloaded, overloadRetryAfter, class, p.Account}
 }
 
 // observeArrival records how long a request waited and returns the state of the control; while nothing needs a decision, it also admits the request.
@@ -251,6 +252,6 @@
 // logRefusal logs a refusal, up to maxRefusalLines a second.
 func (e *Router) logRefusal(r refusal) {
 	if e.overload.mayLogRefusal(e.steady()) {
-		e.log(pomelorelay.EventRequestShed, field("Class", string(r.class)), field("Code", int(r.code)), field("RetryAfterMS", r.retryAfter.Milliseconds()))
+		e.log(pomelorelay.EventRequestShed, field("Account", string(r.account)), field("Class", string(r.class)), field("Code", int(r.code)), field("RetryAfterMS", r.retryAfter.Milliseconds()))
 	}
 }
