--- a/pomeloplace/floods_test.go
+++ b/pomeloplace/floods_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 )
 
 var (
-	floodSeeds = flag.Int("flood-seeds", 24, "number of drawn floods that TestFloodingAccountsAreServedAlike simulates")
+	floodSeeds = flag.Int("flood-seeds", 24, "number of drawn floods that each test of floods simulates")
 	floodFrom  = flag.Int("flood-from", 1, "first seed of these floods")
 )
 
@@ -38,6 +39,9 @@
 	reportLoss float64
 	priorities bool
 	floods     []floodSpec
+	// entryLoad limits what the router that the first flood enters by can place, as a multiple of the mean number of requests that reach a router; it
+	// refuses the others unread. Zero means no limit.
+	entryLoad float64
 }
 
 // engineCapacity is roughly the cost per second that a simulated engine of 64 slots serves in a flood.
@@ -60,6 +64,13 @@
 	return c
 })
 
+// drawnOverloads draws scenarios in which the router that a flood enters by may place less than the account's share.
+var drawnOverloads = rapid.Custom(func(t *rapid.T) floodScenario {
+	c := drawnFloods.Draw(t, "floods")
+	c.floods[0].routers, c.entryLoad = 1, rapid.Float64Range(0.3, 1.5).Draw(t, "entry load")
+	return c
+})
+
 const (
 	// floodLength is the length of a simulated flood; calmAccounts send their usual load all the while.
 	floodLength  = 14 * time.Second
@@ -67,8 +78,9 @@
 	calmAccounts = 14
 	// maxFloodPrompt is the longest prompt; few long ones would decide what an account gets in a few seconds.
 	maxFloodPrompt = 16_000
-	// fairSeconds is the time over which accounts are compared.
-	fairSeconds = 6
+	// fairSeconds is the time over which accounts are compared, and shareSeconds that of the windows of shares that overlap it.
+	fairSeconds  = 6
+	shareSeconds = 8
 )
 
 // accountSecond is what an account asked and was served in a second, and whether one of its requests was refused or late.
@@ -86,6 +98,9 @@
 	accountOf map[uint64]int
 	seconds   [][floodSeconds]accountSecond
 	largest   pomelorelay.Cost
+	// placeable is the number of requests that the overloaded router could place at placedAt.
+	placeable float64
+	placedAt  time.Time
 	// idle counts the decisions that refused a request although an engine ran nothing.
 	idle, decisions int
 }
@@ -95,7 +110,7 @@
 	config := &pomelorelay.FleetConfig{
 		Routes:   []pomelorelay.Route{{TargetLatency: 400 * time.Millisecond, MaxEventGap: maxPause, Shares: []pomelorelay.RouteShare{{Service: engines, Weight: 1}}}},
 		Services: []pomelorelay.ServiceSpec{{Name: engines, Engine: &pomelorelay.EngineSpec{Slots: pomelorelay.Slots(c.slots), KVCapacity: 500_000, TokensPerEvent: 7}}},
-		Limits:   pomelorelay.CallerLimits{TokensPerSecond: pomelorelay.Cost(c.configured*float64(c.engines)) * engineCapacity},
+		Limits:   pomelorelay.CallerLimits{TokensPerSecond: f.configuredCapacity()},
 	}
 	if c.priorities {
 		for priority := range 3 {
@@ -204,9 +219,13 @@
 	if flood := f.flood(account); flood != nil && f.scenario.priorities {
 		r.Priority = flood.priority
 	}
-	d := f.routers[router].Place(f.now, r)
 	s := f.second(account)
 	s.asked += cost
+	if f.overloaded(router) {
+		s.denied = true
+		return pomeloplace.Decision{Reason: pomeloplace.ReasonOverShare, RetryAfter: 10 * time.Millisecond}
+	}
+	d := f.routers[router].Place(f.now, r)
 	f.decisions++
 	if d.Reason == pomeloplace.ReasonNone {
 		shares.RecordServed(id, cost)
@@ -222,6 +241,21 @@
 	return d
 }
 
+// overloaded reports whether the router refuses a request unread because it has placed as many as it can.
+func (f *floods) overloaded(router int) bool {
+	if f.scenario.entryLoad == 0 || router != calmAccounts%len(f.routers) {
+		return false
+	}
+	perSecond := f.scenario.entryLoad * usualRate(f.scenario) * f.totalRate() / float64(len(f.routers))
+	f.placeable = min(f.placeable+perSecond*f.now.Sub(f.placedAt).Seconds(), max(1, perSecond/10))
+	f.placedAt = f.now
+	if f.placeable < 1 {
+		return true
+	}
+	f.placeable--
+	return false
+}
+
 // recordBegin counts a request as served when its answer begins.
 func (f *floods) recordBegin(j *job) {
 	s := f.second(f.accountOf[j.request.Parts[1].Hash])
@@ -243,7 +277,8 @@
 }
 
 // unfairness returns the lowest service of an account with a denied request in each of six seconds, over the smaller of what it asked and what the
-// best served account got, less the largest request.
+// best served account got, less the largest request. Where a router is overloaded, less three of them, and others keep their shares whatever its
+// account gets.
 func (f *floods) unfairness() (lowest float64, text string) {
 	lowest = 1
 	for from := range floodSeconds - fairSeconds {
@@ -253,20 +288,51 @@
 				best, most = a, served
 			}
 		}
+		least, slack := pomelorelay.Cost(0), f.largest
+		if f.scenario.entryLoad > 0 {
+			least, slack = f.share(from)/2, 3*f.largest
+		}
 		for a := range f.seconds {
-			owed, denied := -f.largest, true
+			owed, denied := -slack, true
 			for i, s := range f.seconds[a][from : from+fairSeconds] {
 				owed += min(s.asked, f.seconds[best][from+i].served)
 				denied = denied && s.denied
 			}
-			if got := f.servedFrom(a, from); denied && owed > 0 && float64(got/owed) < lowest {
-				lowest, text = float64(got/owed), fmt.Sprintf("seconds %d to %d: account %d got %.0f, account %d %.0f", from, from+fairSeconds, a, got, best, most)
+			if got := max(f.servedFrom(a, from), least); denied && owed > 0 && float64(got/owed) < lowest {
+				lowest, text = float64(got/owed), fmt.Sprintf("seconds %d to %d: account %d got %.0f, account %d %.0f", from, from+fairSeconds, a, f.servedFrom(a, from), best, most)
 			}
 		}
 	}
 	return lowest, text
 }
 
+// share returns the max-min share of the configured capacity, or of what was served where that is less.
+func (f *floods) share(from int) pomelorelay.Cost {
+	var asked []pomelorelay.Cost
+	served := pomelorelay.Cost(0)
+	for a := range f.seconds {
+		total := pomelorelay.Cost(0)
+		for _, s := range f.seconds[a][from : from+fairSeconds] {
+			total += s.asked
+		}
+		asked, served = append(asked, total*shareSeconds/fairSeconds), served+f.servedFrom(a, from)*shareSeconds/fairSeconds
+	}
+	slices.Sort(asked)
+	left := min(served, f.configuredCapacity()*shareSeconds)
+	for i, demand := range asked {
+		if share := left / pomelorelay.Cost(len(asked)-i); demand > share {
+			return share
+		}
+		left -= demand
+	}
+	return asked[len(asked)-1]
+}
+
+// configuredCapacity returns the configured capacity in tokens per second.
+func (f *floods) configuredCapacity() pomelorelay.Cost {
+	return pomelorelay.Cost(f.scenario.configured*float64(f.scenario.engines)) * engineCapacity
+}
+
 func (f *floods) servedFrom(account, from int) (total pomelorelay.Cost) {
 	for _, s := range f.seconds[account][from : from+fairSeconds] {
 		total += s.served
@@ -305,9 +371,9 @@
 	}
 }
 
-func checkFloodsOfSeed(t *testing.T, seed int) {
+func checkFloodsOfSeed(t *testing.T, scenarios *rapid.Generator[floodScenario], seed int) {
 	t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-		checkFloods(t, rand.New(rand.NewPCG(uint64(seed), 0)).Uint64(), drawnFloods.Example(seed))
+		checkFloods(t, rand.New(rand.NewPCG(uint64(seed), 0)).Uint64(), scenarios.Example(seed))
 	})
 }
 
@@ -321,19 +387,27 @@
 	t.Parallel()
 	all := 7
 	for name, c := range map[string]floodScenario{
-		"low priority and two routers": {7, 9, 64, 0.42, 12 * time.Millisecond, 0, true, []floodSpec{{0, 8, 0, all}, {0, 8, 2, 2}}},
-		"one begins later":             {7, 9, 64, 0.42, 12 * time.Millisecond, 0, false, []floodSpec{{0, 8, 0, all}, {3 * time.Second, 8, 0, 1}}},
-		"configured beyond capacity":   {7, 9, 12, 2, 100 * time.Millisecond, 0, false, []floodSpec{{0, 9, 0, all}, {0, 4, 0, 1}, {2 * time.Second, 9, 0, 1}}},
+		"low priority and two routers": {7, 9, 64, 0.42, 12 * time.Millisecond, 0, true, []floodSpec{{0, 8, 0, all}, {0, 8, 2, 2}}, 0},
+		"one begins later":             {7, 9, 64, 0.42, 12 * time.Millisecond, 0, false, []floodSpec{{0, 8, 0, all}, {3 * time.Second, 8, 0, 1}}, 0},
+		"configured beyond capacity":   {7, 9, 12, 2, 100 * time.Millisecond, 0, false, []floodSpec{{0, 9, 0, all}, {0, 4, 0, 1}, {2 * time.Second, 9, 0, 1}}, 0},
 	} {
 		t.Run(name, func(t *testing.T) { checkFloods(t, 1, c) })
 	}
 	for i := range *floodSeeds {
-		checkFloodsOfSeed(t, *floodFrom+i)
+		checkFloodsOfSeed(t, drawnFloods, *floodFrom+i)
 	}
 	for _, seed := range brokenSeeds {
-		checkFloodsOfSeed(t, seed)
+		checkFloodsOfSeed(t, drawnFloods, seed)
 	}
 }
 
 // Guards against eight floods beside calm accounts at engines of 24 slots in which one account gets 0.49 of what another one gets.
-func TestEightFloodsAreServedAlike(t *testing.T) { checkFloodsOfSeed(t, 75) }
+func TestEightFloodsAreServedAlike(t *testing.T) { checkFloodsOfSeed(t, drawnFloods, 75) }
+
+// Guards against accounts that go on getting more than their shares, and more than twice as much as one whose callers reach an overloaded router only.
+func TestFloodThroughOverloadedRouterIsServedAlike(t *testing.T) {
+	t.Parallel()
+	for i := range *floodSeeds {
+		checkFloodsOfSeed(t, drawnOverloads, *floodFrom+i)
+	}
+}
