The gap in service between accounts is bounded

Cause: the limits of a flooding account fell at each engine, and a limit of slots at each engine is no bound on what an account gets. While engines were idle the account ahead was served 270 to 340 requests a second whether 10 or 4 of their 16 slots were open to it. Beyond that the lead was one number for all that others were owed, so that it limited all accounts that wanted more than the level, within their share or not. Class: a quantity is corrected where it is spent in place of being bounded where it is counted.

Fix: beyond its share, an account is refused, idle engines included, while another one that requests more than it gets has got less than two thirds of it in decayed service, which is a factor of 2 over three time constants (VTC's bound, in shares of past service). The share itself, the max-min share of what is configured or served, is never taken. The lead among large accounts goes; what small accounts are owed together is withheld from what others get beyond their share.

Tests of the lead among large accounts are replaced by ones of the same cases with the same accounts: who is behind, how long the other one waits, and that an account with nearly all served limits nobody (which the lead only kept below 0.1).

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -221,7 +221,7 @@
 		// it, a flood could exceed its share while many upstreams are down, and requests of other accounts would be refused.
 		r.WithinShare = req.Charged || c.shares.WithinShare(req.Account, req.Cost)
 		if !req.Charged {
-			r.Lead, r.RegionLeads = c.shares.Lead(req.Account), c.shares.RegionLeads(req.Account)
+			r.Standing, r.RegionStandings = c.shares.Standing(req.Account), c.shares.RegionStandings(req.Account)
 		}
 		r.Owed = c.shares.Owed(req.Account)
 		share.Cost, share.WithinShare = req.Cost, r.WithinShare
--- a/pomeloentry/limited_test.go
+++ b/pomeloentry/limited_test.go
@@ -141,16 +141,16 @@
 		Services: []pomelorelay.ServiceSpec{{Name: "s", Engine: &pomelorelay.EngineSpec{Slots: 10, KVCapacity: 500_000, TokensPerEvent: 7}}},
 	}, pomelorelay.FleetUpstream{ID: "u", Service: "s", Domain: "a", Slots: 10})
 	now := time.Now()
-	place := func(account pomelorelay.AccountID, tokens pomelorelay.Tokens) pomeloplace.Decision {
+	place := func(account pomelorelay.AccountID, cost pomelorelay.Cost, tokens pomelorelay.Tokens) pomeloplace.Decision {
 		now = now.Add(time.Millisecond)
-		return d.Place(now, pomeloforward.PlacementRequest{Account: account, Cost: 30_000, Request: pomeloplace.Request{
+		return d.Place(now, pomeloforward.PlacementRequest{Account: account, Cost: cost, Request: pomeloplace.Request{
 			Service: "s", PromptTokens: tokens, OutputTokens: 10, Target: time.Second, MaxWait: 10 * time.Second,
 		}})
 	}
-	place("short", 400_000)
-	refused := place("flood", 10)
+	place("short", 500, 400_000)
+	refused := place("flood", 30_000, 10)
 	for refused.Reason == pomeloplace.ReasonNone {
-		refused = place("flood", 10)
+		refused = place("flood", 30_000, 10)
 	}
 	if refused.Reason != pomeloplace.ReasonOverShare || refused.Bound != pomeloplace.BoundSlots {
 		t.Fatalf("refused for %q, bound %q; want the share and slots", refused.Reason, refused.Bound)
--- a/pomeloentry/place_test.go
+++ b/pomeloentry/place_test.go
@@ -137,49 +137,49 @@
 	}
 }
 
-// Guards against a request that is refused for its account's lead after an upstream has begun to run it: what it costs was charged before, and its caller
+// Guards against a request that is refused for its account's standing after an upstream has begun to run it: what it costs was charged before, and its caller
 // would lose a stream midway.
-func TestRequestThatMayHaveRunIsNotLimitedByTheLead(t *testing.T) {
+func TestRequestThatMayHaveRunIsNotLimitedByStanding(t *testing.T) {
 	d := pomeloentry.NewPlacementControl(pomelorelay.FleetConfig{
 		Limits:   pomelorelay.CallerLimits{TokensPerSecond: 10_000},
 		Services: []pomelorelay.ServiceSpec{{Name: "s", Engine: &pomelorelay.EngineSpec{Slots: 64, KVCapacity: 500_000, TokensPerEvent: 7}}},
 	}, pomelorelay.FleetUpstream{ID: "u", Service: "s", Domain: "a", Slots: 64})
 	now := time.Now()
-	lead := func(charged bool) float64 {
+	standing := func(charged bool) pomelorelay.Standing {
 		now = now.Add(100 * time.Millisecond)
 		d.RefusedUnread(now, "short", 4000)
 		return d.Place(now, pomeloforward.PlacementRequest{Account: "flood", Cost: 5000, Retry: charged, Charged: charged, Request: pomeloplace.Request{
 			Service: "s", PromptTokens: 100, OutputTokens: 10, Target: time.Second, MaxWait: 10 * time.Second,
-		}}).Lead
+		}}).Standing
 	}
 	for range 20 {
-		lead(false)
+		standing(false)
 	}
-	if first, again := lead(false), lead(true); first <= 0 || again != 0 {
-		t.Errorf("lead of %.2f of a first attempt, want above 0, and of %.2f of one that may have run before, want 0", first, again)
+	if first, again := standing(false), standing(true); !first.Limited() || again.Limited() {
+		t.Errorf("standing %+v of a first attempt, want a limit, and %+v of one that may have run before, want none", first, again)
 	}
 }
 
 // Guards against an account that is limited for the sake of one which the configuration keeps out of its region.
 func TestAccountOfAnotherRegionDoesNotLimit(t *testing.T) {
 	for _, c := range []struct {
-		short []pomelorelay.RegionID
-		leads bool
+		short   []pomelorelay.RegionID
+		limited bool
 	}{{nil, true}, {[]pomelorelay.RegionID{"ra"}, true}, {[]pomelorelay.RegionID{"rb"}, false}} {
 		d := pomeloentry.NewPlacementControl(pomelorelay.FleetConfig{
 			Accounts: []pomelorelay.AccountSpec{{Name: "flood"}, {Name: "short", Regions: c.short}},
 			Services: []pomelorelay.ServiceSpec{{Name: "s", Engine: &pomelorelay.EngineSpec{Slots: 64, KVCapacity: 500_000, TokensPerEvent: 7}}},
 		}, pomelorelay.FleetUpstream{ID: "u", Service: "s", Domain: "a", Slots: 64})
-		now, lead := time.Now(), 0.0
+		now, standing := time.Now(), pomelorelay.Standing{}
 		for range 20 {
 			now = now.Add(50 * time.Millisecond)
 			d.RefusedUnread(now, "short", 4000)
-			lead = d.Place(now, pomeloforward.PlacementRequest{Account: "flood", Cost: 5000, Request: pomeloplace.Request{
+			standing = d.Place(now, pomeloforward.PlacementRequest{Account: "flood", Cost: 5000, Request: pomeloplace.Request{
 				Service: "s", PromptTokens: 100, OutputTokens: 10, Target: time.Second, MaxWait: 10 * time.Second,
-			}}).Lead
+			}}).Standing
 		}
-		if leads := lead > 0; leads != c.leads {
-			t.Errorf("the other account is allowed in %v: lead %.2f in ra, want one: %v", c.short, lead, c.leads)
+		if standing.Limited() != c.limited {
+			t.Errorf("the other account is allowed in %v: standing %+v in ra, want a limit: %v", c.short, standing, c.limited)
 		}
 	}
 }
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -185,7 +185,8 @@
 		pomelorelay.Field{Key: "Served", Value: int64(d.Share.Served)},
 		pomelorelay.Field{Key: "Level", Value: int64(d.Share.FairShare)},
 		pomelorelay.Field{Key: "ServedAll", Value: int64(d.Share.TotalServed)},
-		pomelorelay.Field{Key: "Lead", Value: d.Lead},
+		pomelorelay.Field{Key: "Withheld", Value: d.Standing.Withheld},
+		pomelorelay.Field{Key: "Behind", Value: string(d.Standing.Behind)},
 		pomelorelay.Field{Key: "MaxRunning", Value: d.MaxRunning},
 		pomelorelay.Field{Key: "MaxQueueMS", Value: d.MaxQueueDelay.Milliseconds()},
 	)
@@ -210,7 +211,7 @@
 }
 
 // maxEndingFields is the number of fields that logEnding adds, for the capacity of their list.
-const maxEndingFields = 29
+const maxEndingFields = 30
 
 // appendConnection appends the fields that identify the upstream connection of the last attempt, unless no connection carried it.
 func (c *call) appendConnection(fields []pomelorelay.Field) []pomelorelay.Field {
--- a/pomeloplace/admit.go
+++ b/pomeloplace/admit.go
@@ -9,9 +9,8 @@
 
 // BoundRecompute limits the cached tokens prefilled again when a flood of sessions finds its engines busy, BoundSlots the requests running at an
 // engine when answers are long, BoundQueue the wait when prompts exceed the prefill rate, BoundTime the time until the answer begins. In-share
-// requests (within the account's share) may use all slots and most of the queue, over-share requests less. The limits of both fall to zero with the
-// lead of their account, which bounds the difference in what accounts get whatever else decides placements. They fall with its square: a small lead is
-// that of single requests, and limits that followed it would leave slots idle.
+// requests (within the account's share) may use all slots and most of the queue, over-share requests less. BoundGap bounds the difference in what
+// accounts get whatever else decides placements.
 
 const (
 	// These fractions of the shortest latency target limit the queue delay of in-share and of over-share requests.
@@ -96,8 +95,8 @@
 	if !r.WithinShare {
 		p.limitOverShare(now, u, r, target, &a)
 	}
-	if lead := r.leadAt(u); lead > 0 && !disabled.AheadLimits {
-		a.scale(max(0, 1-lead*lead))
+	if withheld := r.standingAt(u).Withheld; withheld > 0 && !disabled.AheadLimits {
+		a.scale(1 - withheld)
 	}
 	return a
 }
@@ -127,6 +126,10 @@
 	if c.timeTooShort(r) {
 		return admission{reason: ReasonTimeTooShort, bound: BoundTimeLeft, retryAfter: max(c.queueDelay, minRetryAfter)}
 	}
+	if s := r.standingAt(c.up); s.Behind != "" && !p.cfg.DisabledMechanisms.AheadLimits {
+		// Idle upstreams are closed too: the account behind may be one whose callers reach them through an overloaded router only.
+		return admission{reason: ReasonOverShare, bound: BoundGap, retryAfter: max(min(s.Wait, r.Target/2), minRetryAfter)}
+	}
 	a := p.allowance(now, c.up, r)
 	bound := p.exceededBound(now, c, r, a)
 	if bound == BoundNone && c.up.engine != nil && c.up.running() >= max(1, a.maxRunning-r.deferredSlots(c.up.slots())) {
--- a/pomeloplace/announced.go
+++ b/pomeloplace/announced.go
@@ -73,7 +73,7 @@
 // fullCost returns the cost of an engine without a slot for the request. It leaves out accounts that are ahead: their lower limits hold back requests
 // only if these do not move on to the engines that are least occupied.
 func (p *Placer) fullCost(now time.Time, u *upstream, r *Request) time.Duration {
-	if r.leadAt(u) > 0 || !u.feedback.AnnouncesSlowness() || u.occupied() < p.allowance(now, u, r).maxRunning {
+	if r.standingAt(u).Limited() || !u.feedback.AnnouncesSlowness() || u.occupied() < p.allowance(now, u, r).maxRunning {
 		return 0
 	}
 	return fullEngineCost
--- a/pomeloplace/choose_test.go
+++ b/pomeloplace/choose_test.go
@@ -57,7 +57,7 @@
 	tokens := rapid.SampledFrom([]pomelorelay.Tokens{0, 1, 100, 300, 5000, 40_000})
 	r := pomeloplace.Request{
 		Service: engines, OutputTokens: tokens.Draw(t, "output"), Target: 400 * time.Millisecond, MaxWait: 10 * time.Second,
-		WithinShare: rapid.Bool().Draw(t, "within share"), Lead: rapid.Float64Range(0, 1.5).Draw(t, "lead"),
+		WithinShare: rapid.Bool().Draw(t, "within share"), Standing: pomelorelay.Standing{Withheld: rapid.Float64Range(0, 1).Draw(t, "withheld"), Behind: rapid.SampledFrom([]pomelorelay.AccountID{"", "", "other"}).Draw(t, "behind")},
 	}
 	for range rapid.IntRange(0, 3).Draw(t, "parts") {
 		hash := shared.Draw(t, "hash")
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -34,10 +34,10 @@
 	MaxWait time.Duration
 	// WithinShare reports whether the request is within its account's fair share.
 	WithinShare bool
-	// Lead is by how much the account's recent service exceeds that of accounts that are owed service, as a fraction of the fair level; the limits of
-	// its requests fall with it. RegionLeads replaces it at the upstreams of a region, where only the accounts allowed there are compared.
-	Lead        float64
-	RegionLeads map[pomelorelay.RegionID]float64
+	// Standing limits what the request's account gets beyond its share. RegionStandings replaces it at the upstreams of a region, where only the accounts
+	// allowed there are compared.
+	Standing        pomelorelay.Standing
+	RegionStandings map[pomelorelay.RegionID]pomelorelay.Standing
 	// Owed is what the account is owed of recent service, as a fraction of the fair level.
 	Owed float64
 	// Priority is the priority of the account or else of the route; 0 is the highest.
@@ -54,12 +54,12 @@
 	VersionFixed bool
 }
 
-// leadAt returns the account's lead over the accounts that may use the upstream.
-func (r *Request) leadAt(u *upstream) float64 {
-	if lead, found := r.RegionLeads[u.region]; found {
-		return lead
+// standingAt returns the account's standing among the accounts that may use the upstream.
+func (r *Request) standingAt(u *upstream) pomelorelay.Standing {
+	if s, found := r.RegionStandings[u.region]; found {
+		return s
 	}
-	return r.Lead
+	return r.Standing
 }
 
 // Reason is the reason why a request was refused.
@@ -108,6 +108,8 @@
 	BoundRecompute Bound = "Again"
 	// BoundPriority limits the number of requests running at an engine for requests of lower priority than one that was refused or delayed.
 	BoundPriority Bound = "Priority"
+	// BoundGap limits what an account gets beyond its share by what the others got that request more than they get.
+	BoundGap Bound = "Gap"
 	// BoundTimeLeft is the remaining time of the caller.
 	BoundTimeLeft Bound = "TimeLeft"
 )
@@ -152,8 +154,8 @@
 	// MaxRunning and MaxQueueDelay are the limits that applied to the request at the upstream: running requests and queue delay.
 	MaxRunning    int
 	MaxQueueDelay time.Duration
-	// Lead is the lead of the request's account at the upstream.
-	Lead float64
+	// Standing is the standing of the request's account at the upstream.
+	Standing pomelorelay.Standing
 	// Reserve is the slot reserve that applied to the request; zero for requests within their share and for large engines.
 	Reserve pomeloroom.Outcome
 	// Share is the state of the account's fair share at the time of the decision.
--- a/pomeloplace/floods_test.go
+++ b/pomeloplace/floods_test.go
@@ -42,6 +42,7 @@
 	// entryLoad limits what the router that the first flood enters by can place, as a multiple of the mean number of requests that reach a router; it
 	// refuses the others unread. Zero means no limit.
 	entryLoad float64
+	disabled  pomeloplace.Mechanisms
 }
 
 // engineCapacity is roughly the cost per second that a simulated engine of 64 slots serves in a flood.
@@ -118,7 +119,7 @@
 		}
 	}
 	for range c.routers {
-		p := newPlacer()
+		p := newPlacerWithout(c.disabled)
 		p.SetConfig(config)
 		for i := range c.engines {
 			p.PutUpstream(start, engine(pomelorelay.UpstreamID(fmt.Sprint("e", i))))
@@ -215,7 +216,7 @@
 	f.largest = max(f.largest, cost)
 	shares.Tick(f.now)
 	shares.RecordRequest(id, cost)
-	r.WithinShare, r.Lead, r.Owed = shares.WithinShare(id, cost), shares.Lead(id), shares.Owed(id)
+	r.WithinShare, r.Standing, r.Owed = shares.WithinShare(id, cost), shares.Standing(id), shares.Owed(id)
 	if flood := f.flood(account); flood != nil && f.scenario.priorities {
 		r.Priority = flood.priority
 	}
@@ -387,9 +388,9 @@
 	t.Parallel()
 	all := 7
 	for name, c := range map[string]floodScenario{
-		"low priority and two routers": {7, 9, 64, 0.42, 12 * time.Millisecond, 0, true, []floodSpec{{0, 8, 0, all}, {0, 8, 2, 2}}, 0},
-		"one begins later":             {7, 9, 64, 0.42, 12 * time.Millisecond, 0, false, []floodSpec{{0, 8, 0, all}, {3 * time.Second, 8, 0, 1}}, 0},
-		"configured beyond capacity":   {7, 9, 12, 2, 100 * time.Millisecond, 0, false, []floodSpec{{0, 9, 0, all}, {0, 4, 0, 1}, {2 * time.Second, 9, 0, 1}}, 0},
+		"low priority and two routers": {7, 9, 64, 0.42, 12 * time.Millisecond, 0, true, []floodSpec{{0, 8, 0, all}, {0, 8, 2, 2}}, 0, pomeloplace.Mechanisms{}},
+		"one begins later":             {7, 9, 64, 0.42, 12 * time.Millisecond, 0, false, []floodSpec{{0, 8, 0, all}, {3 * time.Second, 8, 0, 1}}, 0, pomeloplace.Mechanisms{}},
+		"configured beyond capacity":   {7, 9, 12, 2, 100 * time.Millisecond, 0, false, []floodSpec{{0, 9, 0, all}, {0, 4, 0, 1}, {2 * time.Second, 9, 0, 1}}, 0, pomeloplace.Mechanisms{}},
 	} {
 		t.Run(name, func(t *testing.T) { checkFloods(t, 1, c) })
 	}
@@ -411,3 +412,31 @@
 		checkFloodsOfSeed(t, drawnOverloads, *floodFrom+i)
 	}
 }
+
+// Guards against limits that leave engines idle while accounts are refused: all accounts together would be served less than nine tenths of what they are
+// without these limits.
+func TestLimitsOfFloodsKeepEnginesBusy(t *testing.T) {
+	t.Parallel()
+	served := func(seed int, disabled pomeloplace.Mechanisms) (total pomelorelay.Cost) {
+		c := drawnFloods.Example(seed)
+		c.disabled = disabled
+		f := newFloods(uint64(seed), c)
+		f.simulate()
+		for a := range f.seconds {
+			for _, s := range f.seconds[a] {
+				total += s.served
+			}
+		}
+		return total
+	}
+	var limited, unlimited pomelorelay.Cost
+	for seed := range 8 {
+		limited += served(seed+1, pomeloplace.Mechanisms{})
+		unlimited += served(seed+1, pomeloplace.Mechanisms{AheadLimits: true})
+	}
+	if share := limited / unlimited; share < 0.9 {
+		t.Errorf("%.3f of what is served without limits, want at least 0.9", share)
+	} else {
+		t.Logf("%.3f of what is served without limits", share)
+	}
+}
--- a/pomeloplace/mechanism.go
+++ b/pomeloplace/mechanism.go
@@ -38,7 +38,7 @@
 	SlotTime bool
 	// OverShareQueue disables the shorter queue limit for requests beyond their account's share.
 	OverShareQueue bool
-	// AheadLimits disables the stricter limits for accounts with high usage while another account is short of its demand.
+	// AheadLimits disables the limits of accounts beyond their share for the sake of accounts that get less than they request.
 	AheadLimits bool
 	// SharedTarget disables the use of the shortest latency target of a service's routes as the base of its queue limit.
 	SharedTarget bool
--- a/pomeloplace/overload_test.go
+++ b/pomeloplace/overload_test.go
@@ -106,7 +106,7 @@
 	own := r.Parts[1].Hash
 	id, cost := pomelorelay.AccountID(fmt.Sprint(o.accountOf[own])), pomelorelay.Cost(r.PromptTokens+2*r.OutputTokens)
 	o.shares.RecordRequest(id, cost)
-	r.WithinShare, r.Lead, r.Owed = o.shares.WithinShare(id, cost), o.shares.Lead(id), o.shares.Owed(id)
+	r.WithinShare, r.Standing, r.Owed = o.shares.WithinShare(id, cost), o.shares.Standing(id), o.shares.Owed(id)
 	o.beyond[own] = !r.WithinShare
 	d := o.routers[router].Place(o.now, r)
 	if d.Reason == pomeloplace.ReasonNone {
--- a/pomeloplace/place_test.go
+++ b/pomeloplace/place_test.go
@@ -149,11 +149,11 @@
 	}
 	now := start.Add(time.Minute)
 	r := prompt(1, 10, 10)
-	r.WithinShare, r.Lead = false, 0.5
+	r.WithinShare, r.Standing.Withheld = false, 0.25
 	if d := p.Place(now, r); d.Reason != pomeloplace.ReasonOverShare {
 		t.Errorf("request of an account ahead of others: reason %q, want Share", d.Reason)
 	}
-	r.WithinShare, r.Lead = true, 0
+	r.WithinShare, r.Standing.Withheld = true, 0
 	place(t, p, now, r)
 }
 
@@ -373,27 +373,43 @@
 
 // Guards against an account that occupies the last slots of every engine while another is far below its share.
 func TestAheadAccountsLeaveSlotsFree(t *testing.T) {
-	filledSlots := func(ahead float64) int {
-		return runsUntilRefused(fewSlots(), func(r *pomeloplace.Request) { r.Lead = ahead })
+	filledSlots := func(withheld float64) int {
+		return runsUntilRefused(fewSlots(), func(r *pomeloplace.Request) { r.Standing.Withheld = withheld })
 	}
-	short, slightlyAhead, farAhead, shutOut := filledSlots(0), filledSlots(0.35), filledSlots(0.8), filledSlots(1.5)
+	short, slightlyAhead, farAhead, shutOut := filledSlots(0), filledSlots(0.12), filledSlots(0.64), filledSlots(1)
 	if short != 12 || slightlyAhead < 9 || slightlyAhead >= short || farAhead > 6 || farAhead < 2 || shutOut != 1 {
 		t.Errorf("of 12 slots, an account fills %d when short, %d when slightly ahead, %d when far ahead, %d when ahead by more than its share; want 12, 9 to 11, 2 to 6, and 1: an idle engine serves anyone",
 			short, slightlyAhead, farAhead, shutOut)
 	}
 }
 
-// Guards against the lead of another region deciding at an upstream: an account would be refused beside idle slots, or fill those that another is owed.
-func TestLeadOfTheUpstreamsRegionApplies(t *testing.T) {
+// Guards against the standing in another region deciding at an upstream: an account would be refused beside idle slots, or fill those that another is owed.
+func TestStandingInTheUpstreamsRegionApplies(t *testing.T) {
+	withheld, behind := pomelorelay.Standing{Withheld: 1}, pomelorelay.Standing{Behind: "other", Wait: time.Second}
 	for _, c := range []struct {
-		leads map[pomelorelay.RegionID]float64
-		want  int
+		standings map[pomelorelay.RegionID]pomelorelay.Standing
+		want      int
 	}{
-		{nil, 1}, {map[pomelorelay.RegionID]float64{"ra": 0, "rb": 1}, 12}, {map[pomelorelay.RegionID]float64{"ra": 1, "rb": 0}, 1},
+		{nil, 1}, {map[pomelorelay.RegionID]pomelorelay.Standing{"ra": {}, "rb": withheld}, 12}, {map[pomelorelay.RegionID]pomelorelay.Standing{"ra": withheld, "rb": {}}, 1},
+		{map[pomelorelay.RegionID]pomelorelay.Standing{"ra": {}, "rb": behind}, 12}, {map[pomelorelay.RegionID]pomelorelay.Standing{"ra": behind, "rb": {}}, 0},
 	} {
-		got := runsUntilRefused(fewSlots(), func(r *pomeloplace.Request) { r.Lead, r.RegionLeads = 1, c.leads })
+		got := runsUntilRefused(fewSlots(), func(r *pomeloplace.Request) { r.Standing, r.RegionStandings = withheld, c.standings })
 		if got != c.want {
-			t.Errorf("leads %v: %d of 12 slots filled in ra, want %d", c.leads, got, c.want)
+			t.Errorf("standings %v: %d of 12 slots filled in ra, want %d", c.standings, got, c.want)
+		}
+	}
+}
+
+// Guards against an account that goes on getting more than another one because engines are idle, and against a Retry-After that brings its callers back
+// before it may get more, or too late to be answered in time.
+func TestAccountAtTheBoundGetsNoIdleEngine(t *testing.T) {
+	for _, c := range []struct{ wait, target, want time.Duration }{
+		{700 * time.Millisecond, 2 * time.Second, 700 * time.Millisecond}, {3 * time.Second, 2 * time.Second, time.Second}, {time.Millisecond, 2 * time.Second, 100 * time.Millisecond},
+	} {
+		r := prompt(1, 10, 10)
+		r.Target, r.Standing = c.target, pomelorelay.Standing{Behind: "other", Wait: c.wait}
+		if d := withEngines(1).Place(start, r); d.Reason != pomeloplace.ReasonOverShare || d.Bound != pomeloplace.BoundGap || d.RetryAfter != c.want {
+			t.Errorf("with a wait of %v: reason %q, bound %q and Retry-After %v, want Share, Gap and %v", c.wait, d.Reason, d.Bound, d.RetryAfter, c.want)
 		}
 	}
 }
--- a/pomeloplace/placer.go
+++ b/pomeloplace/placer.go
@@ -208,7 +208,7 @@
 	if best.copyFrom != nil {
 		d.CopyFrom, d.CopiedTokens = best.copyFrom.info, best.copiedTokens
 	}
-	d.Lead = r.leadAt(best.up)
+	d.Standing = r.standingAt(best.up)
 	d.Reserve, d.MaxRunning, d.MaxQueueDelay = outcome.reserve, outcome.maxRunning, outcome.maxQueueDelay
 	if r.WithinShare && best.up.hasFewSlots() {
 		best.up.recordInShare(now, outcome.bound)
--- a/pomeloplace/priority.go
+++ b/pomeloplace/priority.go
@@ -80,12 +80,12 @@
 // yielding returns the part of the deferral that applies to the request.
 func (r *Request) yielding() float64 { return max(0, 1-r.Owed/maxOwedYielding) }
 
-// recordDenial records a request that was refused because upstreams are busy or that is expected to be answered late. Requests of accounts that lead
-// others do not count: lower priorities would leave slots free for a flood that has been served more than they have.
+// recordDenial records a request that was refused because upstreams are busy or that is expected to be answered late. Requests of accounts that
+// are limited for the sake of others do not count: lower priorities would leave slots free for a flood that has been served more than they have.
 func (p *Placer) recordDenial(now time.Time, r *Request, u *upstream, d *Decision) {
 	s := p.priorities[r.Service]
 	denied := d.Bound != BoundNone && d.Bound != BoundTimeLeft || d.ExpectedLatency > r.Target
-	if s != nil && denied && r.leadAt(u) == 0 {
+	if s != nil && denied && !r.standingAt(u).Limited() {
 		s.deniedAt[s.rank(r.Priority)] = now
 	}
 }
--- a/pomeloplace/priority_test.go
+++ b/pomeloplace/priority_test.go
@@ -130,12 +130,14 @@
 }
 
 // Guards against a flood of high priority whose refusals make others yield although it has been served more than they have.
-func TestLeadingAccountMakesNobodyYield(t *testing.T) {
-	p := withPriorities(12, 0, 1, 2)
-	for _, run := range fill(p, start, pomeloplace.Request{Priority: 0, WithinShare: true, Lead: 0.1}) {
-		p.RecordEnd(start, run, pomeloplace.ResultCompleted)
-	}
-	if got := len(fill(p, start, pomeloplace.Request{Priority: 2, WithinShare: true})); got != 12 {
-		t.Errorf("%d of 12 slots filled after a leading account was refused, want all", got)
+func TestLimitedAccountMakesNobodyYield(t *testing.T) {
+	for _, standing := range []pomelorelay.Standing{{Withheld: 0.01}, {Behind: "other"}} {
+		p := withPriorities(12, 0, 1, 2)
+		for _, run := range fill(p, start, pomeloplace.Request{Priority: 0, WithinShare: true, Standing: standing}) {
+			p.RecordEnd(start, run, pomeloplace.ResultCompleted)
+		}
+		if got := len(fill(p, start, pomeloplace.Request{Priority: 2, WithinShare: true})); got != 12 {
+			t.Errorf("%d of 12 slots filled after an account with the standing %+v was refused, want all", got, standing)
+		}
 	}
 }
--- a/pomeloplace/room_test.go
+++ b/pomeloplace/room_test.go
@@ -59,9 +59,9 @@
 				p.Place(start.Add(3*time.Second), prompt(1, 0, 10))
 			}
 		}, pomeloplace.BoundSlots},
-		{"slightly ahead", 12, 0, pomeloplace.Mechanisms{}, func(_ *pomeloplace.Placer, r *pomeloplace.Request) { r.Lead = 0.1 }, pomeloplace.BoundNone},
-		{"ahead", 12, 0, pomeloplace.Mechanisms{}, func(_ *pomeloplace.Placer, r *pomeloplace.Request) { r.Lead = 0.6 }, pomeloplace.BoundSlots},
-		{"ahead within the share", 12, 0, pomeloplace.Mechanisms{}, func(_ *pomeloplace.Placer, r *pomeloplace.Request) { r.WithinShare, r.Lead = true, 0.6 }, pomeloplace.BoundSlots},
+		{"slightly ahead", 12, 0, pomeloplace.Mechanisms{}, func(_ *pomeloplace.Placer, r *pomeloplace.Request) { r.Standing.Withheld = 0.01 }, pomeloplace.BoundNone},
+		{"ahead", 12, 0, pomeloplace.Mechanisms{}, func(_ *pomeloplace.Placer, r *pomeloplace.Request) { r.Standing.Withheld = 0.36 }, pomeloplace.BoundSlots},
+		{"ahead within the share", 12, 0, pomeloplace.Mechanisms{}, func(_ *pomeloplace.Placer, r *pomeloplace.Request) { r.WithinShare, r.Standing.Withheld = true, 0.36 }, pomeloplace.BoundSlots},
 		{"late with the unreported requests", 12, 0, pomeloplace.Mechanisms{}, func(_ *pomeloplace.Placer, r *pomeloplace.Request) { r.Target = 20 * time.Millisecond }, pomeloplace.BoundSlots},
 	} {
 		p, now := smallEngine(c.slots, c.sends, true, c.disabled)
--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -24,6 +24,7 @@
 
 // account holds the usage of one client account: this router's sums since its start, and the fleet's within the window.
 type account struct {
+	id      pomelorelay.AccountID
 	local   usage
 	changed bool
 	window  usage
@@ -76,7 +77,7 @@
 func (s *Shares) account(id pomelorelay.AccountID) *account {
 	a := s.accounts[id]
 	if a == nil {
-		a = &account{residency: s.residencies[id]}
+		a = &account{id: id, residency: s.residencies[id]}
 		s.accounts[id] = a
 	}
 	return a
@@ -191,7 +192,7 @@
 		s.level = min(s.level, s.servedLevel)
 	}
 	s.decay(now)
-	s.updateLead()
+	s.updateComparisons()
 }
 
 func (s *Shares) advanceWindow() {
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -85,8 +85,8 @@
 	if !s.WithinShare("alone", 20) {
 		t.Error("a request is beyond the share although no other account sends any and the configured capacity of 400 is not used up")
 	}
-	if got := s.Lead("alone"); got != 0 {
-		t.Errorf("lead %.2f, want 0", got)
+	if got := s.Standing("alone"); got.Limited() {
+		t.Errorf("standing %+v, want no limit", got)
 	}
 }
 
@@ -106,7 +106,7 @@
 
 // Guards against a flood that takes all free capacity: one account sends many times its usual load through every router and is served far more
 // than an account that is short of its demand and has half of its requests refused.
-func TestFloodLeadsAnAccountWithUnmetDemand(t *testing.T) {
+func TestFloodIsLimitedBesideAnAccountWithUnmetDemand(t *testing.T) {
 	const tokens = 100_000
 	s := pomeloshare.New(pomeloshare.Config{Window: window})
 	s.SetCapacity(tokens)
@@ -116,16 +116,16 @@
 	s.RecordRequest("short", 4*tokens)
 	s.RecordServed("short", tokens)
 	s.Tick(start.Add(100 * time.Millisecond))
-	if got := s.Lead("flood"); got < 0.5 {
-		t.Errorf("lead of the flooding account %.2f, want at least 0.5: the other account lacks half of what the flood got", got)
+	if got := s.Standing("flood"); got.Behind != "short" || got.Wait <= 0 {
+		t.Errorf("standing of the flooding account %+v, want the other account behind it, which got a fifth as much", got)
 	}
-	if got := s.Lead("short"); got != 0 {
-		t.Errorf("lead of the account that is short of its demand %.2f, want 0", got)
+	if got := s.Standing("short"); got.Limited() {
+		t.Errorf("standing of the account that is short of its demand %+v, want no limit", got)
 	}
 	s.RecordServed("short", 3*tokens)
 	s.Tick(start.Add(200 * time.Millisecond))
-	if got := s.Lead("flood"); got != 0 {
-		t.Errorf("lead of the flooding account %.2f although the demand of the other account is met, want 0", got)
+	if got := s.Standing("flood"); got.Limited() {
+		t.Errorf("standing of the flooding account %+v although the demand of the other account is met, want no limit", got)
 	}
 }
 
@@ -192,9 +192,9 @@
 	}
 }
 
-// Guards against equal limits for two accounts that have been served more than a third one, which is short of its demand, by different amounts:
-// the less served of the two would get less than half of what the other one gets.
-func TestLeadGrowsWithServedTokens(t *testing.T) {
+// Guards against accounts that wait equally long although they have been served more than a third one by different amounts: the less served of the two
+// would get less than half of what the other one gets.
+func TestWaitGrowsWithServedTokens(t *testing.T) {
 	const tokens = 100_000
 	s := pomeloshare.New(pomeloshare.Config{Window: window})
 	s.SetCapacity(tokens)
@@ -204,31 +204,31 @@
 		s.RecordServed(id, served)
 	}
 	s.Tick(start.Add(100 * time.Millisecond))
-	if first, second := s.Lead("first"), s.Lead("second"); first < 0.9 || first <= second || second <= 0 {
-		t.Errorf("leads of %.2f and %.2f, want the first above 0.9 and above the second, and both above 0", first, second)
+	if first, second := s.Standing("first"), s.Standing("second"); first.Behind != "short" || second.Behind != "short" || first.Wait <= second.Wait || second.Wait <= 0 {
+		t.Errorf("standings %+v and %+v, want the least served account behind both, and the first to wait longer", first, second)
 	}
 }
 
-// Guards against a lead that shrinks with the number of accounts that are served all they request, as they are on a large fleet.
-func TestSmallAccountsDoNotReduceALead(t *testing.T) {
-	lead := func(small int) float64 {
+// Guards against a bound that moves with the number of accounts that are served all they request, as they are on a large fleet.
+func TestSatisfiedAccountsDoNotMoveTheBound(t *testing.T) {
+	standing := func(satisfied int) pomelorelay.Standing {
 		s := pomeloshare.New(pomeloshare.Config{Window: window})
 		s.Tick(start)
 		s.RecordRequest("ahead", 2_000_000)
 		s.RecordServed("ahead", 750_000)
 		s.RecordRequest("behind", 2_000_000)
 		s.RecordServed("behind", 250_000)
-		for i := range small {
+		for i := range satisfied {
 			id := pomelorelay.AccountID(fmt.Sprint("small", i))
 			s.RecordRequest(id, 50_000)
 			s.RecordServed(id, 50_000)
 		}
 		s.Tick(start.Add(100 * time.Millisecond))
-		return s.Lead("ahead")
+		return s.Standing("ahead")
 	}
-	alone, among := lead(0), lead(100)
-	if alone < 0.8 || among < 0.95*alone {
-		t.Errorf("the account that got three times as much leads by %.2f, beside 100 accounts that are served all they request by %.2f; want at least 0.8, and the same", alone, among)
+	alone, among := standing(0), standing(100)
+	if alone.Behind != "behind" || alone.Wait <= 0 || among.Behind != "behind" || among.Wait < alone.Wait*95/100 || among.Wait > alone.Wait*105/100 {
+		t.Errorf("standing of the account that got three times as much: %+v, beside 100 accounts that are served all they request %+v; want the same, with the other account behind", alone, among)
 	}
 }
 
@@ -259,20 +259,22 @@
 	}
 }
 
-// Guards against an account that gets more than twice as much as another one with constant unserved demand. If the engines produce less than the
-// configured capacity, the requests of both accounts are within their shares, so the share check alone does not limit the first account.
-func TestAccountFarAheadYieldsToAShortAccount(t *testing.T) {
+// Guards against an account that gets more than twice as much as another one with constant unserved demand, also if the engines produce less than the
+// configured capacity, so that the requests of both accounts are within their shares; and against one that is limited for the sake of an account that is
+// served nearly all it requests, or of few tokens.
+func TestAccountFarAheadIsLimited(t *testing.T) {
 	for _, c := range []struct {
 		name                     string
 		aheadServed, shortServed pomelorelay.Cost
 		shortRequested           pomelorelay.Cost
-		least, most              float64
+		behind                   pomelorelay.AccountID
 	}{
-		{"more than twice as much", 900_000, 400_000, 1_000_000, 0.5, 1},
-		{"six times as much", 1_500_000, 250_000, 1_000_000, 1, 2},
-		{"a little more", 600_000, 400_000, 1_000_000, 0.2, 0.4},
-		{"few tokens unserved", 900_000, 10_000, 60_000, 0, 0.2},
-		{"a small fraction unserved", 1_900_000, 900_000, 1_000_000, 0, 0.1},
+		{"more than twice as much", 900_000, 400_000, 1_000_000, "short"},
+		{"six times as much", 1_500_000, 250_000, 1_000_000, "short"},
+		{"a little more", 590_000, 400_000, 1_000_000, ""},
+		{"few tokens unserved", 900_000, 10_000, 60_000, ""},
+		{"a small fraction unserved", 1_900_000, 900_000, 1_000_000, ""},
+		{"all served", 1_900_000, 1_000_000, 1_000_000, ""},
 	} {
 		s := pomeloshare.New(pomeloshare.Config{Window: window})
 		s.SetCapacity(1_000_000)
@@ -282,15 +284,51 @@
 		s.RecordRequest("short", c.shortRequested)
 		s.RecordServed("short", c.shortServed)
 		s.Tick(start.Add(100 * time.Millisecond))
-		if got := s.Lead("ahead"); got < c.least || got > c.most {
-			t.Errorf("%s: lead %.2f, want %.2f to %.2f", c.name, got, c.least, c.most)
+		if got := s.Standing("ahead"); got.Behind != c.behind || got.Withheld > 0.04 {
+			t.Errorf("%s: standing %+v, want behind it %q, and at most 0.04 withheld", c.name, got, c.behind)
 		}
-		if got := s.Lead("short"); got != 0 {
-			t.Errorf("%s: lead of the short account %.2f, want 0", c.name, got)
+		if got := s.Standing("short"); got.Limited() {
+			t.Errorf("%s: standing of the short account %+v, want no limit", c.name, got)
 		}
 	}
 }
 
+// Guards against slots that are filled by accounts that request much while many small accounts are refused: together these are owed what the others
+// get beyond their shares.
+func TestShortfallOfSmallAccountsIsWithheld(t *testing.T) {
+	withheld := func(served pomelorelay.Cost) float64 {
+		s := pomeloshare.New(pomeloshare.Config{Window: window})
+		s.Tick(start)
+		s.RecordRequest("flood", 4_000_000)
+		s.RecordServed("flood", 1_000_000)
+		for i := range 10 {
+			id := pomelorelay.AccountID(fmt.Sprint("small", i))
+			s.RecordRequest(id, 50_000)
+			s.RecordServed(id, served)
+		}
+		s.Tick(start.Add(100 * time.Millisecond))
+		if got := s.Standing("small0"); got.Limited() {
+			t.Errorf("standing of a small account that was served %v of 50000: %+v, want no limit", served, got)
+		}
+		return s.Standing("flood").Withheld
+	}
+	if all, most, few := withheld(50_000), withheld(45_000), withheld(10_000); all != 0 || most > 0.01 || few < 0.3 {
+		t.Errorf("withheld %.2f, %.2f and %.2f while small accounts get all, nine tenths and a fifth of what they request; want 0, less than 0.01, and more than 0.3", all, most, few)
+	}
+}
+
+// Guards against a limit that is no number: an account that requests much at once is compared before the accounts have been compared again.
+func TestAccountThatBeginsToFloodHasAStanding(t *testing.T) {
+	s := newSharesWithDemand(map[pomelorelay.AccountID]pomelorelay.Cost{"flood": 10, "short": 10})
+	s.RecordServed("flood", 5)
+	s.Tick(start.Add(200 * time.Millisecond))
+	s.RecordRequest("flood", 10_000)
+	s.RecordServed("flood", 10_000)
+	if got := s.Standing("flood"); !(got.Withheld >= 0 && got.Withheld <= 1) {
+		t.Errorf("standing %+v, want between none and all withheld", got)
+	}
+}
+
 // Guards against double counting when a relay stops reporting and returns: the sums that another relay reported meanwhile would count
 // twice, and shares would be wrong for a window.
 func TestSumsOfAReturningRelayCountOnce(t *testing.T) {
@@ -315,7 +353,7 @@
 	}
 }
 
-// Guards against an account that leads in the whole fleet and is limited for the sake of an account that its upstreams cannot serve: the engines of its
+// Guards against an account that got much in the whole fleet and is limited for the sake of an account that its upstreams cannot serve: the engines of its
 // region would stand idle while it is refused.
 func TestAccountsOfOtherRegionsAreNotCompared(t *testing.T) {
 	s := pomeloshare.New(pomeloshare.Config{Window: window})
@@ -328,17 +366,17 @@
 		s.RecordServed(id, served)
 	}
 	s.Tick(start.Add(100 * time.Millisecond))
-	if got := s.Lead("there"); got < 0.9 {
-		t.Errorf("lead over all accounts %.2f, want at least 0.9", got)
+	if got := s.Standing("there"); got.Behind != "here" {
+		t.Errorf("standing among all accounts %+v, want the least served one behind", got)
 	}
-	if got := s.RegionLeads("there")["rb"]; got > 0.01 {
-		t.Errorf("lead where the account that is owed most may not run: %.2f, want 0", got)
+	if got := s.RegionStandings("there")["rb"]; got.Limited() {
+		t.Errorf("standing where the least served account may not run: %+v, want no limit", got)
 	}
-	if leads := s.RegionLeads("anywhere"); leads["ra"] < 1 || leads["rb"] > 0.01 {
-		t.Errorf("leads of an unrestricted account by region: %v, want at least 1 in ra and 0 in rb", leads)
+	if got := s.RegionStandings("anywhere"); got["ra"].Behind != "here" || got["rb"].Limited() {
+		t.Errorf("standings of an unrestricted account by region: %v, want a limit in ra only", got)
 	}
 	s.SetResidencies(nil, []pomelorelay.RegionID{"ra", "rb"})
-	if leads := s.RegionLeads("anywhere"); leads != nil {
-		t.Errorf("leads by region %v while no account is restricted, want none", leads)
+	if got := s.RegionStandings("anywhere"); got != nil {
+		t.Errorf("standings by region %v while no account is restricted, want none", got)
 	}
 }
--- a/pomeloshare/lead.go
+++ b/pomeloshare/standing.go
@@ -48,12 +48,20 @@
 	return min(max(0, (a.last.requested-a.last.served)/requested), 1)
 }
 
+// maxServiceRatio is the largest ratio between the recent service of two accounts that both request more than they get, unless the larger one is within its
+// share. Recent service decays with a time constant; at a ratio of 1.5, the service of three time constants differs by a factor of 2 at most.
+const maxServiceRatio = 1.5
+
 // comparison compares the recent service of accounts that may use the same upstreams.
 type comparison struct {
 	// level is the max-min fair level of recent service, zero when all requests were served; limited is the level times the accounts that request more.
 	level, limited pomelorelay.Cost
-	// maxOwed is the most that any account is owed, sumOwed what all accounts are owed.
-	maxOwed, sumOwed pomelorelay.Cost
+	// share is the level of the configured capacity where that is lower: what an account gets up to it is not limited by what others got.
+	share pomelorelay.Cost
+	// maxOwed is the most that any account is owed, smallOwed what the accounts are owed that request no more than the level.
+	maxOwed, smallOwed pomelorelay.Cost
+	// aboveShare holds the accounts that request more than the share.
+	aboveShare []*account
 }
 
 // owed returns what the account lacks of the smaller of its recent requests and the level, by the fraction of its last requests that were refused: an
@@ -63,20 +71,45 @@
 	return a.refusedFraction() * (min(a.recent.requested, c.level) - max(0, a.recent.served))
 }
 
-// lead adds what others are owed to the account's excess over the level, in such a way that between two accounts that request more than the level it is the
-// difference of their service, however many others request less. Among many that request more it is less than the difference to the one that is owed
-// most, which cannot use all that the others would leave free.
-func (c *comparison) lead(a *account) float64 {
-	if c.maxOwed == 0 || a.recent.requested <= c.level {
-		return 0
-	}
-	others := c.sumOwed - max(0, c.owed(a))
-	return max(0, float64((a.recent.served-c.level)/c.level+2*others/c.limited))
-}
-
 // mostOwed reports whether the account is owed something, and no account more.
 func (c *comparison) mostOwed(a *account) bool { return c.maxOwed > 0 && c.owed(a) >= c.maxOwed }
 
+// backlogged returns how far the account counts as one that requests more than it gets, from 0 to 1: fully, if its last requests are maxServiceRatio times
+// what it got of them.
+func (a *account) backlogged() pomelorelay.Cost {
+	return min(1, a.refusedFraction()/(1-1/maxServiceRatio))
+}
+
+// gap returns the account's recent service beside another one that was served other, and whether that is less than the bound allows. What the account
+// did not request, or would not use now, counts as served.
+func (a *account) gap(other pomelorelay.Cost) (served pomelorelay.Cost, behind bool) {
+	wanted := min(a.recent.requested, other)
+	served = wanted - a.backlogged()*(wanted-max(0, a.recent.served))
+	return served, maxServiceRatio*served < wanted
+}
+
+// standing returns the account's standing among those compared; timeConstant is that of recent usage.
+func (c *comparison) standing(a *account, timeConstant time.Duration) pomelorelay.Standing {
+	if c.limited == 0 || a.recent.requested <= c.level || a.recent.served <= c.share {
+		return pomelorelay.Standing{}
+	}
+	// Small accounts cannot use all slots that would be left free for them, so a small shortfall, which may be that of single requests, has a small
+	// effect.
+	shortfall := min(1, float64(2*c.smallOwed/c.limited))
+	s := pomelorelay.Standing{Withheld: shortfall * shortfall}
+	lowest := a.recent.served
+	for _, o := range c.aboveShare {
+		if served, behind := o.gap(a.recent.served); behind && o != a && served < lowest {
+			lowest, s.Behind = served, o.id
+		}
+	}
+	if s.Behind != "" {
+		bound := max(c.share, maxServiceRatio*lowest)
+		s.Wait = time.Duration(math.Log(float64(a.recent.served/bound)) * float64(timeConstant))
+	}
+	return s
+}
+
 // SetResidencies sets the regions that accounts are restricted to, and all regions of the fleet.
 func (s *Shares) SetResidencies(residencies map[pomelorelay.AccountID]pomelorelay.Residency, regions []pomelorelay.RegionID) {
 	s.residencies = residencies
@@ -92,8 +125,8 @@
 	}
 }
 
-// updateLead recomputes the comparisons.
-func (s *Shares) updateLead() {
+// updateComparisons recomputes the comparisons.
+func (s *Shares) updateComparisons() {
 	s.compare(&s.fleet, func(pomelorelay.Residency) bool { return true })
 	for region, c := range s.regions {
 		s.compare(c, func(r pomelorelay.Residency) bool { return r.Allows(region) })
@@ -111,26 +144,40 @@
 			s.demands = append(s.demands, a.recent.requested)
 		}
 	}
-	*c = comparison{level: maxMinLevel(total, s.demands)}
+	*c = comparison{level: maxMinLevel(total, s.demands), aboveShare: c.aboveShare[:0]}
 	if c.level == 0 {
 		return
 	}
+	c.share = c.level
+	if configured := maxMinLevel(s.capacity*pomelorelay.Cost(s.recentTime().Seconds()), s.demands); configured > 0 {
+		c.share = min(c.share, configured)
+	}
 	for _, a := range s.accounts {
-		if included(a.residency) {
-			if a.recent.requested > c.level {
-				c.limited += c.level
-			}
-			owed := max(0, c.owed(a))
-			c.maxOwed = max(c.maxOwed, owed)
-			c.sumOwed += owed
+		if !included(a.residency) {
+			continue
+		}
+		owed := max(0, c.owed(a))
+		c.maxOwed = max(c.maxOwed, owed)
+		if a.recent.requested > c.level {
+			c.limited += c.level
+		} else {
+			c.smallOwed += owed
+		}
+		if a.recent.requested > c.share {
+			c.aboveShare = append(c.aboveShare, a)
 		}
 	}
 }
 
-// Lead returns by how much the account's recent service exceeds that of accounts that are owed service, as a fraction of the fair level of recent
-// service. An account is owed the smaller of what it requests and the level. The lead is zero for an account that requests no more than the level, and
-// while no account is owed anything.
-func (s *Shares) Lead(id pomelorelay.AccountID) float64 { return s.fleet.lead(s.account(id)) }
+// recentTime returns the time constant of recent usage.
+func (s *Shares) recentTime() time.Duration {
+	return time.Duration(recentFraction * float64(s.cfg.Window))
+}
+
+// Standing returns the account's standing among all accounts.
+func (s *Shares) Standing(id pomelorelay.AccountID) pomelorelay.Standing {
+	return s.fleet.standing(s.account(id), s.recentTime())
+}
 
 // Owed returns what the account is owed, as a fraction of the fair level of recent service.
 func (s *Shares) Owed(id pomelorelay.AccountID) float64 {
@@ -140,16 +187,16 @@
 	return max(0, float64(s.fleet.owed(s.account(id))/s.fleet.level))
 }
 
-// RegionLeads returns the account's lead over the accounts allowed in each region; nil while no account is restricted to regions.
-func (s *Shares) RegionLeads(id pomelorelay.AccountID) map[pomelorelay.RegionID]float64 {
+// RegionStandings returns the account's standing among the accounts allowed in each region; nil while no account is restricted to regions.
+func (s *Shares) RegionStandings(id pomelorelay.AccountID) map[pomelorelay.RegionID]pomelorelay.Standing {
 	if len(s.regions) == 0 {
 		return nil
 	}
-	leads, a := make(map[pomelorelay.RegionID]float64, len(s.regions)), s.account(id)
+	standings, a := make(map[pomelorelay.RegionID]pomelorelay.Standing, len(s.regions)), s.account(id)
 	for region, c := range s.regions {
-		leads[region] = c.lead(a)
+		standings[region] = c.standing(a, s.recentTime())
 	}
-	return leads
+	return standings
 }
 
 // mostOwed reports whether no account that may use the same upstreams is owed more than this one.
