Shares do not shrink with what is withheld beyond them

What callers saw: nothing yet.

Cause: the share that an account keeps beside one that is behind was reckoned from what was served, and less is served while the surplus is withheld. So the share fell with it, more was withheld, and accounts lost what is theirs. Class: a limit that is fed by its own effect.

Evidence: TestShareIsKeptWhileTheSurplusIsWithheld failed before (an account with 400 of its 500 tokens a second waited for 1.1 s).

--- a/pomeloshare/share.go
+++ b/pomeloshare/share.go
@@ -59,6 +59,8 @@
 	regions     map[pomelorelay.RegionID]*comparison
 	residencies map[pomelorelay.AccountID]pomelorelay.Residency
 	decayedAt   time.Time
+	// peakRemaining is what remains of the comparisons' peaks since the Tick before the last one, as a fraction.
+	peakRemaining pomelorelay.Cost
 	// servedLevel is the max-min fair level of the cost served within the window, as of the last Tick; zero when all requests were served.
 	servedLevel pomelorelay.Cost
 	// totalServed is the cost served to all accounts within the window, as of the last Tick.
--- a/pomeloshare/share_test.go
+++ b/pomeloshare/share_test.go
@@ -317,6 +317,33 @@
 	}
 }
 
+// Guards against a share that shrinks with what is withheld beyond it, until an account whose callers reach an overloaded router takes from the others what
+// is theirs.
+func TestShareIsKeptWhileTheSurplusIsWithheld(t *testing.T) {
+	s := pomeloshare.New(pomeloshare.Config{Window: window})
+	s.SetCapacity(1000)
+	s.Tick(start)
+	now := start
+	serve := func(length time.Duration, ahead, behind pomelorelay.Cost) {
+		for end := now.Add(length); now.Before(end); s.Tick(now) {
+			for id, served := range map[pomelorelay.AccountID]pomelorelay.Cost{"ahead": ahead, "behind": behind} {
+				s.RecordRequest(id, 300)
+				s.RecordServed(id, served)
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+	}
+	serve(2*window, 75, 75)
+	serve(2*window, 40, 5)
+	if got := s.Standing("ahead"); got.Limited() {
+		t.Errorf("standing %+v of an account that gets 400 tokens a second, want no limit: its share of the configured capacity is 500", got)
+	}
+	serve(2*window, 70, 5)
+	if got := s.Standing("ahead"); got.Behind != "behind" {
+		t.Errorf("standing %+v of an account that gets 700 tokens a second, want the other one behind", got)
+	}
+}
+
 // Guards against a limit that is no number: an account that requests much at once is compared before the accounts have been compared again.
 func TestAccountThatBeginsToFloodHasAStanding(t *testing.T) {
 	s := newSharesWithDemand(map[pomelorelay.AccountID]pomelorelay.Cost{"flood": 10, "short": 10})
