--- a/pomeloplace/floods_test.go
+++ b/pomeloplace/floods_test.go
@@ -18,7 +18,7 @@
 var (
 	floodSeeds = flag.Int("flood-seeds", 24, "number of drawn floods that each test of floods simulates")
 	floodFrom  = flag.Int("flood-from", 1, "first seed of these floods")
-	largeSeeds = flag.Int("large-flood-seeds", 0, "number of drawn floods of large fleets that each test of these simulates; with the race detector one takes minutes")
+	largeSeeds = flag.Int("large-flood-seeds", 0, "number of drawn floods of fleets with up to 120 engines that each test of large fleets simulates; with the race detector one takes minutes")
 )
 
 // floodSpec is an account that sends several times what the others send.
@@ -435,10 +435,11 @@
 
 // Guards against flooding accounts of a large fleet that are served unequally, where routers are told by late reports what many others do.
 func TestFloodingAccountsOfALargeFleetAreServedAlike(t *testing.T) {
-	if *largeSeeds == 0 {
-		t.Skip("run by hand with -large-flood-seeds")
-	}
 	t.Parallel()
+	all := 60
+	t.Run("few engines", func(t *testing.T) {
+		checkFloods(t, 1, floodScenario{all, 9, 64, 0.42, 300 * time.Millisecond, 0.1, true, []floodSpec{{0, 8, 0, all}, {time.Second, 8, 2, 1}, {0, 4, 1, 2}}, 0, pomeloplace.Mechanisms{}})
+	})
 	for i := range *largeSeeds {
 		checkFloodsOfSeed(t, drawnLargeFloods, *floodFrom+i)
 	}
