Log why a resumed stream may continue

The log of a resumed request did not tell whether its version came from a report or was taken for the only one, nor how old the router's knowledge was, so that a router out of step could not be told from late news or a reused ID. Lines of resumed requests now hold the basis, the origin, the versions known and for how long, the age of the store read and of the last message of another router; lines of listed upstreams hold their version. No decision changes.

Tests: TestResumedStreamLogsWhyItMayContinue; pomelostream, pomeloforward and pomeloentry's tests of streams and versions pass. pomeloplace run without the list of known failures fails in TestFloodThroughOverloadedRouterOfALargeFleetIsServedAlike alone as far as the tail of its output shows, which is on that list.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -205,8 +205,9 @@
 func (c *control) place(now time.Time, req pomeloforward.PlacementRequest) pomeloplace.Decision {
 	accounted := req.Cost > 0 && req.Account != ""
 	r := req.Request
-	if !c.fixVersion(now, &req, &r) {
-		return pomeloplace.Decision{Reason: pomeloplace.ReasonVersionUnknown, RetryAfter: c.versionRetryAfter(now, &req)}
+	resume := c.fixVersion(now, &req, &r)
+	if !resume.Basis.Known() {
+		return pomeloplace.Decision{Reason: pomeloplace.ReasonVersionUnknown, RetryAfter: c.versionRetryAfter(now, &req), Resume: resume}
 	}
 	// The regions are determined anew at each attempt: if a new configuration allows fewer regions, this also applies to requests that
 	// arrived before it.
@@ -229,7 +230,7 @@
 		share.TotalServed = c.shares.TotalServed()
 	}
 	d := c.placer.Place(now, r)
-	d.Share, d.Residency = share, r.Residency
+	d.Share, d.Residency, d.Resume = share, r.Residency, resume
 	if !c.upstreams.listedAt.IsZero() {
 		d.ListAge = now.Sub(c.upstreams.listedAt)
 	}
@@ -308,6 +309,7 @@
 }
 
 func (c *control) receive(now time.Time, m pomelorelay.Envelope) {
+	c.peers.heardAt = now
 	c.peers.recordMessage(now, pomelorelay.Peer{Node: m.From, Domain: m.Domain, Region: m.Region})
 	c.recordGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -49,6 +49,16 @@
 	// byDomain holds the same routers by failure domain; nil when it must be built again. The relay of a domain is determined for each report
 	// and several times in each periodic update.
 	byDomain map[pomelorelay.DomainID][]*knownPeer
+	// heardAt is when the last message of another router arrived; zero if none has.
+	heardAt time.Time
+}
+
+// heardAge returns the time since the last message of another router; negative if there was none.
+func (p *peers) heardAge(now time.Time) time.Duration {
+	if p.heardAt.IsZero() {
+		return -1
+	}
+	return now.Sub(p.heardAt)
 }
 
 // inDomain returns the routers of a failure domain, in no particular order.
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -117,21 +117,40 @@
 	return window
 }
 
-// fixVersion sets the version at which a resumed stream must continue. It returns false if that version is unknown and the stream may have
+// fixVersion sets the version at which a resumed stream must continue. The version is unknown if the stream may have
 // begun at another one than the service has now: besides several versions, also at a router that has not known the versions for as long as streams
 // may be resumed, because all routers that knew a version which has left since may have failed.
-func (c *control) fixVersion(now time.Time, req *pomeloforward.PlacementRequest, r *pomeloplace.Request) bool {
-	if !req.Stream.Resumed || r.VersionFixed {
-		return true
+func (c *control) fixVersion(now time.Time, req *pomeloforward.PlacementRequest, r *pomeloplace.Request) pomelostream.Evidence {
+	if !req.Stream.Resumed && !r.VersionFixed {
+		return pomelostream.Evidence{}
+	}
+	window := c.resumeWindow()
+	ev := pomelostream.Evidence{
+		OriginNamed: req.Stream.OriginNamed, Versions: c.streams.versions.Count(now, r.Service, window), KnownFor: now.Sub(c.streams.knownSince),
+		ReadAge: c.e.storeReadAge(), HeardAge: c.peers.heardAge(now),
+	}
+	ev.Basis = c.basis(req, r, &ev, window)
+	ev.Version = r.Version
+	return ev
+}
+
+func (c *control) basis(req *pomeloforward.PlacementRequest, r *pomeloplace.Request, ev *pomelostream.Evidence, window time.Duration) pomelostream.Basis {
+	if r.VersionFixed {
+		return pomelostream.BasisAnswer
 	}
 	if req.Stream.OriginNamed {
 		if version, known := c.streams.origins.Version(req.Stream.Origin); known {
 			r.Version, r.VersionFixed = version, true
-			return true
+			return pomelostream.BasisOrigin
 		}
 	}
-	window := c.resumeWindow()
-	return !c.streams.versions.Several(now, r.Service, window) && now.Sub(c.streams.knownSince) >= window
+	switch {
+	case ev.Versions > 1:
+		return pomelostream.BasisSeveralVersions
+	case ev.KnownFor < window:
+		return pomelostream.BasisRecent
+	}
+	return pomelostream.BasisOnlyVersion
 }
 
 // versionRetryAfter returns the Retry-After of a resumed stream whose version is unknown. No report tells the version of a stream whose caller does not
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -105,7 +105,7 @@
 		return
 	}
 	delete(c.upstreams.leaving, u.ID)
-	c.e.log(pomelorelay.EventUpstreamListed, field("Upstream", u.ID), field("Service", u.Service), field("Address", u.Addr.String()), field("Domain", u.Domain), field("Born", u.StartUnixMilli), field("ColdMS", u.ColdRemaining.Milliseconds()), field("Source", source))
+	c.e.log(pomelorelay.EventUpstreamListed, field("Upstream", u.ID), field("Service", u.Service), field("Address", u.Addr.String()), field("Domain", u.Domain), field("Version", string(u.Version)), field("Born", u.StartUnixMilli), field("ColdMS", u.ColdRemaining.Milliseconds()), field("Source", source))
 }
 
 // lapseUpstream handles an entry that is missing from the store. Leases lapse in a store outage, and live upstreams register again
--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -348,3 +348,21 @@
 		t.Errorf("a new stream has %d events, whole %v", s.events, s.whole)
 	}
 }
+
+// Guards against a resumed stream whose log line does not tell why it might continue.
+func TestResumedStreamLogsWhyItMayContinue(t *testing.T) {
+	f := newVersionFleet(t, 1)
+	f.engine("u1", "v1")
+	f.engine("u2", "v2")
+	f.awaitReady(2)
+	begun := f.stream(f.nodes[0], 0, "")
+	f.stream(f.nodes[0], begun.events-1, begun.id)
+	f.stream(f.nodes[0], begun.events-1, "unknown")
+	for _, want := range []pomelorelay.Field{{Key: "ResumedBy", Value: "Origin"}, {Key: "Version", Value: begun.versions[0]}, {Key: "ResumedBy", Value: "SeveralVersions"}, {Key: "Versions", Value: 2}} {
+		f.await(fmt.Sprintf("%s is %v", want.Key, want.Value), func() bool {
+			log := f.nodes[0].log
+			matches := func(l pomelorelay.Field) bool { return l == want }
+			return log.hasWith(pomelorelay.EventRequestServed, matches) || log.hasWith(pomelorelay.EventRequestRefused, matches)
+		})
+	}
+}
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -11,6 +11,7 @@
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelolink"
 	"github.com/pomelorelay/pomelorelay/pomeloproblem"
+	"github.com/pomelorelay/pomelorelay/pomelostream"
 )
 
 // The endings of a request, as metric labels.
@@ -191,6 +192,19 @@
 		pomelorelay.Field{Key: "MaxQueueMS", Value: d.MaxQueueDelay.Milliseconds()},
 	)
 	all = c.appendConnection(all)
+	if resume := d.Resume; resume.Basis != pomelostream.BasisNone {
+		all = append(all,
+			pomelorelay.Field{Key: "ResumedBy", Value: string(resume.Basis)},
+			pomelorelay.Field{Key: "Resumes", Value: c.fields.Resumes},
+			pomelorelay.Field{Key: "LastEvent", Value: c.fields.LastEvent},
+			pomelorelay.Field{Key: "Version", Value: string(resume.Version)},
+			pomelorelay.Field{Key: "UpstreamVersion", Value: string(d.Upstream.Version)},
+			pomelorelay.Field{Key: "Versions", Value: resume.Versions},
+			pomelorelay.Field{Key: "VersionsKnownMS", Value: resume.KnownFor.Milliseconds()},
+			pomelorelay.Field{Key: "StoreReadAgeMS", Value: resume.ReadAge.Milliseconds()},
+			pomelorelay.Field{Key: "HeardAgeMS", Value: resume.HeardAge.Milliseconds()},
+		)
+	}
 	if d.Reserve.Slots > 0 {
 		all = append(all,
 			pomelorelay.Field{Key: "Reserve", Value: d.Reserve.Slots},
@@ -211,7 +225,7 @@
 }
 
 // maxEndingFields is the number of fields that logEnding adds, for the capacity of their list.
-const maxEndingFields = 30
+const maxEndingFields = 40
 
 // appendConnection appends the fields that identify the upstream connection of the last attempt, unless no connection carried it.
 func (c *call) appendConnection(fields []pomelorelay.Field) []pomelorelay.Field {
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -6,6 +6,7 @@
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloroom"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
+	"github.com/pomelorelay/pomelorelay/pomelostream"
 )
 
 // Config configures a Placer.
@@ -160,6 +161,8 @@
 	Reserve pomeloroom.Outcome
 	// Share is the state of the account's fair share at the time of the decision.
 	Share ShareState
+	// Resume is why a resumed stream may continue at the upstream's version, or why its version is unknown.
+	Resume pomelostream.Evidence
 }
 
 // ShareState is an account's usage of the shared capacity at the time of a decision.
--- a/pomelostream/versions.go
+++ b/pomelostream/versions.go
@@ -60,6 +60,11 @@
 
 // Several reports whether a service has, or had within the given time before now, upstreams of more than one version.
 func (v *Versions) Several(now time.Time, service pomelorelay.ServiceID, within time.Duration) bool {
+	return v.Count(now, service, within) > 1
+}
+
+// Count returns the number of versions of which a service has, or had within the given time before now, upstreams.
+func (v *Versions) Count(now time.Time, service pomelorelay.ServiceID, within time.Duration) int {
 	n := 0
 	for key := range v.present {
 		if key.service == service {
@@ -75,5 +80,5 @@
 			n++
 		}
 	}
-	return n > 1
+	return n
 }
