A router passes on its registration as the store lists it

A router that answers a question for its state added itself with the address of its settings, not with the one that the platform lists.

--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -49,6 +49,8 @@
 	// byDomain holds the same routers by failure domain; nil when it must be built again. The relay of a domain is determined for each report
 	// and several times in each periodic update.
 	byDomain map[pomelorelay.DomainID][]*knownPeer
+	// self is this router's own registration as the store lists it; zero until it was read.
+	self pomelorelay.Peer
 	// heardAt is when the last message of another router arrived; zero if none has.
 	heardAt time.Time
 }
@@ -175,6 +177,14 @@
 	return list
 }
 
+// registeredWith returns the registered routers and this one, at the address under which the store lists it.
+func (p *peers) registeredWith(self pomelorelay.Peer) []pomelorelay.Peer {
+	if p.self.Addr.IsValid() {
+		self = p.self
+	}
+	return append(p.registered(), self)
+}
+
 // dialable returns the routers with a known address.
 func (p *peers) dialable() []pomelorelay.Peer {
 	list := make([]pomelorelay.Peer, 0, len(p.byNode))
@@ -194,9 +204,11 @@
 		}
 	}
 	for _, p := range change.Peers {
-		if p.Node != c.e.cfg.Settings.Self.Node {
-			c.peers.register(now, p)
+		if p.Node == c.e.cfg.Settings.Self.Node {
+			c.peers.self = p
+			continue
 		}
+		c.peers.register(now, p)
 	}
 	for _, node := range change.RemovedPeers {
 		c.peers.unregister(node)
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -79,7 +79,7 @@
 // sendState answers another router's request for the configuration, the upstreams and the list of routers. It answers even without a
 // configuration and upstreams, so that both routers learn each other's address.
 func (c *control) sendState(now time.Time, to pomelorelay.NodeID, ask *pomelorelay.StateAsk) {
-	m := &pomelorelay.FleetState{Peers: append(c.peers.registered(), c.e.cfg.Settings.Self)}
+	m := &pomelorelay.FleetState{Peers: c.peers.registeredWith(c.e.cfg.Settings.Self)}
 	if c.config != nil && c.config.Version > ask.Above {
 		m.Document = c.config.Document
 	}
