A router that may be out of step guesses no version

Cause: a resumed stream of unknown origin continued if the router knew one version and had been up for as long as streams may be resumed. Nothing said how old that knowledge was: a router cut off from the store and the others, or one that had stood still, took a version that it had not heard of for one that there is not. Class: what is not known is used as if it were known not to be.

Upstreams serve only once they are in the store, so that a read of the store that begins after a caller's request includes every version at which its stream can have begun. Such requests now wait for one, one read serves all that wait, and while the store cannot be read they are refused at once. The span in which a router knows all versions is counted in revisions, so that versions that came and went between two reads are known (VersionsPassed) or, where the history is gone or a peer that tells is behind, waited for. No time limit is added; streams of known origin continue as before, without the store too.

--- a/fleet.go
+++ b/fleet.go
@@ -162,6 +162,8 @@
 	RestoredDomains []DomainID
 	// Crashes are upstream crashes that routers have recorded in the store.
 	Crashes []RequestCrash
+	// VersionsPassed are the versions of upstreams whose entries were written and replaced or deleted within the change.
+	VersionsPassed []VersionSeen
 	// EntryErrors holds an error for each entry that cannot be decoded; upstreams among them are also in RemovedUpstreams.
 	EntryErrors []error
 }
--- a/messages_load.go
+++ b/messages_load.go
@@ -109,6 +109,8 @@
 	Evacuated        []DomainID
 	RestoredDomains  []DomainID
 	Crashes          []RequestCrash
+	// VersionsPassed are the versions of upstreams whose entries were written and replaced or deleted between the revisions.
+	VersionsPassed []VersionSeen
 	// Document is the operators' configuration; empty if unchanged.
 	Document []byte
 	// ReadUnixMilli is when the router that read the store sent the call, by its clock; zero if unknown.
--- a/messages_stream.go
+++ b/messages_stream.go
@@ -11,21 +11,23 @@
 	TimeLeft time.Duration
 }
 
-// VersionLeft reports a software version of a service that has no upstream any more.
-type VersionLeft struct {
+// VersionSeen reports a software version of a service that has, or had until lately, upstreams.
+type VersionSeen struct {
 	Service ServiceID
 	Version SoftwareVersion
-	// Ago is the time since its last upstream was removed.
+	// Ago is the time since it last had one.
 	Ago time.Duration
 }
 
 // StreamState tells a router that has started what another one knows of streams that began earlier.
 type StreamState struct {
 	Streams []StreamOrigin
-	// Left are the versions of which upstreams were removed lately.
-	Left []VersionLeft
+	// Versions are the versions that have upstreams, and those of which upstreams were removed lately.
+	Versions []VersionSeen
 	// KnownFor is the time for which the sender has known all streams and versions; zero if more StreamStates follow.
 	KnownFor time.Duration
+	// Revision is the store revision up to which the sender knows all versions.
+	Revision Revision
 }
 
 // Urgency implements Message; callers resume streams at a router as soon as it is ready.
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -10,6 +10,7 @@
 	"github.com/pomelorelay/pomelorelay/pomeloresidency"
 	"github.com/pomelorelay/pomelorelay/pomeloshare"
 	"github.com/pomelorelay/pomelorelay/pomelospeed"
+	"github.com/pomelorelay/pomelorelay/pomelostream"
 	"github.com/pomelorelay/pomelorelay/pomelotable"
 	"github.com/pomelorelay/pomelorelay/pomelowarmup"
 )
@@ -90,6 +91,7 @@
 func (c *control) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer c.endVersionCheck()
 	for {
 		select {
 		case <-c.e.ctx.Done():
@@ -202,13 +204,13 @@
 }
 
 // place selects an upstream for a request and charges the request's account.
-func (c *control) place(now time.Time, req pomeloforward.PlacementRequest) pomeloplace.Decision {
+func (c *control) place(now time.Time, req pomeloforward.PlacementRequest, resume pomelostream.Evidence) pomeloplace.Decision {
 	accounted := req.Cost > 0 && req.Account != ""
 	r := req.Request
-	resume := c.fixVersion(now, &req, &r)
 	if !resume.Basis.Known() {
-		return pomeloplace.Decision{Reason: pomeloplace.ReasonVersionUnknown, RetryAfter: c.versionRetryAfter(now, &req), Resume: resume}
+		return pomeloplace.Decision{Reason: pomeloplace.ReasonVersionUnknown, RetryAfter: c.versionRetryAfter(resume), Resume: resume}
 	}
+	r.Version, r.VersionFixed = resume.Version, resume.Basis != pomelostream.BasisNone
 	// The regions are determined anew at each attempt: if a new configuration allows fewer regions, this also applies to requests that
 	// arrived before it.
 	r.Residency = c.residency.Residency(now, req.Route, req.Account)
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -158,7 +158,7 @@
 // Place selects an upstream for a request.
 func (d PlacementControl) Place(now time.Time, req pomeloforward.PlacementRequest) pomeloplace.Decision {
 	d.c.shares.Tick(now)
-	return d.c.place(now, req)
+	return d.c.place(now, req, d.c.resumeEvidence(now, time.Duration(d.c.e.steady()), &req))
 }
 
 // RefusedByOverload records a request that the overload control refused without reading it.
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -9,6 +9,7 @@
 	"github.com/pomelorelay/pomelorelay/pomelometric"
 	"github.com/pomelorelay/pomelorelay/pomelooverload"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
+	"github.com/pomelorelay/pomelorelay/pomelostream"
 )
 
 // event is an input of the control goroutine.
@@ -27,7 +28,8 @@
 	case <-ctx.Done():
 		return nil, pomeloplace.Decision{}, ctx.Err()
 	}
-	// The control goroutine answers within microseconds or finds ctx done. Waiting for ctx here could leave a run that is never ended.
+	// The control goroutine answers within microseconds, or once the versions were checked, or finds ctx done. Waiting for ctx here could leave a run that
+	// is never ended.
 	d := <-ev.answer
 	if d.Run == nil {
 		return nil, d, ctx.Err()
@@ -56,11 +58,11 @@
 	waited := time.Duration(asked - r.askedAt)
 	c.e.overload.observe(asked, pomelooverload.StagePlace, waited)
 	c.e.metrics.ObserveStage(pomelometric.StagePlace, waited)
-	if r.ctx.Err() != nil {
-		r.answer <- pomeloplace.Decision{}
+	resume := c.resumeEvidence(now, time.Duration(r.askedAt), &r.request)
+	if resume.Basis == pomelostream.BasisUnconfirmed && c.awaitVersionCheck(r) {
 		return
 	}
-	r.answer <- c.place(now, r.request)
+	c.decide(now, r)
 }
 
 // reservation implements pomeloforward.Reservation.
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -40,6 +40,10 @@
 	forward     *pomeloforward.Handler
 	metrics     *pomelometric.Metrics
 	events      chan event
+	// versionsAsked holds a value while requests wait for a read of the store; versionsUpTo is the store revision up to which the versions of upstreams
+	// are known.
+	versionsAsked chan struct{}
+	versionsUpTo  atomic.Uint64
 
 	cursor         cursor
 	storeRecovered broadcast
@@ -106,13 +110,14 @@
 		cfg.Logger = pomelorelay.NopLogger{}
 	}
 	e := &Router{
-		cfg:         cfg,
-		hostLimits:  hostLimitsOf(cfg.Settings),
-		incarnation: cfg.Incarnation,
-		metrics:     pomelometric.New(),
-		events:      make(chan event, eventQueueLength),
-		errs:        make(chan error, listenerCount),
-		overload:    newOverload(),
+		cfg:           cfg,
+		hostLimits:    hostLimitsOf(cfg.Settings),
+		incarnation:   cfg.Incarnation,
+		metrics:       pomelometric.New(),
+		events:        make(chan event, eventQueueLength),
+		versionsAsked: make(chan struct{}, 1),
+		errs:          make(chan error, listenerCount),
+		overload:      newOverload(),
 	}
 	if e.incarnation == 0 {
 		e.incarnation = pomelorelay.Incarnation(cfg.Clock.Now().UnixNano())
@@ -148,6 +153,7 @@
 	c := newControl(e)
 	e.start(func(context.Context) { c.run() })
 	e.start(e.readStoreLoop)
+	e.start(e.checkVersions)
 	e.start(e.keepRegistered)
 	e.start(e.crashRecorder.keep)
 	return e, nil
--- a/pomeloentry/state.go
+++ b/pomeloentry/state.go
@@ -114,6 +114,7 @@
 		c.applyUpstreams(now, &change, false, string(from))
 		c.applyEvacuations(now, &change, string(from))
 		c.applyPeers(now, &change)
+		c.recordVersions(now, 0, &change)
 	case !c.e.cursor.hasRead():
 		c.applyPeers(now, &change)
 	}
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -259,6 +259,7 @@
 	m := c.updateFrom(r)
 	// If the cursor moved, the next update would not start at it, and this router would request the full state.
 	keepsCursor := r.check && hasNoMembers(m)
+	c.recordVersions(now, r.after, &r.change)
 	if !keepsCursor && !c.e.cursor.advance(r.after, r.change.Revision, r.change.Full) {
 		// Another router's update arrived first; the next read starts after that update.
 		return
@@ -285,7 +286,7 @@
 // updateFrom returns the parts of a change that the other routers lack; heartbeats of upstreams and routers that change nothing are
 // left out.
 func (c *control) updateFrom(r *storeRead) *pomelorelay.FleetUpdate {
-	m := &pomelorelay.FleetUpdate{ReadUnixMilli: r.askedUnixMilli, After: r.after, Revision: r.change.Revision, Full: r.change.Full, RemovedUpstreams: r.change.RemovedUpstreams, RemovedPeers: r.change.RemovedPeers, Evacuated: r.change.Evacuated, RestoredDomains: r.change.RestoredDomains, Crashes: r.change.Crashes[:min(len(r.change.Crashes), maxCrashesPerMessage)]}
+	m := &pomelorelay.FleetUpdate{ReadUnixMilli: r.askedUnixMilli, After: r.after, Revision: r.change.Revision, Full: r.change.Full, RemovedUpstreams: r.change.RemovedUpstreams, RemovedPeers: r.change.RemovedPeers, Evacuated: r.change.Evacuated, RestoredDomains: r.change.RestoredDomains, VersionsPassed: r.change.VersionsPassed, Crashes: r.change.Crashes[:min(len(r.change.Crashes), maxCrashesPerMessage)]}
 	if r.change.Config != nil {
 		// The other routers advance their cursors to this revision. If they got no configuration and this router failed next, none of
 		// them would read that configuration again.
@@ -384,8 +385,9 @@
 	if len(m.Document) > 0 {
 		c.applyPushedConfig(now, from, &pomelorelay.ConfigPush{Root: m.Document})
 	}
-	// Crashes are merged in any order, so that those of a missed update count too.
+	// Crashes and versions are merged in any order, so that those of a missed update count too.
 	c.mergeCrashes(now, m.Crashes)
+	c.streams.versions.Merge(now, m.VersionsPassed)
 	if missed {
 		c.requestFullState(now, from)
 	}
@@ -395,6 +397,7 @@
 			Evacuated: m.Evacuated, RestoredDomains: m.RestoredDomains,
 		}
 		c.applyChange(now, &change, false, string(from))
+		c.recordVersions(now, m.After, &change)
 	}
 }
 
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -5,7 +5,6 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
-	"github.com/pomelorelay/pomelorelay/pomeloplace"
 	"github.com/pomelorelay/pomelorelay/pomelostream"
 )
 
@@ -33,8 +32,8 @@
 type streams struct {
 	origins  *pomelostream.Origins
 	versions *pomelostream.Versions
-	// knownSince is the time since which this router, or one that told it, has known all streams and versions.
-	knownSince time.Time
+	coverage *pomelostream.Coverage
+	check    versionCheck
 	// startedAt is the router's start, requestedAt its last request for streams; told is set once another router has told them all after
 	// streamSettleTime.
 	startedAt   time.Time
@@ -43,7 +42,7 @@
 }
 
 func newStreams(now time.Time) streams {
-	return streams{origins: pomelostream.NewOrigins(now), versions: pomelostream.NewVersions(), knownSince: now, startedAt: now}
+	return streams{origins: pomelostream.NewOrigins(now), versions: pomelostream.NewVersions(), coverage: pomelostream.NewCoverage(now), startedAt: now}
 }
 
 // requestStreams asks another router for the streams that began before this router started.
@@ -82,20 +81,20 @@
 		c.send(to, &pomelorelay.StreamState{Streams: all[:maxStreamsPerMessage]})
 		all = all[maxStreamsPerMessage:]
 	}
-	c.send(to, &pomelorelay.StreamState{Streams: all, Left: c.streams.versions.Left(now, c.resumeWindow()), KnownFor: now.Sub(c.streams.knownSince)})
+	c.send(to, &pomelorelay.StreamState{
+		Streams: all, Versions: c.streams.versions.Seen(now, c.resumeWindow()), KnownFor: c.streams.coverage.KnownFor(now), Revision: c.streams.coverage.UpTo(),
+	})
 }
 
 func (c *control) applyStreamState(now time.Time, m *pomelorelay.StreamState) {
 	s := &c.streams
 	s.origins.Merge(now, m.Streams)
-	s.versions.Merge(now, m.Left)
+	s.versions.Merge(now, m.Versions)
 	if m.KnownFor <= 0 {
 		return
 	}
-	s.told = now.Sub(s.startedAt) >= streamSettleTime
-	if since := now.Add(-m.KnownFor); since.Before(s.knownSince) {
-		s.knownSince = since
-	}
+	leavesNoGap := s.coverage.Told(now.Add(-m.KnownFor), m.Revision)
+	s.told = leavesNoGap && now.Sub(s.startedAt) >= streamSettleTime
 }
 
 // resumeWindow returns the longest time within which callers may resume a stream.
@@ -117,53 +116,50 @@
 	return window
 }
 
-// fixVersion sets the version at which a resumed stream must continue. The version is unknown if the stream may have
-// begun at another one than the service has now: besides several versions, also at a router that has not known the versions for as long as streams
-// may be resumed, because all routers that knew a version which has left since may have failed.
-func (c *control) fixVersion(now time.Time, req *pomeloforward.PlacementRequest, r *pomeloplace.Request) pomelostream.Evidence {
-	if !req.Stream.Resumed && !r.VersionFixed {
+// resumeEvidence returns at which version a request placed at the given time of the steady clock must continue its stream. The version is unknown if the
+// stream may have begun at another one than the service has now: besides several versions, also at a router that has not known the versions for as long
+// as streams may be resumed, because all routers that knew a version which has left since may have failed. It is unconfirmed until the router has read
+// the store after the request came: upstreams serve only once they are in the store, so that no stream of the caller can have begun at a later version.
+func (c *control) resumeEvidence(now time.Time, askedAt time.Duration, req *pomeloforward.PlacementRequest) pomelostream.Evidence {
+	if !req.Stream.Resumed && !req.Request.VersionFixed {
 		return pomelostream.Evidence{}
 	}
 	window := c.resumeWindow()
+	versions, version := c.streams.versions.Count(now, req.Request.Service, window)
 	ev := pomelostream.Evidence{
-		OriginNamed: req.Stream.OriginNamed, Versions: c.streams.versions.Count(now, r.Service, window), KnownFor: now.Sub(c.streams.knownSince),
-		ReadAge: c.e.storeReadAge(), HeardAge: c.peers.heardAge(now),
-	}
-	ev.Basis = c.basis(req, r, &ev, window)
-	ev.Version = r.Version
-	return ev
-}
-
-func (c *control) basis(req *pomeloforward.PlacementRequest, r *pomeloplace.Request, ev *pomelostream.Evidence, window time.Duration) pomelostream.Basis {
-	if r.VersionFixed {
-		return pomelostream.BasisAnswer
+		OriginNamed: req.Stream.OriginNamed, Versions: versions, KnownFor: c.streams.coverage.KnownFor(now), ReadAge: c.e.storeReadAge(), HeardAge: c.peers.heardAge(now),
 	}
+	origin, known := pomelorelay.SoftwareVersion(""), false
 	if req.Stream.OriginNamed {
-		if version, known := c.streams.origins.Version(req.Stream.Origin); known {
-			r.Version, r.VersionFixed = version, true
-			return pomelostream.BasisOrigin
-		}
+		origin, known = c.streams.origins.Version(req.Stream.Origin)
 	}
 	switch {
-	case ev.Versions > 1:
-		return pomelostream.BasisSeveralVersions
+	case req.Request.VersionFixed:
+		ev.Basis, ev.Version = pomelostream.BasisAnswer, req.Request.Version
+	case known:
+		ev.Basis, ev.Version = pomelostream.BasisOrigin, origin
+	case versions > 1:
+		ev.Basis = pomelostream.BasisSeveralVersions
 	case ev.KnownFor < window:
-		return pomelostream.BasisRecent
+		ev.Basis = pomelostream.BasisRecent
+	case !c.streams.coverage.Includes(askedAt):
+		ev.Basis = pomelostream.BasisUnconfirmed
+	default:
+		ev.Basis, ev.Version = pomelostream.BasisOnlyVersion, version
 	}
-	return pomelostream.BasisOnlyVersion
+	return ev
 }
 
 // versionRetryAfter returns the Retry-After of a resumed stream whose version is unknown. No report tells the version of a stream whose caller does not
 // name its origin: it can continue only once the versions have been known for long enough.
-func (c *control) versionRetryAfter(now time.Time, req *pomeloforward.PlacementRequest) time.Duration {
-	if req.Stream.OriginNamed {
+func (c *control) versionRetryAfter(ev pomelostream.Evidence) time.Duration {
+	switch {
+	case ev.OriginNamed, ev.Basis == pomelostream.BasisUnconfirmed:
 		return unknownVersionRetryAfter
+	case ev.Basis == pomelostream.BasisRecent:
+		return c.resumeWindow() - ev.KnownFor
 	}
-	window := c.resumeWindow()
-	if left := window - now.Sub(c.streams.knownSince); left > 0 {
-		return left
-	}
-	return window
+	return c.resumeWindow()
 }
 
 // recordOrigin records the version at which a resumable stream began.
--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -366,3 +366,86 @@
 		})
 	}
 }
+
+// awaitWindow waits until the routers have known the versions for as long as streams may be resumed.
+func (f versionFleet) awaitWindow() {
+	f.t.Helper()
+	f.await("streams of unknown origin continue", func() bool {
+		for _, n := range f.nodes {
+			if f.stream(n, versionEvents-1, "").status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a stream of unknown origin that is refused although its service has had one version for as long as streams may be resumed.
+func TestStreamOfUnknownOriginContinuesAtTheOnlyVersion(t *testing.T) {
+	f := newVersionFleet(t, 2)
+	f.engine("u1", "v1")
+	f.engine("u2", "v1")
+	f.awaitReady(2)
+	f.awaitWindow()
+	for i := range 20 {
+		resumes := []string{"", "unknown"}[i%2]
+		if s := f.stream(f.nodes[i/2%2], 3, resumes); s.status != http.StatusOK || !s.whole || s.events != versionEvents-3 {
+			t.Errorf("a stream that resumes %q is answered with %d and %d events", resumes, s.status, s.events)
+		}
+	}
+	for _, n := range f.nodes {
+		n.view.SetPartitioned(true)
+	}
+	begun := f.stream(f.nodes[0], 0, "")
+	if s := f.stream(f.nodes[0], 3, begun.id); s.status != http.StatusOK || !s.whole {
+		t.Errorf("without the store a stream of known origin is answered with %d", s.status)
+	}
+}
+
+// Guards against routers that are cut off from the store together and take the only version that they know for the only one there is.
+func TestRoutersCutOffTogetherGuessNoVersion(t *testing.T) {
+	f := newVersionFleet(t, 3)
+	f.engine("u1", "v1")
+	f.awaitReady(1)
+	f.awaitWindow()
+	for _, n := range f.nodes[:2] {
+		n.view.SetPartitioned(true)
+	}
+	f.nodes[2].router.Close()
+	f.engine("a1", "v2")
+	f.engine("a2", "v2")
+	for i := range 12 {
+		if s := f.stream(f.nodes[i%2], 3, []string{"", "unknown"}[i/2%2]); s.status != http.StatusServiceUnavailable || s.took > time.Second {
+			t.Errorf("a stream is answered with %d and versions %v after %v, want 503 at once", s.status, s.versions, s.took)
+		}
+	}
+	for _, n := range f.nodes[:2] {
+		if s := f.stream(n, 0, ""); !s.whole || s.events != versionEvents {
+			t.Errorf("a new stream has %d events, whole %v", s.events, s.whole)
+		}
+	}
+}
+
+// Guards against a version that came and went while a router could not read the store, or whose history the store has dropped meanwhile.
+func TestVersionThatCameAndWentMeanwhileCounts(t *testing.T) {
+	for _, compacts := range []bool{false, true} {
+		t.Run(fmt.Sprint("history dropped ", compacts), func(t *testing.T) {
+			f := newVersionFleet(t, 1)
+			f.engine("u1", "v1")
+			f.awaitReady(1)
+			f.awaitWindow()
+			f.nodes[0].view.SetPartitioned(true)
+			f.engine("a1", "v2")
+			f.store.DeleteUpstream("a1")
+			if compacts {
+				f.store.Compact()
+			}
+			f.nodes[0].view.SetPartitioned(false)
+			for range 4 {
+				if s := f.stream(f.nodes[0], 3, ""); s.status != http.StatusServiceUnavailable {
+					t.Errorf("a stream of unknown origin is answered with %d and versions %v, want 503", s.status, s.versions)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pomeloentry/versioncheck.go
@@ -0,0 +1,156 @@
+package pomeloentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
+)
+
+// A resumed stream of unknown origin may continue at the only version of its service if there is no other one. What a router knows tells what there was
+// when the store was last read: a router that is cut off or has stood still would take a newer version for missing. Such requests therefore wait for a
+// read of the store that begins after they have come. One read serves all that wait; while the store cannot be read, they are refused at once.
+
+const (
+	// minCheckInterval is the minimum time between the starts of two reads, and checkIntervalPerRouter that for each router of the fleet, because all
+	// routers may have streams to resume at the same time.
+	minCheckInterval       = 100 * time.Millisecond
+	checkIntervalPerRouter = 2 * time.Millisecond
+)
+
+// versionCheck holds the requests that wait for a read of the store.
+type versionCheck struct {
+	waiting []*placementRequested
+	// failing is set while the last read has failed.
+	failing bool
+}
+
+// awaitVersionCheck makes a request wait for a read of the store. It returns false if the store cannot be read.
+func (c *control) awaitVersionCheck(r *placementRequested) bool {
+	select {
+	case c.e.versionsAsked <- struct{}{}:
+	default:
+		// A read is due already.
+	}
+	check := &c.streams.check
+	if check.failing {
+		return false
+	}
+	check.waiting = append(check.waiting, r)
+	return true
+}
+
+// endVersionCheck decides on the requests that wait.
+func (c *control) endVersionCheck() {
+	waiting := c.streams.check.waiting
+	c.streams.check.waiting = nil
+	for _, r := range waiting {
+		c.decide(c.now(), r)
+	}
+}
+
+// decide places or refuses a request with what is known now.
+func (c *control) decide(now time.Time, r *placementRequested) {
+	if r.ctx.Err() != nil {
+		r.answer <- pomeloplace.Decision{}
+		return
+	}
+	r.answer <- c.place(now, r.request, c.resumeEvidence(now, time.Duration(r.askedAt), &r.request))
+}
+
+// checkVersions reads the store whenever requests wait for it.
+func (e *Router) checkVersions(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.versionsAsked:
+		}
+		began := time.Now()
+		e.post(e.readVersions(ctx))
+		interval := max(minCheckInterval, time.Duration(e.peers.Load()+1)*checkIntervalPerRouter)
+		sleep(ctx, interval-time.Since(began))
+	}
+}
+
+// readVersions reads the changes of the store since the router's knowledge of versions ends, or its complete state if they are no longer available.
+func (e *Router) readVersions(ctx context.Context) *versionsRead {
+	ctx, cancel := context.WithTimeout(ctx, e.scaledChangeWait(readTimeoutFraction))
+	defer cancel()
+	r := &versionsRead{began: e.cfg.Steady(), after: pomelorelay.Revision(e.versionsUpTo.Load())}
+	if r.after == 0 {
+		r.err = pomelorelay.NewError(pomelorelay.CodeNotReady, "the store has not been read", nil)
+		return r
+	}
+	r.change, r.err = e.cfg.Platform.Watch(ctx, r.after, 0)
+	e.metrics.CountStoreCall("watch", "versions", pomelorelay.CodeOf(r.err))
+	if pomelorelay.IsErrCode(r.err, pomelorelay.CodeStoreCompacted) {
+		r.change, r.err = e.cfg.Platform.Read(ctx, false)
+		e.metrics.CountStoreCall("read", "versions", pomelorelay.CodeOf(r.err))
+	}
+	return r
+}
+
+// versionsRead is posted for each read of the store that requests wait for.
+type versionsRead struct {
+	began  time.Duration
+	after  pomelorelay.Revision
+	change pomelorelay.FleetChange
+	err    error
+}
+
+func (r *versionsRead) apply(c *control, now time.Time) {
+	check, s := &c.streams.check, &c.streams
+	if failing := r.err != nil; failing != check.failing {
+		check.failing = failing
+		c.logVersionCheck(r)
+	}
+	if r.err == nil {
+		for _, u := range r.change.Upstreams {
+			s.versions.Merge(now, []pomelorelay.VersionSeen{{Service: u.Service, Version: u.Version}})
+		}
+		s.versions.Merge(now, r.change.VersionsPassed)
+		if r.change.Full {
+			s.coverage.Restart(now, r.change.Revision)
+		} else {
+			s.coverage.Advance(r.after, r.change.Revision)
+		}
+		s.coverage.Read(r.began)
+		c.storeVersionsUpTo()
+	}
+	// Requests that came after the read began wait for the next one.
+	waiting := check.waiting
+	check.waiting = nil
+	for _, w := range waiting {
+		if r.err == nil && time.Duration(w.askedAt) > r.began {
+			check.waiting = append(check.waiting, w)
+			continue
+		}
+		c.decide(now, w)
+	}
+}
+
+// storeVersionsUpTo tells readVersions from which revision on to read.
+func (c *control) storeVersionsUpTo() {
+	c.e.versionsUpTo.Store(uint64(c.streams.coverage.UpTo()))
+}
+
+func (c *control) logVersionCheck(r *versionsRead) {
+	if r.err == nil {
+		c.e.log(pomelorelay.EventPlatformBack, field("What", "versions"))
+		return
+	}
+	c.e.log(pomelorelay.EventPlatformLost, field("What", "versions"), field("Code", int(pomelorelay.CodeOf(r.err))), field("Fault", r.err.Error()), field("Waiting", len(c.streams.check.waiting)))
+}
+
+// recordVersions extends the span in which the router knows all versions by a change of the store.
+func (c *control) recordVersions(now time.Time, after pomelorelay.Revision, change *pomelorelay.FleetChange) {
+	c.streams.versions.Merge(now, change.VersionsPassed)
+	if change.Full {
+		c.streams.coverage.Begin(now, change.Revision)
+	} else {
+		c.streams.coverage.Advance(after, change.Revision)
+	}
+	c.storeVersionsUpTo()
+}
--- a/pomelofake/fleetstore.go
+++ b/pomelofake/fleetstore.go
@@ -21,7 +21,9 @@
 	upstreams      map[pomelorelay.UpstreamID]fleetEntry
 	peers          map[pomelorelay.NodeID]fleetEntry
 	evacuated      map[pomelorelay.DomainID]fleetEntry
-	leases         map[pomelorelay.LeaseID]pomelorelay.NodeID
+	// passed are the versions of upstreams' entries that were replaced or deleted, with the revision of the entry.
+	passed []passedVersion
+	leases map[pomelorelay.LeaseID]pomelorelay.NodeID
 	// crashLeases are the open leases for crash records, crashRecords the records by router process.
 	crashLeases  map[pomelorelay.LeaseID]bool
 	crashRecords map[crashRecordKey]crashRecord
@@ -41,6 +43,11 @@
 	peer     pomelorelay.Peer
 }
 
+type passedVersion struct {
+	revision pomelorelay.Revision
+	seen     pomelorelay.VersionSeen
+}
+
 // crashRecordKey identifies the process of a router that wrote a crash record.
 type crashRecordKey struct {
 	node        pomelorelay.NodeID
@@ -84,12 +91,22 @@
 
 // PutUpstream writes an upstream's entry.
 func (s *FleetStore) PutUpstream(u pomelorelay.FleetUpstream) {
-	s.commit(func(at pomelorelay.Revision) { s.upstreams[u.ID] = fleetEntry{revision: at, upstream: u} })
+	s.putUpstream(u.ID, fleetEntry{upstream: u})
 }
 
 // DeleteUpstream deletes an upstream's entry.
 func (s *FleetStore) DeleteUpstream(id pomelorelay.UpstreamID) {
-	s.commit(func(at pomelorelay.Revision) { s.upstreams[id] = fleetEntry{revision: at, deleted: true} })
+	s.putUpstream(id, fleetEntry{deleted: true})
+}
+
+func (s *FleetStore) putUpstream(id pomelorelay.UpstreamID, e fleetEntry) {
+	s.commit(func(at pomelorelay.Revision) {
+		if before, known := s.upstreams[id]; known && !before.deleted {
+			s.passed = append(s.passed, passedVersion{before.revision, pomelorelay.VersionSeen{Service: before.upstream.Service, Version: before.upstream.Version}})
+		}
+		e.revision = at
+		s.upstreams[id] = e
+	})
 }
 
 // Evacuate marks a failure domain as evacuated.
@@ -247,6 +264,11 @@
 	for id, e := range s.upstreams {
 		add(e, func() { change.Upstreams = append(change.Upstreams, e.upstream) }, func() { change.RemovedUpstreams = append(change.RemovedUpstreams, id) })
 	}
+	for _, p := range s.passed {
+		if p.revision > after && !change.Full {
+			change.VersionsPassed = append(change.VersionsPassed, p.seen)
+		}
+	}
 	for node, e := range s.peers {
 		add(e, func() { change.Peers = append(change.Peers, e.peer) }, func() { change.RemovedPeers = append(change.RemovedPeers, node) })
 	}
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -74,14 +74,14 @@
 		}},
 		&pomelorelay.FleetUpdate{
 			After: 9, Revision: 12, Full: true, Forwarded: true, Document: []byte("{}"), RemovedUpstreams: []pomelorelay.UpstreamID{"v"}, RemovedPeers: []pomelorelay.NodeID{"r2"},
-			Evacuated: []pomelorelay.DomainID{"b"}, RestoredDomains: []pomelorelay.DomainID{"c"}, Crashes: crashes, ReadUnixMilli: 1_700_000_000_123,
+			Evacuated: []pomelorelay.DomainID{"b"}, RestoredDomains: []pomelorelay.DomainID{"c"}, Crashes: crashes, ReadUnixMilli: 1_700_000_000_123, VersionsPassed: []pomelorelay.VersionSeen{{Service: "s", Version: "v0"}},
 			Upstreams: []pomelorelay.FleetUpstream{{ID: "u", Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "a", Slots: 6, Version: "v1", Draining: true, ColdRemaining: time.Second, StartUnixMilli: 77}},
 			Peers:     []pomelorelay.Peer{{Node: "r1", Addr: netip.MustParseAddrPort("10.0.0.2:80"), Domain: "a", Region: "ra", CPUSpeed: 0.4}},
 		},
 		&pomelorelay.StateAsk{Above: 7, Upstreams: true, Streams: true},
 		&pomelorelay.StreamState{
 			Streams: []pomelorelay.StreamOrigin{{Stream: 4711, Version: "v1.2", TimeLeft: 12 * time.Second}}, KnownFor: 40 * time.Second,
-			Left: []pomelorelay.VersionLeft{{Service: "s", Version: "v1", Ago: 3 * time.Second}},
+			Versions: []pomelorelay.VersionSeen{{Service: "s", Version: "v1", Ago: 3 * time.Second}}, Revision: 12,
 		},
 		&pomelorelay.FleetState{
 			Evacuated: []pomelorelay.DomainID{"b"}, Crashes: crashes,
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -89,15 +89,20 @@
 }
 
 func (d *decoder) streamState(m *pomelowire.StreamState) pomelorelay.Message {
-	s := &pomelorelay.StreamState{Streams: d.streams(m.GetStreams()), KnownFor: d.milliseconds(m.GetKnown())}
-	s.Left = make([]pomelorelay.VersionLeft, d.listLength(len(m.GetLeft()), maxListLength))
-	for i := range s.Left {
-		v := m.GetLeft()[i]
-		s.Left[i] = pomelorelay.VersionLeft{
+	return &pomelorelay.StreamState{
+		Streams: d.streams(m.GetStreams()), Versions: d.versions(m.GetLeft()), KnownFor: d.milliseconds(m.GetKnown()), Revision: pomelorelay.Revision(m.GetAt()),
+	}
+}
+
+func (d *decoder) versions(list []*pomelowire.VersionLeft) []pomelorelay.VersionSeen {
+	versions := make([]pomelorelay.VersionSeen, d.listLength(len(list), maxListLength))
+	for i := range versions {
+		v := list[i]
+		versions[i] = pomelorelay.VersionSeen{
 			Service: pomelorelay.ServiceID(d.name(v.GetService())), Version: pomelorelay.SoftwareVersion(d.name(v.GetVersion())), Ago: d.milliseconds(v.GetAgo()),
 		}
 	}
-	return s
+	return versions
 }
 
 func (d *decoder) cold(value int64) time.Duration {
@@ -140,7 +145,7 @@
 		After: pomelorelay.Revision(m.GetAfter()), Revision: pomelorelay.Revision(m.GetAt()), Full: m.GetWhole(), Forwarded: m.GetForwarded(), Document: m.GetDocument(),
 		Upstreams: d.upstreams(m.GetUpstreams()), Peers: d.routers(m.GetRouters()),
 		Evacuated: d.domains(m.GetEvacuated()), RestoredDomains: d.domains(m.GetRestored()),
-		Crashes: d.crashes(m.GetCrashes()), ReadUnixMilli: m.GetReadAt(),
+		Crashes: d.crashes(m.GetCrashes()), VersionsPassed: d.versions(m.GetLeft()), ReadUnixMilli: m.GetReadAt(),
 	}
 	u.RemovedUpstreams = make([]pomelorelay.UpstreamID, d.listLength(len(m.GetGoneUpstreams()), maxListLength))
 	for i := range u.RemovedUpstreams {
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -37,6 +37,7 @@
 	w := &pomelowire.FleetUpdate{
 		After: uint64(m.After), At: uint64(m.Revision), Whole: m.Full, Forwarded: m.Forwarded, Document: m.Document,
 		Upstreams: encodeUpstreams(m.Upstreams), Routers: encodeRouters(m.Peers), Crashes: encodeCrashes(m.Crashes), ReadAt: m.ReadUnixMilli,
+		Left: encodeVersions(m.VersionsPassed),
 	}
 	for _, id := range m.RemovedUpstreams {
 		w.GoneUpstreams = append(w.GoneUpstreams, string(id))
@@ -91,9 +92,13 @@
 }
 
 func encodeStreamState(m *pomelorelay.StreamState) *pomelowire.StreamState {
-	w := &pomelowire.StreamState{Streams: encodeStreams(m.Streams), Known: m.KnownFor.Milliseconds()}
-	for _, v := range m.Left {
-		w.Left = append(w.Left, &pomelowire.VersionLeft{Service: string(v.Service), Version: string(v.Version), Ago: v.Ago.Milliseconds()})
+	return &pomelowire.StreamState{Streams: encodeStreams(m.Streams), Left: encodeVersions(m.Versions), Known: m.KnownFor.Milliseconds(), At: uint64(m.Revision)}
+}
+
+func encodeVersions(versions []pomelorelay.VersionSeen) []*pomelowire.VersionLeft {
+	var w []*pomelowire.VersionLeft
+	for _, v := range versions {
+		w = append(w, &pomelowire.VersionLeft{Service: string(v.Service), Version: string(v.Version), Ago: v.Ago.Milliseconds()})
 	}
 	return w
 }
--- a/pomelostream/basis.go
+++ b/pomelostream/basis.go
@@ -21,18 +21,23 @@
 	BasisOnlyVersion Basis = "OnlyVersion"
 	// BasisSeveralVersions means that the origin is unknown and the service has, or had lately, several versions.
 	BasisSeveralVersions Basis = "SeveralVersions"
+	// BasisUnconfirmed means that the origin is unknown and a read of the store that began after the request arrived is missing: versions may be news to
+	// the router.
+	BasisUnconfirmed Basis = "Unconfirmed"
 	// BasisRecent means that the origin is unknown and the router has not known the versions for as long as streams may be resumed.
 	BasisRecent Basis = "Recent"
 )
 
 // Known reports whether the stream may continue.
-func (b Basis) Known() bool { return b != BasisSeveralVersions && b != BasisRecent }
+func (b Basis) Known() bool {
+	return b != BasisSeveralVersions && b != BasisRecent && b != BasisUnconfirmed
+}
 
 // Evidence is what a router knew when it decided at which version a resumed stream may continue.
 type Evidence struct {
 	Basis       Basis
 	OriginNamed bool
-	// Version is the version at which the stream must continue; empty if Basis is BasisOnlyVersion or the version is unknown.
+	// Version is the version at which the stream must continue, unless it is unknown.
 	Version pomelorelay.SoftwareVersion
 	// Versions is the number of versions that the service has, or had within the time for which streams may be resumed.
 	Versions int
--- /dev/null
+++ b/pomelostream/coverage.go
@@ -0,0 +1,71 @@
+package pomelostream
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+)
+
+// Coverage is the span in which no version can have been in the platform's store without the router knowing it. What the router has not read itself since
+// the span's end may have changed, however recently it heard of other routers: they may lack the same news.
+type Coverage struct {
+	since time.Time
+	// from and upTo are the store revisions between which the router knows all changes.
+	from, upTo pomelorelay.Revision
+	// toldSince and toldUpTo are the span that another router reported.
+	toldSince time.Time
+	toldUpTo  pomelorelay.Revision
+	// readAt is when the last read began that the span includes, in time since a fixed moment.
+	readAt time.Duration
+}
+
+// NewCoverage returns the Coverage of a router that has read nothing.
+func NewCoverage(now time.Time) *Coverage { return &Coverage{since: now, readAt: -time.Hour} }
+
+// Begin begins the span with a complete state of the store, unless it has begun.
+func (c *Coverage) Begin(now time.Time, at pomelorelay.Revision) {
+	if c.upTo == 0 {
+		c.Restart(now, at)
+	}
+}
+
+// Restart begins the span anew with a complete state of the store: what came and went before it is unknown.
+func (c *Coverage) Restart(now time.Time, at pomelorelay.Revision) {
+	c.since, c.from, c.upTo = now, at, at
+	c.extend()
+}
+
+// Advance extends the span by the changes between two revisions, unless changes before them are missing.
+func (c *Coverage) Advance(after, at pomelorelay.Revision) {
+	if after <= c.upTo {
+		c.upTo = max(c.upTo, at)
+	}
+}
+
+// UpTo returns the store revision at which the span ends; zero if it has not begun.
+func (c *Coverage) UpTo() pomelorelay.Revision { return c.upTo }
+
+// Told extends the span to the time since which another router has known all versions up to a revision. It reports whether that leaves no gap.
+func (c *Coverage) Told(since time.Time, upTo pomelorelay.Revision) bool {
+	c.toldSince, c.toldUpTo = since, upTo
+	return c.extend()
+}
+
+func (c *Coverage) extend() bool {
+	if c.toldUpTo == 0 || c.toldUpTo < c.from {
+		return false
+	}
+	if c.toldSince.Before(c.since) {
+		c.since = c.toldSince
+	}
+	return true
+}
+
+// Read records when a read of the store began that the span includes.
+func (c *Coverage) Read(began time.Duration) { c.readAt = max(c.readAt, began) }
+
+// Includes reports whether the span includes a read that began at or after the given time.
+func (c *Coverage) Includes(at time.Duration) bool { return c.readAt >= at }
+
+// KnownFor returns how long ago the span begins.
+func (c *Coverage) KnownFor(now time.Time) time.Duration { return now.Sub(c.since) }
--- a/pomelostream/versions.go
+++ b/pomelostream/versions.go
@@ -37,21 +37,24 @@
 	}
 }
 
-// Left returns the versions that have no upstream, and had one within the given time before now.
-func (v *Versions) Left(now time.Time, within time.Duration) []pomelorelay.VersionLeft {
-	var left []pomelorelay.VersionLeft
+// Seen returns the versions that have upstreams, or had one within the given time before now.
+func (v *Versions) Seen(now time.Time, within time.Duration) []pomelorelay.VersionSeen {
+	var seen []pomelorelay.VersionSeen
+	for key := range v.present {
+		seen = append(seen, pomelorelay.VersionSeen{Service: key.service, Version: key.version})
+	}
 	for key, at := range v.leftAt {
 		if ago := now.Sub(at); ago <= within && v.present[key] == 0 {
-			left = append(left, pomelorelay.VersionLeft{Service: key.service, Version: key.version, Ago: ago})
+			seen = append(seen, pomelorelay.VersionSeen{Service: key.service, Version: key.version, Ago: ago})
 		}
 	}
-	return left
+	return seen
 }
 
-// Merge records versions that another router reported as left.
-func (v *Versions) Merge(now time.Time, left []pomelorelay.VersionLeft) {
-	for _, l := range left {
-		key, at := serviceVersion{l.Service, l.Version}, now.Add(-l.Ago)
+// Merge records versions that were seen by another router, or whose upstreams came and went between two reads.
+func (v *Versions) Merge(now time.Time, seen []pomelorelay.VersionSeen) {
+	for _, s := range seen {
+		key, at := serviceVersion{s.Service, s.Version}, now.Add(-s.Ago)
 		if at.After(v.leftAt[key]) {
 			v.leftAt[key] = at
 		}
@@ -60,15 +63,16 @@
 
 // Several reports whether a service has, or had within the given time before now, upstreams of more than one version.
 func (v *Versions) Several(now time.Time, service pomelorelay.ServiceID, within time.Duration) bool {
-	return v.Count(now, service, within) > 1
+	n, _ := v.Count(now, service, within)
+	return n > 1
 }
 
-// Count returns the number of versions of which a service has, or had within the given time before now, upstreams.
-func (v *Versions) Count(now time.Time, service pomelorelay.ServiceID, within time.Duration) int {
-	n := 0
+// Count returns the number of versions of which a service has, or had within the given time before now, upstreams, and one of these versions.
+func (v *Versions) Count(now time.Time, service pomelorelay.ServiceID, within time.Duration) (int, pomelorelay.SoftwareVersion) {
+	n, version := 0, pomelorelay.SoftwareVersion("")
 	for key := range v.present {
 		if key.service == service {
-			n++
+			n, version = n+1, key.version
 		}
 	}
 	for key, at := range v.leftAt {
@@ -77,8 +81,8 @@
 			continue
 		}
 		if key.service == service && v.present[key] == 0 {
-			n++
+			n, version = n+1, key.version
 		}
 	}
-	return n
+	return n, version
 }
