The origin of a stream is kept as long as its last resumption may be resumed

A resumed stream is recorded and reported again when its answer begins. TestResumedStreamKeepsItsOrigin fails on the code before. TestOriginsExpireWithTheirStreams had a second report of stream 1 that allows a minute and wanted it ignored; that is now a resumption, so the report allows less than the first one, and the test is as strict on expiry as before.

--- a/pomelostream/origins.go
+++ b/pomelostream/origins.go
@@ -16,22 +16,28 @@
 
 // Origins remembers at which software version of the upstreams streams began, until their callers can no longer resume them.
 type Origins struct {
-	versions map[pomelorelay.Fingerprint]pomelorelay.SoftwareVersion
-	// expiring holds the streams by the expiryStep in which they expire, counted from began.
+	streams map[pomelorelay.Fingerprint]knownOrigin
+	// expiring holds the streams by the expiryStep in which they expire, or were to expire before they were resumed, counted from began.
 	expiring map[int64][]pomelorelay.Fingerprint
 	began    time.Time
 	expired  int64
 	pending  []pomelorelay.StreamOrigin
 }
 
+type knownOrigin struct {
+	version pomelorelay.SoftwareVersion
+	expires int64
+}
+
 // NewOrigins returns Origins that know no stream.
 func NewOrigins(now time.Time) *Origins {
-	return &Origins{versions: make(map[pomelorelay.Fingerprint]pomelorelay.SoftwareVersion), expiring: make(map[int64][]pomelorelay.Fingerprint), began: now}
+	return &Origins{streams: make(map[pomelorelay.Fingerprint]knownOrigin), expiring: make(map[int64][]pomelorelay.Fingerprint), began: now}
 }
 
-// Record records a stream that began at this router, for the next report too.
+// Record records a stream that began or was resumed at this router, for the next report too.
 func (o *Origins) Record(now time.Time, origin pomelorelay.StreamOrigin) {
 	if o.add(now, origin) && len(o.pending) < maxPending {
+		origin.Version = o.streams[origin.Stream].version
 		o.pending = append(o.pending, origin)
 	}
 }
@@ -43,13 +49,18 @@
 	}
 }
 
-// add reports whether the stream was not known. The first version counts: later events of the stream come from the same one.
+// add reports whether the stream was not known, or not to be resumed for as long. The first version counts: later events of the stream come from the
+// same one.
 func (o *Origins) add(now time.Time, origin pomelorelay.StreamOrigin) bool {
-	if _, known := o.versions[origin.Stream]; known || origin.TimeLeft <= 0 || len(o.versions) >= maxOrigins {
+	before, known := o.streams[origin.Stream]
+	step := o.step(now.Add(origin.TimeLeft)) + 1
+	if origin.TimeLeft <= 0 || (known && step <= before.expires) || (!known && len(o.streams) >= maxOrigins) {
 		return false
 	}
-	step := o.step(now.Add(origin.TimeLeft)) + 1
-	o.versions[origin.Stream] = origin.Version
+	if known {
+		origin.Version = before.version
+	}
+	o.streams[origin.Stream] = knownOrigin{origin.Version, step}
 	o.expiring[step] = append(o.expiring[step], origin.Stream)
 	return true
 }
@@ -58,8 +69,8 @@
 
 // Version returns the version at which a stream began, and false if it is not known.
 func (o *Origins) Version(stream pomelorelay.Fingerprint) (pomelorelay.SoftwareVersion, bool) {
-	v, ok := o.versions[stream]
-	return v, ok
+	known, ok := o.streams[stream]
+	return known.version, ok
 }
 
 // TakePending returns the streams that were recorded since the last call.
@@ -73,7 +84,9 @@
 func (o *Origins) Expire(now time.Time) {
 	for current := o.step(now); o.expired < current; o.expired++ {
 		for _, stream := range o.expiring[o.expired] {
-			delete(o.versions, stream)
+			if o.streams[stream].expires == o.expired {
+				delete(o.streams, stream)
+			}
 		}
 		delete(o.expiring, o.expired)
 	}
@@ -81,15 +94,17 @@
 
 // All returns all streams that are remembered.
 func (o *Origins) All(now time.Time) []pomelorelay.StreamOrigin {
-	all := make([]pomelorelay.StreamOrigin, 0, len(o.versions))
+	all := make([]pomelorelay.StreamOrigin, 0, len(o.streams))
 	for step, streams := range o.expiring {
 		left := o.began.Add(time.Duration(step) * expiryStep).Sub(now)
 		for _, stream := range streams {
-			all = append(all, pomelorelay.StreamOrigin{Stream: stream, Version: o.versions[stream], TimeLeft: left})
+			if known := o.streams[stream]; known.expires == step {
+				all = append(all, pomelorelay.StreamOrigin{Stream: stream, Version: known.version, TimeLeft: left})
+			}
 		}
 	}
 	return all
 }
 
 // Len returns the number of streams that are remembered.
-func (o *Origins) Len() int { return len(o.versions) }
+func (o *Origins) Len() int { return len(o.streams) }
--- a/pomelostream/stream_test.go
+++ b/pomelostream/stream_test.go
@@ -13,7 +13,7 @@
 	now := time.Unix(1000, 0)
 	o := pomelostream.NewOrigins(now)
 	o.Record(now, pomelorelay.StreamOrigin{Stream: 1, Version: "v1", TimeLeft: 12 * time.Second})
-	o.Merge(now, []pomelorelay.StreamOrigin{{Stream: 2, Version: "v2", TimeLeft: 2 * time.Second}, {Stream: 1, Version: "v2", TimeLeft: time.Minute}})
+	o.Merge(now, []pomelorelay.StreamOrigin{{Stream: 2, Version: "v2", TimeLeft: 2 * time.Second}, {Stream: 1, Version: "v2", TimeLeft: 10 * time.Second}})
 	for _, c := range []struct {
 		after  time.Duration
 		stream pomelorelay.Fingerprint
@@ -30,6 +30,28 @@
 	}
 }
 
+// Guards against the origin of a stream that was resumed and is forgotten while it may be resumed again.
+func TestResumedStreamKeepsItsOrigin(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := pomelostream.NewOrigins(now)
+	o.Record(now, pomelorelay.StreamOrigin{Stream: 1, Version: "v1", TimeLeft: 12 * time.Second})
+	o.TakePending()
+	resumed := now.Add(11 * time.Second)
+	o.Record(resumed, pomelorelay.StreamOrigin{Stream: 1, Version: "v2", TimeLeft: 12 * time.Second})
+	if got := o.TakePending(); len(got) != 1 || got[0].Version != "v1" {
+		t.Errorf("pending origins %v after the stream was resumed, want it at v1", got)
+	}
+	for _, c := range []struct {
+		after time.Duration
+		known bool
+	}{{14 * time.Second, true}, {22 * time.Second, true}, {26 * time.Second, false}} {
+		o.Expire(now.Add(c.after))
+		if _, known := o.Version(1); known != c.known || len(o.All(now.Add(c.after))) != o.Len() {
+			t.Errorf("after %v: known %v, want %v; %d of %d are told", c.after, known, c.known, len(o.All(now.Add(c.after))), o.Len())
+		}
+	}
+}
+
 // Guards against reports that repeat origins, or that pass on those of other routers.
 func TestOnlyOwnOriginsArePending(t *testing.T) {
 	now := time.Unix(1000, 0)
