A shorter timeout forgets no version that streams began at

Callers' streams that began under a configuration with a longer timeout may be resumed for that long, but which versions counted followed from the configuration in force: one that shortens the timeout of the longest route made a version that had just left count as gone, and streams of unknown origin went on at the next one.

The former window applies for as long as it is. Evidence: on the code before TestShorterTimeoutForgetsNoVersion's stream continues at v2 (ResumedBy OnlyVersion, Versions 1); refused now.

--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -33,7 +33,10 @@
 	origins  *pomelostream.Origins
 	versions *pomelostream.Versions
 	coverage *pomelostream.Coverage
-	check    versionCheck
+	// formerWindow is the longest time within which streams could be resumed before the configuration changed; it applies until formerWindowEnds.
+	formerWindow     time.Duration
+	formerWindowEnds time.Time
+	check            versionCheck
 	// startedAt is the router's start, requestedAt its last request for streams; told is set once another router has told them all after
 	// streamSettleTime.
 	startedAt   time.Time
@@ -82,7 +85,7 @@
 		all = all[maxStreamsPerMessage:]
 	}
 	c.send(to, &pomelorelay.StreamState{
-		Streams: all, Versions: c.streams.versions.Seen(now, c.resumeWindow()), KnownFor: c.streams.coverage.KnownFor(now), Revision: c.streams.coverage.UpTo(),
+		Streams: all, Versions: c.streams.versions.Seen(now, c.resumeWindow(now)), KnownFor: c.streams.coverage.KnownFor(now), Revision: c.streams.coverage.UpTo(),
 	})
 }
 
@@ -97,14 +100,31 @@
 	s.told = leavesNoGap && now.Sub(s.startedAt) >= streamSettleTime
 }
 
-// resumeWindow returns the longest time within which callers may resume a stream.
-func (c *control) resumeWindow() time.Duration {
-	window := time.Duration(0)
+// resumeWindow returns the longest time within which callers may resume a stream, by the configuration in force or by one in force when the stream began.
+func (c *control) resumeWindow(now time.Time) time.Duration {
+	window := configuredWindow(c.config)
+	if now.Before(c.streams.formerWindowEnds) {
+		window = max(window, c.streams.formerWindow)
+	}
+	return window
+}
+
+// keepResumeWindow lets the present window apply to the streams that began before a change of the configuration.
+func (c *control) keepResumeWindow(now time.Time) {
 	if c.config == nil {
+		return
+	}
+	window := c.resumeWindow(now)
+	c.streams.formerWindow, c.streams.formerWindowEnds = window, now.Add(window)
+}
+
+func configuredWindow(config *pomelorelay.FleetConfig) time.Duration {
+	if config == nil {
 		return defaultResumeWindow
 	}
-	for i := range c.config.Routes {
-		route := &c.config.Routes[i]
+	window := time.Duration(0)
+	for i := range config.Routes {
+		route := &config.Routes[i]
 		if route.Kind != pomelorelay.RouteStream || !route.Resumable {
 			continue
 		}
@@ -124,7 +144,7 @@
 	if !req.Stream.Resumed && !req.Request.VersionFixed {
 		return pomelostream.Evidence{}
 	}
-	window := c.resumeWindow()
+	window := c.resumeWindow(now)
 	versions, version := c.streams.versions.Count(now, req.Request.Service, window)
 	ev := pomelostream.Evidence{
 		OriginNamed: req.Stream.OriginNamed, Versions: versions, KnownFor: c.streams.coverage.KnownFor(now), ReadAge: c.e.storeReadAge(), HeardAge: c.peers.heardAge(now),
@@ -152,14 +172,14 @@
 
 // versionRetryAfter returns the Retry-After of a resumed stream whose version is unknown. No report tells the version of a stream whose caller does not
 // name its origin: it can continue only once the versions have been known for long enough.
-func (c *control) versionRetryAfter(ev pomelostream.Evidence) time.Duration {
+func (c *control) versionRetryAfter(now time.Time, ev pomelostream.Evidence) time.Duration {
 	switch {
 	case ev.OriginNamed, ev.Basis == pomelostream.BasisUnconfirmed:
 		return unknownVersionRetryAfter
 	case ev.Basis == pomelostream.BasisRecent:
-		return c.resumeWindow() - ev.KnownFor
+		return c.resumeWindow(now) - ev.KnownFor
 	}
-	return c.resumeWindow()
+	return c.resumeWindow(now)
 }
 
 // recordOrigin records the version at which a resumable stream began.
--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -56,21 +56,27 @@
 
 func newVersionFleet(t *testing.T, routers int) versionFleet {
 	f := versionFleet{newFleet(t)}
-	config := f.config(1, "/s/")
+	f.publishTimeout(1, 5*time.Second)
+	for range routers {
+		f.start(8 * time.Second)
+	}
+	return f
+}
+
+// publishTimeout publishes a configuration with a route of resumable streams that has a timeout.
+func (f versionFleet) publishTimeout(version pomelorelay.Generation, timeout time.Duration) {
+	f.t.Helper()
+	config := f.config(version, "/s/")
 	r := &config.Routes[0]
-	r.Kind, r.Resumable, r.MaxAttempts = pomelorelay.RouteStream, true, 4
+	r.Kind, r.Resumable, r.MaxAttempts, r.Timeout = pomelorelay.RouteStream, true, 4, timeout
 	document, err := json.Marshal(config)
 	if err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
 	if config, err = f.store.DecodeConfig(document); err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
 	f.store.PublishConfig(config)
-	for range routers {
-		f.start(8 * time.Second)
-	}
-	return f
 }
 
 func (f versionFleet) engine(id pomelorelay.UpstreamID, version pomelorelay.SoftwareVersion) *versionedEngine {
@@ -402,6 +408,23 @@
 	}
 }
 
+// Guards against a version that left while streams of it may be resumed and is forgotten because a new configuration shortens the timeout.
+func TestShorterTimeoutForgetsNoVersion(t *testing.T) {
+	f := newVersionFleet(t, 1)
+	f.engine("u1", "v1")
+	f.awaitReady(1)
+	f.awaitWindow()
+	f.engine("a1", "v2")
+	f.store.DeleteUpstream("u1")
+	f.publishTimeout(2, 200*time.Millisecond)
+	f.awaitGauge("generation", 2)
+	f.awaitGauge("upstreams", 1)
+	time.Sleep(500 * time.Millisecond)
+	if s := f.stream(f.nodes[0], 3, ""); s.status != http.StatusServiceUnavailable {
+		t.Errorf("a stream of unknown origin is answered with %d and versions %v, want 503", s.status, s.versions)
+	}
+}
+
 // Guards against routers that are cut off from the store together and take the only version that they know for the only one there is.
 func TestRoutersCutOffTogetherGuessNoVersion(t *testing.T) {
 	f := newVersionFleet(t, 3)
