--- a/codes_route.go
+++ b/codes_route.go
@@ -44,7 +44,7 @@
 	{CodeRegionUnavailable, "RegionUnavailable", 503, RanNo, "No upstream in the regions allowed to the request takes requests; the detail says why.", "Send it again after Retry-After."},
 	{CodeEvacuated, "Evacuated", 503, RanNo, "All failure domains with upstreams of the service are being evacuated.", "Send it again after Retry-After; operators may take an evacuation back."},
 	{CodeUpstreamsCold, "UpstreamsCold", 503, RanNo, "All upstreams of the service have just started and get as many requests as they accept.", "Send it again after Retry-After."},
-	{CodeVersionUnknown, "VersionUnknown", 503, RanNo, "The request resumes a stream, the service has upstreams of several software versions, and the router does not know at which one the stream began.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
+	{CodeVersionUnknown, "VersionUnknown", 503, RanNo, "The request resumes a stream, and the router does not know at which software version of the upstreams it began: the service has several, or the router cannot tell at present whether it does.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
 	{CodeVersionGone, "VersionGone", 503, RanNo, "The request resumes a stream, and no upstream of the software version at which it began takes requests.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
 	{CodeTimeTooShort, "TimeTooShort", 503, RanNo, "The time that the caller has left does not suffice for an answer, even without a queue.", "Send it again with a later deadline."},
 }
