A stream of unknown origin is not refused once the router has read the store again

After a failed read for resumed streams the next such request was refused although the router had read the store since, for its list of upstreams.

--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -260,6 +260,7 @@
 	// If the cursor moved, the next update would not start at it, and this router would request the full state.
 	keepsCursor := r.check && hasNoMembers(m)
 	c.recordVersions(now, r.after, &r.change)
+	c.streams.check.failing = false
 	if !keepsCursor && !c.e.cursor.advance(r.after, r.change.Revision, r.change.Full) {
 		// Another router's update arrived first; the next read starts after that update.
 		return
--- a/pomeloentry/versioncheck.go
+++ b/pomeloentry/versioncheck.go
@@ -22,7 +22,7 @@
 // versionCheck holds the requests that wait for a read of the store.
 type versionCheck struct {
 	waiting []*placementRequested
-	// failing is set while the last read has failed.
+	// failing is set from a read that fails until this router has read the store again.
 	failing bool
 }
 
