Failing test: streams begun at an upstream that has left go on at another version

A router cut off from the store and the others goes on placing streams at an upstream that has left the store and still serves. Nobody hears of their origins. The router in step has forgotten v1 once the longest route timeout has passed since it saw v1 leave, which is not since the last stream can have begun at v1.

The resuming router reads the store as it should: the read cannot show what another router still uses.

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -12,6 +12,7 @@
 	"github.com/pomelorelay/pomelorelay/pomelometric"
 	"github.com/pomelorelay/pomelorelay/pomelooverload"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
+	"github.com/pomelorelay/pomelorelay/pomelostream"
 )
 
 // NewRequestLimiter returns a router that only adapts its request limit.
@@ -369,3 +370,21 @@
 func (a AnnouncementControl) RecordInvalid(now time.Time, id pomelorelay.UpstreamID) {
 	a.c.recordAnnounced(now, reservation{upstream: pomelorelay.FleetUpstream{ID: id}}, pomeloforward.AnnouncedLoad{Invalid: true})
 }
+
+// ApplyRead applies an answer of the store to a read of the changes after a revision.
+func (f UpdateControl) ApplyRead(now time.Time, after pomelorelay.Revision, change pomelorelay.FleetChange) {
+	ModelRouter{f.c}.ApplyRead(now, after, change, false, false)
+}
+
+// CheckVersions applies a read of the store that begins now and for which requests wait.
+func (f UpdateControl) CheckVersions(now time.Time, read func(after pomelorelay.Revision) pomelorelay.FleetChange) {
+	r := &versionsRead{began: f.c.e.cfg.Steady(), after: pomelorelay.Revision(f.c.e.versionsUpTo.Load())}
+	r.change = read(r.after)
+	r.apply(f.c, now)
+}
+
+// Resume returns on what a resumed stream of unknown origin is decided if its request came before the last read of the store began.
+func (f UpdateControl) Resume(now time.Time, service pomelorelay.ServiceID) pomelostream.Basis {
+	req := &pomeloforward.PlacementRequest{Stream: pomeloforward.StreamProgress{Resumable: true, Resumed: true}, Request: pomeloplace.Request{Service: service}}
+	return f.c.resumeEvidence(now, 0, req).Basis
+}
--- a/pomeloentry/fleet_test.go
+++ b/pomeloentry/fleet_test.go
@@ -28,6 +28,8 @@
 	store    *pomelofake.FleetStore
 	nodes    []*node
 	requests atomic.Uint64
+	// network, if set, connects the routers in place of links.
+	network *pomelofake.Network
 }
 
 type node struct {
@@ -148,7 +150,12 @@
 		StopTimeout: stopWait, RetryRatio: 0.2, RetrySlack: 50, ShareWindow: 4 * time.Second,
 	}
 	change(&n.settings)
-	router, err := pomeloentry.New(pomeloentry.Config{Settings: n.settings, Platform: n.view, Wire: pomelofake.TestWireFormat{}, Logger: n.log})
+	cfg := pomeloentry.Config{Settings: n.settings, Platform: n.view, Wire: pomelofake.TestWireFormat{}, Logger: n.log}
+	if f.network != nil {
+		cfg.Incarnation = 1
+		cfg.Mesh = f.network.Join(n.settings.Self, cfg.Incarnation)
+	}
+	router, err := pomeloentry.New(cfg)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/pomeloentry/storereader_test.go
+++ b/pomeloentry/storereader_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloentry"
+	"github.com/pomelorelay/pomelorelay/pomelostream"
 )
 
 // Guards against routers that read the store during a normal pause of the router that reads it continuously, and against routers that take over
@@ -181,3 +182,26 @@
 		t.Errorf("%d other routers, want %d", got, routers-1)
 	}
 }
+
+// Guards against a version that counts as known by a read of the store whose upstreams were not applied, because another router's update came first.
+func TestVersionInReadThatIsNotAppliedIsKnown(t *testing.T) {
+	now := time.Now()
+	f := pomeloentry.NewUpdateControl("a-1", 4*time.Second, peersOf(2, 3))
+	f.Receive(now, "a-0", &pomelorelay.FleetUpdate{Revision: 10, Full: true, Upstreams: []pomelorelay.FleetUpstream{{ID: "u1", Service: "s", Version: "v1"}}})
+	now = now.Add(2 * time.Minute)
+	check := func() {
+		f.CheckVersions(now, func(after pomelorelay.Revision) pomelorelay.FleetChange {
+			change := pomelorelay.FleetChange{Revision: 14}
+			if after < 13 {
+				change.Upstreams = []pomelorelay.FleetUpstream{{ID: "u2", Service: "s", Version: "v2"}}
+			}
+			return change
+		})
+	}
+	f.Receive(now, "a-0", &pomelorelay.FleetUpdate{After: 10, Revision: 12})
+	f.ApplyRead(now, 10, pomelorelay.FleetChange{Revision: 14, Upstreams: []pomelorelay.FleetUpstream{{ID: "u2", Service: "s", Version: "v2"}}})
+	check()
+	if got := f.Resume(now, "s"); got != pomelostream.BasisSeveralVersions {
+		t.Errorf("a stream resumed beside v1 and v2 is decided on by %q, want %q", got, pomelostream.BasisSeveralVersions)
+	}
+}
--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -55,7 +55,13 @@
 type versionFleet struct{ *fleet }
 
 func newVersionFleet(t *testing.T, routers int) versionFleet {
+	return newVersionFleetOn(nil, t, routers)
+}
+
+// newVersionFleetOn returns a fleet whose routers are connected by the network, or by links if it is nil.
+func newVersionFleetOn(network *pomelofake.Network, t *testing.T, routers int) versionFleet {
 	f := versionFleet{newFleet(t)}
+	f.network = network
 	config := f.config(1, "/s/")
 	r := &config.Routes[0]
 	r.Kind, r.Resumable, r.MaxAttempts = pomelorelay.RouteStream, true, 4
@@ -449,3 +455,39 @@
 		})
 	}
 }
+
+// Guards against streams that a router out of step begins at an upstream which has left the store, and that continue at another version at a router in step.
+func TestStreamBegunAtUpstreamThatHasLeftKeepsItsVersion(t *testing.T) {
+	network := pomelofake.NewNetwork()
+	f := newVersionFleetOn(network, t, 2)
+	old := f.engine("u1", "v1")
+	f.awaitReady(1)
+	f.awaitWindow()
+	inStep, cutOff := f.nodes[0], f.nodes[1]
+	cutOff.view.SetPartitioned(true)
+	network.SetPartition(func(from, to pomelorelay.Peer) bool {
+		return from.Node == cutOff.settings.Self.Node || to.Node == cutOff.settings.Self.Node
+	})
+	for _, id := range []pomelorelay.UpstreamID{"a1", "a2", "a3"} {
+		f.engine(id, "v2")
+	}
+	f.store.DeleteUpstream("u1")
+	f.await("u1 is gone", func() bool {
+		return inStep.log.hasWith(pomelorelay.EventUpstreamGone, func(l pomelorelay.Field) bool { return l.Key == "Upstream" && l.Value == pomelorelay.UpstreamID("u1") })
+	})
+	// The callers' own timeout is 4 s, the route's 5 s.
+	time.Sleep(2 * time.Second)
+	old.breakAfter.Store(3)
+	close(old.release)
+	var begun []streamed
+	for range 8 {
+		begun = append(begun, f.stream(cutOff, 0, ""))
+	}
+	time.Sleep(3500 * time.Millisecond)
+	for _, s := range begun {
+		rest := f.stream(inStep, s.events, s.id)
+		if s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
+			t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
+		}
+	}
+}
