A read that is not applied counts its versions as known

If an update of another router reaches this router while it reads the store, the read is not applied, as the next one starts at the update. The span in which all versions are known was extended by the read all the same. A request that waited for a read of the versions, which begins at that span's end, was then decided on without the versions in between.

Evidence: TestVersionInReadThatIsNotAppliedIsKnown, before: decided on by OnlyVersion. A read's versions are now recorded whether or not its upstreams are applied, as those of the waiting requests' own reads were.

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -373,7 +373,7 @@
 
 // ApplyRead applies an answer of the store to a read of the changes after a revision.
 func (f UpdateControl) ApplyRead(now time.Time, after pomelorelay.Revision, change pomelorelay.FleetChange) {
-	ModelRouter{f.c}.ApplyRead(now, after, change, false, false)
+	ModelRouter(f).ApplyRead(now, after, change, false, false)
 }
 
 // CheckVersions applies a read of the store that begins now and for which requests wait.
--- a/pomeloentry/versioncheck.go
+++ b/pomeloentry/versioncheck.go
@@ -107,10 +107,7 @@
 		c.logVersionCheck(r)
 	}
 	if r.err == nil {
-		for _, u := range r.change.Upstreams {
-			s.versions.Merge(now, []pomelorelay.VersionSeen{{Service: u.Service, Version: u.Version}})
-		}
-		s.versions.Merge(now, r.change.VersionsPassed)
+		c.mergeVersions(now, &r.change)
 		if r.change.Full {
 			s.coverage.Restart(now, r.change.Revision)
 		} else {
@@ -144,9 +141,17 @@
 	c.e.log(pomelorelay.EventPlatformLost, field("What", "versions"), field("Code", int(pomelorelay.CodeOf(r.err))), field("Fault", r.err.Error()), field("Waiting", len(c.streams.check.waiting)))
 }
 
+// mergeVersions records the versions in a change of the store, whether its upstreams are applied or not.
+func (c *control) mergeVersions(now time.Time, change *pomelorelay.FleetChange) {
+	for _, u := range change.Upstreams {
+		c.streams.versions.Merge(now, []pomelorelay.VersionSeen{{Service: u.Service, Version: u.Version}})
+	}
+	c.streams.versions.Merge(now, change.VersionsPassed)
+}
+
 // recordVersions extends the span in which the router knows all versions by a change of the store.
 func (c *control) recordVersions(now time.Time, after pomelorelay.Revision, change *pomelorelay.FleetChange) {
-	c.streams.versions.Merge(now, change.VersionsPassed)
+	c.mergeVersions(now, change)
 	if change.Full {
 		c.streams.coverage.Begin(now, change.Revision)
 	} else {
