A shorter route timeout does not shorten the memory of versions at once

How long a version that left counts followed from the route timeouts of the configuration in force alone. A configuration that shortens them made routers forget versions at once, although streams that had begun under the earlier one may be resumed for its longer timeout. A version forgotten so is not told to routers that start either.

Evidence: TestVersionIsRememberedForTimeoutsOfEarlierConfigurations, before: decided on by OnlyVersion 4 s after v1 left, with timeouts of 12 s until then. The earlier window now applies for as long as it is after a change.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -208,7 +208,7 @@
 	accounted := req.Cost > 0 && req.Account != ""
 	r := req.Request
 	if !resume.Basis.Known() {
-		return pomeloplace.Decision{Reason: pomeloplace.ReasonVersionUnknown, RetryAfter: c.versionRetryAfter(resume), Resume: resume}
+		return pomeloplace.Decision{Reason: pomeloplace.ReasonVersionUnknown, RetryAfter: c.versionRetryAfter(now, resume), Resume: resume}
 	}
 	r.Version, r.VersionFixed = resume.Version, resume.Basis != pomelostream.BasisNone
 	// The regions are determined anew at each attempt: if a new configuration allows fewer regions, this also applies to requests that
@@ -358,6 +358,7 @@
 	if c.config != nil && config.Version <= c.config.Version {
 		return
 	}
+	c.keepResumeWindow(now)
 	c.config = config
 	c.configureDecisions(now)
 	c.e.overload.fullServices.Store(newFullServiceTable(config))
--- a/pomeloentry/storereader_test.go
+++ b/pomeloentry/storereader_test.go
@@ -205,3 +205,28 @@
 		t.Errorf("a stream resumed beside v1 and v2 is decided on by %q, want %q", got, pomelostream.BasisSeveralVersions)
 	}
 }
+
+// streamConfig returns a configuration version with a resumable streaming route of the given timeout.
+func streamConfig(f *fleet, version pomelorelay.Generation, timeout time.Duration) *pomelorelay.FleetConfig {
+	return f.configWith(version, func(c *pomelorelay.FleetConfig) {
+		c.Routes[0].Kind, c.Routes[0].Resumable, c.Routes[0].Timeout = pomelorelay.RouteStream, true, timeout
+	}, "/s/")
+}
+
+// Guards against a version that is forgotten once a configuration shortens the timeouts, while older streams may still be resumed.
+func TestVersionIsRememberedForTimeoutsOfEarlierConfigurations(t *testing.T) {
+	fleet := newFleet(t)
+	now := time.Now()
+	f := pomeloentry.NewUpdateControl("a-1", 4*time.Second, peersOf(2, 3))
+	f.SetPlatform(fleet.store.NewClient())
+	v1, v2 := pomelorelay.FleetUpstream{ID: "u1", Service: "s", Version: "v1", Draining: true}, pomelorelay.FleetUpstream{ID: "u2", Service: "s", Version: "v2"}
+	f.Receive(now, "a-0", &pomelorelay.FleetUpdate{Revision: 10, Full: true, Upstreams: []pomelorelay.FleetUpstream{v1, v2}, Document: streamConfig(fleet, 1, 12*time.Second).Document})
+	now = now.Add(2 * time.Minute)
+	f.Receive(now, "a-0", &pomelorelay.FleetUpdate{After: 10, Revision: 12, RemovedUpstreams: []pomelorelay.UpstreamID{"u1"}})
+	now = now.Add(4 * time.Second)
+	f.Receive(now, "a-0", &pomelorelay.FleetUpdate{After: 12, Revision: 14, Document: streamConfig(fleet, 2, 3*time.Second).Document})
+	f.CheckVersions(now, func(pomelorelay.Revision) pomelorelay.FleetChange { return pomelorelay.FleetChange{Revision: 14} })
+	if got := f.Resume(now, "s"); got != pomelostream.BasisSeveralVersions {
+		t.Errorf("4 s after v1 left, a stream that may have begun with a timeout of 12 s is decided on by %q, want %q", got, pomelostream.BasisSeveralVersions)
+	}
+}
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -39,6 +39,9 @@
 	startedAt   time.Time
 	requestedAt time.Time
 	told        bool
+	// earlierWindow is the resume window of earlier configurations, which applies until earlierUntil.
+	earlierWindow time.Duration
+	earlierUntil  time.Time
 }
 
 func newStreams(now time.Time) streams {
@@ -82,7 +85,7 @@
 		all = all[maxStreamsPerMessage:]
 	}
 	c.send(to, &pomelorelay.StreamState{
-		Streams: all, Versions: c.streams.versions.Seen(now, c.resumeWindow()), KnownFor: c.streams.coverage.KnownFor(now), Revision: c.streams.coverage.UpTo(),
+		Streams: all, Versions: c.streams.versions.Seen(now, c.resumeWindow(now)), KnownFor: c.streams.coverage.KnownFor(now), Revision: c.streams.coverage.UpTo(),
 	})
 }
 
@@ -97,12 +100,29 @@
 	s.told = leavesNoGap && now.Sub(s.startedAt) >= streamSettleTime
 }
 
-// resumeWindow returns the longest time within which callers may resume a stream.
-func (c *control) resumeWindow() time.Duration {
-	window := time.Duration(0)
+// resumeWindow returns the longest time within which callers may resume a stream, also one that began under an earlier configuration.
+func (c *control) resumeWindow(now time.Time) time.Duration {
 	if c.config == nil {
 		return defaultResumeWindow
 	}
+	window := c.configuredWindow()
+	if now.Before(c.streams.earlierUntil) {
+		window = max(window, c.streams.earlierWindow)
+	}
+	return window
+}
+
+// keepResumeWindow keeps the window in force while streams that begin before now may be resumed.
+func (c *control) keepResumeWindow(now time.Time) {
+	if c.config == nil {
+		return
+	}
+	window := c.resumeWindow(now)
+	c.streams.earlierWindow, c.streams.earlierUntil = window, now.Add(window)
+}
+
+func (c *control) configuredWindow() time.Duration {
+	window := time.Duration(0)
 	for i := range c.config.Routes {
 		route := &c.config.Routes[i]
 		if route.Kind != pomelorelay.RouteStream || !route.Resumable {
@@ -124,7 +144,7 @@
 	if !req.Stream.Resumed && !req.Request.VersionFixed {
 		return pomelostream.Evidence{}
 	}
-	window := c.resumeWindow()
+	window := c.resumeWindow(now)
 	versions, version := c.streams.versions.Count(now, req.Request.Service, window)
 	ev := pomelostream.Evidence{
 		OriginNamed: req.Stream.OriginNamed, Versions: versions, KnownFor: c.streams.coverage.KnownFor(now), ReadAge: c.e.storeReadAge(), HeardAge: c.peers.heardAge(now),
@@ -152,14 +172,14 @@
 
 // versionRetryAfter returns the Retry-After of a resumed stream whose version is unknown. No report tells the version of a stream whose caller does not
 // name its origin: it can continue only once the versions have been known for long enough.
-func (c *control) versionRetryAfter(ev pomelostream.Evidence) time.Duration {
+func (c *control) versionRetryAfter(now time.Time, ev pomelostream.Evidence) time.Duration {
 	switch {
 	case ev.OriginNamed, ev.Basis == pomelostream.BasisUnconfirmed:
 		return unknownVersionRetryAfter
 	case ev.Basis == pomelostream.BasisRecent:
-		return c.resumeWindow() - ev.KnownFor
+		return c.resumeWindow(now) - ev.KnownFor
 	}
-	return c.resumeWindow()
+	return c.resumeWindow(now)
 }
 
 // recordOrigin records the version at which a resumable stream began.
