A router that skipped changes reads them before streams are resumed

The full state that a router applies then moves its cursor past changes which it has not read. The span in which it knows all versions stayed behind until the first such caller came, whose read found the history gone and began the span anew. Until then the router could not tell routers that start either, which by reading the code ask for all streams once a second meanwhile.

A router that is behind its cursor now reads what it skipped at once, once a second while that fails. Where the history is gone the span begins at the cursor, whose state is complete, so that no second full read is needed.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -147,6 +147,7 @@
 	c.expireCrashes(now)
 	c.streams.origins.Expire(now)
 	c.requestStreams(now)
+	c.readSkippedVersions(now)
 	c.updateReadDelay(now)
 	c.requestNewerConfig(now)
 	c.requestMissingState(now)
--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -491,3 +491,27 @@
 		}
 	}
 }
+
+// Guards against routers that skipped changes of the store and count the versions as unknown only from the first resumed stream on, however much later.
+func TestVersionsAreKnownAgainAfterSkippedChanges(t *testing.T) {
+	f := newVersionFleet(t, 2)
+	f.engine("u1", "v1")
+	f.awaitReady(1)
+	f.awaitWindow()
+	for _, n := range f.nodes {
+		n.view.SetPartitioned(true)
+	}
+	f.engine("u2", "v1")
+	f.store.Compact()
+	for _, n := range f.nodes {
+		n.view.SetPartitioned(false)
+	}
+	f.awaitGauge("upstreams", 2)
+	// Longer than the route's timeout of 5 s.
+	time.Sleep(7 * time.Second)
+	for _, n := range f.nodes {
+		if s := f.stream(n, 3, ""); s.status != http.StatusOK {
+			t.Errorf("a stream of unknown origin is answered with %d, want 200", s.status)
+		}
+	}
+}
--- a/pomeloentry/versioncheck.go
+++ b/pomeloentry/versioncheck.go
@@ -24,15 +24,13 @@
 	waiting []*placementRequested
 	// failing is set while the last read has failed.
 	failing bool
+	// skippedAskedAt is when a read of skipped changes was last asked for.
+	skippedAskedAt time.Time
 }
 
 // awaitVersionCheck makes a request wait for a read of the store. It returns false if the store cannot be read.
 func (c *control) awaitVersionCheck(r *placementRequested) bool {
-	select {
-	case c.e.versionsAsked <- struct{}{}:
-	default:
-		// A read is due already.
-	}
+	c.askVersions()
 	check := &c.streams.check
 	if check.failing {
 		return false
@@ -41,6 +39,25 @@
 	return true
 }
 
+// askVersions asks for a read of the store, unless one is due already.
+func (c *control) askVersions() {
+	select {
+	case c.e.versionsAsked <- struct{}{}:
+	default:
+	}
+}
+
+// readSkippedVersions reads the changes that this router skipped, as after a missed update. While the store has their history, the read leaves no gap in
+// its knowledge of versions; otherwise the versions are known from now on.
+func (c *control) readSkippedVersions(now time.Time) {
+	s := &c.streams
+	if s.coverage.UpTo() >= c.e.cursor.get() || now.Sub(s.check.skippedAskedAt) < streamRequestInterval {
+		return
+	}
+	s.check.skippedAskedAt = now
+	c.askVersions()
+}
+
 // endVersionCheck decides on the requests that wait.
 func (c *control) endVersionCheck() {
 	waiting := c.streams.check.waiting
@@ -74,7 +91,7 @@
 	}
 }
 
-// readVersions reads the changes of the store since the router's knowledge of versions ends, or its complete state if they are no longer available.
+// readVersions reads the changes of the store since the router's knowledge of versions ends.
 func (e *Router) readVersions(ctx context.Context) *versionsRead {
 	ctx, cancel := context.WithTimeout(ctx, e.scaledChangeWait(readTimeoutFraction))
 	defer cancel()
@@ -85,10 +102,6 @@
 	}
 	r.change, r.err = e.cfg.Platform.Watch(ctx, r.after, 0)
 	e.metrics.CountStoreCall("watch", "versions", pomelorelay.CodeOf(r.err))
-	if pomelorelay.IsErrCode(r.err, pomelorelay.CodeStoreCompacted) {
-		r.change, r.err = e.cfg.Platform.Read(ctx, false)
-		e.metrics.CountStoreCall("read", "versions", pomelorelay.CodeOf(r.err))
-	}
 	return r
 }
 
@@ -102,20 +115,21 @@
 
 func (r *versionsRead) apply(c *control, now time.Time) {
 	check, s := &c.streams.check, &c.streams
-	if failing := r.err != nil; failing != check.failing {
+	compacted := pomelorelay.IsErrCode(r.err, pomelorelay.CodeStoreCompacted)
+	if failing := r.err != nil && !compacted; failing != check.failing {
 		check.failing = failing
 		c.logVersionCheck(r)
 	}
 	if r.err == nil {
 		c.mergeVersions(now, &r.change)
-		if r.change.Full {
-			s.coverage.Restart(now, r.change.Revision)
-		} else {
-			s.coverage.Advance(r.after, r.change.Revision)
-		}
+		s.coverage.Advance(r.after, r.change.Revision)
 		s.coverage.Read(r.began)
-		c.storeVersionsUpTo()
 	}
+	if compacted {
+		// The router's own state is complete at its cursor.
+		s.coverage.Restart(now, c.e.cursor.get())
+	}
+	c.storeVersionsUpTo()
 	// Requests that came after the read began wait for the next one.
 	waiting := check.waiting
 	check.waiting = nil
@@ -134,7 +148,7 @@
 }
 
 func (c *control) logVersionCheck(r *versionsRead) {
-	if r.err == nil {
+	if !c.streams.check.failing {
 		c.e.log(pomelorelay.EventPlatformBack, field("What", "versions"))
 		return
 	}
