Failing test: streams go on at another version after their route has moved

A router that does not know where a stream began counts the versions of the service to which the route sends now. The stream may have begun at another service, under an earlier configuration or at another one of a split route. Same class: the service's one version is taken for the only possible one.

--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -515,3 +515,39 @@
 		}
 	}
 }
+
+// Guards against a stream that continues at another version because its route sends to another service, or to a second one, since it began.
+func TestStreamKeepsItsVersionWhenItsRouteMoves(t *testing.T) {
+	for _, resumes := range []bool{true, false} {
+		t.Run(fmt.Sprint("callers name the first attempt ", resumes), func(t *testing.T) {
+			f := newVersionFleet(t, 1)
+			old := f.engine("u1", "v1")
+			moved := f.engine("a1", "v2")
+			moved.entry.Service = "s2"
+			f.store.PutUpstream(moved.entry)
+			f.awaitReady(2)
+			f.awaitWindow()
+			old.breakAfter.Store(3)
+			close(old.release)
+			var begun []streamed
+			for range 8 {
+				begun = append(begun, f.stream(f.nodes[0], 0, ""))
+			}
+			f.store.PublishConfig(f.configWith(2, func(c *pomelorelay.FleetConfig) {
+				c.Services = append(c.Services, pomelorelay.ServiceSpec{Name: "s2"})
+				r := &c.Routes[0]
+				r.Kind, r.Resumable, r.MaxAttempts, r.Shares = pomelorelay.RouteStream, true, 4, []pomelorelay.RouteShare{{Service: "s2", Weight: 1}}
+			}, "/s/"))
+			f.await("the configuration is in force", func() bool { return f.stream(f.nodes[0], 0, "").events == versionEvents })
+			for _, s := range begun {
+				id := ""
+				if resumes {
+					id = s.id
+				}
+				if rest := f.stream(f.nodes[0], s.events, id); s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
+					t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
+				}
+			}
+		})
+	}
+}
