Versions count for all services at which a stream may have begun

A stream of unknown origin was decided on by the versions of the service that was chosen for its request. All services of the route count now, and those to which resumable routes with an overlapping prefix sent until lately.

--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -359,7 +359,7 @@
 	if c.config != nil && config.Version <= c.config.Version {
 		return
 	}
-	c.keepResumeWindow(now)
+	c.keepResumable(now)
 	c.config = config
 	c.configureDecisions(now)
 	c.e.overload.fullServices.Store(newFullServiceTable(config))
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -1,6 +1,9 @@
 package pomeloentry
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -42,10 +45,23 @@
 	// earlierWindow is the resume window of earlier configurations, which applies until earlierUntil.
 	earlierWindow time.Duration
 	earlierUntil  time.Time
+	// earlierRoutes holds where resumable routes of earlier configurations sent to, with the time until which their streams may be resumed.
+	earlierRoutes map[earlierRoute]time.Time
+}
+
+// earlierRoute is a service to which a route sent its requests.
+type earlierRoute struct {
+	host, prefix string
+	service      pomelorelay.ServiceID
+}
+
+// overlaps reports whether requests of the route may have been requests of the earlier one.
+func (e earlierRoute) overlaps(r *pomelorelay.Route) bool {
+	return e.host == r.Host && (strings.HasPrefix(e.prefix, r.Prefix) || strings.HasPrefix(r.Prefix, e.prefix))
 }
 
 func newStreams(now time.Time) streams {
-	return streams{origins: pomelostream.NewOrigins(now), versions: pomelostream.NewVersions(), coverage: pomelostream.NewCoverage(now), startedAt: now}
+	return streams{origins: pomelostream.NewOrigins(now), versions: pomelostream.NewVersions(), coverage: pomelostream.NewCoverage(now), startedAt: now, earlierRoutes: make(map[earlierRoute]time.Time)}
 }
 
 // requestStreams asks another router for the streams that began before this router started.
@@ -112,13 +128,45 @@
 	return window
 }
 
-// keepResumeWindow keeps the window in force while streams that begin before now may be resumed.
-func (c *control) keepResumeWindow(now time.Time) {
+// keepResumable keeps the window and the resumable routes in force while streams that began before now may be resumed.
+func (c *control) keepResumable(now time.Time) {
 	if c.config == nil {
 		return
 	}
-	window := c.resumeWindow(now)
-	c.streams.earlierWindow, c.streams.earlierUntil = window, now.Add(window)
+	s, window := &c.streams, c.resumeWindow(now)
+	s.earlierWindow, s.earlierUntil = window, now.Add(window)
+	maps.DeleteFunc(s.earlierRoutes, func(_ earlierRoute, until time.Time) bool { return !now.Before(until) })
+	for i := range c.config.Routes {
+		r := &c.config.Routes[i]
+		if r.Kind != pomelorelay.RouteStream || !r.Resumable {
+			continue
+		}
+		for _, share := range r.Shares {
+			s.earlierRoutes[earlierRoute{r.Host, r.Prefix, share.Service}] = s.earlierUntil
+		}
+	}
+}
+
+// servicesOf returns the services at which the stream of a resumed request may have begun.
+func (c *control) servicesOf(now time.Time, req *pomeloforward.PlacementRequest) []pomelorelay.ServiceID {
+	services := []pomelorelay.ServiceID{req.Request.Service}
+	if c.config == nil {
+		return services
+	}
+	i := slices.IndexFunc(c.config.Routes, func(r pomelorelay.Route) bool { return r.Name == req.Route })
+	if i < 0 {
+		return services
+	}
+	route := &c.config.Routes[i]
+	for _, share := range route.Shares {
+		services = append(services, share.Service)
+	}
+	for earlier, until := range c.streams.earlierRoutes {
+		if now.Before(until) && earlier.overlaps(route) {
+			services = append(services, earlier.service)
+		}
+	}
+	return services
 }
 
 func (c *control) configuredWindow() time.Duration {
@@ -145,7 +193,7 @@
 		return pomelostream.Evidence{}
 	}
 	window := c.resumeWindow(now)
-	versions, version := c.streams.versions.Count(now, req.Request.Service, window)
+	versions, version := c.streams.versions.Count(now, window, c.servicesOf(now, req)...)
 	ev := pomelostream.Evidence{
 		OriginNamed: req.Stream.OriginNamed, Versions: versions, KnownFor: c.streams.coverage.KnownFor(now), ReadAge: c.e.storeReadAge(), HeardAge: c.peers.heardAge(now),
 	}
--- a/pomelostream/versions.go
+++ b/pomelostream/versions.go
@@ -1,6 +1,7 @@
 package pomelostream
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -63,26 +64,28 @@
 
 // Several reports whether a service has, or had within the given time before now, upstreams of more than one version.
 func (v *Versions) Several(now time.Time, service pomelorelay.ServiceID, within time.Duration) bool {
-	n, _ := v.Count(now, service, within)
+	n, _ := v.Count(now, within, service)
 	return n > 1
 }
 
-// Count returns the number of versions of which a service has, or had within the given time before now, upstreams, and one of these versions.
-func (v *Versions) Count(now time.Time, service pomelorelay.ServiceID, within time.Duration) (int, pomelorelay.SoftwareVersion) {
-	n, version := 0, pomelorelay.SoftwareVersion("")
-	for key := range v.present {
-		if key.service == service {
-			n, version = n+1, key.version
+// Count returns the number of versions of which the services have, or had within the given time before now, upstreams, and one of these versions.
+func (v *Versions) Count(now time.Time, within time.Duration, services ...pomelorelay.ServiceID) (int, pomelorelay.SoftwareVersion) {
+	found := make(map[pomelorelay.SoftwareVersion]bool)
+	version := pomelorelay.SoftwareVersion("")
+	add := func(key serviceVersion) {
+		if slices.Contains(services, key.service) {
+			found[key.version], version = true, key.version
 		}
 	}
+	for key := range v.present {
+		add(key)
+	}
 	for key, at := range v.leftAt {
 		if now.Sub(at) > within {
 			delete(v.leftAt, key)
 			continue
 		}
-		if key.service == service && v.present[key] == 0 {
-			n, version = n+1, key.version
-		}
+		add(key)
 	}
-	return n, version
+	return len(found), version
 }
