A resumed stream of a split route goes to the service that began it

Where both services have a version of that name, the stream went on at the other service.

The choice follows from the first attempt where the caller names it.

--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -551,3 +551,37 @@
 		})
 	}
 }
+
+// Guards against a stream that a split route resumes at another one of its services than the one that began it.
+func TestStreamOfSplitRouteContinuesAtItsService(t *testing.T) {
+	f := newVersionFleet(t, 1)
+	f.store.PublishConfig(f.configWith(2, func(c *pomelorelay.FleetConfig) {
+		c.Services = append(c.Services, pomelorelay.ServiceSpec{Name: "s2"})
+		r := &c.Routes[0]
+		r.Kind, r.Resumable, r.MaxAttempts, r.Shares = pomelorelay.RouteStream, true, 4, []pomelorelay.RouteShare{{Service: "s", Weight: 1}, {Service: "s2", Weight: 1}}
+	}, "/s/"))
+	engines := []*versionedEngine{f.engine("u1", "v1"), f.engine("a1", "v2")}
+	engines[1].entry.Service = "s2"
+	f.store.PutUpstream(engines[1].entry)
+	f.awaitReady(2)
+	f.await("the configuration is in force", func() bool {
+		s := f.stream(f.nodes[0], 0, "")
+		return len(s.versions) > 0 && s.versions[0] == "v2"
+	})
+	for _, e := range engines {
+		e.breakAfter.Store(3)
+		close(e.release)
+	}
+	var begun []streamed
+	for range 16 {
+		begun = append(begun, f.stream(f.nodes[0], 0, ""))
+	}
+	for _, e := range engines {
+		e.breakAfter.Store(0)
+	}
+	for _, s := range begun {
+		if rest := f.stream(f.nodes[0], s.events, s.id); rest.status != http.StatusOK || rest.versions[0] != s.versions[0] {
+			t.Errorf("a stream that began with %d events of %v is answered with %d and %v", s.events, s.versions, rest.status, rest.versions)
+		}
+	}
+}
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -95,7 +95,7 @@
 	if err := c.authenticate(); err != nil {
 		return err
 	}
-	if c.service, ok = c.table.PickService(route, c.fields.RequestID); !ok {
+	if c.service, ok = c.table.PickService(route, c.firstAttempt()); !ok {
 		return pomelorelay.NewError(pomelorelay.CodeNoUpstream, "the route has no service", nil)
 	}
 	c.setDeadline()
@@ -120,6 +120,15 @@
 	return list
 }
 
+// firstAttempt returns the RequestID of the caller's attempt that received the first event of a resumed stream, if the caller names it, and else that of
+// the request, so that a resumed stream goes to the service that began it.
+func (c *call) firstAttempt() string {
+	if c.fields.HasLastEvent && c.fields.Resumes != "" {
+		return c.fields.Resumes
+	}
+	return c.fields.RequestID
+}
+
 func (c *call) authenticate() error {
 	account, ok := c.table.Account(c.fields.APIKey)
 	if ok {
