--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -55,7 +55,13 @@
 type versionFleet struct{ *fleet }
 
 func newVersionFleet(t *testing.T, routers int) versionFleet {
+	return newVersionFleetOn(nil, t, routers)
+}
+
+// newVersionFleetOn returns a fleet whose routers are connected by the network, or by links if it is nil.
+func newVersionFleetOn(network *pomelofake.Network, t *testing.T, routers int) versionFleet {
 	f := versionFleet{newFleet(t)}
+	f.network = network
 	f.publishTimeout(1, 5*time.Second)
 	for range routers {
 		f.start(8 * time.Second)
@@ -472,3 +478,133 @@
 		})
 	}
 }
+
+// Guards against streams that a router out of step begins at an upstream which has left the store, and that continue at another version at a router in step.
+func TestStreamBegunAtUpstreamThatHasLeftKeepsItsVersion(t *testing.T) {
+	network := pomelofake.NewNetwork()
+	f := newVersionFleetOn(network, t, 2)
+	old := f.engine("u1", "v1")
+	f.awaitReady(1)
+	f.awaitWindow()
+	inStep, cutOff := f.nodes[0], f.nodes[1]
+	cutOff.view.SetPartitioned(true)
+	network.SetPartition(func(from, to pomelorelay.Peer) bool {
+		return from.Node == cutOff.settings.Self.Node || to.Node == cutOff.settings.Self.Node
+	})
+	for _, id := range []pomelorelay.UpstreamID{"a1", "a2", "a3"} {
+		f.engine(id, "v2")
+	}
+	f.store.DeleteUpstream("u1")
+	f.await("u1 is gone", func() bool {
+		return inStep.log.hasWith(pomelorelay.EventUpstreamGone, func(l pomelorelay.Field) bool { return l.Key == "Upstream" && l.Value == pomelorelay.UpstreamID("u1") })
+	})
+	// The callers' own timeout is 4 s, the route's 5 s.
+	time.Sleep(2 * time.Second)
+	old.breakAfter.Store(3)
+	close(old.release)
+	var begun []streamed
+	for range 8 {
+		begun = append(begun, f.stream(cutOff, 0, ""))
+	}
+	time.Sleep(3500 * time.Millisecond)
+	for _, s := range begun {
+		rest := f.stream(inStep, s.events, s.id)
+		if s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
+			t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
+		}
+	}
+}
+
+// Guards against routers that skipped changes of the store and count the versions as unknown only from the first resumed stream on, however much later.
+func TestVersionsAreKnownAgainAfterSkippedChanges(t *testing.T) {
+	f := newVersionFleet(t, 2)
+	f.engine("u1", "v1")
+	f.awaitReady(1)
+	f.awaitWindow()
+	for _, n := range f.nodes {
+		n.view.SetPartitioned(true)
+	}
+	f.engine("u2", "v1")
+	f.store.Compact()
+	for _, n := range f.nodes {
+		n.view.SetPartitioned(false)
+	}
+	f.awaitGauge("upstreams", 2)
+	// Longer than the route's timeout of 5 s.
+	time.Sleep(7 * time.Second)
+	for _, n := range f.nodes {
+		if s := f.stream(n, 3, ""); s.status != http.StatusOK {
+			t.Errorf("a stream of unknown origin is answered with %d, want 200", s.status)
+		}
+	}
+}
+
+// Guards against a stream that continues at another version because its route sends to another service, or to a second one, since it began.
+func TestStreamKeepsItsVersionWhenItsRouteMoves(t *testing.T) {
+	for _, resumes := range []bool{true, false} {
+		t.Run(fmt.Sprint("callers name the first attempt ", resumes), func(t *testing.T) {
+			f := newVersionFleet(t, 1)
+			old := f.engine("u1", "v1")
+			moved := f.engine("a1", "v2")
+			moved.entry.Service = "s2"
+			f.store.PutUpstream(moved.entry)
+			f.awaitReady(2)
+			f.awaitWindow()
+			old.breakAfter.Store(3)
+			close(old.release)
+			var begun []streamed
+			for range 8 {
+				begun = append(begun, f.stream(f.nodes[0], 0, ""))
+			}
+			f.store.PublishConfig(f.configWith(2, func(c *pomelorelay.FleetConfig) {
+				c.Services = append(c.Services, pomelorelay.ServiceSpec{Name: "s2"})
+				r := &c.Routes[0]
+				r.Kind, r.Resumable, r.MaxAttempts, r.Shares = pomelorelay.RouteStream, true, 4, []pomelorelay.RouteShare{{Service: "s2", Weight: 1}}
+			}, "/s/"))
+			f.await("the configuration is in force", func() bool { return f.stream(f.nodes[0], 0, "").events == versionEvents })
+			for _, s := range begun {
+				id := ""
+				if resumes {
+					id = s.id
+				}
+				if rest := f.stream(f.nodes[0], s.events, id); s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
+					t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a stream that a split route resumes at another one of its services than the one that began it.
+func TestStreamOfSplitRouteContinuesAtItsService(t *testing.T) {
+	f := newVersionFleet(t, 1)
+	f.store.PublishConfig(f.configWith(2, func(c *pomelorelay.FleetConfig) {
+		c.Services = append(c.Services, pomelorelay.ServiceSpec{Name: "s2"})
+		r := &c.Routes[0]
+		r.Kind, r.Resumable, r.MaxAttempts, r.Shares = pomelorelay.RouteStream, true, 4, []pomelorelay.RouteShare{{Service: "s", Weight: 1}, {Service: "s2", Weight: 1}}
+	}, "/s/"))
+	engines := []*versionedEngine{f.engine("u1", "v1"), f.engine("a1", "v2")}
+	engines[1].entry.Service = "s2"
+	f.store.PutUpstream(engines[1].entry)
+	f.awaitReady(2)
+	f.await("the configuration is in force", func() bool {
+		s := f.stream(f.nodes[0], 0, "")
+		return len(s.versions) > 0 && s.versions[0] == "v2"
+	})
+	for _, e := range engines {
+		e.breakAfter.Store(3)
+		close(e.release)
+	}
+	var begun []streamed
+	for range 16 {
+		begun = append(begun, f.stream(f.nodes[0], 0, ""))
+	}
+	for _, e := range engines {
+		e.breakAfter.Store(0)
+	}
+	for _, s := range begun {
+		if rest := f.stream(f.nodes[0], s.events, s.id); rest.status != http.StatusOK || rest.versions[0] != s.versions[0] {
+			t.Errorf("a stream that began with %d events of %v is answered with %d and %v", s.events, s.versions, rest.status, rest.versions)
+		}
+	}
+}
