Resume streams only at the registered process of an upstream

Cause: an upstream that starts again under its ID and address, with another version, is taken for the old one until its new entry has been read. A resumed stream was placed by the entry's version and sent to whichever process answered at the address. Class: what a router has read of an upstream is used as if it held for the process that it talks to.

A connection ends at one process, and the process states its start (born) in its report as in its entry. Before a resumed stream is sent on a connection whose process was not asked yet, the router asks for the report on that connection. If the start differs from the entry's, the stream goes elsewhere (1221, not sent, the upstream does not count as unreachable) and UpstreamReplaced (511) is logged. The answer holds for the connection's life, so it needs no time limit, and streams go on after connections were reset while the process lives. Streams that begin and other requests cost nothing. An upstream that states no start, or has no report, passes as before: refusing it would end every resumption at such a fleet, for a join that takes a restart with another version under the same ID within the second before its entry is read.

--- a/codes_route.go
+++ b/codes_route.go
@@ -23,6 +23,7 @@
 	CodeVersionUnknown    ResultCode = 1218
 	CodeVersionGone       ResultCode = 1219
 	CodeTimeTooShort      ResultCode = 1220
+	CodeUpstreamReplaced  ResultCode = 1221
 )
 
 var routeCodes = []CodeInfo{
@@ -47,4 +48,5 @@
 	{CodeVersionUnknown, "VersionUnknown", 503, RanNo, "The request resumes a stream, the service has upstreams of several software versions, and the router does not know at which one the stream began.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
 	{CodeVersionGone, "VersionGone", 503, RanNo, "The request resumes a stream, and no upstream of the software version at which it began takes requests.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
 	{CodeTimeTooShort, "TimeTooShort", 503, RanNo, "The time that the caller has left does not suffice for an answer, even without a queue.", "Send it again with a later deadline."},
+	{CodeUpstreamReplaced, "UpstreamReplaced", 503, RanNo, "The request resumes a stream, and the process that answers at the upstream's address is not the registered one, so that its software version is unknown.", "Send it again after Retry-After."},
 }
--- a/events_route.go
+++ b/events_route.go
@@ -2,17 +2,18 @@
 
 // Events of request routing and forwarding, 500 to 599.
 const (
-	EventAnswerCrossed   EventID = 500
-	EventUpstreamCrashed EventID = 501
-	EventStreamResumed   EventID = 502
-	EventHandlerPanicked EventID = 503
-	EventRequestServed   EventID = 504
-	EventRequestRefused  EventID = 505
-	EventRequestFailed   EventID = 506
-	EventRequestCut      EventID = 507
-	EventRequestGone     EventID = 508
-	EventRequestRetried  EventID = 509
-	EventLoadInvalid     EventID = 510
+	EventAnswerCrossed    EventID = 500
+	EventUpstreamCrashed  EventID = 501
+	EventStreamResumed    EventID = 502
+	EventHandlerPanicked  EventID = 503
+	EventRequestServed    EventID = 504
+	EventRequestRefused   EventID = 505
+	EventRequestFailed    EventID = 506
+	EventRequestCut       EventID = 507
+	EventRequestGone      EventID = 508
+	EventRequestRetried   EventID = 509
+	EventLoadInvalid      EventID = 510
+	EventUpstreamReplaced EventID = 511
 )
 
 var routeEvents = []EventInfo{
@@ -27,4 +28,5 @@
 	{EventRequestGone, "RequestGone", LevelInfo, "The caller left before its answer was whole; the upstream's work was cancelled.", "None."},
 	{EventRequestRetried, "RequestRetried", LevelInfo, "A request is sent again after a failure that allows it.", "Look at the upstream when it repeats."},
 	{EventLoadInvalid, "LoadInvalid", LevelWarn, "An upstream announces its load in a malformed header, which is ignored; logged once for each upstream and minute.", "Report it to the upstream's operators."},
+	{EventUpstreamReplaced, "UpstreamReplaced", LevelInfo, "A resumed stream was not sent to an upstream because another process answers at its address than the registered one.", "None; the new registration follows."},
 }
--- a/pomelofake/fleetwire.go
+++ b/pomelofake/fleetwire.go
@@ -89,3 +89,15 @@
 	}
 	return f
 }
+
+// ReportPath returns the path at which upstreams report the start time of their process, as a number.
+func (TestWireFormat) ReportPath() string { return "/report" }
+
+// ParseReport parses the report of an upstream.
+func (TestWireFormat) ParseReport(body []byte) int64 {
+	ms, err := strconv.ParseInt(string(body), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return ms
+}
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -213,7 +213,7 @@
 	switch {
 	case f == nil:
 		return pomeloplace.ResultCompleted
-	case f.Outcome == pomelolink.OutcomeNotSent && (f.Err.Code == pomelorelay.CodeCancelled || errors.Is(ctx.Err(), context.Canceled)):
+	case f.Outcome == pomelolink.OutcomeNotSent && (f.Err.Code == pomelorelay.CodeCancelled || f.Err.Code == pomelorelay.CodeUpstreamReplaced || errors.Is(ctx.Err(), context.Canceled)):
 		return pomeloplace.ResultCancelledUnsent
 	case f.Outcome == pomelolink.OutcomeTruncated && c.timeLeft() <= answerGrace:
 		if c.eventsRead > 0 {
@@ -332,7 +332,7 @@
 // exchange sends the request to an upstream and forwards the answer, whose head it returns.
 func (c *call) exchange(ctx context.Context, up pomelorelay.FleetUpstream, reservation Reservation) (*http.Response, *pomelolink.Failure) {
 	x, f := c.h.links.Open(ctx, pomelolink.UpstreamRequest{
-		Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), Carriers: &c.carriers, AnswerBy: c.deadline,
+		Process: c.processCheck(up), Addr: up.Addr, Request: c.upstreamRequest(up), Size: len(c.bodyBytes()), Carriers: &c.carriers, AnswerBy: c.deadline,
 		StillWanted: func() bool { return !c.callerGone() },
 	})
 	if f != nil {
@@ -358,6 +358,15 @@
 	return x.Response, c.forwardPlain(x)
 }
 
+// processCheck returns the check that a resumed stream continues at the process that is registered with its version; nil for other requests. An upstream
+// that starts again under its ID and address may have another version, and its new registration may be news to this router.
+func (c *call) processCheck(up pomelorelay.FleetUpstream) *pomelolink.ProcessCheck {
+	if !c.route.Resumable || !c.hasLastEvent || up.StartUnixMilli == 0 {
+		return nil
+	}
+	return &pomelolink.ProcessCheck{StartUnixMilli: up.StartUnixMilli, Path: c.h.cfg.Wire.ReportPath(), Parse: c.h.cfg.Wire.ParseReport}
+}
+
 // upstreamRequest builds the request to an upstream; method, path, query and body are unchanged.
 func (c *call) upstreamRequest(up pomelorelay.FleetUpstream) *http.Request {
 	head := c.r.Header.Clone()
--- a/pomeloforward/stream_test.go
+++ b/pomeloforward/stream_test.go
@@ -1,12 +1,14 @@
 package pomeloforward_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelofake"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
@@ -157,3 +159,89 @@
 		t.Errorf("body %q (%v), want %q", got.body, got.bodyErr, want)
 	}
 }
+
+// reporting answers reports with the given text and other requests with the given function.
+func reporting(report string, answer func(conn net.Conn, r *http.Request)) func(conn net.Conn, r *http.Request) {
+	return func(conn net.Conn, r *http.Request) {
+		if r.URL.Path == (pomelofake.TestWireFormat{}).ReportPath() {
+			write(conn, fmt.Sprintf("HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s", len(report), report))
+			return
+		}
+		answer(conn, r)
+	}
+}
+
+// startedAt returns the entry of an upstream whose process was started at the given time.
+func (u *upstream) startedAt(id pomelorelay.UpstreamID, unixMilli int64) pomelorelay.FleetUpstream {
+	entry := u.entry(id)
+	entry.StartUnixMilli = unixMilli
+	return entry
+}
+
+// Guards against resuming a stream at a process that has taken over an upstream's ID and address, whose version may be another one.
+func TestStreamIsNotResumedAtReplacedProcess(t *testing.T) {
+	broken := newUpstream(t, func(conn net.Conn, r *http.Request) {
+		write(conn, streamHead(r)+eventChunk(1))
+		time.Sleep(20 * time.Millisecond)
+		reset(conn)
+	})
+	replaced := newUpstream(t, reporting("2000", stream(2, 3)))
+	listed := newUpstream(t, reporting("1000", stream(2, 3)))
+	h := newHarness(t, broken.startedAt("a", 1000), replaced.startedAt("b", 1000), listed.startedAt("c", 1000))
+	if got, want := h.call("POST", "/chat/", "x"), "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"; got.body != want || got.bodyErr != nil {
+		t.Errorf("answer %+v, want a complete stream", got)
+	}
+	if n := broken.requests(); n != 1 {
+		t.Errorf("%d requests to the first upstream, want 1: a stream that begins needs no report", n)
+	}
+	if n := replaced.requests(); n != 1 {
+		t.Errorf("%d requests to the replaced upstream, want its report alone", n)
+	}
+	if n := listed.requests(); n != 2 {
+		t.Errorf("%d requests to the listed upstream, want its report and the stream", n)
+	}
+	if got := h.result(1); got != pomeloplace.ResultCancelledUnsent {
+		t.Errorf("result %v at the replaced upstream, want that it counts neither as run nor as unreachable", got)
+	}
+}
+
+// Guards against ending the resumption of streams at upstreams that state no start time in their reports, or have none.
+func TestStreamIsResumedAtUpstreamWithoutStartTime(t *testing.T) {
+	for _, answer := range []func(conn net.Conn, r *http.Request){
+		reporting("", stream(2, 3)),
+		func(conn net.Conn, r *http.Request) {
+			if r.URL.Path == (pomelofake.TestWireFormat{}).ReportPath() {
+				write(conn, "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			stream(2, 3)(conn, r)
+		},
+	} {
+		broken := newUpstream(t, func(conn net.Conn, r *http.Request) {
+			write(conn, streamHead(r)+eventChunk(1))
+			time.Sleep(20 * time.Millisecond)
+			reset(conn)
+		})
+		h := newHarness(t, broken.startedAt("a", 1000), newUpstream(t, answer).startedAt("b", 1000))
+		if got, want := h.call("POST", "/chat/", "x"), "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"; got.body != want || got.bodyErr != nil {
+			t.Errorf("answer %+v, want a complete stream", got)
+		}
+	}
+}
+
+// Guards against ending streams whose connections were reset although the process at the other end lives on.
+func TestStreamIsResumedAtTheUpstreamThatResetIt(t *testing.T) {
+	u := newUpstream(t, reporting("1000", func(conn net.Conn, r *http.Request) {
+		if r.Header.Get(pomelofake.TestHeaderLastEventID) != "" {
+			stream(2, 3)(conn, r)
+			return
+		}
+		write(conn, streamHead(r)+eventChunk(1))
+		time.Sleep(20 * time.Millisecond)
+		reset(conn)
+	}))
+	h := newHarness(t, u.startedAt("a", 1000), u.startedAt("a", 1000))
+	if got, want := h.call("POST", "/chat/", "x"), "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"; got.body != want || got.bodyErr != nil {
+		t.Errorf("answer %+v, want a complete stream", got)
+	}
+}
--- a/pomelolink/conn.go
+++ b/pomelolink/conn.go
@@ -31,10 +31,13 @@
 	// headerBytesLeft is how many more bytes of an answer's header may be read: zero means no limit, negative that the limit is reached.
 	headerBytesLeft int64
 	// answerBy is the deadline that holds from the first byte of an answer on; zero once it was set, or for none.
-	answerBy  time.Time
-	reused    bool
-	use       ConnectionUse
-	idleSince time.Time
+	answerBy time.Time
+	reused   bool
+	use      ConnectionUse
+	// reported is set once the process at the other end was asked for its start time, which is zero if it states none.
+	reported       bool
+	startUnixMilli int64
+	idleSince      time.Time
 	// maxIdle is how long the connection may stay idle, from the upstream's Keep-Alive field if it sent one.
 	maxIdle time.Duration
 }
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -81,6 +81,8 @@
 	// AnswerBy is when an answer of which a part has been received must be complete; an answer that begins later may take until the context's
 	// deadline. Zero means the context's deadline.
 	AnswerBy time.Time
+	// Process is the check of the process at the other end; nil for none.
+	Process *ProcessCheck
 	// StillWanted is called after the connection is opened and before the request is written; the request is sent only if it returns true
 	// or is nil. Opening a connection can take a second, and the caller's disconnect may be detected late on a busy CPU.
 	StillWanted func() bool
@@ -93,6 +95,13 @@
 	if err != nil {
 		return nil, notSentFailure(ctx, err)
 	}
+	if r.Process != nil {
+		if f := c.checkProcess(ctx, conn, r.Process); f != nil {
+			f.Connection = conn.use
+			conn.Close()
+			return nil, f
+		}
+	}
 	if r.StillWanted != nil && !r.StillWanted() {
 		conn.Close()
 		return nil, NewFailure(OutcomeNotSent, pomelorelay.CodeCancelled, nil)
--- a/pomelolink/link_test.go
+++ b/pomelolink/link_test.go
@@ -287,3 +287,48 @@
 	t.Cleanup(server.Close)
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
+
+// Guards against asking for a report before each request, and against sending one to another process than the given one.
+func TestProcessIsAskedOnceForEachConnection(t *testing.T) {
+	reports, requests := 0, 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/report" {
+			reports++
+			fmt.Fprint(w, "1000")
+			return
+		}
+		requests++
+		w.Header().Set(idField, r.Header.Get(idField))
+		fmt.Fprint(w, "ok")
+	}))
+	t.Cleanup(server.Close)
+	l, addr := newClient(t), netip.MustParseAddrPort(server.Listener.Addr().String())
+	open := func(start int64) *pomelolink.Failure {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		req := &http.Request{Method: "GET", URL: &url.URL{Scheme: "http", Host: addr.String(), Path: "/"}, Host: "h", Header: http.Header{idField: {"1"}}, Body: http.NoBody}
+		x, f := l.Open(ctx, pomelolink.UpstreamRequest{Addr: addr, Request: req, Process: &pomelolink.ProcessCheck{
+			StartUnixMilli: start, Path: "/report", Parse: func(body []byte) int64 { return int64(len(body)) * 250 },
+		}})
+		if f != nil {
+			return f
+		}
+		if _, err := io.ReadAll(x.Response.Body); err != nil {
+			t.Fatal(err)
+		}
+		x.BodyComplete = true
+		x.Close()
+		return nil
+	}
+	for range 3 {
+		if f := open(1000); f != nil {
+			t.Fatal(f.Err)
+		}
+	}
+	if reports != 1 || requests != 3 || l.ConnectionsOpened() != 1 {
+		t.Errorf("%d reports and %d requests on %d connections, want 1, 3 and 1", reports, requests, l.ConnectionsOpened())
+	}
+	if f := open(2000); f == nil || f.Outcome != pomelolink.OutcomeNotSent || f.Err.Code != pomelorelay.CodeUpstreamReplaced || requests != 3 {
+		t.Errorf("a request to another process ends with %+v after %d requests, want that it is not sent", f, requests)
+	}
+}
--- a/wire.go
+++ b/wire.go
@@ -91,4 +91,8 @@
 	SetUpstreamFields(head http.Header, f UpstreamFields)
 	// ParseAnswerFields parses the status and headers of an upstream's response.
 	ParseAnswerFields(resp *http.Response) AnswerFields
+	// ReportPath returns the path at which an upstream reports on its process.
+	ReportPath() string
+	// ParseReport returns the start time of the process in Unix milliseconds from an upstream's report; zero if it does not state one.
+	ParseReport(body []byte) int64
 }
