Doubt streams that began at an upstream registered anew

Cause: the version of a stream's origin is the entry's, whichever process sent the first event; nothing looked at it again once the new entry showed that it might be wrong. Class: a conclusion from state that may be old is kept when the state turns out to have been old.

The report of a stream's origin now names its upstream, by a 32-bit hash (5 bytes a stream and receiver). Each router remembers with which versions it has seen an upstream listed for as long as streams may be resumed. The origin of a stream is unknown (1218, Replaced) if its upstream is listed with another version, or was after the router learnt of the stream; a resume within the answer is checked alike. A restart with the same version raises no doubt, and no stream waits for anything. Streams that began at the former process and are resumed only after the new entry was read are refused too: nothing shows that they are not of the new one. Those that the end of their process broke are resumed before that, as a process needs time to start.

TestStreamsOfReplacedUpstreamAreDoubtful holds the order of news at routers.

Not covered: a stream that begins at such a process and is resumed before the new entry is read, for example because its router was killed within that time.

--- a/ids.go
+++ b/ids.go
@@ -20,6 +20,14 @@
 // UpstreamID is the name of an upstream server.
 type UpstreamID string
 
+// UpstreamHash is a 32-bit hash of an UpstreamID, for messages that name many upstreams.
+type UpstreamHash uint32
+
+// Hash returns the UpstreamHash of the ID, which is never zero.
+func (id UpstreamID) Hash() UpstreamHash {
+	return UpstreamHash(max(uint32(FingerprintOf([]byte(id))), 1))
+}
+
 // SoftwareVersion is the version of an upstream's software, as the upstream registered it; empty if it registered none. Streams that begin at
 // one version cannot continue at another.
 type SoftwareVersion string
--- a/messages_stream.go
+++ b/messages_stream.go
@@ -7,6 +7,8 @@
 	// Stream is the fingerprint of the RequestID of the caller's attempt that received the first event.
 	Stream  Fingerprint
 	Version SoftwareVersion
+	// Upstream identifies the upstream that sent the first event; zero if it is unknown.
+	Upstream UpstreamHash
 	// TimeLeft is the time within which the caller may resume the stream.
 	TimeLeft time.Duration
 }
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -146,6 +146,7 @@
 	c.removeLapsed(now)
 	c.expireCrashes(now)
 	c.streams.origins.Expire(now)
+	c.streams.listings.Expire(now, c.resumeWindow())
 	c.requestStreams(now)
 	c.updateReadDelay(now)
 	c.requestNewerConfig(now)
--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -90,7 +90,7 @@
 func (b *answerBegan) apply(c *control, now time.Time) {
 	c.recordAnnounced(now, b.reservation, b.load)
 	c.placer.RecordAnswerStart(now, b.run)
-	c.recordOrigin(now, b.request.Stream, b.upstream.Version)
+	c.recordOrigin(now, b.request.Stream, b.upstream)
 	c.recordSignOfLife(now, b.upstream.Process())
 }
 
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -32,6 +32,7 @@
 type streams struct {
 	origins  *pomelostream.Origins
 	versions *pomelostream.Versions
+	listings *pomelostream.Listings
 	coverage *pomelostream.Coverage
 	check    versionCheck
 	// startedAt is the router's start, requestedAt its last request for streams; told is set once another router has told them all after
@@ -42,7 +43,7 @@
 }
 
 func newStreams(now time.Time) streams {
-	return streams{origins: pomelostream.NewOrigins(now), versions: pomelostream.NewVersions(), coverage: pomelostream.NewCoverage(now), startedAt: now}
+	return streams{origins: pomelostream.NewOrigins(now), versions: pomelostream.NewVersions(), listings: pomelostream.NewListings(), coverage: pomelostream.NewCoverage(now), startedAt: now}
 }
 
 // requestStreams asks another router for the streams that began before this router started.
@@ -129,11 +130,14 @@
 	ev := pomelostream.Evidence{
 		OriginNamed: req.Stream.OriginNamed, Versions: versions, KnownFor: c.streams.coverage.KnownFor(now), ReadAge: c.e.storeReadAge(), HeardAge: c.peers.heardAge(now),
 	}
-	origin, known := pomelorelay.SoftwareVersion(""), false
+	origin, known, doubtful := pomelorelay.SoftwareVersion(""), false, false
 	if req.Stream.OriginNamed {
 		origin, known = c.streams.origins.Version(req.Stream.Origin)
+		doubtful = c.streams.origins.Doubtful(req.Stream.Origin, c.streams.listings)
 	}
 	switch {
+	case doubtful:
+		ev.Basis = pomelostream.BasisReplaced
 	case req.Request.VersionFixed:
 		ev.Basis, ev.Version = pomelostream.BasisAnswer, req.Request.Version
 	case known:
@@ -163,9 +167,9 @@
 }
 
 // recordOrigin records the version at which a resumable stream began.
-func (c *control) recordOrigin(now time.Time, stream pomeloforward.StreamProgress, version pomelorelay.SoftwareVersion) {
+func (c *control) recordOrigin(now time.Time, stream pomeloforward.StreamProgress, u pomelorelay.FleetUpstream) {
 	if !stream.Resumable || !stream.OriginNamed {
 		return
 	}
-	c.streams.origins.Record(now, pomelorelay.StreamOrigin{Stream: stream.Origin, Version: version, TimeLeft: stream.TimeLeft})
+	c.streams.origins.Record(now, pomelorelay.StreamOrigin{Stream: stream.Origin, Version: u.Version, Upstream: u.ID.Hash(), TimeLeft: stream.TimeLeft})
 }
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -88,6 +88,7 @@
 	before, known := c.upstreams.present[u.ID]
 	c.upstreams.present[u.ID] = u
 	c.streams.versions.Add(u)
+	c.streams.listings.Put(now, u)
 	if known {
 		c.streams.versions.Remove(now, before)
 	}
@@ -165,6 +166,7 @@
 		c.confirmCrashes(now, id, u.StartUnixMilli, pomelorelay.EvidenceRemoved)
 	}
 	c.streams.versions.Remove(now, u)
+	c.streams.listings.Remove(now, id)
 	delete(c.upstreams.lapsed, id)
 	delete(c.upstreams.present, id)
 	c.upstreams.leaving[id] = now
--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -449,3 +449,48 @@
 		})
 	}
 }
+
+// Guards against streams that begin at an upstream started again with another version under its ID, before its registration is read, and go on elsewhere at
+// its former version.
+func TestStreamThatBeganBeforeRegistrationIsReadKeepsItsVersion(t *testing.T) {
+	f := newVersionFleet(t, 2)
+	u := f.engine("u1", "v1")
+	f.awaitReady(1)
+	u.version = "v2"
+	u.breakAfter.Store(3)
+	close(u.release)
+	var begun []streamed
+	for i := range 12 {
+		s := f.stream(f.nodes[i%2], 0, "")
+		if s.events != 3 || s.versions[0] != "v2" {
+			t.Fatalf("a stream has %d events of %v before it breaks off, want 3 of v2", s.events, s.versions)
+		}
+		begun = append(begun, s)
+	}
+	f.engine("u2", "v1")
+	f.awaitGauge("upstreams", 2)
+	other := f.stream(f.nodes[0], 0, "")
+	for i := 0; other.events != versionEvents && i < 100; i++ {
+		other = f.stream(f.nodes[0], 0, "")
+	}
+	// Longer than the interval of reports.
+	time.Sleep(300 * time.Millisecond)
+	u.entry.Version = "v2"
+	f.store.PutUpstream(u.entry)
+	for _, n := range f.nodes {
+		f.await("the new registration is read", func() bool {
+			return n.log.hasWith(pomelorelay.EventUpstreamListed, func(l pomelorelay.Field) bool { return l.Key == "Version" && l.Value == "v2" })
+		})
+	}
+	for i, s := range begun {
+		// One half is resumed where it began.
+		if rest := f.stream(f.nodes[i/2%2], s.events, s.id); rest.status != http.StatusServiceUnavailable {
+			t.Errorf("a stream that began at v2 is answered with %d and versions %v, want 503", rest.status, rest.versions)
+		}
+	}
+	for _, n := range f.nodes {
+		if rest := f.stream(n, 3, other.id); !rest.whole || rest.events != versionEvents-3 || rest.versions[0] != "v1" {
+			t.Errorf("a stream that began at another upstream is answered with %d and versions %v, want the rest at v1", rest.status, rest.versions)
+		}
+	}
+}
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -65,7 +65,7 @@
 			Parts:    []pomelorelay.PromptPartPlaced{{Upstream: "u", Hash: 0x5c1e07a2, Tokens: 800}},
 			Leaving:  []pomelorelay.UpstreamID{"v"},
 			Starts:   []pomelorelay.UpstreamStart{{Upstream: "u", Unreachable: true}, {Upstream: "v", ColdRemaining: 3 * time.Second}},
-			Streams:  []pomelorelay.StreamOrigin{{Stream: 4711, Version: "v1.2", TimeLeft: 12 * time.Second}},
+			Streams:  []pomelorelay.StreamOrigin{{Stream: 4711, Version: "v1.2", Upstream: 0x5eed, TimeLeft: 12 * time.Second}},
 			Speeds:   []pomelorelay.SpeedSums{{Service: "s", Answers: 7, WeightSum: 0.25, TokenSum: 900, TimeSum: 7.5, TokenSquareSum: 1e8, TokenTimeSum: 2e5, DuringPrefill: 20, Stalled: 3, CopiedTokens: 5000, CopyTimeTokens: 12.5}},
 		},
 		&pomelorelay.LoadSummary{Standby: []pomelorelay.NodeID{"r1"}, Relays: []pomelorelay.NodeID{"r4"}, Report: &pomelorelay.LoadReport{
@@ -80,7 +80,7 @@
 		},
 		&pomelorelay.StateAsk{Above: 7, Upstreams: true, Streams: true},
 		&pomelorelay.StreamState{
-			Streams: []pomelorelay.StreamOrigin{{Stream: 4711, Version: "v1.2", TimeLeft: 12 * time.Second}}, KnownFor: 40 * time.Second,
+			Streams: []pomelorelay.StreamOrigin{{Stream: 4711, Version: "v1.2", Upstream: 0x5eed, TimeLeft: 12 * time.Second}}, KnownFor: 40 * time.Second,
 			Versions: []pomelorelay.VersionSeen{{Service: "s", Version: "v1", Ago: 3 * time.Second}}, Revision: 12,
 		},
 		&pomelorelay.FleetState{
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -83,6 +83,7 @@
 		o := list[i]
 		origins[i] = pomelorelay.StreamOrigin{
 			Stream: pomelorelay.Fingerprint(o.GetStream()), Version: pomelorelay.SoftwareVersion(d.name(o.GetVersion())), TimeLeft: time.Duration(o.GetLeft()) * time.Second,
+			Upstream: pomelorelay.UpstreamHash(o.GetUpstream()),
 		}
 	}
 	return origins
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -86,7 +86,7 @@
 func encodeStreams(origins []pomelorelay.StreamOrigin) []*pomelowire.StreamOrigin {
 	var w []*pomelowire.StreamOrigin
 	for _, o := range origins {
-		w = append(w, &pomelowire.StreamOrigin{Stream: uint64(o.Stream), Version: string(o.Version), Left: uint32((o.TimeLeft + time.Second - 1) / time.Second)})
+		w = append(w, &pomelowire.StreamOrigin{Stream: uint64(o.Stream), Version: string(o.Version), Left: uint32((o.TimeLeft + time.Second - 1) / time.Second), Upstream: uint32(o.Upstream)})
 	}
 	return w
 }
--- a/pomelostream/basis.go
+++ b/pomelostream/basis.go
@@ -24,13 +24,19 @@
 	// BasisUnconfirmed means that the origin is unknown and a read of the store that began after the request arrived is missing: versions may be news to
 	// the router.
 	BasisUnconfirmed Basis = "Unconfirmed"
+	// BasisReplaced means that the upstream at which the stream began has been registered with another version since.
+	BasisReplaced Basis = "Replaced"
 	// BasisRecent means that the origin is unknown and the router has not known the versions for as long as streams may be resumed.
 	BasisRecent Basis = "Recent"
 )
 
 // Known reports whether the stream may continue.
 func (b Basis) Known() bool {
-	return b != BasisSeveralVersions && b != BasisRecent && b != BasisUnconfirmed
+	switch b {
+	case BasisSeveralVersions, BasisUnconfirmed, BasisReplaced, BasisRecent:
+		return false
+	}
+	return true
 }
 
 // Evidence is what a router knew when it decided at which version a resumed stream may continue.
--- a/pomelostream/origins.go
+++ b/pomelostream/origins.go
@@ -16,7 +16,7 @@
 
 // Origins remembers at which software version of the upstreams streams began, until their callers can no longer resume them.
 type Origins struct {
-	versions map[pomelorelay.Fingerprint]pomelorelay.SoftwareVersion
+	streams map[pomelorelay.Fingerprint]origin
 	// expiring holds the streams by the expiryStep in which they expire, counted from began.
 	expiring map[int64][]pomelorelay.Fingerprint
 	began    time.Time
@@ -24,33 +24,40 @@
 	pending  []pomelorelay.StreamOrigin
 }
 
+// origin is where a stream began, and when this router learnt it.
+type origin struct {
+	version  pomelorelay.SoftwareVersion
+	upstream pomelorelay.UpstreamHash
+	at       time.Time
+}
+
 // NewOrigins returns Origins that know no stream.
 func NewOrigins(now time.Time) *Origins {
-	return &Origins{versions: make(map[pomelorelay.Fingerprint]pomelorelay.SoftwareVersion), expiring: make(map[int64][]pomelorelay.Fingerprint), began: now}
+	return &Origins{streams: make(map[pomelorelay.Fingerprint]origin), expiring: make(map[int64][]pomelorelay.Fingerprint), began: now}
 }
 
 // Record records a stream that began at this router, for the next report too.
-func (o *Origins) Record(now time.Time, origin pomelorelay.StreamOrigin) {
-	if o.add(now, origin) && len(o.pending) < maxPending {
-		o.pending = append(o.pending, origin)
+func (o *Origins) Record(now time.Time, began pomelorelay.StreamOrigin) {
+	if o.add(now, began) && len(o.pending) < maxPending {
+		o.pending = append(o.pending, began)
 	}
 }
 
 // Merge records streams that other routers reported.
 func (o *Origins) Merge(now time.Time, origins []pomelorelay.StreamOrigin) {
-	for _, origin := range origins {
-		o.add(now, origin)
+	for _, began := range origins {
+		o.add(now, began)
 	}
 }
 
 // add reports whether the stream was not known. The first version counts: later events of the stream come from the same one.
-func (o *Origins) add(now time.Time, origin pomelorelay.StreamOrigin) bool {
-	if _, known := o.versions[origin.Stream]; known || origin.TimeLeft <= 0 || len(o.versions) >= maxOrigins {
+func (o *Origins) add(now time.Time, began pomelorelay.StreamOrigin) bool {
+	if _, known := o.streams[began.Stream]; known || began.TimeLeft <= 0 || len(o.streams) >= maxOrigins {
 		return false
 	}
-	step := o.step(now.Add(origin.TimeLeft)) + 1
-	o.versions[origin.Stream] = origin.Version
-	o.expiring[step] = append(o.expiring[step], origin.Stream)
+	step := o.step(now.Add(began.TimeLeft)) + 1
+	o.streams[began.Stream] = origin{began.Version, began.Upstream, now}
+	o.expiring[step] = append(o.expiring[step], began.Stream)
 	return true
 }
 
@@ -58,8 +65,15 @@
 
 // Version returns the version at which a stream began, and false if it is not known.
 func (o *Origins) Version(stream pomelorelay.Fingerprint) (pomelorelay.SoftwareVersion, bool) {
-	v, ok := o.versions[stream]
-	return v, ok
+	began, ok := o.streams[stream]
+	return began.version, ok
+}
+
+// Doubtful reports whether the upstream at which a stream began has been registered with another version since, so that the stream may have begun at
+// that one.
+func (o *Origins) Doubtful(stream pomelorelay.Fingerprint, l *Listings) bool {
+	began, ok := o.streams[stream]
+	return ok && l.replaced(began.upstream, began.version, began.at)
 }
 
 // TakePending returns the streams that were recorded since the last call.
@@ -73,7 +87,7 @@
 func (o *Origins) Expire(now time.Time) {
 	for current := o.step(now); o.expired < current; o.expired++ {
 		for _, stream := range o.expiring[o.expired] {
-			delete(o.versions, stream)
+			delete(o.streams, stream)
 		}
 		delete(o.expiring, o.expired)
 	}
@@ -81,15 +95,16 @@
 
 // All returns all streams that are remembered.
 func (o *Origins) All(now time.Time) []pomelorelay.StreamOrigin {
-	all := make([]pomelorelay.StreamOrigin, 0, len(o.versions))
+	all := make([]pomelorelay.StreamOrigin, 0, len(o.streams))
 	for step, streams := range o.expiring {
 		left := o.began.Add(time.Duration(step) * expiryStep).Sub(now)
 		for _, stream := range streams {
-			all = append(all, pomelorelay.StreamOrigin{Stream: stream, Version: o.versions[stream], TimeLeft: left})
+			began := o.streams[stream]
+			all = append(all, pomelorelay.StreamOrigin{Stream: stream, Version: began.version, Upstream: began.upstream, TimeLeft: left})
 		}
 	}
 	return all
 }
 
 // Len returns the number of streams that are remembered.
-func (o *Origins) Len() int { return len(o.versions) }
+func (o *Origins) Len() int { return len(o.streams) }
--- a/pomelostream/stream_test.go
+++ b/pomelostream/stream_test.go
@@ -64,3 +64,47 @@
 		t.Error("a version that left counts for another time than the given one")
 	}
 }
+
+// Guards against streams that are recorded at the former version of an upstream that has started again under its ID, and against doubting those of others.
+func TestStreamsOfReplacedUpstreamAreDoubtful(t *testing.T) {
+	const window = 10 * time.Second
+	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
+	entry := func(id pomelorelay.UpstreamID, version pomelorelay.SoftwareVersion) pomelorelay.FleetUpstream {
+		return pomelorelay.FleetUpstream{ID: id, Service: "s", Version: version}
+	}
+	o, l := pomelostream.NewOrigins(at(0)), pomelostream.NewListings()
+	record := func(s int, stream pomelorelay.Fingerprint, id pomelorelay.UpstreamID, version pomelorelay.SoftwareVersion) {
+		o.Merge(at(s), []pomelorelay.StreamOrigin{{Stream: stream, Version: version, Upstream: id.Hash(), TimeLeft: time.Minute}})
+	}
+	check := func(when string, want ...bool) {
+		t.Helper()
+		for i, doubtful := range want {
+			if got := o.Doubtful(pomelorelay.Fingerprint(i+1), l); got != doubtful {
+				t.Errorf("%s: stream %d is doubtful: %v, want %v", when, i+1, got, doubtful)
+			}
+		}
+	}
+	l.Put(at(0), entry("u1", "v1"))
+	l.Put(at(0), entry("u2", "v1"))
+	record(1, 1, "u1", "v1")
+	record(1, 2, "u2", "v1")
+	record(1, 3, "unlisted", "v1")
+	o.Merge(at(1), []pomelorelay.StreamOrigin{{Stream: 4, Version: "v1", TimeLeft: time.Minute}})
+	// The router that reports this stream has read the new registration before this one.
+	record(1, 5, "u1", "v2")
+	check("before the restart", false, false, false, false, true)
+	l.Put(at(2), entry("u1", "v2"))
+	// The router that reports this one has not.
+	record(3, 6, "u1", "v1")
+	check("after the restart", true, false, false, false, false, true)
+	l.Remove(at(4), "u1")
+	check("after the removal", true, false, false, false, false, true)
+	l.Put(at(5), entry("u1", "v1"))
+	l.Expire(at(6), window)
+	record(7, 7, "u1", "v1")
+	check("after another restart", true, false, false, false, true, false, false)
+	l.Remove(at(8), "u1")
+	l.Remove(at(8), "u2")
+	l.Expire(at(30), window)
+	check("when none can be resumed", false, false, false, false, false, false, false)
+}
