--- a/pomelostream/origins.go
+++ b/pomelostream/origins.go
@@ -16,7 +16,7 @@
 
 // Origins remembers at which software version of the upstreams streams began, until their callers can no longer resume them.
 type Origins struct {
-	streams map[pomelorelay.Fingerprint]knownOrigin
+	streams map[pomelorelay.Fingerprint]origin
 	// expiring holds the streams by the expiryStep in which they expire, or were to expire before they were resumed, counted from began.
 	expiring map[int64][]pomelorelay.Fingerprint
 	began    time.Time
@@ -24,44 +24,49 @@
 	pending  []pomelorelay.StreamOrigin
 }
 
-type knownOrigin struct {
-	version pomelorelay.SoftwareVersion
-	expires int64
+// origin is where a stream began, when this router learnt it, and the expiryStep in which it expires.
+type origin struct {
+	version  pomelorelay.SoftwareVersion
+	upstream pomelorelay.UpstreamHash
+	at       time.Time
+	expires  int64
 }
 
 // NewOrigins returns Origins that know no stream.
 func NewOrigins(now time.Time) *Origins {
-	return &Origins{streams: make(map[pomelorelay.Fingerprint]knownOrigin), expiring: make(map[int64][]pomelorelay.Fingerprint), began: now}
+	return &Origins{streams: make(map[pomelorelay.Fingerprint]origin), expiring: make(map[int64][]pomelorelay.Fingerprint), began: now}
 }
 
 // Record records a stream that began or was resumed at this router, for the next report too.
-func (o *Origins) Record(now time.Time, origin pomelorelay.StreamOrigin) {
-	if o.add(now, origin) && len(o.pending) < maxPending {
-		origin.Version = o.streams[origin.Stream].version
-		o.pending = append(o.pending, origin)
+func (o *Origins) Record(now time.Time, began pomelorelay.StreamOrigin) {
+	if o.add(now, began) && len(o.pending) < maxPending {
+		known := o.streams[began.Stream]
+		began.Version, began.Upstream = known.version, known.upstream
+		o.pending = append(o.pending, began)
 	}
 }
 
 // Merge records streams that other routers reported.
 func (o *Origins) Merge(now time.Time, origins []pomelorelay.StreamOrigin) {
-	for _, origin := range origins {
-		o.add(now, origin)
+	for _, began := range origins {
+		o.add(now, began)
 	}
 }
 
 // add reports whether the stream was not known, or not to be resumed for as long. The first version counts: later events of the stream come from the
 // same one.
-func (o *Origins) add(now time.Time, origin pomelorelay.StreamOrigin) bool {
-	before, known := o.streams[origin.Stream]
-	step := o.step(now.Add(origin.TimeLeft)) + 1
-	if origin.TimeLeft <= 0 || (known && step <= before.expires) || (!known && len(o.streams) >= maxOrigins) {
+func (o *Origins) add(now time.Time, began pomelorelay.StreamOrigin) bool {
+	known, isKnown := o.streams[began.Stream]
+	step := o.step(now.Add(began.TimeLeft)) + 1
+	if began.TimeLeft <= 0 || (isKnown && step <= known.expires) || (!isKnown && len(o.streams) >= maxOrigins) {
 		return false
 	}
-	if known {
-		origin.Version = before.version
+	if !isKnown {
+		known = origin{version: began.Version, upstream: began.Upstream, at: now}
 	}
-	o.streams[origin.Stream] = knownOrigin{origin.Version, step}
-	o.expiring[step] = append(o.expiring[step], origin.Stream)
+	known.expires = step
+	o.streams[began.Stream] = known
+	o.expiring[step] = append(o.expiring[step], began.Stream)
 	return true
 }
 
@@ -69,8 +74,15 @@
 
 // Version returns the version at which a stream began, and false if it is not known.
 func (o *Origins) Version(stream pomelorelay.Fingerprint) (pomelorelay.SoftwareVersion, bool) {
-	known, ok := o.streams[stream]
-	return known.version, ok
+	began, ok := o.streams[stream]
+	return began.version, ok
+}
+
+// Doubtful reports whether the upstream at which a stream began has been registered with another version since, so that the stream may have begun at
+// that one.
+func (o *Origins) Doubtful(stream pomelorelay.Fingerprint, l *Listings) bool {
+	began, ok := o.streams[stream]
+	return ok && l.replaced(began.upstream, began.version, began.at)
 }
 
 // TakePending returns the streams that were recorded since the last call.
@@ -98,8 +110,8 @@
 	for step, streams := range o.expiring {
 		left := o.began.Add(time.Duration(step) * expiryStep).Sub(now)
 		for _, stream := range streams {
-			if known := o.streams[stream]; known.expires == step {
-				all = append(all, pomelorelay.StreamOrigin{Stream: stream, Version: known.version, TimeLeft: left})
+			if began := o.streams[stream]; began.expires == step {
+				all = append(all, pomelorelay.StreamOrigin{Stream: stream, Version: began.version, Upstream: began.upstream, TimeLeft: left})
 			}
 		}
 	}
