An answer without length ends only if its upstream lives

Callers got a part of an answer as a complete one: a stream or a body with neither Content-Length nor chunked encoding ends with its connection, and the kernel closes the connections of a killed process in order. The router took that for the end of the answer, sent a plain body on with a Content-Length and ended a stream with the final chunk.

A listener closes with its process, so that a refused connection, or one that is reset in the listener's queue, shows that the process may have ended. The attempt then failed like one whose connection broke: streams are resumed, idempotent requests repeated, others answered with 502 or, once the answer has begun, with a closed connection; the upstream is checked for a crash. Answers with a length, in chunks, without a body by their status, or to HEAD, need no such proof and wait for nothing.

--- /dev/null
+++ b/pomeloentry/cutprocess_test.go
@@ -0,0 +1,199 @@
+package pomeloentry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
+)
+
+const (
+	// upstreamProcessEnv marks a process of the test program that runs as an upstream.
+	upstreamProcessEnv = "POMELORELAY_TEST_UPSTREAM"
+	// processEvents is the number of events of the process's streams, and of those that it has sent of a stream that it holds.
+	processEvents, processHeldEvents = 8, 3
+	processBody                      = "the first half, the second half"
+)
+
+// TestMain runs the process as an upstream if a test started it as one.
+func TestMain(m *testing.M) {
+	if os.Getenv(upstreamProcessEnv) != "" {
+		if err := runUpstreamProcess(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// runUpstreamProcess answers requests without a length until the process is killed. It writes its address to the standard output, and a line when it
+// has sent the first part of an answer that it does not complete.
+func runUpstreamProcess() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	fmt.Println(l.Addr())
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				conn.Close()
+				return
+			}
+			// Unread bytes would make the kernel reset the connection when the process is killed.
+			_, _ = io.Copy(io.Discard, r.Body)
+			sendUndelimited(conn, r)
+		}()
+	}
+}
+
+// sendUndelimited answers with a stream or a body without length, or a part of it if the path asks for that, with the connection left open.
+func sendUndelimited(conn net.Conn, r *http.Request) {
+	stream, held := !strings.HasPrefix(r.URL.Path, "/plain"), strings.HasSuffix(r.URL.Path, "/held")
+	text, kind := processBody, "text/plain"
+	if held {
+		text = text[:len(text)/2]
+	}
+	if stream {
+		text, kind = processStream(held), "text/event-stream"
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: process\r\nContent-Type: %s\r\n\r\n%s", pomelofake.TestHeaderRequestID, r.Header.Get(pomelofake.TestHeaderRequestID),
+		pomelofake.TestHeaderSignedBy, kind, text)
+	if held {
+		fmt.Println("held")
+		return
+	}
+	conn.Close()
+}
+
+// processStream returns the process's stream, or the part of it that it sends before it is killed.
+func processStream(held bool) string {
+	events := processEvents
+	if held {
+		events = processHeldEvents
+	}
+	var text strings.Builder
+	for n := 1; n <= events; n++ {
+		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return text.String()
+}
+
+// upstreamProcess is an upstream in a process of its own.
+type upstreamProcess struct {
+	f      *fleet
+	cmd    *exec.Cmd
+	output *bufio.Scanner
+}
+
+// startUpstreamProcess starts an upstream in a process of its own, and registers it in place of the one before.
+func (f *fleet) startUpstreamProcess(startUnixMilli int64) *upstreamProcess {
+	f.t.Helper()
+	p := &upstreamProcess{f: f, cmd: exec.Command(os.Args[0])}
+	p.cmd.Env = append(os.Environ(), upstreamProcessEnv+"=1")
+	p.cmd.Stderr = os.Stderr
+	pipe, err := p.cmd.StdoutPipe()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		// The process may have been killed already.
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	})
+	p.output = bufio.NewScanner(pipe)
+	f.store.PutUpstream(pomelorelay.FleetUpstream{ID: "u1", Service: "s", Addr: netip.MustParseAddrPort(p.line()), Domain: "a", Slots: 8, StartUnixMilli: startUnixMilli})
+	return p
+}
+
+func (p *upstreamProcess) line() string {
+	p.f.t.Helper()
+	if !p.output.Scan() {
+		p.f.t.Fatalf("the upstream's process ended: %v", p.output.Err())
+	}
+	return p.output.Text()
+}
+
+// killHolding kills the process with SIGKILL once it holds an answer; the kernel then closes its connections in order.
+func (p *upstreamProcess) killHolding() {
+	p.f.t.Helper()
+	p.line()
+	// The part that was sent has reached the router.
+	time.Sleep(50 * time.Millisecond)
+	if err := p.cmd.Process.Kill(); err != nil {
+		p.f.t.Fatal(err)
+	}
+}
+
+// callUndelimited sends a request and returns the answer's status, what was received of its body, and whether it ended as complete.
+func (f *fleet) callUndelimited(n *node, path string) (status int, body string, whole bool) {
+	f.t.Helper()
+	req, err := http.NewRequest("POST", "http://"+n.settings.CallerAddr.String()+path, strings.NewReader("x"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host, req.Close = "h.example", true
+	req.Header.Set(pomelofake.TestHeaderRequestID, fmt.Sprint("req-", f.requests.Add(1)))
+	req.Header.Set(pomelofake.TestHeaderCallerKey, "key")
+	req.Header.Set(pomelofake.TestHeaderWait, "4000")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, "", false
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err == nil
+}
+
+// Guards against forwarding an answer without length as complete whose upstream was killed: the kernel closes the connection as at the answer's end.
+func TestAnswerOfKilledUpstreamIsNotComplete(t *testing.T) {
+	f := newFleet(t)
+	f.store.PublishConfig(f.configWith(1, func(c *pomelorelay.FleetConfig) {
+		for i := range c.Routes {
+			switch r := &c.Routes[i]; r.Prefix {
+			case "/plain-idempotent/":
+				r.Kind = pomelorelay.RouteIdempotent
+			case "/stream/":
+				r.Kind = pomelorelay.RouteStream
+			case "/stream-resumable/":
+				r.Kind, r.Resumable = pomelorelay.RouteStream, true
+			}
+		}
+	}, "/plain-once/", "/plain-idempotent/", "/stream/", "/stream-resumable/"))
+	n := f.start(8 * time.Second)
+	for i, c := range []struct{ path, want string }{
+		{"/plain-once/", processBody}, {"/plain-idempotent/", processBody}, {"/stream/", processStream(false)}, {"/stream-resumable/", processStream(false)},
+	} {
+		p := f.startUpstreamProcess(int64(i) + 1)
+		f.awaitStatus(n, c.path+"whole", 200)
+		if status, body, whole := f.callUndelimited(n, c.path+"whole"); status != 200 || body != c.want || !whole {
+			t.Errorf("%s: a complete answer was forwarded as %d %q, whole: %v", c.path, status, body, whole)
+		}
+		go p.killHolding()
+		status, body, whole := f.callUndelimited(n, c.path+"held")
+		if status == 200 && whole {
+			t.Errorf("%s: a part of an answer was forwarded as complete: %q", c.path, body)
+		}
+		if status == 429 || status == 503 {
+			t.Errorf("%s: a request that ran was answered with %d", c.path, status)
+		}
+	}
+}
--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -17,6 +17,7 @@
 	errFalseNotRun = errors.New("status states that the request did not run, but the upstream did not confirm it")
 	errFailed      = errors.New("upstream answered with a server error")
 	errNoBody      = errors.New("connection closed before the body of an answer without length")
+	errUnconfirmed = errors.New("answer without length ended, and its upstream accepts no connections")
 	errNoEnd       = errors.New("answer without length exceeds 16 MiB")
 )
 
@@ -63,7 +64,16 @@
 // endsWithConnection reports whether only the end of the connection shows that the answer is complete. The connection may also have ended
 // because the upstream's process did.
 func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
+// confirmEnd marks the body of an answer as complete. It fails if only the end of the connection shows that, and the upstream may have ended.
+func confirmEnd(x *pomelolink.Exchange) *pomelolink.Failure {
+	if endsWithConnection(x.Response) && !x.UpstreamAccepts() {
+		return cutShort(x, errUnconfirmed)
+	}
+	x.BodyComplete = true
+	return nil
 }
 
 // cutShort returns the failure of an answer that ended without an error of the connection, but is not complete.
@@ -91,10 +101,12 @@
 	if buffer.Len() > limit {
 		return c.forwardLong(x, buffer)
 	}
-	if buffer.Len() == 0 && endsWithConnection(x.Response) && c.r.Method != http.MethodHead {
+	if buffer.Len() == 0 && endsWithConnection(x.Response) {
 		return cutShort(x, errNoBody)
 	}
-	x.BodyComplete = true
+	if f := confirmEnd(x); f != nil {
+		return f
+	}
 	c.writeHead(x.Response, int64(buffer.Len()))
 	c.write(buffer.Bytes())
 	return nil
@@ -113,8 +125,7 @@
 		}
 		c.write(chunk[:n])
 		if errors.Is(err, io.EOF) {
-			x.BodyComplete = true
-			return nil
+			return confirmEnd(x)
 		}
 		if err != nil {
 			return x.Fail(err)
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -122,7 +122,9 @@
 	if cause != nil {
 		return cutShort(x, cause)
 	}
-	x.BodyComplete = true
+	if f := confirmEnd(x); f != nil {
+		return f
+	}
 	if !c.answerStarted {
 		c.writeHead(x.Response, -1)
 	}
--- a/pomeloforward/stream_test.go
+++ b/pomeloforward/stream_test.go
@@ -74,6 +74,61 @@
 	}
 }
 
+// Guards against forwarding an answer without length as complete although its upstream accepts no connections any more, and against failing one
+// whose end needs no proof.
+func TestEndOfAnswerWithoutLengthIsConfirmed(t *testing.T) {
+	const event, events = "id: 1\ndata: piece 1\n\n", "Content-Type: text/event-stream\r\n\r\n"
+	long := strings.Repeat("x", 64<<10)
+	for _, c := range []struct {
+		name, method, path, answer string
+		status                     int
+		dies, whole                bool
+	}{
+		{"plain, upstream lives", "POST", "/book/", "\r\nall of it", 200, false, true},
+		{"plain, upstream died", "POST", "/book/", "\r\nhalf of it", 200, true, false},
+		{"long, upstream lives", "POST", "/book/", "\r\n" + long, 200, false, true},
+		{"long, upstream died", "POST", "/book/", "\r\n" + long, 200, true, false},
+		{"too long to buffer, upstream died", "POST", "/book/", "\r\n" + strings.Repeat(long, 32), 200, true, false},
+		{"error, upstream died", "POST", "/book/", "\r\nhalf of it", 404, true, false},
+		{"stream, upstream lives", "POST", "/draft/", events + event, 200, false, true},
+		{"stream, upstream died", "POST", "/draft/", events + event, 200, true, false},
+		{"length, upstream died", "POST", "/book/", "Content-Length: 9\r\n\r\nall of it", 200, true, true},
+		{"chunked stream, upstream died", "POST", "/draft/", "Transfer-Encoding: chunked\r\n" + events + eventChunk(1) + lastChunk, 200, true, true},
+		{"HEAD, upstream died", "HEAD", "/read/", "\r\n", 200, true, true},
+		{"no content, upstream died", "POST", "/book/", "\r\n", 204, true, true},
+		{"not modified, upstream died", "GET", "/read/", "\r\n", 304, true, true},
+	} {
+		var u *upstream
+		u = newUpstream(t, func(conn net.Conn, r *http.Request) {
+			write(conn, head(r, c.status, c.answer))
+			if c.dies {
+				u.l.Close()
+			}
+			conn.Close()
+		})
+		h := newHarness(t, u.entry("u"))
+		got := h.call(c.method, c.path, "")
+		if whole := got.status == c.status && got.bodyErr == nil; whole != c.whole {
+			t.Errorf("%s: status %d with %d bytes (%v), want it whole: %v", c.name, got.status, len(got.body), got.bodyErr, c.whole)
+		}
+	}
+}
+
+// Guards against a resumable stream without length that ends with its upstream's process and is not continued.
+func TestStreamWithoutLengthContinuesAfterItsUpstreamDied(t *testing.T) {
+	var first *upstream
+	first = newUpstream(t, func(conn net.Conn, r *http.Request) {
+		write(conn, head(r, 200, "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"))
+		first.l.Close()
+		conn.Close()
+	})
+	h := newHarness(t, first.entry("a"), newUpstream(t, stream(3, 4)).entry("b"))
+	want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+	if got := h.call("POST", "/chat/", "x"); got.body != want || got.bodyErr != nil {
+		t.Errorf("body %q (%v), want %q", got.body, got.bodyErr, want)
+	}
+}
+
 // Guards against failing a caller that resumes a stream after its last event.
 func TestResumedStreamMayHaveNoMoreEvents(t *testing.T) {
 	u := newUpstream(t, func(conn net.Conn, r *http.Request) {
--- a/pomelolink/pool.go
+++ b/pomelolink/pool.go
@@ -165,18 +165,37 @@
 		switch c.probe(ctx, addr, dropWait) {
 		case probeRefused:
 			return true
-		case probeOpen:
+		case probeOpen, probeFailed:
 			return false
 		}
 	}
 	return true
 }
 
+// acceptsConnections reports whether the upstream accepts a connection and keeps it open. It probes again after a connection that was lost on the
+// way or closed by an upstream that limits its connections.
+func (c *Client) acceptsConnections(ctx context.Context, addr netip.AddrPort) bool {
+	for n := range crashProbes {
+		if n > 0 {
+			time.Sleep(crashProbeInterval)
+		}
+		switch c.probe(ctx, addr, dropWait) {
+		case probeOpen:
+			return true
+		case probeRefused:
+			return false
+		}
+	}
+	return false
+}
+
 // probeResult is what a new connection shows of an upstream.
 type probeResult int
 
 const (
-	probeOpen probeResult = iota
+	// probeFailed means that the connection was neither accepted nor refused in time.
+	probeFailed probeResult = iota
+	probeOpen
 	probeRefused
 	probeDropped
 )
@@ -188,7 +207,7 @@
 		return probeRefused
 	}
 	if err != nil {
-		return probeOpen
+		return probeFailed
 	}
 	defer raw.Close()
 	if wait <= 0 || raw.SetReadDeadline(time.Now().Add(wait)) != nil {
