A head completed by the next answer's head is no answer

An upstream that stops within a line of its answer's head and then sends another answer on the connection completed the first head with the second one. Callers got the other answer's body as a 200: the first ID and signature of the merged head are those of their request.

An answer with several IDs belongs to no request now, and one with several signatures isn't signed.

--- a/pomelofake/fleetwire.go
+++ b/pomelofake/fleetwire.go
@@ -78,10 +78,11 @@
 // ParseAnswerFields parses status and headers of an upstream's answer.
 func (TestWireFormat) ParseAnswerFields(resp *http.Response) pomelorelay.AnswerFields {
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
+	signatures := resp.Header.Values(TestHeaderSignedBy)
 	f := pomelorelay.AnswerFields{
 		NotRun:      misdirected || resp.Header.Get(TestHeaderNotRun) != "",
 		Misdirected: misdirected,
-		Signed:      resp.Header.Get(TestHeaderSignedBy) != "",
+		Signed:      len(signatures) == 1 && signatures[0] != "",
 	}
 	if text := resp.Header.Get(TestHeaderLoad); text != "" {
 		_, err := fmt.Sscanf(text, "%d,%d,%d,%d", &f.Load.Running, &f.Load.Waiting, &f.Load.Slots, &f.Load.SlownessPercent)
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -146,17 +146,24 @@
 	{Name: "book", Host: "h.example", Prefix: "/book/", Kind: pomelorelay.RouteOnce, Timeout: 2 * time.Second, MaxAttempts: 1},
 	{Name: "draft", Host: "h.example", Prefix: "/draft/", Kind: pomelorelay.RouteStream, Timeout: 5 * time.Second, MaxAttempts: 1},
 	{Name: "chat", Host: "h.example", Prefix: "/chat/", Kind: pomelorelay.RouteStream, Timeout: 5 * time.Second, MaxAttempts: 2, Resumable: true},
+	{Name: "long-chat", Host: "h.example", Prefix: "/long-chat/", Kind: pomelorelay.RouteStream, Timeout: 5 * time.Second, MaxAttempts: 3, Resumable: true},
 	{Name: "talk", Host: "h.example", Prefix: "/talk/", Kind: pomelorelay.RouteStream, Timeout: 5 * time.Second, MaxEventGap: 100 * time.Millisecond, MaxAttempts: 1},
 	{Name: "open", Host: "h.example", Prefix: "/open/", Kind: pomelorelay.RouteIdempotent, Timeout: 2 * time.Second, MaxAttempts: 1, Public: true},
 }
 
 func newHarness(t *testing.T, upstreams ...pomelorelay.FleetUpstream) *harness {
 	t.Helper()
-	return newHarnessWithBodies(t, 1000, 0, upstreams...)
+	return newHarnessWith(t, 1000, func(*pomeloforward.Config) {}, upstreams...)
 }
 
 // newHarnessWithBodies returns a harness with a limit on each body and on the memory of all of them.
 func newHarnessWithBodies(t *testing.T, bodyLimit, bodyMemory pomelorelay.Bytes, upstreams ...pomelorelay.FleetUpstream) *harness {
+	t.Helper()
+	return newHarnessWith(t, bodyLimit, func(cfg *pomeloforward.Config) { cfg.BodyMemory = bodyMemory }, upstreams...)
+}
+
+// newHarnessWith returns a harness with a limit on each body and a changed configuration of its handler.
+func newHarnessWith(t *testing.T, bodyLimit pomelorelay.Bytes, change func(*pomeloforward.Config), upstreams ...pomelorelay.FleetUpstream) *harness {
 	t.Helper()
 	h := &harness{t: t}
 	h.finalAnswers, h.endAnswers = context.WithCancel(context.Background())
@@ -172,11 +179,13 @@
 		Version: 3, Routes: shared, Accounts: []pomelorelay.AccountSpec{{Name: "acct", Keys: []string{"key"}}},
 		Limits: pomelorelay.CallerLimits{BodyBytes: bodyLimit},
 	})
-	handler := pomeloforward.New(pomeloforward.Config{
+	cfg := pomeloforward.Config{
 		Clock: pomelorelay.SystemClock{}, Logger: pomelorelay.NopLogger{}, Wire: pomelofake.TestWireFormat{}, Tables: h, Placement: h, Crashes: h, Shutdown: h, Meter: h,
 		CallerGone: h.isCallerGone,
-		Fleet:      h, RetryRatio: 0.2, RetrySlack: 100, BodyMemory: bodyMemory,
-	})
+		Fleet:      h, RetryRatio: 0.2, RetrySlack: 100,
+	}
+	change(&cfg)
+	handler := pomeloforward.New(cfg)
 	h.handler = handler
 	h.server = httptest.NewServer(handler)
 	t.Cleanup(func() {
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -227,9 +227,11 @@
 // duplicate answer on a reused connection would reach the wrong caller. The check detects such an answer by its id, since only connections
 // to upstreams that echo ids are reused, and Carriers keeps the attempts of one request on different connections.
 func (x *Exchange) checkHeader(req *http.Request) *Failure {
-	id := x.Response.Header.Get(x.client.cfg.Protocol.IDHeader)
+	ids := x.Response.Header.Values(x.client.cfg.Protocol.IDHeader)
+	id := strings.Join(ids, ",")
 	x.IDEchoed = id == x.requestID
-	if (id != "" && !x.IDEchoed) || (id == "" && x.conn.reused) {
+	// The head of the next answer may have completed one that was cut short; several ids show that.
+	if len(ids) > 1 || (id != "" && !x.IDEchoed) || (id == "" && x.conn.reused) {
 		x.client.cfg.Logger.Log(pomelorelay.EventAnswerCrossed, pomelorelay.Field{Key: "Request", Value: x.requestID}, pomelorelay.Field{Key: "Answer", Value: id})
 		return NewFailure(OutcomeUnknown, pomelorelay.CodeAnswerCrossed, nil)
 	}
--- a/wire.go
+++ b/wire.go
@@ -56,7 +56,7 @@
 	NotRun bool
 	// Misdirected states that the address belongs to another upstream than the expected one.
 	Misdirected bool
-	// Signed states that the response has the header with which upstreams mark their own responses.
+	// Signed states that the response has the header with which upstreams mark their own responses, exactly once.
 	Signed bool
 	// Load is the load that the upstream announces; it is not known if the upstream announces none, or LoadInvalid is set.
 	Load UpstreamFigures
