An answer's head that stops is cut short, not malformed

The parser calls a line without a colon malformed, also where the connection ended or the deadline passed within its field name. Callers whose upstream stopped there got 502 for a malformed answer at their deadline in place of 504, and a crash of the upstream in the middle of a field name, or of the status line, wasn't taken for one, so that a request that crashes upstreams wasn't counted.

Where an answer begins as HTTP and its reading ended with an error of the connection, that error decides. Garbage remains malformed.

--- a/pomeloforward/cutanswer_test.go
+++ b/pomeloforward/cutanswer_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pomelorelay/pomelorelay/pomelofake"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
@@ -251,3 +252,48 @@
 		}
 	}
 }
+
+// Guards against a caller that waits beyond its deadline for a head that stops, gets a part of an answer or a status for "not run", or has its request
+// run again.
+func TestSilentHalfHeadEndsAtDeadline(t *testing.T) {
+	const half = "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nSigned-By: me\r\nContent-Le"
+	const wait, slack = 300 * time.Millisecond, 2 * time.Second
+	for _, path := range []string{"/book/", "/read/", "/draft/", "/chat/", "/long-chat/"} {
+		resumed := path == "/long-chat/"
+		var u *upstream
+		u = newUpstream(t, func(conn net.Conn, r *http.Request) {
+			if resumed && u.requests() == 1 {
+				write(conn, streamHead(r)+eventChunk(1))
+				conn.Close()
+				return
+			}
+			write(conn, half)
+			time.Sleep(2 * slack)
+		})
+		began := time.Now()
+		got := newHarness(t, u.entry("u1"), u.entry("u2"), u.entry("u3")).call("POST", path, "x", pomelofake.TestHeaderWait, fmt.Sprint(wait.Milliseconds()))
+		broken := resumed && got.status == 200 && got.bodyErr != nil && strings.Count(got.body, "id: ") == 1
+		if got.status != 504 && !broken {
+			t.Errorf("%s: answer %+v, want 504, or a broken stream of one event", path, got)
+		}
+		if took := time.Since(began); took > wait+slack {
+			t.Errorf("%s: answered after %v, the caller waits for %v", path, took, wait)
+		}
+	}
+}
+
+// Guards against overlooking the crash of an upstream that ends in the middle of its answer's head, and against taking garbage for one.
+func TestHalfHeadIsABrokenConnection(t *testing.T) {
+	for text, broken := range map[string]int{
+		"": 1, "HT": 1, "HTTP/1.1 200 OK\r\n": 1, "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nSigned-By: me\r\nContent-Le": 1, "garbage": 0, "HTTP and garbage": 0,
+	} {
+		u := newUpstream(t, func(conn net.Conn, _ *http.Request) {
+			write(conn, text)
+			conn.Close()
+		})
+		h := newHarness(t, u.entry("u1"))
+		if got := h.call("POST", "/book/", "x"); got.status != 502 || len(h.broken) != broken {
+			t.Errorf("%q: status %d, %d broken connections, want 502 and %d", text, got.status, len(h.broken), broken)
+		}
+	}
+}
--- a/pomelolink/conn.go
+++ b/pomelolink/conn.go
@@ -28,6 +28,8 @@
 	// written and read count the bytes of the current exchange.
 	written atomic.Int64
 	read    atomic.Int64
+	// readErr is the error that ended the reading of the current exchange's answer.
+	readErr error
 	// headerBytesLeft is how many more bytes of an answer's header may be read: zero means no limit, negative that the limit is reached.
 	headerBytesLeft int64
 	// answerBy is the deadline that holds from the first byte of an answer on; zero once it was set, or for none.
@@ -60,6 +62,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.read.Add(int64(n))
+	c.readErr = err
 	if n > 0 && !c.answerBy.IsZero() {
 		if deadlineErr := c.limitAnswer(); err == nil {
 			err = deadlineErr
@@ -92,6 +95,7 @@
 	c.answerBy = answerBy
 	c.written.Store(0)
 	c.read.Store(0)
+	c.readErr = nil
 	c.use.Exchange++
 	return c.SetDeadline(deadline)
 }
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -24,6 +24,8 @@
 	maxResponses = 5
 	// maxDrainBytes is the largest body of a refusal, in bytes, that is read to the end so that the connection can be reused.
 	maxDrainBytes = 4 << 10
+	// protocolPrefix is what each answer begins with.
+	protocolPrefix = "HTTP/"
 )
 
 // Exchange is one request on one connection, and its answer.
@@ -171,7 +173,14 @@
 	}
 	x.conn.limitHeader(x.client.cfg.MaxHeaderBytes + connBufferBytes)
 	for range maxResponses {
+		// An error is met again by ReadResponse.
+		begun, _ := x.conn.reader.Peek(len(protocolPrefix))
+		isHTTP := strings.HasPrefix(protocolPrefix, string(begun))
 		resp, err := http.ReadResponse(x.conn.reader, req)
+		if err != nil && isHTTP && x.conn.readErr != nil {
+			// The parser calls a line malformed that was cut before its colon.
+			err = x.conn.readErr
+		}
 		if err != nil {
 			return x.Fail(err)
 		}
