--- a/pomeloentry/cutprocess_test.go
+++ b/pomeloentry/cutprocess_test.go
@@ -72,9 +72,15 @@
 	if stream {
 		text, kind = processStream(held), "text/event-stream"
 	}
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: process\r\nContent-Type: %s\r\n\r\n%s", pomelofake.TestHeaderRequestID, r.Header.Get(pomelofake.TestHeaderRequestID),
-		pomelofake.TestHeaderSignedBy, kind, text)
-	if held {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: process\r\nContent-Type: %s\r\n\r\n", pomelofake.TestHeaderRequestID, r.Header.Get(pomelofake.TestHeaderRequestID),
+		pomelofake.TestHeaderSignedBy, kind)
+	halfHead := strings.HasSuffix(r.URL.Path, "/half-head")
+	if halfHead {
+		head, text = head[:len(head)-len("/plain\r\n\r\n")], ""
+	}
+	// The router may have closed the connection.
+	_, _ = io.WriteString(conn, head+text)
+	if held || halfHead {
 		fmt.Println("held")
 		return
 	}
@@ -182,18 +188,29 @@
 	for i, c := range []struct{ path, want string }{
 		{"/plain-once/", processBody}, {"/plain-idempotent/", processBody}, {"/stream/", processStream(false)}, {"/stream-resumable/", processStream(false)},
 	} {
-		p := f.startUpstreamProcess(int64(i) + 1)
+		p := f.startUpstreamProcess(int64(2*i) + 1)
 		f.awaitStatus(n, c.path+"whole", 200)
 		if status, body, whole := f.callUndelimited(n, c.path+"whole"); status != 200 || body != c.want || !whole {
 			t.Errorf("%s: a complete answer was forwarded as %d %q, whole: %v", c.path, status, body, whole)
 		}
 		go p.killHolding()
-		status, body, whole := f.callUndelimited(n, c.path+"held")
-		if status == 200 && whole {
-			t.Errorf("%s: a part of an answer was forwarded as complete: %q", c.path, body)
-		}
-		if status == 429 || status == 503 {
-			t.Errorf("%s: a request that ran was answered with %d", c.path, status)
-		}
+		f.checkCut(n, c.path+"held")
+		p = f.startUpstreamProcess(int64(2*i) + 2)
+		f.awaitStatus(n, c.path+"whole", 200)
+		go p.killHolding()
+		f.checkCut(n, c.path+"half-head")
+	}
+}
+
+// checkCut sends a request whose upstream is killed under it and checks that its answer is neither complete nor one of a request that did not run.
+func (f *fleet) checkCut(n *node, path string) {
+	f.t.Helper()
+	status, body, whole := f.callUndelimited(n, path)
+	f.t.Logf("%s: status %d, %d bytes, whole: %v", path, status, len(body), whole)
+	if status == 200 && whole {
+		f.t.Errorf("%s: a part of an answer was forwarded as complete: %q", path, body)
+	}
+	if status == 429 || status == 503 {
+		f.t.Errorf("%s: a request that ran was answered with %d", path, status)
 	}
 }
