--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -24,6 +24,8 @@
 	maxResponses = 5
 	// maxDrainBytes is the largest body of a refusal, in bytes, that is read to the end so that the connection can be reused.
 	maxDrainBytes = 4 << 10
+	// protocolPrefix is what each answer begins with.
+	protocolPrefix = "HTTP/"
 )
 
 // Exchange is one request on one connection, and its answer.
@@ -180,7 +182,14 @@
 	}
 	x.conn.limitHeader(x.client.cfg.MaxHeaderBytes + connBufferBytes)
 	for range maxResponses {
+		// An error is met again by ReadResponse.
+		begun, _ := x.conn.reader.Peek(len(protocolPrefix))
+		isHTTP := strings.HasPrefix(protocolPrefix, string(begun))
 		resp, err := http.ReadResponse(x.conn.reader, req)
+		if err != nil && isHTTP && x.conn.readErr != nil {
+			// The parser calls a line malformed that was cut before its colon.
+			err = x.conn.readErr
+		}
 		if err != nil {
 			return x.Fail(err)
 		}
@@ -236,9 +245,11 @@
 // duplicate answer on a reused connection would reach the wrong caller. The check detects such an answer by its id, since only connections
 // to upstreams that echo ids are reused, and Carriers keeps the attempts of one request on different connections.
 func (x *Exchange) checkHeader(req *http.Request) *Failure {
-	id := x.Response.Header.Get(x.client.cfg.Protocol.IDHeader)
+	ids := x.Response.Header.Values(x.client.cfg.Protocol.IDHeader)
+	id := strings.Join(ids, ",")
 	x.IDEchoed = id == x.requestID
-	if (id != "" && !x.IDEchoed) || (id == "" && x.conn.reused) {
+	// The head of the next answer may have completed one that was cut short; several ids show that.
+	if len(ids) > 1 || (id != "" && !x.IDEchoed) || (id == "" && x.conn.reused) {
 		x.client.cfg.Logger.Log(pomelorelay.EventAnswerCrossed, pomelorelay.Field{Key: "Request", Value: x.requestID}, pomelorelay.Field{Key: "Answer", Value: id})
 		return NewFailure(OutcomeUnknown, pomelorelay.CodeAnswerCrossed, nil)
 	}
@@ -305,6 +316,10 @@
 	return min(idle, time.Duration(float64(seconds)*keepAliveFraction*float64(time.Second)))
 }
 
+// UpstreamAccepts reports whether the upstream still accepts connections and keeps them open. The end of an answer without length may otherwise be
+// the end of the upstream's process, whose connections the kernel closes in order. It waits 50 ms, and longer while connections fail.
+func (x *Exchange) UpstreamAccepts() bool { return x.client.acceptsConnections(x.ctx, x.addr) }
+
 // Buffered returns the number of received bytes that have not been read.
 func (x *Exchange) Buffered() int { return x.conn.reader.Buffered() }
 
