Read pages of the store that hold large values

What callers saw: nothing so far; a router whose read of the complete state always fails keeps the upstreams and the configuration that it had.

Cause: a response might hold one value of the largest size in base64 and 64 KiB more. The store ends a page after about 1 MB of values, so that a page may hold that much besides a last value of 1 MiB, written by anyone to any key. Each read then failed with StoreValueTooLarge, and so did each watch, which led to the same read.

A watch keeps its limit, since a larger one is replaced by a read of the complete state.

--- a/pomelostore/call.go
+++ b/pomelostore/call.go
@@ -39,6 +39,8 @@
 	Counter *expvar.Int
 	// Mutates marks a call that changes the store, so that a lost response leaves its outcome unknown.
 	Mutates bool
+	// MaxResponse limits the body of the response in bytes; zero allows one value of the largest size.
+	MaxResponse int64
 	// ResultCodes overrides the default result codes of HTTP statuses, for stores that use a status differently.
 	ResultCodes map[int]pomelorelay.ResultCode
 }
@@ -100,7 +102,7 @@
 		return Reply{}, sent.Load(), err
 	}
 	defer res.Body.Close()
-	body, err := c.readBody(res.Body)
+	body, err := c.readBody(res.Body, call.MaxResponse)
 	return Reply{Status: res.StatusCode, Body: body}, true, err
 }
 
@@ -123,8 +125,10 @@
 	return req, nil
 }
 
-func (c *Client) readBody(r io.Reader) ([]byte, error) {
-	limit := int64(c.cfg.MaxValue)*4/3 + maxResponseOverhead
+func (c *Client) readBody(r io.Reader, limit int64) ([]byte, error) {
+	if limit == 0 {
+		limit = int64(c.cfg.MaxValue)*4/3 + maxResponseOverhead
+	}
 	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
 		return nil, err
