--- a/codes_store.go
+++ b/codes_store.go
@@ -23,6 +23,6 @@
 	{CodeStoreThrottled, "StoreThrottled", 429, RanNo, "The router's own call budget, or the store's, is spent.", "Wait a second."},
 	{CodeStoreCompacted, "StoreCompacted", 410, RanNo, "The store dropped the history that a watch asked for.", "None; the router reads everything anew."},
 	{CodePlatformConfigUnreadable, "PlatformConfigUnreadable", 400, RanNo, "The operators' configuration in the platform's store cannot be read; the last one stays in force.", "Publish a corrected version."},
-	{CodePlatformEntryUnreadable, "PlatformEntryUnreadable", 400, RanNo, "An upstream's entry or a router's crash record in the platform's store cannot be read; it is ignored.", "Look at who wrote the entry."},
+	{CodePlatformEntryUnreadable, "PlatformEntryUnreadable", 400, RanNo, "An entry of an upstream, a router, crashes or an evacuation in the platform's store cannot be used; it is ignored.", "Look at who wrote the entry."},
 	{CodePlatformSettingsUnreadable, "PlatformSettingsUnreadable", 400, RanNo, "The platform's settings file cannot be read or lacks a field.", "Correct the file."},
 }
--- a/ids.go
+++ b/ids.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// MaxNameBytes limits the length of the names and IDs that routers send to each other; a message with a longer one is refused as a whole.
+const MaxNameBytes = 256
+
 // AccountID is the name of a client account.
 type AccountID string
 
--- a/pomelomesh/decode.go
+++ b/pomelomesh/decode.go
@@ -13,7 +13,6 @@
 // Limits of one message, in bytes or list entries. They are far above what a fleet needs and keep a faulty peer from exhausting memory.
 const (
 	maxItemBytes  = 4 << 20
-	maxNameBytes  = 256
 	maxListLength = 8192
 	maxPrefixes   = 256
 	maxValueBytes = 2 << 20
@@ -63,7 +62,7 @@
 }
 
 func (d *decoder) name(text string) string {
-	if len(text) > maxNameBytes {
+	if len(text) > pomelorelay.MaxNameBytes {
 		d.fail("name is too long")
 	}
 	return text
--- a/pomelomesh/hello.go
+++ b/pomelomesh/hello.go
@@ -110,7 +110,7 @@
 }
 
 func hasLongName(hello *pomelowire.Hello) bool {
-	return max(len(hello.GetNode()), len(hello.GetDomain()), len(hello.GetRegion())) > maxNameBytes
+	return max(len(hello.GetNode()), len(hello.GetDomain()), len(hello.GetRegion())) > pomelorelay.MaxNameBytes
 }
 
 func clientCertificate(ctx context.Context) *x509.Certificate {
