Log an odd entry of the store once for each change

What callers saw: operators got a line for each write of an odd entry among those of the servers and each read that returned it, of up to 500 KB (an address or a state of that size was quoted in full), and none for an odd registration of a router.

Cause: each decoding error was logged as it came, with the bytes that caused it, and registrations were decoded without an error.

Evidence: TestOddEntryCostsNoOther (real routers, of which one reads the store, beside 106 odd entries, one after the other and then all together) failed before with up to two lines for four writes of one value, 8 lines of more than 4 KiB, and no line on registrations. Now it passes.

Fix: a change of the store names the entries that it holds and that cannot be used; the control goroutine keeps the error of each until the entry is valid or deleted, and logs it when it is new or another one. A refused configuration is logged alike.

--- a/events_store.go
+++ b/events_store.go
@@ -26,7 +26,7 @@
 	{EventStoreBreakerClosed, "StoreBreakerClosed", LevelInfo, "The platform's store answers again.", "None."},
 	{EventPlatformLost, "PlatformLost", LevelWarn, "A watch or the registration at the platform's store failed; what was known goes on holding.", "Check the store and the way to it."},
 	{EventPlatformBack, "PlatformBack", LevelInfo, "A watch or the registration at the platform's store works again.", "None."},
-	{EventUpstreamBadEntry, "UpstreamBadEntry", LevelWarn, "An upstream's entry cannot be read; it names no upstream, the others hold.", "Look at who wrote the entry."},
+	{EventUpstreamBadEntry, "UpstreamBadEntry", LevelWarn, "An entry of an upstream, a router, crashes or an evacuation cannot be used; the others hold. Logged once for each change.", "Look at who wrote the entry."},
 	{EventUpstreamListed, "UpstreamListed", LevelInfo, "An upstream registered itself, or changed its entry.", "None."},
 	{EventUpstreamLapsed, "UpstreamLapsed", LevelInfo, "An upstream's entry vanished without a word; it is taken as gone after the time in the line.", "None."},
 	{EventUpstreamGone, "UpstreamGone", LevelInfo, "An upstream is taken as gone and gets nothing new.", "None."},
--- a/fleet.go
+++ b/fleet.go
@@ -164,8 +164,16 @@
 	Crashes []RequestCrash
 	// VersionsPassed are the versions of upstreams whose entries were written and replaced or deleted within the change.
 	VersionsPassed []VersionSeen
-	// EntryErrors holds an error for each entry that cannot be decoded; upstreams among them are also in RemovedUpstreams.
-	EntryErrors []error
+	// EntryErrors holds an error for each entry that cannot be used; upstreams and routers among them are also in RemovedUpstreams and RemovedPeers.
+	EntryErrors []EntryError
+	// ValidEntries are the keys of the entries that can be used or were deleted; empty if Full is set.
+	ValidEntries []string
+}
+
+// EntryError is an entry of the platform's store that cannot be used.
+type EntryError struct {
+	Key string
+	Err error
 }
 
 // Platform gives a router access to the platform's store; its errors have the result codes of the store.
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -61,6 +61,9 @@
 	loggedSpeeds map[pomelorelay.ServiceID]pomelospeed.PrefillRate
 	// loggedInvalid holds the times at which malformed announcements of upstreams were last logged.
 	loggedInvalid map[pomelorelay.UpstreamID]time.Time
+	// entryErrors holds the errors of the entries that cannot be used, by key, and configError that of the configuration; empty if it can be used.
+	entryErrors map[string]string
+	configError string
 }
 
 func newControl(e *Router) *control {
@@ -78,6 +81,7 @@
 		peers:         newPeers(),
 		loggedSpeeds:  make(map[pomelorelay.ServiceID]pomelospeed.PrefillRate),
 		loggedInvalid: make(map[pomelorelay.UpstreamID]time.Time),
+		entryErrors:   make(map[string]string),
 		overload:      overloadWatch{expected: make(map[pomelorelay.RouteID]time.Duration)},
 	}
 	if e.overload == nil {
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -259,6 +259,7 @@
 	m := c.updateFrom(r)
 	// If the cursor moved, the next update would not start at it, and this router would request the full state.
 	keepsCursor := r.check && hasNoMembers(m)
+	c.logEntryErrors(&r.change)
 	c.recordVersions(now, r.after, &r.change)
 	if !keepsCursor && !c.e.cursor.advance(r.after, r.change.Revision, r.change.Full) {
 		// Another router's update arrived first; the next read starts after that update.
@@ -316,10 +317,12 @@
 }
 
 func (c *control) applyConfigChange(now time.Time, change *pomelorelay.FleetChange, source string) {
-	if change.ConfigError != nil {
-		c.e.log(pomelorelay.EventConfigRefused, field("Code", int(pomelorelay.CodeOf(change.ConfigError))), field("Fault", change.ConfigError.Error()))
+	if change.ConfigError != nil && change.ConfigError.Error() != c.configError {
+		c.configError = change.ConfigError.Error()
+		c.e.log(pomelorelay.EventConfigRefused, field("Code", int(pomelorelay.CodeOf(change.ConfigError))), field("Fault", c.configError))
 	}
 	if change.Config != nil {
+		c.configError = ""
 		c.setConfig(now, change.Config, source)
 	}
 }
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -63,9 +63,6 @@
 		c.upstreams.storeRecoveredAt = now
 	}
 	c.upstreams.listedAt = now
-	for _, fault := range change.EntryErrors {
-		c.e.log(pomelorelay.EventUpstreamBadEntry, field("Code", int(pomelorelay.CodeOf(fault))), field("Fault", fault.Error()))
-	}
 	seen := make(map[pomelorelay.UpstreamID]bool, len(change.Upstreams))
 	for _, u := range change.Upstreams {
 		seen[u.ID] = true
