A cut answer without length is a crash, not a success

Where the address refuses connections the caller now gets 502 and the crash counts at once; where it accepts them the answer is whole as far as can be told, and the crash counts once the entry shows that the process has ended, as before.

--- a/pomeloentry/crashpart_test.go
+++ b/pomeloentry/crashpart_test.go
@@ -117,13 +117,25 @@
 
 // Guards against taking an answer that the end of its upstream's process cut short for proof that the request crashes no upstream.
 func TestAnswerThatTheEndOfItsProcessCutIsACrash(t *testing.T) {
-	f := newFleet(t)
-	f.store.PublishConfig(f.config(1, "/a/"))
-	f.undelimitedUpstream("u1", true)
-	n := f.start(8 * time.Second)
-	f.awaitStatus(n, "/a/", http.StatusOK)
-	f.store.PutUpstream(pomelorelay.FleetUpstream{ID: "u1", Service: "s", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Domain: "a", Slots: 8, StartUnixMilli: 2})
-	f.awaitGauge(n, "crash_suspects", 1)
+	for _, c := range []struct {
+		name            string
+		stopsListening  bool
+		status, crashes int
+	}{
+		{"address refuses connections", true, http.StatusBadGateway, 1},
+		{"address accepts connections", false, http.StatusOK, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t)
+			f.store.PublishConfig(f.config(1, "/a/"))
+			f.undelimitedUpstream("u1", c.stopsListening)
+			n := f.start(8 * time.Second)
+			f.awaitStatus(n, "/a/", c.status)
+			f.awaitGauge(n, "crash_suspects", c.crashes)
+			f.store.PutUpstream(pomelorelay.FleetUpstream{ID: "u1", Service: "s", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Domain: "a", Slots: 8, StartUnixMilli: 2})
+			f.awaitGauge(n, "crash_suspects", 1)
+		})
+	}
 }
 
 // Guards against a request that crashes upstreams and is not counted because a connection to each of them had broken before.
