--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -105,7 +105,7 @@
 		all = all[maxStreamsPerMessage:]
 	}
 	c.send(to, &pomelorelay.StreamState{
-		Streams: all, Versions: c.streams.versions.Seen(now, c.resumeWindow(now)), KnownFor: c.streams.coverage.KnownFor(now), Revision: c.streams.coverage.UpTo(),
+		Streams: all, Versions: c.streams.versions.Seen(now, c.versionMemory(now)), KnownFor: c.streams.coverage.KnownFor(now), Revision: c.streams.coverage.UpTo(),
 	})
 }
 
@@ -132,6 +132,12 @@
 	return window
 }
 
+// versionMemory returns for how long a version counts whose last upstream has left. Upstreams serve for DrainTimeout after their entries are removed, and a
+// router that does not know of the removal begins streams there meanwhile.
+func (c *control) versionMemory(now time.Time) time.Duration {
+	return c.resumeWindow(now) + c.e.cfg.Settings.DrainTimeout
+}
+
 // keepResumable keeps the window and the resumable routes in force while streams that began before now may be resumed.
 func (c *control) keepResumable(now time.Time) {
 	if c.config == nil {
@@ -197,7 +203,7 @@
 		return pomelostream.Evidence{}
 	}
 	window := c.resumeWindow(now)
-	versions, version := c.streams.versions.Count(now, window, c.servicesOf(now, req)...)
+	versions, version := c.streams.versions.Count(now, c.versionMemory(now), c.servicesOf(now, req)...)
 	ev := pomelostream.Evidence{
 		OriginNamed: req.Stream.OriginNamed, Versions: versions, KnownFor: c.streams.coverage.KnownFor(now), ReadAge: c.e.storeReadAge(), HeardAge: c.peers.heardAge(now),
 	}
@@ -234,7 +240,7 @@
 	case ev.Basis == pomelostream.BasisRecent:
 		return c.resumeWindow(now) - ev.KnownFor
 	}
-	return c.resumeWindow(now)
+	return c.versionMemory(now)
 }
 
 // recordOrigin records the version at which a resumable stream began.
--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -18,8 +18,12 @@
 	"github.com/pomelorelay/pomelorelay/pomelofake"
 )
 
-// versionEvents is the number of events of a stream.
-const versionEvents = 8
+const (
+	// versionEvents is the number of events of a stream.
+	versionEvents = 8
+	// versionDrainTimeout is how long upstreams serve after their entries were removed.
+	versionDrainTimeout = 2500 * time.Millisecond
+)
 
 // versionedEngine streams events that hold the version of its software.
 type versionedEngine struct {
@@ -64,7 +68,7 @@
 	f.network = network
 	f.publishTimeout(1, 5*time.Second)
 	for range routers {
-		f.start(8 * time.Second)
+		f.startWith(8*time.Second, func(s *pomelorelay.FleetSettings) { s.DrainTimeout = versionDrainTimeout })
 	}
 	return f
 }
@@ -479,8 +483,21 @@
 	}
 }
 
-// Guards against streams that a router out of step begins at an upstream which has left the store, and that continue at another version at a router in step.
+// Guards against streams that a router out of step begins at an upstream which serves on after its entry was removed, and that continue at another version
+// at a router in step.
+func TestStreamBegunAtDrainingUpstreamKeepsItsVersion(t *testing.T) {
+	checkStreamsBegunAfterRemoval(t, versionDrainTimeout-500*time.Millisecond)
+}
+
+// Guards against the same streams at an upstream that serves for longer than it must.
 func TestStreamBegunAtUpstreamThatHasLeftKeepsItsVersion(t *testing.T) {
+	checkStreamsBegunAfterRemoval(t, versionDrainTimeout+2*time.Second)
+}
+
+// checkStreamsBegunAfterRemoval begins streams at a router out of step the given time after the entry of their upstream was removed, and resumes them at one
+// in step.
+func checkStreamsBegunAfterRemoval(t *testing.T, after time.Duration) {
+	t.Helper()
 	network := pomelofake.NewNetwork()
 	f := newVersionFleetOn(network, t, 2)
 	old := f.engine("u1", "v1")
@@ -498,14 +515,14 @@
 	f.await("u1 is gone", func() bool {
 		return inStep.log.hasWith(pomelorelay.EventUpstreamGone, func(l pomelorelay.Field) bool { return l.Key == "Upstream" && l.Value == pomelorelay.UpstreamID("u1") })
 	})
-	// The callers' own timeout is 4 s, the route's 5 s.
-	time.Sleep(2 * time.Second)
+	time.Sleep(after)
 	old.breakAfter.Store(3)
 	close(old.release)
 	var begun []streamed
 	for range 8 {
 		begun = append(begun, f.stream(cutOff, 0, ""))
 	}
+	// Within the callers' own timeout of 4 s, and later than the route's of 5 s after the removal.
 	time.Sleep(3500 * time.Millisecond)
 	for _, s := range begun {
 		rest := f.stream(inStep, s.events, s.id)
