Send updates to failure domains without registered routers

What callers saw: routers cut off from the store for longer than their registrations last, but in touch with the other routers, no longer learnt of new routes and servers, for as long as all routers of their failure domain were cut off. A router of the same failure domain as the reader was not affected.

Cause: updates go to the relay of each failure domain, and only a registered router is one. A failure domain whose routers have all lost their registrations has none, so nothing was sent there, although each router that sends messages is meant to get the changes.

Evidence: TestRouterWithLapsedRegistrationFollowsTheStore failed before: after the leases had ended, two of three routers cut off from the store did not know any of three changes within the bound (6 of 6 cases).

The order in which routers read the store is as before.

--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -64,6 +64,18 @@
 	return best.Node, found
 }
 
+// unregisteredRelayOf returns the router to which updates for a failure domain without registered routers are sent, one that still sends messages.
+func (c *control) unregisteredRelayOf(now time.Time, domain pomelorelay.DomainID) (pomelorelay.NodeID, bool) {
+	var best pomelorelay.Peer
+	found := false
+	for _, p := range c.peers.inDomain(domain) {
+		if now.Sub(p.seenAt) <= relayTimeout && (!found || precedes(p.Peer, best)) {
+			best, found = p.Peer, true
+		}
+	}
+	return best.Node, found
+}
+
 func precedes(a, b pomelorelay.Peer) bool {
 	if a.CPUSpeed != b.CPUSpeed {
 		return a.CPUSpeed > b.CPUSpeed
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -351,7 +351,12 @@
 func (c *control) sendUpdate(now time.Time, m *pomelorelay.FleetUpdate) {
 	self := c.e.cfg.Settings.Self
 	for _, domain := range c.domains() {
-		if node, ok := c.relayOf(now, domain); ok && node != self.Node {
+		node, ok := c.relayOf(now, domain)
+		if !ok {
+			// Their registrations lapse when all routers of a failure domain are cut off from the store.
+			node, ok = c.unregisteredRelayOf(now, domain)
+		}
+		if ok && node != self.Node {
 			c.send(node, m)
 		}
 	}
