--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -95,7 +95,7 @@
 func (c *control) run() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	defer c.endVersionCheck()
+	defer c.answerWaiting()
 	for {
 		select {
 		case <-c.e.ctx.Done():
@@ -317,7 +317,7 @@
 }
 
 func (c *control) receive(now time.Time, m pomelorelay.Envelope) {
-	c.peers.heardAt = now
+	c.peers.lastMessageAt = now
 	c.peers.recordMessage(now, pomelorelay.Peer{Node: m.From, Domain: m.Domain, Region: m.Region})
 	c.recordGeneration(now, m.From, m.Generation)
 	switch msg := m.Message.(type) {
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -51,16 +51,16 @@
 	byDomain map[pomelorelay.DomainID][]*knownPeer
 	// self is this router's own registration as the store lists it; zero until it was read.
 	self pomelorelay.Peer
-	// heardAt is when the last message of another router arrived; zero if none has.
-	heardAt time.Time
+	// lastMessageAt is when the last message of another router arrived; zero if none has.
+	lastMessageAt time.Time
 }
 
-// heardAge returns the time since the last message of another router; negative if there was none.
-func (p *peers) heardAge(now time.Time) time.Duration {
-	if p.heardAt.IsZero() {
+// lastMessageAge returns the time since the last message of another router; negative if there was none.
+func (p *peers) lastMessageAge(now time.Time) time.Duration {
+	if p.lastMessageAt.IsZero() {
 		return -1
 	}
-	return now.Sub(p.heardAt)
+	return now.Sub(p.lastMessageAt)
 }
 
 // inDomain returns the routers of a failure domain, in no particular order.
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -43,7 +43,7 @@
 	startedAt   time.Time
 	requestedAt time.Time
 	told        bool
-	// earlierWindow is the resume window of earlier configurations, which applies until earlierUntil.
+	// earlierWindow is the resume window of earlier configurations, which remains in force until earlierUntil.
 	earlierWindow time.Duration
 	earlierUntil  time.Time
 	// earlierRoutes holds where resumable routes of earlier configurations sent to, with the time until which their streams may be resumed.
@@ -116,8 +116,9 @@
 	if m.KnownFor <= 0 {
 		return
 	}
-	leavesNoGap := s.coverage.Told(now.Add(-m.KnownFor), m.Revision)
-	s.told = leavesNoGap && now.Sub(s.startedAt) >= streamSettleTime
+	complete := s.coverage.Adopt(now.Add(-m.KnownFor), m.Revision)
+	// Earlier builds report no revision; asking them again gives no more.
+	s.told = (complete || m.Revision == 0) && now.Sub(s.startedAt) >= streamSettleTime
 }
 
 // resumeWindow returns the longest time within which callers may resume a stream, also one that began under an earlier configuration.
@@ -205,7 +206,7 @@
 	window := c.resumeWindow(now)
 	versions, version := c.streams.versions.Count(now, c.versionMemory(now), c.servicesOf(now, req)...)
 	ev := pomelostream.Evidence{
-		OriginNamed: req.Stream.OriginNamed, Versions: versions, KnownFor: c.streams.coverage.KnownFor(now), ReadAge: c.e.storeReadAge(), HeardAge: c.peers.heardAge(now),
+		OriginNamed: req.Stream.OriginNamed, Versions: versions, KnownFor: c.streams.coverage.KnownFor(now), ReadAge: c.e.storeReadAge(), LastMessageAge: c.peers.lastMessageAge(now),
 	}
 	origin, known, doubtful := pomelorelay.SoftwareVersion(""), false, false
 	if req.Stream.OriginNamed {
--- a/pomeloentry/versioncheck.go
+++ b/pomeloentry/versioncheck.go
@@ -8,9 +8,9 @@
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
 
-// A resumed stream of unknown origin may continue at the only version of its service if there is no other one. What a router knows tells what there was
-// when the store was last read: a router that is cut off or has stood still would take a newer version for missing. Such requests therefore wait for a
-// read of the store that begins after they have come. One read serves all that wait; while the store cannot be read, they are refused at once.
+// A resumed stream of unknown origin may continue if its service has had only one version. A router that is cut off from the store, or that was paused,
+// may lack a newer one. Such requests therefore wait for a read of the store that begins after they arrive. One read serves all waiting requests; while
+// the store cannot be read, they are refused at once.
 
 const (
 	// minCheckInterval is the minimum time between the starts of two reads, and checkIntervalPerRouter that for each router of the fleet, because all
@@ -58,8 +58,8 @@
 	c.askVersions()
 }
 
-// endVersionCheck decides on the requests that wait.
-func (c *control) endVersionCheck() {
+// answerWaiting places or refuses the requests that wait, when the router is closed.
+func (c *control) answerWaiting() {
 	waiting := c.streams.check.waiting
 	c.streams.check.waiting = nil
 	for _, r := range waiting {
@@ -67,7 +67,7 @@
 	}
 }
 
-// decide places or refuses a request with what is known now.
+// decide places or refuses a request by what is known now.
 func (c *control) decide(now time.Time, r *placementRequested) {
 	if r.ctx.Err() != nil {
 		r.answer <- pomeloplace.Decision{}
@@ -105,7 +105,7 @@
 	return r
 }
 
-// versionsRead is posted for each read of the store that requests wait for.
+// versionsRead is posted for each read of the store by readVersions.
 type versionsRead struct {
 	began  time.Duration
 	after  pomelorelay.Revision
@@ -142,7 +142,7 @@
 	}
 }
 
-// storeVersionsUpTo tells readVersions from which revision on to read.
+// storeVersionsUpTo sets the revision from which readVersions reads.
 func (c *control) storeVersionsUpTo() {
 	c.e.versionsUpTo.Store(uint64(c.streams.coverage.UpTo()))
 }
--- a/pomeloforward/ending.go
+++ b/pomeloforward/ending.go
@@ -202,7 +202,7 @@
 			pomelorelay.Field{Key: "Versions", Value: resume.Versions},
 			pomelorelay.Field{Key: "VersionsKnownMS", Value: resume.KnownFor.Milliseconds()},
 			pomelorelay.Field{Key: "StoreReadAgeMS", Value: resume.ReadAge.Milliseconds()},
-			pomelorelay.Field{Key: "HeardAgeMS", Value: resume.HeardAge.Milliseconds()},
+			pomelorelay.Field{Key: "LastMessageAgeMS", Value: resume.LastMessageAge.Milliseconds()},
 		)
 	}
 	if d.Reserve.Slots > 0 {
--- a/pomelostream/basis.go
+++ b/pomelostream/basis.go
@@ -49,7 +49,7 @@
 	Versions int
 	// KnownFor is how long the router has known all versions.
 	KnownFor time.Duration
-	// ReadAge is the time since the read of the store that produced the router's list of upstreams, HeardAge that since the last message of another
+	// ReadAge is the time since the read of the store that produced the router's list of upstreams, LastMessageAge that since the last message of another
 	// router; negative if there was none.
-	ReadAge, HeardAge time.Duration
+	ReadAge, LastMessageAge time.Duration
 }
--- a/pomelostream/coverage.go
+++ b/pomelostream/coverage.go
@@ -6,15 +6,15 @@
 	"github.com/pomelorelay/pomelorelay"
 )
 
-// Coverage is the span in which no version can have been in the platform's store without the router knowing it. What the router has not read itself since
-// the span's end may have changed, however recently it heard of other routers: they may lack the same news.
+// Coverage is the span of time in which no version can have been in the platform's store without the router knowing it. Changes after the router's own
+// last read may be missing, however recent the messages of other routers are: they may lack the same changes.
 type Coverage struct {
 	since time.Time
-	// from and upTo are the store revisions between which the router knows all changes.
+	// from and upTo are the store revisions between which the router has read all changes.
 	from, upTo pomelorelay.Revision
-	// toldSince and toldUpTo are the span that another router reported.
-	toldSince time.Time
-	toldUpTo  pomelorelay.Revision
+	// adoptedSince and adoptedUpTo are the span that another router reported.
+	adoptedSince time.Time
+	adoptedUpTo  pomelorelay.Revision
 	// readAt is when the last read began that the span includes, in time since a fixed moment.
 	readAt time.Duration
 }
@@ -45,18 +45,18 @@
 // UpTo returns the store revision at which the span ends; zero if it has not begun.
 func (c *Coverage) UpTo() pomelorelay.Revision { return c.upTo }
 
-// Told extends the span to the time since which another router has known all versions up to a revision. It reports whether that leaves no gap.
-func (c *Coverage) Told(since time.Time, upTo pomelorelay.Revision) bool {
-	c.toldSince, c.toldUpTo = since, upTo
+// Adopt extends the span by that of another router, which has known all versions since a time and up to a revision. It reports whether that leaves no gap.
+func (c *Coverage) Adopt(since time.Time, upTo pomelorelay.Revision) bool {
+	c.adoptedSince, c.adoptedUpTo = since, upTo
 	return c.extend()
 }
 
 func (c *Coverage) extend() bool {
-	if c.toldUpTo == 0 || c.toldUpTo < c.from {
+	if c.adoptedUpTo == 0 || c.adoptedUpTo < c.from {
 		return false
 	}
-	if c.toldSince.Before(c.since) {
-		c.since = c.toldSince
+	if c.adoptedSince.Before(c.since) {
+		c.since = c.adoptedSince
 	}
 	return true
 }
