Give up skipped changes of the store that cannot be read

Callers saw: streams of unknown origin refused for good at a router that had skipped changes, and changes that came late at all routers, because the store was busy with that router's reads.

Cause: a complete read of the store leaves a gap between the versions that a router knows and its own state. The router reads that gap once a second. If the store does not answer in time, the gap stays, grows with each change, and so does the next read of it.

Change: skipped changes whose read fails are given up, as are those whose history the store has dropped: the versions are known from now on.

Evidence: TestSkippedChangesThatCannotBeReadAreGivenUp failed before.

--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -383,6 +383,13 @@
 	r.apply(f.c, now)
 }
 
+// FailVersionCheck applies a read of the store that is not answered.
+func (f UpdateControl) FailVersionCheck(now time.Time) {
+	r := &versionsRead{began: f.c.e.cfg.Steady(), after: pomelorelay.Revision(f.c.e.versionsUpTo.Load())}
+	r.err = pomelorelay.NewError(pomelorelay.CodeStoreUnavailable, "not answered", nil)
+	r.apply(f.c, now)
+}
+
 // Resume returns on what a resumed stream of unknown origin is decided if its request came before the last read of the store began.
 func (f UpdateControl) Resume(now time.Time, service pomelorelay.ServiceID) pomelostream.Basis {
 	req := &pomeloforward.PlacementRequest{Stream: pomeloforward.StreamProgress{Resumable: true, Resumed: true}, Request: pomeloplace.Request{Service: service}}
--- a/pomeloentry/storereader_test.go
+++ b/pomeloentry/storereader_test.go
@@ -206,6 +206,33 @@
 	}
 }
 
+// Guards against a router that reads changes which it skipped again and again, and refuses all streams of unknown origin, because the store cannot send so
+// many in time.
+func TestSkippedChangesThatCannotBeReadAreGivenUp(t *testing.T) {
+	now := time.Now()
+	f := pomeloentry.NewUpdateControl("a-1", 4*time.Second, peersOf(2, 3))
+	state := []pomelorelay.FleetUpstream{{ID: "u1", Service: "s", Version: "v1"}}
+	f.ApplyRead(now, 0, pomelorelay.FleetChange{Revision: 10, Full: true, Upstreams: state})
+	now = now.Add(2 * time.Minute)
+	f.ApplyRead(now, 10, pomelorelay.FleetChange{Revision: 20, Full: true, Upstreams: state})
+	f.FailVersionCheck(now)
+	answer := func(after pomelorelay.Revision) pomelorelay.FleetChange {
+		if after < 20 {
+			t.Errorf("changes after %d are read again, want those after 20", after)
+		}
+		return pomelorelay.FleetChange{Revision: 20}
+	}
+	f.CheckVersions(now, answer)
+	if got := f.Resume(now, "s"); got != pomelostream.BasisRecent {
+		t.Errorf("after skipped changes a stream of unknown origin is decided on by %q, want %q", got, pomelostream.BasisRecent)
+	}
+	now = now.Add(2 * time.Minute)
+	f.CheckVersions(now, answer)
+	if got := f.Resume(now, "s"); got != pomelostream.BasisOnlyVersion {
+		t.Errorf("2 min later it is decided on by %q, want %q", got, pomelostream.BasisOnlyVersion)
+	}
+}
+
 // streamConfig returns a configuration version with a resumable streaming route of the given timeout.
 func streamConfig(f *fleet, version pomelorelay.Generation, timeout time.Duration) *pomelorelay.FleetConfig {
 	return f.configWith(version, func(c *pomelorelay.FleetConfig) {
--- a/pomeloentry/versioncheck.go
+++ b/pomeloentry/versioncheck.go
@@ -48,7 +48,7 @@
 }
 
 // readSkippedVersions reads the changes that this router skipped, as after a missed update. While the store has their history, the read leaves no gap in
-// its knowledge of versions; otherwise the versions are known from now on.
+// its knowledge of versions; otherwise, or if the read fails, the versions are known from now on.
 func (c *control) readSkippedVersions(now time.Time) {
 	s := &c.streams
 	if s.coverage.UpTo() >= c.e.cursor.get() || now.Sub(s.check.skippedAskedAt) < streamRequestInterval {
@@ -125,8 +125,8 @@
 		s.coverage.Advance(r.after, r.change.Revision)
 		s.coverage.Read(r.began)
 	}
-	if compacted {
-		// The router's own state is complete at its cursor.
+	if skipped := s.coverage.UpTo() < c.e.cursor.get(); compacted || r.err != nil && skipped {
+		// The router's own state is complete at its cursor. Skipped changes that are not answered in time are not read again: their number only grows.
 		s.coverage.Restart(now, c.e.cursor.get())
 	}
 	c.storeVersionsUpTo()
