Begin streams that may be resumed at registered processes only

Callers saw: a stream that began at an engine of v2 went on at v1. The engine was back under its ID and address with another version, and its new entry had not been written, or not been read: the store was down or the first write on its way.

Cause: only requests that resume a stream checked the process behind their connection. A stream that began at such a process was recorded with the version of the old entry, or not at all where its caller does not name the attempt that began it, and nothing could tell its version later.

Change: each connection that carries streams of a resumable route is checked once, whether they begin or resume. The request goes on to another upstream without being counted as run. Placement passes over an upstream whose process is another one, for such streams, until it is registered anew. Other requests are served there as before.

--- a/codes_route.go
+++ b/codes_route.go
@@ -48,5 +48,5 @@
 	{CodeVersionUnknown, "VersionUnknown", 503, RanNo, "The request resumes a stream, and the router does not know at which software version of the upstreams it began: the service has several, or the router cannot tell at present whether it does.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
 	{CodeVersionGone, "VersionGone", 503, RanNo, "The request resumes a stream, and no upstream of the software version at which it began takes requests.", "Send it again after Retry-After, or begin the stream anew without Last-Event-Id."},
 	{CodeTimeTooShort, "TimeTooShort", 503, RanNo, "The time that the caller has left does not suffice for an answer, even without a queue.", "Send it again with a later deadline."},
-	{CodeUpstreamReplaced, "UpstreamReplaced", 503, RanNo, "The request resumes a stream, and the process that answers at the upstream's address is not the registered one, so that its software version is unknown.", "Send it again after Retry-After."},
+	{CodeUpstreamReplaced, "UpstreamReplaced", 503, RanNo, "The request is for a stream that may be resumed, and the process that answers at the upstream's address is not the registered one, so that its software version is unknown.", "Send it again after Retry-After."},
 }
--- a/events_route.go
+++ b/events_route.go
@@ -28,5 +28,5 @@
 	{EventRequestGone, "RequestGone", LevelInfo, "The caller left before its answer was whole; the upstream's work was cancelled.", "None."},
 	{EventRequestRetried, "RequestRetried", LevelInfo, "A request is sent again after a failure that allows it.", "Look at the upstream when it repeats."},
 	{EventLoadInvalid, "LoadInvalid", LevelWarn, "An upstream announces its load in a malformed header, which is ignored; logged once for each upstream and minute.", "Report it to the upstream's operators."},
-	{EventUpstreamReplaced, "UpstreamReplaced", LevelInfo, "A resumed stream was not sent to an upstream because another process answers at its address than the registered one.", "None; the new registration follows."},
+	{EventUpstreamReplaced, "UpstreamReplaced", LevelInfo, "A stream that may be resumed was not sent to an upstream because another process answers at its address than the registered one.", "None; the new registration follows."},
 }
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -213,7 +213,9 @@
 	switch {
 	case f == nil:
 		return pomeloplace.ResultCompleted
-	case f.Outcome == pomelolink.OutcomeNotSent && (f.Err.Code == pomelorelay.CodeCancelled || f.Err.Code == pomelorelay.CodeUpstreamReplaced || errors.Is(ctx.Err(), context.Canceled)):
+	case f.Outcome == pomelolink.OutcomeNotSent && f.Err.Code == pomelorelay.CodeUpstreamReplaced:
+		return pomeloplace.ResultReplaced
+	case f.Outcome == pomelolink.OutcomeNotSent && (f.Err.Code == pomelorelay.CodeCancelled || errors.Is(ctx.Err(), context.Canceled)):
 		return pomeloplace.ResultCancelledUnsent
 	case f.Outcome == pomelolink.OutcomeTruncated && c.timeLeft() <= answerGrace:
 		if c.eventsRead > 0 {
@@ -303,6 +305,7 @@
 			Avoid:        c.avoid,
 			Version:      c.version,
 			VersionFixed: c.versionFixed,
+			Resumable:    c.route.Resumable,
 		},
 	}
 }
@@ -358,10 +361,10 @@
 	return x.Response, c.forwardPlain(x)
 }
 
-// processCheck returns the check that a resumed stream continues at the process that is registered with its version; nil for other requests. An upstream
-// that starts again under its ID and address may have another version, and its new registration may be news to this router.
+// processCheck returns the check that a stream which may be resumed begins or continues at the process that is registered with its version; nil for other
+// requests. An upstream that starts again under its ID and address may have another version, and its new registration may be news to this router.
 func (c *call) processCheck(up pomelorelay.FleetUpstream) *pomelolink.ProcessCheck {
-	if !c.route.Resumable || !c.hasLastEvent || up.StartUnixMilli == 0 {
+	if !c.route.Resumable || up.StartUnixMilli == 0 {
 		return nil
 	}
 	return &pomelolink.ProcessCheck{StartUnixMilli: up.StartUnixMilli, Path: c.h.cfg.Wire.ReportPath(), Parse: c.h.cfg.Wire.ParseReport}
--- a/pomeloforward/stream_test.go
+++ b/pomeloforward/stream_test.go
@@ -235,19 +235,19 @@
 
 // Guards against resuming a stream at a process that has taken over an upstream's ID and address, whose version may be another one.
 func TestStreamIsNotResumedAtReplacedProcess(t *testing.T) {
-	broken := newUpstream(t, func(conn net.Conn, r *http.Request) {
+	broken := newUpstream(t, reporting("1000", func(conn net.Conn, r *http.Request) {
 		write(conn, streamHead(r)+eventChunk(1))
 		time.Sleep(20 * time.Millisecond)
 		reset(conn)
-	})
+	}))
 	replaced := newUpstream(t, reporting("2000", stream(2, 3)))
 	listed := newUpstream(t, reporting("1000", stream(2, 3)))
 	h := newHarness(t, broken.startedAt("a", 1000), replaced.startedAt("b", 1000), listed.startedAt("c", 1000))
 	if got, want := h.call("POST", "/chat/", "x"), "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"; got.body != want || got.bodyErr != nil {
 		t.Errorf("answer %+v, want a complete stream", got)
 	}
-	if n := broken.requests(); n != 1 {
-		t.Errorf("%d requests to the first upstream, want 1: a stream that begins needs no report", n)
+	if n := broken.requests(); n != 2 {
+		t.Errorf("%d requests to the first upstream, want its report and the stream", n)
 	}
 	if n := replaced.requests(); n != 1 {
 		t.Errorf("%d requests to the replaced upstream, want its report alone", n)
@@ -255,11 +255,24 @@
 	if n := listed.requests(); n != 2 {
 		t.Errorf("%d requests to the listed upstream, want its report and the stream", n)
 	}
-	if got := h.result(1); got != pomeloplace.ResultCancelledUnsent {
+	if got := h.result(1); got != pomeloplace.ResultReplaced {
 		t.Errorf("result %v at the replaced upstream, want that it counts neither as run nor as unreachable", got)
 	}
 }
 
+// Guards against beginning a stream that may be resumed at a process that has taken over an upstream's ID and address: nothing would tell its version later.
+func TestStreamDoesNotBeginAtReplacedProcess(t *testing.T) {
+	replaced := newUpstream(t, reporting("2000", stream(1, 2)))
+	listed := newUpstream(t, reporting("1000", stream(1, 2)))
+	h := newHarness(t, replaced.startedAt("a", 1000), listed.startedAt("b", 1000))
+	if got := h.call("POST", "/chat/", "x"); got.status != http.StatusOK || got.bodyErr != nil {
+		t.Errorf("answer %+v, want a complete stream", got)
+	}
+	if replaced.requests() != 1 || listed.requests() != 2 {
+		t.Errorf("%d and %d requests, want the report of the replaced process alone", replaced.requests(), listed.requests())
+	}
+}
+
 // Guards against ending the resumption of streams at upstreams that state no start time in their reports, or have none.
 func TestStreamIsResumedAtUpstreamWithoutStartTime(t *testing.T) {
 	for _, answer := range []func(conn net.Conn, r *http.Request){
@@ -272,11 +285,11 @@
 			stream(2, 3)(conn, r)
 		},
 	} {
-		broken := newUpstream(t, func(conn net.Conn, r *http.Request) {
+		broken := newUpstream(t, reporting("1000", func(conn net.Conn, r *http.Request) {
 			write(conn, streamHead(r)+eventChunk(1))
 			time.Sleep(20 * time.Millisecond)
 			reset(conn)
-		})
+		}))
 		h := newHarness(t, broken.startedAt("a", 1000), newUpstream(t, answer).startedAt("b", 1000))
 		if got, want := h.call("POST", "/chat/", "x"), "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"; got.body != want || got.bodyErr != nil {
 			t.Errorf("answer %+v, want a complete stream", got)
--- a/pomeloplace/choose.go
+++ b/pomeloplace/choose.go
@@ -58,7 +58,8 @@
 	}
 }
 
-// eligible reports whether the upstream is a candidate; lastResort includes upstreams in backoff and those that failed this request.
+// eligible reports whether the upstream is a candidate; lastResort includes upstreams in backoff, those that failed this request, and for resumable streams
+// those whose process is not the registered one.
 func (s *search) eligible(u *upstream, lastResort bool) bool {
 	if !s.p.usable(u, s.r) {
 		return false
@@ -67,7 +68,7 @@
 		s.fallbackSeen = s.fallbackSeen || class == pomelowarmup.AdmissionFallback
 		return false
 	}
-	return lastResort || (!u.inBackoff(s.now, &s.p.cfg.DisabledMechanisms) && !slices.Contains(s.r.Avoid, u.info.ID))
+	return lastResort || (!u.inBackoff(s.now, &s.p.cfg.DisabledMechanisms) && !slices.Contains(s.r.Avoid, u.info.ID) && !(u.replaced && s.r.Resumable))
 }
 
 // consider selects the upstream if its cost is lower than that of the best candidate so far. The prefill and the prefix affinity distinguish
--- a/pomeloplace/config.go
+++ b/pomeloplace/config.go
@@ -53,6 +53,8 @@
 	// it.
 	Version      pomelorelay.SoftwareVersion
 	VersionFixed bool
+	// Resumable is set for a stream that may be resumed, which only a process of a known version may begin.
+	Resumable bool
 }
 
 // standingAt returns the account's standing among the accounts that may use the upstream.
@@ -223,6 +225,8 @@
 	ResultLongPause
 	// ResultErrorAnswer is a complete answer with a server error.
 	ResultErrorAnswer
+	// ResultReplaced means that the request was not sent, because another process than the registered one answers at the upstream's address.
+	ResultReplaced
 )
 
 // Answered reports whether the upstream answered the request completely.
@@ -233,7 +237,7 @@
 
 // NotRun reports whether the upstream certainly did not run the request.
 func (r Result) NotRun() bool {
-	return r == ResultUnreachable || r == ResultRefused || r == ResultCancelledUnsent
+	return r == ResultUnreachable || r == ResultRefused || r == ResultCancelledUnsent || r == ResultReplaced
 }
 
 const (
--- a/pomeloplace/upstream.go
+++ b/pomeloplace/upstream.go
@@ -69,6 +69,8 @@
 	backoffUntil  time.Time
 	// backoff is the duration of the latest backoff after a failed connection.
 	backoff time.Duration
+	// replaced is set once another process than the registered one has answered at the upstream's address.
+	replaced bool
 }
 
 func newUpstream(info pomelorelay.FleetUpstream, engine *pomelorelay.EngineSpec) *upstream {
@@ -188,6 +190,9 @@
 	case ResultUnreachable:
 		u.failureRate = max(u.decayedFailureRate(now), failureAlpha)
 		u.startBackoff(now)
+	case ResultReplaced:
+		u.replaced = true
+		return
 	default:
 		return
 	}
