Send resumable streams to upstreams that close each connection

Callers saw: 503 for each stream that may be resumed whose upstream closes the connection after every answer (Connection: close, HTTP/1.0, or answers without length), since such streams begin at checked processes only.

Cause: the process is asked for its report on the connection that then carries the request. A connection that ends with the report was taken for unusable, and the upstream for unreachable.

Change: the start time that was stated on such a connection holds for the next one, which is opened at once. An upstream that states another start is passed over as before.

Evidence: TestAnswerOfKilledUpstreamIsNotComplete, whose process closes each connection, failed at /stream-resumable/ on (no 200 in 20 s) and passes. TestUpstreamThatClosesWithItsReportIsSentStreams, four of five cases failed before.

--- a/pomeloforward/stream_test.go
+++ b/pomeloforward/stream_test.go
@@ -313,3 +313,31 @@
 		t.Errorf("answer %+v, want a complete stream", got)
 	}
 }
+
+// Guards against never sending streams that may be resumed to an upstream that closes each connection after its answer, and against sending one to
+// another process there.
+func TestUpstreamThatClosesWithItsReportIsSentStreams(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		status       int
+	}{
+		{"states its start", "HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 4\r\n\r\n1000", 200},
+		{"without length", "HTTP/1.1 200 X\r\n\r\n1000", 200},
+		{"HTTP/1.0", "HTTP/1.0 200 X\r\n\r\n1000", 200},
+		{"has no report", "HTTP/1.1 404 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", 200},
+		{"another process", "HTTP/1.1 200 X\r\nConnection: close\r\nContent-Length: 4\r\n\r\n2000", 503},
+	} {
+		u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+			if r.URL.Path == (pomelofake.TestWireFormat{}).ReportPath() {
+				write(conn, c.answer)
+			} else {
+				stream(1, 2)(conn, r)
+			}
+			conn.Close()
+		})
+		h := newHarness(t, u.startedAt("u", 1000))
+		if got := h.call("POST", "/chat/", "x"); got.status != c.status || got.bodyErr != nil {
+			t.Errorf("%s: answer %+v, want %d", c.name, got, c.status)
+		}
+	}
+}
--- a/pomelolink/conn.go
+++ b/pomelolink/conn.go
@@ -39,7 +39,9 @@
 	// reported is set once the process at the other end was asked for its start time, which is zero if it states none.
 	reported       bool
 	startUnixMilli int64
-	idleSince      time.Time
+	// closing is set if the process closes the connection after its report.
+	closing   bool
+	idleSince time.Time
 	// maxIdle is how long the connection may stay idle, from the upstream's Keep-Alive field if it sent one.
 	maxIdle time.Duration
 }
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -98,9 +98,8 @@
 		return nil, notSentFailure(ctx, err)
 	}
 	if r.Process != nil {
-		if f := c.checkProcess(ctx, conn, r.Process); f != nil {
-			f.Connection = conn.use
-			conn.Close()
+		var f *Failure
+		if conn, f = c.checkedConn(ctx, conn, r); f != nil {
 			return nil, f
 		}
 	}
--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -15,7 +15,7 @@
 const maxReportBytes = 64 << 10
 
 var (
-	errReportUnusable = errors.New("the upstream closes the connection with its report, or answers another request")
+	errReportUnusable = errors.New("the upstream answers another request, or sends more than its report")
 	errReportRefused  = errors.New("the upstream refuses to report on its process")
 )
 
@@ -29,6 +29,26 @@
 	Parse func(body []byte) int64
 }
 
+// checkedConn returns the connection, or another one in its place, once the process at its other end was checked. An upstream that closes each connection
+// after one answer states its start time on one connection and is sent the request on the next.
+func (c *Client) checkedConn(ctx context.Context, conn *upstreamConn, r UpstreamRequest) (*upstreamConn, *Failure) {
+	if f := c.checkProcess(ctx, conn, r.Process); f != nil {
+		f.Connection = conn.use
+		conn.Close()
+		return nil, f
+	}
+	if !conn.closing {
+		return conn, nil
+	}
+	conn.Close()
+	next, err := c.conns.conn(ctx, r.Addr, true, nil)
+	if err != nil {
+		return nil, notSentFailure(ctx, err)
+	}
+	next.reported, next.startUnixMilli = true, conn.startUnixMilli
+	return next, nil
+}
+
 // checkProcess fails if the process at the other end of the connection states another start time. An upstream that states none passes: refusing it would
 // end the resumption of streams at all upstreams of its kind.
 func (c *Client) checkProcess(ctx context.Context, conn *upstreamConn, p *ProcessCheck) *Failure {
@@ -45,7 +65,7 @@
 	return NewFailure(OutcomeNotSent, pomelorelay.CodeUpstreamReplaced, nil)
 }
 
-// readReport asks the process at the other end for its report and keeps the start time. It fails if the connection cannot carry a request afterwards.
+// readReport asks the process at the other end for its report and keeps the start time. It fails if the report is refused or not the answer.
 func (c *upstreamConn) readReport(ctx context.Context, p *ProcessCheck, idHeader string) error {
 	deadline, _ := ctx.Deadline()
 	if err := c.begin(deadline, time.Time{}); err != nil {
@@ -67,9 +87,10 @@
 	if err != nil {
 		return err
 	}
-	if resp.Close || c.reader.Buffered() > 0 || resp.Header.Get(idHeader) != "" {
+	if c.reader.Buffered() > 0 || resp.Header.Get(idHeader) != "" {
 		return errReportUnusable
 	}
+	c.closing = resp.Close
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		c.startUnixMilli = p.Parse(body)
