Confirm the end of an answer without length at the process that sent it

Callers saw: a cut body or stream as a complete one (200, the first half; a stream of 3 of 8 events that ended) where the address of a killed upstream accepted connections again before the router looked: a supervisor keeps the listener open, or the router itself stood still meanwhile.

Cause: any process that accepted a connection and kept it open for 50 ms confirmed the end of the answer.

Change: the router asks for the report and compares the start time with the one that the connection of the answer has stated, else with the registered one. A process that is known from before the answer's connection was opened is the one at its other end, whatever the entry says, so that a restarted upstream whose new entry is not read loses no more than the answers that were in progress when it was first seen. The report is asked for on an idle connection if there is one, which also shows processes that have stopped listening or are at their limit of connections, and the connection is kept. A process that refuses to report, or is silent for the time of a connection attempt twice, confirms nothing.

As before: upstreams whose entry or report states no start time confirm by a new connection alone; one that accepts none, without an idle connection, is taken for dead.

--- a/pomeloentry/cutprocess_test.go
+++ b/pomeloentry/cutprocess_test.go
@@ -20,6 +20,8 @@
 const (
 	// upstreamProcessEnv marks a process of the test program that runs as an upstream.
 	upstreamProcessEnv = "POMELORELAY_TEST_UPSTREAM"
+	// upstreamStartEnv is the start time that the process reports, if it is set; its listener is then the first file that it inherits.
+	upstreamStartEnv = "POMELORELAY_TEST_UPSTREAM_START"
 	// processEvents is the number of events of the process's streams, and of those that it has sent of a stream that it holds.
 	processEvents, processHeldEvents = 8, 3
 	processBody                      = "the first half, the second half"
@@ -39,7 +41,7 @@
 // runUpstreamProcess answers requests without a length until the process is killed. It writes its address to the standard output, and a line when it
 // has sent the first part of an answer that it does not complete.
 func runUpstreamProcess() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := upstreamListener()
 	if err != nil {
 		return err
 	}
@@ -57,11 +59,24 @@
 			}
 			// Unread bytes would make the kernel reset the connection when the process is killed.
 			_, _ = io.Copy(io.Discard, r.Body)
+			if start := os.Getenv(upstreamStartEnv); start != "" && r.URL.Path == (pomelofake.TestWireFormat{}).ReportPath() {
+				// The router may have closed the connection.
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(start), start)
+				conn.Close()
+				return
+			}
 			sendUndelimited(conn, r)
 		}()
 	}
 }
 
+func upstreamListener() (net.Listener, error) {
+	if os.Getenv(upstreamStartEnv) != "" {
+		return net.FileListener(os.NewFile(3, "listener"))
+	}
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
 // sendUndelimited answers with a stream or a body without length, or a part of it if the path asks for that, with the connection left open.
 func sendUndelimited(conn net.Conn, r *http.Request) {
 	stream, held := !strings.HasPrefix(r.URL.Path, "/plain"), strings.HasSuffix(r.URL.Path, "/held")
@@ -109,9 +124,22 @@
 
 // startUpstreamProcess starts an upstream in a process of its own, and registers it in place of the one before.
 func (f *fleet) startUpstreamProcess(startUnixMilli int64) *upstreamProcess {
+	f.t.Helper()
+	p := f.runUpstreamProcess(nil)
+	f.registerProcess(p.line(), startUnixMilli)
+	return p
+}
+
+func (f *fleet) registerProcess(addr string, startUnixMilli int64) {
+	f.store.PutUpstream(pomelorelay.FleetUpstream{ID: "u1", Service: "s", Addr: netip.MustParseAddrPort(addr), Domain: "a", Slots: 8, StartUnixMilli: startUnixMilli})
+}
+
+// runUpstreamProcess starts an upstream in a process of its own, with variables of its environment and the files that it inherits.
+func (f *fleet) runUpstreamProcess(env []string, files ...*os.File) *upstreamProcess {
 	f.t.Helper()
 	p := &upstreamProcess{f: f, cmd: exec.Command(os.Args[0])}
-	p.cmd.Env = append(os.Environ(), upstreamProcessEnv+"=1")
+	p.cmd.Env = append(append(os.Environ(), upstreamProcessEnv+"=1"), env...)
+	p.cmd.ExtraFiles = files
 	p.cmd.Stderr = os.Stderr
 	pipe, err := p.cmd.StdoutPipe()
 	if err != nil {
@@ -126,7 +154,6 @@
 		_ = p.cmd.Wait()
 	})
 	p.output = bufio.NewScanner(pipe)
-	f.store.PutUpstream(pomelorelay.FleetUpstream{ID: "u1", Service: "s", Addr: netip.MustParseAddrPort(p.line()), Domain: "a", Slots: 8, StartUnixMilli: startUnixMilli})
 	return p
 }
 
@@ -169,9 +196,9 @@
 	return resp.StatusCode, string(text), err == nil
 }
 
-// Guards against forwarding an answer without length as complete whose upstream was killed: the kernel closes the connection as at the answer's end.
-func TestAnswerOfKilledUpstreamIsNotComplete(t *testing.T) {
-	f := newFleet(t)
+// publishUndelimitedRoutes publishes a configuration with routes of each kind to the process.
+func (f *fleet) publishUndelimitedRoutes() {
+	f.t.Helper()
 	f.store.PublishConfig(f.configWith(1, func(c *pomelorelay.FleetConfig) {
 		for i := range c.Routes {
 			switch r := &c.Routes[i]; r.Prefix {
@@ -184,15 +211,30 @@
 			}
 		}
 	}, "/plain-once/", "/plain-idempotent/", "/stream/", "/stream-resumable/"))
+}
+
+// undelimitedCases are the routes to the process and its whole answers.
+var undelimitedCases = []struct{ path, want string }{
+	{"/plain-once/", processBody}, {"/plain-idempotent/", processBody}, {"/stream/", processStream(false)}, {"/stream-resumable/", processStream(false)},
+}
+
+// checkWhole sends a request whose answer ends properly and checks that the caller gets all of it.
+func (f *fleet) checkWhole(n *node, path, want string) {
+	f.t.Helper()
+	if status, body, whole := f.callUndelimited(n, path); status != 200 || body != want || !whole {
+		f.t.Errorf("%s: a complete answer was forwarded as %d %q, whole: %v", path, status, body, whole)
+	}
+}
+
+// Guards against forwarding an answer without length as complete whose upstream was killed: the kernel closes the connection as at the answer's end.
+func TestAnswerOfKilledUpstreamIsNotComplete(t *testing.T) {
+	f := newFleet(t)
+	f.publishUndelimitedRoutes()
 	n := f.start(8 * time.Second)
-	for i, c := range []struct{ path, want string }{
-		{"/plain-once/", processBody}, {"/plain-idempotent/", processBody}, {"/stream/", processStream(false)}, {"/stream-resumable/", processStream(false)},
-	} {
+	for i, c := range undelimitedCases {
 		p := f.startUpstreamProcess(int64(2*i) + 1)
 		f.awaitStatus(n, c.path+"whole", 200)
-		if status, body, whole := f.callUndelimited(n, c.path+"whole"); status != 200 || body != c.want || !whole {
-			t.Errorf("%s: a complete answer was forwarded as %d %q, whole: %v", c.path, status, body, whole)
-		}
+		f.checkWhole(n, c.path+"whole", c.want)
 		go p.killHolding()
 		f.checkCut(n, c.path+"held")
 		p = f.startUpstreamProcess(int64(2*i) + 2)
@@ -202,6 +244,47 @@
 	}
 }
 
+// Guards against forwarding an answer without length as complete whose upstream was killed and restarted by a supervisor that keeps its listener open:
+// the address accepts connections at all times.
+func TestAnswerOfRestartedUpstreamIsNotComplete(t *testing.T) {
+	f := newFleet(t)
+	f.publishUndelimitedRoutes()
+	n := f.start(8 * time.Second)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	file, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	starts := int64(0)
+	start := func() *upstreamProcess {
+		starts++
+		p := f.runUpstreamProcess([]string{fmt.Sprint(upstreamStartEnv, "=", starts)}, file)
+		p.line()
+		return p
+	}
+	for _, c := range undelimitedCases {
+		p := start()
+		f.registerProcess(l.Addr().String(), starts)
+		f.awaitStatus(n, c.path+"whole", 200)
+		f.checkWhole(n, c.path+"whole", c.want)
+		restarted := make(chan *upstreamProcess)
+		go func() {
+			p.killHolding()
+			restarted <- start()
+		}()
+		f.checkCut(n, c.path+"held")
+		p = <-restarted
+		if err := p.cmd.Process.Kill(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // checkCut sends a request whose upstream is killed under it and checks that its answer is neither complete nor one of a request that did not run.
 func (f *fleet) checkCut(n *node, path string) {
 	f.t.Helper()
--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -17,7 +17,7 @@
 	errFalseNotRun = errors.New("status states that the request did not run, but the upstream did not confirm it")
 	errFailed      = errors.New("upstream answered with a server error")
 	errNoBody      = errors.New("connection closed before the body of an answer without length")
-	errUnconfirmed = errors.New("answer without length ended, and its upstream accepts no connections")
+	errUnconfirmed = errors.New("answer without length ended, and its upstream's process is not known to live on")
 	errNoEnd       = errors.New("answer without length exceeds 16 MiB")
 )
 
@@ -68,8 +68,8 @@
 }
 
 // confirmEnd marks the body of an answer as complete. It fails if only the end of the connection shows that, and the upstream may have ended.
-func confirmEnd(x *pomelolink.Exchange) *pomelolink.Failure {
-	if endsWithConnection(x.Response) && !x.UpstreamAccepts() {
+func (c *call) confirmEnd(x *pomelolink.Exchange) *pomelolink.Failure {
+	if endsWithConnection(x.Response) && !x.UpstreamLives(c.process(c.decision.Upstream)) {
 		return cutShort(x, errUnconfirmed)
 	}
 	x.BodyComplete = true
@@ -104,7 +104,7 @@
 	if buffer.Len() == 0 && endsWithConnection(x.Response) {
 		return cutShort(x, errNoBody)
 	}
-	if f := confirmEnd(x); f != nil {
+	if f := c.confirmEnd(x); f != nil {
 		return f
 	}
 	c.writeHead(x.Response, int64(buffer.Len()))
@@ -125,7 +125,7 @@
 		}
 		c.write(chunk[:n])
 		if errors.Is(err, io.EOF) {
-			return confirmEnd(x)
+			return c.confirmEnd(x)
 		}
 		if err != nil {
 			return x.Fail(err)
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -364,7 +364,15 @@
 // processCheck returns the check that a stream which may be resumed begins or continues at the process that is registered with its version; nil for other
 // requests. An upstream that starts again under its ID and address may have another version, and its new registration may be news to this router.
 func (c *call) processCheck(up pomelorelay.FleetUpstream) *pomelolink.ProcessCheck {
-	if !c.route.Resumable || up.StartUnixMilli == 0 {
+	if !c.route.Resumable {
+		return nil
+	}
+	return c.process(up)
+}
+
+// process returns the check of the process that is registered as an upstream; nil if its start time is not known.
+func (c *call) process(up pomelorelay.FleetUpstream) *pomelolink.ProcessCheck {
+	if up.StartUnixMilli == 0 {
 		return nil
 	}
 	return &pomelolink.ProcessCheck{StartUnixMilli: up.StartUnixMilli, Path: c.h.cfg.Wire.ReportPath(), Parse: c.h.cfg.Wire.ParseReport}
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -30,6 +30,8 @@
 	heads  []string
 	ended  chan struct{}
 	answer func(conn net.Conn, r *http.Request)
+	// full makes the server reset new connections.
+	full atomic.Bool
 	// accepted counts the connections accepted.
 	accepted atomic.Int64
 }
@@ -49,6 +51,10 @@
 				return
 			}
 			u.accepted.Add(1)
+			if u.full.Load() {
+				reset(conn)
+				continue
+			}
 			go u.serve(conn)
 		}
 	}()
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -122,7 +122,7 @@
 	if cause != nil {
 		return cutShort(x, cause)
 	}
-	if f := confirmEnd(x); f != nil {
+	if f := c.confirmEnd(x); f != nil {
 		return f
 	}
 	if !c.answerStarted {
--- a/pomelolink/conn.go
+++ b/pomelolink/conn.go
@@ -40,7 +40,9 @@
 	reported       bool
 	startUnixMilli int64
 	// closing is set if the process closes the connection after its report.
-	closing   bool
+	closing bool
+	// openedAt is a time before the connection was established.
+	openedAt  time.Time
 	idleSince time.Time
 	// maxIdle is how long the connection may stay idle, from the upstream's Keep-Alive field if it sent one.
 	maxIdle time.Duration
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -315,10 +315,6 @@
 	return min(idle, time.Duration(float64(seconds)*keepAliveFraction*float64(time.Second)))
 }
 
-// UpstreamAccepts reports whether the upstream still accepts connections and keeps them open. The end of an answer without length may otherwise be
-// the end of the upstream's process, whose connections the kernel closes in order. It waits 50 ms, and longer while connections fail.
-func (x *Exchange) UpstreamAccepts() bool { return x.client.acceptsConnections(x.ctx, x.addr) }
-
 // Buffered returns the number of received bytes that have not been read.
 func (x *Exchange) Buffered() int { return x.conn.reader.Buffered() }
 
--- a/pomelolink/pool.go
+++ b/pomelolink/pool.go
@@ -34,15 +34,23 @@
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*upstreamConn
+	starts map[netip.AddrPort]reportedStart
 	closed bool
 }
 
+// reportedStart is the start time that the process at an address has stated since a time, and last at another.
+type reportedStart struct {
+	unixMilli   int64
+	since, last time.Time
+}
+
 func newPool(cfg Config) *pool {
 	p := &pool{
 		cfg:       cfg,
 		dialer:    pomelodialer.New(pomelodialer.Config{Timeout: cfg.DialTimeout, AckTimeout: cfg.AckTimeout}),
 		stopSweep: make(chan struct{}),
 		idle:      make(map[netip.AddrPort][]*upstreamConn),
+		starts:    make(map[netip.AddrPort]reportedStart),
 	}
 	go func() {
 		ticker := time.NewTicker(cfg.IdleTimeout)
@@ -61,26 +69,36 @@
 
 // conn returns an idle connection that is still usable and not among the carriers, or a new one; with forceNew set it always opens a new one.
 func (p *pool) conn(ctx context.Context, addr netip.AddrPort, forceNew bool, carriers *Carriers) (*upstreamConn, error) {
-	for !forceNew {
-		c := p.take(addr, carriers)
-		if c == nil {
-			break
-		}
-		if time.Since(c.idleSince) < c.maxIdle && c.stillIdle() {
-			c.reused = true
+	if !forceNew {
+		if c := p.idleConn(addr, carriers); c != nil {
 			return c, nil
 		}
-		c.Close()
 	}
+	openedAt := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, err
 	}
 	c := newUpstreamConn(raw, p.opened.Add(1))
-	c.maxIdle = p.cfg.IdleTimeout
+	c.openedAt, c.maxIdle = openedAt, p.cfg.IdleTimeout
 	return c, nil
 }
 
+// idleConn returns an idle connection that is still usable and not among the carriers; nil if there is none.
+func (p *pool) idleConn(addr netip.AddrPort, carriers *Carriers) *upstreamConn {
+	for {
+		c := p.take(addr, carriers)
+		if c == nil {
+			return nil
+		}
+		if time.Since(c.idleSince) < c.maxIdle && c.stillIdle() {
+			c.reused = true
+			return c
+		}
+		c.Close()
+	}
+}
+
 // take removes and returns the last used idle connection that is not among the carriers; nil if there is none.
 func (p *pool) take(addr netip.AddrPort, carriers *Carriers) *upstreamConn {
 	p.mu.Lock()
@@ -126,6 +144,25 @@
 		}
 		p.idle[addr] = append(list[:0:0], list[n:]...)
 	}
+	for addr, s := range p.starts {
+		if s.last.Before(before) {
+			delete(p.starts, addr)
+		}
+	}
+}
+
+// noteStart records the start time that the process at an address has just stated, and returns since when it has stated that one.
+func (p *pool) noteStart(addr netip.AddrPort, unixMilli int64) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	s := p.starts[addr]
+	if s.unixMilli != unixMilli {
+		s = reportedStart{unixMilli: unixMilli, since: now}
+	}
+	s.last = now
+	p.starts[addr] = s
+	return s.since
 }
 
 func (p *pool) close() {
--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -32,7 +34,7 @@
 // checkedConn returns the connection, or another one in its place, once the process at its other end was checked. An upstream that closes each connection
 // after one answer states its start time on one connection and is sent the request on the next.
 func (c *Client) checkedConn(ctx context.Context, conn *upstreamConn, r UpstreamRequest) (*upstreamConn, *Failure) {
-	if f := c.checkProcess(ctx, conn, r.Process); f != nil {
+	if f := c.checkProcess(ctx, conn, r.Addr, r.Process); f != nil {
 		f.Connection = conn.use
 		conn.Close()
 		return nil, f
@@ -51,11 +53,12 @@
 
 // checkProcess fails if the process at the other end of the connection states another start time. An upstream that states none passes: refusing it would
 // end the resumption of streams at all upstreams of its kind.
-func (c *Client) checkProcess(ctx context.Context, conn *upstreamConn, p *ProcessCheck) *Failure {
+func (c *Client) checkProcess(ctx context.Context, conn *upstreamConn, addr netip.AddrPort, p *ProcessCheck) *Failure {
 	if !conn.reported {
 		if err := conn.readReport(ctx, p, c.cfg.Protocol.IDHeader); err != nil {
 			return notSentFailure(ctx, err)
 		}
+		c.conns.noteStart(addr, conn.startUnixMilli)
 	}
 	if conn.startUnixMilli == 0 || conn.startUnixMilli == p.StartUnixMilli {
 		return nil
@@ -100,3 +103,58 @@
 	c.reported = true
 	return nil
 }
+
+// UpstreamLives reports whether the upstream's process that sends the answer is alive. The end of an answer without length may otherwise be the end of
+// the process, whose connections the kernel closes in order. It asks for the report of the process that was registered, and of one that is not known to
+// state its start time, whether it accepts a connection and keeps it open for 50 ms: another process may then have taken its place.
+func (x *Exchange) UpstreamLives(p *ProcessCheck) bool {
+	if p == nil {
+		return x.client.acceptsConnections(x.ctx, x.addr)
+	}
+	pool := x.client.conns
+	// An open connection shows the process also where it accepts no further ones.
+	if conn := pool.idleConn(x.addr, nil); conn != nil {
+		if lives, known := x.isProcess(conn, p); known {
+			return lives
+		}
+	}
+	for n := range crashProbes {
+		if n > 0 {
+			time.Sleep(crashProbeInterval)
+		}
+		conn, err := pool.conn(x.ctx, x.addr, true, nil)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return false
+		}
+		if err != nil {
+			continue
+		}
+		if lives, known := x.isProcess(conn, p); known {
+			return lives
+		}
+	}
+	return false
+}
+
+// isProcess reports whether the process at the other end of the connection is the one that sends the answer, and whether it stated that. It keeps the
+// connection for further requests if it can be reused.
+func (x *Exchange) isProcess(conn *upstreamConn, p *ProcessCheck) (lives, known bool) {
+	ctx, cancel := context.WithTimeout(x.ctx, x.client.cfg.DialTimeout)
+	defer cancel()
+	if err := conn.readReport(ctx, p, x.client.cfg.Protocol.IDHeader); err != nil {
+		conn.Close()
+		return false, false
+	}
+	start := conn.startUnixMilli
+	since := x.client.conns.noteStart(x.addr, start)
+	if conn.closing || !x.IDEchoed {
+		conn.Close()
+	} else {
+		x.client.conns.put(x.addr, conn)
+	}
+	if stated := x.conn.startUnixMilli; stated != 0 {
+		return start == stated, true
+	}
+	// A process that was there before the answer's connection was opened is the one at its other end.
+	return start == 0 || start == p.StartUnixMilli || x.conn.openedAt.After(since), true
+}
