Read the transfer encoding of HTTP/1.0 answers

Callers saw: an HTTP/1.0 answer with Transfer-Encoding: chunked came as complete with the chunk sizes in its body, and a part of one, cut after any byte of its body, as a complete one; with a Content-Length beside it, a body cut by the size of its framing. On a connection that stays open, 504.

Cause: the parser drops the transfer encoding of versions before 1.1 and takes the rest of the connection for the body.

Change: an HTTP/1.0 answer is parsed as one of HTTP/1.1, and its connection is kept only if it says keep-alive and states its length. An answer in a version before 1.0 is malformed.

Evidence: TestCutAnswerIsNotComplete, two framings more: 850 of the cases of HTTP/1.0 chunked ended as complete with other bytes, none now; HTTP/1.0 with a length: none before and now. TestUnsoundHeadIsNoAnswer, HTTP/0.9: 200 with the framing before on all routes.

--- a/pomeloforward/cutanswer_test.go
+++ b/pomeloforward/cutanswer_test.go
@@ -37,7 +37,7 @@
 // cutAnswers are the framings of answers: their heads without the first line and the fields that all have, and how the body is encoded.
 var cutAnswers = map[string]struct {
 	before, fields, lineEnd string
-	chunked, sized          bool
+	chunked, sized, old     bool
 }{
 	"length":            {lineEnd: "\r\n", sized: true},
 	"chunked":           {lineEnd: "\r\n", chunked: true, fields: "Transfer-Encoding: chunked\r\n"},
@@ -45,6 +45,8 @@
 	"LF only":           {lineEnd: "\n", sized: true},
 	"after 100":         {lineEnd: "\r\n", sized: true, before: "HTTP/1.1 100 Continue\r\n\r\n"},
 	"chunked after 103": {lineEnd: "\r\n", chunked: true, fields: "Transfer-Encoding: chunked\r\n", before: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	"HTTP/1.0":          {lineEnd: "\r\n", old: true, sized: true},
+	"HTTP/1.0 chunked":  {lineEnd: "\r\n", old: true, chunked: true, fields: "Transfer-Encoding: chunked\r\n"},
 	"folded":            {lineEnd: "\r\n", sized: true, fields: "Note: a\r\n b\r\n"},
 }
 
@@ -52,6 +54,9 @@
 func cutAnswer(kind, id string, body []string) (string, int) {
 	a := cutAnswers[kind]
 	text := fmt.Sprintf("%sHTTP/1.1 200 OK\r\n%s: %s\r\n%s: me\r\nContent-Type: text/event-stream\r\nConnection: close\r\n%s", a.before, pomelofake.TestHeaderRequestID, id, pomelofake.TestHeaderSignedBy, a.fields)
+	if a.old {
+		text = strings.Replace(text, "HTTP/1.1", "HTTP/1.0", 1)
+	}
 	if a.sized {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(strings.Join(body, "")))
 	}
@@ -235,6 +240,7 @@
 		{"length that is no number", "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nSigned-By: me\r\nContent-Length: 3x\r\n\r\nall"},
 		{"line without colon", "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nSigned-By: me\r\nContent-Len\r\n\r\nall"},
 		{"folded first line", "HTTP/1.1 200 OK\r\n Request-Id: req-1\r\nSigned-By: me\r\nContent-Length: 3\r\n\r\nall"},
+		{"version before 1.0", "HTTP/0.9 200 OK\r\nRequest-Id: req-1\r\nSigned-By: me\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n"},
 		{"status line alone", "HTTP/1.1 200 OK\r\n\r\n"},
 		{"half a status", "HTTP/1.1 20\r\nRequest-Id: req-1\r\nSigned-By: me\r\nContent-Length: 3\r\n\r\nall"},
 		{"no content, cut", "HTTP/1.1 204 X\r\nRequest-Id: req-1\r\nSigned-By: me\r\n"},
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -25,9 +25,12 @@
 	// maxDrainBytes is the largest body of a refusal, in bytes, that is read to the end so that the connection can be reused.
 	maxDrainBytes = 4 << 10
 	// protocolPrefix is what each answer begins with.
-	protocolPrefix = "HTTP/"
+	protocolPrefix           = "HTTP/"
+	oldProtocol, newProtocol = "HTTP/1.0", "HTTP/1.1"
 )
 
+var errVersion = errors.New("answer in a version before HTTP/1.0")
+
 // Exchange is one request on one connection, and its answer.
 type Exchange struct {
 	client    *Client
@@ -184,7 +187,7 @@
 		// An error is met again by ReadResponse.
 		begun, _ := x.conn.reader.Peek(len(protocolPrefix))
 		isHTTP := strings.HasPrefix(protocolPrefix, string(begun))
-		resp, err := http.ReadResponse(x.conn.reader, req)
+		resp, err := readResponse(x.conn.reader, req)
 		if err != nil && isHTTP && x.conn.readErr != nil {
 			// The parser calls a line malformed that was cut before its colon.
 			err = x.conn.readErr
@@ -201,6 +204,27 @@
 	return NewFailure(OutcomeUnknown, pomelorelay.CodeAnswerMalformed, errors.New("no final answer within 5 responses"))
 }
 
+// readResponse reads a response. The parser ignores the transfer encoding of an HTTP/1.0 response, and its body would be read with the framing; it
+// is therefore parsed as one of HTTP/1.1, and its connection is kept only if it says so and the length is stated.
+func readResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	// An error is met again by ReadResponse.
+	version, _ := r.Peek(len(oldProtocol))
+	old := string(version) == oldProtocol
+	if old {
+		copy(version, newProtocol)
+	}
+	resp, err := http.ReadResponse(r, req)
+	if err == nil && !resp.ProtoAtLeast(1, 0) {
+		return nil, errVersion
+	}
+	if err != nil || !old {
+		return resp, err
+	}
+	resp.Proto, resp.ProtoMinor = oldProtocol, 0
+	resp.Close = resp.Close || resp.ContentLength < 0 || !strings.EqualFold(resp.Header.Get("Connection"), "keep-alive")
+	return resp, nil
+}
+
 // Fail closes the connection and returns the Failure for a missing or truncated answer.
 func (x *Exchange) Fail(err error) *Failure {
 	x.conn.Close()
--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -81,7 +81,7 @@
 		return err
 	}
 	c.limitHeader(maxReportBytes)
-	resp, err := http.ReadResponse(c.reader, req)
+	resp, err := readResponse(c.reader, req)
 	if err != nil {
 		return err
 	}
