A resumed stream without length that has no events is cut, not complete

Callers saw: a stream of one event of four that ended as complete. Its first upstream broke off, and the answer that resumes it had its head cut and completed by other bytes (a blank line, a 100): without the field that tells its length, it ended with its connection and had no events.

Cause: an answer without length and without events is the end of a stream of which the caller has received events before. That holds for a caller that resumes after the last event; within an answer the router knows that the stream was broken off.

Change: such an answer is cut short where the caller's answer has begun. The caller resumes by itself, as before.

--- a/pomeloforward/cutanswer_test.go
+++ b/pomeloforward/cutanswer_test.go
@@ -303,3 +303,18 @@
 		}
 	}
 }
+
+// Guards against ending a stream as complete where the answer that resumes it has no events: other bytes completed its head, which was cut before the
+// field that tells its length.
+func TestCompletedHeadWithoutEventsEndsNoStream(t *testing.T) {
+	for _, follows := range []string{"\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"} {
+		var cases []*cutCase
+		for _, c := range cutCases("/long-chat/", true) {
+			if c.follows == otherAnswer {
+				c.follows = follows
+				cases = append(cases, c)
+			}
+		}
+		sendCutCases(t, cases)
+	}
+}
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -11,7 +11,7 @@
 
 var (
 	errPartial  = errors.New("stream ended within an event")
-	errNoEvents = errors.New("connection closed before the first event of a stream")
+	errNoEvents = errors.New("connection closed before the first event of an answer without length")
 	errNoIDs    = errors.New("over 4 KiB of a stream without an event id")
 )
 
@@ -116,7 +116,7 @@
 	switch {
 	case events.HasPartialEvent():
 		cause = errPartial
-	case endsWithConnection(x.Response) && !begun && !c.hasLastEvent:
+	case endsWithConnection(x.Response) && !begun && (!c.hasLastEvent || c.answerStarted):
 		cause = errNoEvents
 	}
 	if cause != nil {
