--- a/pomeloentry/cutprocess_test.go
+++ b/pomeloentry/cutprocess_test.go
@@ -176,8 +176,8 @@
 	}
 }
 
-// callUndelimited sends a request and returns the answer's status, what was received of its body, and whether it ended as complete.
-func (f *fleet) callUndelimited(n *node, path string) (status int, body string, whole bool) {
+// callUndelimited sends a request with further header fields and returns the answer's status, what was received of its body, and whether it ended as complete.
+func (f *fleet) callUndelimited(n *node, path string, fields ...string) (status int, body string, whole bool) {
 	f.t.Helper()
 	req, err := http.NewRequest("POST", "http://"+n.settings.CallerAddr.String()+path, strings.NewReader("x"))
 	if err != nil {
@@ -187,6 +187,9 @@
 	req.Header.Set(pomelofake.TestHeaderRequestID, fmt.Sprint("req-", f.requests.Add(1)))
 	req.Header.Set(pomelofake.TestHeaderCallerKey, "key")
 	req.Header.Set(pomelofake.TestHeaderWait, "4000")
+	for i := 0; i+1 < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0, "", false
@@ -196,8 +199,8 @@
 	return resp.StatusCode, string(text), err == nil
 }
 
-// publishUndelimitedRoutes publishes a configuration with routes of each kind to the process.
-func (f *fleet) publishUndelimitedRoutes() {
+// publishUndelimitedRoutes publishes a configuration with routes of each kind to the process; requests of streams that may be resumed have several attempts.
+func (f *fleet) publishUndelimitedRoutes(attempts int) {
 	f.t.Helper()
 	f.store.PublishConfig(f.configWith(1, func(c *pomelorelay.FleetConfig) {
 		for i := range c.Routes {
@@ -207,7 +210,7 @@
 			case "/stream/":
 				r.Kind = pomelorelay.RouteStream
 			case "/stream-resumable/":
-				r.Kind, r.Resumable = pomelorelay.RouteStream, true
+				r.Kind, r.Resumable, r.MaxAttempts = pomelorelay.RouteStream, true, attempts
 			}
 		}
 	}, "/plain-once/", "/plain-idempotent/", "/stream/", "/stream-resumable/"))
@@ -229,7 +232,7 @@
 // Guards against forwarding an answer without length as complete whose upstream was killed: the kernel closes the connection as at the answer's end.
 func TestAnswerOfKilledUpstreamIsNotComplete(t *testing.T) {
 	f := newFleet(t)
-	f.publishUndelimitedRoutes()
+	f.publishUndelimitedRoutes(1)
 	n := f.start(8 * time.Second)
 	for i, c := range undelimitedCases {
 		p := f.startUpstreamProcess(int64(2*i) + 1)
@@ -248,7 +251,7 @@
 // the address accepts connections at all times.
 func TestAnswerOfRestartedUpstreamIsNotComplete(t *testing.T) {
 	f := newFleet(t)
-	f.publishUndelimitedRoutes()
+	f.publishUndelimitedRoutes(1)
 	n := f.start(8 * time.Second)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
