--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -11,7 +11,7 @@
 
 var (
 	errPartial  = errors.New("stream ended within an event")
-	errNoEvents = errors.New("connection closed before the first event of a stream")
+	errNoEvents = errors.New("connection closed before the first event of an answer without length")
 	errNoIDs    = errors.New("over 4 KiB of a stream without an event id")
 )
 
@@ -116,13 +116,13 @@
 	switch {
 	case events.HasPartialEvent():
 		cause = errPartial
-	case endsWithConnection(x.Response) && !begun && !c.hasLastEvent:
+	case endsWithConnection(x.Response) && !begun && (!c.hasLastEvent || c.answerStarted):
 		cause = errNoEvents
 	}
 	if cause != nil {
 		return cutShort(x, cause)
 	}
-	if f := confirmEnd(x); f != nil {
+	if f := c.confirmEnd(x); f != nil {
 		return f
 	}
 	if !c.answerStarted {
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -25,9 +25,12 @@
 	// maxDrainBytes is the largest body of a refusal, in bytes, that is read to the end so that the connection can be reused.
 	maxDrainBytes = 4 << 10
 	// protocolPrefix is what each answer begins with.
-	protocolPrefix = "HTTP/"
+	protocolPrefix           = "HTTP/"
+	oldProtocol, newProtocol = "HTTP/1.0", "HTTP/1.1"
 )
 
+var errVersion = errors.New("answer in a version before HTTP/1.0")
+
 // Exchange is one request on one connection, and its answer.
 type Exchange struct {
 	client    *Client
@@ -98,9 +101,8 @@
 		return nil, notSentFailure(ctx, err)
 	}
 	if r.Process != nil {
-		if f := c.checkProcess(ctx, conn, r.Process); f != nil {
-			f.Connection = conn.use
-			conn.Close()
+		var f *Failure
+		if conn, f = c.checkedConn(ctx, conn, r); f != nil {
 			return nil, f
 		}
 	}
@@ -185,7 +187,7 @@
 		// An error is met again by ReadResponse.
 		begun, _ := x.conn.reader.Peek(len(protocolPrefix))
 		isHTTP := strings.HasPrefix(protocolPrefix, string(begun))
-		resp, err := http.ReadResponse(x.conn.reader, req)
+		resp, err := readResponse(x.conn.reader, req)
 		if err != nil && isHTTP && x.conn.readErr != nil {
 			// The parser calls a line malformed that was cut before its colon.
 			err = x.conn.readErr
@@ -202,6 +204,27 @@
 	return NewFailure(OutcomeUnknown, pomelorelay.CodeAnswerMalformed, errors.New("no final answer within 5 responses"))
 }
 
+// readResponse reads a response. The parser ignores the transfer encoding of an HTTP/1.0 response, and its body would be read with the framing; it
+// is therefore parsed as one of HTTP/1.1, and its connection is kept only if it says so and the length is stated.
+func readResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	// An error is met again by ReadResponse.
+	version, _ := r.Peek(len(oldProtocol))
+	old := string(version) == oldProtocol
+	if old {
+		copy(version, newProtocol)
+	}
+	resp, err := http.ReadResponse(r, req)
+	if err == nil && !resp.ProtoAtLeast(1, 0) {
+		return nil, errVersion
+	}
+	if err != nil || !old {
+		return resp, err
+	}
+	resp.Proto, resp.ProtoMinor = oldProtocol, 0
+	resp.Close = resp.Close || resp.ContentLength < 0 || !strings.EqualFold(resp.Header.Get("Connection"), "keep-alive")
+	return resp, nil
+}
+
 // Fail closes the connection and returns the Failure for a missing or truncated answer.
 func (x *Exchange) Fail(err error) *Failure {
 	x.conn.Close()
@@ -316,10 +339,6 @@
 	return min(idle, time.Duration(float64(seconds)*keepAliveFraction*float64(time.Second)))
 }
 
-// UpstreamAccepts reports whether the upstream still accepts connections and keeps them open. The end of an answer without length may otherwise be
-// the end of the upstream's process, whose connections the kernel closes in order. It waits 50 ms, and longer while connections fail.
-func (x *Exchange) UpstreamAccepts() bool { return x.client.acceptsConnections(x.ctx, x.addr) }
-
 // Buffered returns the number of received bytes that have not been read.
 func (x *Exchange) Buffered() int { return x.conn.reader.Buffered() }
 
