Failing test: streams of a route that is no longer resumable

What callers saw: a stream that began at v1 continues at v2 after a new configuration took resumable from its route.

Cause: a request with Last-Event-Id counts as the rest of a stream only where the route in force is resumable. Elsewhere it is placed like a new one, at any version, and Last-Event-Id is passed on, so that the upstream continues there.

--- a/pomeloentry/streamorigin_test.go
+++ b/pomeloentry/streamorigin_test.go
@@ -65,3 +65,38 @@
 		}
 	}
 }
+
+// Guards against a stream that continues at another version because its route may no longer be resumed.
+func TestStreamKeepsItsVersionWhenItsRouteIsNoLongerResumable(t *testing.T) {
+	for _, resumes := range []bool{true, false} {
+		t.Run(fmt.Sprint("callers name the first attempt ", resumes), func(t *testing.T) {
+			f := newVersionFleet(t, 1)
+			old := f.engine("u1", "v1")
+			f.awaitReady(1)
+			f.awaitWindow()
+			old.breakAfter.Store(3)
+			close(old.release)
+			var begun []streamed
+			for range 8 {
+				begun = append(begun, f.stream(f.nodes[0], 0, ""))
+			}
+			for _, id := range []pomelorelay.UpstreamID{"a1", "a2", "a3"} {
+				f.engine(id, "v2")
+			}
+			f.drain(old)
+			f.store.PublishConfig(f.configWith(2, func(c *pomelorelay.FleetConfig) { c.Routes[0].Kind = pomelorelay.RouteStream }, "/s/"))
+			f.awaitGauge("generation", 2)
+			f.awaitReady(4)
+			f.awaitDraining("u1")
+			for _, s := range begun {
+				id := ""
+				if resumes {
+					id = s.id
+				}
+				if rest := f.stream(f.nodes[0], s.events, id); s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
+					t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
+				}
+			}
+		})
+	}
+}
