A stream begins with its first event, not with the head of any answer

What callers saw: a stream that began at v2 continues at v1 once its caller resumes it and names the first attempt.

Cause: the head of an answer without events recorded the version of its upstream as the origin of the stream. When that answer failed, the router sent the request to another upstream, at which the stream began; the first origin counts.

The origin is now recorded when the first event arrives, which is also what fixes the version of the attempts that follow within the answer.

--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -76,6 +76,9 @@
 // AnswerBegan records the start of the answer and the load that the upstream announced in its header.
 func (r reservation) AnswerBegan(load pomeloforward.AnnouncedLoad) { r.e.post(&answerBegan{r, load}) }
 
+// StreamBegan records where a stream that may be resumed began.
+func (r reservation) StreamBegan() { r.e.post(&streamBegan{r}) }
+
 // AnswerLasts records that the answer has gone on for so long that its prompt does not crash upstreams.
 func (r reservation) AnswerLasts() { r.e.post(&answerLasts{r}) }
 
@@ -90,10 +93,15 @@
 func (b *answerBegan) apply(c *control, now time.Time) {
 	c.recordAnnounced(now, b.reservation, b.load)
 	c.placer.RecordAnswerStart(now, b.run)
-	c.recordOrigin(now, b.request.Stream, b.upstream)
 	c.recordSignOfLife(now, b.upstream.Process())
 }
 
+type streamBegan struct{ reservation }
+
+func (b *streamBegan) apply(c *control, now time.Time) {
+	c.recordOrigin(now, b.request.Stream, b.upstream)
+}
+
 type answerLasts struct{ reservation }
 
 func (l *answerLasts) apply(c *control, now time.Time) {
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -39,6 +39,9 @@
 			begunAt = c.h.cfg.Clock.Now()
 			c.version, c.versionFixed = c.decision.Upstream.Version, true
 			reservation.AnswerBegan(c.takeLoad())
+			if c.route.Resumable {
+				reservation.StreamBegan()
+			}
 		}
 		isNew, f := c.checkSequence(event)
 		if f != nil {
