Streams keep their version on routes that are no longer resumable

What callers saw: a stream that began at v1 continues at v2 after a new configuration took resumable from its route.

Cause: what a request resumes was considered only where the route in force is resumable; elsewhere a request with Last-Event-Id was placed like a new one, while the upstream continued the stream at that event.

A request for the rest of a stream is now placed as one on every streaming route, at the version where the stream began, and sent to the registered process only. Whether the router itself may send a request again still depends on the route in force.

--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -305,7 +305,7 @@
 			Avoid:        c.avoid,
 			Version:      c.version,
 			VersionFixed: c.versionFixed,
-			Resumable:    c.route.Resumable,
+			Resumable:    c.mayBeResumed(),
 		},
 	}
 }
@@ -318,9 +318,14 @@
 	return min(c.fields.Timeout, defaultTimeout) - c.h.cfg.Clock.Now().Sub(c.arrivedAt)
 }
 
-// streamProgress returns what the caller has received of a resumable stream.
+// mayBeResumed reports whether the request is for a stream that may be resumed later, or for the rest of one.
+func (c *call) mayBeResumed() bool {
+	return c.route.Kind == pomelorelay.RouteStream && (c.route.Resumable || c.fields.HasLastEvent)
+}
+
+// streamProgress returns what the caller has received of a stream that may be resumed, also of one that began when its route was resumable.
 func (c *call) streamProgress() StreamProgress {
-	if c.route.Kind != pomelorelay.RouteStream || !c.route.Resumable {
+	if !c.mayBeResumed() {
 		return StreamProgress{}
 	}
 	origin := c.fields.RequestID
@@ -328,7 +333,7 @@
 		origin = c.fields.Resumes
 	}
 	return StreamProgress{
-		Resumable: true, Resumed: c.fields.HasLastEvent, Origin: pomelorelay.FingerprintOf([]byte(origin)), OriginNamed: origin != "", TimeLeft: c.resumeTimeLeft(),
+		Resumable: c.route.Resumable, Resumed: c.fields.HasLastEvent, Origin: pomelorelay.FingerprintOf([]byte(origin)), OriginNamed: origin != "", TimeLeft: c.resumeTimeLeft(),
 	}
 }
 
@@ -364,7 +369,7 @@
 // processCheck returns the check that a stream which may be resumed begins or continues at the process that is registered with its version; nil for other
 // requests. An upstream that starts again under its ID and address may have another version, and its new registration may be news to this router.
 func (c *call) processCheck(up pomelorelay.FleetUpstream) *pomelolink.ProcessCheck {
-	if !c.route.Resumable || up.StartUnixMilli == 0 {
+	if !c.mayBeResumed() || up.StartUnixMilli == 0 {
 		return nil
 	}
 	return &pomelolink.ProcessCheck{StartUnixMilli: up.StartUnixMilli, Path: c.h.cfg.Wire.ReportPath(), Parse: c.h.cfg.Wire.ParseReport}
