Refuse resumed streams whose last event is not one number

What callers saw: nothing yet; found in a review. A request with a last event that the router cannot read (a sign, a fraction, more than 64 bits, two fields) was placed like a new one, at any version, and the fields were passed on as they came. An upstream that reads them otherwise continues the stream there.

Cause: a field that is there and cannot be read counted as one that is missing.

Such requests on resumable routes are answered with 400 and reach no upstream.

--- a/pomelofake/fleetwire.go
+++ b/pomelofake/fleetwire.go
@@ -49,8 +49,10 @@
 		hash, tokens, _ := strings.Cut(part, ":")
 		f.PromptParts = append(f.PromptParts, pomelorelay.PromptPart{Hash: uint64(parseTokens(hash)), Tokens: parseTokens(tokens)})
 	}
-	if id, err := strconv.ParseUint(head.Get(TestHeaderLastEventID), 10, 64); err == nil {
-		f.LastEvent, f.HasLastEvent = id, true
+	if values := head.Values(TestHeaderLastEventID); len(values) > 1 || head.Get(TestHeaderLastEventID) != "" {
+		id, err := strconv.ParseUint(values[0], 10, 64)
+		f.LastEventInvalid = err != nil || len(values) > 1
+		f.LastEvent, f.HasLastEvent = id, !f.LastEventInvalid
 		f.Resumes = head.Get(TestHeaderResumes)
 	}
 	return f
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -98,6 +98,9 @@
 	if c.service, ok = c.table.PickService(route, c.firstAttempt()); !ok {
 		return pomelorelay.NewError(pomelorelay.CodeNoUpstream, "the route has no service", nil)
 	}
+	if c.fields.LastEventInvalid && route.Kind == pomelorelay.RouteStream && route.Resumable {
+		return pomelorelay.NewError(pomelorelay.CodeBadRequest, "the last event is not one number", nil)
+	}
 	c.setDeadline()
 	c.lastEvent, c.hasLastEvent = c.fields.LastEvent, c.fields.HasLastEvent
 	if err := c.readBody(); err != nil {
--- a/wire.go
+++ b/wire.go
@@ -30,6 +30,8 @@
 	// LastEvent is the number of the last event that the caller received of an earlier response, if HasLastEvent is set.
 	LastEvent    uint64
 	HasLastEvent bool
+	// LastEventInvalid is set if the caller names its last event otherwise than by one number.
+	LastEventInvalid bool
 	// Resumes is the RequestID of the caller's attempt that received the stream's first event; empty if the caller does not name it.
 	Resumes string
 }
