Failing test: a router that starts after a version left guesses too early

What callers saw: a stream that began at v1 continues at v2, at a router that started after the last entry of v1 was removed.

Cause: versions that left count for the longest timeout and the drain time, but a router counts its own knowledge as whole after the timeout alone. Upstreams serve on for the drain time after their entries are removed, and a router out of step begins streams there. What left before the start, or before changes that the router skipped, is unknown for as long.

--- a/pomeloentry/streamorigin_test.go
+++ b/pomeloentry/streamorigin_test.go
@@ -100,3 +100,35 @@
 		})
 	}
 }
+
+// Guards against a router that has known the versions for as long as streams may be resumed, but not for as long as upstreams serve that had left before
+// its start, and continues streams that began at one of them meanwhile.
+func TestRouterThatStartsAfterVersionLeftGuessesNoVersion(t *testing.T) {
+	network := pomelofake.NewNetwork()
+	f := newVersionFleetOn(network, t, 1)
+	old := f.engine("u1", "v1")
+	f.awaitReady(1)
+	outOfStep := f.nodes[0]
+	outOfStep.view.SetPartitioned(true)
+	network.SetPartition(func(_, _ pomelorelay.Peer) bool { return true })
+	f.engine("a1", "v2")
+	f.store.DeleteUpstream("u1")
+	removed := time.Now()
+	fresh := f.startWith(8*time.Second, func(s *pomelorelay.FleetSettings) { s.DrainTimeout = versionDrainTimeout })
+	f.await("the router is ready", func() bool { return f.ready(fresh) })
+	time.Sleep(time.Until(removed.Add(versionDrainTimeout - 500*time.Millisecond)))
+	old.breakAfter.Store(3)
+	close(old.release)
+	var begun []streamed
+	for range 8 {
+		begun = append(begun, f.stream(outOfStep, 0, ""))
+	}
+	// Within the callers' own timeout of 4 s, and later than the route's of 5 s after the router's start.
+	time.Sleep(3500 * time.Millisecond)
+	for _, s := range begun {
+		rest := f.stream(fresh, s.events, s.id)
+		if s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
+			t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
+		}
+	}
+}
