A full upstream without reports confirms the end of its answers

Change: a refused report confirms the end like an accepted connection did, unless the process has stated its start time on the answer's connection.

Evidence: a case of TestEndOfAnswerWithoutLengthIsConfirmedByItsProcess, 502 before; its case of a resumable stream stays strict.

--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -141,7 +141,13 @@
 func (x *Exchange) isProcess(conn *upstreamConn, p *ProcessCheck) (lives, known bool) {
 	ctx, cancel := context.WithTimeout(x.ctx, x.client.cfg.DialTimeout)
 	defer cancel()
-	if err := conn.readReport(ctx, p, x.client.cfg.Protocol.IDHeader); err != nil {
+	err := conn.readReport(ctx, p, x.client.cfg.Protocol.IDHeader)
+	if errors.Is(err, errReportRefused) && x.conn.startUnixMilli == 0 {
+		// An upstream without reports may refuse any request while it is full.
+		conn.Close()
+		return true, true
+	}
+	if err != nil {
 		conn.Close()
 		return false, false
 	}
