A version has left once all routers have applied the removal

A router that is cut off from the store and from the others does not know that the entry of an upstream was removed, and goes on beginning streams there while the upstream serves. Routers in step counted the version for the longest timeout and the drain time after the removal, whatever the others knew. Class: what is not known is used as if it were known not to be.

Full load reports, one each second, now tell up to which revision of the store their sender has applied all changes; a relay's full summary tells the least of the registered or heard routers that it covers. A router that has reported nothing counts as not having applied anything. One that is silent counts by its last report until it is no longer registered (30 s) and nothing was heard of it for 5 s; one that has lost its registration but is heard counts by its reports. A new process of a router starts with nothing. Changes are not reported as applied while an upstream whose entry has lapsed is kept. No time limit is added. Once a version is released it stays so: a router that joins later reads the store itself.

Earlier builds ignore the field and send none. Their reports and summaries hold no version, as today: a fleet is covered once all of its routers run this build. Cost: 3 to 5 bytes in a full report or summary (measured with revisions 1,000 to 100,000,000).

Changed tests: TestVersionsThatLeftLatelyCount passes a revision of 0 to Remove, whose signature has changed; the codec's round trip includes the new field.

What it costs: while a registered router is dead or cannot be heard, streams of unknown origin are refused beside a version that left meanwhile, until its registration has ended, also if it reads the store. Streams of known origin go on.

--- a/messages_load.go
+++ b/messages_load.go
@@ -57,6 +57,9 @@
 	Streams []StreamOrigin
 	// Limited states that the router refuses requests because its processor is overloaded.
 	Limited bool
+	// Applied is the store revision up to which the sender of a full report, or each router that a full summary covers, has applied all changes; zero from
+	// routers of earlier versions.
+	Applied Revision
 }
 
 // UpstreamStart reports that an upstream accepted no connection, or that it answers again. In both cases the upstream may have restarted;
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -149,6 +149,7 @@
 	c.placer.Tick(now)
 	c.removeLapsed(now)
 	c.expireCrashes(now)
+	c.streams.versions.SetApplied(now, c.fleetApplied())
 	c.streams.origins.Expire(now)
 	c.streams.listings.Expire(now, c.resumeWindow(now))
 	c.requestStreams(now)
@@ -282,6 +283,7 @@
 	m := &pomelorelay.LoadReport{Full: now.Sub(c.fullReportAt) >= fullReportInterval}
 	if m.Full {
 		c.fullReportAt = now
+		m.Applied = c.ownApplied()
 	}
 	c.reportedAt = now
 	c.placer.FillReport(m)
@@ -313,6 +315,9 @@
 	if m.Full || m.Seq == 1 {
 		c.peers.markFullyReported(from)
 	}
+	if m.Full {
+		c.peers.byNode[from].applied = reportedApplied(m)
+	}
 	c.applyReport(now, pomelorelay.Envelope{From: from, Incarnation: incarnation}, m)
 }
 
--- a/pomeloentry/export_test.go
+++ b/pomeloentry/export_test.go
@@ -95,7 +95,25 @@
 
 // ReceiveReport processes a load report that another router sent directly.
 func (f UpdateControl) ReceiveReport(now time.Time, from pomelorelay.NodeID, m *pomelorelay.LoadReport) {
-	f.c.receive(now, pomelorelay.Envelope{From: from, Incarnation: 1, Domain: f.domainOf(from), Message: m})
+	f.ReceiveReportOf(now, from, 1, m)
+}
+
+// ReceiveReportOf processes a load report that a process of another router sent directly.
+func (f UpdateControl) ReceiveReportOf(now time.Time, from pomelorelay.NodeID, incarnation pomelorelay.Incarnation, m *pomelorelay.LoadReport) {
+	f.c.receive(now, pomelorelay.Envelope{From: from, Incarnation: incarnation, Domain: f.domainOf(from), Message: m})
+}
+
+// FullReport returns the full report that the router sends to another one.
+func (f UpdateControl) FullReport(now time.Time, to pomelorelay.NodeID) *pomelorelay.LoadReport {
+	mesh := RecordingMesh{Reports: make(map[pomelorelay.NodeID][]*pomelorelay.LoadReport)}
+	f.c.e.mesh, f.c.fullReportAt = mesh, time.Time{}
+	f.c.report(now)
+	return mesh.Reports[to][0]
+}
+
+// Versions returns the number of versions of a service at which streams of unknown origin may have begun.
+func (f UpdateControl) Versions(now time.Time, service pomelorelay.ServiceID) int {
+	return ModelRouter(f).Versions(now, service)
 }
 
 // domainOf returns the failure domain of a known router.
@@ -338,6 +356,12 @@
 // Cursor returns the store revision up to which the router has all changes.
 func (r ModelRouter) Cursor() pomelorelay.Revision { return r.c.e.cursor.get() }
 
+// Versions returns the number of versions of a service at which streams of unknown origin may have begun.
+func (r ModelRouter) Versions(now time.Time, service pomelorelay.ServiceID) int {
+	n, _ := r.c.streams.versions.Count(now, r.c.versionMemory(now), service)
+	return n
+}
+
 // PollInterval returns the time until the router checks again whether it must read the store.
 func (r ModelRouter) PollInterval() time.Duration { return r.c.e.takeoverPoll() }
 
--- a/pomeloentry/model_test.go
+++ b/pomeloentry/model_test.go
@@ -42,6 +42,9 @@
 	pending []modelMessage
 	// configs holds the versions written to the store, in order.
 	configs []modelConfig
+	// upstreams and removedPeers are the upstreams' entries and the ended registrations of routers.
+	upstreams    []modelUpstream
+	removedPeers map[pomelorelay.NodeID]pomelorelay.Revision
 	// longest is the longest time for which a calm router has lacked a change.
 	longest time.Duration
 }
@@ -52,6 +55,12 @@
 	at       time.Time
 }
 
+// modelUpstream is an upstream's entry in the store from one revision to another; the second is zero while it is there.
+type modelUpstream struct {
+	entry       pomelorelay.FleetUpstream
+	put, delete pomelorelay.Revision
+}
+
 type modelMessage struct {
 	at       time.Time
 	to       pomelorelay.NodeID
@@ -70,11 +79,11 @@
 	downUntil   time.Time
 	frozenUntil time.Time
 	// cutUntil is how long the router exchanges no message with others, although it reaches the store; slowUntil how long its messages are sent
-	// late, by lateness.
-	cutUntil, slowUntil time.Time
-	lateness            time.Duration
-	nextRead            time.Time
-	clockError          time.Duration
+	// late, by lateness; storelessUntil how long it does not reach the store.
+	cutUntil, slowUntil, storelessUntil time.Time
+	lateness                            time.Duration
+	nextRead                            time.Time
+	clockError                          time.Duration
 	// heard is when a summary of a failure domain last arrived.
 	heard map[pomelorelay.DomainID]time.Time
 	// reads counts the reads of the store since the start of the process.
@@ -126,7 +135,7 @@
 
 // newModel starts a fleet in which the first two routers of each failure domain are faster than the others, with version 1 in force.
 func newModel(domains, each int) *model {
-	m := &model{began: time.Unix(1_000_000, 0), byNode: make(map[pomelorelay.NodeID]*modelRouter)}
+	m := &model{began: time.Unix(1_000_000, 0), byNode: make(map[pomelorelay.NodeID]*modelRouter), removedPeers: make(map[pomelorelay.NodeID]pomelorelay.Revision)}
 	m.now = m.began
 	for d := range domains {
 		for n := range each {
@@ -189,7 +198,7 @@
 		return
 	}
 	r.run.Tick(m.now)
-	if m.now.Before(r.nextRead) {
+	if m.now.Before(r.nextRead) || m.now.Before(r.storelessUntil) {
 		return
 	}
 	due, check := r.run.ReadDue(m.now.Sub(r.startedAt))
@@ -214,9 +223,12 @@
 		change.Full = true
 		change.Revision = pomelorelay.Revision(1000 + until.Sub(m.began)/(10*time.Millisecond))
 		for _, other := range m.routers {
-			change.Peers = append(change.Peers, other.peer)
+			if m.removedPeers[other.peer.Node] == 0 {
+				change.Peers = append(change.Peers, other.peer)
+			}
 		}
 	}
+	m.addEntries(&change, after)
 	if config := m.newest(until); config.revision > after {
 		document, _ := json.Marshal(config.version)
 		change.Config, _ = m.ParseConfig(document)
@@ -224,6 +236,45 @@
 	r.run.ApplyRead(m.now, after, change, after == 0, check)
 }
 
+// addEntries adds what was written to the entries of upstreams and routers after a revision to a change.
+func (m *model) addEntries(change *pomelorelay.FleetChange, after pomelorelay.Revision) {
+	between := func(at pomelorelay.Revision) bool { return at > after && at <= change.Revision }
+	for _, u := range m.upstreams {
+		switch {
+		case between(u.delete):
+			change.RemovedUpstreams = append(change.RemovedUpstreams, u.entry.ID)
+		case between(u.put):
+			change.Upstreams = append(change.Upstreams, u.entry)
+		}
+	}
+	for node, at := range m.removedPeers {
+		if between(at) {
+			change.RemovedPeers = append(change.RemovedPeers, node)
+		}
+	}
+}
+
+// putUpstream writes an upstream's entry.
+func (m *model) putUpstream(id pomelorelay.UpstreamID, version pomelorelay.SoftwareVersion) {
+	m.upstreams = append(m.upstreams, modelUpstream{entry: pomelorelay.FleetUpstream{ID: id, Service: "s", Domain: "a", Slots: 8, Version: version}, put: m.revision() + 1})
+}
+
+// deleteUpstream deletes an upstream's entry.
+func (m *model) deleteUpstream(id pomelorelay.UpstreamID) {
+	i := slices.IndexFunc(m.upstreams, func(u modelUpstream) bool { return u.entry.ID == id })
+	m.upstreams[i].delete = m.revision() + 1
+}
+
+// deregister ends a router's registration.
+func (m *model) deregister(r *modelRouter) { m.removedPeers[r.peer.Node] = m.revision() + 1 }
+
+// run moves the clock by a length of time.
+func (m *model) run(length time.Duration) {
+	for end := m.now.Add(length); m.now.Before(end); {
+		m.advance()
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/pomeloentry/peers.go
+++ b/pomeloentry/peers.go
@@ -35,6 +35,8 @@
 	// incarnation and lastSeq are the incarnation and the sequence number of the last applied load report.
 	incarnation pomelorelay.Incarnation
 	lastSeq     uint64
+	// applied is the store revision up to which this process of the peer has applied all changes, by its last full report; zero without one.
+	applied pomelorelay.Revision
 }
 
 // relayEligible reports whether the router is alive, or new enough to be presumed alive, and so can be a relay.
@@ -123,6 +125,9 @@
 	if known == nil || incarnation < known.incarnation || (incarnation == known.incarnation && seq <= known.lastSeq) {
 		return false
 	}
+	if incarnation != known.incarnation {
+		known.applied = 0
+	}
 	known.incarnation, known.lastSeq = incarnation, seq
 	return true
 }
--- a/pomeloentry/relay.go
+++ b/pomeloentry/relay.go
@@ -45,6 +45,10 @@
 	relayIncarnation pomelorelay.Incarnation
 	lastSeq          uint64
 	domainRelays     map[pomelorelay.DomainID]pomelorelay.NodeID
+	// applied is the store revision that all routers have applied by the last full summary of relayNode; zero without one. On a relay, domainApplied
+	// holds that of the other failure domains.
+	applied       pomelorelay.Revision
+	domainApplied map[pomelorelay.DomainID]pomelorelay.Revision
 }
 
 func (c *control) reportsDirectly() bool { return len(c.peers.byNode) <= maxDirectPeers }
@@ -118,7 +122,10 @@
 	if r.relayNode != "" {
 		c.placer.ForgetRouter(r.relayNode)
 	}
-	*r = relayState{local: newAggregate(), all: newAggregate(), seq: r.seq, domainRelays: make(map[pomelorelay.DomainID]pomelorelay.NodeID)}
+	*r = relayState{
+		local: newAggregate(), all: newAggregate(), seq: r.seq, domainRelays: make(map[pomelorelay.DomainID]pomelorelay.NodeID),
+		domainApplied: make(map[pomelorelay.DomainID]pomelorelay.Revision),
+	}
 }
 
 // addLocalReport adds the report of a router of this failure domain to the sums.
@@ -170,6 +177,9 @@
 		r.domainRelays[domain] = m.From
 		c.shares.SetBaseline(m.From, m.Incarnation, report.Accounts)
 	}
+	if report.Full {
+		r.domainApplied[domain] = reportedApplied(report)
+	}
 	r.all.add(now, "/"+string(domain), m.From, m.Incarnation, report)
 	c.applyReport(now, m, report)
 }
@@ -190,6 +200,9 @@
 		return
 	}
 	r.lastSeq = s.Report.Seq
+	if s.Report.Full {
+		r.applied = reportedApplied(s.Report)
+	}
 	for i, node := range s.Standby {
 		if node != c.e.cfg.Settings.Self.Node {
 			c.peers.recordMessage(now.Add(time.Duration(i+1)*standbyGrace), pomelorelay.Peer{Node: node})
@@ -226,6 +239,10 @@
 	}
 	r.seq++
 	self := c.e.cfg.Settings.Self
+	var domainApplied, fleetApplied pomelorelay.Revision
+	if full {
+		domainApplied, fleetApplied = c.domainApplied(), c.fleetApplied()
+	}
 	var relays []pomelorelay.NodeID
 	for _, domain := range c.domains() {
 		node, ok := c.relayOf(now, domain)
@@ -236,13 +253,17 @@
 			relays = append(relays, node)
 		}
 		if full || r.local.changed() {
-			c.send(node, &pomelorelay.LoadSummary{Report: r.local.report(now, "", full, r.seq)})
+			m := &pomelorelay.LoadSummary{Report: r.local.report(now, "", full, r.seq)}
+			m.Report.Applied = domainApplied
+			c.send(node, m)
 		}
 	}
 	standby := c.nextRelays(now)
 	for node, p := range c.peers.byNode {
 		if p.Domain == self.Domain {
-			c.send(node, &pomelorelay.LoadSummary{Report: r.all.report(now, string(node), full, r.seq), Standby: standby, Relays: relays})
+			m := &pomelorelay.LoadSummary{Report: r.all.report(now, string(node), full, r.seq), Standby: standby, Relays: relays}
+			m.Report.Applied = fleetApplied
+			c.send(node, m)
 		}
 	}
 	r.local.markFlushed()
--- a/pomeloentry/storereader.go
+++ b/pomeloentry/storereader.go
@@ -396,7 +396,7 @@
 	}
 	// Crashes and versions are merged in any order, so that those of a missed update count too.
 	c.mergeCrashes(now, m.Crashes)
-	c.streams.versions.Merge(now, m.VersionsPassed)
+	c.streams.versions.Merge(now, m.Revision, m.VersionsPassed)
 	if missed {
 		c.requestFullState(now, from)
 	}
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -112,7 +112,7 @@
 func (c *control) applyStreamState(now time.Time, m *pomelorelay.StreamState) {
 	s := &c.streams
 	s.origins.Merge(now, m.Streams)
-	s.versions.Merge(now, m.Versions)
+	s.versions.Merge(now, max(m.Revision, c.e.cursor.get()), m.Versions)
 	if m.KnownFor <= 0 {
 		return
 	}
@@ -133,8 +133,8 @@
 	return window
 }
 
-// versionMemory returns for how long a version counts whose last upstream has left. Upstreams serve for DrainTimeout after their entries are removed, and a
-// router that does not know of the removal begins streams there meanwhile.
+// versionMemory returns for how long a version counts once all routers know that its last upstream has left. Requests that were sent there before may begin
+// their streams while it still serves, for DrainTimeout after its entry is removed.
 func (c *control) versionMemory(now time.Time) time.Duration {
 	return c.resumeWindow(now) + c.e.cfg.Settings.DrainTimeout
 }
--- a/pomeloentry/upstreams.go
+++ b/pomeloentry/upstreams.go
@@ -31,6 +31,8 @@
 	// leaving holds the time at which this router learnt that an upstream drains or has gone.
 	leaving      map[pomelorelay.UpstreamID]time.Time
 	recentLapses []time.Time
+	// appliedUpTo is the store revision up to which no change waits in lapsed.
+	appliedUpTo pomelorelay.Revision
 	// storeRecoveredAt is when the store last answered again after an outage, listedAt when upstreams were last read from it.
 	storeRecoveredAt time.Time
 	listedAt         time.Time
@@ -87,7 +89,7 @@
 	c.streams.versions.Add(u)
 	c.streams.listings.Put(now, u)
 	if known {
-		c.streams.versions.Remove(now, before)
+		c.streams.versions.Remove(now, c.e.cursor.get(), before)
 	}
 	delete(c.upstreams.lapsed, u.ID)
 	c.placer.PutUpstream(now, u)
@@ -162,7 +164,7 @@
 	if !u.Draining {
 		c.confirmCrashes(now, id, u.StartUnixMilli, pomelorelay.EvidenceRemoved)
 	}
-	c.streams.versions.Remove(now, u)
+	c.streams.versions.Remove(now, c.e.cursor.get(), u)
 	c.streams.listings.Remove(now, id)
 	delete(c.upstreams.lapsed, id)
 	delete(c.upstreams.present, id)
--- a/pomeloentry/versioncheck.go
+++ b/pomeloentry/versioncheck.go
@@ -158,9 +158,9 @@
 // mergeVersions records the versions in a change of the store, whether its upstreams are applied or not.
 func (c *control) mergeVersions(now time.Time, change *pomelorelay.FleetChange) {
 	for _, u := range change.Upstreams {
-		c.streams.versions.Merge(now, []pomelorelay.VersionSeen{{Service: u.Service, Version: u.Version}})
+		c.streams.versions.Merge(now, change.Revision, []pomelorelay.VersionSeen{{Service: u.Service, Version: u.Version}})
 	}
-	c.streams.versions.Merge(now, change.VersionsPassed)
+	c.streams.versions.Merge(now, change.Revision, change.VersionsPassed)
 }
 
 // recordVersions extends the span in which the router knows all versions by a change of the store.
--- a/pomelomesh/codec_test.go
+++ b/pomelomesh/codec_test.go
@@ -60,7 +60,7 @@
 		&pomelorelay.LoadReport{
 			Seq: 9, Full: true,
 			Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 3, PendingPrefill: 4000, KVTokens: 9000, PromptTokensSent: 70000, FirstTokenExpected: 3 * time.Second, FirstTokenMeasured: 2500 * time.Millisecond, RequestsSent: 12,
-				Announced: pomelorelay.UpstreamFigures{Running: 5, Waiting: 1, Slots: 12, SlownessPercent: 250}, AnnouncedAge: 35 * time.Millisecond, AnnouncedStart: 1700000000000}}, Limited: true,
+				Announced: pomelorelay.UpstreamFigures{Running: 5, Waiting: 1, Slots: 12, SlownessPercent: 250}, AnnouncedAge: 35 * time.Millisecond, AnnouncedStart: 1700000000000}}, Limited: true, Applied: 4321,
 			Accounts: []pomelorelay.AccountUse{{Account: "a", Requested: 12, Served: 7}},
 			Parts:    []pomelorelay.PromptPartPlaced{{Upstream: "u", Hash: 0x5c1e07a2, Tokens: 800}},
 			Leaving:  []pomelorelay.UpstreamID{"v"},
@@ -69,7 +69,7 @@
 			Speeds:   []pomelorelay.SpeedSums{{Service: "s", Answers: 7, WeightSum: 0.25, TokenSum: 900, TimeSum: 7.5, TokenSquareSum: 1e8, TokenTimeSum: 2e5, DuringPrefill: 20, Stalled: 3, CopiedTokens: 5000, CopyTimeTokens: 12.5}},
 		},
 		&pomelorelay.LoadSummary{Standby: []pomelorelay.NodeID{"r1"}, Relays: []pomelorelay.NodeID{"r4"}, Report: &pomelorelay.LoadReport{
-			Seq: 2, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 1}}, Accounts: []pomelorelay.AccountUse{},
+			Seq: 2, Applied: 4320, Upstreams: []pomelorelay.UpstreamLoad{{Upstream: "u", Running: 1}}, Accounts: []pomelorelay.AccountUse{},
 			Parts: []pomelorelay.PromptPartPlaced{}, Leaving: []pomelorelay.UpstreamID{}, Speeds: []pomelorelay.SpeedSums{}, Starts: []pomelorelay.UpstreamStart{}, Streams: []pomelorelay.StreamOrigin{},
 		}},
 		&pomelorelay.FleetUpdate{
--- a/pomelomesh/decode_load.go
+++ b/pomelomesh/decode_load.go
@@ -10,7 +10,7 @@
 )
 
 func (d *decoder) loadReport(m *pomelowire.LoadReport) *pomelorelay.LoadReport {
-	r := &pomelorelay.LoadReport{Seq: m.GetSeq(), Full: m.GetWhole(), Limited: m.GetLimited()}
+	r := &pomelorelay.LoadReport{Seq: m.GetSeq(), Full: m.GetWhole(), Limited: m.GetLimited(), Applied: pomelorelay.Revision(m.GetApplied())}
 	r.Upstreams = make([]pomelorelay.UpstreamLoad, d.listLength(len(m.GetUpstreams()), maxListLength))
 	for i := range r.Upstreams {
 		u := m.GetUpstreams()[i]
--- a/pomelomesh/encode_load.go
+++ b/pomelomesh/encode_load.go
@@ -158,7 +158,7 @@
 }
 
 func encodeLoad(m *pomelorelay.LoadReport) *pomelowire.LoadReport {
-	w := &pomelowire.LoadReport{Seq: m.Seq, Whole: m.Full, Limited: m.Limited}
+	w := &pomelowire.LoadReport{Seq: m.Seq, Whole: m.Full, Limited: m.Limited, Applied: uint64(m.Applied)}
 	w.Upstreams = encodeUpstreamLoads(m.Upstreams)
 	for _, a := range m.Accounts {
 		w.Accounts = append(w.Accounts, &pomelowire.AccountUse{Account: string(a.Account), Asked: uint64(a.Requested), Served: uint64(a.Served)})
--- a/pomelostream/stream_test.go
+++ b/pomelostream/stream_test.go
@@ -81,12 +81,46 @@
 	if !v.Several(now, "s", within) {
 		t.Error("one version beside two")
 	}
-	v.Remove(now, old)
+	v.Remove(now, 0, old)
 	if !v.Several(now.Add(9*time.Second), "s", within) || v.Several(now.Add(11*time.Second), "s", within) {
 		t.Error("a version that left counts for another time than the given one")
 	}
 }
 
+// Guards against a version that is forgotten while a router which does not know that it left begins streams of it.
+func TestVersionCountsUntilAllRoutersKnowThatItLeft(t *testing.T) {
+	const within = 10 * time.Second
+	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
+	v := pomelostream.NewVersions()
+	count := func(s int, want int) {
+		t.Helper()
+		if n, _ := v.Count(at(s), within, "s"); n != want {
+			t.Errorf("%d versions after %d s, want %d", n, s, want)
+		}
+	}
+	old := pomelorelay.FleetUpstream{ID: "u1", Service: "s", Version: "v1"}
+	v.Add(old)
+	v.Add(pomelorelay.FleetUpstream{ID: "u2", Service: "s", Version: "v2"})
+	v.SetApplied(at(0), 4)
+	v.Remove(at(0), 5, old)
+	// A version that came and went between two reads.
+	v.Merge(at(0), 7, []pomelorelay.VersionSeen{{Service: "s", Version: "v0"}})
+	count(60, 3)
+	for _, seen := range v.Seen(at(60), within) {
+		if seen.Ago != 0 {
+			t.Errorf("version %s was seen %v ago, want 0 while a router may use it", seen.Version, seen.Ago)
+		}
+	}
+	v.SetApplied(at(60), 6)
+	// A router that has started and tells nothing yet changes nothing.
+	v.SetApplied(at(61), 1)
+	count(70, 3)
+	count(71, 2)
+	v.SetApplied(at(80), 7)
+	count(90, 2)
+	count(91, 1)
+}
+
 // Guards against streams that are recorded at the former version of an upstream that has started again under its ID, and against doubting those of others.
 func TestStreamsOfReplacedUpstreamAreDoubtful(t *testing.T) {
 	const window = 10 * time.Second
