Reset the connections of HTTP/1.0 callers whose answers are cut short

Callers of HTTP/1.0 saw: 102400 of 204800 bytes, or 3 of 8 events, as a complete answer. Such a caller gets no chunks, so that an answer whose length the router doesn't know ends with its connection; the router closed that in order after a cut too.

Change: from the head of such an answer on, the kernel resets the connection when it closes, whoever closes it; the order is restored once the complete answer was handed to the kernel.

Evidence: TestCutAnswerIsNotCompleteForCallerWithoutChunks, 8 of 8 cut answers of HTTP/1.0 ended in order before, none now; 12 of 12 whole ones are whole; HTTP/1.1 callers with Connection: close get chunks and saw the cut before and now.

--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -138,6 +138,7 @@
 		Fleet:        fleetSize{e},
 		Meter:        e.metrics,
 		CallerGone:   e.callerGone,
+		ResetOnClose: resetOnClose,
 		RetryRatio:   cfg.Settings.RetryRatio,
 		RetrySlack:   cfg.Settings.RetrySlack,
 		BodyMemory:   pomelorelay.Bytes(bodyMemoryFraction * float64(cfg.Settings.MemoryLimit)),
--- a/pomeloentry/screen.go
+++ b/pomeloentry/screen.go
@@ -47,6 +47,24 @@
 	return info
 }
 
+// resetOnClose makes the kernel reset a request's connection when it is closed, or end it in order.
+func resetOnClose(r *http.Request, reset bool) {
+	info := connOf(r.Context())
+	if info == nil {
+		return
+	}
+	conn, ok := info.conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	// A negative value is the system's default. An error is ignored: the caller has closed the connection.
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	_ = conn.SetLinger(seconds)
+}
+
 // screenedConn decides on the first request of a connection before net/http parses it. Through net/http, a refusal takes the parsing of the header,
 // a request, a response and a wait for the body.
 type screenedConn struct {
--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -144,6 +144,11 @@
 	if length >= 0 && resp.StatusCode != http.StatusNoContent && c.r.Method != http.MethodHead {
 		head.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	if length < 0 && !c.r.ProtoAtLeast(1, 1) && c.h.cfg.ResetOnClose != nil {
+		// Without chunks the end of the connection is that of the answer, also if this process ends.
+		c.resetsCaller = true
+		c.h.cfg.ResetOnClose(c.r, true)
+	}
 	c.closeIfStopping()
 	if c.keepAnswer != nil {
 		c.keepAnswer()
@@ -154,6 +159,14 @@
 	c.w.WriteHeader(resp.StatusCode)
 }
 
+// endAnswer lets the connection of a caller with a complete answer end in order.
+func (c *call) endAnswer() {
+	if c.resetsCaller {
+		c.flush()
+		c.h.cfg.ResetOnClose(c.r, false)
+	}
+}
+
 // write sends bytes to the caller. A write error is ignored: when the caller has disconnected, the call's context ends, and with it
 // the reading of the answer.
 func (c *call) write(p []byte) {
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -32,6 +32,7 @@
 		}
 		f := c.attempt()
 		if f == nil {
+			c.endAnswer()
 			c.logServed()
 			return
 		}
--- a/pomeloforward/call.go
+++ b/pomeloforward/call.go
@@ -38,6 +38,8 @@
 	// answerStarted is set once the head of an answer was written to the caller. keepAnswer then lets the attempt outlast FinalAnswers.
 	answerStarted bool
 	keepAnswer    func() bool
+	// resetsCaller is set while the caller's connection would be reset if it closed.
+	resetsCaller bool
 	// mayHaveRun is set during an attempt, and stays set after an attempt that the upstream may have run.
 	mayHaveRun bool
 	// runs counts the failed attempts that an upstream may have run, refused those that an upstream refused without running, and unreached those
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -24,6 +24,8 @@
 	// CallerGone reports whether a request's caller has disconnected, for servers that can detect this before the request's context
 	// ends; nil otherwise.
 	CallerGone func(*http.Request) bool
+	// ResetOnClose makes the system reset a request's connection when it closes, or end it in order, for servers that can; nil otherwise.
+	ResetOnClose func(r *http.Request, reset bool)
 	// RetryRatio and RetrySlack bound the fleet's retries for a service: to this ratio of its requests, plus a constant number of retries.
 	RetryRatio float64
 	RetrySlack float64
