Test of streams that are cut within an event, at every byte

Within characters of several bytes, CRLF and blank lines, after the last event's text, in chunk sizes and the last chunk, short of the stated length, and without length by another process at the address: whole events only, and none complete. It passed at once: no fault.

--- a/pomeloforward/cutanswer_test.go
+++ b/pomeloforward/cutanswer_test.go
@@ -318,3 +318,50 @@
 		sendCutCases(t, cases)
 	}
 }
+
+// Guards against forwarding a part of an event, or ending a stream as complete, where the stream is cut within a character, a line end or the blank line
+// of an event: by the stated length, in chunks, or without length by the end of the upstream's process.
+func TestStreamCutWithinEventIsNotComplete(t *testing.T) {
+	events := []string{"id: 1\r\ndata: pomelo \u67da\u5b50\r\n\r\n", "id: 2\ndata: \U0001f34a\n\n"}
+	whole := strings.Join(events, "")
+	for _, path := range []string{"/draft/", "/chat/"} {
+		for _, framing := range []string{"length", "chunked", "one chunk", "without length"} {
+			if framing == "without length" && path == "/chat/" {
+				// The process is checked before the stream begins there, which TestEndOfAnswerWithoutLengthIsConfirmedByItsProcess covers.
+				continue
+			}
+			text, fields := whole, "\r\n"
+			switch framing {
+			case "length":
+				fields = fmt.Sprintf("Content-Length: %d\r\n\r\n", len(whole))
+			case "chunked":
+				text, fields = chunkOf(events[0])+chunkOf(events[1])+lastChunk, "Transfer-Encoding: chunked\r\n\r\n"
+			case "one chunk":
+				text, fields = chunkOf(whole)+lastChunk, "Transfer-Encoding: chunked\r\n\r\n"
+			}
+			for at := range len(text) {
+				var starts atomic.Int64
+				u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+					if isReport(r) {
+						write(conn, reportOf(int(2000+starts.Add(1))))
+						return
+					}
+					write(conn, head(r, 200, "Content-Type: text/event-stream\r\n"+fields)+text[:at])
+					conn.Close()
+				})
+				entry := u.entry("u")
+				if path == "/draft/" {
+					entry.StartUnixMilli = 1000
+				}
+				got := newHarness(t, entry).call("POST", path, "x")
+				if got.status == 200 && got.bodyErr == nil {
+					t.Errorf("%s, %s, cut after %d bytes: %q was forwarded as complete", path, framing, at, got.body)
+				}
+				if got.body != "" && got.status == 200 && got.body != events[0] && got.body != whole {
+					t.Errorf("%s, %s, cut after %d bytes: %q was forwarded, want whole events", path, framing, at, got.body)
+				}
+				u.l.Close()
+			}
+		}
+	}
+}
