Streams of confirmed processes continue after these were replaced

What callers saw: a stream that began at v1 is refused (1218, Replaced) at every router, for as long as its caller tries, once its upstream was started again with v2 under its ID, although other upstreams of v1 serve. Retry-After says 80 ms.

Cause: the origin of a stream is doubted when its upstream is listed with another version, as the stream may have begun at the new process. Routers now ask the process behind the connection when it started, but did not use the answer here.

The origin of a stream names its upstream only where the process was not confirmed, so that only these are doubted, also by routers of earlier builds.

--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -77,7 +77,7 @@
 func (r reservation) AnswerBegan(load pomeloforward.AnnouncedLoad) { r.e.post(&answerBegan{r, load}) }
 
 // StreamBegan records where a stream that may be resumed began.
-func (r reservation) StreamBegan() { r.e.post(&streamBegan{r}) }
+func (r reservation) StreamBegan(confirmed bool) { r.e.post(&streamBegan{r, confirmed}) }
 
 // AnswerLasts records that the answer has gone on for so long that its prompt does not crash upstreams.
 func (r reservation) AnswerLasts() { r.e.post(&answerLasts{r}) }
@@ -96,10 +96,13 @@
 	c.recordSignOfLife(now, b.upstream.Process())
 }
 
-type streamBegan struct{ reservation }
+type streamBegan struct {
+	reservation
+	confirmed bool
+}
 
 func (b *streamBegan) apply(c *control, now time.Time) {
-	c.recordOrigin(now, b.request.Stream, b.upstream)
+	c.recordOrigin(now, b.request.Stream, b.upstream, b.confirmed)
 }
 
 type answerLasts struct{ reservation }
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -244,10 +244,14 @@
 	return c.versionMemory(now)
 }
 
-// recordOrigin records the version at which a resumable stream began.
-func (c *control) recordOrigin(now time.Time, stream pomeloforward.StreamProgress, u pomelorelay.FleetUpstream) {
+// recordOrigin records the version at which a resumable stream began. It is certain if the process was confirmed to be the registered one.
+func (c *control) recordOrigin(now time.Time, stream pomeloforward.StreamProgress, u pomelorelay.FleetUpstream, confirmed bool) {
 	if !stream.Resumable || !stream.OriginNamed {
 		return
 	}
-	c.streams.origins.Record(now, pomelorelay.StreamOrigin{Stream: stream.Origin, Version: u.Version, Upstream: u.ID.Hash(), TimeLeft: stream.TimeLeft})
+	origin := pomelorelay.StreamOrigin{Stream: stream.Origin, Version: u.Version, TimeLeft: stream.TimeLeft}
+	if !confirmed {
+		origin.Upstream = u.ID.Hash()
+	}
+	c.streams.origins.Record(now, origin)
 }
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -79,8 +79,9 @@
 type Reservation interface {
 	// AnswerBegan records the start of the answer and the load that the upstream announced in its header.
 	AnswerBegan(load AnnouncedLoad)
-	// StreamBegan records that the upstream sent an event of a stream that may be resumed.
-	StreamBegan()
+	// StreamBegan records that the upstream sent an event of a stream that may be resumed; confirmed is set if its process is known to be the registered
+	// one.
+	StreamBegan(confirmed bool)
 	// AnswerLasts records that the answer has gone on for so long that its prompt does not crash upstreams.
 	AnswerLasts()
 	// Done records the end of the run and releases the slot.
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -221,7 +221,7 @@
 
 func (h *harness) AnswerBegan(load pomeloforward.AnnouncedLoad) { h.addLoad(load) }
 
-func (h *harness) StreamBegan() {}
+func (h *harness) StreamBegan(bool) {}
 
 func (h *harness) addLoad(load pomeloforward.AnnouncedLoad) {
 	h.mu.Lock()
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -40,7 +40,7 @@
 			c.version, c.versionFixed = c.decision.Upstream.Version, true
 			reservation.AnswerBegan(c.takeLoad())
 			if c.route.Resumable {
-				reservation.StreamBegan()
+				reservation.StreamBegan(x.ProcessConfirmed)
 			}
 		}
 		isNew, f := c.checkSequence(event)
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -44,6 +44,8 @@
 	writeDone chan error
 	// BodyComplete is set by the code that reads the answer's body, once the body was read to its end.
 	BodyComplete bool
+	// ProcessConfirmed is set if the process at the other end stated the start time that UpstreamRequest.Process asks for.
+	ProcessConfirmed bool
 	// IDEchoed is set if the answer carries the request's id.
 	IDEchoed bool
 }
@@ -109,6 +111,7 @@
 		return nil, NewFailure(OutcomeNotSent, pomelorelay.CodeCancelled, nil)
 	}
 	x := &Exchange{client: c, ctx: ctx, addr: r.Addr, conn: conn, requestID: r.Request.Header.Get(c.cfg.Protocol.IDHeader)}
+	x.ProcessConfirmed = r.Process != nil && conn.startUnixMilli != 0
 	deadline, _ := ctx.Deadline()
 	if err := conn.begin(deadline, r.AnswerBy); err != nil {
 		conn.Close()
