An idle connection to a former process tells nothing of the next

What callers saw: nothing yet; found in a review. An upstream that was started again under its ID gets no resumable stream of a router for as long as it lives, except as the last resort.

Cause: when an idle connection leads to a process other than the registered one, the upstream was marked as replaced, and no new connection was tried. An idle connection may outlive its process where the end of the connection was lost (a host without power, a cut link): it shows what was there, not what is there. The mark goes only with the next registration.

After a mismatch on an idle connection the router closes it and asks on a new one.

--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -95,16 +95,9 @@
 // Open sends a request at most once and reads the header of its answer. A request that is no longer wanted is not sent; Open
 // then fails with CodeCancelled.
 func (c *Client) Open(ctx context.Context, r UpstreamRequest) (*Exchange, *Failure) {
-	conn, err := c.conns.conn(ctx, r.Addr, r.NewConnection, r.Carriers)
-	if err != nil {
-		return nil, notSentFailure(ctx, err)
-	}
-	if r.Process != nil {
-		if f := c.checkProcess(ctx, conn, r.Process); f != nil {
-			f.Connection = conn.use
-			conn.Close()
-			return nil, f
-		}
+	conn, f := c.connect(ctx, &r)
+	if f != nil {
+		return nil, f
 	}
 	if r.StillWanted != nil && !r.StillWanted() {
 		conn.Close()
@@ -129,6 +122,31 @@
 	return x, nil
 }
 
+// connect returns a connection to the process that the request is for. An idle connection may outlive the process at its other end, so that only a new one
+// shows that another process than the given one has the address.
+func (c *Client) connect(ctx context.Context, r *UpstreamRequest) (*upstreamConn, *Failure) {
+	onlyNew := r.NewConnection
+	for {
+		conn, err := c.conns.conn(ctx, r.Addr, onlyNew, r.Carriers)
+		if err != nil {
+			return nil, notSentFailure(ctx, err)
+		}
+		if r.Process == nil {
+			return conn, nil
+		}
+		f := c.checkProcess(ctx, conn, r.Process)
+		if f == nil {
+			return conn, nil
+		}
+		f.Connection = conn.use
+		conn.Close()
+		if !conn.reused || f.Err.Code != pomelorelay.CodeUpstreamReplaced {
+			return nil, f
+		}
+		onlyNew = true
+	}
+}
+
 func notSentFailure(ctx context.Context, err error) *Failure {
 	if f := contextFailure(ctx, OutcomeNotSent, err); f != nil {
 		return f
--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -40,8 +40,10 @@
 	if conn.startUnixMilli == 0 || conn.startUnixMilli == p.StartUnixMilli {
 		return nil
 	}
-	c.cfg.Logger.Log(pomelorelay.EventUpstreamReplaced, pomelorelay.Field{Key: "Address", Value: conn.RemoteAddr().String()}, pomelorelay.Field{Key: "Connection", Value: conn.use.Number},
-		pomelorelay.Field{Key: "Born", Value: conn.startUnixMilli}, pomelorelay.Field{Key: "ListedBorn", Value: p.StartUnixMilli})
+	if !conn.reused {
+		c.cfg.Logger.Log(pomelorelay.EventUpstreamReplaced, pomelorelay.Field{Key: "Address", Value: conn.RemoteAddr().String()}, pomelorelay.Field{Key: "Connection", Value: conn.use.Number},
+			pomelorelay.Field{Key: "Born", Value: conn.startUnixMilli}, pomelorelay.Field{Key: "ListedBorn", Value: p.StartUnixMilli})
+	}
 	return NewFailure(OutcomeNotSent, pomelorelay.CodeUpstreamReplaced, nil)
 }
 
