--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -47,6 +47,8 @@
 	writeDone chan error
 	// BodyComplete is set by the code that reads the answer's body, once the body was read to its end.
 	BodyComplete bool
+	// ProcessConfirmed is set if the process at the other end stated the start time that UpstreamRequest.Process asks for.
+	ProcessConfirmed bool
 	// IDEchoed is set if the answer carries the request's id.
 	IDEchoed bool
 }
@@ -96,21 +98,16 @@
 // Open sends a request at most once and reads the header of its answer. A request that is no longer wanted is not sent; Open
 // then fails with CodeCancelled.
 func (c *Client) Open(ctx context.Context, r UpstreamRequest) (*Exchange, *Failure) {
-	conn, err := c.conns.conn(ctx, r.Addr, r.NewConnection, r.Carriers)
-	if err != nil {
-		return nil, notSentFailure(ctx, err)
-	}
-	if r.Process != nil {
-		var f *Failure
-		if conn, f = c.checkedConn(ctx, conn, r); f != nil {
-			return nil, f
-		}
+	conn, f := c.connect(ctx, &r)
+	if f != nil {
+		return nil, f
 	}
 	if r.StillWanted != nil && !r.StillWanted() {
 		conn.Close()
 		return nil, NewFailure(OutcomeNotSent, pomelorelay.CodeCancelled, nil)
 	}
 	x := &Exchange{client: c, ctx: ctx, addr: r.Addr, conn: conn, requestID: r.Request.Header.Get(c.cfg.Protocol.IDHeader)}
+	x.ProcessConfirmed = r.Process != nil && conn.startUnixMilli != 0
 	deadline, _ := ctx.Deadline()
 	if err := conn.begin(deadline, r.AnswerBy); err != nil {
 		conn.Close()
@@ -128,6 +125,29 @@
 	return x, nil
 }
 
+// connect returns a connection to the process that the request is for. An idle connection may outlive the process at its other end, so that only a new one
+// shows that another process than the given one has the address.
+func (c *Client) connect(ctx context.Context, r *UpstreamRequest) (*upstreamConn, *Failure) {
+	onlyNew := r.NewConnection
+	for {
+		conn, err := c.conns.conn(ctx, r.Addr, onlyNew, r.Carriers)
+		if err != nil {
+			return nil, notSentFailure(ctx, err)
+		}
+		if r.Process == nil {
+			return conn, nil
+		}
+		checked, f := c.checkedConn(ctx, conn, r)
+		if f == nil {
+			return checked, nil
+		}
+		if !conn.reused || f.Err.Code != pomelorelay.CodeUpstreamReplaced {
+			return nil, f
+		}
+		onlyNew = true
+	}
+}
+
 func notSentFailure(ctx context.Context, err error) *Failure {
 	if f := contextFailure(ctx, OutcomeNotSent, err); f != nil {
 		return f
--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -33,7 +33,7 @@
 
 // checkedConn returns the connection, or another one in its place, once the process at its other end was checked. An upstream that closes each connection
 // after one answer states its start time on one connection and is sent the request on the next.
-func (c *Client) checkedConn(ctx context.Context, conn *upstreamConn, r UpstreamRequest) (*upstreamConn, *Failure) {
+func (c *Client) checkedConn(ctx context.Context, conn *upstreamConn, r *UpstreamRequest) (*upstreamConn, *Failure) {
 	if f := c.checkProcess(ctx, conn, r.Addr, r.Process); f != nil {
 		f.Connection = conn.use
 		conn.Close()
@@ -63,8 +63,10 @@
 	if conn.startUnixMilli == 0 || conn.startUnixMilli == p.StartUnixMilli {
 		return nil
 	}
-	c.cfg.Logger.Log(pomelorelay.EventUpstreamReplaced, pomelorelay.Field{Key: "Address", Value: conn.RemoteAddr().String()}, pomelorelay.Field{Key: "Connection", Value: conn.use.Number},
-		pomelorelay.Field{Key: "Born", Value: conn.startUnixMilli}, pomelorelay.Field{Key: "ListedBorn", Value: p.StartUnixMilli})
+	if !conn.reused {
+		c.cfg.Logger.Log(pomelorelay.EventUpstreamReplaced, pomelorelay.Field{Key: "Address", Value: conn.RemoteAddr().String()}, pomelorelay.Field{Key: "Connection", Value: conn.use.Number},
+			pomelorelay.Field{Key: "Born", Value: conn.startUnixMilli}, pomelorelay.Field{Key: "ListedBorn", Value: p.StartUnixMilli})
+	}
 	return NewFailure(OutcomeNotSent, pomelorelay.CodeUpstreamReplaced, nil)
 }
 
