A router that starts knows the versions once all know what left before

The router counted the versions as known after the longest timeout, while a router out of step, cut off from the store and the others, still began streams at v1. Class: what is not known is used as if it were known not to be.

The time for which versions are known now begins when all routers are known to have applied the changes before the span (the revisions in their reports), unless a router that knows them for longer tells, as before. The same holds after changes that the router skipped.

TestRouterThatStartsWaitsForTheReportsOfOthers fails without the rule (3 of 4 checks); TestVersionsAreKnownOnceAllRoutersKnowWhatLeftBefore holds the span itself. TestVersionsAreKnownAgainAfterSkippedChanges and TestStreamOfUnknownOriginContinuesAtTheOnlyVersion pass.

What it costs: routers that have all started anew refuse streams of unknown origin until each registered router has reported, and for the longest timeout after that; a dead one counts until its registration has ended.

--- a/pomeloentry/applied_test.go
+++ b/pomeloentry/applied_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloentry"
+	"github.com/pomelorelay/pomelorelay/pomelostream"
 )
 
 const (
@@ -211,6 +212,31 @@
 	}
 }
 
+// Guards against a router that starts and continues streams at the only version that it knows, while one that it has not heard may begin them at a version
+// that left before.
+func TestRouterThatStartsWaitsForTheReportsOfOthers(t *testing.T) {
+	now := time.Now()
+	f := pomeloentry.NewUpdateControl("a-1", 4*time.Second, peersOf(1, 3))
+	f.ApplyRead(now, 0, pomelorelay.FleetChange{Revision: 10, Full: true, Peers: peersOf(1, 3), Upstreams: []pomelorelay.FleetUpstream{{ID: "u2", Service: "s", Version: "v2"}}})
+	check := func(when string, want pomelostream.Basis) {
+		t.Helper()
+		f.Adjust(now)
+		f.CheckVersions(now, func(pomelorelay.Revision) pomelorelay.FleetChange { return pomelorelay.FleetChange{Revision: 10} })
+		if got := f.Resume(now, "s"); got != want {
+			t.Errorf("%s a stream of unknown origin is decided on by %q, want %q", when, got, want)
+		}
+	}
+	f.ReceiveReport(now, "a-0", &pomelorelay.LoadReport{Seq: 1, Full: true, Applied: 10})
+	now = now.Add(2 * time.Minute)
+	check("while a router is not heard", pomelostream.BasisRecent)
+	f.ReceiveReport(now, "a-2", &pomelorelay.LoadReport{Seq: 1, Full: true, Applied: 9})
+	check("while a router is behind", pomelostream.BasisRecent)
+	f.ReceiveReport(now, "a-2", &pomelorelay.LoadReport{Seq: 2, Full: true, Applied: 10})
+	check("just after it is in step", pomelostream.BasisRecent)
+	now = now.Add(time.Minute)
+	check("once its streams cannot be resumed", pomelostream.BasisOnlyVersion)
+}
+
 // Guards against a router that reports a change as applied while it keeps the upstreams whose entries have lapsed, and begins streams there.
 func TestLapsedUpstreamsAreNotReportedAsRemoved(t *testing.T) {
 	now := time.Now()
--- a/pomelostream/coverage.go
+++ b/pomelostream/coverage.go
@@ -12,6 +12,9 @@
 	since time.Time
 	// from and upTo are the store revisions between which the router has read all changes.
 	from, upTo pomelorelay.Revision
+	// confirmed is set once all routers are known to have applied the changes up to from, or another router's span was adopted. Until then, held is set:
+	// a router may begin streams at versions that left before the span.
+	confirmed, held bool
 	// adoptedSince and adoptedUpTo are the span that another router reported.
 	adoptedSince time.Time
 	adoptedUpTo  pomelorelay.Revision
@@ -31,7 +34,7 @@
 
 // Restart begins the span anew with a complete state of the store: what came and went before it is unknown.
 func (c *Coverage) Restart(now time.Time, at pomelorelay.Revision) {
-	c.since, c.from, c.upTo = now, at, at
+	c.since, c.from, c.upTo, c.confirmed = now, at, at, false
 	c.extend()
 }
 
@@ -42,6 +45,17 @@
 	}
 }
 
+// SetApplied records the store revision up to which all routers are known to have applied the changes. The time in which versions are known does not begin
+// before they have applied those before the span.
+func (c *Coverage) SetApplied(now time.Time, revision pomelorelay.Revision) {
+	if c.confirmed || c.upTo == 0 {
+		return
+	}
+	if c.held = revision < c.from; !c.held {
+		c.since, c.confirmed = now, true
+	}
+}
+
 // UpTo returns the store revision at which the span ends; zero if it has not begun.
 func (c *Coverage) UpTo() pomelorelay.Revision { return c.upTo }
 
@@ -55,9 +69,10 @@
 	if c.adoptedUpTo == 0 || c.adoptedUpTo < c.from {
 		return false
 	}
-	if c.adoptedSince.Before(c.since) {
+	if c.held || c.adoptedSince.Before(c.since) {
 		c.since = c.adoptedSince
 	}
+	c.confirmed, c.held = true, false
 	return true
 }
 
@@ -67,5 +82,10 @@
 // Includes reports whether the span includes a read that began at or after the given time.
 func (c *Coverage) Includes(at time.Duration) bool { return c.readAt >= at }
 
-// KnownFor returns how long ago the span begins.
-func (c *Coverage) KnownFor(now time.Time) time.Duration { return now.Sub(c.since) }
+// KnownFor returns for how long all versions have been known.
+func (c *Coverage) KnownFor(now time.Time) time.Duration {
+	if c.held {
+		return 0
+	}
+	return now.Sub(c.since)
+}
--- a/pomelostream/coverage_test.go
+++ b/pomelostream/coverage_test.go
@@ -36,6 +36,41 @@
 	}
 }
 
+// Guards against a router that starts, or skips changes, and counts the versions as known while another router may use one that left before.
+func TestVersionsAreKnownOnceAllRoutersKnowWhatLeftBefore(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	for _, c := range []struct {
+		name string
+		do   func(c *pomelostream.Coverage)
+		want time.Duration
+	}{
+		{"all know", func(c *pomelostream.Coverage) { c.SetApplied(at(2), 10) }, 58 * time.Second},
+		{"one does not", func(c *pomelostream.Coverage) { c.SetApplied(at(2), 9) }, 0},
+		{"one does later", func(c *pomelostream.Coverage) { c.SetApplied(at(2), 9); c.SetApplied(at(50), 10) }, 10 * time.Second},
+		{"one joins later", func(c *pomelostream.Coverage) { c.SetApplied(at(2), 10); c.SetApplied(at(50), 1) }, 58 * time.Second},
+		{"one does not, and changes were skipped", func(c *pomelostream.Coverage) {
+			c.SetApplied(at(2), 10)
+			c.Restart(at(30), 20)
+			c.SetApplied(at(31), 19)
+		}, 0},
+		{"one does not, and the span of another router is adopted", func(c *pomelostream.Coverage) {
+			c.SetApplied(at(2), 9)
+			c.Adopt(at(-40), 12)
+			c.SetApplied(at(3), 9)
+		}, 100 * time.Second},
+		{"one does not, and a shorter span is adopted", func(c *pomelostream.Coverage) { c.SetApplied(at(40), 9); c.Adopt(at(50), 12) }, 10 * time.Second},
+	} {
+		coverage := pomelostream.NewCoverage(start)
+		coverage.SetApplied(start, 1)
+		coverage.Begin(start, 10)
+		c.do(coverage)
+		if got := coverage.KnownFor(at(60)); got != c.want {
+			t.Errorf("%s: known for %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against a request that is decided on by a read of the store that began before it came.
 func TestCoverageIncludesOnlyLaterReads(t *testing.T) {
 	c := pomelostream.NewCoverage(time.Unix(1000, 0))
