A chunked answer cut after its last chunk is a broken connection

An upstream that ended within the trailer of a chunked answer was not checked for a crash, and one that fell silent there gave 502 instead of 504: the parser calls the trailer malformed, which hid the error of the connection, as it did for heads. The caller got no complete answer before either.

--- a/pomeloforward/cutanswer_test.go
+++ b/pomeloforward/cutanswer_test.go
@@ -365,3 +365,23 @@
 		}
 	}
 }
+
+// Guards against overlooking the crash of an upstream that ends at any byte of its answer's body, and against taking a malformed one for a crash.
+func TestHalfBodyIsABrokenConnection(t *testing.T) {
+	const fields = "Transfer-Encoding: chunked\r\n\r\n"
+	whole := chunkOf(cutBody) + "0\r\nNote: x\r\n\r\n"
+	texts := map[string]int{"zz\r\n" + cutBody: 0}
+	for at := range len(whole) {
+		texts[whole[:at]] = 1
+	}
+	for text, broken := range texts {
+		u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+			write(conn, head(r, 200, fields)+text)
+			conn.Close()
+		})
+		h := newHarness(t, u.entry("u1"))
+		if got := h.call("POST", "/book/", "x"); got.status != 502 || len(h.broken) != broken {
+			t.Errorf("%q: status %d, %d broken connections, want 502 and %d", text, got.status, len(h.broken), broken)
+		}
+	}
+}
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -229,6 +229,10 @@
 func (x *Exchange) Fail(err error) *Failure {
 	x.conn.Close()
 	x.awaitWrite()
+	if x.Response != nil && x.conn.readErr != nil && !isConnectionError(err) {
+		// The parser calls a trailer malformed that was cut.
+		err = x.conn.readErr
+	}
 	if x.conn.written.Load() == 0 {
 		return notSentFailure(x.ctx, err)
 	}
