Failing test: versions are forgotten before callers give up

What callers saw: a stream that began at v1 continues at v2. Its caller waits for longer than the timeout of the route, and resumes with Last-Event-Id alone.

Cause: a version that left counts for the longest timeout of the routes and the drain time. Callers may resume until their own deadline, to which the timeout of the route is no bound: the router cuts a stream there, and the caller asks again.

--- a/pomeloentry/streamorigin_test.go
+++ b/pomeloentry/streamorigin_test.go
@@ -132,3 +132,33 @@
 		}
 	}
 }
+
+// Guards against a version that is forgotten while callers may resume streams of it, because these wait for longer than the route's timeout.
+func TestVersionCountsForAsLongAsCallersMayResume(t *testing.T) {
+	const timeout, drainTimeout = time.Second, 500 * time.Millisecond
+	f := versionFleet{newFleet(t)}
+	f.publishTimeout(1, timeout)
+	f.startWith(8*time.Second, func(s *pomelorelay.FleetSettings) { s.DrainTimeout = drainTimeout })
+	old := f.engine("u1", "v1")
+	f.awaitReady(1)
+	f.awaitWindow()
+	old.breakAfter.Store(3)
+	close(old.release)
+	var begun []streamed
+	for range 8 {
+		begun = append(begun, f.stream(f.nodes[0], 0, ""))
+	}
+	f.engine("a1", "v2")
+	f.drain(old)
+	f.awaitDraining("u1")
+	f.store.DeleteUpstream("u1")
+	f.awaitGauge("upstreams", 1)
+	// Within the callers' own timeout of 4 s.
+	time.Sleep(timeout + drainTimeout + 500*time.Millisecond)
+	for _, s := range begun {
+		rest := f.stream(f.nodes[0], s.events, "")
+		if s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
+			t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
+		}
+	}
+}
