Versions count for as long as the callers of known streams may resume

What callers saw: a stream that began at v1 continues at v2. Its caller waits for longer than the timeout of the route, and resumes with Last-Event-Id alone.

Cause: the time for which a version counts after it left, and for which the versions must be known, followed from the timeouts of the routes. That for which streams may be resumed follows from the deadlines of their callers.

Origins hold that time for each stream already, and routers report it. While a stream is remembered, the window is at least its caller's time, so that no version at which it may have begun is forgotten before it. A stream that a router has not been told of still counts by the routes only.

--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -121,12 +121,13 @@
 	s.told = (complete || m.Revision == 0) && now.Sub(s.startedAt) >= streamSettleTime
 }
 
-// resumeWindow returns the longest time within which callers may resume a stream, also one that began under an earlier configuration.
+// resumeWindow returns the longest time within which callers may resume a stream, also one that began under an earlier configuration. Callers may wait for
+// longer than the route's timeout.
 func (c *control) resumeWindow(now time.Time) time.Duration {
 	if c.config == nil {
 		return defaultResumeWindow
 	}
-	window := c.configuredWindow()
+	window := max(c.configuredWindow(), c.streams.origins.LongestWindow())
 	if now.Before(c.streams.earlierUntil) {
 		window = max(window, c.streams.earlierWindow)
 	}
--- a/pomelostream/origins.go
+++ b/pomelostream/origins.go
@@ -19,9 +19,11 @@
 	streams map[pomelorelay.Fingerprint]origin
 	// expiring holds the streams by the expiryStep in which they expire, or were to expire before they were resumed, counted from began.
 	expiring map[int64][]pomelorelay.Fingerprint
-	began    time.Time
-	expired  int64
-	pending  []pomelorelay.StreamOrigin
+	// longest holds the longest time within which callers may resume one of the streams that expire in an expiryStep, from when it was learnt.
+	longest map[int64]time.Duration
+	began   time.Time
+	expired int64
+	pending []pomelorelay.StreamOrigin
 }
 
 // origin is where a stream began, when this router learnt it, and the expiryStep in which it expires.
@@ -34,7 +36,9 @@
 
 // NewOrigins returns Origins that know no stream.
 func NewOrigins(now time.Time) *Origins {
-	return &Origins{streams: make(map[pomelorelay.Fingerprint]origin), expiring: make(map[int64][]pomelorelay.Fingerprint), began: now}
+	return &Origins{
+		streams: make(map[pomelorelay.Fingerprint]origin), expiring: make(map[int64][]pomelorelay.Fingerprint), longest: make(map[int64]time.Duration), began: now,
+	}
 }
 
 // Record records a stream that began or was resumed at this router, for the next report too.
@@ -67,6 +71,7 @@
 	known.expires = step
 	o.streams[began.Stream] = known
 	o.expiring[step] = append(o.expiring[step], began.Stream)
+	o.longest[step] = max(o.longest[step], began.TimeLeft)
 	return true
 }
 
@@ -101,6 +106,7 @@
 			}
 		}
 		delete(o.expiring, o.expired)
+		delete(o.longest, o.expired)
 	}
 }
 
@@ -118,5 +124,14 @@
 	return all
 }
 
+// LongestWindow returns the longest time within which callers may resume one of the streams that are remembered; zero without streams.
+func (o *Origins) LongestWindow() time.Duration {
+	window := time.Duration(0)
+	for _, left := range o.longest {
+		window = max(window, left)
+	}
+	return window
+}
+
 // Len returns the number of streams that are remembered.
 func (o *Origins) Len() int { return len(o.streams) }
