Read the report of a process after interim responses

What callers saw: nothing yet; found in a review. An upstream that sends a 1xx before its report passes as one that states no start time, and its report is read as the answer to the caller's request: a 404 of an upstream without reports reaches the caller, and another process than the registered one is not noticed.

Cause: the first response counted as the report; only answers to requests were read beyond 1xx.

Evidence: TestReportFollowsInterimResponses failed before (the caller got the report's 404) and passes.

Interim responses are skipped, as many as for requests; a connection that sends more cannot be used.

--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -61,6 +61,9 @@
 	}
 	c.limitHeader(maxReportBytes)
 	resp, err := http.ReadResponse(c.reader, req)
+	for n := 1; err == nil && resp.StatusCode < http.StatusOK && n < maxResponses; n++ {
+		resp, err = http.ReadResponse(c.reader, req)
+	}
 	if err != nil {
 		return err
 	}
@@ -69,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	if resp.Close || c.reader.Buffered() > 0 || resp.Header.Get(idHeader) != "" {
+	if resp.StatusCode < http.StatusOK || resp.Close || c.reader.Buffered() > 0 || resp.Header.Get(idHeader) != "" {
 		return errReportUnusable
 	}
 	switch {
--- a/pomelolink/process_test.go
+++ b/pomelolink/process_test.go
@@ -72,3 +72,41 @@
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", id, len(body), body)
 	}
 }
+
+// Guards against taking an interim response for the report of a process, and the report for the answer to the caller's request.
+func TestReportFollowsInterimResponses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		fmt.Fprint(conn, "HTTP/1.1 103 Early Hints\r\n\r\n")
+		time.Sleep(20 * time.Millisecond)
+		fmt.Fprint(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno")
+		if r, err := http.ReadRequest(reader); err == nil {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", idField, r.Header.Get(idField))
+		}
+	}()
+	l, addr := newClient(t), netip.MustParseAddrPort(listener.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req := &http.Request{Method: "GET", URL: &url.URL{Scheme: "http", Host: addr.String(), Path: "/"}, Host: "h", Header: http.Header{idField: {"1"}}, Body: http.NoBody}
+	x, f := l.Open(ctx, pomelolink.UpstreamRequest{Addr: addr, Request: req, Process: &pomelolink.ProcessCheck{StartUnixMilli: 1, Path: "/report", Parse: func([]byte) int64 { return 0 }}})
+	if f != nil {
+		t.Fatal(f.Err)
+	}
+	defer x.Close()
+	if body, err := io.ReadAll(x.Response.Body); x.Response.StatusCode != http.StatusOK || string(body) != "ok" {
+		t.Errorf("the request is answered with %d %q (%v), want its own answer", x.Response.StatusCode, body, err)
+	}
+}
