--- a/pomeloforward/cutanswer_test.go
+++ b/pomeloforward/cutanswer_test.go
@@ -37,7 +37,7 @@
 // cutAnswers are the framings of answers: their heads without the first line and the fields that all have, and how the body is encoded.
 var cutAnswers = map[string]struct {
 	before, fields, lineEnd string
-	chunked, sized          bool
+	chunked, sized, old     bool
 }{
 	"length":            {lineEnd: "\r\n", sized: true},
 	"chunked":           {lineEnd: "\r\n", chunked: true, fields: "Transfer-Encoding: chunked\r\n"},
@@ -45,6 +45,8 @@
 	"LF only":           {lineEnd: "\n", sized: true},
 	"after 100":         {lineEnd: "\r\n", sized: true, before: "HTTP/1.1 100 Continue\r\n\r\n"},
 	"chunked after 103": {lineEnd: "\r\n", chunked: true, fields: "Transfer-Encoding: chunked\r\n", before: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	"HTTP/1.0":          {lineEnd: "\r\n", old: true, sized: true},
+	"HTTP/1.0 chunked":  {lineEnd: "\r\n", old: true, chunked: true, fields: "Transfer-Encoding: chunked\r\n"},
 	"folded":            {lineEnd: "\r\n", sized: true, fields: "Note: a\r\n b\r\n"},
 }
 
@@ -52,6 +54,9 @@
 func cutAnswer(kind, id string, body []string) (string, int) {
 	a := cutAnswers[kind]
 	text := fmt.Sprintf("%sHTTP/1.1 200 OK\r\n%s: %s\r\n%s: me\r\nContent-Type: text/event-stream\r\nConnection: close\r\n%s", a.before, pomelofake.TestHeaderRequestID, id, pomelofake.TestHeaderSignedBy, a.fields)
+	if a.old {
+		text = strings.Replace(text, "HTTP/1.1", "HTTP/1.0", 1)
+	}
 	if a.sized {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(strings.Join(body, "")))
 	}
@@ -235,6 +240,7 @@
 		{"length that is no number", "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nSigned-By: me\r\nContent-Length: 3x\r\n\r\nall"},
 		{"line without colon", "HTTP/1.1 200 OK\r\nRequest-Id: req-1\r\nSigned-By: me\r\nContent-Len\r\n\r\nall"},
 		{"folded first line", "HTTP/1.1 200 OK\r\n Request-Id: req-1\r\nSigned-By: me\r\nContent-Length: 3\r\n\r\nall"},
+		{"version before 1.0", "HTTP/0.9 200 OK\r\nRequest-Id: req-1\r\nSigned-By: me\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n"},
 		{"status line alone", "HTTP/1.1 200 OK\r\n\r\n"},
 		{"half a status", "HTTP/1.1 20\r\nRequest-Id: req-1\r\nSigned-By: me\r\nContent-Length: 3\r\n\r\nall"},
 		{"no content, cut", "HTTP/1.1 204 X\r\nRequest-Id: req-1\r\nSigned-By: me\r\n"},
@@ -297,3 +303,65 @@
 		}
 	}
 }
+
+// Guards against ending a stream as complete where the answer that resumes it has no events: other bytes completed its head, which was cut before the
+// field that tells its length.
+func TestCompletedHeadWithoutEventsEndsNoStream(t *testing.T) {
+	for _, follows := range []string{"\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"} {
+		var cases []*cutCase
+		for _, c := range cutCases("/long-chat/", true) {
+			if c.follows == otherAnswer {
+				c.follows = follows
+				cases = append(cases, c)
+			}
+		}
+		sendCutCases(t, cases)
+	}
+}
+
+// Guards against forwarding a part of an event, or ending a stream as complete, where the stream is cut within a character, a line end or the blank line
+// of an event: by the stated length, in chunks, or without length by the end of the upstream's process.
+func TestStreamCutWithinEventIsNotComplete(t *testing.T) {
+	events := []string{"id: 1\r\ndata: pomelo \u67da\u5b50\r\n\r\n", "id: 2\ndata: \U0001f34a\n\n"}
+	whole := strings.Join(events, "")
+	for _, path := range []string{"/draft/", "/chat/"} {
+		for _, framing := range []string{"length", "chunked", "one chunk", "without length"} {
+			if framing == "without length" && path == "/chat/" {
+				// The process is checked before the stream begins there, which TestEndOfAnswerWithoutLengthIsConfirmedByItsProcess covers.
+				continue
+			}
+			text, fields := whole, "\r\n"
+			switch framing {
+			case "length":
+				fields = fmt.Sprintf("Content-Length: %d\r\n\r\n", len(whole))
+			case "chunked":
+				text, fields = chunkOf(events[0])+chunkOf(events[1])+lastChunk, "Transfer-Encoding: chunked\r\n\r\n"
+			case "one chunk":
+				text, fields = chunkOf(whole)+lastChunk, "Transfer-Encoding: chunked\r\n\r\n"
+			}
+			for at := range len(text) {
+				var starts atomic.Int64
+				u := newUpstream(t, func(conn net.Conn, r *http.Request) {
+					if isReport(r) {
+						write(conn, reportOf(int(2000+starts.Add(1))))
+						return
+					}
+					write(conn, head(r, 200, "Content-Type: text/event-stream\r\n"+fields)+text[:at])
+					conn.Close()
+				})
+				entry := u.entry("u")
+				if path == "/draft/" {
+					entry.StartUnixMilli = 1000
+				}
+				got := newHarness(t, entry).call("POST", path, "x")
+				if got.status == 200 && got.bodyErr == nil {
+					t.Errorf("%s, %s, cut after %d bytes: %q was forwarded as complete", path, framing, at, got.body)
+				}
+				if got.body != "" && got.status == 200 && got.body != events[0] && got.body != whole {
+					t.Errorf("%s, %s, cut after %d bytes: %q was forwarded, want whole events", path, framing, at, got.body)
+				}
+				u.l.Close()
+			}
+		}
+	}
+}
