A process is confirmed on its own connection only

Where an upstream closes each connection after one answer, the start time of its process is stated on one connection and the stream begins on the next. The origin of such a stream counted as certain, although another process may have taken over in between.

Cause: what one connection stated was used as knowledge on another.

Evidence: TestProcessIsConfirmedOnItsOwnConnectionOnly failed before and passes.

--- a/pomelolink/conn.go
+++ b/pomelolink/conn.go
@@ -39,6 +39,8 @@
 	// reported is set once the process at the other end was asked for its start time, which is zero if it states none.
 	reported       bool
 	startUnixMilli int64
+	// assumed is set if the start time was stated on an earlier connection.
+	assumed bool
 	// closing is set if the process closes the connection after its report.
 	closing bool
 	// openedAt is a time before the connection was established.
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -107,7 +107,7 @@
 		return nil, NewFailure(OutcomeNotSent, pomelorelay.CodeCancelled, nil)
 	}
 	x := &Exchange{client: c, ctx: ctx, addr: r.Addr, conn: conn, requestID: r.Request.Header.Get(c.cfg.Protocol.IDHeader)}
-	x.ProcessConfirmed = r.Process != nil && conn.startUnixMilli != 0
+	x.ProcessConfirmed = r.Process != nil && conn.startUnixMilli != 0 && !conn.assumed
 	deadline, _ := ctx.Deadline()
 	if err := conn.begin(deadline, r.AnswerBy); err != nil {
 		conn.Close()
--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, notSentFailure(ctx, err)
 	}
-	next.reported, next.startUnixMilli = true, conn.startUnixMilli
+	next.reported, next.startUnixMilli, next.assumed = true, conn.startUnixMilli, true
 	return next, nil
 }
 
--- a/pomelolink/process_test.go
+++ b/pomelolink/process_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"net/url"
 	"strconv"
@@ -110,3 +111,32 @@
 		t.Errorf("the request is answered with %d %q (%v), want its own answer", x.Response.StatusCode, body, err)
 	}
 }
+
+// Guards against taking a process for confirmed that only the connection before stated: another one may have taken over the address since.
+func TestProcessIsConfirmedOnItsOwnConnectionOnly(t *testing.T) {
+	for _, closes := range []bool{false, true} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if closes {
+				w.Header().Set("Connection", "close")
+			}
+			if r.URL.Path == "/report" {
+				fmt.Fprint(w, "1000")
+				return
+			}
+			w.Header().Set(idField, r.Header.Get(idField))
+		}))
+		t.Cleanup(server.Close)
+		l, addr := newClient(t), netip.MustParseAddrPort(server.Listener.Addr().String())
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		req := &http.Request{Method: "GET", URL: &url.URL{Scheme: "http", Host: addr.String(), Path: "/"}, Host: "h", Header: http.Header{idField: {"1"}}, Body: http.NoBody}
+		x, f := l.Open(ctx, pomelolink.UpstreamRequest{Addr: addr, Request: req, Process: &pomelolink.ProcessCheck{StartUnixMilli: 1000, Path: "/report", Parse: func([]byte) int64 { return 1000 }}})
+		if f != nil {
+			t.Fatal(f.Err)
+		}
+		if x.ProcessConfirmed == closes {
+			t.Errorf("upstream closes its connections %v: process confirmed %v", closes, x.ProcessConfirmed)
+		}
+		x.Close()
+	}
+}
