--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -112,7 +112,7 @@
 func (c *control) applyStreamState(now time.Time, m *pomelorelay.StreamState) {
 	s := &c.streams
 	s.origins.Merge(now, m.Streams)
-	s.versions.Merge(now, m.Versions)
+	s.versions.Merge(now, max(m.Revision, c.e.cursor.get()), m.Versions)
 	if m.KnownFor <= 0 {
 		return
 	}
@@ -133,8 +133,8 @@
 	return window
 }
 
-// versionMemory returns for how long a version counts whose last upstream has left. Upstreams serve for DrainTimeout after their entries are removed, and a
-// router that does not know of the removal begins streams there meanwhile.
+// versionMemory returns for how long a version counts once all routers know that its last upstream has left. Requests that were sent there before may begin
+// their streams while it still serves, for DrainTimeout after its entry is removed.
 func (c *control) versionMemory(now time.Time) time.Duration {
 	return c.resumeWindow(now) + c.e.cfg.Settings.DrainTimeout
 }
@@ -244,10 +244,14 @@
 	return c.versionMemory(now)
 }
 
-// recordOrigin records the version at which a resumable stream began.
-func (c *control) recordOrigin(now time.Time, stream pomeloforward.StreamProgress, u pomelorelay.FleetUpstream) {
+// recordOrigin records the version at which a resumable stream began. It is certain if the process was confirmed to be the registered one.
+func (c *control) recordOrigin(now time.Time, stream pomeloforward.StreamProgress, u pomelorelay.FleetUpstream, confirmed bool) {
 	if !stream.Resumable || !stream.OriginNamed {
 		return
 	}
-	c.streams.origins.Record(now, pomelorelay.StreamOrigin{Stream: stream.Origin, Version: u.Version, Upstream: u.ID.Hash(), TimeLeft: stream.TimeLeft})
+	origin := pomelorelay.StreamOrigin{Stream: stream.Origin, Version: u.Version, TimeLeft: stream.TimeLeft}
+	if !confirmed {
+		origin.Upstream = u.ID.Hash()
+	}
+	c.streams.origins.Record(now, origin)
 }
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -24,6 +24,8 @@
 	// CallerGone reports whether a request's caller has disconnected, for servers that can detect this before the request's context
 	// ends; nil otherwise.
 	CallerGone func(*http.Request) bool
+	// ResetOnClose makes the system reset a request's connection when it closes, or end it in order, for servers that can; nil otherwise.
+	ResetOnClose func(r *http.Request, reset bool)
 	// RetryRatio and RetrySlack bound the fleet's retries for a service: to this ratio of its requests, plus a constant number of retries.
 	RetryRatio float64
 	RetrySlack float64
@@ -79,6 +81,9 @@
 type Reservation interface {
 	// AnswerBegan records the start of the answer and the load that the upstream announced in its header.
 	AnswerBegan(load AnnouncedLoad)
+	// StreamBegan records that the upstream sent an event of a stream that may be resumed; confirmed is set if its process is known to be the registered
+	// one.
+	StreamBegan(confirmed bool)
 	// AnswerLasts records that the answer has gone on for so long that its prompt does not crash upstreams.
 	AnswerLasts()
 	// Done records the end of the run and releases the slot.
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -11,7 +11,7 @@
 
 var (
 	errPartial  = errors.New("stream ended within an event")
-	errNoEvents = errors.New("connection closed before the first event of a stream")
+	errNoEvents = errors.New("connection closed before the first event of an answer without length")
 	errNoIDs    = errors.New("over 4 KiB of a stream without an event id")
 )
 
@@ -39,6 +39,9 @@
 			begunAt = c.h.cfg.Clock.Now()
 			c.version, c.versionFixed = c.decision.Upstream.Version, true
 			reservation.AnswerBegan(c.takeLoad())
+			if c.route.Resumable {
+				reservation.StreamBegan(x.ProcessConfirmed)
+			}
 		}
 		isNew, f := c.checkSequence(event)
 		if f != nil {
@@ -116,13 +119,13 @@
 	switch {
 	case events.HasPartialEvent():
 		cause = errPartial
-	case endsWithConnection(x.Response) && !begun && !c.hasLastEvent:
+	case endsWithConnection(x.Response) && !begun && (!c.hasLastEvent || c.answerStarted):
 		cause = errNoEvents
 	}
 	if cause != nil {
 		return cutShort(x, cause)
 	}
-	if f := confirmEnd(x); f != nil {
+	if f := c.confirmEnd(x); f != nil {
 		return f
 	}
 	if !c.answerStarted {
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -25,9 +25,12 @@
 	// maxDrainBytes is the largest body of a refusal, in bytes, that is read to the end so that the connection can be reused.
 	maxDrainBytes = 4 << 10
 	// protocolPrefix is what each answer begins with.
-	protocolPrefix = "HTTP/"
+	protocolPrefix           = "HTTP/"
+	oldProtocol, newProtocol = "HTTP/1.0", "HTTP/1.1"
 )
 
+var errVersion = errors.New("answer in a version before HTTP/1.0")
+
 // Exchange is one request on one connection, and its answer.
 type Exchange struct {
 	client    *Client
@@ -44,6 +47,8 @@
 	writeDone chan error
 	// BodyComplete is set by the code that reads the answer's body, once the body was read to its end.
 	BodyComplete bool
+	// ProcessConfirmed is set if the process at the other end stated the start time that UpstreamRequest.Process asks for.
+	ProcessConfirmed bool
 	// IDEchoed is set if the answer carries the request's id.
 	IDEchoed bool
 }
@@ -93,22 +98,16 @@
 // Open sends a request at most once and reads the header of its answer. A request that is no longer wanted is not sent; Open
 // then fails with CodeCancelled.
 func (c *Client) Open(ctx context.Context, r UpstreamRequest) (*Exchange, *Failure) {
-	conn, err := c.conns.conn(ctx, r.Addr, r.NewConnection, r.Carriers)
-	if err != nil {
-		return nil, notSentFailure(ctx, err)
-	}
-	if r.Process != nil {
-		if f := c.checkProcess(ctx, conn, r.Process); f != nil {
-			f.Connection = conn.use
-			conn.Close()
-			return nil, f
-		}
+	conn, f := c.connect(ctx, &r)
+	if f != nil {
+		return nil, f
 	}
 	if r.StillWanted != nil && !r.StillWanted() {
 		conn.Close()
 		return nil, NewFailure(OutcomeNotSent, pomelorelay.CodeCancelled, nil)
 	}
 	x := &Exchange{client: c, ctx: ctx, addr: r.Addr, conn: conn, requestID: r.Request.Header.Get(c.cfg.Protocol.IDHeader)}
+	x.ProcessConfirmed = r.Process != nil && conn.startUnixMilli != 0
 	deadline, _ := ctx.Deadline()
 	if err := conn.begin(deadline, r.AnswerBy); err != nil {
 		conn.Close()
@@ -126,6 +125,29 @@
 	return x, nil
 }
 
+// connect returns a connection to the process that the request is for. An idle connection may outlive the process at its other end, so that only a new one
+// shows that another process than the given one has the address.
+func (c *Client) connect(ctx context.Context, r *UpstreamRequest) (*upstreamConn, *Failure) {
+	onlyNew := r.NewConnection
+	for {
+		conn, err := c.conns.conn(ctx, r.Addr, onlyNew, r.Carriers)
+		if err != nil {
+			return nil, notSentFailure(ctx, err)
+		}
+		if r.Process == nil {
+			return conn, nil
+		}
+		checked, f := c.checkedConn(ctx, conn, r)
+		if f == nil {
+			return checked, nil
+		}
+		if !conn.reused || f.Err.Code != pomelorelay.CodeUpstreamReplaced {
+			return nil, f
+		}
+		onlyNew = true
+	}
+}
+
 func notSentFailure(ctx context.Context, err error) *Failure {
 	if f := contextFailure(ctx, OutcomeNotSent, err); f != nil {
 		return f
@@ -185,7 +207,7 @@
 		// An error is met again by ReadResponse.
 		begun, _ := x.conn.reader.Peek(len(protocolPrefix))
 		isHTTP := strings.HasPrefix(protocolPrefix, string(begun))
-		resp, err := http.ReadResponse(x.conn.reader, req)
+		resp, err := readResponse(x.conn.reader, req)
 		if err != nil && isHTTP && x.conn.readErr != nil {
 			// The parser calls a line malformed that was cut before its colon.
 			err = x.conn.readErr
@@ -202,6 +224,27 @@
 	return NewFailure(OutcomeUnknown, pomelorelay.CodeAnswerMalformed, errors.New("no final answer within 5 responses"))
 }
 
+// readResponse reads a response. The parser ignores the transfer encoding of an HTTP/1.0 response, and its body would be read with the framing; it
+// is therefore parsed as one of HTTP/1.1, and its connection is kept only if it says so and the length is stated.
+func readResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	// An error is met again by ReadResponse.
+	version, _ := r.Peek(len(oldProtocol))
+	old := string(version) == oldProtocol
+	if old {
+		copy(version, newProtocol)
+	}
+	resp, err := http.ReadResponse(r, req)
+	if err == nil && !resp.ProtoAtLeast(1, 0) {
+		return nil, errVersion
+	}
+	if err != nil || !old {
+		return resp, err
+	}
+	resp.Proto, resp.ProtoMinor = oldProtocol, 0
+	resp.Close = resp.Close || resp.ContentLength < 0 || !strings.EqualFold(resp.Header.Get("Connection"), "keep-alive")
+	return resp, nil
+}
+
 // Fail closes the connection and returns the Failure for a missing or truncated answer.
 func (x *Exchange) Fail(err error) *Failure {
 	x.conn.Close()
@@ -316,10 +359,6 @@
 	return min(idle, time.Duration(float64(seconds)*keepAliveFraction*float64(time.Second)))
 }
 
-// UpstreamAccepts reports whether the upstream still accepts connections and keeps them open. The end of an answer without length may otherwise be
-// the end of the upstream's process, whose connections the kernel closes in order. It waits 50 ms, and longer while connections fail.
-func (x *Exchange) UpstreamAccepts() bool { return x.client.acceptsConnections(x.ctx, x.addr) }
-
 // Buffered returns the number of received bytes that have not been read.
 func (x *Exchange) Buffered() int { return x.conn.reader.Buffered() }
 
