Routers tell the span of known versions once it is confirmed

Routers that start together may continue streams of unknown origin too early: between the first state that a router reads and its next periodic update, it told a span that was not confirmed yet. A router that adopts it counts its own as confirmed, while one out of step may still begin streams at a version that left.

Cause: that no router was known to be behind was used as if all were known to be in step.

Evidence: TestSpanIsToldOnceItIsConfirmed failed with what was told before (59 s where 0 is wanted) and passes.

A router that has read nothing tells no span either, so that the one that asks goes on asking others.

--- a/messages_stream.go
+++ b/messages_stream.go
@@ -26,7 +26,7 @@
 	Streams []StreamOrigin
 	// Versions are the versions that have upstreams, and those of which upstreams were removed lately.
 	Versions []VersionSeen
-	// KnownFor is the time for which the sender has known all streams and versions; zero if more StreamStates follow.
+	// KnownFor is the time for which the sender has known all streams and versions; zero if more StreamStates follow, or while that is not certain.
 	KnownFor time.Duration
 	// Revision is the store revision up to which the sender knows all versions.
 	Revision Revision
--- a/pomeloentry/streams.go
+++ b/pomeloentry/streams.go
@@ -105,7 +105,7 @@
 		all = all[maxStreamsPerMessage:]
 	}
 	c.send(to, &pomelorelay.StreamState{
-		Streams: all, Versions: c.streams.versions.Seen(now, c.versionMemory(now)), KnownFor: c.streams.coverage.KnownFor(now), Revision: c.streams.coverage.UpTo(),
+		Streams: all, Versions: c.streams.versions.Seen(now, c.versionMemory(now)), KnownFor: c.streams.coverage.Told(now), Revision: c.streams.coverage.UpTo(),
 	})
 }
 
--- a/pomelostream/coverage.go
+++ b/pomelostream/coverage.go
@@ -89,3 +89,11 @@
 	}
 	return now.Sub(c.since)
 }
+
+// Told returns the time for which other routers may adopt the span; zero until all routers are known to have applied the changes before it.
+func (c *Coverage) Told(now time.Time) time.Duration {
+	if !c.confirmed {
+		return 0
+	}
+	return c.KnownFor(now)
+}
--- a/pomelostream/coverage_test.go
+++ b/pomelostream/coverage_test.go
@@ -83,3 +83,26 @@
 		t.Error("a read that began at 5 s includes requests until then, and no later one")
 	}
 }
+
+// Guards against routers that start together and adopt each other's span before it is known whether all routers have the changes before it.
+func TestSpanIsToldOnceItIsConfirmed(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	c := pomelostream.NewCoverage(start)
+	for _, step := range []struct {
+		name string
+		do   func()
+		want time.Duration
+	}{
+		{"before the first state", func() {}, 0},
+		{"before the reports of others", func() { c.Begin(at(1), 10) }, 0},
+		{"while a router is behind", func() { c.SetApplied(at(2), 9) }, 0},
+		{"once all have the first state", func() { c.SetApplied(at(3), 10) }, 57 * time.Second},
+		{"after changes were skipped", func() { c.Restart(at(4), 20) }, 0},
+	} {
+		step.do()
+		if got := c.Told(at(60)); got != step.want {
+			t.Errorf("%s: others may adopt %v, want %v", step.name, got, step.want)
+		}
+	}
+}
