--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -107,7 +107,7 @@
 		return nil, NewFailure(OutcomeNotSent, pomelorelay.CodeCancelled, nil)
 	}
 	x := &Exchange{client: c, ctx: ctx, addr: r.Addr, conn: conn, requestID: r.Request.Header.Get(c.cfg.Protocol.IDHeader)}
-	x.ProcessConfirmed = r.Process != nil && conn.startUnixMilli != 0
+	x.ProcessConfirmed = r.Process != nil && conn.startUnixMilli != 0 && !conn.assumed
 	deadline, _ := ctx.Deadline()
 	if err := conn.begin(deadline, r.AnswerBy); err != nil {
 		conn.Close()
@@ -249,6 +249,10 @@
 func (x *Exchange) Fail(err error) *Failure {
 	x.conn.Close()
 	x.awaitWrite()
+	if x.Response != nil && x.conn.readErr != nil && !isConnectionError(err) {
+		// The parser calls a trailer malformed that was cut.
+		err = x.conn.readErr
+	}
 	if x.conn.written.Load() == 0 {
 		return notSentFailure(x.ctx, err)
 	}
--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, notSentFailure(ctx, err)
 	}
-	next.reported, next.startUnixMilli = true, conn.startUnixMilli
+	next.reported, next.startUnixMilli, next.assumed = true, conn.startUnixMilli, true
 	return next, nil
 }
 
@@ -84,6 +84,9 @@
 	}
 	c.limitHeader(maxReportBytes)
 	resp, err := readResponse(c.reader, req)
+	for n := 1; err == nil && resp.StatusCode < http.StatusOK && n < maxResponses; n++ {
+		resp, err = readResponse(c.reader, req)
+	}
 	if err != nil {
 		return err
 	}
@@ -92,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	if c.reader.Buffered() > 0 || resp.Header.Get(idHeader) != "" {
+	if resp.StatusCode < http.StatusOK || c.reader.Buffered() > 0 || resp.Header.Get(idHeader) != "" {
 		return errReportUnusable
 	}
 	c.closing = resp.Close
