--- a/messages_stream.go
+++ b/messages_stream.go
@@ -7,7 +7,8 @@
 	// Stream is the fingerprint of the RequestID of the caller's attempt that received the first event.
 	Stream  Fingerprint
 	Version SoftwareVersion
-	// Upstream identifies the upstream that sent the first event, which may have had another version; zero if the version is certain, or it is unknown.
+	// Upstream identifies the upstream that sent the first event. It is zero if the router has confirmed that upstream's version, and in reports of earlier
+	// builds.
 	Upstream UpstreamHash
 	// TimeLeft is the time within which the caller may resume the stream.
 	TimeLeft time.Duration
--- a/pomeloconfig/syncer.go
+++ b/pomeloconfig/syncer.go
@@ -141,7 +141,7 @@
 // Generation returns the generation in force; it is zero when there is none, and the router is then not ready.
 func (s *Syncer) Generation() pomelorelay.Generation { return s.inForce.generation() }
 
-// NewestGeneration returns the highest of the generation in force, that of the newest known root, and those announced by peers.
+// NewestGeneration returns the highest generation known: in force here, known here but not yet in force, or announced by a peer.
 func (s *Syncer) NewestGeneration() pomelorelay.Generation {
 	newest := max(s.inForce.generation(), s.target.generation())
 	for _, generation := range s.peerGenerations {
--- a/pomeloentry/streamorigin_test.go
+++ b/pomeloentry/streamorigin_test.go
@@ -125,12 +125,7 @@
 	}
 	// Within the callers' own timeout of 4 s, and later than the route's of 5 s after the router's start.
 	time.Sleep(3500 * time.Millisecond)
-	for _, s := range begun {
-		rest := f.stream(fresh, s.events, s.id)
-		if s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
-			t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
-		}
-	}
+	f.checkContinued(fresh, begun)
 }
 
 // Guards against a version that is forgotten while callers may resume streams of it, because these wait for longer than the route's timeout.
--- a/pomeloentry/version_test.go
+++ b/pomeloentry/version_test.go
@@ -168,6 +168,17 @@
 	return s
 }
 
+// checkContinued resumes streams that broke off after three events at a router and reports those that continue at another version.
+func (f versionFleet) checkContinued(n *node, begun []streamed) {
+	f.t.Helper()
+	for _, s := range begun {
+		rest := f.stream(n, s.events, s.id)
+		if s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
+			f.t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
+		}
+	}
+}
+
 func (s *streamed) readEvents(body io.Reader) {
 	lines := bufio.NewScanner(body)
 	for lines.Scan() {
--- a/pomeloentry/versionhistory_test.go
+++ b/pomeloentry/versionhistory_test.go
@@ -151,12 +151,7 @@
 	}
 	// Within the callers' own timeout of 4 s, and later than the route's of 5 s after the removal.
 	time.Sleep(3500 * time.Millisecond)
-	for _, s := range begun {
-		rest := f.stream(inStep, s.events, s.id)
-		if s.events != 3 || len(rest.versions) > 0 && rest.versions[0] != s.versions[0] {
-			t.Errorf("a stream that began with %d events of %v continues at %v", s.events, s.versions, rest.versions)
-		}
-	}
+	f.checkContinued(inStep, begun)
 }
 
 // Guards against routers that skipped changes of the store and count the versions as unknown only from the first resumed stream on, however much later.
