--- a/events_node.go
+++ b/events_node.go
@@ -22,6 +22,7 @@
 	EventOverloadBegan    EventID = 119
 	EventOverloadEnded    EventID = 120
 	EventRequestShed      EventID = 121
+	EventClientsClosed    EventID = 122
 )
 
 var nodeEvents = []EventInfo{
@@ -45,4 +46,5 @@
 	{EventOverloadBegan, "OverloadBegan", LevelWarn, "The router's processor is overloaded: requests waited for DelayMS; it admits at most Limit requests a second.", "Look at how the balancer spreads callers."},
 	{EventOverloadEnded, "OverloadEnded", LevelInfo, "The router admits all requests again; Refused were refused since the limit began.", "None."},
 	{EventRequestShed, "RequestShed", LevelInfo, "An overloaded router refused a request before reading its body; at most five lines a second are written.", "Look at OverloadBegan."},
+	{EventClientsClosed, "ClientsClosed", LevelInfo, "Connections of clients were refused or closed because they filled the router's memory or connections, or kept it waiting; the fields count them since the last line, of which one is written a second at most.", "Look at who sends so; see operators/clients.md."},
 }
--- /dev/null
+++ b/pomeloentry/clients.go
@@ -0,0 +1,68 @@
+package pomeloentry
+
+import (
+	"time"
+
+	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelolistener"
+)
+
+const (
+	// controlHeaderBytes and controlTimeout bound a request's header, and the time to receive it or the next one, on the ports for readiness and metrics;
+	// maxControlConns bounds the connections of each. They serve the load balancer and one collector of metrics.
+	controlHeaderBytes = 2 << 10
+	controlTimeout     = 10 * time.Second
+	maxControlConns    = 32
+)
+
+// headTooLarge is the response to a request whose head exceeds the limit.
+var headTooLarge = pomeloforward.ErrorResponse(pomelorelay.NewError(pomelorelay.CodeHeaderBounds, "", nil))
+
+// controlPort is the configuration of the ports for readiness and metrics.
+var controlPort = pomelolistener.PortConfig{
+	MaxConns:      maxControlConns,
+	HeaderBytes:   func() pomelorelay.Bytes { return controlHeaderBytes },
+	HeaderTimeout: func() time.Duration { return controlTimeout },
+	IdleTimeout:   func() time.Duration { return controlTimeout },
+	Reserved:      true,
+	RefusesBodies: true,
+	HeadTooLarge:  headTooLarge,
+}
+
+// evictedFields are the log fields of connections that gave way to others, by phase.
+var evictedFields = []string{"EvictedInHead", "EvictedInBody", "EvictedServing", "EvictedInWrite", "EvictedFinishing", "EvictedIdle"}
+
+// logClients logs refused and closed connections of clients that do not behave, all kinds in one line.
+func (c *control) logClients() {
+	s, last := c.e.clients.Stats(), c.clients
+	c.clients = s
+	last.Memory = s.Memory
+	if s == last {
+		return
+	}
+	fields := []pomelorelay.Field{
+		field("Unaccepted", s.Unaccepted-last.Unaccepted), field("HeadsTooLarge", s.HeadsTooLarge-last.HeadsTooLarge),
+		field("HeadsWithoutMemory", s.HeadsWithoutMemory-last.HeadsWithoutMemory), field("BodiesUnread", s.BodiesUnread-last.BodiesUnread),
+		field("UnreadAnswers", s.UnreadAnswers-last.UnreadAnswers), field("Memory", s.Memory), field("Connections", c.e.conns.Load()),
+	}
+	for phase, n := range s.Evicted {
+		if n -= last.Evicted[phase]; n > 0 {
+			fields = append(fields, field(evictedFields[phase], n))
+		}
+	}
+	c.e.log(pomelorelay.EventClientsClosed, fields...)
+}
+
+func (c *control) setClientGauges() {
+	m, s := c.e.metrics, c.e.clients.Stats()
+	m.SetGauge("client_memory_bytes", float64(s.Memory))
+	m.SetGauge("client_unaccepted", float64(s.Unaccepted))
+	m.SetGauge("client_heads_too_large", float64(s.HeadsTooLarge))
+	m.SetGauge("client_heads_without_memory", float64(s.HeadsWithoutMemory))
+	m.SetGauge("client_bodies_unread", float64(s.BodiesUnread))
+	m.SetGauge("client_answers_unread", float64(s.UnreadAnswers))
+	for phase, n := range s.Evicted {
+		m.SetGauge("client_evicted_"+pomelolistener.Phase(phase).String(), float64(n))
+	}
+}
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -5,6 +5,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelolistener"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
 	"github.com/pomelorelay/pomelorelay/pomelopromise"
 	"github.com/pomelorelay/pomelorelay/pomeloresidency"
@@ -50,6 +51,8 @@
 	stateRequests stateRequests
 	relay         relayState
 	overload      overloadWatch
+	// clients is the account of clients' connections as it was last logged.
+	clients pomelolistener.Stats
 
 	adjustedAt   time.Time
 	reportedAt   time.Time
@@ -136,6 +139,7 @@
 	if now.Sub(c.gaugesAt) >= gaugeInterval {
 		c.gaugesAt = now
 		c.setGauges()
+		c.logClients()
 		c.logWarmups(now)
 	}
 }
@@ -180,6 +184,7 @@
 	m.SetGauge("caller_connections", float64(c.e.conns.Load()))
 	m.SetGauge("upstream_connections_opened", float64(c.e.forward.OpenedConnections()))
 	c.setOverloadGauges()
+	c.setClientGauges()
 	if c.config != nil {
 		m.SetGauge("generation", float64(c.config.Version))
 	}
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelolistener"
 
 	"github.com/gorilla/mux"
 )
@@ -15,8 +16,6 @@
 const (
 	// listenerCount is the number of HTTP ports of a router.
 	listenerCount = 3
-	// controlHeaderTimeout bounds the reading of a request's header on the ports for readiness and metrics.
-	controlHeaderTimeout = 10 * time.Second
 	// maxHeaderBytes bounds a request's header; the limit in the operators' configuration is 16 KiB.
 	maxHeaderBytes = 64 << 10
 	// stopPollInterval is how often a graceful stop checks whether the last connection has closed.
@@ -48,12 +47,13 @@
 	for _, l := range []struct {
 		addr   netip.AddrPort
 		server *http.Server
+		port   *pomelolistener.Port
 	}{
-		{settings.MetricsAddr, &http.Server{Handler: metrics, ReadHeaderTimeout: controlHeaderTimeout}},
-		{settings.ReadinessAddr, &http.Server{Handler: ready, ReadHeaderTimeout: controlHeaderTimeout}},
-		{settings.CallerAddr, callers},
+		{settings.MetricsAddr, &http.Server{Handler: metrics}, e.clients.NewPort(controlPort)},
+		{settings.ReadinessAddr, &http.Server{Handler: ready}, e.clients.NewPort(controlPort)},
+		{settings.CallerAddr, callers, nil},
 	} {
-		if err := e.serve(l.server, l.addr); err != nil {
+		if err := e.serve(l.server, l.addr, l.port); err != nil {
 			return err
 		}
 	}
@@ -61,15 +61,18 @@
 	return nil
 }
 
-func (e *Router) serve(s *http.Server, addr netip.AddrPort) error {
+func (e *Router) serve(s *http.Server, addr netip.AddrPort, port *pomelolistener.Port) error {
 	// The idle timeout closes the connections of silent callers; keepalive probes would cost four system calls for each connection.
 	l, err := (&net.ListenConfig{KeepAlive: -1}).Listen(e.ctx, "tcp", addr.String())
 	if err != nil {
 		return pomelorelay.NewError(pomelorelay.CodeCannotListen, addr.String(), err)
 	}
 	e.servers = append(e.servers, s)
-	if s.ConnState != nil {
+	if port == nil {
 		l = loadSheddingListener{Listener: l, e: e}
+	} else {
+		s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = pomelolistener.HeaderMark, pomelolistener.IdleMark, port.ConnState
+		l = port.Listener(l)
 	}
 	e.start(func(context.Context) {
 		if err := s.Serve(l); err != http.ErrServerClosed {
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelolistener"
 	"github.com/pomelorelay/pomelorelay/pomelomesh"
 	"github.com/pomelorelay/pomelorelay/pomelometric"
 	"github.com/pomelorelay/pomelorelay/pomeloplace"
@@ -66,6 +67,8 @@
 	storeReadAt  atomic.Int64
 	conns        atomic.Int64
 	hostLimits   hostLimits
+	// clients is the account of what connections that others open hold.
+	clients *pomelolistener.Pool
 	// requestLimit is the maximum number of concurrent requests; the control goroutine adapts it.
 	requestLimit atomic.Int64
 	// nearCapacityAt is when the router was last close to its capacity.
@@ -112,6 +115,7 @@
 	e := &Router{
 		cfg:           cfg,
 		hostLimits:    hostLimitsOf(cfg.Settings),
+		clients:       pomelolistener.New(pomelolistener.Config{}),
 		incarnation:   cfg.Incarnation,
 		metrics:       pomelometric.New(),
 		events:        make(chan event, eventQueueLength),
@@ -231,6 +235,7 @@
 // Close stops the router immediately, without waiting for requests; Stop shuts it down gracefully.
 func (e *Router) Close() {
 	e.closeOnce.Do(func() {
+		e.clients.Close()
 		for _, s := range e.servers {
 			s.Close()
 		}
