--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -63,7 +63,7 @@
 
 func (e *Router) serve(s *http.Server, addr netip.AddrPort, port *pomelolistener.Port) error {
 	// The idle timeout closes the connections of silent callers; keepalive probes would cost four system calls for each connection.
-	l, err := (&net.ListenConfig{KeepAlive: -1}).Listen(e.ctx, "tcp", addr.String())
+	l, err := (&net.ListenConfig{KeepAlive: -1, Control: pomelolistener.SetBuffers}).Listen(e.ctx, "tcp", addr.String())
 	if err != nil {
 		return pomelorelay.NewError(pomelorelay.CodeCannotListen, addr.String(), err)
 	}
