--- a/pomeloentry/clients.go
+++ b/pomeloentry/clients.go
@@ -9,6 +9,13 @@
 )
 
 const (
+	// minHeaderTimeout is the least time for the reading of a request's header.
+	minHeaderTimeout = 10 * time.Second
+	// defaultIdleTimeout closes idle connections of callers while no limit is known.
+	defaultIdleTimeout = 20 * time.Second
+	// idleMargin is the ratio of the time after which an idle connection is closed to the operators' limit: a caller that keeps to the limit must
+	// not send a request while its connection is being closed.
+	idleMargin = 4.0 / 3
 	// controlHeaderBytes and controlTimeout bound a request's header, and the time to receive it or the next one, on the ports for readiness and metrics;
 	// maxControlConns bounds the connections of each. They serve the load balancer and one collector of metrics.
 	controlHeaderBytes = 2 << 10
@@ -30,6 +37,32 @@
 	HeadTooLarge:  headTooLarge,
 }
 
+// callerPort returns the configuration of callers' port.
+func (e *Router) callerPort() pomelolistener.PortConfig {
+	return pomelolistener.PortConfig{
+		MaxConns:      int64(connOverloadFactor * float64(e.hostLimits.maxConns)),
+		HeaderTimeout: e.headerTimeout,
+		IdleTimeout:   e.idleTimeout,
+		NoMemory:      encodeRefusal(refusal{code: pomelorelay.CodeRouterFull, retryAfter: fullRouterRetryAfter}),
+	}
+}
+
+// headerTimeout bounds the reading of a request's header.
+func (e *Router) headerTimeout() time.Duration {
+	if table := e.table.Load(); table != nil {
+		return max(minHeaderTimeout, table.Limits().HeaderTimeout)
+	}
+	return minHeaderTimeout
+}
+
+// idleTimeout is how long a caller's connection may stay idle.
+func (e *Router) idleTimeout() time.Duration {
+	if table := e.table.Load(); table != nil && table.Limits().IdleTimeout > 0 {
+		return time.Duration(idleMargin * float64(table.Limits().IdleTimeout))
+	}
+	return defaultIdleTimeout
+}
+
 // evictedFields are the log fields of connections that gave way to others, by phase.
 var evictedFields = []string{"EvictedInHead", "EvictedInBody", "EvictedServing", "EvictedInWrite", "EvictedFinishing", "EvictedIdle"}
 
@@ -44,7 +77,7 @@
 	fields := []pomelorelay.Field{
 		field("Unaccepted", s.Unaccepted-last.Unaccepted), field("HeadsTooLarge", s.HeadsTooLarge-last.HeadsTooLarge),
 		field("HeadsWithoutMemory", s.HeadsWithoutMemory-last.HeadsWithoutMemory), field("BodiesUnread", s.BodiesUnread-last.BodiesUnread),
-		field("UnreadAnswers", s.UnreadAnswers-last.UnreadAnswers), field("Memory", s.Memory), field("Connections", c.e.conns.Load()),
+		field("UnreadAnswers", s.UnreadAnswers-last.UnreadAnswers), field("Memory", s.Memory), field("Connections", c.e.callers.Conns()),
 	}
 	for phase, n := range s.Evicted {
 		if n -= last.Evicted[phase]; n > 0 {
--- a/pomeloentry/control.go
+++ b/pomeloentry/control.go
@@ -181,7 +181,7 @@
 	m.SetGauge("store_read_age_seconds", c.e.storeReadAge().Seconds())
 	m.SetGauge("read_delay_seconds", time.Duration(c.e.readDelay.Load()).Seconds())
 	m.SetGauge("requests_in_flight", float64(c.e.inFlight.Load()))
-	m.SetGauge("caller_connections", float64(c.e.conns.Load()))
+	m.SetGauge("caller_connections", float64(c.e.callers.Conns()))
 	m.SetGauge("upstream_connections_opened", float64(c.e.forward.OpenedConnections()))
 	c.setOverloadGauges()
 	c.setClientGauges()
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -16,7 +16,7 @@
 const (
 	// listenerCount is the number of HTTP ports of a router.
 	listenerCount = 3
-	// maxHeaderBytes bounds a request's header; the limit in the operators' configuration is 16 KiB.
+	// maxHeaderBytes bounds a request's header, whatever the operators' configuration allows, and applies while there is none.
 	maxHeaderBytes = 64 << 10
 	// stopPollInterval is how often a graceful stop checks whether the last connection has closed.
 	stopPollInterval = 20 * time.Millisecond
@@ -31,15 +31,7 @@
 // Listen opens the router's ports and serves them. It fails with CodeCannotListen when an address cannot be bound.
 func (e *Router) Listen() error {
 	settings := e.cfg.Settings
-	callers := &http.Server{
-		Handler:                      http.HandlerFunc(e.serveCaller),
-		ReadHeaderTimeout:            headerMark,
-		IdleTimeout:                  idleMark,
-		MaxHeaderBytes:               maxHeaderBytes,
-		ConnState:                    e.countConn,
-		ConnContext:                  e.withConn,
-		DisableGeneralOptionsHandler: true,
-	}
+	callers := &http.Server{Handler: http.HandlerFunc(e.serveCaller), MaxHeaderBytes: maxHeaderBytes, ConnContext: e.withConn, DisableGeneralOptionsHandler: true}
 	ready := mux.NewRouter()
 	ready.HandleFunc(e.cfg.Wire.ReadinessPath(), e.serveReady)
 	metrics := mux.NewRouter()
@@ -51,7 +43,7 @@
 	}{
 		{settings.MetricsAddr, &http.Server{Handler: metrics}, e.clients.NewPort(controlPort)},
 		{settings.ReadinessAddr, &http.Server{Handler: ready}, e.clients.NewPort(controlPort)},
-		{settings.CallerAddr, callers, nil},
+		{settings.CallerAddr, callers, e.callers},
 	} {
 		if err := e.serve(l.server, l.addr, l.port); err != nil {
 			return err
@@ -67,12 +59,11 @@
 	if err != nil {
 		return pomelorelay.NewError(pomelorelay.CodeCannotListen, addr.String(), err)
 	}
+	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = pomelolistener.HeaderMark, pomelolistener.IdleMark, port.ConnState
 	e.servers = append(e.servers, s)
-	if port == nil {
+	l = port.Listener(l)
+	if port == e.callers {
 		l = loadSheddingListener{Listener: l, e: e}
-	} else {
-		s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = pomelolistener.HeaderMark, pomelolistener.IdleMark, port.ConnState
-		l = port.Listener(l)
 	}
 	e.start(func(context.Context) {
 		if err := s.Serve(l); err != http.ErrServerClosed {
@@ -88,6 +79,9 @@
 func (e *Router) serveCaller(w http.ResponseWriter, r *http.Request) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	if conn := connOf(r.Context()).tracked(); conn != nil {
+		defer conn.Finish()
+	}
 	if !e.admit(w, r) {
 		return
 	}
@@ -102,15 +96,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (e *Router) countConn(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		e.conns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		e.conns.Add(-1)
-	}
-}
-
 // Stop shuts the router down gracefully. The router reports not ready and keeps serving its open connections; it refuses requests that it could not
 // answer in time. It ends when the last connection closes or shortly before the process is killed. Closing idle connections earlier could race
 // with requests already sent on them.
@@ -119,17 +104,17 @@
 	untilAnswers, untilEnd := untilFinalAnswers(timeout), time.Duration(stopFraction*float64(timeout))
 	began := e.steady()
 	e.stopAt.Store(began + int64(untilAnswers))
-	e.log(pomelorelay.EventStopping, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()))
+	e.log(pomelorelay.EventStopping, field("InFlight", e.inFlight.Load()), field("Connections", e.callers.Conns()))
 	final := time.AfterFunc(untilAnswers, e.callFinalAnswers)
 	defer final.Stop()
 	for {
 		elapsed := time.Duration(e.steady() - began)
-		if elapsed > untilEnd || (elapsed > balancerDrainTime && e.conns.Load() == 0) {
+		if elapsed > untilEnd || (elapsed > balancerDrainTime && e.callers.Conns() == 0) {
 			break
 		}
 		time.Sleep(stopPollInterval)
 	}
-	e.log(pomelorelay.EventStopped, field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()))
+	e.log(pomelorelay.EventStopped, field("InFlight", e.inFlight.Load()), field("Connections", e.callers.Conns()))
 	e.Close()
 }
 
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelolistener"
 	"github.com/pomelorelay/pomelorelay/pomelometric"
 )
 
@@ -17,9 +18,10 @@
 // excess requests early and cheaply, and the caller's next attempt reaches another router.
 
 const (
-	// requestMemoryBytes is the memory of a running request: the buffers of two connections, stacks and a body.
-	requestMemoryBytes = 64 << 10
-	// requestMemoryFraction is the fraction of memory available to requests.
+	// clientMemoryFraction is the fraction of memory available to all that clients' connections hold. What remains is for the program itself, for what the
+	// router knows of the fleet, and for what the collector has not freed yet.
+	clientMemoryFraction = 0.4
+	// requestMemoryFraction is the fraction of memory available to requests, without their large bodies and headers.
 	requestMemoryFraction = 0.3
 	// bodyMemoryFraction is the fraction of memory available to large request bodies, all requests together.
 	bodyMemoryFraction = 0.25
@@ -29,8 +31,8 @@
 	initialRequestsPerCore = 1000
 	// minRequests is the minimum of the limits on requests and on connections, which keeps a host of unknown size in service.
 	minRequests = 64
-	// connMemoryBytes is the memory of an idle connection: a stack, two 4 KB buffers and the state of net/http. connMemoryFraction is
-	// the fraction of memory available to connections.
+	// connMemoryBytes is the memory of an idle connection whose client has read all answers: a stack, two 4 KB buffers and the state of net/http.
+	// connMemoryFraction is the fraction of memory available to connections.
 	connMemoryBytes    = 20 << 10
 	connMemoryFraction = 0.3
 	// reservedFDs are the file descriptors reserved for files of the platform; connFDFraction is the fraction of the others available
@@ -62,7 +64,7 @@
 func hostLimitsOf(s pomelorelay.FleetSettings) hostLimits {
 	l := hostLimits{maxRequests: 1 << 20, maxConns: 1 << 20}
 	if s.MemoryLimit > 0 {
-		l.maxRequests = min(l.maxRequests, int64(requestMemoryFraction*float64(s.MemoryLimit)/requestMemoryBytes))
+		l.maxRequests = min(l.maxRequests, int64(requestMemoryFraction*float64(s.MemoryLimit)/pomelolistener.RequestMemory))
 		l.maxConns = min(l.maxConns, int64(connMemoryFraction*float64(s.MemoryLimit)/connMemoryBytes))
 	}
 	if s.MaxFDs > reservedFDs {
@@ -86,7 +88,7 @@
 	// lateTickHold is how long after a late tick the router keeps checking that callers are still connected; callers give up after
 	// waiting 1 s.
 	lateTickHold = 1500 * time.Millisecond
-	// connOverloadFactor is the multiple of the connection limit above which new connections are closed unread.
+	// connOverloadFactor is the multiple of the connection limit above which new connections take the place of others, or are closed unread.
 	connOverloadFactor = 1.3
 )
 
@@ -126,10 +128,9 @@
 	return e.lag() >= lateTickThreshold || now-e.lastLateTickAt.Load() < int64(lateTickHold)
 }
 
-// mustCloseUnread reports whether new connections are closed unread: because there are too many, or because refusing their requests takes more than
-// the host's processor time.
+// mustCloseUnread reports whether new connections are closed unread because refusing their requests takes more than the host's processor time.
 func (e *Router) mustCloseUnread() bool {
-	return e.overload.closeUnread.Load() || float64(e.conns.Load()) > connOverloadFactor*float64(e.hostLimits.maxConns)
+	return e.overload.closeUnread.Load()
 }
 
 const (
@@ -172,16 +173,12 @@
 			return nil, err
 		}
 		if !l.e.mustCloseUnread() {
-			tcp, ok := conn.(*net.TCPConn)
-			if !ok {
+			tracked := pomelolistener.Of(conn)
+			if tracked == nil || !l.e.overload.limited.Load() {
 				return conn, nil
 			}
-			timed := timedConn{tcp, l.e}
-			if !l.e.overload.limited.Load() {
-				return timed, nil
-			}
 			if l.e.mayScreen() {
-				return newScreenedConn(timed), nil
+				return newScreenedConn(tracked, l.e), nil
 			}
 		}
 		l.e.overload.refused.unreadConns.Add(1)
@@ -243,11 +240,11 @@
 // sendsCallersAway reports whether the router closes callers' connections after their responses, so that the load balancer selects another router or
 // descriptors become free. A router in rotation keeps them: its callers would come back on a new connection for each request.
 func (e *Router) sendsCallersAway() bool {
-	return e.overload.away.Load() || float64(e.conns.Load()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
+	return e.overload.away.Load() || float64(e.callers.Conns()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
 }
 
 func (e *Router) connsNearCapacity() bool {
-	return float64(e.conns.Load()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
+	return float64(e.callers.Conns()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
 }
 
 // admit reports whether the router can accept the request. When it is overloaded or full, admit answers with a refusal and returns false.
@@ -275,7 +272,7 @@
 	e.metrics.ObserveAnswer("None", "full", 0, 0)
 	account, cost := e.forward.EstimateCost(r)
 	e.countRefused(account, cost)
-	e.log(pomelorelay.EventRouterFull, field("Account", string(account)), field("InFlight", e.inFlight.Load()), field("Connections", e.conns.Load()), field("Most", e.requestLimit.Load()), field("LagMS", e.lag().Milliseconds()))
+	e.log(pomelorelay.EventRouterFull, field("Account", string(account)), field("InFlight", e.inFlight.Load()), field("Connections", e.callers.Conns()), field("Most", e.requestLimit.Load()), field("LagMS", e.lag().Milliseconds()))
 	return false
 }
 
--- a/pomeloentry/overload.go
+++ b/pomeloentry/overload.go
@@ -22,9 +22,8 @@
 	limited, aboveHalf, closeUnread atomic.Bool
 	// lagSeenAt is when a handler last observed the lag of the control goroutine.
 	lagSeenAt atomic.Int64
-	// undecided is the number of screened connections whose first request is not decided on, lingering that of refused ones that are read until their
-	// callers close them.
-	undecided, lingering atomic.Int64
+	// undecided is the number of screened connections whose first request is not decided on.
+	undecided atomic.Int64
 	// closedInRow is the number of connections closed unread since the last one that was not.
 	closedInRow int
 	// away is set while the router is out of the load balancer's rotation because a router of its failure domain is limited.
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -65,10 +65,10 @@
 	readDelay    atomic.Int64
 	lastUpdateAt atomic.Int64
 	storeReadAt  atomic.Int64
-	conns        atomic.Int64
 	hostLimits   hostLimits
-	// clients is the account of what connections that others open hold.
+	// clients is the account of what all connections that others open hold, callers the port of callers' connections.
 	clients *pomelolistener.Pool
+	callers *pomelolistener.Port
 	// requestLimit is the maximum number of concurrent requests; the control goroutine adapts it.
 	requestLimit atomic.Int64
 	// nearCapacityAt is when the router was last close to its capacity.
@@ -113,9 +113,11 @@
 		cfg.Logger = pomelorelay.NopLogger{}
 	}
 	e := &Router{
-		cfg:           cfg,
-		hostLimits:    hostLimitsOf(cfg.Settings),
-		clients:       pomelolistener.New(pomelolistener.Config{}),
+		cfg:        cfg,
+		hostLimits: hostLimitsOf(cfg.Settings),
+		clients: pomelolistener.New(pomelolistener.Config{
+			Memory: pomelorelay.Bytes(clientMemoryFraction * float64(cfg.Settings.MemoryLimit)),
+		}),
 		incarnation:   cfg.Incarnation,
 		metrics:       pomelometric.New(),
 		events:        make(chan event, eventQueueLength),
@@ -123,6 +125,7 @@
 		errs:          make(chan error, listenerCount),
 		overload:      newOverload(),
 	}
+	e.callers = e.clients.NewPort(e.callerPort())
 	if e.incarnation == 0 {
 		e.incarnation = pomelorelay.Incarnation(cfg.Clock.Now().UnixNano())
 	}
--- a/pomeloentry/screen.go
+++ b/pomeloentry/screen.go
@@ -16,6 +16,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelolistener"
 	"github.com/pomelorelay/pomelorelay/pomelometric"
 )
 
@@ -41,6 +42,14 @@
 	return context.WithValue(ctx, connKey{}, info)
 }
 
+// tracked returns the connection as the account of clients' connections knows it; nil without one.
+func (c *callerConn) tracked() *pomelolistener.Conn {
+	if c == nil {
+		return nil
+	}
+	return pomelolistener.Of(c.conn)
+}
+
 // connOf returns the connection of a request; nil without one.
 func connOf(ctx context.Context) *callerConn {
 	info, _ := ctx.Value(connKey{}).(*callerConn)
@@ -68,7 +77,8 @@
 // screenedConn decides on the first request of a connection before net/http parses it. Through net/http, a refusal takes the parsing of the header,
 // a request, a response and a wait for the body.
 type screenedConn struct {
-	timedConn
+	*pomelolistener.Conn
+	e    *Router
 	info *callerConn
 	// read is set after the first read, or when the connection is closed before it.
 	read atomic.Bool
@@ -84,17 +94,17 @@
 // Close closes the connection.
 func (c *screenedConn) Close() error {
 	c.markRead()
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
 
-func newScreenedConn(conn timedConn) *screenedConn {
-	conn.e.overload.undecided.Add(1)
-	return &screenedConn{timedConn: conn, info: &callerConn{conn: conn, acceptedAt: conn.e.steady()}}
+func newScreenedConn(conn *pomelolistener.Conn, e *Router) *screenedConn {
+	e.overload.undecided.Add(1)
+	return &screenedConn{Conn: conn, e: e, info: &callerConn{conn: conn, acceptedAt: e.steady()}}
 }
 
 // Read reads from the connection. If the first read holds the header of a request that is refused, Read answers it and returns io.EOF.
 func (c *screenedConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if c.read.Load() {
 		return n, err
 	}
@@ -107,7 +117,7 @@
 		return n, nil
 	}
 	c.e.logRefusal(r)
-	c.refuse(r, unread)
+	c.Refuse(refusalResponse(r), unread)
 	return 0, io.EOF
 }
 
@@ -131,44 +141,6 @@
 	return r, head.length < 0 || head.length > int64(len(data)-head.size)
 }
 
-const (
-	// lingerTimeout bounds the time for which a refused connection is read until its caller closes it, and lingerBytes the number of bytes.
-	lingerTimeout = 500 * time.Millisecond
-	lingerBytes   = 1 << 20
-	// maxLingering bounds the connections that linger at once, each of which holds a buffer and a descriptor.
-	maxLingering = 128
-	lingerBuffer = 32 << 10
-)
-
-var lingerBuffers = sync.Pool{New: func() any { return new([lingerBuffer]byte) }}
-
-// refuse answers the request. If a part of its body is unread, it reads on until the caller closes the connection: closing a socket with unread
-// bytes resets the connection, which may destroy the response before the caller reads it.
-func (c *screenedConn) refuse(r refusal, unread bool) {
-	// The errors of a connection that the caller has left are ignored: net/http closes it.
-	if _, err := c.Write(refusalResponse(r)); err != nil || !unread {
-		return
-	}
-	lingering := &c.e.overload.lingering
-	if lingering.Add(1) > maxLingering {
-		// The caller may lose the response, and tries another router as it does after a connection closed unread.
-		lingering.Add(-1)
-		return
-	}
-	defer lingering.Add(-1)
-	_ = c.CloseWrite()
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	buffer := lingerBuffers.Get().(*[lingerBuffer]byte)
-	defer lingerBuffers.Put(buffer)
-	for total := 0; total < lingerBytes; {
-		n, err := c.TCPConn.Read(buffer[:])
-		if err != nil {
-			return
-		}
-		total += n
-	}
-}
-
 // overloadedResponse is the response of an overloaded router.
 var overloadedResponse = encodeRefusal(refusal{code: pomelorelay.CodeRouterOverloaded, retryAfter: overloadRetryAfter})
 
