--- a/pomeloentry/clients.go
+++ b/pomeloentry/clients.go
@@ -41,12 +41,22 @@
 func (e *Router) callerPort() pomelolistener.PortConfig {
 	return pomelolistener.PortConfig{
 		MaxConns:      int64(connOverloadFactor * float64(e.hostLimits.maxConns)),
+		HeaderBytes:   e.headerBytes,
 		HeaderTimeout: e.headerTimeout,
 		IdleTimeout:   e.idleTimeout,
+		HeadTooLarge:  headTooLarge,
 		NoMemory:      encodeRefusal(refusal{code: pomelorelay.CodeRouterFull, retryAfter: fullRouterRetryAfter}),
 	}
 }
 
+// headerBytes bounds a request's header by the operators' configuration.
+func (e *Router) headerBytes() pomelorelay.Bytes {
+	if table := e.table.Load(); table != nil && table.Limits().HeaderBytes > 0 {
+		return min(maxHeaderBytes, table.Limits().HeaderBytes)
+	}
+	return maxHeaderBytes
+}
+
 // headerTimeout bounds the reading of a request's header.
 func (e *Router) headerTimeout() time.Duration {
 	if table := e.table.Load(); table != nil {
--- a/pomeloentry/clients_test.go
+++ b/pomeloentry/clients_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,3 +53,20 @@
 		t.Errorf("an idle connection within the limit of %v: %v, want it open", long, err)
 	}
 }
+
+// Guards against heads over the operators' limit that are read to their end, and against refusing one within it.
+func TestHeaderLimitFollowsConfiguration(t *testing.T) {
+	f := newFleet(t)
+	f.store.PublishConfig(f.configWith(1, func(c *pomelorelay.FleetConfig) { c.Limits.HeaderBytes = 16 << 10 }, "/a/"))
+	f.upstream("u1", 0)
+	n := f.start(time.Second)
+	f.awaitStatus(n, "/a/", 200)
+	for _, c := range []struct {
+		name       string
+		size, want int
+	}{{"within the limit", 15 << 10, 200}, {"over the limit", 30 << 10, 431}} {
+		if status, body, _ := f.callUndelimited(n, "/a/", "Pad", strings.Repeat("x", c.size)); status != c.want {
+			t.Errorf("a head %s is answered with %d %q, want %d", c.name, status, body, c.want)
+		}
+	}
+}
