--- a/pomeloentry/clients.go
+++ b/pomeloentry/clients.go
@@ -1,6 +1,7 @@
 package pomeloentry
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -73,6 +74,12 @@
 	return defaultIdleTimeout
 }
 
+// chargeBody charges the memory of a large body to the connection of its request.
+func chargeBody(r *http.Request, bytes int64) bool {
+	conn := connOf(r.Context()).tracked()
+	return conn == nil || conn.ChargeBody(bytes)
+}
+
 // evictedFields are the log fields of connections that gave way to others, by phase.
 var evictedFields = []string{"EvictedInHead", "EvictedInBody", "EvictedServing", "EvictedInWrite", "EvictedFinishing", "EvictedIdle"}
 
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -230,7 +230,8 @@
 // nearCapacity reports whether the router is close to its capacity, or was close to it at most nearCapacityHold ago.
 func (e *Router) nearCapacity() bool {
 	now := e.steady()
-	full := float64(e.inFlight.Load()) > nearCapacityFraction*float64(e.requestLimit.Load()) || e.connsNearCapacity()
+	serving := e.inFlight.Load() - e.callers.InPhase(pomelolistener.PhaseBody)
+	full := float64(serving) > nearCapacityFraction*float64(e.requestLimit.Load()) || e.connsNearCapacity()
 	if full {
 		e.nearCapacityAt.Store(now)
 	}
@@ -243,8 +244,9 @@
 	return e.overload.away.Load() || float64(e.callers.Conns()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
 }
 
+// connsNearCapacity reports whether connections that do not give way to others, because a request runs on them, are close to the limit.
 func (e *Router) connsNearCapacity() bool {
-	return float64(e.callers.Conns()) > nearCapacityFraction*float64(e.hostLimits.maxConns)
+	return float64(e.callers.InPhase(pomelolistener.PhaseServing)) > nearCapacityFraction*float64(e.hostLimits.maxConns)
 }
 
 // admit reports whether the router can accept the request. When it is overloaded or full, admit answers with a refusal and returns false.
@@ -263,7 +265,8 @@
 		e.logRefusal(refused)
 		return false
 	}
-	if e.inFlight.Load() <= e.requestLimit.Load() {
+	conn := connOf(r.Context()).tracked()
+	if (e.inFlight.Load() <= e.requestLimit.Load() || e.callers.EvictBody()) && (conn == nil || conn.Begin()) {
 		return true
 	}
 	err := pomelorelay.NewError(pomelorelay.CodeRouterFull, "", nil)
--- a/pomeloentry/router.go
+++ b/pomeloentry/router.go
@@ -116,7 +116,8 @@
 		cfg:        cfg,
 		hostLimits: hostLimitsOf(cfg.Settings),
 		clients: pomelolistener.New(pomelolistener.Config{
-			Memory: pomelorelay.Bytes(clientMemoryFraction * float64(cfg.Settings.MemoryLimit)),
+			Memory:     pomelorelay.Bytes(clientMemoryFraction * float64(cfg.Settings.MemoryLimit)),
+			BodyMemory: pomelorelay.Bytes(bodyMemoryFraction * float64(cfg.Settings.MemoryLimit)),
 		}),
 		incarnation:   cfg.Incarnation,
 		metrics:       pomelometric.New(),
@@ -148,7 +149,7 @@
 		ResetOnClose: resetOnClose,
 		RetryRatio:   cfg.Settings.RetryRatio,
 		RetrySlack:   cfg.Settings.RetrySlack,
-		BodyMemory:   pomelorelay.Bytes(bodyMemoryFraction * float64(cfg.Settings.MemoryLimit)),
+		ChargeBody:   chargeBody,
 		AnswerMemory: pomelorelay.Bytes(answerMemoryFraction * float64(cfg.Settings.MemoryLimit)),
 	})
 	e.crashRecorder = newCrashRecorder(e)
--- a/pomeloforward/body.go
+++ b/pomeloforward/body.go
@@ -32,10 +32,10 @@
 // reserve reserves bytes for the call's body, up to size in total. It fails with CodeBodiesFull.
 func (m *bodyMemory) reserve(c *call, size int64) error {
 	more := size - c.bodyReserved
-	if more <= 0 || m.limit == 0 {
+	if more <= 0 {
 		return nil
 	}
-	if used := m.used.Add(more); used > m.limit {
+	if used := m.used.Add(more); (m.limit > 0 && used > m.limit) || !c.chargeBody(more) {
 		m.used.Add(-more)
 		e := pomelorelay.NewError(pomelorelay.CodeBodiesFull, "", nil)
 		e.RetryAfter = bodiesFullRetryAfter
@@ -47,10 +47,19 @@
 
 // release releases what is reserved for the call's body.
 func (m *bodyMemory) release(c *call) {
+	if c.bodyReserved == 0 {
+		return
+	}
 	m.used.Add(-c.bodyReserved)
+	c.chargeBody(-c.bodyReserved)
 	c.bodyReserved = 0
 }
 
+// chargeBody charges bytes to the account of the caller's connection and reports whether there is enough memory.
+func (c *call) chargeBody(bytes int64) bool {
+	return c.h.cfg.ChargeBody == nil || c.h.cfg.ChargeBody(c.r, bytes)
+}
+
 // readBody reads the request's body into memory, until the request's deadline at most. It refuses a body for which there is no memory, before it
 // reads the body if its length is known.
 func (c *call) readBody() error {
--- a/pomeloforward/config.go
+++ b/pomeloforward/config.go
@@ -31,6 +31,9 @@
 	RetrySlack float64
 	// BodyMemory limits the memory of all request bodies over 64 KiB; zero means no limit.
 	BodyMemory pomelorelay.Bytes
+	// ChargeBody charges the memory of a request's body over 64 KiB, or releases it if bytes is negative, and reports whether there is enough; nil charges
+	// nothing.
+	ChargeBody func(r *http.Request, bytes int64) bool
 	// AnswerMemory limits the memory of all buffered answers beyond one chunk each; zero means no limit.
 	AnswerMemory pomelorelay.Bytes
 }
