--- a/pomeloentry/placement.go
+++ b/pomeloentry/placement.go
@@ -32,6 +32,10 @@
 	// is never ended.
 	d := <-ev.answer
 	if d.Run == nil {
+		if d.Reason == pomeloplace.ReasonTooLate || d.Reason == pomeloplace.ReasonOverShare {
+			// Callers that do not read their answers occupy slots that others wait for.
+			p.e.callers.EvictStalled()
+		}
 		return nil, d, ctx.Err()
 	}
 	p.e.observeSent(ctx)
