--- a/pomelodialer/dialer_test.go
+++ b/pomelodialer/dialer_test.go
@@ -45,3 +45,32 @@
 		}
 	}
 }
+
+// Guards against a receive buffer that grows to megabytes while an answer cannot be passed on.
+func TestReceiveBufferIsBounded(t *testing.T) {
+	const size = 64 << 10
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	for _, cfg := range []pomelodialer.Config{{ReceiveBuffer: size}, {ReceiveBuffer: size, AckTimeout: 2 * time.Second}} {
+		conn, err := pomelodialer.New(cfg).DialContext(context.Background(), "tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		raw, err := conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got int
+		var failed error
+		if err := raw.Control(func(fd uintptr) { got, failed = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) }); err != nil {
+			t.Fatal(err)
+		}
+		if failed != nil || got != 2*size {
+			t.Errorf("%+v: the receive buffer has %d bytes, %v, want %d, twice the size", cfg, got, failed, 2*size)
+		}
+	}
+}
--- a/pomeloentry/clients.go
+++ b/pomeloentry/clients.go
@@ -6,6 +6,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloforward"
+	"github.com/pomelorelay/pomelorelay/pomelolink"
 	"github.com/pomelorelay/pomelorelay/pomelolistener"
 )
 
@@ -45,6 +46,7 @@
 		HeaderBytes:   e.headerBytes,
 		HeaderTimeout: e.headerTimeout,
 		IdleTimeout:   e.idleTimeout,
+		LagMemory:     pomelolink.ReceiveMemory,
 		HeadTooLarge:  headTooLarge,
 		NoMemory:      encodeRefusal(refusal{code: pomelorelay.CodeRouterFull, retryAfter: fullRouterRetryAfter}),
 	}
--- a/pomelolink/buffer.go
+++ b/pomelolink/buffer.go
@@ -12,6 +12,10 @@
 
 const (
 	connBufferBytes = 4 << 10
+	// receiveBuffer is the size in bytes that the receive buffers of sockets are set to. It fills when a caller does not read its answer.
+	receiveBuffer = 64 << 10
+	// ReceiveMemory is the memory of a full receive buffer in bytes: the kernel doubles the size.
+	ReceiveMemory = 2 * receiveBuffer
 	// maxPooledBuffer is the capacity in bytes of the largest body buffer that is returned to the pool.
 	maxPooledBuffer = 256 << 10
 )
--- a/pomelolink/pool.go
+++ b/pomelolink/pool.go
@@ -47,7 +47,7 @@
 func newPool(cfg Config) *pool {
 	p := &pool{
 		cfg:       cfg,
-		dialer:    pomelodialer.New(pomelodialer.Config{Timeout: cfg.DialTimeout, AckTimeout: cfg.AckTimeout}),
+		dialer:    pomelodialer.New(pomelodialer.Config{Timeout: cfg.DialTimeout, AckTimeout: cfg.AckTimeout, ReceiveBuffer: receiveBuffer}),
 		stopSweep: make(chan struct{}),
 		idle:      make(map[netip.AddrPort][]*upstreamConn),
 		starts:    make(map[netip.AddrPort]reportedStart),
