--- a/cmd/pomelorelayd/entry.go
+++ b/cmd/pomelorelayd/entry.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// memoryLimitFraction is the Go memory limit as a fraction of the memory that the platform allows.
-	memoryLimitFraction = 0.6
+	// memoryLimitFraction is the Go memory limit as a fraction of the memory that the platform allows. The program itself and what the kernel holds of its
+	// connections take the rest.
+	memoryLimitFraction = 0.55
 	// storeTimeout bounds a call to the platform's store, which normally answers within 4 ms, and within a few hundred milliseconds
 	// when it is slow.
 	storeTimeout = 1500 * time.Millisecond
--- a/pomeloentry/clients.go
+++ b/pomeloentry/clients.go
@@ -31,6 +31,7 @@
 // controlPort is the configuration of the ports for readiness and metrics.
 var controlPort = pomelolistener.PortConfig{
 	MaxConns:      maxControlConns,
+	Backlog:       maxControlConns,
 	HeaderBytes:   func() pomelorelay.Bytes { return controlHeaderBytes },
 	HeaderTimeout: func() time.Duration { return controlTimeout },
 	IdleTimeout:   func() time.Duration { return controlTimeout },
@@ -43,6 +44,7 @@
 func (e *Router) callerPort() pomelolistener.PortConfig {
 	return pomelolistener.PortConfig{
 		MaxConns:      int64(connOverloadFactor * float64(e.hostLimits.maxConns)),
+		Backlog:       e.hostLimits.maxPending,
 		HeaderBytes:   e.headerBytes,
 		HeaderTimeout: e.headerTimeout,
 		IdleTimeout:   e.idleTimeout,
--- a/pomeloentry/listen.go
+++ b/pomeloentry/listen.go
@@ -59,6 +59,8 @@
 	if err != nil {
 		return pomelorelay.NewError(pomelorelay.CodeCannotListen, addr.String(), err)
 	}
+	// A port serves as well with the system's backlog.
+	_ = pomelolistener.SetBacklog(l, port.Backlog())
 	s.ReadHeaderTimeout, s.IdleTimeout, s.ConnState = pomelolistener.HeaderMark, pomelolistener.IdleMark, port.ConnState
 	e.servers = append(e.servers, s)
 	l = port.Listener(l)
--- a/pomeloentry/load.go
+++ b/pomeloentry/load.go
@@ -21,6 +21,10 @@
 	// clientMemoryFraction is the fraction of memory available to all that clients' connections hold. What remains is for the program itself, for what the
 	// router knows of the fleet, and for what the collector has not freed yet.
 	clientMemoryFraction = 0.4
+	// pendingMemoryFraction is the fraction of memory available to the kernel for connections that have not been accepted, defaultPending their maximum
+	// number on a host of unknown size.
+	pendingMemoryFraction = 0.1
+	defaultPending        = 1024
 	// requestMemoryFraction is the fraction of memory available to requests, without their large bodies and headers.
 	requestMemoryFraction = 0.3
 	// bodyMemoryFraction is the fraction of memory available to large request bodies, all requests together.
@@ -57,13 +61,16 @@
 type hostLimits struct {
 	maxRequests int64
 	maxConns    int64
+	// maxPending is the maximum number of connections that wait for their acceptance.
+	maxPending int
 	// initialRequests is the request limit at the start; maxRequests bounds the adapted limit.
 	initialRequests int64
 }
 
 func hostLimitsOf(s pomelorelay.FleetSettings) hostLimits {
-	l := hostLimits{maxRequests: 1 << 20, maxConns: 1 << 20}
+	l := hostLimits{maxRequests: 1 << 20, maxConns: 1 << 20, maxPending: defaultPending}
 	if s.MemoryLimit > 0 {
+		l.maxPending = max(minRequests, int(pendingMemoryFraction*float64(s.MemoryLimit)/pomelolistener.PendingMemory))
 		l.maxRequests = min(l.maxRequests, int64(requestMemoryFraction*float64(s.MemoryLimit)/pomelolistener.RequestMemory))
 		l.maxConns = min(l.maxConns, int64(connMemoryFraction*float64(s.MemoryLimit)/connMemoryBytes))
 	}
--- a/pomelolistener/config.go
+++ b/pomelolistener/config.go
@@ -1,6 +1,7 @@
 package pomelolistener
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -17,6 +18,8 @@
 type PortConfig struct {
 	// MaxConns limits the number of open connections.
 	MaxConns int64
+	// Backlog limits the number of connections that wait for their acceptance.
+	Backlog int
 	// HeaderBytes returns the limit on a request's head; nil leaves it to the HTTP server.
 	HeaderBytes func() pomelorelay.Bytes
 	// HeaderTimeout returns the time within which a head must be complete, IdleTimeout how long a connection may stay idle after an answer.
@@ -73,6 +76,28 @@
 	HeaderMark = 2000 * time.Hour
 )
 
+// PendingMemory is what the kernel may hold of a connection that has not been accepted.
+const PendingMemory = kernelFactor * receiveBuffer
+
+// SetBacklog bounds the connections that wait for their acceptance. The kernel receives for them meanwhile, and no account knows of that. By default, a
+// system lets thousands wait.
+func SetBacklog(l net.Listener, conns int) error {
+	listener, ok := l.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	// Listening once more on the same socket only changes its backlog.
+	if err := raw.Control(func(fd uintptr) { failed = syscall.Listen(int(fd), conns) }); err != nil {
+		return err
+	}
+	return failed
+}
+
 // SetBuffers bounds the kernel's buffers of the connections that a listening socket accepts; it is meant for net.ListenConfig.Control. The kernel would
 // otherwise keep megabytes for each connection that the process does not read, or whose client does not.
 func SetBuffers(_, _ string, raw syscall.RawConn) error {
--- a/pomelolistener/listener_test.go
+++ b/pomelolistener/listener_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelolistener"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -302,3 +304,29 @@
 		t.Errorf("%d bytes are charged without a connection", got)
 	}
 }
+
+// Guards against a backlog of the system's size, for whose connections the kernel receives unaccounted.
+func TestBacklogIsBounded(t *testing.T) {
+	const size = 7
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if err := pomelolistener.SetBacklog(l, size); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var info *unix.TCPInfo
+	var failed error
+	if err := raw.Control(func(fd uintptr) { info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
+		t.Fatal(err)
+	}
+	// For a listening socket, the kernel tells the backlog in this field.
+	if failed != nil || info.Sacked != size {
+		t.Errorf("%+v, %v, want a backlog of %d", info, failed, size)
+	}
+}
--- a/pomelolistener/pool.go
+++ b/pomelolistener/pool.go
@@ -127,6 +127,9 @@
 	lists [numPhases]connList
 }
 
+// Backlog returns the limit on the connections that wait for their acceptance.
+func (p *Port) Backlog() int { return p.cfg.Backlog }
+
 // Conns returns the number of open connections.
 func (p *Port) Conns() int64 {
 	p.pool.mu.Lock()
