--- a/pomelolistener/conn.go
+++ b/pomelolistener/conn.go
@@ -72,15 +72,17 @@
 
 // becomeIdle releases what the last request held.
 func (c *Conn) becomeIdle() {
+	var evicted []*Conn
+	defer func() { closeEvicted(evicted) }()
 	p := c.port.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.enter(PhaseIdle, false)
 	c.head = headScanner{}
 	c.sentAhead = false
-	p.charge(c, -c.requestHeld, nil)
+	p.charge(c, -c.requestHeld, &evicted)
 	c.requestHeld = 0
-	c.chargeUnsent(0, nil)
+	c.chargeUnsent(0, &evicted)
 }
 
 // chargeRequest charges memory until the request ends; the caller holds the pool's mu.
@@ -285,7 +287,7 @@
 		}
 	}
 	held := max(0, min(c.unsent+more, kernelFactor*sendBuffer)-unsentAllowance)
-	if c.unsent > unsentAllowance {
+	if more > 0 && c.unsent > unsentAllowance {
 		held += int64(c.port.cfg.LagMemory)
 	}
 	if !c.port.pool.charge(c, held-c.unsentHeld, evicted) {
--- a/pomelolistener/listener_test.go
+++ b/pomelolistener/listener_test.go
@@ -22,6 +22,8 @@
 const (
 	testTimeout = 10 * time.Second
 	headerBytes = 16 << 10
+	// largeAnswer is the size of the answers to requests for /large.
+	largeAnswer = 28 << 10
 )
 
 type connKey struct{}
@@ -47,6 +49,7 @@
 	s.port = s.pool.NewPort(pomelolistener.PortConfig{
 		MaxConns:      maxConns,
 		HeaderBytes:   func() pomelorelay.Bytes { return headerBytes },
+		LagMemory:     256 << 10,
 		HeaderTimeout: func() time.Duration { return testTimeout },
 		IdleTimeout:   func() time.Duration { return testTimeout },
 		HeadTooLarge:  []byte("HTTP/1.1 431 Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"),
@@ -77,6 +80,11 @@
 	case !conn.Begin():
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case r.URL.Path == "/large":
+		w.Header().Set("Content-Length", fmt.Sprint(largeAnswer))
+		// The client may leave the answer unread.
+		_, _ = w.Write(make([]byte, largeAnswer))
+		return
 	case r.URL.Path == "/wait":
 		s.running <- struct{}{}
 		<-s.release
@@ -202,6 +210,23 @@
 	}
 }
 
+// Guards against a connection that ends after its answer because memory is short while the answer is on its way.
+func TestConnectionIsKeptAfterLargeAnswer(t *testing.T) {
+	s := newServer(t, pomelolistener.Config{Memory: 2*pomelolistener.ConnMemory + pomelolistener.RequestMemory + 64<<10}, 0)
+	s.dial().send("GET")
+	c := s.dial()
+	if err := c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		c.get("/large")
+		s.await("the answer to be on its way", func() bool { return s.port.InPhase(pomelolistener.PhaseServing) == 0 })
+		if got := c.status(); got != 200 {
+			t.Fatalf("answered %d, want 200", got)
+		}
+	}
+}
+
 // Guards against memory that stays charged, or is released twice, for whatever a client does.
 func TestAccountReturnsToZero(t *testing.T) {
 	s := newServer(t, pomelolistener.Config{Memory: 4 << 20, BodyMemory: 1 << 20}, 6)
