--- a/pomelolistener/config.go
+++ b/pomelolistener/config.go
@@ -53,7 +53,7 @@
 
 	// answerTimeout bounds the writing of an answer for which the handler sets no deadline.
 	answerTimeout = 5 * time.Second
-	// stallTimeout is how long a write must have been blocked until its connection gives way to others.
+	// stallTimeout is how long a write must have been blocked, or a body on its way, until its connection gives way to other requests.
 	stallTimeout = 500 * time.Millisecond
 	// finishTimeout is how long after its handling an answer must have waited until its connection gives way to others.
 	finishTimeout = 100 * time.Millisecond
--- a/pomelolistener/pool.go
+++ b/pomelolistener/pool.go
@@ -76,15 +76,15 @@
 	return true
 }
 
-// memoryVictim returns the connection that gives way when memory is short; nil if there is none.
+// memoryVictim returns the connection that gives way when memory is short; nil if there is none. What reserved ports hold is not for others.
 func (p *Pool) memoryVictim(orIdle bool) *Conn {
 	for _, port := range p.ports {
-		if c := port.obstructing(); c != nil {
+		if c := port.obstructing(); c != nil && !port.cfg.Reserved {
 			return c
 		}
 	}
 	for _, port := range p.ports {
-		if c := port.inactive(PhaseIdle); orIdle && c != nil {
+		if c := port.inactive(PhaseIdle); c != nil && orIdle && !port.cfg.Reserved {
 			return c
 		}
 	}
@@ -205,17 +205,19 @@
 	return c
 }
 
-// EvictBody gives up the connection that has been sending the body of a request for longest, and reports whether there was one.
+// EvictBody gives up the connection that has been sending the body of a request for longest, and for stallTimeout at least, and reports whether there was
+// one.
 func (p *Port) EvictBody() bool {
 	var evicted []*Conn
 	defer func() { closeEvicted(evicted) }()
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
 	c := p.inactive(PhaseBody)
-	if c != nil {
-		p.pool.evict(c, &evicted)
+	if c == nil || time.Since(c.since) < stallTimeout {
+		return false
 	}
-	return c != nil
+	p.pool.evict(c, &evicted)
+	return true
 }
 
 // EvictStalled gives up the connections whose clients have not read for stallTimeout, and with them the upstreams' slots that their requests hold.
