--- a/pomelolistener/config.go
+++ b/pomelolistener/config.go
@@ -53,12 +53,14 @@
 
 	// answerTimeout bounds the writing of an answer for which the handler sets no deadline.
 	answerTimeout = 5 * time.Second
-	// stallTimeout is how long a write must have been blocked, or a body on its way, until its connection gives way to other requests.
-	stallTimeout = 500 * time.Millisecond
+	// stallTimeout is how long a write must have been blocked, or a body without progressBytes, until its connection gives way to others. Bodies that give
+	// way while they come would leave none that comes to its end.
+	stallTimeout  = 500 * time.Millisecond
+	progressBytes = 4 << 10
 	// finishTimeout is how long after its handling an answer must have waited until its connection gives way to others.
 	finishTimeout = 100 * time.Millisecond
-	// lingerTimeout bounds the time for which a refused connection is read until its client closes it, lingerBytes the number of bytes, and maxLingering the
-	// connections of a pool that linger at once.
+	// lingerTimeout bounds the time for which a refused connection stays open until its client closes it. Meanwhile lingerBytes are read, of maxLingering
+	// connections of a pool at once.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 1 << 20
 	lingerBuffer  = 32 << 10
--- a/pomelolistener/conn.go
+++ b/pomelolistener/conn.go
@@ -27,6 +27,8 @@
 	writing    bool
 	since      time.Time
 	prev, next *Conn
+	// progress is the number of bytes of a body since the connection entered its phase.
+	progress int
 	// held is the memory charged to the connection, bodyHeld the part for a large body; requestHeld is released with the request.
 	held, bodyHeld, requestHeld int64
 	// unsent bounds the bytes that the kernel holds for the client, unsentHeld is what is charged for them.
@@ -114,7 +116,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for limit := int64(p.cfg.BodyMemory); bytes > 0 && limit > 0 && p.bodies+bytes > limit; {
-		victim := c.port.inactive(PhaseBody)
+		victim := c.port.stalledBody()
 		if victim == nil || victim == c || bytes > limit {
 			return false
 		}
@@ -217,7 +219,9 @@
 	switch {
 	case phase == PhaseHead:
 		enough = c.chargeRequest(c.head.scan(data), &evicted)
-	case phase != PhaseBody && !c.sentAhead:
+	case phase == PhaseBody:
+		c.recordProgress(len(data))
+	case !c.sentAhead:
 		c.sentAhead = true
 		enough = c.chargeRequest(kernelFactor*receiveBuffer, &evicted)
 	}
@@ -363,21 +367,32 @@
 	return c.TCPConn.Close()
 }
 
+// linger lets the client receive the answer until it closes the connection. Of a client that sends on, it reads a part only; the client finds the answer
+// once it cannot send any more.
 func (c *Conn) linger() {
+	until := time.Now().Add(lingerTimeout)
+	_ = c.TCPConn.CloseWrite()
+	_ = c.TCPConn.SetReadDeadline(until)
+	if c.drain() {
+		time.Sleep(time.Until(until))
+	}
+}
+
+// drain reads up to lingerBytes and reports whether the client may still be sending.
+func (c *Conn) drain() bool {
 	lingering := &c.port.pool.lingering
 	defer lingering.Add(-1)
 	if lingering.Add(1) > maxLingering {
-		return
+		return true
 	}
-	_ = c.TCPConn.CloseWrite()
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	buffer := lingerBuffers.Get().(*[lingerBuffer]byte)
 	defer lingerBuffers.Put(buffer)
 	for total := 0; total < lingerBytes; {
 		n, err := c.TCPConn.Read(buffer[:])
 		if err != nil {
-			return
+			return false
 		}
 		total += n
 	}
+	return true
 }
--- a/pomelolistener/phase.go
+++ b/pomelolistener/phase.go
@@ -9,7 +9,7 @@
 const (
 	// PhaseHead is the reading of a request's head, from the acceptance of the connection or the head's first byte.
 	PhaseHead Phase = iota
-	// PhaseBody is the reading of a request's body.
+	// PhaseBody is the reading of a request's body; a connection enters it again with each progressBytes.
 	PhaseBody
 	// PhaseServing is the handling of a request that has been read.
 	PhaseServing
@@ -73,6 +73,18 @@
 		return
 	}
 	c.port.lists[c.listed()].remove(c)
-	c.phase, c.writing, c.since = phase, writing, time.Now()
+	c.phase, c.writing, c.progress = phase, writing, 0
+	c.since = time.Now()
 	c.port.lists[c.listed()].append(c)
 }
+
+// recordProgress moves a connection that has received progressBytes of a body behind those that wait for longer; the caller holds the pool's mu.
+func (c *Conn) recordProgress(bytes int) {
+	if c.progress += bytes; c.removed || c.progress < progressBytes {
+		return
+	}
+	list := &c.port.lists[c.listed()]
+	list.remove(c)
+	c.progress, c.since = 0, time.Now()
+	list.append(c)
+}
--- a/pomelolistener/pool.go
+++ b/pomelolistener/pool.go
@@ -205,19 +205,17 @@
 	return c
 }
 
-// EvictBody gives up the connection that has been sending the body of a request for longest, and for stallTimeout at least, and reports whether there was
-// one.
+// EvictBody gives up a connection whose body has stalled, and reports whether there was one.
 func (p *Port) EvictBody() bool {
 	var evicted []*Conn
 	defer func() { closeEvicted(evicted) }()
 	p.pool.mu.Lock()
 	defer p.pool.mu.Unlock()
-	c := p.inactive(PhaseBody)
-	if c == nil || time.Since(c.since) < stallTimeout {
-		return false
+	c := p.stalledBody()
+	if c != nil {
+		p.pool.evict(c, &evicted)
 	}
-	p.pool.evict(c, &evicted)
-	return true
+	return c != nil
 }
 
 // EvictStalled gives up the connections whose clients have not read for stallTimeout, and with them the upstreams' slots that their requests hold.
@@ -239,6 +237,14 @@
 	return nil
 }
 
+// stalledBody returns the connection of a body that has not come on for longest, and for stallTimeout at least; nil if there is none.
+func (p *Port) stalledBody() *Conn {
+	if c := p.inactive(PhaseBody); c != nil && time.Since(c.since) >= stallTimeout {
+		return c
+	}
+	return nil
+}
+
 // obstructing returns the connection that holds resources and is furthest from being served; nil if there is none. The caller holds the pool's mu.
 func (p *Port) obstructing() *Conn {
 	if c := p.stalled(); c != nil {
@@ -247,7 +253,7 @@
 	if c := p.lists[PhaseFinishing].first; c != nil && time.Since(c.since) >= finishTimeout {
 		return c
 	}
-	head, body := p.inactive(PhaseHead), p.inactive(PhaseBody)
+	head, body := p.inactive(PhaseHead), p.stalledBody()
 	if head == nil || (body != nil && body.since.Before(head.since)) {
 		return body
 	}
