Review: case 5 with clients that read 10 KB a second

The clients have their answers in half of their time, and each had read a piece of its answer 0.1 s before its connection was reset.

--- a/review/stand2/evicted.go
+++ b/review/stand2/evicted.go
@@ -13,6 +13,8 @@
 	// busyClients send the other route's requests, each the next one after the last; slowPerRouter read slowly meanwhile.
 	busyClients   = 27
 	slowPerRouter = 6
+	// steadyBytes each readPause is how fast these clients read: 10 KB a second, so that they have the whole answer after 4.5 s of 10.
+	steadyBytes = 1000
 	// movedAt and movedBackAt are when the configurations are sent, evictedFor how long the case lasts.
 	movedAt     = 14 * time.Second
 	movedBackAt = 17 * time.Second
@@ -95,7 +97,7 @@
 			for k := 0; since() < evictedFor-streamDeadline; k++ {
 				id := fmt.Sprintf("5%03d%012x", n, k)
 				sentAt := since()
-				events, err := s.readStream(id, s.routers[at].front, chatPrefix, readBytes)
+				events, err := s.readStream(id, s.routers[at].front, chatPrefix, steadyBytes)
 				s.record.add("slow client %d at router %d, sent at %.3f, read %d events of %s: %v", n, at, sentAt.Seconds(), events, id, err)
 				if err == nil && events == streamEvents {
 					whole.Add(1)
