An answer without length whose connection was reset is not complete

Callers saw: a server answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part, signed, with a Content-Length or as a stream that ended in order.

Cause: the kernel reports a reset once, to the write or to the read, whichever asks first. Where the concurrent write of the request received it, the next read met a plain end, and the end of a body without length was taken for the end of the answer. The result of the write was never looked at.

Fix: the connection keeps the error that ended the writing of the request. At the end of an answer without length a write that is still going on is stopped and its result awaited; the answer is complete only if no write met a failure of the connection. A write error alone does not show a broken answer: a reset that follows the server's FIN fails writes with EPIPE, one in its place with ECONNRESET.

--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -17,6 +17,7 @@
 	errFalseNotRun = errors.New("status states that the request did not run, but the upstream did not confirm it")
 	errFailed      = errors.New("upstream answered with a server error")
 	errNoBody      = errors.New("connection closed before the body of an answer without length")
+	errReset       = errors.New("connection failed during an answer without length")
 	errUnconfirmed = errors.New("answer without length ended, and its upstream's process is not known to live on")
 	errNoEnd       = errors.New("answer without length exceeds 16 MiB")
 )
@@ -67,10 +68,16 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
 }
 
-// confirmEnd marks the body of an answer as complete. It fails if only the end of the connection shows that, and the upstream may have ended.
+// confirmEnd marks the body of an answer as complete. It fails if only the end of the connection shows that, and the connection failed or the upstream
+// may have ended.
 func (c *call) confirmEnd(x *pomelolink.Exchange) *pomelolink.Failure {
-	if endsWithConnection(x.Response) && !x.UpstreamLives(c.process(c.decision.Upstream)) {
-		return cutShort(x, errUnconfirmed)
+	if endsWithConnection(x.Response) {
+		if !x.ClosedInOrder() {
+			return cutShort(x, errReset)
+		}
+		if !x.UpstreamLives(c.process(c.decision.Upstream)) {
+			return cutShort(x, errUnconfirmed)
+		}
 	}
 	x.BodyComplete = true
 	return nil
--- a/pomelolink/conn.go
+++ b/pomelolink/conn.go
@@ -30,6 +30,8 @@
 	read    atomic.Int64
 	// readErr is the error that ended the reading of the current exchange's answer.
 	readErr error
+	// writeErr is the error that ended the writing of the current exchange's request.
+	writeErr error
 	// headerBytesLeft is how many more bytes of an answer's header may be read: zero means no limit, negative that the limit is reached.
 	headerBytesLeft int64
 	// answerBy is the deadline that holds from the first byte of an answer on; zero once it was set, or for none.
@@ -61,6 +63,7 @@
 func (c *upstreamConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	c.writeErr = err
 	return n, err
 }
 
@@ -104,7 +107,7 @@
 	c.answerBy = answerBy
 	c.written.Store(0)
 	c.read.Store(0)
-	c.readErr = nil
+	c.readErr, c.writeErr = nil, nil
 	c.use.Exchange++
 	return c.SetDeadline(deadline)
 }
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -29,6 +30,9 @@
 	oldProtocol, newProtocol = "HTTP/1.0", "HTTP/1.1"
 )
 
+// aLongTimeAgo is a deadline that ends reads and writes at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
 var errVersion = errors.New("answer in a version before HTTP/1.0")
 
 // Exchange is one request on one connection, and its answer.
@@ -45,6 +49,8 @@
 	stop       func() bool
 	// writeDone receives the result of writing the request concurrently; nil if it was not written concurrently or its result was received.
 	writeDone chan error
+	// writeErr is the result of writing the request, once it was received.
+	writeErr error
 	// BodyComplete is set by the code that reads the answer's body, once the body was read to its end.
 	BodyComplete bool
 	// ProcessConfirmed is set if the process at the other end stated the start time that UpstreamRequest.Process asks for.
@@ -116,8 +122,8 @@
 	r.Carriers.add(conn)
 	x.Connection = conn.use
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
-	writeErr := x.write(r.Request, r.Size)
-	if f := x.readHeader(r.Request, writeErr); f != nil {
+	x.write(r.Request, r.Size)
+	if f := x.readHeader(r.Request); f != nil {
 		f.Connection = x.Connection
 		x.Close()
 		return nil, f
@@ -176,13 +182,13 @@
 	return nil
 }
 
-func (x *Exchange) write(req *http.Request, size int) error {
+func (x *Exchange) write(req *http.Request, size int) {
 	if size <= maxInlineBody {
-		return x.send(req)
+		x.writeErr = x.send(req)
+		return
 	}
 	x.writeDone = make(chan error, 1)
 	go func() { x.writeDone <- x.send(req) }()
-	return nil
 }
 
 func (x *Exchange) send(req *http.Request) error {
@@ -198,9 +204,9 @@
 
 // readHeader reads the answer's header, also after a failed write, because an upstream may refuse a request before it has
 // read the entire body.
-func (x *Exchange) readHeader(req *http.Request, writeErr error) *Failure {
-	if writeErr != nil && x.conn.written.Load() == 0 {
-		return notSentFailure(x.ctx, writeErr)
+func (x *Exchange) readHeader(req *http.Request) *Failure {
+	if x.writeErr != nil && x.conn.written.Load() == 0 {
+		return notSentFailure(x.ctx, x.writeErr)
 	}
 	x.conn.limitHeader(x.client.cfg.MaxHeaderBytes + connBufferBytes)
 	for range maxResponses {
@@ -283,11 +289,25 @@
 // awaitWrite waits for a concurrent write to end, so that the body's buffer can be reused.
 func (x *Exchange) awaitWrite() {
 	if x.writeDone != nil {
-		<-x.writeDone
+		x.writeErr = <-x.writeDone
 		x.writeDone = nil
 	}
 }
 
+// ClosedInOrder reports whether the end of the connection, which the last read of the answer met, was sent by the upstream and not caused by a failure of
+// the connection. The kernel reports a failure only once: if the write of the request has received it, the read meets an end without an error. A write in
+// progress is stopped, since the answer is over.
+func (x *Exchange) ClosedInOrder() bool {
+	if x.writeDone != nil {
+		// An error means that the connection is closed, which also ends the write.
+		_ = x.conn.SetWriteDeadline(aLongTimeAgo)
+		x.awaitWrite()
+	}
+	err := x.conn.writeErr
+	// A reset that follows the upstream's end of the connection fails writes with EPIPE, one in its place with ECONNRESET.
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE)
+}
+
 // checkHeader verifies that the answer belongs to this request and that a truncated body can be detected. Without the check, a late or
 // duplicate answer on a reused connection would reach the wrong caller. The check detects such an answer by its id, since only connections
 // to upstreams that echo ids are reused, and Carriers keeps the attempts of one request on different connections.
@@ -379,14 +399,13 @@
 
 // writeSucceeded reports whether the request was written completely without error.
 func (x *Exchange) writeSucceeded() bool {
-	if x.writeDone == nil {
-		return true
-	}
-	select {
-	case err := <-x.writeDone:
-		x.writeDone = nil
-		return err == nil
-	default:
-		return false
+	if x.writeDone != nil {
+		select {
+		case x.writeErr = <-x.writeDone:
+			x.writeDone = nil
+		default:
+			return false
+		}
 	}
+	return x.writeErr == nil
 }
