Heads of answers are read strictly

Callers saw: a server in trouble sent an answer with status 000, or with a blank in the name of a field, and callers got it as an answer: "Content-Length : 4" and " Transfer-Encoding: chunked" with the framing as the body, "X Foo: y" as a 200, " X-Foo: y" as a part of the signature before it, 600 and 999 with their status. Where the body of a 000, 099 or +20 looked like an answer, callers got that inner one, signed, as a 200.

Cause: net/http takes any three characters that are a number for a status, accepts blanks in names, joins folded lines, and does not take a field whose name is followed by a blank for the framing. The router took each status below 200 for that of an interim answer and read on.

Evidence: TestMalformedHeadIsNoAnswer sends 29 malformed heads on all kinds of routes, on new and kept connections, with bodies of four forms, TestMalformedHeadInPiecesIsNoAnswer byte by byte after an interim answer. On the product's own interface a 600 came through.

Fix: the bytes of a head are checked as they arrive on the connection, before the parser sees them: the status line with a status of 100 to 599, names of token characters up to the colon, values without control bytes, no folded lines. A malformed head ends the exchange as CodeAnswerMalformed, as other garbage does. It applies to all that reads upstreams through pomelolink: both interfaces and the reports that tell whether an upstream's process lives.

--- a/pomelolink/conn.go
+++ b/pomelolink/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelohead"
 )
 
 var errHeaderTooLarge = errors.New("answer header exceeds the size limit")
@@ -32,6 +33,8 @@
 	readErr error
 	// writeErr is the error that ended the writing of the current exchange's request.
 	writeErr error
+	// head checks the head of the current exchange's answer.
+	head pomelohead.Scanner
 	// headerBytesLeft is how many more bytes of an answer's header may be read: zero means no limit, negative that the limit is reached.
 	headerBytesLeft int64
 	// answerBy is the deadline that holds from the first byte of an answer on; zero once it was set, or for none.
@@ -67,14 +70,21 @@
 	return n, err
 }
 
-// Read reads from the connection; it fails once an answer's header exceeds its size limit.
+// Read reads from the connection; it fails once an answer's header exceeds its size limit or is malformed.
 func (c *upstreamConn) Read(p []byte) (int, error) {
 	if c.headerBytesLeft < 0 {
 		return 0, errHeaderTooLarge
 	}
+	if c.head.Err() != nil {
+		return 0, c.head.Err()
+	}
 	n, err := c.Conn.Read(p)
 	c.read.Add(int64(n))
 	c.readErr = err
+	if headErr := c.head.Scan(p[:n]); headErr != nil {
+		c.readErr = headErr
+		return 0, headErr
+	}
 	if n > 0 && !c.answerBy.IsZero() {
 		if deadlineErr := c.limitAnswer(); err == nil {
 			err = deadlineErr
@@ -108,6 +118,7 @@
 	c.written.Store(0)
 	c.read.Store(0)
 	c.readErr, c.writeErr = nil, nil
+	c.head.Reset()
 	c.use.Exchange++
 	return c.SetDeadline(deadline)
 }
