Store, loads and operator ports: answers with malformed heads are refused

Seen by: routers and operators. A store in trouble that answers with status 000, 099 or 101 was taken at its word: a lease counted as renewed or closed, a write as made. So was one with a blank in the name of a field. A load with such a field was used, and `pomeloctl drain` and `pomeloctl status` took such an answer, also with status 000, for a router's.

Cause: the same as in the heads of upstreams' answers. net/http returns such answers, and each status below 300 counted as success.

Fix: the three clients check the parsed head: a status of 200 to 599 and names of token characters. What fails counts as no answer: a write may have been made, a read has failed, a load is lost. Folded lines can't be told in a parsed head; what they could break, the length of the body, is checked by decoding it.

--- a/cmd/pomeloctl/pomelocommand/router.go
+++ b/cmd/pomeloctl/pomelocommand/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelohead"
 )
 
 const (
@@ -68,6 +69,9 @@
 		return nil, unreachable(router, path, err)
 	}
 	defer res.Body.Close()
+	if err := pomelohead.CheckParsed(res); err != nil {
+		return nil, unreachable(router, path, err)
+	}
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxStatusBytes))
 	if err != nil {
 		return nil, unreachable(router, path, err)
--- a/pomelonode/loads.go
+++ b/pomelonode/loads.go
@@ -9,6 +9,7 @@
 
 	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomeloconfig"
+	"github.com/pomelorelay/pomelorelay/pomelohead"
 	"github.com/pomelorelay/pomelorelay/pomeloslot"
 )
 
@@ -78,6 +79,9 @@
 		return load, err
 	}
 	defer resp.Body.Close()
+	if err := pomelohead.CheckParsed(resp); err != nil {
+		return load, err
+	}
 	if resp.StatusCode != http.StatusOK {
 		return load, pomelorelay.NewError(pomelorelay.CodeNoUpstream, "GET /load was not answered with status 200", nil)
 	}
--- a/pomelostore/call.go
+++ b/pomelostore/call.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelohead"
 
 	"github.com/go-faster/errors"
 )
@@ -102,6 +103,9 @@
 		return Reply{}, sent.Load(), err
 	}
 	defer res.Body.Close()
+	if err := pomelohead.CheckParsed(res); err != nil {
+		return Reply{}, true, err
+	}
 	body, err := c.readBody(res.Body, call.MaxResponse)
 	return Reply{Status: res.StatusCode, Body: body}, true, err
 }
