pomelonode: heads of loads are limited by Limits.HeaderBytes

The client that reads the loads of upstreams (`pomelorelayd run`) had no limit on a head of its own: net/http's limit of 10 MB applied to each upstream, read every Control.LoadInterval. Some ten faulty upstreams at a time exceed the memory of a small host.

Cause: the transport of the client was created without MaxResponseHeaderBytes; the body of a load was limited to 64 KiB.

Evidence: TestMalformedLoadIsNotUsed, "head of 1 MB": before the fix the load behind a head of 1 MB was used.

Fix: the limit on the heads of upstreams' answers, Limits.HeaderBytes, applies to those of loads. That a process ended for want of memory by this was not tried.

--- a/pomelonode/loads_test.go
+++ b/pomelonode/loads_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/pomelorelay/pomelorelay"
@@ -44,6 +45,7 @@
 		"blank in a name":        "HTTP/1.1 200 OK\r\nX Foo: y\r\n" + body,
 		"blank before a colon":   "HTTP/1.1 200 OK\r\nX-Foo : y\r\n" + body,
 		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01Foo: y\r\n" + body,
+		"head of 1 MB":           "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 1<<20) + "\r\n" + body,
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 1)
--- a/pomelonode/node.go
+++ b/pomelonode/node.go
@@ -93,7 +93,9 @@
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.finalAnswers, n.endAnswers = context.WithCancel(context.Background())
-	n.loadClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
+	n.loadClient = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: int64(cfg.Settings.Limits.HeaderBytes),
+	}}
 	n.callerHandler = pomeloroute.New(pomeloroute.Config{
 		Node:         n.self.Node,
 		Incarnation:  n.incarnation,
