pomelomesh: header fields of a link are limited to 16 KB

A router kept up to 16 MB of header fields that one peer sent on one link, as the answer to a link it had opened or on a link that the peer opened.

Cause: the default limit of grpc, 16 MB, applied to both sides; our links need a few hundred bytes.

Fix: both sides state and keep a limit of 16 KB. That a process ended for want of memory by this was not tried.

--- a/pomelomesh/dial.go
+++ b/pomelomesh/dial.go
@@ -17,6 +17,9 @@
 // control messages are short.
 const connBufferSize = 4 << 10
 
+// maxHeaderListSize limits the header fields of a link in bytes, as HTTP/2 counts them.
+const maxHeaderListSize = 16 << 10
+
 // dial opens a link and waits for the exchange of hellos.
 func (p *peer) dial() {
 	p.m.counters.dialled.Add(1)
@@ -110,6 +113,7 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxFrameBytes)),
 		grpc.WithReadBufferSize(connBufferSize),
 		grpc.WithWriteBufferSize(connBufferSize),
+		grpc.WithMaxHeaderListSize(maxHeaderListSize),
 		grpc.WithInitialWindowSize(flowControlWindow),
 		grpc.WithInitialConnWindowSize(flowControlWindow),
 		grpc.WithDisableServiceConfig(),
--- a/pomelomesh/mesh.go
+++ b/pomelomesh/mesh.go
@@ -96,6 +96,7 @@
 		grpc.ConnectionTimeout(m.cfg.Timing.ConnectTimeout),
 		grpc.ReadBufferSize(connBufferSize),
 		grpc.WriteBufferSize(connBufferSize),
+		grpc.MaxHeaderListSize(maxHeaderListSize),
 		grpc.InitialWindowSize(flowControlWindow),
 		grpc.InitialConnWindowSize(flowControlWindow),
 		grpc.WaitForHandlers(true),
