--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -62,16 +62,10 @@
 	return pomelolink.NewFailure(pomelolink.OutcomeTruncated, pomelorelay.CodeAnswerMalformed, cause)
 }
 
-// endsWithConnection reports whether only the end of the connection shows that the answer is complete. The connection may also have ended
-// because the upstream's process did.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
-}
-
 // confirmEnd marks the body of an answer as complete. It fails if only the end of the connection shows that, and the connection failed or the upstream
 // may have ended.
 func (c *call) confirmEnd(x *pomelolink.Exchange) *pomelolink.Failure {
-	if endsWithConnection(x.Response) {
+	if pomelolink.EndsWithConnection(x.Response) {
 		if !x.ClosedInOrder() {
 			return cutShort(x, errReset)
 		}
@@ -86,7 +80,7 @@
 // cutShort returns the failure of an answer that ended without an error of the connection, but is not complete.
 func cutShort(x *pomelolink.Exchange, cause error) *pomelolink.Failure {
 	f := pomelolink.NewFailure(pomelolink.OutcomeTruncated, pomelorelay.CodeAnswerCutShort, cause)
-	f.ConnectionBroken = endsWithConnection(x.Response)
+	f.ConnectionBroken = pomelolink.EndsWithConnection(x.Response)
 	return f
 }
 
@@ -108,7 +102,7 @@
 	if buffer.Len() > limit {
 		return c.forwardLong(x, buffer)
 	}
-	if buffer.Len() == 0 && endsWithConnection(x.Response) {
+	if buffer.Len() == 0 && pomelolink.EndsWithConnection(x.Response) {
 		return cutShort(x, errNoBody)
 	}
 	if f := c.confirmEnd(x); f != nil {
--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -162,7 +162,7 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return end
 	}
-	if endsWithConnection(resp) {
+	if pomelolink.EndsWithConnection(resp) {
 		c.h.cfg.Crashes.AnswerMayBeCut(c.brokenRun(c.decision.Upstream))
 		return end
 	}
--- a/pomeloforward/stream.go
+++ b/pomeloforward/stream.go
@@ -119,7 +119,7 @@
 	switch {
 	case events.HasPartialEvent():
 		cause = errPartial
-	case endsWithConnection(x.Response) && !begun && (!c.hasLastEvent || c.answerStarted):
+	case pomelolink.EndsWithConnection(x.Response) && !begun && (!c.hasLastEvent || c.answerStarted):
 		cause = errNoEvents
 	}
 	if cause != nil {
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -224,7 +224,7 @@
 		if resp.StatusCode >= http.StatusOK {
 			x.conn.unlimitHeader()
 			x.Response = resp
-			return x.checkHeader(req)
+			return x.checkHeader()
 		}
 	}
 	return NewFailure(OutcomeUnknown, pomelorelay.CodeAnswerMalformed, errors.New("no final answer within 5 responses"))
@@ -311,7 +311,7 @@
 // checkHeader verifies that the answer belongs to this request and that a truncated body can be detected. Without the check, a late or
 // duplicate answer on a reused connection would reach the wrong caller. The check detects such an answer by its id, since only connections
 // to upstreams that echo ids are reused, and Carriers keeps the attempts of one request on different connections.
-func (x *Exchange) checkHeader(req *http.Request) *Failure {
+func (x *Exchange) checkHeader() *Failure {
 	ids := x.Response.Header.Values(x.client.cfg.Protocol.IDHeader)
 	id := strings.Join(ids, ",")
 	x.IDEchoed = id == x.requestID
@@ -323,18 +323,15 @@
 	if x.client.cfg.Protocol.NotRun(x.Response) {
 		return x.refusedFailure()
 	}
-	if !x.client.cfg.Protocol.AllowCloseDelimited && !x.isDelimited(req) {
+	if !x.client.cfg.Protocol.AllowCloseDelimited && !x.isDelimited() {
 		return NewFailure(OutcomeUnknown, pomelorelay.CodeAnswerMalformed, errors.New("answer has neither Content-Length nor chunked encoding, so truncation cannot be detected"))
 	}
 	return nil
 }
 
-func (x *Exchange) isDelimited(req *http.Request) bool {
+func (x *Exchange) isDelimited() bool {
 	r := x.Response
-	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || req.Method == http.MethodHead {
-		return true
-	}
-	return IsEventStream(r) || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified
+	return !EndsWithConnection(r) || IsEventStream(r) || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified
 }
 
 func (x *Exchange) refusedFailure() *Failure {
--- a/pomelolink/headers.go
+++ b/pomelolink/headers.go
@@ -23,6 +23,12 @@
 	}
 }
 
+// EndsWithConnection reports whether only the end of the connection shows that the answer is complete. The connection may also have ended because the
+// upstream's process did.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
 // IsEventStream reports whether an answer has the media type text/event-stream.
 func IsEventStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
