A stopping router sends no request too late that has waited for its slot

A request that came early enough and then waited for a slot was sent however little of the stop's time was left. A plain one got a final 500 in place of a refusal; a stream that begins then can only be cut.

Cause: whether a request can still be answered was asked before its placement, and the placement may wait for seconds.

Evidence: TestStoppingRouterSendsNoRequestTooLateAfterItsWait, a stop with 0.2 s left that is known once the wait is over: before the fix all four kinds of routes sent the request.

Fix: the question is asked again after the placement. The request has not run, and its caller gets 503 with a Retry-After of 1 ms; the slot goes back unused.

--- a/pomeloforward/attempt.go
+++ b/pomeloforward/attempt.go
@@ -108,6 +108,11 @@
 		reservation.Done(RunEnd{Result: pomeloplace.ResultCancelledUnsent})
 		c.abandon()
 	}
+	// The request may have waited for its slot until shortly before the end of a stop.
+	if f := c.stopFailure(); f != nil {
+		reservation.Done(RunEnd{Result: pomeloplace.ResultCancelledUnsent})
+		return f
+	}
 	up := c.decision.Upstream
 	c.checkSuspicion()
 	ranBefore := c.mayHaveRun
--- a/pomeloforward/harness_test.go
+++ b/pomeloforward/harness_test.go
@@ -131,6 +131,8 @@
 	// finalAnswers ends requests without an answer once endAnswers was called.
 	finalAnswers context.Context
 	endAnswers   context.CancelFunc
+	// beforePlace, if set, is called while a request waits for its placement.
+	beforePlace func()
 	// callerGone reports whether a caller has disconnected; nil means never.
 	callerGone func() bool
 	mu         sync.Mutex
@@ -214,6 +216,9 @@
 }
 
 func (h *harness) Place(_ context.Context, request pomeloforward.PlacementRequest) (pomeloforward.Reservation, pomeloplace.Decision, error) {
+	if h.beforePlace != nil {
+		h.beforePlace()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.requests = append(h.requests, request)
--- a/pomeloforward/shutdown_test.go
+++ b/pomeloforward/shutdown_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pomelorelay/pomelorelay/pomelofake"
+	"github.com/pomelorelay/pomelorelay/pomeloplace"
 )
 
 // Guards against taking a request that the router, once stopped, cuts while its upstream runs it, and against refusing one that ends in time.
@@ -126,6 +127,25 @@
 	}
 }
 
+// Guards against sending a request that has waited for a slot so late that the stop cuts it, or ends it as one that may have run.
+func TestStoppingRouterSendsNoRequestTooLateAfterItsWait(t *testing.T) {
+	for _, path := range allRoutes {
+		u := newUpstream(t, func(conn net.Conn, r *http.Request) { write(conn, plainAnswer(r, 200, "booked")) })
+		h := newHarness(t, u.entry("u1"), u.entry("u2"))
+		h.beforePlace = func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.stopping, h.stopsIn = true, 200*time.Millisecond
+		}
+		if got := h.call("POST", path, "x"); got.status != 503 || u.requests() != 0 || got.head.Get("Retry-After") != "0.001" {
+			t.Errorf("%s: answer %+v after %d sends, want 503 after none", path, got, u.requests())
+		}
+		if r := h.result(0); r != pomeloplace.ResultCancelledUnsent {
+			t.Errorf("%s: result %v, want ResultCancelledUnsent", path, r)
+		}
+	}
+}
+
 // Guards against cutting a request that is still without an answer when the router ends, or calling it not run.
 func TestFinalAnswerOfRunningRequest(t *testing.T) {
 	started, hold := make(chan bool, 2), make(chan struct{})
