Heads of answers have at most 500 fields

The head of an answer may have 68 KB, which takes 1.0 MB once it is parsed into 10,569 short fields, kept until the answer ends, and 1.7 MB on the way. The number of requests that a router runs at a time counts on 64 KB each.

Cause: the bytes of a head were limited, its fields were not.

TestFieldsAreLimited and the case "too many fields" of TestMalformedHeadIsNoAnswer.

Fix: the scanner of heads counts fields, those of interim answers included, and fails beyond 500.

--- a/pomeloforward/malformedhead_test.go
+++ b/pomeloforward/malformedhead_test.go
@@ -6,18 +6,24 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pomelorelay/pomelorelay/pomelofake"
+	"github.com/pomelorelay/pomelorelay/pomelohead"
 )
 
-// malformedHeads are heads that differ from a sound one in a status or a field line.
-var malformedHeads = []struct {
+// malformedHead is a head that differs from a sound one in its status or a field line.
+type malformedHead struct {
 	name, status, field string
-}{
+}
+
+var tooManyFields = malformedHead{"too many fields", "200 OK", strings.Repeat("a:\r\n", pomelohead.MaxFields) + "a:"}
+
+var malformedHeads = []malformedHead{
 	{"status 000", "000 X", ""},
 	{"status 001", "001 X", ""},
 	{"status 099", "099 X", ""},
@@ -54,7 +60,7 @@
 
 // Guards against forwarding anything of an answer whose head is none in HTTP, and against taking it for the proof that a request has not run.
 func TestMalformedHeadIsNoAnswer(t *testing.T) {
-	for _, c := range malformedHeads {
+	for _, c := range append(slices.Clone(malformedHeads), tooManyFields) {
 		t.Run(c.name, func(t *testing.T) {
 			for _, path := range allRoutes {
 				for i, body := range bodiesAfterHead {
--- a/pomelohead/scanner.go
+++ b/pomelohead/scanner.go
@@ -13,8 +13,12 @@
 	ErrFieldName  = errors.New("name of a header field of the answer is malformed")
 	ErrFieldValue = errors.New("value of a header field of the answer is malformed")
 	ErrFolded     = errors.New("header field of the answer is folded")
+	ErrFields     = errors.New("answer has too many header fields")
 )
 
+// MaxFields is the largest number of fields that the heads of an answer may have. A parsed field takes many times the memory of its bytes.
+const MaxFields = 500
+
 // statusLine is the part of a status line before the reason; a zero stands for any digit.
 const statusLine = "HTTP/0.0 000"
 
@@ -41,6 +45,8 @@
 	state state
 	// matched is the number of bytes of statusLine that were read.
 	matched int
+	// fields is the number of fields that began.
+	fields  int
 	interim bool
 	err     error
 }
@@ -129,6 +135,9 @@
 	case ':':
 		return s.state, ErrFieldName
 	}
+	if s.fields++; s.fields > MaxFields {
+		return s.state, ErrFields
+	}
 	return nextOfName(b)
 }
 
--- a/pomelohead/scanner_test.go
+++ b/pomelohead/scanner_test.go
@@ -99,6 +99,27 @@
 	}
 }
 
+// Guards against a head of many short fields, which take many times their bytes once they are parsed.
+func TestFieldsAreLimited(t *testing.T) {
+	const interim = "HTTP/1.1 102 X\r\na:\r\n\r\n"
+	for _, c := range []struct {
+		before string
+		fields int
+		want   error
+	}{
+		{"", pomelohead.MaxFields, nil},
+		{"", pomelohead.MaxFields + 1, pomelohead.ErrFields},
+		{interim, pomelohead.MaxFields - 1, nil},
+		{interim, pomelohead.MaxFields, pomelohead.ErrFields},
+	} {
+		var s pomelohead.Scanner
+		err := s.Scan([]byte(c.before + "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", c.fields) + "\r\n"))
+		if !errors.Is(err, c.want) || s.Done() != (c.want == nil) {
+			t.Errorf("%d fields after %q: error %v, want %v", c.fields, c.before, err, c.want)
+		}
+	}
+}
+
 // Guards against a head whose end the scanner sees at another place than the parser that reads the answer.
 func TestHeadEndsWhereTheParserEndsIt(t *testing.T) {
 	pieces := []string{"HTTP/1.1 200 OK", "HTTP/1.1 103 X", "\r\n", "\n", "\r", " ", "\t", ":", "X-Foo: y", "X-Foo:", "Content-Length: 2", "Transfer-Encoding: chunked", "\x00", "000"}
