--- a/pomeloforward/earlyanswer_test.go
+++ b/pomeloforward/earlyanswer_test.go
@@ -23,25 +23,15 @@
 // newEarlyUpstream returns an upstream that answers requests before it has read their bodies; answer ends each connection.
 func newEarlyUpstream(t *testing.T, answer func(conn *net.TCPConn, body *bufio.Reader, r *http.Request)) pomelorelay.FleetUpstream {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := pomelofake.ServeConns(func(conn *net.TCPConn) { serveEarly(conn, answer) })
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveEarly(conn.(*net.TCPConn), answer)
-		}
-	}()
 	return pomelorelay.FleetUpstream{ID: "u", Service: "s", Addr: netip.MustParseAddrPort(l.Addr().String())}
 }
 
 func serveEarly(conn *net.TCPConn, answer func(conn *net.TCPConn, body *bufio.Reader, r *http.Request)) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
--- a/pomelonode/loads_test.go
+++ b/pomelonode/loads_test.go
@@ -10,30 +10,21 @@
 	"testing"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
 )
 
 // serveLoad answers each request for a load with the text.
 func serveLoad(t *testing.T, text string) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := pomelofake.ServeConns(func(conn *net.TCPConn) {
+		if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && r.URL.Path == "/load" {
+			_, _ = io.WriteString(conn, text)
+		}
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil && r.URL.Path == "/load" {
-					_, _ = io.WriteString(conn, text)
-				}
-			}()
-		}
-	}()
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
--- a/pomelostore/malformed_test.go
+++ b/pomelostore/malformed_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/pomelorelay/pomelorelay"
+	"github.com/pomelorelay/pomelorelay/pomelofake"
 	"github.com/pomelorelay/pomelorelay/pomelostore"
 )
 
@@ -19,25 +20,15 @@
 // counts the bytes.
 func rawServer(t *testing.T, text, block string, sent *atomic.Int64) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := pomelofake.ServeConns(func(conn *net.TCPConn) { serveRaw(conn, text, block, sent) })
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveRaw(conn, text, block, sent)
-		}
-	}()
 	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 func serveRaw(conn net.Conn, text, block string, sent *atomic.Int64) {
-	defer conn.Close()
 	r := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(r)
