Tests of answers before their request is read: upstreams that stop reading

The stand-in reads with a buffer of 4 KiB, so that requests of 60 KB and more are still being written when the answer ends; it leaves the rest unread until the caller has its answer, and resets the connection right after its FIN. The cases thereby cover a write that is stopped and one that fails with EPIPE.

That a write is not awaited until the request's deadline is not covered: only time would show it.

--- a/pomeloforward/earlyanswer_test.go
+++ b/pomeloforward/earlyanswer_test.go
@@ -32,6 +32,8 @@
 }
 
 func serveEarly(conn *net.TCPConn, answer func(conn *net.TCPConn, body *bufio.Reader, r *http.Request)) {
+	// Long requests are still being written when the answer ends.
+	_ = conn.SetReadBuffer(4 << 10)
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -127,28 +129,30 @@
 // Guards against failing an answer without length that ended in order before its request was read.
 func TestAnswerBeforeRequestIsReadIsComplete(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		end     func(conn *net.TCPConn, body *bufio.Reader)
+		name string
+		// end ends the answer; the caller has it once answered is closed.
+		end     func(conn *net.TCPConn, body *bufio.Reader, answered <-chan struct{})
 		answers []earlyAnswer
 	}{
-		{"rest of the request read", closeInOrder, earlyAnswers},
-		{"rest of the request not read", func(conn *net.TCPConn, _ *bufio.Reader) {
+		{"rest of the request read", func(conn *net.TCPConn, body *bufio.Reader, _ <-chan struct{}) { closeInOrder(conn, body) }, earlyAnswers},
+		{"rest of the request not read", func(conn *net.TCPConn, _ *bufio.Reader, answered <-chan struct{}) {
 			_ = conn.CloseWrite()
-			time.Sleep(300 * time.Millisecond)
+			<-answered
 		}, earlyAnswers},
 		// A reset discards what the kernel has not sent, which may be a part of the long answer.
-		{"reset after the end", func(conn *net.TCPConn, _ *bufio.Reader) {
+		{"reset after the end", func(conn *net.TCPConn, _ *bufio.Reader, _ <-chan struct{}) {
 			_ = conn.CloseWrite()
-			time.Sleep(20 * time.Millisecond)
 			reset(conn)
 		}, slices.DeleteFunc(slices.Clone(earlyAnswers), func(a earlyAnswer) bool { return a.name == longAnswer.name })},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			forEarlyAnswers(t, c.answers, func(t *testing.T, a earlyAnswer, send sendFunc) {
+				answered := make(chan struct{})
 				got := send(newEarlyUpstream(t, func(conn *net.TCPConn, body *bufio.Reader, r *http.Request) {
 					write(conn, a.head(r)+a.body)
-					c.end(conn, body)
+					c.end(conn, body, answered)
 				}))
+				close(answered)
 				if got.status != a.status || got.body != a.body || got.bodyErr != nil || got.head.Get(pomelofake.TestHeaderSignedBy) != "me" {
 					t.Errorf("status %d and %d bytes (%v), want %d and the whole body of %d bytes, signed", got.status, len(got.body), got.bodyErr, a.status, len(a.body))
 				}
