--- a/pomeloforward/answer.go
+++ b/pomeloforward/answer.go
@@ -17,7 +17,7 @@
 	errFalseNotRun = errors.New("status states that the request did not run, but the upstream did not confirm it")
 	errFailed      = errors.New("upstream answered with a server error")
 	errNoBody      = errors.New("connection closed before the body of an answer without length")
-	errReset       = errors.New("connection failed during an answer without length")
+	errConnFailed  = errors.New("connection failed during an answer without length")
 	errUnconfirmed = errors.New("answer without length ended, and its upstream's process is not known to live on")
 	errNoEnd       = errors.New("answer without length exceeds 16 MiB")
 )
@@ -67,7 +67,7 @@
 func (c *call) confirmEnd(x *pomelolink.Exchange) *pomelolink.Failure {
 	if pomelolink.EndsWithConnection(x.Response) {
 		if !x.ClosedInOrder() {
-			return cutShort(x, errReset)
+			return cutShort(x, errConnFailed)
 		}
 		if !x.UpstreamLives(c.process(c.decision.Upstream)) {
 			return cutShort(x, errUnconfirmed)
--- a/pomelohead/scanner.go
+++ b/pomelohead/scanner.go
@@ -25,18 +25,23 @@
 // firstStatusDigit is the index of the first digit of the status in statusLine.
 const firstStatusDigit = len(statusLine) - 3
 
+// state is what the next byte of a head belongs to.
 type state int
 
 const (
+	// stateStatusLine is the part of a status line that statusLine describes.
 	stateStatusLine state = iota
+	// stateReasonStart is the first byte after the status.
 	stateReasonStart
 	stateReason
+	// stateReasonEnd and stateValueEnd are the line feeds after the carriage returns of status lines and fields, stateHeadEnd is that of a blank line.
 	stateReasonEnd
 	stateLineStart
 	stateName
 	stateValue
 	stateValueEnd
 	stateHeadEnd
+	// stateDone is the body of the final answer.
 	stateDone
 )
 
@@ -46,7 +51,8 @@
 	// matched is the number of bytes of statusLine that were read.
 	matched int
 	// fields is the number of fields that began.
-	fields  int
+	fields int
+	// interim is set in the head of a 1xx answer, which another head follows.
 	interim bool
 	err     error
 }
@@ -76,7 +82,7 @@
 	return s.err
 }
 
-// next returns the state after a byte.
+// next returns the state after a byte; with an error the state has no meaning.
 func (s *Scanner) next(b byte) (state, error) {
 	switch s.state {
 	case stateStatusLine:
--- a/pomelolink/exchange.go
+++ b/pomelolink/exchange.go
@@ -49,7 +49,7 @@
 	stop       func() bool
 	// writeDone receives the result of writing the request concurrently; nil if it was not written concurrently or its result was received.
 	writeDone chan error
-	// writeErr is the result of writing the request, once it was received.
+	// writeErr is the result of writing the request, once it was received. net/http may hide the error of the connection in it.
 	writeErr error
 	// BodyComplete is set by the code that reads the answer's body, once the body was read to its end.
 	BodyComplete bool
@@ -294,9 +294,9 @@
 	}
 }
 
-// ClosedInOrder reports whether the end of the connection, which the last read of the answer met, was sent by the upstream and not caused by a failure of
-// the connection. The kernel reports a failure only once: if the write of the request has received it, the read meets an end without an error. A write in
-// progress is stopped, since the answer is over.
+// ClosedInOrder reports whether the upstream has ended the connection, once a read of the answer has returned io.EOF; else the connection has failed. The
+// kernel reports a failure only once: if the write of the request has received it, the read meets an end without an error. A write in progress is
+// stopped, since the answer is over.
 func (x *Exchange) ClosedInOrder() bool {
 	if x.writeDone != nil {
 		// An error means that the connection is closed, which also ends the write.
--- a/pomelolink/headers.go
+++ b/pomelolink/headers.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// EndsWithConnection reports whether only the end of the connection shows that the answer is complete. The connection may also have ended because the
-// upstream's process did.
+// EndsWithConnection reports whether only the end of the connection shows that the answer is complete. The connection may also have ended because it
+// failed, see Exchange.ClosedInOrder, or because the upstream's process did, see Exchange.UpstreamLives. resp.Request must be set.
 func EndsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
 }
