--- a/pomeloentry/shutdown_test.go
+++ b/pomeloentry/shutdown_test.go
@@ -6,10 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/pomelorelay/pomelorelay"
 	"github.com/pomelorelay/pomelorelay/pomelofake"
 )
 
@@ -128,3 +132,58 @@
 		t.Errorf("answered %d, want 500: it may have run", got)
 	}
 }
+
+// Guards against passing on a request that was sent ahead on a connection which a stop closes before its answer.
+func TestStopAnswersRequestsSentAhead(t *testing.T) {
+	const stop, work, conns, ahead = 2 * time.Second, 60 * time.Millisecond, 12, 4
+	f := newFleet(t)
+	f.ignoresHostDelay = true
+	f.store.PublishConfig(f.config(1, "/a/"))
+	var ran sync.Map
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(pomelofake.TestHeaderRequestID)
+		ran.Store(id, true)
+		time.Sleep(work)
+		w.Header().Set(pomelofake.TestHeaderRequestID, id)
+		w.Header().Set(pomelofake.TestHeaderSignedBy, "u1")
+		fmt.Fprint(w, "done")
+	}))
+	t.Cleanup(upstream.Close)
+	f.store.PutUpstream(pomelorelay.FleetUpstream{ID: "u1", Service: "s", Addr: netip.MustParseAddrPort(upstream.Listener.Addr().String()), Domain: "a", Slots: 8})
+	n := f.start(stop)
+	f.awaitStatus(n, "/a/", 200)
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i := range conns {
+		conn := f.keep(n)
+		wg.Go(func() {
+			time.Sleep(time.Until(began.Add(stop * time.Duration(i) / conns)))
+			var text strings.Builder
+			var ids []string
+			for range ahead {
+				id := fmt.Sprintf("ahead-%d", f.requests.Add(1))
+				ids = append(ids, id)
+				fmt.Fprintf(&text, "POST /a/ HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: key\r\n%s: 900\r\nContent-Length: 1\r\n\r\nx",
+					pomelofake.TestHeaderRequestID, id, pomelofake.TestHeaderCallerKey, pomelofake.TestHeaderWait)
+			}
+			_, err := io.WriteString(conn, text.String())
+			answered := 0
+			for err == nil && answered < ahead {
+				var resp *http.Response
+				if resp, err = http.ReadResponse(conn.reader, nil); err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+				}
+				if err == nil {
+					answered++
+				}
+			}
+			for _, id := range ids[answered:] {
+				if _, passedOn := ran.Load(id); passedOn {
+					t.Errorf("connection %d: %s was passed on and not answered; %d of %d were answered", i, id, answered, ahead)
+				}
+			}
+		})
+	}
+	n.router.Stop()
+	wg.Wait()
+}
