A report without length that states no start time is accepted again

Cause: took a report that ends with its connection and states no start time for a cut one. Servers that answer any path without length, also that of the report, are sound, and their answers must stay complete. Only a cut report of which nothing can be read looks alike.

Fix: such a report counts as one that states no start time, as before; the limit of 64 KiB stays.

--- a/pomelolink/process.go
+++ b/pomelolink/process.go
@@ -18,7 +18,7 @@
 
 var (
 	errReportUnusable = errors.New("the upstream answers another request, or sends more than its report")
-	errReportPartial  = errors.New("the upstream's report is too large, or ends with its connection and states no start time")
+	errReportTooLarge = errors.New("the upstream's report exceeds 64 KiB")
 	errReportRefused  = errors.New("the upstream refuses to report on its process")
 )
 
@@ -102,13 +102,9 @@
 	c.closing = resp.Close
 	switch {
 	case len(body) > maxReportBytes:
-		return errReportPartial
+		return errReportTooLarge
 	case resp.StatusCode == http.StatusOK:
 		c.startUnixMilli = p.Parse(body)
-		// The process may have ended during its report.
-		if c.startUnixMilli == 0 && EndsWithConnection(resp) {
-			return errReportPartial
-		}
 	case resp.StatusCode == http.StatusTooManyRequests, resp.StatusCode >= http.StatusInternalServerError:
 		return errReportRefused
 	}
